Lay out the project and fix the contracts its parts share

Cause: nothing stood yet; five lanes of work need one set of typed messages and interfaces before they can go side by side. Conclusion: the contracts are the seam; deciding objects stay without I/O.

--- /dev/null
+++ b/src/cardamomfork/_internal/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: keys, limits and priorities."""
--- /dev/null
+++ b/src/cardamomfork/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/src/cardamomfork/_internal/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module a command."""
--- /dev/null
+++ b/src/cardamomfork/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned configuration and its way to every instance."""
--- /dev/null
+++ b/src/cardamomfork/_internal/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces between the deciding objects and the links."""
--- /dev/null
+++ b/src/cardamomfork/_internal/data_centres/__init__.py
@@ -0,0 +1,1 @@
+"""Data centres: delegates, reachability and summaries."""
--- /dev/null
+++ b/src/cardamomfork/_internal/instances/__init__.py
@@ -0,0 +1,1 @@
+"""Entry instances: membership, heartbeats, drain."""
--- /dev/null
+++ b/src/cardamomfork/_internal/links/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to callers, targets, peers and the platform."""
--- /dev/null
+++ b/src/cardamomfork/_internal/links/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP face towards callers."""
--- /dev/null
+++ b/src/cardamomfork/_internal/links/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Cap'n Proto links to other entry instances."""
--- /dev/null
+++ b/src/cardamomfork/_internal/links/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Links to the platform's key-value store and lists."""
--- /dev/null
+++ b/src/cardamomfork/_internal/links/targets/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP links to model engines and plain services."""
--- /dev/null
+++ b/src/cardamomfork/_internal/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement commands that print slopes and ratios."""
--- /dev/null
+++ b/src/cardamomfork/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Data that parts of the system hand to each other; no effects."""
--- /dev/null
+++ b/src/cardamomfork/_internal/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The lifecycle of a request: attempts, claims, retries."""
--- /dev/null
+++ b/src/cardamomfork/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which target runs a request, and when."""
--- /dev/null
+++ b/src/cardamomfork/_internal/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for engines, services and the platform."""
--- /dev/null
+++ b/src/cardamomfork/_internal/standins/store.py
@@ -0,0 +1,337 @@
+"""An in-memory key-value store with compare-and-swap, leases and watches.
+
+Stands in for the platform's store in tests, measurements and the embedded
+daemon. `MemoryStore` is the store itself; each user talks to it through a
+`StoreSession`, whose `StoreFaults` switches make that user's calls fail.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import math
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import result
+
+from cardamomfork._internal.contracts import store as store_contract
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+
+WATCH_HEARTBEAT_S = 2.0
+MAX_HISTORY = 10_000
+
+
+@attrs.define
+class StoreFaults:
+    """Switches for one session's faults.
+
+    Attributes:
+        down: Calls fail as unavailable and watches end.
+        lose_answers: Writes take effect and their answers are lost, this many
+            times.
+        delay_s: Time each call takes, in seconds.
+        silent_watches: Watches yield nothing any more, not even heartbeats.
+    """
+
+    down: bool = False
+    lose_answers: int = 0
+    delay_s: float = 0.0
+    silent_watches: bool = False
+
+
+@attrs.define
+class StoreCounters:
+    """Calls counted as the platform counts them."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+    conflicts: int = 0
+
+
+@attrs.define
+class _LeaseRecord:
+    """A lease, its keys and the time at which it lapses."""
+
+    ttl_s: float
+    expires_at: float
+    keys: set[str] = attrs.field(factory=set)
+
+
+class MemoryStore:
+    """The store itself: entries, history and leases."""
+
+    def __init__(self, clock: clock_contract.Clock) -> None:
+        """Starts empty at revision 0."""
+        self._clock = clock
+        self._entries: dict[str, store_contract.Entry] = {}
+        self._history: list[tuple[int, store_contract.Entry]] = []
+        self._leases: dict[int, _LeaseRecord] = {}
+        self._revision = 0
+        self._changed = anyio.Event()
+        self.counters = StoreCounters()
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
+
+    def read(self, key: str) -> store_contract.Entry | None:
+        """Returns a key's entry."""
+        self.expire_leases()
+        return self._entries.get(key)
+
+    def read_prefix(self, prefix: str) -> store_contract.Scan:
+        """Returns all entries under a prefix, in key order."""
+        self.expire_leases()
+        keys = sorted(key for key in self._entries if key.startswith(prefix))
+        return store_contract.Scan(
+            tuple(self._entries[key] for key in keys), self._revision
+        )
+
+    def write(
+        self, key: str, value: bytes | None, expected: int, lease: int
+    ) -> result.Result[
+        store_contract.Entry,
+        store_contract.CompareFailed | store_contract.StoreFault,
+    ]:
+        """Writes or (with no value) deletes a key by compare-and-swap."""
+        current = self.read(key)
+        version = current.version if current else store_contract.ABSENT
+        if version != expected:
+            self.counters.conflicts += 1
+            return result.Err(store_contract.CompareFailed(key, current))
+        if lease and lease not in self._leases:
+            return result.Err(
+                store_contract.StoreFault(
+                    store_contract.StoreFaultKind.LEASE_GONE, key
+                )
+            )
+        return result.Ok(self._apply(key, value, lease))
+
+    def grant(self, ttl_s: float) -> store_contract.Lease:
+        """Grants a lease named by a new revision, so names only grow."""
+        self._revision += 1
+        self._leases[self._revision] = _LeaseRecord(
+            ttl_s, self._clock.monotonic() + ttl_s
+        )
+        return store_contract.Lease(self._revision, ttl_s)
+
+    def renew(self, lease_id: int) -> store_contract.Lease | None:
+        """Renews a lease, or returns None if it has lapsed."""
+        self.expire_leases()
+        record = self._leases.get(lease_id)
+        if record is None:
+            return None
+        record.expires_at = self._clock.monotonic() + record.ttl_s
+        return store_contract.Lease(lease_id, record.ttl_s)
+
+    def revoke(self, lease_id: int) -> None:
+        """Ends a lease and deletes its keys."""
+        record = self._leases.pop(lease_id, None)
+        for key in sorted(record.keys) if record else ():
+            self._apply(key, None, 0)
+
+    def expire_leases(self) -> None:
+        """Ends the leases whose time is up."""
+        now = self._clock.monotonic()
+        lapsed = [k for k, v in self._leases.items() if v.expires_at <= now]
+        for lease_id in lapsed:
+            self.revoke(lease_id)
+
+    def changes_after(
+        self, prefix: str, revision: int
+    ) -> tuple[store_contract.Entry, ...] | None:
+        """Returns the changes after a revision; None if no longer held."""
+        dropped = len(self._history) >= MAX_HISTORY
+        if dropped and revision < self._history[0][0] - 1:
+            return None
+        return tuple(
+            entry
+            for at, entry in self._history
+            if at > revision and entry.key.startswith(prefix)
+        )
+
+    async def wait_for_change(self, seconds: float) -> None:
+        """Waits until something changes, at most so long."""
+        with anyio.move_on_after(seconds):
+            await self._changed.wait()
+
+    def _apply(
+        self, key: str, value: bytes | None, lease: int
+    ) -> store_contract.Entry:
+        """Makes one change at a new revision and wakes the watchers."""
+        self._revision += 1
+        old = self._entries.pop(key, None)
+        if old and old.lease in self._leases:
+            self._leases[old.lease].keys.discard(key)
+        if value is None:
+            entry = store_contract.Entry(key, b"", store_contract.ABSENT)
+        else:
+            entry = store_contract.Entry(key, value, self._revision, lease)
+            self._entries[key] = entry
+        if lease:
+            self._leases[lease].keys.add(key)
+        self._history.append((self._revision, entry))
+        del self._history[:-MAX_HISTORY]
+        self._changed.set()
+        self._changed = anyio.Event()
+        return entry
+
+
+class StoreSession:
+    """One user's way to a `MemoryStore`; meets the `Store` contract."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        """Opens a session without faults."""
+        self._store = store
+        self.faults = StoreFaults()
+
+    async def get(
+        self, key: str
+    ) -> result.Result[store_contract.Entry | None, store_contract.StoreFault]:
+        """Reads one key."""
+        self._store.counters.reads += 1
+        if fault := await self._before(key):
+            return result.Err(fault)
+        return result.Ok(self._store.read(key))
+
+    async def scan(
+        self, prefix: str
+    ) -> result.Result[store_contract.Scan, store_contract.StoreFault]:
+        """Reads all keys under a prefix."""
+        self._store.counters.reads += 1
+        if fault := await self._before(prefix):
+            return result.Err(fault)
+        return result.Ok(self._store.read_prefix(prefix))
+
+    async def put(
+        self, key: str, value: bytes, *, expected: int, lease: int = 0
+    ) -> result.Result[
+        store_contract.Entry,
+        store_contract.CompareFailed | store_contract.StoreFault,
+    ]:
+        """Writes a key if it is at the expected version."""
+        self._store.counters.writes += 1
+        if fault := await self._before(key):
+            return result.Err(fault)
+        answer = self._store.write(key, value, expected, lease)
+        if fault := self._lost_answer(key):
+            return result.Err(fault)
+        return answer
+
+    async def delete(
+        self, key: str, *, expected: int
+    ) -> result.Result[
+        None, store_contract.CompareFailed | store_contract.StoreFault
+    ]:
+        """Deletes a key if it is at the expected version."""
+        self._store.counters.writes += 1
+        if fault := await self._before(key):
+            return result.Err(fault)
+        answer = self._store.write(key, None, expected, 0)
+        if fault := self._lost_answer(key):
+            return result.Err(fault)
+        return answer.map(lambda _: None)
+
+    async def grant_lease(
+        self, ttl_s: float
+    ) -> result.Result[store_contract.Lease, store_contract.StoreFault]:
+        """Grants a new lease."""
+        self._store.counters.writes += 1
+        if fault := await self._before("lease"):
+            return result.Err(fault)
+        lease = self._store.grant(ttl_s)
+        if fault := self._lost_answer("lease"):
+            return result.Err(fault)
+        return result.Ok(lease)
+
+    async def renew_lease(
+        self, lease_id: int
+    ) -> result.Result[store_contract.Lease, store_contract.StoreFault]:
+        """Renews a lease."""
+        self._store.counters.writes += 1
+        if fault := await self._before("lease"):
+            return result.Err(fault)
+        lease = self._store.renew(lease_id)
+        if lease is None:
+            return result.Err(
+                store_contract.StoreFault(
+                    store_contract.StoreFaultKind.LEASE_GONE, "lease"
+                )
+            )
+        if fault := self._lost_answer("lease"):
+            return result.Err(fault)
+        return result.Ok(lease)
+
+    async def revoke_lease(
+        self, lease_id: int
+    ) -> result.Result[None, store_contract.StoreFault]:
+        """Ends a lease and deletes the keys tied to it."""
+        self._store.counters.writes += 1
+        if fault := await self._before("lease"):
+            return result.Err(fault)
+        self._store.revoke(lease_id)
+        if fault := self._lost_answer("lease"):
+            return result.Err(fault)
+        return result.Ok(None)
+
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncIterator[
+        AsyncIterator[
+            result.Result[store_contract.WatchBatch, store_contract.StoreFault]
+        ]
+    ]:
+        """Follows changes under a prefix after a revision."""
+        self._store.counters.watches += 1
+        yield self._follow(prefix, from_revision)
+
+    async def _follow(
+        self, prefix: str, revision: int
+    ) -> AsyncIterator[
+        result.Result[store_contract.WatchBatch, store_contract.StoreFault]
+    ]:
+        """Yields batches until the first fault."""
+        while True:
+            if self.faults.silent_watches:
+                await anyio.sleep(math.inf)
+            if fault := await self._before(prefix):
+                yield result.Err(fault)
+                return
+            changes = self._store.changes_after(prefix, revision)
+            if changes is None:
+                yield result.Err(
+                    store_contract.StoreFault(
+                        store_contract.StoreFaultKind.COMPACTED, prefix
+                    )
+                )
+                return
+            revision = self._store.revision
+            yield result.Ok(store_contract.WatchBatch(changes, revision))
+            if revision == self._store.revision:
+                await self._store.wait_for_change(WATCH_HEARTBEAT_S)
+
+    async def _before(self, key: str) -> store_contract.StoreFault | None:
+        """Takes the call's time and fails it if the store is down."""
+        await anyio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            return store_contract.StoreFault(
+                store_contract.StoreFaultKind.UNAVAILABLE, key
+            )
+        return None
+
+    def _lost_answer(self, key: str) -> store_contract.StoreFault | None:
+        """Loses a write's answer if the switch says so."""
+        if self.faults.lose_answers <= 0:
+            return None
+        self.faults.lose_answers -= 1
+        return store_contract.StoreFault(
+            store_contract.StoreFaultKind.INDETERMINATE, key
+        )
--- /dev/null
+++ b/src/cardamomfork/_internal/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Views of targets: health, load, orders."""
--- /dev/null
+++ b/src/cardamomfork/_internal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the state dump."""
--- /dev/null
+++ b/src/cardamomfork/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts that work without the daemon."""
