--- /dev/null
+++ b/src/cardamomfork/_internal/measure/reports.py
@@ -0,0 +1,151 @@
+"""Points, fits and tables that the measurement commands print.
+
+A measurement is a module of this package with a function
+
+    def measure(options: reports.Options) -> reports.Report
+
+`cardamomfork measure NAME` runs it and prints what it returns.
+"""
+
+from __future__ import annotations
+
+import statistics
+import time
+
+import attrs
+
+REFERENCE_STEPS = 1_000_000
+
+
+@attrs.frozen
+class Options:
+    """How to run a measurement.
+
+    Attributes:
+        smallest: Run only the smallest size, to prove that the command works.
+        seed: Seed of all that is random.
+    """
+
+    smallest: bool = False
+    seed: int = 1
+
+
+@attrs.frozen
+class Table:
+    """Rows of text under a title."""
+
+    title: str
+    columns: tuple[str, ...]
+    rows: tuple[tuple[str, ...], ...]
+
+    def __str__(self) -> str:
+        """Returns the table with aligned columns."""
+        lines = [self.columns, *self.rows]
+        widths = [
+            max(len(cell) for cell in column)
+            for column in zip(*lines, strict=True)
+        ]
+        body = [_align(line, widths) for line in lines]
+        return "\n".join([self.title, *body])
+
+
+@attrs.frozen
+class Slope:
+    """A line fitted to measured points.
+
+    Attributes:
+        quantity: What grows, with its unit.
+        size: What it grows with, with its unit.
+        points: (size, quantity) pairs as measured.
+        bound: Most that the quantity may be, or None.
+        target_size: Size that the users' target asks for, or None.
+    """
+
+    quantity: str
+    size: str
+    points: tuple[tuple[float, float], ...]
+    bound: float | None = None
+    target_size: float | None = None
+
+    @property
+    def fit(self) -> tuple[float, float]:
+        """The line's slope and intercept, by least squares."""
+        if len(self.points) < 2:
+            x, y = self.points[0]
+            return (y / x if x else 0.0), 0.0
+        line = statistics.linear_regression(*zip(*self.points, strict=False))
+        return line.slope, line.intercept
+
+    @property
+    def error(self) -> float:
+        """Largest distance of a point from the line, as a share of it."""
+        slope, intercept = self.fit
+        expected = [(slope * x + intercept, y) for x, y in self.points]
+        return max(abs(y - e) / max(abs(e), 1e-12) for e, y in expected)
+
+    @property
+    def at_target(self) -> float | None:
+        """The quantity at the target size, by the line."""
+        if self.target_size is None:
+            return None
+        slope, intercept = self.fit
+        return slope * self.target_size + intercept
+
+    @property
+    def size_at_bound(self) -> float | None:
+        """The size at which the line meets the bound."""
+        slope, intercept = self.fit
+        if self.bound is None or slope <= 0:
+            return None
+        return (self.bound - intercept) / slope
+
+    def __str__(self) -> str:
+        """Returns the points, the fit and what follows from it."""
+        slope, intercept = self.fit
+        lines = [f"{self.quantity} by {self.size}"]
+        lines += [f"  {x:>12g}  {y:.6g}" for x, y in self.points]
+        lines.append(
+            f"  fit: {slope:.6g} x size + {intercept:.6g}"
+            f" (largest error {self.error:.1%})"
+        )
+        if self.at_target is not None:
+            lines.append(f"  at {self.target_size:g}: {self.at_target:.6g}")
+        if self.size_at_bound is not None:
+            lines.append(
+                f"  bound {self.bound:g} reached at {self.size_at_bound:.6g}"
+            )
+        return "\n".join(lines)
+
+
+@attrs.frozen
+class Report:
+    """What a measurement found, and the machine's reference loop beside it."""
+
+    name: str
+    parts: tuple[Table | Slope | str, ...]
+
+    def __str__(self) -> str:
+        """Returns the whole report as text."""
+        head = (
+            f"measure {self.name} (reference loop:"
+            f" {reference_loop_ns():.1f} ns a step)"
+        )
+        return "\n\n".join([head, *map(str, self.parts)])
+
+
+def _align(line: tuple[str, ...], widths: list[int]) -> str:
+    """Joins the cells of a line, each to the right of its column."""
+    cells = zip(line, widths, strict=True)
+    return "  ".join(cell.rjust(width) for cell, width in cells)
+
+
+def reference_loop_ns() -> float:
+    """Returns the processor time of one step of a fixed loop, in ns.
+
+    Figures of different machines compare by their ratio to this.
+    """
+    start = time.process_time_ns()
+    total = 0
+    for step in range(REFERENCE_STEPS):
+        total += step & 7
+    return (time.process_time_ns() - start) / REFERENCE_STEPS
