--- /dev/null
+++ b/src/cardamomfork/_internal/links/callers/application.py
@@ -0,0 +1,186 @@
+"""The ASGI application that callers talk to."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Protocol
+from typing import TYPE_CHECKING
+import urllib.parse
+
+import attrs
+from loguru import logger
+import result
+
+from cardamomfork._internal.links.callers import exchange
+from cardamomfork._internal.links.callers import headers as caller_headers
+from cardamomfork._internal.links.callers import reading
+from cardamomfork._internal.links.callers import responses
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import outcomes
+from cardamomfork._internal.models import requests
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.requests import records
+    from cardamomfork._internal.requests import service as service_module
+
+CALLS_PREFIX = "/v1/services/"
+CALLS_SUFFIX = "/calls"
+REQUESTS_PREFIX = "/v1/requests/"
+_PROMPT_PATHS = {
+    "/v1/completions": requests.Api.COMPLETIONS,
+    "/v1/chat/completions": requests.Api.CHAT,
+}
+_OK = 200
+_NOT_FOUND = 404
+_METHOD_NOT_ALLOWED = 405
+_UNAVAILABLE = 503
+
+
+class Authenticator(Protocol):
+    """Tells whose key a caller shows."""
+
+    def verify(
+        self, bearer: str, now_wall: float
+    ) -> result.Result[identifiers.AccountName, outcomes.Refusal]:
+        """Returns the account of a key."""
+        ...
+
+
+@attrs.frozen
+class CallerApplication:
+    """Finds the handler of a path; answers the short ones itself.
+
+    Attributes:
+        prompts: Handles prompts and calls.
+        service: Tells whether this instance drains.
+        table: Records of requests.
+        authenticator: Checks keys.
+        clock: Time of the wall, for keys that end.
+        data_centre: Where this instance stands.
+    """
+
+    prompts: exchange.PromptExchange
+    service: service_module.RequestService
+    table: records.RecordTable
+    authenticator: Authenticator
+    clock: clock_contract.Clock
+    data_centre: identifiers.DataCentreId
+
+    async def __call__(
+        self,
+        scope: dict[str, Any],
+        receive: Callable[[], Awaitable[dict[str, Any]]],
+        send: Callable[[dict[str, Any]], Awaitable[None]],
+    ) -> None:
+        """Answers one HTTP request."""
+        if scope["type"] != "http":
+            return
+        responder = responses.Responder(
+            send, identifiers.new_request_id(), self.data_centre
+        )
+        asgi = exchange.Asgi(scope, receive, send)
+        try:
+            await self._route(asgi, responder)
+        except reading.CallerGoneError:
+            logger.bind(request_id=responder.request_id).debug(
+                "caller left before its request was whole"
+            )
+
+    async def _route(
+        self, asgi: exchange.Asgi, responder: responses.Responder
+    ) -> None:
+        """Answers by path."""
+        path = asgi.scope["path"]
+        if path == "/healthz":
+            await responder.json(_OK, {"alive": True})
+        elif path == "/readyz":
+            await self._tell_ready(responder)
+        elif path in _PROMPT_PATHS or _is_call(path):
+            await self._run(asgi, responder, path)
+        elif path.startswith(REQUESTS_PREFIX):
+            await self._find(asgi, responder, path)
+        else:
+            await responder.problem(
+                _refuse_input(f"There is nothing at {path[:200]!r}."),
+                status=_NOT_FOUND,
+                close=True,
+            )
+
+    async def _tell_ready(self, responder: responses.Responder) -> None:
+        """Tells the balancer whether to send requests here."""
+        ready = not self.service.draining
+        status = _OK if ready else _UNAVAILABLE
+        await responder.json(status, {"ready": ready})
+
+    async def _run(
+        self, asgi: exchange.Asgi, responder: responses.Responder, path: str
+    ) -> None:
+        """Runs a prompt or a call."""
+        account = await self._authenticate(asgi, responder, "POST")
+        if account is None:
+            return
+        api = _PROMPT_PATHS.get(path, requests.Api.CALL)
+        name = ""
+        if api is requests.Api.CALL:
+            name = path[len(CALLS_PREFIX) : -len(CALLS_SUFFIX)]
+        await self.prompts.handle(asgi, responder, account, api, name)
+
+    async def _find(
+        self, asgi: exchange.Asgi, responder: responses.Responder, path: str
+    ) -> None:
+        """Tells an account what is known of its request."""
+        account = await self._authenticate(asgi, responder, "GET")
+        if account is None:
+            return
+        request_id = urllib.parse.unquote(path[len(REQUESTS_PREFIX) :])
+        record = self.table.find(identifiers.RequestId(request_id), account)
+        if record is None:
+            refusal = outcomes.Refusal(
+                outcomes.Outcome.UNKNOWN,
+                outcomes.RefusalReason.INVALID,
+                "This instance knows no such request of this account.",
+            )
+            await responder.problem(refusal, status=_NOT_FOUND)
+            return
+        members = {
+            "request_id": record.request_id,
+            "service": record.service,
+            "state": record.state.value,
+            "outcome": record.outcome.value,
+            "reason": record.reason.value if record.reason else None,
+            "data_centre": self.data_centre,
+        }
+        await responder.json(_OK, members)
+
+    async def _authenticate(
+        self, asgi: exchange.Asgi, responder: responses.Responder, method: str
+    ) -> identifiers.AccountName | None:
+        """Returns the caller's account, or answers with the refusal."""
+        if asgi.scope["method"] != method:
+            await responder.problem(
+                _refuse_input(f"Use {method} here."),
+                status=_METHOD_NOT_ALLOWED,
+                close=True,
+            )
+            return None
+        bearer = caller_headers.read_bearer(asgi.scope["headers"])
+        verified = self.authenticator.verify(bearer, self.clock.wall())
+        if isinstance(verified, result.Err):
+            await responder.problem(verified.err_value, close=True)
+            return None
+        return verified.ok_value
+
+
+def _is_call(path: str) -> bool:
+    """Tells whether a path is that of a plain service's calls."""
+    name = path.removeprefix(CALLS_PREFIX).removesuffix(CALLS_SUFFIX)
+    return path == f"{CALLS_PREFIX}{name}{CALLS_SUFFIX}" and "/" not in name
+
+
+def _refuse_input(detail: str) -> outcomes.Refusal:
+    """Makes the refusal of a request that names nothing there is."""
+    return outcomes.refuse(outcomes.RefusalReason.INVALID, detail)
--- /dev/null
+++ b/src/cardamomfork/_internal/links/callers/bodies.py
@@ -0,0 +1,185 @@
+"""Checks of callers' bodies: all findings of one body, with JSON paths."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+import result
+
+from cardamomfork._internal.links.callers import prompts
+from cardamomfork._internal.models import findings
+from cardamomfork._internal.models import requests
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+DEFAULT_MAX_TOKENS = 256
+MAX_GENERATED_TOKENS = 1_048_576
+MAX_TOKEN_ID = 2**31
+MAX_FINDINGS = 50
+ROLES = frozenset(
+    {"system", "developer", "user", "assistant", "tool", "function"}
+)
+
+
+@attrs.frozen
+class CheckedBody:
+    """What the system needs to know of a body.
+
+    Attributes:
+        model: Model, or `model:adapter`; empty for a call.
+        text: Bytes of the prompt, for its length and hashes.
+        max_tokens: Most tokens to generate.
+        stream: Whether server-sent events were asked for.
+    """
+
+    model: str = ""
+    text: bytes = attrs.field(default=b"", repr=False)
+    max_tokens: int = 0
+    stream: bool = False
+
+
+def check(
+    api: requests.Api, body: bytes
+) -> result.Result[CheckedBody, list[findings.Finding]]:
+    """Checks a body and returns what it asks for, or all that is wrong."""
+    try:
+        decoded = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return result.Err([_finding("$", f"is not valid JSON: {error}")])
+    if not isinstance(decoded, dict):
+        return result.Err([_finding("$", "must be a JSON object")])
+    if api is requests.Api.CALL:
+        return result.Ok(CheckedBody(text=body))
+    found = list(_check_common(decoded))
+    if api is requests.Api.CHAT:
+        found += _check_messages(decoded)
+    else:
+        found += _check_prompt(decoded)
+    if found:
+        return result.Err(found[:MAX_FINDINGS])
+    return result.Ok(_read(api, decoded))
+
+
+def _read(api: requests.Api, decoded: dict[str, Any]) -> CheckedBody:
+    """Reads a body without findings."""
+    if api is requests.Api.CHAT:
+        text = prompts.chat_text(decoded["messages"])
+    else:
+        text = prompts.completion_text(decoded["prompt"])
+    asked = decoded.get("max_completion_tokens") or decoded.get("max_tokens")
+    return CheckedBody(
+        model=decoded["model"],
+        text=text,
+        max_tokens=asked or DEFAULT_MAX_TOKENS,
+        stream=bool(decoded.get("stream")),
+    )
+
+
+def _check_common(decoded: dict[str, Any]) -> Iterator[findings.Finding]:
+    """Checks the fields that completions and chats share."""
+    model = decoded.get("model")
+    if "model" not in decoded:
+        yield _finding("$.model", "is missing")
+    elif not isinstance(model, str) or not model:
+        yield _finding("$.model", "must be a non-empty string")
+    if not isinstance(decoded.get("stream"), bool | None):
+        yield _finding("$.stream", "must be true or false")
+    for name in ("max_tokens", "max_completion_tokens"):
+        value = decoded.get(name)
+        if value is None:
+            continue
+        if not _is_int(value) or not 1 <= value <= MAX_GENERATED_TOKENS:
+            yield _finding(
+                f"$.{name}",
+                f"must be an integer from 1 to {MAX_GENERATED_TOKENS}",
+            )
+    for name in ("temperature", "top_p"):
+        value = decoded.get(name)
+        if value is not None and (
+            isinstance(value, bool) or not isinstance(value, int | float)
+        ):
+            yield _finding(f"$.{name}", "must be a number")
+
+
+def _check_prompt(decoded: dict[str, Any]) -> Iterator[findings.Finding]:
+    """Checks a completion's prompt: text, texts, tokens or lists of them."""
+    prompt = decoded.get("prompt")
+    if "prompt" not in decoded:
+        yield _finding("$.prompt", "is missing")
+    elif isinstance(prompt, list):
+        yield from _check_prompt_list(prompt)
+    elif not isinstance(prompt, str):
+        yield _finding("$.prompt", "must be a string or a list")
+
+
+def _check_prompt_list(prompt: list[Any]) -> Iterator[findings.Finding]:
+    """Checks that all items of a list are of one allowed form."""
+    if not prompt:
+        yield _finding("$.prompt", "must not be empty")
+        return
+    form = "tokens"
+    if isinstance(prompt[0], str):
+        form = "strings"
+    elif isinstance(prompt[0], list):
+        form = "lists of tokens"
+    checks = {
+        "tokens": _is_token,
+        "strings": lambda item: isinstance(item, str),
+        "lists of tokens": _is_token_list,
+    }
+    for index, item in enumerate(prompt):
+        if not checks[form](item):
+            yield _finding(f"$.prompt[{index}]", f"all items must be {form}")
+            return
+
+
+def _check_messages(decoded: dict[str, Any]) -> Iterator[findings.Finding]:
+    """Checks a chat's messages."""
+    messages = decoded.get("messages")
+    if "messages" not in decoded:
+        yield _finding("$.messages", "is missing")
+    elif not isinstance(messages, list) or not messages:
+        yield _finding("$.messages", "must be a non-empty list")
+    else:
+        for index, message in enumerate(messages):
+            yield from _check_message(f"$.messages[{index}]", message)
+
+
+def _check_message(path: str, message: Any) -> Iterator[findings.Finding]:
+    """Checks one message of a chat."""
+    if not isinstance(message, dict):
+        yield _finding(path, "must be an object")
+        return
+    if message.get("role") not in ROLES:
+        yield _finding(f"{path}.role", f"must be one of {sorted(ROLES)}")
+    content = message.get("content")
+    if content is None and not message.get("tool_calls"):
+        yield _finding(f"{path}.content", "is missing")
+    elif not isinstance(content, str | list | None):
+        yield _finding(f"{path}.content", "must be a string or a list")
+
+
+def _is_int(value: Any) -> bool:
+    """Tells integers from all else, booleans included."""
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _is_token(value: Any) -> bool:
+    """Tells whether a value is a token's number."""
+    return _is_int(value) and 0 <= value < MAX_TOKEN_ID
+
+
+def _is_token_list(value: Any) -> bool:
+    """Tells whether a value is a non-empty list of tokens."""
+    return (
+        isinstance(value, list) and bool(value) and all(map(_is_token, value))
+    )
+
+
+def _finding(path: str, message: str) -> findings.Finding:
+    """Makes a finding in the body."""
+    return findings.Finding(findings.Place("body", path), message)
--- /dev/null
+++ b/src/cardamomfork/_internal/links/callers/headers.py
@@ -0,0 +1,114 @@
+"""Checks of the headers that callers may send."""
+
+from __future__ import annotations
+
+import math
+import re
+from typing import TYPE_CHECKING
+
+import attrs
+import result
+
+from cardamomfork._internal.models import findings
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MAX_KEY_CHARACTERS = 255
+MOST_URGENT = 0
+LEAST_URGENT = 7
+_URGENCY = re.compile(r"(?:^|[,\s])u=(-?\d+)(?:$|[,;\s])")
+
+
+@attrs.frozen
+class CheckedHeaders:
+    """What the headers of a request ask for.
+
+    Attributes:
+        idempotency_key: Empty if none came.
+        timeout_s: Time for the whole request in seconds, or None.
+        urgency: RFC 9218 urgency, or None.
+    """
+
+    idempotency_key: str = attrs.field(default="", repr=False)
+    timeout_s: float | None = None
+    urgency: int | None = None
+
+
+def check(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> result.Result[CheckedHeaders, list[findings.Finding]]:
+    """Reads the headers, or returns all that is wrong with them."""
+    table = {name: value.decode("latin-1") for name, value in headers}
+    found: list[findings.Finding] = []
+    checked = CheckedHeaders(
+        idempotency_key=_read_key(table.get(b"idempotency-key", ""), found),
+        timeout_s=_read_timeout(table.get(b"request-timeout"), found),
+        urgency=_read_urgency(table.get(b"priority"), found),
+    )
+    return result.Err(found) if found else result.Ok(checked)
+
+
+def read_bearer(headers: Iterable[tuple[bytes, bytes]]) -> str:
+    """Returns the secret of the Authorization header; empty if none came."""
+    text = dict(headers).get(b"authorization", b"").decode("latin-1")
+    scheme, _, secret = text.partition(" ")
+    return secret.strip() if scheme.lower() == "bearer" else ""
+
+
+def _read_key(text: str, found: list[findings.Finding]) -> str:
+    """Reads an idempotency key, as a plain or a quoted string."""
+    key = text.strip()
+    if len(key) >= 2 and key[0] == key[-1] == '"':
+        key = key[1:-1]
+    if len(key) > MAX_KEY_CHARACTERS or not key.isprintable():
+        found.append(
+            _finding(
+                "Idempotency-Key",
+                f"must be at most {MAX_KEY_CHARACTERS} printable characters",
+            )
+        )
+    return key
+
+
+def _read_timeout(
+    text: str | None, found: list[findings.Finding]
+) -> float | None:
+    """Reads a time limit in seconds."""
+    if text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not math.isfinite(seconds) or seconds <= 0:
+        found.append(
+            _finding("Request-Timeout", "must be a positive number of seconds")
+        )
+        return None
+    return seconds
+
+
+def _read_urgency(
+    text: str | None, found: list[findings.Finding]
+) -> int | None:
+    """Reads the urgency of an RFC 9218 Priority header."""
+    if text is None:
+        return None
+    match = _URGENCY.search(text)
+    if match is None:
+        return None
+    urgency = int(match.group(1))
+    if not MOST_URGENT <= urgency <= LEAST_URGENT:
+        found.append(
+            _finding(
+                "Priority", f"u must be from {MOST_URGENT} to {LEAST_URGENT}"
+            )
+        )
+        return None
+    return urgency
+
+
+def _finding(name: str, message: str) -> findings.Finding:
+    """Makes a finding in a header."""
+    return findings.Finding(findings.Place("headers", name), message)
--- /dev/null
+++ b/src/cardamomfork/_internal/links/callers/protocol.py
@@ -0,0 +1,113 @@
+"""uvicorn's HTTP protocol with what streams to callers need beside ASGI.
+
+A stream's chunks are written to the connection's transport in the call that
+brings them. An ASGI message for each would cost a task switch a token.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from uvicorn.protocols.http import httptools_impl
+
+if TYPE_CHECKING:
+    import asyncio
+
+SCOPE_KEY = "cardamomfork.connection"
+HEAD_TIMEOUT_S = 15.0
+STALL_TIMEOUT_S = 60.0
+"""Time a caller has to read a full buffer's worth, in seconds."""
+
+
+class FlowListener(Protocol):
+    """Hears when the caller's connection is full."""
+
+    def caller_full(self) -> None:
+        """The transport holds more than it should."""
+        ...
+
+    def caller_drained(self) -> None:
+        """The transport has room again."""
+        ...
+
+
+class CallerProtocol(httptools_impl.HttpToolsProtocol):
+    """One caller's connection."""
+
+    _head_timer: asyncio.TimerHandle | None = None
+    _stall_timer: asyncio.TimerHandle | None = None
+    _listener: FlowListener | None = None
+
+    @property
+    def write_full(self) -> bool:
+        """Whether the transport holds more than it should."""
+        return self.flow.write_paused
+
+    def listen(self, listener: FlowListener | None) -> None:
+        """Names who hears of a full connection; None for nobody."""
+        self._listener = listener
+
+    def write_chunk(self, data: bytes) -> None:
+        """Writes one chunk of a response in chunked encoding."""
+        self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Starts the time for the first request's head."""
+        super().connection_made(transport)
+        self._start_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stops the timer."""
+        self._stop_head_timer()
+        self._stop_stall_timer()
+        self._listener = None
+        super().connection_lost(exc)
+
+    def on_message_begin(self) -> None:
+        """Starts the time for a later request's head."""
+        super().on_message_begin()
+        self._start_head_timer()
+
+    def on_headers_complete(self) -> None:
+        """Gives the application the connection."""
+        self._stop_head_timer()
+        self.scope["extensions"] = {SCOPE_KEY: self}  # type: ignore[dict-item]
+        super().on_headers_complete()
+
+    def pause_writing(self) -> None:
+        """Tells the listener that the caller is slow."""
+        super().pause_writing()
+        self._stall_timer = self.loop.call_later(
+            STALL_TIMEOUT_S, self.transport.abort
+        )
+        if self._listener is not None:
+            self._listener.caller_full()
+
+    def resume_writing(self) -> None:
+        """Tells the listener that the caller has caught up."""
+        super().resume_writing()
+        self._stop_stall_timer()
+        if self._listener is not None:
+            self._listener.caller_drained()
+
+    def _stop_stall_timer(self) -> None:
+        """Notes that the caller reads."""
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
+    def _start_head_timer(self) -> None:
+        """Closes the connection unless a whole head comes in time."""
+        if self._head_timer is None:
+            self._head_timer = self.loop.call_later(
+                HEAD_TIMEOUT_S, self.transport.close
+            )
+
+    def _stop_head_timer(self) -> None:
+        """Lets the connection stay."""
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
--- /dev/null
+++ b/src/cardamomfork/_internal/links/callers/reading.py
@@ -0,0 +1,88 @@
+"""Reads a request's body within bounds of size and time."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import result
+
+from cardamomfork._internal.models import outcomes
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+PAYLOAD_TOO_LARGE = 413
+REQUEST_TIMEOUT = 408
+
+
+class CallerGoneError(Exception):
+    """The caller closed the connection before its request was whole."""
+
+
+@attrs.frozen
+class BodyRefusal:
+    """Why a body was not read, and the HTTP status that says so."""
+
+    status: int
+    refusal: outcomes.Refusal
+
+
+async def read_body(
+    receive: Callable[[], Awaitable[dict[str, Any]]],
+    headers: list[tuple[bytes, bytes]],
+    max_bytes: int,
+    timeout_s: float,
+) -> result.Result[bytes, BodyRefusal]:
+    """Reads a body.
+
+    Args:
+        receive: ASGI's receive.
+        headers: The request's headers.
+        max_bytes: Most bytes taken.
+        timeout_s: Time for the whole body, in seconds.
+
+    Raises:
+        CallerGoneError: The caller went away.
+    """
+    stated = dict(headers).get(b"content-length", b"")
+    if stated.isdigit() and int(stated) > max_bytes:
+        return _too_large(max_bytes)
+    parts: list[bytes] = []
+    size = 0
+    with anyio.move_on_after(timeout_s):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise CallerGoneError
+            parts.append(message.get("body", b""))
+            size += len(parts[-1])
+            if size > max_bytes:
+                return _too_large(max_bytes)
+            if not message.get("more_body"):
+                return result.Ok(b"".join(parts))
+    return result.Err(
+        BodyRefusal(
+            REQUEST_TIMEOUT,
+            outcomes.refuse(
+                outcomes.RefusalReason.INVALID,
+                f"The body did not come whole within {timeout_s:g} s.",
+            ),
+        )
+    )
+
+
+def _too_large(max_bytes: int) -> result.Err[BodyRefusal]:
+    """Refuses a body over the bound."""
+    return result.Err(
+        BodyRefusal(
+            PAYLOAD_TOO_LARGE,
+            outcomes.refuse(
+                outcomes.RefusalReason.PROMPT_TOO_LARGE,
+                f"The body is longer than {max_bytes} bytes.",
+            ),
+        )
+    )
--- /dev/null
+++ b/src/cardamomfork/_internal/links/callers/responses.py
@@ -0,0 +1,116 @@
+"""Responses to callers other than streams."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from cardamomfork._internal.links.callers import problems
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from cardamomfork._internal.models import findings
+    from cardamomfork._internal.models import outcomes
+
+JSON = b"application/json"
+SLICE_BYTES = 64 * 1024
+REQUEST_ID_HEADER = b"x-request-id"
+DATA_CENTRE_HEADER = b"x-data-centre"
+
+
+@attrs.frozen
+class Responder:
+    """Answers one caller; every answer names request and data centre.
+
+    Attributes:
+        send: ASGI's send for this response.
+        request_id: Name of the request.
+        data_centre: Where this instance stands.
+    """
+
+    send: Callable[[dict[str, Any]], Awaitable[None]]
+    request_id: str
+    data_centre: str
+
+    @property
+    def headers(self) -> list[tuple[bytes, bytes]]:
+        """The headers that every answer carries."""
+        return [
+            (REQUEST_ID_HEADER, self.request_id.encode()),
+            (DATA_CENTRE_HEADER, self.data_centre.encode()),
+        ]
+
+    async def body(
+        self,
+        status: int,
+        content_type: bytes,
+        body: bytes,
+        headers: Sequence[tuple[bytes, bytes]] = (),
+    ) -> None:
+        """Sends a whole body."""
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [
+                    (b"content-type", content_type),
+                    (b"content-length", str(len(body)).encode()),
+                    *self.headers,
+                    *headers,
+                ],
+            }
+        )
+        # Slices let a slow caller hold back the rest, and show progress.
+        view = memoryview(body)
+        for start in range(0, len(body), SLICE_BYTES):
+            piece = bytes(view[start : start + SLICE_BYTES])
+            await self._send_part(piece, more=True)
+        await self._send_part(b"", more=False)
+
+    async def _send_part(self, piece: bytes, more: bool) -> None:
+        """Sends a part of a body."""
+        await self.send(
+            {"type": "http.response.body", "body": piece, "more_body": more}
+        )
+
+    async def json(self, status: int, members: dict[str, Any]) -> None:
+        """Sends an object as JSON."""
+        await self.body(status, JSON, msgspec.json.encode(members))
+
+    async def problem(
+        self,
+        refusal: outcomes.Refusal,
+        found: Sequence[findings.Finding] = (),
+        status: int = 0,
+        close: bool = False,
+    ) -> None:
+        """Sends problem details.
+
+        Args:
+            refusal: How the request ended.
+            found: Findings about the input.
+            status: HTTP status; the refusal's own if 0.
+            close: Whether to close the connection, as bytes of the request
+                may still be on their way.
+        """
+        members = problems.describe(
+            refusal, self.request_id, self.data_centre, found, status
+        )
+        headers = []
+        if refusal.retry_after_s is not None:
+            wait = problems.retry_after_header(refusal.retry_after_s)
+            headers.append((b"retry-after", wait))
+        if close:
+            headers.append((b"connection", b"close"))
+        await self.body(
+            members["status"],
+            problems.MEDIA_TYPE,
+            problems.encode(members),
+            headers,
+        )
--- /dev/null
+++ b/src/cardamomfork/_internal/links/callers/sinks.py
@@ -0,0 +1,150 @@
+"""A caller's stream of server-sent events."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from cardamomfork._internal.links.callers import protocol
+    from cardamomfork._internal.requests import delivery
+
+HEARTBEAT = b": heartbeat\n\n"
+OK = 200
+
+
+class StreamSink:
+    """Writes events to a caller, and stops their source if it is slow."""
+
+    def __init__(
+        self,
+        connection: protocol.CallerProtocol,
+        send: Callable[[dict[str, Any]], Awaitable[None]],
+        headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        """Starts before the head of the response.
+
+        Args:
+            connection: The caller's connection.
+            send: ASGI's send for this response.
+            headers: Headers of the response.
+        """
+        self._connection = connection
+        self._send = send
+        self._headers = headers
+        self._source: delivery.Source | None = None
+        self._opened = False
+        self.active = True
+
+    @property
+    def opened(self) -> bool:
+        """Whether the head of the response has been sent."""
+        return self._opened
+
+    async def open(self) -> None:
+        """Sends the head of the response, once."""
+        if self._opened:
+            return
+        self._opened = True
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": OK,
+                "headers": [
+                    (b"content-type", b"text/event-stream; charset=utf-8"),
+                    (b"cache-control", b"no-store"),
+                    *self._headers,
+                ],
+            }
+        )
+        self._connection.listen(self)
+
+    def write(self, data: bytes) -> None:
+        """Writes whole events; `open` must have been called."""
+        self.active = True
+        self._connection.write_chunk(data)
+
+    async def finish(self) -> None:
+        """Ends the response."""
+        self._connection.listen(None)
+        await self._send({"type": "http.response.body", "body": b""})
+
+    def attach(self, source: delivery.Source | None) -> None:
+        """Names the source that a slow caller stops."""
+        self._source = source
+        if source is not None and self._connection.write_full:
+            source.pause()
+
+    def caller_full(self) -> None:
+        """Stops the source."""
+        if self._source is not None:
+            self._source.pause()
+
+    def caller_drained(self) -> None:
+        """Lets the source go on."""
+        if self._source is not None:
+            self._source.resume()
+
+    async def beat(self) -> None:
+        """Writes a comment, so that an idle stream is seen to live."""
+        if self._connection.write_full:
+            return
+        await self.open()
+        self._connection.write_chunk(HEARTBEAT)
+
+
+class NullSink:
+    """Takes nothing; for answers that are not streams."""
+
+    async def open(self) -> None:
+        """Nothing to open."""
+
+    def write(self, data: bytes) -> None:
+        """Takes nothing."""
+
+    def attach(self, source: delivery.Source | None) -> None:
+        """Stops nothing."""
+
+
+class Heartbeats:
+    """One timer for the heartbeats of all open streams.
+
+    A stream that was idle for a whole period gets a comment, so the gap
+    between two writes is at most two periods.
+    """
+
+    def __init__(self, period_s: float) -> None:
+        """Starts without streams.
+
+        Args:
+            period_s: Time between two looks, in seconds.
+        """
+        self._period_s = period_s
+        self._sinks: set[StreamSink] = set()
+
+    def __len__(self) -> int:
+        """The number of open streams."""
+        return len(self._sinks)
+
+    def add(self, sink: StreamSink) -> None:
+        """Keeps a stream alive."""
+        self._sinks.add(sink)
+
+    def discard(self, sink: StreamSink) -> None:
+        """Lets a stream be."""
+        self._sinks.discard(sink)
+
+    async def run(self) -> None:
+        """Looks once a period, for good."""
+        while True:
+            await anyio.sleep(self._period_s)
+            for sink in list(self._sinks):
+                if sink.active:
+                    sink.active = False
+                elif sink in self._sinks:
+                    await sink.beat()
--- /dev/null
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -0,0 +1,130 @@
+"""An HTTP server on the running event loop, by uvicorn."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+import uvicorn
+
+from cardamomfork._internal import exceptions
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import AsyncIterator
+    from collections.abc import Iterator
+
+BACKLOG = 4096
+KEEP_ALIVE_S = 30
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves the process's signals to the daemon."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        """Starts without listening."""
+        super().__init__(config)
+        self.listening = anyio.Event()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Listens."""
+        await super().startup(sockets)
+        self.listening.set()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Captures none."""
+        yield
+
+
+def bind(host: str, port: int) -> socket.socket:
+    """Makes a listening TCP socket; port 0 picks a free one.
+
+    Raises:
+        exceptions.CardamomforkError: The address can't be bound.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+        listener.listen(BACKLOG)
+    except OSError as error:
+        listener.close()
+        raise exceptions.CardamomforkError(
+            f"cannot listen on {host}:{port}: {error.strerror}.",
+            "Name a free port or another address in the settings.",
+        ) from error
+    return listener
+
+
+class HttpServer:
+    """Serves one ASGI application on one listening socket."""
+
+    def __init__(
+        self,
+        application: Any,
+        listener: socket.socket,
+        protocol: type[asyncio.Protocol] | str = "httptools",
+        max_connections: int | None = None,
+    ) -> None:
+        """Makes a server that does not run yet.
+
+        Args:
+            application: The ASGI application.
+            listener: A bound socket.
+            protocol: uvicorn's HTTP protocol, or a class derived from it.
+            max_connections: Connections held at once; more get status 503.
+        """
+        self._listener = listener
+        self._server = _Server(
+            uvicorn.Config(
+                application,
+                http=protocol,
+                ws="none",
+                lifespan="off",
+                log_config=None,
+                access_log=False,
+                proxy_headers=False,
+                server_header=False,
+                backlog=BACKLOG,
+                timeout_keep_alive=KEEP_ALIVE_S,
+                limit_concurrency=max_connections,
+            )
+        )
+
+    @property
+    def host(self) -> str:
+        """The IP number that it listens on."""
+        return str(self._listener.getsockname()[0])
+
+    @property
+    def port(self) -> int:
+        """The TCP port that it listens on."""
+        return int(self._listener.getsockname()[1])
+
+    async def serve(self) -> None:
+        """Serves until `stop`, then until the open requests have ended."""
+        await self._server.serve(sockets=[self._listener])
+
+    def stop(self) -> None:
+        """Takes no more connections; open requests go on to their end."""
+        self._server.should_exit = True
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[HttpServer]:
+        """Serves while the context is open; cuts what is open at its end."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.serve)
+            try:
+                await self._server.listening.wait()
+                yield self
+            finally:
+                self._server.force_exit = True
+                self.stop()
+                for connection in list(self._server.server_state.connections):
+                    if connection.transport is not None:
+                        connection.transport.abort()
--- /dev/null
+++ b/src/cardamomfork/_internal/links/targets/exchanges.py
@@ -0,0 +1,203 @@
+"""HTTP exchanges with one target, and the faults that they end in."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TypeVar
+
+import anyio
+import httpcore
+import msgspec
+import result
+
+from cardamomfork._internal.links.targets import connections
+from cardamomfork._internal.links.targets import extension
+from cardamomfork._internal.models import targets
+
+CONNECT_TIMEOUT_S = 2.0
+CONTROL_TIMEOUT_S = 5.0
+KEEP_ALIVE_S = 5.0
+MAX_CONNECTIONS = 1024
+MAX_IDLE_CONNECTIONS = 16
+MAX_DISCARDED_BYTES = 64 * 1024
+ERROR_STATUS = 400
+
+_T = TypeVar("_T")
+_Headers = list[tuple[bytes, bytes]]
+
+
+class Exchanger:
+    """Sends requests to one target over a pool of connections."""
+
+    def __init__(self, target: targets.Target) -> None:
+        """Makes a pool without connections."""
+        self._target = target
+        self._authority = f"{target.host}:{target.port}".encode()
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+            keepalive_expiry=KEEP_ALIVE_S,
+            network_backend=connections.Backend(),
+        )
+
+    async def close(self) -> None:
+        """Drops all connections."""
+        await self._pool.aclose()
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: _Headers,
+    ) -> result.Result[httpcore.Response, targets.TargetFault]:
+        """Sends a request and waits for the head of the answer.
+
+        Connection errors prove that no byte was written; every other error
+        leaves open whether the target saw the request.
+        """
+        request = self._make_request(method, path, body, timeout_s, headers)
+        try:
+            return result.Ok(await self._pool.handle_async_request(request))
+        except (
+            httpcore.ConnectError,
+            httpcore.ConnectTimeout,
+            httpcore.PoolTimeout,
+        ) as error:
+            return self.fault(targets.FaultKind.UNREACHABLE, repr(error))
+        except (httpcore.ReadTimeout, httpcore.WriteTimeout):
+            return self.fault(targets.FaultKind.SILENT, "no answer in time")
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            return self.fault(targets.FaultKind.LOST, repr(error))
+
+    async def ask(
+        self, kind: type[_T], method: str, path: str, message: Any = None
+    ) -> result.Result[_T, targets.TargetFault]:
+        """Makes one short exchange of JSON.
+
+        Args:
+            kind: The attrs class of the answer.
+            method: HTTP method.
+            path: Path, with its query.
+            message: What to send, an attrs object; None for no body.
+        """
+        body = b"" if message is None else msgspec.json.encode(message)
+        try:
+            with anyio.fail_after(CONTROL_TIMEOUT_S):
+                sent = await self.send(
+                    method, path, body, CONTROL_TIMEOUT_S, []
+                )
+                if isinstance(sent, result.Err):
+                    return sent
+                return await self._read(sent.ok_value, kind)
+        except TimeoutError:
+            return self.fault(targets.FaultKind.SILENT, "nothing came in time")
+
+    async def read_error(
+        self, response: httpcore.Response
+    ) -> targets.TargetFault:
+        """Tells a refusal before running from an error after it."""
+        headers = lower_headers(response)
+        refused = extension.NOT_RUN_HEADER in headers
+        kind = targets.FaultKind.REJECTED
+        if refused:
+            kind = targets.FaultKind.REFUSED
+        await _discard(response)
+        return targets.TargetFault(
+            kind,
+            self._target.target_id,
+            f"the target answered with status {response.status}",
+            response.status,
+            _read_seconds(headers.get(b"retry-after")),
+        )
+
+    def fault(
+        self, kind: targets.FaultKind, detail: str, status: int = 0
+    ) -> result.Err[targets.TargetFault]:
+        """Makes a fault of an exchange with this target."""
+        return result.Err(
+            targets.TargetFault(kind, self._target.target_id, detail, status)
+        )
+
+    async def _read(
+        self, response: httpcore.Response, kind: type[_T]
+    ) -> result.Result[_T, targets.TargetFault]:
+        """Reads and decodes the answer of a short exchange."""
+        if response.status >= ERROR_STATUS:
+            return result.Err(await self.read_error(response))
+        try:
+            body = await response.aread()
+            return result.Ok(msgspec.json.decode(body, type=kind))
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            return self.fault(targets.FaultKind.LOST, repr(error))
+        except msgspec.DecodeError as error:
+            return self.fault(targets.FaultKind.GARBLED, str(error))
+        finally:
+            await response.aclose()
+
+    def _make_request(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: _Headers,
+    ) -> httpcore.Request:
+        """Makes a request with its headers and time limits."""
+        url = httpcore.URL(
+            scheme=b"http",
+            host=self._target.host.encode(),
+            port=self._target.port,
+            target=path.encode(),
+        )
+        timeouts = {
+            "connect": min(CONNECT_TIMEOUT_S, timeout_s),
+            "pool": timeout_s,
+            "read": timeout_s,
+            "write": timeout_s,
+        }
+        return httpcore.Request(
+            method,
+            url,
+            headers=[
+                (b"host", self._authority),
+                (b"content-type", b"application/json"),
+                (b"content-length", str(len(body)).encode()),
+                *headers,
+            ],
+            content=body,
+            extensions={"timeout": timeouts},
+        )
+
+
+def lower_headers(response: httpcore.Response) -> dict[bytes, bytes]:
+    """Returns the headers by their names in lower case."""
+    return {name.lower(): value for name, value in response.headers}
+
+
+def _read_seconds(value: bytes | None) -> float | None:
+    """Reads a Retry-After header in seconds; None for any other form."""
+    try:
+        return max(0.0, float(value)) if value else None
+    except ValueError:
+        return None
+
+
+async def _discard(response: httpcore.Response) -> None:
+    """Reads a short error body away, so the connection can be reused."""
+    read = 0
+    try:
+        with anyio.move_on_after(CONTROL_TIMEOUT_S):
+            async for chunk in response.aiter_stream():
+                read += len(chunk)
+                if read > MAX_DISCARDED_BYTES:
+                    break
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ):
+        return
+    finally:
+        await response.aclose()
--- /dev/null
+++ b/src/cardamomfork/_internal/links/targets/extension.py
@@ -0,0 +1,113 @@
+"""Names and messages on the wire between an entry instance and its targets."""
+
+from __future__ import annotations
+
+import attrs
+
+ATTEMPT_HEADER = b"x-attempt-id"
+OFFSET_HEADER = b"x-resume-offset"
+RESERVATION_HEADER = b"x-reservation"
+SALT_HEADER = b"x-cache-salt"
+NOT_RUN_HEADER = b"x-not-run"
+"""On an error: the target vouches that it did not run the call."""
+
+ATTEMPTS_PATH = "/extension/attempts"
+RESERVATIONS_PATH = "/extension/reservations"
+LOAD_PATH = "/extension/load"
+CACHE_EVENTS_PATH = "/extension/cache-events"
+KV_EXPORT_PATH = "/extension/kv/export"
+KV_IMPORT_PATH = "/extension/kv/import"
+ORDERS_PATH = "/extension/orders"
+
+
+@attrs.frozen
+class Freed:
+    """Answer to a cancel or a release: whether the memory is free now."""
+
+    freed: bool
+
+
+@attrs.frozen
+class Reservations:
+    """Names of the reservations that an engine holds."""
+
+    reservations: tuple[str, ...]
+
+
+@attrs.frozen
+class Load:
+    """A load report; `age_s` is how old it was when it was sent."""
+
+    boot_id: str
+    age_s: float
+    queued_tokens: int
+    running: int
+    free_tokens: int
+    models: tuple[str, ...] = ()
+    leaving: bool = False
+
+
+@attrs.frozen
+class CacheChange:
+    """One cache event."""
+
+    sequence: int
+    stored: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
+    reset: bool = False
+
+
+@attrs.frozen
+class CacheChanges:
+    """Cache events of one life of an engine."""
+
+    boot_id: str
+    events: tuple[CacheChange, ...]
+
+
+@attrs.frozen
+class ExportKv:
+    """Asks an engine to export a prefix's KV cache."""
+
+    reservation: str
+    prefix_hash: int
+
+
+@attrs.frozen
+class Exported:
+    """The handle to import exported KV cache by."""
+
+    handle: str
+
+
+@attrs.frozen
+class ImportKv:
+    """Asks an engine to import KV cache from another one."""
+
+    reservation: str
+    handle: str
+    host: str
+    port: int
+
+
+@attrs.frozen
+class Imported:
+    """Tokens of KV cache held after an import."""
+
+    tokens: int
+
+
+@attrs.frozen
+class Order:
+    """An order with its fencing number."""
+
+    action: str
+    arguments: dict[str, str]
+    fencing: int
+
+
+@attrs.frozen
+class Obeyed:
+    """Answer to an order that was taken."""
+
+    fencing: int
--- /dev/null
+++ b/src/cardamomfork/_internal/links/targets/link.py
@@ -0,0 +1,269 @@
+"""HTTP link to one target: model engine or plain service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+import urllib.parse
+
+import anyio
+import attrs
+import result
+
+from cardamomfork._internal.contracts import target_link
+from cardamomfork._internal.links.targets import exchanges
+from cardamomfork._internal.links.targets import extension
+from cardamomfork._internal.links.targets import streams
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import targets
+
+if TYPE_CHECKING:
+    import httpcore
+
+    from cardamomfork._internal.links.targets import idle
+
+EVENT_STREAM = "text/event-stream"
+
+
+@attrs.define
+class LinkCounters:
+    """What went through the links of a process.
+
+    Attributes:
+        calls: Calls of attempts.
+        crossed: Answers to another attempt, dropped.
+        faults: Faults of calls, by kind.
+    """
+
+    calls: int = 0
+    crossed: int = 0
+    faults: dict[str, int] = attrs.field(factory=dict)
+
+
+class HttpTargetLink:
+    """Meets the `TargetLink` contract over HTTP/1.1."""
+
+    def __init__(
+        self,
+        target: targets.Target,
+        watch: idle.IdleWatch,
+        counters: LinkCounters,
+    ) -> None:
+        """Makes a link without connections.
+
+        Args:
+            target: The far end.
+            watch: Idle bounds of this process's streams.
+            counters: Shared by the process's links.
+        """
+        self._target = target
+        self._watch = watch
+        self._counters = counters
+        self._calls = exchanges.Exchanger(target)
+        # Cancels must get through when every connection is taken or silent.
+        self._controls = exchanges.Exchanger(target)
+
+    @property
+    def target(self) -> targets.Target:
+        """The target at the far end."""
+        return self._target
+
+    async def close(self) -> None:
+        """Drops all connections."""
+        await self._calls.close()
+        await self._controls.close()
+
+    async def call(
+        self, call: target_link.TargetCall
+    ) -> result.Result[target_link.TargetStream, targets.TargetFault]:
+        """Sends a call and waits for the head of the answer."""
+        self._counters.calls += 1
+        answer = await self._exchange(call)
+        if isinstance(answer, result.Err):
+            kind = answer.err_value.kind.value
+            faults = self._counters.faults
+            faults[kind] = faults.get(kind, 0) + 1
+        return answer
+
+    async def cancel(
+        self, attempt_id: identifiers.AttemptId
+    ) -> result.Result[bool, targets.TargetFault]:
+        """Cancels an attempt; True once its memory is free."""
+        path = f"{extension.ATTEMPTS_PATH}/{_quote(attempt_id)}"
+        answer = await self._controls.ask(extension.Freed, "DELETE", path)
+        return answer.map(lambda message: message.freed)
+
+    async def reservations(
+        self,
+    ) -> result.Result[tuple[str, ...], targets.TargetFault]:
+        """Lists the names of the reservations that the engine holds."""
+        answer = await self._controls.ask(
+            extension.Reservations, "GET", extension.RESERVATIONS_PATH
+        )
+        return answer.map(lambda message: message.reservations)
+
+    async def release(
+        self, reservation: str
+    ) -> result.Result[bool, targets.TargetFault]:
+        """Frees a reservation and all under it; True once confirmed."""
+        path = f"{extension.RESERVATIONS_PATH}/{_quote(reservation)}"
+        answer = await self._controls.ask(extension.Freed, "DELETE", path)
+        return answer.map(lambda message: message.freed)
+
+    async def load(
+        self,
+    ) -> result.Result[targets.LoadReport, targets.TargetFault]:
+        """Reads the load report; its age moves its time back."""
+        asked_at = anyio.current_time()
+        answer = await self._controls.ask(
+            extension.Load, "GET", extension.LOAD_PATH
+        )
+        return answer.map(
+            lambda message: targets.LoadReport(
+                target_id=self._target.target_id,
+                boot_id=identifiers.BootId(message.boot_id),
+                measured_at=asked_at - message.age_s,
+                queued_tokens=message.queued_tokens,
+                running=message.running,
+                free_tokens=message.free_tokens,
+                models=message.models,
+                leaving=message.leaving,
+            )
+        )
+
+    async def cache_events(
+        self, after_sequence: int
+    ) -> result.Result[tuple[targets.CacheEvent, ...], targets.TargetFault]:
+        """Reads the cache events after a sequence number, as far as kept."""
+        path = f"{extension.CACHE_EVENTS_PATH}?after={after_sequence}"
+        answer = await self._controls.ask(extension.CacheChanges, "GET", path)
+        return answer.map(self._read_changes)
+
+    async def export_kv(
+        self, reservation: str, prefix_hash: int
+    ) -> result.Result[str, targets.TargetFault]:
+        """Exports a prefix's KV cache; returns the handle to import it by."""
+        answer = await self._controls.ask(
+            extension.Exported,
+            "POST",
+            extension.KV_EXPORT_PATH,
+            extension.ExportKv(reservation, prefix_hash),
+        )
+        return answer.map(lambda message: message.handle)
+
+    async def import_kv(
+        self, reservation: str, handle: str, source: targets.Target
+    ) -> result.Result[int, targets.TargetFault]:
+        """Imports KV cache from another engine; returns the tokens held."""
+        answer = await self._controls.ask(
+            extension.Imported,
+            "POST",
+            extension.KV_IMPORT_PATH,
+            extension.ImportKv(reservation, handle, source.host, source.port),
+        )
+        return answer.map(lambda message: message.tokens)
+
+    async def order(
+        self, action: str, arguments: dict[str, str], fencing: int
+    ) -> result.Result[None, targets.TargetFault]:
+        """Gives an order; an engine that checks refuses an old number."""
+        answer = await self._controls.ask(
+            extension.Obeyed,
+            "POST",
+            extension.ORDERS_PATH,
+            extension.Order(action, arguments, fencing),
+        )
+        return answer.map(lambda _: None)
+
+    async def _exchange(
+        self, call: target_link.TargetCall
+    ) -> result.Result[target_link.TargetStream, targets.TargetFault]:
+        """Sends a call; the answer's head must echo the attempt."""
+        sent = await self._calls.send(
+            "POST", call.path, call.body, call.timeout_s, _call_headers(call)
+        )
+        if isinstance(sent, result.Err):
+            return sent
+        response = sent.ok_value
+        headers = exchanges.lower_headers(response)
+        echoed = headers.get(extension.ATTEMPT_HEADER, b"").decode("latin-1")
+        if echoed != call.attempt_id:
+            await response.aclose()
+            self._counters.crossed += 1
+            return self._calls.fault(
+                targets.FaultKind.GARBLED,
+                "the answer was to another attempt",
+                response.status,
+            )
+        if response.status >= exchanges.ERROR_STATUS:
+            return result.Err(await self._calls.read_error(response))
+        return result.Ok(self._open(call, response, headers))
+
+    def _open(
+        self,
+        call: target_link.TargetCall,
+        response: httpcore.Response,
+        headers: dict[bytes, bytes],
+    ) -> target_link.TargetStream:
+        """Makes the stream of an answer that has begun."""
+        length = headers.get(b"content-length")
+        head = target_link.AnswerHead(
+            attempt_id=call.attempt_id,
+            status=response.status,
+            content_type=headers.get(b"content-type", b"").decode("latin-1"),
+            length=int(length) if length else None,
+        )
+        chunked = headers.get(b"transfer-encoding", b"").lower() == b"chunked"
+        if chunked and head.content_type.startswith(EVENT_STREAM):
+            return streams.EventStream(
+                head,
+                self._target.target_id,
+                response,
+                response.extensions["network_stream"],
+                self._watch,
+            )
+        return streams.BodyStream(
+            head,
+            self._target.target_id,
+            response,
+            framed=chunked or length is not None,
+        )
+
+    def _read_changes(
+        self, message: extension.CacheChanges
+    ) -> tuple[targets.CacheEvent, ...]:
+        """Reads cache events."""
+        return tuple(
+            targets.CacheEvent(
+                target_id=self._target.target_id,
+                boot_id=identifiers.BootId(message.boot_id),
+                sequence=change.sequence,
+                stored=change.stored,
+                evicted=change.evicted,
+                reset=change.reset,
+            )
+            for change in message.events
+        )
+
+
+def _call_headers(
+    call: target_link.TargetCall,
+) -> list[tuple[bytes, bytes]]:
+    """Returns the headers that carry an attempt's call."""
+    headers = [
+        (extension.ATTEMPT_HEADER, call.attempt_id.encode()),
+        (extension.OFFSET_HEADER, str(call.resume_offset).encode()),
+        (b"priority", f"u={call.urgency}".encode()),
+        (b"request-timeout", f"{call.timeout_s:.3f}".encode()),
+    ]
+    if call.reservation:
+        headers.append(
+            (extension.RESERVATION_HEADER, call.reservation.encode())
+        )
+    if call.cache_salt:
+        headers.append((extension.SALT_HEADER, call.cache_salt.encode()))
+    return headers
+
+
+def _quote(name: str) -> str:
+    """Makes a name safe as one segment of a path."""
+    return urllib.parse.quote(name, safe="")
--- /dev/null
+++ b/src/cardamomfork/_internal/links/targets/registry.py
@@ -0,0 +1,67 @@
+"""The links of one process, one for each configured target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.links.targets import link
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.links.targets import idle
+    from cardamomfork._internal.models import configuration
+    from cardamomfork._internal.models import identifiers
+
+
+class LinkRegistry:
+    """Opens links to the targets of services."""
+
+    def __init__(self, watch: idle.IdleWatch) -> None:
+        """Starts without links.
+
+        Args:
+            watch: Idle bounds of this process's streams.
+        """
+        self._watch = watch
+        self._links: dict[identifiers.TargetId, link.HttpTargetLink] = {}
+        self._targets: dict[str, frozenset[identifiers.TargetId]] = {}
+        self.counters = link.LinkCounters()
+
+    @property
+    def links(self) -> tuple[link.HttpTargetLink, ...]:
+        """All links."""
+        return tuple(self._links.values())
+
+    def find(
+        self, target_id: identifiers.TargetId
+    ) -> link.HttpTargetLink | None:
+        """Returns the link to a target, or None if it is not configured."""
+        return self._links.get(target_id)
+
+    def apply_service(self, service: configuration.Service) -> None:
+        """Takes a service's targets; a link in use outlives its removal."""
+        for target in service.targets:
+            known = self._links.get(target.target_id)
+            if known is None or known.target != target:
+                self._links[target.target_id] = link.HttpTargetLink(
+                    target, self._watch, self.counters
+                )
+        self._targets[service.name] = frozenset(
+            target.target_id for target in service.targets
+        )
+        self._drop_unused()
+
+    def remove_service(self, name: identifiers.ServiceName) -> None:
+        """Forgets a service's targets."""
+        self._targets.pop(name, None)
+        self._drop_unused()
+
+    async def close(self) -> None:
+        """Drops all connections."""
+        for one in self.links:
+            await one.close()
+
+    def _drop_unused(self) -> None:
+        """Forgets links that no service names."""
+        used = frozenset().union(*self._targets.values())
+        for target_id in set(self._links) - used:
+            del self._links[target_id]
--- /dev/null
+++ b/src/cardamomfork/_internal/links/targets/streams.py
@@ -0,0 +1,253 @@
+"""Answers of targets on their way."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import TYPE_CHECKING
+
+import httpcore
+import httptools
+import result
+
+from cardamomfork._internal.models import targets
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.contracts import target_link
+    from cardamomfork._internal.links.targets import connections
+    from cardamomfork._internal.links.targets import idle
+    from cardamomfork._internal.models import identifiers
+
+MAX_BACKLOG_BYTES = 256 * 1024
+
+
+class EventStream:
+    """A stream of server-sent events, read beside httpcore.
+
+    The transport's bytes go through httptools' parser, which takes the chunk
+    framing off, and on to the sink in the same call.
+    """
+
+    def __init__(
+        self,
+        head: target_link.AnswerHead,
+        target_id: identifiers.TargetId,
+        response: httpcore.Response,
+        connection: connections.Connection,
+        watch: idle.IdleWatch,
+    ) -> None:
+        """Takes the connection over from httpcore."""
+        self._head = head
+        self._target_id = target_id
+        self._response = response
+        self._connection = connection
+        self._watch = watch
+        self._parser = httptools.HttpResponseParser(self)
+        self._parts: list[bytes] = []
+        self._backlog: collections.deque[bytes] = collections.deque()
+        self._backlog_bytes = 0
+        self._sink: target_link.ByteSink | None = None
+        self._whole = False
+        self._fault: targets.TargetFault | None = None
+        self._wake = asyncio.Event()
+        self._paused = False
+        self.active = True
+        self._parser.feed_data(connection.head)
+        watch.add(self)
+        connection.take_over(self)
+
+    @property
+    def head(self) -> target_link.AnswerHead:
+        """The head of the answer."""
+        return self._head
+
+    async def relay(
+        self, sink: target_link.ByteSink
+    ) -> result.Result[None, targets.TargetFault]:
+        """Passes the bytes to a sink as they come, until the proved end."""
+        self._sink = sink
+        while self._backlog:
+            sink.write(self._backlog.popleft())
+        self._resume_connection()
+        while not self._whole and self._fault is None:
+            self._wake.clear()
+            await self._wake.wait()
+        if self._fault is not None:
+            return result.Err(self._fault)
+        return result.Ok(None)
+
+    async def receive(self) -> result.Result[bytes, targets.TargetFault]:
+        """Returns the bytes that came; `b""` at the proved whole end."""
+        while not self._backlog and not self._whole and self._fault is None:
+            self._wake.clear()
+            await self._wake.wait()
+        if self._backlog:
+            data = b"".join(self._backlog)
+            self._backlog.clear()
+            self._backlog_bytes = 0
+            self._resume_connection()
+            return result.Ok(data)
+        if self._fault is not None:
+            return result.Err(self._fault)
+        return result.Ok(b"")
+
+    def pause(self) -> None:
+        """Stops reading from the target."""
+        self._paused = True
+        self.active = True
+        self._connection.pause_reading()
+
+    def resume(self) -> None:
+        """Reads from the target again."""
+        self._paused = False
+        self.active = True
+        self._resume_connection()
+
+    async def close(self) -> None:
+        """Drops the connection; a stream taken over is never reused."""
+        self._watch.discard(self)
+        self._sink = None
+        await self._response.aclose()
+
+    # The connection's side
+
+    def data_received(self, data: bytes) -> None:
+        """Takes the framing off and passes on what is in it."""
+        self.active = True
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._end(targets.FaultKind.GARBLED, f"bad framing: {error}")
+        parts = self._parts
+        if not parts:
+            return
+        body = parts[0] if len(parts) == 1 else b"".join(parts)
+        parts.clear()
+        if self._sink is not None:
+            self._sink.write(body)
+            return
+        self._keep(body)
+
+    def connection_ended(self) -> None:
+        """Notes the end of the connection; before the whole end it is lost."""
+        self._end(targets.FaultKind.LOST, "the connection broke mid-stream")
+
+    def idle_expired(self) -> None:
+        """Notes that nothing came within the idle bound."""
+        if not self._paused:
+            self._end(targets.FaultKind.SILENT, "nothing came in time")
+
+    # httptools' side
+
+    def on_body(self, body: bytes) -> None:
+        """Takes the content of one chunk."""
+        self._parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """Notes the last chunk: the proved whole end."""
+        self._whole = True
+        self._wake.set()
+
+    def _keep(self, body: bytes) -> None:
+        """Keeps bytes until someone asks for them."""
+        self._backlog.append(body)
+        self._backlog_bytes += len(body)
+        if self._backlog_bytes > MAX_BACKLOG_BYTES:
+            self._connection.pause_reading()
+        self._wake.set()
+
+    def _resume_connection(self) -> None:
+        """Reads again unless the sink is full."""
+        if not self._paused:
+            self._connection.resume_reading()
+
+    def _end(self, kind: targets.FaultKind, detail: str) -> None:
+        """Ends the stream with a fault, unless it has ended already."""
+        if self._whole or self._fault is not None:
+            return
+        self._fault = targets.TargetFault(
+            kind, self._target_id, detail, self._head.status
+        )
+        self._wake.set()
+
+
+class BodyStream:
+    """An answer of known length (or one that httpcore reads whole)."""
+
+    def __init__(
+        self,
+        head: target_link.AnswerHead,
+        target_id: identifiers.TargetId,
+        response: httpcore.Response,
+        framed: bool,
+    ) -> None:
+        """Reads the body through httpcore, so the connection is reused.
+
+        Args:
+            head: Head of the answer.
+            target_id: The target.
+            response: httpcore's response.
+            framed: Whether a length or chunks prove the end of the body.
+        """
+        self._head = head
+        self._target_id = target_id
+        self._response = response
+        self._framed = framed
+        self._chunks = response.aiter_stream()
+        self._received = 0
+
+    @property
+    def head(self) -> target_link.AnswerHead:
+        """The head of the answer."""
+        return self._head
+
+    async def receive(self) -> result.Result[bytes, targets.TargetFault]:
+        """Returns the bytes that came; `b""` at the proved whole end."""
+        try:
+            chunk = await anext(self._chunks, b"")
+        except httpcore.ReadTimeout:
+            return self._err(targets.FaultKind.SILENT, "nothing came in time")
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            return self._err(
+                targets.FaultKind.LOST,
+                f"broke after {self._received} bytes: {error}",
+            )
+        self._received += len(chunk)
+        if chunk or self._framed:
+            return result.Ok(chunk)
+        return self._err(
+            targets.FaultKind.GARBLED, "nothing proves that the body is whole"
+        )
+
+    async def relay(
+        self, sink: target_link.ByteSink
+    ) -> result.Result[None, targets.TargetFault]:
+        """Passes the bytes to a sink as they come, until the proved end."""
+        while True:
+            match await self.receive():
+                case result.Ok(b""):
+                    return result.Ok(None)
+                case result.Ok(data):
+                    sink.write(data)
+                case result.Err(fault):
+                    return result.Err(fault)
+
+    def pause(self) -> None:
+        """Nothing to stop: each read is asked for."""
+
+    def resume(self) -> None:
+        """Nothing to start: each read is asked for."""
+
+    async def close(self) -> None:
+        """Gives the connection back, or drops it before the end."""
+        await self._response.aclose()
+
+    def _err(
+        self, kind: targets.FaultKind, detail: str
+    ) -> result.Err[targets.TargetFault]:
+        """Makes the fault of this answer."""
+        return result.Err(
+            targets.TargetFault(
+                kind, self._target_id, detail, self._head.status
+            )
+        )
--- /dev/null
+++ b/src/cardamomfork/_internal/requests/admission.py
@@ -0,0 +1,165 @@
+"""Makes a request of what a caller sent and what the configuration allows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import result
+import xxhash
+
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import outcomes
+from cardamomfork._internal.models import requests
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.requests import directory
+
+
+@attrs.frozen
+class Submission:
+    """A checked request as it came from a caller.
+
+    Attributes:
+        account: The client account.
+        api: The interface it came through.
+        service: The service's name for a call, else the model's.
+        body: The body, as bytes of JSON.
+        prompt_tokens: Estimated length in tokens.
+        max_tokens: Most tokens to generate.
+        prefix_hashes: Chained hashes of the prompt's blocks.
+        stream: Whether server-sent events were asked for.
+        idempotency_key: Empty if none came.
+        timeout_s: Time asked for in seconds, or None.
+        urgency: RFC 9218 urgency asked for, or None.
+    """
+
+    account: identifiers.AccountName
+    api: requests.Api
+    service: str
+    body: bytes = attrs.field(repr=False)
+    prompt_tokens: int
+    max_tokens: int
+    prefix_hashes: tuple[int, ...] = attrs.field(default=(), repr=False)
+    stream: bool = False
+    idempotency_key: str = attrs.field(default="", repr=False)
+    timeout_s: float | None = None
+    urgency: int | None = None
+
+
+class Admission:
+    """Checks submissions against services and accounts."""
+
+    def __init__(self, known: directory.Directory) -> None:
+        """Takes the services and accounts that are known."""
+        self._known = known
+
+    def admit(
+        self, submission: Submission, now: float
+    ) -> result.Result[requests.Request, outcomes.Refusal]:
+        """Makes the request, or says why it may not run."""
+        account = self._known.account(submission.account)
+        service = self._find(submission)
+        if service is None or account is None:
+            return _refuse(
+                outcomes.RefusalReason.UNKNOWN_SERVICE,
+                f"{submission.service!r} is not served here.",
+            )
+        refusal = _check(submission, service, account)
+        if refusal is not None:
+            return result.Err(refusal)
+        return result.Ok(_make(submission, service, account, now))
+
+    def _find(self, submission: Submission) -> configuration.Service | None:
+        """Finds the service; calls and prompts go to unlike kinds."""
+        if submission.api is requests.Api.CALL:
+            service = self._known.service(submission.service)
+            kind = configuration.ServiceKind.PLAIN
+        else:
+            service = self._known.service_of_model(submission.service)
+            kind = configuration.ServiceKind.MODEL
+        if service is None or service.kind is not kind:
+            return None
+        return service
+
+
+def _check(
+    submission: Submission,
+    service: configuration.Service,
+    account: configuration.ClientAccount,
+) -> outcomes.Refusal | None:
+    """Returns why the account may not send this, or None."""
+    if account.services and service.name not in account.services:
+        return outcomes.refuse(
+            outcomes.RefusalReason.FORBIDDEN,
+            f"This account may not call {service.name!r}.",
+        )
+    if submission.prompt_tokens > service.max_prompt_tokens:
+        return outcomes.refuse(
+            outcomes.RefusalReason.PROMPT_TOO_LARGE,
+            f"The prompt has about {submission.prompt_tokens} tokens;"
+            f" {service.name!r} takes {service.max_prompt_tokens}.",
+        )
+    timeout_s = submission.timeout_s
+    if timeout_s is not None and timeout_s > service.max_timeout_s:
+        return outcomes.refuse(
+            outcomes.RefusalReason.INVALID,
+            f"Request-Timeout is {timeout_s:g} s; {service.name!r} allows at"
+            f" most {service.max_timeout_s:g} s.",
+        )
+    return None
+
+
+def _make(
+    submission: Submission,
+    service: configuration.Service,
+    account: configuration.ClientAccount,
+    now: float,
+) -> requests.Request:
+    """Makes the request of a submission that may run."""
+    urgency = submission.urgency
+    if urgency is None:
+        urgency = requests.Urgency.NORMAL
+    plain = service.kind is configuration.ServiceKind.PLAIN
+    return requests.Request(
+        request_id=identifiers.new_request_id(),
+        account=account.name,
+        service=service.name,
+        api=submission.api,
+        body=submission.body,
+        prompt_tokens=submission.prompt_tokens,
+        max_tokens=submission.max_tokens,
+        arrived_at=now,
+        deadline=now + (submission.timeout_s or service.default_timeout_s),
+        prefix_hashes=submission.prefix_hashes,
+        model="" if plain else _model_of(submission.service, service),
+        urgency=max(urgency, account.urgency),
+        worth=account.worth,
+        stream=submission.stream,
+        idempotent=service.idempotent,
+        idempotency_key=submission.idempotency_key,
+        fingerprint=fingerprint(account.name, service.name, submission.body),
+    )
+
+
+def fingerprint(account: str, service: str, body: bytes) -> bytes:
+    """Returns the hash of account, service and body, in 16 bytes."""
+    digest = xxhash.xxh3_128()
+    digest.update(f"{account}\n{service}\n".encode())
+    digest.update(body)
+    return digest.digest()
+
+
+def _model_of(asked: str, service: configuration.Service) -> str:
+    """Returns the model; a service's own name stands for its first one."""
+    if asked in service.models or not service.models:
+        return asked
+    return service.models[0]
+
+
+def _refuse(
+    reason: outcomes.RefusalReason, detail: str
+) -> result.Err[outcomes.Refusal]:
+    """Refuses a submission."""
+    return result.Err(outcomes.refuse(reason, detail))
--- /dev/null
+++ b/src/cardamomfork/_internal/requests/cancellation.py
@@ -0,0 +1,126 @@
+"""Repeats cancels until the engine confirms that its memory is free."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+from loguru import logger
+import result
+
+if TYPE_CHECKING:
+    import random
+
+    from cardamomfork._internal.contracts import target_link
+    from cardamomfork._internal.models import identifiers
+
+FIRST_DELAY_S = 0.05
+MAX_DELAY_S = 5.0
+MAX_TRIES = 60
+MAX_PENDING = 10_000
+WORKERS = 8
+
+
+@attrs.define
+class _Pending:
+    """A cancel that is not confirmed."""
+
+    link: target_link.TargetLink
+    attempt_id: identifiers.AttemptId
+    tries: int = 0
+
+
+@attrs.define
+class CancelCounters:
+    """What became of cancels."""
+
+    confirmed: int = 0
+    repeated: int = 0
+    given_up: int = 0
+
+
+class Canceller:
+    """Cancels attempts in the background.
+
+    What it gives up on is left to the sweep of reservations by the engine's
+    home instance.
+    """
+
+    def __init__(self, chance: random.Random) -> None:
+        """Starts with nothing to cancel.
+
+        Args:
+            chance: Source of the jitter between tries.
+        """
+        self._chance = chance
+        self._pending: collections.deque[_Pending] = collections.deque()
+        self._wake = anyio.Event()
+        self._busy = 0
+        self.counters = CancelCounters()
+
+    @property
+    def sizes(self) -> dict[str, tuple[int, int]]:
+        """Size and bound of each table, by name."""
+        return {"cancels": (len(self._pending) + self._busy, MAX_PENDING)}
+
+    @property
+    def idle(self) -> bool:
+        """Whether every cancel is confirmed or given up."""
+        return not self._pending and not self._busy
+
+    def add(
+        self,
+        link: target_link.TargetLink,
+        attempt_id: identifiers.AttemptId,
+    ) -> None:
+        """Cancels an attempt as soon as may be."""
+        if len(self._pending) >= MAX_PENDING:
+            self._pending.popleft()
+            self.counters.given_up += 1
+        self._pending.append(_Pending(link, attempt_id))
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Works on what there is, for good."""
+        async with anyio.create_task_group() as tasks:
+            for _ in range(WORKERS):
+                tasks.start_soon(self._work)
+
+    async def _work(self) -> None:
+        """Takes one cancel after the other."""
+        while True:
+            while not self._pending:
+                await self._wait()
+            one = self._pending.popleft()
+            self._busy += 1
+            try:
+                await self._try(one)
+            finally:
+                self._busy -= 1
+
+    async def _wait(self) -> None:
+        """Waits for the next cancel; all workers share one event."""
+        if self._wake.is_set():
+            self._wake = anyio.Event()
+        await self._wake.wait()
+
+    async def _try(self, one: _Pending) -> None:
+        """Asks once; puts what is not confirmed back at the end."""
+        answer = await one.link.cancel(one.attempt_id)
+        if answer == result.Ok(True):
+            self.counters.confirmed += 1
+            return
+        one.tries += 1
+        if one.tries >= MAX_TRIES:
+            self.counters.given_up += 1
+            logger.bind(
+                attempt_id=one.attempt_id,
+                target_id=one.link.target.target_id,
+            ).warning("cancel not confirmed")
+            return
+        self.counters.repeated += 1
+        longest = min(MAX_DELAY_S, FIRST_DELAY_S * 2**one.tries)
+        await anyio.sleep(self._chance.uniform(0.0, longest))
+        self._pending.append(one)
--- /dev/null
+++ b/src/cardamomfork/_internal/requests/delivery.py
@@ -0,0 +1,123 @@
+"""Brings the bytes of a target's answer to the caller."""
+
+from __future__ import annotations
+
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+EVENT_END = b"\n\n"
+DONE_EVENT = b"data: [DONE]\n\n"
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+class Source(Protocol):
+    """What a full sink can stop."""
+
+    def pause(self) -> None:
+        """Stops the bytes."""
+        ...
+
+    def resume(self) -> None:
+        """Lets them come again."""
+        ...
+
+
+class CallerSink(Protocol):
+    """Where a caller's answer goes."""
+
+    async def open(self) -> None:
+        """Tells the caller that its answer begins; again does nothing."""
+        ...
+
+    def write(self, data: bytes) -> None:
+        """Takes whole events; pauses the source once the caller is slow."""
+        ...
+
+    def attach(self, source: Source | None) -> None:
+        """Names the source to pause; None for none."""
+        ...
+
+
+class StreamDelivery:
+    """Passes whole server-sent events on as they come.
+
+    The begin of an unfinished event is held back, so whatever is put between
+    two writes (a heartbeat, an error) stands between two events.
+    """
+
+    def __init__(self, sink: CallerSink, on_first: Callable[[], None]) -> None:
+        """Starts before the first byte.
+
+        Args:
+            sink: The caller's side.
+            on_first: Called once, at the first bytes.
+        """
+        self._sink = sink
+        self._on_first: Callable[[], None] | None = on_first
+        self._held = b""
+        self._tail = b""
+        self.received = 0
+        self.events = 0
+
+    @property
+    def whole(self) -> bool:
+        """Whether the stream ended with the event that says so."""
+        return not self._held and self._tail.endswith(DONE_EVENT)
+
+    @property
+    def overflowed(self) -> bool:
+        """Whether one event was longer than what may be held."""
+        return len(self._held) > MAX_EVENT_BYTES
+
+    def write(self, data: bytes) -> None:
+        """Takes bytes of the answer."""
+        self.received += len(data)
+        if self._on_first is not None:
+            self._on_first()
+            self._on_first = None
+        if self._held:
+            data = self._held + data
+            self._held = b""
+        if not data.endswith(EVENT_END):
+            end = data.rfind(EVENT_END) + len(EVENT_END)
+            if end < len(EVENT_END):
+                self._held = data
+                return
+            self._held = data[end:]
+            data = data[:end]
+        self.events += data.count(EVENT_END)
+        self._tail = data[-len(DONE_EVENT) :]
+        self._sink.write(data)
+
+
+class BodyDelivery:
+    """Collects a whole body of bounded length."""
+
+    def __init__(self, on_first: Callable[[], None]) -> None:
+        """Starts empty."""
+        self._on_first: Callable[[], None] | None = on_first
+        self._parts: list[bytes] = []
+        self.received = 0
+
+    @property
+    def body(self) -> bytes:
+        """The bytes so far."""
+        return b"".join(self._parts)
+
+    @property
+    def overflowed(self) -> bool:
+        """Whether the answer was longer than what may be held."""
+        return self.received > MAX_ANSWER_BYTES
+
+    def write(self, data: bytes) -> None:
+        """Takes bytes of the answer; drops those over the bound."""
+        self.received += len(data)
+        if self._on_first is not None:
+            self._on_first()
+            self._on_first = None
+        if not self.overflowed:
+            self._parts.append(data)
--- /dev/null
+++ b/src/cardamomfork/_internal/requests/directory.py
@@ -0,0 +1,59 @@
+"""Services and client accounts as requests meet them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.models import configuration
+    from cardamomfork._internal.models import identifiers
+
+
+class Directory:
+    """Services by name and by model, accounts by name."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._services: dict[str, configuration.Service] = {}
+        self._by_model: dict[str, str] = {}
+        self._accounts: dict[str, configuration.ClientAccount] = {}
+
+    def apply_service(self, service: configuration.Service) -> None:
+        """Takes a service's current configuration."""
+        self._services[service.name] = service
+        self._index_models()
+
+    def remove_service(self, name: identifiers.ServiceName) -> None:
+        """Forgets a service."""
+        self._services.pop(name, None)
+        self._index_models()
+
+    def apply_account(self, account: configuration.ClientAccount) -> None:
+        """Takes an account's current configuration."""
+        self._accounts[account.name] = account
+
+    def remove_account(self, name: identifiers.AccountName) -> None:
+        """Forgets an account."""
+        self._accounts.pop(name, None)
+
+    def account(
+        self, name: identifiers.AccountName
+    ) -> configuration.ClientAccount | None:
+        """Returns an account, or None if it is not configured."""
+        return self._accounts.get(name)
+
+    def service(self, name: str) -> configuration.Service | None:
+        """Returns the service of a name, or None."""
+        return self._services.get(name)
+
+    def service_of_model(self, model: str) -> configuration.Service | None:
+        """Returns the service that serves a model, or has its name."""
+        name = self._by_model.get(model, model)
+        return self._services.get(name)
+
+    def _index_models(self) -> None:
+        """Rebuilds the index; of two services the first by name wins."""
+        self._by_model = {}
+        for name in sorted(self._services):
+            for model in self._services[name].models:
+                self._by_model.setdefault(model, name)
--- /dev/null
+++ b/src/cardamomfork/_internal/requests/queueing.py
@@ -0,0 +1,144 @@
+"""Waits for the dispatcher's decisions on behalf of requests."""
+
+from __future__ import annotations
+
+import math
+import typing
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import result
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.contracts import dispatching
+from cardamomfork._internal.models import outcomes
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.models import requests
+    from cardamomfork._internal.models import targets
+
+MIN_POLL_INTERVAL_S = 0.001
+
+_Turn = result.Result[dispatching.Assignment, outcomes.Refusal]
+
+
+@attrs.define
+class _Waiter:
+    """One request's wait, and its end once that has come."""
+
+    decided: anyio.Event = attrs.field(factory=anyio.Event)
+    turn: _Turn | None = None
+
+
+class WaitingRoom:
+    """Gives each queued request its assignment or its refusal.
+
+    The dispatcher is polled after whatever may free a target, and by one
+    timer for what only time changes.
+    """
+
+    def __init__(
+        self,
+        dispatcher: dispatching.Dispatcher,
+        clock: clock_contract.Clock,
+    ) -> None:
+        """Starts with nobody waiting."""
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._waiters: dict[identifiers.RequestId, _Waiter] = {}
+        self._rearm = anyio.Event()
+
+    @property
+    def waiting(self) -> int:
+        """The number of requests that wait."""
+        return len(self._waiters)
+
+    async def wait(
+        self,
+        request: requests.Request,
+        avoid: frozenset[identifiers.TargetId] = frozenset(),
+    ) -> _Turn:
+        """Queues a request and waits until it may start or must end."""
+        now = self._clock.monotonic()
+        submitted = self._dispatcher.submit(request, now, avoid)
+        if isinstance(submitted, result.Err):
+            return submitted
+        waiter = _Waiter()
+        self._waiters[request.request_id] = waiter
+        self.poll()
+        taken = False
+        try:
+            await waiter.decided.wait()
+            taken = True
+        finally:
+            self._waiters.pop(request.request_id, None)
+            if not taken:
+                self._give_back(request.request_id, waiter)
+        exceptions.check_invariant(
+            waiter.turn is not None, "a wait ends with a decision", request
+        )
+        return typing.cast("_Turn", waiter.turn)
+
+    def first_token(self, request_id: identifiers.RequestId) -> None:
+        """Notes that a request gave its first token."""
+        self._dispatcher.first_token(request_id, self._clock.monotonic())
+        self.poll()
+
+    def finished(
+        self,
+        request_id: identifiers.RequestId,
+        generated_tokens: int,
+        fault: targets.TargetFault | None = None,
+    ) -> None:
+        """Notes that a request left its target."""
+        self._dispatcher.finished(
+            request_id, self._clock.monotonic(), generated_tokens, fault
+        )
+        self.poll()
+
+    def poll(self) -> None:
+        """Asks the dispatcher what starts and what ends now."""
+        started, expired = self._dispatcher.poll(self._clock.monotonic())
+        for assignment in started:
+            self._decide(assignment.request_id, result.Ok(assignment))
+        for expiry in expired:
+            self._decide(expiry.request_id, result.Err(expiry.refusal))
+        self._rearm.set()
+
+    async def run(self) -> None:
+        """Polls whenever the dispatcher's own time has come, for good."""
+        while True:
+            self._rearm = anyio.Event()
+            now = self._clock.monotonic()
+            wakeup = self._dispatcher.next_wakeup(now)
+            delay = (
+                math.inf
+                if wakeup is None
+                else max(MIN_POLL_INTERVAL_S, wakeup - now)
+            )
+            with anyio.move_on_after(delay):
+                await self._rearm.wait()
+                continue
+            self.poll()
+
+    def _give_back(
+        self, request_id: identifiers.RequestId, waiter: _Waiter
+    ) -> None:
+        """Undoes the wait of a request that was cancelled meanwhile."""
+        if waiter.turn is None:
+            self._dispatcher.withdraw(request_id)
+        elif waiter.turn.is_ok():
+            self.finished(request_id, 0)
+
+    def _decide(self, request_id: identifiers.RequestId, turn: _Turn) -> None:
+        """Wakes the request that a decision is for."""
+        waiter = self._waiters.get(request_id)
+        if waiter is not None:
+            waiter.turn = turn
+            waiter.decided.set()
+        elif turn.is_ok():
+            now = self._clock.monotonic()
+            self._dispatcher.finished(request_id, now, 0)
--- /dev/null
+++ b/src/cardamomfork/_internal/standins/engine_memory.py
@@ -0,0 +1,131 @@
+"""KV memory of the stand-in engine: reservations, prefix cache, events."""
+
+from __future__ import annotations
+
+import collections
+
+import attrs
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.links.targets import extension
+
+BLOCK_TOKENS = 256
+MAX_EVENTS = 1000
+
+
+@attrs.define
+class _Held:
+    """Tokens held by one user under one reservation."""
+
+    reservation: str
+    tokens: int
+
+
+class EngineMemory:
+    """Counts tokens; evicts cached blocks, the least recently used first."""
+
+    def __init__(self, total_tokens: int) -> None:
+        """Starts empty.
+
+        Args:
+            total_tokens: KV memory in tokens.
+        """
+        self.total_tokens = total_tokens
+        self._held: dict[str, _Held] = {}
+        self._cache: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self._events: collections.deque[extension.CacheChange] = (
+            collections.deque(maxlen=MAX_EVENTS)
+        )
+        self._sequence = 0
+
+    @property
+    def held_tokens(self) -> int:
+        """Tokens held by users, without the cache."""
+        return sum(held.tokens for held in self._held.values())
+
+    @property
+    def free_tokens(self) -> int:
+        """Tokens free or freed by evicting the whole cache."""
+        return self.total_tokens - self.held_tokens
+
+    @property
+    def reservations(self) -> tuple[str, ...]:
+        """Names of the reservations that hold anything."""
+        return tuple(sorted({held.reservation for held in self._held.values()}))
+
+    def hold(self, user: str, reservation: str, tokens: int) -> bool:
+        """Takes tokens for a user; False if there is no room now."""
+        if tokens > self.free_tokens:
+            return False
+        self._held[user] = _Held(reservation, tokens)
+        self._evict()
+        exceptions.check_invariant(
+            self.held_tokens <= self.total_tokens,
+            "memory held is at most what there is",
+            user,
+        )
+        return True
+
+    def free(self, user: str) -> None:
+        """Gives a user's tokens back."""
+        self._held.pop(user, None)
+
+    def users_under(self, reservation: str) -> list[str]:
+        """Returns the users that hold tokens under a reservation."""
+        return [
+            user
+            for user, held in self._held.items()
+            if held.reservation == reservation
+        ]
+
+    def cached_tokens(self, hashes: tuple[int, ...]) -> int:
+        """Returns the tokens of a prompt's longest cached prefix."""
+        count = 0
+        for one in hashes:
+            if one not in self._cache:
+                break
+            self._cache.move_to_end(one)
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def is_cached(self, prefix_hash: int) -> bool:
+        """Tells whether a block is in the cache."""
+        return prefix_hash in self._cache
+
+    def store(self, hashes: tuple[int, ...]) -> None:
+        """Puts a prompt's blocks into the cache."""
+        new = tuple(one for one in hashes if one not in self._cache)
+        for one in hashes:
+            self._cache[one] = None
+            self._cache.move_to_end(one)
+        if new:
+            self._note(stored=new)
+        self._evict()
+
+    def events_after(self, sequence: int) -> tuple[extension.CacheChange, ...]:
+        """Returns the events after a number, as far as they are kept."""
+        return tuple(e for e in self._events if e.sequence > sequence)
+
+    def skip_event(self) -> None:
+        """Loses one event's number: a gap."""
+        self._sequence += 1
+
+    def _evict(self) -> None:
+        """Drops cached blocks until the rest fits beside what is held."""
+        room = max(0, self.free_tokens) // BLOCK_TOKENS
+        gone = []
+        while len(self._cache) > room:
+            gone.append(self._cache.popitem(last=False)[0])
+        if gone:
+            self._note(evicted=tuple(gone))
+
+    def _note(
+        self, stored: tuple[int, ...] = (), evicted: tuple[int, ...] = ()
+    ) -> None:
+        """Publishes an event."""
+        self._sequence += 1
+        self._events.append(
+            extension.CacheChange(self._sequence, stored, evicted)
+        )
--- /dev/null
+++ b/src/cardamomfork/_internal/standins/engine_runs.py
@@ -0,0 +1,191 @@
+"""Runs of the stand-in engine: prefill one by one, decode as a batch."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from typing import Any
+
+import anyio
+import attrs
+import msgspec
+
+from cardamomfork._internal.standins import engine_memory
+
+MAX_ENDED_RUNS = 1000
+
+
+@attrs.frozen
+class EngineSpeed:
+    """How fast the stand-in is.
+
+    Attributes:
+        prefill_tokens_per_s: Prompt tokens a second, one prompt at a time.
+        decode_s: Time between two tokens of a sequence, in seconds.
+        max_batch: Most sequences that decode at once.
+        memory_tokens: KV memory in tokens.
+    """
+
+    prefill_tokens_per_s: float = 100_000.0
+    decode_s: float = 0.005
+    max_batch: int = 64
+    memory_tokens: int = 500_000
+
+
+@attrs.frozen
+class Work:
+    """What one call asks for."""
+
+    attempt_id: str
+    reservation: str
+    urgency: int
+    model: str
+    chat: bool
+    stream: bool
+    prompt_tokens: int
+    hashes: tuple[int, ...]
+    max_tokens: int
+
+
+@attrs.define
+class Run:
+    """One attempt on the engine; its answer can be read from any offset."""
+
+    work: Work
+    answer: bytearray = attrs.field(factory=bytearray, repr=False)
+    ended: bool = False
+    changed: anyio.Event = attrs.field(factory=anyio.Event)
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+
+    def append(self, data: bytes, ended: bool = False) -> None:
+        """Adds bytes to the answer and wakes its readers."""
+        self.answer += data
+        self.ended = self.ended or ended
+        self.changed.set()
+        self.changed = anyio.Event()
+
+
+class Scheduler:
+    """Admits work by priority into memory, prefill and batch."""
+
+    def __init__(self, speed: EngineSpeed) -> None:
+        """Starts idle."""
+        self._speed = speed
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int, int]] = []
+        self._changed = anyio.Event()
+        self._prefilling = False
+        self.memory = engine_memory.EngineMemory(speed.memory_tokens)
+        self.running = 0
+        self.queued_tokens = 0
+
+    async def execute(self, run: Run) -> None:
+        """Runs work to its end; memory is free again afterwards."""
+        work = run.work
+        with run.scope:
+            self.queued_tokens += work.prompt_tokens
+            try:
+                await self._wait_turn(work)
+            finally:
+                self.queued_tokens -= work.prompt_tokens
+            try:
+                await self._prefill(work)
+                self._wake()
+                await self._decode(run)
+            finally:
+                self.running -= 1
+                self.memory.free(work.attempt_id)
+                self._wake()
+        if not run.ended:
+            run.append(b"", ended=True)
+
+    async def _wait_turn(self, work: Work) -> None:
+        """Waits until it is first in order and memory and batch have room."""
+        ticket = (work.urgency, next(self._order), work.prompt_tokens)
+        heapq.heappush(self._waiting, ticket)
+        try:
+            while not self._may_start(ticket, work):
+                await self._changed.wait()
+        finally:
+            self._waiting.remove(ticket)
+            heapq.heapify(self._waiting)
+        self._prefilling = True
+        self.running += 1
+
+    def _may_start(self, ticket: tuple[int, int, int], work: Work) -> bool:
+        """Takes the memory if the work may start now."""
+        if self._prefilling or self._waiting[0] != ticket:
+            return False
+        if self.running >= self._speed.max_batch:
+            return False
+        return self.memory.hold(
+            work.attempt_id,
+            work.reservation,
+            work.prompt_tokens + work.max_tokens,
+        )
+
+    async def _prefill(self, work: Work) -> None:
+        """Computes what the cache does not hold."""
+        try:
+            cached = self.memory.cached_tokens(work.hashes)
+            left = max(0, work.prompt_tokens - cached)
+            await anyio.sleep(left / self._speed.prefill_tokens_per_s)
+            self.memory.store(work.hashes)
+        finally:
+            self._prefilling = False
+
+    async def _decode(self, run: Run) -> None:
+        """Generates the tokens."""
+        work = run.work
+        for index in range(work.max_tokens):
+            await anyio.sleep(self._speed.decode_s)
+            if work.stream:
+                run.append(_event(work, f"word{index} "))
+        if work.stream:
+            run.append(_event(work, "", "length") + b"data: [DONE]\n\n", True)
+        else:
+            run.append(_whole(work), True)
+
+    def _wake(self) -> None:
+        """Lets the waiting look again."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+def _head(work: Work, suffix: str = "") -> dict[str, Any]:
+    """Returns the members that all answers share."""
+    name = "chat.completion" if work.chat else "text_completion"
+    return {
+        "id": f"cmpl-{work.attempt_id}",
+        "object": name + (suffix if work.chat else ""),
+        "created": 0,
+        "model": work.model,
+    }
+
+
+def _event(work: Work, text: str, finish: str | None = None) -> bytes:
+    """Returns one server-sent event with a piece of the answer."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish}
+    if work.chat:
+        choice["delta"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    members = _head(work, ".chunk") | {"choices": [choice]}
+    return b"data: " + msgspec.json.encode(members) + b"\n\n"
+
+
+def _whole(work: Work) -> bytes:
+    """Returns the whole answer as one JSON object."""
+    text = "".join(f"word{index} " for index in range(work.max_tokens))
+    choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
+    if work.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    usage = {
+        "prompt_tokens": work.prompt_tokens,
+        "completion_tokens": work.max_tokens,
+        "total_tokens": work.prompt_tokens + work.max_tokens,
+    }
+    members = _head(work) | {"choices": [choice], "usage": usage}
+    return msgspec.json.encode(members)
--- /dev/null
+++ b/src/cardamomfork/_internal/standins/http_exchange.py
@@ -0,0 +1,117 @@
+"""One HTTP exchange of a stand-in target."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from cardamomfork._internal.links.callers import protocol
+from cardamomfork._internal.links.targets import extension
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+
+@attrs.frozen
+class Exchange:
+    """What ASGI hands over, and the ways to answer or not to."""
+
+    scope: dict[str, Any]
+    receive: Callable[[], Awaitable[dict[str, Any]]]
+    send: Callable[[dict[str, Any]], Awaitable[None]]
+
+    def header(self, name: bytes) -> str:
+        """Returns a header's value; empty if it is absent."""
+        headers: dict[bytes, bytes] = dict(self.scope["headers"])
+        return headers.get(name, b"").decode("latin-1")
+
+    async def read(self) -> bytes:
+        """Reads the whole body."""
+        parts = []
+        more = True
+        while more:
+            message = await self.receive()
+            parts.append(message.get("body", b""))
+            more = message.get("more_body", False)
+        return b"".join(parts)
+
+    async def tell(self, message: Any) -> None:
+        """Answers with an attrs object as JSON."""
+        await self.answer(200, msgspec.json.encode(message))
+
+    async def answer(
+        self,
+        status: int,
+        body: bytes,
+        attempt_id: str = "",
+        headers: Sequence[tuple[bytes, bytes]] = (),
+    ) -> None:
+        """Answers with a whole body of JSON."""
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [
+                    (b"content-type", b"application/json"),
+                    (b"content-length", str(len(body)).encode()),
+                    (extension.ATTEMPT_HEADER, attempt_id.encode()),
+                    *headers,
+                ],
+            }
+        )
+        await self.send({"type": "http.response.body", "body": body})
+
+    async def answer_half(self, body: bytes, attempt_id: str) -> None:
+        """Announces a whole body and breaks off in its middle."""
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [
+                    (b"content-type", b"application/json"),
+                    (b"content-length", str(len(body)).encode()),
+                    (extension.ATTEMPT_HEADER, attempt_id.encode()),
+                ],
+            }
+        )
+        await self.send_part(body[: len(body) // 2])
+        self.scope["extensions"][protocol.SCOPE_KEY].transport.close()
+        await self.wait_for_caller_to_leave()
+
+    async def begin_stream(self, attempt_id: str) -> None:
+        """Sends the head of a stream of events."""
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [
+                    (b"content-type", b"text/event-stream"),
+                    (extension.ATTEMPT_HEADER, attempt_id.encode()),
+                ],
+            }
+        )
+
+    async def send_part(self, data: bytes) -> None:
+        """Sends bytes of a stream."""
+        await self.send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def end_stream(self) -> None:
+        """Ends a stream whole."""
+        await self.send({"type": "http.response.body", "body": b""})
+
+    async def cut(self) -> None:
+        """Breaks the connection without an answer or its rest."""
+        self.scope["extensions"][protocol.SCOPE_KEY].transport.abort()
+        await self.wait_for_caller_to_leave()
+
+    async def wait_for_caller_to_leave(self) -> None:
+        """Says nothing until the other side closes."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
--- /dev/null
+++ b/tests/functional/test_daemon.py
@@ -0,0 +1,105 @@
+"""The daemon program with its embedded parts, over real sockets."""
+
+import json
+import threading
+import unittest
+
+import httpcore
+
+from tests.lib import daemons
+
+PROMPT = {"model": "demo-model", "prompt": "Hello", "max_tokens": 3}
+
+
+class DaemonTest(unittest.TestCase):
+    """One daemon answers prompts and calls, and stops gracefully."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.daemon = cls.enterClassContext(daemons.running())
+
+    def test_completion_is_answered_whole(self):
+        status, headers, body = self.daemon.request(
+            "POST", "/v1/completions", PROMPT
+        )
+        self.assertEqual(status, 200)
+        text = json.loads(body)["choices"][0]["text"]
+        self.assertEqual(text, "word0 word1 word2 ")
+        self.assertIn(b"x-request-id", headers)
+        self.assertEqual(headers[b"x-data-centre"], b"local")
+
+    def test_stream_ends_in_done(self):
+        body = {
+            "model": "demo-model",
+            "messages": [{"role": "user", "content": "Hello"}],
+            "max_tokens": 3,
+            "stream": True,
+        }
+        status, headers, answer = self.daemon.request(
+            "POST", "/v1/chat/completions", body
+        )
+        self.assertEqual(status, 200)
+        self.assertTrue(headers[b"content-type"].startswith(b"text/event-"))
+        self.assertEqual(answer.count(b"data: "), 5)
+        self.assertTrue(answer.endswith(b"data: [DONE]\n\n"))
+
+    def test_ledger_counts_its_runs(self):
+        path = "/v1/services/demo-ledger/calls"
+        runs = [
+            json.loads(self.daemon.request("POST", path, {})[2])["run"]
+            for _ in range(2)
+        ]
+        self.assertEqual(runs[1], runs[0] + 1)
+
+    def test_finished_request_is_found_by_its_account(self):
+        _, headers, _ = self.daemon.request("POST", "/v1/completions", PROMPT)
+        request_id = headers[b"x-request-id"].decode()
+        status, _, body = self.daemon.request(
+            "GET", f"/v1/requests/{request_id}"
+        )
+        self.assertEqual(status, 200)
+        self.assertEqual(json.loads(body)["outcome"], "done")
+
+    def test_wrong_key_is_refused_as_not_run(self):
+        status, _, body = self.daemon.request(
+            "POST", "/v1/completions", PROMPT, key="wrong"
+        )
+        self.assertEqual(status, 401)
+        self.assertEqual(json.loads(body)["outcome"], "not_run")
+
+
+class DrainTest(unittest.TestCase):
+    """SIGTERM cuts no request off."""
+
+    def test_running_stream_ends_whole_and_the_exit_status_is_0(self):
+        with daemons.running() as daemon:
+            body = {**PROMPT, "max_tokens": 300, "stream": True}
+            began = threading.Event()
+            answer = []
+
+            def read_stream():
+                headers = [("Authorization", f"Bearer {daemons.KEY}")]
+                with httpcore.stream(
+                    "POST",
+                    daemon.url("/v1/completions"),
+                    headers=headers,
+                    content=json.dumps(body).encode(),
+                ) as response:
+                    for part in response.iter_stream():
+                        answer.append(part)
+                        began.set()
+
+            reader = threading.Thread(target=read_stream)
+            reader.start()
+            self.assertTrue(began.wait(daemons.START_TIMEOUT_S))
+            daemon.process.terminate()
+            daemons.read_until(daemon.process, "draining")
+            self.assertEqual(daemon.request("GET", "/readyz")[0], 503)
+            refused = daemon.request("POST", "/v1/completions", PROMPT)
+            self.assertEqual(refused[0], 503)
+            self.assertEqual(json.loads(refused[2])["outcome"], "not_run")
+            reader.join(daemons.STOP_TIMEOUT_S)
+            whole = b"".join(answer)
+            self.assertTrue(whole.endswith(b"data: [DONE]\n\n"))
+            self.assertEqual(whole.count(b"data: "), 302)
+            self.assertEqual(daemon.process.wait(daemons.STOP_TIMEOUT_S), 0)
--- /dev/null
+++ b/tests/lib/daemons.py
@@ -0,0 +1,77 @@
+"""Starts the real daemon program for functional tests."""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import attrs
+import httpcore
+
+START_TIMEOUT_S = 20
+STOP_TIMEOUT_S = 20
+KEY = "demo-key"
+
+
+@attrs.frozen
+class Daemon:
+    """A running daemon program and its callers' port."""
+
+    process: subprocess.Popen
+    port: int
+
+    def url(self, path):
+        return f"http://127.0.0.1:{self.port}{path}"
+
+    def request(self, method, path, body=None, key=KEY, headers=()):
+        """Sends one request and returns status, headers and body."""
+        all_headers = [("Authorization", f"Bearer {key}"), *headers]
+        content = None if body is None else json.dumps(body).encode()
+        answer = httpcore.request(
+            method, self.url(path), headers=all_headers, content=content
+        )
+        table = {k.lower(): v for k, v in answer.headers}
+        return answer.status, table, answer.content
+
+    def terminate(self):
+        """Sends SIGTERM and returns the exit status."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(STOP_TIMEOUT_S)
+
+
+def read_until(process, message):
+    """Reads JSON log lines up to one with the message; returns it."""
+    for line in process.stderr:
+        record = json.loads(line)
+        if record["message"] == message:
+            return record
+    raise AssertionError(f"the daemon ended without the line {message!r}")
+
+
+@contextlib.contextmanager
+def running(*arguments):
+    """Runs a daemon with the embedded parts on a free port."""
+    process = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "cardamomfork._internal.daemon",
+            "--embedded",
+            "--port",
+            "0",
+            *arguments,
+        ],
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "PYTHONUNBUFFERED": "1"},
+    )
+    try:
+        record = read_until(process, "serving")
+        yield Daemon(process, record["callers_port"])
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+        process.stderr.close()
