End a claimed run's types in a refusal

Cause: The type check failed on a path that a cancelled scope would take. Change: that path gives the refusal of a request whose caller went away.

--- a/src/cardamomfork/_internal/requests/service.py
+++ b/src/cardamomfork/_internal/requests/service.py
@@ -179,6 +179,7 @@
             return await self._run_under_claim(
                 self._ledger, request, sink, record
             )
+        return result.Err(_cancelled())
 
     async def _run_under_claim(
         self,
