Measure the data path beside two other ways

Cause: The cost of a relayed token decides how many instances are needed, and a stream whose caller had gone logged a transport error. Change: measure/relay runs engine, callers and relay in processes of their own; ways are the daemon's path (transport to transport by a plain call), raw reads with a C parser and an ASGI message each, and plain uvicorn and httpcore. A chunk for a closed connection is dropped.

--- a/src/cardamomfork/_internal/links/callers/protocol.py
+++ b/src/cardamomfork/_internal/links/callers/protocol.py
@@ -49,7 +49,9 @@
         self._listener = listener
 
     def write_chunk(self, data: bytes) -> None:
-        """Writes one chunk of a response in chunked encoding."""
+        """Writes one chunk of a response; drops it if the caller is gone."""
+        if self.transport.is_closing():
+            return
         self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
 
     def connection_made(  # type: ignore[override]
--- /dev/null
+++ b/src/cardamomfork/_internal/measure/relay.py
@@ -0,0 +1,212 @@
+"""Processor time of the data path for each relayed token.
+
+Engine, callers and relay are processes of their own on the loopback address.
+Every stream carries one event each 32 ms. The relay's process clock is read
+at both ends of a window in which all streams run.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import subprocess
+import sys
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal.measure import reports
+from cardamomfork._internal.measure.relaying import engine
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+STREAMS = (50, 200, 400, 670)
+STATED_STREAMS = (200, 670)
+SMALLEST_STREAMS = 20
+WAYS = ("daemon", "raw", "plain")
+WINDOW_S = 5.0
+SMALLEST_WINDOW_S = 0.5
+SETTLE_S = 0.5
+STOP_TIMEOUT_S = 5.0
+BOUND_US = 48.0
+BOUND_GAP_MS = 1000.0 * engine.TOKEN_INTERVAL_S + 5.0
+TARGET_TOKENS_PER_S = 20_900
+_PACKAGE = "cardamomfork._internal.measure.relaying"
+
+
+@attrs.frozen
+class Sample:
+    """One run of one way at one size.
+
+    Attributes:
+        way: Which relay.
+        streams: Concurrent streams.
+        us_per_token: Processor time of the relay, in microseconds.
+        core_share: Processor time as a share of one core.
+        tokens_per_s: Tokens that arrived a second.
+        p50_ms: Median time between tokens, in milliseconds.
+        p95_ms: The same, 95th percentile.
+        p99_ms: The same, 99th percentile.
+    """
+
+    way: str
+    streams: int
+    us_per_token: float
+    core_share: float
+    tokens_per_s: float
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+
+
+class _Process:
+    """A helper process that answers each line with a line of JSON."""
+
+    def __init__(self, *arguments: str) -> None:
+        """Starts it and waits for its first line."""
+        self._process = subprocess.Popen(  # noqa: S603
+            [
+                sys.executable,
+                "-m",
+                f"{_PACKAGE}.{arguments[0]}",
+                *arguments[1:],
+            ],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.first = self._read()
+
+    def ask(self) -> dict[str, Any]:
+        """Sends an empty line and returns the answer."""
+        assert self._process.stdin is not None  # noqa: S101
+        self._process.stdin.write("\n")
+        self._process.stdin.flush()
+        return self._read()
+
+    def stop(self) -> None:
+        """Ends it."""
+        self._process.kill()
+        self._process.wait(STOP_TIMEOUT_S)
+
+    def _read(self) -> dict[str, Any]:
+        """Reads one line."""
+        assert self._process.stdout is not None  # noqa: S101
+        answer: dict[str, Any] = json.loads(self._process.stdout.readline())
+        return answer
+
+
+@contextlib.contextmanager
+def _running(*arguments: str) -> Iterator[_Process]:
+    """Runs a helper process."""
+    process = _Process(*arguments)
+    try:
+        yield process
+    finally:
+        process.stop()
+
+
+def _sample(way: str, streams: int, window_s: float) -> Sample:
+    """Runs one way at one size."""
+    with (
+        _running("engine") as source,
+        _running("relay", way, str(source.first["port"])) as relay,
+        _running("client", str(relay.first["port"]), str(streams)) as client,
+    ):
+        time.sleep(SETTLE_S)
+        client.ask()
+        cpu_s = relay.ask()["cpu_s"]
+        start = time.monotonic()
+        time.sleep(window_s)
+        cpu_s = relay.ask()["cpu_s"] - cpu_s
+        elapsed_s = time.monotonic() - start
+        seen = client.ask()
+    if seen["ended"] or not seen["tokens"]:
+        raise RuntimeError(f"{way}: {seen['ended']} of {streams} streams ended")
+    return Sample(
+        way=way,
+        streams=streams,
+        us_per_token=1e6 * cpu_s / seen["tokens"],
+        core_share=cpu_s / elapsed_s,
+        tokens_per_s=seen["tokens"] / elapsed_s,
+        p50_ms=seen["p50_ms"],
+        p95_ms=seen["p95_ms"],
+        p99_ms=seen["p99_ms"],
+    )
+
+
+def measure(options: reports.Options) -> reports.Report:
+    """Measures every way at every size, the ways side by side."""
+    sizes = (SMALLEST_STREAMS,) if options.smallest else STREAMS
+    window_s = SMALLEST_WINDOW_S if options.smallest else WINDOW_S
+    samples = [
+        _sample(way, streams, window_s) for streams in sizes for way in WAYS
+    ]
+    own = [sample for sample in samples if sample.way == "daemon"]
+    cost = reports.Slope(
+        quantity="processor time of the relay, s a second",
+        size="tokens a second",
+        points=tuple((s.tokens_per_s, s.core_share) for s in own),
+        bound=1.0,
+        target_size=TARGET_TOKENS_PER_S,
+    )
+    return reports.Report(
+        "relay", (_table(samples), cost, *_verdicts(own, samples))
+    )
+
+
+def _table(samples: list[Sample]) -> reports.Table:
+    """Puts the samples into rows."""
+    return reports.Table(
+        "processor time a relayed token and time between tokens",
+        (
+            "streams",
+            "way",
+            "us/token",
+            "core",
+            "tokens/s",
+            "p50 ms",
+            "p95 ms",
+            "p99 ms",
+        ),
+        tuple(
+            (
+                str(s.streams),
+                s.way,
+                f"{s.us_per_token:.1f}",
+                f"{s.core_share:.0%}",
+                f"{s.tokens_per_s:.0f}",
+                f"{s.p50_ms:.1f}",
+                f"{s.p95_ms:.1f}",
+                f"{s.p99_ms:.1f}",
+            )
+            for s in samples
+        ),
+    )
+
+
+def _verdicts(own: list[Sample], samples: list[Sample]) -> list[str]:
+    """Says what holds against the bounds, and the ratio to the plain way."""
+    stated = [s for s in own if s.streams in STATED_STREAMS] or own
+    sizes = ", ".join(str(s.streams) for s in stated)
+    worst_us = max(s.us_per_token for s in stated)
+    worst_ms = max(s.p95_ms for s in stated)
+    plain = {s.streams: s for s in samples if s.way == "plain"}
+    ratios = [plain[s.streams].us_per_token / s.us_per_token for s in own]
+    shown = ", ".join(f"{ratio:.1f}" for ratio in ratios)
+    return [
+        f"us a token at {sizes} streams: at most {worst_us:.1f}; bound"
+        f" {BOUND_US:g}: {_held(worst_us <= BOUND_US)}",
+        f"p95 between tokens: at most {worst_ms:.1f} ms; bound"
+        f" {BOUND_GAP_MS:g}: {_held(worst_ms <= BOUND_GAP_MS)}",
+        f"the plain way costs {shown} times the daemon's (a relay with a"
+        " whole core in use joins late tokens, which lowers its cost a token)",
+    ]
+
+
+def _held(holds: bool) -> str:
+    """Returns the verdict as a word."""
+    return "met" if holds else "NOT MET"
--- /dev/null
+++ b/src/cardamomfork/_internal/measure/relaying/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of the relay measurement: engine, client and relay."""
--- /dev/null
+++ b/src/cardamomfork/_internal/measure/relaying/engine.py
@@ -0,0 +1,83 @@
+"""An engine that only sends events: one token a stream each 32 ms.
+
+Run as `python -m cardamomfork._internal.measure.relaying.engine`; prints its
+port. Written on the transport so that it costs less than what it measures.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import Any
+
+import uvloop
+
+TOKEN_INTERVAL_S = 0.032
+_ATTEMPT_HEADER = b"x-attempt-id:"
+_EVENT = (
+    b'data: {"id":"cmpl-01a23df7-e798-71a7-bf2d-1e6bf94a5c03","object":'
+    b'"chat.completion.chunk","created":1764799986,"model":"demo-model",'
+    b'"choices":[{"index":0,"delta":{"content":" pallet"},'
+    b'"finish_reason":null}]}\n\n'
+)
+CHUNK = b"%x\r\n%b\r\n" % (len(_EVENT), _EVENT)
+
+
+class EngineProtocol(asyncio.Protocol):
+    """Answers each request with an endless stream."""
+
+    def __init__(self, chance: random.Random) -> None:
+        """Waits for a request."""
+        self._chance = chance
+        self._transport: Any = None
+        self._request = b""
+        self._loop = asyncio.get_running_loop()
+        self._next = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Starts the stream once the head is whole."""
+        self._request += data
+        if b"\r\n\r\n" not in self._request or self._next:
+            return
+        attempt = b""
+        for line in self._request.split(b"\r\n"):
+            if line.lower().startswith(_ATTEMPT_HEADER):
+                attempt = line[len(_ATTEMPT_HEADER) :].strip()
+        self._transport.write(
+            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+            b"transfer-encoding: chunked\r\nx-attempt-id: "
+            + attempt
+            + b"\r\n\r\n"
+        )
+        phase = self._chance.uniform(0.0, TOKEN_INTERVAL_S)
+        self._next = self._loop.time() + phase
+        self._loop.call_at(self._next, self._send)
+
+    def _send(self) -> None:
+        """Sends a token and sets the time of the next."""
+        if self._transport.is_closing():
+            return
+        self._transport.write(CHUNK)
+        self._next += TOKEN_INTERVAL_S
+        self._loop.call_at(self._next, self._send)
+
+
+async def _main() -> None:
+    """Serves for good."""
+    chance = random.Random(1)
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: EngineProtocol(chance), "127.0.0.1", 0, backlog=4096
+    )
+    port = server.sockets[0].getsockname()[1]
+    print(json.dumps({"port": port}), flush=True)
+    await server.serve_forever()
+
+
+if __name__ == "__main__":
+    uvloop.run(_main())
--- /dev/null
+++ b/src/cardamomfork/_internal/measure/relaying/relay.py
@@ -0,0 +1,198 @@
+"""The relay under measurement, in its own process.
+
+Run as `python -m cardamomfork._internal.measure.relaying.relay WAY PORT`;
+prints its port, then answers each line of its input with its process time in
+seconds. `daemon` is the daemon's own path with all its parts; the other ways
+are there to compare with.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+import httpcore
+import httptools
+
+from cardamomfork._internal import daemon as daemon_module
+from cardamomfork._internal.accounts import embedded as embedded_accounts
+from cardamomfork._internal.links import http_server
+from cardamomfork._internal.links.callers import protocol
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import settings
+from cardamomfork._internal.models import targets
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+_HOST = "127.0.0.1"
+_READ_BYTES = 65536
+_MAX_BATCH = 10_000
+
+
+class PlainRelay:
+    """uvicorn in front of httpcore, each used as its documentation shows."""
+
+    def __init__(self, port: int) -> None:
+        """Takes the engine's port."""
+        self._url = f"http://{_HOST}:{port}/v1/chat/completions"
+        self._pool = httpcore.AsyncConnectionPool(max_connections=None)
+
+    async def __call__(
+        self,
+        scope: dict[str, Any],  # noqa: ARG002
+        receive: Callable[[], Awaitable[dict[str, Any]]],
+        send: Callable[[dict[str, Any]], Awaitable[None]],
+    ) -> None:
+        """Relays one stream."""
+        body = (await receive())["body"]
+        headers: dict[bytes | str, bytes | str] = {
+            "x-attempt-id": identifiers.new_attempt_id(),
+            "content-length": str(len(body)),
+        }
+        async with self._pool.stream(
+            "POST", self._url, headers=headers, content=body
+        ) as response:
+            await send(
+                {"type": "http.response.start", "status": 200, "headers": []}
+            )
+            await self._relay(response, send)
+
+    async def _relay(
+        self,
+        response: httpcore.Response,
+        send: Callable[[dict[str, Any]], Awaitable[None]],
+    ) -> None:
+        """Passes each chunk on as one ASGI message."""
+        async for chunk in response.aiter_stream():
+            await send(
+                {
+                    "type": "http.response.body",
+                    "body": chunk,
+                    "more_body": True,
+                }
+            )
+
+
+class RawRelay(PlainRelay):
+    """Reads beside httpcore after the head, with httptools' parser."""
+
+    async def _relay(
+        self,
+        response: httpcore.Response,
+        send: Callable[[dict[str, Any]], Awaitable[None]],
+    ) -> None:
+        """Passes each read on as one ASGI message."""
+        stream = response.extensions["network_stream"]
+        parts: list[bytes] = []
+        receiver = _PartsReceiver(parts)
+        parser = httptools.HttpResponseParser(receiver)
+        parser.feed_data(
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        )
+        while True:
+            data = await stream.read(_READ_BYTES)
+            parser.feed_data(data)
+            body = b"".join(parts)
+            parts.clear()
+            await send(
+                {"type": "http.response.body", "body": body, "more_body": True}
+            )
+
+
+class _PartsReceiver:
+    """Collects the content of chunks."""
+
+    def __init__(self, parts: list[bytes]) -> None:
+        """Takes the list to collect in."""
+        self._parts = parts
+
+    def on_body(self, body: bytes) -> None:
+        """Takes the content of one chunk."""
+        self._parts.append(body)
+
+
+def _daemon_settings() -> settings.DaemonSettings:
+    """Returns settings that serve on a free port."""
+    return settings.DaemonSettings(callers=settings.CallerSettings(port=0))
+
+
+def _configure(daemon: daemon_module.Daemon, port: int) -> None:
+    """Names the engine and the account."""
+    target = targets.Target(
+        target_id=identifiers.TargetId("engine"),
+        kind=targets.TargetKind.ENGINE,
+        host=_HOST,
+        port=port,
+        data_centre=identifiers.DataCentreId("local"),
+        memory_tokens=1_000_000_000,
+        max_batch=_MAX_BATCH,
+    )
+    daemon.apply_service(
+        configuration.Service(
+            name=identifiers.ServiceName("demo"),
+            kind=configuration.ServiceKind.MODEL,
+            models=("demo-model",),
+            targets=(target,),
+        )
+    )
+    daemon.apply_account(
+        configuration.ClientAccount(
+            name=identifiers.AccountName("demo"), max_concurrent=_MAX_BATCH
+        )
+    )
+
+
+async def _answer_lines() -> None:
+    """Tells the process time whenever it is asked."""
+    reader = asyncio.StreamReader()
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while await reader.readline():
+        print(json.dumps({"cpu_s": time.process_time()}), flush=True)
+
+
+async def _serve(way: str, port: int) -> None:
+    """Serves until its input ends."""
+    async with anyio.create_task_group() as tasks:
+        application: Any = None
+        if way == "daemon":
+            daemon = daemon_module.wire(_daemon_settings())
+            _configure(daemon, port)
+            keys = embedded_accounts.EmbeddedKeys(
+                identifiers.AccountName("demo"), "demo-key"
+            )
+            application = daemon_module.make_application(daemon, keys)
+            for part in (
+                daemon.waiting_room,
+                daemon.canceller,
+                daemon.heartbeats,
+                daemon.watch,
+            ):
+                tasks.start_soon(part.run)
+        else:
+            application = {"plain": PlainRelay, "raw": RawRelay}[way](port)
+        server = http_server.HttpServer(
+            application, http_server.bind(_HOST, 0), protocol.CallerProtocol
+        )
+        async with server.running():
+            print(json.dumps({"port": server.port}), flush=True)
+            await _answer_lines()
+        tasks.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    anyio.run(
+        _serve,
+        sys.argv[1],
+        int(sys.argv[2]),
+        backend_options={"use_uvloop": True},
+    )
