Derive a request's outcome from its attempts

Cause: The truth of `not_run`, the one end and the whole answer need one place that owns them, whatever frames and faults arrive.

--- /dev/null
+++ b/tests/lib/requests_lib.py
@@ -0,0 +1,26 @@
+"""Requests and faults that the tests of the request parts share."""
+
+from cardamomfork._internal.models import requests
+from cardamomfork._internal.models import targets
+
+
+def make_request(**changes):
+    """A request with the fields that a test does not care about."""
+    fields = {
+        "request_id": "r1",
+        "account": "acme",
+        "service": "pool",
+        "api": requests.Api.COMPLETIONS,
+        "body": b"{}",
+        "prompt_tokens": 10,
+        "max_tokens": 10,
+        "arrived_at": 0.0,
+        "deadline": 60.0,
+        "fingerprint": b"f" * 16,
+    }
+    return requests.Request(**{**fields, **changes})
+
+
+def fault(kind, target_id="t1"):
+    """A target's fault of one kind."""
+    return targets.TargetFault(kind, target_id, "")
--- /dev/null
+++ b/tests/unit/test_lifecycle.py
@@ -0,0 +1,215 @@
+"""Attempts and requests under late, crossed, doubled and lost frames."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.models import outcomes
+from cardamomfork._internal.models import targets
+from cardamomfork._internal.requests import attempts
+from cardamomfork._internal.requests import lifecycle
+from tests.lib import requests_lib
+from tests.lib import seeds
+
+ANSWER = bytes(range(12))
+KINDS = targets.FaultKind
+
+
+class LifecycleMachine(stateful.RuleBasedStateMachine):
+    """Targets run and fail as they like; what the caller sees must hold."""
+
+    @stateful.initialize(idempotent=st.booleans())
+    def start(self, idempotent):
+        self.counters = attempts.FrameCounters()
+        self.idempotent = idempotent
+        self.life = lifecycle.RequestLifecycle(
+            requests_lib.make_request(idempotent=idempotent), self.counters
+        )
+        self.machines = []
+        self.runs = 0
+        self.ended = {}
+        self.seen = b""
+        self.final = None
+
+    @stateful.rule(resume=st.booleans(), place=st.sampled_from(["t1", "t2"]))
+    def begin(self, resume, place):
+        if not self.life.may_run_again:
+            return
+        name = f"a{len(self.machines)}"
+        attempt = self.life.begin(name, place, resume)
+        self.machines.append(attempt)
+
+    @stateful.rule(which=st.integers(0, 3), runs=st.booleans())
+    def send(self, which, runs):
+        attempt = self.pick(which)
+        if attempt is None or attempt.state is not attempts.AttemptState.QUEUED:
+            return
+        attempt.mark_sending()
+        self.runs += runs
+        if not runs:
+            self.life.fail(attempt, requests_lib.fault(KINDS.REFUSED))
+
+    @stateful.rule(
+        which=st.integers(0, 3),
+        back=st.integers(-2, 4),
+        length=st.integers(0, 12),
+        crossed=st.booleans(),
+    )
+    def frame(self, which, back, length, crossed):
+        attempt = self.pick(which)
+        if attempt is None or attempt.outcome is outcomes.Outcome.NOT_RUN:
+            return
+        offset = max(attempt.offset - back, 0)
+        data = ANSWER[offset : offset + length]
+        name = "other" if crossed else attempt.attempt_id
+        skip = attempt.place_frame(name, offset, len(data))
+        if skip == attempts.GAP:
+            assert offset > attempt.offset
+            self.life.fail(attempt, requests_lib.fault(KINDS.GARBLED))
+            return
+        if skip < len(data):
+            self.seen += self.life.deliver(attempt, data[skip:])
+
+    @stateful.rule(which=st.integers(0, 3), kind=st.sampled_from(list(KINDS)))
+    def fault(self, which, kind):
+        attempt = self.pick(which)
+        if attempt is None:
+            return
+        unsent = (KINDS.UNREACHABLE, KINDS.REFUSED)
+        if kind in unsent and attempt.state > attempts.AttemptState.QUEUED:
+            return
+        self.life.fail(attempt, requests_lib.fault(kind))
+
+    @stateful.rule(which=st.integers(0, 3), total=st.integers(11, 13))
+    def finish(self, which, total):
+        attempt = self.pick(which)
+        if attempt is None or attempt.outcome is outcomes.Outcome.NOT_RUN:
+            return
+        if self.life.complete(attempt, total):
+            assert total == len(ANSWER)
+
+    @stateful.rule(which=st.integers(0, 3), total=st.sampled_from([11, 12]))
+    def rest(self, which, total):
+        """The rest of an answer at once, and its end."""
+        attempt = self.pick(which)
+        if attempt is None:
+            return
+        if attempt.state is attempts.AttemptState.QUEUED:
+            self.send(which, runs=True)
+        self.frame(which, back=0, length=12, crossed=False)
+        self.finish(which, total)
+
+    @stateful.rule(now=st.integers(0, 70))
+    def expire(self, now):
+        open_before = self.life.ending is None
+        expired = self.life.expire(now)
+        assert expired == (open_before and now >= 60.0)
+
+    @stateful.invariant()
+    def promises_hold(self):
+        if not hasattr(self, "life"):
+            return
+        assert self.seen == ANSWER[: len(self.seen)]
+        assert self.life.given == len(self.seen)
+        if self.life.outcome is outcomes.Outcome.NOT_RUN:
+            assert self.runs == 0
+        if not self.idempotent:
+            assert self.runs <= 1
+        if self.final is None:
+            self.final = self.life.ending
+        assert self.final is self.life.ending
+        if self.final and self.final.refusal is None:
+            assert self.seen == ANSWER
+
+    def pick(self, which):
+        if not self.machines:
+            return None
+        return self.machines[which % len(self.machines)]
+
+
+LifecycleMachine.TestCase.settings = settings(
+    seeds.STEADY, max_examples=150, stateful_step_count=40
+)
+LifecycleTest = LifecycleMachine.TestCase
+
+
+class RequestLifecycleTest(unittest.TestCase):
+    def setUp(self):
+        self.counters = attempts.FrameCounters()
+
+    def open_life(self, **changes):
+        life = lifecycle.RequestLifecycle(
+            requests_lib.make_request(**changes), self.counters
+        )
+        attempt = life.begin("a1", "t1")
+        attempt.mark_sending()
+        return life, attempt
+
+    def test_unreachable_proves_not_run_only_before_an_answer(self):
+        life, attempt = self.open_life(idempotent=False)
+        attempt.accept("a1")
+        step = life.fail(attempt, requests_lib.fault(KINDS.REFUSED))
+        self.assertEqual(step, lifecycle.NextStep.END)
+        self.assertEqual(life.outcome, outcomes.Outcome.UNKNOWN)
+
+    def test_second_run_of_unrepeatable_request_is_barred(self):
+        life, attempt = self.open_life(idempotent=False)
+        life.fail(attempt, requests_lib.fault(KINDS.SILENT))
+        with self.assertRaises(exceptions.InvariantViolationError):
+            life.begin("a2", "t2")
+
+    def test_lost_stream_resumes_at_offset_on_same_target(self):
+        life, attempt = self.open_life(idempotent=False)
+        life.deliver(attempt, b"hello ")
+        step = life.fail(attempt, requests_lib.fault(KINDS.LOST))
+        self.assertEqual(step, lifecycle.NextStep.RESUME)
+        again = life.begin("a1", "t1", resume=True)
+        again.mark_sending()
+        self.assertEqual(again.start, 6)
+        self.assertEqual(life.deliver(again, b"world"), b"world")
+        self.assertTrue(life.complete(again, 11))
+        self.assertFalse(life.complete(again, 11))
+        self.assertEqual(self.counters.second_finals, 1)
+
+    def test_refused_resume_is_not_asked_for_again(self):
+        life, attempt = self.open_life(idempotent=False)
+        life.deliver(attempt, b"hello ")
+        life.fail(attempt, requests_lib.fault(KINDS.LOST))
+        again = life.begin("a1", "t1", resume=True)
+        again.mark_sending()
+        step = life.fail(again, requests_lib.fault(KINDS.REFUSED))
+        self.assertEqual(step, lifecycle.NextStep.END)
+        self.assertEqual(life.outcome, outcomes.Outcome.UNKNOWN)
+
+    def test_repeat_that_differs_gives_nothing_to_the_caller(self):
+        life, attempt = self.open_life()
+        life.deliver(attempt, b"hello ")
+        life.fail(attempt, requests_lib.fault(KINDS.LOST))
+        other = life.begin("a2", "t2")
+        other.mark_sending()
+        self.assertEqual(life.deliver(other, b"hel"), b"")
+        self.assertIsNone(life.deliver(other, b"p! and more"))
+        self.assertEqual(other.state, attempts.AttemptState.LOST)
+        self.assertEqual(self.counters.diverged, 1)
+
+    def test_overtaken_hedge_is_abandoned(self):
+        life, attempt = self.open_life()
+        hedge = life.begin("a2", "t2")
+        hedge.mark_sending()
+        self.assertEqual(life.deliver(hedge, b"abc"), b"abc")
+        self.assertEqual(life.deliver(attempt, b"ab"), b"")
+        self.assertTrue(attempt.terminal)
+        self.assertTrue(life.complete(hedge, 3))
+
+    def test_deadline_keeps_the_truth(self):
+        life, _ = self.open_life()
+        self.assertTrue(life.expire(60.0))
+        self.assertEqual(life.ending.refusal.outcome, outcomes.Outcome.UNKNOWN)
+        unsent = lifecycle.RequestLifecycle(
+            requests_lib.make_request(), self.counters
+        )
+        self.assertTrue(unsent.expire(60.0))
+        self.assertEqual(unsent.outcome, outcomes.Outcome.NOT_RUN)
