--- a/src/cardamomfork/_internal/models/settings.py
+++ b/src/cardamomfork/_internal/models/settings.py
@@ -70,10 +70,18 @@
 
 @attrs.frozen
 class OperatorSettings:
-    """[operators]: the side towards the command-line tool."""
+    """[operators]: the side towards the command-line tool.
+
+    Attributes:
+        host: IP number to listen on.
+        port: TCP port; 0 picks one.
+        keys: Hashed keys as `KEY_ID:SALT:DIGEST[:NOT_AFTER]`.
+        tls: Certificates.
+    """
 
     host: str = "127.0.0.1"
     port: int = 8482
+    keys: tuple[str, ...] = attrs.field(default=(), repr=False)
     tls: TlsSettings = TlsSettings()
 
 
--- /dev/null
+++ b/src/cardamomfork/_internal/settings/fields.py
@@ -0,0 +1,160 @@
+"""Parsers of single settings values.
+
+Each takes the text of a value and returns what it means, or one sentence that
+says what to write instead.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import ipaddress
+import math
+import os
+import pathlib
+import re
+from typing import Any
+
+import result
+
+MAX_PORT = 65_535
+LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+_KEY_LINE = re.compile(r"[0-9a-z]+:[0-9a-f]+:[0-9a-f]+(:[0-9]+(\.[0-9]+)?)?")
+_WORDS_FOR_TRUE = ("true", "yes", "on", "1")
+_WORDS_FOR_FALSE = ("false", "no", "off", "0")
+
+Parser = Callable[[str], result.Result[Any, str]]
+
+
+def parse_name(text: str) -> result.Result[str, str]:
+    """Parses the name of an instance or data centre."""
+    if _NAME.fullmatch(text):
+        return result.Ok(text)
+    return result.Err(
+        "must be 1 to 63 lower-case letters, digits, '.', '_' or '-', and"
+        " begin with a letter or digit"
+    )
+
+
+def parse_host(text: str) -> result.Result[str, str]:
+    """Parses an IP number; host names are refused."""
+    try:
+        return result.Ok(str(ipaddress.ip_address(text)))
+    except ValueError:
+        return result.Err(f"{text!r} is not an IP number; write e.g. 10.0.0.5")
+
+
+def parse_port(text: str) -> result.Result[int, str]:
+    """Parses a TCP port to listen on; 0 lets the system pick one."""
+    return integer(0, MAX_PORT)(text)
+
+
+def parse_endpoint(text: str) -> result.Result[str, str]:
+    """Parses `host:port` with an IP number; IPv6 stands in brackets."""
+    host, colon, port = text.rpartition(":")
+    bare = host.removeprefix("[").removesuffix("]")
+    number = integer(1, MAX_PORT)(port)
+    if not colon or parse_host(bare).is_err() or number.is_err():
+        return result.Err(
+            f"{text!r} is not an IP number and port; write e.g. 10.0.0.5:2379"
+        )
+    return result.Ok(text)
+
+
+def parse_endpoints(text: str) -> result.Result[tuple[str, ...], str]:
+    """Parses endpoints that are separated by commas, spaces or lines."""
+    found = [parse_endpoint(word) for word in re.split(r"[\s,]+", text) if word]
+    wrong = [each.err_value for each in found if isinstance(each, result.Err)]
+    if wrong:
+        return result.Err("; ".join(wrong))
+    return result.Ok(
+        tuple(each.ok_value for each in found if isinstance(each, result.Ok))
+    )
+
+
+def parse_key_lines(text: str) -> result.Result[tuple[str, ...], str]:
+    """Parses hashed keys, one a line, as `cardamomfork keys` prints them."""
+    lines = tuple(line.strip() for line in text.splitlines() if line.strip())
+    wrong = [
+        str(number)
+        for number, line in enumerate(lines, 1)
+        if not _KEY_LINE.fullmatch(line)
+    ]
+    if wrong:
+        return result.Err(
+            f"hashed key {', '.join(wrong)} is not KEY_ID:SALT:DIGEST or"
+            " KEY_ID:SALT:DIGEST:NOT_AFTER; make one with `cardamomfork keys`"
+        )
+    return result.Ok(lines)
+
+
+def parse_file(text: str) -> result.Result[str, str]:
+    """Parses the path of a file that must exist and be readable."""
+    if not text:
+        return result.Ok("")
+    if not pathlib.Path(text).is_file():
+        return result.Err(f"file {text!r} does not exist")
+    if not os.access(text, os.R_OK):
+        return result.Err(f"file {text!r} is not readable by this user")
+    return result.Ok(text)
+
+
+def parse_boolean(text: str) -> result.Result[bool, str]:
+    """Parses a truth value."""
+    if text.lower() in _WORDS_FOR_TRUE:
+        return result.Ok(True)
+    if text.lower() in _WORDS_FOR_FALSE:
+        return result.Ok(False)
+    return result.Err(f"{text!r} is neither true nor false")
+
+
+def parse_log_level(text: str) -> result.Result[str, str]:
+    """Parses the least severe level that is logged."""
+    if text.upper() in LOG_LEVELS:
+        return result.Ok(text.upper())
+    return result.Err(f"{text!r} is not one of {', '.join(LOG_LEVELS)}")
+
+
+def parse_key_prefix(text: str) -> result.Result[str, str]:
+    """Parses the prefix of the store's keys."""
+    if text.startswith("/") and text.endswith("/"):
+        return result.Ok(text)
+    return result.Err(f"{text!r} must begin and end with '/'")
+
+
+def parse_url(text: str) -> result.Result[str, str]:
+    """Parses an `http` or `https` URL, or nothing."""
+    if not text or re.fullmatch(r"https?://[^\s/]+\S*", text):
+        return result.Ok(text)
+    return result.Err(f"{text!r} is not an http:// or https:// URL")
+
+
+def integer(least: int, most: int) -> Parser:
+    """Makes a parser of whole numbers within bounds."""
+
+    def parse(text: str) -> result.Result[int, str]:
+        try:
+            value = int(text)
+        except ValueError:
+            return result.Err(f"{text!r} is not a whole number")
+        if not least <= value <= most:
+            return result.Err(f"{value} is not within {least} to {most}")
+        return result.Ok(value)
+
+    return parse
+
+
+def number(least: float, most: float) -> Parser:
+    """Makes a parser of finite numbers within bounds."""
+
+    def parse(text: str) -> result.Result[float, str]:
+        try:
+            value = float(text)
+        except ValueError:
+            return result.Err(f"{text!r} is not a number")
+        if not math.isfinite(value) or not least <= value <= most:
+            return result.Err(f"{text} is not within {least:g} to {most:g}")
+        return result.Ok(value)
+
+    return parse
--- /dev/null
+++ b/src/cardamomfork/_internal/settings/loader.py
@@ -0,0 +1,177 @@
+"""Loads and checks a settings file; collects every finding at once."""
+
+from __future__ import annotations
+
+import configparser
+import difflib
+import pathlib
+import re
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+import result
+
+from cardamomfork._internal.models import findings
+from cardamomfork._internal.settings import rules
+from cardamomfork._internal.settings import sections
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cardamomfork._internal.models import settings
+
+SAMPLE_PATH = pathlib.Path(__file__).with_name("sample.ini")
+
+_SECTION_LINE = re.compile(r"\[(?P<section>[^\]]+)\]")
+_KEY_LINE = re.compile(r"(?P<key>[^\s=:#;\[][^=:]*?)\s*[=:]")
+
+
+def load(
+    path: str | pathlib.Path, *, embedded: bool = False
+) -> result.Result[settings.DaemonSettings, tuple[findings.Finding, ...]]:
+    """Loads a settings file.
+
+    Args:
+        path: The file.
+        embedded: Run the embedded parts whatever the file says.
+
+    Returns:
+        The settings, or every finding with file, section, key and line.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        place = findings.Place(str(path), "file")
+        finding = findings.Finding(place, f"cannot be read: {error}")
+        return result.Err((finding,))
+    return parse(text, str(path), embedded=embedded)
+
+
+def parse(
+    text: str, source: str, *, embedded: bool = False
+) -> result.Result[settings.DaemonSettings, tuple[findings.Finding, ...]]:
+    """Parses and checks the text of a settings file."""
+    checker = _Checker(source, text)
+    values = checker.read()
+    if embedded:
+        values["embedded"] = {"enabled": True}
+    if not checker.found:
+        built = sections.build(values)
+        for where, message in rules.check(built):
+            checker.add(where, message)
+        if not checker.found:
+            return result.Ok(built)
+    return result.Err(tuple(sorted(checker.found, key=_line_of)))
+
+
+def _line_of(finding: findings.Finding) -> int:
+    """Returns the line to sort by."""
+    return finding.place.line or 0
+
+
+@attrs.frozen
+class _Lines:
+    """Line numbers of the sections and keys, and those that came twice."""
+
+    numbers: dict[tuple[str, str], int]
+    doubled: tuple[tuple[str, str, int], ...]
+
+
+def _index_lines(text: str) -> _Lines:
+    """Finds the line of each section and key, which configparser drops."""
+    numbers: dict[tuple[str, str], int] = {}
+    doubled = []
+    section = ""
+    for number, line in enumerate(text.splitlines(), 1):
+        key = ""
+        if header := _SECTION_LINE.match(line):
+            section = header["section"]
+        elif entry := _KEY_LINE.match(line):
+            key = entry["key"].strip().lower()
+        else:
+            continue
+        if (section, key) in numbers:
+            doubled.append((section, key, number))
+        numbers.setdefault((section, key), number)
+    return _Lines(numbers, tuple(doubled))
+
+
+class _Checker:
+    """Reads one file and collects its findings."""
+
+    def __init__(self, source: str, text: str) -> None:
+        """Keeps the text and finds the lines of its keys."""
+        self.found: list[findings.Finding] = []
+        self._source = source
+        self._text = text
+        self._lines = _index_lines(text)
+
+    def add(
+        self, where: tuple[str, str], message: str, line: int | None = None
+    ) -> None:
+        """Adds a finding about a section and key; no key for the section."""
+        section, key = where
+        path = f"[{section}] {key}".strip()
+        if line is None:
+            numbers = self._lines.numbers
+            line = numbers.get((section, key), numbers.get((section, "")))
+        place = findings.Place(self._source, path, line)
+        self.found.append(findings.Finding(place, message))
+
+    def read(self) -> dict[str, dict[str, Any]]:
+        """Returns the values that parse, by section and key."""
+        parser = configparser.ConfigParser(
+            interpolation=None, strict=False, default_section="*"
+        )
+        try:
+            parser.read_string(self._text, self._source)
+        except configparser.MissingSectionHeaderError as error:
+            message = "stands before the first [section]"
+            self.add(("", error.line.strip()), message, error.lineno)
+        except configparser.ParsingError as error:
+            for line, _ in error.errors:
+                message = "is neither 'key = value' nor a [section]"
+                self.add(("", f"line {line}"), message, line)
+        self._check_doubled()
+        return {
+            name: self._read_section(name, parser.items(name))
+            for name in parser.sections()
+            if self._known("", name, sections.SECTIONS)
+        }
+
+    def _read_section(
+        self, section: str, items: Iterable[tuple[str, str | None]]
+    ) -> dict[str, Any]:
+        """Parses the values of one section."""
+        values = {}
+        parsers = sections.SECTIONS[section].parsers
+        for key, text in items:
+            if not self._known(section, key, parsers):
+                continue
+            parsed = parsers[key](text or "")
+            if isinstance(parsed, result.Err):
+                self.add((section, key), parsed.err_value)
+            else:
+                values[key] = parsed.ok_value
+        return values
+
+    def _known(self, section: str, name: str, known: Iterable[str]) -> bool:
+        """Checks a section or (within a section) a key against the known."""
+        names = list(known)
+        if name in names:
+            return True
+        near = difflib.get_close_matches(name, names, n=1)
+        advice = f"did you mean {near[0]!r}?" if near else ""
+        if not near:
+            advice = f"known are {', '.join(names)}"
+        where = (section, name) if section else (name, "")
+        kind = "key" if section else "section"
+        self.add(where, f"unknown {kind}; {advice}")
+        return False
+
+    def _check_doubled(self) -> None:
+        """Adds a finding for each section or key that came twice."""
+        for section, key, line in self._lines.doubled:
+            first = self._lines.numbers[section, key]
+            self.add((section, key), f"already stands in line {first}", line)
--- /dev/null
+++ b/src/cardamomfork/_internal/settings/sections.py
@@ -0,0 +1,116 @@
+"""Which sections and keys the settings file has, and how each is parsed."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from cardamomfork._internal.models import settings
+from cardamomfork._internal.settings import fields
+
+TLS_PREFIX = "tls_"
+DAY_S = 86_400.0
+
+
+@attrs.frozen
+class Section:
+    """A section of the file.
+
+    Attributes:
+        model: Class that holds its values.
+        parsers: Parser of each key; `tls_` keys go to the model's `tls`.
+    """
+
+    model: type[Any]
+    parsers: dict[str, fields.Parser]
+
+
+_TLS: dict[str, fields.Parser] = {
+    "tls_certificate": fields.parse_file,
+    "tls_key": fields.parse_file,
+    "tls_authority": fields.parse_file,
+}
+
+SECTIONS: dict[str, Section] = {
+    "instance": Section(
+        settings.InstanceSettings,
+        {
+            "instance_id": fields.parse_name,
+            "data_centre": fields.parse_name,
+            "drain_timeout_s": fields.number(0.0, DAY_S),
+        },
+    ),
+    "callers": Section(
+        settings.CallerSettings,
+        {
+            "host": fields.parse_host,
+            "port": fields.parse_port,
+            "max_body_bytes": fields.integer(1024, 1 << 30),
+            "heartbeat_s": fields.number(0.1, 3600.0),
+            "body_timeout_s": fields.number(0.1, 3600.0),
+            "max_connections": fields.integer(1, 1_000_000),
+            **_TLS,
+        },
+    ),
+    "peers": Section(
+        settings.PeerSettings,
+        {
+            "host": fields.parse_host,
+            "port": fields.parse_port,
+            "seeds": fields.parse_endpoints,
+            "bytes_per_s": fields.number(500.0, 1e9),
+            **_TLS,
+        },
+    ),
+    "operators": Section(
+        settings.OperatorSettings,
+        {
+            "host": fields.parse_host,
+            "port": fields.parse_port,
+            "keys": fields.parse_key_lines,
+            **_TLS,
+        },
+    ),
+    "store": Section(
+        settings.StoreSettings,
+        {
+            "endpoints": fields.parse_endpoints,
+            "timeout_s": fields.number(0.01, 60.0),
+            "prefix": fields.parse_key_prefix,
+        },
+    ),
+    "telemetry": Section(
+        settings.TelemetrySettings,
+        {
+            "log_level": fields.parse_log_level,
+            "otlp_endpoint": fields.parse_url,
+            "export_interval_s": fields.number(1.0, 3600.0),
+        },
+    ),
+    "embedded": Section(dict, {"enabled": fields.parse_boolean}),
+}
+
+
+def build(values: dict[str, dict[str, Any]]) -> settings.DaemonSettings:
+    """Builds the settings from parsed values, by section and key."""
+    parts = {
+        name: _build_section(section.model, values.get(name, {}))
+        for name, section in SECTIONS.items()
+        if name != "embedded"
+    }
+    embedded = values.get("embedded", {}).get("enabled", False)
+    return settings.DaemonSettings(**parts, embedded=embedded)
+
+
+def _build_section(model: type[Any], values: dict[str, Any]) -> Any:
+    """Builds one section's object; its `tls_` keys become one object."""
+    plain = {k: v for k, v in values.items() if not k.startswith(TLS_PREFIX)}
+    tls = {
+        key.removeprefix(TLS_PREFIX): value
+        for key, value in values.items()
+        if key.startswith(TLS_PREFIX)
+    }
+    if tls:
+        plain["tls"] = settings.TlsSettings(**tls)
+    return model(**plain)
--- /dev/null
+++ b/tests/unit/test_settings.py
@@ -0,0 +1,105 @@
+"""Settings files: every finding at once, with its place."""
+
+import pathlib
+import tempfile
+import unittest
+
+from cardamomfork._internal.models import settings
+from cardamomfork._internal.settings import loader
+from cardamomfork._internal.settings import sections
+
+BROKEN = """\
+[instance]
+instance_id = Bad Name
+data_centre = rosenheim
+dran_timeout_s = 4
+
+[callers]
+host = localhost
+port = 99999
+port = 8480
+max_body_bytes = many
+tls_certificate = /nonexistent/server.pem
+
+[caller]
+port = 1
+
+[peers]
+seeds = 10.0.0.1:8481, somewhere:1
+bytes_per_s = nan
+
+[telemetry]
+log_level = LOUD
+
+[operators]
+keys =
+    0123abcd:00:11
+    the-secret-itself
+"""
+
+
+class LoaderTest(unittest.TestCase):
+    def test_sample_loads_clean_and_names_every_key(self):
+        loaded = loader.load(loader.SAMPLE_PATH)
+        self.assertEqual(
+            loaded.unwrap(), settings.DaemonSettings(embedded=True)
+        )
+        lines = loader._index_lines(loader.SAMPLE_PATH.read_text()).numbers
+        for name, section in sections.SECTIONS.items():
+            for key in section.parsers:
+                self.assertIn((name, key), lines)
+
+    def test_every_finding_at_once_with_line(self):
+        found = loader.parse(BROKEN, "x.ini").unwrap_err()
+        places = [(f.place.line, f.place.path) for f in found]
+        self.assertEqual(
+            places,
+            [
+                (2, "[instance] instance_id"),
+                (4, "[instance] dran_timeout_s"),
+                (7, "[callers] host"),
+                (9, "[callers] port"),
+                (10, "[callers] max_body_bytes"),
+                (11, "[callers] tls_certificate"),
+                (13, "[caller]"),
+                (17, "[peers] seeds"),
+                (18, "[peers] bytes_per_s"),
+                (21, "[telemetry] log_level"),
+                (24, "[operators] keys"),
+            ],
+        )
+        text = "\n".join(map(str, found))
+        self.assertIn("x.ini:4: [instance] dran_timeout_s", text)
+        self.assertIn("did you mean 'drain_timeout_s'?", text)
+        self.assertIn("did you mean 'callers'?", text)
+        self.assertIn("already stands in line 8", text)
+        self.assertNotIn("the-secret-itself", text)
+
+    def test_values_that_clash(self):
+        text = (
+            "[callers]\nport = 7\n[peers]\nport = 7\n"
+            f"[operators]\ntls_key = {__file__}\n"
+        )
+        found = loader.parse(text, "x.ini").unwrap_err()
+        self.assertEqual(
+            [f.place.path for f in found],
+            ["[store] endpoints", "[peers] port", "[operators] tls_key"],
+        )
+        found = loader.parse(text, "x.ini", embedded=True).unwrap_err()
+        self.assertEqual(len(found), 2)
+
+    def test_lines_that_are_no_settings(self):
+        found = loader.parse("port = 1\n[callers]\n", "x").unwrap_err()
+        self.assertEqual(found[0].place.line, 1)
+        found = loader.parse("[callers]\nport\nhost\n", "x").unwrap_err()
+        self.assertEqual([f.place.line for f in found], [2, 3])
+
+    def test_missing_file(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "no.ini")
+            found = loader.load(path).unwrap_err()
+        self.assertIn("cannot be read", found[0].message)
+
+
+if __name__ == "__main__":
+    unittest.main()
