--- /dev/null
+++ b/src/cardamomfork/_internal/accounts/operator_keys.py
@@ -0,0 +1,37 @@
+"""Operators' keys, from the settings of each instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import result
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.accounts import key_hashes
+from cardamomfork._internal.accounts import keys
+from cardamomfork._internal.models import identifiers
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.models import settings
+
+
+def make_verifier(operators: settings.OperatorSettings) -> keys.KeyVerifier:
+    """Makes the verifier of operators' keys.
+
+    Each key is its own owner, named by its key id.
+
+    Raises:
+        SettingsError: A line can't be read.
+    """
+    verifier = keys.KeyVerifier()
+    for number, line in enumerate(operators.keys, 1):
+        read = key_hashes.from_line(line)
+        if isinstance(read, result.Err):
+            raise exceptions.SettingsError(
+                f"[operators] keys: line {number} {read.err_value}.",
+                "Make one with `cardamomfork keys operator`.",
+            )
+        hashed = read.ok_value
+        owner = identifiers.AccountName(hashed.key_id)
+        verifier.apply_keys(owner, (hashed,))
+    return verifier
--- a/src/cardamomfork/_internal/cli/__init__.py
+++ b/src/cardamomfork/_internal/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The command-line tool."""
+"""The command-line tool `cardamomfork`."""
--- /dev/null
+++ b/src/cardamomfork/_internal/cli/output.py
@@ -0,0 +1,120 @@
+"""Prints answers: tables for people, JSON for programs."""
+
+from __future__ import annotations
+
+import enum
+import sys
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from cardamomfork._internal.models import findings
+
+MAX_CELL_CHARACTERS = 60
+
+
+class Output(enum.StrEnum):
+    """Form of what a command prints."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+@attrs.frozen
+class Table:
+    """Rows under named columns.
+
+    Attributes:
+        columns: Names of the columns.
+        rows: Cells of each row; any value that JSON holds.
+    """
+
+    columns: tuple[str, ...]
+    rows: tuple[tuple[Any, ...], ...]
+
+    def to_text(self) -> str:
+        """Returns aligned columns, numbers to the right."""
+        if not self.rows:
+            return "(none)"
+        lines = [[name.upper() for name in self.columns]]
+        lines += [[_cell(value) for value in row] for row in self.rows]
+        widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+        right = [
+            all(isinstance(value, int | float) for value in column)
+            for column in zip(*self.rows, strict=True)
+        ]
+        return "\n".join(_align(line, widths, right) for line in lines)
+
+    def to_objects(self) -> list[dict[str, Any]]:
+        """Returns one mapping a row."""
+        return [dict(zip(self.columns, row, strict=True)) for row in self.rows]
+
+
+def print_table(table: Table, output: Output) -> None:
+    """Prints a table in the asked form."""
+    if output is Output.JSON:
+        print_json(table.to_objects())
+    else:
+        print(table.to_text())
+
+
+def print_json(value: Any) -> None:
+    """Prints a value as indented JSON."""
+    print(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
+
+
+def print_findings(found: Iterable[findings.Finding], output: Output) -> None:
+    """Prints findings: to stderr for people, as JSON for programs."""
+    if output is Output.JSON:
+        print_json(
+            {
+                "findings": [
+                    {
+                        "source": finding.place.source,
+                        "path": finding.place.path,
+                        "line": finding.place.line,
+                        "message": finding.message,
+                    }
+                    for finding in found
+                ]
+            }
+        )
+        return
+    for finding in found:
+        print(finding, file=sys.stderr)
+
+
+def print_error(message: str) -> None:
+    """Prints one line to stderr."""
+    print(f"cardamomfork: {message}", file=sys.stderr)
+
+
+def _cell(value: Any) -> str:
+    """Returns a value as one short line."""
+    if value is None:
+        return "-"
+    if isinstance(value, float):
+        return f"{value:g}"
+    if not isinstance(value, str):
+        value = msgspec.json.encode(value).decode()
+    text = " ".join(value.split())
+    if len(text) > MAX_CELL_CHARACTERS:
+        return text[: MAX_CELL_CHARACTERS - 3] + "..."
+    return text
+
+
+def _align(
+    line: Sequence[str], widths: Sequence[int], right: Sequence[bool]
+) -> str:
+    """Joins the cells of a line."""
+    cells = [
+        cell.rjust(width) if to_right else cell.ljust(width)
+        for cell, width, to_right in zip(line, widths, right, strict=True)
+    ]
+    return "  ".join(cells).rstrip()
--- /dev/null
+++ b/src/cardamomfork/_internal/measure/keys.py
@@ -0,0 +1,157 @@
+"""Processor time of checking callers' keys, known, new and wrong."""
+
+from __future__ import annotations
+
+import gc
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal.accounts import key_hashes
+from cardamomfork._internal.accounts import keys
+from cardamomfork._internal.measure import reports
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import identifiers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SIZES = (100, 400, 1600, 6500)
+REQUESTS_PER_S = 50
+CONTROL_BOUND_US_PER_S = 44_000.0
+NEW_KEYS = 50
+FLOOD_S = 10
+FLOOD_PER_S = 2000
+
+
+def measure(options: reports.Options) -> reports.Report:
+    """Measures verification by number of accounts, and a flood."""
+    sizes = SIZES[:1] if options.smallest else SIZES
+    known, memory = [], []
+    for size in sizes:
+        verifier, texts, held = _make(size)
+        known.append((float(size), _time_known(verifier, texts)))
+        memory.append((float(size), held))
+    return reports.Report(
+        "keys",
+        (
+            reports.Slope(
+                "us a check of a known key",
+                "accounts",
+                tuple(known),
+                None,
+                float(SIZES[-1]),
+            ),
+            reports.Slope(
+                "bytes held by the verifier (tracemalloc)",
+                "accounts",
+                tuple(memory),
+                None,
+                float(SIZES[-1]),
+            ),
+            _tabulate_costs(known[-1][1]),
+            _tabulate_flood(1 if options.smallest else FLOOD_S),
+        ),
+    )
+
+
+def _make(
+    count: int,
+) -> tuple[keys.KeyVerifier, list[str], float]:
+    """Makes accounts with two keys each; returns the bytes held, too."""
+    made = [
+        (f"account-{number}", key_hashes.generate()) for number in range(count)
+    ]
+    olds = [
+        attrs.evolve(new.hashed, key_id=f"{number:016x}")
+        for number, (_, new) in enumerate(made)
+    ]
+    gc.collect()
+    tracemalloc.start()
+    verifier = keys.KeyVerifier(keys.DigestBudget(1e9, 1e9, 1e9, 1e9))
+    for (name, new), old in zip(made, olds, strict=True):
+        verifier.apply_keys(identifiers.AccountName(name), (old, new.hashed))
+    for _, new in made:
+        verifier.verify(new.text, 0.0).unwrap()
+    held = float(tracemalloc.get_traced_memory()[0])
+    tracemalloc.stop()
+    return verifier, [new.text for _, new in made], held
+
+
+def _time_known(verifier: keys.KeyVerifier, texts: list[str]) -> float:
+    """Returns processor time of a check of a known key, in us."""
+    rounds = max(20_000 // len(texts), 1)
+
+    def check_all() -> None:
+        for _ in range(rounds):
+            for text in texts:
+                verifier.verify(text, 0.0)
+
+    return _time_us(check_all) / (rounds * len(texts))
+
+
+def _tabulate_costs(known_us: float) -> reports.Table:
+    """Compares a first check with a known one, at the target's rate."""
+    made = [key_hashes.generate() for _ in range(NEW_KEYS)]
+    first = _time_us(
+        lambda: [
+            key_hashes.matches(new.text.partition(".")[2], new.hashed)
+            for new in made
+        ]
+    )
+    first_us = first / NEW_KEYS
+    rows = [
+        ("scrypt at each check", first_us),
+        ("scrypt once, then a keyed hash", known_us),
+    ]
+    return reports.Table(
+        f"at {REQUESTS_PER_S} requests/s (control bound"
+        f" {CONTROL_BOUND_US_PER_S:.0f} us/s)",
+        ("way", "us a check", "us a second"),
+        tuple(
+            (name, f"{cost:.2f}", f"{cost * REQUESTS_PER_S:.0f}")
+            for name, cost in rows
+        ),
+    )
+
+
+def _tabulate_flood(seconds: int) -> reports.Table:
+    """Floods a verifier with wrong secrets of one known key id."""
+    new = key_hashes.generate()
+    verifier = keys.KeyVerifier()
+    account = configuration.ClientAccount(
+        identifiers.AccountName("bench"), (new.hashed,)
+    )
+    verifier.apply_account(account)
+    verifier.verify(new.text, 0.0).unwrap()
+    key_id = new.hashed.key_id
+    accepted = 0
+
+    def flood() -> None:
+        nonlocal accepted
+        for step in range(seconds * FLOOD_PER_S):
+            now = step / FLOOD_PER_S
+            verifier.verify(f"{key_id}.{step:043d}", now)
+            if step % FLOOD_PER_S == 0:
+                accepted += verifier.verify(new.text, now).is_ok()
+
+    spent = _time_us(flood)
+    rows = (
+        ("processor time, us a second", f"{spent / seconds:.0f}"),
+        ("scrypt digests a second", f"{verifier.counters.digests / seconds}"),
+        ("right key accepted", f"{accepted} of {seconds}"),
+    )
+    return reports.Table(
+        f"{FLOOD_PER_S} distinct wrong secrets a second for one key id",
+        ("quantity", "value"),
+        rows,
+    )
+
+
+def _time_us(call: Callable[[], object]) -> float:
+    """Returns the processor time of a call, in us."""
+    start = time.process_time_ns()
+    call()
+    return (time.process_time_ns() - start) / 1000
