Let load reports tell versions of weights and the role

Cause: An order names a version or a role, and what an engine runs has to be read back until it is what was ordered; the report named models only. Change: LoadReport gains versions and role, both empty by default.

--- a/src/cardamomfork/_internal/models/targets.py
+++ b/src/cardamomfork/_internal/models/targets.py
@@ -56,6 +56,9 @@
         free_tokens: KV memory left, in tokens.
         models: Models and `model:adapter`s that it can run now.
         leaving: Whether it said that it takes no new work.
+        versions: Version of the weights of each of `models`, in their order;
+            empty if the target does not tell.
+        role: `prefill`, `decode` or `mixed`; empty if it does not tell.
     """
 
     target_id: identifiers.TargetId
@@ -66,6 +69,8 @@
     free_tokens: int
     models: tuple[str, ...] = ()
     leaving: bool = False
+    versions: tuple[str, ...] = ()
+    role: str = ""
 
 
 @attrs.frozen
