--- /dev/null
+++ b/tests/lib/order_engines.py
@@ -0,0 +1,108 @@
+"""A small engine that takes orders, behind the target link's contract."""
+
+import anyio
+import attrs
+import result
+
+from cardamomfork._internal.models import targets
+
+
+def make_target(name, checks):
+    return targets.Target(
+        name, targets.TargetKind.ENGINE, "127.0.0.1", 1, "dc", checks
+    )
+
+
+@attrs.define
+class OrderEngine:
+    """What an engine runs; loads take time, old numbers may be refused."""
+
+    target: targets.Target
+    load_s: float = 3.0
+    number: int = 0
+    models: dict = attrs.field(factory=dict)
+    role: str = "mixed"
+    loading: int = 0
+    log: list = attrs.field(factory=list)
+
+    async def take(self, action, arguments, fencing):
+        if self.target.checks_fencing and fencing < self.number:
+            return self.refuse("old fencing number")
+        self.number = max(self.number, fencing)
+        self.log.append((action, dict(arguments), fencing))
+        if action == "role":
+            self.role = arguments["role"]
+        elif action == "unload":
+            self.models.pop(arguments["model"], None)
+        elif self.models.get(arguments["model"]) != arguments["version"]:
+            self.models.pop(arguments["model"], None)
+            self.loading += 1
+            # The engine goes on loading when its caller has gone.
+            with anyio.CancelScope(shield=True):
+                await anyio.sleep(self.load_s)
+            self.loading -= 1
+            self.models[arguments["model"]] = arguments["version"]
+        return result.Ok(None)
+
+    def refuse(self, why):
+        kind = targets.FaultKind.REFUSED
+        fault = targets.TargetFault(kind, self.target.target_id, why, 412)
+        return result.Err(fault)
+
+    def report(self):
+        return targets.LoadReport(
+            self.target.target_id,
+            "boot",
+            0.0,
+            0,
+            0,
+            0,
+            tuple(self.models),
+            versions=tuple(self.models.values()),
+            role=self.role,
+        )
+
+
+@attrs.define
+class OrderLink:
+    """One holder's way to an engine; `gate` holds its orders back."""
+
+    engine: OrderEngine
+    gate: anyio.Event | None = None
+    lose: int = 0
+    held: int = 0
+
+    @property
+    def target(self):
+        return self.engine.target
+
+    async def load(self):
+        return result.Ok(self.engine.report())
+
+    async def order(self, action, arguments, fencing):
+        if self.gate is not None:
+            self.held += 1
+            # The process stops here; what it wrote leaves once it wakes.
+            with anyio.CancelScope(shield=True):
+                await self.gate.wait()
+        if self.lose > 0:
+            self.lose -= 1
+            fault = targets.TargetFault(
+                targets.FaultKind.LOST, self.target.target_id, "lost"
+            )
+            await self.engine.take(action, arguments, fencing)
+            return result.Err(fault)
+        return await self.engine.take(action, arguments, fencing)
+
+
+@attrs.define
+class Links:
+    links: dict
+
+    def link_to(self, target_id):
+        return self.links.get(target_id)
+
+
+@attrs.define
+class Lease:
+    holding: object = None
