--- /dev/null
+++ b/src/cardamomfork/_internal/configuration/index.py
@@ -0,0 +1,151 @@
+"""Lookups over the configuration objects in force."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.models import configuration
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.models import identifiers
+
+
+class ConfigurationIndex:
+    """Objects by name, services by model, accounts by key id.
+
+    Two services may name the same model, and two accounts the same key id;
+    the first by name then answers, so that every instance answers alike.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.services: dict[identifiers.ServiceName, configuration.Service] = {}
+        self.accounts: dict[
+            identifiers.AccountName, configuration.ClientAccount
+        ] = {}
+        self.drains: dict[str, configuration.Drain] = {}
+        self.orders: dict[identifiers.TargetId, configuration.Order] = {}
+        self._names_by_model: dict[str, set[identifiers.ServiceName]] = {}
+        self._names_by_key: dict[str, set[identifiers.AccountName]] = {}
+
+    def service_for_model(self, model: str) -> configuration.Service | None:
+        """Returns the service that serves a model."""
+        names = self._names_by_model.get(model)
+        return self.services[min(names)] if names else None
+
+    def account_of_key(self, key_id: str) -> configuration.ClientAccount | None:
+        """Returns the account that holds a key id."""
+        names = self._names_by_key.get(key_id)
+        return self.accounts[min(names)] if names else None
+
+    def replace(
+        self,
+        old: configuration.ConfigurationObject | None,
+        new: configuration.ConfigurationObject | None,
+    ) -> None:
+        """Takes an object out and puts its newer version in."""
+        if old is not None:
+            _remove(old, self)
+        if new is not None:
+            _insert(new, self)
+
+    def link_model(self, service: configuration.Service) -> None:
+        """Makes a service answer for its models."""
+        for model in service.models:
+            self._names_by_model.setdefault(model, set()).add(service.name)
+
+    def unlink_model(self, service: configuration.Service) -> None:
+        """Undoes `link_model`."""
+        for model in service.models:
+            _discard(self._names_by_model, model, service.name)
+
+    def link_keys(self, account: configuration.ClientAccount) -> None:
+        """Makes an account answer for its key ids."""
+        for key in account.keys:
+            self._names_by_key.setdefault(key.key_id, set()).add(account.name)
+
+    def unlink_keys(self, account: configuration.ClientAccount) -> None:
+        """Undoes `link_keys`."""
+        for key in account.keys:
+            _discard(self._names_by_key, key.key_id, account.name)
+
+
+def _discard(table: dict, key: str, name: str) -> None:
+    """Takes a name out of a set and drops the set once it is empty."""
+    names = table.get(key, set())
+    names.discard(name)
+    if not names:
+        table.pop(key, None)
+
+
+@functools.singledispatch
+def _insert(value: object, index: ConfigurationIndex) -> None:
+    """Puts an object in."""
+    raise TypeError(f"{type(value).__name__}: {index}")
+
+
+@_insert.register
+def _insert_service(
+    value: configuration.Service, index: ConfigurationIndex
+) -> None:
+    index.services[value.name] = value
+    index.link_model(value)
+
+
+@_insert.register
+def _insert_account(
+    value: configuration.ClientAccount, index: ConfigurationIndex
+) -> None:
+    index.accounts[value.name] = value
+    index.link_keys(value)
+
+
+@_insert.register
+def _insert_drain(
+    value: configuration.Drain, index: ConfigurationIndex
+) -> None:
+    index.drains[value.name] = value
+
+
+@_insert.register
+def _insert_order(
+    value: configuration.Order, index: ConfigurationIndex
+) -> None:
+    index.orders[value.name] = value
+
+
+@functools.singledispatch
+def _remove(value: object, index: ConfigurationIndex) -> None:
+    """Takes an object out."""
+    raise TypeError(f"{type(value).__name__}: {index}")
+
+
+@_remove.register
+def _remove_service(
+    value: configuration.Service, index: ConfigurationIndex
+) -> None:
+    del index.services[value.name]
+    index.unlink_model(value)
+
+
+@_remove.register
+def _remove_account(
+    value: configuration.ClientAccount, index: ConfigurationIndex
+) -> None:
+    del index.accounts[value.name]
+    index.unlink_keys(value)
+
+
+@_remove.register
+def _remove_drain(
+    value: configuration.Drain, index: ConfigurationIndex
+) -> None:
+    del index.drains[value.name]
+
+
+@_remove.register
+def _remove_order(
+    value: configuration.Order, index: ConfigurationIndex
+) -> None:
+    del index.orders[value.name]
