--- /dev/null
+++ b/tests/lib/routing.py
@@ -0,0 +1,48 @@
+"""Services and requests for the routing tests."""
+
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import requests
+from cardamomfork._internal.models import targets
+
+
+def engine(number, memory_tokens=500, **more):
+    """Returns an engine `e<number>`."""
+    return targets.Target(
+        target_id=f"e{number}",
+        kind=targets.TargetKind.ENGINE,
+        host="127.0.0.1",
+        port=1,
+        data_centre="here",
+        exports_kv=more.pop("exports_kv", True),
+        memory_tokens=memory_tokens,
+        **more,
+    )
+
+
+def service(engines, memory_tokens=500, **more):
+    """Returns a model service with so many engines."""
+    return configuration.Service(
+        name="s",
+        kind=configuration.ServiceKind.MODEL,
+        models=("m",),
+        targets=tuple(engine(i, memory_tokens, **more) for i in range(engines)),
+    )
+
+
+def request(name, prompt_tokens=100, deadline=100.0, **more):
+    """Returns a request for that service."""
+    values = {
+        "account": "acme",
+        "service": "s",
+        "api": requests.Api.COMPLETIONS,
+        "body": b"",
+        "max_tokens": 10,
+        "arrived_at": 0.0,
+    }
+    values |= more
+    return requests.Request(
+        request_id=name,
+        prompt_tokens=prompt_tokens,
+        deadline=deadline,
+        **values,
+    )
