--- /dev/null
+++ b/src/cardamomfork/_internal/measure/workloads.py
@@ -0,0 +1,299 @@
+"""Deployments and traces of requests for the routing measurements.
+
+Prompt lengths: 49 in 50 follow a bounded Pareto law from 1,000 to 100,000
+tokens (exponent 0.8), 1 in 50 one from 100,000 to 1,048,576 (exponent 1.0).
+Some requests continue an earlier one of their account and share its prefix.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import requests
+from cardamomfork._internal.models import targets
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from cardamomfork._internal.standins import engine_model
+
+MIN_PROMPT = 1_000
+LONG_PROMPT = 100_000
+MAX_PROMPT = 1_048_576
+SHORT_PROMPT = 16_000
+LONG_SHARE = 0.02
+MEAN_GENERATED = 250
+MAX_GENERATED = 2_000
+FOLLOW_UP_SHARE = 0.15
+RECENT_PROMPTS = 200
+BODY = b"{}"
+
+
+@attrs.frozen
+class Deployment:
+    """One fleet.
+
+    Attributes:
+        name: Its name in the reports.
+        service: The service measured.
+        engines: Engines that serve it.
+        link_s: One-way time from entry to engine, in seconds.
+        short_weight: How much a delay of short prompts counts against one of
+            long prompts.
+        account_shares: Share of the requests of each account.
+        long_worth: Worth of a prompt over `LONG_PROMPT`; others have 1.
+    """
+
+    name: str
+    service: identifiers.ServiceName
+    engines: int
+    link_s: float
+    short_weight: float
+    account_shares: tuple[float, ...]
+    long_worth: float
+
+
+SHARES = (0.3, 0.22, 0.15, 0.08, 0.07, 0.06, 0.05, 0.04, 0.02, 0.01)
+
+PALETTENHILFE = Deployment(
+    "Palettenhilfe",
+    identifiers.ServiceName("assistant-pool"),
+    20,
+    0.0005,
+    2.0,
+    SHARES,
+    3.0,
+)
+CADEAUPOT = Deployment(
+    "Cadeaupot",
+    identifiers.ServiceName("cadeau-lm"),
+    20,
+    0.0015,
+    1.0,
+    SHARES,
+    5.0,
+)
+
+
+@attrs.frozen
+class Arrival:
+    """A request of a trace.
+
+    Attributes:
+        request: The request.
+        generate: Tokens that its answer has.
+        reusable_tokens: Prompt tokens shared with an earlier request.
+    """
+
+    request: requests.Request
+    generate: int
+    reusable_tokens: int
+
+    @property
+    def is_long(self) -> bool:
+        """Whether the prompt is one of the long ones."""
+        return self.request.prompt_tokens > LONG_PROMPT
+
+    @property
+    def is_short(self) -> bool:
+        """Whether the prompt is one of the short ones."""
+        return self.request.prompt_tokens < SHORT_PROMPT
+
+    @property
+    def is_batch(self) -> bool:
+        """Whether the request may wait."""
+        return self.request.urgency >= requests.Urgency.BATCH
+
+
+def make_service(
+    deployment: Deployment, parameters: engine_model.EngineParameters
+) -> configuration.Service:
+    """Returns the deployment's service as an operator would set it."""
+    engines = [
+        targets.Target(
+            target_id=identifiers.TargetId(f"engine-{number}"),
+            kind=targets.TargetKind.ENGINE,
+            host="127.0.0.1",
+            port=1,
+            data_centre=identifiers.DataCentreId("here"),
+            exports_kv=True,
+            memory_tokens=parameters.memory_tokens,
+            max_batch=parameters.max_batch,
+        )
+        for number in range(deployment.engines)
+    ]
+    return configuration.Service(
+        name=deployment.service,
+        kind=configuration.ServiceKind.MODEL,
+        models=("model",),
+        targets=tuple(engines),
+    )
+
+
+def capacity(
+    trace: Sequence[Arrival], parameters: engine_model.EngineParameters
+) -> float:
+    """Returns the requests a second that one engine can carry at most.
+
+    Every step computes a full chunk, every reusable block is found in the
+    cache, and the batch holds the decodes that belong to the prompts.
+    """
+    tokens = 0.0
+    prefill_s = 0.0
+    for arrival in trace:
+        end = arrival.request.prompt_tokens
+        start = arrival.reusable_tokens
+        tokens += end - start
+        square = (end**2 - start**2) / (2 * parameters.attention_tokens)
+        prefill_s += (end - start + square) / parameters.prefill_tokens_per_s
+    generated = sum(arrival.generate for arrival in trace)
+    steps = tokens / parameters.chunk_tokens
+    busy_s = (
+        steps * parameters.step_s
+        + generated * parameters.step_per_sequence_s
+        + prefill_s
+    )
+    return len(trace) / busy_s
+
+
+def make_trace(
+    deployment: Deployment,
+    parameters: engine_model.EngineParameters,
+    load: float,
+    count: int,
+    seed: int,
+) -> list[Arrival]:
+    """Returns requests that arrive at a share of the fleet's capacity.
+
+    Args:
+        deployment: The fleet.
+        parameters: Its engines.
+        load: Share of the capacity.
+        count: Requests.
+        seed: Seed of all that is random; the same one gives the same prompts
+            at every load.
+    """
+    rng = random.Random(seed)
+    shapes = _Shapes(deployment, parameters, rng)
+    trace = [shapes.draw(number) for number in range(count)]
+    rate = load * deployment.engines * capacity(trace, parameters)
+    now = 0.0
+    timed = []
+    for arrival in trace:
+        now += rng.expovariate(rate)
+        request = attrs.evolve(
+            arrival.request,
+            arrived_at=now,
+            deadline=now + arrival.request.deadline,
+        )
+        timed.append(attrs.evolve(arrival, request=request))
+    return timed
+
+
+class _Shapes:
+    """Draws requests without their times."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        parameters: engine_model.EngineParameters,
+        rng: random.Random,
+    ) -> None:
+        """Starts without earlier requests."""
+        self._deployment = deployment
+        self._block_tokens = parameters.block_tokens
+        self._rng = rng
+        self._recent: dict[str, list[requests.Request]] = {}
+
+    def draw(self, number: int) -> Arrival:
+        """Returns the next request; its deadline counts from its arrival."""
+        rng = self._rng
+        shares = self._deployment.account_shares
+        (account,) = rng.choices(range(len(shares)), shares)
+        name = identifiers.AccountName(f"account-{account}")
+        earlier = self._recent.setdefault(name, [])
+        tokens = _prompt_tokens(rng)
+        hashes: tuple[int, ...] = ()
+        reusable = 0
+        if earlier and rng.random() < FOLLOW_UP_SHARE:
+            first = rng.choice(earlier)
+            reusable = len(first.prefix_hashes) * self._block_tokens
+            hashes = first.prefix_hashes
+            tokens = first.prompt_tokens + min(tokens, MIN_PROMPT * 4)
+        blocks = tokens // self._block_tokens - len(hashes)
+        hashes += tuple(rng.getrandbits(63) for _ in range(blocks))
+        request = self._request(number, name, tokens, hashes)
+        if tokens <= LONG_PROMPT:
+            earlier.append(request)
+            del earlier[:-RECENT_PROMPTS]
+        mean = 1.0 / (MEAN_GENERATED - 16)
+        generate = 16 + int(min(rng.expovariate(mean), MAX_GENERATED - 16))
+        return Arrival(request, generate, reusable)
+
+    def _request(
+        self,
+        number: int,
+        account: identifiers.AccountName,
+        tokens: int,
+        hashes: tuple[int, ...],
+    ) -> requests.Request:
+        """Returns a request whose arrival is at time 0."""
+        urgency = _urgency(self._rng, tokens)
+        is_long = tokens > LONG_PROMPT
+        return requests.Request(
+            request_id=identifiers.RequestId(f"r{number}"),
+            account=account,
+            service=self._deployment.service,
+            api=requests.Api.COMPLETIONS,
+            body=BODY,
+            prompt_tokens=tokens,
+            max_tokens=MAX_GENERATED,
+            arrived_at=0.0,
+            deadline=_timeout_s(urgency, is_long),
+            prefix_hashes=hashes,
+            model="model",
+            urgency=urgency,
+            worth=self._deployment.long_worth if is_long else 1.0,
+        )
+
+
+def _prompt_tokens(rng: random.Random) -> int:
+    """Draws a prompt's length."""
+    if rng.random() < LONG_SHARE:
+        return int(_pareto(rng, LONG_PROMPT + 1, MAX_PROMPT, 1.0))
+    return int(_pareto(rng, MIN_PROMPT, LONG_PROMPT, 0.8))
+
+
+def _pareto(
+    rng: random.Random, low: float, high: float, exponent: float
+) -> float:
+    """Draws from a Pareto law cut off at both ends."""
+    share = 1.0 - (low / high) ** exponent
+    left = 1.0 - rng.random() * share
+    return min(low / left ** (1.0 / exponent), high)
+
+
+def _urgency(rng: random.Random, tokens: int) -> int:
+    """Draws an urgency; the longer the prompt, the more it may wait."""
+    weights = (0.75, 0.2, 0.05)
+    if tokens >= SHORT_PROMPT:
+        weights = (0.3, 0.5, 0.2)
+    if tokens > LONG_PROMPT:
+        weights = (0.1, 0.5, 0.4)
+    kinds = requests.Urgency
+    order = (kinds.INTERACTIVE, kinds.NORMAL, kinds.BATCH)
+    return rng.choices(order, weights)[0]
+
+
+def _timeout_s(urgency: int, is_long: bool) -> float:
+    """Returns the time that a caller gives a request, in seconds."""
+    if urgency >= requests.Urgency.BATCH:
+        return 900.0
+    if is_long:
+        return 240.0
+    return 60.0 if urgency == requests.Urgency.NORMAL else 30.0
--- /dev/null
+++ b/src/cardamomfork/_internal/standins/engine_model.py
@@ -0,0 +1,357 @@
+"""A model engine's timing under virtual time, without its tokens.
+
+Continuous batching with chunked prefill: each step decodes one token of every
+running sequence and, while a prompt is in prefill, computes one chunk of it.
+A started prefill runs to its end; what waits starts by urgency, then arrival,
+once the batch and the KV memory have room. Time moves in closed form from
+event to event, so an engine costs a few microseconds an event and not a step.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import heapq
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.models import targets
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.models import identifiers
+
+ROUNDING = 1e-9
+MAX_CACHE_EVENTS = 4096
+
+
+@attrs.frozen
+class EngineParameters:
+    """How fast and how large an engine is.
+
+    Attributes:
+        prefill_tokens_per_s: Prompt tokens a second, the step's own time and
+            attention left out.
+        chunk_tokens: Prompt tokens that one step computes.
+        step_s: Time of an empty step, in seconds.
+        step_per_sequence_s: Time that a running sequence adds to a step.
+        step_per_held_token_s: Time that a held KV token adds to a step.
+        attention_tokens: Position in a prompt at which a token's prefill
+            costs twice as much as at its start.
+        memory_tokens: KV memory, in tokens; prefix cache included.
+        max_batch: Most running sequences.
+        block_tokens: Tokens of a prefix cache block.
+    """
+
+    prefill_tokens_per_s: float = 100_000.0
+    chunk_tokens: int = 1024
+    step_s: float = 0.012
+    step_per_sequence_s: float = 0.0001
+    step_per_held_token_s: float = 4e-9
+    attention_tokens: float = 1_000_000.0
+    memory_tokens: int = 500_000
+    max_batch: int = 128
+    block_tokens: int = 1024
+
+
+@attrs.frozen
+class Job:
+    """A prompt, or a part of one, as an engine gets it.
+
+    Attributes:
+        request_id: The request.
+        start: Prompt tokens that other engines have computed.
+        end: Prompt tokens once this job's prefill is over.
+        generate: Tokens to generate; 0 for a part that another engine ends.
+        urgency: RFC 9218 urgency.
+        hashes: Chained hashes of the prompt's blocks.
+    """
+
+    request_id: identifiers.RequestId
+    start: int
+    end: int
+    generate: int
+    urgency: int
+    hashes: tuple[int, ...] = attrs.field(default=(), repr=False)
+
+    @property
+    def memory(self) -> int:
+        """KV memory that it holds, in tokens."""
+        return self.end - self.start + self.generate
+
+
+class EventKind(enum.Enum):
+    """What happened to a job."""
+
+    PREFILLED = "prefilled"
+    """The prompt is computed; if it generates, the first token is out."""
+    DONE = "done"
+    """The last token is out."""
+
+
+@attrs.frozen
+class EngineEvent:
+    """Something that happened to a job."""
+
+    at: float
+    kind: EventKind
+    request_id: identifiers.RequestId
+
+
+class EngineModel:
+    """One engine."""
+
+    def __init__(
+        self, parameters: EngineParameters, boot_id: identifiers.BootId
+    ) -> None:
+        """Starts idle at time 0 with an empty cache."""
+        self._parameters = parameters
+        self._boot_id = boot_id
+        self._now = 0.0
+        self._speed = 1.0
+        self._steps = 0.0
+        self._arrivals = 0
+        self._waiting: list[tuple[int, int, Job]] = []
+        self._prefill: Job | None = None
+        self._position = 0.0
+        self._decoding: list[tuple[float, identifiers.RequestId]] = []
+        self._running: dict[identifiers.RequestId, Job] = {}
+        self._held = 0
+        self._cache: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self._cache_changes: list[tuple[bool, int]] = []
+        self._sequence = 0
+        self.busy_s = 0.0
+        """Time with a prompt in prefill, in seconds."""
+
+    @property
+    def held_tokens(self) -> int:
+        """KV memory held by jobs, in tokens."""
+        return self._held
+
+    def set_speed(self, speed: float) -> None:
+        """Sets the speed from now on; 1.0 is as the parameters say."""
+        self._speed = speed
+
+    def submit(self, job: Job, now: float) -> None:
+        """Takes a job; the engine must have been advanced to now."""
+        exceptions.check_invariant(
+            now >= self._now - ROUNDING, "time moves on", job.request_id
+        )
+        self._arrivals += 1
+        heapq.heappush(self._waiting, (job.urgency, self._arrivals, job))
+        self._start_prefill()
+
+    def release(self, request_id: identifiers.RequestId) -> None:
+        """Frees what a computed part or a cancelled job holds."""
+        job = self._running.pop(request_id, None)
+        if job is None:
+            self._waiting = [
+                w for w in self._waiting if w[2].request_id != request_id
+            ]
+            heapq.heapify(self._waiting)
+            return
+        self._held -= job.memory
+        if self._prefill is job:
+            self._prefill = None
+        self._decoding = [d for d in self._decoding if d[1] != request_id]
+        heapq.heapify(self._decoding)
+        self._start_prefill()
+
+    def next_event(self) -> float | None:
+        """Returns when the next event comes, or None while it is idle."""
+        times = []
+        if self._prefill is not None:
+            times.append(self._time_to_position(self._prefill.end))
+        if self._decoding:
+            times.append(self._time_to_step(self._decoding[0][0]))
+        return self._now + min(times) if times else None
+
+    def advance(self, now: float) -> list[EngineEvent]:
+        """Moves time on and returns what happened, in order."""
+        events = []
+        while True:
+            at = self.next_event()
+            if at is None or at > now + ROUNDING:
+                break
+            self._move(max(at, self._now))
+            events.extend(self._collect())
+        self._move(now)
+        return events
+
+    def load_report(
+        self, target_id: identifiers.TargetId, now: float
+    ) -> targets.LoadReport:
+        """Returns the engine's word on its load."""
+        queued = sum(job.end - job.start for _, _, job in self._waiting)
+        if self._prefill is not None:
+            queued += int(self._prefill.end - self._position)
+        return targets.LoadReport(
+            target_id=target_id,
+            boot_id=self._boot_id,
+            measured_at=now,
+            queued_tokens=queued,
+            running=len(self._decoding),
+            free_tokens=self._parameters.memory_tokens - self._held,
+        )
+
+    def take_cache_event(
+        self, target_id: identifiers.TargetId
+    ) -> targets.CacheEvent | None:
+        """Returns the cache's changes since the last event, if any."""
+        if not self._cache_changes:
+            return None
+        last: dict[int, bool] = {}
+        for is_stored, block in self._cache_changes:
+            last[block] = is_stored
+        self._cache_changes.clear()
+        self._sequence += 1
+        return targets.CacheEvent(
+            target_id=target_id,
+            boot_id=self._boot_id,
+            sequence=self._sequence,
+            stored=tuple(b for b, is_stored in last.items() if is_stored),
+            evicted=tuple(b for b, is_stored in last.items() if not is_stored),
+        )
+
+    def cache_snapshot(
+        self, target_id: identifiers.TargetId
+    ) -> targets.CacheEvent:
+        """Returns the whole cache, as a resync asks for."""
+        self._cache_changes.clear()
+        self._sequence += 1
+        return targets.CacheEvent(
+            target_id=target_id,
+            boot_id=self._boot_id,
+            sequence=self._sequence,
+            stored=tuple(self._cache),
+            reset=True,
+        )
+
+    def _overhead(self) -> float:
+        """Returns a step's time without its chunk, in seconds."""
+        parameters = self._parameters
+        return (
+            parameters.step_s
+            + parameters.step_per_sequence_s * len(self._decoding)
+            + parameters.step_per_held_token_s * self._held
+        )
+
+    def _coefficients(self) -> tuple[float, float]:
+        """Returns a, b of prefill time = a x + b x^2 at position x."""
+        parameters = self._parameters
+        per_token = 1.0 / parameters.prefill_tokens_per_s
+        linear = self._overhead() / parameters.chunk_tokens + per_token
+        square = per_token / (2.0 * parameters.attention_tokens)
+        return linear / self._speed, square / self._speed
+
+    def _time_to_position(self, position: float) -> float:
+        """Returns the time until the prefill reaches a position."""
+        a, b = self._coefficients()
+        here = self._position
+        return a * (position - here) + b * (position**2 - here**2)
+
+    def _time_to_step(self, step: float) -> float:
+        """Returns the time until so many steps are done."""
+        left = max(step - self._steps, 0.0)
+        if self._prefill is None:
+            return left * self._overhead() / self._speed
+        tokens = left * self._parameters.chunk_tokens
+        return self._time_to_position(self._position + tokens)
+
+    def _move(self, now: float) -> None:
+        """Moves time on; no event lies before."""
+        seconds = now - self._now
+        self._now = now
+        if seconds <= 0:
+            return
+        if self._prefill is None:
+            self._steps += seconds * self._speed / self._overhead()
+            return
+        self.busy_s += seconds
+        a, b = self._coefficients()
+        here = self._position
+        root = a * a + 4.0 * b * (seconds + b * here * here + a * here)
+        self._position = (math.sqrt(root) - a) / (2.0 * b)
+        moved = self._position - here
+        self._steps += moved / self._parameters.chunk_tokens
+
+    def _collect(self) -> list[EngineEvent]:
+        """Takes what is over now out of the batch and starts what waits."""
+        events = []
+        job = self._prefill
+        if job is not None and self._position >= job.end - 1e-3:
+            events.append(self._end_prefill(job))
+        while self._decoding and self._decoding[0][0] <= self._steps + 1e-6:
+            _, request_id = heapq.heappop(self._decoding)
+            done = self._running.pop(request_id)
+            self._held -= done.memory
+            events.append(EngineEvent(self._now, EventKind.DONE, request_id))
+        self._start_prefill()
+        return events
+
+    def _end_prefill(self, job: Job) -> EngineEvent:
+        """Turns the prompt in prefill into a running sequence."""
+        self._prefill = None
+        for block in job.hashes:
+            self._store_block(block)
+        if job.generate > 0:
+            end = self._steps + job.generate - 1
+            heapq.heappush(self._decoding, (end, job.request_id))
+        return EngineEvent(self._now, EventKind.PREFILLED, job.request_id)
+
+    def _start_prefill(self) -> None:
+        """Starts the next prompt if there is room for it."""
+        if self._prefill is not None or not self._waiting:
+            return
+        job = self._waiting[0][2]
+        parameters = self._parameters
+        if self._held + job.memory > parameters.memory_tokens:
+            return
+        if len(self._running) >= parameters.max_batch:
+            return
+        heapq.heappop(self._waiting)
+        self._held += job.memory
+        self._running[job.request_id] = job
+        self._prefill = job
+        cached = self._cached_tokens(job)
+        self._position = min(max(job.start, cached), job.end - 1)
+        self._evict()
+
+    def _cached_tokens(self, job: Job) -> int:
+        """Returns how much of a prompt's start is cached, in tokens."""
+        blocks = 0
+        for block in job.hashes:
+            if block not in self._cache:
+                break
+            self._cache.move_to_end(block)
+            blocks += 1
+        return blocks * self._parameters.block_tokens
+
+    def _store_block(self, block: int) -> None:
+        """Puts a block into the cache."""
+        if block not in self._cache:
+            self._note(True, block)
+        self._cache[block] = None
+        self._cache.move_to_end(block)
+        self._evict()
+
+    def _evict(self) -> None:
+        """Drops the blocks used longest ago that have no room any more."""
+        parameters = self._parameters
+        room = (parameters.memory_tokens - self._held) // (
+            parameters.block_tokens
+        )
+        while len(self._cache) > max(room, 0):
+            block, _ = self._cache.popitem(last=False)
+            self._note(False, block)
+
+    def _note(self, is_stored: bool, block: int) -> None:
+        """Keeps a change for the next cache event."""
+        self._cache_changes.append((is_stored, block))
+        if len(self._cache_changes) > MAX_CACHE_EVENTS:
+            del self._cache_changes[0]
+            self._sequence += 1
