Run requests by their lifecycle and resume broken streams

Cause: A broken stream ended the request though the engine still had it, the outcome stood in two places, and keys, logs and settings were local ones. Change: running and exchanging drive RequestLifecycle: resume by offset on a new connection, another run where nothing was given out, cancel until confirmed. Until the first bytes the engine's reservations tell whether a long prompt is still computed. Settings, logs, keys and the least-load dispatcher are the project's own; the local dispatcher is gone.

--- a/src/cardamomfork/_internal/accounts/embedded.py
+++ b/src/cardamomfork/_internal/accounts/embedded.py
@@ -13,31 +13,33 @@
 from cardamomfork._internal.models import outcomes
 
 if TYPE_CHECKING:
+    from cardamomfork._internal.accounts import keys
     from cardamomfork._internal.models import configuration
 
 
 class EmbeddedKeys:
-    """Knows one key of one account."""
+    """Knows one key of one account, before the configured ones."""
 
-    def __init__(self, account: identifiers.AccountName, key: str) -> None:
-        """Takes the account and its key."""
+    def __init__(
+        self,
+        account: identifiers.AccountName,
+        key: str,
+        configured: keys.KeyVerifier,
+    ) -> None:
+        """Takes the account, its key and what checks all other keys."""
         self._account = account
+        self._configured = configured
         self._key = key.encode()
 
     def verify(
         self,
         bearer: str,
-        now_wall: float,  # noqa: ARG002
+        now_wall: float,
     ) -> result.Result[identifiers.AccountName, outcomes.Refusal]:
         """Tells whose key it is."""
         if hmac.compare_digest(bearer.encode(errors="replace"), self._key):
             return result.Ok(self._account)
-        return result.Err(
-            outcomes.refuse(
-                outcomes.RefusalReason.UNAUTHENTICATED,
-                "The key is unknown, wrong or expired.",
-            )
-        )
+        return self._configured.verify(bearer, now_wall)
 
 
 class LocalLimiter:
--- a/src/cardamomfork/_internal/daemon.py
+++ b/src/cardamomfork/_internal/daemon.py
@@ -3,41 +3,52 @@
 from __future__ import annotations
 
 import contextlib
-import json
 import random
 import signal
 import sys
-from typing import Any
 from typing import TYPE_CHECKING
 
 import anyio
+import anyio.abc
 import attrs
 import cyclopts
 from loguru import logger
+import result
 
 from cardamomfork._internal import embedded
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.accounts import embedded as embedded_accounts
+from cardamomfork._internal.accounts import keys
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.links.callers import application
 from cardamomfork._internal.links.callers import exchange
+from cardamomfork._internal.links.callers import prompts
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.links.callers import sinks
 from cardamomfork._internal.links.targets import idle
 from cardamomfork._internal.links.targets import registry
+from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.models import settings as settings_models
 from cardamomfork._internal.requests import admission
+from cardamomfork._internal.requests import attempts
 from cardamomfork._internal.requests import cancellation
 from cardamomfork._internal.requests import directory
-from cardamomfork._internal.requests import local_dispatcher
+from cardamomfork._internal.requests import exchanging
 from cardamomfork._internal.requests import queueing
 from cardamomfork._internal.requests import records
+from cardamomfork._internal.requests import running
 from cardamomfork._internal.requests import service
+from cardamomfork._internal.routing import baselines
+from cardamomfork._internal.settings import loader
+from cardamomfork._internal.telemetry import logs
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
+    from cardamomfork._internal.contracts import dispatching
+    from cardamomfork._internal.contracts import limiting
     from cardamomfork._internal.models import configuration
 
 IDLE_LOOK_S = 5.0
@@ -58,6 +69,7 @@
         links: Links to targets.
         dispatcher: Decides when and where requests run.
         limiter: Client accounts' limits.
+        keys: Client accounts' keys.
         waiting_room: The queue's glue.
         canceller: Repeats cancels.
         heartbeats: Keeps idle streams alive.
@@ -70,8 +82,9 @@
     clock: clock_contract.Clock
     known: directory.Directory
     links: registry.LinkRegistry
-    dispatcher: local_dispatcher.LocalDispatcher
-    limiter: embedded_accounts.LocalLimiter
+    dispatcher: dispatching.Dispatcher
+    limiter: limiting.Limiter
+    keys: keys.KeyVerifier
     waiting_room: queueing.WaitingRoom
     canceller: cancellation.Canceller
     heartbeats: sinks.Heartbeats
@@ -90,6 +103,14 @@
         """Brings an account's configuration into force."""
         self.known.apply_account(changed)
         self.limiter.apply_account(changed)
+        self.keys.apply_account(changed)
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts what runs in the background."""
+        tasks.start_soon(self.waiting_room.run)
+        tasks.start_soon(self.canceller.run)
+        tasks.start_soon(self.heartbeats.run)
+        tasks.start_soon(self.watch.run)
 
 
 def wire(settings: settings_models.DaemonSettings) -> Daemon:
@@ -97,7 +118,7 @@
     clock = clock_contract.LoopClock()
     watch = idle.IdleWatch(IDLE_LOOK_S)
     links = registry.LinkRegistry(watch)
-    dispatcher = local_dispatcher.LocalDispatcher()
+    dispatcher = baselines.LeastLoadDispatcher()
     limiter = embedded_accounts.LocalLimiter()
     waiting_room = queueing.WaitingRoom(dispatcher, clock)
     canceller = cancellation.Canceller(random.Random())
@@ -109,6 +130,7 @@
         links=links,
         dispatcher=dispatcher,
         limiter=limiter,
+        keys=keys.KeyVerifier(),
         waiting_room=waiting_room,
         canceller=canceller,
         heartbeats=sinks.Heartbeats(settings.callers.heartbeat_s),
@@ -118,14 +140,35 @@
             clock=clock,
             limiter=limiter,
             ledger=None,
-            waiting_room=waiting_room,
-            links=links,
-            canceller=canceller,
+            runner=running.Runner(
+                waiting_room=waiting_room,
+                links=links,
+                exchanger=exchanging.AttemptExchanger(
+                    clock, _reservation_namer(settings), _salt_of
+                ),
+                canceller=canceller,
+                counters=attempts.FrameCounters(),
+                chance=random.Random(),
+            ),
             table=table,
         ),
     )
 
 
+def _reservation_namer(
+    settings: settings_models.DaemonSettings,
+) -> Callable[[identifiers.AttemptId], str]:
+    """Names reservations after this life of this instance."""
+    instance_id = settings.instance.instance_id
+    boot_id = identifiers.new_boot_id()
+    return lambda attempt_id: f"{instance_id}/{boot_id}/{attempt_id}"
+
+
+def _salt_of(account: identifiers.AccountName) -> str:
+    """Returns the salt that keeps an account's cache entries its own."""
+    return f"{prompts.seed_of(account):016x}"
+
+
 def make_application(
     daemon: Daemon, keys: application.Authenticator
 ) -> application.CallerApplication:
@@ -154,10 +197,7 @@
         _embedded_parts(daemon) as keys,
     ):
         server = _make_server(daemon, keys)
-        tasks.start_soon(daemon.waiting_room.run)
-        tasks.start_soon(daemon.canceller.run)
-        tasks.start_soon(daemon.heartbeats.run)
-        tasks.start_soon(daemon.watch.run)
+        daemon.start(tasks)
         tasks.start_soon(_stop_on_signal, daemon, server)
         await server.serve()
         logger.info("stopped")
@@ -176,9 +216,7 @@
         protocol.CallerProtocol,
         callers.max_connections,
     )
-    logger.bind(callers_host=server.host, callers_port=server.port).info(
-        "serving"
-    )
+    logger.info(f"serving callers on {server.host}:{server.port}")
     return server
 
 
@@ -186,12 +224,20 @@
 async def _embedded_parts(
     daemon: Daemon,
 ) -> AsyncIterator[application.Authenticator]:
-    """Runs the embedded parts and brings their configuration into force."""
+    """Runs the embedded parts, if any, and puts them into force.
+
+    Yields what checks the callers' keys.
+    """
+    if not daemon.settings.embedded:
+        yield daemon.keys
+        return
     async with embedded.running(daemon.settings.instance.data_centre) as parts:
         for one in parts.services:
             daemon.apply_service(one)
         daemon.apply_account(parts.account)
-        yield embedded_accounts.EmbeddedKeys(parts.account.name, embedded.KEY)
+        yield embedded_accounts.EmbeddedKeys(
+            parts.account.name, embedded.KEY, daemon.keys
+        )
 
 
 async def _stop_on_signal(
@@ -202,7 +248,7 @@
         async for number in signals:
             if daemon.requests.draining:
                 continue
-            logger.bind(signal=signal.Signals(number).name).info("draining")
+            logger.info(f"draining after {signal.Signals(number).name}")
             daemon.requests.drain()
             with anyio.move_on_after(daemon.settings.instance.drain_timeout_s):
                 await anyio.sleep(BALANCER_NOTICE_S)
@@ -210,18 +256,6 @@
             server.stop()
 
 
-def _write_log(message: Any) -> None:
-    """Writes one log record as a JSON line."""
-    record = message.record
-    members = {
-        "time": record["time"].isoformat(),
-        "level": record["level"].name,
-        "message": record["message"],
-        **record["extra"],
-    }
-    sys.stderr.write(json.dumps(members, default=str) + "\n")
-
-
 @_program.default
 def run(
     *,
@@ -236,23 +270,43 @@
         settings: INI file with the settings.
         port: TCP port for callers in place of the settings' own; 0 picks one.
     """
-    logger.remove()
-    logger.add(_write_log)
-    if settings is not None:
-        raise exceptions.SettingsError(
-            f"settings file {settings} can't be read yet.",
-            "Start with --embedded.",
-        )
-    chosen = settings_models.DaemonSettings(embedded=embedded)
+    chosen = _load(settings, embedded)
     if port is not None:
         callers = attrs.evolve(chosen.callers, port=port)
         chosen = attrs.evolve(chosen, callers=callers)
+    logs.configure(
+        chosen.telemetry.log_level,
+        instance_id=chosen.instance.instance_id,
+        data_centre=chosen.instance.data_centre,
+    )
     anyio.run(serve, chosen, backend_options={"use_uvloop": True})
 
 
+def _load(path: str | None, embedded: bool) -> settings_models.DaemonSettings:
+    """Returns the settings of a file, or the defaults.
+
+    Raises:
+        exceptions.SettingsError: The file has findings.
+    """
+    if path is None:
+        return settings_models.DaemonSettings(embedded=embedded)
+    loaded = loader.load(path, embedded=embedded)
+    if isinstance(loaded, result.Err):
+        found = "\n".join(str(finding) for finding in loaded.err_value)
+        raise exceptions.SettingsError(
+            f"{path} can't be used:\n{found}",
+            "\nCorrect it and check it with `cardamomfork check-config`.",
+        )
+    return loaded.ok_value
+
+
 def main() -> None:
-    """Runs the program."""
-    _program()
+    """Runs the program; a message on stderr says why it can't start."""
+    try:
+        _program()
+    except exceptions.CardamomforkError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(1)
 
 
 if __name__ == "__main__":
--- a/src/cardamomfork/_internal/links/callers/problems.py
+++ b/src/cardamomfork/_internal/links/callers/problems.py
@@ -41,9 +41,13 @@
     outcomes.RefusalReason.INTERNAL: 500,
 }
 
+_STATUS_OF_FAILED = 502
+
 
 def status_of(refusal: outcomes.Refusal) -> int:
     """Returns the HTTP status of a refusal."""
+    if refusal.outcome is outcomes.Outcome.FAILED:
+        return _STATUS_OF_FAILED
     return _STATUS_OF_REASON[refusal.reason]
 
 
--- a/src/cardamomfork/_internal/links/targets/streams.py
+++ b/src/cardamomfork/_internal/links/targets/streams.py
@@ -51,6 +51,7 @@
         self._fault: targets.TargetFault | None = None
         self._wake = asyncio.Event()
         self._paused = False
+        self._began = False
         self.active = True
         self._parser.feed_data(connection.head)
         watch.add(self)
@@ -121,6 +122,7 @@
         parts = self._parts
         if not parts:
             return
+        self._began = True
         body = parts[0] if len(parts) == 1 else b"".join(parts)
         parts.clear()
         if self._sink is not None:
@@ -133,8 +135,11 @@
         self._end(targets.FaultKind.LOST, "the connection broke mid-stream")
 
     def idle_expired(self) -> None:
-        """Notes that nothing came within the idle bound."""
-        if not self._paused:
+        """Notes that nothing came within the idle bound.
+
+        Before the first bytes the engine may be computing a long prompt.
+        """
+        if not self._paused and self._began:
             self._end(targets.FaultKind.SILENT, "nothing came in time")
 
     # httptools' side
--- a/src/cardamomfork/_internal/measure/relaying/relay.py
+++ b/src/cardamomfork/_internal/measure/relaying/relay.py
@@ -168,16 +168,10 @@
             daemon = daemon_module.wire(_daemon_settings())
             _configure(daemon, port)
             keys = embedded_accounts.EmbeddedKeys(
-                identifiers.AccountName("demo"), "demo-key"
+                identifiers.AccountName("demo"), "demo-key", daemon.keys
             )
             application = daemon_module.make_application(daemon, keys)
-            for part in (
-                daemon.waiting_room,
-                daemon.canceller,
-                daemon.heartbeats,
-                daemon.watch,
-            ):
-                tasks.start_soon(part.run)
+            daemon.start(tasks)
         else:
             application = {"plain": PlainRelay, "raw": RawRelay}[way](port)
         server = http_server.HttpServer(
--- a/src/cardamomfork/_internal/requests/delivery.py
+++ b/src/cardamomfork/_internal/requests/delivery.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 from typing import Protocol
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -49,18 +45,11 @@
     two writes (a heartbeat, an error) stands between two events.
     """
 
-    def __init__(self, sink: CallerSink, on_first: Callable[[], None]) -> None:
-        """Starts before the first byte.
-
-        Args:
-            sink: The caller's side.
-            on_first: Called once, at the first bytes.
-        """
+    def __init__(self, sink: CallerSink) -> None:
+        """Starts before the first byte."""
         self._sink = sink
-        self._on_first: Callable[[], None] | None = on_first
         self._held = b""
         self._tail = b""
-        self.received = 0
         self.events = 0
 
     @property
@@ -75,10 +64,6 @@
 
     def write(self, data: bytes) -> None:
         """Takes bytes of the answer."""
-        self.received += len(data)
-        if self._on_first is not None:
-            self._on_first()
-            self._on_first = None
         if self._held:
             data = self._held + data
             self._held = b""
@@ -97,9 +82,8 @@
 class BodyDelivery:
     """Collects a whole body of bounded length."""
 
-    def __init__(self, on_first: Callable[[], None]) -> None:
+    def __init__(self) -> None:
         """Starts empty."""
-        self._on_first: Callable[[], None] | None = on_first
         self._parts: list[bytes] = []
         self.received = 0
 
@@ -116,8 +100,5 @@
     def write(self, data: bytes) -> None:
         """Takes bytes of the answer; drops those over the bound."""
         self.received += len(data)
-        if self._on_first is not None:
-            self._on_first()
-            self._on_first = None
         if not self.overflowed:
             self._parts.append(data)
--- /dev/null
+++ b/src/cardamomfork/_internal/requests/exchanging.py
@@ -0,0 +1,280 @@
+"""One exchange of one attempt: the call, its answer, and what breaks it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import result
+
+from cardamomfork._internal.contracts import target_link
+from cardamomfork._internal.models import requests
+from cardamomfork._internal.models import targets
+from cardamomfork._internal.requests import delivery
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.requests import attempts
+    from cardamomfork._internal.requests import lifecycle
+    from cardamomfork._internal.requests import running
+
+PROBE_INTERVAL_S = 10.0
+MAX_FAILED_PROBES = 2
+_PATHS = {
+    requests.Api.COMPLETIONS: "/v1/completions",
+    requests.Api.CHAT: "/v1/chat/completions",
+    requests.Api.CALL: "/calls",
+}
+
+
+@attrs.frozen
+class Answer:
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Media type.
+        body: The body; empty if it went to the caller as a stream.
+    """
+
+    status: int
+    content_type: str
+    body: bytes = attrs.field(default=b"", repr=False)
+
+
+class Outlet:
+    """Takes the bytes of a request's attempts; the caller sees one answer."""
+
+    def __init__(
+        self,
+        life: lifecycle.RequestLifecycle,
+        events: delivery.StreamDelivery | None,
+        note_first: Callable[[], None],
+    ) -> None:
+        """Starts before the first attempt.
+
+        Args:
+            life: What the request's attempts add up to.
+            events: Where a stream goes; None to collect a body.
+            note_first: Called once, at the first bytes.
+        """
+        self._life = life
+        self._events = events
+        self._note_first: Callable[[], None] | None = note_first
+        self._attempt: attempts.AttemptMachine | None = None
+        self._body = delivery.BodyDelivery()
+        self.began = False
+
+    @property
+    def tokens(self) -> int:
+        """Events passed on so far: about as many tokens."""
+        return self._events.events if self._events is not None else 0
+
+    def use(self, attempt: attempts.AttemptMachine) -> None:
+        """Takes an attempt's bytes from now on."""
+        self._attempt = attempt
+        self._body = delivery.BodyDelivery()
+        self.began = False
+
+    def write(self, data: bytes) -> None:
+        """Takes the next bytes of the attempt."""
+        if self._note_first is not None:
+            self._note_first()
+            self._note_first = None
+        self.began = True
+        if self._events is None:
+            self._body.write(data)
+            return
+        given = self._give(data)
+        if given:
+            self._events.write(given)
+
+    def finish(self, head: target_link.AnswerHead) -> Answer | str:
+        """Takes the proved end; returns the answer, or what it lacks."""
+        attempt = self._attempt
+        assert attempt is not None  # noqa: S101
+        if attempt.terminal:
+            return "a repeated answer differs from the one begun"
+        body = b""
+        if self._events is None:
+            if self._body.overflowed:
+                return "the answer is too long"
+            body = self._body.body
+            self._give(body)
+        elif not self._events.whole:
+            return "the stream ended without its last event"
+        if not self._life.complete(attempt):
+            return "the answer ended at another length"
+        return Answer(head.status, head.content_type, body)
+
+    def _give(self, data: bytes) -> bytes | None:
+        """Has the request's life take the bytes."""
+        assert self._attempt is not None  # noqa: S101
+        return self._life.deliver(self._attempt, data)
+
+
+def make_outlet(
+    request: requests.Request,
+    sink: delivery.CallerSink,
+    life: lifecycle.RequestLifecycle,
+    note_first: Callable[[], None],
+) -> Outlet:
+    """Makes the outlet that a request asked for."""
+    events = delivery.StreamDelivery(sink) if request.stream else None
+    return Outlet(life, events, note_first)
+
+
+@attrs.define
+class _Probe:
+    """What asking the engine over another connection brought to light."""
+
+    fault: targets.TargetFault | None = None
+
+
+class AttemptExchanger:
+    """Sends an attempt's call and relays its answer."""
+
+    def __init__(
+        self,
+        clock: clock_contract.Clock,
+        name_reservation: Callable[[identifiers.AttemptId], str],
+        name_salt: Callable[[identifiers.AccountName], str],
+    ) -> None:
+        """Takes its collaborators.
+
+        Args:
+            clock: The loop's clock.
+            name_reservation: Names the reservation of an attempt.
+            name_salt: Gives the cache salt of an account.
+        """
+        self._clock = clock
+        self._name_reservation = name_reservation
+        self._name_salt = name_salt
+
+    async def exchange(
+        self,
+        run: running.Run,
+        link: target_link.TargetLink,
+        attempt: attempts.AttemptMachine,
+    ) -> targets.TargetFault | None:
+        """Makes one exchange; None once the answer is whole."""
+        call = self._make_call(run.request, link, attempt)
+        attempt.mark_sending()
+        opened = await link.call(call)
+        if isinstance(opened, result.Err):
+            return opened.err_value
+        attempt.mark_sent()
+        stream = opened.ok_value
+        try:
+            attempt.accept(stream.head.attempt_id)
+            return await self._relay(run, link, attempt, stream)
+        finally:
+            run.sink.attach(None)
+            with anyio.CancelScope(shield=True):
+                await stream.close()
+
+    async def _relay(
+        self,
+        run: running.Run,
+        link: target_link.TargetLink,
+        attempt: attempts.AttemptMachine,
+        stream: target_link.TargetStream,
+    ) -> targets.TargetFault | None:
+        """Brings an answer to its outlet."""
+        run.outlet.use(attempt)
+        if run.request.stream:
+            await run.sink.open()
+            run.sink.attach(stream)
+        ended = await self._relay_watched(run, link, attempt, stream)
+        if isinstance(ended, result.Err):
+            return ended.err_value
+        answer = run.outlet.finish(stream.head)
+        if isinstance(answer, Answer):
+            run.answer = answer
+            return None
+        return targets.TargetFault(
+            targets.FaultKind.GARBLED,
+            link.target.target_id,
+            answer,
+            stream.head.status,
+        )
+
+    async def _relay_watched(
+        self,
+        run: running.Run,
+        link: target_link.TargetLink,
+        attempt: attempts.AttemptMachine,
+        stream: target_link.TargetStream,
+    ) -> result.Result[None, targets.TargetFault]:
+        """Relays; until the first bytes, asks whether the run still is."""
+        if link.target.kind is not targets.TargetKind.ENGINE:
+            return await stream.relay(run.outlet)
+        probe = _Probe()
+        ended: result.Result[None, targets.TargetFault] | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                self._probe, run, link, attempt, probe, tasks.cancel_scope
+            )
+            ended = await stream.relay(run.outlet)
+            tasks.cancel_scope.cancel()
+        if ended is None and probe.fault is not None:
+            return result.Err(probe.fault)
+        assert ended is not None  # noqa: S101
+        return ended
+
+    async def _probe(
+        self,
+        run: running.Run,
+        link: target_link.TargetLink,
+        attempt: attempts.AttemptMachine,
+        probe: _Probe,
+        scope: anyio.CancelScope,
+    ) -> None:
+        """Finds a connection gone silent while a long prompt is computed.
+
+        The engine's list of reservations, read over another connection, tells
+        whether it still works on the attempt.
+        """
+        name = self._name_reservation(attempt.attempt_id)
+        failed = 0
+        while failed < MAX_FAILED_PROBES:
+            await anyio.sleep(PROBE_INTERVAL_S)
+            if run.outlet.began:
+                return
+            held = await link.reservations()
+            if isinstance(held, result.Ok) and name in held.ok_value:
+                failed = 0
+            else:
+                failed += 1
+        if run.outlet.began:
+            return
+        probe.fault = targets.TargetFault(
+            targets.FaultKind.SILENT,
+            link.target.target_id,
+            "the engine no longer holds the attempt",
+        )
+        scope.cancel()
+
+    def _make_call(
+        self,
+        request: requests.Request,
+        link: target_link.TargetLink,
+        attempt: attempts.AttemptMachine,
+    ) -> target_link.TargetCall:
+        """Makes an attempt's call."""
+        engine = link.target.kind is targets.TargetKind.ENGINE
+        name = self._name_reservation(attempt.attempt_id) if engine else ""
+        return target_link.TargetCall(
+            attempt_id=attempt.attempt_id,
+            path=_PATHS[request.api],
+            body=request.body,
+            urgency=request.urgency,
+            timeout_s=max(0.0, request.deadline - self._clock.monotonic()),
+            resume_offset=attempt.start,
+            reservation=name,
+            cache_salt=self._name_salt(request.account) if engine else "",
+        )
--- a/src/cardamomfork/_internal/requests/service.py
+++ b/src/cardamomfork/_internal/requests/service.py
@@ -2,73 +2,26 @@
 
 from __future__ import annotations
 
-from typing import Protocol
 from typing import TYPE_CHECKING
 
 import anyio
-import attrs
 import result
 
+from cardamomfork._internal import exceptions
 from cardamomfork._internal.contracts import claiming
-from cardamomfork._internal.contracts import target_link
-from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.models import outcomes
-from cardamomfork._internal.models import requests
-from cardamomfork._internal.models import targets
-from cardamomfork._internal.requests import delivery
+from cardamomfork._internal.requests import exchanging
 
 if TYPE_CHECKING:
     from cardamomfork._internal.contracts import clock as clock_contract
-    from cardamomfork._internal.contracts import dispatching
     from cardamomfork._internal.contracts import limiting
-    from cardamomfork._internal.requests import cancellation
-    from cardamomfork._internal.requests import queueing
+    from cardamomfork._internal.models import requests
+    from cardamomfork._internal.requests import delivery
+    from cardamomfork._internal.requests import lifecycle
     from cardamomfork._internal.requests import records
+    from cardamomfork._internal.requests import running
 
-MAX_ATTEMPTS = 3
-_PATHS = {
-    requests.Api.COMPLETIONS: "/v1/completions",
-    requests.Api.CHAT: "/v1/chat/completions",
-    requests.Api.CALL: "/calls",
-}
-_OUTCOME_OF_FAULT = {
-    targets.FaultKind.UNREACHABLE: outcomes.Outcome.NOT_RUN,
-    targets.FaultKind.REFUSED: outcomes.Outcome.NOT_RUN,
-    targets.FaultKind.REJECTED: outcomes.Outcome.FAILED,
-}
-_REASON_OF_FAULT = {
-    targets.FaultKind.UNREACHABLE: outcomes.RefusalReason.NO_TARGET,
-    targets.FaultKind.REFUSED: outcomes.RefusalReason.TARGET_REFUSED,
-    targets.FaultKind.REJECTED: outcomes.RefusalReason.TARGET_REFUSED,
-}
-
-
-class LinkFinder(Protocol):
-    """Knows the links to the targets."""
-
-    def find(
-        self, target_id: identifiers.TargetId
-    ) -> target_link.TargetLink | None:
-        """Returns the link to a target, or None if it is gone."""
-        ...
-
-
-@attrs.frozen
-class Answer:
-    """A whole answer.
-
-    Attributes:
-        status: HTTP status.
-        content_type: Media type.
-        body: The body; empty if it went to the caller as a stream.
-    """
-
-    status: int
-    content_type: str
-    body: bytes = attrs.field(default=b"", repr=False)
-
-
-_Ending = result.Result[Answer, outcomes.Refusal]
+_Ending = result.Result[exchanging.Answer, outcomes.Refusal]
 
 
 class RequestService:
@@ -80,9 +33,7 @@
         clock: clock_contract.Clock,
         limiter: limiting.Limiter,
         ledger: claiming.ClaimLedger | None,
-        waiting_room: queueing.WaitingRoom,
-        links: LinkFinder,
-        canceller: cancellation.Canceller,
+        runner: running.Runner,
         table: records.RecordTable,
     ) -> None:
         """Takes its collaborators.
@@ -91,17 +42,13 @@
             clock: The loop's clock; deadlines are on it.
             limiter: Client accounts' limits.
             ledger: Claims; None refuses requests that need one.
-            waiting_room: The queue.
-            links: Links to the targets.
-            canceller: Cancels what nobody waits for any more.
+            runner: Runs what is admitted.
             table: Records of requests.
         """
         self._clock = clock
         self._limiter = limiter
         self._ledger = ledger
-        self._waiting_room = waiting_room
-        self._links = links
-        self._canceller = canceller
+        self._runner = runner
         self._table = table
         self._draining = False
         self._idle = anyio.Event()
@@ -212,167 +159,38 @@
         record: records.Record,
     ) -> _Ending:
         """Runs a request until its deadline at the latest."""
-        with anyio.CancelScope(deadline=request.deadline):
-            return await self._run_attempts(request, sink, record)
-        return result.Err(
-            outcomes.Refusal(
-                record.outcome,
+        run = self._runner.start(request, sink, record)
+        with anyio.CancelScope(deadline=request.deadline) as scope:
+            try:
+                await self._runner.run(run)
+            finally:
+                record.outcome = run.life.outcome
+        if scope.cancelled_caught:
+            run.life.conclude(
                 outcomes.RefusalReason.DEADLINE_EXCEEDED,
                 "The request's time is over.",
             )
+        ending = run.life.ending
+        exceptions.check_invariant(
+            ending is not None, "every run has an end", request.request_id
         )
-
-    async def _run_attempts(
-        self,
-        request: requests.Request,
-        sink: delivery.CallerSink,
-        record: records.Record,
-    ) -> _Ending:
-        """Tries targets while it is proved that none ran it."""
-        avoid: frozenset[identifiers.TargetId] = frozenset()
-        fault: targets.TargetFault | None = None
-        for _ in range(MAX_ATTEMPTS):
-            turn = await self._waiting_room.wait(request, avoid)
-            if isinstance(turn, result.Err):
-                return result.Err(_refusal(fault) if fault else turn.err_value)
-            answer = await self._run_attempt(
-                request, sink, record, turn.ok_value
-            )
-            if isinstance(answer, result.Ok):
-                return answer
-            fault = answer.err_value
-            if fault.kind in _OUTCOME_OF_FAULT:
-                record.outcome = _OUTCOME_OF_FAULT[fault.kind]
-            if record.outcome is not outcomes.Outcome.NOT_RUN:
-                break
-            avoid |= {fault.target_id}
-        return result.Err(_refusal(fault))
-
-    async def _run_attempt(
-        self,
-        request: requests.Request,
-        sink: delivery.CallerSink,
-        record: records.Record,
-        assignment: dispatching.Assignment,
-    ) -> result.Result[Answer, targets.TargetFault]:
-        """Runs one attempt on its assigned target."""
-        link = self._links.find(assignment.target_id)
-        if link is None:
-            self._waiting_room.finished(request.request_id, 0)
-            return result.Err(
-                targets.TargetFault(
-                    targets.FaultKind.UNREACHABLE,
-                    assignment.target_id,
-                    "the target was removed",
-                )
-            )
-        attempt_id = identifiers.new_attempt_id()
-        record.target_id = assignment.target_id
-        record.outcome = outcomes.Outcome.UNKNOWN
-        answer: result.Result[Answer, targets.TargetFault] | None = None
-        try:
-            answer = await self._exchange(request, sink, link, attempt_id)
-        finally:
-            fault = answer.err() if answer is not None else None
-            self._waiting_room.finished(request.request_id, 0, fault)
-            if answer is None or answer.is_err():
-                self._cancel(link, attempt_id)
-        return answer
-
-    def _cancel(
-        self,
-        link: target_link.TargetLink,
-        attempt_id: identifiers.AttemptId,
-    ) -> None:
-        """Frees what an engine may still hold for an attempt."""
-        if link.target.kind is targets.TargetKind.ENGINE:
-            self._canceller.add(link, attempt_id)
-
-    async def _exchange(
-        self,
-        request: requests.Request,
-        sink: delivery.CallerSink,
-        link: target_link.TargetLink,
-        attempt_id: identifiers.AttemptId,
-    ) -> result.Result[Answer, targets.TargetFault]:
-        """Sends an attempt's call and relays its answer."""
-        opened = await link.call(
-            target_link.TargetCall(
-                attempt_id=attempt_id,
-                path=_PATHS[request.api],
-                body=request.body,
-                urgency=request.urgency,
-                timeout_s=self._time_left(request),
-            )
-        )
-        if isinstance(opened, result.Err):
-            return opened
-        stream = opened.ok_value
-        try:
-            return await self._relay(request, sink, stream)
-        finally:
-            sink.attach(None)
-            with anyio.CancelScope(shield=True):
-                await stream.close()
-
-    async def _relay(
-        self,
-        request: requests.Request,
-        sink: delivery.CallerSink,
-        stream: target_link.TargetStream,
-    ) -> result.Result[Answer, targets.TargetFault]:
-        """Brings an answer to the caller, or collects it."""
-
-        def note_first() -> None:
-            self._waiting_room.first_token(request.request_id)
-
-        head = stream.head
-        if request.stream:
-            events = delivery.StreamDelivery(sink, note_first)
-            await sink.open()
-            sink.attach(stream)
-            ended = await stream.relay(events)
-            if ended.is_ok() and not events.whole:
-                return _garbled(head, "the stream ended without its last event")
-            return ended.map(lambda _: Answer(head.status, head.content_type))
-        body = delivery.BodyDelivery(note_first)
-        ended = await stream.relay(body)
-        if body.overflowed:
-            return _garbled(head, "the answer is too long")
-        return ended.map(
-            lambda _: Answer(head.status, head.content_type, body.body)
-        )
+        if ending is None or ending.refusal is not None or run.answer is None:
+            return result.Err(_refusal_of(ending))
+        return result.Ok(run.answer)
 
     def _time_left(self, request: requests.Request) -> float:
         """Returns the seconds until the request's deadline, at least 0."""
         return max(0.0, request.deadline - self._clock.monotonic())
 
 
-def _garbled(
-    head: target_link.AnswerHead, detail: str
-) -> result.Err[targets.TargetFault]:
-    """Makes the fault of an answer that is not whole."""
-    return result.Err(
-        targets.TargetFault(
-            targets.FaultKind.GARBLED,
-            identifiers.TargetId(""),
-            detail,
-            head.status,
-        )
-    )
-
-
-def _refusal(fault: targets.TargetFault | None) -> outcomes.Refusal:
-    """Makes the refusal of a request whose last attempt had a fault."""
-    if fault is None:
-        return outcomes.refuse(
-            outcomes.RefusalReason.NO_TARGET, "No target took the request."
-        )
+def _refusal_of(ending: lifecycle.Ending | None) -> outcomes.Refusal:
+    """Returns why a run has no whole answer."""
+    if ending is not None and ending.refusal is not None:
+        return ending.refusal
     return outcomes.Refusal(
-        _OUTCOME_OF_FAULT.get(fault.kind, outcomes.Outcome.UNKNOWN),
-        _REASON_OF_FAULT.get(fault.kind, outcomes.RefusalReason.TARGET_LOST),
-        f"The target failed: {fault.detail}.",
-        fault.retry_after_s,
+        outcomes.Outcome.UNKNOWN,
+        outcomes.RefusalReason.INTERNAL,
+        "The run ended without an answer.",
     )
 
 
@@ -389,7 +207,7 @@
     """Gives an earlier run's outcome to a repeat of its request."""
     if stored.outcome is outcomes.Outcome.DONE and stored.whole:
         return result.Ok(
-            Answer(stored.status, "application/json", stored.answer)
+            exchanging.Answer(stored.status, "application/json", stored.answer)
         )
     return result.Err(
         outcomes.Refusal(
--- a/tests/lib/daemons.py
+++ b/tests/lib/daemons.py
@@ -42,10 +42,10 @@
 
 
 def read_until(process, message):
-    """Reads JSON log lines up to one with the message; returns it."""
+    """Reads JSON log lines up to one that begins so; returns it."""
     for line in process.stderr:
         record = json.loads(line)
-        if record["message"] == message:
+        if record["message"].startswith(message):
             return record
     raise AssertionError(f"the daemon ended without the line {message!r}")
 
@@ -68,8 +68,8 @@
         env={**os.environ, "PYTHONUNBUFFERED": "1"},
     )
     try:
-        record = read_until(process, "serving")
-        yield Daemon(process, record["callers_port"])
+        message = read_until(process, "serving callers on ")["message"]
+        yield Daemon(process, int(message.rsplit(":", 1)[1]))
     finally:
         if process.poll() is None:
             process.kill()
