--- a/src/cardamomfork/_internal/links/callers/application.py
+++ b/src/cardamomfork/_internal/links/callers/application.py
@@ -79,16 +79,30 @@
         """Answers one HTTP request."""
         if scope["type"] != "http":
             return
+        started = False
+
+        async def send_and_note(message: dict[str, Any]) -> None:
+            nonlocal started
+            started = True
+            await send(message)
+
         responder = responses.Responder(
-            send, identifiers.new_request_id(), self.data_centre
+            send_and_note, identifiers.new_request_id(), self.data_centre
         )
-        asgi = exchange.Asgi(scope, receive, send)
+        asgi = exchange.Asgi(scope, receive, send_and_note)
         try:
             await self._route(asgi, responder)
         except reading.CallerGoneError:
             logger.bind(request_id=responder.request_id).debug(
                 "caller left before its request was whole"
             )
+        except Exception:
+            logger.bind(request_id=responder.request_id).exception(
+                "request failed by a fault of this program"
+            )
+            if started:
+                raise
+            await responder.problem(_internal())
 
     async def _route(
         self, asgi: exchange.Asgi, responder: responses.Responder
@@ -181,6 +195,15 @@
     return path == f"{CALLS_PREFIX}{name}{CALLS_SUFFIX}" and "/" not in name
 
 
+def _internal() -> outcomes.Refusal:
+    """Makes the refusal of a request that met a fault of this program."""
+    return outcomes.Refusal(
+        outcomes.Outcome.UNKNOWN,
+        outcomes.RefusalReason.INTERNAL,
+        "A fault of this program ended the request; please report its id.",
+    )
+
+
 def _refuse_input(detail: str) -> outcomes.Refusal:
     """Makes the refusal of a request that names nothing there is."""
     return outcomes.refuse(outcomes.RefusalReason.INVALID, detail)
--- a/src/cardamomfork/_internal/links/callers/bodies.py
+++ b/src/cardamomfork/_internal/links/callers/bodies.py
@@ -154,7 +154,8 @@
     if not isinstance(message, dict):
         yield _finding(path, "must be an object")
         return
-    if message.get("role") not in ROLES:
+    role = message.get("role")
+    if not isinstance(role, str) or role not in ROLES:
         yield _finding(f"{path}.role", f"must be one of {sorted(ROLES)}")
     content = message.get("content")
     if content is None and not message.get("tool_calls"):
--- a/src/cardamomfork/_internal/requests/delivery.py
+++ b/src/cardamomfork/_internal/requests/delivery.py
@@ -42,7 +42,8 @@
     """Passes whole server-sent events on as they come.
 
     The begin of an unfinished event is held back, so whatever is put between
-    two writes (a heartbeat, an error) stands between two events.
+    two writes (a heartbeat, an error) stands between two events. Only an event
+    longer than `MAX_EVENT_BYTES` is passed on in parts.
     """
 
     def __init__(self, sink: CallerSink) -> None:
@@ -57,11 +58,6 @@
         """Whether the stream ended with the event that says so."""
         return not self._held and self._tail.endswith(DONE_EVENT)
 
-    @property
-    def overflowed(self) -> bool:
-        """Whether one event was longer than what may be held."""
-        return len(self._held) > MAX_EVENT_BYTES
-
     def write(self, data: bytes) -> None:
         """Takes bytes of the answer."""
         if self._held:
@@ -69,11 +65,12 @@
             self._held = b""
         if not data.endswith(EVENT_END):
             end = data.rfind(EVENT_END) + len(EVENT_END)
-            if end < len(EVENT_END):
+            if end >= len(EVENT_END):
+                self._held = data[end:]
+                data = data[:end]
+            elif len(data) <= MAX_EVENT_BYTES:
                 self._held = data
                 return
-            self._held = data[end:]
-            data = data[:end]
         self.events += data.count(EVENT_END)
         self._tail = data[-len(DONE_EVENT) :]
         self._sink.write(data)
--- /dev/null
+++ b/tests/unit/test_delivery.py
@@ -0,0 +1,66 @@
+"""Streams are passed on in whole events, however their bytes come."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from cardamomfork._internal.requests import delivery
+from tests.lib import seeds
+
+
+class _Sink:
+    def __init__(self):
+        self.writes = []
+
+    def write(self, data):
+        self.writes.append(data)
+
+
+class StreamDeliveryTest(unittest.TestCase):
+    """Every cut of the bytes gives the same whole events."""
+
+    @seeds.STEADY
+    @hypothesis.given(
+        strategies.lists(
+            strategies.text("ab:", min_size=1, max_size=6), max_size=6
+        ),
+        strategies.lists(strategies.integers(1, 9), max_size=20),
+        strategies.booleans(),
+    )
+    def test_any_cut_gives_whole_events(self, texts, sizes, ended):
+        data = b"".join(b"id: 1\ndata: %b\n\n" % t.encode() for t in texts)
+        if ended:
+            data += delivery.DONE_EVENT
+        sink = _Sink()
+        stream = delivery.StreamDelivery(sink)
+        rest = data
+        for size in sizes:
+            if rest[:size]:
+                stream.write(rest[:size])
+            rest = rest[size:]
+        if rest:
+            stream.write(rest)
+        self.assertEqual(b"".join(sink.writes), data)
+        for one in sink.writes:
+            self.assertTrue(one.endswith(b"\n\n"))
+        self.assertEqual(stream.whole, ended)
+
+    def test_event_over_the_bound_is_not_held(self):
+        sink = _Sink()
+        stream = delivery.StreamDelivery(sink)
+        piece = b"x" * (delivery.MAX_EVENT_BYTES // 2)
+        for _ in range(3):
+            stream.write(piece)
+        self.assertEqual(b"".join(sink.writes), piece * 3)
+
+    def test_unfinished_event_is_held_back(self):
+        sink = _Sink()
+        stream = delivery.StreamDelivery(sink)
+        stream.write(b"data: one\n\ndata: tw")
+        self.assertEqual(sink.writes, [b"data: one\n\n"])
+        self.assertFalse(stream.whole)
+
+
+if __name__ == "__main__":
+    unittest.main()
