Claim unrepeatable requests in grouped compare-and-swap writes

Cause: A request that must not repeat may run once, whatever the store, the instance and the caller's repeats do. Change: Records of claims found by the time that the key carries; group commits paced by record; a ledger that forwards to a shard's owner and falls back to writing itself, both under the same compare-and-swap.

--- /dev/null
+++ b/src/cardamomfork/_internal/requests/claims/ledger.py
@@ -0,0 +1,313 @@
+"""The ledger of claims that the request service asks.
+
+An operation goes to the owner of its shard, which commits for the whole
+fleet, or is committed here where there is no owner or it does not answer.
+Ownership only saves writes: what is true is what the store holds.
+"""
+
+from __future__ import annotations
+
+import math
+import secrets
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import msgspec
+import result
+
+from cardamomfork._internal.contracts import claiming
+from cardamomfork._internal.models import outcomes
+from cardamomfork._internal.requests.claims import keys
+from cardamomfork._internal.requests.claims import records
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.requests.claims import committer
+
+FORWARD_TIMEOUT_S = 1.0
+SETTLE_KEEP_S = 300.0
+"""Seconds for which an outcome is tried on when the store is away."""
+IN_PROGRESS_RETRY_S = 1.0
+STORE_RETRY_S = 2.0
+
+
+class ClaimRoutes(Protocol):
+    """The way to the owners of shards."""
+
+    def owner(self, shard: int) -> identifiers.InstanceId | None:
+        """Returns the owner of a shard; None if it is this instance."""
+        ...
+
+    async def forward(
+        self, owner: identifiers.InstanceId, payload: bytes, timeout_s: float
+    ) -> bytes | None:
+        """Has `StoreClaimLedger.serve` of the owner answer a payload.
+
+        Returns None if no answer came, whatever the reason.
+        """
+        ...
+
+
+class ForwardedOperation(msgspec.Struct, array_like=True, frozen=True):
+    """An operation on its way to the owner of its shard."""
+
+    record: str
+    operation: records.AnyOperation
+    wait_s: float
+    keep_s: float
+
+
+@attrs.define
+class LedgerCounters:
+    """What became of claims.
+
+    Attributes:
+        granted: Claims granted.
+        replayed: Calls that got a stored outcome.
+        refused: Calls refused.
+        forwarded: Operations sent to owners.
+        fallbacks: Operations committed here since the owner did not answer.
+        freed: Claims freed since their call had given up.
+    """
+
+    granted: int = 0
+    replayed: int = 0
+    refused: int = 0
+    forwarded: int = 0
+    fallbacks: int = 0
+    freed: int = 0
+
+
+class StoreClaimLedger:
+    """Meets `ClaimLedger` over the platform's store."""
+
+    def __init__(
+        self,
+        group_committer: committer.GroupCommitter,
+        clock: clock_contract.Clock,
+        policy: keys.ClaimPolicy = keys.ClaimPolicy(),  # noqa: B008
+        routes: ClaimRoutes | None = None,
+        new_token: Callable[[], str] = lambda: secrets.token_hex(8),
+    ) -> None:
+        """Keeps its collaborators.
+
+        Args:
+            group_committer: Writes the records; made with the policy's
+                retention.
+            clock: Source of time.
+            policy: How claims are kept; the same on every instance.
+            routes: The way to the owners of shards; None to write all here.
+            new_token: Makes a token that no other attempt has.
+        """
+        self._committer = group_committer
+        self._policy = policy
+        self._routes = routes
+        self._wall = keys.AdvancingWallClock(clock)
+        self._new_token = new_token
+        self.counters = LedgerCounters()
+
+    async def claim(
+        self,
+        account: identifiers.AccountName,
+        key: str,
+        fingerprint: bytes,
+        time_left_s: float,
+    ) -> result.Result[
+        claiming.Claim | claiming.StoredOutcome, outcomes.Refusal
+    ]:
+        """Claims a key; see the contract."""
+        now = self._wall.now()
+        located = keys.locate(self._policy, account, key, now)
+        if isinstance(located, result.Err):
+            self.counters.refused += 1
+            return located
+        place = located.ok_value
+        operation = records.ClaimOperation(
+            place.digest,
+            self._new_token(),
+            fingerprint,
+            math.ceil(now + time_left_s),
+        )
+        verdict = records.UNAVAILABLE
+        try:
+            verdict = await self._submit(place, operation, time_left_s, 0.0)
+        finally:
+            if verdict.verdict is records.Verdict.UNAVAILABLE:
+                self._free(place, operation)
+        if verdict.verdict is records.Verdict.GRANTED:
+            self.counters.granted += 1
+            return result.Ok(claiming.Claim(account, key, operation.token))
+        return self._answer(verdict)
+
+    async def settle(
+        self,
+        claim: claiming.Claim,
+        stored: claiming.StoredOutcome,
+        time_left_s: float,
+    ) -> bool:
+        """Stores how it ended; goes on trying after False."""
+        place = self._place(claim)
+        answer = stored.answer
+        fits = len(answer) <= claiming.MAX_STORED_ANSWER_BYTES
+        operation = records.SettleOperation(
+            place.digest,
+            claim.token,
+            stored.outcome.value,
+            stored.status,
+            answer if fits else b"",
+            stored.whole and fits,
+        )
+        verdict = await self._submit(
+            place, operation, time_left_s, SETTLE_KEEP_S
+        )
+        return verdict.verdict is records.Verdict.SETTLED
+
+    async def look_up(
+        self, account: identifiers.AccountName, key: str
+    ) -> claiming.StoredOutcome | None:
+        """Returns what the store holds of a key; None for nothing known."""
+        located = keys.locate(self._policy, account, key, self._wall.now())
+        if isinstance(located, result.Err):
+            return None
+        place = located.ok_value
+        entries = await self._committer.read(place.record)
+        entry = entries.get(place.digest) if entries else None
+        if entry is None:
+            return None
+        return _stored(records.OperationResult(records.Verdict.STORED, entry))
+
+    async def serve(self, payload: bytes) -> bytes:
+        """Commits an operation that another instance forwarded.
+
+        Raises:
+            msgspec.DecodeError: The payload is not a `ForwardedOperation`.
+        """
+        forwarded = msgspec.msgpack.decode(payload, type=ForwardedOperation)
+        verdict = await self._committer.submit(
+            forwarded.record,
+            forwarded.operation,
+            forwarded.wait_s,
+            forwarded.keep_s,
+        )
+        return msgspec.msgpack.encode(verdict)
+
+    async def _submit(
+        self,
+        place: keys.Location,
+        operation: records.AnyOperation,
+        wait_s: float,
+        keep_s: float,
+    ) -> records.OperationResult:
+        """Has an operation committed by the owner, else here."""
+        left_s = wait_s
+        owner = self._routes.owner(place.shard) if self._routes else None
+        if self._routes is not None and owner is not None:
+            self.counters.forwarded += 1
+            started = anyio.current_time()
+            try_s = min(FORWARD_TIMEOUT_S, wait_s / 2)
+            payload = msgspec.msgpack.encode(
+                ForwardedOperation(place.record, operation, try_s, 0.0)
+            )
+            verdict = _read(await self._routes.forward(owner, payload, try_s))
+            if verdict.verdict is not records.Verdict.UNAVAILABLE:
+                return verdict
+            self.counters.fallbacks += 1
+            left_s = wait_s - (anyio.current_time() - started)
+        return await self._committer.submit(
+            place.record, operation, left_s, keep_s
+        )
+
+    def _free(
+        self, place: keys.Location, operation: records.ClaimOperation
+    ) -> None:
+        """Frees a claim whose call has ended, if it was or will be granted.
+
+        Only the call's own instance does this, once it is sure that it sends
+        nothing to a target.
+        """
+        self.counters.freed += 1
+        self._committer.submit_later(
+            place.record,
+            records.SettleOperation(
+                place.digest, operation.token, outcomes.Outcome.NOT_RUN.value
+            ),
+            SETTLE_KEEP_S,
+        )
+
+    def _answer(
+        self, verdict: records.OperationResult
+    ) -> result.Result[
+        claiming.Claim | claiming.StoredOutcome, outcomes.Refusal
+    ]:
+        """Returns what a call gets that was not granted the claim."""
+        if verdict.verdict is records.Verdict.STORED:
+            self.counters.replayed += 1
+            return result.Ok(_stored(verdict))
+        if verdict.verdict is records.Verdict.HELD:
+            entry = verdict.entry
+            late = self._wall.now() - self._policy.skew_s
+            if entry is not None and entry.deadline < late:
+                self.counters.replayed += 1
+                return result.Ok(
+                    claiming.StoredOutcome(outcomes.Outcome.UNKNOWN)
+                )
+        self.counters.refused += 1
+        return result.Err(_REFUSALS[verdict.verdict])
+
+    def _place(self, claim: claiming.Claim) -> keys.Location:
+        """Finds the record of a claim that is held, however old its key."""
+        issued = keys.time_of_key(claim.key)
+        located = keys.locate(
+            self._policy, claim.account, claim.key, issued or 0.0
+        )
+        return located.unwrap()
+
+
+_REFUSALS = {
+    records.Verdict.HELD: outcomes.Refusal(
+        outcomes.Outcome.UNKNOWN,
+        outcomes.RefusalReason.IN_PROGRESS,
+        "Another call with this idempotency key is running.",
+        IN_PROGRESS_RETRY_S,
+    ),
+    records.Verdict.REUSED: outcomes.refuse(
+        outcomes.RefusalReason.KEY_REUSED,
+        "The idempotency key was used with another body.",
+    ),
+    records.Verdict.FULL: outcomes.refuse(
+        outcomes.RefusalReason.OVER_LIMIT,
+        "Too many idempotency keys carry this time; take a new one.",
+        IN_PROGRESS_RETRY_S,
+    ),
+    records.Verdict.UNAVAILABLE: outcomes.refuse(
+        outcomes.RefusalReason.STORE_UNAVAILABLE,
+        "The claim could not be written in time. This call did not run.",
+        STORE_RETRY_S,
+    ),
+}
+
+
+def _stored(verdict: records.OperationResult) -> claiming.StoredOutcome:
+    """Returns the stored outcome that a result rests on."""
+    entry = verdict.entry
+    outcome = verdict.outcome
+    if entry is None or outcome is None:
+        return claiming.StoredOutcome(outcomes.Outcome.UNKNOWN)
+    return claiming.StoredOutcome(
+        outcome, entry.status, entry.answer, entry.whole
+    )
+
+
+def _read(answer: bytes | None) -> records.OperationResult:
+    """Reads an owner's answer."""
+    if answer is None:
+        return records.UNAVAILABLE
+    try:
+        return msgspec.msgpack.decode(answer, type=records.OperationResult)
+    except msgspec.DecodeError:
+        return records.UNAVAILABLE
--- /dev/null
+++ b/src/cardamomfork/_internal/requests/claims/record_store.py
@@ -0,0 +1,197 @@
+"""Records of claims as seen through the store, and writing them.
+
+Keeps the latest version seen of each record, so that a write needs no read
+before it.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+import msgspec
+import result
+
+from cardamomfork._internal.contracts import store as store_contract
+from cardamomfork._internal.requests.claims import records
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+
+MAX_CACHED_RECORDS = 64
+RETENTION_LEASE_SHARE_S = 60.0
+"""Seconds for which new records share one lease."""
+
+
+@attrs.define
+class CommitCounters:
+    """What the commits cost.
+
+    Attributes:
+        writes: Compare-and-swaps sent.
+        reads: Reads sent.
+        conflicts: Compare-and-swaps that lost a race.
+        faults: Calls without an answer.
+        operations: Operations taken.
+        vanished: Records that were gone before their time.
+    """
+
+    writes: int = 0
+    reads: int = 0
+    conflicts: int = 0
+    faults: int = 0
+    operations: int = 0
+    vanished: int = 0
+
+
+class Again(enum.Enum):
+    """Why a batch must be tried again."""
+
+    CONFLICT = "conflict"
+    LOST_ANSWER = "lost_answer"
+    DOWN = "down"
+
+
+@attrs.define(eq=False)
+class Cached:
+    """A record as last seen; `lost` if it is gone before its time."""
+
+    version: int = store_contract.ABSENT
+    lease: int = 0
+    entries: Mapping[bytes, records.ClaimEntry] = attrs.field(factory=dict)
+    lost: bool = False
+
+
+class RecordStore:
+    """Reads and writes records by compare-and-swap."""
+
+    def __init__(
+        self,
+        store: store_contract.Store,
+        clock: clock_contract.Clock,
+        retention_s: float,
+    ) -> None:
+        """Starts with nothing cached.
+
+        Args:
+            store: The platform's store.
+            clock: Its monotonic time is used.
+            retention_s: Seconds for which a record must outlive its creation.
+        """
+        self._store = store
+        self._clock = clock
+        self._retention_s = retention_s
+        self._cache: OrderedDict[str, Cached] = OrderedDict()
+        self._lease = store_contract.Lease(0, 0.0)
+        self._lease_until = float("-inf")
+        self.counters = CommitCounters()
+
+    async def write(
+        self, record: str, cached: Cached, applied: records.Applied
+    ) -> Again | None:
+        """Writes a record; None once it is written.
+
+        After a lost answer the same write is tried again: it either takes
+        effect now, and the lost one never will, or it meets what stands there.
+        """
+        lease = cached.lease or await self._retention_lease()
+        if lease is None:
+            return Again.DOWN
+        self.counters.writes += 1
+        written = await self._store.put(
+            record,
+            records.encode(applied.entries),
+            expected=cached.version,
+            lease=lease,
+        )
+        if isinstance(written, result.Ok):
+            entry = written.ok_value
+            self._keep(record, Cached(entry.version, lease, applied.entries))
+            return None
+        error = written.err_value
+        if isinstance(error, store_contract.CompareFailed):
+            self.counters.conflicts += 1
+            self._learn(record, error.current, cached)
+            return Again.CONFLICT
+        self.counters.faults += 1
+        if error.kind is store_contract.StoreFaultKind.LEASE_GONE:
+            self._lease_until = float("-inf")
+            return Again.LOST_ANSWER
+        if error.kind is store_contract.StoreFaultKind.INDETERMINATE:
+            return Again.LOST_ANSWER
+        return Again.DOWN
+
+    async def refresh(self, record: str) -> Cached | None:
+        """Reads a record; None if the store gives no answer."""
+        self.counters.reads += 1
+        before = self.cached(record)
+        read = await self._store.get(record)
+        if isinstance(read, result.Err):
+            self.counters.faults += 1
+            return None
+        return self._learn(record, read.ok_value, before)
+
+    def _learn(
+        self,
+        record: str,
+        entry: store_contract.Entry | None,
+        before: Cached,
+    ) -> Cached:
+        """Takes what stands in the store.
+
+        Args:
+            record: Store key of the record.
+            entry: What the store answered.
+            before: What was known when the store was asked.
+        """
+        if entry is None:
+            gone = before.version != store_contract.ABSENT
+            cached = Cached(lost=before.lost or gone)
+        else:
+            cached = self._decode(entry)
+        if cached.lost and not before.lost:
+            self.counters.vanished += 1
+            logger.bind(record=record).error("claims were lost")
+        if cached.lost or cached.version >= self.cached(record).version:
+            self._keep(record, cached)
+        return cached
+
+    @staticmethod
+    def _decode(entry: store_contract.Entry) -> Cached:
+        """Reads an entry; one that can't be read counts as lost."""
+        try:
+            entries = records.decode(entry.value)
+        except msgspec.DecodeError:
+            return Cached(entry.version, entry.lease, lost=True)
+        return Cached(entry.version, entry.lease, entries)
+
+    def cached(self, record: str) -> Cached:
+        """Returns a record as last seen; a new one is taken to be absent."""
+        return self._cache.get(record) or Cached()
+
+    def _keep(self, record: str, cached: Cached) -> None:
+        """Keeps a record as last seen; drops the least recently written."""
+        self._cache[record] = cached
+        self._cache.move_to_end(record)
+        while len(self._cache) > MAX_CACHED_RECORDS:
+            self._cache.popitem(last=False)
+
+    async def _retention_lease(self) -> int | None:
+        """Returns the lease that new records live by; None for no answer."""
+        now = self._clock.monotonic()
+        if now < self._lease_until:
+            return self._lease.lease_id
+        granted = await self._store.grant_lease(
+            self._retention_s + RETENTION_LEASE_SHARE_S
+        )
+        if isinstance(granted, result.Err):
+            self.counters.faults += 1
+            return None
+        self._lease = granted.ok_value
+        self._lease_until = now + RETENTION_LEASE_SHARE_S
+        return self._lease.lease_id
