Add the fleet dispatcher: cost model, size split, health, cache index

Cause: the baselines let short prompts wait behind long ones. Change: FleetDispatcher with learned costs, a moving size-interval split, waiting by urgency, account turns and deadline, early refusal, parts over several engines, a bounded cache index, trust and slow decline.

--- /dev/null
+++ b/src/cardamomfork/_internal/routing/admission.py
@@ -0,0 +1,123 @@
+"""Refuses early what can't be queued or can't end in time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import outcomes
+from cardamomfork._internal.routing import parts
+from cardamomfork._internal.routing import split
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.models import requests
+    from cardamomfork._internal.routing import pools
+    from cardamomfork._internal.routing import waiting
+
+RETRY_S = 1.0
+MAX_RETRY_S = 60.0
+
+
+@attrs.frozen
+class QueueLimits:
+    """Most requests that wait at once.
+
+    Attributes:
+        total: In all.
+        per_account: Of one client account.
+    """
+
+    total: int = 10_000
+    per_account: int = 2_000
+
+
+def check_queue(
+    limits: QueueLimits, queued: int, queued_of_account: int
+) -> outcomes.Refusal | None:
+    """Returns a refusal if the queues are full."""
+    if queued >= limits.total:
+        detail = f"{limits.total} requests wait already."
+    elif queued_of_account >= limits.per_account:
+        detail = f"{limits.per_account} requests of the account wait already."
+    else:
+        return None
+    reason = outcomes.RefusalReason.QUEUE_FULL
+    return outcomes.refuse(reason, detail, RETRY_S)
+
+
+def check_size(
+    request: requests.Request,
+    service: configuration.Service,
+    avoid: frozenset[identifiers.TargetId],
+    pool: pools.Pool,
+) -> outcomes.Refusal | None:
+    """Returns a refusal if no targets could ever hold the prompt."""
+    need = request.prompt_tokens + request.max_tokens
+    is_in_limit = request.prompt_tokens <= service.max_prompt_tokens
+    if not avoid and is_in_limit and need <= pool.largest_memory:
+        return None
+    members = [v.target for v in pool.members if v.target_id not in avoid]
+    if not members:
+        return outcomes.refuse(
+            outcomes.RefusalReason.NO_TARGET,
+            f"No target of {service.name!r} can take the request now.",
+            RETRY_S,
+        )
+    if service.kind is configuration.ServiceKind.PLAIN:
+        return None
+    if request.prompt_tokens > service.max_prompt_tokens:
+        return outcomes.refuse(
+            outcomes.RefusalReason.PROMPT_TOO_LARGE,
+            f"The prompt has {request.prompt_tokens} tokens;"
+            f" {service.name!r} takes {service.max_prompt_tokens}.",
+        )
+    if need <= max(target.memory_tokens for target in members):
+        return None
+    rooms = [
+        parts.Room(target.target_id, target.memory_tokens)
+        for target in members
+        if target.exports_kv
+    ]
+    rooms.sort(key=lambda room: -room.tokens)
+    if parts.plan(request, rooms) is not None:
+        return None
+    return outcomes.refuse(
+        outcomes.RefusalReason.PROMPT_TOO_LARGE,
+        f"Prompt and answer need {need} tokens of KV memory, more than one"
+        f" engine of {service.name!r} has, and not enough engines export it.",
+    )
+
+
+def check_deadline(
+    entry: waiting.Entry, pool: pools.Pool, now: float
+) -> outcomes.Refusal | None:
+    """Returns a refusal if the request is not expected to end in time."""
+    request = entry.request
+    wait_s = expected_wait_s(entry, pool)
+    late_s = now + wait_s - entry.latest_start
+    if late_s <= 0:
+        return None
+    if request.deadline <= now:
+        reason = outcomes.RefusalReason.DEADLINE_EXCEEDED
+        return outcomes.refuse(reason, "The request's time is over.")
+    return outcomes.refuse(
+        outcomes.RefusalReason.DEADLINE_UNREACHABLE,
+        f"The request would start in {wait_s:.1f} s at the earliest, too late"
+        " to end in its time.",
+        min(max(late_s, RETRY_S), MAX_RETRY_S) if wait_s > 0 else None,
+    )
+
+
+def expected_wait_s(entry: waiting.Entry, pool: pools.Pool) -> float:
+    """Returns how long a request would wait, in seconds."""
+    if pool.has_free(entry.size_class):
+        return 0.0
+    engines = max(pool.split.sizes[entry.size_class], 1)
+    ahead_s = sum(
+        pool.queues[size_class].work_s(entry.urgency)
+        for size_class in range(entry.size_class, split.CLASSES)
+    )
+    return ahead_s / engines
--- /dev/null
+++ b/src/cardamomfork/_internal/routing/costs.py
@@ -0,0 +1,155 @@
+"""What a prompt costs on the engines of one pool, learned from its answers.
+
+Three things are learned from what engines did: prefill time a token by prompt
+length, how much a fuller batch slows it, and how long answers take. The ratio
+of one engine to the pool is kept with the engine.
+"""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+MIN_BAND = 8
+MAX_BAND = 20
+PRIOR_S_PER_TOKEN = 1.0 / 40_000.0
+PRIOR_SLOPE = 0.004
+MAX_SLOPE = 0.03
+LEARNING_RATE = 0.05
+MIN_LEARNING_SAMPLES = 5
+PRIOR_GENERATED = 200.0
+PRIOR_STEP_S = 0.02
+PRIOR_CALL_S = 0.05
+MIN_RATIO = 0.2
+MAX_RATIO = 5.0
+SLOPE_MEMORY = 0.998
+MIN_SLOPE_SAMPLES = 50.0
+
+
+@attrs.define
+class _BatchSlope:
+    """Decayed sums of a regression of prefill time on batch size."""
+
+    count: float = 0.0
+    sum_x: float = 0.0
+    sum_y: float = 0.0
+    sum_xx: float = 0.0
+    sum_xy: float = 0.0
+
+    def add(self, x: float, y: float) -> None:
+        """Takes a point."""
+        self.count = self.count * SLOPE_MEMORY + 1.0
+        self.sum_x = self.sum_x * SLOPE_MEMORY + x
+        self.sum_y = self.sum_y * SLOPE_MEMORY + y
+        self.sum_xx = self.sum_xx * SLOPE_MEMORY + x * x
+        self.sum_xy = self.sum_xy * SLOPE_MEMORY + x * y
+
+    def relative_slope(self) -> float | None:
+        """Returns slope over intercept, or None while too little is known."""
+        if self.count < MIN_SLOPE_SAMPLES:
+            return None
+        spread = self.count * self.sum_xx - self.sum_x**2
+        if spread < self.count**2:
+            return None
+        slope = (self.count * self.sum_xy - self.sum_x * self.sum_y) / spread
+        intercept = (self.sum_y - slope * self.sum_x) / self.count
+        if intercept <= 0:
+            return None
+        return min(max(slope / intercept, 0.0), MAX_SLOPE)
+
+
+class CostModel:
+    """Predicts times on a typical engine of a pool."""
+
+    def __init__(self) -> None:
+        """Starts from the priors."""
+        bands = MAX_BAND - MIN_BAND + 2
+        self._per_token = [PRIOR_S_PER_TOKEN] * bands
+        self._samples = [0] * bands
+        self._batch = _BatchSlope()
+        self._slope = PRIOR_SLOPE
+        self._generated = PRIOR_GENERATED
+        self._step_s = PRIOR_STEP_S
+        self._call_s = PRIOR_CALL_S
+
+    @property
+    def call_s(self) -> float:
+        """Time of a plain service's call, in seconds."""
+        return self._call_s
+
+    def batch_factor(self, running: float) -> float:
+        """Returns how much a batch of that size stretches prefill."""
+        return 1.0 + self._slope * running
+
+    def prefill_s(self, tokens: float) -> float:
+        """Returns the prefill time of uncached tokens in an empty batch."""
+        band, share = _band(tokens)
+        low = self._per_token[band]
+        return tokens * (low + share * (self._per_token[band + 1] - low))
+
+    def generation_s(self, max_tokens: int) -> float:
+        """Returns how long a typical answer takes after its first token."""
+        return min(float(max_tokens), self._generated) * self._step_s
+
+    def learn_prefill(
+        self, tokens: float, running: int, seconds: float, ratio: float
+    ) -> float:
+        """Learns from a prefill.
+
+        Args:
+            tokens: Uncached prompt tokens.
+            running: Size of the batch beside it.
+            seconds: Time that it took.
+            ratio: Known ratio of this engine's time to the pool's.
+
+        Returns:
+            The ratio of the time to what the pool's engines were expected to
+            take.
+        """
+        expected = self.prefill_s(tokens) * self.batch_factor(running)
+        observed = min(max(seconds / expected, MIN_RATIO), MAX_RATIO)
+        own = observed / ratio
+        band, share = _band(tokens)
+        self._learn_band(band, own, 1.0 - share)
+        self._learn_band(band + 1, own, share)
+        self._batch.add(running, own * self.batch_factor(running))
+        self._slope = self._batch.relative_slope() or self._slope
+        return observed
+
+    def learn_generation(self, tokens: int, seconds: float) -> None:
+        """Learns from a whole answer."""
+        if tokens < 2:
+            return
+        rate = LEARNING_RATE
+        self._generated += rate * (tokens - self._generated)
+        self._step_s += rate * (seconds / (tokens - 1) - self._step_s)
+
+    def learn_call(self, seconds: float) -> float:
+        """Learns from a plain service's call; returns actual/expected."""
+        observed = min(max(seconds / self._call_s, MIN_RATIO), MAX_RATIO)
+        self._call_s += LEARNING_RATE * (seconds - self._call_s)
+        return observed
+
+    def _learn_band(self, band: int, factor: float, weight: float) -> None:
+        """Moves a band's cost a token; its first samples move it most."""
+        self._samples[band] += 1
+        rate = max(LEARNING_RATE, 1.0 / self._samples[band]) * weight
+        self._per_token[band] *= 1.0 + rate * (factor - 1.0)
+        if self._samples[band] == MIN_LEARNING_SAMPLES:
+            self._spread(band)
+
+    def _spread(self, band: int) -> None:
+        """Gives a band's cost to the longer bands that have no samples."""
+        for longer in range(band + 1, len(self._per_token)):
+            if self._samples[longer] >= MIN_LEARNING_SAMPLES:
+                return
+            self._per_token[longer] = self._per_token[band]
+
+
+def _band(tokens: float) -> tuple[int, float]:
+    """Returns the band of a prompt length and the way to the next, 0 to 1."""
+    place = math.log2(max(tokens, 1.0)) - MIN_BAND
+    place = min(max(place, 0.0), float(MAX_BAND - MIN_BAND))
+    band = int(place)
+    return band, place - band
--- /dev/null
+++ b/src/cardamomfork/_internal/routing/fleet.py
@@ -0,0 +1,171 @@
+"""Services, the views of their targets, and the pools that they form."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.routing import pools
+from cardamomfork._internal.targets import views
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.models import requests
+    from cardamomfork._internal.models import targets
+
+MAX_DRAINED = 20_000
+
+PoolKey = tuple["identifiers.ServiceName", str]
+
+
+class Fleet:
+    """All targets by service and model."""
+
+    def __init__(self, utilisation: float) -> None:
+        """Starts without services.
+
+        Args:
+            utilisation: Share of their time that engines for long prompts
+                are meant to be busy.
+        """
+        self._utilisation = utilisation
+        self._services: dict[
+            identifiers.ServiceName, configuration.Service
+        ] = {}
+        self._views: dict[identifiers.TargetId, views.TargetView] = {}
+        self._pools: dict[PoolKey, pools.Pool] = {}
+        self._pools_of: dict[identifiers.TargetId, list[PoolKey]] = {}
+        self._drained: collections.OrderedDict[identifiers.TargetId, None] = (
+            collections.OrderedDict()
+        )
+
+    @property
+    def all_views(self) -> Iterable[views.TargetView]:
+        """All targets."""
+        return self._views.values()
+
+    @property
+    def all_pools(self) -> Iterable[tuple[PoolKey, pools.Pool]]:
+        """All pools and their keys."""
+        return self._pools.items()
+
+    def service(
+        self, name: identifiers.ServiceName
+    ) -> configuration.Service | None:
+        """Returns a service."""
+        return self._services.get(name)
+
+    def view(self, target_id: identifiers.TargetId) -> views.TargetView | None:
+        """Returns a target's view."""
+        return self._views.get(target_id)
+
+    def pool_for(self, request: requests.Request) -> pools.Pool | None:
+        """Returns the pool that a request waits in, or None."""
+        service = self._services.get(request.service)
+        if service is None:
+            return None
+        model = request.model or next(iter(service.models), "")
+        return self._pools.get((request.service, model))
+
+    def pools_of(self, target_id: identifiers.TargetId) -> Iterable[pools.Pool]:
+        """Returns the pools that a target is part of."""
+        return [self._pools[key] for key in self._pools_of.get(target_id, ())]
+
+    def apply(self, service: configuration.Service, now: float) -> None:
+        """Takes a service's configuration."""
+        self._services[service.name] = service
+        for target in service.targets:
+            self._apply_target(target)
+        kept = self._models(service)
+        for key in [k for k in self._pools if k[0] == service.name]:
+            if key[1] not in kept:
+                del self._pools[key]
+        for model in kept:
+            key = (service.name, model)
+            if key not in self._pools:
+                self._pools[key] = pools.Pool(self._utilisation)
+        self._rebuild(service, now)
+        self._forget_targets()
+
+    def remove(self, name: identifiers.ServiceName) -> None:
+        """Forgets a service."""
+        self._services.pop(name, None)
+        for key in [k for k in self._pools if k[0] == name]:
+            del self._pools[key]
+        self._forget_targets()
+
+    def set_drained(
+        self, target_id: identifiers.TargetId, is_drained: bool, now: float
+    ) -> None:
+        """Takes a target out of work or puts it back."""
+        if is_drained:
+            self._drained[target_id] = None
+            self._drained.move_to_end(target_id)
+            if len(self._drained) > MAX_DRAINED:
+                self._drained.popitem(last=False)
+        else:
+            self._drained.pop(target_id, None)
+        view = self._views.get(target_id)
+        if view is not None and view.is_drained != is_drained:
+            view.is_drained = is_drained
+            self.rebuild_for(target_id, now)
+
+    def rebuild_for(self, target_id: identifiers.TargetId, now: float) -> None:
+        """Forms the pools anew that a target is or could be part of."""
+        for service in self._services.values():
+            if any(t.target_id == target_id for t in service.targets):
+                self._rebuild(service, now)
+
+    def refresh(self, view: views.TargetView, now: float) -> None:
+        """Tells a target's pools that it may be free or no longer is."""
+        for key in self._pools_of.get(view.target.target_id, ()):
+            self._pools[key].refresh(view, now)
+
+    def _apply_target(self, target: targets.Target) -> None:
+        """Takes a target's configuration."""
+        view = self._views.get(target.target_id)
+        if view is None:
+            view = views.TargetView(target)
+            view.is_drained = target.target_id in self._drained
+            self._views[target.target_id] = view
+        view.target = target
+
+    def _rebuild(self, service: configuration.Service, now: float) -> None:
+        """Forms a service's pools anew."""
+        members = [self._views[t.target_id] for t in service.targets]
+        members = [view for view in members if not view.is_leaving]
+        for model in self._models(service):
+            key = (service.name, model)
+            able = [view for view in members if view.runs(model)]
+            self._pools[key].set_members(able, now)
+        self._index()
+
+    def _index(self) -> None:
+        """Notes which pools each target is part of."""
+        self._pools_of.clear()
+        for key, pool in self._pools.items():
+            for view in pool.members:
+                self._pools_of.setdefault(view.target_id, []).append(key)
+
+    def _forget_targets(self) -> None:
+        """Drops the targets that no service names and nothing runs on."""
+        named = {
+            target.target_id
+            for service in self._services.values()
+            for target in service.targets
+        }
+        self._views = {
+            target_id: view
+            for target_id, view in self._views.items()
+            if target_id in named or view.running > 0
+        }
+        self._index()
+
+    def _models(self, service: configuration.Service) -> tuple[str, ...]:
+        """Returns the models that a service has pools for."""
+        if service.kind is configuration.ServiceKind.PLAIN:
+            return ("",)
+        return service.models or ("",)
--- /dev/null
+++ b/src/cardamomfork/_internal/routing/pools.py
@@ -0,0 +1,220 @@
+"""The engines that serve one service and model, found without a scan."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.routing import costs
+from cardamomfork._internal.routing import split
+from cardamomfork._internal.routing import waiting
+from cardamomfork._internal.targets import health
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    import random
+
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.targets import views
+
+WEIGH_PERIOD_S = 2.0
+
+
+class TargetSet:
+    """Targets with constant-time add, discard and random choice."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._items: list[views.TargetView] = []
+        self._places: dict[identifiers.TargetId, int] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of targets."""
+        return len(self._items)
+
+    def __contains__(self, target_id: identifiers.TargetId) -> bool:
+        """Returns whether a target is in it."""
+        return target_id in self._places
+
+    def add(self, view: views.TargetView) -> None:
+        """Adds a target."""
+        if view.target.target_id not in self._places:
+            self._places[view.target.target_id] = len(self._items)
+            self._items.append(view)
+
+    def discard(self, target_id: identifiers.TargetId) -> None:
+        """Takes a target out."""
+        place = self._places.pop(target_id, None)
+        if place is None:
+            return
+        last = self._items.pop()
+        if last.target.target_id != target_id:
+            self._items[place] = last
+            self._places[last.target.target_id] = place
+
+    def sample(
+        self, count: int, rng: random.Random
+    ) -> Iterable[views.TargetView]:
+        """Returns up to so many targets, chosen at random."""
+        size = len(self._items)
+        if size <= count:
+            return list(self._items)
+        start = int(rng.random() * size)
+        step = 1 + int(rng.random() * (size // count))
+        return [self._items[(start + i * step) % size] for i in range(count)]
+
+
+class Pool:
+    """Engines, their groups by size class, and what waits for them."""
+
+    def __init__(self, utilisation: float) -> None:
+        """Starts without engines."""
+        self.costs = costs.CostModel()
+        self.split = split.SizeSplit(utilisation)
+        self.queues = [waiting.WaitingQueue() for _ in range(split.CLASSES)]
+        self._members: dict[identifiers.TargetId, views.TargetView] = {}
+        self._levels: dict[identifiers.TargetId, int] = {}
+        self._free = [TargetSet() for _ in range(split.CLASSES)]
+        self._timers: list[tuple[float, identifiers.TargetId]] = []
+        self._timed: dict[identifiers.TargetId, float] = {}
+        self._weighed_at = 0.0
+        self.running = 0
+        """Requests of this instance on its engines."""
+        self.largest_memory = 0
+        """KV memory of its largest engine, in tokens."""
+
+    def __len__(self) -> int:
+        """Returns the number of engines."""
+        return len(self._members)
+
+    @property
+    def members(self) -> Iterable[views.TargetView]:
+        """All engines that take work."""
+        return self._members.values()
+
+    @property
+    def longest_group(self) -> Iterable[views.TargetView]:
+        """The engines that take prompts of any length."""
+        size = self.split.sizes[-1]
+        return itertools.islice(self._members.values(), size)
+
+    @property
+    def typical_batch(self) -> float:
+        """Requests of this instance on an engine, on average."""
+        return self.running / max(len(self._members), 1)
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return sum(queue.count for queue in self.queues)
+
+    def set_members(
+        self, members: Iterable[views.TargetView], now: float
+    ) -> None:
+        """Takes the engines that may get work, in a fixed order."""
+        self._members = {view.target_id: view for view in members}
+        self.largest_memory = max(
+            (v.target.memory_tokens for v in self._members.values()), default=0
+        )
+        self._levels.clear()
+        self._free = [TargetSet() for _ in range(split.CLASSES)]
+        self.split.set_engines(len(self._members))
+        self._regroup()
+        for view in self._members.values():
+            self.refresh(view, now)
+
+    def level(self, target_id: identifiers.TargetId) -> int:
+        """Returns the largest class that an engine takes; -1 if not in it."""
+        return self._levels.get(target_id, -1)
+
+    def member(
+        self, target_id: identifiers.TargetId
+    ) -> views.TargetView | None:
+        """Returns an engine of the pool."""
+        return self._members.get(target_id)
+
+    def refresh(self, view: views.TargetView, now: float) -> None:
+        """Puts an engine among the free or takes it out."""
+        target_id = view.target.target_id
+        level = self._levels.get(target_id)
+        if level is None:
+            return
+        if view.is_free(now, self.s_per_token()):
+            self._free[level].add(view)
+            return
+        self._free[level].discard(target_id)
+        due = self._due(view, now)
+        if due is not None and self._timed.get(target_id) != due:
+            self._timed[target_id] = due
+            heapq.heappush(self._timers, (due, target_id))
+
+    def wake(self, now: float) -> None:
+        """Refreshes the engines whose time has come, and the groups."""
+        while self._timers and self._timers[0][0] <= now:
+            due, target_id = heapq.heappop(self._timers)
+            if self._timed.get(target_id) == due:
+                del self._timed[target_id]
+                view = self._members.get(target_id)
+                if view is not None:
+                    self.refresh(view, now)
+        if self.split.resize(now):
+            self._regroup()
+        if now - self._weighed_at >= WEIGH_PERIOD_S:
+            self._weighed_at = now
+            health.weigh([view.health for view in self._members.values()])
+
+    def next_timer(self) -> float | None:
+        """Returns when an engine is due to be free."""
+        return self._timers[0][0] if self._timers else None
+
+    def has_free(self, size_class: int) -> bool:
+        """Returns whether an engine that takes a class is free."""
+        return any(self._free[size_class:])
+
+    def free_count(self, size_class: int) -> int:
+        """Returns how many engines that take a class are free."""
+        return sum(len(free) for free in self._free[size_class:])
+
+    def free(
+        self, size_class: int, count: int, rng: random.Random
+    ) -> Iterator[views.TargetView]:
+        """Yields free engines that take a class, those of short ones first."""
+        left = count
+        for free in self._free[size_class:]:
+            for view in free.sample(left, rng):
+                left -= 1
+                yield view
+            if left <= 0:
+                return
+
+    def s_per_token(self) -> float:
+        """Returns the typical prefill time of a queued token, in seconds."""
+        tokens = float(split.CLASS_LIMITS[0])
+        return self.costs.prefill_s(tokens) / tokens
+
+    def _due(self, view: views.TargetView, now: float) -> float | None:
+        """Returns when to look at a busy engine again."""
+        times = (
+            view.health.probe_at,
+            view.foreign_free_at(self.s_per_token()),
+            view.claims_end(now),
+        )
+        due = max(times)
+        return due if due > now else None
+
+    def _regroup(self) -> None:
+        """Gives each engine the largest class that it takes."""
+        sizes = self.split.sizes
+        for place, (target_id, view) in enumerate(self._members.items()):
+            level = 0
+            while level + 1 < split.CLASSES and place < sizes[level + 1]:
+                level += 1
+            before = self._levels.get(target_id)
+            if before == level:
+                continue
+            self._levels[target_id] = level
+            if before is not None and target_id in self._free[before]:
+                self._free[before].discard(target_id)
+                self._free[level].add(view)
--- /dev/null
+++ b/src/cardamomfork/_internal/routing/running.py
@@ -0,0 +1,203 @@
+"""Requests under way: what they hold, and what is learned when they end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.targets import views
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.models import targets
+    from cardamomfork._internal.routing import choice as choice_module
+    from cardamomfork._internal.routing import fleet as fleet_module
+    from cardamomfork._internal.routing import pools
+    from cardamomfork._internal.routing import waiting
+
+KV_TRANSFER_S_PER_TOKEN = 2e-6
+
+
+@attrs.define(eq=False)
+class Running:
+    """An assigned request.
+
+    Attributes:
+        entry: The request as it waited.
+        pool: The pool that it waited in.
+        shares: What it takes of each engine, in the order of its parts.
+        started_at: When it was assigned.
+        batch: Sequences that its engine ran then.
+        tokens: Uncached prompt tokens expected.
+        first_token_at: When its first token came, or None.
+    """
+
+    entry: waiting.Entry
+    pool: pools.Pool
+    shares: list[tuple[views.TargetView, views.Share]]
+    started_at: float
+    batch: int
+    tokens: float
+    first_token_at: float | None = None
+
+    @property
+    def view(self) -> views.TargetView:
+        """The target that answers."""
+        return self.shares[-1][0]
+
+
+class RunningTable:
+    """All requests under way."""
+
+    def __init__(self, fleet: fleet_module.Fleet) -> None:
+        """Starts empty."""
+        self._fleet = fleet
+        self._running: dict[identifiers.RequestId, Running] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of requests under way."""
+        return len(self._running)
+
+    def __contains__(self, request_id: identifiers.RequestId) -> bool:
+        """Returns whether a request is under way."""
+        return request_id in self._running
+
+    def start(
+        self,
+        entry: waiting.Entry,
+        pool: pools.Pool,
+        choice: choice_module.Choice,
+        now: float,
+    ) -> None:
+        """Notes an assigned request on all of its engines."""
+        request = entry.request
+        exceptions.check_invariant(
+            request.request_id not in self._running,
+            "a request is assigned once",
+            request.request_id,
+        )
+        exceptions.check_invariant(
+            now < request.deadline,
+            "nothing is assigned after its deadline",
+            request.request_id,
+        )
+        shares = self._shares(entry, choice)
+        batch = shares[-1][0].batch
+        for view, share in shares:
+            view.start(request.request_id, share, now)
+            self._fleet.refresh(view, now)
+        pool.running += 1
+        self._running[request.request_id] = Running(
+            entry, pool, shares, now, batch, choice.tokens
+        )
+
+    def first_token(
+        self, request_id: identifiers.RequestId, now: float
+    ) -> None:
+        """Notes a request's first token and learns from its time."""
+        running = self._running.get(request_id)
+        if running is None or running.first_token_at is not None:
+            return
+        self._learn_prefill(running, now)
+        self._end_prefill(running, now)
+
+    def finish(
+        self,
+        request_id: identifiers.RequestId,
+        now: float,
+        generated_tokens: int,
+        fault: targets.TargetFault | None,
+    ) -> None:
+        """Notes that a request left its engines."""
+        running = self._running.pop(request_id, None)
+        if running is None:
+            return
+        first_token_at = running.first_token_at
+        if first_token_at is None:
+            self._end_prefill(running, now)
+        running.pool.running -= 1
+        if fault is not None:
+            self._blame(running, fault, now)
+        elif running.view.is_plain or first_token_at is not None:
+            running.view.health.succeed()
+            self._learn_answer(running, first_token_at, now, generated_tokens)
+        for view, share in running.shares:
+            view.end(share.reserved, now)
+            self._fleet.refresh(view, now)
+
+    def _shares(
+        self, entry: waiting.Entry, choice: choice_module.Choice
+    ) -> list[tuple[views.TargetView, views.Share]]:
+        """Returns what a request takes of each engine."""
+        request = entry.request
+        shares = []
+        starts_in_s = 0.0
+        parts = choice.plan.memory(request)
+        for target_id, reserved in parts:
+            view = self._fleet.view(target_id)
+            if view is None:
+                raise exceptions.InvariantViolationError(
+                    "an assigned target exists", target_id
+                )
+            tokens = int(choice.tokens)
+            prefill_s = choice.prefill_s
+            if len(parts) > 1:
+                tokens = min(reserved, request.prompt_tokens)
+                prefill_s *= tokens / request.prompt_tokens
+            is_part = len(parts) > 1
+            share = views.Share(
+                tokens, reserved, prefill_s, is_part, starts_in_s
+            )
+            if view.is_plain:
+                share = views.Share(0, 0, prefill_s)
+            shares.append((view, share))
+            starts_in_s += prefill_s + tokens * KV_TRANSFER_S_PER_TOKEN
+        return shares
+
+    def _end_prefill(self, running: Running, now: float) -> None:
+        """Frees the engines for the next prompt."""
+        running.first_token_at = now
+        for view, share in running.shares:
+            view.end_prefill(running.entry.request.request_id, share, now)
+            self._fleet.refresh(view, now)
+
+    def _learn_prefill(self, running: Running, now: float) -> None:
+        """Learns from the time to first token where it tells something."""
+        view = running.view
+        if view.is_plain or len(running.shares) > 1:
+            return
+        if running.entry.match.share > 0:
+            return
+        started_at = max(running.started_at, view.last_first_token_at)
+        seconds = max(now - started_at, 1e-6)
+        ratio = running.pool.costs.learn_prefill(
+            running.tokens, running.batch, seconds, view.health.ratio
+        )
+        view.health.observe(ratio, now)
+
+    def _learn_answer(
+        self,
+        running: Running,
+        first_token_at: float | None,
+        now: float,
+        generated_tokens: int,
+    ) -> None:
+        """Learns from the time of the whole answer."""
+        if running.view.is_plain:
+            seconds = max(now - running.started_at, 1e-6)
+            ratio = running.pool.costs.learn_call(seconds)
+            running.view.health.observe(ratio, now)
+        elif first_token_at is not None:
+            running.pool.costs.learn_generation(
+                generated_tokens, now - first_token_at
+            )
+
+    def _blame(
+        self, running: Running, fault: targets.TargetFault, now: float
+    ) -> None:
+        """Lowers the trust in the target that the fault names."""
+        for view, _ in running.shares:
+            if view.target_id == fault.target_id:
+                view.health.fail(fault, now)
--- /dev/null
+++ b/src/cardamomfork/_internal/targets/views.py
@@ -0,0 +1,255 @@
+"""A target as this instance sees it: its word plus what was sent since."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.models import targets
+from cardamomfork._internal.targets import health as health_module
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.models import identifiers
+
+MAX_SNAPSHOTS = 64
+MAX_REPORT_AGE_S = 15.0
+
+
+@attrs.frozen
+class Snapshot:
+    """What this instance had on a target from a time on.
+
+    Attributes:
+        at: Monotonic time.
+        reserved: KV memory, in tokens.
+        queued: Prompt tokens without a first token.
+        running: Requests.
+    """
+
+    at: float
+    reserved: int
+    queued: int
+    running: int
+
+
+@attrs.frozen
+class Share:
+    """What a request, or a part of one, takes of a target.
+
+    Attributes:
+        tokens: Uncached prompt tokens.
+        reserved: KV memory, in tokens.
+        prefill_s: Predicted prefill time, in seconds.
+        is_part: Whether other engines compute parts as well.
+        starts_in_s: Time until the part starts, in seconds.
+    """
+
+    tokens: int
+    reserved: int
+    prefill_s: float
+    is_part: bool = False
+    starts_in_s: float = 0.0
+
+
+@attrs.define(eq=False)
+class TargetView:
+    """One target and what this instance has on it.
+
+    Attributes:
+        target: The target as configured.
+        health: Trust and weight.
+        is_drained: Whether operators or the platform take it out of work.
+        leaving_boot_id: The life of it that said it is leaving, or None.
+        boot_id: The life of it that last reported, or None.
+        models: What it said it can run; empty while unknown.
+        reserved: KV memory promised to this instance's requests, in tokens.
+        queued: Prompt tokens sent without a first token yet.
+        prefills: Predicted prefill times of those, in seconds, by request.
+        running: Requests on it.
+        busy_until: When its prefills are expected to be over.
+        rest_until: When a target that lost weight is due again.
+        claims: Times at which parts of long prompts will need it.
+    """
+
+    target: targets.Target
+    health: health_module.Health = attrs.field(factory=health_module.Health)
+    is_drained: bool = False
+    leaving_boot_id: identifiers.BootId | None = None
+    boot_id: identifiers.BootId | None = None
+    models: tuple[str, ...] = ()
+    reserved: int = 0
+    queued: int = 0
+    running: int = 0
+    busy_until: float = 0.0
+    rest_until: float = 0.0
+    last_first_token_at: float = 0.0
+    prefills: dict[identifiers.RequestId, float] = attrs.field(factory=dict)
+    claims: dict[identifiers.RequestId, tuple[float, float]] = attrs.field(
+        factory=dict
+    )
+    _foreign_reserved: int = 0
+    _foreign_queued: int = 0
+    _foreign_running: int = 0
+    _reported_at: float = -1e9
+    _history: collections.deque[Snapshot] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_SNAPSHOTS)
+    )
+
+    @property
+    def target_id(self) -> identifiers.TargetId:
+        """The target's id."""
+        return self.target.target_id
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it takes no new work."""
+        if self.is_drained:
+            return True
+        boot_id = self.leaving_boot_id
+        return boot_id is not None and boot_id == self.boot_id
+
+    @property
+    def is_plain(self) -> bool:
+        """Whether it is a plain service."""
+        return self.target.kind is targets.TargetKind.PLAIN
+
+    @property
+    def batch(self) -> int:
+        """Sequences that it runs, those of other instances included."""
+        return self.running + self._foreign_running
+
+    @property
+    def free_tokens(self) -> int:
+        """KV memory that can be promised, in tokens."""
+        taken = self.reserved + self._foreign_reserved
+        return self.target.memory_tokens - taken
+
+    def runs(self, model: str) -> bool:
+        """Returns whether it can run a model, as far as is known."""
+        return not self.models or not model or model in self.models
+
+    def observe(self, report: targets.LoadReport, now: float) -> bool:
+        """Takes a load report; True if what it may be given changed."""
+        if report.measured_at < self._reported_at:
+            return False
+        was_leaving = self.is_leaving
+        self.boot_id = report.boot_id
+        if report.leaving:
+            self.leaving_boot_id = report.boot_id
+        changed = was_leaving != self.is_leaving
+        if now - report.measured_at > MAX_REPORT_AGE_S:
+            return changed
+        own = self._own_at(report.measured_at)
+        used = self.target.memory_tokens - report.free_tokens
+        self._foreign_reserved = max(used - own.reserved, 0)
+        self._foreign_queued = max(report.queued_tokens - own.queued, 0)
+        self._foreign_running = max(report.running - own.running, 0)
+        self._reported_at = report.measured_at
+        changed = changed or report.models != self.models
+        self.models = report.models
+        return changed
+
+    def foreign_free_at(self, s_per_token: float) -> float:
+        """Returns when other instances' prompts are through, by the report."""
+        return self._reported_at + self._foreign_queued * s_per_token
+
+    def is_free(self, now: float, s_per_token: float) -> bool:
+        """Returns whether it may get a request now."""
+        if self.is_leaving or now < self.health.probe_at:
+            return False
+        if self.health.is_probed and self.running > 0:
+            return False
+        if self.running >= self.target.max_batch:
+            return False
+        if self.is_plain:
+            return True
+        if self.prefills:
+            return False
+        if self.claims and self.claimed_between(now, now):
+            return False
+        return self.foreign_free_at(s_per_token) <= now
+
+    def claimed_between(self, start: float, end: float) -> bool:
+        """Returns whether a part of a long prompt needs it in a time."""
+        return any(a <= end and start < b for a, b in self.claims.values())
+
+    def claims_end(self, now: float) -> float:
+        """Returns when the part that needs it now is expected to be over."""
+        ends = [b for a, b in self.claims.values() if a <= now < b]
+        return max(ends, default=now)
+
+    def start(
+        self,
+        request_id: identifiers.RequestId,
+        share: Share,
+        now: float,
+    ) -> None:
+        """Notes a request, or a part of one, that goes to it."""
+        exceptions.check_invariant(
+            not self.is_leaving,
+            "a leaving target gets no work",
+            self.target_id,
+        )
+        exceptions.check_invariant(
+            self.is_plain or share.reserved <= self.free_tokens,
+            "memory is not promised twice",
+            self.target_id,
+        )
+        self.running += 1
+        self.reserved += share.reserved
+        self.queued += share.tokens
+        if share.is_part:
+            start = now + share.starts_in_s
+            self.claims[request_id] = (start, start + share.prefill_s)
+        else:
+            self._start_prefill(request_id, share.prefill_s, now)
+        self._remember(now)
+
+    def end_prefill(
+        self, request_id: identifiers.RequestId, share: Share, now: float
+    ) -> None:
+        """Notes that a request's prompt is computed."""
+        self.queued -= share.tokens
+        self.claims.pop(request_id, None)
+        if self.prefills.pop(request_id, None) is not None:
+            self.busy_until = now + sum(self.prefills.values())
+            self.last_first_token_at = now
+        self._remember(now)
+
+    def end(self, reserved: int, now: float) -> None:
+        """Notes that a request left it."""
+        self.running -= 1
+        self.reserved -= reserved
+        exceptions.check_invariant(
+            self.running >= 0 and self.reserved >= 0 and self.queued >= 0,
+            "a target's counts are not negative",
+            self.target_id,
+        )
+        self._remember(now)
+
+    def _start_prefill(
+        self, request_id: identifiers.RequestId, prefill_s: float, now: float
+    ) -> None:
+        """Notes a prefill, and the rest that a lower weight asks for."""
+        self.prefills[request_id] = prefill_s
+        self.busy_until = max(self.busy_until, now) + prefill_s
+        rest_s = prefill_s * (1.0 / self.health.weight - 1.0)
+        self.rest_until = self.busy_until + rest_s
+
+    def _remember(self, now: float) -> None:
+        """Keeps what this instance has on the target from now on."""
+        self._history.append(
+            Snapshot(now, self.reserved, self.queued, self.running)
+        )
+
+    def _own_at(self, at: float) -> Snapshot:
+        """Returns what this instance had on the target at a time."""
+        for snapshot in reversed(self._history):
+            if snapshot.at <= at:
+                return snapshot
+        if len(self._history) == MAX_SNAPSHOTS:
+            return self._history[0]
+        return Snapshot(at, 0, 0, 0)
