--- /dev/null
+++ b/src/cardamomfork/_internal/routing/backlog.py
@@ -0,0 +1,167 @@
+"""All requests that wait, whatever their pool: counts, timers, ageing."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.models import requests
+from cardamomfork._internal.routing import split
+from cardamomfork._internal.routing import waiting
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.routing import pools
+    from cardamomfork._internal.routing import prefixes
+
+SHARE_OF_ANSWER_NEEDED = 0.5
+AGE_TO_NORMAL = 0.5
+AGE_TO_URGENT = 0.8
+MIN_DEAD_TIMERS = 256
+
+
+class Backlog:
+    """The requests that wait, each with its pool and its next timer."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._entries: dict[identifiers.RequestId, waiting.Entry] = {}
+        self._pools: dict[identifiers.RequestId, pools.Pool] = {}
+        self._by_account: dict[identifiers.AccountName, int] = {}
+        self._timers: list[tuple[float, int, waiting.Entry]] = []
+        self._sequence = itertools.count()
+
+    def __len__(self) -> int:
+        """Returns the number of requests that wait."""
+        return len(self._entries)
+
+    def __contains__(self, request_id: identifiers.RequestId) -> bool:
+        """Returns whether a request waits."""
+        return request_id in self._entries
+
+    @property
+    def entries(self) -> Iterable[waiting.Entry]:
+        """The requests that wait."""
+        return self._entries.values()
+
+    def entry(self, request_id: identifiers.RequestId) -> waiting.Entry | None:
+        """Returns a request that waits."""
+        return self._entries.get(request_id)
+
+    def pool(self, entry: waiting.Entry) -> pools.Pool:
+        """Returns the pool that a request waits in."""
+        return self._pools[entry.request.request_id]
+
+    def count_of(self, account: identifiers.AccountName) -> int:
+        """Returns how many requests of an account wait."""
+        return self._by_account.get(account, 0)
+
+    def add(self, entry: waiting.Entry, pool: pools.Pool, now: float) -> None:
+        """Queues an admitted request."""
+        request = entry.request
+        self._entries[request.request_id] = entry
+        self._pools[request.request_id] = pool
+        account = request.account
+        self._by_account[account] = self._by_account.get(account, 0) + 1
+        pool.queues[entry.size_class].push(entry)
+        pool.split.note(entry.size_class, _engine_s(entry, pool), now)
+        self._set_timer(entry)
+
+    def remove(self, entry: waiting.Entry, *, served: bool) -> None:
+        """Takes a request out; `served` if it starts now."""
+        request = entry.request
+        del self._entries[request.request_id]
+        pool = self._pools.pop(request.request_id)
+        self._by_account[request.account] -= 1
+        if not self._by_account[request.account]:
+            del self._by_account[request.account]
+        pool.queues[entry.size_class].take(entry, served=served)
+        self._drop_dead_timers()
+
+    def next_timer(self) -> float | None:
+        """Returns when a waiting request must be looked at, or None."""
+        while self._timers and not self._timers[0][2].is_waiting:
+            heapq.heappop(self._timers)
+        return self._timers[0][0] if self._timers else None
+
+    def run_timers(self, now: float) -> list[waiting.Entry]:
+        """Raises the urgency of what waited long; returns what is too late."""
+        late = []
+        while self._timers and self._timers[0][0] <= now:
+            entry = heapq.heappop(self._timers)[2]
+            if not entry.is_waiting:
+                continue
+            if entry.latest_start <= now:
+                late.append(entry)
+                continue
+            urgency = requests.Urgency.INTERACTIVE
+            if entry.urgency > requests.Urgency.NORMAL:
+                urgency = requests.Urgency.NORMAL
+            queue = self.pool(entry).queues[entry.size_class]
+            queue.raise_urgency(entry, urgency)
+            self._set_timer(entry)
+        return late
+
+    def _set_timer(self, entry: waiting.Entry) -> None:
+        """Plans the next time that a waiting request must be looked at."""
+        patience_s = entry.latest_start - entry.queued_at
+        due = entry.latest_start
+        if entry.urgency > requests.Urgency.NORMAL:
+            due = entry.queued_at + AGE_TO_NORMAL * patience_s
+        elif entry.urgency > requests.Urgency.INTERACTIVE:
+            due = entry.queued_at + AGE_TO_URGENT * patience_s
+        heapq.heappush(self._timers, (due, next(self._sequence), entry))
+
+    def _drop_dead_timers(self) -> None:
+        """Clears the timers once most are of requests that have left."""
+        if len(self._timers) <= 2 * len(self._entries) + MIN_DEAD_TIMERS:
+            return
+        self._timers = [t for t in self._timers if t[2].is_waiting]
+        heapq.heapify(self._timers)
+
+
+def make_entry(
+    request: requests.Request,
+    avoid: frozenset[identifiers.TargetId],
+    pool: pools.Pool,
+    match: prefixes.Match,
+    now: float,
+) -> waiting.Entry:
+    """Predicts what a request needs."""
+    tokens = max(request.prompt_tokens, 1)
+    if not request.max_tokens:
+        work_s = needed_s = pool.costs.call_s
+        answer_s = 0.0
+        size_class = 0
+    else:
+        work_s = pool.costs.prefill_s(tokens)
+        answer_s = pool.costs.generation_s(request.max_tokens)
+        needed_s = work_s * (1.0 - match.share)
+        needed_s += answer_s * SHARE_OF_ANSWER_NEEDED
+        size_class = split.class_of(tokens)
+    return waiting.Entry(
+        request=request,
+        avoid=avoid,
+        size_class=size_class,
+        work_s=work_s,
+        answer_s=answer_s,
+        latest_start=request.deadline - needed_s,
+        match=match,
+        urgency=request.urgency,
+        queued_at=now,
+    )
+
+
+def _engine_s(entry: waiting.Entry, pool: pools.Pool) -> float:
+    """Returns the engine time that a request will take, in seconds.
+
+    A long prompt keeps others out by its memory as well, for as long as its
+    answer takes.
+    """
+    prefill_s = entry.work_s * pool.costs.batch_factor(pool.typical_batch)
+    memory = max(pool.largest_memory, 1)
+    share = entry.request.prompt_tokens / memory
+    return max(prefill_s, (prefill_s + entry.answer_s) * share)
--- a/src/cardamomfork/_internal/routing/dispatcher.py
+++ b/src/cardamomfork/_internal/routing/dispatcher.py
@@ -8,11 +8,8 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 from typing import TYPE_CHECKING
 
-import attrs
 import result
 
 from cardamomfork._internal import exceptions
@@ -20,12 +17,12 @@
 from cardamomfork._internal.models import outcomes
 from cardamomfork._internal.models import requests
 from cardamomfork._internal.routing import admission
+from cardamomfork._internal.routing import backlog
 from cardamomfork._internal.routing import choice as choice_module
 from cardamomfork._internal.routing import fleet as fleet_module
 from cardamomfork._internal.routing import prefixes
 from cardamomfork._internal.routing import running as running_module
-from cardamomfork._internal.routing import split
-from cardamomfork._internal.routing import waiting
+from cardamomfork._internal.routing import state as state_module
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -35,52 +32,10 @@
     from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import targets
     from cardamomfork._internal.routing import pools
+    from cardamomfork._internal.routing import waiting
 
 DEFAULT_UTILISATION = 0.92
 HEADS_TRIED = 3
-SHARE_OF_ANSWER_NEEDED = 0.5
-AGE_TO_NORMAL = 0.5
-AGE_TO_URGENT = 0.8
-
-
-@attrs.frozen
-class PoolState:
-    """A pool as the state dump shows it.
-
-    Attributes:
-        service: Its service.
-        model: Its model.
-        engines: Engines that take work.
-        sizes: Engines that take each size class.
-        queued: Requests that wait, by size class.
-        running: Requests on its engines.
-    """
-
-    service: str
-    model: str
-    engines: int
-    sizes: tuple[int, ...]
-    queued: tuple[int, ...]
-    running: int
-
-
-@attrs.frozen
-class DispatcherState:
-    """What the state dump shows.
-
-    Attributes:
-        queued: Requests that wait.
-        running: Requests under way.
-        indexed_blocks: Blocks in the cache index.
-        pools: The pools.
-        weights: Weight of each target that lost some.
-    """
-
-    queued: int
-    running: int
-    indexed_blocks: int
-    pools: tuple[PoolState, ...]
-    weights: dict[str, float]
 
 
 class FleetDispatcher:
@@ -106,18 +61,14 @@
         self._fleet = fleet_module.Fleet(utilisation)
         self._running = running_module.RunningTable(self._fleet)
         self._prefixes = prefixes.PrefixIndex()
-        self._entries: dict[identifiers.RequestId, waiting.Entry] = {}
-        self._pools: dict[identifiers.RequestId, pools.Pool] = {}
-        self._by_account: dict[identifiers.AccountName, int] = {}
-        self._timers: list[tuple[float, int, waiting.Entry]] = []
-        self._sequence = itertools.count()
+        self._backlog = backlog.Backlog()
         self._now = 0.0
         self._may_have_orphans = False
 
     @property
     def queued(self) -> int:
         """Requests that wait."""
-        return len(self._entries)
+        return len(self._backlog)
 
     @property
     def running(self) -> int:
@@ -129,14 +80,14 @@
         """Targets and pools, for the state dump and measurements."""
         return self._fleet
 
-    def state(self) -> DispatcherState:
+    def state(self) -> state_module.DispatcherState:
         """Returns what the state dump shows."""
-        return DispatcherState(
+        return state_module.DispatcherState(
             queued=self.queued,
             running=self.running,
             indexed_blocks=len(self._prefixes),
             pools=tuple(
-                PoolState(
+                state_module.PoolState(
                     service,
                     model,
                     len(pool),
@@ -151,6 +102,11 @@
                 for view in self._fleet.all_views
                 if view.health.weight < 1.0
             },
+            trust={
+                view.target_id: round(view.health.trust, 3)
+                for view in self._fleet.all_views
+                if view.health.trust < 1.0
+            },
         )
 
     def apply_service(self, service: configuration.Service) -> None:
@@ -178,7 +134,7 @@
         """Queues a request, or refuses one that cannot end in time."""
         self._now = now
         exceptions.check_invariant(
-            request.request_id not in self._entries
+            request.request_id not in self._backlog
             and request.request_id not in self._running,
             "a request is queued once",
             request.request_id,
@@ -187,33 +143,35 @@
         pool = self._fleet.pool_for(request)
         if service is None or pool is None:
             return result.Err(_unknown(request))
-        entry = self._make_entry(request, avoid, pool, now)
+        match = self._prefixes.find(request.prefix_hashes)
+        entry = backlog.make_entry(request, avoid, pool, match, now)
         refusal = (
             admission.check_queue(
                 self._limits,
-                len(self._entries),
-                self._by_account.get(request.account, 0),
+                len(self._backlog),
+                self._backlog.count_of(request.account),
             )
             or admission.check_size(request, service, avoid, pool)
             or admission.check_deadline(entry, pool, now)
         )
         if refusal is not None:
             return result.Err(refusal)
-        self._enqueue(entry, pool, now)
+        self._backlog.add(entry, pool, now)
         return result.Ok(None)
 
     def withdraw(self, request_id: identifiers.RequestId) -> None:
         """Takes a queued request back."""
-        entry = self._entries.get(request_id)
+        entry = self._backlog.entry(request_id)
         if entry is not None:
-            self._dequeue(entry, served=False)
+            self._backlog.remove(entry, served=False)
 
     def poll(
         self, now: float
     ) -> tuple[Sequence[dispatching.Assignment], Sequence[dispatching.Expiry]]:
         """Returns what starts and what expires now."""
         self._now = now
-        expired = [*self._expire_orphans(), *self._run_timers(now)]
+        expired = self._expire_orphans()
+        expired += map(self._expire, self._backlog.run_timers(now))
         started: list[dispatching.Assignment] = []
         for _key, pool in self._fleet.all_pools:
             if pool.queued:
@@ -222,9 +180,10 @@
 
     def next_wakeup(self, now: float) -> float | None:
         """Returns when to poll again if nothing happens before."""
-        if not self._entries:
+        if not self._backlog:
             return None
-        times = [self._timers[0][0]] if self._timers else []
+        due = self._backlog.next_timer()
+        times = [] if due is None else [due]
         for _, pool in self._fleet.all_pools:
             timer = pool.next_timer()
             if timer is not None and pool.queued:
@@ -268,97 +227,18 @@
             return True
         return self._prefixes.observe(event)
 
-    def _make_entry(
-        self,
-        request: requests.Request,
-        avoid: frozenset[identifiers.TargetId],
-        pool: pools.Pool,
-        now: float,
-    ) -> waiting.Entry:
-        """Predicts what a request needs."""
-        tokens = max(request.prompt_tokens, 1)
-        work_s = pool.costs.prefill_s(tokens)
-        answer_s = pool.costs.generation_s(request.max_tokens)
-        match = self._prefixes.find(request.prefix_hashes)
-        needed_s = work_s * (1.0 - match.share)
-        needed_s += answer_s * SHARE_OF_ANSWER_NEEDED
-        if not request.max_tokens:
-            work_s = needed_s = pool.costs.call_s
-        return waiting.Entry(
-            request=request,
-            avoid=avoid,
-            size_class=split.class_of(tokens) if request.max_tokens else 0,
-            work_s=work_s,
-            answer_s=answer_s,
-            latest_start=request.deadline - needed_s,
-            match=match,
-            urgency=request.urgency,
-            queued_at=now,
-        )
-
-    def _enqueue(
-        self, entry: waiting.Entry, pool: pools.Pool, now: float
-    ) -> None:
-        """Queues an admitted request."""
-        request = entry.request
-        self._entries[request.request_id] = entry
-        self._pools[request.request_id] = pool
-        account = request.account
-        self._by_account[account] = self._by_account.get(account, 0) + 1
-        pool.queues[entry.size_class].push(entry)
-        pool.split.note(entry.size_class, _engine_s(entry, pool), now)
-        self._set_timer(entry)
-
-    def _dequeue(self, entry: waiting.Entry, *, served: bool) -> None:
-        """Takes a request out of its queue."""
-        request = entry.request
-        del self._entries[request.request_id]
-        pool = self._pools.pop(request.request_id)
-        self._by_account[request.account] -= 1
-        if not self._by_account[request.account]:
-            del self._by_account[request.account]
-        pool.queues[entry.size_class].take(entry, served=served)
-
-    def _set_timer(self, entry: waiting.Entry) -> None:
-        """Plans the next time that a waiting request must be looked at."""
-        patience_s = entry.latest_start - entry.queued_at
-        due = entry.latest_start
-        if entry.urgency > requests.Urgency.NORMAL:
-            due = entry.queued_at + AGE_TO_NORMAL * patience_s
-        elif entry.urgency > requests.Urgency.INTERACTIVE:
-            due = entry.queued_at + AGE_TO_URGENT * patience_s
-        heapq.heappush(self._timers, (due, next(self._sequence), entry))
-
-    def _run_timers(self, now: float) -> list[dispatching.Expiry]:
-        """Raises the urgency of what waited long; expires what is too late."""
-        expired = []
-        while self._timers and self._timers[0][0] <= now:
-            entry = heapq.heappop(self._timers)[2]
-            if not entry.is_waiting:
-                continue
-            if entry.latest_start <= now:
-                expired.append(self._expire(entry))
-                continue
-            urgency = requests.Urgency.INTERACTIVE
-            if entry.urgency > requests.Urgency.NORMAL:
-                urgency = requests.Urgency.NORMAL
-            pool = self._pools[entry.request.request_id]
-            pool.queues[entry.size_class].raise_urgency(entry, urgency)
-            self._set_timer(entry)
-        return expired
-
     def _expire_orphans(self) -> list[dispatching.Expiry]:
         """Ends what waits for a service or model that was removed."""
         if not self._may_have_orphans:
             return []
         self._may_have_orphans = False
-        orphans = [e for e in self._entries.values() if self._is_orphan(e)]
+        orphans = [e for e in self._backlog.entries if self._is_orphan(e)]
         return [self._expire(entry) for entry in orphans]
 
     def _is_orphan(self, entry: waiting.Entry) -> bool:
         """Returns whether a request's pool is gone."""
         pool = self._fleet.pool_for(entry.request)
-        return pool is not self._pools[entry.request.request_id]
+        return pool is not self._backlog.pool(entry)
 
     def _expire(self, entry: waiting.Entry) -> dispatching.Expiry:
         """Ends a waiting request that can no longer run in time."""
@@ -369,7 +249,7 @@
         )
         if self._is_orphan(entry):
             refusal = _unknown(entry.request)
-        self._dequeue(entry, served=False)
+        self._backlog.remove(entry, served=False)
         return dispatching.Expiry(entry.request.request_id, refusal)
 
     def _fill(
@@ -435,7 +315,7 @@
     ) -> dispatching.Assignment:
         """Moves a request from its queue to its engine."""
         request = entry.request
-        self._dequeue(entry, served=True)
+        self._backlog.remove(entry, served=True)
         self._running.start(entry, pool, choice, now)
         target_id = choice.plan.target_id
         if not choice.plan.hops:
@@ -455,18 +335,6 @@
     return heads[0].urgency, -heads[0].response_ratio(now)
 
 
-def _engine_s(entry: waiting.Entry, pool: pools.Pool) -> float:
-    """Returns the engine time that a request will take, in seconds.
-
-    A long prompt keeps others out by its memory as well, for as long as its
-    answer takes.
-    """
-    prefill_s = entry.work_s * pool.costs.batch_factor(pool.typical_batch)
-    memory = max(pool.largest_memory, 1)
-    share = entry.request.prompt_tokens / memory
-    return max(prefill_s, (prefill_s + entry.answer_s) * share)
-
-
 def _unknown(request: requests.Request) -> outcomes.Refusal:
     """Returns the refusal of a service or model that is not configured."""
     return outcomes.refuse(
