--- /dev/null
+++ b/src/cardamomfork/_internal/telemetry/exporting.py
@@ -0,0 +1,163 @@
+"""Exports the metrics: a Prometheus scrape, and OTLP from the loop.
+
+The SDK is imported when an export is opened and the OTLP encoder when a first
+push is due, so that a process without them does not hold their memory. Pushes
+run on the loop; the SDK's own periodic reader would start a thread.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import httpcore
+from loguru import logger
+
+if TYPE_CHECKING:
+    from opentelemetry import metrics as api
+
+    from cardamomfork._internal.models import settings
+
+SCRAPE_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+OTLP_CONTENT_TYPE = b"application/x-protobuf"
+PUSH_TIMEOUT_S = 10.0
+METRICS_PATH = "/v1/metrics"
+_ATTRIBUTE_INSTANCE = "service.instance.id"
+
+
+@attrs.frozen
+class Scrape:
+    """Answer to a scrape."""
+
+    content_type: str
+    body: bytes
+
+
+class MetricsExport:
+    """A meter and the ways out for what it counts."""
+
+    def __init__(
+        self, telemetry: settings.TelemetrySettings, instance_id: str
+    ) -> None:
+        """Imports the SDK and makes the meter.
+
+        Args:
+            telemetry: Endpoint and interval of OTLP.
+            instance_id: Named as a resource attribute.
+        """
+        from opentelemetry.exporter import prometheus
+        from opentelemetry.sdk import metrics as sdk
+        from opentelemetry.sdk import resources
+        import prometheus_client
+
+        self._telemetry = telemetry
+        self._client: Any = prometheus_client
+        self._registry = prometheus_client.CollectorRegistry()
+        resource = resources.Resource(
+            {"service.name": "cardamomfork", _ATTRIBUTE_INSTANCE: instance_id}
+        )
+        readers = [
+            prometheus.PrometheusMetricReader(
+                scope_info_enabled=False, registry=self._registry
+            )
+        ]
+        # Every reader repeats the cost of every record.
+        self._reader = _make_reader() if telemetry.otlp_endpoint else None
+        if self._reader is not None:
+            readers.append(self._reader)
+        self._provider = sdk.MeterProvider(
+            readers, resource, shutdown_on_exit=False
+        )
+        self.pushed = 0
+        self.push_faults = 0
+
+    @property
+    def meter(self) -> api.Meter:
+        """The meter for `metrics.Metrics`."""
+        return self._provider.get_meter("cardamomfork")
+
+    def scrape(self) -> Scrape:
+        """Returns all metrics in the Prometheus text format."""
+        body = self._client.generate_latest(self._registry)
+        return Scrape(SCRAPE_CONTENT_TYPE, body)
+
+    async def run(self) -> None:
+        """Pushes by OTLP at each interval until cancelled, if asked to."""
+        if self._reader is None:
+            return
+        async with httpcore.AsyncConnectionPool() as pool:
+            while True:
+                await anyio.sleep(self._telemetry.export_interval_s)
+                await self.push(pool)
+
+    async def push(self, pool: httpcore.AsyncConnectionPool) -> bool:
+        """Pushes once; False if the collector did not take it."""
+        url = self._telemetry.otlp_endpoint.rstrip("/") + METRICS_PATH
+        try:
+            answer = await pool.request(
+                "POST",
+                url,
+                headers={b"Content-Type": OTLP_CONTENT_TYPE},
+                content=self.encode(),
+                extensions={"timeout": _timeouts()},
+            )
+        except (httpcore.NetworkError, httpcore.TimeoutException,
+                httpcore.ProtocolError) as error:  # fmt: skip
+            return self._count_fault(type(error).__name__)
+        if answer.status // 100 != 2:
+            return self._count_fault(f"status {answer.status}")
+        self.pushed += 1
+        return True
+
+    def encode(self) -> bytes:
+        """Returns all metrics as an OTLP message; empty without OTLP."""
+        from opentelemetry.exporter.otlp.proto.common import metrics_encoder
+
+        if self._reader is None:
+            return b""
+        self._reader.collect()
+        data = self._reader.take()
+        if data is None:
+            return b""
+        return metrics_encoder.encode_metrics(data).SerializeToString()
+
+    def _count_fault(self, why: str) -> bool:
+        """Counts and logs a push that failed."""
+        self.push_faults += 1
+        logger.bind(reason=why).warning("metrics were not taken by OTLP")
+        return False
+
+
+def _timeouts() -> dict[str, float]:
+    """Returns the time limits of one push."""
+    return dict.fromkeys(("connect", "read", "write", "pool"), PUSH_TIMEOUT_S)
+
+
+def _make_reader() -> Any:
+    """Makes a reader that keeps what it collected until it is taken."""
+    from opentelemetry.sdk.metrics import export
+
+    class LoopReader(export.MetricReader):
+        """Collects when the loop asks for it."""
+
+        _collected: export.MetricsData | None = None
+
+        def take(self) -> export.MetricsData | None:
+            """Returns what was collected last, once."""
+            collected, self._collected = self._collected, None
+            return collected
+
+        def _receive_metrics(
+            self,
+            metrics_data: export.MetricsData,
+            timeout_millis: float = 0,  # noqa: ARG002
+            **_: Any,
+        ) -> None:
+            self._collected = metrics_data
+
+        def shutdown(self, timeout_millis: float = 0, **_: Any) -> None:
+            """Keeps nothing open."""
+
+    return LoopReader()
--- /dev/null
+++ b/src/cardamomfork/_internal/telemetry/watchdog.py
@@ -0,0 +1,174 @@
+"""Watches the process itself: loop lag, memory and tables near their bound."""
+
+from __future__ import annotations
+
+import collections
+import math
+import os
+import pathlib
+import statistics
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+from loguru import logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+
+TICK_S = 0.1
+TICKS_A_MEMORY_SAMPLE = 600
+LAG_SAMPLES = 600
+MEMORY_SAMPLES = 60
+MIN_MEMORY_SAMPLES = 10
+WARN_LAG_S = 0.25
+WARN_SLOPE_BYTES_PER_H = 16e6
+WARN_FILL = 0.9
+WARN_PAUSE_S = 60.0
+_HOUR_S = 3600.0
+_STATM = pathlib.Path("/proc/self/statm")
+
+
+class LagWindow:
+    """The loop lags of the last minute."""
+
+    def __init__(self, samples: int = LAG_SAMPLES) -> None:
+        """Starts empty."""
+        self._lags: collections.deque[float] = collections.deque(maxlen=samples)
+
+    def __len__(self) -> int:
+        """Returns how many lags are held."""
+        return len(self._lags)
+
+    def add(self, lag_s: float) -> None:
+        """Adds a lag; the oldest makes room."""
+        self._lags.append(max(lag_s, 0.0))
+
+    def quantile(self, share: float) -> float:
+        """Returns the lag, in seconds, that a share of them do not exceed."""
+        if not self._lags:
+            return 0.0
+        ordered = sorted(self._lags)
+        place = math.ceil(share * len(ordered)) - 1
+        return ordered[min(max(place, 0), len(ordered) - 1)]
+
+
+class MemoryTrend:
+    """Resident memory of the last hour, and its slope."""
+
+    def __init__(self, samples: int = MEMORY_SAMPLES) -> None:
+        """Starts empty."""
+        self._samples: collections.deque[tuple[float, float]] = (
+            collections.deque(maxlen=samples)
+        )
+
+    @property
+    def last_bytes(self) -> float:
+        """The newest sample, in bytes."""
+        return self._samples[-1][1] if self._samples else 0.0
+
+    @property
+    def bytes_per_h(self) -> float | None:
+        """The slope in bytes an hour; None for too few samples."""
+        if len(self._samples) < MIN_MEMORY_SAMPLES:
+            return None
+        times, sizes = zip(*self._samples, strict=True)
+        return statistics.linear_regression(times, sizes).slope * _HOUR_S
+
+    def add(self, now: float, size_bytes: float) -> None:
+        """Adds a sample; the oldest makes room."""
+        self._samples.append((now, size_bytes))
+
+
+@attrs.define
+class Alarms:
+    """Decides which warnings are due; each kind at most once a minute."""
+
+    _last: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    def due(
+        self,
+        now: float,
+        lag_s: float,
+        bytes_per_h: float | None,
+        sizes: dict[str, tuple[int, int]],
+    ) -> tuple[str, ...]:
+        """Returns the warnings to log now.
+
+        Args:
+            now: Monotonic time in seconds.
+            lag_s: The newest loop lag.
+            bytes_per_h: Slope of the memory, or None.
+            sizes: Size and bound of each table.
+        """
+        found = {}
+        if lag_s > WARN_LAG_S:
+            found["lag"] = f"loop was late by {lag_s * 1000:.0f} ms"
+        if bytes_per_h is not None and bytes_per_h > WARN_SLOPE_BYTES_PER_H:
+            found["memory"] = f"memory grows {bytes_per_h / 1e6:.0f} MB an hour"
+        full = [
+            f"{name} {size}/{bound}"
+            for name, (size, bound) in sorted(sizes.items())
+            if bound and size >= WARN_FILL * bound
+        ]
+        if full:
+            found["tables"] = "tables near their bound: " + ", ".join(full)
+        return tuple(
+            text for kind, text in found.items() if self._pass(kind, now)
+        )
+
+    def _pass(self, kind: str, now: float) -> bool:
+        """Lets a kind through if it was not logged within the minute."""
+        if now - self._last.get(kind, -math.inf) < WARN_PAUSE_S:
+            return False
+        self._last[kind] = now
+        return True
+
+
+@attrs.define
+class Watchdog:
+    """Measures the loop's lag and the memory, and warns.
+
+    Attributes:
+        clock: Its monotonic time measures the lag.
+        sizes: Returns size and bound of each table.
+        on_lag: Told each lag in seconds, for the metrics.
+    """
+
+    clock: clock_contract.Clock
+    sizes: Callable[[], dict[str, tuple[int, int]]] = dict
+    on_lag: Callable[[float], None] = lambda _: None
+    lags: LagWindow = attrs.field(factory=LagWindow, init=False)
+    memory: MemoryTrend = attrs.field(factory=MemoryTrend, init=False)
+    _alarms: Alarms = attrs.field(factory=Alarms, init=False)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        tick = 0
+        while True:
+            before = self.clock.monotonic()
+            await anyio.sleep(TICK_S)
+            now = self.clock.monotonic()
+            self._take(now, now - before - TICK_S, tick)
+            tick += 1
+
+    def _take(self, now: float, lag_s: float, tick: int) -> None:
+        """Takes one tick's lag, and now and then the memory."""
+        self.lags.add(lag_s)
+        self.on_lag(max(lag_s, 0.0))
+        sampled = tick % TICKS_A_MEMORY_SAMPLE == 0
+        if sampled:
+            self.memory.add(now, float(resident_bytes()))
+        if not sampled and lag_s <= WARN_LAG_S:
+            return
+        slope = self.memory.bytes_per_h
+        for text in self._alarms.due(now, lag_s, slope, self.sizes()):
+            logger.warning(text)
+
+
+def resident_bytes() -> int:
+    """Returns the resident memory of this process, in bytes."""
+    pages = int(_STATM.read_text(encoding="ascii").split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
