--- /dev/null
+++ b/src/cardamomfork/_internal/links/operators/client.py
@@ -0,0 +1,183 @@
+"""The operators' RPC client, as the command-line tool uses it."""
+
+from __future__ import annotations
+
+import contextlib
+import ssl
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import capnp
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.links.operators import collaborators
+from cardamomfork._internal.links.operators import messages
+from cardamomfork._internal.links.operators import schema
+from cardamomfork._internal.telemetry import dump
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Sequence
+
+    from cardamomfork._internal.models import configuration
+
+CONNECT_S = 5.0
+CALL_S = 30.0
+APPLY_S = 120.0
+
+
+class UnreachableError(exceptions.CardamomforkError):
+    """The instance gave no answer."""
+
+
+class KeyRefusedError(exceptions.CardamomforkError):
+    """The instance refused the operator's key."""
+
+
+@attrs.frozen
+class Listing:
+    """Objects in force, and the version up to which they are complete."""
+
+    objects: tuple[configuration.Versioned, ...]
+    version: int
+
+
+class OperatorClient:
+    """A session with one instance; open it with `connect`."""
+
+    def __init__(self, session: Any) -> None:
+        """Takes the session's capability."""
+        self._session = session
+
+    async def apply(
+        self,
+        changes: Sequence[collaborators.Change],
+        *,
+        check_only: bool = False,
+    ) -> collaborators.Applied:
+        """Sends a change set; checks it only if asked to.
+
+        Raises:
+            UnreachableError: No answer came; the changes may be written.
+        """
+        request = self._session.apply_request()
+        builders = request.init("changes", len(changes))
+        for builder, change in zip(builders, changes, strict=True):
+            messages.write_change(builder, change)
+        request.checkOnly = check_only
+        answer = await _call(
+            request.send(),
+            APPLY_S,
+            "The changes may have been written; compare with `cardamomfork"
+            " diff`.",
+        )
+        return messages.read_applied(answer.answer)
+
+    async def get(
+        self, kind: configuration.ObjectKind, name: str
+    ) -> configuration.Versioned | None:
+        """Reads one object, or its deletion; None if there is none."""
+        request = self._session.get_request()
+        request.kind = kind.value
+        request.name = name
+        answer = await _call(request.send())
+        found = [messages.read_object(each) for each in answer.found]
+        return found[0] if found else None
+
+    async def list_objects(
+        self, kinds: Sequence[configuration.ObjectKind] = ()
+    ) -> Listing:
+        """Reads all objects of some kinds, or of all."""
+        names = [kind.value for kind in kinds]
+        answer = await _call(self._session.list(kinds=names))
+        objects = tuple(messages.read_object(each) for each in answer.objects)
+        return Listing(objects, answer.version)
+
+    async def status(
+        self, wait_version: int = 0, timeout_s: float = 0.0
+    ) -> collaborators.StatusReport:
+        """Reads what all instances have applied, perhaps after a wait."""
+        answer = await _call(
+            self._session.status(waitVersion=wait_version, timeoutS=timeout_s),
+            CALL_S + timeout_s,
+        )
+        return messages.read_report(answer.report)
+
+    async def dump(
+        self, tables: Sequence[str] = (), max_rows: int = dump.DEFAULT_ROWS
+    ) -> dump.Dump:
+        """Reads the state dump."""
+        answer = await _call(
+            self._session.dump(tables=list(tables), maxRows=max_rows)
+        )
+        return dump.from_json(bytes(answer.json))
+
+
+@contextlib.asynccontextmanager
+async def connect(
+    host: str, port: int, key: str, tls: ssl.SSLContext | None = None
+) -> AsyncIterator[OperatorClient]:
+    """Opens a session; needs a running `capnp.kj_loop()`.
+
+    Args:
+        host: IP number of the instance.
+        port: Its operators' port.
+        key: The operator's key.
+        tls: Context, or None for plain TCP.
+
+    Raises:
+        UnreachableError: No connection came about, or it broke.
+        KeyRefusedError: The key was refused.
+    """
+    stream = await _open(host, port, tls)
+    try:
+        two_party = capnp.TwoPartyClient(stream)
+        entrance = two_party.bootstrap().cast_as(schema.SCHEMA.Entrance)
+        answer = (await _call(entrance.login(key=key))).answer
+        if answer.which() == "refused":
+            raise KeyRefusedError(
+                f"{host}:{port} refused the operator's key: {answer.refused}"
+            )
+        yield OperatorClient(answer.session)
+    finally:
+        stream.close()
+
+
+async def _open(host: str, port: int, tls: ssl.SSLContext | None) -> Any:
+    """Opens the connection."""
+    try:
+        with anyio.fail_after(CONNECT_S):
+            return await capnp.AsyncIoStream.create_connection(
+                host, port, ssl=tls
+            )
+    except (OSError, TimeoutError) as error:
+        detail = "certificate refused" if _is_tls(error) else "no connection"
+        raise UnreachableError(
+            f"{host}:{port} can't be reached ({detail}).",
+            "Check the address, TLS files, and that the daemon runs.",
+        ) from error
+
+
+def _is_tls(error: Exception) -> bool:
+    """Tells whether a connection failed in its TLS handshake."""
+    return isinstance(error, ssl.SSLError)
+
+
+async def _call(
+    sent: Awaitable[Any], limit_s: float = CALL_S, advice: str = ""
+) -> Any:
+    """Waits for an answer within a time limit."""
+    try:
+        with anyio.fail_after(limit_s):
+            return await sent
+    except TimeoutError as error:
+        raise UnreachableError("the instance did not answer.", advice) from (
+            error
+        )
+    except capnp.KjException as error:
+        raise UnreachableError(
+            f"the instance's answer was lost: {error.description}.", advice
+        ) from error
--- /dev/null
+++ b/tests/functional/test_operators.py
@@ -0,0 +1,191 @@
+"""The operators' RPC over real sockets."""
+
+import contextlib
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+import capnp
+import trustme
+
+from cardamomfork._internal.accounts import key_hashes
+from cardamomfork._internal.contracts import clock
+from cardamomfork._internal.links import tls
+from cardamomfork._internal.links.operators import client
+from cardamomfork._internal.links.operators import collaborators
+from cardamomfork._internal.links.operators import server
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import settings
+from tests.lib import operator_parts
+
+SERVICE = configuration.ObjectKind.SERVICE
+DRAIN = configuration.ObjectKind.DRAIN
+BODY = b'{"name": "depot-desk", "kind": "plain"}'
+
+
+def change(body=BODY, based_on=0, kind=SERVICE, name="depot-desk"):
+    return collaborators.Change(kind, name, based_on, body)
+
+
+class RpcTest(unittest.TestCase):
+    def run_against(self, scenario, operators=None, key=None, context=None):
+        anyio.run(self.serve, scenario, operators, key, context)
+
+    async def serve(self, scenario, operators, key, context):
+        parts = operator_parts.make_parts()
+        operators = operators or settings.OperatorSettings(port=0)
+        serving = server.OperatorServer(
+            operators, parts.collaborators, clock.LoopClock()
+        )
+        key = key or operator_parts.KEY.text
+        async with capnp.kj_loop(), anyio.create_task_group() as group:
+            port = await group.start(serving.run)
+            try:
+                async with client.connect(
+                    "127.0.0.1", port, key, context
+                ) as session:
+                    await scenario(parts, session)
+            finally:
+                group.cancel_scope.cancel()
+
+    def test_apply_get_list_and_delete(self):
+        async def scenario(_, session):
+            applied = await session.apply([change()])
+            self.assertTrue(applied.done)
+            version = applied.accepted[0].version
+            got = await session.get(SERVICE, "depot-desk")
+            self.assertEqual(got, applied.accepted[0])
+            self.assertEqual(got.value.kind, configuration.ServiceKind.PLAIN)
+            self.assertIsNone(await session.get(SERVICE, "other"))
+            drained = change(b'{"name": "e1"}', 0, DRAIN, "e1")
+            self.assertTrue((await session.apply([drained])).done)
+            listing = await session.list_objects([DRAIN])
+            self.assertEqual([o.name for o in listing.objects], ["e1"])
+            self.assertEqual(len((await session.list_objects()).objects), 2)
+            gone = await session.apply([change(None, version)])
+            self.assertIsNone(gone.accepted[0].value)
+            self.assertIsNone((await session.get(SERVICE, "depot-desk")).value)
+
+        self.run_against(scenario)
+
+    def test_conflict_shows_both_sides(self):
+        async def scenario(_, session):
+            first = await session.apply([change()])
+            late = change(b'{"name": "depot-desk", "kind": "model"}')
+            other = change(b'{"name": "a", "kind": "plain"}', name="a")
+            refused = await session.apply([other, late])
+            self.assertFalse(refused.done)
+            self.assertEqual([o.name for o in refused.accepted], ["a"])
+            (conflict,) = refused.conflicts
+            self.assertEqual(conflict.mine, late)
+            self.assertEqual(conflict.theirs, first.accepted[0])
+
+        self.run_against(scenario)
+
+    def test_findings_and_check_only(self):
+        async def scenario(_, session):
+            bad = change(b'{"name": "depot-desk", "kind": "cube"}')
+            worse = change(b'{"name": "x"}', name="y")
+            refused = await session.apply([change(), bad, worse])
+            self.assertEqual(len(refused.found), 2)
+            self.assertIn("service/depot-desk", str(refused.found[0]))
+            checked = await session.apply([change()], check_only=True)
+            self.assertTrue(checked.done)
+            self.assertEqual((await session.list_objects()).objects, ())
+
+        self.run_against(scenario)
+
+    def test_store_away_and_answer_lost(self):
+        async def scenario(parts, session):
+            parts.session.faults.down = True
+            refused = await session.apply([change()])
+            self.assertFalse(refused.unavailable.indeterminate)
+            parts.session.faults.down = False
+            parts.session.faults.lose_answers = 1
+            refused = await session.apply([change()])
+            self.assertTrue(refused.unavailable.indeterminate)
+
+        self.run_against(scenario)
+
+    def test_status_waits_for_every_instance(self):
+        async def scenario(parts, session):
+            applied = await session.apply([change()])
+            version = applied.accepted[0].version
+            parts.statuses.others["two"] = 0
+            report = await session.status(version, 0.2)
+            self.assertFalse(report.reached)
+            self.assertEqual([s.version for s in report.instances], [1, 0])
+
+            async def catch_up():
+                await anyio.sleep(0.2)
+                parts.statuses.others["two"] = version
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(catch_up)
+                report = await session.status(version, 30)
+            self.assertTrue(report.reached)
+
+        self.run_against(scenario)
+
+    def test_dump(self):
+        async def scenario(_, session):
+            taken = await session.dump(["configuration"], 5)
+            self.assertEqual(taken.tables[0].name, "configuration")
+            self.assertEqual(taken.tables[0].bound, 50_000)
+
+        self.run_against(scenario)
+
+    def test_wrong_key_and_key_that_ends(self):
+        async def scenario(parts, session):
+            parts.verifier.apply_keys("operator", ())
+            with self.assertRaises(client.UnreachableError) as caught:
+                await session.list_objects()
+            self.assertIn("no longer valid", str(caught.exception))
+
+        self.run_against(scenario)
+        wrong = key_hashes.generate().text
+        with self.assertRaises(BaseException) as caught:
+            self.run_against(scenario, key=wrong)
+        inner = caught.exception.exceptions[0]
+        self.assertIsInstance(inner, client.KeyRefusedError)
+        self.assertNotIn(wrong, str(inner))
+
+    def test_tls_and_renewed_certificate(self):
+        with contextlib.ExitStack() as stack:
+            folder = pathlib.Path(
+                stack.enter_context(tempfile.TemporaryDirectory())
+            )
+            authority = trustme.CA()
+            files = settings.TlsSettings(
+                *(str(folder / name) for name in ("c.pem", "k.pem"))
+            )
+            root = folder / "ca.pem"
+            authority.cert_pem.write_to_path(root)
+            issue(authority, files)
+            context = tls.make_client_context(str(root))
+            operators = settings.OperatorSettings(port=0, tls=files)
+
+            async def scenario(_, session):
+                self.assertEqual((await session.status()).version, 0)
+
+            self.run_against(scenario, operators, context=context)
+            with self.assertRaises(BaseException) as caught:
+                self.run_against(scenario, operators)
+            self.assertIn("Unreachable", repr(caught.exception.exceptions))
+            side = tls.ServerTls(files)
+            self.assertFalse(side.reload())
+            pathlib.Path(files.key).write_text("half written")
+            self.assertFalse(side.reload())
+            issue(authority, files)
+            self.assertTrue(side.reload())
+
+
+def issue(authority, files):
+    issued = authority.issue_cert("127.0.0.1")
+    issued.cert_chain_pems[0].write_to_path(files.certificate)
+    issued.private_key_pem.write_to_path(files.key)
+
+
+if __name__ == "__main__":
+    unittest.main()
