Operate a fleet from the command line

Cause: Operators' calls could only be made from Python. Change: cardamomfork apply, get, list, diff, drain, undrain, order, status, accounts, keys and dump on the operators' RPC; change sets are JSON and are checked whole with JSON paths; conflicts show both sides.

--- /dev/null
+++ b/src/cardamomfork/_internal/cli/commands/apply.py
@@ -0,0 +1,60 @@
+"""`cardamomfork apply`: sends a change set."""
+
+from __future__ import annotations
+
+import pathlib
+
+from cardamomfork._internal.cli import answers
+from cardamomfork._internal.cli import change_sets
+from cardamomfork._internal.cli import connection as connection_module
+from cardamomfork._internal.cli import exit_codes
+from cardamomfork._internal.cli import output as output_module
+from cardamomfork._internal.links.operators import client
+from cardamomfork._internal.links.operators import collaborators
+
+NO_CONNECTION = connection_module.Connection()
+
+
+def run(
+    file: pathlib.Path,
+    /,
+    *,
+    check: bool = False,
+    connection: connection_module.Connection = NO_CONNECTION,
+) -> exit_codes.ExitCode:
+    """Send a change set; it is checked whole before anything is written.
+
+    Parameters
+    ----------
+    file
+        JSON: a list of changes with kind, name, based_on and value.
+    check
+        Check it only; write nothing.
+    connection
+        How to reach an instance.
+    """
+    read = read_file(file)
+    parsed = change_sets.parse(read, str(file))
+    if parsed.is_err():
+        output_module.print_findings(parsed.unwrap_err(), connection.output)
+        return exit_codes.ExitCode.FINDINGS
+
+    async def work(session: client.OperatorClient) -> collaborators.Applied:
+        return await session.apply(parsed.unwrap(), check_only=check)
+
+    applied = connection_module.run_session(connection, work)
+    return answers.print_applied(applied, connection.output, checked_only=check)
+
+
+def read_file(file: pathlib.Path) -> bytes:
+    """Reads a change set's file.
+
+    Raises:
+        UsageError: It can't be read.
+    """
+    try:
+        return file.read_bytes()
+    except OSError as error:
+        raise connection_module.UsageError(
+            f"file {str(file)!r} can't be read ({error.strerror})."
+        ) from error
--- /dev/null
+++ b/src/cardamomfork/_internal/cli/commands/dump.py
@@ -0,0 +1,43 @@
+"""`cardamomfork dump`: shows an instance's tables."""
+
+from __future__ import annotations
+
+from cardamomfork._internal.cli import connection as connection_module
+from cardamomfork._internal.cli import exit_codes
+from cardamomfork._internal.cli import output as output_module
+from cardamomfork._internal.links.operators import client
+from cardamomfork._internal.telemetry import dump
+
+NO_CONNECTION = connection_module.Connection()
+
+
+def run(
+    *tables: str,
+    rows: int = dump.DEFAULT_ROWS,
+    connection: connection_module.Connection = NO_CONNECTION,
+) -> exit_codes.ExitCode:
+    """Show an instance's tables, each with its size and bound.
+
+    Parameters
+    ----------
+    tables
+        Names of tables; all if none is named.
+    rows
+        Most rows of each table.
+    connection
+        How to reach an instance.
+    """
+
+    async def work(session: client.OperatorClient) -> dump.Dump:
+        return await session.dump(tables, rows)
+
+    taken = connection_module.run_session(connection, work)
+    if connection.output is output_module.Output.JSON:
+        print(taken.to_json().decode())
+    else:
+        print(taken.to_text(), end="")
+    missing = sorted(set(tables) - {table.name for table in taken.tables})
+    if missing:
+        output_module.print_error(f"no table {', '.join(missing)}")
+        return exit_codes.ExitCode.NOT_FOUND
+    return exit_codes.ExitCode.OK
--- /dev/null
+++ b/src/cardamomfork/_internal/cli/commands/get.py
@@ -0,0 +1,53 @@
+"""`cardamomfork get`: shows one object."""
+
+from __future__ import annotations
+
+from cardamomfork._internal.cli import change_sets
+from cardamomfork._internal.cli import connection as connection_module
+from cardamomfork._internal.cli import exit_codes
+from cardamomfork._internal.cli import output as output_module
+from cardamomfork._internal.links.operators import client
+from cardamomfork._internal.models import configuration
+
+NO_CONNECTION = connection_module.Connection()
+
+
+def run(
+    kind: configuration.ObjectKind,
+    name: str,
+    /,
+    *,
+    connection: connection_module.Connection = NO_CONNECTION,
+) -> exit_codes.ExitCode:
+    """Show one object, with JSON in the form that `apply` takes.
+
+    Parameters
+    ----------
+    kind
+        Kind of the object.
+    name
+        Its name.
+    connection
+        How to reach an instance.
+    """
+
+    async def work(
+        session: client.OperatorClient,
+    ) -> configuration.Versioned | None:
+        return await session.get(kind, name)
+
+    held = connection_module.run_session(connection, work)
+    if held is None or held.value is None:
+        output_module.print_error(f"there is no {kind.value} {name!r}")
+        return exit_codes.ExitCode.NOT_FOUND
+    (change,) = change_sets.to_changes([held])
+    if connection.output is output_module.Output.JSON:
+        output_module.print_json(change)
+        return exit_codes.ExitCode.OK
+    rows = (
+        ("version", held.version),
+        *((key, value) for key, value in change["value"].items()),
+    )
+    table = output_module.Table(("field", "value"), tuple(rows))
+    output_module.print_table(table, connection.output)
+    return exit_codes.ExitCode.OK
--- /dev/null
+++ b/src/cardamomfork/_internal/cli/commands/undrain.py
@@ -0,0 +1,28 @@
+"""`cardamomfork undrain`: a target or instance takes new work again."""
+
+from __future__ import annotations
+
+from cardamomfork._internal.cli import connection as connection_module
+from cardamomfork._internal.cli import edits
+from cardamomfork._internal.cli import exit_codes
+from cardamomfork._internal.models import configuration
+
+NO_CONNECTION = connection_module.Connection()
+
+
+def run(
+    name: str,
+    /,
+    *,
+    connection: connection_module.Connection = NO_CONNECTION,
+) -> exit_codes.ExitCode:
+    """Let a drained target or instance take new work again.
+
+    Parameters
+    ----------
+    name
+        Target id or instance id.
+    connection
+        How to reach an instance.
+    """
+    return edits.delete(connection, configuration.ObjectKind.DRAIN, name)
--- a/src/cardamomfork/_internal/cli/main.py
+++ b/src/cardamomfork/_internal/cli/main.py
@@ -15,11 +15,26 @@
 from cardamomfork._internal.cli import output
 
 COMMANDS = {
-    "measure": "Run a measurement, or list them all.",
+    "apply": "Send a change set; it is checked whole first.",
+    "get": "Show one object.",
+    "list": "List objects in force.",
+    "diff": "Show what a change set would change.",
+    "drain": "Let a target or instance take no new work.",
+    "undrain": "Let it take new work again.",
+    "status": "Show what each instance has applied; can wait for a version.",
+    "accounts": "List client accounts and their limits.",
+    "dump": "Show an instance's tables.",
     "check-config": "Check a daemon's settings file.",
+    "measure": "Run a measurement, or list them all.",
     "completion": "Print a script that completes commands in a shell.",
 }
-"""Commands and what they do; each is a module of `commands`."""
+"""Commands and what they do; each is a module with a `run`."""
+
+GROUPS = {
+    "order": "Say what an engine should run.",
+    "keys": "Make, rotate and end keys.",
+}
+"""Groups of commands; each is a module with an `app`."""
 
 _COMMANDS_PACKAGE = "cardamomfork._internal.cli.commands"
 
@@ -37,6 +52,9 @@
         module = name.replace("-", "_")
         path = f"{_COMMANDS_PACKAGE}.{module}:run"
         app.command(path, name=name, help=summary)
+    for name, summary in GROUPS.items():
+        path = f"{_COMMANDS_PACKAGE}.{name}:app"
+        app.command(path, name=name, help=summary)
     return app
 
 
@@ -48,10 +66,21 @@
         return exit_codes.ExitCode.USAGE
     except exceptions.CardamomforkError as error:
         output.print_error(str(error))
-        return exit_codes.ExitCode.INTERNAL
+        return _code_of(error)
     return int(code or 0)
 
 
+def _code_of(error: exceptions.CardamomforkError) -> exit_codes.ExitCode:
+    """Returns the exit code of an error that ended a command."""
+    # Looked up by name, so that offline commands do not load the RPC.
+    codes = {
+        "UsageError": exit_codes.ExitCode.USAGE,
+        "UnreachableError": exit_codes.ExitCode.UNAVAILABLE,
+        "KeyRefusedError": exit_codes.ExitCode.UNAUTHENTICATED,
+    }
+    return codes.get(type(error).__name__, exit_codes.ExitCode.INTERNAL)
+
+
 def main() -> None:
     """Runs the command that the process was started with."""
     sys.exit(run(sys.argv[1:]))
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -25,7 +25,7 @@
     def test_help_names_every_command(self):
         code, out, _ = run("--help")
         self.assertEqual(code, CODE.OK)
-        for name in main.COMMANDS:
+        for name in {**main.COMMANDS, **main.GROUPS}:
             self.assertIn(name, out)
             self.assertEqual(run(name, "--help")[0], CODE.OK, name)
 
