Take the lease of a data centre's orders

Cause: The runner of orders needs a lease with a fencing number. Change: targets.orders_lease holds instances.leases for the data centre's orders, tells it as a Holding and gives it back when cancelled.

--- /dev/null
+++ b/src/cardamomfork/_internal/targets/orders_lease.py
@@ -0,0 +1,96 @@
+"""The lease under which one instance of a data centre gives orders."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import result
+
+from cardamomfork._internal.instances import leases
+from cardamomfork._internal.targets import orders_models as models
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.contracts import store as store_contract
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.models import instances
+
+TTL_S = 10.0
+RETRY_S = 5.0
+RELEASE_S = 2.0
+
+
+def key_of(prefix: str, data_centre: identifiers.DataCentreId) -> str:
+    """Returns the key in the store that names the role."""
+    return f"{prefix}leases/orders/{data_centre}"
+
+
+class OrderLease:
+    """Tries to take the lease, keeps it while it can, and gives it back."""
+
+    def __init__(
+        self,
+        store: store_contract.Store,
+        clock: clock_contract.Clock,
+        rng: random.Random,
+        instance: instances.Instance,
+        prefix: str = "/cardamomfork/",
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Starts without the lease.
+
+        Args:
+            store: The platform's store.
+            clock: Its monotonic time bounds the lease.
+            rng: Spreads the tries of the instances.
+            instance: This one; its data centre names the role.
+            prefix: Put before every key of the store.
+            on_change: Called when the lease is taken or lost.
+        """
+        self._clock = clock
+        self._rng = rng
+        self._on_change = on_change
+        self._acquired_at = 0.0
+        self._holder = leases.LeaseHolder(
+            store,
+            clock,
+            key_of(prefix, instance.data_centre),
+            f"{instance.instance_id}/{instance.boot_id}".encode(),
+            TTL_S,
+        )
+
+    @property
+    def holding(self) -> models.Holding | None:
+        """The lease, or None while another instance may hold it."""
+        fencing = self._holder.fencing
+        if not fencing:
+            return None
+        now = self._clock.monotonic()
+        return models.Holding(
+            fencing, self._acquired_at, TTL_S, now + self._holder.time_left_s
+        )
+
+    async def run(self) -> None:
+        """Holds the lease whenever it can; gives it back when cancelled."""
+        try:
+            while True:
+                await self._hold_once()
+                await anyio.sleep(RETRY_S * self._rng.uniform(0.8, 1.2))
+        finally:
+            # Another instance can then take over without waiting it out.
+            with anyio.move_on_after(RELEASE_S, shield=True):
+                await self._holder.release()
+
+    async def _hold_once(self) -> None:
+        """Tries to take the lease and keeps it until it is lost."""
+        taken = await self._holder.acquire()
+        if isinstance(taken, result.Err):
+            return
+        self._acquired_at = self._clock.monotonic()
+        self._on_change()
+        await self._holder.keep()
+        self._on_change()
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
-import trio
+import trio.testing
 
 from cardamomfork._internal.contracts import clock
 from cardamomfork._internal.models import configuration
--- /dev/null
+++ b/tests/unit/test_orders_lease.py
@@ -0,0 +1,76 @@
+"""The lease of the orders: one holder, numbers that grow, a quick handover."""
+
+import random
+import unittest
+
+import anyio
+import trio.testing
+
+from cardamomfork._internal.contracts import clock
+from cardamomfork._internal.models import instances
+from cardamomfork._internal.standins import store as store_standin
+from cardamomfork._internal.targets import orders_lease
+
+
+class OrderLeaseTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clock.LoopClock()
+
+    def make(self, store, name):
+        instance = instances.Instance(name, "boot", "dc", "127.0.0.1", 1)
+        session = store_standin.StoreSession(store)
+        lease = orders_lease.OrderLease(
+            session, self.clock, random.Random(1), instance
+        )
+        return session, lease
+
+    def run_scenario(self, scenario):
+        options = {"clock": trio.testing.MockClock(autojump_threshold=0)}
+        anyio.run(scenario, backend="trio", backend_options=options)
+
+    def test_one_holder_at_a_time_and_numbers_grow(self):
+        async def scenario():
+            store = store_standin.MemoryStore(self.clock)
+            session, first = self.make(store, "one")
+            _, second = self.make(store, "two")
+            async with anyio.create_task_group() as group:
+                group.start_soon(first.run)
+                await anyio.sleep(1)
+                group.start_soon(second.run)
+                await anyio.sleep(30)
+                before = first.holding
+                self.assertIsNone(second.holding)
+                self.assertGreater(before.valid_until, anyio.current_time())
+                session.faults.down = True
+                for _ in range(300):
+                    await anyio.sleep(0.1)
+                    both = first.holding and second.holding
+                    self.assertFalse(both)
+                after = second.holding
+                self.assertGreater(after.fencing, before.fencing)
+                self.assertGreater(after.acquired_at, before.valid_until)
+                group.cancel_scope.cancel()
+
+        self.run_scenario(scenario)
+
+    def test_given_back_when_cancelled(self):
+        async def scenario():
+            store = store_standin.MemoryStore(self.clock)
+            _, first = self.make(store, "one")
+            async with anyio.create_task_group() as group:
+                group.start_soon(first.run)
+                await anyio.sleep(1)
+                self.assertIsNotNone(first.holding)
+                group.cancel_scope.cancel()
+            _, second = self.make(store, "two")
+            async with anyio.create_task_group() as group:
+                group.start_soon(second.run)
+                await anyio.sleep(0.1)
+                self.assertIsNotNone(second.holding)
+                group.cancel_scope.cancel()
+
+        self.run_scenario(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
