List findings, conflicts and faults of a change set side by side

Cause: An answer could hold either conflicts or faults; the editor may find both before it writes. Change: ApplyAnswer has lists for each, a flag for conflicts after a lost answer, and the number of changes not tried. Conclusion: The answer now fits what an editor can find.

--- a/src/cardamomfork/_internal/cli/answers.py
+++ b/src/cardamomfork/_internal/cli/answers.py
@@ -35,7 +35,7 @@
         return Code.FINDINGS
     if applied.conflicts:
         return Code.CONFLICT
-    if applied.unavailable is not None:
+    if applied.unavailable:
         return Code.UNAVAILABLE
     return Code.OK
 
@@ -57,14 +57,17 @@
             output_module.Table(columns, rows), output_module.Output.TABLE
         )
         version = max(each.version for each in applied.accepted)
-        print(f"in force everywhere: cardamomfork status --wait {version}")
+        if version:
+            print(f"in force everywhere: cardamomfork status --wait {version}")
     elif applied.done and checked_only:
         print("no findings; nothing was written")
     output_module.print_findings(applied.found, output_module.Output.TABLE)
     for conflict in applied.conflicts:
         _print_conflict(conflict)
-    if applied.unavailable is not None:
-        _print_unavailable(applied.unavailable)
+    for fault in applied.unavailable:
+        _print_unavailable(fault)
+    if applied.skipped:
+        output_module.print_error(f"not tried: {applied.skipped} changes")
 
 
 def _print_conflict(conflict: collaborators.Conflict) -> None:
@@ -74,6 +77,10 @@
         f"conflict on {mine.kind.value}/{mine.name}: based on version"
         f" {mine.based_on}, but version {theirs.version} is in force"
     )
+    if conflict.in_doubt:
+        output_module.print_error(
+            "  an answer was lost: yours may have been in force before it"
+        )
     for each in change_sets.compare(mine, theirs):
         now, then = _to_text(each.now), _to_text(each.then)
         output_module.print_error(f"  {each.path}: {now} -> {then}")
@@ -97,7 +104,7 @@
 
 def _to_json(applied: collaborators.Applied) -> dict[str, Any]:
     """Returns it for programs."""
-    answer: dict[str, Any] = {
+    return {
         "accepted": [
             {"kind": e.kind.value, "name": e.name, "version": e.version}
             for e in applied.accepted
@@ -112,15 +119,18 @@
                 "name": each.mine.name,
                 "based_on": each.mine.based_on,
                 "version": each.theirs.version,
+                "in_doubt": each.in_doubt,
                 "theirs": change_sets.to_builtins(each.theirs.value),
             }
             for each in applied.conflicts
         ],
+        "unavailable": [
+            {
+                "object": fault.subject,
+                "detail": fault.detail,
+                "indeterminate": fault.indeterminate,
+            }
+            for fault in applied.unavailable
+        ],
+        "skipped": applied.skipped,
     }
-    if applied.unavailable is not None:
-        answer["unavailable"] = {
-            "object": applied.unavailable.subject,
-            "detail": applied.unavailable.detail,
-            "indeterminate": applied.unavailable.indeterminate,
-        }
-    return answer
--- a/src/cardamomfork/_internal/links/operators/collaborators.py
+++ b/src/cardamomfork/_internal/links/operators/collaborators.py
@@ -45,10 +45,13 @@
     Attributes:
         mine: The change that lost.
         theirs: What is in force.
+        in_doubt: Whether an answer was lost, so that the change may have been
+            in force before the other.
     """
 
     mine: Change
     theirs: configuration.Versioned
+    in_doubt: bool = False
 
 
 @attrs.frozen
@@ -74,13 +77,15 @@
         accepted: Objects that the store has confirmed.
         found: Findings; nothing was then written.
         conflicts: Changes that came too late.
-        unavailable: Set if the store gave no answer.
+        unavailable: Changes that the store gave no answer for.
+        skipped: Changes not tried, because one before them failed.
     """
 
     accepted: tuple[configuration.Versioned, ...] = ()
     found: tuple[findings.Finding, ...] = ()
     conflicts: tuple[Conflict, ...] = ()
-    unavailable: Unavailable | None = None
+    unavailable: tuple[Unavailable, ...] = ()
+    skipped: int = 0
 
     @property
     def done(self) -> bool:
--- a/src/cardamomfork/_internal/links/operators/messages.py
+++ b/src/cardamomfork/_internal/links/operators/messages.py
@@ -79,47 +79,41 @@
     """Writes what became of a change set."""
     count = len(applied.accepted)
     write_objects(builder.init("accepted", count), applied.accepted)
-    if applied.found:
-        found = builder.init("findings", len(applied.found))
-        for each, finding in zip(found, applied.found, strict=True):
-            _write_finding(each, finding)
-    elif applied.conflicts:
-        conflicts = builder.init("conflicts", len(applied.conflicts))
-        for each, conflict in zip(conflicts, applied.conflicts, strict=True):
-            write_change(each.mine, conflict.mine)
-            write_object(each.theirs, conflict.theirs)
-    elif applied.unavailable is not None:
-        unavailable = builder.init("unavailable")
-        unavailable.detail = applied.unavailable.detail
-        unavailable.indeterminate = applied.unavailable.indeterminate
-        unavailable.object = applied.unavailable.subject
-    else:
-        builder.done = None
+    found = builder.init("findings", len(applied.found))
+    for each, finding in zip(found, applied.found, strict=True):
+        _write_finding(each, finding)
+    conflicts = builder.init("conflicts", len(applied.conflicts))
+    for each, conflict in zip(conflicts, applied.conflicts, strict=True):
+        write_change(each.mine, conflict.mine)
+        write_object(each.theirs, conflict.theirs)
+        each.inDoubt = conflict.in_doubt
+    faults = builder.init("unavailable", len(applied.unavailable))
+    for each, fault in zip(faults, applied.unavailable, strict=True):
+        each.detail = fault.detail
+        each.indeterminate = fault.indeterminate
+        each.object = fault.subject
+    builder.skipped = applied.skipped
 
 
 def read_applied(reader: Any) -> collaborators.Applied:
     """Reads what became of a change set."""
-    accepted = tuple(read_object(each) for each in reader.accepted)
-    which = reader.which()
-    if which == "findings":
-        found = tuple(_read_finding(each) for each in reader.findings)
-        return collaborators.Applied(accepted, found=found)
-    if which == "conflicts":
-        conflicts = tuple(
+    return collaborators.Applied(
+        accepted=tuple(read_object(each) for each in reader.accepted),
+        found=tuple(_read_finding(each) for each in reader.findings),
+        conflicts=tuple(
             collaborators.Conflict(
-                read_change(each.mine), read_object(each.theirs)
+                read_change(each.mine), read_object(each.theirs), each.inDoubt
             )
             for each in reader.conflicts
-        )
-        return collaborators.Applied(accepted, conflicts=conflicts)
-    if which == "unavailable":
-        unavailable = collaborators.Unavailable(
-            reader.unavailable.detail,
-            reader.unavailable.indeterminate,
-            reader.unavailable.object,
-        )
-        return collaborators.Applied(accepted, unavailable=unavailable)
-    return collaborators.Applied(accepted)
+        ),
+        unavailable=tuple(
+            collaborators.Unavailable(
+                each.detail, each.indeterminate, each.object
+            )
+            for each in reader.unavailable
+        ),
+        skipped=reader.skipped,
+    )
 
 
 def write_report(builder: Any, report: collaborators.StatusReport) -> None:
--- a/src/cardamomfork/_internal/links/operators/operators.capnp
+++ b/src/cardamomfork/_internal/links/operators/operators.capnp
@@ -46,6 +46,7 @@
   # Another operator's change came first.
   mine @0 :Change;
   theirs @1 :Object;
+  inDoubt @2 :Bool;      # An answer was lost: mine may have been in force.
 }
 
 struct Unavailable {
@@ -56,13 +57,12 @@
 }
 
 struct ApplyAnswer {
-  accepted @0 :List(Object);  # Confirmed by the store, in this order.
-  union {
-    done @1 :Void;            # All were accepted.
-    findings @2 :List(Finding);    # Nothing was written.
-    conflicts @3 :List(Conflict);
-    unavailable @4 :Unavailable;
-  }
+  # All were accepted if the other lists are empty.
+  accepted @0 :List(Object);         # Confirmed by the store, in this order.
+  findings @1 :List(Finding);        # If there are any, nothing was written.
+  conflicts @2 :List(Conflict);
+  unavailable @3 :List(Unavailable);
+  skipped @4 :UInt32;                # Changes after these, not tried.
 }
 
 struct InstanceStatus {
--- a/tests/functional/test_operators.py
+++ b/tests/functional/test_operators.py
@@ -100,11 +100,11 @@
         async def scenario(parts, session):
             parts.session.faults.down = True
             refused = await session.apply([change()])
-            self.assertFalse(refused.unavailable.indeterminate)
+            self.assertFalse(refused.unavailable[0].indeterminate)
             parts.session.faults.down = False
             parts.session.faults.lose_answers = 1
             refused = await session.apply([change()])
-            self.assertTrue(refused.unavailable.indeterminate)
+            self.assertTrue(refused.unavailable[0].indeterminate)
 
         self.run_against(scenario)
 
--- a/tests/lib/operator_parts.py
+++ b/tests/lib/operator_parts.py
@@ -59,7 +59,7 @@
         if isinstance(fault, store_contract.StoreFault):
             lost = fault.kind is store_contract.StoreFaultKind.INDETERMINATE
             return collaborators.Applied(
-                unavailable=collaborators.Unavailable("store", lost, key)
+                unavailable=(collaborators.Unavailable("store", lost, key),)
             )
         current = fault.current
         theirs = decode(
