--- a/src/cardamomfork/_internal/configuration/replica.py
+++ b/src/cardamomfork/_internal/configuration/replica.py
@@ -84,7 +84,8 @@
         self._held: dict[_Key, configuration.Versioned] = {}
         self._log: list[tuple[int, configuration.ObjectKind, str]] = []
         self._tombstones: list[tuple[int, configuration.ObjectKind, str]] = []
-        self._evicted = 0
+        # Deletions after this revision are all known.
+        self._deletions_from = 0
         self._revision = 0
         self._subscribers: list[Subscriber] = []
         self._index = index.ConfigurationIndex()
@@ -158,7 +159,9 @@
     def apply(self, change: configuration.Versioned) -> bool:
         """Applies one change out of order; False if it is not newer."""
         held = self._held.get((change.kind, change.name))
-        floor = held.version if held else max(self._revision, self._evicted)
+        floor = (
+            held.version if held else max(self._revision, self._deletions_from)
+        )
         if change.version <= floor:
             self.counters.refused += 1
             return False
@@ -216,7 +219,10 @@
                 self._put(
                     configuration.Versioned(*key, snapshot.revision, None)
                 )
-        if complete:
+        if complete and snapshot.revision > self._revision:
+            # It does not name objects that came and went before it, which a
+            # slower peer may hold.
+            self._deletions_from = max(self._deletions_from, snapshot.revision)
             self._advance(snapshot.revision)
         return True
 
@@ -225,10 +231,10 @@
     ) -> tuple[configuration.Versioned, ...] | None:
         """Returns the changes after a revision, by version.
 
-        Returns None once deletions that recent have been dropped: the asker
+        Returns None where deletions that recent are not known: the asker
         then needs a snapshot.
         """
-        if revision < self._evicted:
+        if revision < self._deletions_from:
             return None
         start = bisect.bisect_left(self._log, (revision + 1,))
         return tuple(
@@ -294,7 +300,7 @@
             version, kind, name = entry
             del self._log[bisect.bisect_left(self._log, entry)]
             del self._held[(kind, name)]
-            self._evicted = max(self._evicted, version)
+            self._deletions_from = max(self._deletions_from, version)
 
     def _advance(self, revision: int) -> None:
         """Moves the complete revision forward, never back."""
