--- a/src/cardamomfork/_internal/standins/plain_service.py
+++ b/src/cardamomfork/_internal/standins/plain_service.py
@@ -41,8 +41,15 @@
 class StandinService:
     """An ASGI application that answers `{"run": n}`."""
 
-    def __init__(self) -> None:
-        """Starts with no execution."""
+    def __init__(
+        self, on_run: Callable[[int, bytes], None] | None = None
+    ) -> None:
+        """Starts with no execution.
+
+        Args:
+            on_run: Called with the number and body of each execution.
+        """
+        self._on_run = on_run
         self.runs = 0
         self.faults = ServiceFaults()
 
@@ -54,7 +61,7 @@
     ) -> None:
         """Answers one call."""
         exchange = http_exchange.Exchange(scope, receive, send)
-        await exchange.read()
+        request = await exchange.read()
         attempt_id = exchange.header(extension.ATTEMPT_HEADER)
         if self.faults.refuse:
             refusal = [(extension.NOT_RUN_HEADER, b"1")]
@@ -62,6 +69,8 @@
             return
         await anyio.sleep(self.faults.delay_s)
         self.runs += 1
+        if self._on_run is not None:
+            self._on_run(self.runs, request)
         body = msgspec.json.encode({"run": self.runs})
         await self._answer(exchange, attempt_id, body)
 
