Wire the fleet dispatcher, claims, TLS and load reports into the daemon

Cause: The daemon routed by least load, refused every idempotency key, and read no load reports. Change: wiring.py holds the composition; the daemon takes FleetDispatcher, StoreClaimLedger over the platform's or the embedded store, TLS for callers, and an observer that reads engines' load and cache events.

--- a/src/cardamomfork/_internal/contracts/target_link.py
+++ b/src/cardamomfork/_internal/contracts/target_link.py
@@ -146,7 +146,10 @@
     async def cache_events(
         self, after_sequence: int
     ) -> result.Result[tuple[targets.CacheEvent, ...], targets.TargetFault]:
-        """Reads the cache events after a sequence number, as far as kept."""
+        """Reads the cache events after a sequence number, as far as kept.
+
+        A negative number asks for the whole cache, as one event.
+        """
         ...
 
     async def export_kv(
--- a/src/cardamomfork/_internal/daemon.py
+++ b/src/cardamomfork/_internal/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import random
 import signal
 import sys
 from typing import TYPE_CHECKING
@@ -17,186 +16,60 @@
 
 from cardamomfork._internal import embedded
 from cardamomfork._internal import exceptions
+from cardamomfork._internal import wiring
 from cardamomfork._internal.accounts import embedded as embedded_accounts
-from cardamomfork._internal.accounts import keys
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.links import http_server
+from cardamomfork._internal.links import tls
 from cardamomfork._internal.links.callers import application
-from cardamomfork._internal.links.callers import exchange
-from cardamomfork._internal.links.callers import prompts
 from cardamomfork._internal.links.callers import protocol
-from cardamomfork._internal.links.callers import sinks
-from cardamomfork._internal.links.targets import idle
-from cardamomfork._internal.links.targets import registry
-from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.links.platform import gateway_store
 from cardamomfork._internal.models import settings as settings_models
-from cardamomfork._internal.requests import admission
-from cardamomfork._internal.requests import attempts
-from cardamomfork._internal.requests import cancellation
-from cardamomfork._internal.requests import directory
-from cardamomfork._internal.requests import exchanging
-from cardamomfork._internal.requests import queueing
-from cardamomfork._internal.requests import records
-from cardamomfork._internal.requests import running
-from cardamomfork._internal.requests import service
-from cardamomfork._internal.routing import baselines
 from cardamomfork._internal.settings import loader
+from cardamomfork._internal.standins import store as store_standin
 from cardamomfork._internal.telemetry import logs
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
-    from collections.abc import Callable
 
-    from cardamomfork._internal.contracts import dispatching
-    from cardamomfork._internal.contracts import limiting
-    from cardamomfork._internal.models import configuration
+    from cardamomfork._internal.contracts import store as store_contract
 
-IDLE_LOOK_S = 5.0
 BALANCER_NOTICE_S = 0.5
 """Time to answer `/readyz` with "no" before connections are refused."""
 
 _program = cyclopts.App(name="cardamomforkd")
 
 
-@attrs.define
-class Daemon:
-    """The parts of one process.
-
-    Attributes:
-        settings: What it was started with.
-        clock: The loop's clock.
-        known: Services and accounts.
-        links: Links to targets.
-        dispatcher: Decides when and where requests run.
-        limiter: Client accounts' limits.
-        keys: Client accounts' keys.
-        waiting_room: The queue's glue.
-        canceller: Repeats cancels.
-        heartbeats: Keeps idle streams alive.
-        watch: Idle bounds of targets' streams.
-        table: Records of requests.
-        requests: The request service.
-    """
-
-    settings: settings_models.DaemonSettings
-    clock: clock_contract.Clock
-    known: directory.Directory
-    links: registry.LinkRegistry
-    dispatcher: dispatching.Dispatcher
-    limiter: limiting.Limiter
-    keys: keys.KeyVerifier
-    waiting_room: queueing.WaitingRoom
-    canceller: cancellation.Canceller
-    heartbeats: sinks.Heartbeats
-    watch: idle.IdleWatch
-    table: records.RecordTable
-    requests: service.RequestService
-
-    def apply_service(self, changed: configuration.Service) -> None:
-        """Brings a service's configuration into force."""
-        self.known.apply_service(changed)
-        self.links.apply_service(changed)
-        self.dispatcher.apply_service(changed)
-        self.waiting_room.poll()
-
-    def apply_account(self, changed: configuration.ClientAccount) -> None:
-        """Brings an account's configuration into force."""
-        self.known.apply_account(changed)
-        self.limiter.apply_account(changed)
-        self.keys.apply_account(changed)
-
-    def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Starts what runs in the background."""
-        tasks.start_soon(self.waiting_room.run)
-        tasks.start_soon(self.canceller.run)
-        tasks.start_soon(self.heartbeats.run)
-        tasks.start_soon(self.watch.run)
-
-
-def wire(settings: settings_models.DaemonSettings) -> Daemon:
-    """Makes the parts of a process; nothing runs yet."""
-    clock = clock_contract.LoopClock()
-    watch = idle.IdleWatch(IDLE_LOOK_S)
-    links = registry.LinkRegistry(watch)
-    dispatcher = baselines.LeastLoadDispatcher()
-    limiter = embedded_accounts.LocalLimiter()
-    waiting_room = queueing.WaitingRoom(dispatcher, clock)
-    canceller = cancellation.Canceller(random.Random())
-    table = records.RecordTable()
-    return Daemon(
-        settings=settings,
-        clock=clock,
-        known=directory.Directory(),
-        links=links,
-        dispatcher=dispatcher,
-        limiter=limiter,
-        keys=keys.KeyVerifier(),
-        waiting_room=waiting_room,
-        canceller=canceller,
-        heartbeats=sinks.Heartbeats(settings.callers.heartbeat_s),
-        watch=watch,
-        table=table,
-        requests=service.RequestService(
-            clock=clock,
-            limiter=limiter,
-            ledger=None,
-            runner=running.Runner(
-                waiting_room=waiting_room,
-                links=links,
-                exchanger=exchanging.AttemptExchanger(
-                    clock, _reservation_namer(settings), _salt_of
-                ),
-                canceller=canceller,
-                counters=attempts.FrameCounters(),
-                chance=random.Random(),
-            ),
-            table=table,
-        ),
-    )
-
-
-def _reservation_namer(
+def _open_store(
     settings: settings_models.DaemonSettings,
-) -> Callable[[identifiers.AttemptId], str]:
-    """Names reservations after this life of this instance."""
-    instance_id = settings.instance.instance_id
-    boot_id = identifiers.new_boot_id()
-    return lambda attempt_id: f"{instance_id}/{boot_id}/{attempt_id}"
-
-
-def _salt_of(account: identifiers.AccountName) -> str:
-    """Returns the salt that keeps an account's cache entries its own."""
-    return f"{prompts.seed_of(account):016x}"
+) -> store_contract.Store:
+    """Opens the platform's store, or the embedded one.
 
-
-def make_application(
-    daemon: Daemon, keys: application.Authenticator
-) -> application.CallerApplication:
-    """Makes the application that callers talk to."""
-    return application.CallerApplication(
-        prompts=exchange.PromptExchange(
-            service=daemon.requests,
-            admission_rules=admission.Admission(daemon.known),
-            heartbeats=daemon.heartbeats,
-            clock=daemon.clock,
-            callers=daemon.settings.callers,
-        ),
-        service=daemon.requests,
-        table=daemon.table,
-        authenticator=keys,
-        clock=daemon.clock,
-        data_centre=daemon.settings.instance.data_centre,
-    )
+    Raises:
+        exceptions.SettingsError: The settings name neither.
+    """
+    if settings.store.endpoints:
+        return gateway_store.GatewayStore(settings.store)
+    if not settings.embedded:
+        raise exceptions.SettingsError(
+            "the settings name no store.",
+            "Set endpoints in [store], or start with --embedded.",
+        )
+    memory = store_standin.MemoryStore(clock_contract.LoopClock())
+    return store_standin.StoreSession(memory)
 
 
 async def serve(settings: settings_models.DaemonSettings) -> None:
     """Runs the process until a signal, then until its requests have ended."""
-    daemon = wire(settings)
+    daemon = wiring.wire(settings, _open_store(settings))
     async with (
         anyio.create_task_group() as tasks,
         _embedded_parts(daemon) as keys,
     ):
-        server = _make_server(daemon, keys)
+        secured = tls.make_server_tls(settings.callers.tls)
+        if secured is not None:
+            tasks.start_soon(secured.watch)
+        server = _make_server(daemon, keys, secured)
         daemon.start(tasks)
         tasks.start_soon(_stop_on_signal, daemon, server)
         await server.serve()
@@ -206,15 +79,18 @@
 
 
 def _make_server(
-    daemon: Daemon, keys: application.Authenticator
+    daemon: wiring.Daemon,
+    keys: application.Authenticator,
+    secured: tls.ServerTls | None,
 ) -> http_server.HttpServer:
     """Binds the callers' side and logs the chosen port."""
     callers = daemon.settings.callers
     server = http_server.HttpServer(
-        make_application(daemon, keys),
+        wiring.make_application(daemon, keys),
         http_server.bind(callers.host, callers.port),
         protocol.CallerProtocol,
         callers.max_connections,
+        None if secured is None else secured.context,
     )
     logger.info(f"serving callers on {server.host}:{server.port}")
     return server
@@ -222,7 +98,7 @@
 
 @contextlib.asynccontextmanager
 async def _embedded_parts(
-    daemon: Daemon,
+    daemon: wiring.Daemon,
 ) -> AsyncIterator[application.Authenticator]:
     """Runs the embedded parts, if any, and puts them into force.
 
@@ -241,7 +117,7 @@
 
 
 async def _stop_on_signal(
-    daemon: Daemon, server: http_server.HttpServer
+    daemon: wiring.Daemon, server: http_server.HttpServer
 ) -> None:
     """Drains at the first signal: unready at once, then no connections."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -15,7 +15,9 @@
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
     from collections.abc import Iterator
+    import ssl
 
 BACKLOG = 4096
 KEEP_ALIVE_S = 30
@@ -61,6 +63,16 @@
     return listener
 
 
+def _give(
+    context: ssl.SSLContext | None,
+) -> Callable[..., ssl.SSLContext] | None:
+    """Returns a factory of a context that is there already."""
+    if context is None:
+        return None
+    made = context
+    return lambda *_: made
+
+
 class HttpServer:
     """Serves one ASGI application on one listening socket."""
 
@@ -70,6 +82,7 @@
         listener: socket.socket,
         protocol: type[asyncio.Protocol] | str = "httptools",
         max_connections: int | None = None,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         """Makes a server that does not run yet.
 
@@ -78,6 +91,7 @@
             listener: A bound socket.
             protocol: uvicorn's HTTP protocol, or a class derived from it.
             max_connections: Connections held at once; more get status 503.
+            tls: Context of the listening side; None for plain TCP.
         """
         self._listener = listener
         self._server = _Server(
@@ -93,6 +107,7 @@
                 backlog=BACKLOG,
                 timeout_keep_alive=KEEP_ALIVE_S,
                 limit_concurrency=max_connections,
+                ssl_context_factory=_give(tls),
             )
         )
 
--- a/src/cardamomfork/_internal/measure/relaying/relay.py
+++ b/src/cardamomfork/_internal/measure/relaying/relay.py
@@ -19,7 +19,7 @@
 import httpcore
 import httptools
 
-from cardamomfork._internal import daemon as daemon_module
+from cardamomfork._internal import wiring
 from cardamomfork._internal.accounts import embedded as embedded_accounts
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.links.callers import protocol
@@ -124,7 +124,7 @@
     return settings.DaemonSettings(callers=settings.CallerSettings(port=0))
 
 
-def _configure(daemon: daemon_module.Daemon, port: int) -> None:
+def _configure(daemon: wiring.Daemon, port: int) -> None:
     """Names the engine and the account."""
     target = targets.Target(
         target_id=identifiers.TargetId("engine"),
@@ -165,12 +165,12 @@
     async with anyio.create_task_group() as tasks:
         application: Any = None
         if way == "daemon":
-            daemon = daemon_module.wire(_daemon_settings())
+            daemon = wiring.wire(_daemon_settings())
             _configure(daemon, port)
             keys = embedded_accounts.EmbeddedKeys(
                 identifiers.AccountName("demo"), "demo-key", daemon.keys
             )
-            application = daemon_module.make_application(daemon, keys)
+            application = wiring.make_application(daemon, keys)
             daemon.start(tasks)
         else:
             application = {"plain": PlainRelay, "raw": RawRelay}[way](port)
--- a/src/cardamomfork/_internal/standins/engine_memory.py
+++ b/src/cardamomfork/_internal/standins/engine_memory.py
@@ -105,7 +105,14 @@
         self._evict()
 
     def events_after(self, sequence: int) -> tuple[extension.CacheChange, ...]:
-        """Returns the events after a number, as far as they are kept."""
+        """Returns the events after a number.
+
+        A negative number asks for the whole cache, as one event.
+        """
+        if sequence < 0:
+            whole = tuple(self._cache)
+            change = extension.CacheChange(self._sequence, whole, reset=True)
+            return (change,)
         return tuple(e for e in self._events if e.sequence > sequence)
 
     def skip_event(self) -> None:
--- /dev/null
+++ b/src/cardamomfork/_internal/wiring.py
@@ -0,0 +1,202 @@
+"""Wires the parts of one process; nothing runs before `Daemon.start`."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal.accounts import embedded as embedded_accounts
+from cardamomfork._internal.accounts import keys
+from cardamomfork._internal.contracts import clock as clock_contract
+from cardamomfork._internal.links.callers import application
+from cardamomfork._internal.links.callers import exchange
+from cardamomfork._internal.links.callers import prompts
+from cardamomfork._internal.links.callers import sinks
+from cardamomfork._internal.links.targets import idle
+from cardamomfork._internal.links.targets import observing
+from cardamomfork._internal.links.targets import registry
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.requests import admission
+from cardamomfork._internal.requests import attempts
+from cardamomfork._internal.requests import cancellation
+from cardamomfork._internal.requests import directory
+from cardamomfork._internal.requests import exchanging
+from cardamomfork._internal.requests import queueing
+from cardamomfork._internal.requests import records
+from cardamomfork._internal.requests import running
+from cardamomfork._internal.requests import service
+from cardamomfork._internal.requests.claims import committer
+from cardamomfork._internal.requests.claims import keys as claim_keys
+from cardamomfork._internal.requests.claims import ledger
+from cardamomfork._internal.routing import dispatcher as fleet_dispatcher
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import anyio.abc
+
+    from cardamomfork._internal.contracts import dispatching
+    from cardamomfork._internal.contracts import limiting
+    from cardamomfork._internal.contracts import store as store_contract
+    from cardamomfork._internal.models import configuration
+    from cardamomfork._internal.models import settings as settings_models
+
+IDLE_LOOK_S = 5.0
+
+
+@attrs.define
+class Daemon:
+    """The parts of one process.
+
+    Attributes:
+        settings: What it was started with.
+        clock: The loop's clock.
+        known: Services and accounts.
+        links: Links to targets.
+        dispatcher: Decides when and where requests run.
+        limiter: Client accounts' limits.
+        keys: Client accounts' keys.
+        waiting_room: The queue's glue.
+        canceller: Repeats cancels.
+        heartbeats: Keeps idle streams alive.
+        watch: Idle bounds of targets' streams.
+        table: Records of requests.
+        requests: The request service.
+        observer: Reads engines' load and cache events.
+        committer: Writes claims; None without a store.
+    """
+
+    settings: settings_models.DaemonSettings
+    clock: clock_contract.Clock
+    known: directory.Directory
+    links: registry.LinkRegistry
+    dispatcher: dispatching.Dispatcher
+    limiter: limiting.Limiter
+    keys: keys.KeyVerifier
+    waiting_room: queueing.WaitingRoom
+    canceller: cancellation.Canceller
+    heartbeats: sinks.Heartbeats
+    watch: idle.IdleWatch
+    table: records.RecordTable
+    requests: service.RequestService
+    observer: observing.EngineObserver
+    committer: committer.GroupCommitter | None
+
+    def apply_service(self, changed: configuration.Service) -> None:
+        """Brings a service's configuration into force."""
+        self.known.apply_service(changed)
+        self.links.apply_service(changed)
+        self.dispatcher.apply_service(changed)
+        self.waiting_room.poll()
+
+    def apply_account(self, changed: configuration.ClientAccount) -> None:
+        """Brings an account's configuration into force."""
+        self.known.apply_account(changed)
+        self.limiter.apply_account(changed)
+        self.keys.apply_account(changed)
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts what runs in the background."""
+        tasks.start_soon(self.waiting_room.run)
+        tasks.start_soon(self.canceller.run)
+        tasks.start_soon(self.heartbeats.run)
+        tasks.start_soon(self.watch.run)
+        tasks.start_soon(self.observer.run)
+        if self.committer is not None:
+            tasks.start_soon(self.committer.run)
+
+
+def wire(
+    settings: settings_models.DaemonSettings,
+    store: store_contract.Store | None = None,
+) -> Daemon:
+    """Makes the parts of a process; nothing runs yet.
+
+    Args:
+        settings: What the process was started with.
+        store: The platform's store; None refuses what needs it.
+    """
+    clock = clock_contract.LoopClock()
+    policy = claim_keys.ClaimPolicy()
+    claims = None
+    if store is not None:
+        claims = committer.GroupCommitter(
+            store, clock, random.Random(), policy.retention_s
+        )
+    watch = idle.IdleWatch(IDLE_LOOK_S)
+    links = registry.LinkRegistry(watch)
+    dispatcher = fleet_dispatcher.FleetDispatcher(random.Random())
+    limiter = embedded_accounts.LocalLimiter()
+    waiting_room = queueing.WaitingRoom(dispatcher, clock)
+    canceller = cancellation.Canceller(random.Random())
+    table = records.RecordTable()
+    return Daemon(
+        settings=settings,
+        clock=clock,
+        known=directory.Directory(),
+        links=links,
+        dispatcher=dispatcher,
+        limiter=limiter,
+        keys=keys.KeyVerifier(),
+        waiting_room=waiting_room,
+        canceller=canceller,
+        heartbeats=sinks.Heartbeats(settings.callers.heartbeat_s),
+        watch=watch,
+        table=table,
+        requests=service.RequestService(
+            clock=clock,
+            limiter=limiter,
+            ledger=None
+            if claims is None
+            else ledger.StoreClaimLedger(claims, clock, policy),
+            runner=running.Runner(
+                waiting_room=waiting_room,
+                links=links,
+                exchanger=exchanging.AttemptExchanger(
+                    clock, _reservation_namer(settings), _salt_of
+                ),
+                canceller=canceller,
+                counters=attempts.FrameCounters(),
+                chance=random.Random(),
+            ),
+            table=table,
+        ),
+        observer=observing.EngineObserver(links, dispatcher, clock),
+        committer=claims,
+    )
+
+
+def _reservation_namer(
+    settings: settings_models.DaemonSettings,
+) -> Callable[[identifiers.AttemptId], str]:
+    """Names reservations after this life of this instance."""
+    instance_id = settings.instance.instance_id
+    boot_id = identifiers.new_boot_id()
+    return lambda attempt_id: f"{instance_id}/{boot_id}/{attempt_id}"
+
+
+def _salt_of(account: identifiers.AccountName) -> str:
+    """Returns the salt that keeps an account's cache entries its own."""
+    return f"{prompts.seed_of(account):016x}"
+
+
+def make_application(
+    daemon: Daemon, keys: application.Authenticator
+) -> application.CallerApplication:
+    """Makes the application that callers talk to."""
+    return application.CallerApplication(
+        prompts=exchange.PromptExchange(
+            service=daemon.requests,
+            admission_rules=admission.Admission(daemon.known),
+            heartbeats=daemon.heartbeats,
+            clock=daemon.clock,
+            callers=daemon.settings.callers,
+        ),
+        service=daemon.requests,
+        table=daemon.table,
+        authenticator=keys,
+        clock=daemon.clock,
+        data_centre=daemon.settings.instance.data_centre,
+    )
--- a/tests/lib/serving.py
+++ b/tests/lib/serving.py
@@ -8,8 +8,9 @@
 import attrs
 import httpcore
 
-from cardamomfork._internal import daemon as daemon_module
+from cardamomfork._internal import wiring
 from cardamomfork._internal.accounts import key_hashes
+from cardamomfork._internal.contracts import clock
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import configuration
@@ -19,6 +20,7 @@
 from cardamomfork._internal.standins import engine
 from cardamomfork._internal.standins import engine_runs
 from cardamomfork._internal.standins import plain_service
+from cardamomfork._internal.standins import store as store_standin
 
 HOST = "127.0.0.1"
 MODEL = "test-model"
@@ -36,7 +38,7 @@
     anyio.run(bounded, backend_options={"use_uvloop": True})
 
 
-@attrs.define
+@attrs.define(slots=False)
 class Answer:
     """What a caller got."""
 
@@ -57,16 +59,17 @@
         return "".join(p["choices"][0]["text"] for p in pieces)
 
 
-@attrs.define
+@attrs.define(slots=False)
 class Site:
     """A running daemon with its stand-ins."""
 
-    daemon: daemon_module.Daemon
+    daemon: wiring.Daemon
     engines: list
     ledger: plain_service.StandinService
     keys: dict
     port: int
     pool: httpcore.AsyncConnectionPool
+    store: store_standin.StoreSession
 
     @property
     def streams(self):
@@ -136,7 +139,9 @@
     chosen = settings.DaemonSettings(
         callers=callers or settings.CallerSettings(port=0)
     )
-    daemon = daemon_module.wire(chosen)
+    memory = store_standin.MemoryStore(clock.LoopClock())
+    store = store_standin.StoreSession(memory)
+    daemon = wiring.wire(chosen, store)
     ledger = plain_service.StandinService()
     async with contextlib.AsyncExitStack() as stack:
         tasks = await stack.enter_async_context(anyio.create_task_group())
@@ -161,12 +166,10 @@
                 )
             )
         daemon.start(tasks)
-        port = await _serve(
-            stack, daemon_module.make_application(daemon, daemon.keys)
-        )
+        port = await _serve(stack, wiring.make_application(daemon, daemon.keys))
         pool = httpcore.AsyncConnectionPool()
         await stack.enter_async_context(pool)
-        yield Site(daemon, all_engines, ledger, keys, port, pool)
+        yield Site(daemon, all_engines, ledger, keys, port, pool, store)
 
 
 async def _serve(stack, application):
