--- a/src/cardamomfork/_internal/requests/claims/committer.py
+++ b/src/cardamomfork/_internal/requests/claims/committer.py
@@ -29,6 +29,13 @@
 MAX_FAULTS = 3
 MAX_BATCH = 256
 MAX_PENDING = 20_000
+SHARED_S = 5.0
+"""Seconds after a lost race for which records are read before a write."""
+PROMPT_TRIES = 2
+MAX_BACKOFF_S = 0.4
+MAX_INTERVAL_S = 0.5
+INTERVAL_GROWTH = 1.5
+INTERVAL_DECAY = 0.97
 
 
 @attrs.frozen
@@ -44,7 +51,7 @@
 
     interval_s: float = 0.02
     settle_linger_s: float = 0.25
-    conflict_backoff_s: float = 0.01
+    conflict_backoff_s: float = 0.05
     fault_backoff_s: float = 1.0
 
 
@@ -104,6 +111,8 @@
         self._rng = rng
         self._pace = pace
         self._queues: OrderedDict[str, _Queue] = OrderedDict()
+        self._interval_s = pace.interval_s
+        self._shared_until = float("-inf")
         self._waiting = 0
         self._idle = anyio.Event()
         self._idle.set()
@@ -124,7 +133,10 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             task_status.started()
-            await anyio.sleep_forever()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                self._tasks = None
 
     async def submit(
         self,
@@ -222,7 +234,7 @@
         while True:
             now = self._clock.monotonic()
             due = min(pending.due for pending in queue.pending)
-            due = max(due, queue.last_write + self._pace.interval_s)
+            due = max(due, queue.last_write + self._interval_s)
             if due <= now:
                 return
             queue.arrived = anyio.Event()
@@ -243,16 +255,40 @@
                 return []
             results = await self._try(record, batch)
             if not isinstance(results, record_store.Again):
+                if tries == 0:
+                    self._speed_up()
                 for pending, verdict in zip(batch, results, strict=True):
                     pending.resolve(verdict)
                 return []
             faults += results is not record_store.Again.CONFLICT
             if results is record_store.Again.DOWN or faults >= MAX_FAULTS:
                 break
-            limit = self._pace.conflict_backoff_s * 2.0**tries
-            await anyio.sleep(self._rng.random() * limit)
+            await self._back_off(tries)
         return self._postpone(batch)
 
+    def _speed_up(self) -> None:
+        """Writes more often again after a race that was not lost."""
+        self._interval_s = max(
+            self._interval_s * INTERVAL_DECAY, self._pace.interval_s
+        )
+
+    async def _back_off(self, tries: int) -> None:
+        """Waits after a lost race or answer.
+
+        Records that others write too are read before each write. A race
+        lost in spite of that makes this writer write less often.
+        """
+        now = self._clock.monotonic()
+        if now < self._shared_until:
+            self._interval_s = min(
+                self._interval_s * INTERVAL_GROWTH, MAX_INTERVAL_S
+            )
+        self._shared_until = now + SHARED_S
+        late = tries - PROMPT_TRIES
+        if late >= 0:
+            limit = self._pace.conflict_backoff_s * 2.0**late
+            await anyio.sleep(self._rng.random() * min(limit, MAX_BACKOFF_S))
+
     def _postpone(self, batch: list[_Pending]) -> list[_Pending]:
         """Fails the claims of a batch; the rest is tried again later."""
         later = self._clock.monotonic() + self._pace.fault_backoff_s
@@ -270,21 +306,28 @@
     ) -> tuple[records.OperationResult, ...] | record_store.Again:
         """Applies a batch once."""
         operations = [pending.operation for pending in batch]
-        cached = self._records.cached(record)
-        if cached.lost:
-            return (records.UNAVAILABLE,) * len(batch)
-        applied = records.apply(cached.entries, operations)
+        cached: record_store.Cached | None = self._records.cached(record)
+        fresh = self._clock.monotonic() < self._shared_until
+        if fresh:
+            cached = await self._records.refresh(record)
+        applied = _apply(cached, operations)
+        if not fresh and not applied.changed and not applied.lasting:
+            cached = await self._records.refresh(record)
+            applied = _apply(cached, operations)
+        if cached is None:
+            return record_store.Again.DOWN
         if not applied.changed:
-            if all(verdict.lasting for verdict in applied.results):
-                return applied.results
-            fresh = await self._records.refresh(record)
-            if fresh is None:
-                return record_store.Again.DOWN
-            cached = fresh
-            if cached.lost:
-                return (records.UNAVAILABLE,) * len(batch)
-            applied = records.apply(cached.entries, operations)
-            if not applied.changed:
-                return applied.results
+            return applied.results
         failed = await self._records.write(record, cached, applied)
         return applied.results if failed is None else failed
+
+
+def _apply(
+    cached: record_store.Cached | None,
+    operations: Sequence[records.AnyOperation],
+) -> records.Applied:
+    """Applies operations; nothing is known of a record that is lost."""
+    if cached is None or cached.lost:
+        unknown = (records.UNAVAILABLE,) * len(operations)
+        return records.Applied({}, unknown, False)
+    return records.apply(cached.entries, operations)
--- a/src/cardamomfork/_internal/requests/claims/ledger.py
+++ b/src/cardamomfork/_internal/requests/claims/ledger.py
@@ -29,7 +29,9 @@
     from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.requests.claims import committer
 
-FORWARD_TIMEOUT_S = 1.0
+FORWARD_TIMEOUT_S = 0.5
+SILENT_OWNER_S = 3.0
+"""Seconds for which an owner that did not answer is left alone."""
 SETTLE_KEEP_S = 300.0
 """Seconds for which an outcome is tried on when the store is away."""
 IN_PROGRESS_RETRY_S = 1.0
@@ -107,6 +109,7 @@
         self._committer = group_committer
         self._policy = policy
         self._routes = routes
+        self._silent_until: dict[int, float] = {}
         self._wall = keys.AdvancingWallClock(clock)
         self._new_token = new_token
         self.counters = LedgerCounters()
@@ -204,24 +207,41 @@
         keep_s: float,
     ) -> records.OperationResult:
         """Has an operation committed by the owner, else here."""
-        left_s = wait_s
-        owner = self._routes.owner(place.shard) if self._routes else None
-        if self._routes is not None and owner is not None:
-            self.counters.forwarded += 1
-            started = anyio.current_time()
-            try_s = min(FORWARD_TIMEOUT_S, wait_s / 2)
-            payload = msgspec.msgpack.encode(
-                ForwardedOperation(place.record, operation, try_s, 0.0)
-            )
-            verdict = _read(await self._routes.forward(owner, payload, try_s))
-            if verdict.verdict is not records.Verdict.UNAVAILABLE:
-                return verdict
-            self.counters.fallbacks += 1
-            left_s = wait_s - (anyio.current_time() - started)
+        started = anyio.current_time()
+        verdict = await self._forward(place, operation, wait_s)
+        if verdict.verdict is not records.Verdict.UNAVAILABLE:
+            return verdict
+        left_s = wait_s - (anyio.current_time() - started)
         return await self._committer.submit(
             place.record, operation, left_s, keep_s
         )
 
+    async def _forward(
+        self,
+        place: keys.Location,
+        operation: records.AnyOperation,
+        wait_s: float,
+    ) -> records.OperationResult:
+        """Asks the shard's owner; `UNAVAILABLE` leaves it to us."""
+        owner = self._routes.owner(place.shard) if self._routes else None
+        if self._routes is None or owner is None:
+            return records.UNAVAILABLE
+        silent_until = self._silent_until.get(place.shard, float("-inf"))
+        if anyio.current_time() < silent_until:
+            return records.UNAVAILABLE
+        self.counters.forwarded += 1
+        try_s = min(FORWARD_TIMEOUT_S, wait_s / 2)
+        payload = msgspec.msgpack.encode(
+            ForwardedOperation(place.record, operation, try_s, 0.0)
+        )
+        verdict = _read(await self._routes.forward(owner, payload, try_s))
+        if verdict.verdict is records.Verdict.UNAVAILABLE:
+            self.counters.fallbacks += 1
+            self._silent_until[place.shard] = (
+                anyio.current_time() + SILENT_OWNER_S
+            )
+        return verdict
+
     def _free(
         self, place: keys.Location, operation: records.ClaimOperation
     ) -> None:
--- a/src/cardamomfork/_internal/requests/claims/records.py
+++ b/src/cardamomfork/_internal/requests/claims/records.py
@@ -144,6 +144,11 @@
     results: tuple[OperationResult, ...]
     changed: bool
 
+    @property
+    def lasting(self) -> bool:
+        """Whether no later write can change the results."""
+        return all(verdict.lasting for verdict in self.results)
+
 
 def encode(entries: Mapping[bytes, ClaimEntry]) -> bytes:
     """Returns a record's bytes."""
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -127,11 +127,21 @@
             two, _, _ = await self.instance()
             key = self.key()
             await one.claim("a", self.key(), b"f", 9.0)
-            session.faults.lose_answers = 1_000
+            session.faults.lose_answers = 1
+            session.faults.delay_s = 0.1
             started = self.clock.monotonic()
+
+            async def take_store_down():
+                await anyio.sleep(0.15)
+                self.assertEqual(session.faults.lose_answers, 0)
+                session.faults.down = True
+
+            self.tasks.start_soon(take_store_down)
             refused = (await one.claim("a", key, b"f", 9.0)).unwrap_err()
             took_s = self.clock.monotonic() - started
-            session.faults.lose_answers = 0
+            held = (await two.claim("a", key, b"f", 9.0)).unwrap_err()
+            self.assertEqual(held.reason, REASONS.IN_PROGRESS)
+            session.faults.down = False
             with anyio.fail_after(30.0):
                 await writer.drain()
             return refused, took_s, await two.claim("a", key, b"f", 9.0)
@@ -156,6 +166,16 @@
 
         self.assertIsInstance(self.run_world(scenario).unwrap(), claiming.Claim)
 
+    def test_call_that_ends_with_its_instance_raises_nothing_else(self):
+        async def scenario():
+            one, session, _ = await self.instance()
+            session.faults.delay_s = 1.0
+            key = self.key()
+            self.tasks.start_soon(one.claim, "a", key, b"f", 9.0)
+            await anyio.sleep(0.5)
+
+        self.assertIsNone(self.run_world(scenario))
+
     def test_dead_holder_reads_as_unknown_for_every_later_call(self):
         async def scenario():
             one, _, _ = await self.instance()
@@ -244,7 +264,6 @@
             key = self.key()
             claim = (await one.claim("a", key, b"f", 9.0)).unwrap()
             repeat = (await two.claim("a", key, b"f", 9.0)).unwrap_err()
-            routes.answers = True
             settled = await one.settle(claim, DONE, 9.0)
             stored = (await one.claim("a", key, b"f", 9.0)).unwrap()
             return repeat, settled, stored, one.counters
