Bound retries by a budget that shrinks while most tries fail

Cause: Retries without a bound multiply the load of an outage. Change: RetryPolicy with a budget a service, full-jitter waits, hedges from the same budget, and an end at once with advice when it is spent.

--- /dev/null
+++ b/src/cardamomfork/_internal/requests/retries.py
@@ -0,0 +1,313 @@
+"""When a failed request is tried again, where, and when it is given up.
+
+Retries and hedges of a service draw on one budget: a share of its recent
+first tries, which shrinks while most tries fail, since a retry is then only
+more load. A request that can't be tried again is given up at once, with
+advice when to come back, instead of being held to its deadline.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+import result
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.models import outcomes
+from cardamomfork._internal.models import targets
+
+if TYPE_CHECKING:
+    import random
+
+    from cardamomfork._internal.models import identifiers
+
+MAX_TRIES = 4
+MAX_SERVICES = 4096
+BASE_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 2.0
+RECENT_S = 10.0
+MIN_RESERVE = 10.0
+"""Retries that a service may always have saved up."""
+LEAST_SHARE_OF_BUDGET = 0.2
+FAILURE_WEIGHT = 0.02
+"""Weight of one try in the smoothed share of failures."""
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 10.0
+MAX_HEDGED_TOKENS = 4096
+HEDGE_AFTER_FACTOR = 3.0
+HEDGE_RESERVE_SHARE = 0.5
+"""Share of the saved retries that hedges leave to retries."""
+
+
+class Place(enum.Enum):
+    """Where the next attempt goes."""
+
+    OTHER_TARGET = "other_target"
+    OTHER_DATA_CENTRE = "other_data_centre"
+
+
+@attrs.frozen
+class Failure:
+    """A failed attempt of a request that has not ended.
+
+    Attributes:
+        service: The service.
+        kind: How the attempt failed.
+        tries: Attempts begun so far, the first one included.
+        may_run_again: Whether another run is allowed at all.
+        time_left_s: Time until the deadline, in seconds.
+        expected_s: Predicted time of another attempt to its end, in seconds.
+        retry_after_s: The target's advice, in seconds, or None.
+    """
+
+    service: identifiers.ServiceName
+    kind: targets.FaultKind
+    tries: int
+    may_run_again: bool
+    time_left_s: float
+    expected_s: float
+    retry_after_s: float | None = None
+
+
+@attrs.frozen
+class Retry:
+    """Try again after a wait.
+
+    Attributes:
+        wait_s: Time to wait first, in seconds.
+        place: Where to.
+    """
+
+    wait_s: float
+    place: Place
+
+
+@attrs.frozen
+class GiveUp:
+    """End the request now.
+
+    Attributes:
+        reason: Why.
+        detail: One sentence for the caller.
+        retry_after_s: When the caller may come back, in seconds; None where
+            coming back does not help.
+    """
+
+    reason: outcomes.RefusalReason
+    detail: str
+    retry_after_s: float | None = None
+
+
+@attrs.define
+class _Budget:
+    """What a service has saved up.
+
+    Attributes:
+        share: Retries a first try earns while little fails.
+        saved: Retries that may be made now.
+        rate: First tries a second, smoothed over `RECENT_S`.
+        failures: Share of tries that fail, smoothed.
+        updated_at: Time of the last first try.
+    """
+
+    share: float
+    updated_at: float
+    saved: float = 0.0
+    rate: float = 0.0
+    failures: float = 0.0
+
+    @property
+    def most(self) -> float:
+        """Most that may be saved."""
+        return max(self.share * self.rate * RECENT_S, MIN_RESERVE)
+
+    def earn(self, now: float) -> None:
+        """Counts a first try."""
+        passed = max(now - self.updated_at, 0.0)
+        self.updated_at = now
+        kept = max(1.0 - passed / RECENT_S, 0.0)
+        self.rate = self.rate * kept + 1.0 / RECENT_S
+        helpful = max(1.0 - self.failures, LEAST_SHARE_OF_BUDGET)
+        self.saved = min(self.saved + self.share * helpful, self.most)
+
+    def spend(self, reserve: float = 0.0) -> bool:
+        """Takes one retry if more than the reserve is saved."""
+        if self.saved < 1.0 + reserve:
+            return False
+        self.saved -= 1.0
+        return True
+
+
+@attrs.define
+class RetryCounters:
+    """Tries by kind; `tries / first_tries` is the amplification.
+
+    Attributes:
+        first_tries: First tries.
+        retries: Retries allowed.
+        hedges: Hedges allowed.
+        over_budget: Retries refused for want of budget.
+    """
+
+    first_tries: int = 0
+    retries: int = 0
+    hedges: int = 0
+    over_budget: int = 0
+
+    @property
+    def tries(self) -> int:
+        """All tries."""
+        return self.first_tries + self.retries + self.hedges
+
+
+class RetryPolicy:
+    """Decides on retries and hedges; keeps a budget a service."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Starts with empty budgets.
+
+        Args:
+            rng: Source of jitter.
+        """
+        self._rng = rng
+        self._budgets: OrderedDict[identifiers.ServiceName, _Budget] = (
+            OrderedDict()
+        )
+        self.counters = RetryCounters()
+
+    def note_first_try(
+        self, service: identifiers.ServiceName, share: float, now: float
+    ) -> None:
+        """Counts a request's first attempt.
+
+        Args:
+            service: The service.
+            share: Its retry budget as a share of first tries.
+            now: Current time in seconds.
+        """
+        budget = self._budget(service, share, now)
+        budget.share = share
+        budget.earn(now)
+        self.counters.first_tries += 1
+
+    def note_end(self, service: identifiers.ServiceName, failed: bool) -> None:
+        """Counts the end of any attempt."""
+        budget = self._budgets.get(service)
+        if budget is not None:
+            budget.failures += FAILURE_WEIGHT * (failed - budget.failures)
+
+    def decide(self, failure: Failure) -> result.Result[Retry, GiveUp]:
+        """Decides what follows a failed attempt; call `note_end` first."""
+        if not failure.may_run_again:
+            return result.Err(_ended(failure))
+        if failure.tries >= MAX_TRIES:
+            return result.Err(self._exhausted(failure))
+        limit = min(BASE_BACKOFF_S * 2.0**failure.tries, MAX_BACKOFF_S)
+        wait_s = self._rng.random() * limit
+        if wait_s + failure.expected_s > failure.time_left_s:
+            return result.Err(
+                GiveUp(
+                    outcomes.RefusalReason.DEADLINE_UNREACHABLE,
+                    "The time left does not suffice for another try.",
+                    self._retry_after(failure),
+                )
+            )
+        budget = self._budgets.get(failure.service)
+        if budget is None or not budget.spend():
+            self.counters.over_budget += 1
+            return result.Err(self._exhausted(failure))
+        self.counters.retries += 1
+        self._check(budget)
+        place = Place.OTHER_TARGET
+        if failure.tries > 1:
+            place = Place.OTHER_DATA_CENTRE
+        return result.Ok(Retry(wait_s, place))
+
+    def may_hedge(
+        self,
+        service: identifiers.ServiceName,
+        prompt_tokens: int,
+        idempotent: bool,
+        waited_s: float,
+        expected_s: float,
+    ) -> bool:
+        """Whether to run a silent request on a second target, too.
+
+        Counts the hedge if so. Ask once a request.
+
+        Args:
+            service: The service.
+            prompt_tokens: Length of the prompt in tokens.
+            idempotent: Whether running it twice does no harm.
+            waited_s: Seconds since the first attempt was sent.
+            expected_s: Seconds in which its first token was expected.
+        """
+        if not idempotent or prompt_tokens > MAX_HEDGED_TOKENS:
+            return False
+        if waited_s < HEDGE_AFTER_FACTOR * expected_s:
+            return False
+        budget = self._budgets.get(service)
+        if budget is None:
+            return False
+        if not budget.spend(HEDGE_RESERVE_SHARE * budget.most):
+            return False
+        self.counters.hedges += 1
+        return True
+
+    def saved(self, service: identifiers.ServiceName) -> float:
+        """Returns the retries that a service may make now."""
+        budget = self._budgets.get(service)
+        return budget.saved if budget else 0.0
+
+    def _budget(
+        self, service: identifiers.ServiceName, share: float, now: float
+    ) -> _Budget:
+        """Returns a service's budget; forgets the one longest unused."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = _Budget(share, now)
+            self._budgets[service] = budget
+        self._budgets.move_to_end(service)
+        while len(self._budgets) > MAX_SERVICES:
+            self._budgets.popitem(last=False)
+        return budget
+
+    def _exhausted(self, failure: Failure) -> GiveUp:
+        """Gives up for want of tries."""
+        return GiveUp(
+            outcomes.RefusalReason.RETRIES_EXHAUSTED,
+            "The targets failed and no more retries are allowed now.",
+            self._retry_after(failure),
+        )
+
+    def _retry_after(self, failure: Failure) -> float:
+        """Returns when to come back: later the more fails, with jitter."""
+        budget = self._budgets.get(failure.service)
+        failures = budget.failures if budget else 1.0
+        span = MAX_RETRY_AFTER_S - MIN_RETRY_AFTER_S
+        advised = MIN_RETRY_AFTER_S + span * failures * self._rng.random()
+        return max(advised, failure.retry_after_s or 0.0)
+
+    def _check(self, budget: _Budget) -> None:
+        """Checks the budget's bounds."""
+        exceptions.check_invariant(
+            0.0 <= budget.saved <= budget.most,
+            "a retry budget stays within its bounds",
+            budget,
+        )
+
+
+def _ended(failure: Failure) -> GiveUp:
+    """Gives up a request that must not run again."""
+    if failure.kind is targets.FaultKind.REJECTED:
+        return GiveUp(
+            outcomes.RefusalReason.TARGET_REFUSED,
+            "The target ran the request and answered with an error.",
+        )
+    return GiveUp(
+        outcomes.RefusalReason.TARGET_LOST,
+        "The target was lost and the request must not run twice.",
+    )
