Find and free engine memory that belongs to nobody

Cause: A dead, restarted or cut-off owner must not cost an engine memory. Change: Reservations named by instance, boot and attempt; releases repeated until confirmed; a home instance that lists, asks the owners and frees.

--- /dev/null
+++ b/src/cardamomfork/_internal/requests/reservations.py
@@ -0,0 +1,208 @@
+"""Engine memory that is held for attempts, and getting it back.
+
+Every stream, KV export and import is under a reservation that names its
+owner: instance, boot and attempt. The owner frees what it has done with and
+repeats that until the engine confirms; what it can't free, the engine's home
+instance finds (`reservation_sweep`).
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.models import identifiers
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    import random
+
+MAX_OWN = 65_536
+FIRST_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 10.0
+RELEASE_FOR_S = 600.0
+"""Seconds after which an owner leaves a release to the home instance."""
+
+_PARTS = 3
+
+
+@attrs.frozen
+class ReservationName:
+    """Who holds engine memory.
+
+    Attributes:
+        instance_id: The owning entry instance.
+        boot_id: Which life of it.
+        attempt_id: The attempt that it is for; never used again.
+    """
+
+    instance_id: identifiers.InstanceId
+    boot_id: identifiers.BootId
+    attempt_id: identifiers.AttemptId
+
+    def __str__(self) -> str:
+        """Returns the name as engines see it."""
+        return f"{self.instance_id}/{self.boot_id}/{self.attempt_id}"
+
+
+def parse_name(text: str) -> ReservationName | None:
+    """Reads a name; None if it is not of this form."""
+    parts = text.rsplit("/", _PARTS - 1)
+    if len(parts) != _PARTS or not all(parts):
+        return None
+    return ReservationName(
+        identifiers.InstanceId(parts[0]),
+        identifiers.BootId(parts[1]),
+        identifiers.AttemptId(parts[2]),
+    )
+
+
+@attrs.frozen
+class Release:
+    """A reservation to free now."""
+
+    target_id: identifiers.TargetId
+    name: str
+
+
+@attrs.define
+class _Pending:
+    """A release that is not confirmed yet."""
+
+    target_id: identifiers.TargetId
+    began_at: float
+    due: float
+    backoff_s: float = FIRST_BACKOFF_S
+
+    def postpone(self, now: float, rng: random.Random) -> None:
+        """Plans the next try, later each time."""
+        self.due = now + self.backoff_s * (0.5 + rng.random() / 2)
+        self.backoff_s = min(self.backoff_s * 2.0, MAX_BACKOFF_S)
+
+
+class Releases:
+    """Releases that are repeated until they are confirmed."""
+
+    def __init__(self, rng: random.Random, limit: int) -> None:
+        """Starts empty."""
+        self._rng = rng
+        self._limit = limit
+        self._pending: OrderedDict[str, _Pending] = OrderedDict()
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._pending
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def add(
+        self, name: str, target_id: identifiers.TargetId, now: float
+    ) -> None:
+        """Asks for a release; drops the oldest past the limit."""
+        if name not in self._pending:
+            self._pending[name] = _Pending(target_id, now, now)
+        while len(self._pending) > self._limit:
+            self._pending.popitem(last=False)
+
+    def take_due(self, now: float) -> list[Release]:
+        """Returns what to try now and plans the next try of each."""
+        due = [(n, p) for n, p in self._pending.items() if p.due <= now]
+        for name, pending in due:
+            pending.postpone(now, self._rng)
+            if now - pending.began_at > RELEASE_FOR_S:
+                del self._pending[name]
+        return [Release(pending.target_id, name) for name, pending in due]
+
+    def next_due(self) -> float | None:
+        """Returns when to try next."""
+        return min((p.due for p in self._pending.values()), default=None)
+
+    def discard(self, name: str) -> None:
+        """Notes that a release is confirmed or not wanted."""
+        self._pending.pop(name, None)
+
+
+class OwnReservations:
+    """The reservations of this instance in this life of it."""
+
+    def __init__(
+        self,
+        instance_id: identifiers.InstanceId,
+        boot_id: identifiers.BootId,
+        rng: random.Random,
+    ) -> None:
+        """Starts with none.
+
+        Args:
+            instance_id: This instance.
+            boot_id: This life of it.
+            rng: Source of jitter.
+        """
+        self._instance_id = instance_id
+        self._boot_id = boot_id
+        self._open: dict[str, identifiers.TargetId] = {}
+        self._releases = Releases(rng, MAX_OWN)
+
+    @property
+    def open_count(self) -> int:
+        """Reservations in use."""
+        return len(self._open)
+
+    @property
+    def releasing_count(self) -> int:
+        """Reservations whose release is not confirmed."""
+        return len(self._releases)
+
+    def open(
+        self,
+        attempt_id: identifiers.AttemptId,
+        target_id: identifiers.TargetId,
+    ) -> str:
+        """Opens a reservation and returns its name.
+
+        Call it before anything under it is sent; a resume of the attempt
+        keeps it open meanwhile.
+        """
+        name = str(
+            ReservationName(self._instance_id, self._boot_id, attempt_id)
+        )
+        exceptions.check_invariant(
+            name not in self._releases,
+            "a reservation that was let go is not used again",
+            name,
+        )
+        self._open[name] = target_id
+        return name
+
+    def let_go(self, name: str, now: float) -> None:
+        """Ends a reservation: it is freed until the engine confirms."""
+        target_id = self._open.pop(name, None)
+        if target_id is not None:
+            self._releases.add(name, target_id, now)
+
+    def close(self, name: str) -> None:
+        """Ends a reservation whose memory the engine has freed itself."""
+        self._open.pop(name, None)
+
+    def disown(self, names: Iterable[str]) -> frozenset[str]:
+        """Returns which names are not in use here, for a home instance.
+
+        Only names that the engine listed before the question: each was
+        opened before it could be listed.
+        """
+        return frozenset(name for name in names if name not in self._open)
+
+    def take_due(self, now: float) -> list[Release]:
+        """Returns the releases to try now."""
+        return self._releases.take_due(now)
+
+    def next_due(self) -> float | None:
+        """Returns when the next release is due."""
+        return self._releases.next_due()
+
+    def confirm(self, name: str) -> None:
+        """Notes that the engine has freed a reservation."""
+        self._releases.discard(name)
