--- a/src/cardamomfork/_internal/routing/dispatcher.py
+++ b/src/cardamomfork/_internal/routing/dispatcher.py
@@ -260,22 +260,26 @@
     ) -> None:
         """Starts what the pool's free engines can take."""
         pool.wake(now)
-        open_classes = {
-            size_class
+        heads = {
+            size_class: found
             for size_class, queue in enumerate(pool.queues)
-            if queue.count
+            if queue.count and (found := self._heads(pool, size_class))
         }
-        while open_classes:
-            heads = {c: self._heads(pool, c) for c in open_classes}
-            size_class = min(open_classes, key=lambda c: _rank(heads[c], now))
+        while heads:
+            size_class = min(heads, key=lambda c: _rank(heads[c][0], now))
             assignment = self._start_one(heads[size_class], pool, now)
-            if assignment is not None:
-                started.append(assignment)
-            if assignment is None or not pool.queues[size_class].count:
-                open_classes.discard(size_class)
+            if assignment is None:
+                del heads[size_class]
+                continue
+            started.append(assignment)
+            heads[size_class] = self._heads(pool, size_class)
+            if not heads[size_class]:
+                del heads[size_class]
 
     def _heads(self, pool: pools.Pool, size_class: int) -> list[waiting.Entry]:
-        """Returns the requests of a class that are next."""
+        """Returns the requests of a class that are next and could start."""
+        if not pool.has_free(0):
+            return []
         heads = list(pool.queues[size_class].heads(HEADS_TRIED))
         if pool.has_free(size_class):
             return heads
@@ -326,11 +330,9 @@
         )
 
 
-def _rank(heads: list[waiting.Entry], now: float) -> tuple[int, float]:
+def _rank(head: waiting.Entry, now: float) -> tuple[int, float]:
     """Returns the order of a class: urgency, then time waited to serve."""
-    if not heads:
-        return 8, 0.0
-    return heads[0].urgency, -heads[0].response_ratio(now)
+    return head.urgency, -head.response_ratio(now)
 
 
 def _takes_parts(entry: waiting.Entry, pool: pools.Pool) -> bool:
