Look again at requests that found no engine only after 10 ms

Cause: requests without a fitting engine were weighed again at every event. Change: they are tried again after 10 ms, with a wakeup of their own; classes without a free engine are skipped.

--- a/src/cardamomfork/_internal/measure/routing_cost.py
+++ b/src/cardamomfork/_internal/measure/routing_cost.py
@@ -1,11 +1,14 @@
 """Processor time of a routing decision, by the engines in view.
 
-A decision is a request submitted and polled for while a share of the engines
-is busy; what follows (first token and end) is counted apart.
+A decision is a request submitted and polled for at 80% load; what follows (its
+first token, its end, and the polls after them) is counted apart.
 """
 
 from __future__ import annotations
 
+import functools
+import heapq
+import itertools
 import random
 import time
 from typing import TYPE_CHECKING
@@ -16,18 +19,22 @@
 from cardamomfork._internal.standins import engine_model
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
     from cardamomfork._internal.contracts import dispatching
+    from cardamomfork._internal.models import identifiers
 
 SIZES = (20, 80, 320, 1000, 3500)
 BOUND_US = 100.0
 DECISIONS = 4000
 WARM_UP = 1000
-REQUESTS_PER_ENGINE_S = 2.5
-BUSY_SHARE = 0.8
+LOAD = 0.8
+ANSWER_S = 5.0
 
 
 class _Driver:
-    """Keeps a share of the engines busy and times the decisions."""
+    """Gives each request its predicted time and times the decisions."""
 
     def __init__(self, engines: int, seed: int) -> None:
         """Prepares a dispatcher with so many engines."""
@@ -43,7 +50,7 @@
         )
         count = WARM_UP + DECISIONS
         self._trace = workloads.make_trace(
-            deployment, parameters, BUSY_SHARE, count, seed
+            deployment, parameters, LOAD, count, seed
         )
         self._dispatcher = dispatcher_module.FleetDispatcher(
             random.Random(seed)
@@ -51,9 +58,8 @@
         self._dispatcher.apply_service(
             workloads.make_service(deployment, parameters)
         )
-        self._busy = int(engines * BUSY_SHARE)
-        self._prefilling: list[dispatching.Assignment] = []
-        self._answering: list[dispatching.Assignment] = []
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._sequence = itertools.count()
         self.decision_ns = 0
         self.after_ns = 0
 
@@ -62,8 +68,8 @@
         for number, arrival in enumerate(self._trace):
             if number == WARM_UP:
                 self.decision_ns = self.after_ns = 0
+            self._run_events(arrival.request.arrived_at)
             self._decide(arrival)
-            self._end_some(arrival.request.arrived_at)
         per_us = 1000.0 * DECISIONS
         return self.decision_ns / per_us, self.after_ns / per_us
 
@@ -74,21 +80,41 @@
         self._dispatcher.submit(arrival.request, now)
         started, _ = self._dispatcher.poll(now)
         self.decision_ns += time.process_time_ns() - start
-        self._prefilling.extend(started)
+        self._follow(started, now)
 
-    def _end_some(self, now: float) -> None:
-        """Ends the oldest prefills and answers beyond the busy share."""
-        start = time.process_time_ns()
-        while len(self._prefilling) > self._busy:
-            assignment = self._prefilling.pop(0)
-            self._dispatcher.first_token(assignment.request_id, now)
-            self._answering.append(assignment)
-        while len(self._answering) > 4 * self._busy:
-            assignment = self._answering.pop(0)
-            self._dispatcher.finished(assignment.request_id, now, 100)
-        started, _ = self._dispatcher.poll(now)
-        self.after_ns += time.process_time_ns() - start
-        self._prefilling.extend(started)
+    def _run_events(self, until: float) -> None:
+        """Times first tokens and ends, and the polls after them."""
+        while self._events and self._events[0][0] <= until:
+            now, _, event = heapq.heappop(self._events)
+            start = time.process_time_ns()
+            event(now)
+            started, _ = self._dispatcher.poll(now)
+            self.after_ns += time.process_time_ns() - start
+            self._follow(started, now)
+
+    def _follow(
+        self, started: Sequence[dispatching.Assignment], now: float
+    ) -> None:
+        """Plans the first tokens and ends of what has started."""
+        for assignment in started:
+            request_id = assignment.request_id
+            first_at = now + assignment.expected_first_token_s
+            self._at(
+                first_at,
+                functools.partial(self._dispatcher.first_token, request_id),
+            )
+            self._at(
+                first_at + ANSWER_S,
+                functools.partial(self._finish, request_id),
+            )
+
+    def _finish(self, request_id: identifiers.RequestId, now: float) -> None:
+        """Ends a request."""
+        self._dispatcher.finished(request_id, now, workloads.MEAN_GENERATED)
+
+    def _at(self, when: float, event: Callable[[float], None]) -> None:
+        """Plans an event."""
+        heapq.heappush(self._events, (when, next(self._sequence), event))
 
 
 def measure(options: reports.Options) -> reports.Report:
--- a/src/cardamomfork/_internal/routing/backlog.py
+++ b/src/cardamomfork/_internal/routing/backlog.py
@@ -142,6 +142,7 @@
         needed_s = work_s * (1.0 - match.share)
         needed_s += answer_s * SHARE_OF_ANSWER_NEEDED
         size_class = split.class_of(tokens)
+    takes_parts = exceeds_one_engine(request, pool)
     return waiting.Entry(
         request=request,
         avoid=avoid,
@@ -152,9 +153,16 @@
         match=match,
         urgency=request.urgency,
         queued_at=now,
+        is_selective=size_class > 0 and (takes_parts or match.share > 0),
     )
 
 
+def exceeds_one_engine(request: requests.Request, pool: pools.Pool) -> bool:
+    """Returns whether a request needs the memory of several engines."""
+    need = request.prompt_tokens + request.max_tokens
+    return request.max_tokens > 0 and need > pool.largest_memory
+
+
 def _engine_s(entry: waiting.Entry, pool: pools.Pool) -> float:
     """Returns the engine time that a request will take, in seconds.
 
--- a/src/cardamomfork/_internal/routing/dispatcher.py
+++ b/src/cardamomfork/_internal/routing/dispatcher.py
@@ -36,6 +36,7 @@
 
 DEFAULT_UTILISATION = 0.92
 HEADS_TRIED = 3
+LOOK_AGAIN_S = 0.01
 
 
 class FleetDispatcher:
@@ -185,9 +186,8 @@
         due = self._backlog.next_timer()
         times = [] if due is None else [due]
         for _, pool in self._fleet.all_pools:
-            timer = pool.next_timer()
-            if timer is not None and pool.queued:
-                times.append(timer)
+            if pool.queued:
+                times.extend(pool.timers(now))
         return max(min(times), now) if times else None
 
     def first_token(
@@ -278,23 +278,26 @@
 
     def _heads(self, pool: pools.Pool, size_class: int) -> list[waiting.Entry]:
         """Returns the requests of a class that are next and could start."""
-        if not pool.has_free(0):
-            return []
-        heads = list(pool.queues[size_class].heads(HEADS_TRIED))
+        queue = pool.queues[size_class]
         if pool.has_free(size_class):
-            return heads
-        return [e for e in heads if e.match.holders or _takes_parts(e, pool)]
+            return list(queue.heads(HEADS_TRIED))
+        if not queue.selective or not pool.has_free(0):
+            return []
+        heads = queue.heads(HEADS_TRIED)
+        return [entry for entry in heads if entry.is_selective]
 
     def _start_one(
         self, heads: list[waiting.Entry], pool: pools.Pool, now: float
     ) -> dispatching.Assignment | None:
         """Starts the first of some requests that an engine can take."""
         for entry in heads:
-            if entry.latest_start <= now:
+            if entry.latest_start <= now or now < entry.look_again_at:
                 continue
             choice = self._choose(entry, pool, now)
             if choice is not None:
                 return self._start(entry, pool, choice, now)
+            entry.look_again_at = now + LOOK_AGAIN_S
+            pool.look_again_at = entry.look_again_at
         return None
 
     def _choose(
@@ -304,7 +307,7 @@
         is_batch = entry.urgency >= requests.Urgency.BATCH
         if is_batch and not entry.size_class and pool.free_count(0) < 2:
             return None
-        if _takes_parts(entry, pool):
+        if backlog.exceeds_one_engine(entry.request, pool):
             return choice_module.choose_parts(entry, pool, now)
         return choice_module.choose(entry, pool, now, self._rng)
 
@@ -335,13 +338,6 @@
     return head.urgency, -head.response_ratio(now)
 
 
-def _takes_parts(entry: waiting.Entry, pool: pools.Pool) -> bool:
-    """Returns whether a request exceeds the memory of any one engine."""
-    request = entry.request
-    need = request.prompt_tokens + request.max_tokens
-    return request.max_tokens > 0 and need > pool.largest_memory
-
-
 def _unknown(request: requests.Request) -> outcomes.Refusal:
     """Returns the refusal of a service or model that is not configured."""
     return outcomes.refuse(
--- a/src/cardamomfork/_internal/routing/pools.py
+++ b/src/cardamomfork/_internal/routing/pools.py
@@ -80,6 +80,8 @@
         self._timers: list[tuple[float, identifiers.TargetId]] = []
         self._timed: dict[identifiers.TargetId, float] = {}
         self._weighed_at = 0.0
+        self.look_again_at = 0.0
+        """When a request that found no engine is tried again."""
         self.running = 0
         """Requests of this instance on its engines."""
         self.largest_memory = 0
@@ -168,9 +170,12 @@
             self._weighed_at = now
             health.weigh([view.health for view in self._members.values()])
 
-    def next_timer(self) -> float | None:
-        """Returns when an engine is due to be free."""
-        return self._timers[0][0] if self._timers else None
+    def timers(self, now: float) -> list[float]:
+        """Returns when an engine is due, or a request to be tried again."""
+        times = [self._timers[0][0]] if self._timers else []
+        if self.look_again_at > now:
+            times.append(self.look_again_at)
+        return times
 
     def has_free(self, size_class: int) -> bool:
         """Returns whether an engine that takes a class is free."""
--- a/src/cardamomfork/_internal/routing/waiting.py
+++ b/src/cardamomfork/_internal/routing/waiting.py
@@ -40,7 +40,9 @@
         latest_start: Time after which it can no longer end in time.
         match: Prefix that engines hold.
         urgency: RFC 9218 urgency, raised as its deadline comes near.
+        is_selective: Whether engines outside its class could take it.
         is_waiting: Whether it is still in the queue.
+        look_again_at: Time before which no engine is looked for again.
         queued_at: When it was queued.
     """
 
@@ -53,7 +55,9 @@
     match: prefixes.Match
     urgency: int
     queued_at: float
+    is_selective: bool = False
     is_waiting: bool = True
+    look_again_at: float = 0.0
 
     @property
     def turn_key(self) -> tuple[str, frozenset[identifiers.TargetId]]:
@@ -131,6 +135,12 @@
 
     def heads(self, limit: int) -> list[Entry]:
         """Returns the next request of each of the first accounts."""
+        if len(self._order) == 1:
+            turn = self._turns.get(self._order[0][2])
+            if turn is not None and turn.place == self._order[0][1]:
+                head = self._head(turn)
+                if head is not None:
+                    return [head]
         found: list[Entry] = []
         taken: list[tuple[float, int, object]] = []
         while self._order and len(found) < limit:
@@ -180,11 +190,14 @@
         self._levels: dict[int, _Level] = {}
         self._dead = 0
         self.count = 0
+        self.selective = 0
+        """Requests that engines outside their class could take."""
 
     def push(self, entry: Entry) -> None:
         """Adds a request."""
         self._level(entry.urgency).push(entry)
         self.count += 1
+        self.selective += entry.is_selective
 
     def take(self, entry: Entry, *, served: bool) -> None:
         """Takes a request out.
@@ -204,6 +217,7 @@
         entry.is_waiting = False
         level.leave(entry)
         self.count -= 1
+        self.selective -= entry.is_selective
         self._bury()
         self._check()
 
