--- a/src/cardamomfork/_internal/routing/choice.py
+++ b/src/cardamomfork/_internal/routing/choice.py
@@ -26,6 +26,8 @@
 CANDIDATES = 4
 DECODE_DELAY_SHARE = 0.02
 HOLDER_PATIENCE = 0.8
+HEADROOM_SHARE = 0.15
+"""Memory that parts leave on an engine for other requests."""
 PARTS_SPREAD = 2
 """Engines looked at for each that a prompt of several parts needs."""
 
@@ -99,19 +101,28 @@
     rooms.sort(key=lambda view: -view.free_tokens)
     start = max(first, key=lambda view: view.free_tokens)
     rooms.remove(start)
-    plan = parts.plan(
-        entry.request,
-        [
-            parts.Room(view.target_id, max(view.free_tokens, 0))
-            for view in (start, *rooms)
-        ],
-    )
+    order = (start, *rooms)
+    plan = parts.plan(request, _rooms(order, HEADROOM_SHARE))
+    if plan is None:
+        plan = parts.plan(request, _rooms(order, 0.0))
     if plan is None:
         return None
     tokens = float(entry.request.prompt_tokens)
     return Choice(plan, entry.work_s, entry.work_s, tokens)
 
 
+def _rooms(
+    order: tuple[views.TargetView, ...], headroom_share: float
+) -> list[parts.Room]:
+    """Returns the memory that engines can give, less some for the others."""
+    rooms = []
+    for view in order:
+        headroom = int(view.target.memory_tokens * headroom_share)
+        tokens = max(view.free_tokens - headroom, 0)
+        rooms.append(parts.Room(view.target_id, tokens))
+    return rooms
+
+
 def _best_holder(
     entry: waiting.Entry, pool: pools.Pool, now: float
 ) -> tuple[_Candidate | None, float]:
--- a/src/cardamomfork/_internal/routing/dispatcher.py
+++ b/src/cardamomfork/_internal/routing/dispatcher.py
@@ -34,7 +34,8 @@
     from cardamomfork._internal.routing import pools
     from cardamomfork._internal.routing import waiting
 
-DEFAULT_UTILISATION = 0.92
+MIN_UTILISATION = 0.86
+UTILISATION_SPAN = 0.12
 HEADS_TRIED = 3
 LOOK_AGAIN_S = 0.01
 
@@ -46,19 +47,22 @@
         self,
         rng: random.Random,
         limits: admission.QueueLimits | None = None,
-        utilisation: float = DEFAULT_UTILISATION,
+        short_weight: float = 1.0,
     ) -> None:
         """Starts without services.
 
         Args:
             rng: Source of the candidates drawn.
             limits: Most requests that wait at once.
-            utilisation: Share of their time that engines for long prompts
-                are meant to be busy; the higher, the more engines are left
-                to short prompts alone.
+            short_weight: How much a delay of short prompts counts against
+                one of long prompts; the higher, the more engines are left to
+                short prompts alone.
         """
         self._rng = rng
         self._limits = limits or admission.QueueLimits()
+        utilisation = MIN_UTILISATION + UTILISATION_SPAN * short_weight / (
+            1.0 + short_weight
+        )
         self._fleet = fleet_module.Fleet(utilisation)
         self._running = running_module.RunningTable(self._fleet)
         self._prefixes = prefixes.PrefixIndex()
