Fill the engines of a prompt of several parts evenly

Change: the fewest engines are taken and each is filled to the same share. The baselines' test expects the even cut (455 of 910 tokens on two engines of 500) in place of the full one.

--- a/src/cardamomfork/_internal/routing/choice.py
+++ b/src/cardamomfork/_internal/routing/choice.py
@@ -26,8 +26,6 @@
 CANDIDATES = 4
 DECODE_DELAY_SHARE = 0.02
 HOLDER_PATIENCE = 0.8
-HEADROOM_SHARE = 0.15
-"""Memory that parts leave on an engine for other requests."""
 PARTS_SPREAD = 2
 """Engines looked at for each that a prompt of several parts needs."""
 
@@ -87,7 +85,7 @@
     request = entry.request
     need = request.prompt_tokens + request.max_tokens
     least = PARTS_SPREAD * math.ceil(need / max(pool.largest_memory, 1))
-    rooms = [
+    able = [
         view
         for view in pool.longest_group(least)
         if view.target.exports_kv
@@ -95,34 +93,23 @@
         and now >= view.health.probe_at
         and not view.health.is_probed
     ]
-    first = [v for v in rooms if v.is_free(now, pool.s_per_token())]
+    first = [v for v in able if v.is_free(now, pool.s_per_token())]
     if not first:
         return None
-    rooms.sort(key=lambda view: -view.free_tokens)
+    able.sort(key=lambda view: -view.free_tokens)
     start = max(first, key=lambda view: view.free_tokens)
-    rooms.remove(start)
-    order = (start, *rooms)
-    plan = parts.plan(request, _rooms(order, HEADROOM_SHARE))
-    if plan is None:
-        plan = parts.plan(request, _rooms(order, 0.0))
+    able.remove(start)
+    order = (start, *able)
+    rooms = [
+        parts.Room(view.target_id, max(view.free_tokens, 0)) for view in order
+    ]
+    plan = parts.plan(request, rooms)
     if plan is None:
         return None
     tokens = float(entry.request.prompt_tokens)
     return Choice(plan, entry.work_s, entry.work_s, tokens)
 
 
-def _rooms(
-    order: tuple[views.TargetView, ...], headroom_share: float
-) -> list[parts.Room]:
-    """Returns the memory that engines can give, less some for the others."""
-    rooms = []
-    for view in order:
-        headroom = int(view.target.memory_tokens * headroom_share)
-        tokens = max(view.free_tokens - headroom, 0)
-        rooms.append(parts.Room(view.target_id, tokens))
-    return rooms
-
-
 def _best_holder(
     entry: waiting.Entry, pool: pools.Pool, now: float
 ) -> tuple[_Candidate | None, float]:
--- a/src/cardamomfork/_internal/routing/parts.py
+++ b/src/cardamomfork/_internal/routing/parts.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -81,11 +82,17 @@
 
 
 def _spread(request: requests.Request, rooms: Sequence[Room]) -> Plan | None:
-    """Fills the engines in order; the last takes the rest and the answer."""
+    """Fills the engines in order, each to the same share of its memory.
+
+    What is left on each serves other requests meanwhile.
+    """
+    need = request.prompt_tokens + request.max_tokens
+    share = need / sum(room.tokens for room in rooms)
     hops = []
     done = 0
     for room in rooms[:-1]:
-        done = min(done + room.tokens, request.prompt_tokens - 1)
+        done += math.ceil(room.tokens * share)
+        done = min(done, request.prompt_tokens - 1)
         hops.append(dispatching.Hop(room.target_id, done))
     rest = request.prompt_tokens - done + request.max_tokens
     if rest > rooms[-1].tokens:
