Do not wait long for an engine that holds a prefix

Cause: a request waited for a busy holder for as long as the engine computed a part of a long prompt, or was late, and held up its account (3 s seen). Change: the wait counts parts and pauses, ends once the prediction has passed, and never exceeds the prompt's own prefill time.

--- a/src/cardamomfork/_internal/routing/choice.py
+++ b/src/cardamomfork/_internal/routing/choice.py
@@ -62,6 +62,8 @@
 ) -> Choice | None:
     """Returns where a request runs if it starts now, or None to wait."""
     best, wait_s = _best_holder(entry, pool, now)
+    if now - entry.queued_at > entry.work_s:
+        wait_s = math.inf
     need = entry.request.prompt_tokens + entry.request.max_tokens
     tokens = float(entry.request.prompt_tokens)
     for view in pool.free(entry.size_class, CANDIDATES, rng):
@@ -128,7 +130,9 @@
         if held is None:
             continue
         if not view.is_free(now, pool.s_per_token()):
-            wait_s = min(wait_s, held.score)
+            free_at = view.free_at(now, pool.s_per_token())
+            if free_at is not None:
+                wait_s = min(wait_s, free_at - now + held.prefill_s)
         elif best is None or held.score < best.score:
             best = held
     return best, wait_s
--- a/src/cardamomfork/_internal/targets/views.py
+++ b/src/cardamomfork/_internal/targets/views.py
@@ -172,6 +172,20 @@
             return False
         return self.foreign_free_at(s_per_token) <= now
 
+    def free_at(self, now: float, s_per_token: float) -> float | None:
+        """Returns when it is expected to be free; None if not foreseeable."""
+        if self.is_leaving or self.health.is_probed:
+            return None
+        if self.prefills and self.busy_until <= now:
+            return None
+        return max(
+            now,
+            self.busy_until,
+            self.health.probe_at,
+            self.claims_end(now),
+            self.foreign_free_at(s_per_token),
+        )
+
     def claimed_between(self, start: float, end: float) -> bool:
         """Returns whether a part of a long prompt needs it in a time."""
         return any(a <= end and start < b for a, b in self.claims.values())
--- a/tests/unit/test_routing_dispatcher.py
+++ b/tests/unit/test_routing_dispatcher.py
@@ -181,6 +181,20 @@
             self.assertIn(_starts(dispatcher, 0.2).get(name), ("e1", None))
         self.assertEqual(dispatcher.queued, 1)
 
+    def test_request_does_not_wait_for_a_holder_that_is_late(self):
+        dispatcher = _dispatcher(2)
+        hashes = tuple(range(10))
+        long_ago = routing.request(
+            "a", prompt_tokens=10_000, prefix_hashes=hashes
+        )
+        dispatcher.submit(long_ago, 0.0)
+        holder = _starts(dispatcher, 0.0)["a"]
+        again = routing.request("b", prompt_tokens=10_000, prefix_hashes=hashes)
+        dispatcher.submit(again, 0.2)
+        self.assertEqual(_starts(dispatcher, 0.2), {})
+        self.assertLess(dispatcher.next_wakeup(0.2), 0.3)
+        self.assertNotIn(_starts(dispatcher, 0.3).get("b"), (holder, None))
+
     def test_memory_is_promised_once(self):
         dispatcher = _dispatcher(1)
         dispatcher.submit(routing.request("a", prompt_tokens=150_000), 0.0)
