Give long prompts the engines that short ones can spare

Cause: at low load long prompts kept to the few engines that their work needs while others stood idle. Change: a group also gets what is left after the shorter prompts' work plus 1.5 times its square root and one engine.

--- a/src/cardamomfork/_internal/routing/split.py
+++ b/src/cardamomfork/_internal/routing/split.py
@@ -17,6 +17,8 @@
 MEMORY_S = 60.0
 PERIOD_S = 1.0
 HYSTERESIS = 0.6
+SPARE = 1.5
+"""Engines left to shorter prompts beyond their work, by its square root."""
 MIN_EVIDENCE = 0.2
 
 
@@ -94,9 +96,11 @@
 
     def _resize_class(self, size_class: int, demand: list[float]) -> None:
         """Moves one group's size toward what its work needs."""
-        wanted = demand[size_class] / self._utilisation
+        below = demand[0] - demand[size_class]
+        spare = self._engines - below - SPARE * math.sqrt(below) - 1.0
+        wanted = max(demand[size_class] / self._utilisation, spare)
         fair = self._engines * demand[size_class] / demand[0]
-        wanted = min(wanted, max(fair, 0.5))
+        wanted = min(wanted, max(fair, spare, 0.5))
         size = self._sizes[size_class]
         if wanted > size or wanted < size - 1 - HYSTERESIS:
             size = math.ceil(wanted)
