--- a/src/cardamomfork/_internal/routing/dispatcher.py
+++ b/src/cardamomfork/_internal/routing/dispatcher.py
@@ -22,6 +22,7 @@
 from cardamomfork._internal.routing import fleet as fleet_module
 from cardamomfork._internal.routing import prefixes
 from cardamomfork._internal.routing import running as running_module
+from cardamomfork._internal.routing import split
 from cardamomfork._internal.routing import state as state_module
 
 if TYPE_CHECKING:
@@ -313,7 +314,10 @@
             return None
         if backlog.exceeds_one_engine(entry.request, pool):
             return choice_module.choose_parts(entry, pool, now)
-        return choice_module.choose(entry, pool, now, self._rng)
+        choice = choice_module.choose(entry, pool, now, self._rng)
+        if choice is None and entry.size_class == split.CLASSES - 1:
+            return choice_module.choose_parts(entry, pool, now)
+        return choice
 
     def _start(
         self,
