Follow the configuration through store, peers and outages

Cause: every instance has to put an accepted change in force within seconds while only a few may load the store, and keep serving when it is away. Stand-ins for the peer network and a fleet in one process.

--- /dev/null
+++ b/src/cardamomfork/_internal/configuration/distribution.py
@@ -0,0 +1,236 @@
+"""Tells peers of configuration changes and hears of theirs.
+
+Each payload carries the sender's revision. Who is ahead adds the changes that
+the other lacks, as far as they fit; the rest follows in later payloads. One
+that can't be caught up that way is `behind` and loads a snapshot.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from cardamomfork._internal.configuration import codec
+from cardamomfork._internal.configuration import replica
+from cardamomfork._internal.contracts import gossip
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.models import configuration
+    from cardamomfork._internal.models import identifiers
+
+MAX_PEERS = 1024
+BEHIND_AFTER_S = 2.0
+PAGE_BYTES = 65_536
+
+
+class _Payload(
+    msgspec.Struct, array_like=True, frozen=True, omit_defaults=True
+):
+    """What one instance tells another."""
+
+    revision: int
+    since: int = 0
+    upto: int = 0
+    changes: bytes = b""
+
+
+class _PageRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for the objects from a place on, in order of kind and name."""
+
+    kind: str = ""
+    name: str = ""
+
+
+class _Page(msgspec.Struct, array_like=True, frozen=True):
+    """A part of a snapshot; an empty `kind` ends it."""
+
+    revision: int
+    changes: bytes
+    kind: str = ""
+    name: str = ""
+
+
+@attrs.define
+class DistributionCounters:
+    """Payloads that came in.
+
+    Attributes:
+        unreadable: Payloads dropped because they could not be read.
+        told: Changes told to peers.
+    """
+
+    unreadable: int = 0
+    told: int = 0
+
+
+class ConfigurationGossip:
+    """The configuration's part in the peers' talk."""
+
+    def __init__(self, held: replica.ConfigurationReplica) -> None:
+        """Takes this instance's copy."""
+        self._replica = held
+        self._revisions: collections.OrderedDict[
+            identifiers.InstanceId, int
+        ] = collections.OrderedDict()
+        self._behind_since: float | None = None
+        self._behind_at = 0
+        self._ahead: identifiers.InstanceId | None = None
+        self.counters = DistributionCounters()
+
+    @property
+    def topic(self) -> gossip.Topic:
+        """The topic of its payloads."""
+        return gossip.Topic.CONFIGURATION
+
+    @property
+    def peer_ahead(self) -> identifiers.InstanceId | None:
+        """The peer that showed the newest revision while we lag, if any."""
+        return self._ahead
+
+    def is_behind(self, now: float) -> bool:
+        """Tells whether a peer has been ahead for long without progress."""
+        return (
+            self._behind_since is not None
+            and now - self._behind_since >= BEHIND_AFTER_S
+        )
+
+    def collect(
+        self,
+        peer: identifiers.InstanceId,
+        scope: gossip.Scope,
+        budget_bytes: int,
+        now: float,
+    ) -> bytes:
+        """Returns this instance's revision and what the peer lacks."""
+        del scope, now
+        revision = self._replica.revision
+        digest = msgspec.msgpack.encode(_Payload(revision))
+        known = self._revisions.get(peer)
+        if known is None or known >= revision or len(digest) > budget_bytes:
+            return digest if len(digest) <= budget_bytes else b""
+        changes = self._replica.changes_after(known)
+        if changes is None:
+            return digest
+        room = budget_bytes - _PAYLOAD_HEAD_BYTES
+        packed = codec.pack(changes, revision, room)
+        if packed.upto <= known and not packed.count:
+            return digest
+        self.counters.told += packed.count
+        self._note(peer, packed.upto)
+        return msgspec.msgpack.encode(
+            _Payload(revision, known, packed.upto, packed.data)
+        )
+
+    def absorb(
+        self, sender: identifiers.InstanceId, payload: bytes, now: float
+    ) -> None:
+        """Takes a peer's payload."""
+        try:
+            heard = msgspec.msgpack.decode(payload, type=_Payload)
+        except msgspec.DecodeError:
+            self.counters.unreadable += 1
+            return
+        changes = codec.unpack(heard.changes)
+        if changes.is_err():
+            self.counters.unreadable += 1
+            return
+        self._note(sender, heard.revision)
+        if heard.upto > 0:
+            self._replica.apply_range(changes.unwrap(), heard.since, heard.upto)
+        self._watch_lag(sender, heard.revision, now)
+
+    def answer_page(self, request: bytes) -> bytes:
+        """Answers a newcomer's request for a part of the snapshot."""
+        try:
+            asked = msgspec.msgpack.decode(request, type=_PageRequest)
+        except msgspec.DecodeError:
+            self.counters.unreadable += 1
+            return b""
+        snapshot = self._replica.snapshot()
+        rest = [
+            entry
+            for entry in snapshot.entries
+            if (entry.kind.value, entry.name) >= (asked.kind, asked.name)
+        ]
+        packed = codec.pack(rest, 0, PAGE_BYTES)
+        if not packed.count and rest:
+            packed = codec.pack(rest[:1], 0, codec.MAX_OBJECT_BYTES * 2)
+        next_ = rest[packed.count] if packed.count < len(rest) else None
+        return msgspec.msgpack.encode(
+            _Page(
+                snapshot.revision,
+                packed.data,
+                next_.kind.value if next_ else "",
+                next_.name if next_ else "",
+            )
+        )
+
+    def _note(self, peer: identifiers.InstanceId, revision: int) -> None:
+        """Keeps what a peer holds; forgets the peers heard longest ago."""
+        self._revisions[peer] = revision
+        self._revisions.move_to_end(peer)
+        while len(self._revisions) > MAX_PEERS:
+            self._revisions.popitem(last=False)
+
+    def _watch_lag(
+        self, sender: identifiers.InstanceId, revision: int, now: float
+    ) -> None:
+        """Notes since when this copy lags without catching up."""
+        mine = self._replica.revision
+        if revision <= mine:
+            if self._ahead == sender or mine > self._behind_at:
+                self._behind_since = self._ahead = None
+            return
+        self._ahead = sender
+        if self._behind_since is None or mine > self._behind_at:
+            self._behind_since = now
+            self._behind_at = mine
+
+
+class SnapshotReader:
+    """Puts the pages of a peer's snapshot together.
+
+    A page of another revision than the first means that the peer has moved
+    on: objects may be missing, so the reading starts again.
+    """
+
+    def __init__(self) -> None:
+        """Begins at the first page."""
+        self._next = _PageRequest()
+        self._revision = 0
+        self._entries: list[configuration.Versioned] = []
+
+    def next_request(self) -> bytes:
+        """Returns the request for the next page."""
+        return msgspec.msgpack.encode(self._next)
+
+    def take(self, answer: bytes) -> replica.Snapshot | bool | None:
+        """Takes a page.
+
+        Returns:
+            The whole snapshot after the last page, None if more pages are to
+            come, False if the page can't be read.
+        """
+        try:
+            page = msgspec.msgpack.decode(answer, type=_Page)
+        except msgspec.DecodeError:
+            return False
+        entries = codec.unpack(page.changes)
+        if entries.is_err():
+            return False
+        if self._entries and self._revision != page.revision:
+            self._next = _PageRequest()
+            self._entries.clear()
+            return None
+        self._revision = page.revision
+        self._entries += entries.unwrap()
+        if page.kind:
+            self._next = _PageRequest(page.kind, page.name)
+            return None
+        return replica.Snapshot(page.revision, tuple(self._entries))
+
+
+_PAYLOAD_HEAD_BYTES = 40
--- /dev/null
+++ b/src/cardamomfork/_internal/data_centres/summaries.py
@@ -0,0 +1,226 @@
+"""What each data centre is told of the others: its size and delegates.
+
+A few instances of a data centre, its delegates, talk to delegates of others.
+They publish a summary of their own data centre; within each the summaries of
+all are passed on like other news, and the one with the later time wins.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from cardamomfork._internal.data_centres import rendezvous
+from cardamomfork._internal.instances import records
+from cardamomfork._internal.models import identifiers
+
+if TYPE_CHECKING:
+    import random
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.instances import membership
+    from cardamomfork._internal.models import instances
+
+DELEGATES = 2
+REFRESH_S = 10.0
+MAX_DATA_CENTRES = 64
+MAX_AHEAD_S = 60.0
+SILENT_AFTER_S = 30.0
+_ARRAY_HEAD_BYTES = 5
+
+
+class _PackedSummary(msgspec.Struct, array_like=True, frozen=True):
+    """A summary on the wire."""
+
+    data_centre: str
+    published_at: float
+    live: int
+    delegates: list[records.PackedRecord]
+
+
+@attrs.frozen
+class Summary:
+    """One data centre as the others see it.
+
+    Attributes:
+        data_centre: Which.
+        published_at: Unix time at its delegate, in seconds.
+        live: Instances that live there.
+        delegates: Instances there to talk to.
+        heard_at: Monotonic time here at which it last changed.
+    """
+
+    data_centre: identifiers.DataCentreId
+    published_at: float
+    live: int
+    delegates: tuple[instances.Instance, ...]
+    heard_at: float = 0.0
+
+
+class DataCentreSummaries:
+    """Summaries of all data centres, and who speaks for this one."""
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        clock: clock_contract.Clock,
+        rng: random.Random,
+    ) -> None:
+        """Takes this data centre's membership.
+
+        Args:
+            members: Table of instances; listed ones elsewhere are first
+                contacts until a summary is heard.
+            clock: Its wall time marks the summaries.
+            rng: Chooses delegates to talk to.
+        """
+        self._members = members
+        self._clock = clock
+        self._rng = rng
+        self._summaries: dict[identifiers.DataCentreId, Summary] = {}
+        self._cursor = 0
+        self.unreadable = 0
+
+    @property
+    def home(self) -> identifiers.DataCentreId:
+        """This data centre."""
+        return self._members.me.instance.data_centre
+
+    @property
+    def is_delegate(self) -> bool:
+        """Whether this instance speaks for its data centre."""
+        me = self._members.me.instance.instance_id
+        return me in self._own_delegates()
+
+    def get(self, data_centre: identifiers.DataCentreId) -> Summary | None:
+        """Returns the summary of another data centre."""
+        return self._summaries.get(data_centre)
+
+    def reachable(self, now: float) -> list[identifiers.DataCentreId]:
+        """Names the other data centres that were heard from lately."""
+        return sorted(
+            name
+            for name, summary in self._summaries.items()
+            if now - summary.heard_at < SILENT_AFTER_S
+        )
+
+    def next_remote(self) -> instances.Instance | None:
+        """Returns a delegate elsewhere to talk to; None unless a delegate.
+
+        Goes round the other data centres; an instance that was only listed
+        stands in where no summary has come yet or its delegates are gone.
+        """
+        if not self.is_delegate:
+            return None
+        contacts = self._contacts()
+        if not contacts:
+            return None
+        names = sorted(contacts)
+        self._cursor = (self._cursor + 1) % len(names)
+        return self._rng.choice(contacts[names[self._cursor]])
+
+    def collect(self, budget_bytes: int, now: float) -> bytes:
+        """Returns as many summaries as fit, a further part each time."""
+        self._publish(now)
+        names = sorted(self._summaries)
+        chosen: list[msgspec.Raw] = []
+        left = budget_bytes - _ARRAY_HEAD_BYTES
+        start = self._rng.randrange(len(names)) if names else 0
+        for step in range(len(names)):
+            name = names[(start + step) % len(names)]
+            data = msgspec.msgpack.encode(_pack(self._summaries[name]))
+            if len(data) > left:
+                break
+            left -= len(data)
+            chosen.append(msgspec.Raw(data))
+        return msgspec.msgpack.encode(chosen) if chosen else b""
+
+    def absorb(self, payload: bytes, now: float) -> None:
+        """Takes summaries; keeps the later one of each data centre."""
+        try:
+            heard = msgspec.msgpack.decode(payload, type=list[_PackedSummary])
+            summaries = [_unpack(packed, now) for packed in heard]
+        except (msgspec.DecodeError, ValueError):
+            self.unreadable += 1
+            return
+        latest = self._clock.wall() + MAX_AHEAD_S
+        for summary in summaries:
+            held = self._summaries.get(summary.data_centre)
+            is_newer = held is None or held.published_at < summary.published_at
+            has_room = held or len(self._summaries) < MAX_DATA_CENTRES
+            if is_newer and has_room and summary.published_at <= latest:
+                self._summaries[summary.data_centre] = summary
+
+    def _own_delegates(self) -> list[str]:
+        """Names the instances that speak for this data centre."""
+        return rendezvous.owners(
+            f"delegate/{self.home}", self._members.staying(), DELEGATES
+        )
+
+    def _publish(self, now: float) -> None:
+        """Renews this data centre's own summary if it is a delegate's turn."""
+        held = self._summaries.get(self.home)
+        if not self.is_delegate:
+            return
+        names = self._own_delegates()
+        found = [
+            self._members.record(identifiers.InstanceId(name)) for name in names
+        ]
+        delegates = tuple(record.instance for record in found if record)
+        live = len(self._members.live(self.home))
+        wall = self._clock.wall()
+        if (
+            held
+            and (held.live, held.delegates) == (live, delegates)
+            and wall - held.published_at < REFRESH_S
+        ):
+            return
+        # A clock set back must not hide this data centre from the others.
+        published_at = max(wall, held.published_at + 0.001 if held else wall)
+        self._summaries[self.home] = Summary(
+            self.home, published_at, live, delegates, now
+        )
+
+    def _contacts(
+        self,
+    ) -> dict[identifiers.DataCentreId, list[instances.Instance]]:
+        """Returns instances to talk to, by other data centre."""
+        contacts: dict[identifiers.DataCentreId, list[instances.Instance]] = {}
+        for record in self._members.known():
+            if record.instance.data_centre != self.home:
+                contacts.setdefault(record.instance.data_centre, []).append(
+                    record.instance
+                )
+        for name, summary in self._summaries.items():
+            known = contacts.get(name, [])
+            if name != self.home and summary.delegates:
+                # Now and then a listed one: the delegates may all be gone.
+                spare = [self._rng.choice(known)] if known else []
+                contacts[name] = [*summary.delegates * 2, *spare]
+        return contacts
+
+
+def _pack(summary: Summary) -> _PackedSummary:
+    """Returns a summary's form on the wire."""
+    return _PackedSummary(
+        summary.data_centre,
+        summary.published_at,
+        summary.live,
+        [
+            records.pack(records.Record(instance))
+            for instance in summary.delegates
+        ],
+    )
+
+
+def _unpack(packed: _PackedSummary, now: float) -> Summary:
+    """Reads a summary."""
+    return Summary(
+        identifiers.DataCentreId(packed.data_centre),
+        packed.published_at,
+        packed.live,
+        tuple(records.unpack(record).instance for record in packed.delegates),
+        now,
+    )
--- /dev/null
+++ b/src/cardamomfork/_internal/instances/composing.py
@@ -0,0 +1,87 @@
+"""Puts the participants' payloads into envelopes within the byte budget."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.contracts import gossip
+from cardamomfork._internal.contracts import peering as peering_contract
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from cardamomfork._internal.instances import byte_budget
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.models import instances
+
+MAX_ENVELOPE_BYTES = 3000
+
+# Share of the bytes left that a topic may use, in order of urgency.
+_SHARES = {
+    gossip.Topic.LEAVING: 0.5,
+    gossip.Topic.MEMBERSHIP: 0.5,
+    gossip.Topic.CONFIGURATION: 0.6,
+    gossip.Topic.POISON: 0.4,
+    gossip.Topic.CLAIMS: 0.4,
+    gossip.Topic.LIMITS: 0.6,
+    gossip.Topic.LOAD: 1.0,
+}
+
+
+class EnvelopeComposer:
+    """Asks participants for payloads and hands them those of others."""
+
+    def __init__(
+        self,
+        participants: Sequence[gossip.Participant],
+        budget: byte_budget.ByteBudget,
+    ) -> None:
+        """Takes the participants, at most one a topic, and the budget."""
+        by_topic = {member.topic: member for member in participants}
+        if len(by_topic) < len(participants):
+            raise ValueError("two participants share a topic")
+        self._participants = {
+            topic: by_topic[topic] for topic in _SHARES if topic in by_topic
+        }
+        self._budget = budget
+        self.bytes_by_topic = dict.fromkeys(self._participants, 0)
+
+    def compose(
+        self,
+        sender: instances.Instance,
+        peer: identifiers.InstanceId,
+        scope: gossip.Scope,
+        now: float,
+    ) -> peering_contract.Envelope | None:
+        """Returns an envelope that has been paid for; None if there's no room.
+
+        An answer without sections still shows that its sender lives.
+        """
+        left = min(self._budget.available(now), MAX_ENVELOPE_BYTES)
+        left -= peering_contract.ENVELOPE_OVERHEAD_BYTES
+        sections = []
+        for topic, participant in self._participants.items():
+            left -= peering_contract.SECTION_OVERHEAD_BYTES
+            share = int(left * _SHARES[topic])
+            if share <= 0:
+                break
+            payload = participant.collect(peer, scope, share, now)
+            if not payload:
+                left += peering_contract.SECTION_OVERHEAD_BYTES
+                continue
+            left -= len(payload)
+            self.bytes_by_topic[topic] += len(payload)
+            sections.append(peering_contract.Section(topic, payload))
+        envelope = peering_contract.Envelope(sender, tuple(sections))
+        if not self._budget.spend(envelope.size_bytes, now):
+            return None
+        return envelope
+
+    def deliver(self, envelope: peering_contract.Envelope, now: float) -> None:
+        """Hands each payload to its participant; skips unknown topics."""
+        for section in envelope.sections:
+            participant = self._participants.get(section.topic)
+            if participant is not None:
+                participant.absorb(
+                    envelope.sender.instance_id, section.payload, now
+                )
--- /dev/null
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -0,0 +1,275 @@
+"""The loop that keeps an instance in touch with its peers.
+
+Once a period it exchanges envelopes with one random peer of its data centre,
+which is also the probe of that peer; a delegate talks to one other data centre
+as well. `hurry` adds an exchange with a few peers at once, for news that must
+spread within seconds. All that is told comes out of one byte budget.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import loguru
+import result
+
+from cardamomfork._internal.contracts import gossip
+from cardamomfork._internal.contracts import peering as peering_contract
+from cardamomfork._internal.instances import byte_budget
+from cardamomfork._internal.instances import composing
+from cardamomfork._internal.instances import membership
+from cardamomfork._internal.instances import records
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    import random
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.data_centres import summaries
+    from cardamomfork._internal.models import instances
+
+HELPERS = 3
+HURRY_FANOUT = 3
+HURRY_PAUSE_S = 0.05
+MAX_HURRIED_PER_S = 4.0
+REMOTE_PERIOD_S = 1.0
+
+
+@attrs.define
+class PeeringCounters:
+    """What happened.
+
+    Attributes:
+        exchanges: Exchanges that came to an answer.
+        silent: Exchanges that failed on an open connection.
+        renewed: Of these, those that a new connection then carried.
+        indirect: Peers reached only through others.
+        unpaid: Envelopes not sent for want of budget.
+        broken: Envelopes whose handling raised an error.
+    """
+
+    exchanges: int = 0
+    silent: int = 0
+    renewed: int = 0
+    indirect: int = 0
+    unpaid: int = 0
+    broken: int = 0
+
+
+class Peering:
+    """Runs the exchanges; also answers those of peers."""
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        others: summaries.DataCentreSummaries,
+        participants: Sequence[gossip.Participant],
+        budget: byte_budget.ByteBudget,
+        clock: clock_contract.Clock,
+        rng: random.Random,
+    ) -> None:
+        """Takes the parts that talk.
+
+        Args:
+            members: This data centre's instances.
+            others: The other data centres.
+            participants: Parts that gossip, at most one a topic.
+            budget: Bytes that may be told.
+            clock: Time.
+            rng: Jitter and choices.
+        """
+        self._members = members
+        self._others = others
+        self._composer = composing.EnvelopeComposer(participants, budget)
+        self._clock = clock
+        self._rng = rng
+        self._link: peering_contract.PeerLink | None = None
+        self._pages: dict[str, object] = {}
+        self._hurry = anyio.Event()
+        self._participants = participants
+        self.budget = budget
+        self.counters = PeeringCounters()
+
+    @property
+    def bytes_by_topic(self) -> dict[gossip.Topic, int]:
+        """Payload bytes told, by topic."""
+        return self._composer.bytes_by_topic
+
+    def hurry(self) -> None:
+        """Asks for an exchange with a few peers soon."""
+        self._hurry.set()
+
+    async def run(self, link: peering_contract.PeerLink) -> None:
+        """Runs until cancelled.
+
+        Args:
+            link: Calls peers; its server side calls `handle`.
+        """
+        self._link = link
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._probe_loop, link, group)
+            group.start_soon(self._remote_loop, link)
+            group.start_soon(self._hurry_loop, link, group)
+
+    def handle(
+        self, envelope: peering_contract.Envelope
+    ) -> peering_contract.Envelope:
+        """Takes a peer's envelope and returns the answer.
+
+        An answer without sections still proves that this instance lives.
+        """
+        now = self._clock.monotonic()
+        self._take(envelope, now)
+        answer = self._compose(envelope.sender, now)
+        if answer is None:
+            return peering_contract.Envelope(self._members.me.instance)
+        return answer
+
+    async def probe_for(self, subject: instances.Instance) -> bool:
+        """Probes an instance on behalf of a peer, on a new connection."""
+        if self._link is None:
+            return False
+        return await self._exchange(self._link, subject, fresh=True)
+
+    def answer_page(self, request: bytes) -> bytes:
+        """Returns a part of the configuration's snapshot."""
+        for participant in self._participants:
+            answer = getattr(participant, "answer_page", None)
+            if answer is not None:
+                return answer(request)
+        return b""
+
+    async def probe(
+        self, link: peering_contract.PeerLink, peer: instances.Instance
+    ) -> None:
+        """Exchanges envelopes with a peer and judges it by the outcome.
+
+        A connection that went silent proves nothing: the peer is called on a
+        new one, then by others, before it is suspected.
+        """
+        reached = await self._exchange(link, peer, fresh=False)
+        if not reached:
+            self.counters.silent += 1
+            reached = await self._exchange(link, peer, fresh=True)
+            self.counters.renewed += reached
+        if not reached:
+            reached = await self._reach_through_others(link, peer)
+            self.counters.indirect += reached
+        now = self._clock.monotonic()
+        if reached:
+            self._members.probe_succeeded(peer, now)
+        else:
+            self._members.probe_failed(peer, now)
+            link.forget(peer)
+
+    async def _probe_loop(
+        self,
+        link: peering_contract.PeerLink,
+        group: anyio.abc.TaskGroup,
+    ) -> None:
+        """Probes one peer a period; a slow probe delays no other."""
+        while True:
+            self._members.tick(self._clock.monotonic())
+            peer = self._members.next_probe()
+            if peer is not None:
+                group.start_soon(self.probe, link, peer)
+            jitter = self._rng.uniform(0.9, 1.1)
+            await anyio.sleep(membership.PERIOD_S * jitter)
+
+    async def _remote_loop(self, link: peering_contract.PeerLink) -> None:
+        """Talks to one delegate of another data centre a period."""
+        while True:
+            await anyio.sleep(REMOTE_PERIOD_S * self._rng.uniform(0.9, 1.1))
+            peer = self._others.next_remote()
+            if peer is not None and not await self._exchange(
+                link, peer, fresh=False
+            ):
+                await self._exchange(link, peer, fresh=True)
+
+    async def _hurry_loop(
+        self,
+        link: peering_contract.PeerLink,
+        group: anyio.abc.TaskGroup,
+    ) -> None:
+        """Tells a few random peers at once when asked to."""
+        while True:
+            await self._hurry.wait()
+            await anyio.sleep(HURRY_PAUSE_S)
+            self._hurry = anyio.Event()
+            me = self._members.me.instance
+            for peer in self._members.helpers(me.instance_id, HURRY_FANOUT):
+                group.start_soon(self._tell, link, peer)
+            remote = self._others.next_remote()
+            if remote is not None:
+                group.start_soon(self._tell, link, remote)
+            await anyio.sleep(1.0 / MAX_HURRIED_PER_S)
+
+    async def _tell(
+        self, link: peering_contract.PeerLink, peer: instances.Instance
+    ) -> None:
+        """Exchanges envelopes without judging the peer."""
+        await self._exchange(link, peer, fresh=False)
+
+    async def _reach_through_others(
+        self, link: peering_contract.PeerLink, subject: instances.Instance
+    ) -> bool:
+        """Asks a few peers whether they reach an instance."""
+        answers: list[bool] = []
+
+        async def ask(helper: instances.Instance) -> None:
+            answer = await link.probe_via(helper, subject)
+            answers.append(answer.unwrap_or(False))
+
+        helpers = self._members.helpers(subject.instance_id, HELPERS)
+        async with anyio.create_task_group() as group:
+            for helper in helpers:
+                group.start_soon(ask, helper)
+        return any(answers)
+
+    async def _exchange(
+        self,
+        link: peering_contract.PeerLink,
+        peer: instances.Instance,
+        *,
+        fresh: bool,
+    ) -> bool:
+        """Sends an envelope and takes the answer; False on a fault."""
+        envelope = self._compose(peer, self._clock.monotonic())
+        if envelope is None:
+            # Without sections it is still a probe, paid from the next bytes.
+            envelope = peering_contract.Envelope(self._members.me.instance)
+        answer = await link.exchange(peer, envelope, fresh=fresh)
+        if isinstance(answer, result.Err):
+            return False
+        sender = answer.ok_value.sender
+        self.counters.exchanges += 1
+        self._take(answer.ok_value, self._clock.monotonic())
+        # Another instance may have taken the address over.
+        return sender.instance_id == peer.instance_id
+
+    def _compose(
+        self, peer: instances.Instance, now: float
+    ) -> peering_contract.Envelope | None:
+        """Composes an envelope for a peer, as far as the budget goes."""
+        me = self._members.me.instance
+        scope = gossip.Scope.FLEET
+        if peer.data_centre == me.data_centre:
+            scope = gossip.Scope.DATA_CENTRE
+        envelope = self._composer.compose(me, peer.instance_id, scope, now)
+        self.counters.unpaid += envelope is None
+        return envelope
+
+    def _take(self, envelope: peering_contract.Envelope, now: float) -> None:
+        """Hands a peer's payloads on; a broken one ends only itself."""
+        sender = envelope.sender
+        if sender.data_centre == self._members.me.instance.data_centre:
+            self._members.hear(records.Record(sender), now)
+        try:
+            self._composer.deliver(envelope, now)
+        except Exception:  # noqa: BLE001 - one payload must not end the loop.
+            self.counters.broken += 1
+            loguru.logger.exception(
+                "peer payload from {} failed", sender.instance_id
+            )
--- /dev/null
+++ b/src/cardamomfork/_internal/instances/records.py
@@ -0,0 +1,117 @@
+"""What is known of one instance, and which of two reports is newer."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+import msgspec
+import xxhash
+
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import instances
+
+
+class Health(enum.IntEnum):
+    """Reachability; of two reports of one incarnation the higher wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+
+
+@attrs.frozen
+class Record:
+    """A report on one life of an instance.
+
+    Attributes:
+        instance: The instance with its boot id and address.
+        incarnation: Raised by the instance itself, to refute a suspicion.
+        health: Whether it answers.
+        leaving: Whether it said that it stops; sticky for its boot id.
+    """
+
+    instance: instances.Instance
+    incarnation: int = 0
+    health: Health = Health.ALIVE
+    leaving: bool = False
+
+    @property
+    def state(self) -> instances.InstanceState:
+        """The state as others are told."""
+        if self.health is Health.DEAD:
+            return instances.InstanceState.DEAD
+        if self.health is Health.SUSPECT:
+            return instances.InstanceState.SUSPECT
+        if self.leaving:
+            return instances.InstanceState.LEAVING
+        return instances.InstanceState.ALIVE
+
+    @property
+    def order(self) -> tuple[str, int, Health]:
+        """Grows with each newer report on the instance."""
+        return self.instance.boot_id, self.incarnation, self.health
+
+    @property
+    def fingerprint(self) -> int:
+        """A 64-bit hash of the report."""
+        text = (
+            f"{self.instance.instance_id}\0{self.instance.boot_id}"
+            f"\0{self.incarnation}\0{self.health}\0{self.leaving}"
+        )
+        return xxhash.xxh3_64_intdigest(text.encode())
+
+
+class PackedRecord(
+    msgspec.Struct, array_like=True, frozen=True, omit_defaults=True
+):
+    """A record on the wire."""
+
+    instance_id: str
+    boot_id: str
+    data_centre: str
+    host: str
+    port: int
+    incarnation: int = 0
+    health: int = 0
+    leaving: bool = False
+
+
+def merge(held: Record | None, heard: Record) -> Record:
+    """Returns the newer of two reports; leaving sticks to a boot id."""
+    if held is None or heard.instance.boot_id > held.instance.boot_id:
+        return heard
+    if heard.instance.boot_id < held.instance.boot_id:
+        return held
+    newer = heard if heard.order > held.order else held
+    return attrs.evolve(newer, leaving=held.leaving or heard.leaving)
+
+
+def pack(record: Record) -> PackedRecord:
+    """Returns a record's form on the wire."""
+    return PackedRecord(
+        record.instance.instance_id,
+        record.instance.boot_id,
+        record.instance.data_centre,
+        record.instance.host,
+        record.instance.port,
+        record.incarnation,
+        int(record.health),
+        record.leaving,
+    )
+
+
+def unpack(packed: PackedRecord) -> Record:
+    """Reads a record; raises ValueError for a health that doesn't exist."""
+    return Record(
+        instances.Instance(
+            identifiers.InstanceId(packed.instance_id),
+            identifiers.BootId(packed.boot_id),
+            identifiers.DataCentreId(packed.data_centre),
+            packed.host,
+            packed.port,
+        ),
+        packed.incarnation,
+        Health(packed.health),
+        packed.leaving,
+    )
--- /dev/null
+++ b/src/cardamomfork/_internal/standins/fleet.py
@@ -0,0 +1,192 @@
+"""Several instances in one process, joined by a stand-in network.
+
+Holds the parts that gossip and nothing of the data path. Run it under trio's
+`MockClock`, so that minutes pass in milliseconds.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+
+from cardamomfork._internal.configuration import distribution
+from cardamomfork._internal.configuration import follower
+from cardamomfork._internal.configuration import replica
+from cardamomfork._internal.contracts import clock as clock_contract
+from cardamomfork._internal.data_centres import summaries
+from cardamomfork._internal.instances import byte_budget
+from cardamomfork._internal.instances import membership
+from cardamomfork._internal.instances import membership_gossip
+from cardamomfork._internal.instances import peering
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import instances
+from cardamomfork._internal.standins import peer_network
+from cardamomfork._internal.standins import store as store_standin
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from cardamomfork._internal.contracts import gossip
+
+BYTES_PER_S = 6000.0
+
+
+@attrs.define
+class Member:
+    """One instance's parts.
+
+    Attributes:
+        instance: Who it is.
+        members: Its table of instances.
+        others: Its view of the other data centres.
+        replica: Its configuration.
+        follower: What keeps the configuration up.
+        peering: Its loop.
+        extra: Further participants, by the caller of the fleet.
+        faults: Faults of its sessions with the store.
+        scope: Cancel scope that ends it.
+    """
+
+    instance: instances.Instance
+    members: membership.Membership
+    others: summaries.DataCentreSummaries
+    replica: replica.ConfigurationReplica
+    follower: follower.ConfigurationFollower
+    peering: peering.Peering
+    extra: list[gossip.Participant]
+    faults: store_standin.StoreFaults
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+
+
+class Fleet:
+    """Instances that talk over one `PeerNetwork`."""
+
+    def __init__(
+        self,
+        sizes: Sequence[int],
+        seed: int = 1,
+        participants: Callable[
+            [instances.Instance, membership.Membership],
+            list[gossip.Participant],
+        ] = lambda _instance, _members: [],
+        bytes_per_s: float = BYTES_PER_S,
+    ) -> None:
+        """Makes the instances; nothing runs yet.
+
+        Args:
+            sizes: Instances in each data centre.
+            seed: Seed of all that is random.
+            participants: Makes further participants for an instance.
+            bytes_per_s: Byte budget of an instance.
+        """
+        self.clock = clock_contract.LoopClock()
+        self.store = store_standin.MemoryStore(self.clock)
+        self.network = peer_network.PeerNetwork()
+        self._seed = seed
+        self._participants = participants
+        self._bytes_per_s = bytes_per_s
+        self._lives = 0
+        listed = [
+            self._new_instance(f"dc-{centre}", number)
+            for centre, size in enumerate(sizes)
+            for number in range(size)
+        ]
+        self.members = [self.make(instance) for instance in listed]
+        for member in self.members:
+            member.members.hear_list(listed, 0.0)
+
+    def reborn(self, instance: instances.Instance) -> instances.Instance:
+        """Returns a later life of an instance at the same address."""
+        self._lives += 1
+        boot_id = identifiers.BootId(f"boot-{self._lives:06d}")
+        return attrs.evolve(instance, boot_id=boot_id)
+
+    def make(self, instance: instances.Instance) -> Member:
+        """Makes one instance's parts and serves it on the network."""
+        rng = random.Random(f"{self._seed}/{instance.boot_id}")
+        members = membership.Membership(instance, rng)
+        others = summaries.DataCentreSummaries(members, self.clock, rng)
+        held = replica.ConfigurationReplica()
+        told = distribution.ConfigurationGossip(held)
+        extra = self._participants(instance, members)
+        talk = membership_gossip.MembershipGossip(members, others)
+        loop = peering.Peering(
+            members,
+            others,
+            [talk, told, *extra],
+            byte_budget.ByteBudget(self._bytes_per_s),
+            self.clock,
+            rng,
+        )
+        held.subscribe(lambda _change: loop.hurry())
+        faults = store_standin.StoreFaults()
+        followed = follower.ConfigurationFollower(
+            lambda: self._session(faults), held, told, members, self.clock, rng
+        )
+        self.network.serve(instance, loop)
+        return Member(
+            instance, members, others, held, followed, loop, extra, faults
+        )
+
+    async def run_member(self, member: Member) -> None:
+        """Runs an instance until its scope is cancelled."""
+        link = self.network.link(member.instance)
+        with member.scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(member.peering.run, link)
+                group.start_soon(member.follower.run, link)
+
+    def start(
+        self,
+        group: anyio.abc.TaskGroup,
+        members: Sequence[Member] | None = None,
+    ) -> None:
+        """Starts instances in a task group, all by default."""
+        for member in self.members if members is None else members:
+            group.start_soon(self.run_member, member)
+
+    def kill(self, member: Member) -> None:
+        """Ends an instance at once."""
+        member.scope.cancel()
+        self.network.down.add(member.instance.instance_id)
+
+    def restart(self, member: Member, group: anyio.abc.TaskGroup) -> Member:
+        """Replaces an instance by its next life, which knows nothing."""
+        self.kill(member)
+        fresh = self.make(self.reborn(member.instance))
+        fresh.members.hear_list([m.instance for m in self.members], 0.0)
+        self.members[self.members.index(member)] = fresh
+        self.network.down.discard(member.instance.instance_id)
+        self.start(group, [fresh])
+        return fresh
+
+    def _new_instance(
+        self, data_centre: str, number: int
+    ) -> instances.Instance:
+        """Makes an instance's name and address."""
+        name = f"{data_centre}-{number:03d}"
+        self._lives += 1
+        return instances.Instance(
+            identifiers.InstanceId(name),
+            identifiers.BootId(f"boot-{self._lives:06d}"),
+            identifiers.DataCentreId(data_centre),
+            name,
+            8481,
+        )
+
+    def _session(
+        self, faults: store_standin.StoreFaults
+    ) -> store_standin.StoreSession:
+        """Opens a session with an instance's faults.
+
+        A watch that went silent stays so; a new session works.
+        """
+        session = store_standin.StoreSession(self.store)
+        session.faults = faults
+        if faults.silent_watches:
+            session.faults = attrs.evolve(faults, silent_watches=False)
+        return session
