Link peers over Cap'n Proto RPC on TCP, with TLS by settings

Cause: the peering loop needs a real transport whose silent connections are told from dead instances. Conclusion: the daemon can start peering with these parts.

--- a/src/cardamomfork/_internal/contracts/peering.py
+++ b/src/cardamomfork/_internal/contracts/peering.py
@@ -14,7 +14,7 @@
     from cardamomfork._internal.contracts import gossip
     from cardamomfork._internal.models import instances
 
-ENVELOPE_OVERHEAD_BYTES = 200
+ENVELOPE_OVERHEAD_BYTES = 256
 SECTION_OVERHEAD_BYTES = 32
 
 
--- /dev/null
+++ b/src/cardamomfork/_internal/links/peers/link.py
@@ -0,0 +1,174 @@
+"""Calls to peers over Cap'n Proto RPC on TCP, one connection a peer.
+
+Runs on asyncio inside `capnp.kj_loop()`. A call that gets no answer in time
+drops its connection; the next one opens a new one.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import anyio
+import attrs
+import capnp
+import result
+
+from cardamomfork._internal.contracts import peering
+from cardamomfork._internal.links.peers import schema
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    import ssl
+
+    from cardamomfork._internal.models import instances
+
+_Answer = TypeVar("_Answer")
+
+CALL_TIMEOUT_S = 0.8
+PAGE_TIMEOUT_S = 5.0
+MAX_CONNECTIONS = 128
+
+
+@attrs.define
+class LinkCounters:
+    """Connections opened, and calls that failed by kind."""
+
+    connections: int = 0
+    unreachable: int = 0
+    silent: int = 0
+
+
+@attrs.frozen
+class _Connection:
+    """An open connection and the service at its far end."""
+
+    stream: Any
+    client: Any
+    service: Any
+
+    def close(self) -> None:
+        """Ends the calls under way and closes the socket."""
+        self.client.close()
+        self.stream.close()
+
+
+class CapnpPeerLink:
+    """Meets the `PeerLink` contract."""
+
+    def __init__(
+        self,
+        tls: ssl.SSLContext | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
+        """Opens nothing yet.
+
+        Args:
+            tls: Context of the connecting side, or None for plain TCP.
+            max_connections: Most open connections; the one that was unused
+                for longest is closed for a new one.
+        """
+        self._tls = tls
+        self._max_connections = max_connections
+        self._connections: collections.OrderedDict[
+            tuple[str, int], _Connection
+        ] = collections.OrderedDict()
+        self.counters = LinkCounters()
+
+    async def exchange(
+        self,
+        peer: instances.Instance,
+        envelope: peering.Envelope,
+        *,
+        fresh: bool,
+    ) -> result.Result[peering.Envelope, peering.PeerFault]:
+        """Sends an envelope and returns the answer."""
+        if fresh:
+            self.forget(peer)
+
+        async def call(service: Any) -> peering.Envelope:
+            answer = await service.exchange(schema.envelope_fields(envelope))
+            return schema.read_envelope(answer.answer)
+
+        return await self._call(peer, call, CALL_TIMEOUT_S)
+
+    async def probe_via(
+        self, helper: instances.Instance, subject: instances.Instance
+    ) -> result.Result[bool, peering.PeerFault]:
+        """Asks a helper whether it reaches an instance."""
+
+        async def call(service: Any) -> bool:
+            answer = await service.probe(schema.instance_fields(subject))
+            return bool(answer.reached)
+
+        # The helper's own call must be able to time out first.
+        return await self._call(helper, call, 2 * CALL_TIMEOUT_S)
+
+    async def fetch_page(
+        self, peer: instances.Instance, request: bytes
+    ) -> result.Result[bytes, peering.PeerFault]:
+        """Asks a peer for a part of its configuration's snapshot."""
+
+        async def call(service: Any) -> bytes:
+            return bytes((await service.fetchPage(request)).page)
+
+        return await self._call(peer, call, PAGE_TIMEOUT_S)
+
+    def forget(self, peer: instances.Instance) -> None:
+        """Closes the connection to an instance."""
+        connection = self._connections.pop((peer.host, peer.port), None)
+        if connection is not None:
+            connection.close()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        while self._connections:
+            self._connections.popitem()[1].close()
+
+    async def _call(
+        self,
+        peer: instances.Instance,
+        call: Callable[[Any], Awaitable[_Answer]],
+        timeout_s: float,
+    ) -> result.Result[_Answer, peering.PeerFault]:
+        """Makes one call within its time; drops the connection on a fault."""
+        fault = peering.PeerFaultKind.UNREACHABLE
+        detail = f"no answer within {timeout_s:g} s"
+        try:
+            with anyio.move_on_after(timeout_s):
+                connection = await self._connect(peer)
+                fault = peering.PeerFaultKind.SILENT
+                return result.Ok(await call(connection.service))
+        except (OSError, capnp.KjException) as error:
+            detail = str(error)
+        if fault is peering.PeerFaultKind.UNREACHABLE:
+            self.counters.unreachable += 1
+        else:
+            self.counters.silent += 1
+        self.forget(peer)
+        return result.Err(peering.PeerFault(fault, detail))
+
+    async def _connect(self, peer: instances.Instance) -> _Connection:
+        """Returns the open connection to a peer, or opens one."""
+        address = (peer.host, peer.port)
+        held = self._connections.get(address)
+        if held is not None:
+            self._connections.move_to_end(address)
+            return held
+        stream = await capnp.AsyncIoStream.create_connection(
+            host=peer.host, port=peer.port, ssl=self._tls
+        )
+        client = capnp.TwoPartyClient(stream)
+        service = client.bootstrap().cast_as(schema.load().PeerService)
+        opened = _Connection(stream, client, service)
+        self.counters.connections += 1
+        raced = self._connections.pop(address, None)
+        if raced is not None:
+            raced.close()
+        self._connections[address] = opened
+        while len(self._connections) > self._max_connections:
+            self._connections.popitem(last=False)[1].close()
+        return opened
--- /dev/null
+++ b/src/cardamomfork/_internal/links/peers/server.py
@@ -0,0 +1,118 @@
+"""Answers peers' calls over Cap'n Proto RPC on TCP.
+
+Runs on asyncio inside `capnp.kj_loop()`.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Any
+from typing import TYPE_CHECKING
+
+import capnp
+import loguru
+
+from cardamomfork._internal.links.peers import schema
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    import ssl
+
+    from cardamomfork._internal.contracts import peering
+
+MAX_CONNECTIONS = 1024
+MAX_MESSAGE_WORDS = 512 * 1024
+
+
+class PeerServer:
+    """Serves a handler to peers."""
+
+    def __init__(
+        self,
+        handler: peering.PeerHandler,
+        host: str,
+        port: int,
+        tls: ssl.SSLContext | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
+        """Takes what answers the calls and where to listen.
+
+        Args:
+            handler: Answers the calls.
+            host: IP number to listen on.
+            port: TCP port; 0 picks one.
+            tls: Context of the listening side, or None for plain TCP.
+            max_connections: Most connections; further ones are closed.
+        """
+        self._service = _make_service(handler)
+        self._host = host
+        self._port = port
+        self._tls = tls
+        self._max_connections = max_connections
+        self._streams: set[Any] = set()
+
+    @property
+    def port(self) -> int:
+        """The port listened on, once `serve` has begun."""
+        return self._port
+
+    @contextlib.asynccontextmanager
+    async def serve(self) -> AsyncIterator[None]:
+        """Listens for the time of the context."""
+        server = await capnp.AsyncIoStream.create_server(
+            self._accept, host=self._host, port=self._port, ssl=self._tls
+        )
+        self._port = server.sockets[0].getsockname()[1]
+        try:
+            yield
+        finally:
+            server.close()
+            for stream in tuple(self._streams):
+                stream.close()
+
+    async def _accept(self, stream: Any) -> None:
+        """Serves one connection until the far end closes it."""
+        if len(self._streams) >= self._max_connections:
+            stream.close()
+            return
+        self._streams.add(stream)
+        try:
+            connection = capnp.TwoPartyServer(
+                stream,
+                bootstrap=self._service,
+                traversal_limit_in_words=MAX_MESSAGE_WORDS,
+            )
+            await connection.on_disconnect()
+        except (OSError, capnp.KjException) as error:
+            loguru.logger.debug("peer connection ended: {}", error)
+        finally:
+            self._streams.discard(stream)
+            stream.close()
+
+
+def _make_service(handler: peering.PeerHandler) -> Any:
+    """Makes the RPC service around a handler."""
+    loaded = schema.load()
+
+    class Service(loaded.PeerService.Server):
+        """Passes each call to the handler."""
+
+        async def exchange_context(self, context: Any) -> None:
+            """Takes an envelope and answers with one."""
+            envelope = schema.read_envelope(context.params.envelope)
+            answer = handler.handle(envelope)
+            context.results.answer = loaded.Envelope.new_message(
+                **schema.envelope_fields(answer)
+            )
+
+        async def probe_context(self, context: Any) -> None:
+            """Probes an instance on behalf of the caller."""
+            subject = schema.read_instance(context.params.subject)
+            context.results.reached = await handler.probe_for(subject)
+
+        async def fetchPage_context(self, context: Any) -> None:  # noqa: N802
+            """Returns a part of the configuration's snapshot."""
+            request = bytes(context.params.request)
+            context.results.page = handler.answer_page(request)
+
+    return Service()
--- /dev/null
+++ b/tests/functional/test_peer_links.py
@@ -0,0 +1,231 @@
+"""Instances exchange over real sockets, and a silent connection is found."""
+
+import pathlib
+import random
+import tempfile
+import unittest
+
+import anyio
+import capnp
+import trustme
+
+from cardamomfork._internal.configuration import distribution
+from cardamomfork._internal.configuration import replica
+from cardamomfork._internal.contracts import clock as clock_contract
+from cardamomfork._internal.contracts import gossip
+from cardamomfork._internal.contracts import peering as peering_contract
+from cardamomfork._internal.data_centres import summaries
+from cardamomfork._internal.instances import byte_budget
+from cardamomfork._internal.instances import membership
+from cardamomfork._internal.instances import membership_gossip
+from cardamomfork._internal.instances import peering
+from cardamomfork._internal.instances import records
+from cardamomfork._internal.links.peers import link as peer_link
+from cardamomfork._internal.links.peers import schema
+from cardamomfork._internal.links.peers import server as peer_server
+from cardamomfork._internal.links.peers import tls
+from cardamomfork._internal.models import instances
+from cardamomfork._internal.models import settings
+from tests.lib import configurations
+
+PATIENCE_S = 20
+
+
+class Endpoint:
+    """One instance with its server and its link."""
+
+    def __init__(self, name, server_tls=None, client_tls=None):
+        self.name = name
+        self.held = replica.ConfigurationReplica()
+        self.link = peer_link.CapnpPeerLink(client_tls)
+        self.server = peer_server.PeerServer(
+            self, "127.0.0.1", 0, tls=server_tls
+        )
+        self.peering = None
+
+    def open(self):
+        me = instances.Instance(
+            self.name,
+            f"boot-{self.name}",
+            "kempten",
+            "127.0.0.1",
+            self.server.port,
+        )
+        rng = random.Random(self.name)
+        clock = clock_contract.LoopClock()
+        self.members = membership.Membership(me, rng)
+        others = summaries.DataCentreSummaries(self.members, clock, rng)
+        self.peering = peering.Peering(
+            self.members,
+            others,
+            [
+                membership_gossip.MembershipGossip(self.members, others),
+                distribution.ConfigurationGossip(self.held),
+            ],
+            byte_budget.ByteBudget(6000.0),
+            clock,
+            rng,
+        )
+        return me
+
+    def handle(self, envelope):
+        return self.peering.handle(envelope)
+
+    async def probe_for(self, subject):
+        return await self.peering.probe_for(subject)
+
+    def answer_page(self, request):
+        return self.peering.answer_page(request)
+
+
+async def forward(listener, port, state):
+    """Passes bytes on until told to lose track of open connections."""
+
+    async def pump(source, sink, born):
+        try:
+            async for data in source:
+                if state["silent"] and born == 0:
+                    await anyio.sleep_forever()
+                await sink.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+    async def serve(client):
+        born = state["connections"]
+        state["connections"] += 1
+        async with (
+            client,
+            await anyio.connect_tcp("127.0.0.1", port) as far,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(pump, client, far, born)
+            group.start_soon(pump, far, client, born)
+
+    await listener.serve(serve)
+
+
+class PeerLinksTest(unittest.TestCase):
+    def run_async(self, function):
+        async def main():
+            async with capnp.kj_loop():
+                with anyio.fail_after(PATIENCE_S):
+                    await function()
+
+        anyio.run(main)
+
+    async def wait_for(self, condition):
+        for _ in range(PATIENCE_S * 20):
+            if condition():
+                return
+            await anyio.sleep(0.05)
+        self.fail("the condition did not come about")
+
+    def test_three_instances_find_each_other_and_share_configuration(self):
+        async def scenario():
+            ends = [Endpoint(name) for name in "abc"]
+            async with anyio.create_task_group() as group:
+                async with (
+                    ends[0].server.serve(),
+                    ends[1].server.serve(),
+                    ends[2].server.serve(),
+                ):
+                    seed = ends[0].open()
+                    for end in ends[1:]:
+                        end.open()
+                        end.members.hear_list([seed], 0.0)
+                    ends[2].held.apply_range(
+                        [configurations.drain("t", 3)], 0, 4
+                    )
+                    for end in ends:
+                        group.start_soon(end.peering.run, end.link)
+                    await self.wait_for(
+                        lambda: all(
+                            len(end.members.live()) == 3
+                            and end.held.revision == 4
+                            for end in ends
+                        )
+                    )
+                    group.cancel_scope.cancel()
+                for end in ends:
+                    end.link.close()
+
+        self.run_async(scenario)
+
+    def test_silent_connection_is_checked_on_a_new_one(self):
+        async def scenario():
+            near, far = Endpoint("a"), Endpoint("b")
+            state = {"silent": False, "connections": 0}
+            async with near.server.serve(), far.server.serve():
+                near.open()
+                far.open()
+                listener = await anyio.create_tcp_listener(
+                    local_host="127.0.0.1"
+                )
+                port = listener.extra(anyio.abc.SocketAttribute.local_port)
+                subject = instances.Instance(
+                    "b", "boot-b", "kempten", "127.0.0.1", port
+                )
+                near.members.hear_list([subject], 0.0)
+                async with anyio.create_task_group() as group:
+                    group.start_soon(forward, listener, far.server.port, state)
+                    await near.peering.probe(near.link, subject)
+                    state["silent"] = True
+                    await near.peering.probe(near.link, subject)
+                    self.assertEqual(near.peering.counters.renewed, 1)
+                    self.assertEqual(near.link.counters.silent, 1)
+                    health = near.members.record("b").health
+                    self.assertIs(health, records.Health.ALIVE)
+                    group.cancel_scope.cancel()
+                near.link.close()
+                await near.peering.probe(near.link, subject)
+                health = near.members.record("b").health
+                self.assertIs(health, records.Health.SUSPECT)
+
+        self.run_async(scenario)
+
+    def test_pages_and_tls(self):
+        authority = trustme.CA()
+        issued = authority.issue_cert("127.0.0.1")
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory)
+            issued.cert_chain_pems[0].write_to_path(path / "cert")
+            issued.private_key_pem.write_to_path(path / "key")
+            authority.cert_pem.write_to_path(path / "ca")
+            files = settings.TlsSettings(
+                *(str(path / name) for name in ("cert", "key", "ca"))
+            )
+            contexts = tls.server_context(files), tls.client_context(files)
+
+        async def scenario():
+            end = Endpoint("a", *contexts)
+            async with end.server.serve():
+                me = end.open()
+                end.held.apply_range([configurations.drain("t", 3)], 0, 4)
+                reader = distribution.SnapshotReader()
+                page = await end.link.fetch_page(me, reader.next_request())
+                snapshot = reader.take(page.unwrap())
+                self.assertEqual(snapshot.revision, 4)
+                plain = peer_link.CapnpPeerLink()
+                refused = await plain.fetch_page(me, reader.next_request())
+                self.assertTrue(refused.is_err())
+                end.link.close()
+
+        self.run_async(scenario)
+
+    def test_size_estimate_covers_the_wire(self):
+        me = instances.Instance(
+            "instance-1234", "b" * 36, "rosenheim", "255.255.255.255", 8481
+        )
+        sections = tuple(
+            peering_contract.Section(topic, b"x" * 101)
+            for topic in gossip.Topic
+        )
+        for some in ((), sections):
+            envelope = peering_contract.Envelope(me, some)
+            message = schema.load().Envelope.new_message(
+                **schema.envelope_fields(envelope)
+            )
+            self.assertEqual(schema.read_envelope(message), envelope)
+            # The call around it takes less than 64 bytes.
+            wire = len(message.to_bytes()) + 64
+            self.assertLessEqual(wire, envelope.size_bytes)
