--- a/src/cardamomfork/_internal/links/peers/server.py
+++ b/src/cardamomfork/_internal/links/peers/server.py
@@ -93,8 +93,9 @@
 def _make_service(handler: peering.PeerHandler) -> Any:
     """Makes the RPC service around a handler."""
     loaded = schema.load()
+    base: Any = loaded.PeerService.Server
 
-    class Service(loaded.PeerService.Server):
+    class Service(base):
         """Passes each call to the handler."""
 
         async def exchange_context(self, context: Any) -> None:
