Tell when a peer's revision was heard, and ask a peer on demand

Cause: An operator who waits for a version needs each instance's own word. Change: ConfigurationGossip.heard_from gives the last revision a peer told; Peering.ask exchanges envelopes with one peer now. Conclusion: Two additions; what was there is unchanged.

--- a/src/cardamomfork/_internal/configuration/distribution.py
+++ b/src/cardamomfork/_internal/configuration/distribution.py
@@ -75,6 +75,9 @@
         self._revisions: collections.OrderedDict[
             identifiers.InstanceId, int
         ] = collections.OrderedDict()
+        self._heard: collections.OrderedDict[
+            identifiers.InstanceId, tuple[int, float]
+        ] = collections.OrderedDict()
         self._behind_since: float | None = None
         self._behind_at = 0
         self._ahead: identifiers.InstanceId | None = None
@@ -90,6 +93,12 @@
         """The peer that showed the newest revision while we lag, if any."""
         return self._ahead
 
+    def heard_from(
+        self, peer: identifiers.InstanceId
+    ) -> tuple[int, float] | None:
+        """Returns the revision that a peer said it holds, and when."""
+        return self._heard.get(peer)
+
     def is_behind(self, now: float) -> bool:
         """Tells whether a peer has been ahead for long without progress."""
         return (
@@ -138,6 +147,10 @@
             self.counters.unreadable += 1
             return
         self._note(sender, heard.revision)
+        self._heard[sender] = (heard.revision, now)
+        self._heard.move_to_end(sender)
+        while len(self._heard) > MAX_PEERS:
+            self._heard.popitem(last=False)
         if heard.upto > 0:
             self._replica.apply_range(changes.unwrap(), heard.since, heard.upto)
         self._watch_lag(sender, heard.revision, now)
--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -141,6 +141,12 @@
                 return answer(request)
         return b""
 
+    async def ask(self, peer: instances.Instance) -> bool:
+        """Exchanges envelopes with a peer now, to hear how it stands."""
+        if self._link is None:
+            return False
+        return await self._exchange(self._link, peer, fresh=False)
+
     async def probe(
         self, link: peering_contract.PeerLink, peer: instances.Instance
     ) -> None:
