--- a/src/cardamomfork/_internal/links/operators/collaborators.py
+++ b/src/cardamomfork/_internal/links/operators/collaborators.py
@@ -168,6 +168,10 @@
         """Returns a status for each instance, this one included."""
         ...
 
+    async def refresh(self, version: int) -> None:
+        """Asks the instances that were not heard to have a version."""
+        ...
+
 
 class DumpSource(Protocol):
     """The tables of this process."""
--- a/src/cardamomfork/_internal/links/operators/server.py
+++ b/src/cardamomfork/_internal/links/operators/server.py
@@ -36,7 +36,7 @@
 LOGIN_S = 10.0
 CONNECTION_S = 3600.0
 MAX_WAIT_S = 60.0
-STATUS_POLL_S = 0.1
+STATUS_POLL_S = 0.25
 MAX_CHANGES = 10_000
 
 Handler = Callable[[Any, Any], Awaitable[None]]
@@ -126,10 +126,11 @@
         self._check_key()
         version = context.params.waitVersion
         patience = min(max(context.params.timeoutS, 0.0), MAX_WAIT_S)
+        await self._parts.status.refresh(version)
         with anyio.move_on_after(patience):
-            # Statuses come by gossip, which has no event for all of them.
-            while not self._report(version).reached:  # noqa: ASYNC110
+            while not self._report(version).reached:
                 await anyio.sleep(STATUS_POLL_S)
+                await self._parts.status.refresh(version)
         report = self._report(version)
         messages.write_report(context.results.init("report"), report)
 
--- a/tests/functional/test_cli_session.py
+++ b/tests/functional/test_cli_session.py
@@ -29,6 +29,19 @@
     "value": {"requests_per_s": 5.0},
 }
 
+ENGINE = {
+    "target_id": "e1",
+    "kind": "engine",
+    "host": "127.0.0.1",
+    "port": 1,
+    "data_centre": "dc",
+}
+SERVICE = {
+    "kind": "service",
+    "name": "pool",
+    "value": {"kind": "model", "models": ["m"], "targets": [ENGINE]},
+}
+
 
 class ServerThread(threading.Thread):
     """Serves until stopped."""
@@ -52,10 +65,14 @@
         )
         async with capnp.kj_loop(), anyio.create_task_group() as group:
             self.port = await group.start(serving.run)
+            group.start_soon(self.parts.follow)
             self.ready.set()
             await self.stopped.wait()
             group.cancel_scope.cancel()
 
+    def settle(self):
+        anyio.from_thread.run(self.parts.settle, token=self.token)
+
     def stop(self):
         anyio.from_thread.run_sync(self.stopped.set, token=self.token)
         self.join()
@@ -82,6 +99,7 @@
         out, err = io.StringIO(), io.StringIO()
         with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
             code = main.run([str(each) for each in arguments])
+        self.server.settle()
         return code, out.getvalue(), err.getvalue()
 
     def write(self, *changes):
@@ -149,6 +167,10 @@
             self.assertEqual(code, CODE.OK)
         self.assertEqual(self.run_tool("undrain", "e1")[0], CODE.OK)
         self.assertEqual(self.run_tool("undrain", "e1")[0], CODE.NOT_FOUND)
+        self.assertEqual(
+            self.run_tool("order", "load", "e1", "m")[0], CODE.FINDINGS
+        )
+        self.assertEqual(self.run_tool("apply", self.write(SERVICE))[0], 0)
         for action in (("load", "m"), ("unload", "m"), ("role", "prefill")):
             code, _, _ = self.run_tool("order", action[0], "e1", action[1])
             self.assertEqual(code, CODE.OK)
