--- /dev/null
+++ b/src/cardamomfork/_internal/routing/dispatcher.py
@@ -0,0 +1,349 @@
+"""Decides when and where requests run on a fleet of unlike prompts.
+
+Requests wait here and not at the engines: an engine gets the next prompt when
+it has none left to compute. Size classes keep long prompts on few engines;
+urgency, accounts' turns and deadlines order what waits; a request that can no
+longer end in time ends at once.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import result
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.contracts import dispatching
+from cardamomfork._internal.models import outcomes
+from cardamomfork._internal.models import requests
+from cardamomfork._internal.routing import admission
+from cardamomfork._internal.routing import backlog
+from cardamomfork._internal.routing import choice as choice_module
+from cardamomfork._internal.routing import fleet as fleet_module
+from cardamomfork._internal.routing import prefixes
+from cardamomfork._internal.routing import running as running_module
+from cardamomfork._internal.routing import state as state_module
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    import random
+
+    from cardamomfork._internal.models import configuration
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.models import targets
+    from cardamomfork._internal.routing import pools
+    from cardamomfork._internal.routing import waiting
+
+DEFAULT_UTILISATION = 0.92
+HEADS_TRIED = 3
+
+
+class FleetDispatcher:
+    """Meets `contracts.dispatching.Dispatcher`."""
+
+    def __init__(
+        self,
+        rng: random.Random,
+        limits: admission.QueueLimits | None = None,
+        utilisation: float = DEFAULT_UTILISATION,
+    ) -> None:
+        """Starts without services.
+
+        Args:
+            rng: Source of the candidates drawn.
+            limits: Most requests that wait at once.
+            utilisation: Share of their time that engines for long prompts
+                are meant to be busy; the higher, the more engines are left
+                to short prompts alone.
+        """
+        self._rng = rng
+        self._limits = limits or admission.QueueLimits()
+        self._fleet = fleet_module.Fleet(utilisation)
+        self._running = running_module.RunningTable(self._fleet)
+        self._prefixes = prefixes.PrefixIndex()
+        self._backlog = backlog.Backlog()
+        self._now = 0.0
+        self._may_have_orphans = False
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return len(self._backlog)
+
+    @property
+    def running(self) -> int:
+        """Requests under way."""
+        return len(self._running)
+
+    @property
+    def fleet(self) -> fleet_module.Fleet:
+        """Targets and pools, for the state dump and measurements."""
+        return self._fleet
+
+    def state(self) -> state_module.DispatcherState:
+        """Returns what the state dump shows."""
+        return state_module.DispatcherState(
+            queued=self.queued,
+            running=self.running,
+            indexed_blocks=len(self._prefixes),
+            pools=tuple(
+                state_module.PoolState(
+                    service,
+                    model,
+                    len(pool),
+                    pool.split.sizes,
+                    tuple(queue.count for queue in pool.queues),
+                    pool.running,
+                )
+                for (service, model), pool in self._fleet.all_pools
+            ),
+            weights={
+                view.target_id: round(view.health.weight, 3)
+                for view in self._fleet.all_views
+                if view.health.weight < 1.0
+            },
+            trust={
+                view.target_id: round(view.health.trust, 3)
+                for view in self._fleet.all_views
+                if view.health.trust < 1.0
+            },
+        )
+
+    def apply_service(self, service: configuration.Service) -> None:
+        """Takes a service's current configuration, its targets included."""
+        self._fleet.apply(service, self._now)
+        self._may_have_orphans = True
+
+    def remove_service(self, name: identifiers.ServiceName) -> None:
+        """Forgets a service; what is queued for it expires."""
+        self._fleet.remove(name)
+        self._may_have_orphans = True
+
+    def set_leaving(
+        self, target_id: identifiers.TargetId, leaving: bool
+    ) -> None:
+        """Marks a target that takes no new work."""
+        self._fleet.set_drained(target_id, leaving, self._now)
+
+    def submit(
+        self,
+        request: requests.Request,
+        now: float,
+        avoid: frozenset[identifiers.TargetId] = frozenset(),
+    ) -> result.Result[None, outcomes.Refusal]:
+        """Queues a request, or refuses one that cannot end in time."""
+        self._now = now
+        exceptions.check_invariant(
+            request.request_id not in self._backlog
+            and request.request_id not in self._running,
+            "a request is queued once",
+            request.request_id,
+        )
+        service = self._fleet.service(request.service)
+        pool = self._fleet.pool_for(request)
+        if service is None or pool is None:
+            return result.Err(_unknown(request))
+        match = self._prefixes.find(request.prefix_hashes)
+        entry = backlog.make_entry(request, avoid, pool, match, now)
+        refusal = (
+            admission.check_queue(
+                self._limits,
+                len(self._backlog),
+                self._backlog.count_of(request.account),
+            )
+            or admission.check_size(request, service, avoid, pool)
+            or admission.check_deadline(entry, pool, now)
+        )
+        if refusal is not None:
+            return result.Err(refusal)
+        self._backlog.add(entry, pool, now)
+        return result.Ok(None)
+
+    def withdraw(self, request_id: identifiers.RequestId) -> None:
+        """Takes a queued request back."""
+        entry = self._backlog.entry(request_id)
+        if entry is not None:
+            self._backlog.remove(entry, served=False)
+
+    def poll(
+        self, now: float
+    ) -> tuple[Sequence[dispatching.Assignment], Sequence[dispatching.Expiry]]:
+        """Returns what starts and what expires now."""
+        self._now = now
+        expired = self._expire_orphans()
+        expired += map(self._expire, self._backlog.run_timers(now))
+        started: list[dispatching.Assignment] = []
+        for _key, pool in self._fleet.all_pools:
+            if pool.queued:
+                self._fill(pool, now, started)
+        return started, expired
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Returns when to poll again if nothing happens before."""
+        if not self._backlog:
+            return None
+        due = self._backlog.next_timer()
+        times = [] if due is None else [due]
+        for _, pool in self._fleet.all_pools:
+            timer = pool.next_timer()
+            if timer is not None and pool.queued:
+                times.append(timer)
+        return max(min(times), now) if times else None
+
+    def first_token(
+        self, request_id: identifiers.RequestId, now: float
+    ) -> None:
+        """Notes that an assigned request gave its first token."""
+        self._now = now
+        self._running.first_token(request_id, now)
+
+    def finished(
+        self,
+        request_id: identifiers.RequestId,
+        now: float,
+        generated_tokens: int,
+        fault: targets.TargetFault | None = None,
+    ) -> None:
+        """Notes that an assigned request left its target."""
+        self._now = now
+        self._running.finish(request_id, now, generated_tokens, fault)
+
+    def observe_load(self, report: targets.LoadReport, now: float) -> None:
+        """Takes a (late) load report."""
+        self._now = now
+        view = self._fleet.view(report.target_id)
+        if view is None:
+            return
+        boot_id = view.boot_id
+        if view.observe(report, now):
+            self._fleet.rebuild_for(report.target_id, now)
+        if boot_id not in (None, view.boot_id):
+            self._prefixes.forget(report.target_id)
+        self._fleet.refresh(view, now)
+
+    def observe_cache(self, event: targets.CacheEvent) -> bool:
+        """Takes a (late) cache event; False asks for a resync."""
+        if self._fleet.view(event.target_id) is None:
+            return True
+        return self._prefixes.observe(event)
+
+    def _expire_orphans(self) -> list[dispatching.Expiry]:
+        """Ends what waits for a service or model that was removed."""
+        if not self._may_have_orphans:
+            return []
+        self._may_have_orphans = False
+        orphans = [e for e in self._backlog.entries if self._is_orphan(e)]
+        return [self._expire(entry) for entry in orphans]
+
+    def _is_orphan(self, entry: waiting.Entry) -> bool:
+        """Returns whether a request's pool is gone."""
+        pool = self._fleet.pool_for(entry.request)
+        return pool is not self._backlog.pool(entry)
+
+    def _expire(self, entry: waiting.Entry) -> dispatching.Expiry:
+        """Ends a waiting request that can no longer run in time."""
+        refusal = outcomes.refuse(
+            outcomes.RefusalReason.DEADLINE_EXCEEDED,
+            "No target became free early enough to end the request in time.",
+            admission.RETRY_S,
+        )
+        if self._is_orphan(entry):
+            refusal = _unknown(entry.request)
+        self._backlog.remove(entry, served=False)
+        return dispatching.Expiry(entry.request.request_id, refusal)
+
+    def _fill(
+        self,
+        pool: pools.Pool,
+        now: float,
+        started: list[dispatching.Assignment],
+    ) -> None:
+        """Starts what the pool's free engines can take."""
+        pool.wake(now)
+        open_classes = {
+            size_class
+            for size_class, queue in enumerate(pool.queues)
+            if queue.count
+        }
+        while open_classes:
+            heads = {c: self._heads(pool, c) for c in open_classes}
+            size_class = min(open_classes, key=lambda c: _rank(heads[c], now))
+            assignment = self._start_one(heads[size_class], pool, now)
+            if assignment is not None:
+                started.append(assignment)
+            if assignment is None or not pool.queues[size_class].count:
+                open_classes.discard(size_class)
+
+    def _heads(self, pool: pools.Pool, size_class: int) -> list[waiting.Entry]:
+        """Returns the requests of a class that are next."""
+        heads = list(pool.queues[size_class].heads(HEADS_TRIED))
+        if pool.has_free(size_class):
+            return heads
+        return [e for e in heads if e.match.holders or _takes_parts(e, pool)]
+
+    def _start_one(
+        self, heads: list[waiting.Entry], pool: pools.Pool, now: float
+    ) -> dispatching.Assignment | None:
+        """Starts the first of some requests that an engine can take."""
+        for entry in heads:
+            if entry.latest_start <= now:
+                continue
+            choice = self._choose(entry, pool, now)
+            if choice is not None:
+                return self._start(entry, pool, choice, now)
+        return None
+
+    def _choose(
+        self, entry: waiting.Entry, pool: pools.Pool, now: float
+    ) -> choice_module.Choice | None:
+        """Returns where a request runs if it starts now, or None."""
+        is_batch = entry.urgency >= requests.Urgency.BATCH
+        if is_batch and not entry.size_class and pool.free_count(0) < 2:
+            return None
+        if _takes_parts(entry, pool):
+            return choice_module.choose_parts(entry, pool, now)
+        return choice_module.choose(entry, pool, now, self._rng)
+
+    def _start(
+        self,
+        entry: waiting.Entry,
+        pool: pools.Pool,
+        choice: choice_module.Choice,
+        now: float,
+    ) -> dispatching.Assignment:
+        """Moves a request from its queue to its engine."""
+        request = entry.request
+        self._backlog.remove(entry, served=True)
+        self._running.start(entry, pool, choice, now)
+        target_id = choice.plan.target_id
+        if not choice.plan.hops:
+            self._prefixes.note_sent(target_id, request.prefix_hashes)
+        return dispatching.Assignment(
+            request.request_id,
+            target_id,
+            choice.first_token_s,
+            choice.plan.hops,
+        )
+
+
+def _rank(heads: list[waiting.Entry], now: float) -> tuple[int, float]:
+    """Returns the order of a class: urgency, then time waited to serve."""
+    if not heads:
+        return 8, 0.0
+    return heads[0].urgency, -heads[0].response_ratio(now)
+
+
+def _takes_parts(entry: waiting.Entry, pool: pools.Pool) -> bool:
+    """Returns whether a request exceeds the memory of any one engine."""
+    request = entry.request
+    need = request.prompt_tokens + request.max_tokens
+    return request.max_tokens > 0 and need > pool.largest_memory
+
+
+def _unknown(request: requests.Request) -> outcomes.Refusal:
+    """Returns the refusal of a service or model that is not configured."""
+    return outcomes.refuse(
+        outcomes.RefusalReason.UNKNOWN_SERVICE,
+        f"Service {request.service!r} with model {request.model!r} does not"
+        " exist.",
+    )
