--- /dev/null
+++ b/src/cardamomfork/_internal/targets/orders_feed.py
@@ -0,0 +1,79 @@
+"""Feeds the keeper of orders from the configuration in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import targets
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.targets import orders
+
+
+class OrderFeed:
+    """Takes changes of services and orders; meets a replica's subscriber."""
+
+    def __init__(
+        self,
+        keeper: orders.OrderKeeper,
+        clock: clock_contract.Clock,
+        wake: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Takes what it feeds.
+
+        Args:
+            keeper: Brings engines to their orders.
+            clock: Its monotonic time marks the changes.
+            wake: Called after each change, to ask the keeper at once.
+        """
+        self._keeper = keeper
+        self._clock = clock
+        self._wake = wake
+        self._engines: dict[str, frozenset[identifiers.TargetId]] = {}
+
+    def load(self, objects: Iterable[configuration.Versioned]) -> None:
+        """Takes all that is in force at the start."""
+        for change in objects:
+            self.apply(change)
+
+    def apply(self, change: configuration.Versioned) -> None:
+        """Takes one change; deletions too."""
+        if change.kind is configuration.ObjectKind.SERVICE:
+            self._apply_service(change)
+        elif change.kind is configuration.ObjectKind.ORDER:
+            self._apply_order(change)
+        else:
+            return
+        self._wake()
+
+    def _apply_order(self, change: configuration.Versioned) -> None:
+        """Takes or forgets an order."""
+        if isinstance(change.value, configuration.Order):
+            self._keeper.apply_order(change.value, self._clock.monotonic())
+        else:
+            self._keeper.remove_order(identifiers.TargetId(change.name))
+
+    def _apply_service(self, change: configuration.Versioned) -> None:
+        """Takes a service's engines; forgets those that no service has."""
+        engines: tuple[targets.Target, ...] = ()
+        if isinstance(change.value, configuration.Service):
+            engines = tuple(
+                target
+                for target in change.value.targets
+                if target.kind is targets.TargetKind.ENGINE
+            )
+        before = self._engines.pop(change.name, frozenset())
+        now_held = frozenset(target.target_id for target in engines)
+        if now_held:
+            self._engines[change.name] = now_held
+        elsewhere = frozenset().union(*self._engines.values())
+        for name in before - elsewhere:
+            self._keeper.remove_target(name)
+        for target in engines:
+            self._keeper.apply_target(target, self._clock.monotonic())
--- a/src/cardamomfork/_internal/targets/orders_runner.py
+++ b/src/cardamomfork/_internal/targets/orders_runner.py
@@ -35,7 +35,7 @@
 class LinkSource(Protocol):
     """Where the runner finds links to engines."""
 
-    def link_to(
+    def find(
         self, target_id: identifiers.TargetId
     ) -> target_link.TargetLink | None:
         """Returns the link to a target, or None if there is none."""
@@ -104,7 +104,7 @@
 
     async def _exchange(self, step: models.Step) -> None:
         """Exchanges one message with an engine within the time limit."""
-        link = self.links.link_to(step.target_id)
+        link = self.links.find(step.target_id)
         if link is None:
             self._fail(step, targets.FaultKind.UNREACHABLE, "no link")
             return
--- a/src/cardamomfork/_internal/telemetry/logs.py
+++ b/src/cardamomfork/_internal/telemetry/logs.py
@@ -44,6 +44,13 @@
     "seconds",
     "bytes",
     "status",
+    "signal",
+    "callers_host",
+    "callers_port",
+    "peers_host",
+    "peers_port",
+    "operators_host",
+    "operators_port",
 )
 """Fields that a line may carry beside time, level, message and place."""
 
--- a/tests/functional/test_operators.py
+++ b/tests/functional/test_operators.py
@@ -17,8 +17,12 @@
 from cardamomfork._internal.links.operators import client
 from cardamomfork._internal.links.operators import collaborators
 from cardamomfork._internal.links.operators import server
+from cardamomfork._internal.links.operators import side
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.models import settings
+from cardamomfork._internal.standins import fleet
+from cardamomfork._internal.standins import store
+from cardamomfork._internal.telemetry import dump
 from tests.lib import operator_parts
 
 SERVICE = configuration.ObjectKind.SERVICE
@@ -191,6 +195,45 @@
             self.assertTrue(side.reload())
 
 
+class FleetTest(unittest.TestCase):
+    def test_accepted_change_is_in_force_on_every_instance(self):
+        anyio.run(self.operate)
+
+    async def operate(self):
+        made = fleet.Fleet([3, 2])
+        one = made.members[0]
+        line = key_hashes.to_line(operator_parts.KEY.hashed)
+        chosen = settings.DaemonSettings(
+            operators=settings.OperatorSettings(port=0, keys=(line,))
+        )
+        serving = side.make_server(
+            chosen,
+            side.Parts(
+                store.StoreSession(made.store),
+                one.replica,
+                one.members,
+                one.peering._participants[1],
+                one.peering,
+                dump.StateDump("one"),
+                made.clock,
+            ),
+        )
+        async with capnp.kj_loop(), anyio.create_task_group() as group:
+            made.start(group)
+            port = await group.start(serving.run)
+            key = operator_parts.KEY.text
+            async with client.connect("127.0.0.1", port, key) as session:
+                applied = await session.apply([change()])
+                version = applied.accepted[0].version
+                report = await session.status(version, 30)
+            self.assertTrue(report.reached)
+            self.assertEqual(len(report.instances), 5)
+            for member in made.members:
+                held = member.replica.get(SERVICE, "depot-desk")
+                self.assertEqual(held, applied.accepted[0])
+            group.cancel_scope.cancel()
+
+
 def issue(authority, files):
     issued = authority.issue_cert("127.0.0.1")
     issued.cert_chain_pems[0].write_to_path(files.certificate)
--- a/tests/lib/order_engines.py
+++ b/tests/lib/order_engines.py
@@ -99,7 +99,7 @@
 class Links:
     links: dict
 
-    def link_to(self, target_id):
+    def find(self, target_id):
         return self.links.get(target_id)
 
 
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -14,6 +14,7 @@
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.models import targets
 from cardamomfork._internal.targets import orders
+from cardamomfork._internal.targets import orders_feed
 from cardamomfork._internal.targets import orders_models as models
 from cardamomfork._internal.targets import orders_runner
 from tests.lib import order_engines as engines
@@ -212,6 +213,38 @@
         self.assertEqual(self.keeper.unsettled, 0)
 
 
+class FeedTest(unittest.TestCase):
+    def test_engines_come_and_go_with_services_and_orders(self):
+        keeper = orders.OrderKeeper("dc")
+        feed = orders_feed.OrderFeed(keeper, clock.ManualClock())
+        kinds = configuration.ObjectKind
+
+        def put(kind, name, value):
+            feed.apply(configuration.Versioned(kind, name, 1, value))
+
+        def service(name, *engine_names):
+            kind = configuration.ServiceKind.MODEL
+            listed = tuple(engines.make_target(n, True) for n in engine_names)
+            value = configuration.Service(name, kind, ("m",), targets=listed)
+            put(kinds.SERVICE, name, value)
+
+        def names():
+            return {row["target"] for row in keeper.describe()}
+
+        for name in ("a", "b", "c"):
+            put(kinds.ORDER, name, load(name))
+        self.assertEqual(names(), set())
+        service("one", "a", "b")
+        service("two", "b", "c")
+        self.assertEqual(names(), {"a", "b", "c"})
+        service("one", "a")
+        self.assertEqual(names(), {"a", "b", "c"})
+        put(kinds.SERVICE, "two", None)
+        self.assertEqual(names(), {"a"})
+        put(kinds.ORDER, "a", None)
+        self.assertEqual(names(), set())
+
+
 class TwoHolders(RuleBasedStateMachine):
     """Steps of two holders that pause and lose messages at any point."""
 
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -7,11 +7,14 @@
 
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.accounts import key_hashes
+from cardamomfork._internal.accounts import keys
+from cardamomfork._internal.contracts import clock
 from cardamomfork._internal.models import outcomes
 from cardamomfork._internal.models import settings
 from cardamomfork._internal.telemetry import dump
 from cardamomfork._internal.telemetry import exporting
 from cardamomfork._internal.telemetry import metrics
+from cardamomfork._internal.telemetry import observing
 from cardamomfork._internal.telemetry import watchdog
 
 
@@ -63,6 +66,18 @@
             self.state.register(dump.Table("b.rows", lambda: 0, 1))
 
 
+class ObservationTest(unittest.TestCase):
+    def test_tables_reach_dump_and_scrape(self):
+        seen = observing.observe(settings.DaemonSettings(), clock.ManualClock())
+        verifier = keys.KeyVerifier()
+        seen.register_sizes("accounts", lambda: verifier.sizes)
+        verifier.apply_keys("a", (key_hashes.generate().hashed,))
+        self.assertEqual(seen.state.sizes()["accounts.keys"][0], 1)
+        text = seen.export.scrape().body.decode()
+        self.assertIn('table_size{table="accounts.keys"} 1.0', text)
+        self.assertIn("cardamomfork_resident_memory_bytes", text)
+
+
 class WatchdogTest(unittest.TestCase):
     def test_lag_quantiles_over_a_window(self):
         window = watchdog.LagWindow(100)
