--- a/src/cardamomfork/_internal/routing/choice.py
+++ b/src/cardamomfork/_internal/routing/choice.py
@@ -62,6 +62,8 @@
 ) -> Choice | None:
     """Returns where a request runs if it starts now, or None to wait."""
     best, wait_s = _best_holder(entry, pool, now)
+    if now - entry.queued_at > entry.work_s:
+        wait_s = math.inf
     need = entry.request.prompt_tokens + entry.request.max_tokens
     tokens = float(entry.request.prompt_tokens)
     for view in pool.free(entry.size_class, CANDIDATES, rng):
@@ -85,7 +87,7 @@
     request = entry.request
     need = request.prompt_tokens + request.max_tokens
     least = PARTS_SPREAD * math.ceil(need / max(pool.largest_memory, 1))
-    rooms = [
+    able = [
         view
         for view in pool.longest_group(least)
         if view.target.exports_kv
@@ -93,19 +95,17 @@
         and now >= view.health.probe_at
         and not view.health.is_probed
     ]
-    first = [v for v in rooms if v.is_free(now, pool.s_per_token())]
+    first = [v for v in able if v.is_free(now, pool.s_per_token())]
     if not first:
         return None
-    rooms.sort(key=lambda view: -view.free_tokens)
+    able.sort(key=lambda view: -view.free_tokens)
     start = max(first, key=lambda view: view.free_tokens)
-    rooms.remove(start)
-    plan = parts.plan(
-        entry.request,
-        [
-            parts.Room(view.target_id, max(view.free_tokens, 0))
-            for view in (start, *rooms)
-        ],
-    )
+    able.remove(start)
+    order = (start, *able)
+    rooms = [
+        parts.Room(view.target_id, max(view.free_tokens, 0)) for view in order
+    ]
+    plan = parts.plan(request, rooms)
     if plan is None:
         return None
     tokens = float(entry.request.prompt_tokens)
@@ -130,7 +130,9 @@
         if held is None:
             continue
         if not view.is_free(now, pool.s_per_token()):
-            wait_s = min(wait_s, held.score)
+            free_at = view.free_at(now, pool.s_per_token())
+            if free_at is not None:
+                wait_s = min(wait_s, free_at - now + held.prefill_s)
         elif best is None or held.score < best.score:
             best = held
     return best, wait_s
