Wire peers, configuration and operators into the daemon

Cause: the sides stood ready and the daemon used none of them. A loop of CLI calls against it ended in a segmentation fault within 3 to 20 connections; the same loop of 60 calls ran 3 times without fault on asyncio's own loop, so the cause is pycapnp's streams under uvloop. Ruled out: the explicit close of the stream (removed, it crashed all the same). Change: a composition package makes the fleet side, the operators' side, orders and telemetry; configuration reaches requests, routing, limits and keys through the replica alone, the embedded parts' too. The daemon runs on asyncio's loop, named in one place.

--- /dev/null
+++ b/src/cardamomfork/_internal/composition/__init__.py
@@ -0,0 +1,1 @@
+"""Wires the daemon's sides; `daemon.py` puts them together."""
--- /dev/null
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -0,0 +1,177 @@
+"""One process: its sides, wired and started together."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+import anyio.abc
+import attrs
+from loguru import logger
+
+from cardamomfork._internal import wiring
+from cardamomfork._internal.composition import applying
+from cardamomfork._internal.composition import fleet_side
+from cardamomfork._internal.composition import platform as platform_module
+from cardamomfork._internal.contracts import clock as clock_contract
+from cardamomfork._internal.links.operators import side as operators_side
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.targets import orders
+from cardamomfork._internal.targets import orders_feed
+from cardamomfork._internal.targets import orders_lease
+from cardamomfork._internal.targets import orders_runner
+from cardamomfork._internal.telemetry import observing
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.links.operators import server as operator_server
+    from cardamomfork._internal.models import settings as settings_models
+
+CONFIGURATION_WAIT_S = 10.0
+
+
+@attrs.frozen
+class OrderSide:
+    """What brings engines to their orders.
+
+    Attributes:
+        lease: The role of this data centre's order giver.
+        runner: Gives the orders while the lease is held.
+    """
+
+    lease: orders_lease.OrderLease
+    runner: orders_runner.OrderRunner
+
+
+@attrs.frozen
+class Process:
+    """The sides of one process.
+
+    Attributes:
+        settings: What it was started with.
+        platform: Sessions with the store.
+        serving: Callers, requests, routing and targets.
+        fleet: Peers and configuration.
+        operators: The operators' server.
+        observation: Metrics, dump and watchdog.
+        order_side: Orders to engines.
+    """
+
+    settings: settings_models.DaemonSettings
+    platform: platform_module.Platform
+    serving: wiring.Daemon
+    fleet: fleet_side.FleetSide
+    operators: operator_server.OperatorServer
+    observation: observing.Observation
+    order_side: OrderSide
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts all sides; waits a while for a first configuration."""
+        self.serving.start(tasks)
+        tasks.start_soon(self.observation.run)
+        await tasks.start(self.fleet.run)
+        port = await tasks.start(self.operators.run)
+        logger.info(f"serving operators on port {port}")
+        tasks.start_soon(self.order_side.lease.run)
+        tasks.start_soon(self.order_side.runner.run)
+        with anyio.move_on_after(CONFIGURATION_WAIT_S) as waiting:
+            await self.fleet.follower.wait_loaded()
+        if waiting.cancelled_caught:
+            logger.warning("no configuration yet; requests are refused")
+
+    async def finish(self) -> None:
+        """Ends what is admitted and tells the peers of the stop."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.fleet.leave)
+            await self.serving.requests.wait_until_idle()
+        if self.serving.committer is not None:
+            await self.serving.committer.drain()
+
+    async def close(self) -> None:
+        """Drops connections."""
+        await self.serving.links.close()
+
+
+def make_process(settings: settings_models.DaemonSettings) -> Process:
+    """Makes the sides of a process and binds the peers' port.
+
+    Raises:
+        CardamomforkError: The peers' port can't be bound.
+        SettingsError: An operator's key can't be read.
+    """
+    clock = clock_contract.LoopClock()
+    boot_id = identifiers.new_boot_id()
+    platform = platform_module.make_platform(settings, clock)
+    serving = wiring.wire(settings, platform.store, boot_id)
+    fleet = fleet_side.make_fleet_side(settings, clock, platform, boot_id)
+    observation = observing.observe(settings, clock)
+    applier = applying.ConfigurationApplier(
+        serving,
+        fleet.held,
+        serving.requests.set_drained,
+        settings.instance.instance_id,
+    )
+    fleet.held.subscribe(applier.apply)
+    _register_tables(observation, serving, fleet)
+    return Process(
+        settings=settings,
+        platform=platform,
+        serving=serving,
+        fleet=fleet,
+        operators=operators_side.make_server(
+            settings,
+            operators_side.Parts(
+                platform.store,
+                fleet.held,
+                fleet.members,
+                fleet.told,
+                fleet.peering,
+                observation.state,
+                clock,
+                platform_module.KEY_PREFIX,
+            ),
+        ),
+        observation=observation,
+        order_side=_make_order_side(settings, clock, platform, serving, fleet),
+    )
+
+
+def _make_order_side(
+    settings: settings_models.DaemonSettings,
+    clock: clock_contract.Clock,
+    platform: platform_module.Platform,
+    serving: wiring.Daemon,
+    fleet: fleet_side.FleetSide,
+) -> OrderSide:
+    """Makes what gives orders to this data centre's engines."""
+    keeper = orders.OrderKeeper(settings.instance.data_centre)
+    wakes: list[orders_runner.OrderRunner] = []
+
+    def wake() -> None:
+        for runner in wakes:
+            runner.wake()
+
+    lease = orders_lease.OrderLease(
+        platform.store,
+        clock,
+        random.Random(),
+        fleet.members.me.instance,
+        platform_module.KEY_PREFIX,
+        wake,
+    )
+    runner = orders_runner.OrderRunner(keeper, lease, serving.links, clock)
+    wakes.append(runner)
+    feed = orders_feed.OrderFeed(keeper, clock, wake)
+    fleet.held.subscribe(feed.apply)
+    return OrderSide(lease, runner)
+
+
+def _register_tables(
+    observation: observing.Observation,
+    serving: wiring.Daemon,
+    fleet: fleet_side.FleetSide,
+) -> None:
+    """Puts the sides' tables into the dump and the metrics."""
+    observation.register_sizes("requests", lambda: serving.table.sizes)
+    observation.register_sizes("keys", lambda: serving.keys.sizes)
+    observation.register_sizes("fleet", fleet.sizes)
--- a/src/cardamomfork/_internal/daemon.py
+++ b/src/cardamomfork/_internal/daemon.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import contextlib
 import signal
 import sys
 from typing import TYPE_CHECKING
 
 import anyio
-import anyio.abc
 import attrs
+import capnp
 import cyclopts
 from loguru import logger
 import result
@@ -17,22 +16,17 @@
 from cardamomfork._internal import embedded
 from cardamomfork._internal import exceptions
 from cardamomfork._internal import wiring
-from cardamomfork._internal.accounts import embedded as embedded_accounts
-from cardamomfork._internal.contracts import clock as clock_contract
+from cardamomfork._internal.composition import process as process_module
+from cardamomfork._internal.links import event_loop
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.links import tls
-from cardamomfork._internal.links.callers import application
 from cardamomfork._internal.links.callers import protocol
-from cardamomfork._internal.links.platform import gateway_store
 from cardamomfork._internal.models import settings as settings_models
 from cardamomfork._internal.settings import loader
-from cardamomfork._internal.standins import store as store_standin
 from cardamomfork._internal.telemetry import logs
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
-    from cardamomfork._internal.contracts import store as store_contract
+    from cardamomfork._internal.links.callers import application
 
 BALANCER_NOTICE_S = 0.5
 """Time to answer `/readyz` with "no" before connections are refused."""
@@ -40,53 +34,34 @@
 _program = cyclopts.App(name="cardamomforkd")
 
 
-def _open_store(
-    settings: settings_models.DaemonSettings,
-) -> store_contract.Store:
-    """Opens the platform's store, or the embedded one.
-
-    Raises:
-        exceptions.SettingsError: The settings name neither.
-    """
-    if settings.store.endpoints:
-        return gateway_store.GatewayStore(settings.store)
-    if not settings.embedded:
-        raise exceptions.SettingsError(
-            "the settings name no store.",
-            "Set endpoints in [store], or start with --embedded.",
-        )
-    memory = store_standin.MemoryStore(clock_contract.LoopClock())
-    return store_standin.StoreSession(memory)
-
-
 async def serve(settings: settings_models.DaemonSettings) -> None:
     """Runs the process until a signal, then until its requests have ended."""
-    daemon = wiring.wire(settings, _open_store(settings))
-    async with (
-        anyio.create_task_group() as tasks,
-        _embedded_parts(daemon) as keys,
-    ):
-        secured = tls.make_server_tls(settings.callers.tls)
-        if secured is not None:
-            tasks.start_soon(secured.watch)
-        server = _make_server(daemon, keys, secured)
-        daemon.start(tasks)
-        tasks.start_soon(_stop_on_signal, daemon, server)
-        await server.serve()
-        logger.info("stopped")
-        tasks.cancel_scope.cancel()
-    await daemon.links.close()
+    async with capnp.kj_loop(), embedded.running_for(settings) as demo:
+        process = process_module.make_process(demo.settings)
+        await demo.configure(process.platform.store)
+        async with anyio.create_task_group() as tasks:
+            await process.start(tasks)
+            keys = demo.wrap_keys(process.serving.keys)
+            secured = tls.make_server_tls(settings.callers.tls)
+            if secured is not None:
+                tasks.start_soon(secured.watch)
+            server = _make_server(process, keys, secured)
+            tasks.start_soon(_stop_on_signal, process, server)
+            await server.serve()
+            logger.info("stopped")
+            tasks.cancel_scope.cancel()
+        await process.close()
 
 
 def _make_server(
-    daemon: wiring.Daemon,
+    process: process_module.Process,
     keys: application.Authenticator,
     secured: tls.ServerTls | None,
 ) -> http_server.HttpServer:
     """Binds the callers' side and logs the chosen port."""
-    callers = daemon.settings.callers
+    callers = process.settings.callers
     server = http_server.HttpServer(
-        wiring.make_application(daemon, keys),
+        wiring.make_application(process.serving, keys),
         http_server.bind(callers.host, callers.port),
         protocol.CallerProtocol,
         callers.max_connections,
@@ -96,39 +71,21 @@
     return server
 
 
-@contextlib.asynccontextmanager
-async def _embedded_parts(
-    daemon: wiring.Daemon,
-) -> AsyncIterator[application.Authenticator]:
-    """Runs the embedded parts, if any, and puts them into force.
-
-    Yields what checks the callers' keys.
-    """
-    if not daemon.settings.embedded:
-        yield daemon.keys
-        return
-    async with embedded.running(daemon.settings.instance.data_centre) as parts:
-        for one in parts.services:
-            daemon.apply_service(one)
-        daemon.apply_account(parts.account)
-        yield embedded_accounts.EmbeddedKeys(
-            parts.account.name, embedded.KEY, daemon.keys
-        )
-
-
 async def _stop_on_signal(
-    daemon: wiring.Daemon, server: http_server.HttpServer
+    process: process_module.Process, server: http_server.HttpServer
 ) -> None:
     """Drains at the first signal: unready at once, then no connections."""
+    stopping = False
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for number in signals:
-            if daemon.requests.draining:
+            if stopping:
                 continue
+            stopping = True
             logger.info(f"draining after {signal.Signals(number).name}")
-            daemon.requests.drain()
-            with anyio.move_on_after(daemon.settings.instance.drain_timeout_s):
+            process.serving.requests.drain()
+            with anyio.move_on_after(process.settings.instance.drain_timeout_s):
                 await anyio.sleep(BALANCER_NOTICE_S)
-                await daemon.requests.wait_until_idle()
+                await process.finish()
             server.stop()
 
 
@@ -144,18 +101,33 @@
     Args:
         embedded: Run the embedded engine, service and account.
         settings: INI file with the settings.
-        port: TCP port for callers in place of the settings' own; 0 picks one.
+        port: TCP port for callers in place of the settings' own; 0 picks one,
+            and then one for peers and operators too.
     """
     chosen = _load(settings, embedded)
     if port is not None:
-        callers = attrs.evolve(chosen.callers, port=port)
-        chosen = attrs.evolve(chosen, callers=callers)
+        chosen = _with_port(chosen, port)
     logs.configure(
         chosen.telemetry.log_level,
         instance_id=chosen.instance.instance_id,
         data_centre=chosen.instance.data_centre,
     )
-    anyio.run(serve, chosen, backend_options={"use_uvloop": True})
+    anyio.run(serve, chosen, backend_options=event_loop.BACKEND_OPTIONS)
+
+
+def _with_port(
+    settings: settings_models.DaemonSettings, port: int
+) -> settings_models.DaemonSettings:
+    """Returns the settings with another port for callers; 0 picks all."""
+    callers = attrs.evolve(settings.callers, port=port)
+    if port:
+        return attrs.evolve(settings, callers=callers)
+    return attrs.evolve(
+        settings,
+        callers=callers,
+        peers=attrs.evolve(settings.peers, port=0),
+        operators=attrs.evolve(settings.operators, port=0),
+    )
 
 
 def _load(path: str | None, embedded: bool) -> settings_models.DaemonSettings:
--- a/src/cardamomfork/_internal/embedded.py
+++ b/src/cardamomfork/_internal/embedded.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import contextlib
+import secrets
 from typing import TYPE_CHECKING
 
 import anyio
 import attrs
 
+from cardamomfork._internal.accounts import embedded as embedded_accounts
+from cardamomfork._internal.accounts import key_hashes
+from cardamomfork._internal.configuration import codec
+from cardamomfork._internal.contracts import store as store_contract
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import configuration
@@ -20,13 +25,72 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from cardamomfork._internal.accounts import keys
+    from cardamomfork._internal.models import settings as settings_models
+
 HOST = "127.0.0.1"
 KEY = "demo-key"
+OPERATOR_KEY_ID = "0000000000000000"
+OPERATOR_SECRET = "demo-operator-key-for-the-embedded-daemon-0"  # noqa: S105
+OPERATOR_KEY = f"{OPERATOR_KEY_ID}.{OPERATOR_SECRET}"
 MODEL = "demo-model"
 ENGINE = identifiers.TargetId("demo-engine")
 LEDGER = identifiers.ServiceName("demo-ledger")
 
 
+class Demo:
+    """What the embedded parts add to a process; nothing if they are off."""
+
+    def __init__(
+        self,
+        settings: settings_models.DaemonSettings,
+        parts: EmbeddedParts | None,
+    ) -> None:
+        """Takes the running parts, or None."""
+        self._settings = settings
+        self._parts = parts
+
+    @property
+    def settings(self) -> settings_models.DaemonSettings:
+        """The settings, with the embedded operator's key among the keys."""
+        if self._parts is None or self._settings.operators.keys:
+            return self._settings
+        salt = secrets.token_bytes(key_hashes.SALT_BYTES)
+        digest = key_hashes.digest(OPERATOR_SECRET, salt)
+        hashed = configuration.HashedKey(
+            OPERATOR_KEY_ID, salt.hex(), digest.hex()
+        )
+        operators = attrs.evolve(
+            self._settings.operators, keys=(key_hashes.to_line(hashed),)
+        )
+        return attrs.evolve(self._settings, operators=operators)
+
+    async def configure(self, store: store_contract.Store) -> None:
+        """Writes the parts' configuration unless the store holds it."""
+        if self._parts is None:
+            return
+        objects: tuple[configuration.ConfigurationObject, ...] = (
+            *self._parts.services,
+            self._parts.account,
+        )
+        for one in objects:
+            await store.put(
+                codec.key_of(codec.kind_of(one), one.name, ""),
+                codec.encode(one),
+                expected=store_contract.ABSENT,
+            )
+
+    def wrap_keys(
+        self, configured: keys.KeyVerifier
+    ) -> embedded_accounts.EmbeddedKeys | keys.KeyVerifier:
+        """Returns what checks the callers' keys, the demo key among them."""
+        if self._parts is None:
+            return configured
+        return embedded_accounts.EmbeddedKeys(
+            self._parts.account.name, KEY, configured
+        )
+
+
 @attrs.frozen
 class EmbeddedParts:
     """The running parts and the configuration that names them."""
@@ -37,6 +101,18 @@
     services: tuple[configuration.Service, ...]
 
 
+@contextlib.asynccontextmanager
+async def running_for(
+    settings: settings_models.DaemonSettings,
+) -> AsyncIterator[Demo]:
+    """Runs the embedded parts if the settings ask for them."""
+    if not settings.embedded:
+        yield Demo(settings, None)
+        return
+    async with running(settings.instance.data_centre) as parts:
+        yield Demo(settings, parts)
+
+
 @contextlib.asynccontextmanager
 async def running(
     data_centre: identifiers.DataCentreId,
--- a/src/cardamomfork/_internal/links/operators/side.py
+++ b/src/cardamomfork/_internal/links/operators/side.py
@@ -7,6 +7,7 @@
 import attrs
 
 from cardamomfork._internal.accounts import operator_keys
+from cardamomfork._internal.configuration import codec
 from cardamomfork._internal.configuration import editor
 from cardamomfork._internal.links.operators import collaborators
 from cardamomfork._internal.links.operators import editing
@@ -36,6 +37,7 @@
         peering: Calls peers.
         state: Tables for the dump.
         clock: The loop's clock.
+        key_prefix: Put before every key of the store.
     """
 
     store: store_contract.Store
@@ -45,6 +47,7 @@
     peering: peering.Peering
     state: dump.StateDump
     clock: clock_contract.Clock
+    key_prefix: str = codec.DEFAULT_PREFIX
 
 
 def make_server(
@@ -56,7 +59,7 @@
         SettingsError: A line of `[operators] keys` can't be read.
     """
     writer = editor.ConfigurationEditor(
-        parts.store, parts.replica, settings.store.prefix
+        parts.store, parts.replica, parts.key_prefix
     )
     status = statuses.FleetStatus(
         parts.members,
--- a/src/cardamomfork/_internal/measure/relaying/relay.py
+++ b/src/cardamomfork/_internal/measure/relaying/relay.py
@@ -21,6 +21,7 @@
 
 from cardamomfork._internal import wiring
 from cardamomfork._internal.accounts import embedded as embedded_accounts
+from cardamomfork._internal.links import event_loop
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import configuration
@@ -188,5 +189,9 @@
         _serve,
         sys.argv[1],
         int(sys.argv[2]),
-        backend_options={"use_uvloop": True},
+        backend_options=(
+            event_loop.BACKEND_OPTIONS
+            if sys.argv[1] == "daemon"
+            else {"use_uvloop": True}
+        ),
     )
--- a/src/cardamomfork/_internal/requests/service.py
+++ b/src/cardamomfork/_internal/requests/service.py
@@ -51,17 +51,22 @@
         self._runner = runner
         self._table = table
         self._draining = False
+        self._drained = False
         self._idle = anyio.Event()
 
     @property
     def draining(self) -> bool:
         """Whether it takes no new requests."""
-        return self._draining
+        return self._draining or self._drained
 
     def drain(self) -> None:
         """Takes no new requests from now on; admitted ones go on."""
         self._draining = True
 
+    def set_drained(self, drained: bool) -> None:
+        """Follows an operator's drain of this instance; it may end again."""
+        self._drained = drained
+
     async def wait_until_idle(self) -> None:
         """Waits until no admitted request is open."""
         while self._table.open_count:
@@ -72,7 +77,7 @@
         self, request: requests.Request, sink: delivery.CallerSink
     ) -> _Ending:
         """Runs a request; a stream's bytes go to the sink meanwhile."""
-        if self._draining:
+        if self.draining:
             return result.Err(
                 outcomes.refuse(
                     outcomes.RefusalReason.DRAINING,
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -91,12 +91,31 @@
         self.dispatcher.apply_service(changed)
         self.waiting_room.poll()
 
+    def remove_service(self, name: identifiers.ServiceName) -> None:
+        """Forgets a service; what is queued for it ends."""
+        self.known.remove_service(name)
+        self.dispatcher.remove_service(name)
+        self.links.remove_service(name)
+        self.waiting_room.poll()
+
     def apply_account(self, changed: configuration.ClientAccount) -> None:
         """Brings an account's configuration into force."""
         self.known.apply_account(changed)
         self.limiter.apply_account(changed)
         self.keys.apply_account(changed)
 
+    def remove_account(self, name: identifiers.AccountName) -> None:
+        """Forgets an account; its keys end at once."""
+        self.keys.remove_account(name)
+        self.known.remove_account(name)
+        self.limiter.remove_account(name)
+
+    def set_drained(self, target_id: str, drained: bool) -> None:
+        """Marks a target that takes no new work, by an operator's word."""
+        name = identifiers.TargetId(target_id)
+        self.dispatcher.set_leaving(name, drained)
+        self.waiting_room.poll()
+
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts what runs in the background."""
         tasks.start_soon(self.waiting_room.run)
@@ -111,13 +130,16 @@
 def wire(
     settings: settings_models.DaemonSettings,
     store: store_contract.Store | None = None,
+    boot_id: identifiers.BootId | None = None,
 ) -> Daemon:
     """Makes the parts of a process; nothing runs yet.
 
     Args:
         settings: What the process was started with.
         store: The platform's store; None refuses what needs it.
+        boot_id: This life of the process; a new one if absent.
     """
+    boot_id = boot_id or identifiers.new_boot_id()
     clock = clock_contract.LoopClock()
     policy = claim_keys.ClaimPolicy()
     claims = None
@@ -155,7 +177,7 @@
                 waiting_room=waiting_room,
                 links=links,
                 exchanger=exchanging.AttemptExchanger(
-                    clock, _reservation_namer(settings), _salt_of
+                    clock, _reservation_namer(settings, boot_id), _salt_of
                 ),
                 canceller=canceller,
                 counters=attempts.FrameCounters(),
@@ -170,10 +192,10 @@
 
 def _reservation_namer(
     settings: settings_models.DaemonSettings,
+    boot_id: identifiers.BootId,
 ) -> Callable[[identifiers.AttemptId], str]:
     """Names reservations after this life of this instance."""
     instance_id = settings.instance.instance_id
-    boot_id = identifiers.new_boot_id()
     return lambda attempt_id: f"{instance_id}/{boot_id}/{attempt_id}"
 
 
--- /dev/null
+++ b/tests/functional/test_operated_daemon.py
@@ -0,0 +1,97 @@
+"""The command-line tool against the daemon program."""
+
+import contextlib
+import io
+import json
+import os
+import pathlib
+import signal
+import tempfile
+import unittest
+from unittest import mock
+
+from cardamomfork._internal import embedded
+from cardamomfork._internal.cli import exit_codes
+from cardamomfork._internal.cli import main
+from tests.lib import daemons
+
+CODE = exit_codes.ExitCode
+PROMPT = {"model": "demo-model", "prompt": "Hello", "max_tokens": 2}
+
+
+class OperatedDaemonTest(unittest.TestCase):
+    def setUp(self):
+        self.daemon = self.enterContext(daemons.running())
+        variables = {
+            "CARDAMOMFORK_ADDRESS": f"127.0.0.1:{self.daemon.operators_port}",
+            "CARDAMOMFORK_KEY": embedded.OPERATOR_KEY,
+        }
+        self.enterContext(mock.patch.dict(os.environ, variables))
+
+    def run_tool(self, *arguments):
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = main.run([*arguments, "--output", "json"])
+        self.assertEqual(code, CODE.OK, err.getvalue())
+        return json.loads(out.getvalue())
+
+    def test_account_made_by_the_tool_can_call_until_its_key_ends(self):
+        account = {"kind": "account", "name": "bench", "based_on": 0}
+        account["value"] = {"requests_per_s": 50.0}
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "changes.json")
+            path.write_text(json.dumps([account]))
+            self.run_tool("apply", str(path))
+        made = self.run_tool("keys", "rotate", "bench")
+        key = made["key"]
+        self.wait_in_force()
+        answer = self.daemon.request("POST", "/v1/completions", PROMPT, key)
+        self.assertEqual(answer[0], 200)
+        self.run_tool("keys", "revoke", "bench", key.partition(".")[0])
+        self.wait_in_force()
+        answer = self.daemon.request("POST", "/v1/completions", PROMPT, key)
+        self.assertEqual(answer[0], 401)
+
+    def test_drained_engine_takes_no_new_work(self):
+        self.run_tool("drain", "demo-engine", "--reason", "fan")
+        self.wait_in_force()
+        headers = [("Request-Timeout", "1")]
+        answer = self.daemon.request(
+            "POST", "/v1/completions", PROMPT, headers=headers
+        )
+        self.assertEqual(json.loads(answer[2])["outcome"], "not_run")
+        self.run_tool("undrain", "demo-engine")
+        self.wait_in_force()
+        answer = self.daemon.request("POST", "/v1/completions", PROMPT)
+        self.assertEqual(answer[0], 200)
+
+    def test_drained_instance_is_unready_until_undrained(self):
+        for command, status in (("drain", 503), ("undrain", 200)):
+            self.run_tool(command, "instance-1")
+            self.wait_in_force()
+            answer = self.daemon.request("GET", "/readyz")
+            self.assertEqual(answer[0], status)
+
+    def test_dump_on_request_and_by_signal(self):
+        asked = self.run_tool("dump")
+        names = {table["name"] for table in asked["tables"]}
+        self.assertIn("fleet.configuration", names)
+        self.daemon.process.send_signal(signal.SIGUSR1)
+        for line in self.daemon.process.stderr:
+            record = json.loads(line)
+            if "tables" in record:
+                break
+        self.assertEqual({t["name"] for t in record["tables"]}, names)
+
+    def test_many_short_connections_leave_the_daemon_alive(self):
+        for _ in range(40):
+            self.run_tool("status")
+        self.assertIsNone(self.daemon.process.poll())
+
+    def wait_in_force(self):
+        version = self.run_tool("status")["version"]
+        self.run_tool("status", "--wait", str(version))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/lib/daemons.py
+++ b/tests/lib/daemons.py
@@ -17,10 +17,11 @@
 
 @attrs.frozen
 class Daemon:
-    """A running daemon program and its callers' port."""
+    """A running daemon program and its ports."""
 
     process: subprocess.Popen
     port: int
+    operators_port: int = 0
 
     def url(self, path):
         return f"http://127.0.0.1:{self.port}{path}"
@@ -68,8 +69,13 @@
         env={**os.environ, "PYTHONUNBUFFERED": "1"},
     )
     try:
-        message = read_until(process, "serving callers on ")["message"]
-        yield Daemon(process, int(message.rsplit(":", 1)[1]))
+        operators = read_until(process, "serving operators on ")["message"]
+        callers = read_until(process, "serving callers on ")["message"]
+        yield Daemon(
+            process,
+            int(callers.rsplit(":", 1)[1]),
+            int(operators.rsplit(" ", 1)[1]),
+        )
     finally:
         if process.poll() is None:
             process.kill()
--- a/tests/lib/serving.py
+++ b/tests/lib/serving.py
@@ -11,6 +11,7 @@
 from cardamomfork._internal import wiring
 from cardamomfork._internal.accounts import key_hashes
 from cardamomfork._internal.contracts import clock
+from cardamomfork._internal.links import event_loop
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import configuration
@@ -35,7 +36,7 @@
         with anyio.fail_after(TEST_TIMEOUT_S):
             await function()
 
-    anyio.run(bounded, backend_options={"use_uvloop": True})
+    anyio.run(bounded, backend_options=event_loop.BACKEND_OPTIONS)
 
 
 @attrs.define(slots=False)
