--- a/src/cardamomfork/_internal/links/operators/server.py
+++ b/src/cardamomfork/_internal/links/operators/server.py
@@ -31,7 +31,9 @@
     from cardamomfork._internal.contracts import clock as clock_contract
     from cardamomfork._internal.models import settings
 
-MAX_CONNECTIONS = 64
+MAX_CONNECTIONS = 16
+MAX_MESSAGE_WORDS = 1 << 20
+"""Longest message from an operator, in words of 8 bytes."""
 MAX_LOGINS = 5
 LOGIN_S = 10.0
 CONNECTION_S = 3600.0
@@ -271,7 +273,11 @@
     async def _serve_open(self, stream: Any) -> None:
         """Serves a connection until it ends, or its time is over."""
         entrance = _Entrance(self._parts, self._clock)
-        server = capnp.TwoPartyServer(stream, bootstrap=entrance)
+        server = capnp.TwoPartyServer(
+            stream,
+            bootstrap=entrance,
+            traversal_limit_in_words=MAX_MESSAGE_WORDS,
+        )
         gone = asyncio.ensure_future(server.on_disconnect())
         entered = asyncio.ensure_future(entrance.entered.wait())
         try:
--- a/src/cardamomfork/_internal/links/operators/statuses.py
+++ b/src/cardamomfork/_internal/links/operators/statuses.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,7 @@
     Ask = Callable[[instances.Instance], Awaitable[bool]]
 
 MAX_AT_ONCE = 16
+LEAST_PAUSE_S = 0.2
 REFRESH_S = 5.0
 """Longest time of one round of calls."""
 
@@ -65,6 +67,7 @@
         self._replica = replica
         self._ask = ask
         self._clock = clock
+        self._next_round_at = -math.inf
 
     def statuses(self) -> tuple[collaborators.InstanceStatus, ...]:
         """Returns a status for each instance, this one included."""
@@ -80,8 +83,13 @@
     async def refresh(self, version: int) -> None:
         """Calls the instances that were not heard to have a version.
 
-        With version 0 it calls all, to renew what is shown.
+        With version 0 it calls all, to renew what is shown. Several operators
+        who wait share the rounds.
         """
+        now = self._clock.monotonic()
+        if now < self._next_round_at:
+            return
+        self._next_round_at = now + LEAST_PAUSE_S
         wanted = [
             record.instance
             for record in self._members.known()
--- a/src/cardamomfork/_internal/settings/loader.py
+++ b/src/cardamomfork/_internal/settings/loader.py
@@ -23,6 +23,9 @@
 
 SAMPLE_PATH = pathlib.Path(__file__).with_name("sample.ini")
 
+_NO_SECTION = "\0"
+"""No header can name it, so no section's keys are shared."""
+
 _SECTION_LINE = re.compile(r"\[(?P<section>[^\]]+)\]")
 _KEY_LINE = re.compile(r"(?P<key>[^\s=:#;\[][^=:]*?)\s*[=:]")
 
@@ -40,7 +43,7 @@
         The settings, or every finding with file, section, key and line.
     """
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
+        text = pathlib.Path(path).read_text(encoding="utf-8-sig")
     except (OSError, UnicodeDecodeError) as error:
         place = findings.Place(str(path), "file")
         finding = findings.Finding(place, f"cannot be read: {error}")
@@ -122,7 +125,7 @@
     def read(self) -> dict[str, dict[str, Any]]:
         """Returns the values that parse, by section and key."""
         parser = configparser.ConfigParser(
-            interpolation=None, strict=False, default_section="*"
+            interpolation=None, strict=False, default_section=_NO_SECTION
         )
         try:
             parser.read_string(self._text, self._source)
--- a/src/cardamomfork/_internal/telemetry/exporting.py
+++ b/src/cardamomfork/_internal/telemetry/exporting.py
@@ -63,7 +63,7 @@
                 scope_info_enabled=False, registry=self._registry
             )
         ]
-        # Every reader repeats the cost of every record.
+        # Every reader adds an aggregation to each record.
         self._reader = _make_reader() if telemetry.otlp_endpoint else None
         if self._reader is not None:
             readers.append(self._reader)
--- a/src/cardamomfork/_internal/telemetry/logs.py
+++ b/src/cardamomfork/_internal/telemetry/logs.py
@@ -55,6 +55,8 @@
 """Fields that a line may carry beside time, level, message and place."""
 
 MAX_TEXT_CHARACTERS = 1000
+MAX_SCANNED_CHARACTERS = 8000
+CUT_MARGIN_CHARACTERS = 100
 REDACTED = "[redacted]"
 
 _SECRETS = re.compile(
@@ -117,8 +119,10 @@
 
 def redact(text: str) -> str:
     """Replaces what looks like a key and cuts overlong text."""
-    cut = text[:MAX_TEXT_CHARACTERS]
-    return _SECRETS.sub(REDACTED, cut)
+    if len(text) > MAX_SCANNED_CHARACTERS:
+        # The first part of a key at the cut would not look like a key.
+        text = text[: MAX_SCANNED_CHARACTERS - CUT_MARGIN_CHARACTERS]
+    return _SECRETS.sub(REDACTED, text)[:MAX_TEXT_CHARACTERS]
 
 
 def _plain(value: Any) -> str | int | float | bool:
--- a/src/cardamomfork/_internal/telemetry/watchdog.py
+++ b/src/cardamomfork/_internal/telemetry/watchdog.py
@@ -22,10 +22,11 @@
 TICKS_A_MEMORY_SAMPLE = 600
 LAG_SAMPLES = 600
 MEMORY_SAMPLES = 60
-MIN_MEMORY_SAMPLES = 10
+MIN_MEMORY_SAMPLES = 60
 WARN_LAG_S = 0.25
 WARN_SLOPE_BYTES_PER_H = 16e6
 WARN_FILL = 0.9
+REARM_FILL = 0.8
 WARN_PAUSE_S = 60.0
 _HOUR_S = 3600.0
 _STATM = pathlib.Path("/proc/self/statm")
@@ -84,9 +85,13 @@
 
 @attrs.define
 class Alarms:
-    """Decides which warnings are due; each kind at most once a minute."""
+    """Decides which warnings are due; each kind at most once a minute.
+
+    A table that stays full, as a cache does, is named once.
+    """
 
     _last: dict[str, float] = attrs.field(factory=dict, init=False)
+    _full: set[str] = attrs.field(factory=set, init=False)
 
     def due(
         self,
@@ -108,17 +113,24 @@
             found["lag"] = f"loop was late by {lag_s * 1000:.0f} ms"
         if bytes_per_h is not None and bytes_per_h > WARN_SLOPE_BYTES_PER_H:
             found["memory"] = f"memory grows {bytes_per_h / 1e6:.0f} MB an hour"
-        full = [
-            f"{name} {size}/{bound}"
-            for name, (size, bound) in sorted(sizes.items())
-            if bound and size >= WARN_FILL * bound
-        ]
-        if full:
-            found["tables"] = "tables near their bound: " + ", ".join(full)
+        fresh = self._note_full(sizes)
+        if fresh:
+            found["tables"] = "tables near their bound: " + ", ".join(fresh)
         return tuple(
             text for kind, text in found.items() if self._pass(kind, now)
         )
 
+    def _note_full(self, sizes: dict[str, tuple[int, int]]) -> list[str]:
+        """Returns the tables that have come near their bound."""
+        fresh = []
+        for name, (size, bound) in sorted(sizes.items()):
+            if size < REARM_FILL * bound:
+                self._full.discard(name)
+            elif size >= WARN_FILL * bound and name not in self._full:
+                self._full.add(name)
+                fresh.append(f"{name} {size}/{bound}")
+        return fresh
+
     def _pass(self, kind: str, now: float) -> bool:
         """Lets a kind through if it was not logged within the minute."""
         if now - self._last.get(kind, -math.inf) < WARN_PAUSE_S:
--- a/tests/unit/test_logs.py
+++ b/tests/unit/test_logs.py
@@ -52,6 +52,13 @@
         self.assertNotIn(SECRET, text)
         self.assertNotIn(PROMPT, text)
 
+    def test_key_at_the_cut_stays_out(self):
+        for limit in (logs.MAX_TEXT_CHARACTERS, logs.MAX_SCANNED_CHARACTERS):
+            for shift in range(0, 160, 7):
+                logger.info("x " * (limit // 2 - 40) + " " * shift + KEY)
+                logger.info((KEY + " ") * 200 + " " * shift + KEY)
+        self.assertNotIn(SECRET[:10], self.sink.getvalue())
+
     def test_own_errors_keep_their_text(self):
         try:
             raise exceptions.SettingsError("port 1 is taken.", "Pick another.")
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -4,9 +4,13 @@
 import tempfile
 import unittest
 
+import hypothesis
+from hypothesis import strategies as st
+
 from cardamomfork._internal.models import settings
 from cardamomfork._internal.settings import loader
 from cardamomfork._internal.settings import sections
+from tests.lib import seeds
 
 BROKEN = """\
 [instance]
@@ -94,6 +98,16 @@
         found = loader.parse("[callers]\nport\nhost\n", "x").unwrap_err()
         self.assertEqual([f.place.line for f in found], [2, 3])
 
+    @seeds.STEADY
+    @hypothesis.given(
+        st.text(alphabet="[]=:;# \n\tportcalers*\0\r", max_size=60)
+    )
+    def test_any_text_gives_findings_with_lines(self, text):
+        parsed = loader.parse(text, "x")
+        for finding in parsed.unwrap_err():
+            line = finding.place.line
+            self.assertTrue(line is None or line >= 1, finding)
+
     def test_missing_file(self):
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, "no.ini")
