--- /dev/null
+++ b/src/cardamomfork/_internal/measure/routing_cost.py
@@ -0,0 +1,142 @@
+"""Processor time of a routing decision, by the engines in view.
+
+A decision is a request submitted and polled for at 80% load; what follows (its
+first token, its end, and the polls after them) is counted apart.
+"""
+
+from __future__ import annotations
+
+import functools
+import heapq
+import itertools
+import random
+import time
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.measure import reports
+from cardamomfork._internal.measure import workloads
+from cardamomfork._internal.routing import dispatcher as dispatcher_module
+from cardamomfork._internal.standins import engine_model
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from cardamomfork._internal.contracts import dispatching
+    from cardamomfork._internal.models import identifiers
+
+SIZES = (20, 80, 320, 1000, 3500)
+BOUND_US = 100.0
+DECISIONS = 4000
+WARM_UP = 1000
+LOAD = 0.8
+ANSWER_S = 5.0
+
+
+class _Driver:
+    """Gives each request its predicted time and times the decisions."""
+
+    def __init__(self, engines: int, seed: int) -> None:
+        """Prepares a dispatcher with so many engines."""
+        parameters = engine_model.EngineParameters()
+        deployment = workloads.Deployment(
+            "cost",
+            workloads.PALETTENHILFE.service,
+            engines,
+            0.0005,
+            1.0,
+            workloads.SHARES,
+            1.0,
+        )
+        count = WARM_UP + DECISIONS
+        self._trace = workloads.make_trace(
+            deployment, parameters, LOAD, count, seed
+        )
+        self._dispatcher = dispatcher_module.FleetDispatcher(
+            random.Random(seed)
+        )
+        self._dispatcher.apply_service(
+            workloads.make_service(deployment, parameters)
+        )
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._sequence = itertools.count()
+        self.decision_ns = 0
+        self.after_ns = 0
+
+    def run(self) -> tuple[float, float]:
+        """Returns microseconds a decision and for what follows it."""
+        for number, arrival in enumerate(self._trace):
+            if number == WARM_UP:
+                self.decision_ns = self.after_ns = 0
+            self._run_events(arrival.request.arrived_at)
+            self._decide(arrival)
+        per_us = 1000.0 * DECISIONS
+        return self.decision_ns / per_us, self.after_ns / per_us
+
+    def _decide(self, arrival: workloads.Arrival) -> None:
+        """Times one decision."""
+        now = arrival.request.arrived_at
+        start = time.process_time_ns()
+        self._dispatcher.submit(arrival.request, now)
+        started, _ = self._dispatcher.poll(now)
+        self.decision_ns += time.process_time_ns() - start
+        self._follow(started, now)
+
+    def _run_events(self, until: float) -> None:
+        """Times first tokens and ends, and the polls after them."""
+        while self._events and self._events[0][0] <= until:
+            now, _, event = heapq.heappop(self._events)
+            start = time.process_time_ns()
+            event(now)
+            started, _ = self._dispatcher.poll(now)
+            self.after_ns += time.process_time_ns() - start
+            self._follow(started, now)
+
+    def _follow(
+        self, started: Sequence[dispatching.Assignment], now: float
+    ) -> None:
+        """Plans the first tokens and ends of what has started."""
+        for assignment in started:
+            request_id = assignment.request_id
+            first_at = now + assignment.expected_first_token_s
+            self._at(
+                first_at,
+                functools.partial(self._dispatcher.first_token, request_id),
+            )
+            self._at(
+                first_at + ANSWER_S,
+                functools.partial(self._finish, request_id),
+            )
+
+    def _finish(self, request_id: identifiers.RequestId, now: float) -> None:
+        """Ends a request."""
+        self._dispatcher.finished(request_id, now, workloads.MEAN_GENERATED)
+
+    def _at(self, when: float, event: Callable[[float], None]) -> None:
+        """Plans an event."""
+        heapq.heappush(self._events, (when, next(self._sequence), event))
+
+
+def measure(options: reports.Options) -> reports.Report:
+    """Measures the decision at each size."""
+    sizes = SIZES[:1] if options.smallest else SIZES
+    decisions = []
+    rows = []
+    for engines in sizes:
+        decision_us, after_us = _Driver(engines, options.seed).run()
+        decisions.append((float(engines), decision_us))
+        rows.append((str(engines), f"{decision_us:.1f}", f"{after_us:.1f}"))
+    table = reports.Table(
+        "processor time a request, in us",
+        ("engines", "decision", "first token, end and poll"),
+        tuple(rows),
+    )
+    slope = reports.Slope(
+        "decision (us)", "engines", tuple(decisions), BOUND_US, 3500.0
+    )
+    at_320 = dict(decisions).get(320.0)
+    verdict = "bound at 320 engines not measured at this size"
+    if at_320 is not None:
+        word = "met" if at_320 <= BOUND_US else "not met"
+        verdict = f"bound of {BOUND_US:g} us at 320 engines: {word}"
+    return reports.Report("routing_cost", (table, slope, verdict))
--- a/src/cardamomfork/_internal/requests/delivery.py
+++ b/src/cardamomfork/_internal/requests/delivery.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 from typing import Protocol
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -46,21 +42,15 @@
     """Passes whole server-sent events on as they come.
 
     The begin of an unfinished event is held back, so whatever is put between
-    two writes (a heartbeat, an error) stands between two events.
+    two writes (a heartbeat, an error) stands between two events. Only an event
+    longer than `MAX_EVENT_BYTES` is passed on in parts.
     """
 
-    def __init__(self, sink: CallerSink, on_first: Callable[[], None]) -> None:
-        """Starts before the first byte.
-
-        Args:
-            sink: The caller's side.
-            on_first: Called once, at the first bytes.
-        """
+    def __init__(self, sink: CallerSink) -> None:
+        """Starts before the first byte."""
         self._sink = sink
-        self._on_first: Callable[[], None] | None = on_first
         self._held = b""
         self._tail = b""
-        self.received = 0
         self.events = 0
 
     @property
@@ -68,27 +58,19 @@
         """Whether the stream ended with the event that says so."""
         return not self._held and self._tail.endswith(DONE_EVENT)
 
-    @property
-    def overflowed(self) -> bool:
-        """Whether one event was longer than what may be held."""
-        return len(self._held) > MAX_EVENT_BYTES
-
     def write(self, data: bytes) -> None:
         """Takes bytes of the answer."""
-        self.received += len(data)
-        if self._on_first is not None:
-            self._on_first()
-            self._on_first = None
         if self._held:
             data = self._held + data
             self._held = b""
         if not data.endswith(EVENT_END):
             end = data.rfind(EVENT_END) + len(EVENT_END)
-            if end < len(EVENT_END):
+            if end >= len(EVENT_END):
+                self._held = data[end:]
+                data = data[:end]
+            elif len(data) <= MAX_EVENT_BYTES:
                 self._held = data
                 return
-            self._held = data[end:]
-            data = data[:end]
         self.events += data.count(EVENT_END)
         self._tail = data[-len(DONE_EVENT) :]
         self._sink.write(data)
@@ -97,9 +79,8 @@
 class BodyDelivery:
     """Collects a whole body of bounded length."""
 
-    def __init__(self, on_first: Callable[[], None]) -> None:
+    def __init__(self) -> None:
         """Starts empty."""
-        self._on_first: Callable[[], None] | None = on_first
         self._parts: list[bytes] = []
         self.received = 0
 
@@ -116,8 +97,5 @@
     def write(self, data: bytes) -> None:
         """Takes bytes of the answer; drops those over the bound."""
         self.received += len(data)
-        if self._on_first is not None:
-            self._on_first()
-            self._on_first = None
         if not self.overflowed:
             self._parts.append(data)
--- a/src/cardamomfork/_internal/routing/dispatcher.py
+++ b/src/cardamomfork/_internal/routing/dispatcher.py
@@ -22,6 +22,7 @@
 from cardamomfork._internal.routing import fleet as fleet_module
 from cardamomfork._internal.routing import prefixes
 from cardamomfork._internal.routing import running as running_module
+from cardamomfork._internal.routing import split
 from cardamomfork._internal.routing import state as state_module
 
 if TYPE_CHECKING:
@@ -34,8 +35,10 @@
     from cardamomfork._internal.routing import pools
     from cardamomfork._internal.routing import waiting
 
-DEFAULT_UTILISATION = 0.92
+MIN_UTILISATION = 0.86
+UTILISATION_SPAN = 0.12
 HEADS_TRIED = 3
+LOOK_AGAIN_S = 0.01
 
 
 class FleetDispatcher:
@@ -45,19 +48,22 @@
         self,
         rng: random.Random,
         limits: admission.QueueLimits | None = None,
-        utilisation: float = DEFAULT_UTILISATION,
+        short_weight: float = 1.0,
     ) -> None:
         """Starts without services.
 
         Args:
             rng: Source of the candidates drawn.
             limits: Most requests that wait at once.
-            utilisation: Share of their time that engines for long prompts
-                are meant to be busy; the higher, the more engines are left
-                to short prompts alone.
+            short_weight: How much a delay of short prompts counts against
+                one of long prompts; the higher, the more engines are left to
+                short prompts alone.
         """
         self._rng = rng
         self._limits = limits or admission.QueueLimits()
+        utilisation = MIN_UTILISATION + UTILISATION_SPAN * short_weight / (
+            1.0 + short_weight
+        )
         self._fleet = fleet_module.Fleet(utilisation)
         self._running = running_module.RunningTable(self._fleet)
         self._prefixes = prefixes.PrefixIndex()
@@ -185,9 +191,8 @@
         due = self._backlog.next_timer()
         times = [] if due is None else [due]
         for _, pool in self._fleet.all_pools:
-            timer = pool.next_timer()
-            if timer is not None and pool.queued:
-                times.append(timer)
+            if pool.queued:
+                times.extend(pool.timers(now))
         return max(min(times), now) if times else None
 
     def first_token(
@@ -260,37 +265,44 @@
     ) -> None:
         """Starts what the pool's free engines can take."""
         pool.wake(now)
-        open_classes = {
-            size_class
+        heads = {
+            size_class: found
             for size_class, queue in enumerate(pool.queues)
-            if queue.count
+            if queue.count and (found := self._heads(pool, size_class))
         }
-        while open_classes:
-            heads = {c: self._heads(pool, c) for c in open_classes}
-            size_class = min(open_classes, key=lambda c: _rank(heads[c], now))
+        while heads:
+            size_class = min(heads, key=lambda c: _rank(heads[c][0], now))
             assignment = self._start_one(heads[size_class], pool, now)
-            if assignment is not None:
-                started.append(assignment)
-            if assignment is None or not pool.queues[size_class].count:
-                open_classes.discard(size_class)
+            if assignment is None:
+                del heads[size_class]
+                continue
+            started.append(assignment)
+            heads[size_class] = self._heads(pool, size_class)
+            if not heads[size_class]:
+                del heads[size_class]
 
     def _heads(self, pool: pools.Pool, size_class: int) -> list[waiting.Entry]:
-        """Returns the requests of a class that are next."""
-        heads = list(pool.queues[size_class].heads(HEADS_TRIED))
+        """Returns the requests of a class that are next and could start."""
+        queue = pool.queues[size_class]
         if pool.has_free(size_class):
-            return heads
-        return [e for e in heads if e.match.holders or _takes_parts(e, pool)]
+            return list(queue.heads(HEADS_TRIED))
+        if not queue.selective or not pool.has_free(0):
+            return []
+        heads = queue.heads(HEADS_TRIED)
+        return [entry for entry in heads if entry.is_selective]
 
     def _start_one(
         self, heads: list[waiting.Entry], pool: pools.Pool, now: float
     ) -> dispatching.Assignment | None:
         """Starts the first of some requests that an engine can take."""
         for entry in heads:
-            if entry.latest_start <= now:
+            if entry.latest_start <= now or now < entry.look_again_at:
                 continue
             choice = self._choose(entry, pool, now)
             if choice is not None:
                 return self._start(entry, pool, choice, now)
+            entry.look_again_at = now + LOOK_AGAIN_S
+            pool.look_again_at = entry.look_again_at
         return None
 
     def _choose(
@@ -300,9 +312,12 @@
         is_batch = entry.urgency >= requests.Urgency.BATCH
         if is_batch and not entry.size_class and pool.free_count(0) < 2:
             return None
-        if _takes_parts(entry, pool):
+        if backlog.exceeds_one_engine(entry.request, pool):
             return choice_module.choose_parts(entry, pool, now)
-        return choice_module.choose(entry, pool, now, self._rng)
+        choice = choice_module.choose(entry, pool, now, self._rng)
+        if choice is None and entry.size_class == split.CLASSES - 1:
+            return choice_module.choose_parts(entry, pool, now)
+        return choice
 
     def _start(
         self,
@@ -326,18 +341,9 @@
         )
 
 
-def _rank(heads: list[waiting.Entry], now: float) -> tuple[int, float]:
+def _rank(head: waiting.Entry, now: float) -> tuple[int, float]:
     """Returns the order of a class: urgency, then time waited to serve."""
-    if not heads:
-        return 8, 0.0
-    return heads[0].urgency, -heads[0].response_ratio(now)
-
-
-def _takes_parts(entry: waiting.Entry, pool: pools.Pool) -> bool:
-    """Returns whether a request exceeds the memory of any one engine."""
-    request = entry.request
-    need = request.prompt_tokens + request.max_tokens
-    return request.max_tokens > 0 and need > pool.largest_memory
+    return head.urgency, -head.response_ratio(now)
 
 
 def _unknown(request: requests.Request) -> outcomes.Refusal:
