Read versions and role from engines over HTTP

Cause: The link's load report named models only, so an order for a version or role could not be read back from an engine. Change: The load message has versions and role; the stand-in engine keeps what orders set.

--- a/src/cardamomfork/_internal/links/targets/extension.py
+++ b/src/cardamomfork/_internal/links/targets/extension.py
@@ -45,6 +45,8 @@
     free_tokens: int
     models: tuple[str, ...] = ()
     leaving: bool = False
+    versions: tuple[str, ...] = ()
+    role: str = ""
 
 
 @attrs.frozen
--- a/src/cardamomfork/_internal/links/targets/link.py
+++ b/src/cardamomfork/_internal/links/targets/link.py
@@ -127,6 +127,8 @@
                 free_tokens=message.free_tokens,
                 models=message.models,
                 leaving=message.leaving,
+                versions=message.versions,
+                role=message.role,
             )
         )
 
--- a/src/cardamomfork/_internal/standins/engine.py
+++ b/src/cardamomfork/_internal/standins/engine.py
@@ -85,6 +85,8 @@
         """
         self._speed = speed
         self._models = models
+        self._versions: dict[str, str] = {}
+        self._role = "mixed"
         self._scheduler = engine_runs.Scheduler(speed)
         self._boot_id = identifiers.new_boot_id()
         self._runs: collections.OrderedDict[str, engine_runs.Run] = (
@@ -362,10 +364,15 @@
             return
         self._fencing = max(self._fencing, order.fencing)
         model = order.arguments.get("model", "")
-        if order.action == "load" and model not in self._models:
-            self._models = (*self._models, model)
+        if order.action == "load":
+            if model not in self._models:
+                self._models = (*self._models, model)
+            self._versions[model] = order.arguments.get("version", "")
         if order.action == "unload":
             self._models = tuple(m for m in self._models if m != model)
+            self._versions.pop(model, None)
+        if order.action == "role":
+            self._role = order.arguments.get("role", "")
         await exchange.tell(extension.Obeyed(order.fencing))
 
     def _measure(self) -> extension.Load:
@@ -378,6 +385,8 @@
             free_tokens=self._scheduler.memory.free_tokens,
             models=self._models,
             leaving=self.leaving,
+            versions=tuple(self._versions.get(m, "") for m in self._models),
+            role=self._role,
         )
 
 
