--- a/tests/functional/test_examples.py
+++ b/tests/functional/test_examples.py
@@ -28,6 +28,10 @@
         "live in the end: 4",
         "owner of the job is one of them: True",
     ],
+    "retry_budget": [
+        "tries stay within the budget: True",
+        "some were retried: True",
+    ],
     "settings_race": [
         "in force: 5.0",
         "in force: 7.0",
