Hold account limits over the fleet by shares that follow demand

Cause: an account's limits are fleet-wide, and two sides of a partition must not both take the whole. Change: shares follow the known demand; they fall at once and rise only after every data centre has spoken since the rise was wanted. Configuration changes are told unasked four times and else only to who shows to lack them.

--- /dev/null
+++ b/src/cardamomfork/_internal/accounts/limit_claims.py
@@ -0,0 +1,278 @@
+"""Others' demands on accounts' limits, and how they are told.
+
+A claim is one source's demand on one account, as a part of the account's
+limit. Sources are the instances of this data centre and the other data centres
+as a whole. Claims carry their age, so that the younger wins and clocks need
+not agree. Where the budget is short, the highest demands are told first.
+"""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from cardamomfork._internal.contracts import gossip
+from cardamomfork._internal.models import identifiers
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.accounts import limits
+    from cardamomfork._internal.data_centres import reach
+
+CLAIM_TTL_S = 12.0
+RELAY_MAX_AGE_S = 5.0
+MAX_CLAIMS = 16_384
+MAX_TOLD = 400
+REMOTE_MARK = "@"
+_SCALE = 10_000
+_DECISECONDS = 10
+_MAX_AGE = 0xFFFF
+_MIN_YOUNGER_S = 0.15
+_HEAD_BYTES = 16
+
+
+class _Payload(
+    msgspec.Struct, array_like=True, frozen=True, omit_defaults=True
+):
+    """Ages of the data centres' words, and claims by source.
+
+    A claim is (account, age in deciseconds, demand in ten-thousandths).
+    """
+
+    ages: dict[str, int] = {}
+    claims: dict[str, list[tuple[str, int, int]]] = {}
+
+
+@attrs.frozen
+class _Claim:
+    """A demand and the local time at which it was stated."""
+
+    demand: float
+    stated_at: float
+
+
+class ClaimTable:
+    """Demands of other instances and data centres."""
+
+    def __init__(self, side: reach.Reach, max_claims: int = MAX_CLAIMS) -> None:
+        """Starts empty.
+
+        Args:
+            side: Tells when another data centre's claims no longer count.
+            max_claims: Most claims held; the oldest go first.
+        """
+        self._reach = side
+        self._max_claims = max_claims
+        self._claims: collections.OrderedDict[tuple[str, str], _Claim] = (
+            collections.OrderedDict()
+        )
+        self._by_account: dict[str, dict[str, _Claim]] = {}
+
+    def __len__(self) -> int:
+        """Returns the claims held."""
+        return len(self._claims)
+
+    def total(self, account: str, now: float) -> float:
+        """Returns the sum of others' demands on an account."""
+        claims = self._by_account.get(account)
+        if not claims:
+            return 0.0
+        return sum(
+            claim.demand
+            for source, claim in claims.items()
+            if self._counts(source, claim, now)
+        )
+
+    def hear(
+        self, source: str, account: str, demand: float, age_s: float, now: float
+    ) -> None:
+        """Takes a claim unless a younger one is held."""
+        key = (account, source)
+        stated_at = now - max(age_s, 0.0)
+        held = self._claims.get(key)
+        if held and stated_at <= held.stated_at + _MIN_YOUNGER_S:
+            return
+        claim = _Claim(demand, stated_at)
+        self._claims[key] = claim
+        self._claims.move_to_end(key)
+        self._by_account.setdefault(account, {})[source] = claim
+        while len(self._claims) > self._max_claims:
+            self._drop(next(iter(self._claims)))
+
+    def expire(self, now: float) -> None:
+        """Drops the oldest claims that no longer count."""
+        while self._claims:
+            key, claim = next(iter(self._claims.items()))
+            if self._counts(key[1], claim, now):
+                return
+            self._drop(key)
+
+    def to_relay(
+        self, now: float, remote_only: bool
+    ) -> list[tuple[float, str, str, float]]:
+        """Returns (demand, source, account, age) of claims worth telling."""
+        found = []
+        for (account, source), claim in reversed(self._claims.items()):
+            age = now - claim.stated_at
+            is_remote = source.startswith(REMOTE_MARK)
+            if age <= RELAY_MAX_AGE_S and (is_remote or not remote_only):
+                found.append((claim.demand, source, account, age))
+            if len(found) >= 4 * MAX_TOLD:
+                break
+        return found
+
+    def home_totals(self, now: float) -> dict[str, float]:
+        """Returns the demands of this data centre's instances by account."""
+        totals: dict[str, float] = {}
+        for (account, source), claim in self._claims.items():
+            if not source.startswith(REMOTE_MARK) and self._counts(
+                source, claim, now
+            ):
+                totals[account] = totals.get(account, 0.0) + claim.demand
+        return totals
+
+    def _counts(self, source: str, claim: _Claim, now: float) -> bool:
+        """Tells whether a claim still counts.
+
+        Those of a data centre that fell silent are kept until it is
+        forgotten, so that this side does not grow while that one still runs
+        on what it had.
+        """
+        if now - claim.stated_at < CLAIM_TTL_S:
+            return True
+        if not source.startswith(REMOTE_MARK):
+            return False
+        name = identifiers.DataCentreId(source.removeprefix(REMOTE_MARK))
+        silent_since = self._reach.spoke_at(name)
+        kept = claim.stated_at + CLAIM_TTL_S >= silent_since
+        return kept and not self._reach.is_forgotten(name, now)
+
+    def _drop(self, key: tuple[str, str]) -> None:
+        """Forgets a claim."""
+        del self._claims[key]
+        sources = self._by_account[key[0]]
+        del sources[key[1]]
+        if not sources:
+            del self._by_account[key[0]]
+
+
+class LimitsGossip:
+    """The limits' part in the peers' talk."""
+
+    def __init__(
+        self,
+        me: identifiers.InstanceId,
+        limiter: limits.FleetLimiter,
+        table: ClaimTable,
+        side: reach.Reach,
+    ) -> None:
+        """Takes what is told and what is filled.
+
+        Args:
+            me: This instance.
+            limiter: States this instance's demands.
+            table: Holds the others'.
+            side: Ages of the data centres' words.
+        """
+        self._me = me
+        self._limiter = limiter
+        self._table = table
+        self._reach = side
+        self.unreadable = 0
+
+    @property
+    def topic(self) -> gossip.Topic:
+        """The topic of its payloads."""
+        return gossip.Topic.LIMITS
+
+    def collect(
+        self,
+        peer: identifiers.InstanceId,
+        scope: gossip.Scope,
+        budget_bytes: int,
+        now: float,
+    ) -> bytes:
+        """Returns the ages and the highest claims that fit."""
+        del peer
+        self._reach.refresh(now)
+        self._table.expire(now)
+        ages = {
+            name: _told_age(age) for name, age in self._reach.ages(now).items()
+        }
+        if scope is gossip.Scope.FLEET or self._reach.is_delegate:
+            ages[self._reach.home] = 0
+        left = budget_bytes - _HEAD_BYTES
+        left -= sum(len(name) + 5 for name in ages)
+        if left < 0:
+            return b""
+        told: dict[str, list[tuple[str, int, int]]] = {}
+        for demand, source, account, age in self._candidates(scope, now):
+            cost = len(account.encode()) + 9
+            if source not in told:
+                cost += len(source.encode()) + 5
+            if cost > left:
+                break
+            left -= cost
+            told.setdefault(source, []).append(
+                (
+                    account,
+                    _told_age(age) if age else 0,
+                    min(round(demand * _SCALE), 0xFFFFFF),
+                )
+            )
+        return msgspec.msgpack.encode((ages, told))
+
+    def absorb(
+        self, sender: identifiers.InstanceId, payload: bytes, now: float
+    ) -> None:
+        """Takes a peer's ages and claims."""
+        del sender
+        try:
+            heard = msgspec.msgpack.decode(payload, type=_Payload)
+        except msgspec.DecodeError:
+            self.unreadable += 1
+            return
+        for source, claims in heard.claims.items():
+            if source in (self._me, REMOTE_MARK + self._reach.home):
+                continue
+            for account, age, demand in claims:
+                self._table.hear(
+                    source, account, demand / _SCALE, age / _DECISECONDS, now
+                )
+        # After the claims: a word confirms only what came with it.
+        self._reach.hear(
+            {
+                identifiers.DataCentreId(name): age / _DECISECONDS
+                for name, age in heard.ages.items()
+            },
+            now,
+        )
+
+    def _candidates(
+        self, scope: gossip.Scope, now: float
+    ) -> list[tuple[float, str, str, float]]:
+        """Returns (demand, source, account, age), the highest first."""
+        own = self._limiter.demands(now)
+        if scope is gossip.Scope.FLEET:
+            totals = self._table.home_totals(now)
+            for account, demand in own.items():
+                totals[account] = totals.get(account, 0.0) + demand
+            source = REMOTE_MARK + self._reach.home
+            mine = [(d, source, a, 0.0) for a, d in totals.items()]
+        else:
+            mine = [(d, self._me, a, 0.0) for a, d in own.items()]
+        relayed = self._table.to_relay(now, scope is gossip.Scope.FLEET)
+        return heapq.nlargest(MAX_TOLD, [*mine, *relayed])
+
+
+def _told_age(age_s: float) -> int:
+    """Returns an age in deciseconds, never younger than it is on arrival.
+
+    One decisecond more covers the way: rounded down, a word passed round
+    among a few instances would stay young for ever.
+    """
+    return min(math.ceil(age_s * _DECISECONDS) + 1, _MAX_AGE)
--- /dev/null
+++ b/src/cardamomfork/_internal/accounts/limits.py
@@ -0,0 +1,313 @@
+"""Fleet-wide limits of client accounts, as this instance's shares of them.
+
+An instance's share of an account's limits follows its part of the demand that
+it knows of. A share falls at once and rises only after every data centre has
+spoken since the rise was wanted, so that two sides that no longer hear each
+other can't both take the whole. Each instance may always use a small floor.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import result
+import xxhash
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.contracts import limiting
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import outcomes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomfork._internal.accounts import limit_claims
+    from cardamomfork._internal.data_centres import reach
+    from cardamomfork._internal.models import identifiers
+
+FLOOR_PART = 0.02
+REFRESH_S = 0.2
+DEMAND_TIME_CONSTANT_S = 0.6
+IDLE_AFTER_S = 30.0
+BURST_S = 0.5
+MIN_DEMAND = 0.0005
+ROUNDING_TURN_S = 5.0
+MAX_ACTIVE = 8192
+MAX_RETRY_AFTER_S = 30.0
+
+
+@attrs.define
+class _Usage:
+    """One account's use of its limits on this instance.
+
+    Attributes:
+        requests: Requests that may start now; below 0 is a debt.
+        tokens: Prompt tokens that may start now; below 0 is a debt.
+        held: Grants not given back.
+        demand: Offered load as a part of the fleet-wide limit, smoothed.
+        share: Part of the fleet-wide limit that this instance uses.
+        raise_wanted_at: Since when a higher share is wanted, or None.
+        filled_at: Time of the last refill.
+        faded_at: Time up to which the demand has faded.
+        refreshed_at: Time of the last look at the share.
+        active_at: Time of the last request.
+    """
+
+    filled_at: float
+    faded_at: float
+    active_at: float
+    requests: float = 0.0
+    tokens: float = 0.0
+    held: int = 0
+    demand: float = 0.0
+    share: float = 0.0
+    raise_wanted_at: float | None = None
+    refreshed_at: float = -1.0
+
+
+@attrs.define
+class LimiterCounters:
+    """Requests admitted and refused, and tables found full."""
+
+    admitted: int = 0
+    refused: int = 0
+    full: int = 0
+
+
+class FleetLimiter:
+    """Meets the `Limiter` contract."""
+
+    def __init__(
+        self,
+        side: reach.Reach,
+        claims: limit_claims.ClaimTable,
+        hurry: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Takes what is known of the fleet.
+
+        Args:
+            side: How much of the fleet is reachable.
+            claims: Others' demands.
+            hurry: Called when a share should soon be much larger.
+        """
+        self._hurry = hurry
+        self._reach = side
+        self._claims = claims
+        self._accounts: dict[
+            identifiers.AccountName, configuration.ClientAccount
+        ] = {}
+        self._usage: dict[identifiers.AccountName, _Usage] = {}
+        self.counters = LimiterCounters()
+
+    @property
+    def active(self) -> int:
+        """Accounts with recent requests here."""
+        return len(self._usage)
+
+    def apply_account(self, account: configuration.ClientAccount) -> None:
+        """Takes an account's current limits."""
+        self._accounts[account.name] = account
+
+    def remove_account(self, name: identifiers.AccountName) -> None:
+        """Forgets an account."""
+        self._accounts.pop(name, None)
+        self._usage.pop(name, None)
+
+    def share(self, name: identifiers.AccountName, now: float) -> float:
+        """Returns this instance's part of an account's limits, 0 to 1."""
+        usage = self._usage.get(name)
+        if usage is None:
+            return self._floor()
+        self._refresh(name, usage, now)
+        return usage.share
+
+    def admit(
+        self,
+        account: identifiers.AccountName,
+        prompt_tokens: int,
+        now: float,
+    ) -> result.Result[limiting.Grant, outcomes.Refusal]:
+        """Takes one request's share, or refuses it with a retry time."""
+        limits = self._accounts.get(account)
+        if limits is None:
+            return result.Err(
+                outcomes.refuse(
+                    outcomes.RefusalReason.FORBIDDEN,
+                    f"account {account!r} does not exist",
+                )
+            )
+        usage = self._use(account, now)
+        if usage is None:
+            self.counters.full += 1
+            return result.Err(_over_limit("active accounts", 1.0))
+        self._offer(limits, usage, prompt_tokens, now)
+        self._refresh(account, usage, now)
+        self._refill(limits, usage, now)
+        refusal = _judge(limits, usage, self._room(limits, usage, now))
+        if refusal is not None:
+            self.counters.refused += 1
+            return result.Err(refusal)
+        usage.requests -= 1.0
+        usage.tokens -= prompt_tokens
+        usage.held += 1
+        self.counters.admitted += 1
+        return result.Ok(limiting.Grant(account, prompt_tokens))
+
+    def release(self, grant: limiting.Grant, now: float) -> None:
+        """Gives back the concurrency that a grant holds."""
+        usage = self._usage.get(grant.account)
+        if usage is None:
+            return
+        usage.held -= 1
+        exceptions.check_invariant(
+            usage.held >= 0, "grants held are not negative", grant.account
+        )
+        usage.active_at = now
+
+    def demands(self, now: float) -> dict[identifiers.AccountName, float]:
+        """Returns this instance's demands; forgets the idle accounts."""
+        for name, usage in list(self._usage.items()):
+            _decay(usage, now)
+            idle = now - usage.active_at > IDLE_AFTER_S
+            if idle and not usage.held:
+                del self._usage[name]
+        return {
+            name: self._demand(name, usage)
+            for name, usage in self._usage.items()
+        }
+
+    def _use(self, name: identifiers.AccountName, now: float) -> _Usage | None:
+        """Returns an account's usage; None if the table is full."""
+        usage = self._usage.get(name)
+        if usage is None:
+            if len(self._usage) >= MAX_ACTIVE:
+                self.demands(now)
+            if len(self._usage) >= MAX_ACTIVE:
+                return None
+            limits = self._accounts[name]
+            floor = self._floor()
+            usage = _Usage(now, now, now, share=floor)
+            usage.requests = max(limits.requests_per_s * floor * BURST_S, 1e-9)
+            usage.tokens = max(
+                limits.prompt_tokens_per_s * floor * BURST_S, 1e-9
+            )
+            self._usage[name] = usage
+        usage.active_at = now
+        return usage
+
+    def _offer(
+        self,
+        limits: configuration.ClientAccount,
+        usage: _Usage,
+        prompt_tokens: int,
+        now: float,
+    ) -> None:
+        """Adds a request to the smoothed demand, refused or not."""
+        _decay(usage, now)
+        part = max(
+            1.0 / limits.requests_per_s,
+            prompt_tokens / limits.prompt_tokens_per_s,
+        )
+        usage.demand += part / DEMAND_TIME_CONSTANT_S
+
+    def _demand(self, name: identifiers.AccountName, usage: _Usage) -> float:
+        """Returns the demand, with what is held as a part of the limit."""
+        limits = self._accounts.get(name)
+        if limits is None:
+            return 0.0
+        room = max(limits.max_concurrent + limits.max_queued, 1)
+        demand = max(usage.demand, usage.held / room, MIN_DEMAND)
+        return min(demand, 1.0)
+
+    def _floor(self) -> float:
+        """Returns the part that every instance may always use."""
+        return FLOOR_PART / max(self._reach.total(), 1)
+
+    def _refresh(
+        self, name: identifiers.AccountName, usage: _Usage, now: float
+    ) -> None:
+        """Moves the share toward this instance's part of the demand."""
+        if now - usage.refreshed_at < REFRESH_S:
+            return
+        usage.refreshed_at = now
+        own = self._demand(name, usage)
+        total = own + self._claims.total(name, now)
+        wanted = max(self._reach.fraction(now) * own / total, self._floor())
+        if wanted <= usage.share:
+            usage.share = wanted
+            usage.raise_wanted_at = None
+        elif usage.raise_wanted_at is None:
+            usage.raise_wanted_at = now
+            if wanted > 2 * usage.share:
+                self._hurry()
+            if self._reach.confirmed_since(now, now):
+                usage.share = wanted
+        elif self._reach.confirmed_since(usage.raise_wanted_at, now):
+            usage.share = wanted
+            usage.raise_wanted_at = now
+        exceptions.check_invariant(
+            0.0 <= usage.share <= 1.0, "a share is a part of one", name
+        )
+
+    def _room(
+        self, limits: configuration.ClientAccount, usage: _Usage, now: float
+    ) -> int:
+        """Returns how many grants may be held here at once.
+
+        A share of less than one grant is rounded up on some instances and
+        down on others, in turns, so that the sum stays near the limit.
+        """
+        turn = int(now / ROUNDING_TURN_S)
+        key = f"{limits.name}\0{self._reach.me}\0{turn}"
+        draw = xxhash.xxh3_64_intdigest(key.encode()) / 2**64
+        whole = limits.max_concurrent + limits.max_queued
+        return int(whole * usage.share + draw)
+
+    def _refill(
+        self,
+        limits: configuration.ClientAccount,
+        usage: _Usage,
+        now: float,
+    ) -> None:
+        """Lets the buckets fill at this instance's part of the rates."""
+        seconds = max(now - usage.filled_at, 0.0)
+        usage.filled_at = now
+        rate = limits.requests_per_s * usage.share
+        room = max(rate * BURST_S, 1.0)
+        usage.requests = min(usage.requests + rate * seconds, room)
+        rate = limits.prompt_tokens_per_s * usage.share
+        room = max(rate * BURST_S, 1.0)
+        usage.tokens = min(usage.tokens + rate * seconds, room)
+
+
+def _decay(usage: _Usage, now: float) -> None:
+    """Lets the smoothed demand fade."""
+    seconds = max(now - usage.faded_at, 0.0)
+    usage.faded_at = now
+    usage.demand *= math.exp(-seconds / DEMAND_TIME_CONSTANT_S)
+
+
+def _judge(
+    limits: configuration.ClientAccount, usage: _Usage, room: int
+) -> outcomes.Refusal | None:
+    """Returns why a request may not start now, or None."""
+    if usage.held >= room:
+        return _over_limit("requests at once", 1.0)
+    if usage.requests <= 0:
+        rate = limits.requests_per_s * usage.share
+        return _over_limit("requests a second", -usage.requests / rate)
+    if usage.tokens <= 0:
+        rate = limits.prompt_tokens_per_s * usage.share
+        return _over_limit("prompt tokens a second", -usage.tokens / rate)
+    return None
+
+
+def _over_limit(what: str, wait_s: float) -> outcomes.Refusal:
+    """Makes the refusal of a request over a limit."""
+    return outcomes.refuse(
+        outcomes.RefusalReason.OVER_LIMIT,
+        f"the account is over its limit of {what}",
+        min(max(wait_s, 0.1), MAX_RETRY_AFTER_S),
+    )
--- a/src/cardamomfork/_internal/configuration/distribution.py
+++ b/src/cardamomfork/_internal/configuration/distribution.py
@@ -1,8 +1,9 @@
 """Tells peers of configuration changes and hears of theirs.
 
-Each payload carries the sender's revision. Who is ahead adds the changes that
-the other lacks, as far as they fit; the rest follows in later payloads. One
-that can't be caught up that way is `behind` and loads a snapshot.
+Each payload carries the sender's revision. An answer adds the changes that the
+asker has just shown to lack, as far as they fit; the rest follows in later
+payloads. New changes are also told a few times unasked. One that can't be
+caught up that way is `behind` and loads a snapshot.
 """
 
 from __future__ import annotations
@@ -18,12 +19,15 @@
 from cardamomfork._internal.contracts import gossip
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cardamomfork._internal.models import configuration
     from cardamomfork._internal.models import identifiers
 
 MAX_PEERS = 1024
 BEHIND_AFTER_S = 2.0
 PAGE_BYTES = 65_536
+HOT_TELLS = 4
 
 
 class _Payload(
@@ -69,12 +73,25 @@
 class ConfigurationGossip:
     """The configuration's part in the peers' talk."""
 
-    def __init__(self, held: replica.ConfigurationReplica) -> None:
-        """Takes this instance's copy."""
+    def __init__(
+        self,
+        held: replica.ConfigurationReplica,
+        catch_up: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Takes this instance's copy.
+
+        Args:
+            held: The copy.
+            catch_up: Called while a peer is known to hold more changes.
+        """
         self._replica = held
+        self._catch_up = catch_up
         self._revisions: collections.OrderedDict[
             identifiers.InstanceId, int
         ] = collections.OrderedDict()
+        self._asked: tuple[identifiers.InstanceId, float] | None = None
+        self._hot_revision = 0
+        self._hot_tells = 0
         self._behind_since: float | None = None
         self._behind_at = 0
         self._ahead: identifiers.InstanceId | None = None
@@ -105,10 +122,17 @@
         now: float,
     ) -> bytes:
         """Returns this instance's revision and what the peer lacks."""
-        del scope, now
+        del scope
         revision = self._replica.revision
         digest = msgspec.msgpack.encode(_Payload(revision))
         known = self._revisions.get(peer)
+        asked = self._asked == (peer, now)
+        if not asked and self._replica.revision > self._hot_revision:
+            self._hot_revision = self._replica.revision
+            self._hot_tells = HOT_TELLS
+        if not asked and self._hot_tells <= 0:
+            # What it lacks follows once its answer has shown its revision.
+            known = None
         if known is None or known >= revision or len(digest) > budget_bytes:
             return digest if len(digest) <= budget_bytes else b""
         changes = self._replica.changes_after(known)
@@ -119,6 +143,7 @@
         if packed.upto <= known and not packed.count:
             return digest
         self.counters.told += packed.count
+        self._hot_tells -= not asked
         self._note(peer, packed.upto)
         return msgspec.msgpack.encode(
             _Payload(revision, known, packed.upto, packed.data)
@@ -138,9 +163,12 @@
             self.counters.unreadable += 1
             return
         self._note(sender, heard.revision)
+        self._asked = (sender, now)
         if heard.upto > 0:
             self._replica.apply_range(changes.unwrap(), heard.since, heard.upto)
         self._watch_lag(sender, heard.revision, now)
+        if heard.upto and heard.revision > self._replica.revision:
+            self._catch_up()
 
     def answer_page(self, request: bytes) -> bytes:
         """Answers a newcomer's request for a part of the snapshot."""
--- a/src/cardamomfork/_internal/instances/composing.py
+++ b/src/cardamomfork/_internal/instances/composing.py
@@ -14,7 +14,7 @@
     from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import instances
 
-MAX_ENVELOPE_BYTES = 3000
+MAX_ENVELOPE_BYTES = 4500
 
 # Share of the bytes left that a topic may use, in order of urgency.
 _SHARES = {
--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -33,7 +33,7 @@
 HELPERS = 3
 HURRY_FANOUT = 3
 HURRY_PAUSE_S = 0.05
-MAX_HURRIED_PER_S = 4.0
+MAX_HURRIED_PER_S = 5.0
 REMOTE_PERIOD_S = 1.0
 
 
@@ -86,8 +86,8 @@
         self._clock = clock
         self._rng = rng
         self._link: peering_contract.PeerLink | None = None
-        self._pages: dict[str, object] = {}
         self._hurry = anyio.Event()
+        self._hurry_fanout = 1
         self._participants = participants
         self.budget = budget
         self.counters = PeeringCounters()
@@ -99,6 +99,11 @@
 
     def hurry(self) -> None:
         """Asks for an exchange with a few peers soon."""
+        self._hurry_fanout = HURRY_FANOUT
+        self._hurry.set()
+
+    def catch_up(self) -> None:
+        """Asks for an exchange with one peer soon."""
         self._hurry.set()
 
     async def run(self, link: peering_contract.PeerLink) -> None:
@@ -198,8 +203,9 @@
             await self._hurry.wait()
             await anyio.sleep(HURRY_PAUSE_S)
             self._hurry = anyio.Event()
+            fanout, self._hurry_fanout = self._hurry_fanout, 1
             me = self._members.me.instance
-            for peer in self._members.helpers(me.instance_id, HURRY_FANOUT):
+            for peer in self._members.helpers(me.instance_id, fanout):
                 group.start_soon(self._tell, link, peer)
             remote = self._others.next_remote()
             if remote is not None:
--- /dev/null
+++ b/tests/unit/test_limits.py
@@ -0,0 +1,223 @@
+"""Shares follow demand and never add up to much more than the limit."""
+
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from cardamomfork._internal.accounts import limit_claims
+from cardamomfork._internal.accounts import limits
+from cardamomfork._internal.contracts import gossip
+from cardamomfork._internal.data_centres import reach
+from cardamomfork._internal.instances import records
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import instances
+from cardamomfork._internal.models import outcomes
+from tests.lib import seeds
+
+ACCOUNT = configuration.ClientAccount(
+    "depot",
+    requests_per_s=100.0,
+    prompt_tokens_per_s=1e6,
+    max_concurrent=40,
+    max_queued=10,
+)
+SIZE = 3
+
+
+class FixedMembers:
+    """A data centre of one instance each, for a fleet of data centres."""
+
+    def __init__(self, number):
+
+        self.all = [
+            records.Record(
+                instances.Instance(f"i{n}", f"b{n}", f"dc{n}", "", n)
+            )
+            for n in range(SIZE)
+        ]
+        self.me = self.all[number]
+
+    def known(self, data_centre=None):
+        return [
+            r for r in self.all if data_centre in (None, r.instance.data_centre)
+        ]
+
+    def live(self, data_centre):
+        return [r.instance for r in self.known(data_centre)]
+
+
+class FixedSummaries:
+    def __init__(self, members):
+        self.home = members.me.instance.data_centre
+        self.is_delegate = True
+
+    def get(self, data_centre):
+        return None
+
+
+class Node:
+    def __init__(self, number):
+        members = FixedMembers(number)
+        self.name = members.me.instance.instance_id
+        self.side = reach.Reach(members, FixedSummaries(members))
+        self.table = limit_claims.ClaimTable(self.side)
+        self.limiter = limits.FleetLimiter(self.side, self.table)
+        self.limiter.apply_account(ACCOUNT)
+        self.talk = limit_claims.LimitsGossip(
+            self.name, self.limiter, self.table, self.side
+        )
+
+    def tell(self, other, now, budget=2000):
+        payload = self.talk.collect(other.name, gossip.Scope.FLEET, budget, now)
+        assert len(payload) <= budget
+        other.talk.absorb(self.name, payload, now)
+
+
+class SharesMachine(stateful.RuleBasedStateMachine):
+    """Three data centres; load moves and links are cut at any time.
+
+    Time goes in steps of a second; data centres that reach each other talk
+    both ways each step.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.nodes = [Node(n) for n in range(SIZE)]
+        self.alone = None
+        self.quiet_s = 0
+        self.busy = set()
+        self.step(20)
+
+    def step(self, count):
+        for _ in range(count):
+            for part in range(10):
+                self.now += 0.1
+                for number in self.busy:
+                    for _ in range(20):
+                        self.offer(number)
+                if part == 0:
+                    self.talk()
+            self.check_sum()
+
+    def offer(self, number):
+        limiter = self.nodes[number].limiter
+        grant = limiter.admit("depot", 10, self.now)
+        if grant.is_ok():
+            limiter.release(grant.unwrap(), self.now)
+
+    def talk(self):
+        for one in range(SIZE):
+            for other in range(SIZE):
+                if one != other and self.alone not in (one, other):
+                    self.nodes[one].tell(self.nodes[other], self.now)
+
+    def check_sum(self):
+        total = sum(n.limiter.share("depot", self.now) for n in self.nodes)
+        if self.alone is not None and self.cut_s >= 3:
+            assert total <= 1.2, total
+        if self.alone is not None:
+            self.cut_s += 1
+
+    @stateful.rule(number=strategies.integers(0, SIZE - 1))
+    def toggle(self, number):
+        self.busy ^= {number}
+
+    @stateful.rule(number=strategies.integers(0, SIZE - 1))
+    def cut(self, number):
+        if self.alone is None:
+            self.alone = number
+            self.cut_s = 0
+
+    @stateful.rule()
+    def heal(self):
+        self.alone = None
+
+    @stateful.rule(count=strategies.sampled_from([1, 2, 7, 25]))
+    def wait(self, count):
+        self.step(count)
+
+
+class SharesMachineTest(SharesMachine.TestCase):
+    settings = hypothesis.settings(
+        seeds.STEADY, max_examples=200, stateful_step_count=15
+    )
+
+
+class LimiterTest(unittest.TestCase):
+    def setUp(self):
+        self.nodes = [Node(n) for n in range(SIZE)]
+
+    def run_for(self, seconds, busy, start, cut=False):
+        admitted = [0] * SIZE
+        now = start
+        for tenth in range(round(seconds * 10)):
+            now = start + tenth / 10
+            for number in busy:
+                limiter = self.nodes[number].limiter
+                for _ in range(20):
+                    grant = limiter.admit("depot", 10, now)
+                    if grant.is_ok():
+                        admitted[number] += 1
+                        limiter.release(grant.unwrap(), now)
+            if tenth % 10 == 0 and not cut:
+                for one in self.nodes:
+                    for other in self.nodes:
+                        if one is not other:
+                            one.tell(other, now)
+        return admitted, now
+
+    def test_single_busy_instance_gets_nearly_all(self):
+        _, now = self.run_for(3, {0}, 0.0)
+        admitted, _ = self.run_for(10, {0}, now)
+        self.assertGreaterEqual(admitted[0], 0.9 * 100 * 10)
+        self.assertLessEqual(admitted[0], 1.05 * 100 * 10)
+
+    def test_new_demand_on_both_sides_of_a_cut_takes_no_whole(self):
+        _, now = self.run_for(3, set(), 0.0)
+        admitted, now = self.run_for(8, {0, 1}, now, cut=True)
+        self.assertLessEqual(sum(admitted), 0.2 * 100 * 8)
+        self.run_for(30, {0, 1}, now, cut=True)
+        admitted, _ = self.run_for(10, {0, 1}, now + 30, cut=True)
+        self.assertLessEqual(sum(admitted), 1.2 * 100 * 10)
+        self.assertGreaterEqual(min(admitted[:2]), 0.3 * 100 * 10)
+
+    def test_newcomer_that_is_cut_off_is_not_the_whole_fleet(self):
+        _, now = self.run_for(5, {0}, 100.0, cut=True)
+        self.assertLess(self.nodes[0].limiter.share("depot", now), 0.05)
+
+    def test_held_grants_and_tokens_are_limited(self):
+        _, now = self.run_for(3, {0}, 0.0)
+        limiter = self.nodes[0].limiter
+        held = []
+        for step in range(100):
+            grant = limiter.admit("depot", 1, now + step / 50)
+            held += [grant.unwrap()] if grant.is_ok() else []
+        self.assertIn(len(held), (49, 50))
+        refusal = limiter.admit("depot", 1, now + 2).unwrap_err()
+        self.assertIs(refusal.reason, outcomes.RefusalReason.OVER_LIMIT)
+        for grant in held:
+            limiter.release(grant, now + 3)
+        self.assertTrue(limiter.admit("depot", 5_000_000, now + 3).is_ok())
+        refusal = limiter.admit("depot", 1, now + 4).unwrap_err()
+        self.assertGreater(refusal.retry_after_s, 2.0)
+
+    def test_an_age_told_in_a_circle_never_gets_younger(self):
+        sides = [node.side for node in self.nodes]
+        sides[0].hear({"dc2": 0.0}, 0.0)
+        now = 0.0
+        for step in range(100):
+            now += 0.05
+            self.nodes[step % 2].tell(self.nodes[1 - step % 2], now)
+        # dc2 itself said nothing since.
+        self.assertLessEqual(sides[0].spoke_at("dc2"), 0.0)
+
+    def test_tables_are_bounded_and_garbage_is_counted(self):
+        table = limit_claims.ClaimTable(self.nodes[0].side, max_claims=10)
+        for number in range(50):
+            table.hear("i1", f"a{number}", 0.5, 0.0, 1.0)
+        self.assertEqual(len(table), 10)
+        self.nodes[0].talk.absorb("i1", b"\xc1", 0.0)
+        self.assertEqual(self.nodes[0].talk.unreadable, 1)
