--- /dev/null
+++ b/src/cardamomfork/_internal/standins/instance_list.py
@@ -0,0 +1,54 @@
+"""The platform's list of instances and targets, which shows old states."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import result
+
+from cardamomfork._internal.contracts import listing
+from cardamomfork._internal.contracts import store as store_contract
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.contracts import clock as clock_contract
+
+MAX_HISTORY = 1000
+
+
+@attrs.define
+class LaggingInstanceList:
+    """Meets the `InstanceList` contract.
+
+    Attributes:
+        clock: Time.
+        lag_s: How old the list is that callers see, in seconds.
+        down: Whether calls fail.
+    """
+
+    clock: clock_contract.Clock
+    lag_s: float = 10.0
+    down: bool = False
+    _history: list[tuple[float, listing.Listing]] = attrs.field(factory=list)
+
+    def publish(self, current: listing.Listing) -> None:
+        """Sets the true state; callers see it once the lag is over."""
+        self._history.append((self.clock.monotonic(), current))
+        del self._history[:-MAX_HISTORY]
+
+    async def fetch(
+        self,
+    ) -> result.Result[listing.Listing, store_contract.StoreFault]:
+        """Returns the list as it was `lag_s` ago."""
+        if self.down:
+            return result.Err(
+                store_contract.StoreFault(
+                    store_contract.StoreFaultKind.UNAVAILABLE, "instance list"
+                )
+            )
+        shown = listing.Listing()
+        until = self.clock.monotonic() - self.lag_s
+        for at, state in self._history:
+            if at <= until:
+                shown = state
+        return result.Ok(shown)
--- /dev/null
+++ b/src/cardamomfork/_internal/targets/watching.py
@@ -0,0 +1,185 @@
+"""Which instances watch which target, and load reports told to the others.
+
+Two instances of a target's data centre watch it: they ask it for its load. The
+rest of the data centre hears the reports from them, packed, so that no target
+is asked by all.
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from cardamomfork._internal.contracts import gossip
+from cardamomfork._internal.data_centres import rendezvous
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import targets
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+WATCHERS = 2
+MAX_REPORTS = 4096
+RELAY_MAX_AGE_S = 4.0
+TELLS = 3
+_DECISECONDS = 10
+_MIN_YOUNGER_S = 0.25
+_HEAD_BYTES = 5
+_MAX_AGE = 0xFFFF
+
+
+class _PackedReport(
+    msgspec.Struct, array_like=True, frozen=True, omit_defaults=True
+):
+    """A load report on the wire; its age in deciseconds."""
+
+    target_id: str
+    boot_id: str
+    age: int
+    queued_tokens: int
+    running: int
+    free_tokens: int
+    models: tuple[str, ...] = ()
+    leaving: bool = False
+
+
+@attrs.define
+class _Held:
+    """A report and how often it is still told."""
+
+    report: targets.LoadReport
+    tells: int
+
+
+def watchers_of(
+    target_id: identifiers.TargetId, staying: Sequence[str]
+) -> list[str]:
+    """Returns the instances of a data centre that watch a target."""
+    return rendezvous.owners(f"watch/{target_id}", staying, WATCHERS)
+
+
+def watched_by(
+    me: identifiers.InstanceId,
+    target_ids: Iterable[identifiers.TargetId],
+    staying: Sequence[str],
+) -> list[identifiers.TargetId]:
+    """Returns the targets that one instance watches."""
+    return [t for t in target_ids if me in watchers_of(t, staying)]
+
+
+class LoadReports:
+    """Newest load report of each target; gossips under `Topic.LOAD`."""
+
+    def __init__(
+        self,
+        deliver: Callable[[targets.LoadReport, float], None],
+        max_reports: int = MAX_REPORTS,
+    ) -> None:
+        """Starts empty.
+
+        Args:
+            deliver: Takes each newer report, own or heard, and the time.
+            max_reports: Most reports held; the oldest go first.
+        """
+        self._deliver = deliver
+        self._max_reports = max_reports
+        self._held: collections.OrderedDict[identifiers.TargetId, _Held] = (
+            collections.OrderedDict()
+        )
+        self.unreadable = 0
+
+    @property
+    def topic(self) -> gossip.Topic:
+        """The topic of its payloads."""
+        return gossip.Topic.LOAD
+
+    def observe(self, report: targets.LoadReport, now: float) -> bool:
+        """Takes a report; False if a newer one of the target is held."""
+        held = self._held.get(report.target_id)
+        if held is not None and not _is_newer(report, held.report):
+            return False
+        self._held[report.target_id] = _Held(report, TELLS)
+        self._held.move_to_end(report.target_id)
+        while len(self._held) > self._max_reports:
+            self._held.popitem(last=False)
+        self._deliver(report, now)
+        return True
+
+    def collect(
+        self,
+        peer: identifiers.InstanceId,
+        scope: gossip.Scope,
+        budget_bytes: int,
+        now: float,
+    ) -> bytes:
+        """Returns the youngest reports that fit, within a data centre."""
+        del peer
+        if scope is gossip.Scope.FLEET:
+            return b""
+        left = budget_bytes - _HEAD_BYTES
+        rows: list[msgspec.Raw] = []
+        for held in reversed(self._held.values()):
+            age = now - held.report.measured_at
+            if held.tells <= 0 or age > RELAY_MAX_AGE_S:
+                continue
+            data = msgspec.msgpack.encode(_pack(held.report, age))
+            if len(data) > left:
+                break
+            left -= len(data)
+            held.tells -= 1
+            rows.append(msgspec.Raw(data))
+        return msgspec.msgpack.encode(rows) if rows else b""
+
+    def absorb(
+        self, sender: identifiers.InstanceId, payload: bytes, now: float
+    ) -> None:
+        """Takes a peer's reports."""
+        del sender
+        try:
+            heard = msgspec.msgpack.decode(payload, type=list[_PackedReport])
+        except msgspec.DecodeError:
+            self.unreadable += 1
+            return
+        for packed in heard:
+            self.observe(_unpack(packed, now), now)
+
+
+def _is_newer(report: targets.LoadReport, held: targets.LoadReport) -> bool:
+    """Tells whether a report is of a later life or clearly younger."""
+    if report.boot_id != held.boot_id:
+        return report.boot_id > held.boot_id
+    return report.measured_at > held.measured_at + _MIN_YOUNGER_S
+
+
+def _pack(report: targets.LoadReport, age_s: float) -> _PackedReport:
+    """Returns a report's form on the wire; its age is rounded up."""
+    return _PackedReport(
+        report.target_id,
+        report.boot_id,
+        min(max(math.ceil(age_s * _DECISECONDS), 0) + 1, _MAX_AGE),
+        report.queued_tokens,
+        report.running,
+        report.free_tokens,
+        report.models,
+        report.leaving,
+    )
+
+
+def _unpack(packed: _PackedReport, now: float) -> targets.LoadReport:
+    """Reads a report; its time is on this instance's clock."""
+    return targets.LoadReport(
+        identifiers.TargetId(packed.target_id),
+        identifiers.BootId(packed.boot_id),
+        now - packed.age / _DECISECONDS,
+        packed.queued_tokens,
+        packed.running,
+        packed.free_tokens,
+        packed.models,
+        packed.leaving,
+    )
