--- a/src/cardamomfork/_internal/accounts/limits.py
+++ b/src/cardamomfork/_internal/accounts/limits.py
@@ -93,6 +93,7 @@
             hurry: Called when a share should soon be much larger.
         """
         self._hurry = hurry
+        self._handing_over = False
         self._reach = side
         self._claims = claims
         self._accounts: dict[
@@ -166,6 +167,13 @@
         )
         usage.active_at = now
 
+    def hand_over(self) -> None:
+        """Gives the shares up at a planned stop, all but what is held.
+
+        Peers take them once they hear of it; tell them at once.
+        """
+        self._handing_over = True
+
     def demands(self, now: float) -> dict[identifiers.AccountName, float]:
         """Returns this instance's demands; forgets the idle accounts."""
         for name, usage in list(self._usage.items()):
@@ -218,7 +226,10 @@
         if limits is None:
             return 0.0
         room = max(limits.max_concurrent + limits.max_queued, 1)
-        demand = max(usage.demand, usage.held / room, MIN_DEMAND)
+        held = usage.held / room
+        if self._handing_over:
+            return min(held, 1.0)
+        demand = max(usage.demand, held, MIN_DEMAND)
         return min(demand, 1.0)
 
     def _floor(self) -> float:
--- a/tests/unit/test_limits.py
+++ b/tests/unit/test_limits.py
@@ -204,6 +204,15 @@
         refusal = limiter.admit("depot", 1, now + 4).unwrap_err()
         self.assertGreater(refusal.retry_after_s, 2.0)
 
+    def test_planned_stop_hands_the_share_over(self):
+        _, now = self.run_for(6, {0, 1}, 0.0)
+        self.assertLess(self.nodes[1].limiter.share("depot", now), 0.6)
+        self.nodes[0].limiter.hand_over()
+        for step in (1, 2, 3):
+            self.run_for(0.1, {1}, now + step)
+        share = self.nodes[1].limiter.share("depot", now + 3.3)
+        self.assertGreater(share, 0.9)
+
     def test_an_age_told_in_a_circle_never_gets_younger(self):
         sides = [node.side for node in self.nodes]
         sides[0].hear({"dc2": 0.0}, 0.0)
