--- a/src/cardamomfork/_internal/instances/membership.py
+++ b/src/cardamomfork/_internal/instances/membership.py
@@ -251,6 +251,12 @@
             if held is None or instance.boot_id > held.instance.boot_id:
                 self.hear(records.Record(instance), now)
 
+    def listen_on(self, port: int) -> None:
+        """Sets this instance's port, before anything is told of it."""
+        moved = attrs.evolve(self._me.instance, port=port)
+        self._me = attrs.evolve(self._me, instance=moved)
+        self._put(self._me, 0.0)
+
     def leave(self, now: float) -> None:
         """Tells the others that this instance stops."""
         self._raise_incarnation(self._me.incarnation + 1, now, leaving=True)
--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -21,6 +21,7 @@
 from cardamomfork._internal.instances import composing
 from cardamomfork._internal.instances import membership
 from cardamomfork._internal.instances import records
+from cardamomfork._internal.models import identifiers
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -35,6 +36,8 @@
 HURRY_PAUSE_S = 0.05
 MAX_HURRIED_PER_S = 5.0
 REMOTE_PERIOD_S = 1.0
+SEEK_ALONE_S = 1.0
+SEEK_S = 30.0
 
 
 @attrs.define
@@ -118,6 +121,31 @@
             group.start_soon(self._remote_loop, link)
             group.start_soon(self._hurry_loop, link, group)
 
+    async def seek(
+        self,
+        link: peering_contract.PeerLink,
+        seeds: Sequence[tuple[str, int]],
+    ) -> None:
+        """Asks addresses from the settings, often only while alone.
+
+        Args:
+            link: Calls peers.
+            seeds: Hosts and ports of peers to ask first.
+        """
+        me = self._members.me.instance
+        while seeds:
+            host, port = self._rng.choice(list(seeds))
+            unknown = attrs.evolve(
+                me,
+                instance_id=identifiers.InstanceId(f"{host}:{port}"),
+                host=host,
+                port=port,
+            )
+            await self._exchange(link, unknown, fresh=False)
+            alone = len(self._members.live()) == 1
+            period = SEEK_ALONE_S if alone else SEEK_S
+            await anyio.sleep(period * self._rng.uniform(0.8, 1.2))
+
     def handle(
         self, envelope: peering_contract.Envelope
     ) -> peering_contract.Envelope:
@@ -270,8 +298,7 @@
     def _take(self, envelope: peering_contract.Envelope, now: float) -> None:
         """Hands a peer's payloads on; a broken one ends only itself."""
         sender = envelope.sender
-        if sender.data_centre == self._members.me.instance.data_centre:
-            self._members.hear(records.Record(sender), now)
+        self._members.hear(records.Record(sender), now)
         try:
             self._composer.deliver(envelope, now)
         except Exception:  # noqa: BLE001 - one payload must not end the loop.
