--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -21,6 +21,7 @@
 from cardamomfork._internal.instances import composing
 from cardamomfork._internal.instances import membership
 from cardamomfork._internal.instances import records
+from cardamomfork._internal.models import identifiers
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -33,8 +34,10 @@
 HELPERS = 3
 HURRY_FANOUT = 3
 HURRY_PAUSE_S = 0.05
-MAX_HURRIED_PER_S = 4.0
+MAX_HURRIED_PER_S = 5.0
 REMOTE_PERIOD_S = 1.0
+SEEK_ALONE_S = 1.0
+SEEK_S = 30.0
 
 
 @attrs.define
@@ -86,8 +89,8 @@
         self._clock = clock
         self._rng = rng
         self._link: peering_contract.PeerLink | None = None
-        self._pages: dict[str, object] = {}
         self._hurry = anyio.Event()
+        self._hurry_fanout = 1
         self._participants = participants
         self.budget = budget
         self.counters = PeeringCounters()
@@ -99,6 +102,11 @@
 
     def hurry(self) -> None:
         """Asks for an exchange with a few peers soon."""
+        self._hurry_fanout = HURRY_FANOUT
+        self._hurry.set()
+
+    def catch_up(self) -> None:
+        """Asks for an exchange with one peer soon."""
         self._hurry.set()
 
     async def run(self, link: peering_contract.PeerLink) -> None:
@@ -113,6 +121,31 @@
             group.start_soon(self._remote_loop, link)
             group.start_soon(self._hurry_loop, link, group)
 
+    async def seek(
+        self,
+        link: peering_contract.PeerLink,
+        seeds: Sequence[tuple[str, int]],
+    ) -> None:
+        """Asks addresses from the settings, often only while alone.
+
+        Args:
+            link: Calls peers.
+            seeds: Hosts and ports of peers to ask first.
+        """
+        me = self._members.me.instance
+        while seeds:
+            host, port = self._rng.choice(list(seeds))
+            unknown = attrs.evolve(
+                me,
+                instance_id=identifiers.InstanceId(f"{host}:{port}"),
+                host=host,
+                port=port,
+            )
+            await self._exchange(link, unknown, fresh=False)
+            alone = len(self._members.live()) == 1
+            period = SEEK_ALONE_S if alone else SEEK_S
+            await anyio.sleep(period * self._rng.uniform(0.8, 1.2))
+
     def handle(
         self, envelope: peering_contract.Envelope
     ) -> peering_contract.Envelope:
@@ -204,8 +237,9 @@
             await self._hurry.wait()
             await anyio.sleep(HURRY_PAUSE_S)
             self._hurry = anyio.Event()
+            fanout, self._hurry_fanout = self._hurry_fanout, 1
             me = self._members.me.instance
-            for peer in self._members.helpers(me.instance_id, HURRY_FANOUT):
+            for peer in self._members.helpers(me.instance_id, fanout):
                 group.start_soon(self._tell, link, peer)
             remote = self._others.next_remote()
             if remote is not None:
@@ -270,8 +304,7 @@
     def _take(self, envelope: peering_contract.Envelope, now: float) -> None:
         """Hands a peer's payloads on; a broken one ends only itself."""
         sender = envelope.sender
-        if sender.data_centre == self._members.me.instance.data_centre:
-            self._members.hear(records.Record(sender), now)
+        self._members.hear(records.Record(sender), now)
         try:
             self._composer.deliver(envelope, now)
         except Exception:  # noqa: BLE001 - one payload must not end the loop.
