--- /dev/null
+++ b/examples/fleet_limit.py
@@ -0,0 +1,99 @@
+"""Three instances share one limit; one is busy, then all are."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import attrs
+
+from cardamomfork.coordination import clocks
+from cardamomfork.coordination import limits
+from cardamomfork.coordination import membership
+
+LIMIT_PER_S = 100.0
+OFFERED_PER_S = 200.0
+SETTLE_S = 4.0
+COUNT_S = 3.0
+BYTES_PER_S = 6000.0
+ACCOUNT = limits.ClientAccount("bench", requests_per_s=LIMIT_PER_S)
+
+
+@attrs.define
+class Instance:
+    """One instance's limiter and what it admitted."""
+
+    limiter: limits.FleetLimiter
+    peering: membership.Peering
+    admitted: int = 0
+
+    async def offer(self, seconds: float) -> None:
+        """Offers requests at a steady rate."""
+        clock = clocks.LoopClock()
+        for _ in range(int(OFFERED_PER_S * seconds)):
+            now = clock.monotonic()
+            grant = self.limiter.admit(ACCOUNT.name, 100, now)
+            if grant.is_ok():
+                self.admitted += 1
+                self.limiter.release(grant.unwrap(), now)
+            await anyio.sleep(1 / OFFERED_PER_S)
+
+
+def make(
+    instance: membership.Instance,
+    listed: list[membership.Instance],
+    network: membership.PeerNetwork,
+) -> Instance:
+    """Makes one instance's parts and serves it on the network."""
+    rng = random.Random(instance.instance_id)
+    clock = clocks.LoopClock()
+    members = membership.Membership(instance, rng)
+    members.hear_list(listed, 0.0)
+    others = membership.DataCentreSummaries(members, clock, rng)
+    reach = limits.Reach(members, others)
+    table = limits.ClaimTable(reach)
+    limiter = limits.FleetLimiter(reach, table)
+    limiter.apply_account(ACCOUNT)
+    talk = limits.LimitsGossip(instance.instance_id, limiter, table, reach)
+    peering = membership.Peering(
+        members,
+        others,
+        [membership.MembershipGossip(members, others), talk],
+        membership.ByteBudget(BYTES_PER_S),
+        clock,
+        rng,
+    )
+    network.serve(instance, peering)
+    return Instance(limiter, peering)
+
+
+async def measure(busy: list[Instance]) -> float:
+    """Returns the admitted share of the limit once shares have settled."""
+    for seconds in (SETTLE_S, COUNT_S):
+        for one in busy:
+            one.admitted = 0
+        async with anyio.create_task_group() as group:
+            for one in busy:
+                group.start_soon(one.offer, seconds)
+    return sum(one.admitted for one in busy) / COUNT_S / LIMIT_PER_S
+
+
+async def main() -> None:
+    """Loads one instance, then all three."""
+    listed = [
+        membership.Instance(f"i{n}", "boot-1", "weilheim", f"i{n}", 8481)
+        for n in range(3)
+    ]
+    network = membership.PeerNetwork()
+    made = [make(instance, listed, network) for instance in listed]
+    async with anyio.create_task_group() as group:
+        for instance, one in zip(listed, made, strict=True):
+            group.start_soon(one.peering.run, network.link(instance))
+        print("one busy gets nearly all:", await measure(made[:1]) > 0.85)
+        total = await measure(made)
+        print("all busy stay near the limit:", 0.8 < total < 1.2)
+        group.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    anyio.run(main)
--- a/src/cardamomfork/coordination/__init__.py
+++ b/src/cardamomfork/coordination/__init__.py
@@ -10,6 +10,7 @@
 - `claims`: at-most-once execution by idempotency keys.
 - `membership`: which instances live, by probes and gossip.
 - `configuration`: objects that only ever move forward, and their editor.
+- `limits`: fleet-wide limits of accounts, as shares that follow demand.
 - `retries`: a budget that keeps retries from amplifying an outage.
 - `stores`: the key-value store that the parts stand on, and one in memory.
 - `clocks`: time, passed in.
--- a/tests/functional/test_examples.py
+++ b/tests/functional/test_examples.py
@@ -28,6 +28,10 @@
         "live in the end: 4",
         "owner of the job is one of them: True",
     ],
+    "fleet_limit": [
+        "one busy gets nearly all: True",
+        "all busy stay near the limit: True",
+    ],
     "retry_budget": [
         "tries stay within the budget: True",
         "some were retried: True",
