Spend the byte budget on changes, not on empty envelopes

Cause: during a burst of changes instances with a nearly empty budget still hurried; each exchange then cost 256 bytes and told nothing. Watchers retried a store that was down twice a second each.

--- a/src/cardamomfork/_internal/configuration/follower.py
+++ b/src/cardamomfork/_internal/configuration/follower.py
@@ -44,6 +44,7 @@
 POLL_S = 15.0
 ROLE_CHECK_S = 0.5
 RETRY_S = 1.0
+MAX_RETRY_S = 2.0
 MAX_PAGES = 2000
 
 
@@ -178,14 +179,22 @@
 
     async def _watch_loop(self) -> None:
         """Watches while this instance is a watcher."""
+        pause_s = ROLE_CHECK_S
         while True:
             if self.is_watcher:
-                await self._watch_once(self._connect())
-            await anyio.sleep(ROLE_CHECK_S * self._rng.uniform(0.5, 1.5))
+                told = await self._watch_once(self._connect())
+                pause_s = ROLE_CHECK_S if told else pause_s * 2
+            pause_s = min(pause_s, MAX_RETRY_S)
+            await anyio.sleep(pause_s * self._rng.uniform(0.5, 1.5))
 
-    async def _watch_once(self, store: store_contract.Store) -> None:
-        """Follows one watch until it ends, falls silent or grows old."""
+    async def _watch_once(self, store: store_contract.Store) -> bool:
+        """Follows one watch until it ends, falls silent or grows old.
+
+        Returns:
+            Whether it told anything, be it that nothing changed.
+        """
         self.counters.watches += 1
+        told = False
         life = WATCH_LIFE_S * self._rng.uniform(0.8, 1.2)
         with anyio.move_on_after(life):
             async with store.watch(
@@ -195,12 +204,14 @@
                 while self.is_watcher:
                     batch = await self._next_batch(batches)
                     if batch is None:
-                        return
+                        return told
                     if isinstance(batch, result.Err):
                         await self._recover(store, batch.err_value)
-                        return
+                        return told
+                    told = True
                     self._apply(batch.ok_value, since)
                     since = batch.ok_value.revision
+        return told
 
     async def _next_batch(
         self, batches: AsyncIterator[_Batch]
--- a/src/cardamomfork/_internal/instances/byte_budget.py
+++ b/src/cardamomfork/_internal/instances/byte_budget.py
@@ -30,6 +30,11 @@
         self._filled_at = now
         return int(self._level)
 
+    def seconds_until(self, size_bytes: int, now: float) -> float:
+        """Returns how long it takes until so many bytes may be sent."""
+        missing = min(size_bytes, self._capacity) - self.available(now)
+        return max(missing, 0.0) / self._rate
+
     def spend(self, size_bytes: int, now: float) -> bool:
         """Takes bytes out; False, and nothing taken, if too few are left."""
         if size_bytes > self.available(now):
--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -32,8 +32,9 @@
     from cardamomfork._internal.models import instances
 
 HELPERS = 3
-HURRY_FANOUT = 3
+HURRY_FANOUT = 2
 HURRY_PAUSE_S = 0.05
+HURRY_BYTES = 3000
 MAX_HURRIED_PER_S = 5.0
 REMOTE_PERIOD_S = 1.0
 SEEK_ALONE_S = 1.0
@@ -230,6 +231,7 @@
         while True:
             await self._hurry.wait()
             await anyio.sleep(HURRY_PAUSE_S)
+            await self._wait_for_bytes()
             self._hurry = anyio.Event()
             fanout, self._hurry_fanout = self._hurry_fanout, 1
             me = self._members.me.instance
@@ -240,6 +242,15 @@
                 group.start_soon(self._tell, link, remote)
             await anyio.sleep(1.0 / MAX_HURRIED_PER_S)
 
+    async def _wait_for_bytes(self) -> None:
+        """Waits until news fits; before, an exchange would only cost."""
+        while True:
+            now = self._clock.monotonic()
+            seconds = self.budget.seconds_until(HURRY_BYTES, now)
+            if seconds <= 0:
+                return
+            await anyio.sleep(seconds)
+
     async def _tell(
         self, link: peering_contract.PeerLink, peer: instances.Instance
     ) -> None:
