Keep learned costs and engines' ratios from drifting apart

Cause: the pool's cost curve was learned from times divided by each engine's own ratio, so curve and ratios drifted together (25 to 40 us a token, ratios to -0.5 in 8 minutes) and hid the decline; samples taken while another prompt's part ran looked like decline on healthy engines (weights of 0.6).

--- a/src/cardamomfork/_internal/measure/trials.py
+++ b/src/cardamomfork/_internal/measure/trials.py
@@ -127,6 +127,14 @@
         """Plans an action."""
         heapq.heappush(self._events, (when, next(self._order), action))
 
+    def set_speed(
+        self, target_id: identifiers.TargetId, speed: float, now: float
+    ) -> None:
+        """Changes an engine's speed."""
+        self._advance(target_id, now)
+        self.engines[target_id].set_speed(speed)
+        self._plan_engine(target_id)
+
     def run(self) -> list[Served]:
         """Runs the trace to its end and returns what became of each."""
         self._plan_reports()
--- a/src/cardamomfork/_internal/routing/costs.py
+++ b/src/cardamomfork/_internal/routing/costs.py
@@ -23,8 +23,8 @@
 PRIOR_CALL_S = 0.05
 MIN_RATIO = 0.2
 MAX_RATIO = 5.0
-SLOPE_MEMORY = 0.998
-MIN_SLOPE_SAMPLES = 50.0
+SLOPE_MEMORY = 0.9998
+MIN_SLOPE_SAMPLES = 500.0
 
 
 @attrs.define
@@ -93,7 +93,7 @@
         return min(float(max_tokens), self._generated) * self._step_s
 
     def learn_prefill(
-        self, tokens: float, running: int, seconds: float, ratio: float
+        self, tokens: float, running: int, seconds: float
     ) -> float:
         """Learns from a prefill.
 
@@ -101,19 +101,19 @@
             tokens: Uncached prompt tokens.
             running: Size of the batch beside it.
             seconds: Time that it took.
-            ratio: Known ratio of this engine's time to the pool's.
 
         Returns:
             The ratio of the time to what the pool's engines were expected to
-            take.
+            take. The cost is the geometric mean of all engines', so that
+            ratios to it cannot drift together.
         """
         expected = self.prefill_s(tokens) * self.batch_factor(running)
         observed = min(max(seconds / expected, MIN_RATIO), MAX_RATIO)
-        own = observed / ratio
         band, share = _band(tokens)
-        self._learn_band(band, own, 1.0 - share)
-        self._learn_band(band + 1, own, share)
-        self._batch.add(running, own * self.batch_factor(running))
+        change = math.log(observed)
+        self._learn_band(band, change, 1.0 - share)
+        self._learn_band(band + 1, change, share)
+        self._batch.add(running, observed * self.batch_factor(running))
         self._slope = self._batch.relative_slope() or self._slope
         return observed
 
@@ -131,11 +131,11 @@
         self._call_s += LEARNING_RATE * (seconds - self._call_s)
         return observed
 
-    def _learn_band(self, band: int, factor: float, weight: float) -> None:
+    def _learn_band(self, band: int, change: float, weight: float) -> None:
         """Moves a band's cost a token; its first samples move it most."""
         self._samples[band] += 1
         rate = max(LEARNING_RATE, 1.0 / self._samples[band]) * weight
-        self._per_token[band] *= 1.0 + rate * (factor - 1.0)
+        self._per_token[band] *= math.exp(rate * change)
         if self._samples[band] == MIN_LEARNING_SAMPLES:
             self._spread(band)
 
--- a/src/cardamomfork/_internal/routing/dispatcher.py
+++ b/src/cardamomfork/_internal/routing/dispatcher.py
@@ -49,6 +49,8 @@
         rng: random.Random,
         limits: admission.QueueLimits | None = None,
         short_weight: float = 1.0,
+        *,
+        weighs_decline: bool = True,
     ) -> None:
         """Starts without services.
 
@@ -58,13 +60,16 @@
             short_weight: How much a delay of short prompts counts against
                 one of long prompts; the higher, the more engines are left to
                 short prompts alone.
+            weighs_decline: Whether targets lose weight by slow decline.
         """
         self._rng = rng
         self._limits = limits or admission.QueueLimits()
         utilisation = MIN_UTILISATION + UTILISATION_SPAN * short_weight / (
             1.0 + short_weight
         )
-        self._fleet = fleet_module.Fleet(utilisation)
+        self._fleet = fleet_module.Fleet(
+            utilisation, weighs_decline=weighs_decline
+        )
         self._running = running_module.RunningTable(self._fleet)
         self._prefixes = prefixes.PrefixIndex()
         self._backlog = backlog.Backlog()
--- a/src/cardamomfork/_internal/routing/fleet.py
+++ b/src/cardamomfork/_internal/routing/fleet.py
@@ -24,14 +24,18 @@
 class Fleet:
     """All targets by service and model."""
 
-    def __init__(self, utilisation: float) -> None:
+    def __init__(
+        self, utilisation: float, *, weighs_decline: bool = True
+    ) -> None:
         """Starts without services.
 
         Args:
             utilisation: Share of their time that engines for long prompts
                 are meant to be busy.
+            weighs_decline: Whether targets lose weight by slow decline.
         """
         self._utilisation = utilisation
+        self._weighs_decline = weighs_decline
         self._services: dict[
             identifiers.ServiceName, configuration.Service
         ] = {}
@@ -86,7 +90,9 @@
         for model in kept:
             key = (service.name, model)
             if key not in self._pools:
-                self._pools[key] = pools.Pool(self._utilisation)
+                self._pools[key] = pools.Pool(
+                    self._utilisation, weighs_decline=self._weighs_decline
+                )
         self._rebuild(service, now)
         self._forget_targets()
 
--- a/src/cardamomfork/_internal/routing/pools.py
+++ b/src/cardamomfork/_internal/routing/pools.py
@@ -70,8 +70,11 @@
 class Pool:
     """Engines, their groups by size class, and what waits for them."""
 
-    def __init__(self, utilisation: float) -> None:
+    def __init__(
+        self, utilisation: float, *, weighs_decline: bool = True
+    ) -> None:
         """Starts without engines."""
+        self._weighs_decline = weighs_decline
         self.costs = costs.CostModel()
         self.split = split.SizeSplit(utilisation)
         self.queues = [waiting.WaitingQueue() for _ in range(split.CLASSES)]
@@ -169,6 +172,8 @@
             self._regroup()
         if now - self._weighed_at >= WEIGH_PERIOD_S:
             self._weighed_at = now
+            if not self._weighs_decline:
+                return
             health.weigh([view.health for view in self._members.values()])
 
     def timers(self, now: float) -> list[float]:
--- a/src/cardamomfork/_internal/routing/running.py
+++ b/src/cardamomfork/_internal/routing/running.py
@@ -168,12 +168,14 @@
         view = running.view
         if view.is_plain or len(running.shares) > 1:
             return
+        if view.claimed_between(running.started_at, now):
+            return
         if running.entry.match.share > 0:
             return
         started_at = max(running.started_at, view.last_first_token_at)
         seconds = max(now - started_at, 1e-6)
         ratio = running.pool.costs.learn_prefill(
-            running.tokens, running.batch, seconds, view.health.ratio
+            running.tokens, running.batch, seconds
         )
         view.health.observe(ratio, now)
 
--- a/src/cardamomfork/_internal/targets/health.py
+++ b/src/cardamomfork/_internal/targets/health.py
@@ -21,7 +21,9 @@
 
 RECENT_SAMPLES = 20
 PAST_TIME_S = 3600.0
-MIN_SAMPLES = 30
+MIN_SAMPLES = 50
+MAX_STEP = 0.5
+"""Most that one answer counts against the recent ones, as a logarithm."""
 TOLERATED_DRIFT = 0.04
 FULL_DRIFT = 0.4
 MIN_WEIGHT = 0.1
@@ -85,12 +87,13 @@
         value = math.log(ratio)
         self.samples += 1
         rate = max(1.0 / self.samples, 1.0 / RECENT_SAMPLES)
-        self.recent += rate * (value - self.recent)
+        step = min(max(value - self.recent, -MAX_STEP), MAX_STEP)
+        self.recent += rate * step
         if self.samples <= MIN_SAMPLES:
-            self.past += (value - self.past) / self.samples
+            self.past = self.recent
         else:
             share = 1.0 - math.exp((self._sampled_at - now) / PAST_TIME_S)
-            self.past += share * (value - self.past)
+            self.past += share * (self.recent - self.past)
         self._sampled_at = now
 
     def succeed(self) -> None:
--- a/tests/unit/test_routing_parts.py
+++ b/tests/unit/test_routing_parts.py
@@ -1,6 +1,7 @@
 """Cache index, size split, health and cost model on their own."""
 
 import math
+import random
 import unittest
 
 from cardamomfork._internal.models import targets
@@ -124,15 +125,26 @@
 
 
 class CostModelTest(unittest.TestCase):
+    def test_cost_and_ratios_do_not_drift_apart(self):
+        model = costs.CostModel()
+        pool = [health.Health() for _ in range(10)]
+        rng = random.Random(1)
+        for turn in range(20_000):
+            target = pool[turn % 10]
+            seconds = 0.05 * math.exp(rng.gauss(0.0, 0.3))
+            ratio = model.learn_prefill(2000, rng.randrange(30), seconds)
+            target.observe(ratio, turn / 50)
+        self.assertAlmostEqual(model.prefill_s(2000), 0.05, delta=0.01)
+        for target in pool:
+            self.assertAlmostEqual(target.recent, 0.0, delta=0.25)
+
     def test_learns_cost_by_length_and_batch(self):
         model = costs.CostModel()
         for turn in range(3000):
             tokens = 1000 * 2 ** (turn % 8)
             running = turn % 37
             seconds = tokens * (1e-5 + tokens * 1e-11)
-            model.learn_prefill(
-                tokens, running, seconds * (1 + 0.01 * running), 1.0
-            )
+            model.learn_prefill(tokens, running, seconds * (1 + 0.01 * running))
         for tokens in (1000, 20_000, 128_000):
             true = tokens * (1e-5 + tokens * 1e-11) * 1.2
             learned = model.prefill_s(tokens) * model.batch_factor(20)
