Learn the effect of the batch from engines side by side

Cause: the regression of prefill time on batch size mixed the fleet's slow changes with the difference between engines and gave 0. Change: only the difference to the usual batch counts.

--- a/src/cardamomfork/_internal/routing/costs.py
+++ b/src/cardamomfork/_internal/routing/costs.py
@@ -23,40 +23,35 @@
 PRIOR_CALL_S = 0.05
 MIN_RATIO = 0.2
 MAX_RATIO = 5.0
-SLOPE_MEMORY = 0.9998
-MIN_SLOPE_SAMPLES = 500.0
+USUAL_RATE = 0.02
+SLOPE_MEMORY = 0.9995
+MIN_SLOPE_SPREAD = 20_000.0
 
 
 @attrs.define
 class _BatchSlope:
-    """Decayed sums of a regression of prefill time on batch size."""
+    """Regression of prefill time on how a batch differs from the usual one.
 
-    count: float = 0.0
-    sum_x: float = 0.0
-    sum_y: float = 0.0
+    Only the difference counts, since the cost curve follows slow changes of
+    the usual batch by itself.
+    """
+
+    usual: float = 0.0
     sum_xx: float = 0.0
     sum_xy: float = 0.0
 
-    def add(self, x: float, y: float) -> None:
-        """Takes a point."""
-        self.count = self.count * SLOPE_MEMORY + 1.0
-        self.sum_x = self.sum_x * SLOPE_MEMORY + x
-        self.sum_y = self.sum_y * SLOPE_MEMORY + y
+    def add(self, running: int, change: float) -> None:
+        """Takes the logarithm of a time over the time in an empty batch."""
+        self.usual += USUAL_RATE * (running - self.usual)
+        x = running - self.usual
         self.sum_xx = self.sum_xx * SLOPE_MEMORY + x * x
-        self.sum_xy = self.sum_xy * SLOPE_MEMORY + x * y
+        self.sum_xy = self.sum_xy * SLOPE_MEMORY + x * change
 
-    def relative_slope(self) -> float | None:
-        """Returns slope over intercept, or None while too little is known."""
-        if self.count < MIN_SLOPE_SAMPLES:
-            return None
-        spread = self.count * self.sum_xx - self.sum_x**2
-        if spread < self.count**2:
-            return None
-        slope = (self.count * self.sum_xy - self.sum_x * self.sum_y) / spread
-        intercept = (self.sum_y - slope * self.sum_x) / self.count
-        if intercept <= 0:
+    def slope(self) -> float | None:
+        """Returns the share that a sequence adds; None if not yet known."""
+        if self.sum_xx < MIN_SLOPE_SPREAD:
             return None
-        return min(max(slope / intercept, 0.0), MAX_SLOPE)
+        return min(max(self.sum_xy / self.sum_xx, 0.0), MAX_SLOPE)
 
 
 class CostModel:
@@ -113,8 +108,10 @@
         change = math.log(observed)
         self._learn_band(band, change, 1.0 - share)
         self._learn_band(band + 1, change, share)
-        self._batch.add(running, observed * self.batch_factor(running))
-        self._slope = self._batch.relative_slope() or self._slope
+        self._batch.add(running, change + math.log(self.batch_factor(running)))
+        slope = self._batch.slope()
+        if slope is not None:
+            self._slope = slope
         return observed
 
     def learn_generation(self, tokens: int, seconds: float) -> None:
