Plan more work for each engine that takes long prompts

Cause: the work of long prompts counts their memory as well, so that their group was larger than the prefill time needs; short prompts waited 30 to 38 ms at p95 and found fewer cached prefixes. Change: 1.2 engines' work is planned for each engine of the group where short prompts weigh twice, 1.08 where they weigh once (0.98 to 1.0 before); the value is named planned load.

--- a/src/cardamomfork/_internal/routing/dispatcher.py
+++ b/src/cardamomfork/_internal/routing/dispatcher.py
@@ -35,8 +35,10 @@
     from cardamomfork._internal.routing import pools
     from cardamomfork._internal.routing import waiting
 
-MIN_UTILISATION = 0.92
-UTILISATION_SPAN = 0.12
+# Work planned for each engine that takes long prompts, in engines: from the
+# first value, without weight of short prompts, up by the second.
+MIN_PLANNED_LOAD = 0.72
+PLANNED_LOAD_SPAN = 0.72
 HEADS_TRIED = 3
 LOOK_AGAIN_S = 0.01
 
@@ -64,11 +66,11 @@
         """
         self._rng = rng
         self._limits = limits or admission.QueueLimits()
-        utilisation = MIN_UTILISATION + UTILISATION_SPAN * short_weight / (
+        planned_load = MIN_PLANNED_LOAD + PLANNED_LOAD_SPAN * short_weight / (
             1.0 + short_weight
         )
         self._fleet = fleet_module.Fleet(
-            utilisation, weighs_decline=weighs_decline
+            planned_load, weighs_decline=weighs_decline
         )
         self._running = running_module.RunningTable(self._fleet)
         self._prefixes = prefixes.PrefixIndex()
--- a/src/cardamomfork/_internal/routing/fleet.py
+++ b/src/cardamomfork/_internal/routing/fleet.py
@@ -25,16 +25,16 @@
     """All targets by service and model."""
 
     def __init__(
-        self, utilisation: float, *, weighs_decline: bool = True
+        self, planned_load: float, *, weighs_decline: bool = True
     ) -> None:
         """Starts without services.
 
         Args:
-            utilisation: Share of their time that engines for long prompts
-                are meant to be busy.
+            planned_load: Work that is planned for each engine that takes long
+                prompts, in engines; above 1 since the work counts memory too.
             weighs_decline: Whether targets lose weight by slow decline.
         """
-        self._utilisation = utilisation
+        self._planned_load = planned_load
         self._weighs_decline = weighs_decline
         self._services: dict[
             identifiers.ServiceName, configuration.Service
@@ -91,7 +91,7 @@
             key = (service.name, model)
             if key not in self._pools:
                 self._pools[key] = pools.Pool(
-                    self._utilisation, weighs_decline=self._weighs_decline
+                    self._planned_load, weighs_decline=self._weighs_decline
                 )
         self._rebuild(service, now)
         self._forget_targets()
--- a/src/cardamomfork/_internal/routing/pools.py
+++ b/src/cardamomfork/_internal/routing/pools.py
@@ -71,12 +71,12 @@
     """Engines, their groups by size class, and what waits for them."""
 
     def __init__(
-        self, utilisation: float, *, weighs_decline: bool = True
+        self, planned_load: float, *, weighs_decline: bool = True
     ) -> None:
         """Starts without engines."""
         self._weighs_decline = weighs_decline
         self.costs = costs.CostModel()
-        self.split = split.SizeSplit(utilisation)
+        self.split = split.SizeSplit(planned_load)
         self.queues = [waiting.WaitingQueue() for _ in range(split.CLASSES)]
         self._members: dict[identifiers.TargetId, views.TargetView] = {}
         self._levels: dict[identifiers.TargetId, int] = {}
--- a/src/cardamomfork/_internal/routing/split.py
+++ b/src/cardamomfork/_internal/routing/split.py
@@ -30,14 +30,14 @@
 class SizeSplit:
     """Counts the work that arrives in each class and sizes the groups."""
 
-    def __init__(self, utilisation: float) -> None:
+    def __init__(self, planned_load: float) -> None:
         """Starts with no work seen.
 
         Args:
-            utilisation: Share of their time that engines for long prompts
-                are meant to be busy, 0 to 1.
+            planned_load: Work that is planned for each engine that takes long
+                prompts, in engines; above 1 since the work counts memory too.
         """
-        self._utilisation = utilisation
+        self._planned_load = planned_load
         self._work = [0.0] * CLASSES
         self._engines = 0
         self._sizes = [0] * CLASSES
@@ -98,7 +98,7 @@
         """Moves one group's size toward what its work needs."""
         below = demand[0] - demand[size_class]
         spare = self._engines - below - SPARE * math.sqrt(below) - 1.0
-        wanted = max(demand[size_class] / self._utilisation, spare)
+        wanted = max(demand[size_class] / self._planned_load, spare)
         fair = self._engines * demand[size_class] / demand[0]
         wanted = min(wanted, max(fair, spare, 0.5))
         size = self._sizes[size_class]
