--- a/src/cardamomfork/_internal/routing/pools.py
+++ b/src/cardamomfork/_internal/routing/pools.py
@@ -20,6 +20,7 @@
     from cardamomfork._internal.targets import views
 
 WEIGH_PERIOD_S = 2.0
+_BORROWING_ORDER = (*range(1, split.CLASSES - 1), 0, split.CLASSES - 1)
 
 
 class TargetSet:
@@ -69,10 +70,13 @@
 class Pool:
     """Engines, their groups by size class, and what waits for them."""
 
-    def __init__(self, utilisation: float) -> None:
+    def __init__(
+        self, planned_load: float, *, weighs_decline: bool = True
+    ) -> None:
         """Starts without engines."""
+        self._weighs_decline = weighs_decline
         self.costs = costs.CostModel()
-        self.split = split.SizeSplit(utilisation)
+        self.split = split.SizeSplit(planned_load)
         self.queues = [waiting.WaitingQueue() for _ in range(split.CLASSES)]
         self._members: dict[identifiers.TargetId, views.TargetView] = {}
         self._levels: dict[identifiers.TargetId, int] = {}
@@ -80,6 +84,8 @@
         self._timers: list[tuple[float, identifiers.TargetId]] = []
         self._timed: dict[identifiers.TargetId, float] = {}
         self._weighed_at = 0.0
+        self.freed = 0
+        """Times that one of its engines became free."""
         self.look_again_at = 0.0
         """When a request that found no engine is tried again."""
         self.running = 0
@@ -147,7 +153,9 @@
         if level is None:
             return
         if view.is_free(now, self.s_per_token()):
-            self._free[level].add(view)
+            if target_id not in self._free[level]:
+                self.freed += 1
+                self._free[level].add(view)
             return
         self._free[level].discard(target_id)
         due = self._due(view, now)
@@ -168,6 +176,8 @@
             self._regroup()
         if now - self._weighed_at >= WEIGH_PERIOD_S:
             self._weighed_at = now
+            if not self._weighs_decline:
+                return
             health.weigh([view.health for view in self._members.values()])
 
     def timers(self, now: float) -> list[float]:
@@ -188,9 +198,18 @@
     def free(
         self, size_class: int, count: int, rng: random.Random
     ) -> Iterator[views.TargetView]:
-        """Yields free engines that take a class, those of short ones first."""
+        """Yields free engines that take a class.
+
+        Short prompts borrow engines of the middle groups first, so that those
+        left to them alone stay free for the short prompts that come next.
+        """
         left = count
-        for free in self._free[size_class:]:
+        for level in (
+            _BORROWING_ORDER
+            if not size_class
+            else range(size_class, split.CLASSES)
+        ):
+            free = self._free[level]
             for view in free.sample(left, rng):
                 left -= 1
                 yield view
