Let a service's retry budget start with something saved

Cause: A service just met had no retry saved, so its first request failed for one refusal or crossed answer of one engine. Change: RetryPolicy takes first_saved, 0 by default and at most MIN_RESERVE.

--- a/src/cardamomfork/_internal/requests/retries.py
+++ b/src/cardamomfork/_internal/requests/retries.py
@@ -166,13 +166,16 @@
 class RetryPolicy:
     """Decides on retries and hedges; keeps a budget a service."""
 
-    def __init__(self, rng: random.Random) -> None:
-        """Starts with empty budgets.
+    def __init__(self, rng: random.Random, first_saved: float = 0.0) -> None:
+        """Starts without services.
 
         Args:
             rng: Source of jitter.
+            first_saved: Retries that a service has saved up when it is first
+                met, at most `MIN_RESERVE`.
         """
         self._rng = rng
+        self._first_saved = min(first_saved, MIN_RESERVE)
         self._budgets: OrderedDict[identifiers.ServiceName, _Budget] = (
             OrderedDict()
         )
@@ -268,7 +271,7 @@
         """Returns a service's budget; forgets the one longest unused."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = _Budget(share, now)
+            budget = _Budget(share, now, saved=self._first_saved)
             self._budgets[service] = budget
         self._budgets.move_to_end(service)
         while len(self._budgets) > MAX_SERVICES:
