Use fleet-wide limits, marks and shared watching in the daemon

Cause: the daemon limited accounts alone, polled every engine itself and knew leaving targets by operators' drains only. Change: the composition uses the one builder of the fleet's parts; two instances of a data centre watch an engine, the others hear its load by gossip; silence, an engine's own word, the list and drains reach routing through the marks. What an instance alone needs stands with the stand-ins. Conclusion: one path of configuration, limits and marks for all modes.

--- a/src/cardamomfork/_internal/composition/applying.py
+++ b/src/cardamomfork/_internal/composition/applying.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cardamomfork._internal.configuration import replica
+    from cardamomfork._internal.targets import leaving
 
 
 class Site(Protocol):
@@ -25,6 +25,12 @@
         """Forgets a service."""
         ...
 
+    def set_leaving(
+        self, target_id: identifiers.TargetId, leaving: bool
+    ) -> None:
+        """Marks a target that takes no new work."""
+        ...
+
     def apply_account(self, changed: configuration.ClientAccount) -> None:
         """Takes a client account."""
         ...
@@ -33,10 +39,6 @@
         """Forgets a client account."""
         ...
 
-    def set_drained(self, target_id: str, drained: bool) -> None:
-        """Marks a target that takes no new work, by an operator's word."""
-        ...
-
 
 class ConfigurationApplier:
     """Hands each change to the site; subscribe `apply` to the replica."""
@@ -44,7 +46,7 @@
     def __init__(
         self,
         site: Site,
-        held: replica.ConfigurationReplica,
+        marks: leaving.LeavingTargets,
         on_own_drain: Callable[[bool], None],
         instance_id: identifiers.InstanceId,
     ) -> None:
@@ -52,12 +54,12 @@
 
         Args:
             site: Where changes take effect.
-            held: Configuration in force; knows the drains of new targets.
+            marks: Targets that take no new work.
             on_own_drain: Told whether an operator drains this instance.
             instance_id: This instance.
         """
         self._site = site
-        self._held = held
+        self._marks = marks
         self._on_own_drain = on_own_drain
         self._instance_id = instance_id
         self._handlers: dict[
@@ -81,8 +83,8 @@
             return
         self._site.apply_service(change.value)
         for target in change.value.targets:
-            if self._held.is_drained(target.target_id):
-                self._site.set_drained(target.target_id, True)
+            if self._marks.is_leaving(target.target_id):
+                self._site.set_leaving(target.target_id, True)
 
     def _apply_account(self, change: configuration.Versioned) -> None:
         """Takes or forgets a client account."""
@@ -97,4 +99,5 @@
         if change.name == self._instance_id:
             self._on_own_drain(drained)
         else:
-            self._site.set_drained(change.name, drained)
+            target_id = identifiers.TargetId(change.name)
+            self._marks.set_drained(target_id, drained)
--- /dev/null
+++ b/src/cardamomfork/_internal/composition/engine_news.py
@@ -0,0 +1,66 @@
+"""What the watched engines tell, on its way to routing and to the peers."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.targets import leaving
+from cardamomfork._internal.targets import watching
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.contracts import dispatching
+    from cardamomfork._internal.instances import joining
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.models import targets
+
+SILENT_AFTER = 3
+"""Load reports in a row that an engine must miss to count as silent."""
+
+
+class EngineNews:
+    """Passes on what this instance reads of the engines it watches.
+
+    The other instances of the data centre hear load and marks by gossip;
+    cache events stay here, since each instance routes by what it sent itself.
+    """
+
+    def __init__(
+        self,
+        fleet: joining.FleetMembership,
+        dispatcher: dispatching.Dispatcher,
+    ) -> None:
+        """Takes where the news go."""
+        self._fleet = fleet
+        self._dispatcher = dispatcher
+        self._missed: collections.Counter[identifiers.TargetId] = (
+            collections.Counter()
+        )
+
+    def is_mine(self, target_id: identifiers.TargetId) -> bool:
+        """Tells whether this instance is among those that watch a target."""
+        members = self._fleet.members
+        watchers = watching.watchers_of(target_id, members.staying())
+        return members.me.instance.instance_id in watchers
+
+    def observe_load(self, report: targets.LoadReport, now: float) -> None:
+        """Takes a load report."""
+        target_id = report.target_id
+        self._missed.pop(target_id, None)
+        self._fleet.leaving.set_silent(target_id, False)
+        self._fleet.leaving.observe_boot(target_id, report.boot_id)
+        if report.leaving:
+            self._fleet.leaving.mark(
+                target_id, leaving.Cause.SAID, report.boot_id
+            )
+        self._fleet.loads.observe(report, now)
+
+    def observe_cache(self, event: targets.CacheEvent) -> bool:
+        """Takes a cache event; False asks for a resync."""
+        return self._dispatcher.observe_cache(event)
+
+    def observe_fault(self, fault: targets.TargetFault) -> None:
+        """Counts a report that did not come."""
+        self._missed[fault.target_id] += 1
+        if self._missed[fault.target_id] >= SILENT_AFTER:
+            self._fleet.leaving.set_silent(fault.target_id, True)
--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -12,11 +12,13 @@
 
 from cardamomfork._internal import wiring
 from cardamomfork._internal.composition import applying
-from cardamomfork._internal.composition import fleet_side
+from cardamomfork._internal.composition import engine_news
 from cardamomfork._internal.composition import platform as platform_module
 from cardamomfork._internal.contracts import clock as clock_contract
+from cardamomfork._internal.instances import joining
 from cardamomfork._internal.links.operators import side as operators_side
 from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.routing import dispatcher as fleet_dispatcher
 from cardamomfork._internal.targets import orders
 from cardamomfork._internal.targets import orders_feed
 from cardamomfork._internal.targets import orders_lease
@@ -60,7 +62,7 @@
     settings: settings_models.DaemonSettings
     platform: platform_module.Platform
     serving: wiring.Daemon
-    fleet: fleet_side.FleetSide
+    fleet: joining.FleetMembership
     operators: operator_server.OperatorServer
     observation: observing.Observation
     order_side: OrderSide
@@ -70,10 +72,13 @@
         self.serving.start(tasks)
         tasks.start_soon(self.observation.run)
         await tasks.start(self.fleet.run)
+        logger.info(f"serving peers on port {self.fleet.server.port}")
         port = await tasks.start(self.operators.run)
         logger.info(f"serving operators on port {port}")
         tasks.start_soon(self.order_side.lease.run)
         tasks.start_soon(self.order_side.runner.run)
+        if self.fleet.follower is None:
+            return
         with anyio.move_on_after(CONFIGURATION_WAIT_S) as waiting:
             await self.fleet.follower.wait_loaded()
         if waiting.cancelled_caught:
@@ -93,25 +98,41 @@
 
 
 def make_process(settings: settings_models.DaemonSettings) -> Process:
-    """Makes the sides of a process and binds the peers' port.
+    """Makes the sides of a process; nothing runs yet.
 
     Raises:
-        CardamomforkError: The peers' port can't be bound.
         SettingsError: An operator's key can't be read.
     """
     clock = clock_contract.LoopClock()
     boot_id = identifiers.new_boot_id()
     platform = platform_module.make_platform(settings, clock)
-    serving = wiring.wire(settings, platform.store, boot_id)
-    fleet = fleet_side.make_fleet_side(settings, clock, platform, boot_id)
+    dispatcher = fleet_dispatcher.FleetDispatcher(random.Random())
+    fleet = joining.make(
+        settings,
+        boot_id,
+        clock,
+        random.Random(),
+        platform.connect,
+        dispatcher.observe_load,
+        key_prefix=platform_module.KEY_PREFIX,
+    )
+    news = engine_news.EngineNews(fleet, dispatcher)
+    serving = wiring.wire(
+        settings,
+        platform.store,
+        wiring.Surroundings(
+            boot_id, dispatcher, fleet.limiter, news, news.is_mine
+        ),
+    )
     observation = observing.observe(settings, clock)
     applier = applying.ConfigurationApplier(
         serving,
-        fleet.held,
+        fleet.leaving,
         serving.requests.set_drained,
         settings.instance.instance_id,
     )
-    fleet.held.subscribe(applier.apply)
+    fleet.replica.subscribe(applier.apply)
+    fleet.leaving.subscribe(serving.set_leaving)
     _register_tables(observation, serving, fleet)
     return Process(
         settings=settings,
@@ -122,7 +143,7 @@
             settings,
             operators_side.Parts(
                 platform.store,
-                fleet.held,
+                fleet.replica,
                 fleet.members,
                 fleet.told,
                 fleet.peering,
@@ -141,7 +162,7 @@
     clock: clock_contract.Clock,
     platform: platform_module.Platform,
     serving: wiring.Daemon,
-    fleet: fleet_side.FleetSide,
+    fleet: joining.FleetMembership,
 ) -> OrderSide:
     """Makes what gives orders to this data centre's engines."""
     keeper = orders.OrderKeeper(settings.instance.data_centre)
@@ -162,14 +183,14 @@
     runner = orders_runner.OrderRunner(keeper, lease, serving.links, clock)
     wakes.append(runner)
     feed = orders_feed.OrderFeed(keeper, clock, wake)
-    fleet.held.subscribe(feed.apply)
+    fleet.replica.subscribe(feed.apply)
     return OrderSide(lease, runner)
 
 
 def _register_tables(
     observation: observing.Observation,
     serving: wiring.Daemon,
-    fleet: fleet_side.FleetSide,
+    fleet: joining.FleetMembership,
 ) -> None:
     """Puts the sides' tables into the dump and the metrics."""
     observation.register_sizes("requests", lambda: serving.table.sizes)
--- a/src/cardamomfork/_internal/instances/joining.py
+++ b/src/cardamomfork/_internal/instances/joining.py
@@ -15,6 +15,7 @@
 
 from cardamomfork._internal.accounts import limit_claims
 from cardamomfork._internal.accounts import limits
+from cardamomfork._internal.configuration import codec
 from cardamomfork._internal.configuration import distribution
 from cardamomfork._internal.configuration import follower
 from cardamomfork._internal.configuration import replica
@@ -57,6 +58,7 @@
         others: The other data centres.
         limiter: Client accounts' limits.
         replica: The configuration in force.
+        told: The configuration as peers tell it.
         follower: Keeps the replica up; None without a store.
         leaving: Marks on targets.
         loads: Load reports of targets.
@@ -71,6 +73,7 @@
     others: summaries.DataCentreSummaries
     limiter: limits.FleetLimiter
     replica: replica.ConfigurationReplica
+    told: distribution.ConfigurationGossip
     follower: follower.ConfigurationFollower | None
     leaving: leaving.LeavingTargets
     loads: watching.LoadReports
@@ -105,6 +108,13 @@
             finally:
                 self.link.close()
 
+    def sizes(self) -> dict[str, tuple[int, int]]:
+        """Returns size and bound of each table."""
+        return {
+            "instances": (len(self.members.known()), membership.MAX_RECORDS),
+            "configuration": (self.replica.size, replica.MAX_OBJECTS),
+        }
+
     async def leave(self) -> None:
         """Tells the peers that this instance stops and hands its shares over.
 
@@ -150,6 +160,7 @@
     ),
     instance_list: listing.InstanceList | None = None,
     participants: Sequence[gossip.Participant] = (),
+    key_prefix: str = codec.DEFAULT_PREFIX,
 ) -> FleetMembership:
     """Makes the parts; nothing runs yet.
 
@@ -162,6 +173,7 @@
         deliver_load: Takes each newer load report, and the time.
         instance_list: The platform's list, if there is one.
         participants: Further parts that gossip.
+        key_prefix: Put before every key of the store.
     """
     me = instances.Instance(
         settings.instance.instance_id,
@@ -201,13 +213,14 @@
     followed = None
     if connect is not None:
         followed = follower.ConfigurationFollower(
-            connect, held, told, members, clock, rng, settings.store.prefix
+            connect, held, told, members, clock, rng, key_prefix
         )
     return FleetMembership(
         members=members,
         others=others,
         limiter=limiter,
         replica=held,
+        told=told,
         follower=followed,
         leaving=marks,
         loads=loads,
--- a/src/cardamomfork/_internal/links/peers/server.py
+++ b/src/cardamomfork/_internal/links/peers/server.py
@@ -16,7 +16,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
-    import socket
     import ssl
 
     from cardamomfork._internal.contracts import peering
@@ -35,7 +34,6 @@
         port: int,
         tls: ssl.SSLContext | None = None,
         max_connections: int = MAX_CONNECTIONS,
-        listener: socket.socket | None = None,
     ) -> None:
         """Takes what answers the calls and where to listen.
 
@@ -45,14 +43,12 @@
             port: TCP port; 0 picks one.
             tls: Context of the listening side, or None for plain TCP.
             max_connections: Most connections; further ones are closed.
-            listener: A bound socket to listen on in place of host and port.
         """
         self._service = _make_service(handler)
         self._host = host
         self._port = port
         self._tls = tls
         self._max_connections = max_connections
-        self._listener = listener
         self._streams: set[Any] = set()
 
     @property
@@ -63,11 +59,8 @@
     @contextlib.asynccontextmanager
     async def serve(self) -> AsyncIterator[None]:
         """Listens for the time of the context."""
-        place: dict[str, Any] = {"host": self._host, "port": self._port}
-        if self._listener is not None:
-            place = {"sock": self._listener}
         server = await capnp.AsyncIoStream.create_server(
-            self._accept, **place, ssl=self._tls
+            self._accept, host=self._host, port=self._port, ssl=self._tls
         )
         self._port = server.sockets[0].getsockname()[1]
         try:
--- a/src/cardamomfork/_internal/links/targets/observing.py
+++ b/src/cardamomfork/_internal/links/targets/observing.py
@@ -15,7 +15,6 @@
     from collections.abc import Sequence
 
     from cardamomfork._internal.contracts import clock as clock_contract
-    from cardamomfork._internal.contracts import dispatching
     from cardamomfork._internal.contracts import target_link
     from cardamomfork._internal.models import identifiers
 
@@ -33,13 +32,29 @@
         ...
 
 
+class Listener(Protocol):
+    """Takes what the engines tell."""
+
+    def observe_load(self, report: targets.LoadReport, now: float) -> None:
+        """Takes a load report."""
+        ...
+
+    def observe_cache(self, event: targets.CacheEvent) -> bool:
+        """Takes a cache event; False asks for a resync."""
+        ...
+
+    def observe_fault(self, fault: targets.TargetFault) -> None:
+        """Takes a load report's failure to come."""
+        ...
+
+
 class EngineObserver:
     """Asks each engine it watches once a period."""
 
     def __init__(
         self,
         links: LinkList,
-        dispatcher: dispatching.Dispatcher,
+        listener: Listener,
         clock: clock_contract.Clock,
         watches: Callable[[identifiers.TargetId], bool] = lambda _: True,
         period_s: float = PERIOD_S,
@@ -48,13 +63,13 @@
 
         Args:
             links: Links to the targets.
-            dispatcher: Gets what the engines tell.
+            listener: Gets what the engines tell.
             clock: The loop's clock.
             watches: Whether an engine is this instance's to watch.
             period_s: Time between two rounds, in seconds.
         """
         self._links = links
-        self._dispatcher = dispatcher
+        self._listener = listener
         self._clock = clock
         self._watches = watches
         self._period_s = period_s
@@ -91,9 +106,10 @@
         async with limiter:
             report = await link.load()
             if isinstance(report, result.Err):
+                self._listener.observe_fault(report.err_value)
                 return
             now = self._clock.monotonic()
-            self._dispatcher.observe_load(report.ok_value, now)
+            self._listener.observe_load(report.ok_value, now)
             await self._read_events(link, report.ok_value.boot_id)
 
     async def _read_events(
@@ -116,6 +132,6 @@
             return True
         whole = True
         for event in events.ok_value:
-            whole = self._dispatcher.observe_cache(event)
+            whole = self._listener.observe_cache(event)
             self._sequences[event.target_id] = (event.boot_id, event.sequence)
         return whole
--- a/src/cardamomfork/_internal/measure/relaying/relay.py
+++ b/src/cardamomfork/_internal/measure/relaying/relay.py
@@ -28,6 +28,7 @@
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.models import settings
 from cardamomfork._internal.models import targets
+from cardamomfork._internal.standins import surroundings
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -166,7 +167,9 @@
     async with anyio.create_task_group() as tasks:
         application: Any = None
         if way == "daemon":
-            daemon = wiring.wire(_daemon_settings())
+            daemon = wiring.wire(
+                _daemon_settings(), None, surroundings.make_surroundings()
+            )
             _configure(daemon, port)
             keys = embedded_accounts.EmbeddedKeys(
                 identifiers.AccountName("demo"), "demo-key", daemon.keys
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -7,7 +7,6 @@
 
 import attrs
 
-from cardamomfork._internal.accounts import embedded as embedded_accounts
 from cardamomfork._internal.accounts import keys
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.links.callers import application
@@ -17,7 +16,6 @@
 from cardamomfork._internal.links.targets import idle
 from cardamomfork._internal.links.targets import observing
 from cardamomfork._internal.links.targets import registry
-from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.requests import admission
 from cardamomfork._internal.requests import attempts
 from cardamomfork._internal.requests import cancellation
@@ -32,20 +30,41 @@
 from cardamomfork._internal.requests.claims import committer
 from cardamomfork._internal.requests.claims import keys as claim_keys
 from cardamomfork._internal.requests.claims import ledger
-from cardamomfork._internal.routing import dispatcher as fleet_dispatcher
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import anyio.abc
 
     from cardamomfork._internal.contracts import dispatching
     from cardamomfork._internal.contracts import limiting
     from cardamomfork._internal.contracts import store as store_contract
     from cardamomfork._internal.models import configuration
+    from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import settings as settings_models
 
 IDLE_LOOK_S = 5.0
 
 
+@attrs.frozen
+class Surroundings:
+    """What the fleet gives to an instance's requests.
+
+    Attributes:
+        boot_id: This life of the process.
+        dispatcher: Decides when and where requests run.
+        limiter: Client accounts' limits.
+        engine_news: Takes what the engines tell.
+        watches: Whether an engine is this instance's to watch.
+    """
+
+    boot_id: identifiers.BootId
+    dispatcher: dispatching.Dispatcher
+    limiter: limiting.Limiter
+    engine_news: observing.Listener
+    watches: Callable[[identifiers.TargetId], bool] = lambda _: True
+
+
 @attrs.define
 class Daemon:
     """The parts of one process.
@@ -112,10 +131,11 @@
         self.known.remove_account(name)
         self.limiter.remove_account(name)
 
-    def set_drained(self, target_id: str, drained: bool) -> None:
-        """Marks a target that takes no new work, by an operator's word."""
-        name = identifiers.TargetId(target_id)
-        self.dispatcher.set_leaving(name, drained)
+    def set_leaving(
+        self, target_id: identifiers.TargetId, leaving: bool
+    ) -> None:
+        """Marks a target that takes no new work."""
+        self.dispatcher.set_leaving(target_id, leaving)
         self.waiting_room.poll()
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -131,17 +151,16 @@
 
 def wire(
     settings: settings_models.DaemonSettings,
-    store: store_contract.Store | None = None,
-    boot_id: identifiers.BootId | None = None,
+    store: store_contract.Store | None,
+    surroundings: Surroundings,
 ) -> Daemon:
     """Makes the parts of a process; nothing runs yet.
 
     Args:
         settings: What the process was started with.
         store: The platform's store; None refuses what needs it.
-        boot_id: This life of the process; a new one if absent.
+        surroundings: What the fleet gives to this instance.
     """
-    boot_id = boot_id or identifiers.new_boot_id()
     clock = clock_contract.LoopClock()
     policy = claim_keys.ClaimPolicy()
     claims = None
@@ -151,15 +170,15 @@
         )
     watch = idle.IdleWatch(IDLE_LOOK_S)
     links = registry.LinkRegistry(watch)
-    dispatcher = fleet_dispatcher.FleetDispatcher(random.Random())
-    limiter = embedded_accounts.LocalLimiter()
+    dispatcher = surroundings.dispatcher
+    limiter = surroundings.limiter
     waiting_room = queueing.WaitingRoom(dispatcher, clock)
     canceller = cancellation.Canceller(random.Random())
     table = records.RecordTable()
     known = directory.Directory()
     own = reservations.OwnReservations(
         settings.instance.instance_id,
-        boot_id,
+        surroundings.boot_id,
         random.Random(),
     )
     return Daemon(
@@ -198,7 +217,9 @@
             table=table,
             known=known,
         ),
-        observer=observing.EngineObserver(links, dispatcher, clock),
+        observer=observing.EngineObserver(
+            links, surroundings.engine_news, clock, surroundings.watches
+        ),
         committer=claims,
     )
 
--- a/tests/functional/test_operated_daemon.py
+++ b/tests/functional/test_operated_daemon.py
@@ -41,34 +41,29 @@
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, "changes.json")
             path.write_text(json.dumps([account]))
-            self.run_tool("apply", str(path))
-        made = self.run_tool("keys", "rotate", "bench")
+            self.change("apply", str(path))
+        made = self.change("keys", "rotate", "bench")
         key = made["key"]
-        self.wait_in_force()
         answer = self.daemon.request("POST", "/v1/completions", PROMPT, key)
         self.assertEqual(answer[0], 200)
-        self.run_tool("keys", "revoke", "bench", key.partition(".")[0])
-        self.wait_in_force()
+        self.change("keys", "revoke", "bench", key.partition(".")[0])
         answer = self.daemon.request("POST", "/v1/completions", PROMPT, key)
         self.assertEqual(answer[0], 401)
 
     def test_drained_engine_takes_no_new_work(self):
-        self.run_tool("drain", "demo-engine", "--reason", "fan")
-        self.wait_in_force()
+        self.change("drain", "demo-engine", "--reason", "fan")
         headers = [("Request-Timeout", "1")]
         answer = self.daemon.request(
             "POST", "/v1/completions", PROMPT, headers=headers
         )
         self.assertEqual(json.loads(answer[2])["outcome"], "not_run")
-        self.run_tool("undrain", "demo-engine")
-        self.wait_in_force()
+        self.change("undrain", "demo-engine")
         answer = self.daemon.request("POST", "/v1/completions", PROMPT)
         self.assertEqual(answer[0], 200)
 
     def test_drained_instance_is_unready_until_undrained(self):
         for command, status in (("drain", 503), ("undrain", 200)):
-            self.run_tool(command, "instance-1")
-            self.wait_in_force()
+            self.change(command, "instance-1")
             answer = self.daemon.request("GET", "/readyz")
             self.assertEqual(answer[0], status)
 
@@ -88,9 +83,12 @@
             self.run_tool("status")
         self.assertIsNone(self.daemon.process.poll())
 
-    def wait_in_force(self):
-        version = self.run_tool("status")["version"]
-        self.run_tool("status", "--wait", str(version))
+    def change(self, *arguments):
+        """Runs a command that changes something; waits until in force."""
+        answer = self.run_tool(*arguments)
+        for accepted in answer.get("accepted", [answer]):
+            self.run_tool("status", "--wait", str(accepted["version"]))
+        return answer
 
 
 if __name__ == "__main__":
--- a/tests/lib/serving.py
+++ b/tests/lib/serving.py
@@ -22,6 +22,7 @@
 from cardamomfork._internal.standins import engine_runs
 from cardamomfork._internal.standins import plain_service
 from cardamomfork._internal.standins import store as store_standin
+from cardamomfork._internal.standins import surroundings
 
 HOST = "127.0.0.1"
 MODEL = "test-model"
@@ -142,7 +143,7 @@
     )
     memory = store_standin.MemoryStore(clock.LoopClock())
     store = store_standin.StoreSession(memory)
-    daemon = wiring.wire(chosen, store)
+    daemon = wiring.wire(chosen, store, surroundings.make_surroundings())
     ledger = plain_service.StandinService()
     async with contextlib.AsyncExitStack() as stack:
         tasks = await stack.enter_async_context(anyio.create_task_group())
