Drop whatever a peer's bytes can't be read as

Cause: a garbled answer of a peer raised an error that ended the peering loop; two calls that opened a connection to one peer at a time cut each other off. Change: garbled answers are faults of their own; the connection that was there first stays; an instance that said it stops no longer keeps a part of the limits reserved once it is gone.

--- a/src/cardamomfork/_internal/data_centres/reach.py
+++ b/src/cardamomfork/_internal/data_centres/reach.py
@@ -120,9 +120,11 @@
         """Returns the instances of the fleet, the lost ones among them.
 
         One held for dead counts until it is forgotten or replaced, because a
-        part that is cut off looks the same.
+        part that is cut off looks the same; one that said it stops does not.
         """
-        home = len(self._members.known(self.home))
+        home = sum(
+            not record.has_stopped for record in self._members.known(self.home)
+        )
         return home + sum(self._size(name) for name in self._heard)
 
     def fraction(self, now: float) -> float:
--- a/src/cardamomfork/_internal/instances/records.py
+++ b/src/cardamomfork/_internal/instances/records.py
@@ -47,6 +47,11 @@
             return instances.InstanceState.LEAVING
         return instances.InstanceState.ALIVE
 
+    @property
+    def has_stopped(self) -> bool:
+        """Whether it is gone after it said that it stops."""
+        return self.leaving and self.health is Health.DEAD
+
     @property
     def order(self) -> tuple[str, int, Health]:
         """Grows with each newer report on the instance."""
--- a/src/cardamomfork/_internal/links/peers/link.py
+++ b/src/cardamomfork/_internal/links/peers/link.py
@@ -40,6 +40,7 @@
     connections: int = 0
     unreachable: int = 0
     silent: int = 0
+    garbled: int = 0
 
 
 @attrs.frozen
@@ -144,10 +145,16 @@
                 return result.Ok(await call(connection.service))
         except (OSError, capnp.KjException) as error:
             detail = str(error)
-        if fault is peering.PeerFaultKind.UNREACHABLE:
-            self.counters.unreachable += 1
-        else:
-            self.counters.silent += 1
+        except ValueError as error:
+            fault = peering.PeerFaultKind.GARBLED
+            detail = str(error)
+        match fault:
+            case peering.PeerFaultKind.UNREACHABLE:
+                self.counters.unreachable += 1
+            case peering.PeerFaultKind.SILENT:
+                self.counters.silent += 1
+            case peering.PeerFaultKind.GARBLED:
+                self.counters.garbled += 1
         self.forget(peer)
         return result.Err(peering.PeerFault(fault, detail))
 
@@ -165,9 +172,10 @@
         service = client.bootstrap().cast_as(schema.load().PeerService)
         opened = _Connection(stream, client, service)
         self.counters.connections += 1
-        raced = self._connections.pop(address, None)
+        raced = self._connections.get(address)
         if raced is not None:
-            raced.close()
+            opened.close()
+            return raced
         self._connections[address] = opened
         while len(self._connections) > self._max_connections:
             self._connections.popitem(last=False)[1].close()
