--- a/src/cardamomfork/_internal/configuration/codec.py
+++ b/src/cardamomfork/_internal/configuration/codec.py
@@ -57,11 +57,13 @@
         data: The packed changes.
         count: How many.
         upto: Version that a reader who holds all before them is brought to.
+        next_bytes: Size of the first change that did not fit; 0 if all did.
     """
 
     data: bytes
     count: int
     upto: int
+    next_bytes: int = 0
 
 
 def kind_of(
@@ -136,15 +138,17 @@
     """
     parts: list[bytes] = []
     left = budget_bytes - _ARRAY_HEAD_BYTES
+    next_bytes = 0
     for change in changes:
         part = _pack_one(change)
         if len(part) > left:
             upto = min(upto, change.version - 1)
+            next_bytes = len(part)
             break
         left -= len(part)
         parts.append(part)
     body = msgspec.msgpack.encode([msgspec.Raw(part) for part in parts])
-    return PackedChanges(body if parts else b"", len(parts), upto)
+    return PackedChanges(body if parts else b"", len(parts), upto, next_bytes)
 
 
 def unpack(
--- a/src/cardamomfork/_internal/configuration/distribution.py
+++ b/src/cardamomfork/_internal/configuration/distribution.py
@@ -28,33 +28,62 @@
 BEHIND_AFTER_S = 2.0
 PAGE_BYTES = 65_536
 HOT_TELLS = 2
+LARGE_BYTES = 1800
 
 
 class _Payload(
     msgspec.Struct, array_like=True, frozen=True, omit_defaults=True
 ):
-    """What one instance tells another."""
+    """What one instance tells another.
+
+    `is_large` says that the next change fits no envelope and must be fetched.
+    """
 
     revision: int
     since: int = 0
     upto: int = 0
     changes: bytes = b""
+    is_large: bool = False
 
 
 class _PageRequest(msgspec.Struct, array_like=True, frozen=True):
-    """Asks for the objects from a place on, in order of kind and name."""
+    """Asks for the objects from a place on, in order of kind and name.
+
+    With `since` above 0 it asks for the changes after a revision instead,
+    where the peer still knows them all.
+    """
 
     kind: str = ""
     name: str = ""
+    since: int = 0
 
 
 class _Page(msgspec.Struct, array_like=True, frozen=True):
-    """A part of a snapshot; an empty `kind` ends it."""
+    """A part of a snapshot; an empty `kind` ends it.
+
+    With `since` above 0 it holds the changes from there up to `revision`.
+    """
 
     revision: int
     changes: bytes
     kind: str = ""
     name: str = ""
+    since: int = 0
+
+
+@attrs.frozen
+class Range:
+    """Changes after one revision up to another.
+
+    Attributes:
+        changes: The changes.
+        since: Revision that they begin after.
+        upto: Revision that they bring a reader to.
+    """
+
+    changes: tuple[configuration.Versioned, ...]
+    since: int
+    upto: int
 
 
 @attrs.define
@@ -141,7 +170,7 @@
         room = budget_bytes - _PAYLOAD_HEAD_BYTES
         packed = codec.pack(changes, revision, room)
         if packed.upto <= known and not packed.count:
-            return digest
+            return self._point_to_large(digest, budget_bytes, packed)
         self.counters.told += packed.count
         self._hot_tells -= not asked
         self._note(peer, packed.upto)
@@ -149,6 +178,18 @@
             _Payload(revision, known, packed.upto, packed.data)
         )
 
+    def _point_to_large(
+        self, digest: bytes, budget_bytes: int, packed: codec.PackedChanges
+    ) -> bytes:
+        """Tells a peer to fetch a change that fits no envelope."""
+        pointer = msgspec.msgpack.encode(
+            _Payload(self._replica.revision, is_large=True)
+        )
+        is_small = packed.next_bytes <= LARGE_BYTES
+        if is_small or len(pointer) > budget_bytes:
+            return digest
+        return pointer
+
     def absorb(
         self, sender: identifiers.InstanceId, payload: bytes, now: float
     ) -> None:
@@ -167,6 +208,8 @@
         if heard.upto > 0:
             self._replica.apply_range(changes.unwrap(), heard.since, heard.upto)
         self._watch_lag(sender, heard.revision, now)
+        if heard.is_large and heard.revision > self._replica.revision:
+            self._behind_since = now - BEHIND_AFTER_S
         if heard.upto and heard.revision > self._replica.revision:
             self._catch_up()
 
@@ -177,6 +220,10 @@
         except msgspec.DecodeError:
             self.counters.unreadable += 1
             return b""
+        if asked.since > 0:
+            changes = self._replica.changes_after(asked.since)
+            if changes is not None:
+                return self._answer_range(asked.since, changes)
         snapshot = self._replica.snapshot()
         rest = [
             entry
@@ -196,6 +243,18 @@
             )
         )
 
+    def _answer_range(
+        self, since: int, changes: tuple[configuration.Versioned, ...]
+    ) -> bytes:
+        """Returns a page of changes, at least one if there is one."""
+        revision = self._replica.revision
+        packed = codec.pack(changes, revision, PAGE_BYTES)
+        if not packed.count and changes:
+            packed = codec.pack(changes, revision, packed.next_bytes + 8)
+        return msgspec.msgpack.encode(
+            _Page(packed.upto, packed.data, since=since)
+        )
+
     def _note(self, peer: identifiers.InstanceId, revision: int) -> None:
         """Keeps what a peer holds; forgets the peers heard longest ago."""
         self._revisions[peer] = revision
@@ -225,9 +284,14 @@
     on: objects may be missing, so the reading starts again.
     """
 
-    def __init__(self) -> None:
-        """Begins at the first page."""
-        self._next = _PageRequest()
+    def __init__(self, since: int = 0) -> None:
+        """Begins at the first page.
+
+        Args:
+            since: Revision already held; the peer then answers with the
+                changes after it, if it knows them all.
+        """
+        self._next = _PageRequest(since=since)
         self._revision = 0
         self._entries: list[configuration.Versioned] = []
 
@@ -235,11 +299,12 @@
         """Returns the request for the next page."""
         return msgspec.msgpack.encode(self._next)
 
-    def take(self, answer: bytes) -> replica.Snapshot | bool | None:
+    def take(self, answer: bytes) -> replica.Snapshot | Range | bool | None:
         """Takes a page.
 
         Returns:
-            The whole snapshot after the last page, None if more pages are to
+            The whole snapshot after the last page, a range of changes, None if
+            more pages are to
             come, False if the page can't be read.
         """
         try:
@@ -249,6 +314,8 @@
         entries = codec.unpack(page.changes)
         if entries.is_err():
             return False
+        if page.since > 0:
+            return Range(entries.unwrap(), page.since, page.revision)
         if self._entries and self._revision != page.revision:
             self._next = _PageRequest()
             self._entries.clear()
--- a/src/cardamomfork/_internal/configuration/follower.py
+++ b/src/cardamomfork/_internal/configuration/follower.py
@@ -45,6 +45,7 @@
 ROLE_CHECK_S = 0.5
 RETRY_S = 1.0
 MAX_RETRY_S = 2.0
+LAG_CHECK_S = 0.2
 MAX_PAGES = 2000
 
 
@@ -59,6 +60,7 @@
         caught: Polls that found what the watch had not told.
         scans: Loads of everything from the store.
         snapshots: Loads of everything from a peer.
+        ranges: Loads from a peer of changes that its envelopes did not hold.
         unreadable: Objects in the store that could not be read.
     """
 
@@ -68,6 +70,7 @@
     caught: int = 0
     scans: int = 0
     snapshots: int = 0
+    ranges: int = 0
     unreadable: int = 0
 
 
@@ -254,26 +257,33 @@
     async def _lag_loop(self, link: peering.PeerLink) -> None:
         """Catches up by a snapshot where the peers' changes don't suffice."""
         while True:
-            await anyio.sleep(RETRY_S * self._rng.uniform(0.5, 1.5))
+            await anyio.sleep(LAG_CHECK_S * self._rng.uniform(0.5, 1.5))
             name = self._told.peer_ahead
             if name is None or not self._told.is_behind(
                 self._clock.monotonic()
             ):
                 continue
             record = self._members.record(name)
-            if record is not None:
-                await self._load_from_peer(link, record.instance)
+            if record is None or not await self._load_from_peer(
+                link, record.instance
+            ):
+                await anyio.sleep(RETRY_S)
 
     async def _load_from_peer(
         self, link: peering.PeerLink, peer: instances.Instance
     ) -> bool:
-        """Loads everything from a peer, page by page."""
-        reader = distribution.SnapshotReader()
+        """Loads what is missing, or everything, from a peer by pages."""
+        reader = distribution.SnapshotReader(self._replica.revision)
         for _ in range(MAX_PAGES):
             page = await link.fetch_page(peer, reader.next_request())
             if isinstance(page, result.Err):
                 return False
             taken = reader.take(page.ok_value)
+            if isinstance(taken, distribution.Range):
+                self.counters.ranges += 1
+                return self._replica.apply_range(
+                    taken.changes, taken.since, taken.upto
+                )
             if isinstance(taken, replica.Snapshot):
                 self.counters.snapshots += 1
                 return taken.revision > 0 and self._replica.apply_snapshot(
--- a/src/cardamomfork/_internal/instances/byte_budget.py
+++ b/src/cardamomfork/_internal/instances/byte_budget.py
@@ -28,7 +28,13 @@
             gained = max(now - self._filled_at, 0.0) * self._rate
             self._level = min(self._capacity, self._level + gained)
         self._filled_at = now
-        return int(self._level)
+        return max(int(self._level), 0)
+
+    def charge(self, size_bytes: int, now: float) -> None:
+        """Takes bytes that had to be sent; others wait for up to a burst."""
+        self.available(now)
+        self._level = max(self._level - size_bytes, -self._capacity)
+        self.spent += size_bytes
 
     def seconds_until(self, size_bytes: int, now: float) -> float:
         """Returns how long it takes until so many bytes may be sent."""
--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -172,7 +172,9 @@
         for participant in self._participants:
             answer = getattr(participant, "answer_page", None)
             if answer is not None:
-                return answer(request)
+                page = answer(request)
+                self.budget.charge(len(page), self._clock.monotonic())
+                return page
         return b""
 
     async def probe(
--- a/tests/functional/test_configuration_fleet.py
+++ b/tests/functional/test_configuration_fleet.py
@@ -1,12 +1,15 @@
 """Accepted changes reach every instance whatever fails in between."""
 
+import random
 import unittest
 
 import anyio
+import attrs
 
 from cardamomfork._internal.configuration import codec
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.standins import fleet
+from tests.lib import configurations
 from tests.lib import virtual_time
 
 DRAIN = configuration.ObjectKind.DRAIN
@@ -58,6 +61,35 @@
 
         self.run_fleet((6, 6), scenario)
 
+    def test_object_larger_than_an_envelope_is_fetched(self):
+        kind = configuration.ObjectKind.SERVICE
+        rng = random.Random(1)
+        pool = configurations.service("pool", target_count=900)
+        pool = attrs.evolve(
+            pool,
+            targets=tuple(
+                attrs.evolve(target, host=rng.randbytes(8).hex())
+                for target in pool.targets
+            ),
+        )
+        key = codec.key_of(kind, "pool")
+
+        async def scenario(_group):
+            self.put("first")
+            await anyio.sleep(BOUND_S)
+            entry = self.fleet.store.write(key, codec.encode(pool), 0, 0)
+            version = entry.unwrap().version
+            self.put()
+            await anyio.sleep(BOUND_S)
+            held = [m.replica.get(kind, "pool") for m in self.fleet.members]
+            self.assertEqual([h and h.version for h in held], [version] * 9)
+            self.assertEqual(self.holding("t"), 9)
+            counters = [m.follower.counters for m in self.fleet.members]
+            self.assertGreater(sum(c.ranges for c in counters), 0)
+            self.assertEqual(sum(c.snapshots for c in counters), 0)
+
+        self.run_fleet((9,), scenario)
+
     def test_silent_watch_is_given_up(self):
         async def scenario(_group):
             for member in self.fleet.members:
