Spread the membership table by the common spreader of rows

Cause: the membership's payload and the spreader of packed rows did the same work twice. Change: membership records are rows of the spreader; dead ones are told but not hashed, since instances forget them at different times. The state machine now compares whole tables in place of a hash. Conclusion: one mechanism for records and marks.

--- a/src/cardamomfork/_internal/configuration/distribution.py
+++ b/src/cardamomfork/_internal/configuration/distribution.py
@@ -303,9 +303,8 @@
         """Takes a page.
 
         Returns:
-            The whole snapshot after the last page, a range of changes, None if
-            more pages are to
-            come, False if the page can't be read.
+            The whole snapshot after the last page, a range of changes, None
+            if more pages are to come, False if the page can't be read.
         """
         try:
             page = msgspec.msgpack.decode(answer, type=_Page)
--- a/src/cardamomfork/_internal/instances/deltas.py
+++ b/src/cardamomfork/_internal/instances/deltas.py
@@ -43,15 +43,13 @@
 class DeltaSpreader:
     """Packed rows by key, and what which peer may lack."""
 
-    def __init__(self, max_rows: int, tells: int = DEFAULT_TELLS) -> None:
+    def __init__(self, max_rows: int) -> None:
         """Starts empty.
 
         Args:
             max_rows: Most rows held; the longest unchanged go first.
-            tells: How often a change is told unasked.
         """
         self._max_rows = max_rows
-        self._tells = tells
         self._rows: collections.OrderedDict[str, _Row] = (
             collections.OrderedDict()
         )
@@ -64,15 +62,32 @@
         """Returns the rows held."""
         return len(self._rows)
 
-    def put(self, key: str, data: bytes) -> str | None:
-        """Sets a row; returns the key of a row dropped to make room."""
+    def put(
+        self,
+        key: str,
+        data: bytes,
+        tells: int = DEFAULT_TELLS,
+        counted: bool = True,
+    ) -> str | None:
+        """Sets a row.
+
+        Args:
+            key: Its key.
+            data: Its packed form.
+            tells: How often the change is told unasked.
+            counted: Whether the hash covers it. Rows that peers forget at
+                different times must not make their tables differ.
+
+        Returns:
+            The key of a row dropped to make room, or None.
+        """
         self.remove(key)
         dropped = None
         if len(self._rows) >= self._max_rows:
             dropped = next(iter(self._rows))
             self.remove(dropped)
-        fingerprint = xxhash.xxh3_64_intdigest(data)
-        self._rows[key] = _Row(data, fingerprint, self._tells)
+        fingerprint = xxhash.xxh3_64_intdigest(data) if counted else 0
+        self._rows[key] = _Row(data, fingerprint, tells)
         self._hot[key] = None
         self._digest ^= fingerprint
         return dropped
@@ -84,14 +99,40 @@
             self._digest ^= row.fingerprint
             self._hot.pop(key, None)
 
-    def collect(self, peer: identifiers.InstanceId, budget_bytes: int) -> bytes:
-        """Returns the hash and rows for a peer; b"" if there is no room."""
+    def collect(
+        self,
+        peer: identifiers.InstanceId,
+        budget_bytes: int,
+        first: str = "",
+    ) -> bytes:
+        """Returns the hash and rows for a peer; b"" if there is no room.
+
+        Args:
+            peer: For whom.
+            budget_bytes: Most bytes.
+            first: Key of a row to tell in any case.
+        """
         left = budget_bytes - HEAD_BYTES
         if left < 0:
             return b""
         chosen: dict[str, bytes] = {}
+        if first in self._rows and len(self._rows[first].data) <= left:
+            chosen[first] = self._rows[first].data
+            left -= len(chosen[first])
+        left = self._add_hot(chosen, left)
+        if peer in self._differing:
+            self._add_slice(chosen, left)
+        if not self._rows and peer not in self._differing:
+            return b""
+        rows = [msgspec.Raw(data) for data in chosen.values()]
+        return msgspec.msgpack.encode((self._digest, rows))
+
+    def _add_hot(self, chosen: dict[str, bytes], left: int) -> int:
+        """Adds rows that changed lately; returns the bytes left."""
         for key in list(self._hot):
             row = self._rows[key]
+            if key in chosen:
+                continue
             if len(row.data) > left:
                 break
             chosen[key] = row.data
@@ -99,12 +140,7 @@
             row.tells -= 1
             if row.tells <= 0:
                 del self._hot[key]
-        if peer in self._differing:
-            self._add_slice(chosen, left)
-        if not self._rows and peer not in self._differing:
-            return b""
-        rows = [msgspec.Raw(data) for data in chosen.values()]
-        return msgspec.msgpack.encode((self._digest, rows))
+        return left
 
     def read(self, payload: bytes) -> tuple[int, Sequence[bytes]]:
         """Reads a payload into the sender's hash and its packed rows.
--- a/src/cardamomfork/_internal/instances/membership.py
+++ b/src/cardamomfork/_internal/instances/membership.py
@@ -74,10 +74,8 @@
         self._order: list[identifiers.InstanceId] = []
         self._periods = 0
         self._last_tick: float | None = None
-        self._digests: dict[identifiers.DataCentreId, int] = {}
         self._subscribers: list[Callable[[records.Record], None]] = []
         self._superseded_by: identifiers.BootId | None = None
-        self._refresh_digest(None, self._me)
         self.counters = MembershipCounters()
 
     @property
@@ -95,7 +93,7 @@
         return self._superseded_by
 
     def subscribe(self, callback: Callable[[records.Record], None]) -> None:
-        """Calls back with each record that changes."""
+        """Calls back with each record that changes or was forgotten."""
         self._subscribers.append(callback)
 
     def record(
@@ -133,10 +131,6 @@
             if record.health is not records.Health.DEAD and not record.leaving
         ]
 
-    def digest(self, data_centre: identifiers.DataCentreId) -> int:
-        """Returns a hash of all that is held of a data centre."""
-        return self._digests.get(data_centre, 0)
-
     def next_probe(self) -> instances.Instance | None:
         """Returns whom to probe in this period.
 
@@ -312,7 +306,10 @@
         )
         self._records[name] = record
         self._changed_at[name] = now
-        self._refresh_digest(held, record)
+        self._tell(record)
+
+    def _tell(self, record: records.Record) -> None:
+        """Tells the subscribers of a changed or forgotten record."""
         for subscriber in tuple(self._subscribers):
             subscriber(record)
 
@@ -320,7 +317,7 @@
         """Forgets an instance."""
         del self._records[record.instance.instance_id]
         self._changed_at.pop(record.instance.instance_id, None)
-        self._refresh_digest(record, None)
+        self._tell(record)
 
     def _make_room(self, heard: records.Record) -> bool:
         """Forgets the longest dead if the table is full."""
@@ -336,18 +333,3 @@
             )
         )
         return True
-
-    def _refresh_digest(
-        self, old: records.Record | None, new: records.Record | None
-    ) -> None:
-        """Keeps the hash of each data centre's records, dead ones left out.
-
-        Instances forget the dead at different times, so a hash with them
-        would differ for no reason.
-        """
-        for record in (old, new):
-            if record and record.health is not records.Health.DEAD:
-                name = record.instance.data_centre
-                self._digests[name] = (
-                    self._digests.get(name, 0) ^ record.fingerprint
-                )
--- a/src/cardamomfork/_internal/instances/membership_gossip.py
+++ b/src/cardamomfork/_internal/instances/membership_gossip.py
@@ -1,8 +1,7 @@
 """Tells the peers of a data centre who lives, in packed deltas.
 
-News is repeated to as many peers as it takes to reach all with high
-probability. A hash of the whole table goes along; where it differs, a slice of
-the table is added, a further one each time, until the hashes agree.
+Within a data centre the records of its instances are told, between data
+centres and within them the summaries of all.
 """
 
 from __future__ import annotations
@@ -10,10 +9,10 @@
 import math
 from typing import TYPE_CHECKING
 
-import attrs
 import msgspec
 
 from cardamomfork._internal.contracts import gossip
+from cardamomfork._internal.instances import deltas
 from cardamomfork._internal.instances import membership
 from cardamomfork._internal.instances import records
 
@@ -22,31 +21,19 @@
     from cardamomfork._internal.models import identifiers
 
 RETRANSMIT_FACTOR = 3.0
-MAX_DIFFERING = 256
-_HEAD_BYTES = 24
+_HEAD_BYTES = 8
 _SUMMARY_BYTES = 500
 
 
-class _Payload(
-    msgspec.Struct, array_like=True, frozen=True, omit_defaults=True
-):
-    """Hash of the sender's table, some of its records, and summaries."""
+class _Payload(msgspec.Struct, array_like=True, frozen=True):
+    """Rows of the sender's table, and summaries of data centres."""
 
-    digest: int = 0
-    news: list[records.PackedRecord] = []
-    summaries: bytes = b""
-
-
-@attrs.define
-class _News:
-    """A record to be told a few more times."""
-
-    data: bytes
-    told: int = 0
+    records: bytes
+    summaries: bytes
 
 
 class MembershipGossip:
-    """Membership's part in the peers' talk within a data centre."""
+    """Membership's part in the peers' talk."""
 
     def __init__(
         self,
@@ -56,12 +43,11 @@
         """Follows a membership table and the other data centres' summaries."""
         self._members = members
         self._others = others
-        self._news: dict[identifiers.InstanceId, _News] = {}
-        self._differing: set[identifiers.InstanceId] = set()
-        self._cursor = 0
+        self._spreader = deltas.DeltaSpreader(membership.MAX_RECORDS)
         self.unreadable = 0
         members.subscribe(self._note)
-        self._note(members.me)
+        for record in members.known():
+            self._note(record)
 
     @property
     def topic(self) -> gossip.Topic:
@@ -75,99 +61,67 @@
         budget_bytes: int,
         now: float,
     ) -> bytes:
-        """Returns the hash, the news, and a slice where the hashes differ."""
+        """Returns summaries and, to a near peer, records that it may lack."""
         left = budget_bytes - _HEAD_BYTES
         if left < 0:
             return b""
         about = self._others.collect(min(left // 3, _SUMMARY_BYTES), now)
-        if scope is gossip.Scope.FLEET:
-            return msgspec.msgpack.encode((0, [], about))
-        left -= len(about)
-        chosen: dict[identifiers.InstanceId, bytes] = {}
-        about_peer = self._members.record(peer)
-        if about_peer and about_peer.health is not records.Health.ALIVE:
-            # It can refute only what it hears.
-            data = msgspec.msgpack.encode(records.pack(about_peer))
-            if len(data) <= left:
-                chosen[peer] = data
-                left -= len(data)
-        left = self._add_news(chosen, left)
-        if peer in self._differing:
-            self._add_slice(chosen, left)
-        return msgspec.msgpack.encode(
-            (
-                self._digest(),
-                [msgspec.Raw(data) for data in chosen.values()],
-                about,
+        rows = b""
+        if scope is gossip.Scope.DATA_CENTRE:
+            rows = self._spreader.collect(
+                peer, left - len(about), self._doubted(peer)
             )
-        )
+        return msgspec.msgpack.encode(_Payload(rows, about))
 
     def absorb(
         self, sender: identifiers.InstanceId, payload: bytes, now: float
     ) -> None:
-        """Merges a peer's records."""
+        """Merges a peer's records and summaries."""
         try:
             heard = msgspec.msgpack.decode(payload, type=_Payload)
-            news = [records.unpack(packed) for packed in heard.news]
+            digest, rows = 0, []
+            if heard.records:
+                digest, packed = self._spreader.read(heard.records)
+                rows = [_read(row) for row in packed]
         except (msgspec.DecodeError, ValueError):
             self.unreadable += 1
             return
-        for record in news:
-            self._members.hear(record, now)
         if heard.summaries:
             self._others.absorb(heard.summaries, now)
-        about_sender = self._members.record(sender)
-        home = self._members.me.instance.data_centre
-        if about_sender and about_sender.instance.data_centre != home:
-            return
-        if heard.digest == self._digest():
-            self._differing.discard(sender)
-        elif len(self._differing) < MAX_DIFFERING:
-            self._differing.add(sender)
+        for record in rows:
+            self._members.hear(record, now)
+        if heard.records:
+            self._spreader.compare(sender, digest)
+
+    def _doubted(self, peer: identifiers.InstanceId) -> str:
+        """Names the peer if it must hear of a report against itself.
 
-    def _digest(self) -> int:
-        """Returns the hash of this data centre's records."""
-        return self._members.digest(self._members.me.instance.data_centre)
+        It can refute only what it hears.
+        """
+        record = self._members.record(peer)
+        is_well = record is None or record.health is records.Health.ALIVE
+        return "" if is_well else peer
 
     def _note(self, record: records.Record) -> None:
         """Takes a change as news, for this data centre's peers only."""
         mine = self._members.me.instance.data_centre
-        if record.instance.data_centre == mine:
-            self._news[record.instance.instance_id] = _News(
-                msgspec.msgpack.encode(records.pack(record))
-            )
-
-    def _add_news(
-        self, chosen: dict[identifiers.InstanceId, bytes], left: int
-    ) -> int:
-        """Adds the news told the fewest times; returns the bytes left."""
+        name = record.instance.instance_id
+        if record.instance.data_centre != mine:
+            return
+        if self._members.record(name) is None:
+            self._spreader.remove(name)
+            return
         size = len(self._members.staying()) + 1
-        limit = math.ceil(RETRANSMIT_FACTOR * math.log2(size + 1))
-        for name, news in sorted(self._news.items(), key=lambda i: i[1].told):
-            if len(news.data) > left:
-                break
-            if name not in chosen:
-                chosen[name] = news.data
-                left -= len(news.data)
-            news.told += 1
-            if news.told >= limit:
-                del self._news[name]
-        return left
-
-    def _add_slice(
-        self, chosen: dict[identifiers.InstanceId, bytes], left: int
-    ) -> None:
-        """Adds records from where the last slice ended."""
-        mine = self._members.me.instance.data_centre
-        table = sorted(
-            self._members.known(mine), key=lambda r: r.instance.instance_id
+        self._spreader.put(
+            name,
+            msgspec.msgpack.encode(records.pack(record)),
+            tells=math.ceil(RETRANSMIT_FACTOR * math.log2(size + 1)),
+            counted=record.health is not records.Health.DEAD,
         )
-        for step in range(len(table)):
-            record = table[(self._cursor + step) % len(table)]
-            data = msgspec.msgpack.encode(records.pack(record))
-            if len(data) > left:
-                self._cursor += step
-                return
-            if record.instance.instance_id not in chosen:
-                chosen[record.instance.instance_id] = data
-                left -= len(data)
+
+
+def _read(row: bytes) -> records.Record:
+    """Reads a record; raises ValueError for one that makes no sense."""
+    return records.unpack(
+        msgspec.msgpack.decode(row, type=records.PackedRecord)
+    )
--- a/src/cardamomfork/_internal/instances/records.py
+++ b/src/cardamomfork/_internal/instances/records.py
@@ -6,7 +6,6 @@
 
 import attrs
 import msgspec
-import xxhash
 
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.models import instances
@@ -57,15 +56,6 @@
         """Grows with each newer report on the instance."""
         return self.instance.boot_id, self.incarnation, self.health
 
-    @property
-    def fingerprint(self) -> int:
-        """A 64-bit hash of the report."""
-        text = (
-            f"{self.instance.instance_id}\0{self.instance.boot_id}"
-            f"\0{self.incarnation}\0{self.health}\0{self.leaving}"
-        )
-        return xxhash.xxh3_64_intdigest(text.encode())
-
 
 class PackedRecord(
     msgspec.Struct, array_like=True, frozen=True, omit_defaults=True
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -153,8 +153,8 @@
             assert all(
                 record.health is records.Health.ALIVE for record in held.known()
             )
-        kempten = {held.digest("kempten") for held in self.tables}
-        assert len(kempten) == 1
+        known = [sorted(held.known(), key=str) for held in self.tables]
+        assert all(some == known[0] for some in known), known
 
 
 class RecordsMachineTest(RecordsMachine.TestCase):
