--- /dev/null
+++ b/src/cardamomfork/_internal/requests/service.py
@@ -0,0 +1,242 @@
+"""Runs admitted requests to their one end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import result
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.contracts import claiming
+from cardamomfork._internal.models import outcomes
+from cardamomfork._internal.requests import exchanging
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.contracts import limiting
+    from cardamomfork._internal.models import requests
+    from cardamomfork._internal.requests import delivery
+    from cardamomfork._internal.requests import directory
+    from cardamomfork._internal.requests import lifecycle
+    from cardamomfork._internal.requests import records
+    from cardamomfork._internal.requests import running
+
+_Ending = result.Result[exchanging.Answer, outcomes.Refusal]
+
+
+class RequestService:
+    """Admits, queues, runs and settles requests."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock_contract.Clock,
+        limiter: limiting.Limiter,
+        ledger: claiming.ClaimLedger | None,
+        runner: running.Runner,
+        table: records.RecordTable,
+        known: directory.Directory,
+    ) -> None:
+        """Takes its collaborators.
+
+        Args:
+            clock: The loop's clock; deadlines are on it.
+            limiter: Client accounts' limits.
+            ledger: Claims; None refuses requests that need one.
+            runner: Runs what is admitted.
+            table: Records of requests.
+            known: Services, for their retry budgets.
+        """
+        self._clock = clock
+        self._limiter = limiter
+        self._ledger = ledger
+        self._runner = runner
+        self._table = table
+        self._known = known
+        self._draining = False
+        self._drained = False
+        self._idle = anyio.Event()
+
+    @property
+    def draining(self) -> bool:
+        """Whether it takes no new requests."""
+        return self._draining or self._drained
+
+    def drain(self) -> None:
+        """Takes no new requests from now on; admitted ones go on."""
+        self._draining = True
+
+    def set_drained(self, drained: bool) -> None:
+        """Follows an operator's drain of this instance; it may end again."""
+        self._drained = drained
+
+    async def wait_until_idle(self) -> None:
+        """Waits until no admitted request is open."""
+        while self._table.open_count:
+            self._idle = anyio.Event()
+            await self._idle.wait()
+
+    async def run(
+        self, request: requests.Request, sink: delivery.CallerSink
+    ) -> _Ending:
+        """Runs a request; a stream's bytes go to the sink meanwhile."""
+        if self.draining:
+            return result.Err(
+                outcomes.refuse(
+                    outcomes.RefusalReason.DRAINING,
+                    "This instance is stopping; others serve.",
+                    1.0,
+                )
+            )
+        granted = self._limiter.admit(
+            request.account, request.prompt_tokens, self._clock.monotonic()
+        )
+        if isinstance(granted, result.Err):
+            return granted
+        record = self._table.begin(request)
+        ending: _Ending = result.Err(_cancelled())
+        try:
+            ending = await self._run_claimed(request, sink, record)
+        finally:
+            self._limiter.release(granted.ok_value, self._clock.monotonic())
+            self._note_end(record, ending)
+        return ending
+
+    def _note_end(self, record: records.Record, ending: _Ending) -> None:
+        """Keeps how a request ended."""
+        if isinstance(ending, result.Err):
+            refusal = ending.err_value
+            self._table.end(record, refusal.outcome, refusal.reason)
+        else:
+            self._table.end(record, outcomes.Outcome.DONE)
+        if not self._table.open_count:
+            self._idle.set()
+
+    async def _run_claimed(
+        self,
+        request: requests.Request,
+        sink: delivery.CallerSink,
+        record: records.Record,
+    ) -> _Ending:
+        """Claims the request's key if it must not run twice."""
+        if request.idempotent or not request.idempotency_key:
+            return await self._run_in_time(request, sink, record)
+        if self._ledger is None:
+            return result.Err(
+                outcomes.refuse(
+                    outcomes.RefusalReason.STORE_UNAVAILABLE,
+                    "No store of claims is configured.",
+                )
+            )
+        # A claimed run goes on when its caller leaves: its outcome is what a
+        # repeat with the same key will be told.
+        with anyio.CancelScope(shield=True):
+            return await self._run_under_claim(
+                self._ledger, request, sink, record
+            )
+        return result.Err(_cancelled())
+
+    async def _run_under_claim(
+        self,
+        ledger: claiming.ClaimLedger,
+        request: requests.Request,
+        sink: delivery.CallerSink,
+        record: records.Record,
+    ) -> _Ending:
+        """Runs a request between its claim and its settlement."""
+        claimed = await ledger.claim(
+            request.account,
+            request.idempotency_key,
+            request.fingerprint,
+            self._time_left(request),
+        )
+        if isinstance(claimed, result.Err):
+            return claimed
+        if isinstance(claimed.ok_value, claiming.StoredOutcome):
+            return _repeat(claimed.ok_value)
+        ending = await self._run_in_time(request, sink, record)
+        await ledger.settle(
+            claimed.ok_value, _stored(ending), self._time_left(request)
+        )
+        return ending
+
+    async def _run_in_time(
+        self,
+        request: requests.Request,
+        sink: delivery.CallerSink,
+        record: records.Record,
+    ) -> _Ending:
+        """Runs a request until its deadline at the latest."""
+        share = self._known.retry_share(request.service)
+        run = self._runner.start(request, sink, record, share)
+        with anyio.CancelScope(deadline=request.deadline) as scope:
+            try:
+                await self._runner.run(run)
+            finally:
+                record.outcome = run.life.outcome
+        if scope.cancelled_caught:
+            run.life.conclude(
+                outcomes.RefusalReason.DEADLINE_EXCEEDED,
+                "The request's time is over.",
+            )
+        ending = run.life.ending
+        exceptions.check_invariant(
+            ending is not None, "every run has an end", request.request_id
+        )
+        if ending is None or ending.refusal is not None or run.answer is None:
+            return result.Err(_refusal_of(ending))
+        return result.Ok(run.answer)
+
+    def _time_left(self, request: requests.Request) -> float:
+        """Returns the seconds until the request's deadline, at least 0."""
+        return max(0.0, request.deadline - self._clock.monotonic())
+
+
+def _refusal_of(ending: lifecycle.Ending | None) -> outcomes.Refusal:
+    """Returns why a run has no whole answer."""
+    if ending is not None and ending.refusal is not None:
+        return ending.refusal
+    return outcomes.Refusal(
+        outcomes.Outcome.UNKNOWN,
+        outcomes.RefusalReason.INTERNAL,
+        "The run ended without an answer.",
+    )
+
+
+def _cancelled() -> outcomes.Refusal:
+    """Makes the refusal of a request whose caller went away."""
+    return outcomes.Refusal(
+        outcomes.Outcome.UNKNOWN,
+        outcomes.RefusalReason.CANCELLED,
+        "The caller went away.",
+    )
+
+
+def _repeat(stored: claiming.StoredOutcome) -> _Ending:
+    """Gives an earlier run's outcome to a repeat of its request."""
+    if stored.outcome is outcomes.Outcome.DONE and stored.whole:
+        return result.Ok(
+            exchanging.Answer(stored.status, "application/json", stored.answer)
+        )
+    return result.Err(
+        outcomes.Refusal(
+            stored.outcome,
+            outcomes.RefusalReason.KEY_REUSED,
+            "This key's request ran before and its answer is not kept.",
+        )
+    )
+
+
+def _stored(ending: _Ending) -> claiming.StoredOutcome:
+    """Makes what is stored of an ended run."""
+    if isinstance(ending, result.Err):
+        return claiming.StoredOutcome(ending.err_value.outcome)
+    answer = ending.ok_value
+    whole = len(answer.body) <= claiming.MAX_STORED_ANSWER_BYTES
+    return claiming.StoredOutcome(
+        outcomes.Outcome.DONE,
+        answer.status,
+        answer.body if whole else b"",
+        whole,
+    )
