Give an engine one part of a long prompt at a time

Cause: the engines of the longest group each held parts of three or four prompts at once, which waited for each other with all their memory held. Change: an engine whose time is claimed by another part while the prompt runs is left out.

--- a/src/cardamomfork/_internal/routing/choice.py
+++ b/src/cardamomfork/_internal/routing/choice.py
@@ -94,6 +94,7 @@
         and view.target_id not in entry.avoid
         and now >= view.health.probe_at
         and not view.health.is_probed
+        and not view.claimed_between(now, now + entry.work_s)
     ]
     first = [v for v in able if v.is_free(now, pool.s_per_token())]
     if not first:
