--- a/src/cardamomfork/_internal/routing/dispatcher.py
+++ b/src/cardamomfork/_internal/routing/dispatcher.py
@@ -37,8 +37,8 @@
 
 # Work planned for each engine that takes long prompts, in engines: from the
 # first value, without weight of short prompts, up by the second.
-MIN_PLANNED_LOAD = 0.72
-PLANNED_LOAD_SPAN = 0.72
+MIN_PLANNED_LOAD = 0.85
+PLANNED_LOAD_SPAN = 0.4
 HEADS_TRIED = 3
 LOOK_AGAIN_S = 0.01
 
