--- /dev/null
+++ b/tests/lib/daemons.py
@@ -0,0 +1,83 @@
+"""Starts the real daemon program for functional tests."""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import attrs
+import httpcore
+
+START_TIMEOUT_S = 20
+STOP_TIMEOUT_S = 20
+KEY = "demo-key"
+
+
+@attrs.frozen
+class Daemon:
+    """A running daemon program and its ports."""
+
+    process: subprocess.Popen
+    port: int
+    operators_port: int = 0
+
+    def url(self, path):
+        return f"http://127.0.0.1:{self.port}{path}"
+
+    def request(self, method, path, body=None, key=KEY, headers=()):
+        """Sends one request and returns status, headers and body."""
+        all_headers = [("Authorization", f"Bearer {key}"), *headers]
+        content = None if body is None else json.dumps(body).encode()
+        answer = httpcore.request(
+            method, self.url(path), headers=all_headers, content=content
+        )
+        table = {k.lower(): v for k, v in answer.headers}
+        return answer.status, table, answer.content
+
+    def terminate(self):
+        """Sends SIGTERM and returns the exit status."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(STOP_TIMEOUT_S)
+
+
+def read_until(process, message):
+    """Reads JSON log lines up to one that begins so; returns it."""
+    for line in process.stderr:
+        record = json.loads(line)
+        if record["message"].startswith(message):
+            return record
+    raise AssertionError(f"the daemon ended without the line {message!r}")
+
+
+@contextlib.contextmanager
+def running(*arguments):
+    """Runs a daemon with the embedded parts on a free port."""
+    process = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "cardamomfork._internal.daemon",
+            "--embedded",
+            "--port",
+            "0",
+            *arguments,
+        ],
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "PYTHONUNBUFFERED": "1"},
+    )
+    try:
+        operators = read_until(process, "serving operators on ")["message"]
+        callers = read_until(process, "serving callers on ")["message"]
+        yield Daemon(
+            process,
+            int(callers.rsplit(":", 1)[1]),
+            int(operators.rsplit(" ", 1)[1]),
+        )
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+        process.stderr.close()
