--- a/src/cardamomfork/_internal/routing/fleet.py
+++ b/src/cardamomfork/_internal/routing/fleet.py
@@ -71,7 +71,10 @@
         service = self._services.get(request.service)
         if service is None:
             return None
-        model = request.model or next(iter(service.models), "")
+        models = self._models(service)
+        model = request.model or models[0]
+        if models == ("",):
+            model = ""
         return self._pools.get((request.service, model))
 
     def pools_of(self, target_id: identifiers.TargetId) -> Iterable[pools.Pool]:
--- a/tests/unit/test_routing_dispatcher.py
+++ b/tests/unit/test_routing_dispatcher.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+import attrs
+
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.models import outcomes
 from cardamomfork._internal.models import targets
@@ -49,6 +51,13 @@
         none = dispatcher.submit(routing.request("b"), 0.0)
         self.assertEqual(self._reason(none), REASONS.NO_TARGET)
 
+    def test_service_without_models_takes_any(self):
+        dispatcher = dispatcher_module.FleetDispatcher(random.Random(1))
+        service = attrs.evolve(routing.service(1, MEMORY), models=())
+        dispatcher.apply_service(service)
+        accepted = dispatcher.submit(routing.request("a", model="x"), 0.0)
+        self.assertTrue(accepted.is_ok())
+
     def test_deadline_that_cannot_be_met_is_refused_early(self):
         dispatcher = _dispatcher(1)
         late = routing.request("a", prompt_tokens=150_000, deadline=2.0)
