--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -14,10 +14,13 @@
 from cardamomfork._internal.composition import applying
 from cardamomfork._internal.composition import engine_news
 from cardamomfork._internal.composition import platform as platform_module
+from cardamomfork._internal.composition import questions
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.instances import joining
 from cardamomfork._internal.links.operators import side as operators_side
 from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.requests import reservation_keeper
+from cardamomfork._internal.requests import reservation_sweep
 from cardamomfork._internal.routing import dispatcher as fleet_dispatcher
 from cardamomfork._internal.targets import orders
 from cardamomfork._internal.targets import orders_feed
@@ -57,6 +60,7 @@
         operators: The operators' server.
         observation: Metrics, dump and watchdog.
         order_side: Orders to engines.
+        reservations: Frees engine memory that nobody uses.
     """
 
     settings: settings_models.DaemonSettings
@@ -66,6 +70,7 @@
     operators: operator_server.OperatorServer
     observation: observing.Observation
     order_side: OrderSide
+    reservations: reservation_keeper.ReservationKeeper
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts all sides; waits a while for a first configuration."""
@@ -75,6 +80,7 @@
         logger.info(f"serving peers on port {self.fleet.server.port}")
         port = await tasks.start(self.operators.run)
         logger.info(f"serving operators on port {port}")
+        tasks.start_soon(self.reservations.run)
         tasks.start_soon(self.order_side.lease.run)
         tasks.start_soon(self.order_side.runner.run)
         if self.fleet.follower is None:
@@ -121,9 +127,16 @@
         settings,
         platform.store,
         wiring.Surroundings(
-            boot_id, dispatcher, fleet.limiter, news, news.is_mine
+            boot_id=boot_id,
+            dispatcher=dispatcher,
+            limiter=fleet.limiter,
+            engine_news=news,
+            claim_routes=questions.ClaimRoutes(fleet, clock),
+            watches=news.is_mine,
         ),
     )
+    if serving.ledger is not None:
+        questions.answer_peers(fleet, serving.ledger, serving.own)
     observation = observing.observe(settings, clock)
     applier = applying.ConfigurationApplier(
         serving,
@@ -153,6 +166,14 @@
             ),
         ),
         observation=observation,
+        reservations=reservation_keeper.ReservationKeeper(
+            serving.own,
+            reservation_sweep.HomeSweep(
+                settings.instance.instance_id, random.Random()
+            ),
+            questions.ReservationSurroundings(fleet, serving.links),
+            clock,
+        ),
         order_side=_make_order_side(settings, clock, platform, serving, fleet),
     )
 
--- /dev/null
+++ b/src/cardamomfork/_internal/composition/questions.py
@@ -0,0 +1,155 @@
+"""What this instance asks its peers, and answers them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import msgspec
+
+from cardamomfork._internal.contracts import peering as peering_contract
+from cardamomfork._internal.data_centres import rendezvous
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import targets
+from cardamomfork._internal.requests import reservation_sweep
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.contracts import target_link
+    from cardamomfork._internal.instances import joining
+    from cardamomfork._internal.links.targets import registry
+    from cardamomfork._internal.models import instances
+    from cardamomfork._internal.requests import reservations
+    from cardamomfork._internal.requests.claims import ledger
+
+DISOWN_TIMEOUT_S = 2.0
+
+
+@attrs.frozen
+class ClaimRoutes:
+    """The way to the owners of claim shards.
+
+    An owner is chosen among the delegates of all data centres in touch. Where
+    instances differ on it for a while, compare-and-swap settles their writes.
+
+    Attributes:
+        fleet: Knows the delegates and calls them.
+        clock: The loop's clock.
+    """
+
+    fleet: joining.FleetMembership
+    clock: clock_contract.Clock
+
+    def owner(self, shard: int) -> identifiers.InstanceId | None:
+        """Returns the owner of a shard; None if it is this instance."""
+        name = rendezvous.owner(f"claims/{shard}", self._delegates())
+        me = self.fleet.members.me.instance.instance_id
+        if name is None or name == me:
+            return None
+        return identifiers.InstanceId(name)
+
+    async def forward(
+        self, owner: identifiers.InstanceId, payload: bytes, timeout_s: float
+    ) -> bytes | None:
+        """Has the owner commit an operation; None if no answer came."""
+        peer = self._delegates().get(owner)
+        if peer is None:
+            return None
+        answer = await self.fleet.link.ask(
+            peer, peering_contract.Question.COMMIT_CLAIM, payload, timeout_s
+        )
+        return answer.ok() or None
+
+    def _delegates(self) -> dict[str, instances.Instance]:
+        """Returns the delegates of all data centres in touch, by name."""
+        now = self.clock.monotonic()
+        found = self.fleet.others.delegates(now)
+        return {one.instance_id: one for one in found}
+
+
+@attrs.frozen
+class ReservationSurroundings:
+    """What the keeper of engine memory has to know and reach.
+
+    Attributes:
+        fleet: Instances known, and the way to them.
+        links: Links to targets.
+    """
+
+    fleet: joining.FleetMembership
+    links: registry.LinkRegistry
+
+    def link(
+        self, target_id: identifiers.TargetId
+    ) -> target_link.TargetLink | None:
+        """Returns the link to a target; None if it is not configured."""
+        return self.links.find(target_id)
+
+    def local_engines(self) -> list[identifiers.TargetId]:
+        """Returns the engines of this data centre."""
+        home = self.fleet.members.me.instance.data_centre
+        return [
+            one.target.target_id
+            for one in self.links.links
+            if one.target.kind is targets.TargetKind.ENGINE
+            and one.target.data_centre == home
+        ]
+
+    def live_instances(self) -> list[identifiers.InstanceId]:
+        """Returns the instances of this data centre that can take roles."""
+        return self.fleet.members.staying()
+
+    def members(
+        self,
+    ) -> Mapping[identifiers.InstanceId, reservation_sweep.Member]:
+        """Returns all instances that the membership holds."""
+        return {
+            record.instance.instance_id: reservation_sweep.Member(
+                record.instance.boot_id, record.state
+            )
+            for record in self.fleet.members.known()
+        }
+
+    async def ask_owner(
+        self, question: reservation_sweep.Question
+    ) -> frozenset[str] | None:
+        """Has the owner say which names it does not use; None for none."""
+        record = self.fleet.members.record(question.owner)
+        if record is None:
+            return None
+        payload = msgspec.msgpack.encode(question.names)
+        for _ in range(2):
+            # The first failure drops the connection, so that the second try
+            # goes over a new one.
+            answer = await self.fleet.link.ask(
+                record.instance,
+                peering_contract.Question.DISOWN,
+                payload,
+                DISOWN_TIMEOUT_S,
+            )
+            told = answer.unwrap_or(b"")
+            if told:
+                names = msgspec.msgpack.decode(told, type=list[str])
+                return frozenset(names)
+        return None
+
+
+def answer_peers(
+    fleet: joining.FleetMembership,
+    claims: ledger.StoreClaimLedger,
+    own: reservations.OwnReservations,
+) -> None:
+    """Sets what answers the peers' questions."""
+
+    async def disown(payload: bytes) -> bytes:
+        names = msgspec.msgpack.decode(payload, type=list[str])
+        await anyio.lowlevel.checkpoint()
+        return msgspec.msgpack.encode(sorted(own.disown(names)))
+
+    fleet.peering.answer_with(
+        peering_contract.Question.COMMIT_CLAIM, claims.serve
+    )
+    fleet.peering.answer_with(peering_contract.Question.DISOWN, disown)
--- a/src/cardamomfork/_internal/contracts/peering.py
+++ b/src/cardamomfork/_internal/contracts/peering.py
@@ -46,6 +46,15 @@
         return ENVELOPE_OVERHEAD_BYTES + heads + payloads
 
 
+class Question(enum.IntEnum):
+    """What one instance asks another; the numbers are on the wire."""
+
+    COMMIT_CLAIM = 0
+    """Commits an operation on a record of claims that the callee owns."""
+    DISOWN = 1
+    """Which of the named reservations are not in use by the callee."""
+
+
 class PeerFaultKind(enum.StrEnum):
     """How an exchange with a peer went wrong."""
 
@@ -80,6 +89,10 @@
         """Returns a part of the configuration's snapshot."""
         ...
 
+    async def answer(self, question: int, payload: bytes) -> bytes:
+        """Returns the answer to a question; b"" if it can't be given."""
+        ...
+
 
 class PeerLink(Protocol):
     """Calls to other instances; each ends within its own time limit."""
@@ -108,6 +121,16 @@
         """Asks a peer for a part of its configuration's snapshot."""
         ...
 
+    async def ask(
+        self,
+        peer: instances.Instance,
+        question: Question,
+        payload: bytes,
+        timeout_s: float,
+    ) -> result.Result[bytes, PeerFault]:
+        """Asks a peer a question; b"" if it has no answer."""
+        ...
+
     def forget(self, peer: instances.Instance) -> None:
         """Closes the connection to an instance that is gone."""
         ...
--- a/src/cardamomfork/_internal/data_centres/summaries.py
+++ b/src/cardamomfork/_internal/data_centres/summaries.py
@@ -106,6 +106,20 @@
             if now - summary.heard_at < SILENT_AFTER_S
         )
 
+    def delegates(self, now: float) -> list[instances.Instance]:
+        """Returns the delegates of all data centres heard lately, this one's.
+
+        Instances that hear the same summaries return the same.
+        """
+        found = [
+            self._members.record(identifiers.InstanceId(name))
+            for name in self._own_delegates()
+        ]
+        own = [record.instance for record in found if record]
+        names = [name for name in self.reachable(now) if name != self.home]
+        others = [self._summaries[name].delegates for name in names]
+        return own + [instance for each in others for instance in each]
+
     def next_remote(self) -> instances.Instance | None:
         """Returns a delegate elsewhere to talk to; None unless a delegate.
 
--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -24,6 +24,8 @@
 from cardamomfork._internal.models import identifiers
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Sequence
     import random
 
@@ -31,6 +33,8 @@
     from cardamomfork._internal.data_centres import summaries
     from cardamomfork._internal.models import instances
 
+    Answerer = Callable[[bytes], Awaitable[bytes]]
+
 HELPERS = 3
 HURRY_FANOUT = 2
 HURRY_PAUSE_S = 0.05
@@ -86,6 +90,7 @@
         """
         self._members = members
         self._others = others
+        self._answerers: dict[int, Answerer] = {}
         self._composer = composing.EnvelopeComposer(participants, budget)
         self._clock = clock
         self._rng = rng
@@ -167,6 +172,24 @@
             return False
         return await self._exchange(self._link, subject, fresh=True)
 
+    def answer_with(
+        self, question: peering_contract.Question, answerer: Answerer
+    ) -> None:
+        """Sets what answers a question."""
+        self._answerers[question] = answerer
+
+    async def answer(self, question: int, payload: bytes) -> bytes:
+        """Answers a peer's question; b"" if nothing here can."""
+        answerer = self._answerers.get(question)
+        if answerer is None:
+            return b""
+        try:
+            return await answerer(payload)
+        except Exception:  # noqa: BLE001 - a peer's bytes may be anything.
+            self.counters.broken += 1
+            loguru.logger.exception("question {} failed", question)
+            return b""
+
     def answer_page(self, request: bytes) -> bytes:
         """Returns a part of the configuration's snapshot."""
         for participant in self._participants:
--- a/src/cardamomfork/_internal/links/peers/link.py
+++ b/src/cardamomfork/_internal/links/peers/link.py
@@ -118,6 +118,21 @@
 
         return await self._call(peer, call, PAGE_TIMEOUT_S)
 
+    async def ask(
+        self,
+        peer: instances.Instance,
+        question: peering.Question,
+        payload: bytes,
+        timeout_s: float,
+    ) -> result.Result[bytes, peering.PeerFault]:
+        """Asks a peer a question; b"" if it has no answer."""
+
+        async def call(service: Any) -> bytes:
+            answered = await service.ask(int(question), payload)
+            return bytes(answered.answer)
+
+        return await self._call(peer, call, timeout_s)
+
     def forget(self, peer: instances.Instance) -> None:
         """Closes the connection to an instance."""
         connection = self._connections.pop((peer.host, peer.port), None)
--- a/src/cardamomfork/_internal/links/peers/peers.capnp
+++ b/src/cardamomfork/_internal/links/peers/peers.capnp
@@ -28,4 +28,7 @@
 
   fetchPage @2 (request :Data) -> (page :Data);
   # Returns a part of the configuration's snapshot.
+
+  ask @3 (question :UInt8, payload :Data) -> (answer :Data);
+  # Answers a question of one of the parts; empty if it can't be given.
 }
--- a/src/cardamomfork/_internal/links/peers/server.py
+++ b/src/cardamomfork/_internal/links/peers/server.py
@@ -116,4 +116,10 @@
             request = bytes(context.params.request)
             context.results.page = handler.answer_page(request)
 
+        async def ask_context(self, context: Any) -> None:
+            """Answers a question of one of the parts."""
+            question = context.params.question
+            payload = bytes(context.params.payload)
+            context.results.answer = await handler.answer(question, payload)
+
     return Service()
--- a/src/cardamomfork/_internal/measure/peer_links.py
+++ b/src/cardamomfork/_internal/measure/peer_links.py
@@ -40,6 +40,10 @@
         """Returns the request."""
         return request
 
+    async def answer(self, question: int, payload: bytes) -> bytes:
+        """Returns the payload of any question."""
+        return payload if question >= 0 else b""
+
 
 def measure(options: reports.Options) -> reports.Report:
     """Measures exchanges by the size of their payloads."""
--- a/src/cardamomfork/_internal/standins/peer_network.py
+++ b/src/cardamomfork/_internal/standins/peer_network.py
@@ -111,6 +111,20 @@
         self._network.pages += 1
         return result.Ok(handler.answer_page(request))
 
+    async def ask(
+        self,
+        peer: instances.Instance,
+        question: peering.Question,
+        payload: bytes,
+        timeout_s: float,
+    ) -> result.Result[bytes, peering.PeerFault]:
+        """Asks a peer a question; b"" if it has no answer."""
+        with anyio.move_on_after(timeout_s):
+            handler = await self._reach(peer)
+            if handler is not None:
+                return result.Ok(await handler.answer(question, payload))
+        return result.Err(_fault(peer))
+
     def forget(self, peer: instances.Instance) -> None:
         """Has no connections to close."""
 
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -55,6 +55,8 @@
         dispatcher: Decides when and where requests run.
         limiter: Client accounts' limits.
         engine_news: Takes what the engines tell.
+        claim_routes: The way to the owners of claim shards; None to write
+            all claims here.
         watches: Whether an engine is this instance's to watch.
     """
 
@@ -62,6 +64,7 @@
     dispatcher: dispatching.Dispatcher
     limiter: limiting.Limiter
     engine_news: observing.Listener
+    claim_routes: ledger.ClaimRoutes | None = None
     watches: Callable[[identifiers.TargetId], bool] = lambda _: True
 
 
@@ -85,6 +88,7 @@
         requests: The request service.
         observer: Reads engines' load and cache events.
         committer: Writes claims; None without a store.
+        ledger: Claims; None without a store.
         own: Reservations of this instance on engines.
     """
 
@@ -103,6 +107,7 @@
     requests: service.RequestService
     observer: observing.EngineObserver
     committer: committer.GroupCommitter | None
+    ledger: ledger.StoreClaimLedger | None
     own: reservations.OwnReservations
 
     def apply_service(self, changed: configuration.Service) -> None:
@@ -164,10 +169,14 @@
     clock = clock_contract.LoopClock()
     policy = claim_keys.ClaimPolicy()
     claims = None
+    claim_ledger = None
     if store is not None:
         claims = committer.GroupCommitter(
             store, clock, random.Random(), policy.retention_s
         )
+        claim_ledger = ledger.StoreClaimLedger(
+            claims, clock, policy, surroundings.claim_routes
+        )
     watch = idle.IdleWatch(IDLE_LOOK_S)
     links = registry.LinkRegistry(watch)
     dispatcher = surroundings.dispatcher
@@ -198,9 +207,7 @@
         requests=service.RequestService(
             clock=clock,
             limiter=limiter,
-            ledger=None
-            if claims is None
-            else ledger.StoreClaimLedger(claims, clock, policy),
+            ledger=claim_ledger,
             runner=running.Runner(
                 waiting_room=waiting_room,
                 links=links,
@@ -221,6 +228,7 @@
             links, surroundings.engine_news, clock, surroundings.watches
         ),
         committer=claims,
+        ledger=claim_ledger,
     )
 
 
--- a/tests/functional/test_peer_links.py
+++ b/tests/functional/test_peer_links.py
@@ -71,6 +71,9 @@
     def handle(self, envelope):
         return self.peering.handle(envelope)
 
+    async def answer(self, question, payload):
+        return await self.peering.answer(question, payload)
+
     async def probe_for(self, subject):
         return await self.peering.probe_for(subject)
 
@@ -109,9 +112,9 @@
         async def main():
             async with capnp.kj_loop():
                 with anyio.fail_after(PATIENCE_S):
-                    await function()
+                    return await function()
 
-        anyio.run(main)
+        return anyio.run(main)
 
     async def wait_for(self, condition):
         for _ in range(PATIENCE_S * 20):
@@ -183,6 +186,30 @@
 
         self.run_async(scenario)
 
+    def test_questions_are_answered_or_come_back_empty(self):
+        asked = peering_contract.Question.DISOWN
+
+        async def double(payload):
+            return payload * 2
+
+        async def fail(payload):
+            raise ValueError(payload)
+
+        async def scenario():
+            end = Endpoint("a")
+            async with end.server.serve():
+                me = end.open()
+                answers = [await end.link.ask(me, asked, b"x", 5.0)]
+                for answerer in (double, fail):
+                    end.peering.answer_with(asked, answerer)
+                    answers.append(await end.link.ask(me, asked, b"x", 5.0))
+                end.link.close()
+            gone = await end.link.ask(me, asked, b"x", 5.0)
+            self.assertTrue(gone.is_err())
+            return [answer.unwrap() for answer in answers]
+
+        self.assertEqual(self.run_async(scenario), [b"", b"xx", b""])
+
     def test_pages_and_tls(self):
         authority = trustme.CA()
         issued = authority.issue_cert("127.0.0.1")
