--- /dev/null
+++ b/src/cardamomfork/_internal/requests/poison.py
@@ -0,0 +1,440 @@
+"""Requests that crash each target that runs them.
+
+A request is known by its fingerprint. Those that ran on a target when it died
+are suspects until they finish elsewhere. A suspect waits until the peers have
+had time to object, never shares a target with another suspect, and is
+quarantined once it was on two different targets that died.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.data_centres import rendezvous
+from cardamomfork._internal.models import identifiers
+
+if TYPE_CHECKING:
+    import random
+
+FINGERPRINT_BYTES = 8
+"""Bytes of a request's fingerprint that tell suspects apart."""
+MAX_SUSPECTS = 8192
+MAX_LOST = 8192
+DEATHS_TO_QUARANTINE = 2
+SUSPECT_S = 600.0
+FIRST_QUARANTINE_S = 3600.0
+MAX_QUARANTINE_S = 86_400.0
+GOSSIP_TELLS_S = 4.0
+"""Seconds in which gossip reaches the peers and an objection comes back."""
+PUSH_TELLS_S = 1.5
+"""The same where fresh deaths are pushed to all peers at once."""
+START_JITTER_S = 0.5
+LOST_HOLD_S = 1.0
+"""Seconds for which a lost request waits for the verdict on its target."""
+LOST_MEMORY_S = 15.0
+"""Seconds after its loss in which a target's death still counts for one."""
+BURST_S = 5.0
+BURST_DEATHS = 5
+"""Targets that die so close together did not die of one request."""
+
+
+class Verdict(enum.Enum):
+    """What to do with a request."""
+
+    FREE = "free"
+    ALONE = "alone"
+    """Run it where `isolation_target` says."""
+    WAIT = "wait"
+    """Ask again at `retry_at`."""
+    QUARANTINED = "quarantined"
+    """Refuse it until `retry_at`."""
+
+
+@attrs.frozen
+class Admission:
+    """A verdict, and when to ask again."""
+
+    verdict: Verdict
+    retry_at: float = 0.0
+
+
+FREE = Admission(Verdict.FREE)
+ALONE = Admission(Verdict.ALONE)
+
+
+@attrs.define
+class Suspect:
+    """What is known of a fingerprint.
+
+    Attributes:
+        deaths: When which target died with it; monotonic seconds.
+        weight: Sum of 1/n over the deaths, for n that ran there.
+        cleared_at: When it last finished; deaths before do not count.
+        held_until: Not run before.
+        quarantined_until: Refused before.
+        quarantines: How often it was quarantined.
+        elsewhere_until: A peer said that it runs there, until so.
+        changed: Counts this instance's changes, for the peers.
+    """
+
+    deaths: dict[identifiers.TargetId, float] = attrs.field(factory=dict)
+    weight: float = 0.0
+    cleared_at: float = float("-inf")
+    held_until: float = float("-inf")
+    quarantined_until: float = float("-inf")
+    quarantines: int = 0
+    elsewhere_until: float = float("-inf")
+    changed: int = 0
+
+    def live_deaths(self, now: float) -> int:
+        """Returns how many different targets died with it lately."""
+        since = max(self.cleared_at, now - SUSPECT_S)
+        return sum(at > since for at in self.deaths.values())
+
+
+@attrs.define
+class _Run:
+    """A fingerprint's runs on one target."""
+
+    count: int
+    started_at: float
+
+
+@attrs.define
+class PoisonCounters:
+    """What happened.
+
+    Attributes:
+        deaths: Targets that died with requests on them.
+        bursts: Deaths that were taken for a common cause.
+        suspected: Fingerprints that became suspects here.
+        isolated: Suspects that were started.
+        cleared: Suspects that finished.
+        quarantined: Quarantines begun here.
+    """
+
+    deaths: int = 0
+    bursts: int = 0
+    suspected: int = 0
+    isolated: int = 0
+    cleared: int = 0
+    quarantined: int = 0
+
+
+class PoisonGuard:
+    """Keeps one body from taking down target after target.
+
+    The service calls `admit` before each attempt, `started` and `ended` around
+    it, and `target_died` or `target_survived` once a lost target was checked
+    on a new connection.
+    """
+
+    def __init__(
+        self, rng: random.Random, peers_tell_s: float = GOSSIP_TELLS_S
+    ) -> None:
+        """Starts without suspects.
+
+        Args:
+            rng: Source of jitter, so that two instances that hold the same
+                body do not run it at the same moment.
+            peers_tell_s: Seconds in which news reaches the peers and an
+                objection comes back.
+        """
+        self._rng = rng
+        self._peers_tell_s = peers_tell_s
+        self._suspects: OrderedDict[bytes, Suspect] = OrderedDict()
+        self._running: dict[identifiers.TargetId, dict[bytes, _Run]] = {}
+        self._places: dict[bytes, int] = {}
+        self._lost: OrderedDict[tuple[identifiers.TargetId, bytes], float] = (
+            OrderedDict()
+        )
+        self._targets: frozenset[identifiers.TargetId] = frozenset()
+        self._places_of: dict[bytes, identifiers.TargetId] = {}
+        self._held: OrderedDict[bytes, float] = OrderedDict()
+        self._recent_deaths: dict[identifiers.TargetId, float] = {}
+        self._changes = 0
+        self.counters = PoisonCounters()
+
+    @property
+    def suspects(self) -> OrderedDict[bytes, Suspect]:
+        """What is known, by fingerprint; `change` marks what one changes."""
+        return self._suspects
+
+    @property
+    def changes(self) -> int:
+        """How many changes there were."""
+        return self._changes
+
+    def admit(self, fingerprint: bytes, now: float) -> Admission:
+        """Says whether a request may run now."""
+        key = fingerprint[:FINGERPRINT_BYTES]
+        held_until = self._held.get(key, now)
+        if now < held_until:
+            return Admission(Verdict.WAIT, held_until)
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            return FREE
+        if now < suspect.quarantined_until:
+            return Admission(Verdict.QUARANTINED, suspect.quarantined_until)
+        if suspect.live_deaths(now) == 0:
+            return FREE
+        wait_until = max(suspect.held_until, suspect.elsewhere_until)
+        if now < wait_until:
+            return Admission(Verdict.WAIT, wait_until)
+        if self._places.get(key):
+            return Admission(Verdict.WAIT, now + LOST_HOLD_S)
+        return ALONE
+
+    def answer_at(self, fingerprint: bytes, now: float) -> float:
+        """Returns when its caller may be told that a lost request failed.
+
+        Its caller may send it again at once, through any instance: the peers
+        are to know of the death by then.
+        """
+        suspect = self._suspects.get(fingerprint[:FINGERPRINT_BYTES])
+        return now if suspect is None else max(suspect.held_until, now)
+
+    def isolation_target(
+        self,
+        fingerprint: bytes,
+        targets: frozenset[identifiers.TargetId],
+        now: float,
+    ) -> identifiers.TargetId | None:
+        """Returns the target on which a suspect may run now.
+
+        Each suspect has one place by rendezvous hash, and the first in line
+        there runs; so instances that know the same suspects never put two on
+        one target. None while it is another's turn.
+
+        Args:
+            fingerprint: The suspect.
+            targets: Targets that serve it and are up.
+            now: Current time in seconds.
+        """
+        if not targets:
+            return None
+        if targets != self._targets:
+            self._targets = targets
+            self._places_of.clear()
+        key = fingerprint[:FINGERPRINT_BYTES]
+        place = self._place_of(key)
+        rivals = [
+            other
+            for other, suspect in self._suspects.items()
+            if other != key
+            and now >= suspect.quarantined_until
+            and suspect.live_deaths(now) > 0
+            and self._place_of(other) == place
+        ]
+        runs = self._running.get(place, {})
+        first = all(key < other for other in rivals)
+        busy = any(other in runs for other in rivals)
+        return place if first and not busy else None
+
+    def _place_of(self, key: bytes) -> identifiers.TargetId:
+        """Returns the target on which a suspect is to run."""
+        place = self._places_of.get(key)
+        if place is None:
+            place = identifiers.TargetId(
+                rendezvous.owner(key.hex(), self._targets) or ""
+            )
+            self._places_of[key] = place
+            while len(self._places_of) > MAX_SUSPECTS:
+                self._places_of.pop(next(iter(self._places_of)))
+        return place
+
+    def is_suspect(self, key: bytes, now: float) -> bool:
+        """Whether a fingerprint (its first bytes) is under suspicion."""
+        suspect = self._suspects.get(key)
+        return suspect is not None and suspect.live_deaths(now) > 0
+
+    def runs_here(self, key: bytes) -> bool:
+        """Whether a fingerprint (its first bytes) runs on any target."""
+        return key in self._places
+
+    def started(
+        self, fingerprint: bytes, target_id: identifiers.TargetId, now: float
+    ) -> None:
+        """Notes that an attempt is sent."""
+        key = fingerprint[:FINGERPRINT_BYTES]
+        runs = self._running.setdefault(target_id, {})
+        run = runs.get(key)
+        if run is None:
+            runs[key] = _Run(1, now)
+        else:
+            run.count += 1
+        self._places[key] = self._places.get(key, 0) + 1
+        if self.is_suspect(key, now):
+            self.counters.isolated += 1
+            self.change(key)
+
+    def ended(
+        self,
+        fingerprint: bytes,
+        target_id: identifiers.TargetId,
+        now: float,
+        finished: bool,
+    ) -> None:
+        """Notes that an attempt ended.
+
+        Args:
+            fingerprint: The request's fingerprint.
+            target_id: Where it ran.
+            now: Current time in seconds.
+            finished: Whether the target outlived it: it gave an end, or
+                confirmed the cancel.
+        """
+        key = fingerprint[:FINGERPRINT_BYTES]
+        runs = self._running.get(target_id, {})
+        run = runs.get(key)
+        if run is None:
+            return
+        run.count -= 1
+        if run.count == 0:
+            del runs[key]
+            if not runs:
+                del self._running[target_id]
+        self._leave(key)
+        if finished:
+            self._clear(key, now)
+            return
+        self._lost[target_id, key] = now
+        self._lost.move_to_end((target_id, key))
+        self._held[key] = now + LOST_HOLD_S
+        while len(self._lost) > MAX_LOST:
+            self._lost.popitem(last=False)
+        while len(self._held) > MAX_LOST:
+            self._held.popitem(last=False)
+
+    def target_survived(self, target_id: identifiers.TargetId) -> None:
+        """Notes that a target that lost requests is alive."""
+        for place in [p for p in self._lost if p[0] == target_id]:
+            del self._lost[place]
+            self._held.pop(place[1], None)
+
+    def target_died(self, target_id: identifiers.TargetId, now: float) -> None:
+        """Notes that a target died; what ran there becomes suspect."""
+        ran = {
+            key
+            for (place, key), at in self._lost.items()
+            if place == target_id and now - at <= LOST_MEMORY_S
+        }
+        runs = self._running.pop(target_id, {})
+        for key, run in runs.items():
+            for _ in range(run.count):
+                self._leave(key)
+        ran.update(runs)
+        self.target_survived(target_id)
+        if not ran:
+            return
+        self.counters.deaths += 1
+        if self._is_burst(target_id, ran, now):
+            self.counters.bursts += 1
+            return
+        for key in sorted(ran):
+            self.accuse(key, target_id, now, 1.0 / len(ran), now)
+
+    def accuse(
+        self,
+        key: bytes,
+        target_id: identifiers.TargetId,
+        at: float,
+        weight: float,
+        now: float,
+    ) -> None:
+        """Adds a death to a fingerprint's record."""
+        suspect = self.record(key)
+        if suspect.live_deaths(now) == 0:
+            self.counters.suspected += 1
+        suspect.deaths[target_id] = at
+        suspect.weight += weight
+        hold_s = self._peers_tell_s + self._rng.random() * START_JITTER_S
+        suspect.held_until = max(suspect.held_until, now + hold_s)
+        self._quarantine(suspect, now)
+        self.change(key)
+
+    def record(self, key: bytes) -> Suspect:
+        """Returns a fingerprint's record; drops the oldest past the bound."""
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            suspect = Suspect()
+            while len(self._suspects) >= MAX_SUSPECTS:
+                self._suspects.popitem(last=False)
+            self._suspects[key] = suspect
+            self._suspects.move_to_end(key, last=False)
+        return suspect
+
+    def change(self, key: bytes) -> None:
+        """Marks a record as news for the peers."""
+        self._changes += 1
+        self._suspects[key].changed = self._changes
+        self._suspects.move_to_end(key)
+
+    def forget_old(self, now: float) -> None:
+        """Drops records that no longer matter; call it now and then."""
+        for place, at in list(self._lost.items()):
+            if now - at > LOST_MEMORY_S:
+                del self._lost[place]
+                self._held.pop(place[1], None)
+        old = [
+            key
+            for key, suspect in self._suspects.items()
+            if suspect.live_deaths(now) == 0
+            and suspect.quarantined_until + SUSPECT_S < now
+            and suspect.cleared_at + SUSPECT_S < now
+        ]
+        for key in old:
+            del self._suspects[key]
+
+    def _quarantine(self, suspect: Suspect, now: float) -> None:
+        """Begins a quarantine if there is enough against a fingerprint."""
+        if suspect.live_deaths(now) < DEATHS_TO_QUARANTINE:
+            return
+        if now < suspect.quarantined_until:
+            return
+        length_s = FIRST_QUARANTINE_S * 2.0**suspect.quarantines
+        suspect.quarantined_until = now + min(length_s, MAX_QUARANTINE_S)
+        suspect.quarantines += 1
+        self.counters.quarantined += 1
+        exceptions.check_invariant(
+            len(suspect.deaths) >= DEATHS_TO_QUARANTINE,
+            "only two different targets' deaths quarantine",
+            sorted(suspect.deaths),
+        )
+
+    def _is_burst(
+        self, target_id: identifiers.TargetId, ran: set[bytes], now: float
+    ) -> bool:
+        """Whether many targets died at once, and none of a known suspect."""
+        self._recent_deaths = {
+            target: at
+            for target, at in self._recent_deaths.items()
+            if now - at <= BURST_S
+        }
+        self._recent_deaths[target_id] = now
+        if len(self._recent_deaths) < BURST_DEATHS:
+            return False
+        return not any(self.is_suspect(key, now) for key in ran)
+
+    def _clear(self, key: bytes, now: float) -> None:
+        """Clears a suspect whose target outlived it."""
+        suspect = self._suspects.get(key)
+        if suspect is None or suspect.live_deaths(now) == 0:
+            return
+        if now < suspect.quarantined_until:
+            return
+        suspect.cleared_at = now
+        suspect.weight = 0.0
+        self.counters.cleared += 1
+        self.change(key)
+
+    def _leave(self, key: bytes) -> None:
+        """Counts one place less that runs a fingerprint."""
+        self._places[key] -= 1
+        if self._places[key] == 0:
+            del self._places[key]
