Check the promises in randomised fault runs

Cause: Promises under two faults at once need runs, not arguments. Before the order was fixed, a seed did not repeat.

--- a/src/cardamomfork/_internal/measure/claims.py
+++ b/src/cardamomfork/_internal/measure/claims.py
@@ -221,7 +221,7 @@
             await tasks.start(writer.run)
             routes = _Routes(name, self._fleet, owners) if way.owners else None
             self._fleet.ledgers[name] = ledger.StoreClaimLedger(
-                writer, self._clock, policy, routes
+                writer, self._clock, policy, routes, self._new_token
             )
 
     async def _arrive(self, tasks: anyio.abc.TaskGroup, seconds: float) -> None:
@@ -232,11 +232,14 @@
             tasks.start_soon(self._call, self._rng.choice(ledgers))
             await anyio.sleep(self._rng.expovariate(CLAIMS_PER_S))
 
+    def _new_token(self) -> str:
+        """Returns a name that no other call has."""
+        return f"{self._rng.getrandbits(64):016x}"
+
     async def _call(self, one: ledger.StoreClaimLedger) -> None:
         """Claims a new key, runs and settles."""
         account = identifiers.AccountName("a")
-        now_ms = int(self._clock.wall() * 1000)
-        key = identifiers.new_time_ordered_id(now_ms)
+        key = f"{self._clock.wall():.0f}-{self._new_token()}"
         counted = self._counting
         started = anyio.current_time()
         claimed = await one.claim(account, key, b"f" * 16, CLAIM_TIME_S)
--- a/src/cardamomfork/_internal/standins/virtual_time.py
+++ b/src/cardamomfork/_internal/standins/virtual_time.py
@@ -40,11 +40,24 @@
         return EPOCH_S + self.skew_s + anyio.current_time()
 
 
-def run(function: Callable[..., Awaitable[T]], *arguments: Any) -> T:
-    """Runs a coroutine function to its end in virtual time."""
+def run(
+    function: Callable[..., Awaitable[T]], *arguments: Any, seed: int = 0
+) -> T:
+    """Runs a coroutine function to its end in virtual time.
+
+    Args:
+        function: The coroutine function.
+        *arguments: What to call it with.
+        seed: Decides the order of tasks that are ready at the same time.
+    """
     # Installed for tests and measurements only.
+    import trio
     import trio.testing
 
+    # Trio offers no public way to repeat the order of its tasks.
+    scheduler = trio._core._run
+    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[misc]
+    scheduler._r.seed(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
     return anyio.run(
         function, *arguments, backend="trio", backend_options={"clock": clock}
