Keep an attempt's end in a plain attribute for the path of each buffer

Cause: A property over an enum was read for each buffer of an answer. Change: `terminal` is set once, with the invariant that it is set once.

--- a/src/cardamomfork/_internal/requests/attempts.py
+++ b/src/cardamomfork/_internal/requests/attempts.py
@@ -44,10 +44,6 @@
     """How the run ended is not known here."""
 
 
-TERMINAL = frozenset(
-    {AttemptState.DONE, AttemptState.REFUSED, AttemptState.LOST}
-)
-
 _PROOF = {
     targets.FaultKind.UNREACHABLE: AttemptState.SENDING,
     targets.FaultKind.REFUSED: AttemptState.SENT,
@@ -76,8 +72,18 @@
     diverged: int = 0
 
 
+_STREAMING = AttemptState.STREAMING
+
+
 class AttemptMachine:
-    """The state of one attempt; every method is O(1)."""
+    """The state of one attempt; every method is O(1).
+
+    Attributes:
+        attempt_id: Its name, echoed by the target.
+        target_id: Where it runs.
+        start: Offset in bytes at which the answer was asked to begin.
+        terminal: Whether it has ended; kept for the path of each buffer.
+    """
 
     __slots__ = (
         "_byte_left",
@@ -88,6 +94,7 @@
         "attempt_id",
         "start",
         "target_id",
+        "terminal",
     )
 
     def __init__(
@@ -109,6 +116,7 @@
         self.target_id = target_id
         self.start = start
         self._counters = counters
+        self.terminal = False
         self._state = AttemptState.QUEUED
         self._byte_left = False
         self._offset = start
@@ -119,11 +127,6 @@
         """How far it got."""
         return self._state
 
-    @property
-    def terminal(self) -> bool:
-        """Whether it has ended."""
-        return self._state >= AttemptState.DONE
-
     @property
     def offset(self) -> int:
         """Offset of the next byte of the answer, where a resume starts."""
@@ -180,7 +183,7 @@
 
         Call it only while the attempt is not terminal.
         """
-        self._state = AttemptState.STREAMING
+        self._state = _STREAMING
         self._offset += length
 
     def place_frame(
@@ -233,7 +236,7 @@
             self._counters.gaps += 1
             return False
         self._check_sent()
-        self._state = AttemptState.DONE
+        self._end(AttemptState.DONE)
         return True
 
     def fail(self, fault: targets.TargetFault) -> None:
@@ -244,20 +247,28 @@
         self._fault = fault
         last = _PROOF.get(fault.kind)
         if not self._byte_left or (last is not None and self._state <= last):
-            self._state = AttemptState.REFUSED
+            self._end(AttemptState.REFUSED)
         elif fault.kind is targets.FaultKind.REJECTED:
-            self._state = AttemptState.DONE
+            self._end(AttemptState.DONE)
         else:
-            self._state = AttemptState.LOST
+            self._end(AttemptState.LOST)
 
     def abandon(self) -> None:
         """Gives the attempt up, by a cancel or a deadline."""
         if self.terminal:
             return
         if self._byte_left:
-            self._state = AttemptState.LOST
+            self._end(AttemptState.LOST)
         else:
-            self._state = AttemptState.REFUSED
+            self._end(AttemptState.REFUSED)
+
+    def _end(self, state: AttemptState) -> None:
+        """Moves to a terminal state, once."""
+        exceptions.check_invariant(
+            not self.terminal, "an attempt ends once", self.attempt_id
+        )
+        self._state = state
+        self.terminal = True
 
     def _check_sent(self) -> None:
         """Checks that an answer follows a call."""
