--- /dev/null
+++ b/src/cardamomfork/_internal/daemon.py
@@ -0,0 +1,161 @@
+"""The daemon `cardamomforkd`: wires the parts and serves until a signal."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import capnp
+import cyclopts
+from loguru import logger
+import result
+
+from cardamomfork._internal import embedded
+from cardamomfork._internal import exceptions
+from cardamomfork._internal import wiring
+from cardamomfork._internal.composition import process as process_module
+from cardamomfork._internal.links import event_loop
+from cardamomfork._internal.links import http_server
+from cardamomfork._internal.links import tls
+from cardamomfork._internal.links.callers import protocol
+from cardamomfork._internal.models import settings as settings_models
+from cardamomfork._internal.settings import loader
+from cardamomfork._internal.telemetry import logs
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.links.callers import application
+
+BALANCER_NOTICE_S = 0.5
+"""Time to answer `/readyz` with "no" before connections are refused."""
+
+_program = cyclopts.App(name="cardamomforkd")
+
+
+async def serve(settings: settings_models.DaemonSettings) -> None:
+    """Runs the process until a signal, then until its requests have ended."""
+    async with capnp.kj_loop(), embedded.running_for(settings) as demo:
+        process = process_module.make_process(demo.settings)
+        await demo.configure(process.platform.store)
+        async with anyio.create_task_group() as tasks:
+            await process.start(tasks)
+            keys = demo.wrap_keys(process.serving.keys)
+            secured = tls.make_server_tls(settings.callers.tls)
+            if secured is not None:
+                tasks.start_soon(secured.watch)
+            server = _make_server(process, keys, secured)
+            tasks.start_soon(_stop_on_signal, process, server)
+            await server.serve()
+            logger.info("stopped")
+            tasks.cancel_scope.cancel()
+        await process.close()
+
+
+def _make_server(
+    process: process_module.Process,
+    keys: application.Authenticator,
+    secured: tls.ServerTls | None,
+) -> http_server.HttpServer:
+    """Binds the callers' side and logs the chosen port."""
+    callers = process.settings.callers
+    server = http_server.HttpServer(
+        wiring.make_application(process.serving, keys),
+        http_server.bind(callers.host, callers.port),
+        protocol.CallerProtocol,
+        callers.max_connections,
+        None if secured is None else secured.context,
+    )
+    logger.info(f"serving callers on {server.host}:{server.port}")
+    return server
+
+
+async def _stop_on_signal(
+    process: process_module.Process, server: http_server.HttpServer
+) -> None:
+    """Drains at the first signal: unready at once, then no connections."""
+    stopping = False
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            if stopping:
+                continue
+            stopping = True
+            logger.info(f"draining after {signal.Signals(number).name}")
+            process.serving.requests.drain()
+            with anyio.move_on_after(process.settings.instance.drain_timeout_s):
+                await anyio.sleep(BALANCER_NOTICE_S)
+                await process.finish()
+            server.stop()
+
+
+@_program.default
+def run(
+    *,
+    embedded: bool = False,
+    settings: str | None = None,
+    port: int | None = None,
+) -> None:
+    """Serves prompts and calls until SIGTERM.
+
+    Args:
+        embedded: Run the embedded engine, service and account.
+        settings: INI file with the settings.
+        port: TCP port for callers in place of the settings' own; 0 picks one,
+            and then one for peers and operators too.
+    """
+    chosen = _load(settings, embedded)
+    if port is not None:
+        chosen = _with_port(chosen, port)
+    logs.configure(
+        chosen.telemetry.log_level,
+        instance_id=chosen.instance.instance_id,
+        data_centre=chosen.instance.data_centre,
+    )
+    anyio.run(serve, chosen, backend_options=event_loop.BACKEND_OPTIONS)
+
+
+def _with_port(
+    settings: settings_models.DaemonSettings, port: int
+) -> settings_models.DaemonSettings:
+    """Returns the settings with another port for callers; 0 picks all."""
+    callers = attrs.evolve(settings.callers, port=port)
+    if port:
+        return attrs.evolve(settings, callers=callers)
+    return attrs.evolve(
+        settings,
+        callers=callers,
+        peers=attrs.evolve(settings.peers, port=0),
+        operators=attrs.evolve(settings.operators, port=0),
+    )
+
+
+def _load(path: str | None, embedded: bool) -> settings_models.DaemonSettings:
+    """Returns the settings of a file, or the defaults.
+
+    Raises:
+        exceptions.SettingsError: The file has findings.
+    """
+    if path is None:
+        return settings_models.DaemonSettings(embedded=embedded)
+    loaded = loader.load(path, embedded=embedded)
+    if isinstance(loaded, result.Err):
+        found = "\n".join(str(finding) for finding in loaded.err_value)
+        raise exceptions.SettingsError(
+            f"{path} can't be used:\n{found}",
+            "\nCorrect it and check it with `cardamomfork check-config`.",
+        )
+    return loaded.ok_value
+
+
+def main() -> None:
+    """Runs the program; a message on stderr says why it can't start."""
+    try:
+        _program()
+    except exceptions.CardamomforkError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
