Keep streams of owners in other data centres, of which homes know little

Cause: Only delegates of other data centres are known, so a stream of another instance there would have been freed after 120 s as that of nobody. Change: Reservation names carry the data centre; an owner elsewhere that was never heard of keeps its memory for 3,900 s, longer than any request lasts. Figures: the new test frees nothing for 3,890 s and all at 3,900 s. Conclusion: OwnReservations and HomeSweep are to be given the data centre.

--- a/src/cardamomfork/_internal/measure/fault_instances.py
+++ b/src/cardamomfork/_internal/measure/fault_instances.py
@@ -35,6 +35,7 @@
     from cardamomfork._internal.measure import faults
     from cardamomfork._internal.models import requests
 
+DATA_CENTRE = identifiers.DataCentreId("dc")
 SETTLE_S = 0.5
 RETRY_SHARE = 0.5
 EXPECTED_S = 0.8
@@ -117,10 +118,12 @@
             lambda: f"{rng.getrandbits(64):016x}",
         )
         self._retries = retries.RetryPolicy(rng)
-        self.own = reservations.OwnReservations(instance_id, boot_id, rng)
+        self.own = reservations.OwnReservations(
+            instance_id, boot_id, rng, DATA_CENTRE
+        )
         self._keeper = reservation_keeper.ReservationKeeper(
             self.own,
-            reservation_sweep.HomeSweep(instance_id, rng),
+            reservation_sweep.HomeSweep(instance_id, rng, DATA_CENTRE),
             self,
             self._clock,
         )
--- a/src/cardamomfork/_internal/requests/reservation_sweep.py
+++ b/src/cardamomfork/_internal/requests/reservation_sweep.py
@@ -30,7 +30,9 @@
 DEAD_GRACE_S = 30.0
 """Seconds for which a dead owner's silence must last."""
 UNKNOWN_GRACE_S = 120.0
-"""The same for an owner that was never heard of."""
+"""The same for an owner of this data centre that was never heard of."""
+ELSEWHERE_GRACE_S = 3900.0
+"""The same for one of another data centre: longer than any request lasts."""
 
 
 class OwnerStanding(enum.Enum):
@@ -41,6 +43,8 @@
     """A later life of the instance is known."""
     DEAD = "dead"
     UNKNOWN = "unknown"
+    ELSEWHERE = "elsewhere"
+    """It stands in another data centre, of which only delegates are known."""
 
 
 @attrs.frozen
@@ -76,13 +80,17 @@
         self,
         instance_id: identifiers.InstanceId,
         rng: random.Random,
+        data_centre: identifiers.DataCentreId | None = None,
     ) -> None:
         """Starts with nothing watched.
 
         Args:
             instance_id: This instance.
             rng: Source of jitter.
+            data_centre: Where it stands; None to take every owner that was
+                never heard of for one of another data centre.
         """
+        self._data_centre = data_centre
         self._instance_id = instance_id
         self._rng = rng
         self._next_list: dict[identifiers.TargetId, float] = {}
@@ -144,7 +152,7 @@
                 self.foreign_names += 1
                 continue
             watched = self._watch(text, target_id, now)
-            standing = _standing(name, members)
+            standing = _standing(name, members, self._data_centre)
             if _is_orphan(standing, now - watched.heard_at):
                 self._releases.add(text, target_id, now)
             else:
@@ -205,11 +213,14 @@
 def _standing(
     name: reservations.ReservationName,
     members: Mapping[identifiers.InstanceId, Member],
+    data_centre: identifiers.DataCentreId | None,
 ) -> OwnerStanding:
     """Returns what is known of a reservation's owner."""
     member = members.get(name.instance_id)
     if member is None or member.boot_id < name.boot_id:
-        return OwnerStanding.UNKNOWN
+        if name.data_centre == data_centre:
+            return OwnerStanding.UNKNOWN
+        return OwnerStanding.ELSEWHERE
     if member.boot_id > name.boot_id:
         return OwnerStanding.REPLACED
     if member.state is instances.InstanceState.DEAD:
@@ -225,4 +236,6 @@
         return silent_s >= DEAD_GRACE_S
     if standing is OwnerStanding.UNKNOWN:
         return silent_s >= UNKNOWN_GRACE_S
+    if standing is OwnerStanding.ELSEWHERE:
+        return silent_s >= ELSEWHERE_GRACE_S
     return False
--- a/src/cardamomfork/_internal/requests/reservations.py
+++ b/src/cardamomfork/_internal/requests/reservations.py
@@ -26,7 +26,8 @@
 RELEASE_FOR_S = 600.0
 """Seconds after which an owner leaves a release to the home instance."""
 
-_PARTS = 3
+_PARTS = 4
+_ELSEWHERE = identifiers.DataCentreId("")
 
 
 @attrs.frozen
@@ -34,29 +35,33 @@
     """Who holds engine memory.
 
     Attributes:
+        data_centre: Where the owner stands; empty if it does not say.
         instance_id: The owning entry instance.
         boot_id: Which life of it.
         attempt_id: The attempt that it is for; never used again.
     """
 
+    data_centre: identifiers.DataCentreId
     instance_id: identifiers.InstanceId
     boot_id: identifiers.BootId
     attempt_id: identifiers.AttemptId
 
     def __str__(self) -> str:
         """Returns the name as engines see it."""
-        return f"{self.instance_id}/{self.boot_id}/{self.attempt_id}"
+        owner = f"{self.data_centre}/{self.instance_id}/{self.boot_id}"
+        return f"{owner}/{self.attempt_id}"
 
 
 def parse_name(text: str) -> ReservationName | None:
     """Reads a name; None if it is not of this form."""
     parts = text.rsplit("/", _PARTS - 1)
-    if len(parts) != _PARTS or not all(parts):
+    if len(parts) != _PARTS or not all(parts[1:]):
         return None
     return ReservationName(
-        identifiers.InstanceId(parts[0]),
-        identifiers.BootId(parts[1]),
-        identifiers.AttemptId(parts[2]),
+        identifiers.DataCentreId(parts[0]),
+        identifiers.InstanceId(parts[1]),
+        identifiers.BootId(parts[2]),
+        identifiers.AttemptId(parts[3]),
     )
 
 
@@ -133,6 +138,7 @@
         instance_id: identifiers.InstanceId,
         boot_id: identifiers.BootId,
         rng: random.Random,
+        data_centre: identifiers.DataCentreId = _ELSEWHERE,
     ) -> None:
         """Starts with none.
 
@@ -140,7 +146,10 @@
             instance_id: This instance.
             boot_id: This life of it.
             rng: Source of jitter.
+            data_centre: Where it stands, so that homes know whether they
+                must have heard of it.
         """
+        self._data_centre = data_centre
         self._instance_id = instance_id
         self._boot_id = boot_id
         self._open: dict[str, identifiers.TargetId] = {}
@@ -167,7 +176,9 @@
         keeps it open meanwhile.
         """
         name = str(
-            ReservationName(self._instance_id, self._boot_id, attempt_id)
+            ReservationName(
+                self._data_centre, self._instance_id, self._boot_id, attempt_id
+            )
         )
         exceptions.check_invariant(
             name not in self._releases,
--- a/tests/unit/test_reservations.py
+++ b/tests/unit/test_reservations.py
@@ -31,11 +31,11 @@
         self.dead_since = {}
         self.paused = set()
         self.owners = {name: self.boot(name) for name in "ab"}
-        self.home = reservation_sweep.HomeSweep("home", random.Random(1))
+        self.home = reservation_sweep.HomeSweep("home", random.Random(1), "dc")
 
     def boot(self, name):
         boot = f"b{self.boots[name]:03}"
-        return reservations.OwnReservations(name, boot, random.Random(2))
+        return reservations.OwnReservations(name, boot, random.Random(2), "dc")
 
     def members(self):
         return {
@@ -64,7 +64,7 @@
 
     @stateful.rule(who=st.sampled_from("ab"), pick=st.integers(0, 9))
     def end(self, who, pick):
-        names = sorted(n for n in self.engine if n.startswith(who))
+        names = sorted(n for n in self.engine if n.startswith(f"dc/{who}/"))
         if names and self.running(who):
             self.owners[who].let_go(names[pick % len(names)], self.now)
 
@@ -146,8 +146,10 @@
 
 class ReservationsTest(unittest.TestCase):
     def setUp(self):
-        self.own = reservations.OwnReservations("i", "b1", random.Random(1))
-        self.home = reservation_sweep.HomeSweep("home", random.Random(1))
+        self.own = reservations.OwnReservations(
+            "i", "b1", random.Random(1), "dc"
+        )
+        self.home = reservation_sweep.HomeSweep("home", random.Random(1), "dc")
         self.alive = {"i": reservation_sweep.Member("b1", STATES.ALIVE)}
         self.dead = {"i": reservation_sweep.Member("b1", STATES.DEAD)}
 
@@ -195,6 +197,17 @@
         after = self.home.engines_to_list(engines, ["home"], 20.0)
         self.assertEqual(after, sorted(engines))
 
+    def test_owner_elsewhere_keeps_its_stream_past_its_longest_request(self):
+        far = reservations.OwnReservations("f", "b1", random.Random(1), "far")
+        name = far.open("a1", ENGINE)
+        near = self.own.open("a2", ENGINE)
+        for now in range(0, 3900, 10):
+            self.home.listed(ENGINE, [name, near], {}, float(now))
+            freed = {r.name for r in self.home.take_due(float(now))}
+            self.assertNotIn(name, freed)
+        self.home.listed(ENGINE, [name], {}, 3900.0)
+        self.assertIn(name, {r.name for r in self.home.take_due(3900.0)})
+
     def test_foreign_names_are_left_alone(self):
         self.assertEqual(self.home.listed(ENGINE, ["x"], {}, 0.0), [])
         self.home.listed(ENGINE, ["x"], {}, 1e6)
