Settle past the deadline without blaming the shard's owner

Cause: An outcome settled with no time left was forwarded with a limit of 0 s, and the owner was then left alone for 3 s as silent. Change: Less than 0.1 s is not forwarded; only an owner that had its whole 0.5 s counts as silent; outcomes wait 0.05 s for company instead of 0.25 s, since callers may wait for them.

--- a/src/cardamomfork/_internal/requests/claims/committer.py
+++ b/src/cardamomfork/_internal/requests/claims/committer.py
@@ -50,7 +50,7 @@
     """
 
     interval_s: float = 0.02
-    settle_linger_s: float = 0.25
+    settle_linger_s: float = 0.05
     conflict_backoff_s: float = 0.05
     fault_backoff_s: float = 1.0
 
--- a/src/cardamomfork/_internal/requests/claims/ledger.py
+++ b/src/cardamomfork/_internal/requests/claims/ledger.py
@@ -30,6 +30,8 @@
     from cardamomfork._internal.requests.claims import committer
 
 FORWARD_TIMEOUT_S = 0.5
+MIN_FORWARD_S = 0.1
+"""Least time left for which an owner is asked."""
 SILENT_OWNER_S = 3.0
 """Seconds for which an owner that did not answer is left alone."""
 SETTLE_KEEP_S = 300.0
@@ -224,7 +226,7 @@
     ) -> records.OperationResult:
         """Asks the shard's owner; `UNAVAILABLE` leaves it to us."""
         owner = self._routes.owner(place.shard) if self._routes else None
-        if self._routes is None or owner is None:
+        if self._routes is None or owner is None or wait_s < MIN_FORWARD_S:
             return records.UNAVAILABLE
         silent_until = self._silent_until.get(place.shard, float("-inf"))
         if anyio.current_time() < silent_until:
@@ -237,9 +239,10 @@
         verdict = _read(await self._routes.forward(owner, payload, try_s))
         if verdict.verdict is records.Verdict.UNAVAILABLE:
             self.counters.fallbacks += 1
-            self._silent_until[place.shard] = (
-                anyio.current_time() + SILENT_OWNER_S
-            )
+            if try_s >= FORWARD_TIMEOUT_S:
+                self._silent_until[place.shard] = (
+                    anyio.current_time() + SILENT_OWNER_S
+                )
         return verdict
 
     def _free(
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -273,6 +273,22 @@
         self.assertEqual((settled, stored), (True, DONE))
         self.assertEqual(counters.fallbacks, 1)
 
+    def test_settling_past_the_deadline_is_stored_and_blames_no_owner(self):
+        async def scenario():
+            routes = Silent()
+            routes.ledger, _, _ = await self.instance()
+            one, _, _ = await self.instance(routes)
+            keys_of = [self.key(), self.key()]
+            first = (await one.claim("a", keys_of[0], b"f", 9.0)).unwrap()
+            settled = await one.settle(first, DONE, 0.0)
+            await anyio.sleep(1.0)
+            forwarded = one.counters.forwarded
+            await one.claim("a", keys_of[1], b"f", 9.0)
+            stored = (await one.claim("a", keys_of[0], b"f", 9.0)).unwrap()
+            return settled, stored, one.counters.forwarded - forwarded
+
+        self.assertEqual(self.run_world(scenario), (False, DONE, 2))
+
     def test_writes_grow_with_time_not_with_claims(self):
         async def scenario():
             one, session, _ = await self.instance()
