--- a/src/cardamomfork/_internal/routing/choice.py
+++ b/src/cardamomfork/_internal/routing/choice.py
@@ -26,6 +26,8 @@
 CANDIDATES = 4
 DECODE_DELAY_SHARE = 0.02
 HOLDER_PATIENCE = 0.8
+PATIENCE_S = 20.0
+"""Time after which parts may go to engines of the second longest group."""
 PARTS_SPREAD = 2
 """Engines looked at for each that a prompt of several parts needs."""
 
@@ -86,10 +88,13 @@
     """Returns the engines for a prompt over one engine's memory, or None."""
     request = entry.request
     need = request.prompt_tokens + request.max_tokens
+    size_class = split.CLASSES - 1
+    if now - entry.queued_at > PATIENCE_S:
+        size_class -= 1
     least = PARTS_SPREAD * math.ceil(need / max(pool.largest_memory, 1))
     able = [
         view
-        for view in pool.longest_group(least)
+        for view in pool.group(size_class, least)
         if view.target.exports_kv
         and view.target_id not in entry.avoid
         and now >= view.health.probe_at
--- a/src/cardamomfork/_internal/routing/pools.py
+++ b/src/cardamomfork/_internal/routing/pools.py
@@ -127,13 +127,14 @@
         for view in self._members.values():
             self.refresh(view, now)
 
-    def longest_group(self, least: int) -> Iterable[views.TargetView]:
-        """Returns the engines that take prompts of any length.
+    def group(self, size_class: int, least: int) -> Iterable[views.TargetView]:
+        """Returns the engines that take prompts of a class.
 
         Args:
+            size_class: The class.
             least: Engines to return at least, if the pool has them.
         """
-        size = max(self.split.sizes[-1], least)
+        size = max(self.split.sizes[size_class], least)
         return itertools.islice(self._members.values(), size)
 
     def level(self, target_id: identifiers.TargetId) -> int:
--- a/tests/unit/test_routing_dispatcher.py
+++ b/tests/unit/test_routing_dispatcher.py
@@ -295,6 +295,20 @@
         self.assertEqual(len(short_ones | long_ones), 8)
         self.assertFalse(short_ones & long_ones)
 
+    def test_engine_gets_one_part_at_a_time(self):
+        dispatcher = _dispatcher(8)
+        for name in "ab":
+            dispatcher.submit(
+                routing.request(name, prompt_tokens=250_000, deadline=900.0),
+                0.0,
+            )
+        used = []
+        for assignment in dispatcher.poll(0.0)[0]:
+            hops = [hop.target_id for hop in assignment.hops]
+            used += [*hops, assignment.target_id]
+        self.assertGreaterEqual(len(used), 2)
+        self.assertEqual(len(used), len(set(used)))
+
     def test_small_pool_still_takes_a_prompt_over_one_engine(self):
         dispatcher = _dispatcher(3)
         dispatcher.submit(routing.request("a", prompt_tokens=590_000), 0.0)
