Renew the peers' certificates without a stop

Cause: the peers' contexts were loaded once and stood twice in the project. Change: both sides' contexts renew with their files, on the listening side's common class; a connection that comes while the server ends is closed. Figures: a test replaces the files: the next connection shows the new certificate and an exchange passes; one without a certificate is refused. Conclusion: peers' certificates are renewed like the callers'.

--- a/src/cardamomfork/_internal/instances/joining.py
+++ b/src/cardamomfork/_internal/instances/joining.py
@@ -67,6 +67,7 @@
         server: Answers them.
         instance_list: The platform's list, or None.
         seeds: `host:port` of peers to ask first.
+        secured: The peers' TLS, or None for plain TCP.
     """
 
     members: membership.Membership
@@ -83,6 +84,7 @@
     clock: clock_contract.Clock
     instance_list: listing.InstanceList | None = None
     seeds: tuple[tuple[str, int], ...] = ()
+    secured: tls.PeerTls | None = None
 
     async def run(
         self,
@@ -103,6 +105,8 @@
                     group.start_soon(self.peering.seek, self.link, self.seeds)
                     if self.follower is not None:
                         group.start_soon(self.follower.run, self.link)
+                    if self.secured is not None:
+                        group.start_soon(self.secured.watch)
                     if self.instance_list is not None:
                         group.start_soon(self._list_loop, self.instance_list)
             finally:
@@ -215,6 +219,7 @@
         followed = follower.ConfigurationFollower(
             connect, held, told, members, clock, rng, key_prefix
         )
+    secured = tls.make_peer_tls(settings.peers.tls)
     return FleetMembership(
         members=members,
         others=others,
@@ -225,13 +230,16 @@
         leaving=marks,
         loads=loads,
         peering=loop,
-        link=peer_link.CapnpPeerLink(tls.client_context(settings.peers.tls)),
+        link=peer_link.CapnpPeerLink(
+            secured.client_context if secured else None
+        ),
         server=peer_server.PeerServer(
             loop,
             settings.peers.host,
             settings.peers.port,
-            tls.server_context(settings.peers.tls),
+            secured.server_context if secured else None,
         ),
+        secured=secured,
         clock=clock,
         instance_list=instance_list,
         seeds=tuple(_parse_seed(seed) for seed in settings.peers.seeds),
--- a/src/cardamomfork/_internal/links/peers/server.py
+++ b/src/cardamomfork/_internal/links/peers/server.py
@@ -50,6 +50,7 @@
         self._tls = tls
         self._max_connections = max_connections
         self._streams: set[Any] = set()
+        self._has_ended = False
 
     @property
     def port(self) -> int:
@@ -66,13 +67,15 @@
         try:
             yield
         finally:
+            self._has_ended = True
             server.close()
             for stream in tuple(self._streams):
                 stream.close()
 
     async def _accept(self, stream: Any) -> None:
         """Serves one connection until the far end closes it."""
-        if len(self._streams) >= self._max_connections:
+        is_full = len(self._streams) >= self._max_connections
+        if is_full or self._has_ended:
             stream.close()
             return
         self._streams.add(stream)
--- a/src/cardamomfork/_internal/links/peers/tls.py
+++ b/src/cardamomfork/_internal/links/peers/tls.py
@@ -1,32 +1,62 @@
-"""TLS contexts for the peers' links; both sides show a certificate."""
+"""TLS between peers: both sides show a certificate, renewed with its files."""
 
 from __future__ import annotations
 
-import ssl
 from typing import TYPE_CHECKING
 
+import anyio
+
+from cardamomfork._internal.links import tls
+
 if TYPE_CHECKING:
+    import ssl
+
     from cardamomfork._internal.models import settings
 
 
-def server_context(files: settings.TlsSettings) -> ssl.SSLContext | None:
-    """Returns the listening side's context, or None for plain TCP."""
-    if not files.certificate:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(files.certificate, files.key or None)
-    if files.authority:
-        context.load_verify_locations(files.authority)
-        context.verify_mode = ssl.CERT_REQUIRED
-    return context
-
-
-def client_context(files: settings.TlsSettings) -> ssl.SSLContext | None:
-    """Returns the connecting side's context, or None for plain TCP."""
-    if not files.certificate:
-        return None
-    context = ssl.create_default_context(
-        ssl.Purpose.SERVER_AUTH, cafile=files.authority or None
-    )
-    context.load_cert_chain(files.certificate, files.key or None)
-    return context
+class PeerTls:
+    """The contexts of an instance's listening and connecting sides."""
+
+    def __init__(self, files: settings.TlsSettings) -> None:
+        """Loads the files.
+
+        Args:
+            files: Files of the peers' side; the certificate must be set.
+        """
+        self._files = files
+        self._listening = tls.ServerTls(files)
+        self._connecting = tls.make_client_context(
+            files.authority, files.certificate, files.key
+        )
+
+    @property
+    def server_context(self) -> ssl.SSLContext:
+        """The listening side's context."""
+        return self._listening.context
+
+    @property
+    def client_context(self) -> ssl.SSLContext:
+        """The connecting side's context."""
+        return self._connecting
+
+    def reload(self) -> bool:
+        """Loads changed files for both sides; True if new ones are in force."""
+        if not self._listening.reload():
+            return False
+        self._connecting.load_cert_chain(
+            self._files.certificate, self._files.key or None
+        )
+        if self._files.authority:
+            self._connecting.load_verify_locations(self._files.authority)
+        return True
+
+    async def watch(self) -> None:
+        """Looks for changed files until cancelled."""
+        while True:
+            await anyio.sleep(tls.RELOAD_S)
+            self.reload()
+
+
+def make_peer_tls(files: settings.TlsSettings) -> PeerTls | None:
+    """Returns the peers' TLS, or None if they talk in plain TCP."""
+    return PeerTls(files) if files.certificate else None
--- a/tests/functional/test_peer_links.py
+++ b/tests/functional/test_peer_links.py
@@ -2,10 +2,12 @@
 
 import pathlib
 import random
+import ssl
 import tempfile
 import unittest
 
 import anyio
+import anyio.streams.tls
 import capnp
 import trustme
 
@@ -183,21 +185,24 @@
 
         self.run_async(scenario)
 
-    def test_pages_and_tls(self):
+    def test_pages_and_renewed_certificates(self):
         authority = trustme.CA()
-        issued = authority.issue_cert("127.0.0.1")
-        with tempfile.TemporaryDirectory() as directory:
-            path = pathlib.Path(directory)
+
+        def write(path):
+            issued = authority.issue_cert("127.0.0.1")
             issued.cert_chain_pems[0].write_to_path(path / "cert")
             issued.private_key_pem.write_to_path(path / "key")
             authority.cert_pem.write_to_path(path / "ca")
-            files = settings.TlsSettings(
-                *(str(path / name) for name in ("cert", "key", "ca"))
-            )
-            contexts = tls.server_context(files), tls.client_context(files)
+            return issued.cert_chain_pems[0].bytes()
 
-        async def scenario():
-            end = Endpoint("a", *contexts)
+        async def scenario(path):
+            write(path)
+            secured = tls.make_peer_tls(
+                settings.TlsSettings(
+                    *(str(path / name) for name in ("cert", "key", "ca"))
+                )
+            )
+            end = Endpoint("a", secured.server_context, secured.client_context)
             async with end.server.serve():
                 me = end.open()
                 end.held.apply_range([configurations.drain("t", 3)], 0, 4)
@@ -208,9 +213,32 @@
                 plain = peer_link.CapnpPeerLink()
                 refused = await plain.fetch_page(me, reader.next_request())
                 self.assertTrue(refused.is_err())
+                self.assertFalse(secured.reload())
+                renewed = write(path)
+                self.assertTrue(secured.reload())
+                end.link.close()
+                page = await end.link.fetch_page(me, reader.next_request())
+                self.assertTrue(page.is_ok())
+                shown = await self.shown_certificate(end, secured)
+                self.assertEqual(
+                    ssl.PEM_cert_to_DER_cert(renewed.decode()), shown
+                )
                 end.link.close()
 
-        self.run_async(scenario)
+        with tempfile.TemporaryDirectory() as directory:
+            self.run_async(lambda: scenario(pathlib.Path(directory)))
+
+    async def shown_certificate(self, end, secured):
+        stream = await anyio.connect_tcp(
+            "127.0.0.1",
+            end.server.port,
+            ssl_context=secured.client_context,
+            tls_standard_compatible=False,
+        )
+        async with stream:
+            return stream.extra(
+                anyio.streams.tls.TLSAttribute.peer_certificate_binary
+            )
 
     def test_size_estimate_covers_the_wire(self):
         me = instances.Instance(
