Compute prompts over one engine's memory in parts

Cause: The dispatcher plans such prompts over several engines, and the runner sent the whole prompt to the last of them. Change: parts_transfer has each part computed and held under a reservation of its own, exported, and imported by the engines after it; the keeper of reservations runs in the daemon and frees them. The stand-in engine models parts, imports and their memory, and its names keep their slashes. Conclusion: prompts over twice one engine's memory are served or refused.

--- a/src/cardamomfork/_internal/contracts/target_link.py
+++ b/src/cardamomfork/_internal/contracts/target_link.py
@@ -28,6 +28,9 @@
             that resumes starts there.
         reservation: Name of the memory reservation that the stream is under.
         cache_salt: Keeps the cache entries of accounts apart; empty for none.
+        part_tokens: Compute only the prompt's first so many tokens, hold them
+            under the reservation and answer with a `PartHeld` in JSON; 0 for
+            a whole answer.
     """
 
     attempt_id: identifiers.AttemptId
@@ -38,6 +41,20 @@
     resume_offset: int = 0
     reservation: str = ""
     cache_salt: str = ""
+    part_tokens: int = 0
+
+
+@attrs.frozen
+class PartHeld:
+    """Answer to a call for a part of a prompt.
+
+    Attributes:
+        prefix_hash: What to export the part's KV cache by.
+        tokens: Tokens of the prompt up to the end of the part.
+    """
+
+    prefix_hash: int
+    tokens: int
 
 
 @attrs.frozen
--- a/src/cardamomfork/_internal/links/targets/extension.py
+++ b/src/cardamomfork/_internal/links/targets/extension.py
@@ -8,6 +8,7 @@
 OFFSET_HEADER = b"x-resume-offset"
 RESERVATION_HEADER = b"x-reservation"
 SALT_HEADER = b"x-cache-salt"
+PART_HEADER = b"x-part-tokens"
 NOT_RUN_HEADER = b"x-not-run"
 """On an error: the target vouches that it did not run the call."""
 
--- a/src/cardamomfork/_internal/links/targets/link.py
+++ b/src/cardamomfork/_internal/links/targets/link.py
@@ -261,6 +261,9 @@
         )
     if call.cache_salt:
         headers.append((extension.SALT_HEADER, call.cache_salt.encode()))
+    if call.part_tokens:
+        part = str(call.part_tokens).encode()
+        headers.append((extension.PART_HEADER, part))
     return headers
 
 
--- a/src/cardamomfork/_internal/requests/exchanging.py
+++ b/src/cardamomfork/_internal/requests/exchanging.py
@@ -159,7 +159,7 @@
         attempt: attempts.AttemptMachine,
     ) -> targets.TargetFault | None:
         """Makes one exchange; None once the answer is whole."""
-        call = self._make_call(run, link, attempt)
+        call = self.make_call(run, link, attempt.attempt_id, attempt.start)
         attempt.mark_sending()
         opened = await link.call(call)
         if isinstance(opened, result.Err):
@@ -252,22 +252,23 @@
         )
         scope.cancel()
 
-    def _make_call(
+    def make_call(
         self,
         run: running.Run,
         link: target_link.TargetLink,
-        attempt: attempts.AttemptMachine,
+        attempt_id: identifiers.AttemptId,
+        start: int = 0,
     ) -> target_link.TargetCall:
-        """Makes an attempt's call."""
+        """Makes an attempt's call; `start` is the offset to resume at."""
         request = run.request
         engine = link.target.kind is targets.TargetKind.ENGINE
         return target_link.TargetCall(
-            attempt_id=attempt.attempt_id,
+            attempt_id=attempt_id,
             path=_PATHS[request.api],
             body=request.body,
             urgency=request.urgency,
             timeout_s=max(0.0, request.deadline - self._clock.monotonic()),
-            resume_offset=attempt.start,
+            resume_offset=start,
             reservation=run.reservation,
             cache_salt=self._name_salt(request.account) if engine else "",
         )
--- /dev/null
+++ b/src/cardamomfork/_internal/requests/parts_transfer.py
@@ -0,0 +1,186 @@
+"""Has the first parts of a long prompt computed on other engines.
+
+Each part is held on its engine under a reservation of its own until the
+request ends, and is imported by every engine after it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+import result
+
+from cardamomfork._internal.contracts import target_link
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import targets
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Sequence
+
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.contracts import dispatching
+    from cardamomfork._internal.requests import reservations
+    from cardamomfork._internal.requests import running
+
+
+@attrs.frozen
+class Held:
+    """A part that an engine holds.
+
+    Attributes:
+        source: The engine.
+        handle: What others import it by.
+    """
+
+    source: targets.Target
+    handle: str
+
+
+class PartsTransfer:
+    """Computes, exports and imports the parts of prompts."""
+
+    def __init__(
+        self,
+        links: running.LinkFinder,
+        own: reservations.OwnReservations,
+        clock: clock_contract.Clock,
+    ) -> None:
+        """Takes its collaborators.
+
+        Args:
+            links: Links to the targets.
+            own: Reservations of this instance on engines.
+            clock: The loop's clock.
+        """
+        self._links = links
+        self._own = own
+        self._clock = clock
+
+    @contextlib.asynccontextmanager
+    async def held(
+        self,
+        call: target_link.TargetCall,
+        hops: Sequence[dispatching.Hop],
+    ) -> AsyncIterator[result.Result[list[Held], targets.TargetFault]]:
+        """Holds the parts of a prompt while the context is open.
+
+        Args:
+            call: A call with the request's body and time.
+            hops: Engines and ends of the parts, in order.
+        """
+        names: list[str] = []
+        try:
+            yield await self._compute_all(call, hops, names)
+        finally:
+            now = self._clock.monotonic()
+            for name in names:
+                self._own.let_go(name, now)
+
+    async def import_all(
+        self,
+        link: target_link.TargetLink,
+        reservation: str,
+        parts: Sequence[Held],
+    ) -> targets.TargetFault | None:
+        """Imports the parts into an engine; None once all are there."""
+        for part in parts:
+            imported = await link.import_kv(
+                reservation, part.handle, part.source
+            )
+            if isinstance(imported, result.Err):
+                return _unrun(imported.err_value)
+        return None
+
+    async def _compute_all(
+        self,
+        call: target_link.TargetCall,
+        hops: Sequence[dispatching.Hop],
+        names: list[str],
+    ) -> result.Result[list[Held], targets.TargetFault]:
+        """Computes the parts one after the other."""
+        parts: list[Held] = []
+        for hop in hops:
+            link = self._links.find(hop.target_id)
+            if link is None:
+                return result.Err(
+                    targets.TargetFault(
+                        targets.FaultKind.UNREACHABLE,
+                        hop.target_id,
+                        "the target was removed",
+                    )
+                )
+            attempt_id = identifiers.new_attempt_id()
+            name = self._own.open(attempt_id, hop.target_id)
+            names.append(name)
+            part = await self._compute(
+                attrs.evolve(
+                    call,
+                    attempt_id=attempt_id,
+                    reservation=name,
+                    part_tokens=hop.prompt_tokens,
+                ),
+                link,
+                parts,
+            )
+            if isinstance(part, result.Err):
+                return result.Err(_unrun(part.err_value))
+            parts.append(part.ok_value)
+        return result.Ok(parts)
+
+    async def _compute(
+        self,
+        call: target_link.TargetCall,
+        link: target_link.TargetLink,
+        before: Sequence[Held],
+    ) -> result.Result[Held, targets.TargetFault]:
+        """Computes one part on top of those before it and exports it."""
+        fault = await self.import_all(link, call.reservation, before)
+        if fault is not None:
+            return result.Err(fault)
+        opened = await link.call(call)
+        if isinstance(opened, result.Err):
+            return opened
+        body = await _read(opened.ok_value)
+        if isinstance(body, result.Err):
+            return body
+        try:
+            part = msgspec.json.decode(body.ok_value, type=target_link.PartHeld)
+        except msgspec.DecodeError:
+            return result.Err(
+                targets.TargetFault(
+                    targets.FaultKind.GARBLED,
+                    link.target.target_id,
+                    "the answer to a call for a part can't be read",
+                )
+            )
+        exported = await link.export_kv(call.reservation, part.prefix_hash)
+        return exported.map(lambda handle: Held(link.target, handle))
+
+
+async def _read(
+    stream: target_link.TargetStream,
+) -> result.Result[bytes, targets.TargetFault]:
+    """Reads a short answer whole."""
+    parts: list[bytes] = []
+    try:
+        while True:
+            data = await stream.receive()
+            if isinstance(data, result.Err):
+                return data
+            if not data.ok_value:
+                return result.Ok(b"".join(parts))
+            parts.append(data.ok_value)
+    finally:
+        await stream.close()
+
+
+def _unrun(fault: targets.TargetFault) -> targets.TargetFault:
+    """Makes a part's fault one of the request's: its answer never began.
+
+    A part generates nothing, so the request itself has not run.
+    """
+    return attrs.evolve(fault, kind=targets.FaultKind.REFUSED)
--- /dev/null
+++ b/src/cardamomfork/_internal/requests/reservation_surroundings.py
@@ -0,0 +1,105 @@
+"""What the keeper of reservations knows and reaches in a daemon."""
+
+from __future__ import annotations
+
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.models import targets
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Collection
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from cardamomfork._internal.contracts import target_link
+    from cardamomfork._internal.models import identifiers
+    from cardamomfork._internal.requests import reservation_sweep
+    from cardamomfork._internal.requests import reservations
+
+    Members = Mapping[identifiers.InstanceId, reservation_sweep.Member]
+    Ask = Callable[
+        [reservation_sweep.Question], Awaitable[frozenset[str] | None]
+    ]
+
+
+class Links(Protocol):
+    """Knows the links to the targets."""
+
+    @property
+    def links(self) -> Sequence[target_link.TargetLink]:
+        """All links."""
+        ...
+
+    def find(
+        self, target_id: identifiers.TargetId
+    ) -> target_link.TargetLink | None:
+        """Returns the link to a target, or None if it is gone."""
+        ...
+
+
+class DaemonSurroundings:
+    """Meets `reservation_keeper.Surroundings` from a daemon's parts."""
+
+    def __init__(
+        self,
+        *,
+        instance_id: identifiers.InstanceId,
+        data_centre: identifiers.DataCentreId,
+        links: Links,
+        own: reservations.OwnReservations,
+        members: Callable[[], Members],
+        live: Callable[[], Collection[identifiers.InstanceId]],
+        ask: Ask,
+    ) -> None:
+        """Takes its collaborators.
+
+        Args:
+            instance_id: This instance.
+            data_centre: Where it stands.
+            links: Links to the targets.
+            own: Reservations of this instance.
+            members: Returns all instances that the membership holds.
+            live: Returns the live instances of this data centre.
+            ask: Asks another instance about its reservations.
+        """
+        self._instance_id = instance_id
+        self._data_centre = data_centre
+        self._links = links
+        self._own = own
+        self._members = members
+        self._live = live
+        self._ask = ask
+
+    def link(
+        self, target_id: identifiers.TargetId
+    ) -> target_link.TargetLink | None:
+        """Returns the link to a target; None if it is not configured."""
+        return self._links.find(target_id)
+
+    def local_engines(self) -> Collection[identifiers.TargetId]:
+        """Returns the engines of this data centre."""
+        return [
+            link.target.target_id
+            for link in self._links.links
+            if link.target.kind is targets.TargetKind.ENGINE
+            and link.target.data_centre == self._data_centre
+        ]
+
+    def live_instances(self) -> Collection[identifiers.InstanceId]:
+        """Returns the live instances of this data centre, this one too."""
+        return self._live()
+
+    def members(self) -> Members:
+        """Returns all instances that the membership holds."""
+        return self._members()
+
+    async def ask_owner(
+        self, question: reservation_sweep.Question
+    ) -> frozenset[str] | None:
+        """Answers for this instance itself; asks the others."""
+        if question.owner == self._instance_id:
+            return self._own.disown(question.names)
+        return await self._ask(question)
--- a/src/cardamomfork/_internal/requests/running.py
+++ b/src/cardamomfork/_internal/requests/running.py
@@ -17,6 +17,7 @@
 from cardamomfork._internal.requests import retries
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     import random
 
     from cardamomfork._internal.contracts import clock as clock_contract
@@ -26,6 +27,7 @@
     from cardamomfork._internal.requests import attempts
     from cardamomfork._internal.requests import cancellation
     from cardamomfork._internal.requests import delivery
+    from cardamomfork._internal.requests import parts_transfer
     from cardamomfork._internal.requests import queueing
     from cardamomfork._internal.requests import records
     from cardamomfork._internal.requests import reservations
@@ -91,6 +93,7 @@
         exchanger: exchanging.AttemptExchanger,
         canceller: cancellation.Canceller,
         own: reservations.OwnReservations,
+        parts: parts_transfer.PartsTransfer,
         retry_policy: retries.RetryPolicy,
         clock: clock_contract.Clock,
         counters: attempts.FrameCounters,
@@ -104,6 +107,7 @@
             exchanger: Makes one exchange of one attempt.
             canceller: Cancels what nobody waits for any more.
             own: Reservations of this instance on engines.
+            parts: Computes parts of prompts on other engines.
             retry_policy: Decides whether a failed request runs again.
             clock: The loop's clock.
             counters: Counts dropped frames.
@@ -114,6 +118,7 @@
         self._exchanger = exchanger
         self._canceller = canceller
         self._own = own
+        self._parts = parts
         self._retries = retry_policy
         self._clock = clock
         self._counters = counters
@@ -201,17 +206,36 @@
             if link is None:
                 fault = _removed(assignment.target_id)
             else:
-                fault = await self._attempt(run, link)
+                fault = await self._attempt_over(run, link, assignment.hops)
         finally:
             self._waiting_room.finished(request_id, run.outlet.tokens, fault)
         if fault is None:
             return
         run.fault = fault
         if fault.kind is not targets.FaultKind.GARBLED:
-            run.avoid |= {assignment.target_id}
+            run.avoid |= {fault.target_id}
+
+    async def _attempt_over(
+        self,
+        run: Run,
+        link: target_link.TargetLink,
+        hops: Sequence[dispatching.Hop],
+    ) -> targets.TargetFault | None:
+        """Makes an attempt, on top of parts computed on other engines."""
+        if not hops:
+            return await self._attempt(run, link, ())
+        attempt_id = identifiers.new_attempt_id()
+        call = self._exchanger.make_call(run, link, attempt_id)
+        async with self._parts.held(call, hops) as parts:
+            if isinstance(parts, result.Err):
+                return parts.err_value
+            return await self._attempt(run, link, parts.ok_value)
 
     async def _attempt(
-        self, run: Run, link: target_link.TargetLink
+        self,
+        run: Run,
+        link: target_link.TargetLink,
+        parts: Sequence[parts_transfer.Held],
     ) -> targets.TargetFault | None:
         """Makes an attempt and its resumes; cancels what stays open."""
         attempt_id = identifiers.new_attempt_id()
@@ -220,6 +244,10 @@
             run.reservation = self._own.open(attempt_id, link.target.target_id)
         failed_resumes = 0
         try:
+            fault = await self._parts.import_all(link, run.reservation, parts)
+            if fault is not None:
+                run.life.fail(attempt, fault)
+                return fault
             while True:
                 given = run.life.given
                 fault = await self._exchanger.exchange(run, link, attempt)
@@ -240,25 +268,34 @@
                 )
         finally:
             attempt.abandon()
-            self._cancel_unless_ended(run, link, attempt)
+            self._free_memory(run, link, attempt, bool(parts))
 
     async def _wait_before_resume(self, failed: int) -> None:
         """Waits a little; longer after each resume that brought nothing."""
         longest = min(MAX_RESUME_DELAY_S, FIRST_RESUME_DELAY_S * 2**failed)
         await anyio.sleep(self._chance.uniform(0.0, longest))
 
-    def _cancel_unless_ended(
+    def _free_memory(
         self,
         run: Run,
         link: target_link.TargetLink,
         attempt: attempts.AttemptMachine,
+        has_imports: bool,
     ) -> None:
-        """Frees what an engine may still hold for an attempt."""
+        """Frees what an engine may still hold for an attempt.
+
+        An engine frees what it computed itself once an answer is whole; what
+        it imported stays until its reservation is released.
+        """
         if link.target.kind is not targets.TargetKind.ENGINE:
             return
-        unknown = run.life.outcome is outcomes.Outcome.UNKNOWN
-        if unknown or attempt.outcome is outcomes.Outcome.UNKNOWN:
+        unknown = outcomes.Outcome.UNKNOWN in (
+            run.life.outcome,
+            attempt.outcome,
+        )
+        if unknown:
             self._canceller.add(link, attempt.attempt_id)
+        if unknown or has_imports:
             self._own.let_go(run.reservation, self._clock.monotonic())
         else:
             self._own.close(run.reservation)
--- a/src/cardamomfork/_internal/standins/engine.py
+++ b/src/cardamomfork/_internal/standins/engine.py
@@ -9,12 +9,12 @@
 
 import anyio
 import attrs
-import httpcore
 import msgspec
 
 from cardamomfork._internal.links.callers import prompts
 from cardamomfork._internal.links.targets import extension
 from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.standins import engine_kv
 from cardamomfork._internal.standins import engine_runs
 from cardamomfork._internal.standins import http_exchange
 
@@ -93,7 +93,7 @@
         self._cancelled: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
-        self._exports: dict[str, int] = {}
+        self._kv = engine_kv.KvTransfer(self._boot_id, self._scheduler.memory)
         self._fencing = 0
         self._report: extension.Load | None = None
         self._reported_at = 0.0
@@ -171,8 +171,8 @@
         if offset > 0 or attempt_id in self._cancelled:
             return None
         work = _read_work(exchange, attempt_id, body)
-        too_long = work.prompt_tokens + work.max_tokens
-        if too_long > self._speed.memory_tokens or self._tasks is None:
+        need = self._scheduler.need(work)
+        if need > self._speed.memory_tokens or self._tasks is None:
             return None
         run = engine_runs.Run(work)
         self._runs[attempt_id] = run
@@ -190,7 +190,7 @@
     ) -> None:
         """Sends a run's answer from the asked offset as it grows."""
         offset = int(exchange.header(extension.OFFSET_HEADER) or "0")
-        if not run.work.stream:
+        if not run.work.stream or run.work.part_tokens:
             while not run.ended:
                 await run.changed.wait()
             if run.answer:
@@ -256,14 +256,15 @@
     ) -> None:
         """Answers the calls of the extension."""
         path = exchange.scope["path"]
-        name = urllib.parse.unquote(path.rsplit("/", 1)[-1])
         method = exchange.scope["method"]
         if path.startswith(extension.ATTEMPTS_PATH) and method == "DELETE":
+            name = path.removeprefix(f"{extension.ATTEMPTS_PATH}/")
             await self._cancel(exchange, name)
         elif path == extension.RESERVATIONS_PATH:
             held = self._scheduler.memory.reservations
             await exchange.tell(extension.Reservations(held))
         elif path.startswith(extension.RESERVATIONS_PATH):
+            name = path.removeprefix(f"{extension.RESERVATIONS_PATH}/")
             await self._release(exchange, name)
         elif path == extension.LOAD_PATH:
             await self._tell_load(exchange)
@@ -277,9 +278,9 @@
     ) -> None:
         """Answers the calls of the extension that carry a message."""
         if path == extension.KV_EXPORT_PATH:
-            await self._export(exchange, body)
+            await self._kv.export(exchange, body)
         elif path == extension.KV_IMPORT_PATH:
-            await self._import(exchange, body)
+            await self._kv.take_in(exchange, body)
         elif path == extension.ORDERS_PATH:
             await self._obey(exchange, body)
         else:
@@ -307,8 +308,8 @@
         """Frees a reservation and all under it."""
         memory = self._scheduler.memory
         for user in memory.users_under(reservation):
-            if not self._drop(user):
-                memory.free(user)
+            self._drop(user)
+        memory.release(reservation)
         await exchange.tell(extension.Freed(True))
 
     async def _tell_load(self, exchange: http_exchange.Exchange) -> None:
@@ -324,34 +325,6 @@
         events = self._scheduler.memory.events_after(after)
         await exchange.tell(extension.CacheChanges(self._boot_id, events))
 
-    async def _export(
-        self, exchange: http_exchange.Exchange, body: bytes
-    ) -> None:
-        """Exports a prefix that the cache holds."""
-        message = msgspec.json.decode(body, type=extension.ExportKv)
-        if not self._scheduler.memory.is_cached(message.prefix_hash):
-            await exchange.answer(404, b"{}")
-            return
-        handle = f"{self._boot_id}.{message.prefix_hash}"
-        self._exports[handle] = message.prefix_hash
-        await exchange.tell(extension.Exported(handle))
-
-    async def _import(
-        self, exchange: http_exchange.Exchange, body: bytes
-    ) -> None:
-        """Imports a prefix that another engine exported."""
-        message = msgspec.json.decode(body, type=extension.ImportKv)
-        prefix_hash = int(message.handle.rsplit(".", 1)[-1])
-        url = f"http://{message.host}:{message.port}{extension.LOAD_PATH}"
-        async with httpcore.AsyncConnectionPool() as pool:
-            source = await pool.request("GET", url)
-        report = msgspec.json.decode(source.content, type=extension.Load)
-        if not message.handle.startswith(report.boot_id):
-            await exchange.answer(410, b"{}")
-            return
-        self._scheduler.memory.store((prefix_hash,))
-        await exchange.tell(extension.Imported(256))
-
     async def _obey(
         self, exchange: http_exchange.Exchange, body: bytes
     ) -> None:
@@ -404,4 +377,5 @@
         prompt_tokens=prompts.estimate_tokens(text),
         hashes=prompts.hash_blocks(text, prompts.seed_of(salt)),
         max_tokens=asked or DEFAULT_MAX_TOKENS,
+        part_tokens=int(exchange.header(extension.PART_HEADER) or "0"),
     )
--- /dev/null
+++ b/src/cardamomfork/_internal/standins/engine_kv.py
@@ -0,0 +1,63 @@
+"""KV export and import between stand-in engines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import httpcore
+import msgspec
+
+from cardamomfork._internal.links.targets import extension
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.standins import engine_memory
+    from cardamomfork._internal.standins import http_exchange
+
+_NOT_FOUND = 404
+_GONE = 410
+
+
+class KvTransfer:
+    """One engine's side of KV transfers.
+
+    A handle names the life of the engine that exports, so it is worth nothing
+    after a restart.
+    """
+
+    def __init__(
+        self, boot_id: str, memory: engine_memory.EngineMemory
+    ) -> None:
+        """Takes the engine's life and memory."""
+        self._boot_id = boot_id
+        self._memory = memory
+
+    async def export(
+        self, exchange: http_exchange.Exchange, body: bytes
+    ) -> None:
+        """Exports what a reservation holds."""
+        message = msgspec.json.decode(body, type=extension.ExportKv)
+        if message.reservation not in self._memory.reservations:
+            await exchange.answer(_NOT_FOUND, b"{}")
+            return
+        users = self._memory.users_under(message.reservation)
+        tokens = self._memory.imported_tokens(message.reservation)
+        tokens += sum(self._memory.tokens_of(user) for user in users)
+        handle = f"{self._boot_id}.{message.prefix_hash}.{tokens}"
+        await exchange.tell(extension.Exported(handle))
+
+    async def take_in(
+        self, exchange: http_exchange.Exchange, body: bytes
+    ) -> None:
+        """Imports what another engine exported, if that one still lives."""
+        message = msgspec.json.decode(body, type=extension.ImportKv)
+        boot_id, _, tokens = message.handle.split(".")
+        url = f"http://{message.host}:{message.port}{extension.LOAD_PATH}"
+        async with httpcore.AsyncConnectionPool() as pool:
+            source = await pool.request("GET", url)
+        report = msgspec.json.decode(source.content, type=extension.Load)
+        if report.boot_id != boot_id:
+            await exchange.answer(_GONE, b"{}")
+            return
+        self._memory.add_import(message.reservation, int(tokens))
+        held = self._memory.imported_tokens(message.reservation)
+        await exchange.tell(extension.Imported(held))
--- a/src/cardamomfork/_internal/standins/engine_memory.py
+++ b/src/cardamomfork/_internal/standins/engine_memory.py
@@ -39,6 +39,7 @@
             collections.deque(maxlen=MAX_EVENTS)
         )
         self._sequence = 0
+        self._imported: dict[str, int] = {}
 
     @property
     def held_tokens(self) -> int:
@@ -53,7 +54,8 @@
     @property
     def reservations(self) -> tuple[str, ...]:
         """Names of the reservations that hold anything."""
-        return tuple(sorted({held.reservation for held in self._held.values()}))
+        names = {held.reservation for held in self._held.values()}
+        return tuple(sorted(names | self._imported.keys()))
 
     def hold(self, user: str, reservation: str, tokens: int) -> bool:
         """Takes tokens for a user; False if there is no room now."""
@@ -72,6 +74,25 @@
         """Gives a user's tokens back."""
         self._held.pop(user, None)
 
+    def tokens_of(self, user: str) -> int:
+        """Returns the tokens that a user holds."""
+        return self._held[user].tokens
+
+    def add_import(self, reservation: str, tokens: int) -> None:
+        """Notes that a prompt's first tokens are held on other engines."""
+        known = self._imported.get(reservation, 0)
+        self._imported[reservation] = max(known, tokens)
+
+    def imported_tokens(self, reservation: str) -> int:
+        """Returns the tokens imported under a reservation."""
+        return self._imported.get(reservation, 0)
+
+    def release(self, reservation: str) -> None:
+        """Gives back all that is held under a reservation."""
+        self._imported.pop(reservation, None)
+        for user in self.users_under(reservation):
+            self.free(user)
+
     def users_under(self, reservation: str) -> list[str]:
         """Returns the users that hold tokens under a reservation."""
         return [
--- a/src/cardamomfork/_internal/standins/engine_runs.py
+++ b/src/cardamomfork/_internal/standins/engine_runs.py
@@ -10,9 +10,10 @@
 import attrs
 import msgspec
 
+from cardamomfork._internal.contracts import target_link
 from cardamomfork._internal.standins import engine_memory
 
-MAX_ENDED_RUNS = 1000
+BLOCK_TOKENS = engine_memory.BLOCK_TOKENS
 
 
 @attrs.frozen
@@ -45,6 +46,7 @@
     prompt_tokens: int
     hashes: tuple[int, ...]
     max_tokens: int
+    part_tokens: int = 0
 
 
 @attrs.define
@@ -91,14 +93,25 @@
             try:
                 await self._prefill(work)
                 self._wake()
-                await self._decode(run)
+                if work.part_tokens:
+                    run.append(_part(work), True)
+                else:
+                    await self._decode(run)
             finally:
                 self.running -= 1
-                self.memory.free(work.attempt_id)
+                if not (work.part_tokens and run.ended):
+                    self.memory.free(work.attempt_id)
                 self._wake()
         if not run.ended:
             run.append(b"", ended=True)
 
+    def need(self, work: Work) -> int:
+        """Returns the tokens of memory that work takes here."""
+        start = self.memory.imported_tokens(work.reservation)
+        if work.part_tokens:
+            return max(0, work.part_tokens - start)
+        return max(0, work.prompt_tokens - start) + work.max_tokens
+
     async def _wait_turn(self, work: Work) -> None:
         """Waits until it is first in order and memory and batch have room."""
         ticket = (work.urgency, next(self._order), work.prompt_tokens)
@@ -121,16 +134,20 @@
         return self.memory.hold(
             work.attempt_id,
             work.reservation,
-            work.prompt_tokens + work.max_tokens,
+            self.need(work),
         )
 
     async def _prefill(self, work: Work) -> None:
         """Computes what the cache does not hold."""
         try:
-            cached = self.memory.cached_tokens(work.hashes)
-            left = max(0, work.prompt_tokens - cached)
+            cached = max(
+                self.memory.cached_tokens(work.hashes),
+                self.memory.imported_tokens(work.reservation),
+            )
+            end = work.part_tokens or work.prompt_tokens
+            left = max(0, end - cached)
             await anyio.sleep(left / self._speed.prefill_tokens_per_s)
-            self.memory.store(work.hashes)
+            self.memory.store(work.hashes[: end // BLOCK_TOKENS])
         finally:
             self._prefilling = False
 
@@ -174,6 +191,15 @@
     return b"data: " + msgspec.json.encode(members) + b"\n\n"
 
 
+def _part(work: Work) -> bytes:
+    """Returns the answer to a call for a part of a prompt."""
+    block = min(work.part_tokens // BLOCK_TOKENS, len(work.hashes))
+    prefix_hash = work.hashes[block - 1] if block else 0
+    return msgspec.json.encode(
+        target_link.PartHeld(prefix_hash, work.part_tokens)
+    )
+
+
 def _whole(work: Work) -> bytes:
     """Returns the whole answer as one JSON object."""
     text = "".join(f"word{index} " for index in range(work.max_tokens))
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -18,13 +18,18 @@
 from cardamomfork._internal.links.targets import observing
 from cardamomfork._internal.links.targets import registry
 from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import instances
 from cardamomfork._internal.requests import admission
 from cardamomfork._internal.requests import attempts
 from cardamomfork._internal.requests import cancellation
 from cardamomfork._internal.requests import directory
 from cardamomfork._internal.requests import exchanging
+from cardamomfork._internal.requests import parts_transfer
 from cardamomfork._internal.requests import queueing
 from cardamomfork._internal.requests import records
+from cardamomfork._internal.requests import reservation_keeper
+from cardamomfork._internal.requests import reservation_surroundings
+from cardamomfork._internal.requests import reservation_sweep
 from cardamomfork._internal.requests import reservations
 from cardamomfork._internal.requests import retries
 from cardamomfork._internal.requests import running
@@ -67,6 +72,7 @@
         observer: Reads engines' load and cache events.
         committer: Writes claims; None without a store.
         own: Reservations of this instance on engines.
+        keeper: Releases reservations and sweeps engines for lost ones.
     """
 
     settings: settings_models.DaemonSettings
@@ -85,6 +91,7 @@
     observer: observing.EngineObserver
     committer: committer.GroupCommitter | None
     own: reservations.OwnReservations
+    keeper: reservation_keeper.ReservationKeeper
 
     def apply_service(self, changed: configuration.Service) -> None:
         """Brings a service's configuration into force."""
@@ -106,6 +113,7 @@
         tasks.start_soon(self.heartbeats.run)
         tasks.start_soon(self.watch.run)
         tasks.start_soon(self.observer.run)
+        tasks.start_soon(self.keeper.run)
         if self.committer is not None:
             tasks.start_soon(self.committer.run)
 
@@ -135,11 +143,9 @@
     canceller = cancellation.Canceller(random.Random())
     table = records.RecordTable()
     known = directory.Directory()
-    own = reservations.OwnReservations(
-        settings.instance.instance_id,
-        identifiers.new_boot_id(),
-        random.Random(),
-    )
+    instance_id = settings.instance.instance_id
+    boot_id = identifiers.new_boot_id()
+    own = reservations.OwnReservations(instance_id, boot_id, random.Random())
     return Daemon(
         settings=settings,
         clock=clock,
@@ -166,6 +172,7 @@
                 exchanger=exchanging.AttemptExchanger(clock, _salt_of),
                 canceller=canceller,
                 own=own,
+                parts=parts_transfer.PartsTransfer(links, own, clock),
                 retry_policy=retries.RetryPolicy(
                     random.Random(), retries.MIN_RESERVE
                 ),
@@ -178,6 +185,36 @@
         ),
         observer=observing.EngineObserver(links, dispatcher, clock),
         committer=claims,
+        keeper=reservation_keeper.ReservationKeeper(
+            own,
+            reservation_sweep.HomeSweep(instance_id, random.Random()),
+            _alone(settings, boot_id, links, own),
+            clock,
+        ),
+    )
+
+
+def _alone(
+    settings: settings_models.DaemonSettings,
+    boot_id: identifiers.BootId,
+    links: registry.LinkRegistry,
+    own: reservations.OwnReservations,
+) -> reservation_surroundings.DaemonSurroundings:
+    """Makes the surroundings of an instance without peers."""
+    instance_id = settings.instance.instance_id
+    myself = reservation_sweep.Member(boot_id, instances.InstanceState.ALIVE)
+
+    async def ask_nobody(_: reservation_sweep.Question) -> None:
+        return None
+
+    return reservation_surroundings.DaemonSurroundings(
+        instance_id=instance_id,
+        data_centre=settings.instance.data_centre,
+        links=links,
+        own=own,
+        members=lambda: {instance_id: myself},
+        live=lambda: (instance_id,),
+        ask=ask_nobody,
     )
 
 
--- /dev/null
+++ b/tests/functional/test_long_prompts.py
@@ -0,0 +1,67 @@
+"""Prompts over one engine's memory, computed in parts on several engines."""
+
+import unittest
+
+from tests.lib import serving
+
+SPEED = serving.engine_runs.EngineSpeed(
+    prefill_tokens_per_s=1e6, decode_s=0.0002, memory_tokens=4096
+)
+
+
+def long_prompt(tokens):
+    body = serving.prompt(20)
+    body["prompt"] = "x" * (4 * tokens)
+    return body
+
+
+def held(site):
+    return [one.scheduler.memory.held_tokens for one in site.engines]
+
+
+def reserved(site):
+    return [one.scheduler.memory.reservations for one in site.engines]
+
+
+class LongPromptTest(unittest.TestCase):
+    """Parts are held while the request runs and freed after it."""
+
+    def test_prompt_of_two_engines_is_answered_and_its_memory_freed(self):
+        async def test():
+            async with serving.site(engines=3, speed=SPEED) as site:
+                answer = await site.post("/v1/completions", long_prompt(6000))
+                self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
+                self.assertEqual(answer.body.count(b"data: {"), 21)
+                runs = [one.counters.runs for one in site.engines]
+                self.assertEqual(sum(runs), 2)
+                await serving.until(lambda: held(site) == [0, 0, 0])
+                await serving.until(lambda: reserved(site) == [()] * 3)
+
+        serving.run(test)
+
+    def test_lost_part_leaves_nothing_held(self):
+        async def test():
+            async with serving.site(engines=2, speed=SPEED) as site:
+                for one in site.engines:
+                    one.faults.reject = True
+                answer = await site.post("/v1/completions", long_prompt(6000))
+                self.assertEqual(answer.json["outcome"], "not_run")
+                await serving.until(lambda: held(site) == [0, 0])
+                await serving.until(lambda: reserved(site) == [()] * 2)
+
+        serving.run(test)
+
+    def test_prompt_over_all_engines_is_refused_at_once(self):
+        async def test():
+            async with serving.site(engines=2, speed=SPEED) as site:
+                answer = await site.post("/v1/completions", long_prompt(9000))
+                self.assertEqual(answer.json["reason"], "prompt_too_large")
+                self.assertEqual(answer.json["outcome"], "not_run")
+                calls = [one.counters.calls for one in site.engines]
+                self.assertEqual(calls, [0, 0])
+
+        serving.run(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
