--- a/src/cardamomfork/_internal/routing/costs.py
+++ b/src/cardamomfork/_internal/routing/costs.py
@@ -23,40 +23,35 @@
 PRIOR_CALL_S = 0.05
 MIN_RATIO = 0.2
 MAX_RATIO = 5.0
-SLOPE_MEMORY = 0.998
-MIN_SLOPE_SAMPLES = 50.0
+USUAL_RATE = 0.02
+SLOPE_MEMORY = 0.9995
+MIN_SLOPE_SPREAD = 20_000.0
 
 
 @attrs.define
 class _BatchSlope:
-    """Decayed sums of a regression of prefill time on batch size."""
+    """Regression of prefill time on how a batch differs from the usual one.
 
-    count: float = 0.0
-    sum_x: float = 0.0
-    sum_y: float = 0.0
+    Only the difference counts, since the cost curve follows slow changes of
+    the usual batch by itself.
+    """
+
+    usual: float = 0.0
     sum_xx: float = 0.0
     sum_xy: float = 0.0
 
-    def add(self, x: float, y: float) -> None:
-        """Takes a point."""
-        self.count = self.count * SLOPE_MEMORY + 1.0
-        self.sum_x = self.sum_x * SLOPE_MEMORY + x
-        self.sum_y = self.sum_y * SLOPE_MEMORY + y
+    def add(self, running: int, change: float) -> None:
+        """Takes the logarithm of a time over the time in an empty batch."""
+        self.usual += USUAL_RATE * (running - self.usual)
+        x = running - self.usual
         self.sum_xx = self.sum_xx * SLOPE_MEMORY + x * x
-        self.sum_xy = self.sum_xy * SLOPE_MEMORY + x * y
+        self.sum_xy = self.sum_xy * SLOPE_MEMORY + x * change
 
-    def relative_slope(self) -> float | None:
-        """Returns slope over intercept, or None while too little is known."""
-        if self.count < MIN_SLOPE_SAMPLES:
-            return None
-        spread = self.count * self.sum_xx - self.sum_x**2
-        if spread < self.count**2:
-            return None
-        slope = (self.count * self.sum_xy - self.sum_x * self.sum_y) / spread
-        intercept = (self.sum_y - slope * self.sum_x) / self.count
-        if intercept <= 0:
+    def slope(self) -> float | None:
+        """Returns the share that a sequence adds; None if not yet known."""
+        if self.sum_xx < MIN_SLOPE_SPREAD:
             return None
-        return min(max(slope / intercept, 0.0), MAX_SLOPE)
+        return min(max(self.sum_xy / self.sum_xx, 0.0), MAX_SLOPE)
 
 
 class CostModel:
@@ -93,7 +88,7 @@
         return min(float(max_tokens), self._generated) * self._step_s
 
     def learn_prefill(
-        self, tokens: float, running: int, seconds: float, ratio: float
+        self, tokens: float, running: int, seconds: float
     ) -> float:
         """Learns from a prefill.
 
@@ -101,20 +96,22 @@
             tokens: Uncached prompt tokens.
             running: Size of the batch beside it.
             seconds: Time that it took.
-            ratio: Known ratio of this engine's time to the pool's.
 
         Returns:
             The ratio of the time to what the pool's engines were expected to
-            take.
+            take. The cost is the geometric mean of all engines', so that
+            ratios to it cannot drift together.
         """
         expected = self.prefill_s(tokens) * self.batch_factor(running)
         observed = min(max(seconds / expected, MIN_RATIO), MAX_RATIO)
-        own = observed / ratio
         band, share = _band(tokens)
-        self._learn_band(band, own, 1.0 - share)
-        self._learn_band(band + 1, own, share)
-        self._batch.add(running, own * self.batch_factor(running))
-        self._slope = self._batch.relative_slope() or self._slope
+        change = math.log(observed)
+        self._learn_band(band, change, 1.0 - share)
+        self._learn_band(band + 1, change, share)
+        self._batch.add(running, change + math.log(self.batch_factor(running)))
+        slope = self._batch.slope()
+        if slope is not None:
+            self._slope = slope
         return observed
 
     def learn_generation(self, tokens: int, seconds: float) -> None:
@@ -131,11 +128,11 @@
         self._call_s += LEARNING_RATE * (seconds - self._call_s)
         return observed
 
-    def _learn_band(self, band: int, factor: float, weight: float) -> None:
+    def _learn_band(self, band: int, change: float, weight: float) -> None:
         """Moves a band's cost a token; its first samples move it most."""
         self._samples[band] += 1
         rate = max(LEARNING_RATE, 1.0 / self._samples[band]) * weight
-        self._per_token[band] *= 1.0 + rate * (factor - 1.0)
+        self._per_token[band] *= math.exp(rate * change)
         if self._samples[band] == MIN_LEARNING_SAMPLES:
             self._spread(band)
 
