--- a/src/cardamomfork/_internal/composition/questions.py
+++ b/src/cardamomfork/_internal/composition/questions.py
@@ -8,19 +8,15 @@
 import attrs
 import msgspec
 
+from cardamomfork._internal import wiring
 from cardamomfork._internal.contracts import peering as peering_contract
 from cardamomfork._internal.data_centres import rendezvous
 from cardamomfork._internal.models import identifiers
-from cardamomfork._internal.models import targets
 from cardamomfork._internal.requests import reservation_sweep
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from cardamomfork._internal.contracts import clock as clock_contract
-    from cardamomfork._internal.contracts import target_link
     from cardamomfork._internal.instances import joining
-    from cardamomfork._internal.links.targets import registry
     from cardamomfork._internal.models import instances
     from cardamomfork._internal.requests import reservations
     from cardamomfork._internal.requests.claims import ledger
@@ -70,71 +66,46 @@
         return {one.instance_id: one for one in found}
 
 
-@attrs.frozen
-class ReservationSurroundings:
-    """What the keeper of engine memory has to know and reach.
-
-    Attributes:
-        fleet: Instances known, and the way to them.
-        links: Links to targets.
-    """
+def make_owners(fleet: joining.FleetMembership) -> wiring.Owners:
+    """Makes the way to the instances that own reservations."""
 
-    fleet: joining.FleetMembership
-    links: registry.LinkRegistry
-
-    def link(
-        self, target_id: identifiers.TargetId
-    ) -> target_link.TargetLink | None:
-        """Returns the link to a target; None if it is not configured."""
-        return self.links.find(target_id)
-
-    def local_engines(self) -> list[identifiers.TargetId]:
-        """Returns the engines of this data centre."""
-        home = self.fleet.members.me.instance.data_centre
-        return [
-            one.target.target_id
-            for one in self.links.links
-            if one.target.kind is targets.TargetKind.ENGINE
-            and one.target.data_centre == home
-        ]
-
-    def live_instances(self) -> list[identifiers.InstanceId]:
-        """Returns the instances of this data centre that can take roles."""
-        return self.fleet.members.staying()
-
-    def members(
-        self,
-    ) -> Mapping[identifiers.InstanceId, reservation_sweep.Member]:
-        """Returns all instances that the membership holds."""
+    def members() -> dict[identifiers.InstanceId, reservation_sweep.Member]:
         return {
             record.instance.instance_id: reservation_sweep.Member(
                 record.instance.boot_id, record.state
             )
-            for record in self.fleet.members.known()
+            for record in fleet.members.known()
         }
 
-    async def ask_owner(
-        self, question: reservation_sweep.Question
+    async def ask(
+        question: reservation_sweep.Question,
     ) -> frozenset[str] | None:
-        """Has the owner say which names it does not use; None for none."""
-        record = self.fleet.members.record(question.owner)
-        if record is None:
-            return None
-        payload = msgspec.msgpack.encode(question.names)
-        for _ in range(2):
-            # The first failure drops the connection, so that the second try
-            # goes over a new one.
-            answer = await self.fleet.link.ask(
-                record.instance,
-                peering_contract.Question.DISOWN,
-                payload,
-                DISOWN_TIMEOUT_S,
-            )
-            told = answer.unwrap_or(b"")
-            if told:
-                names = msgspec.msgpack.decode(told, type=list[str])
-                return frozenset(names)
+        return await _ask_owner(fleet, question)
+
+    return wiring.Owners(members, fleet.members.staying, ask)
+
+
+async def _ask_owner(
+    fleet: joining.FleetMembership, question: reservation_sweep.Question
+) -> frozenset[str] | None:
+    """Has the owner say which names it does not use; None for no answer."""
+    record = fleet.members.record(question.owner)
+    if record is None:
         return None
+    payload = msgspec.msgpack.encode(question.names)
+    for _ in range(2):
+        # The first failure drops the connection, so that the second try goes
+        # over a new one.
+        answer = await fleet.link.ask(
+            record.instance,
+            peering_contract.Question.DISOWN,
+            payload,
+            DISOWN_TIMEOUT_S,
+        )
+        told = answer.unwrap_or(b"")
+        if told:
+            return frozenset(msgspec.msgpack.decode(told, type=list[str]))
+    return None
 
 
 def answer_peers(
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -16,13 +16,18 @@
 from cardamomfork._internal.links.targets import idle
 from cardamomfork._internal.links.targets import observing
 from cardamomfork._internal.links.targets import registry
+from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.requests import admission
 from cardamomfork._internal.requests import attempts
 from cardamomfork._internal.requests import cancellation
 from cardamomfork._internal.requests import directory
 from cardamomfork._internal.requests import exchanging
+from cardamomfork._internal.requests import parts_transfer
 from cardamomfork._internal.requests import queueing
 from cardamomfork._internal.requests import records
+from cardamomfork._internal.requests import reservation_keeper
+from cardamomfork._internal.requests import reservation_surroundings
+from cardamomfork._internal.requests import reservation_sweep
 from cardamomfork._internal.requests import reservations
 from cardamomfork._internal.requests import retries
 from cardamomfork._internal.requests import running
@@ -33,6 +38,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
 
     import anyio.abc
 
@@ -46,6 +52,27 @@
 IDLE_LOOK_S = 5.0
 
 
+async def _ask_nobody(_: reservation_sweep.Question) -> None:
+    """Has no instance to ask."""
+
+
+@attrs.frozen
+class Owners:
+    """The instances that own reservations; by default none is known.
+
+    An instance that knows none releases its own and sweeps nothing.
+
+    Attributes:
+        members: Returns all instances that the membership holds.
+        live: Returns the live instances of this data centre.
+        ask: Asks another instance about its reservations.
+    """
+
+    members: Callable[[], reservation_surroundings.Members] = dict
+    live: Callable[[], Collection[identifiers.InstanceId]] = tuple
+    ask: reservation_surroundings.Ask = _ask_nobody
+
+
 @attrs.frozen
 class Surroundings:
     """What the fleet gives to an instance's requests.
@@ -57,6 +84,7 @@
         engine_news: Takes what the engines tell.
         claim_routes: The way to the owners of claim shards; None to write
             all claims here.
+        owners: The instances that own reservations.
         watches: Whether an engine is this instance's to watch.
     """
 
@@ -65,6 +93,7 @@
     limiter: limiting.Limiter
     engine_news: observing.Listener
     claim_routes: ledger.ClaimRoutes | None = None
+    owners: Owners = Owners()
     watches: Callable[[identifiers.TargetId], bool] = lambda _: True
 
 
@@ -90,6 +119,7 @@
         committer: Writes claims; None without a store.
         ledger: Claims; None without a store.
         own: Reservations of this instance on engines.
+        keeper: Releases reservations and sweeps engines for lost ones.
     """
 
     settings: settings_models.DaemonSettings
@@ -109,6 +139,7 @@
     committer: committer.GroupCommitter | None
     ledger: ledger.StoreClaimLedger | None
     own: reservations.OwnReservations
+    keeper: reservation_keeper.ReservationKeeper
 
     def apply_service(self, changed: configuration.Service) -> None:
         """Brings a service's configuration into force."""
@@ -150,6 +181,7 @@
         tasks.start_soon(self.heartbeats.run)
         tasks.start_soon(self.watch.run)
         tasks.start_soon(self.observer.run)
+        tasks.start_soon(self.keeper.run)
         if self.committer is not None:
             tasks.start_soon(self.committer.run)
 
@@ -185,10 +217,9 @@
     canceller = cancellation.Canceller(random.Random())
     table = records.RecordTable()
     known = directory.Directory()
+    instance_id = settings.instance.instance_id
     own = reservations.OwnReservations(
-        settings.instance.instance_id,
-        surroundings.boot_id,
-        random.Random(),
+        instance_id, surroundings.boot_id, random.Random()
     )
     return Daemon(
         settings=settings,
@@ -214,6 +245,7 @@
                 exchanger=exchanging.AttemptExchanger(clock, _salt_of),
                 canceller=canceller,
                 own=own,
+                parts=parts_transfer.PartsTransfer(links, own, clock),
                 retry_policy=retries.RetryPolicy(
                     random.Random(), retries.MIN_RESERVE
                 ),
@@ -229,6 +261,20 @@
         ),
         committer=claims,
         ledger=claim_ledger,
+        keeper=reservation_keeper.ReservationKeeper(
+            own,
+            reservation_sweep.HomeSweep(instance_id, random.Random()),
+            reservation_surroundings.DaemonSurroundings(
+                instance_id=instance_id,
+                data_centre=settings.instance.data_centre,
+                links=links,
+                own=own,
+                members=surroundings.owners.members,
+                live=surroundings.owners.live,
+                ask=surroundings.owners.ask,
+            ),
+            clock,
+        ),
     )
 
 
