Keep one body from taking engine after engine, in the daemon

Cause: the guard against poison requests was pure and nothing asked it; a body that crashed its engine was retried on the next, and sent again by its caller without end. A first wiring asked a plain service for its load to see whether it lives, which the service ran as a call (the test of an unknown end saw 2 runs): ruled out, a plain service only gets a connection. Change: a gate before each attempt holds suspects back, keeps them apart and looks at a target that lost a request on a new connection, engines by their load and life; deaths are pushed to all peers of the data centre at once. A given-up request is answered at once, not held until the peers know.

--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -19,6 +19,8 @@
 from cardamomfork._internal.instances import joining
 from cardamomfork._internal.links.operators import side as operators_side
 from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.requests import poison
+from cardamomfork._internal.requests import poison_gossip
 from cardamomfork._internal.routing import dispatcher as fleet_dispatcher
 from cardamomfork._internal.targets import orders
 from cardamomfork._internal.targets import orders_feed
@@ -108,6 +110,8 @@
     boot_id = identifiers.new_boot_id()
     platform = platform_module.make_platform(settings, clock)
     dispatcher = fleet_dispatcher.FleetDispatcher(random.Random())
+    guard = poison.PoisonGuard(random.Random(), poison.PUSH_TELLS_S)
+    poison_news = poison_gossip.PoisonGossip(guard)
     fleet = joining.make(
         settings,
         boot_id,
@@ -115,8 +119,20 @@
         random.Random(),
         platform.connect,
         dispatcher.observe_load,
+        participants=(poison_news,),
         key_prefix=platform_module.KEY_PREFIX,
     )
+
+    def push_poison_news() -> None:
+        if poison_news.urgent:
+            fleet.peering.push(poison_news.topic)
+            poison_news.pushed()
+
+    def staying(
+        names: frozenset[identifiers.TargetId],
+    ) -> frozenset[identifiers.TargetId]:
+        return frozenset(n for n in names if not fleet.leaving.is_leaving(n))
+
     news = engine_news.EngineNews(fleet, dispatcher)
     serving = wiring.wire(
         settings,
@@ -128,6 +144,10 @@
             engine_news=news,
             claim_routes=questions.ClaimRoutes(fleet, clock),
             owners=questions.make_owners(fleet),
+            guard=guard,
+            boot_of=fleet.loads.boot_of,
+            on_poison_news=push_poison_news,
+            staying=staying,
             watches=news.is_mine,
         ),
     )
--- a/src/cardamomfork/_internal/instances/composing.py
+++ b/src/cardamomfork/_internal/instances/composing.py
@@ -77,6 +77,28 @@
             return None
         return envelope
 
+    def compose_one(
+        self,
+        sender: instances.Instance,
+        peer: identifiers.InstanceId,
+        topic: gossip.Topic,
+        now: float,
+    ) -> peering_contract.Envelope | None:
+        """Returns one topic's news, charged even if others then wait.
+
+        None if the topic has nothing to tell the peer.
+        """
+        payload = self._participants[topic].collect(
+            peer, gossip.Scope.DATA_CENTRE, MAX_ENVELOPE_BYTES, now
+        )
+        if not payload:
+            return None
+        section = peering_contract.Section(topic, payload)
+        envelope = peering_contract.Envelope(sender, (section,))
+        self._budget.charge(envelope.size_bytes, now)
+        self.bytes_by_topic[topic] += len(payload)
+        return envelope
+
     def deliver(self, envelope: peering_contract.Envelope, now: float) -> None:
         """Hands each payload to its participant; skips unknown topics."""
         for section in envelope.sections:
--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -96,6 +96,8 @@
         self._rng = rng
         self._link: peering_contract.PeerLink | None = None
         self._hurry = anyio.Event()
+        self._push = anyio.Event()
+        self._pushed: set[gossip.Topic] = set()
         self._hurry_fanout = 1
         self._participants = participants
         self.budget = budget
@@ -111,6 +113,11 @@
         self._hurry_fanout = HURRY_FANOUT
         self._hurry.set()
 
+    def push(self, topic: gossip.Topic) -> None:
+        """Has one topic's news told to all peers of the data centre now."""
+        self._pushed.add(topic)
+        self._push.set()
+
     def catch_up(self) -> None:
         """Asks for an exchange with one peer soon."""
         self._hurry.set()
@@ -126,6 +133,7 @@
             group.start_soon(self._probe_loop, link, group)
             group.start_soon(self._remote_loop, link)
             group.start_soon(self._hurry_loop, link, group)
+            group.start_soon(self._push_loop, link, group)
 
     async def seek(
         self,
@@ -273,6 +281,45 @@
                 group.start_soon(self._tell, link, remote)
             await anyio.sleep(1.0 / MAX_HURRIED_PER_S)
 
+    async def _push_loop(
+        self,
+        link: peering_contract.PeerLink,
+        group: anyio.abc.TaskGroup,
+    ) -> None:
+        """Tells all peers of the data centre at once when asked to."""
+        while True:
+            await self._push.wait()
+            self._push = anyio.Event()
+            topics, self._pushed = self._pushed, set()
+            me = self._members.me.instance
+            now = self._clock.monotonic()
+            peers = [
+                peer
+                for peer in self._members.live(me.data_centre)
+                if peer.instance_id != me.instance_id
+            ]
+            for peer in peers:
+                for topic in sorted(topics):
+                    envelope = self._composer.compose_one(
+                        me, peer.instance_id, topic, now
+                    )
+                    if envelope is not None:
+                        group.start_soon(self._send, link, peer, envelope)
+
+    async def _send(
+        self,
+        link: peering_contract.PeerLink,
+        peer: instances.Instance,
+        envelope: peering_contract.Envelope,
+    ) -> bool:
+        """Sends an envelope and takes the answer; on a fault, once more."""
+        for fresh in (False, True):
+            answer = await link.exchange(peer, envelope, fresh=fresh)
+            if isinstance(answer, result.Ok):
+                self._take(answer.ok_value, self._clock.monotonic())
+                return True
+        return False
+
     async def _wait_for_bytes(self) -> None:
         """Waits until news fits; before, an exchange would only cost."""
         while True:
--- /dev/null
+++ b/src/cardamomfork/_internal/links/targets/reachability.py
@@ -0,0 +1,23 @@
+"""Tells whether a target takes a new connection; sends it nothing."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.models import targets
+
+CONNECT_TIMEOUT_S = 2.0
+
+
+async def connects(target: targets.Target) -> bool:
+    """Opens a connection to a target and closes it again."""
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await anyio.connect_tcp(target.host, target.port)
+    except (OSError, TimeoutError):
+        return False
+    await stream.aclose()
+    return True
--- a/src/cardamomfork/_internal/requests/directory.py
+++ b/src/cardamomfork/_internal/requests/directory.py
@@ -51,6 +51,15 @@
         service = self._services.get(name)
         return service.retry_budget if service else 0.0
 
+    def targets_of(
+        self, name: identifiers.ServiceName
+    ) -> frozenset[identifiers.TargetId]:
+        """Returns the targets of a service; none if it is not configured."""
+        service = self._services.get(name)
+        if service is None:
+            return frozenset()
+        return frozenset(target.target_id for target in service.targets)
+
     def service_of_model(self, model: str) -> configuration.Service | None:
         """Returns the service that serves a model, or has its name."""
         name = self._by_model.get(model, model)
--- a/src/cardamomfork/_internal/requests/poison.py
+++ b/src/cardamomfork/_internal/requests/poison.py
@@ -290,16 +290,8 @@
                 confirmed the cancel.
         """
         key = fingerprint[:FINGERPRINT_BYTES]
-        runs = self._running.get(target_id, {})
-        run = runs.get(key)
-        if run is None:
+        if not self._take_off(key, target_id):
             return
-        run.count -= 1
-        if run.count == 0:
-            del runs[key]
-            if not runs:
-                del self._running[target_id]
-        self._leave(key)
         if finished:
             self._clear(key, now)
             return
@@ -311,6 +303,26 @@
         while len(self._held) > MAX_LOST:
             self._held.popitem(last=False)
 
+    def withdrawn(
+        self, fingerprint: bytes, target_id: identifiers.TargetId
+    ) -> None:
+        """Notes that an attempt which was started never ran on its target."""
+        self._take_off(fingerprint[:FINGERPRINT_BYTES], target_id)
+
+    def _take_off(self, key: bytes, target_id: identifiers.TargetId) -> bool:
+        """Takes one run off a target; False if none is known there."""
+        runs = self._running.get(target_id, {})
+        run = runs.get(key)
+        if run is None:
+            return False
+        run.count -= 1
+        if run.count == 0:
+            del runs[key]
+            if not runs:
+                del self._running[target_id]
+        self._leave(key)
+        return True
+
     def target_survived(self, target_id: identifiers.TargetId) -> None:
         """Notes that a target that lost requests is alive."""
         for place in [p for p in self._lost if p[0] == target_id]:
--- a/src/cardamomfork/_internal/requests/running.py
+++ b/src/cardamomfork/_internal/requests/running.py
@@ -14,6 +14,7 @@
 from cardamomfork._internal.models import targets
 from cardamomfork._internal.requests import exchanging
 from cardamomfork._internal.requests import lifecycle
+from cardamomfork._internal.requests import poison_gate
 from cardamomfork._internal.requests import retries
 
 if TYPE_CHECKING:
@@ -94,6 +95,7 @@
         canceller: cancellation.Canceller,
         own: reservations.OwnReservations,
         parts: parts_transfer.PartsTransfer,
+        gate: poison_gate.PoisonGate,
         retry_policy: retries.RetryPolicy,
         clock: clock_contract.Clock,
         counters: attempts.FrameCounters,
@@ -108,6 +110,7 @@
             canceller: Cancels what nobody waits for any more.
             own: Reservations of this instance on engines.
             parts: Computes parts of prompts on other engines.
+            gate: Keeps requests that crash targets apart.
             retry_policy: Decides whether a failed request runs again.
             clock: The loop's clock.
             counters: Counts dropped frames.
@@ -119,6 +122,7 @@
         self._canceller = canceller
         self._own = own
         self._parts = parts
+        self._gate = gate
         self._retries = retry_policy
         self._clock = clock
         self._counters = counters
@@ -147,7 +151,11 @@
             request.service, run.retry_share, self._clock.monotonic()
         )
         while run.life.ending is None:
-            turn = await self._wait_turn(run)
+            passed = await self._gate.admit(request)
+            if isinstance(passed, result.Err):
+                conclude(run, passed.err_value)
+                return
+            turn = await self._wait_turn(run, passed.ok_value)
             if isinstance(turn, result.Err):
                 conclude(run, turn.err_value)
                 return
@@ -181,17 +189,17 @@
         await anyio.sleep(decided.ok_value.wait_s)
 
     async def _wait_turn(
-        self, run: Run
+        self, run: Run, keep_off: frozenset[identifiers.TargetId]
     ) -> result.Result[dispatching.Assignment, outcomes.Refusal]:
         """Waits for a target; one that failed may serve if no other does."""
-        turn = await self._waiting_room.wait(run.request, run.avoid)
+        turn = await self._waiting_room.wait(run.request, run.avoid | keep_off)
         if isinstance(turn, result.Ok) or not run.avoid:
             return turn
         if turn.err_value.reason is not outcomes.RefusalReason.NO_TARGET:
             return turn
         run.avoid = frozenset()
         await anyio.sleep(self._chance.uniform(0.0, _ONE_TARGET_WAIT_S))
-        return await self._waiting_room.wait(run.request)
+        return await self._waiting_room.wait(run.request, keep_off)
 
     async def _run_once(
         self, run: Run, assignment: dispatching.Assignment
@@ -206,7 +214,7 @@
             if link is None:
                 fault = _removed(assignment.target_id)
             else:
-                fault = await self._attempt_over(run, link, assignment.hops)
+                fault = await self._guarded(run, link, assignment.hops)
         finally:
             self._waiting_room.finished(request_id, run.outlet.tokens, fault)
         if fault is None:
@@ -215,6 +223,24 @@
         if fault.kind is not targets.FaultKind.GARBLED:
             run.avoid |= {fault.target_id}
 
+    async def _guarded(
+        self,
+        run: Run,
+        link: target_link.TargetLink,
+        hops: Sequence[dispatching.Hop],
+    ) -> targets.TargetFault | None:
+        """Makes an attempt and tells the gate how it ended."""
+        passage = self._gate.enter(run.request, link)
+        ended = False
+        try:
+            fault = await self._attempt_over(run, link, hops)
+            ended = True
+        finally:
+            if not ended:
+                self._gate.abandon(passage)
+        self._gate.leave(passage, fault)
+        return fault
+
     async def _attempt_over(
         self,
         run: Run,
--- a/src/cardamomfork/_internal/targets/watching.py
+++ b/src/cardamomfork/_internal/targets/watching.py
@@ -99,6 +99,13 @@
         """The topic of its payloads."""
         return gossip.Topic.LOAD
 
+    def boot_of(
+        self, target_id: identifiers.TargetId
+    ) -> identifiers.BootId | None:
+        """Returns the life of a target that was last heard."""
+        held = self._held.get(target_id)
+        return None if held is None else held.report.boot_id
+
     def observe(self, report: targets.LoadReport, now: float) -> bool:
         """Takes a report; False if a newer one of the target is held."""
         held = self._held.get(report.target_id)
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.links.callers import sinks
 from cardamomfork._internal.links.targets import idle
 from cardamomfork._internal.links.targets import observing
+from cardamomfork._internal.links.targets import reachability
 from cardamomfork._internal.links.targets import registry
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.requests import admission
@@ -23,6 +24,8 @@
 from cardamomfork._internal.requests import directory
 from cardamomfork._internal.requests import exchanging
 from cardamomfork._internal.requests import parts_transfer
+from cardamomfork._internal.requests import poison
+from cardamomfork._internal.requests import poison_gate
 from cardamomfork._internal.requests import queueing
 from cardamomfork._internal.requests import records
 from cardamomfork._internal.requests import reservation_keeper
@@ -85,6 +88,10 @@
         claim_routes: The way to the owners of claim shards; None to write
             all claims here.
         owners: The instances that own reservations.
+        guard: Keeps requests that crash targets apart.
+        boot_of: Returns the life of a target that was last heard.
+        on_poison_news: Called when peers should hear the guard's news at once.
+        staying: Returns which of some targets take new work.
         watches: Whether an engine is this instance's to watch.
     """
 
@@ -94,6 +101,16 @@
     engine_news: observing.Listener
     claim_routes: ledger.ClaimRoutes | None = None
     owners: Owners = Owners()
+    guard: poison.PoisonGuard = attrs.field(
+        factory=lambda: poison.PoisonGuard(random.Random())
+    )
+    boot_of: Callable[[identifiers.TargetId], identifiers.BootId | None] = (
+        lambda _: None
+    )
+    on_poison_news: Callable[[], None] = lambda: None
+    staying: Callable[
+        [frozenset[identifiers.TargetId]], frozenset[identifiers.TargetId]
+    ] = frozenset
     watches: Callable[[identifiers.TargetId], bool] = lambda _: True
 
 
@@ -119,6 +136,7 @@
         committer: Writes claims; None without a store.
         ledger: Claims; None without a store.
         own: Reservations of this instance on engines.
+        gate: Keeps requests that crash targets apart.
         keeper: Releases reservations and sweeps engines for lost ones.
     """
 
@@ -140,6 +158,7 @@
     ledger: ledger.StoreClaimLedger | None
     own: reservations.OwnReservations
     keeper: reservation_keeper.ReservationKeeper
+    gate: poison_gate.PoisonGate
 
     def apply_service(self, changed: configuration.Service) -> None:
         """Brings a service's configuration into force."""
@@ -182,6 +201,7 @@
         tasks.start_soon(self.watch.run)
         tasks.start_soon(self.observer.run)
         tasks.start_soon(self.keeper.run)
+        tasks.start_soon(self.gate.run)
         if self.committer is not None:
             tasks.start_soon(self.committer.run)
 
@@ -221,6 +241,14 @@
     own = reservations.OwnReservations(
         instance_id, surroundings.boot_id, random.Random()
     )
+    gate = poison_gate.PoisonGate(
+        surroundings.guard,
+        clock,
+        lambda name: surroundings.staying(known.targets_of(name)),
+        reachability.connects,
+        surroundings.boot_of,
+        surroundings.on_poison_news,
+    )
     return Daemon(
         settings=settings,
         clock=clock,
@@ -246,6 +274,7 @@
                 canceller=canceller,
                 own=own,
                 parts=parts_transfer.PartsTransfer(links, own, clock),
+                gate=gate,
                 retry_policy=retries.RetryPolicy(
                     random.Random(), retries.MIN_RESERVE
                 ),
@@ -261,6 +290,7 @@
         ),
         committer=claims,
         ledger=claim_ledger,
+        gate=gate,
         keeper=reservation_keeper.ReservationKeeper(
             own,
             reservation_sweep.HomeSweep(instance_id, random.Random()),
