Serve the metrics to scrapers on the callers' port

Cause: the metrics could be scraped in process only; nothing served them. Change: the callers' application answers /metrics by an optional collaborator. Conclusion: a scrape of the running daemon gives the Prometheus text format.

--- a/src/cardamomfork/_internal/links/callers/application.py
+++ b/src/cardamomfork/_internal/links/callers/application.py
@@ -26,6 +26,7 @@
     from cardamomfork._internal.contracts import clock as clock_contract
     from cardamomfork._internal.requests import records
     from cardamomfork._internal.requests import service as service_module
+    from cardamomfork._internal.telemetry import exporting
 
 CALLS_PREFIX = "/v1/services/"
 CALLS_SUFFIX = "/calls"
@@ -61,6 +62,7 @@
         authenticator: Checks keys.
         clock: Time of the wall, for keys that end.
         data_centre: Where this instance stands.
+        scrape: Returns the metrics for `/metrics`; None for no such path.
     """
 
     prompts: exchange.PromptExchange
@@ -69,6 +71,7 @@
     authenticator: Authenticator
     clock: clock_contract.Clock
     data_centre: identifiers.DataCentreId
+    scrape: Callable[[], exporting.Scrape] | None = None
 
     async def __call__(
         self,
@@ -113,6 +116,10 @@
             await responder.json(_OK, {"alive": True})
         elif path == "/readyz":
             await self._tell_ready(responder)
+        elif path == "/metrics" and self.scrape is not None:
+            scraped = self.scrape()
+            content_type = scraped.content_type.encode()
+            await responder.body(_OK, content_type, scraped.body)
         elif path in _PROMPT_PATHS or _is_call(path):
             await self._run(asgi, responder, path)
         elif path.startswith(REQUESTS_PREFIX):
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -48,6 +48,7 @@
     from cardamomfork._internal.models import configuration
     from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import settings as settings_models
+    from cardamomfork._internal.telemetry import exporting
 
 IDLE_LOOK_S = 5.0
 
@@ -284,9 +285,17 @@
 
 
 def make_application(
-    daemon: Daemon, keys: application.Authenticator
+    daemon: Daemon,
+    keys: application.Authenticator,
+    scrape: Callable[[], exporting.Scrape] | None = None,
 ) -> application.CallerApplication:
-    """Makes the application that callers talk to."""
+    """Makes the application that callers talk to.
+
+    Args:
+        daemon: The parts of the process.
+        keys: Tells whose key a caller shows.
+        scrape: Returns the metrics; None leaves `/metrics` out.
+    """
     return application.CallerApplication(
         prompts=exchange.PromptExchange(
             service=daemon.requests,
@@ -300,4 +309,5 @@
         authenticator=keys,
         clock=daemon.clock,
         data_centre=daemon.settings.instance.data_centre,
+        scrape=scrape,
     )
--- a/tests/functional/test_operated_daemon.py
+++ b/tests/functional/test_operated_daemon.py
@@ -78,6 +78,12 @@
                 break
         self.assertEqual({t["name"] for t in record["tables"]}, names)
 
+    def test_metrics_are_served_to_scrapers(self):
+        status, headers, body = self.daemon.request("GET", "/metrics")
+        self.assertEqual(status, 200)
+        self.assertTrue(headers[b"content-type"].startswith(b"text/plain"))
+        self.assertIn("\ncardamomfork_table_size{", body.decode())
+
     def test_many_short_connections_leave_the_daemon_alive(self):
         for _ in range(40):
             self.run_tool("status")
