Feed the metrics from requests, limits and peers

Cause: the metrics were registered, but nothing recorded into them, so a scrape of the daemon showed table sizes and loop lag alone. Change: a small observer, by default without effect, is told first tokens, resumes and ends; counters of retries, frames, limits and peers are read at each export. Bytes to peers carry the topic in place of the scope. Conclusion: the scrape follows requests; no work is added per token.

--- a/src/cardamomfork/_internal/accounts/limits.py
+++ b/src/cardamomfork/_internal/accounts/limits.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from typing import Any
 from typing import TYPE_CHECKING
 
 import attrs
@@ -107,6 +108,19 @@
         """Accounts with recent requests here."""
         return len(self._usage)
 
+    def describe(self, now: float) -> list[dict[str, Any]]:
+        """Returns one row an active account, for the state dump."""
+        return [
+            {
+                "account": name,
+                "share": usage.share,
+                "demand": usage.demand,
+                "held": usage.held,
+                "idle_s": round(now - usage.active_at, 1),
+            }
+            for name, usage in self._usage.items()
+        ]
+
     def apply_account(self, account: configuration.ClientAccount) -> None:
         """Takes an account's current limits."""
         self._accounts[account.name] = account
--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.composition import engine_news
 from cardamomfork._internal.composition import platform as platform_module
 from cardamomfork._internal.composition import questions
+from cardamomfork._internal.composition import seeing
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.instances import joining
 from cardamomfork._internal.links.operators import side as operators_side
@@ -117,6 +118,7 @@
         dispatcher.observe_load,
         key_prefix=platform_module.KEY_PREFIX,
     )
+    observation = observing.observe(settings, clock)
     news = engine_news.EngineNews(fleet, dispatcher)
     serving = wiring.wire(
         settings,
@@ -129,11 +131,11 @@
             claim_routes=questions.ClaimRoutes(fleet, clock),
             owners=questions.make_owners(fleet),
             watches=news.is_mine,
+            observer=seeing.MetricsObserver(observation.metrics),
         ),
     )
     if serving.ledger is not None:
         questions.answer_peers(fleet, serving.ledger, serving.own)
-    observation = observing.observe(settings, clock)
     applier = applying.ConfigurationApplier(
         serving,
         fleet.leaving,
@@ -143,6 +145,7 @@
     fleet.replica.subscribe(applier.apply)
     fleet.leaving.subscribe(serving.set_leaving)
     _register_tables(observation, serving, fleet)
+    seeing.watch_sides(observation.metrics, serving, fleet, dispatcher, clock)
     return Process(
         settings=settings,
         platform=platform,
--- /dev/null
+++ b/src/cardamomfork/_internal/composition/seeing.py
@@ -0,0 +1,184 @@
+"""Feeds the metrics from the sides of a process."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.contracts import gossip
+from cardamomfork._internal.models import requests as requests_models
+from cardamomfork._internal.requests import observing as request_observing
+
+if TYPE_CHECKING:
+    from cardamomfork._internal import wiring
+    from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.instances import joining
+    from cardamomfork._internal.models import outcomes
+    from cardamomfork._internal.models import requests
+    from cardamomfork._internal.requests import records
+    from cardamomfork._internal.routing import dispatcher as fleet_dispatcher
+    from cardamomfork._internal.telemetry import metrics
+
+MIN_EXPECTED_S = 1e-6
+
+
+class MetricsObserver(request_observing.RequestObserver):
+    """Turns what the request path tells into metrics."""
+
+    def __init__(self, taken: metrics.Metrics) -> None:
+        """Takes the metrics."""
+        self._metrics = taken
+
+    def first_token(
+        self,
+        request: requests.Request,
+        now: float,
+        assigned_at: float,
+        expected_s: float,
+    ) -> None:
+        """Takes a stream's first token; a whole body's first bytes are late."""
+        if not request.stream or request.api is requests_models.Api.CALL:
+            return
+        tokens = request.prompt_tokens
+        self._metrics.first_token(tokens, now - request.arrived_at)
+        if expected_s > MIN_EXPECTED_S:
+            self._metrics.slowdown(tokens, (now - assigned_at) / expected_s)
+
+    def resumed(self) -> None:
+        """Counts a resume."""
+        self._metrics.resumed()
+
+    def ended(
+        self,
+        request: requests.Request,
+        record: records.Record,
+        outcome: outcomes.Outcome,
+        reason: outcomes.RefusalReason | None,
+        now: float,
+    ) -> None:
+        """Counts an end; a stored outcome told again is no more goodput."""
+        ran_here = bool(record.target_id)
+        self._metrics.ended(
+            request.service,
+            outcome,
+            reason,
+            worth=request.worth,
+            on_time=ran_here and now <= request.deadline,
+            generated_tokens=record.tokens,
+        )
+
+    def refused(
+        self, request: requests.Request, refusal: outcomes.Refusal
+    ) -> None:
+        """Counts a refusal."""
+        self._metrics.ended(request.service, refusal.outcome, refusal.reason)
+
+
+def watch_sides(
+    taken: metrics.Metrics,
+    serving: wiring.Daemon,
+    fleet: joining.FleetMembership,
+    dispatcher: fleet_dispatcher.FleetDispatcher,
+    clock: clock_contract.Clock,
+) -> None:
+    """Adds what is read from the sides at each export."""
+    taken.watch(
+        "queue_length",
+        "1",
+        "Requests that wait",
+        lambda: float(dispatcher.queued),
+    )
+    taken.watch(
+        "running_requests",
+        "1",
+        "Requests under way on targets",
+        lambda: float(dispatcher.running),
+    )
+    taken.watch_counts(
+        "tries", "1", "Tries by kind", "kind", lambda: _tries(serving)
+    )
+    taken.watch_counts(
+        "dropped_frames",
+        "1",
+        "Frames and ends of answers that were dropped, by kind",
+        "kind",
+        lambda: _frames(serving),
+    )
+    taken.watch_counts(
+        "peer_bytes",
+        "By",
+        "Payload bytes told to peers, by topic",
+        "topic",
+        lambda: bytes_by_topic(fleet),
+    )
+    taken.watch_counts(
+        "process_time",
+        "s",
+        "Processor time of the process",
+        "",
+        lambda: {"": time.process_time()},
+    )
+    _watch_limits(taken, fleet, clock)
+    fleet.peering.time_with(lambda: taken.control("peers"))
+
+
+def bytes_by_topic(fleet: joining.FleetMembership) -> dict[str, float]:
+    """Returns the payload bytes told to peers, by the topics' names."""
+    told = fleet.peering.bytes_by_topic
+    return {
+        topic.name.lower(): float(told.get(topic, 0)) for topic in gossip.Topic
+    }
+
+
+def _watch_limits(
+    taken: metrics.Metrics,
+    fleet: joining.FleetMembership,
+    clock: clock_contract.Clock,
+) -> None:
+    """Adds what the limits admitted, and this instance's shares."""
+    counters = fleet.limiter.counters
+    taken.watch_counts(
+        "limit_decisions",
+        "1",
+        "Requests that the accounts' limits admitted and refused",
+        "decision",
+        lambda: {
+            "admitted": float(counters.admitted),
+            "refused": float(counters.refused),
+        },
+    )
+
+    def mean_share() -> float:
+        rows = fleet.limiter.describe(clock.monotonic())
+        return sum(row["share"] for row in rows) / max(len(rows), 1)
+
+    taken.watch(
+        "limit_share",
+        "1",
+        "Mean of this instance's shares of its active accounts' limits",
+        mean_share,
+    )
+
+
+def _tries(serving: wiring.Daemon) -> dict[str, float]:
+    """Returns the tries by kind."""
+    counters = serving.retry_policy.counters
+    return {
+        "first": float(counters.first_tries),
+        "retry": float(counters.retries),
+        "hedge": float(counters.hedges),
+        "over_budget": float(counters.over_budget),
+    }
+
+
+def _frames(serving: wiring.Daemon) -> dict[str, float]:
+    """Returns the dropped frames by kind."""
+    counters = serving.frames
+    return {
+        "late": float(counters.late),
+        "crossed": float(counters.crossed),
+        "doubled": float(counters.doubled),
+        "gap": float(counters.gaps),
+        "second_end": float(counters.second_finals),
+        "diverged": float(counters.diverged),
+    }
--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 import anyio
@@ -100,12 +101,21 @@
         self._participants = participants
         self.budget = budget
         self.counters = PeeringCounters()
+        self._timed: Callable[[], contextlib.AbstractContextManager[None]] = (
+            contextlib.nullcontext
+        )
 
     @property
     def bytes_by_topic(self) -> dict[gossip.Topic, int]:
         """Payload bytes told, by topic."""
         return self._composer.bytes_by_topic
 
+    def time_with(
+        self, timed: Callable[[], contextlib.AbstractContextManager[None]]
+    ) -> None:
+        """Makes a context for each piece of work; nothing is awaited in it."""
+        self._timed = timed
+
     def hurry(self) -> None:
         """Asks for an exchange with a few peers soon."""
         self._hurry_fanout = HURRY_FANOUT
@@ -333,7 +343,8 @@
         scope = gossip.Scope.FLEET
         if peer.data_centre == me.data_centre:
             scope = gossip.Scope.DATA_CENTRE
-        envelope = self._composer.compose(me, peer.instance_id, scope, now)
+        with self._timed():
+            envelope = self._composer.compose(me, peer.instance_id, scope, now)
         self.counters.unpaid += envelope is None
         return envelope
 
@@ -342,7 +353,8 @@
         sender = envelope.sender
         self._members.hear(records.Record(sender), now)
         try:
-            self._composer.deliver(envelope, now)
+            with self._timed():
+                self._composer.deliver(envelope, now)
         except Exception:  # noqa: BLE001 - one payload must not end the loop.
             self.counters.broken += 1
             loguru.logger.exception(
--- a/src/cardamomfork/_internal/requests/records.py
+++ b/src/cardamomfork/_internal/requests/records.py
@@ -38,6 +38,7 @@
         target_id: Where it runs or ran last; empty before it ran.
         outcome: What is known of its run.
         reason: Why it ended without a result; None else.
+        tokens: Tokens given to the caller, as far as they were counted.
     """
 
     request_id: identifiers.RequestId
@@ -47,6 +48,7 @@
     target_id: str = ""
     outcome: outcomes.Outcome = outcomes.Outcome.NOT_RUN
     reason: outcomes.RefusalReason | None = None
+    tokens: int = 0
 
 
 class RecordTable:
--- a/src/cardamomfork/_internal/requests/running.py
+++ b/src/cardamomfork/_internal/requests/running.py
@@ -27,6 +27,7 @@
     from cardamomfork._internal.requests import attempts
     from cardamomfork._internal.requests import cancellation
     from cardamomfork._internal.requests import delivery
+    from cardamomfork._internal.requests import observing
     from cardamomfork._internal.requests import parts_transfer
     from cardamomfork._internal.requests import queueing
     from cardamomfork._internal.requests import records
@@ -66,6 +67,7 @@
         retry_share: The service's retry budget.
         reservation: Name of the engine memory held for the last attempt.
         expected_s: Predicted time to the first token of the last attempt.
+        assigned_at: When the last attempt was given to its target.
     """
 
     request: requests.Request
@@ -80,6 +82,7 @@
     retry_share: float = 0.1
     reservation: str = ""
     expected_s: float = 0.0
+    assigned_at: float = 0.0
 
 
 class Runner:
@@ -98,6 +101,7 @@
         clock: clock_contract.Clock,
         counters: attempts.FrameCounters,
         chance: random.Random,
+        observer: observing.RequestObserver,
     ) -> None:
         """Takes its collaborators.
 
@@ -112,6 +116,7 @@
             clock: The loop's clock.
             counters: Counts dropped frames.
             chance: Source of the jitter between resumes.
+            observer: Told first tokens and resumes.
         """
         self._waiting_room = waiting_room
         self._links = links
@@ -123,6 +128,7 @@
         self._clock = clock
         self._counters = counters
         self._chance = chance
+        self._observer = observer
 
     def start(
         self,
@@ -136,9 +142,14 @@
 
         def note_first() -> None:
             self._waiting_room.first_token(request.request_id)
+            now = self._clock.monotonic()
+            self._observer.first_token(
+                request, now, run.assigned_at, run.expected_s
+            )
 
         outlet = exchanging.make_outlet(request, sink, life, note_first)
-        return Run(request, sink, record, life, outlet, retry_share=retry_share)
+        run = Run(request, sink, record, life, outlet, retry_share=retry_share)
+        return run
 
     async def run(self, run: Run) -> None:
         """Runs a request until its life has an ending."""
@@ -202,6 +213,7 @@
         fault: targets.TargetFault | None = None
         run.record.target_id = assignment.target_id
         run.expected_s = assignment.expected_first_token_s
+        run.assigned_at = self._clock.monotonic()
         try:
             if link is None:
                 fault = _removed(assignment.target_id)
@@ -263,6 +275,7 @@
                 ):
                     return fault
                 await self._wait_before_resume(failed_resumes)
+                self._observer.resumed()
                 attempt = run.life.begin(
                     attempt_id, link.target.target_id, resume=True
                 )
--- a/src/cardamomfork/_internal/requests/service.py
+++ b/src/cardamomfork/_internal/requests/service.py
@@ -19,6 +19,7 @@
     from cardamomfork._internal.requests import delivery
     from cardamomfork._internal.requests import directory
     from cardamomfork._internal.requests import lifecycle
+    from cardamomfork._internal.requests import observing
     from cardamomfork._internal.requests import records
     from cardamomfork._internal.requests import running
 
@@ -37,6 +38,7 @@
         runner: running.Runner,
         table: records.RecordTable,
         known: directory.Directory,
+        observer: observing.RequestObserver,
     ) -> None:
         """Takes its collaborators.
 
@@ -47,6 +49,7 @@
             runner: Runs what is admitted.
             table: Records of requests.
             known: Services, for their retry budgets.
+            observer: Told every refusal and end.
         """
         self._clock = clock
         self._limiter = limiter
@@ -54,6 +57,7 @@
         self._runner = runner
         self._table = table
         self._known = known
+        self._observer = observer
         self._draining = False
         self._drained = False
         self._idle = anyio.Event()
@@ -81,6 +85,23 @@
         self, request: requests.Request, sink: delivery.CallerSink
     ) -> _Ending:
         """Runs a request; a stream's bytes go to the sink meanwhile."""
+        granted = self._admit(request)
+        if isinstance(granted, result.Err):
+            self._observer.refused(request, granted.err_value)
+            return granted
+        record = self._table.begin(request)
+        ending: _Ending = result.Err(_cancelled())
+        try:
+            ending = await self._run_claimed(request, sink, record)
+        finally:
+            self._limiter.release(granted.ok_value, self._clock.monotonic())
+            self._note_end(request, record, ending)
+        return ending
+
+    def _admit(
+        self, request: requests.Request
+    ) -> result.Result[limiting.Grant, outcomes.Refusal]:
+        """Asks the account's limits, unless this instance stops."""
         if self.draining:
             return result.Err(
                 outcomes.refuse(
@@ -89,27 +110,24 @@
                     1.0,
                 )
             )
-        granted = self._limiter.admit(
+        return self._limiter.admit(
             request.account, request.prompt_tokens, self._clock.monotonic()
         )
-        if isinstance(granted, result.Err):
-            return granted
-        record = self._table.begin(request)
-        ending: _Ending = result.Err(_cancelled())
-        try:
-            ending = await self._run_claimed(request, sink, record)
-        finally:
-            self._limiter.release(granted.ok_value, self._clock.monotonic())
-            self._note_end(record, ending)
-        return ending
 
-    def _note_end(self, record: records.Record, ending: _Ending) -> None:
+    def _note_end(
+        self,
+        request: requests.Request,
+        record: records.Record,
+        ending: _Ending,
+    ) -> None:
         """Keeps how a request ended."""
+        outcome, reason = outcomes.Outcome.DONE, None
         if isinstance(ending, result.Err):
-            refusal = ending.err_value
-            self._table.end(record, refusal.outcome, refusal.reason)
-        else:
-            self._table.end(record, outcomes.Outcome.DONE)
+            outcome = ending.err_value.outcome
+            reason = ending.err_value.reason
+        self._table.end(record, outcome, reason)
+        now = self._clock.monotonic()
+        self._observer.ended(request, record, outcome, reason, now)
         if not self._table.open_count:
             self._idle.set()
 
@@ -175,6 +193,7 @@
                 await self._runner.run(run)
             finally:
                 record.outcome = run.life.outcome
+                record.tokens = run.outlet.tokens
         if scope.cancelled_caught:
             run.life.conclude(
                 outcomes.RefusalReason.DEADLINE_EXCEEDED,
--- a/src/cardamomfork/_internal/telemetry/metrics.py
+++ b/src/cardamomfork/_internal/telemetry/metrics.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
     import types
 
     from cardamomfork._internal.models import outcomes
@@ -60,7 +61,7 @@
         self._slowdown = meter.create_histogram(
             PREFIX + "slowdown",
             "1",
-            "Time taken as a multiple of the time alone on an idle engine",
+            "Time from assignment to first token over the time expected",
             explicit_bucket_boundaries_advisory=SLOWDOWN_EDGES,
         )
         self._lag = meter.create_histogram(
@@ -80,12 +81,15 @@
         self._tokens = meter.create_counter(
             PREFIX + "generated_tokens", "1", "Tokens generated"
         )
-        self._peer_bytes = meter.create_counter(
-            PREFIX + "peer_bytes", "By", "Bytes told to peers"
+        self._resumes = meter.create_counter(
+            PREFIX + "resumes", "1", "Broken answers asked for their rest"
         )
         self._control = meter.create_counter(
             PREFIX + "control_time", "s", "Processor time spent on control"
         )
+        # A counter is exported from its first record on.
+        self._resumes.add(0)
+        self._control.add(0.0, {"part": "peers"})
 
     def first_token(self, prompt_tokens: int, seconds: float) -> None:
         """Takes a request's time to first token."""
@@ -93,7 +97,7 @@
         self._first_token.record(seconds, _BAND_ATTRIBUTES[band])
 
     def slowdown(self, prompt_tokens: int, ratio: float) -> None:
-        """Takes a request's time over its time alone."""
+        """Takes the time from assignment to first token over the expected."""
         band = bisect.bisect_right(BAND_EDGES, prompt_tokens)
         self._slowdown.record(ratio, _BAND_ATTRIBUTES[band])
 
@@ -126,9 +130,9 @@
         if outcome.value == "done" and on_time:
             self._goodput.add(worth, {"service": name})
 
-    def peer_bytes(self, count: int, scope: str) -> None:
-        """Takes bytes told to peers; scope `data_centre` or `fleet`."""
-        self._peer_bytes.add(count, {"scope": scope})
+    def resumed(self) -> None:
+        """Counts an answer that broke off and is asked for its rest."""
+        self._resumes.add(1)
 
     def loop_lag(self, seconds: float) -> None:
         """Takes a loop lag."""
@@ -155,6 +159,32 @@
             PREFIX + name, [observe], unit, text
         )
 
+    def watch_counts(
+        self,
+        name: str,
+        unit: str,
+        text: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Adds counters that are read at each export.
+
+        Args:
+            name: Their common name.
+            unit: Unit of the counts.
+            text: What they count.
+            label: Label of the keys; empty for a single count without one.
+            read: Returns the counts by the label's values; they never fall.
+        """
+
+        def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
+            for key, count in read().items():
+                yield api.Observation(count, {label: key} if label else {})
+
+        self._meter.create_observable_counter(
+            PREFIX + name, [observe], unit, text
+        )
+
     def watch_tables(self, sizes: Callable[[], Sizes]) -> None:
         """Adds gauges of every table's size and bound."""
 
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -22,6 +22,7 @@
 from cardamomfork._internal.requests import cancellation
 from cardamomfork._internal.requests import directory
 from cardamomfork._internal.requests import exchanging
+from cardamomfork._internal.requests import observing as request_observing
 from cardamomfork._internal.requests import parts_transfer
 from cardamomfork._internal.requests import queueing
 from cardamomfork._internal.requests import records
@@ -87,6 +88,7 @@
             all claims here.
         owners: The instances that own reservations.
         watches: Whether an engine is this instance's to watch.
+        observer: Told what happens to requests.
     """
 
     boot_id: identifiers.BootId
@@ -96,6 +98,9 @@
     claim_routes: ledger.ClaimRoutes | None = None
     owners: Owners = Owners()
     watches: Callable[[identifiers.TargetId], bool] = lambda _: True
+    observer: request_observing.RequestObserver = (
+        request_observing.RequestObserver()
+    )
 
 
 @attrs.define
@@ -121,6 +126,8 @@
         ledger: Claims; None without a store.
         own: Reservations of this instance on engines.
         keeper: Releases reservations and sweeps engines for lost ones.
+        retry_policy: Retry budgets and counters.
+        frames: Counts dropped frames.
     """
 
     settings: settings_models.DaemonSettings
@@ -141,6 +148,8 @@
     ledger: ledger.StoreClaimLedger | None
     own: reservations.OwnReservations
     keeper: reservation_keeper.ReservationKeeper
+    retry_policy: retries.RetryPolicy
+    frames: attempts.FrameCounters
 
     def apply_service(self, changed: configuration.Service) -> None:
         """Brings a service's configuration into force."""
@@ -218,6 +227,8 @@
     canceller = cancellation.Canceller(random.Random())
     table = records.RecordTable()
     known = directory.Directory()
+    frames = attempts.FrameCounters()
+    retry_policy = retries.RetryPolicy(random.Random(), retries.MIN_RESERVE)
     instance_id = settings.instance.instance_id
     own = reservations.OwnReservations(
         instance_id, surroundings.boot_id, random.Random()
@@ -247,16 +258,18 @@
                 canceller=canceller,
                 own=own,
                 parts=parts_transfer.PartsTransfer(links, own, clock),
-                retry_policy=retries.RetryPolicy(
-                    random.Random(), retries.MIN_RESERVE
-                ),
+                retry_policy=retry_policy,
                 clock=clock,
-                counters=attempts.FrameCounters(),
+                counters=frames,
                 chance=random.Random(),
+                observer=surroundings.observer,
             ),
             table=table,
             known=known,
+            observer=surroundings.observer,
         ),
+        retry_policy=retry_policy,
+        frames=frames,
         observer=observing.EngineObserver(
             links, surroundings.engine_news, clock, surroundings.watches
         ),
--- a/tests/functional/test_operated_daemon.py
+++ b/tests/functional/test_operated_daemon.py
@@ -5,8 +5,10 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import tempfile
+import time
 import unittest
 from unittest import mock
 
@@ -15,6 +17,7 @@
 from cardamomfork._internal.cli import main
 from tests.lib import daemons
 
+TICK_S = 0.1
 CODE = exit_codes.ExitCode
 PROMPT = {"model": "demo-model", "prompt": "Hello", "max_tokens": 2}
 
@@ -78,11 +81,47 @@
                 break
         self.assertEqual({t["name"] for t in record["tables"]}, names)
 
-    def test_metrics_are_served_to_scrapers(self):
+    def scrape(self):
         status, headers, body = self.daemon.request("GET", "/metrics")
         self.assertEqual(status, 200)
         self.assertTrue(headers[b"content-type"].startswith(b"text/plain"))
-        self.assertIn("\ncardamomfork_table_size{", body.decode())
+        return body.decode()
+
+    def test_scrape_counts_what_was_served_and_refused(self):
+        for body in (
+            {**PROMPT, "stream": True},
+            {**PROMPT, "model": "missing"},
+            {**PROMPT, "stream": True, "max_tokens": 3},
+        ):
+            self.daemon.request("POST", "/v1/completions", body)
+        text = self.scrape()
+        for series, value in (
+            (r'first_token_seconds_count\{.*prompt_length="<1k"', 2),
+            (r'slowdown_count\{.*prompt_length="<1k"', 2),
+            (r'requests_total\{.*outcome="done".*service="demo"', 2),
+            (r'goodput_total\{.*service="demo"', 2),
+            (r'tries_total\{.*kind="first"', 2),
+            (r'limit_decisions_total\{.*decision="admitted"', 2),
+            ("queue_length", 0),
+        ):
+            found = re.search(rf"^cardamomfork_{series}.* (\S+)$", text, re.M)
+            self.assertIsNotNone(found, series)
+            self.assertEqual(float(found[1]), value, series)
+
+    def test_page_names_the_exported_metrics_and_no_others(self):
+        self.daemon.request(
+            "POST", "/v1/completions", {**PROMPT, "stream": True}
+        )
+        text = self.scrape()
+        while "loop_lag" not in text:
+            # The loop's first tick comes some time after the start.
+            time.sleep(TICK_S)
+            text = self.scrape()
+        kinds = dict(re.findall(r"^# TYPE (\S+) (\w+)$", text, re.M))
+        exported = {name for name in kinds if name.startswith("cardamomfork_")}
+        page = pathlib.Path(__file__).parents[2] / "docs/operators/metrics.md"
+        named = re.findall(r"`(cardamomfork_\w+)`", page.read_text())
+        self.assertEqual(set(named), exported)
 
     def test_many_short_connections_leave_the_daemon_alive(self):
         for _ in range(40):
--- a/tests/unit/test_operator_pages.py
+++ b/tests/unit/test_operator_pages.py
@@ -11,11 +11,7 @@
 from cardamomfork._internal.configuration import checking
 from cardamomfork._internal.configuration import codec
 from cardamomfork._internal.configuration import replica
-from cardamomfork._internal.contracts import clock
-from cardamomfork._internal.models import outcomes
-from cardamomfork._internal.models import settings
 from cardamomfork._internal.settings import sections
-from cardamomfork._internal.telemetry import observing
 
 PAGES = pathlib.Path(__file__).parents[2] / "docs" / "operators"
 
@@ -62,23 +58,6 @@
         rows = re.findall(r"^\| `\[(\w+)\]`", read("settings"), re.M)
         self.assertEqual(rows, list(sections.SECTIONS))
 
-    def test_metrics_exist(self):
-        seen = observing.observe(settings.DaemonSettings(), clock.ManualClock())
-        taken = seen.metrics
-        seen.register_sizes("t", lambda: {"t": (1, 1)})
-        taken.first_token(1, 1.0)
-        taken.slowdown(1, 1.0)
-        taken.loop_lag(0.0)
-        taken.peer_bytes(1, "fleet")
-        taken.ended("s", outcomes.Outcome.DONE, generated_tokens=1)
-        with taken.control("x"):
-            pass
-        text = seen.export.scrape().body.decode()
-        named = re.findall(r"`(cardamomfork_\w+)`", read("metrics"))
-        self.assertGreater(len(named), 8)
-        for name in named:
-            self.assertIn(f"\n{name}", text)
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -131,7 +131,9 @@
         taken.first_token(500_000, 9.0)
         taken.slowdown(500, 1.1)
         taken.loop_lag(0.003)
-        taken.peer_bytes(120, "fleet")
+        taken.watch_counts(
+            "peer_bytes", "By", "told", "topic", lambda: {"load": 120.0}
+        )
         taken.ended("s", outcomes.Outcome.DONE, worth=2.5, generated_tokens=7)
         reason = outcomes.RefusalReason.OVER_LIMIT
         taken.ended("s", outcomes.Outcome.NOT_RUN, reason)
@@ -145,7 +147,7 @@
             'first_token_seconds_sum{prompt_length=">=256k"} 9.0',
             'outcome="not_run",reason="over_limit",service="s"} 1.0',
             'goodput_total{service="s"} 2.5',
-            'peer_bytes_total{scope="fleet"} 120.0',
+            'peer_bytes_total{topic="load"} 120.0',
             'table_size{table="t"} 1.0',
             'table_bound{table="t"} 2.0',
             "cardamomfork_queue 4.0",
