--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -23,6 +23,7 @@
 from cardamomfork._internal.requests import cancellation
 from cardamomfork._internal.requests import directory
 from cardamomfork._internal.requests import exchanging
+from cardamomfork._internal.requests import observing as request_observing
 from cardamomfork._internal.requests import parts_transfer
 from cardamomfork._internal.requests import poison
 from cardamomfork._internal.requests import poison_gate
@@ -51,6 +52,7 @@
     from cardamomfork._internal.models import configuration
     from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import settings as settings_models
+    from cardamomfork._internal.telemetry import exporting
 
 IDLE_LOOK_S = 5.0
 
@@ -93,6 +95,7 @@
         on_poison_news: Called when peers should hear the guard's news at once.
         staying: Returns which of some targets take new work.
         watches: Whether an engine is this instance's to watch.
+        observer: Told what happens to requests.
     """
 
     boot_id: identifiers.BootId
@@ -112,6 +115,9 @@
         [frozenset[identifiers.TargetId]], frozenset[identifiers.TargetId]
     ] = frozenset
     watches: Callable[[identifiers.TargetId], bool] = lambda _: True
+    observer: request_observing.RequestObserver = (
+        request_observing.RequestObserver()
+    )
 
 
 @attrs.define
@@ -138,6 +144,8 @@
         own: Reservations of this instance on engines.
         gate: Keeps requests that crash targets apart.
         keeper: Releases reservations and sweeps engines for lost ones.
+        retry_policy: Retry budgets and counters.
+        frames: Counts dropped frames.
     """
 
     settings: settings_models.DaemonSettings
@@ -159,6 +167,8 @@
     own: reservations.OwnReservations
     keeper: reservation_keeper.ReservationKeeper
     gate: poison_gate.PoisonGate
+    retry_policy: retries.RetryPolicy
+    frames: attempts.FrameCounters
 
     def apply_service(self, changed: configuration.Service) -> None:
         """Brings a service's configuration into force."""
@@ -237,6 +247,8 @@
     canceller = cancellation.Canceller(random.Random())
     table = records.RecordTable()
     known = directory.Directory()
+    frames = attempts.FrameCounters()
+    retry_policy = retries.RetryPolicy(random.Random(), retries.MIN_RESERVE)
     instance_id = settings.instance.instance_id
     own = reservations.OwnReservations(
         instance_id, surroundings.boot_id, random.Random()
@@ -275,16 +287,18 @@
                 own=own,
                 parts=parts_transfer.PartsTransfer(links, own, clock),
                 gate=gate,
-                retry_policy=retries.RetryPolicy(
-                    random.Random(), retries.MIN_RESERVE
-                ),
+                retry_policy=retry_policy,
                 clock=clock,
-                counters=attempts.FrameCounters(),
+                counters=frames,
                 chance=random.Random(),
+                observer=surroundings.observer,
             ),
             table=table,
             known=known,
+            observer=surroundings.observer,
         ),
+        retry_policy=retry_policy,
+        frames=frames,
         observer=observing.EngineObserver(
             links, surroundings.engine_news, clock, surroundings.watches
         ),
@@ -314,9 +328,17 @@
 
 
 def make_application(
-    daemon: Daemon, keys: application.Authenticator
+    daemon: Daemon,
+    keys: application.Authenticator,
+    scrape: Callable[[], exporting.Scrape] | None = None,
 ) -> application.CallerApplication:
-    """Makes the application that callers talk to."""
+    """Makes the application that callers talk to.
+
+    Args:
+        daemon: The parts of the process.
+        keys: Tells whose key a caller shows.
+        scrape: Returns the metrics; None leaves `/metrics` out.
+    """
     return application.CallerApplication(
         prompts=exchange.PromptExchange(
             service=daemon.requests,
@@ -330,4 +352,5 @@
         authenticator=keys,
         clock=daemon.clock,
         data_centre=daemon.settings.instance.data_centre,
+        scrape=scrape,
     )
