Move an account's use of its limits into a module of its own

Change: buckets, demand and judgement stand in one class; no behaviour changes. Conclusion: shares and buckets can be read apart.

--- a/src/cardamomfork/_internal/accounts/limits.py
+++ b/src/cardamomfork/_internal/accounts/limits.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -17,6 +16,7 @@
 import xxhash
 
 from cardamomfork._internal import exceptions
+from cardamomfork._internal.accounts import limit_usage
 from cardamomfork._internal.contracts import limiting
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.models import outcomes
@@ -32,46 +32,12 @@
 EARLY_PART = 0.18
 LOW_DEMAND = 0.3
 REFRESH_S = 0.2
-DEMAND_TIME_CONSTANT_S = 0.6
 IDLE_AFTER_S = 30.0
 TELL_IDLE_S = 5.0
 HURRY_S = 0.5
-BURST_S = 0.5
 MIN_DEMAND = 0.0005
 ROUNDING_TURN_S = 5.0
 MAX_ACTIVE = 8192
-MAX_RETRY_AFTER_S = 30.0
-
-
-@attrs.define
-class _Usage:
-    """One account's use of its limits on this instance.
-
-    Attributes:
-        requests: Requests that may start now; below 0 is a debt.
-        tokens: Prompt tokens that may start now; below 0 is a debt.
-        held: Grants not given back.
-        demand: Offered load as a part of the fleet-wide limit, smoothed.
-        share: Part of the fleet-wide limit that this instance uses.
-        confirmed: What of it all data centres had the chance to object to.
-        raise_wanted_at: Since when a higher share is wanted, or None.
-        filled_at: Time of the last refill.
-        faded_at: Time up to which the demand has faded.
-        refreshed_at: Time of the last look at the share.
-        active_at: Time of the last request.
-    """
-
-    filled_at: float
-    faded_at: float
-    active_at: float
-    requests: float = 0.0
-    tokens: float = 0.0
-    held: int = 0
-    demand: float = 0.0
-    share: float = 0.0
-    confirmed: float = 0.0
-    raise_wanted_at: float | None = None
-    refreshed_at: float = -1.0
 
 
 @attrs.define
@@ -108,7 +74,7 @@
         self._accounts: dict[
             identifiers.AccountName, configuration.ClientAccount
         ] = {}
-        self._usage: dict[identifiers.AccountName, _Usage] = {}
+        self._usage: dict[identifiers.AccountName, limit_usage.Usage] = {}
         self.counters = LimiterCounters()
 
     @property
@@ -151,11 +117,11 @@
         usage = self._use(account, now)
         if usage is None:
             self.counters.full += 1
-            return result.Err(_over_limit("active accounts", 1.0))
-        self._offer(limits, usage, prompt_tokens, now)
+            return result.Err(limit_usage.over_limit("active accounts", 1.0))
+        usage.offer(limits, prompt_tokens, now)
         self._refresh(account, usage, now)
-        self._refill(limits, usage, now)
-        refusal = _judge(limits, usage, self._room(limits, usage, now))
+        usage.refill(limits, now)
+        refusal = usage.judge(limits, self._room(limits, usage, now))
         if refusal is not None:
             self.counters.refused += 1
             return result.Err(refusal)
@@ -193,13 +159,15 @@
         for name, usage in list(self._usage.items()):
             idle_s = now - usage.active_at
             if usage.held or idle_s < TELL_IDLE_S:
-                _decay(usage, now)
+                usage.fade(now)
                 demands[name] = self._demand(name, usage)
             elif idle_s > IDLE_AFTER_S:
                 del self._usage[name]
         return demands
 
-    def _use(self, name: identifiers.AccountName, now: float) -> _Usage | None:
+    def _use(
+        self, name: identifiers.AccountName, now: float
+    ) -> limit_usage.Usage | None:
         """Returns an account's usage; None if the table is full."""
         usage = self._usage.get(name)
         if usage is None:
@@ -207,31 +175,18 @@
                 self.demands(now)
             if len(self._usage) >= MAX_ACTIVE:
                 return None
-            limits = self._accounts[name]
             floor = self._floor()
-            usage = _Usage(now, now, now, share=floor, confirmed=floor)
-            usage.requests = limits.requests_per_s * floor * BURST_S
-            usage.tokens = limits.prompt_tokens_per_s * floor * BURST_S
+            usage = limit_usage.Usage(
+                now, now, now, share=floor, confirmed=floor
+            )
+            usage.credit(self._accounts[name], floor)
             self._usage[name] = usage
         usage.active_at = now
         return usage
 
-    def _offer(
-        self,
-        limits: configuration.ClientAccount,
-        usage: _Usage,
-        prompt_tokens: int,
-        now: float,
-    ) -> None:
-        """Adds a request to the smoothed demand, refused or not."""
-        _decay(usage, now)
-        part = max(
-            1.0 / limits.requests_per_s,
-            prompt_tokens / limits.prompt_tokens_per_s,
-        )
-        usage.demand += part / DEMAND_TIME_CONSTANT_S
-
-    def _demand(self, name: identifiers.AccountName, usage: _Usage) -> float:
+    def _demand(
+        self, name: identifiers.AccountName, usage: limit_usage.Usage
+    ) -> float:
         """Returns the demand, with what is held as a part of the limit."""
         limits = self._accounts.get(name)
         if limits is None:
@@ -248,7 +203,10 @@
         return FLOOR_PART / max(self._reach.total(), 1)
 
     def _refresh(
-        self, name: identifiers.AccountName, usage: _Usage, now: float
+        self,
+        name: identifiers.AccountName,
+        usage: limit_usage.Usage,
+        now: float,
     ) -> None:
         """Moves the share toward this instance's part of the demand."""
         if now - usage.refreshed_at < REFRESH_S:
@@ -265,14 +223,14 @@
             usage.share = max(usage.confirmed, early)
         limits = self._accounts.get(name)
         if limits is not None and usage.share > before:
-            gained = (usage.share - before) * BURST_S
-            usage.requests += limits.requests_per_s * gained
-            usage.tokens += limits.prompt_tokens_per_s * gained
+            usage.credit(limits, usage.share - before)
         exceptions.check_invariant(
             0.0 <= usage.share <= 1.0, "a share is a part of one", name
         )
 
-    def _confirm(self, usage: _Usage, wanted: float, now: float) -> None:
+    def _confirm(
+        self, usage: limit_usage.Usage, wanted: float, now: float
+    ) -> None:
         """Lowers the confirmed share at once; raises it once confirmed."""
         if wanted <= usage.confirmed:
             usage.confirmed = wanted
@@ -288,7 +246,9 @@
         else:
             self._ask_soon(usage, wanted, now)
 
-    def _ask_soon(self, usage: _Usage, wanted: float, now: float) -> None:
+    def _ask_soon(
+        self, usage: limit_usage.Usage, wanted: float, now: float
+    ) -> None:
         """Asks for news of the other data centres if much depends on it."""
         is_due = now - self._hurried_at >= HURRY_S
         if is_due and wanted > 2 * usage.confirmed:
@@ -296,7 +256,10 @@
             self._hurry()
 
     def _room(
-        self, limits: configuration.ClientAccount, usage: _Usage, now: float
+        self,
+        limits: configuration.ClientAccount,
+        usage: limit_usage.Usage,
+        now: float,
     ) -> int:
         """Returns how many grants may be held here at once.
 
@@ -308,50 +271,3 @@
         draw = xxhash.xxh3_64_intdigest(key.encode()) / 2**64
         whole = limits.max_concurrent + limits.max_queued
         return int(whole * usage.share + draw)
-
-    def _refill(
-        self,
-        limits: configuration.ClientAccount,
-        usage: _Usage,
-        now: float,
-    ) -> None:
-        """Lets the buckets fill at this instance's part of the rates."""
-        seconds = max(now - usage.filled_at, 0.0)
-        usage.filled_at = now
-        rate = limits.requests_per_s * usage.share
-        room = max(rate * BURST_S, 1.0)
-        usage.requests = min(usage.requests + rate * seconds, room)
-        rate = limits.prompt_tokens_per_s * usage.share
-        room = max(rate * BURST_S, 1.0)
-        usage.tokens = min(usage.tokens + rate * seconds, room)
-
-
-def _decay(usage: _Usage, now: float) -> None:
-    """Lets the smoothed demand fade."""
-    seconds = max(now - usage.faded_at, 0.0)
-    usage.faded_at = now
-    usage.demand *= math.exp(-seconds / DEMAND_TIME_CONSTANT_S)
-
-
-def _judge(
-    limits: configuration.ClientAccount, usage: _Usage, room: int
-) -> outcomes.Refusal | None:
-    """Returns why a request may not start now, or None."""
-    if usage.held >= room:
-        return _over_limit("requests at once", 1.0)
-    if usage.requests <= 0:
-        rate = limits.requests_per_s * usage.share
-        return _over_limit("requests a second", -usage.requests / rate)
-    if usage.tokens <= 0:
-        rate = limits.prompt_tokens_per_s * usage.share
-        return _over_limit("prompt tokens a second", -usage.tokens / rate)
-    return None
-
-
-def _over_limit(what: str, wait_s: float) -> outcomes.Refusal:
-    """Makes the refusal of a request over a limit."""
-    return outcomes.refuse(
-        outcomes.RefusalReason.OVER_LIMIT,
-        f"the account is over its limit of {what}",
-        min(max(wait_s, 0.1), MAX_RETRY_AFTER_S),
-    )
