--- a/src/cardamomfork/_internal/links/peers/link.py
+++ b/src/cardamomfork/_internal/links/peers/link.py
@@ -64,6 +64,7 @@
         self,
         tls: ssl.SSLContext | None = None,
         max_connections: int = MAX_CONNECTIONS,
+        call_timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
         """Opens nothing yet.
 
@@ -71,7 +72,9 @@
             tls: Context of the connecting side, or None for plain TCP.
             max_connections: Most open connections; the one that was unused
                 for longest is closed for a new one.
+            call_timeout_s: Time limit of an exchange.
         """
+        self._call_timeout_s = call_timeout_s
         self._tls = tls
         self._max_connections = max_connections
         self._connections: collections.OrderedDict[
@@ -94,7 +97,7 @@
             answer = await service.exchange(schema.envelope_fields(envelope))
             return schema.read_envelope(answer.answer)
 
-        return await self._call(peer, call, CALL_TIMEOUT_S)
+        return await self._call(peer, call, self._call_timeout_s)
 
     async def probe_via(
         self, helper: instances.Instance, subject: instances.Instance
@@ -106,7 +109,7 @@
             return bool(answer.reached)
 
         # The helper's own call must be able to time out first.
-        return await self._call(helper, call, 2 * CALL_TIMEOUT_S)
+        return await self._call(helper, call, 2 * self._call_timeout_s)
 
     async def fetch_page(
         self, peer: instances.Instance, request: bytes
