--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -14,6 +14,7 @@
 from cardamomfork._internal.composition import applying
 from cardamomfork._internal.composition import engine_news
 from cardamomfork._internal.composition import platform as platform_module
+from cardamomfork._internal.composition import questions
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.instances import joining
 from cardamomfork._internal.links.operators import side as operators_side
@@ -121,9 +122,17 @@
         settings,
         platform.store,
         wiring.Surroundings(
-            boot_id, dispatcher, fleet.limiter, news, news.is_mine
+            boot_id=boot_id,
+            dispatcher=dispatcher,
+            limiter=fleet.limiter,
+            engine_news=news,
+            claim_routes=questions.ClaimRoutes(fleet, clock),
+            owners=questions.make_owners(fleet),
+            watches=news.is_mine,
         ),
     )
+    if serving.ledger is not None:
+        questions.answer_peers(fleet, serving.ledger, serving.own)
     observation = observing.observe(settings, clock)
     applier = applying.ConfigurationApplier(
         serving,
