Measure a daemon's memory by the fleet's configuration

Cause: the bound of 64 MB had no command beside it. Change: `measure footprint`: resident size after importing the daemon, and by tracemalloc what accounts, services and engines add at four shares of the target.

--- /dev/null
+++ b/src/cardamomfork/_internal/measure/footprint.py
@@ -0,0 +1,155 @@
+"""Memory of one daemon by the size of the fleet's configuration.
+
+Resident size of a process that has imported the daemon, and what the parts
+that hold accounts, services and engines add, by tracemalloc. Every instance
+holds the configuration of the whole fleet.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+import tracemalloc
+
+import anyio
+
+from cardamomfork._internal import wiring
+from cardamomfork._internal.configuration import replica
+from cardamomfork._internal.measure import reports
+from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.models import settings
+from cardamomfork._internal.models import targets
+from cardamomfork._internal.standins import surroundings
+
+ACCOUNTS = 6500
+ENGINES = 3500
+SERVICES = 35
+SHARES = (0.1, 0.25, 0.5, 1.0)
+BOUND_MB = 64.0
+MEGABYTE = 1e6
+_PRINT_RSS = (
+    "from cardamomfork._internal import daemon\n"
+    "from cardamomfork._internal.telemetry import watchdog\n"
+    "print(watchdog.resident_bytes())"
+)
+
+
+def measure(options: reports.Options) -> reports.Report:
+    """Measures the imports and the tables at a few shares of the target."""
+    shares = SHARES[:1] if options.smallest else SHARES
+    imported_mb = _imported_bytes() / MEGABYTE
+    found = [_hold(share) for share in shares]
+    memory = reports.Slope(
+        quantity="MB of accounts, services and engines",
+        size="share of the target's configuration",
+        points=tuple(
+            (share, size)
+            for share, (size, _) in zip(shares, found, strict=True)
+        ),
+        bound=BOUND_MB - imported_mb,
+        target_size=1.0,
+    )
+    loading = reports.Slope(
+        quantity="processor seconds to put it in force",
+        size="share of the target's configuration",
+        points=tuple(
+            (share, cpu) for share, (_, cpu) in zip(shares, found, strict=True)
+        ),
+        target_size=1.0,
+    )
+    total = imported_mb + (memory.at_target or 0.0)
+    verdict = "met" if total <= BOUND_MB else "NOT met"
+    return reports.Report(
+        "footprint",
+        (
+            f"resident after importing the daemon: {imported_mb:.1f} MB",
+            memory,
+            loading,
+            f"at the target's size: {total:.1f} MB; bound {BOUND_MB:g} MB:"
+            f" {verdict}",
+        ),
+    )
+
+
+def _imported_bytes() -> int:
+    """Returns the resident size of a process that imported the daemon."""
+    done = subprocess.run(  # noqa: S603
+        [sys.executable, "-c", _PRINT_RSS],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    return int(done.stdout)
+
+
+def _hold(share: float) -> tuple[float, float]:
+    """Returns megabytes held, and processor seconds to take them in."""
+    started = time.process_time()
+    anyio.run(_hold_parts, share)
+    cpu_s = time.process_time() - started
+    tracemalloc.start()
+    parts = anyio.run(_hold_parts, share)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del parts
+    return held / MEGABYTE, cpu_s
+
+
+async def _hold_parts(share: float) -> object:
+    """Makes a daemon's parts and puts a share of the target in force."""
+    daemon = wiring.wire(
+        settings.DaemonSettings(), None, surroundings.make_surroundings()
+    )
+    held = replica.ConfigurationReplica()
+    changes: list[configuration.Versioned] = []
+    for number in range(int(SERVICES * share)):
+        service = _service(number)
+        daemon.apply_service(service)
+        changes.append(_versioned(service, len(changes) + 1))
+    for number in range(int(ACCOUNTS * share)):
+        account = _account(number)
+        daemon.apply_account(account)
+        changes.append(_versioned(account, len(changes) + 1))
+    held.apply_range(changes, 0, len(changes))
+    return daemon, held
+
+
+def _versioned(
+    value: configuration.Service | configuration.ClientAccount, version: int
+) -> configuration.Versioned:
+    """Makes a change of the store."""
+    kind = configuration.ObjectKind.ACCOUNT
+    if isinstance(value, configuration.Service):
+        kind = configuration.ObjectKind.SERVICE
+    return configuration.Versioned(kind, value.name, version, value)
+
+
+def _service(number: int) -> configuration.Service:
+    """Makes one model's service with its part of the engines."""
+    return configuration.Service(
+        name=identifiers.ServiceName(f"service-{number}"),
+        kind=configuration.ServiceKind.MODEL,
+        models=(f"model-{number}",),
+        targets=tuple(
+            targets.Target(
+                identifiers.TargetId(f"engine-{number}-{index}"),
+                targets.TargetKind.ENGINE,
+                f"10.0.{number}.{index}",
+                8000,
+                identifiers.DataCentreId(f"centre-{index % 11}"),
+                memory_tokens=500_000,
+            )
+            for index in range(ENGINES // SERVICES)
+        ),
+    )
+
+
+def _account(number: int) -> configuration.ClientAccount:
+    """Makes an account with one key."""
+    key = configuration.HashedKey(
+        f"{number:016x}", f"{number:032x}", f"{number:064x}"
+    )
+    name = identifiers.AccountName(f"account-{number}")
+    return configuration.ClientAccount(name, (key,))
