Tell the metrics of requests and answer scrapes

Cause: Metrics of requests were defined and nothing fed them. Change: The request service tells an observer each request's first token and end; /metrics gives the scrape. Conclusion: time to first token by length and goodput are there to be read.

--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -92,6 +92,11 @@
         if self.serving.committer is not None:
             await self.serving.committer.drain()
 
+    def scrape(self) -> tuple[str, bytes]:
+        """Returns content type and body of all metrics."""
+        taken = self.observation.export.scrape()
+        return taken.content_type, taken.body
+
     async def close(self) -> None:
         """Drops connections."""
         await self.serving.links.close()
@@ -116,15 +121,20 @@
         dispatcher.observe_load,
         key_prefix=platform_module.KEY_PREFIX,
     )
+    observation = observing.observe(settings, clock)
     news = engine_news.EngineNews(fleet, dispatcher)
     serving = wiring.wire(
         settings,
         platform.store,
         wiring.Surroundings(
-            boot_id, dispatcher, fleet.limiter, news, news.is_mine
+            boot_id,
+            dispatcher,
+            fleet.limiter,
+            news,
+            news.is_mine,
+            observation.metrics,
         ),
     )
-    observation = observing.observe(settings, clock)
     applier = applying.ConfigurationApplier(
         serving,
         fleet.leaving,
--- a/src/cardamomfork/_internal/daemon.py
+++ b/src/cardamomfork/_internal/daemon.py
@@ -61,7 +61,7 @@
     """Binds the callers' side and logs the chosen port."""
     callers = process.settings.callers
     server = http_server.HttpServer(
-        wiring.make_application(process.serving, keys),
+        wiring.make_application(process.serving, keys, process.scrape),
         http_server.bind(callers.host, callers.port),
         protocol.CallerProtocol,
         callers.max_connections,
--- a/src/cardamomfork/_internal/links/callers/application.py
+++ b/src/cardamomfork/_internal/links/callers/application.py
@@ -61,6 +61,7 @@
         authenticator: Checks keys.
         clock: Time of the wall, for keys that end.
         data_centre: Where this instance stands.
+        scrape: Returns content type and body for `/metrics`; None for none.
     """
 
     prompts: exchange.PromptExchange
@@ -69,6 +70,7 @@
     authenticator: Authenticator
     clock: clock_contract.Clock
     data_centre: identifiers.DataCentreId
+    scrape: Callable[[], tuple[str, bytes]] | None = None
 
     async def __call__(
         self,
@@ -113,6 +115,9 @@
             await responder.json(_OK, {"alive": True})
         elif path == "/readyz":
             await self._tell_ready(responder)
+        elif path == "/metrics" and self.scrape is not None:
+            content_type, body = self.scrape()
+            await responder.body(_OK, content_type.encode(), body)
         elif path in _PROMPT_PATHS or _is_call(path):
             await self._run(asgi, responder, path)
         elif path.startswith(REQUESTS_PREFIX):
--- a/src/cardamomfork/_internal/requests/records.py
+++ b/src/cardamomfork/_internal/requests/records.py
@@ -38,6 +38,9 @@
         target_id: Where it runs or ran last; empty before it ran.
         outcome: What is known of its run.
         reason: Why it ended without a result; None else.
+        first_token_s: Time from its arrival to its first bytes, in seconds;
+            None before.
+        generated_tokens: Tokens passed on to its caller.
     """
 
     request_id: identifiers.RequestId
@@ -47,6 +50,8 @@
     target_id: str = ""
     outcome: outcomes.Outcome = outcomes.Outcome.NOT_RUN
     reason: outcomes.RefusalReason | None = None
+    first_token_s: float | None = None
+    generated_tokens: int = 0
 
 
 class RecordTable:
--- a/src/cardamomfork/_internal/requests/running.py
+++ b/src/cardamomfork/_internal/requests/running.py
@@ -136,6 +136,8 @@
 
         def note_first() -> None:
             self._waiting_room.first_token(request.request_id)
+            now = self._clock.monotonic()
+            record.first_token_s = now - request.arrived_at
 
         outlet = exchanging.make_outlet(request, sink, life, note_first)
         return Run(request, sink, record, life, outlet, retry_share=retry_share)
--- a/src/cardamomfork/_internal/requests/service.py
+++ b/src/cardamomfork/_internal/requests/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 import anyio
@@ -25,6 +26,27 @@
 _Ending = result.Result[exchanging.Answer, outcomes.Refusal]
 
 
+class RequestObserver(Protocol):
+    """Hears what the metrics tell of requests."""
+
+    def first_token(self, prompt_tokens: int, seconds: float) -> None:
+        """Takes a request's time to first token."""
+        ...
+
+    def ended(
+        self,
+        service: str,
+        outcome: outcomes.Outcome,
+        reason: outcomes.RefusalReason | None = None,
+        *,
+        worth: float = 1.0,
+        on_time: bool = True,
+        generated_tokens: int = 0,
+    ) -> None:
+        """Takes a request's end."""
+        ...
+
+
 class RequestService:
     """Admits, queues, runs and settles requests."""
 
@@ -37,6 +59,7 @@
         runner: running.Runner,
         table: records.RecordTable,
         known: directory.Directory,
+        observer: RequestObserver | None = None,
     ) -> None:
         """Takes its collaborators.
 
@@ -47,6 +70,7 @@
             runner: Runs what is admitted.
             table: Records of requests.
             known: Services, for their retry budgets.
+            observer: Hears of first tokens and ends; None for nobody.
         """
         self._clock = clock
         self._limiter = limiter
@@ -54,6 +78,7 @@
         self._runner = runner
         self._table = table
         self._known = known
+        self._observer = observer
         self._draining = False
         self._drained = False
         self._idle = anyio.Event()
@@ -100,19 +125,45 @@
             ending = await self._run_claimed(request, sink, record)
         finally:
             self._limiter.release(granted.ok_value, self._clock.monotonic())
-            self._note_end(record, ending)
+            self._note_end(request, record, ending)
         return ending
 
-    def _note_end(self, record: records.Record, ending: _Ending) -> None:
+    def _note_end(
+        self,
+        request: requests.Request,
+        record: records.Record,
+        ending: _Ending,
+    ) -> None:
         """Keeps how a request ended."""
+        outcome = outcomes.Outcome.DONE
+        reason = None
         if isinstance(ending, result.Err):
-            refusal = ending.err_value
-            self._table.end(record, refusal.outcome, refusal.reason)
-        else:
-            self._table.end(record, outcomes.Outcome.DONE)
+            outcome = ending.err_value.outcome
+            reason = ending.err_value.reason
+        self._table.end(record, outcome, reason)
+        if self._observer is not None:
+            self._observe(self._observer, request, record)
         if not self._table.open_count:
             self._idle.set()
 
+    def _observe(
+        self,
+        observer: RequestObserver,
+        request: requests.Request,
+        record: records.Record,
+    ) -> None:
+        """Tells the observer how a request went."""
+        if record.first_token_s is not None:
+            observer.first_token(request.prompt_tokens, record.first_token_s)
+        observer.ended(
+            request.service,
+            record.outcome,
+            record.reason,
+            worth=request.worth,
+            on_time=self._clock.monotonic() <= request.deadline,
+            generated_tokens=record.generated_tokens,
+        )
+
     async def _run_claimed(
         self,
         request: requests.Request,
@@ -175,6 +226,7 @@
                 await self._runner.run(run)
             finally:
                 record.outcome = run.life.outcome
+                record.generated_tokens = run.outlet.tokens
         if scope.cancelled_caught:
             run.life.conclude(
                 outcomes.RefusalReason.DEADLINE_EXCEEDED,
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -61,6 +61,7 @@
         limiter: Client accounts' limits.
         engine_news: Takes what the engines tell.
         watches: Whether an engine is this instance's to watch.
+        observer: Hears of requests' first tokens and ends.
     """
 
     boot_id: identifiers.BootId
@@ -68,6 +69,7 @@
     limiter: limiting.Limiter
     engine_news: observing.Listener
     watches: Callable[[identifiers.TargetId], bool] = lambda _: True
+    observer: service.RequestObserver | None = None
 
 
 @attrs.define
@@ -224,6 +226,7 @@
             ),
             table=table,
             known=known,
+            observer=surroundings.observer,
         ),
         observer=observing.EngineObserver(
             links, surroundings.engine_news, clock, surroundings.watches
@@ -269,9 +272,17 @@
 
 
 def make_application(
-    daemon: Daemon, keys: application.Authenticator
+    daemon: Daemon,
+    keys: application.Authenticator,
+    scrape: Callable[[], tuple[str, bytes]] | None = None,
 ) -> application.CallerApplication:
-    """Makes the application that callers talk to."""
+    """Makes the application that callers talk to.
+
+    Args:
+        daemon: The parts of the process.
+        keys: Checks callers' keys.
+        scrape: Returns content type and body for `/metrics`.
+    """
     return application.CallerApplication(
         prompts=exchange.PromptExchange(
             service=daemon.requests,
@@ -285,4 +296,5 @@
         authenticator=keys,
         clock=daemon.clock,
         data_centre=daemon.settings.instance.data_centre,
+        scrape=scrape,
     )
--- a/tests/functional/test_daemon.py
+++ b/tests/functional/test_daemon.py
@@ -60,6 +60,20 @@
         self.assertEqual(status, 200)
         self.assertEqual(json.loads(body)["outcome"], "done")
 
+    def test_metrics_tell_of_ended_requests(self):
+        self.daemon.request(
+            "POST", "/v1/completions", {**PROMPT, "stream": True}
+        )
+        status, _, body = self.daemon.request("GET", "/metrics")
+        self.assertEqual(status, 200)
+        ended = [
+            line
+            for line in body.decode().splitlines()
+            if 'outcome="done"' in line and 'service="demo"' in line
+        ]
+        self.assertTrue(ended, body.decode()[:2000])
+        self.assertIn("first_token", body.decode())
+
     def test_wrong_key_is_refused_as_not_run(self):
         status, _, body = self.daemon.request(
             "POST", "/v1/completions", PROMPT, key="wrong"
