--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -25,9 +25,6 @@
 from cardamomfork._internal.requests import parts_transfer
 from cardamomfork._internal.requests import queueing
 from cardamomfork._internal.requests import records
-from cardamomfork._internal.requests import reservation_keeper
-from cardamomfork._internal.requests import reservation_surroundings
-from cardamomfork._internal.requests import reservation_sweep
 from cardamomfork._internal.requests import reservations
 from cardamomfork._internal.requests import retries
 from cardamomfork._internal.requests import running
@@ -60,6 +57,8 @@
         dispatcher: Decides when and where requests run.
         limiter: Client accounts' limits.
         engine_news: Takes what the engines tell.
+        claim_routes: The way to the owners of claim shards; None to write
+            all claims here.
         watches: Whether an engine is this instance's to watch.
         observer: Hears of requests' first tokens and ends.
     """
@@ -68,6 +67,7 @@
     dispatcher: dispatching.Dispatcher
     limiter: limiting.Limiter
     engine_news: observing.Listener
+    claim_routes: ledger.ClaimRoutes | None = None
     watches: Callable[[identifiers.TargetId], bool] = lambda _: True
     observer: service.RequestObserver | None = None
 
@@ -92,8 +92,8 @@
         requests: The request service.
         observer: Reads engines' load and cache events.
         committer: Writes claims; None without a store.
+        ledger: Claims; None without a store.
         own: Reservations of this instance on engines.
-        keeper: Releases reservations and sweeps engines for lost ones.
     """
 
     settings: settings_models.DaemonSettings
@@ -111,8 +111,8 @@
     requests: service.RequestService
     observer: observing.EngineObserver
     committer: committer.GroupCommitter | None
+    ledger: ledger.StoreClaimLedger | None
     own: reservations.OwnReservations
-    keeper: reservation_keeper.ReservationKeeper
 
     def apply_service(self, changed: configuration.Service) -> None:
         """Brings a service's configuration into force."""
@@ -154,7 +154,6 @@
         tasks.start_soon(self.heartbeats.run)
         tasks.start_soon(self.watch.run)
         tasks.start_soon(self.observer.run)
-        tasks.start_soon(self.keeper.run)
         if self.committer is not None:
             tasks.start_soon(self.committer.run)
 
@@ -174,10 +173,14 @@
     clock = clock_contract.LoopClock()
     policy = claim_keys.ClaimPolicy()
     claims = None
+    claim_ledger = None
     if store is not None:
         claims = committer.GroupCommitter(
             store, clock, random.Random(), policy.retention_s
         )
+        claim_ledger = ledger.StoreClaimLedger(
+            claims, clock, policy, surroundings.claim_routes
+        )
     watch = idle.IdleWatch(IDLE_LOOK_S)
     links = registry.LinkRegistry(watch)
     dispatcher = surroundings.dispatcher
@@ -207,9 +210,7 @@
         requests=service.RequestService(
             clock=clock,
             limiter=limiter,
-            ledger=None
-            if claims is None
-            else ledger.StoreClaimLedger(claims, clock, policy),
+            ledger=claim_ledger,
             runner=running.Runner(
                 waiting_room=waiting_room,
                 links=links,
@@ -232,37 +233,7 @@
             links, surroundings.engine_news, clock, surroundings.watches
         ),
         committer=claims,
-        keeper=reservation_keeper.ReservationKeeper(
-            own,
-            reservation_sweep.HomeSweep(instance_id, random.Random()),
-            _without_sweep(settings, links, own),
-            clock,
-        ),
-    )
-
-
-def _without_sweep(
-    settings: settings_models.DaemonSettings,
-    links: registry.LinkRegistry,
-    own: reservations.OwnReservations,
-) -> reservation_surroundings.DaemonSurroundings:
-    """Makes surroundings in which only own reservations are released.
-
-    A sweep frees what unknown owners hold, so it needs the word of every data
-    centre's instances on what they own.
-    """
-
-    async def ask_nobody(_: reservation_sweep.Question) -> None:
-        return None
-
-    return reservation_surroundings.DaemonSurroundings(
-        instance_id=settings.instance.instance_id,
-        data_centre=settings.instance.data_centre,
-        links=links,
-        own=own,
-        members=dict,
-        live=tuple,
-        ask=ask_nobody,
+        ledger=claim_ledger,
     )
 
 
