--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -15,12 +15,13 @@
 from cardamomfork._internal.composition import engine_news
 from cardamomfork._internal.composition import platform as platform_module
 from cardamomfork._internal.composition import questions
+from cardamomfork._internal.composition import seeing
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.instances import joining
 from cardamomfork._internal.links.operators import side as operators_side
 from cardamomfork._internal.models import identifiers
-from cardamomfork._internal.requests import reservation_keeper
-from cardamomfork._internal.requests import reservation_sweep
+from cardamomfork._internal.requests import poison
+from cardamomfork._internal.requests import poison_gossip
 from cardamomfork._internal.routing import dispatcher as fleet_dispatcher
 from cardamomfork._internal.targets import orders
 from cardamomfork._internal.targets import orders_feed
@@ -60,7 +61,6 @@
         operators: The operators' server.
         observation: Metrics, dump and watchdog.
         order_side: Orders to engines.
-        reservations: Frees engine memory that nobody uses.
     """
 
     settings: settings_models.DaemonSettings
@@ -70,7 +70,6 @@
     operators: operator_server.OperatorServer
     observation: observing.Observation
     order_side: OrderSide
-    reservations: reservation_keeper.ReservationKeeper
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts all sides; waits a while for a first configuration."""
@@ -80,7 +79,6 @@
         logger.info(f"serving peers on port {self.fleet.server.port}")
         port = await tasks.start(self.operators.run)
         logger.info(f"serving operators on port {port}")
-        tasks.start_soon(self.reservations.run)
         tasks.start_soon(self.order_side.lease.run)
         tasks.start_soon(self.order_side.runner.run)
         if self.fleet.follower is None:
@@ -98,11 +96,6 @@
         if self.serving.committer is not None:
             await self.serving.committer.drain()
 
-    def scrape(self) -> tuple[str, bytes]:
-        """Returns content type and body of all metrics."""
-        taken = self.observation.export.scrape()
-        return taken.content_type, taken.body
-
     async def close(self) -> None:
         """Drops connections."""
         await self.serving.links.close()
@@ -118,6 +111,8 @@
     boot_id = identifiers.new_boot_id()
     platform = platform_module.make_platform(settings, clock)
     dispatcher = fleet_dispatcher.FleetDispatcher(random.Random())
+    guard = poison.PoisonGuard(random.Random(), poison.PUSH_TELLS_S)
+    poison_news = poison_gossip.PoisonGossip(guard)
     fleet = joining.make(
         settings,
         boot_id,
@@ -125,8 +120,20 @@
         random.Random(),
         platform.connect,
         dispatcher.observe_load,
+        participants=(poison_news,),
         key_prefix=platform_module.KEY_PREFIX,
     )
+
+    def push_poison_news() -> None:
+        if poison_news.urgent:
+            fleet.peering.push(poison_news.topic)
+            poison_news.pushed()
+
+    def staying(
+        names: frozenset[identifiers.TargetId],
+    ) -> frozenset[identifiers.TargetId]:
+        return frozenset(n for n in names if not fleet.leaving.is_leaving(n))
+
     observation = observing.observe(settings, clock)
     news = engine_news.EngineNews(fleet, dispatcher)
     serving = wiring.wire(
@@ -138,8 +145,13 @@
             limiter=fleet.limiter,
             engine_news=news,
             claim_routes=questions.ClaimRoutes(fleet, clock),
+            owners=questions.make_owners(fleet),
+            guard=guard,
+            boot_of=fleet.loads.boot_of,
+            on_poison_news=push_poison_news,
+            staying=staying,
             watches=news.is_mine,
-            observer=observation.metrics,
+            observer=seeing.MetricsObserver(observation.metrics),
         ),
     )
     if serving.ledger is not None:
@@ -153,6 +165,7 @@
     fleet.replica.subscribe(applier.apply)
     fleet.leaving.subscribe(serving.set_leaving)
     _register_tables(observation, serving, fleet)
+    seeing.watch_sides(observation.metrics, serving, fleet, dispatcher, clock)
     return Process(
         settings=settings,
         platform=platform,
@@ -172,14 +185,6 @@
             ),
         ),
         observation=observation,
-        reservations=reservation_keeper.ReservationKeeper(
-            serving.own,
-            reservation_sweep.HomeSweep(
-                settings.instance.instance_id, random.Random()
-            ),
-            questions.ReservationSurroundings(fleet, serving.links),
-            clock,
-        ),
         order_side=_make_order_side(settings, clock, platform, serving, fleet),
     )
 
--- a/src/cardamomfork/_internal/requests/records.py
+++ b/src/cardamomfork/_internal/requests/records.py
@@ -38,9 +38,7 @@
         target_id: Where it runs or ran last; empty before it ran.
         outcome: What is known of its run.
         reason: Why it ended without a result; None else.
-        first_token_s: Time from its arrival to its first bytes, in seconds;
-            None before.
-        generated_tokens: Tokens passed on to its caller.
+        tokens: Tokens given to the caller, as far as they were counted.
     """
 
     request_id: identifiers.RequestId
@@ -50,8 +48,7 @@
     target_id: str = ""
     outcome: outcomes.Outcome = outcomes.Outcome.NOT_RUN
     reason: outcomes.RefusalReason | None = None
-    first_token_s: float | None = None
-    generated_tokens: int = 0
+    tokens: int = 0
 
 
 class RecordTable:
--- a/src/cardamomfork/_internal/requests/running.py
+++ b/src/cardamomfork/_internal/requests/running.py
@@ -14,6 +14,7 @@
 from cardamomfork._internal.models import targets
 from cardamomfork._internal.requests import exchanging
 from cardamomfork._internal.requests import lifecycle
+from cardamomfork._internal.requests import poison_gate
 from cardamomfork._internal.requests import retries
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
     from cardamomfork._internal.requests import attempts
     from cardamomfork._internal.requests import cancellation
     from cardamomfork._internal.requests import delivery
+    from cardamomfork._internal.requests import observing
     from cardamomfork._internal.requests import parts_transfer
     from cardamomfork._internal.requests import queueing
     from cardamomfork._internal.requests import records
@@ -66,6 +68,7 @@
         retry_share: The service's retry budget.
         reservation: Name of the engine memory held for the last attempt.
         expected_s: Predicted time to the first token of the last attempt.
+        assigned_at: When the last attempt was given to its target.
     """
 
     request: requests.Request
@@ -80,6 +83,7 @@
     retry_share: float = 0.1
     reservation: str = ""
     expected_s: float = 0.0
+    assigned_at: float = 0.0
 
 
 class Runner:
@@ -94,10 +98,12 @@
         canceller: cancellation.Canceller,
         own: reservations.OwnReservations,
         parts: parts_transfer.PartsTransfer,
+        gate: poison_gate.PoisonGate,
         retry_policy: retries.RetryPolicy,
         clock: clock_contract.Clock,
         counters: attempts.FrameCounters,
         chance: random.Random,
+        observer: observing.RequestObserver,
     ) -> None:
         """Takes its collaborators.
 
@@ -108,10 +114,12 @@
             canceller: Cancels what nobody waits for any more.
             own: Reservations of this instance on engines.
             parts: Computes parts of prompts on other engines.
+            gate: Keeps requests that crash targets apart.
             retry_policy: Decides whether a failed request runs again.
             clock: The loop's clock.
             counters: Counts dropped frames.
             chance: Source of the jitter between resumes.
+            observer: Told first tokens and resumes.
         """
         self._waiting_room = waiting_room
         self._links = links
@@ -119,10 +127,12 @@
         self._canceller = canceller
         self._own = own
         self._parts = parts
+        self._gate = gate
         self._retries = retry_policy
         self._clock = clock
         self._counters = counters
         self._chance = chance
+        self._observer = observer
 
     def start(
         self,
@@ -137,10 +147,13 @@
         def note_first() -> None:
             self._waiting_room.first_token(request.request_id)
             now = self._clock.monotonic()
-            record.first_token_s = now - request.arrived_at
+            self._observer.first_token(
+                request, now, run.assigned_at, run.expected_s
+            )
 
         outlet = exchanging.make_outlet(request, sink, life, note_first)
-        return Run(request, sink, record, life, outlet, retry_share=retry_share)
+        run = Run(request, sink, record, life, outlet, retry_share=retry_share)
+        return run
 
     async def run(self, run: Run) -> None:
         """Runs a request until its life has an ending."""
@@ -149,7 +162,11 @@
             request.service, run.retry_share, self._clock.monotonic()
         )
         while run.life.ending is None:
-            turn = await self._wait_turn(run)
+            passed = await self._gate.admit(request)
+            if isinstance(passed, result.Err):
+                conclude(run, passed.err_value)
+                return
+            turn = await self._wait_turn(run, passed.ok_value)
             if isinstance(turn, result.Err):
                 conclude(run, turn.err_value)
                 return
@@ -183,17 +200,17 @@
         await anyio.sleep(decided.ok_value.wait_s)
 
     async def _wait_turn(
-        self, run: Run
+        self, run: Run, keep_off: frozenset[identifiers.TargetId]
     ) -> result.Result[dispatching.Assignment, outcomes.Refusal]:
         """Waits for a target; one that failed may serve if no other does."""
-        turn = await self._waiting_room.wait(run.request, run.avoid)
+        turn = await self._waiting_room.wait(run.request, run.avoid | keep_off)
         if isinstance(turn, result.Ok) or not run.avoid:
             return turn
         if turn.err_value.reason is not outcomes.RefusalReason.NO_TARGET:
             return turn
         run.avoid = frozenset()
         await anyio.sleep(self._chance.uniform(0.0, _ONE_TARGET_WAIT_S))
-        return await self._waiting_room.wait(run.request)
+        return await self._waiting_room.wait(run.request, keep_off)
 
     async def _run_once(
         self, run: Run, assignment: dispatching.Assignment
@@ -204,11 +221,12 @@
         fault: targets.TargetFault | None = None
         run.record.target_id = assignment.target_id
         run.expected_s = assignment.expected_first_token_s
+        run.assigned_at = self._clock.monotonic()
         try:
             if link is None:
                 fault = _removed(assignment.target_id)
             else:
-                fault = await self._attempt_over(run, link, assignment.hops)
+                fault = await self._guarded(run, link, assignment.hops)
         finally:
             self._waiting_room.finished(request_id, run.outlet.tokens, fault)
         if fault is None:
@@ -217,6 +235,24 @@
         if fault.kind is not targets.FaultKind.GARBLED:
             run.avoid |= {fault.target_id}
 
+    async def _guarded(
+        self,
+        run: Run,
+        link: target_link.TargetLink,
+        hops: Sequence[dispatching.Hop],
+    ) -> targets.TargetFault | None:
+        """Makes an attempt and tells the gate how it ended."""
+        passage = self._gate.enter(run.request, link)
+        ended = False
+        try:
+            fault = await self._attempt_over(run, link, hops)
+            ended = True
+        finally:
+            if not ended:
+                self._gate.abandon(passage)
+        self._gate.leave(passage, fault)
+        return fault
+
     async def _attempt_over(
         self,
         run: Run,
@@ -265,6 +301,7 @@
                 ):
                     return fault
                 await self._wait_before_resume(failed_resumes)
+                self._observer.resumed()
                 attempt = run.life.begin(
                     attempt_id, link.target.target_id, resume=True
                 )
--- a/src/cardamomfork/_internal/requests/service.py
+++ b/src/cardamomfork/_internal/requests/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Protocol
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,33 +19,13 @@
     from cardamomfork._internal.requests import delivery
     from cardamomfork._internal.requests import directory
     from cardamomfork._internal.requests import lifecycle
+    from cardamomfork._internal.requests import observing
     from cardamomfork._internal.requests import records
     from cardamomfork._internal.requests import running
 
 _Ending = result.Result[exchanging.Answer, outcomes.Refusal]
 
 
-class RequestObserver(Protocol):
-    """Hears what the metrics tell of requests."""
-
-    def first_token(self, prompt_tokens: int, seconds: float) -> None:
-        """Takes a request's time to first token."""
-        ...
-
-    def ended(
-        self,
-        service: str,
-        outcome: outcomes.Outcome,
-        reason: outcomes.RefusalReason | None = None,
-        *,
-        worth: float = 1.0,
-        on_time: bool = True,
-        generated_tokens: int = 0,
-    ) -> None:
-        """Takes a request's end."""
-        ...
-
-
 class RequestService:
     """Admits, queues, runs and settles requests."""
 
@@ -59,7 +38,7 @@
         runner: running.Runner,
         table: records.RecordTable,
         known: directory.Directory,
-        observer: RequestObserver | None = None,
+        observer: observing.RequestObserver,
     ) -> None:
         """Takes its collaborators.
 
@@ -70,7 +49,7 @@
             runner: Runs what is admitted.
             table: Records of requests.
             known: Services, for their retry budgets.
-            observer: Hears of first tokens and ends; None for nobody.
+            observer: Told every refusal and end.
         """
         self._clock = clock
         self._limiter = limiter
@@ -106,18 +85,9 @@
         self, request: requests.Request, sink: delivery.CallerSink
     ) -> _Ending:
         """Runs a request; a stream's bytes go to the sink meanwhile."""
-        if self.draining:
-            return result.Err(
-                outcomes.refuse(
-                    outcomes.RefusalReason.DRAINING,
-                    "This instance is stopping; others serve.",
-                    1.0,
-                )
-            )
-        granted = self._limiter.admit(
-            request.account, request.prompt_tokens, self._clock.monotonic()
-        )
+        granted = self._admit(request)
         if isinstance(granted, result.Err):
+            self._observer.refused(request, granted.err_value)
             return granted
         record = self._table.begin(request)
         ending: _Ending = result.Err(_cancelled())
@@ -128,6 +98,22 @@
             self._note_end(request, record, ending)
         return ending
 
+    def _admit(
+        self, request: requests.Request
+    ) -> result.Result[limiting.Grant, outcomes.Refusal]:
+        """Asks the account's limits, unless this instance stops."""
+        if self.draining:
+            return result.Err(
+                outcomes.refuse(
+                    outcomes.RefusalReason.DRAINING,
+                    "This instance is stopping; others serve.",
+                    1.0,
+                )
+            )
+        return self._limiter.admit(
+            request.account, request.prompt_tokens, self._clock.monotonic()
+        )
+
     def _note_end(
         self,
         request: requests.Request,
@@ -135,35 +121,16 @@
         ending: _Ending,
     ) -> None:
         """Keeps how a request ended."""
-        outcome = outcomes.Outcome.DONE
-        reason = None
+        outcome, reason = outcomes.Outcome.DONE, None
         if isinstance(ending, result.Err):
             outcome = ending.err_value.outcome
             reason = ending.err_value.reason
         self._table.end(record, outcome, reason)
-        if self._observer is not None:
-            self._observe(self._observer, request, record)
+        now = self._clock.monotonic()
+        self._observer.ended(request, record, outcome, reason, now)
         if not self._table.open_count:
             self._idle.set()
 
-    def _observe(
-        self,
-        observer: RequestObserver,
-        request: requests.Request,
-        record: records.Record,
-    ) -> None:
-        """Tells the observer how a request went."""
-        if record.first_token_s is not None:
-            observer.first_token(request.prompt_tokens, record.first_token_s)
-        observer.ended(
-            request.service,
-            record.outcome,
-            record.reason,
-            worth=request.worth,
-            on_time=self._clock.monotonic() <= request.deadline,
-            generated_tokens=record.generated_tokens,
-        )
-
     async def _run_claimed(
         self,
         request: requests.Request,
@@ -226,7 +193,7 @@
                 await self._runner.run(run)
             finally:
                 record.outcome = run.life.outcome
-                record.generated_tokens = run.outlet.tokens
+                record.tokens = run.outlet.tokens
         if scope.cancelled_caught:
             run.life.conclude(
                 outcomes.RefusalReason.DEADLINE_EXCEEDED,
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.links.callers import sinks
 from cardamomfork._internal.links.targets import idle
 from cardamomfork._internal.links.targets import observing
+from cardamomfork._internal.links.targets import reachability
 from cardamomfork._internal.links.targets import registry
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.requests import admission
@@ -22,9 +23,15 @@
 from cardamomfork._internal.requests import cancellation
 from cardamomfork._internal.requests import directory
 from cardamomfork._internal.requests import exchanging
+from cardamomfork._internal.requests import observing as request_observing
 from cardamomfork._internal.requests import parts_transfer
+from cardamomfork._internal.requests import poison
+from cardamomfork._internal.requests import poison_gate
 from cardamomfork._internal.requests import queueing
 from cardamomfork._internal.requests import records
+from cardamomfork._internal.requests import reservation_keeper
+from cardamomfork._internal.requests import reservation_surroundings
+from cardamomfork._internal.requests import reservation_sweep
 from cardamomfork._internal.requests import reservations
 from cardamomfork._internal.requests import retries
 from cardamomfork._internal.requests import running
@@ -35,6 +42,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
 
     import anyio.abc
 
@@ -44,10 +52,32 @@
     from cardamomfork._internal.models import configuration
     from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import settings as settings_models
+    from cardamomfork._internal.telemetry import exporting
 
 IDLE_LOOK_S = 5.0
 
 
+async def _ask_nobody(_: reservation_sweep.Question) -> None:
+    """Has no instance to ask."""
+
+
+@attrs.frozen
+class Owners:
+    """The instances that own reservations; by default none is known.
+
+    An instance that knows none releases its own and sweeps nothing.
+
+    Attributes:
+        members: Returns all instances that the membership holds.
+        live: Returns the live instances of this data centre.
+        ask: Asks another instance about its reservations.
+    """
+
+    members: Callable[[], reservation_surroundings.Members] = dict
+    live: Callable[[], Collection[identifiers.InstanceId]] = tuple
+    ask: reservation_surroundings.Ask = _ask_nobody
+
+
 @attrs.frozen
 class Surroundings:
     """What the fleet gives to an instance's requests.
@@ -59,8 +89,13 @@
         engine_news: Takes what the engines tell.
         claim_routes: The way to the owners of claim shards; None to write
             all claims here.
+        owners: The instances that own reservations.
+        guard: Keeps requests that crash targets apart.
+        boot_of: Returns the life of a target that was last heard.
+        on_poison_news: Called when peers should hear the guard's news at once.
+        staying: Returns which of some targets take new work.
         watches: Whether an engine is this instance's to watch.
-        observer: Hears of requests' first tokens and ends.
+        observer: Told what happens to requests.
     """
 
     boot_id: identifiers.BootId
@@ -68,8 +103,21 @@
     limiter: limiting.Limiter
     engine_news: observing.Listener
     claim_routes: ledger.ClaimRoutes | None = None
+    owners: Owners = Owners()
+    guard: poison.PoisonGuard = attrs.field(
+        factory=lambda: poison.PoisonGuard(random.Random())
+    )
+    boot_of: Callable[[identifiers.TargetId], identifiers.BootId | None] = (
+        lambda _: None
+    )
+    on_poison_news: Callable[[], None] = lambda: None
+    staying: Callable[
+        [frozenset[identifiers.TargetId]], frozenset[identifiers.TargetId]
+    ] = frozenset
     watches: Callable[[identifiers.TargetId], bool] = lambda _: True
-    observer: service.RequestObserver | None = None
+    observer: request_observing.RequestObserver = (
+        request_observing.RequestObserver()
+    )
 
 
 @attrs.define
@@ -94,6 +142,10 @@
         committer: Writes claims; None without a store.
         ledger: Claims; None without a store.
         own: Reservations of this instance on engines.
+        gate: Keeps requests that crash targets apart.
+        keeper: Releases reservations and sweeps engines for lost ones.
+        retry_policy: Retry budgets and counters.
+        frames: Counts dropped frames.
     """
 
     settings: settings_models.DaemonSettings
@@ -113,6 +165,10 @@
     committer: committer.GroupCommitter | None
     ledger: ledger.StoreClaimLedger | None
     own: reservations.OwnReservations
+    keeper: reservation_keeper.ReservationKeeper
+    gate: poison_gate.PoisonGate
+    retry_policy: retries.RetryPolicy
+    frames: attempts.FrameCounters
 
     def apply_service(self, changed: configuration.Service) -> None:
         """Brings a service's configuration into force."""
@@ -154,6 +210,8 @@
         tasks.start_soon(self.heartbeats.run)
         tasks.start_soon(self.watch.run)
         tasks.start_soon(self.observer.run)
+        tasks.start_soon(self.keeper.run)
+        tasks.start_soon(self.gate.run)
         if self.committer is not None:
             tasks.start_soon(self.committer.run)
 
@@ -189,10 +247,20 @@
     canceller = cancellation.Canceller(random.Random())
     table = records.RecordTable()
     known = directory.Directory()
+    frames = attempts.FrameCounters()
+    retry_policy = retries.RetryPolicy(random.Random(), retries.MIN_RESERVE)
     instance_id = settings.instance.instance_id
     own = reservations.OwnReservations(
         instance_id, surroundings.boot_id, random.Random()
     )
+    gate = poison_gate.PoisonGate(
+        surroundings.guard,
+        clock,
+        lambda name: surroundings.staying(known.targets_of(name)),
+        reachability.connects,
+        surroundings.boot_of,
+        surroundings.on_poison_news,
+    )
     return Daemon(
         settings=settings,
         clock=clock,
@@ -218,22 +286,39 @@
                 canceller=canceller,
                 own=own,
                 parts=parts_transfer.PartsTransfer(links, own, clock),
-                retry_policy=retries.RetryPolicy(
-                    random.Random(), retries.MIN_RESERVE
-                ),
+                gate=gate,
+                retry_policy=retry_policy,
                 clock=clock,
-                counters=attempts.FrameCounters(),
+                counters=frames,
                 chance=random.Random(),
+                observer=surroundings.observer,
             ),
             table=table,
             known=known,
             observer=surroundings.observer,
         ),
+        retry_policy=retry_policy,
+        frames=frames,
         observer=observing.EngineObserver(
             links, surroundings.engine_news, clock, surroundings.watches
         ),
         committer=claims,
         ledger=claim_ledger,
+        gate=gate,
+        keeper=reservation_keeper.ReservationKeeper(
+            own,
+            reservation_sweep.HomeSweep(instance_id, random.Random()),
+            reservation_surroundings.DaemonSurroundings(
+                instance_id=instance_id,
+                data_centre=settings.instance.data_centre,
+                links=links,
+                own=own,
+                members=surroundings.owners.members,
+                live=surroundings.owners.live,
+                ask=surroundings.owners.ask,
+            ),
+            clock,
+        ),
     )
 
 
@@ -245,14 +330,14 @@
 def make_application(
     daemon: Daemon,
     keys: application.Authenticator,
-    scrape: Callable[[], tuple[str, bytes]] | None = None,
+    scrape: Callable[[], exporting.Scrape] | None = None,
 ) -> application.CallerApplication:
     """Makes the application that callers talk to.
 
     Args:
         daemon: The parts of the process.
-        keys: Checks callers' keys.
-        scrape: Returns content type and body for `/metrics`.
+        keys: Tells whose key a caller shows.
+        scrape: Returns the metrics; None leaves `/metrics` out.
     """
     return application.CallerApplication(
         prompts=exchange.PromptExchange(
--- a/tests/lib/serving.py
+++ b/tests/lib/serving.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import json
-import random
 import socket
 
 import anyio
@@ -19,8 +18,6 @@
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.models import settings
 from cardamomfork._internal.models import targets
-from cardamomfork._internal.requests import reservation_keeper
-from cardamomfork._internal.requests import reservation_sweep
 from cardamomfork._internal.standins import engine
 from cardamomfork._internal.standins import engine_runs
 from cardamomfork._internal.standins import plain_service
@@ -138,25 +135,6 @@
     }
 
 
-class _OwnOnly:
-    """Surroundings in which only this daemon's reservations are released."""
-
-    def __init__(self, daemon):
-        self.link = daemon.links.find
-        self.local_engines = tuple
-        self.live_instances = tuple
-        self.members = dict
-
-
-def _keeper(daemon):
-    return reservation_keeper.ReservationKeeper(
-        daemon.own,
-        reservation_sweep.HomeSweep("instance-1", random.Random(1)),
-        _OwnOnly(daemon),
-        daemon.clock,
-    )
-
-
 @contextlib.asynccontextmanager
 async def site(engines=1, speed=FAST, callers=None, account=None):
     """Runs a daemon before so many engines and a ledger."""
@@ -190,7 +168,6 @@
                 )
             )
         daemon.start(tasks)
-        tasks.start_soon(_keeper(daemon).run)
         port = await _serve(stack, wiring.make_application(daemon, daemon.keys))
         pool = httpcore.AsyncConnectionPool()
         await stack.enter_async_context(pool)
