--- a/src/cardamomfork/_internal/routing/prefixes.py
+++ b/src/cardamomfork/_internal/routing/prefixes.py
@@ -18,7 +18,7 @@
     from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import targets
 
-MAX_BLOCKS = 65_536
+MAX_BLOCKS = 32_768
 MAX_HOLDERS = 4
 DENSE_BLOCKS = 16
 STRIDE_BLOCKS = 16
--- a/src/cardamomfork/_internal/targets/views.py
+++ b/src/cardamomfork/_internal/targets/views.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from cardamomfork._internal.models import identifiers
 
-MAX_SNAPSHOTS = 64
+MAX_SNAPSHOTS = 32
 MAX_REPORT_AGE_S = 15.0
 
 
