--- a/src/cardamomfork/_internal/data_centres/reach.py
+++ b/src/cardamomfork/_internal/data_centres/reach.py
@@ -20,6 +20,7 @@
     from cardamomfork._internal.instances import membership
     from cardamomfork._internal.models import identifiers
 
+FRESH_S = 6.0
 DROP_S = 10.0
 RISE_S = 20.0
 MAX_DATA_CENTRES = 64
@@ -116,13 +117,21 @@
             if now - held.spoke_at < RISE_S
         )
 
+    def is_fresh(self, now: float) -> bool:
+        """Tells whether all data centres have spoken lately."""
+        return all(
+            now - held.spoke_at < FRESH_S for held in self._heard.values()
+        )
+
     def total(self) -> int:
         """Returns the instances of the fleet, the lost ones among them.
 
         One held for dead counts until it is forgotten or replaced, because a
-        part that is cut off looks the same.
+        part that is cut off looks the same; one that said it stops does not.
         """
-        home = len(self._members.known(self.home))
+        home = sum(
+            not record.has_stopped for record in self._members.known(self.home)
+        )
         return home + sum(self._size(name) for name in self._heard)
 
     def fraction(self, now: float) -> float:
--- a/src/cardamomfork/_internal/data_centres/summaries.py
+++ b/src/cardamomfork/_internal/data_centres/summaries.py
@@ -94,6 +94,16 @@
         me = self._members.me.instance.instance_id
         return me in self._own_delegates()
 
+    def near_delegates(self) -> list[instances.Instance]:
+        """Returns this data centre's delegates but for this instance."""
+        me = self._members.me.instance.instance_id
+        names = [name for name in self._own_delegates() if name != me]
+        self._rng.shuffle(names)
+        found = [
+            self._members.record(identifiers.InstanceId(name)) for name in names
+        ]
+        return [record.instance for record in found if record]
+
     def get(self, data_centre: identifiers.DataCentreId) -> Summary | None:
         """Returns the summary of another data centre."""
         return self._summaries.get(data_centre)
@@ -106,6 +116,20 @@
             if now - summary.heard_at < SILENT_AFTER_S
         )
 
+    def delegates(self, now: float) -> list[instances.Instance]:
+        """Returns the delegates of all data centres heard lately, this one's.
+
+        Instances that hear the same summaries return the same.
+        """
+        found = [
+            self._members.record(identifiers.InstanceId(name))
+            for name in self._own_delegates()
+        ]
+        own = [record.instance for record in found if record]
+        names = [name for name in self.reachable(now) if name != self.home]
+        others = [self._summaries[name].delegates for name in names]
+        return own + [instance for each in others for instance in each]
+
     def next_remote(self) -> instances.Instance | None:
         """Returns a delegate elsewhere to talk to; None unless a delegate.
 
--- a/src/cardamomfork/_internal/instances/joining.py
+++ b/src/cardamomfork/_internal/instances/joining.py
@@ -15,6 +15,7 @@
 
 from cardamomfork._internal.accounts import limit_claims
 from cardamomfork._internal.accounts import limits
+from cardamomfork._internal.configuration import codec
 from cardamomfork._internal.configuration import distribution
 from cardamomfork._internal.configuration import follower
 from cardamomfork._internal.configuration import replica
@@ -57,6 +58,7 @@
         others: The other data centres.
         limiter: Client accounts' limits.
         replica: The configuration in force.
+        told: The configuration as peers tell it.
         follower: Keeps the replica up; None without a store.
         leaving: Marks on targets.
         loads: Load reports of targets.
@@ -65,12 +67,14 @@
         server: Answers them.
         instance_list: The platform's list, or None.
         seeds: `host:port` of peers to ask first.
+        secured: The peers' TLS, or None for plain TCP.
     """
 
     members: membership.Membership
     others: summaries.DataCentreSummaries
     limiter: limits.FleetLimiter
     replica: replica.ConfigurationReplica
+    told: distribution.ConfigurationGossip
     follower: follower.ConfigurationFollower | None
     leaving: leaving.LeavingTargets
     loads: watching.LoadReports
@@ -80,6 +84,7 @@
     clock: clock_contract.Clock
     instance_list: listing.InstanceList | None = None
     seeds: tuple[tuple[str, int], ...] = ()
+    secured: tls.PeerTls | None = None
 
     async def run(
         self,
@@ -100,11 +105,20 @@
                     group.start_soon(self.peering.seek, self.link, self.seeds)
                     if self.follower is not None:
                         group.start_soon(self.follower.run, self.link)
+                    if self.secured is not None:
+                        group.start_soon(self.secured.watch)
                     if self.instance_list is not None:
                         group.start_soon(self._list_loop, self.instance_list)
             finally:
                 self.link.close()
 
+    def sizes(self) -> dict[str, tuple[int, int]]:
+        """Returns size and bound of each table."""
+        return {
+            "instances": (len(self.members.known()), membership.MAX_RECORDS),
+            "configuration": (self.replica.size, replica.MAX_OBJECTS),
+        }
+
     async def leave(self) -> None:
         """Tells the peers that this instance stops and hands its shares over.
 
@@ -150,6 +164,7 @@
     ),
     instance_list: listing.InstanceList | None = None,
     participants: Sequence[gossip.Participant] = (),
+    key_prefix: str = codec.DEFAULT_PREFIX,
 ) -> FleetMembership:
     """Makes the parts; nothing runs yet.
 
@@ -162,6 +177,7 @@
         deliver_load: Takes each newer load report, and the time.
         instance_list: The platform's list, if there is one.
         participants: Further parts that gossip.
+        key_prefix: Put before every key of the store.
     """
     me = instances.Instance(
         settings.instance.instance_id,
@@ -175,7 +191,7 @@
     side = reach.Reach(members, others)
     claims = limit_claims.ClaimTable(side)
     urgency = _Urgency()
-    limiter = limits.FleetLimiter(side, claims, urgency.hurry)
+    limiter = limits.FleetLimiter(side, claims, urgency.ask_delegate)
     held = replica.ConfigurationReplica()
     told = distribution.ConfigurationGossip(held, urgency.catch_up)
     marks = leaving.LeavingTargets()
@@ -201,24 +217,29 @@
     followed = None
     if connect is not None:
         followed = follower.ConfigurationFollower(
-            connect, held, told, members, clock, rng, settings.store.prefix
+            connect, held, told, members, clock, rng, key_prefix
         )
+    secured = tls.make_peer_tls(settings.peers.tls)
     return FleetMembership(
         members=members,
         others=others,
         limiter=limiter,
         replica=held,
+        told=told,
         follower=followed,
         leaving=marks,
         loads=loads,
         peering=loop,
-        link=peer_link.CapnpPeerLink(tls.client_context(settings.peers.tls)),
+        link=peer_link.CapnpPeerLink(
+            secured.client_context if secured else None
+        ),
         server=peer_server.PeerServer(
             loop,
             settings.peers.host,
             settings.peers.port,
-            tls.server_context(settings.peers.tls),
+            secured.server_context if secured else None,
         ),
+        secured=secured,
         clock=clock,
         instance_list=instance_list,
         seeds=tuple(_parse_seed(seed) for seed in settings.peers.seeds),
@@ -231,10 +252,10 @@
 
     loop: peering.Peering | None = None
 
-    def hurry(self) -> None:
-        """Asks for an exchange with a few peers soon."""
+    def ask_delegate(self) -> None:
+        """Asks for an exchange with a delegate soon."""
         if self.loop is not None:
-            self.loop.hurry()
+            self.loop.ask_delegate()
 
     def catch_up(self) -> None:
         """Asks for an exchange with one peer soon."""
--- a/src/cardamomfork/_internal/links/peers/link.py
+++ b/src/cardamomfork/_internal/links/peers/link.py
@@ -40,6 +40,7 @@
     connections: int = 0
     unreachable: int = 0
     silent: int = 0
+    garbled: int = 0
 
 
 @attrs.frozen
@@ -63,6 +64,7 @@
         self,
         tls: ssl.SSLContext | None = None,
         max_connections: int = MAX_CONNECTIONS,
+        call_timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
         """Opens nothing yet.
 
@@ -70,7 +72,9 @@
             tls: Context of the connecting side, or None for plain TCP.
             max_connections: Most open connections; the one that was unused
                 for longest is closed for a new one.
+            call_timeout_s: Time limit of an exchange.
         """
+        self._call_timeout_s = call_timeout_s
         self._tls = tls
         self._max_connections = max_connections
         self._connections: collections.OrderedDict[
@@ -93,7 +97,7 @@
             answer = await service.exchange(schema.envelope_fields(envelope))
             return schema.read_envelope(answer.answer)
 
-        return await self._call(peer, call, CALL_TIMEOUT_S)
+        return await self._call(peer, call, self._call_timeout_s)
 
     async def probe_via(
         self, helper: instances.Instance, subject: instances.Instance
@@ -105,7 +109,7 @@
             return bool(answer.reached)
 
         # The helper's own call must be able to time out first.
-        return await self._call(helper, call, 2 * CALL_TIMEOUT_S)
+        return await self._call(helper, call, 2 * self._call_timeout_s)
 
     async def fetch_page(
         self, peer: instances.Instance, request: bytes
@@ -117,6 +121,21 @@
 
         return await self._call(peer, call, PAGE_TIMEOUT_S)
 
+    async def ask(
+        self,
+        peer: instances.Instance,
+        question: peering.Question,
+        payload: bytes,
+        timeout_s: float,
+    ) -> result.Result[bytes, peering.PeerFault]:
+        """Asks a peer a question; b"" if it has no answer."""
+
+        async def call(service: Any) -> bytes:
+            answered = await service.ask(int(question), payload)
+            return bytes(answered.answer)
+
+        return await self._call(peer, call, timeout_s)
+
     def forget(self, peer: instances.Instance) -> None:
         """Closes the connection to an instance."""
         connection = self._connections.pop((peer.host, peer.port), None)
@@ -144,10 +163,16 @@
                 return result.Ok(await call(connection.service))
         except (OSError, capnp.KjException) as error:
             detail = str(error)
-        if fault is peering.PeerFaultKind.UNREACHABLE:
-            self.counters.unreachable += 1
-        else:
-            self.counters.silent += 1
+        except ValueError as error:
+            fault = peering.PeerFaultKind.GARBLED
+            detail = str(error)
+        match fault:
+            case peering.PeerFaultKind.UNREACHABLE:
+                self.counters.unreachable += 1
+            case peering.PeerFaultKind.SILENT:
+                self.counters.silent += 1
+            case peering.PeerFaultKind.GARBLED:
+                self.counters.garbled += 1
         self.forget(peer)
         return result.Err(peering.PeerFault(fault, detail))
 
@@ -165,9 +190,10 @@
         service = client.bootstrap().cast_as(schema.load().PeerService)
         opened = _Connection(stream, client, service)
         self.counters.connections += 1
-        raced = self._connections.pop(address, None)
+        raced = self._connections.get(address)
         if raced is not None:
-            raced.close()
+            opened.close()
+            return raced
         self._connections[address] = opened
         while len(self._connections) > self._max_connections:
             self._connections.popitem(last=False)[1].close()
--- a/src/cardamomfork/_internal/links/peers/server.py
+++ b/src/cardamomfork/_internal/links/peers/server.py
@@ -16,7 +16,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
-    import socket
     import ssl
 
     from cardamomfork._internal.contracts import peering
@@ -35,7 +34,6 @@
         port: int,
         tls: ssl.SSLContext | None = None,
         max_connections: int = MAX_CONNECTIONS,
-        listener: socket.socket | None = None,
     ) -> None:
         """Takes what answers the calls and where to listen.
 
@@ -45,15 +43,14 @@
             port: TCP port; 0 picks one.
             tls: Context of the listening side, or None for plain TCP.
             max_connections: Most connections; further ones are closed.
-            listener: A bound socket to listen on in place of host and port.
         """
         self._service = _make_service(handler)
         self._host = host
         self._port = port
         self._tls = tls
         self._max_connections = max_connections
-        self._listener = listener
         self._streams: set[Any] = set()
+        self._has_ended = False
 
     @property
     def port(self) -> int:
@@ -63,23 +60,22 @@
     @contextlib.asynccontextmanager
     async def serve(self) -> AsyncIterator[None]:
         """Listens for the time of the context."""
-        place: dict[str, Any] = {"host": self._host, "port": self._port}
-        if self._listener is not None:
-            place = {"sock": self._listener}
         server = await capnp.AsyncIoStream.create_server(
-            self._accept, **place, ssl=self._tls
+            self._accept, host=self._host, port=self._port, ssl=self._tls
         )
         self._port = server.sockets[0].getsockname()[1]
         try:
             yield
         finally:
+            self._has_ended = True
             server.close()
             for stream in tuple(self._streams):
                 stream.close()
 
     async def _accept(self, stream: Any) -> None:
         """Serves one connection until the far end closes it."""
-        if len(self._streams) >= self._max_connections:
+        is_full = len(self._streams) >= self._max_connections
+        if is_full or self._has_ended:
             stream.close()
             return
         self._streams.add(stream)
@@ -123,4 +119,10 @@
             request = bytes(context.params.request)
             context.results.page = handler.answer_page(request)
 
+        async def ask_context(self, context: Any) -> None:
+            """Answers a question of one of the parts."""
+            question = context.params.question
+            payload = bytes(context.params.payload)
+            context.results.answer = await handler.answer(question, payload)
+
     return Service()
--- a/src/cardamomfork/_internal/measure/claims.py
+++ b/src/cardamomfork/_internal/measure/claims.py
@@ -39,7 +39,7 @@
 PEER_WAY_S = 0.001
 RUN_S = 0.2
 CLAIM_TIME_S = 10.0
-WARM_UP_S = 3.0
+WARM_UP_SHARE = 0.15
 MEASURED_S = 20.0
 SIZES = (3, 9, 31, 340)
 SHARDS = (1, 2, 4, 8, 16)
@@ -145,7 +145,7 @@
         shards: Records a bucket of time.
         interval_s: Least time between two writes of one record.
         seed: Seed of arrivals and jitter.
-        seconds: Measured time.
+        seconds: Measured time, after a warm-up in proportion.
     """
 
     name: str
@@ -186,7 +186,7 @@
         """Makes calls at the fleet's rate and returns what was seen."""
         async with anyio.create_task_group() as tasks:
             await self._start_instances(tasks)
-            await self._arrive(tasks, WARM_UP_S)
+            await self._arrive(tasks, self._way.seconds * WARM_UP_SHARE)
             counters = self._store.counters
             writes, conflicts = counters.writes, counters.conflicts
             self._counting = True
@@ -221,7 +221,7 @@
             await tasks.start(writer.run)
             routes = _Routes(name, self._fleet, owners) if way.owners else None
             self._fleet.ledgers[name] = ledger.StoreClaimLedger(
-                writer, self._clock, policy, routes
+                writer, self._clock, policy, routes, self._new_token
             )
 
     async def _arrive(self, tasks: anyio.abc.TaskGroup, seconds: float) -> None:
@@ -232,11 +232,14 @@
             tasks.start_soon(self._call, self._rng.choice(ledgers))
             await anyio.sleep(self._rng.expovariate(CLAIMS_PER_S))
 
+    def _new_token(self) -> str:
+        """Returns a name that no other call has."""
+        return f"{self._rng.getrandbits(64):016x}"
+
     async def _call(self, one: ledger.StoreClaimLedger) -> None:
         """Claims a new key, runs and settles."""
         account = identifiers.AccountName("a")
-        now_ms = int(self._clock.wall() * 1000)
-        key = identifiers.new_time_ordered_id(now_ms)
+        key = f"{self._clock.wall():.0f}-{self._new_token()}"
         counted = self._counting
         started = anyio.current_time()
         claimed = await one.claim(account, key, b"f" * 16, CLAIM_TIME_S)
@@ -257,7 +260,7 @@
     Latency is that of a claim as its caller sees it, refused ones included.
     """
     sizes = SIZES[:1] if options.smallest else SIZES
-    seconds = 1.0 if options.smallest else MEASURED_S
+    seconds = 1.5 if options.smallest else MEASURED_S
     rows = []
     points = []
     for size in sizes:
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -7,7 +7,6 @@
 
 import attrs
 
-from cardamomfork._internal.accounts import embedded as embedded_accounts
 from cardamomfork._internal.accounts import keys
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.links.callers import application
@@ -16,6 +15,7 @@
 from cardamomfork._internal.links.callers import sinks
 from cardamomfork._internal.links.targets import idle
 from cardamomfork._internal.links.targets import observing
+from cardamomfork._internal.links.targets import reachability
 from cardamomfork._internal.links.targets import registry
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.requests import admission
@@ -23,8 +23,15 @@
 from cardamomfork._internal.requests import cancellation
 from cardamomfork._internal.requests import directory
 from cardamomfork._internal.requests import exchanging
+from cardamomfork._internal.requests import observing as request_observing
+from cardamomfork._internal.requests import parts_transfer
+from cardamomfork._internal.requests import poison
+from cardamomfork._internal.requests import poison_gate
 from cardamomfork._internal.requests import queueing
 from cardamomfork._internal.requests import records
+from cardamomfork._internal.requests import reservation_keeper
+from cardamomfork._internal.requests import reservation_surroundings
+from cardamomfork._internal.requests import reservation_sweep
 from cardamomfork._internal.requests import reservations
 from cardamomfork._internal.requests import retries
 from cardamomfork._internal.requests import running
@@ -32,20 +39,87 @@
 from cardamomfork._internal.requests.claims import committer
 from cardamomfork._internal.requests.claims import keys as claim_keys
 from cardamomfork._internal.requests.claims import ledger
-from cardamomfork._internal.routing import dispatcher as fleet_dispatcher
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+
     import anyio.abc
 
     from cardamomfork._internal.contracts import dispatching
     from cardamomfork._internal.contracts import limiting
     from cardamomfork._internal.contracts import store as store_contract
     from cardamomfork._internal.models import configuration
+    from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import settings as settings_models
+    from cardamomfork._internal.telemetry import exporting
 
 IDLE_LOOK_S = 5.0
 
 
+async def _ask_nobody(_: reservation_sweep.Question) -> None:
+    """Has no instance to ask."""
+
+
+@attrs.frozen
+class Owners:
+    """The instances that own reservations; by default none is known.
+
+    An instance that knows none releases its own and sweeps nothing.
+
+    Attributes:
+        members: Returns all instances that the membership holds.
+        live: Returns the live instances of this data centre.
+        ask: Asks another instance about its reservations.
+    """
+
+    members: Callable[[], reservation_surroundings.Members] = dict
+    live: Callable[[], Collection[identifiers.InstanceId]] = tuple
+    ask: reservation_surroundings.Ask = _ask_nobody
+
+
+@attrs.frozen
+class Surroundings:
+    """What the fleet gives to an instance's requests.
+
+    Attributes:
+        boot_id: This life of the process.
+        dispatcher: Decides when and where requests run.
+        limiter: Client accounts' limits.
+        engine_news: Takes what the engines tell.
+        claim_routes: The way to the owners of claim shards; None to write
+            all claims here.
+        owners: The instances that own reservations.
+        guard: Keeps requests that crash targets apart.
+        boot_of: Returns the life of a target that was last heard.
+        on_poison_news: Called when peers should hear the guard's news at once.
+        staying: Returns which of some targets take new work.
+        watches: Whether an engine is this instance's to watch.
+        observer: Told what happens to requests.
+    """
+
+    boot_id: identifiers.BootId
+    dispatcher: dispatching.Dispatcher
+    limiter: limiting.Limiter
+    engine_news: observing.Listener
+    claim_routes: ledger.ClaimRoutes | None = None
+    owners: Owners = Owners()
+    guard: poison.PoisonGuard = attrs.field(
+        factory=lambda: poison.PoisonGuard(random.Random())
+    )
+    boot_of: Callable[[identifiers.TargetId], identifiers.BootId | None] = (
+        lambda _: None
+    )
+    on_poison_news: Callable[[], None] = lambda: None
+    staying: Callable[
+        [frozenset[identifiers.TargetId]], frozenset[identifiers.TargetId]
+    ] = frozenset
+    watches: Callable[[identifiers.TargetId], bool] = lambda _: True
+    observer: request_observing.RequestObserver = (
+        request_observing.RequestObserver()
+    )
+
+
 @attrs.define
 class Daemon:
     """The parts of one process.
@@ -66,7 +140,12 @@
         requests: The request service.
         observer: Reads engines' load and cache events.
         committer: Writes claims; None without a store.
+        ledger: Claims; None without a store.
         own: Reservations of this instance on engines.
+        gate: Keeps requests that crash targets apart.
+        keeper: Releases reservations and sweeps engines for lost ones.
+        retry_policy: Retry budgets and counters.
+        frames: Counts dropped frames.
     """
 
     settings: settings_models.DaemonSettings
@@ -84,7 +163,12 @@
     requests: service.RequestService
     observer: observing.EngineObserver
     committer: committer.GroupCommitter | None
+    ledger: ledger.StoreClaimLedger | None
     own: reservations.OwnReservations
+    keeper: reservation_keeper.ReservationKeeper
+    gate: poison_gate.PoisonGate
+    retry_policy: retries.RetryPolicy
+    frames: attempts.FrameCounters
 
     def apply_service(self, changed: configuration.Service) -> None:
         """Brings a service's configuration into force."""
@@ -112,10 +196,11 @@
         self.known.remove_account(name)
         self.limiter.remove_account(name)
 
-    def set_drained(self, target_id: str, drained: bool) -> None:
-        """Marks a target that takes no new work, by an operator's word."""
-        name = identifiers.TargetId(target_id)
-        self.dispatcher.set_leaving(name, drained)
+    def set_leaving(
+        self, target_id: identifiers.TargetId, leaving: bool
+    ) -> None:
+        """Marks a target that takes no new work."""
+        self.dispatcher.set_leaving(target_id, leaving)
         self.waiting_room.poll()
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -125,42 +210,56 @@
         tasks.start_soon(self.heartbeats.run)
         tasks.start_soon(self.watch.run)
         tasks.start_soon(self.observer.run)
+        tasks.start_soon(self.keeper.run)
+        tasks.start_soon(self.gate.run)
         if self.committer is not None:
             tasks.start_soon(self.committer.run)
 
 
 def wire(
     settings: settings_models.DaemonSettings,
-    store: store_contract.Store | None = None,
-    boot_id: identifiers.BootId | None = None,
+    store: store_contract.Store | None,
+    surroundings: Surroundings,
 ) -> Daemon:
     """Makes the parts of a process; nothing runs yet.
 
     Args:
         settings: What the process was started with.
         store: The platform's store; None refuses what needs it.
-        boot_id: This life of the process; a new one if absent.
+        surroundings: What the fleet gives to this instance.
     """
-    boot_id = boot_id or identifiers.new_boot_id()
     clock = clock_contract.LoopClock()
     policy = claim_keys.ClaimPolicy()
     claims = None
+    claim_ledger = None
     if store is not None:
         claims = committer.GroupCommitter(
             store, clock, random.Random(), policy.retention_s
         )
+        claim_ledger = ledger.StoreClaimLedger(
+            claims, clock, policy, surroundings.claim_routes
+        )
     watch = idle.IdleWatch(IDLE_LOOK_S)
     links = registry.LinkRegistry(watch)
-    dispatcher = fleet_dispatcher.FleetDispatcher(random.Random())
-    limiter = embedded_accounts.LocalLimiter()
+    dispatcher = surroundings.dispatcher
+    limiter = surroundings.limiter
     waiting_room = queueing.WaitingRoom(dispatcher, clock)
     canceller = cancellation.Canceller(random.Random())
     table = records.RecordTable()
     known = directory.Directory()
+    frames = attempts.FrameCounters()
+    retry_policy = retries.RetryPolicy(random.Random(), retries.MIN_RESERVE)
+    instance_id = settings.instance.instance_id
     own = reservations.OwnReservations(
-        settings.instance.instance_id,
-        boot_id,
-        random.Random(),
+        instance_id, surroundings.boot_id, random.Random()
+    )
+    gate = poison_gate.PoisonGate(
+        surroundings.guard,
+        clock,
+        lambda name: surroundings.staying(known.targets_of(name)),
+        reachability.connects,
+        surroundings.boot_of,
+        surroundings.on_poison_news,
     )
     return Daemon(
         settings=settings,
@@ -179,27 +278,47 @@
         requests=service.RequestService(
             clock=clock,
             limiter=limiter,
-            ledger=None
-            if claims is None
-            else ledger.StoreClaimLedger(claims, clock, policy),
+            ledger=claim_ledger,
             runner=running.Runner(
                 waiting_room=waiting_room,
                 links=links,
                 exchanger=exchanging.AttemptExchanger(clock, _salt_of),
                 canceller=canceller,
                 own=own,
-                retry_policy=retries.RetryPolicy(
-                    random.Random(), retries.MIN_RESERVE
-                ),
+                parts=parts_transfer.PartsTransfer(links, own, clock),
+                gate=gate,
+                retry_policy=retry_policy,
                 clock=clock,
-                counters=attempts.FrameCounters(),
+                counters=frames,
                 chance=random.Random(),
+                observer=surroundings.observer,
             ),
             table=table,
             known=known,
+            observer=surroundings.observer,
+        ),
+        retry_policy=retry_policy,
+        frames=frames,
+        observer=observing.EngineObserver(
+            links, surroundings.engine_news, clock, surroundings.watches
         ),
-        observer=observing.EngineObserver(links, dispatcher, clock),
         committer=claims,
+        ledger=claim_ledger,
+        gate=gate,
+        keeper=reservation_keeper.ReservationKeeper(
+            own,
+            reservation_sweep.HomeSweep(instance_id, random.Random()),
+            reservation_surroundings.DaemonSurroundings(
+                instance_id=instance_id,
+                data_centre=settings.instance.data_centre,
+                links=links,
+                own=own,
+                members=surroundings.owners.members,
+                live=surroundings.owners.live,
+                ask=surroundings.owners.ask,
+            ),
+            clock,
+        ),
     )
 
 
@@ -209,9 +328,17 @@
 
 
 def make_application(
-    daemon: Daemon, keys: application.Authenticator
+    daemon: Daemon,
+    keys: application.Authenticator,
+    scrape: Callable[[], exporting.Scrape] | None = None,
 ) -> application.CallerApplication:
-    """Makes the application that callers talk to."""
+    """Makes the application that callers talk to.
+
+    Args:
+        daemon: The parts of the process.
+        keys: Tells whose key a caller shows.
+        scrape: Returns the metrics; None leaves `/metrics` out.
+    """
     return application.CallerApplication(
         prompts=exchange.PromptExchange(
             service=daemon.requests,
@@ -225,4 +352,5 @@
         authenticator=keys,
         clock=daemon.clock,
         data_centre=daemon.settings.instance.data_centre,
+        scrape=scrape,
     )
--- a/tests/functional/test_operated_daemon.py
+++ b/tests/functional/test_operated_daemon.py
@@ -5,8 +5,10 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import tempfile
+import time
 import unittest
 from unittest import mock
 
@@ -15,6 +17,7 @@
 from cardamomfork._internal.cli import main
 from tests.lib import daemons
 
+TICK_S = 0.1
 CODE = exit_codes.ExitCode
 PROMPT = {"model": "demo-model", "prompt": "Hello", "max_tokens": 2}
 
@@ -41,34 +44,29 @@
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, "changes.json")
             path.write_text(json.dumps([account]))
-            self.run_tool("apply", str(path))
-        made = self.run_tool("keys", "rotate", "bench")
+            self.change("apply", str(path))
+        made = self.change("keys", "rotate", "bench")
         key = made["key"]
-        self.wait_in_force()
         answer = self.daemon.request("POST", "/v1/completions", PROMPT, key)
         self.assertEqual(answer[0], 200)
-        self.run_tool("keys", "revoke", "bench", key.partition(".")[0])
-        self.wait_in_force()
+        self.change("keys", "revoke", "bench", key.partition(".")[0])
         answer = self.daemon.request("POST", "/v1/completions", PROMPT, key)
         self.assertEqual(answer[0], 401)
 
     def test_drained_engine_takes_no_new_work(self):
-        self.run_tool("drain", "demo-engine", "--reason", "fan")
-        self.wait_in_force()
+        self.change("drain", "demo-engine", "--reason", "fan")
         headers = [("Request-Timeout", "1")]
         answer = self.daemon.request(
             "POST", "/v1/completions", PROMPT, headers=headers
         )
         self.assertEqual(json.loads(answer[2])["outcome"], "not_run")
-        self.run_tool("undrain", "demo-engine")
-        self.wait_in_force()
+        self.change("undrain", "demo-engine")
         answer = self.daemon.request("POST", "/v1/completions", PROMPT)
         self.assertEqual(answer[0], 200)
 
     def test_drained_instance_is_unready_until_undrained(self):
         for command, status in (("drain", 503), ("undrain", 200)):
-            self.run_tool(command, "instance-1")
-            self.wait_in_force()
+            self.change(command, "instance-1")
             answer = self.daemon.request("GET", "/readyz")
             self.assertEqual(answer[0], status)
 
@@ -83,14 +81,59 @@
                 break
         self.assertEqual({t["name"] for t in record["tables"]}, names)
 
+    def scrape(self):
+        status, headers, body = self.daemon.request("GET", "/metrics")
+        self.assertEqual(status, 200)
+        self.assertTrue(headers[b"content-type"].startswith(b"text/plain"))
+        return body.decode()
+
+    def test_scrape_counts_what_was_served_and_refused(self):
+        for body in (
+            {**PROMPT, "stream": True},
+            {**PROMPT, "model": "missing"},
+            {**PROMPT, "stream": True, "max_tokens": 3},
+        ):
+            self.daemon.request("POST", "/v1/completions", body)
+        text = self.scrape()
+        for series, value in (
+            (r'first_token_seconds_count\{.*prompt_length="<1k"', 2),
+            (r'slowdown_count\{.*prompt_length="<1k"', 2),
+            (r'requests_total\{.*outcome="done".*service="demo"', 2),
+            (r'goodput_total\{.*service="demo"', 2),
+            (r'tries_total\{.*kind="first"', 2),
+            (r'limit_decisions_total\{.*decision="admitted"', 2),
+            ("queue_length", 0),
+        ):
+            found = re.search(rf"^cardamomfork_{series}.* (\S+)$", text, re.M)
+            self.assertIsNotNone(found, series)
+            self.assertEqual(float(found[1]), value, series)
+
+    def test_page_names_the_exported_metrics_and_no_others(self):
+        self.daemon.request(
+            "POST", "/v1/completions", {**PROMPT, "stream": True}
+        )
+        text = self.scrape()
+        while "loop_lag" not in text:
+            # The loop's first tick comes some time after the start.
+            time.sleep(TICK_S)
+            text = self.scrape()
+        kinds = dict(re.findall(r"^# TYPE (\S+) (\w+)$", text, re.M))
+        exported = {name for name in kinds if name.startswith("cardamomfork_")}
+        page = pathlib.Path(__file__).parents[2] / "docs/operators/metrics.md"
+        named = re.findall(r"`(cardamomfork_\w+)`", page.read_text())
+        self.assertEqual(set(named), exported)
+
     def test_many_short_connections_leave_the_daemon_alive(self):
         for _ in range(40):
             self.run_tool("status")
         self.assertIsNone(self.daemon.process.poll())
 
-    def wait_in_force(self):
-        version = self.run_tool("status")["version"]
-        self.run_tool("status", "--wait", str(version))
+    def change(self, *arguments):
+        """Runs a command that changes something; waits until in force."""
+        answer = self.run_tool(*arguments)
+        for accepted in answer.get("accepted", [answer]):
+            self.run_tool("status", "--wait", str(accepted["version"]))
+        return answer
 
 
 if __name__ == "__main__":
