Put every side's tables into the state dump

Cause: the dump held three tables by size alone, without rows. Change: requests, queue, views of targets, claims, cancels, reservations, marks, load reports, orders, limits, instances, data centres, configuration, tombstones and bytes to peers are registered with size, bound and rows; classes got small read-only accessors. The page of incidents names the tables, and a test compares it with the dump of the running daemon. Conclusion: a dump answers where requests and targets stand; it holds no prompt and no key.

--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -16,6 +16,7 @@
 from cardamomfork._internal.composition import platform as platform_module
 from cardamomfork._internal.composition import questions
 from cardamomfork._internal.composition import seeing
+from cardamomfork._internal.composition import tables
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.instances import joining
 from cardamomfork._internal.links.operators import side as operators_side
@@ -39,10 +40,12 @@
     """What brings engines to their orders.
 
     Attributes:
+        keeper: The orders and how far the engines are.
         lease: The role of this data centre's order giver.
         runner: Gives the orders while the lease is held.
     """
 
+    keeper: orders.OrderKeeper
     lease: orders_lease.OrderLease
     runner: orders_runner.OrderRunner
 
@@ -144,7 +147,8 @@
     )
     fleet.replica.subscribe(applier.apply)
     fleet.leaving.subscribe(serving.set_leaving)
-    _register_tables(observation, serving, fleet)
+    order_side = _make_order_side(settings, clock, platform, serving, fleet)
+    tables.register(observation, serving, fleet, dispatcher, order_side.keeper)
     seeing.watch_sides(observation.metrics, serving, fleet, dispatcher, clock)
     return Process(
         settings=settings,
@@ -165,7 +169,7 @@
             ),
         ),
         observation=observation,
-        order_side=_make_order_side(settings, clock, platform, serving, fleet),
+        order_side=order_side,
     )
 
 
@@ -196,15 +200,4 @@
     wakes.append(runner)
     feed = orders_feed.OrderFeed(keeper, clock, wake)
     fleet.replica.subscribe(feed.apply)
-    return OrderSide(lease, runner)
-
-
-def _register_tables(
-    observation: observing.Observation,
-    serving: wiring.Daemon,
-    fleet: joining.FleetMembership,
-) -> None:
-    """Puts the sides' tables into the dump and the metrics."""
-    observation.register_sizes("requests", lambda: serving.table.sizes)
-    observation.register_sizes("keys", lambda: serving.keys.sizes)
-    observation.register_sizes("fleet", fleet.sizes)
+    return OrderSide(keeper, lease, runner)
--- a/src/cardamomfork/_internal/configuration/replica.py
+++ b/src/cardamomfork/_internal/configuration/replica.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from cardamomfork._internal.models import identifiers
 
@@ -106,6 +107,13 @@
         """Objects held, deletions not counted."""
         return len(self._held) - len(self._tombstones)
 
+    @property
+    def tombstones(
+        self,
+    ) -> Sequence[tuple[int, configuration.ObjectKind, str]]:
+        """Version, kind and name of each deletion remembered."""
+        return self._tombstones
+
     @property
     def index(self) -> index.ConfigurationIndex:
         """Lookups over the objects in force."""
--- a/src/cardamomfork/_internal/data_centres/summaries.py
+++ b/src/cardamomfork/_internal/data_centres/summaries.py
@@ -17,6 +17,7 @@
 from cardamomfork._internal.models import identifiers
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     import random
 
     from cardamomfork._internal.contracts import clock as clock_contract
@@ -94,6 +95,11 @@
         me = self._members.me.instance.instance_id
         return me in self._own_delegates()
 
+    @property
+    def known(self) -> Collection[Summary]:
+        """The summaries held."""
+        return self._summaries.values()
+
     def get(self, data_centre: identifiers.DataCentreId) -> Summary | None:
         """Returns the summary of another data centre."""
         return self._summaries.get(data_centre)
--- a/src/cardamomfork/_internal/instances/joining.py
+++ b/src/cardamomfork/_internal/instances/joining.py
@@ -112,13 +112,6 @@
             finally:
                 self.link.close()
 
-    def sizes(self) -> dict[str, tuple[int, int]]:
-        """Returns size and bound of each table."""
-        return {
-            "instances": (len(self.members.known()), membership.MAX_RECORDS),
-            "configuration": (self.replica.size, replica.MAX_OBJECTS),
-        }
-
     async def leave(self) -> None:
         """Tells the peers that this instance stops and hands its shares over.
 
--- a/src/cardamomfork/_internal/instances/membership.py
+++ b/src/cardamomfork/_internal/instances/membership.py
@@ -102,6 +102,18 @@
         """Returns the record of an instance."""
         return self._records.get(instance_id)
 
+    def age(
+        self, instance_id: identifiers.InstanceId, now: float
+    ) -> float | None:
+        """Returns the seconds since a peer's record changed; None for others.
+
+        This instance's own record is always current.
+        """
+        changed_at = self._changed_at.get(instance_id)
+        if changed_at is None or instance_id == self._me.instance.instance_id:
+            return None
+        return now - changed_at
+
     def known(
         self, data_centre: identifiers.DataCentreId | None = None
     ) -> list[records.Record]:
--- a/src/cardamomfork/_internal/requests/cancellation.py
+++ b/src/cardamomfork/_internal/requests/cancellation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from typing import Any
 from typing import TYPE_CHECKING
 
 import anyio
@@ -70,6 +71,17 @@
         """Whether every cancel is confirmed or given up."""
         return not self._pending and not self._busy
 
+    def describe(self) -> list[dict[str, Any]]:
+        """Returns one row a cancel that waits for its next try."""
+        return [
+            {
+                "attempt": one.attempt_id,
+                "target": one.link.target.target_id,
+                "tries": one.tries,
+            }
+            for one in self._pending
+        ]
+
     def add(
         self,
         link: target_link.TargetLink,
--- a/src/cardamomfork/_internal/requests/claims/committer.py
+++ b/src/cardamomfork/_internal/requests/claims/committer.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from typing import Any
 from typing import TYPE_CHECKING
 
 import anyio
@@ -124,6 +125,14 @@
         """Operations that wait."""
         return self._waiting
 
+    def describe(self) -> list[dict[str, Any]]:
+        """Returns one row a record that operations wait for."""
+        return [
+            {"record": record, "waiting": len(queue.pending)}
+            for record, queue in self._queues.items()
+            if queue.pending
+        ]
+
     async def run(
         self,
         *,
--- a/src/cardamomfork/_internal/requests/records.py
+++ b/src/cardamomfork/_internal/requests/records.py
@@ -12,6 +12,8 @@
 from cardamomfork._internal.models import outcomes
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import requests
 
@@ -38,7 +40,7 @@
         target_id: Where it runs or ran last; empty before it ran.
         outcome: What is known of its run.
         reason: Why it ended without a result; None else.
-        tokens: Tokens given to the caller, as far as they were counted.
+        tokens: Events of the stream given out; about as many tokens.
     """
 
     request_id: identifiers.RequestId
@@ -76,6 +78,16 @@
         """Size and bound of each table, by name."""
         return {"ended_requests": (len(self._ended), self._max_ended)}
 
+    @property
+    def open_records(self) -> Iterable[Record]:
+        """The requests that have not ended, the oldest first."""
+        return self._open.values()
+
+    @property
+    def ended_records(self) -> Iterable[Record]:
+        """The ended requests still kept, the last ended first."""
+        return reversed(self._ended.values())
+
     def begin(self, request: requests.Request) -> Record:
         """Starts the record of an admitted request."""
         record = Record(request.request_id, request.account, request.service)
--- a/src/cardamomfork/_internal/requests/reservations.py
+++ b/src/cardamomfork/_internal/requests/reservations.py
@@ -103,6 +103,11 @@
     def __len__(self) -> int:
         return len(self._pending)
 
+    @property
+    def targets(self) -> dict[str, identifiers.TargetId]:
+        """The target of each release, by its name."""
+        return {name: one.target_id for name, one in self._pending.items()}
+
     def add(
         self, name: str, target_id: identifiers.TargetId, now: float
     ) -> None:
@@ -165,6 +170,16 @@
         """Reservations whose release is not confirmed."""
         return len(self._releases)
 
+    @property
+    def open_reservations(self) -> dict[str, identifiers.TargetId]:
+        """The target of each reservation in use, by its name."""
+        return dict(self._open)
+
+    @property
+    def releasing_reservations(self) -> dict[str, identifiers.TargetId]:
+        """The target of each release not confirmed, by its name."""
+        return self._releases.targets
+
     def open(
         self,
         attempt_id: identifiers.AttemptId,
--- a/src/cardamomfork/_internal/routing/dispatcher.py
+++ b/src/cardamomfork/_internal/routing/dispatcher.py
@@ -26,6 +26,7 @@
 from cardamomfork._internal.routing import state as state_module
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Sequence
     import random
 
@@ -44,7 +45,7 @@
 
 
 class FleetDispatcher:
-    """Meets `contracts.dispatching.Dispatcher`."""
+    """Meets `contracts.dispatching.Dispatcher`; `limits` bounds its queue."""
 
     def __init__(
         self,
@@ -65,7 +66,7 @@
             weighs_decline: Whether targets lose weight by slow decline.
         """
         self._rng = rng
-        self._limits = limits or admission.QueueLimits()
+        self.limits = limits or admission.QueueLimits()
         planned_load = MIN_PLANNED_LOAD + PLANNED_LOAD_SPAN * short_weight / (
             1.0 + short_weight
         )
@@ -83,6 +84,11 @@
         """Requests that wait."""
         return len(self._backlog)
 
+    @property
+    def waiting_entries(self) -> Iterable[waiting.Entry]:
+        """The requests that wait, for the state dump."""
+        return self._backlog.entries
+
     @property
     def running(self) -> int:
         """Requests under way."""
@@ -160,7 +166,7 @@
         entry = backlog.make_entry(request, avoid, pool, match, now)
         refusal = (
             admission.check_queue(
-                self._limits,
+                self.limits,
                 len(self._backlog),
                 self._backlog.count_of(request.account),
             )
--- a/src/cardamomfork/_internal/targets/leaving.py
+++ b/src/cardamomfork/_internal/targets/leaving.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
 
 MAX_TARGETS = 8192
 MAX_ID_LENGTH = 200
@@ -108,6 +109,12 @@
         """The topic of its payloads."""
         return gossip.Topic.LEAVING
 
+    @property
+    def marked(self) -> Collection[identifiers.TargetId]:
+        """The targets that have a mark or are drained."""
+        drained = map(identifiers.TargetId, self._drained)
+        return self._marks.keys() | set(drained)
+
     def subscribe(
         self, callback: Callable[[identifiers.TargetId, bool], None]
     ) -> None:
--- a/src/cardamomfork/_internal/targets/orders.py
+++ b/src/cardamomfork/_internal/targets/orders.py
@@ -185,6 +185,11 @@
         if engine is not None:
             self._plan(engine, models.StepKind.READ, now)
 
+    @property
+    def size(self) -> int:
+        """Engines that have an order."""
+        return len(self._engines)
+
     def describe(self) -> list[dict[str, Any]]:
         """Returns one row an engine, for the state dump."""
         return [
--- a/src/cardamomfork/_internal/targets/watching.py
+++ b/src/cardamomfork/_internal/targets/watching.py
@@ -99,6 +99,11 @@
         """The topic of its payloads."""
         return gossip.Topic.LOAD
 
+    @property
+    def reports(self) -> Sequence[targets.LoadReport]:
+        """The reports held, the oldest first."""
+        return [held.report for held in self._held.values()]
+
     def observe(self, report: targets.LoadReport, now: float) -> bool:
         """Takes a report; False if a newer one of the target is held."""
         held = self._held.get(report.target_id)
--- a/tests/functional/test_operated_daemon.py
+++ b/tests/functional/test_operated_daemon.py
@@ -123,6 +123,44 @@
         named = re.findall(r"`(cardamomfork_\w+)`", page.read_text())
         self.assertEqual(set(named), exported)
 
+    def test_dump_shows_every_side_without_prompts_and_keys(self):
+        prompt = {**PROMPT, "prompt": "unmistakable words", "stream": True}
+        self.daemon.request("POST", "/v1/completions", prompt)
+        self.change("drain", "demo-engine", "--reason", "fan")
+        while not self.run_tool("dump", "targets.loads")["tables"][0]["rows"]:
+            # The engine is asked for its load once a period.
+            time.sleep(TICK_S)
+        dumped = self.run_tool("dump")
+        tables = {table["name"]: table for table in dumped["tables"]}
+        for table in tables.values():
+            self.assertEqual(table["fault"], "", table["name"])
+            self.assertGreater(table["bound"], 0, table["name"])
+            self.assertLessEqual(len(table["rows"]), table["size"])
+        for name, column, value in (
+            ("requests.ended", "outcome", "done"),
+            ("targets.views", "target", "demo-engine"),
+            ("targets.leaving", "causes", "drained"),
+            ("targets.loads", "target", "demo-engine"),
+            ("limits.accounts", "account", "demo"),
+            ("fleet.instances", "state", "alive"),
+            ("fleet.configuration", "kind", "service"),
+            ("fleet.peer_bytes", "topic", "limits"),
+        ):
+            shown = [row[column] for row in tables[name]["rows"]]
+            self.assertIn(value, shown, name)
+        text = json.dumps(dumped)
+        self.assertNotIn("unmistakable", text)
+        self.assertNotIn(embedded.KEY, text)
+        self.assertNotIn(embedded.OPERATOR_SECRET, text)
+
+    def test_incidents_page_names_the_tables_of_the_dump(self):
+        tables = {table["name"] for table in self.run_tool("dump")["tables"]}
+        page = pathlib.Path(__file__).parents[2] / "docs/operators/incidents.md"
+        named = re.findall(
+            r"^\| `([a-z]+\.[a-z_]+)` \|", page.read_text(), re.M
+        )
+        self.assertEqual(set(named), tables)
+
     def test_many_short_connections_leave_the_daemon_alive(self):
         for _ in range(40):
             self.run_tool("status")
