--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -42,6 +42,7 @@
 HURRY_BYTES = 3000
 MAX_HURRIED_PER_S = 5.0
 REMOTE_PERIOD_S = 1.0
+REMOTE_FANOUT = 3
 SEEK_ALONE_S = 1.0
 SEEK_S = 30.0
 
@@ -97,8 +98,12 @@
         self._rng = rng
         self._link: peering_contract.PeerLink | None = None
         self._hurry = anyio.Event()
+        self._push = anyio.Event()
+        self._pushed: set[gossip.Topic] = set()
         self._hurry_fanout = 1
+        self._wants_delegate = False
         self._participants = participants
+        members.subscribe(self._on_change)
         self.budget = budget
         self.counters = PeeringCounters()
         self._timed: Callable[[], contextlib.AbstractContextManager[None]] = (
@@ -121,10 +126,20 @@
         self._hurry_fanout = HURRY_FANOUT
         self._hurry.set()
 
+    def push(self, topic: gossip.Topic) -> None:
+        """Has one topic's news told to all peers of the data centre now."""
+        self._pushed.add(topic)
+        self._push.set()
+
     def catch_up(self) -> None:
         """Asks for an exchange with one peer soon."""
         self._hurry.set()
 
+    def ask_delegate(self) -> None:
+        """Asks for an exchange with a delegate of this data centre soon."""
+        self._wants_delegate = True
+        self._hurry.set()
+
     async def run(self, link: peering_contract.PeerLink) -> None:
         """Runs until cancelled.
 
@@ -136,6 +151,7 @@
             group.start_soon(self._probe_loop, link, group)
             group.start_soon(self._remote_loop, link)
             group.start_soon(self._hurry_loop, link, group)
+            group.start_soon(self._push_loop, link, group)
 
     async def seek(
         self,
@@ -276,13 +292,57 @@
             self._hurry = anyio.Event()
             fanout, self._hurry_fanout = self._hurry_fanout, 1
             me = self._members.me.instance
-            for peer in self._members.helpers(me.instance_id, fanout):
+            peers = self._members.helpers(me.instance_id, fanout)
+            if self._wants_delegate:
+                self._wants_delegate = False
+                peers[-1:] = self._others.near_delegates()[:1]
+            for peer in peers:
                 group.start_soon(self._tell, link, peer)
-            remote = self._others.next_remote()
-            if remote is not None:
-                group.start_soon(self._tell, link, remote)
+            for _ in range(REMOTE_FANOUT):
+                remote = self._others.next_remote()
+                if remote is not None:
+                    group.start_soon(self._tell, link, remote)
             await anyio.sleep(1.0 / MAX_HURRIED_PER_S)
 
+    async def _push_loop(
+        self,
+        link: peering_contract.PeerLink,
+        group: anyio.abc.TaskGroup,
+    ) -> None:
+        """Tells all peers of the data centre at once when asked to."""
+        while True:
+            await self._push.wait()
+            self._push = anyio.Event()
+            topics, self._pushed = self._pushed, set()
+            me = self._members.me.instance
+            now = self._clock.monotonic()
+            peers = [
+                peer
+                for peer in self._members.live(me.data_centre)
+                if peer.instance_id != me.instance_id
+            ]
+            for peer in peers:
+                for topic in sorted(topics):
+                    envelope = self._composer.compose_one(
+                        me, peer.instance_id, topic, now
+                    )
+                    if envelope is not None:
+                        group.start_soon(self._send, link, peer, envelope)
+
+    async def _send(
+        self,
+        link: peering_contract.PeerLink,
+        peer: instances.Instance,
+        envelope: peering_contract.Envelope,
+    ) -> bool:
+        """Sends an envelope and takes the answer; on a fault, once more."""
+        for fresh in (False, True):
+            answer = await link.exchange(peer, envelope, fresh=fresh)
+            if isinstance(answer, result.Ok):
+                self._take(answer.ok_value, self._clock.monotonic())
+                return True
+        return False
+
     async def _wait_for_bytes(self) -> None:
         """Waits until news fits; before, an exchange would only cost."""
         while True:
@@ -335,6 +395,12 @@
         # Another instance may have taken the address over.
         return sender.instance_id == peer.instance_id
 
+    def _on_change(self, record: records.Record) -> None:
+        """Passes on what changed near: a refutation must beat the verdict."""
+        home = self._members.me.instance.data_centre
+        if record.instance.data_centre == home:
+            self.hurry()
+
     def _compose(
         self, peer: instances.Instance, now: float
     ) -> peering_contract.Envelope | None:
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.links.callers import sinks
 from cardamomfork._internal.links.targets import idle
 from cardamomfork._internal.links.targets import observing
+from cardamomfork._internal.links.targets import reachability
 from cardamomfork._internal.links.targets import registry
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.requests import admission
@@ -24,6 +25,8 @@
 from cardamomfork._internal.requests import exchanging
 from cardamomfork._internal.requests import observing as request_observing
 from cardamomfork._internal.requests import parts_transfer
+from cardamomfork._internal.requests import poison
+from cardamomfork._internal.requests import poison_gate
 from cardamomfork._internal.requests import queueing
 from cardamomfork._internal.requests import records
 from cardamomfork._internal.requests import reservation_keeper
@@ -87,6 +90,10 @@
         claim_routes: The way to the owners of claim shards; None to write
             all claims here.
         owners: The instances that own reservations.
+        guard: Keeps requests that crash targets apart.
+        boot_of: Returns the life of a target that was last heard.
+        on_poison_news: Called when peers should hear the guard's news at once.
+        staying: Returns which of some targets take new work.
         watches: Whether an engine is this instance's to watch.
         observer: Told what happens to requests.
     """
@@ -97,6 +104,16 @@
     engine_news: observing.Listener
     claim_routes: ledger.ClaimRoutes | None = None
     owners: Owners = Owners()
+    guard: poison.PoisonGuard = attrs.field(
+        factory=lambda: poison.PoisonGuard(random.Random())
+    )
+    boot_of: Callable[[identifiers.TargetId], identifiers.BootId | None] = (
+        lambda _: None
+    )
+    on_poison_news: Callable[[], None] = lambda: None
+    staying: Callable[
+        [frozenset[identifiers.TargetId]], frozenset[identifiers.TargetId]
+    ] = frozenset
     watches: Callable[[identifiers.TargetId], bool] = lambda _: True
     observer: request_observing.RequestObserver = (
         request_observing.RequestObserver()
@@ -125,6 +142,7 @@
         committer: Writes claims; None without a store.
         ledger: Claims; None without a store.
         own: Reservations of this instance on engines.
+        gate: Keeps requests that crash targets apart.
         keeper: Releases reservations and sweeps engines for lost ones.
         retry_policy: Retry budgets and counters.
         frames: Counts dropped frames.
@@ -148,6 +166,7 @@
     ledger: ledger.StoreClaimLedger | None
     own: reservations.OwnReservations
     keeper: reservation_keeper.ReservationKeeper
+    gate: poison_gate.PoisonGate
     retry_policy: retries.RetryPolicy
     frames: attempts.FrameCounters
 
@@ -192,6 +211,7 @@
         tasks.start_soon(self.watch.run)
         tasks.start_soon(self.observer.run)
         tasks.start_soon(self.keeper.run)
+        tasks.start_soon(self.gate.run)
         if self.committer is not None:
             tasks.start_soon(self.committer.run)
 
@@ -233,6 +253,14 @@
     own = reservations.OwnReservations(
         instance_id, surroundings.boot_id, random.Random()
     )
+    gate = poison_gate.PoisonGate(
+        surroundings.guard,
+        clock,
+        lambda name: surroundings.staying(known.targets_of(name)),
+        reachability.connects,
+        surroundings.boot_of,
+        surroundings.on_poison_news,
+    )
     return Daemon(
         settings=settings,
         clock=clock,
@@ -258,6 +286,7 @@
                 canceller=canceller,
                 own=own,
                 parts=parts_transfer.PartsTransfer(links, own, clock),
+                gate=gate,
                 retry_policy=retry_policy,
                 clock=clock,
                 counters=frames,
@@ -275,6 +304,7 @@
         ),
         committer=claims,
         ledger=claim_ledger,
+        gate=gate,
         keeper=reservation_keeper.ReservationKeeper(
             own,
             reservation_sweep.HomeSweep(instance_id, random.Random()),
