--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -168,7 +168,9 @@
     fleet.replica.subscribe(applier.apply)
     fleet.leaving.subscribe(serving.set_leaving)
     order_side = _make_order_side(settings, clock, platform, serving, fleet)
-    tables.register(observation, serving, fleet, dispatcher, order_side.keeper)
+    tables.register(
+        observation, serving, fleet, dispatcher, order_side.keeper, guard
+    )
     seeing.watch_sides(observation.metrics, serving, fleet, dispatcher, clock)
     return Process(
         settings=settings,
--- a/src/cardamomfork/_internal/composition/tables.py
+++ b/src/cardamomfork/_internal/composition/tables.py
@@ -16,6 +16,7 @@
 from cardamomfork._internal.data_centres import summaries
 from cardamomfork._internal.instances import membership
 from cardamomfork._internal.requests import cancellation
+from cardamomfork._internal.requests import poison
 from cardamomfork._internal.requests import reservations
 from cardamomfork._internal.requests.claims import committer
 from cardamomfork._internal.targets import leaving
@@ -43,6 +44,7 @@
     fleet: joining.FleetMembership,
     dispatcher: fleet_dispatcher.FleetDispatcher,
     keeper: orders.OrderKeeper,
+    guard: poison.PoisonGuard,
 ) -> None:
     """Registers the tables of all sides."""
     clock = observation.clock
@@ -51,6 +53,7 @@
         *_request_tables(serving),
         *_dispatcher_tables(dispatcher, clock),
         *_release_tables(serving),
+        make_suspects_table(guard, clock),
         *_target_tables(fleet, keeper, clock),
         *_fleet_tables(fleet, clock),
         *_configuration_tables(fleet),
@@ -178,6 +181,37 @@
         yield {"reservation": name, "target": target_id}
 
 
+def make_suspects_table(
+    guard: poison.PoisonGuard, clock: clock_contract.Clock
+) -> dump.Table:
+    """Returns the requests suspected of taking targets down."""
+
+    def suspects() -> Iterator[dict[str, Any]]:
+        now = clock.monotonic()
+        for fingerprint, suspect in guard.suspects.items():
+            yield {
+                "fingerprint": fingerprint.hex(),
+                "deaths": suspect.live_deaths(now),
+                "targets": ",".join(suspect.deaths),
+                "weight": round(suspect.weight, 3),
+                "quarantines": suspect.quarantines,
+                "quarantined_s": _left(suspect.quarantined_until, now),
+                "held_s": _left(suspect.held_until, now),
+            }
+
+    return dump.Table(
+        "requests.suspects",
+        lambda: len(guard.suspects),
+        poison.MAX_SUSPECTS,
+        suspects,
+    )
+
+
+def _left(until: float, now: float) -> float:
+    """Returns the seconds left until a time, at least 0."""
+    return round(max(until - now, 0.0), 1)
+
+
 def _target_tables(
     fleet: joining.FleetMembership,
     keeper: orders.OrderKeeper,
