--- a/src/cardamomfork/_internal/targets/watching.py
+++ b/src/cardamomfork/_internal/targets/watching.py
@@ -99,6 +99,11 @@
         """The topic of its payloads."""
         return gossip.Topic.LOAD
 
+    @property
+    def reports(self) -> Sequence[targets.LoadReport]:
+        """The reports held, the oldest first."""
+        return [held.report for held in self._held.values()]
+
     def boot_of(
         self, target_id: identifiers.TargetId
     ) -> identifiers.BootId | None:
