Answer a given-up request at once and advise when to come back

Cause: the guard against poison offered a time until which a failing answer should be held; users don't accept held answers. Own reservations were not known by their data centre, so that memory of owners never heard of came back only after 3,900 s. Conclusion: nothing holds a final answer back.

--- a/src/cardamomfork/_internal/measure/poison.py
+++ b/src/cardamomfork/_internal/measure/poison.py
@@ -291,8 +291,8 @@
             self._found.refused += 1
             return
         guard = self._guards[request.instance]
-        answer_at = guard.answer_at(request.fingerprint, self._now)
-        self._after(answer_at - self._now, lambda: self._resend(request))
+        retry_at = guard.retry_at(request.fingerprint, self._now)
+        self._after(retry_at - self._now, lambda: self._resend(request))
 
     def _tell(self, instance: int) -> None:
         """Tells two peers the news."""
--- a/src/cardamomfork/_internal/requests/claims/ledger.py
+++ b/src/cardamomfork/_internal/requests/claims/ledger.py
@@ -309,7 +309,8 @@
     ),
     records.Verdict.UNAVAILABLE: outcomes.refuse(
         outcomes.RefusalReason.STORE_UNAVAILABLE,
-        "The claim could not be written in time. This call did not run.",
+        "The claim could not be written in time. This call did not run; an"
+        " earlier one with the key may have.",
         STORE_RETRY_S,
     ),
 }
--- a/src/cardamomfork/_internal/requests/poison.py
+++ b/src/cardamomfork/_internal/requests/poison.py
@@ -190,11 +190,10 @@
             return Admission(Verdict.WAIT, now + LOST_HOLD_S)
         return ALONE
 
-    def answer_at(self, fingerprint: bytes, now: float) -> float:
-        """Returns when its caller may be told that a lost request failed.
+    def retry_at(self, fingerprint: bytes, now: float) -> float:
+        """Returns when the caller of a lost request should send it again.
 
-        Its caller may send it again at once, through any instance: the peers
-        are to know of the death by then.
+        By then the peers know of the death; one that comes earlier waits.
         """
         suspect = self._suspects.get(fingerprint[:FINGERPRINT_BYTES])
         return now if suspect is None else max(suspect.held_until, now)
--- a/src/cardamomfork/_internal/requests/poison_gate.py
+++ b/src/cardamomfork/_internal/requests/poison_gate.py
@@ -27,6 +27,7 @@
 CHECK_PAUSE_S = 0.2
 CHECKS = 2
 MAX_DOUBTS = 1024
+FORGET_PERIOD_S = 60.0
 DOWN_S = 30.0
 """Seconds for which a target found dead is no place for suspects."""
 
@@ -114,6 +115,11 @@
             wait_s = max(admission.retry_at - now, TURN_S)
             await anyio.sleep(min(wait_s, poison.SUSPECT_S))
 
+    def retry_after_s(self, request: requests.Request) -> float:
+        """Returns when a caller should send a lost request again."""
+        now = self._clock.monotonic()
+        return self._guard.retry_at(request.fingerprint, now) - now
+
     def enter(
         self, request: requests.Request, link: target_link.TargetLink
     ) -> Passage:
@@ -156,8 +162,10 @@
         """Looks at targets that lost a request, until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                await self._doubted.wait()
+                with anyio.move_on_after(FORGET_PERIOD_S):
+                    await self._doubted.wait()
                 self._doubted = anyio.Event()
+                self._guard.forget_old(self._clock.monotonic())
                 while self._doubts:
                     passage = self._doubts.popleft()
                     target_id = passage.link.target.target_id
--- a/src/cardamomfork/_internal/requests/running.py
+++ b/src/cardamomfork/_internal/requests/running.py
@@ -193,7 +193,10 @@
         )
         if isinstance(decided, result.Err):
             gave_up = decided.err_value
-            advice = gave_up.retry_after_s or LOST_RETRY_AFTER_S
+            advice = max(
+                gave_up.retry_after_s or LOST_RETRY_AFTER_S,
+                self._gate.retry_after_s(run.request),
+            )
             detail = f"{gave_up.detail} The last fault: {fault.detail}."
             run.life.conclude(gave_up.reason, detail, advice)
             return
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -251,7 +251,10 @@
     retry_policy = retries.RetryPolicy(random.Random(), retries.MIN_RESERVE)
     instance_id = settings.instance.instance_id
     own = reservations.OwnReservations(
-        instance_id, surroundings.boot_id, random.Random()
+        instance_id,
+        surroundings.boot_id,
+        random.Random(),
+        settings.instance.data_centre,
     )
     gate = poison_gate.PoisonGate(
         surroundings.guard,
@@ -307,7 +310,11 @@
         gate=gate,
         keeper=reservation_keeper.ReservationKeeper(
             own,
-            reservation_sweep.HomeSweep(instance_id, random.Random()),
+            reservation_sweep.HomeSweep(
+                instance_id,
+                random.Random(),
+                settings.instance.data_centre,
+            ),
             reservation_surroundings.DaemonSurroundings(
                 instance_id=instance_id,
                 data_centre=settings.instance.data_centre,
--- a/tests/unit/test_poison.py
+++ b/tests/unit/test_poison.py
@@ -51,7 +51,7 @@
         self.kill("t2", 5.0, BAD)
         self.assertEqual(self.verdict(BAD, 6.0), VERDICTS.QUARANTINED)
         self.assertEqual(self.verdict(GOOD, 6.0), VERDICTS.ALONE)
-        self.assertGreater(self.guard.answer_at(BAD, 6.0), 6.0)
+        self.assertGreater(self.guard.retry_at(BAD, 6.0), 6.0)
 
     def test_one_target_that_dies_twice_quarantines_nothing(self):
         self.kill("t1", 0.0, BAD)
