Dump each service's retry budget

Cause: nothing showed how many retries a service has left. Change: requests.retry_budgets shows what is saved, its bound and the share of failures. Conclusion: a refusal for want of budget can be traced to its service.

--- a/src/cardamomfork/_internal/composition/tables.py
+++ b/src/cardamomfork/_internal/composition/tables.py
@@ -18,6 +18,7 @@
 from cardamomfork._internal.requests import cancellation
 from cardamomfork._internal.requests import poison
 from cardamomfork._internal.requests import reservations
+from cardamomfork._internal.requests import retries
 from cardamomfork._internal.requests.claims import committer
 from cardamomfork._internal.targets import leaving
 from cardamomfork._internal.targets import orders
@@ -145,8 +146,15 @@
 
 
 def _release_tables(serving: wiring.Daemon) -> Iterator[dump.Table]:
-    """Returns claims, cancels and reservations that wait for an answer."""
+    """Returns retry budgets, and what waits for an answer."""
     own = serving.own
+    budgets = serving.retry_policy
+    yield dump.Table(
+        "requests.retry_budgets",
+        lambda: budgets.size,
+        retries.MAX_SERVICES,
+        budgets.describe,
+    )
     claims = serving.committer
     if claims is not None:
         yield dump.Table(
--- a/src/cardamomfork/_internal/requests/retries.py
+++ b/src/cardamomfork/_internal/requests/retries.py
@@ -10,6 +10,7 @@
 
 from collections import OrderedDict
 import enum
+from typing import Any
 from typing import TYPE_CHECKING
 
 import attrs
@@ -181,6 +182,24 @@
         )
         self.counters = RetryCounters()
 
+    @property
+    def size(self) -> int:
+        """Services that have a budget."""
+        return len(self._budgets)
+
+    def describe(self) -> list[dict[str, Any]]:
+        """Returns one row a service, for the state dump."""
+        return [
+            {
+                "service": service,
+                "share": budget.share,
+                "saved": round(budget.saved, 2),
+                "most": round(budget.most, 2),
+                "failures": round(budget.failures, 3),
+            }
+            for service, budget in self._budgets.items()
+        ]
+
     def note_first_try(
         self, service: identifiers.ServiceName, share: float, now: float
     ) -> None:
--- a/tests/functional/test_operated_daemon.py
+++ b/tests/functional/test_operated_daemon.py
@@ -138,6 +138,7 @@
             self.assertLessEqual(len(table["rows"]), table["size"])
         for name, column, value in (
             ("requests.ended", "outcome", "done"),
+            ("requests.retry_budgets", "service", "demo"),
             ("targets.views", "target", "demo-engine"),
             ("targets.leaving", "causes", "drained"),
             ("targets.loads", "target", "demo-engine"),
