Count refused keys and bodies among the outcomes

Cause: requests refused before they were made did not show in the metrics. Change: the callers' side tells the service of each such refusal; they are counted without a service's name, which callers could choose at will. Conclusion: outcomes by reason hold every answered refusal of prompts and calls.

--- a/src/cardamomfork/_internal/composition/seeing.py
+++ b/src/cardamomfork/_internal/composition/seeing.py
@@ -67,11 +67,9 @@
             generated_tokens=record.tokens,
         )
 
-    def refused(
-        self, request: requests.Request, refusal: outcomes.Refusal
-    ) -> None:
+    def refused(self, service: str, refusal: outcomes.Refusal) -> None:
         """Counts a refusal."""
-        self._metrics.ended(request.service, refusal.outcome, refusal.reason)
+        self._metrics.ended(service, refusal.outcome, refusal.reason)
 
 
 def watch_sides(
--- a/src/cardamomfork/_internal/links/callers/exchange.py
+++ b/src/cardamomfork/_internal/links/callers/exchange.py
@@ -77,6 +77,7 @@
         )
         if isinstance(body, result.Err):
             refused = body.err_value
+            self.service.note_refused_input(refused.refusal)
             await responder.problem(
                 refused.refusal, (), refused.status, close=True
             )
@@ -84,7 +85,9 @@
         checked = bodies.check(api, body.ok_value)
         if isinstance(head, result.Err) or isinstance(checked, result.Err):
             found = [*(head.err() or ()), *(checked.err() or ())]
-            await responder.problem(_invalid(found), found)
+            invalid = _invalid(found)
+            self.service.note_refused_input(invalid)
+            await responder.problem(invalid, found)
             return
         submission = _make_submission(
             account, api, service_name, body.ok_value, checked.ok_value, head
@@ -102,6 +105,7 @@
             submission, self.clock.monotonic()
         )
         if isinstance(admitted, result.Err):
+            self.service.note_refused_input(admitted.err_value)
             await responder.problem(admitted.err_value)
             return
         request = admitted.ok_value
--- a/src/cardamomfork/_internal/requests/observing.py
+++ b/src/cardamomfork/_internal/requests/observing.py
@@ -50,7 +50,11 @@
             now: Monotonic time in seconds.
         """
 
-    def refused(
-        self, request: requests.Request, refusal: outcomes.Refusal
-    ) -> None:
-        """Takes a request that was refused before it was queued."""
+    def refused(self, service: str, refusal: outcomes.Refusal) -> None:
+        """Takes a request that was refused before it was queued.
+
+        Args:
+            service: The service; empty for input that was not accepted, as
+                callers choose its names.
+            refusal: Why.
+        """
--- a/src/cardamomfork/_internal/requests/service.py
+++ b/src/cardamomfork/_internal/requests/service.py
@@ -81,13 +81,17 @@
             self._idle = anyio.Event()
             await self._idle.wait()
 
+    def note_refused_input(self, refusal: outcomes.Refusal) -> None:
+        """Notes input that never became a request."""
+        self._observer.refused("", refusal)
+
     async def run(
         self, request: requests.Request, sink: delivery.CallerSink
     ) -> _Ending:
         """Runs a request; a stream's bytes go to the sink meanwhile."""
         granted = self._admit(request)
         if isinstance(granted, result.Err):
-            self._observer.refused(request, granted.err_value)
+            self._observer.refused(request.service, granted.err_value)
             return granted
         record = self._table.begin(request)
         ending: _Ending = result.Err(_cancelled())
--- a/tests/functional/test_operated_daemon.py
+++ b/tests/functional/test_operated_daemon.py
@@ -94,11 +94,16 @@
             {**PROMPT, "stream": True, "max_tokens": 3},
         ):
             self.daemon.request("POST", "/v1/completions", body)
+        self.daemon.request("POST", "/v1/completions", PROMPT, "wrong")
+        self.daemon.request("POST", "/v1/completions", {"model": 1})
         text = self.scrape()
         for series, value in (
             (r'first_token_seconds_count\{.*prompt_length="<1k"', 2),
             (r'slowdown_count\{.*prompt_length="<1k"', 2),
             (r'requests_total\{.*outcome="done".*service="demo"', 2),
+            (r'requests_total\{.*reason="unauthenticated".*service=""', 1),
+            (r'requests_total\{.*reason="unknown_service".*service=""', 1),
+            (r'requests_total\{.*reason="invalid".*service=""', 1),
             (r'goodput_total\{.*service="demo"', 2),
             (r'tries_total\{.*kind="first"', 2),
             (r'limit_decisions_total\{.*decision="admitted"', 2),
--- a/tests/unit/test_seeing.py
+++ b/tests/unit/test_seeing.py
@@ -68,8 +68,8 @@
 
     def test_refusals_are_counted_by_reason(self):
         refusal = outcomes.refuse(outcomes.RefusalReason.OVER_LIMIT, "no")
-        self.observer.refused(requests_lib.make_request(), refusal)
-        labels = ('reason="over_limit"', 'outcome="not_run"')
+        self.observer.refused("pool", refusal)
+        labels = ('reason="over_limit"', 'service="pool"', 'outcome="not_run"')
         self.assertEqual(self.value("requests_total", *labels), 1)
 
 
