Split the poison guard into modules of one job

Cause: requests/poison.py had 451 lines: the record of a suspect, the count of running attempts and the guard's decisions in one module. Change: requests/suspicion.py holds the record, the verdicts and their constants; requests/running_fingerprints.py counts attempts by target and fingerprint. The start time of a run, which nothing read, is gone. Callers and the test's import of the verdicts name the new module.

--- a/src/cardamomfork/_internal/measure/poison.py
+++ b/src/cardamomfork/_internal/measure/poison.py
@@ -19,6 +19,7 @@
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.requests import poison
 from cardamomfork._internal.requests import poison_gossip
+from cardamomfork._internal.requests import suspicion
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -182,13 +183,13 @@
         if late or (request.ended and not request.poisonous):
             return
         guard = self._guards[request.instance]
-        admission = poison.FREE
+        admission = suspicion.FREE
         if self._guarded:
             admission = guard.admit(request.fingerprint, self._now)
-        if admission.verdict is poison.Verdict.QUARANTINED:
+        if admission.verdict is suspicion.Verdict.QUARANTINED:
             self._refuse(request)
             return
-        if admission.verdict is poison.Verdict.WAIT:
+        if admission.verdict is suspicion.Verdict.WAIT:
             wait_s = max(admission.retry_at - self._now, POLL_S)
             self._after(wait_s, lambda: self._try(request))
             return
@@ -199,7 +200,7 @@
         self._start(request, place)
 
     def _choose(
-        self, request: _Request, admission: poison.Admission
+        self, request: _Request, admission: suspicion.Admission
     ) -> int | None:
         """Picks a target with a free slot that may host the request."""
         free = [
@@ -207,7 +208,7 @@
             for place, running in enumerate(self._running)
             if running is not None and len(running) < SLOTS
         ]
-        if admission.verdict is poison.Verdict.ALONE:
+        if admission.verdict is suspicion.Verdict.ALONE:
             up = frozenset(
                 _name(place)
                 for place, running in enumerate(self._running)
--- a/src/cardamomfork/_internal/requests/poison.py
+++ b/src/cardamomfork/_internal/requests/poison.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-import enum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -17,16 +16,15 @@
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.data_centres import rendezvous
 from cardamomfork._internal.models import identifiers
+from cardamomfork._internal.requests import running_fingerprints
+from cardamomfork._internal.requests import suspicion
 
 if TYPE_CHECKING:
     import random
 
-FINGERPRINT_BYTES = 8
-"""Bytes of a request's fingerprint that tell suspects apart."""
 MAX_SUSPECTS = 8192
 MAX_LOST = 8192
 DEATHS_TO_QUARANTINE = 2
-SUSPECT_S = 600.0
 FIRST_QUARANTINE_S = 3600.0
 MAX_QUARANTINE_S = 86_400.0
 GOSSIP_TELLS_S = 4.0
@@ -43,68 +41,6 @@
 """Targets that die so close together did not die of one request."""
 
 
-class Verdict(enum.Enum):
-    """What to do with a request."""
-
-    FREE = "free"
-    ALONE = "alone"
-    """Run it where `isolation_target` says."""
-    WAIT = "wait"
-    """Ask again at `retry_at`."""
-    QUARANTINED = "quarantined"
-    """Refuse it until `retry_at`."""
-
-
-@attrs.frozen
-class Admission:
-    """A verdict, and when to ask again."""
-
-    verdict: Verdict
-    retry_at: float = 0.0
-
-
-FREE = Admission(Verdict.FREE)
-ALONE = Admission(Verdict.ALONE)
-
-
-@attrs.define
-class Suspect:
-    """What is known of a fingerprint.
-
-    Attributes:
-        deaths: When which target died with it; monotonic seconds.
-        weight: Sum of 1/n over the deaths, for n that ran there.
-        cleared_at: When it last finished; deaths before do not count.
-        held_until: Not run before.
-        quarantined_until: Refused before.
-        quarantines: How often it was quarantined.
-        elsewhere_until: A peer said that it runs there, until so.
-        changed: Counts this instance's changes, for the peers.
-    """
-
-    deaths: dict[identifiers.TargetId, float] = attrs.field(factory=dict)
-    weight: float = 0.0
-    cleared_at: float = float("-inf")
-    held_until: float = float("-inf")
-    quarantined_until: float = float("-inf")
-    quarantines: int = 0
-    elsewhere_until: float = float("-inf")
-    changed: int = 0
-
-    def live_deaths(self, now: float) -> int:
-        """Returns how many different targets died with it lately."""
-        since = max(self.cleared_at, now - SUSPECT_S)
-        return sum(at > since for at in self.deaths.values())
-
-
-@attrs.define
-class _Run:
-    """A fingerprint's runs on one target."""
-
-    count: int
-    started_at: float
-
-
 @attrs.define
 class PoisonCounters:
     """What happened.
@@ -147,9 +83,8 @@
         """
         self._rng = rng
         self._peers_tell_s = peers_tell_s
-        self._suspects: OrderedDict[bytes, Suspect] = OrderedDict()
-        self._running: dict[identifiers.TargetId, dict[bytes, _Run]] = {}
-        self._places: dict[bytes, int] = {}
+        self._suspects: OrderedDict[bytes, suspicion.Suspect] = OrderedDict()
+        self._running = running_fingerprints.RunningFingerprints()
         self._lost: OrderedDict[tuple[identifiers.TargetId, bytes], float] = (
             OrderedDict()
         )
@@ -161,7 +96,7 @@
         self.counters = PoisonCounters()
 
     @property
-    def suspects(self) -> OrderedDict[bytes, Suspect]:
+    def suspects(self) -> OrderedDict[bytes, suspicion.Suspect]:
         """What is known, by fingerprint; `change` marks what one changes."""
         return self._suspects
 
@@ -170,32 +105,36 @@
         """How many changes there were."""
         return self._changes
 
-    def admit(self, fingerprint: bytes, now: float) -> Admission:
+    def admit(self, fingerprint: bytes, now: float) -> suspicion.Admission:
         """Says whether a request may run now."""
-        key = fingerprint[:FINGERPRINT_BYTES]
+        key = fingerprint[: suspicion.FINGERPRINT_BYTES]
         held_until = self._held.get(key, now)
         if now < held_until:
-            return Admission(Verdict.WAIT, held_until)
+            return suspicion.Admission(suspicion.Verdict.WAIT, held_until)
         suspect = self._suspects.get(key)
         if suspect is None:
-            return FREE
+            return suspicion.FREE
         if now < suspect.quarantined_until:
-            return Admission(Verdict.QUARANTINED, suspect.quarantined_until)
+            return suspicion.Admission(
+                suspicion.Verdict.QUARANTINED, suspect.quarantined_until
+            )
         if suspect.live_deaths(now) == 0:
-            return FREE
+            return suspicion.FREE
         wait_until = max(suspect.held_until, suspect.elsewhere_until)
         if now < wait_until:
-            return Admission(Verdict.WAIT, wait_until)
-        if self._places.get(key):
-            return Admission(Verdict.WAIT, now + LOST_HOLD_S)
-        return ALONE
+            return suspicion.Admission(suspicion.Verdict.WAIT, wait_until)
+        if self._running.is_running(key):
+            return suspicion.Admission(
+                suspicion.Verdict.WAIT, now + LOST_HOLD_S
+            )
+        return suspicion.ALONE
 
     def retry_at(self, fingerprint: bytes, now: float) -> float:
         """Returns when the caller of a lost request should send it again.
 
         By then the peers know of the death; one that comes earlier waits.
         """
-        suspect = self._suspects.get(fingerprint[:FINGERPRINT_BYTES])
+        suspect = self._suspects.get(fingerprint[: suspicion.FINGERPRINT_BYTES])
         return now if suspect is None else max(suspect.held_until, now)
 
     def isolation_target(
@@ -220,7 +159,7 @@
         if targets != self._targets:
             self._targets = targets
             self._places_of.clear()
-        key = fingerprint[:FINGERPRINT_BYTES]
+        key = fingerprint[: suspicion.FINGERPRINT_BYTES]
         place = self._place_of(key)
         rivals = [
             other
@@ -230,7 +169,7 @@
             and suspect.live_deaths(now) > 0
             and self._place_of(other) == place
         ]
-        runs = self._running.get(place, {})
+        runs = self._running.on_target(place)
         first = all(key < other for other in rivals)
         busy = any(other in runs for other in rivals)
         return place if first and not busy else None
@@ -254,20 +193,14 @@
 
     def runs_here(self, key: bytes) -> bool:
         """Whether a fingerprint (its first bytes) runs on any target."""
-        return key in self._places
+        return self._running.is_running(key)
 
     def started(
         self, fingerprint: bytes, target_id: identifiers.TargetId, now: float
     ) -> None:
         """Notes that an attempt is sent."""
-        key = fingerprint[:FINGERPRINT_BYTES]
-        runs = self._running.setdefault(target_id, {})
-        run = runs.get(key)
-        if run is None:
-            runs[key] = _Run(1, now)
-        else:
-            run.count += 1
-        self._places[key] = self._places.get(key, 0) + 1
+        key = fingerprint[: suspicion.FINGERPRINT_BYTES]
+        self._running.add(key, target_id)
         if self.is_suspect(key, now):
             self.counters.isolated += 1
             self.change(key)
@@ -288,8 +221,8 @@
             finished: Whether the target outlived it: it gave an end, or
                 confirmed the cancel.
         """
-        key = fingerprint[:FINGERPRINT_BYTES]
-        if not self._take_off(key, target_id):
+        key = fingerprint[: suspicion.FINGERPRINT_BYTES]
+        if not self._running.remove(key, target_id):
             return
         if finished:
             self._clear(key, now)
@@ -306,21 +239,8 @@
         self, fingerprint: bytes, target_id: identifiers.TargetId
     ) -> None:
         """Notes that an attempt which was started never ran on its target."""
-        self._take_off(fingerprint[:FINGERPRINT_BYTES], target_id)
-
-    def _take_off(self, key: bytes, target_id: identifiers.TargetId) -> bool:
-        """Takes one run off a target; False if none is known there."""
-        runs = self._running.get(target_id, {})
-        run = runs.get(key)
-        if run is None:
-            return False
-        run.count -= 1
-        if run.count == 0:
-            del runs[key]
-            if not runs:
-                del self._running[target_id]
-        self._leave(key)
-        return True
+        key = fingerprint[: suspicion.FINGERPRINT_BYTES]
+        self._running.remove(key, target_id)
 
     def target_survived(self, target_id: identifiers.TargetId) -> None:
         """Notes that a target that lost requests is alive."""
@@ -335,11 +255,7 @@
             for (place, key), at in self._lost.items()
             if place == target_id and now - at <= LOST_MEMORY_S
         }
-        runs = self._running.pop(target_id, {})
-        for key, run in runs.items():
-            for _ in range(run.count):
-                self._leave(key)
-        ran.update(runs)
+        ran.update(self._running.remove_all(target_id))
         self.target_survived(target_id)
         if not ran:
             return
@@ -369,11 +285,11 @@
         self._quarantine(suspect, now)
         self.change(key)
 
-    def record(self, key: bytes) -> Suspect:
+    def record(self, key: bytes) -> suspicion.Suspect:
         """Returns a fingerprint's record; drops the oldest past the bound."""
         suspect = self._suspects.get(key)
         if suspect is None:
-            suspect = Suspect()
+            suspect = suspicion.Suspect()
             while len(self._suspects) >= MAX_SUSPECTS:
                 self._suspects.popitem(last=False)
             self._suspects[key] = suspect
@@ -396,13 +312,13 @@
             key
             for key, suspect in self._suspects.items()
             if suspect.live_deaths(now) == 0
-            and suspect.quarantined_until + SUSPECT_S < now
-            and suspect.cleared_at + SUSPECT_S < now
+            and suspect.quarantined_until + suspicion.SUSPECT_S < now
+            and suspect.cleared_at + suspicion.SUSPECT_S < now
         ]
         for key in old:
             del self._suspects[key]
 
-    def _quarantine(self, suspect: Suspect, now: float) -> None:
+    def _quarantine(self, suspect: suspicion.Suspect, now: float) -> None:
         """Begins a quarantine if there is enough against a fingerprint."""
         if suspect.live_deaths(now) < DEATHS_TO_QUARANTINE:
             return
@@ -443,9 +359,3 @@
         suspect.weight = 0.0
         self.counters.cleared += 1
         self.change(key)
-
-    def _leave(self, key: bytes) -> None:
-        """Counts one place less that runs a fingerprint."""
-        self._places[key] -= 1
-        if self._places[key] == 0:
-            del self._places[key]
--- a/src/cardamomfork/_internal/requests/poison_gate.py
+++ b/src/cardamomfork/_internal/requests/poison_gate.py
@@ -12,6 +12,7 @@
 from cardamomfork._internal.models import outcomes
 from cardamomfork._internal.models import targets
 from cardamomfork._internal.requests import poison
+from cardamomfork._internal.requests import suspicion
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -99,11 +100,11 @@
         while True:
             now = self._clock.monotonic()
             admission = self._guard.admit(request.fingerprint, now)
-            if admission.verdict is poison.Verdict.FREE:
+            if admission.verdict is suspicion.Verdict.FREE:
                 return result.Ok(frozenset())
-            if admission.verdict is poison.Verdict.QUARANTINED:
+            if admission.verdict is suspicion.Verdict.QUARANTINED:
                 return result.Err(_quarantined(admission.retry_at - now))
-            if admission.verdict is poison.Verdict.ALONE:
+            if admission.verdict is suspicion.Verdict.ALONE:
                 served = self._targets_of(request.service)
                 served = self._without_down(served, now)
                 place = self._guard.isolation_target(
@@ -113,7 +114,7 @@
                     every = self._targets_of(request.service)
                     return result.Ok(every - {place})
             wait_s = max(admission.retry_at - now, TURN_S)
-            await anyio.sleep(min(wait_s, poison.SUSPECT_S))
+            await anyio.sleep(min(wait_s, suspicion.SUSPECT_S))
 
     def retry_after_s(self, request: requests.Request) -> float:
         """Returns when a caller should send a lost request again."""
--- a/src/cardamomfork/_internal/requests/poison_gossip.py
+++ b/src/cardamomfork/_internal/requests/poison_gossip.py
@@ -12,6 +12,7 @@
 
 from cardamomfork._internal.contracts import gossip
 from cardamomfork._internal.requests import poison
+from cardamomfork._internal.requests import suspicion
 
 if TYPE_CHECKING:
     from cardamomfork._internal.models import identifiers
@@ -132,10 +133,10 @@
             {
                 target: round(now - at)
                 for target, at in suspect.deaths.items()
-                if now - at < poison.SUSPECT_S
+                if now - at < suspicion.SUSPECT_S
             },
             round(suspect.weight * 1000),
-            round(cleared) if cleared < poison.SUSPECT_S else -1,
+            round(cleared) if cleared < suspicion.SUSPECT_S else -1,
             max(round(min(suspect.quarantined_until - now, 1e6)), 0)
             if suspect.quarantined_until > now
             else 0,
@@ -144,7 +145,7 @@
 
     def _take(self, item: SuspectNews, now: float) -> None:
         """Merges one record; a repeat changes nothing."""
-        key = item.key[: poison.FINGERPRINT_BYTES]
+        key = item.key[: suspicion.FINGERPRINT_BYTES]
         suspect = self._guard.record(key)
         if item.runs_here:
             suspect.elsewhere_until = now + ELSEWHERE_S
--- a/tests/unit/test_poison.py
+++ b/tests/unit/test_poison.py
@@ -11,9 +11,10 @@
 from cardamomfork._internal.measure import poison as model
 from cardamomfork._internal.requests import poison
 from cardamomfork._internal.requests import poison_gossip
+from cardamomfork._internal.requests import suspicion
 from tests.lib import seeds
 
-VERDICTS = poison.Verdict
+VERDICTS = suspicion.Verdict
 FLEET = gossip.Scope.FLEET
 BAD = b"bad-body" + bytes(8)
 GOOD = b"good-one" + bytes(8)
