Split the functions that wire a process

Cause: `wire` and `make_process` made everything in one function each. Change: `composition/request_parts.py` makes the request service, the parts that it shares, claims and the reservation keeper; `composition/surroundings.py` holds `Surroundings` and `Owners`. `make_process` leaves poison pushes, leaving targets, the fleet's subscriptions and the operators' server to a function each. Conclusion: no behaviour changes. `wiring.py` keeps its place and its class its name.

--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -16,6 +16,7 @@
 from cardamomfork._internal.composition import platform as platform_module
 from cardamomfork._internal.composition import questions
 from cardamomfork._internal.composition import seeing
+from cardamomfork._internal.composition import surroundings
 from cardamomfork._internal.composition import tables
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.instances import joining
@@ -31,6 +32,8 @@
 from cardamomfork._internal.telemetry import observing
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cardamomfork._internal.links.operators import server as operator_server
     from cardamomfork._internal.models import settings as settings_models
 
@@ -111,11 +114,12 @@
         SettingsError: An operator's key can't be read.
     """
     clock = clock_contract.LoopClock()
-    boot_id = identifiers.new_boot_id()
     platform = platform_module.make_platform(settings, clock)
+    observation = observing.observe(settings, clock)
     dispatcher = fleet_dispatcher.FleetDispatcher(random.Random())
     guard = poison.PoisonGuard(random.Random(), poison.PUSH_TELLS_S)
     poison_news = poison_gossip.PoisonGossip(guard)
+    boot_id = identifiers.new_boot_id()
     fleet = joining.make(
         settings,
         boot_id,
@@ -126,23 +130,11 @@
         participants=(poison_news,),
         key_prefix=platform_module.KEY_PREFIX,
     )
-
-    def push_poison_news() -> None:
-        if poison_news.urgent:
-            fleet.peering.push(poison_news.topic)
-            poison_news.pushed()
-
-    def staying(
-        names: frozenset[identifiers.TargetId],
-    ) -> frozenset[identifiers.TargetId]:
-        return frozenset(n for n in names if not fleet.leaving.is_leaving(n))
-
-    observation = observing.observe(settings, clock)
     news = engine_news.EngineNews(fleet, dispatcher)
     serving = wiring.wire(
         settings,
         platform.store,
-        wiring.Surroundings(
+        surroundings.Surroundings(
             boot_id=boot_id,
             dispatcher=dispatcher,
             limiter=fleet.limiter,
@@ -151,22 +143,13 @@
             owners=questions.make_owners(fleet),
             guard=guard,
             boot_of=fleet.loads.boot_of,
-            on_poison_news=push_poison_news,
-            staying=staying,
+            on_poison_news=_make_poison_push(fleet, poison_news),
+            staying=_make_staying(fleet),
             watches=news.is_mine,
             observer=seeing.MetricsObserver(observation.metrics),
         ),
     )
-    if serving.ledger is not None:
-        questions.answer_peers(fleet, serving.ledger, serving.own)
-    applier = applying.ConfigurationApplier(
-        serving,
-        fleet.leaving,
-        serving.requests.set_drained,
-        settings.instance.instance_id,
-    )
-    fleet.replica.subscribe(applier.apply)
-    fleet.leaving.subscribe(serving.set_leaving)
+    _connect_fleet(fleet, serving)
     order_side = _make_order_side(settings, clock, platform, serving, fleet)
     tables.register(
         observation, serving, fleet, dispatcher, order_side.keeper, guard
@@ -177,24 +160,85 @@
         platform=platform,
         serving=serving,
         fleet=fleet,
-        operators=operators_side.make_server(
-            settings,
-            operators_side.Parts(
-                platform.store,
-                fleet.replica,
-                fleet.members,
-                fleet.told,
-                fleet.peering,
-                observation.state,
-                clock,
-                platform_module.KEY_PREFIX,
-            ),
+        operators=_make_operators(
+            settings, platform, fleet, observation, clock
         ),
         observation=observation,
         order_side=order_side,
     )
 
 
+def _make_poison_push(
+    fleet: joining.FleetMembership, news: poison_gossip.PoisonGossip
+) -> Callable[[], None]:
+    """Makes what sends the guard's urgent news to the peers at once."""
+
+    def push() -> None:
+        if news.urgent:
+            fleet.peering.push(news.topic)
+            news.pushed()
+
+    return push
+
+
+def _make_staying(
+    fleet: joining.FleetMembership,
+) -> Callable[
+    [frozenset[identifiers.TargetId]], frozenset[identifiers.TargetId]
+]:
+    """Makes what picks the targets that take new work."""
+
+    def staying(
+        names: frozenset[identifiers.TargetId],
+    ) -> frozenset[identifiers.TargetId]:
+        return frozenset(n for n in names if not fleet.leaving.is_leaving(n))
+
+    return staying
+
+
+def _connect_fleet(
+    fleet: joining.FleetMembership, serving: wiring.Daemon
+) -> None:
+    """Passes the fleet's configuration, marks and questions to serving."""
+    if serving.ledger is not None:
+        questions.answer_peers(fleet, serving.ledger, serving.own)
+    applier = applying.ConfigurationApplier(
+        serving,
+        fleet.leaving,
+        serving.requests.set_drained,
+        serving.settings.instance.instance_id,
+    )
+    fleet.replica.subscribe(applier.apply)
+    fleet.leaving.subscribe(serving.set_leaving)
+
+
+def _make_operators(
+    settings: settings_models.DaemonSettings,
+    platform: platform_module.Platform,
+    fleet: joining.FleetMembership,
+    observation: observing.Observation,
+    clock: clock_contract.Clock,
+) -> operator_server.OperatorServer:
+    """Makes the operators' server.
+
+    Raises:
+        SettingsError: An operator's key can't be read.
+    """
+    return operators_side.make_server(
+        settings,
+        operators_side.Parts(
+            platform.store,
+            fleet.replica,
+            fleet.members,
+            fleet.told,
+            fleet.peering,
+            observation.state,
+            clock,
+            platform_module.KEY_PREFIX,
+        ),
+    )
+
+
 def _make_order_side(
     settings: settings_models.DaemonSettings,
     clock: clock_contract.Clock,
--- a/src/cardamomfork/_internal/composition/questions.py
+++ b/src/cardamomfork/_internal/composition/questions.py
@@ -8,7 +8,7 @@
 import attrs
 import msgspec
 
-from cardamomfork._internal import wiring
+from cardamomfork._internal.composition import surroundings
 from cardamomfork._internal.contracts import peering as peering_contract
 from cardamomfork._internal.data_centres import rendezvous
 from cardamomfork._internal.models import identifiers
@@ -66,7 +66,7 @@
         return {one.instance_id: one for one in found}
 
 
-def make_owners(fleet: joining.FleetMembership) -> wiring.Owners:
+def make_owners(fleet: joining.FleetMembership) -> surroundings.Owners:
     """Makes the way to the instances that own reservations."""
 
     def members() -> dict[identifiers.InstanceId, reservation_sweep.Member]:
@@ -82,7 +82,7 @@
     ) -> frozenset[str] | None:
         return await _ask_owner(fleet, question)
 
-    return wiring.Owners(members, fleet.members.staying, ask)
+    return surroundings.Owners(members, fleet.members.staying, ask)
 
 
 async def _ask_owner(
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -2,123 +2,50 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING
 
 import attrs
 
 from cardamomfork._internal.accounts import keys
-from cardamomfork._internal.contracts import clock as clock_contract
+from cardamomfork._internal.composition import request_parts
+from cardamomfork._internal.composition import (
+    surroundings as surroundings_module,
+)
 from cardamomfork._internal.links.callers import application
 from cardamomfork._internal.links.callers import exchange
-from cardamomfork._internal.links.callers import prompts
 from cardamomfork._internal.links.callers import sinks
 from cardamomfork._internal.links.targets import idle
 from cardamomfork._internal.links.targets import observing
-from cardamomfork._internal.links.targets import reachability
 from cardamomfork._internal.links.targets import registry
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.requests import admission
 from cardamomfork._internal.requests import attempts
 from cardamomfork._internal.requests import cancellation
 from cardamomfork._internal.requests import directory
-from cardamomfork._internal.requests import exchanging
-from cardamomfork._internal.requests import observing as request_observing
-from cardamomfork._internal.requests import parts_transfer
-from cardamomfork._internal.requests import poison
 from cardamomfork._internal.requests import poison_gate
 from cardamomfork._internal.requests import queueing
 from cardamomfork._internal.requests import records
 from cardamomfork._internal.requests import reservation_keeper
-from cardamomfork._internal.requests import reservation_surroundings
-from cardamomfork._internal.requests import reservation_sweep
 from cardamomfork._internal.requests import reservations
 from cardamomfork._internal.requests import retries
-from cardamomfork._internal.requests import running
 from cardamomfork._internal.requests import service
-from cardamomfork._internal.requests.claims import committer
-from cardamomfork._internal.requests.claims import keys as claim_keys
-from cardamomfork._internal.requests.claims import ledger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Collection
 
     import anyio.abc
 
+    from cardamomfork._internal.contracts import clock as clock_contract
     from cardamomfork._internal.contracts import dispatching
     from cardamomfork._internal.contracts import limiting
     from cardamomfork._internal.contracts import store as store_contract
     from cardamomfork._internal.models import configuration
     from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import settings as settings_models
+    from cardamomfork._internal.requests.claims import committer
+    from cardamomfork._internal.requests.claims import ledger
     from cardamomfork._internal.telemetry import exporting
 
-IDLE_LOOK_S = 5.0
-
-
-async def _ask_nobody(_: reservation_sweep.Question) -> None:
-    """Has no instance to ask."""
-
-
-@attrs.frozen
-class Owners:
-    """The instances that own reservations; by default none is known.
-
-    An instance that knows none releases its own and sweeps nothing.
-
-    Attributes:
-        members: Returns all instances that the membership holds.
-        live: Returns the live instances of this data centre.
-        ask: Asks another instance about its reservations.
-    """
-
-    members: Callable[[], reservation_surroundings.Members] = dict
-    live: Callable[[], Collection[identifiers.InstanceId]] = tuple
-    ask: reservation_surroundings.Ask = _ask_nobody
-
-
-@attrs.frozen
-class Surroundings:
-    """What the fleet gives to an instance's requests.
-
-    Attributes:
-        boot_id: This life of the process.
-        dispatcher: Decides when and where requests run.
-        limiter: Client accounts' limits.
-        engine_news: Takes what the engines tell.
-        claim_routes: The way to the owners of claim shards; None to write
-            all claims here.
-        owners: The instances that own reservations.
-        guard: Keeps requests that crash targets apart.
-        boot_of: Returns the life of a target that was last heard.
-        on_poison_news: Called when peers should hear the guard's news at once.
-        staying: Returns which of some targets take new work.
-        watches: Whether an engine is this instance's to watch.
-        observer: Told what happens to requests.
-    """
-
-    boot_id: identifiers.BootId
-    dispatcher: dispatching.Dispatcher
-    limiter: limiting.Limiter
-    engine_news: observing.Listener
-    claim_routes: ledger.ClaimRoutes | None = None
-    owners: Owners = Owners()
-    guard: poison.PoisonGuard = attrs.field(
-        factory=lambda: poison.PoisonGuard(random.Random())
-    )
-    boot_of: Callable[[identifiers.TargetId], identifiers.BootId | None] = (
-        lambda _: None
-    )
-    on_poison_news: Callable[[], None] = lambda: None
-    staying: Callable[
-        [frozenset[identifiers.TargetId]], frozenset[identifiers.TargetId]
-    ] = frozenset
-    watches: Callable[[identifiers.TargetId], bool] = lambda _: True
-    observer: request_observing.RequestObserver = (
-        request_observing.RequestObserver()
-    )
-
 
 @attrs.define
 class Daemon:
@@ -219,7 +146,7 @@
 def wire(
     settings: settings_models.DaemonSettings,
     store: store_contract.Store | None,
-    surroundings: Surroundings,
+    surroundings: surroundings_module.Surroundings,
 ) -> Daemon:
     """Makes the parts of a process; nothing runs yet.
 
@@ -228,112 +155,40 @@
         store: The platform's store; None refuses what needs it.
         surroundings: What the fleet gives to this instance.
     """
-    clock = clock_contract.LoopClock()
-    policy = claim_keys.ClaimPolicy()
-    claims = None
-    claim_ledger = None
-    if store is not None:
-        claims = committer.GroupCommitter(
-            store, clock, random.Random(), policy.retention_s
-        )
-        claim_ledger = ledger.StoreClaimLedger(
-            claims, clock, policy, surroundings.claim_routes
-        )
-    watch = idle.IdleWatch(IDLE_LOOK_S)
-    links = registry.LinkRegistry(watch)
-    dispatcher = surroundings.dispatcher
-    limiter = surroundings.limiter
-    waiting_room = queueing.WaitingRoom(dispatcher, clock)
-    canceller = cancellation.Canceller(random.Random())
-    table = records.RecordTable()
-    known = directory.Directory()
-    frames = attempts.FrameCounters()
-    retry_policy = retries.RetryPolicy(random.Random(), retries.MIN_RESERVE)
-    instance_id = settings.instance.instance_id
-    own = reservations.OwnReservations(
-        instance_id,
-        surroundings.boot_id,
-        random.Random(),
-        settings.instance.data_centre,
-    )
-    gate = poison_gate.PoisonGate(
-        surroundings.guard,
-        clock,
-        lambda name: surroundings.staying(known.targets_of(name)),
-        reachability.connects,
-        surroundings.boot_of,
-        surroundings.on_poison_news,
+    parts = request_parts.make_parts(settings, surroundings)
+    claims, claim_ledger = request_parts.make_claims(
+        store, parts.clock, surroundings
     )
     return Daemon(
         settings=settings,
-        clock=clock,
-        known=known,
-        own=own,
-        links=links,
-        dispatcher=dispatcher,
-        limiter=limiter,
+        clock=parts.clock,
+        known=parts.known,
+        own=parts.own,
+        links=parts.links,
+        dispatcher=surroundings.dispatcher,
+        limiter=surroundings.limiter,
         keys=keys.KeyVerifier(),
-        waiting_room=waiting_room,
-        canceller=canceller,
+        waiting_room=parts.waiting_room,
+        canceller=parts.canceller,
         heartbeats=sinks.Heartbeats(settings.callers.heartbeat_s),
-        watch=watch,
-        table=table,
-        requests=service.RequestService(
-            clock=clock,
-            limiter=limiter,
-            ledger=claim_ledger,
-            runner=running.Runner(
-                waiting_room=waiting_room,
-                links=links,
-                exchanger=exchanging.AttemptExchanger(clock, _salt_of),
-                canceller=canceller,
-                own=own,
-                parts=parts_transfer.PartsTransfer(links, own, clock),
-                gate=gate,
-                retry_policy=retry_policy,
-                clock=clock,
-                counters=frames,
-                chance=random.Random(),
-                observer=surroundings.observer,
-            ),
-            table=table,
-            known=known,
-            observer=surroundings.observer,
-        ),
-        retry_policy=retry_policy,
-        frames=frames,
+        watch=parts.watch,
+        table=parts.table,
+        requests=request_parts.make_requests(parts, surroundings, claim_ledger),
+        retry_policy=parts.retry_policy,
+        frames=parts.frames,
         observer=observing.EngineObserver(
-            links, surroundings.engine_news, clock, surroundings.watches
+            parts.links,
+            surroundings.engine_news,
+            parts.clock,
+            surroundings.watches,
         ),
         committer=claims,
         ledger=claim_ledger,
-        gate=gate,
-        keeper=reservation_keeper.ReservationKeeper(
-            own,
-            reservation_sweep.HomeSweep(
-                instance_id,
-                random.Random(),
-                settings.instance.data_centre,
-            ),
-            reservation_surroundings.DaemonSurroundings(
-                instance_id=instance_id,
-                data_centre=settings.instance.data_centre,
-                links=links,
-                own=own,
-                members=surroundings.owners.members,
-                live=surroundings.owners.live,
-                ask=surroundings.owners.ask,
-            ),
-            clock,
-        ),
+        gate=parts.gate,
+        keeper=request_parts.make_keeper(settings, surroundings.owners, parts),
     )
 
 
-def _salt_of(account: identifiers.AccountName) -> str:
-    """Returns the salt that keeps an account's cache entries its own."""
-    return f"{prompts.seed_of(account):016x}"
-
-
 def make_application(
     daemon: Daemon,
     keys: application.Authenticator,
