Move a call's run out of the fault runs' instance

Change: measure/fault_calls.py serves calls with an instance's parts and holds `Answer`; random numbers are drawn in the same order.

--- a/src/cardamomfork/_internal/measure/fault_instances.py
+++ b/src/cardamomfork/_internal/measure/fault_instances.py
@@ -2,26 +2,17 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import Any
 from typing import TYPE_CHECKING
 
 import anyio
 import anyio.abc
-import attrs
-import result
 
-from cardamomfork._internal.contracts import claiming
-from cardamomfork._internal.contracts import target_link
+from cardamomfork._internal.measure import fault_calls
 from cardamomfork._internal.models import identifiers
-from cardamomfork._internal.models import outcomes
-from cardamomfork._internal.models import targets
-from cardamomfork._internal.requests import attempts
-from cardamomfork._internal.requests import lifecycle
 from cardamomfork._internal.requests import reservation_keeper
 from cardamomfork._internal.requests import reservation_sweep
 from cardamomfork._internal.requests import reservations
-from cardamomfork._internal.requests import retries
 from cardamomfork._internal.requests.claims import committer
 from cardamomfork._internal.requests.claims import keys
 from cardamomfork._internal.requests.claims import ledger
@@ -36,28 +27,10 @@
     from cardamomfork._internal.models import requests
 
 DATA_CENTRE = identifiers.DataCentreId("dc")
-SETTLE_S = 0.5
-RETRY_SHARE = 0.5
-EXPECTED_S = 0.8
 PEER_S = 0.001
 SILENT_PEER_S = 0.5
 
 
-@attrs.frozen
-class Answer:
-    """What a caller got.
-
-    Attributes:
-        outcome: What it was told.
-        body: Bytes that it was given.
-        attempts: Attempts made for this call.
-    """
-
-    outcome: outcomes.Outcome
-    body: bytes = b""
-    attempts: tuple[identifiers.AttemptId, ...] = ()
-
-
 class _GatedStore(store_standin.StoreSession):
     """A session that stops while its instance is frozen."""
 
@@ -117,7 +90,7 @@
             self,
             lambda: f"{rng.getrandbits(64):016x}",
         )
-        self._retries = retries.RetryPolicy(rng)
+        self._calls = fault_calls.CallServer(self, rng)
         self.own = reservations.OwnReservations(
             instance_id, boot_id, rng, DATA_CENTRE
         )
@@ -128,8 +101,6 @@
             self._clock,
         )
         self._links: dict[identifiers.TargetId, engine_links.MemoryLink] = {}
-        self._counters = attempts.FrameCounters()
-        self._names = itertools.count()
 
     async def run(self) -> None:
         """Lives until it is killed."""
@@ -243,17 +214,19 @@
 
     # Calls.
 
-    async def call(self, request: requests.Request) -> Answer | None:
+    async def call(
+        self, request: requests.Request
+    ) -> fault_calls.Answer | None:
         """Serves a call in this life; None if the life ends before."""
         if self._scope.cancel_called or not self._links:
             return None
-        answers: list[Answer] = []
+        answers: list[fault_calls.Answer] = []
         ended = anyio.Event()
 
         async def serve() -> None:
             try:
                 await self.gate()
-                answers.append(await self._serve(request))
+                answers.append(await self._calls.serve(request))
                 await self.gate()
             finally:
                 ended.set()
@@ -261,141 +234,3 @@
         self._tasks.start_soon(serve)
         await ended.wait()
         return answers[0] if answers and not self._scope.cancel_called else None
-
-    async def _serve(self, request: requests.Request) -> Answer:
-        """Claims, runs and settles."""
-        life = lifecycle.RequestLifecycle(request, self._counters)
-        claim: claiming.Claim | None = None
-        if not request.idempotent:
-            claimed = await self.ledger.claim(
-                request.account,
-                request.idempotency_key,
-                request.fingerprint,
-                life.time_left(anyio.current_time()),
-            )
-            if isinstance(claimed, result.Err):
-                return Answer(claimed.err_value.outcome)
-            if isinstance(claimed.ok_value, claiming.StoredOutcome):
-                stored = claimed.ok_value
-                return Answer(stored.outcome, stored.answer)
-            claim = claimed.ok_value
-        body = bytearray()
-        names: list[identifiers.AttemptId] = []
-        with anyio.move_on_at(request.deadline):
-            await self._run(life, body, names)
-        life.expire(anyio.current_time())
-        ending = life.ending or life.conclude(
-            outcomes.RefusalReason.INTERNAL, "The run stopped."
-        )
-        if claim is not None:
-            whole = bytes(body) if ending.refusal is None else b""
-            settled = claiming.StoredOutcome(ending.outcome, 200, whole, True)
-            await self.ledger.settle(claim, settled, SETTLE_S)
-        return Answer(ending.outcome, bytes(body), tuple(names))
-
-    async def _run(
-        self,
-        life: lifecycle.RequestLifecycle,
-        body: bytearray,
-        names: list[identifiers.AttemptId],
-    ) -> None:
-        """Makes attempts until the request has an end."""
-        service = life.request.service
-        now = anyio.current_time()
-        self._retries.note_first_try(service, RETRY_SHARE, now)
-        step = lifecycle.NextStep.RUN_AGAIN
-        while True:
-            if step is lifecycle.NextStep.RUN_AGAIN:
-                target = self._rng.choice(self.local_engines())
-                names.append(self._new_attempt_id())
-            resume = step is lifecycle.NextStep.RESUME
-            attempt = life.begin(names[-1], target, resume)
-            reservation = self.own.open(names[-1], target)
-            try:
-                fault = await self._attempt(life, attempt, reservation, body)
-                if fault is not None:
-                    step = life.next_step(attempt)
-            finally:
-                if life.ending is not None or not self._resumes(step, attempt):
-                    self._end(attempt, reservation)
-            self._retries.note_end(service, fault is not None)
-            if fault is None or not await self._again(life, fault, step):
-                self._end(attempt, reservation)
-                return
-
-    def _resumes(
-        self, step: lifecycle.NextStep, attempt: attempts.AttemptMachine
-    ) -> bool:
-        """Whether the attempt's reservation is needed for a resume."""
-        return step is lifecycle.NextStep.RESUME and attempt.terminal
-
-    def _end(self, attempt: attempts.AttemptMachine, reservation: str) -> None:
-        """Gives the memory of an attempt back."""
-        if attempt.state is attempts.AttemptState.DONE:
-            self.own.close(reservation)
-        else:
-            self.own.let_go(reservation, anyio.current_time())
-
-    async def _attempt(
-        self,
-        life: lifecycle.RequestLifecycle,
-        attempt: attempts.AttemptMachine,
-        reservation: str,
-        body: bytearray,
-    ) -> targets.TargetFault | None:
-        """Makes one attempt; returns the fault that ended it."""
-        call = target_link.TargetCall(
-            attempt.attempt_id,
-            "/",
-            life.request.body,
-            3,
-            life.time_left(anyio.current_time()),
-            attempt.start,
-            reservation,
-        )
-        attempt.mark_sending()
-        called = await self._links[attempt.target_id].call(call)
-        if isinstance(called, result.Err):
-            life.fail(attempt, called.err_value)
-            return called.err_value
-        attempt.accept(attempt.attempt_id)
-        while True:
-            received = await called.ok_value.receive()
-            if isinstance(received, result.Err):
-                life.fail(attempt, received.err_value)
-                return received.err_value
-            data = received.ok_value
-            if not data:
-                life.complete(attempt)
-                return None
-            body += life.deliver(attempt, data) or b""
-
-    async def _again(
-        self,
-        life: lifecycle.RequestLifecycle,
-        fault: targets.TargetFault,
-        step: lifecycle.NextStep,
-    ) -> bool:
-        """Waits before another try; False once the request is given up."""
-        decided = self._retries.decide(
-            retries.Failure(
-                life.request.service,
-                fault.kind,
-                life.attempts_begun,
-                step is not lifecycle.NextStep.END,
-                life.time_left(anyio.current_time()),
-                EXPECTED_S,
-            )
-        )
-        if isinstance(decided, result.Err):
-            given_up = decided.err_value
-            life.conclude(given_up.reason, given_up.detail)
-            return False
-        await anyio.sleep(decided.ok_value.wait_s)
-        return True
-
-    def _new_attempt_id(self) -> identifiers.AttemptId:
-        """Returns a name that no other attempt has."""
-        return identifiers.AttemptId(
-            f"{self.instance_id}-{self.boot_id}-{next(self._names)}"
-        )
--- a/src/cardamomfork/_internal/measure/faults.py
+++ b/src/cardamomfork/_internal/measure/faults.py
@@ -15,6 +15,7 @@
 import anyio.abc
 import attrs
 
+from cardamomfork._internal.measure import fault_calls
 from cardamomfork._internal.measure import fault_instances
 from cardamomfork._internal.measure import reports
 from cardamomfork._internal.models import identifiers
@@ -189,7 +190,7 @@
         return answer.outcome
 
     def _check_answer(
-        self, request: requests.Request, answer: fault_instances.Answer
+        self, request: requests.Request, answer: fault_calls.Answer
     ) -> None:
         """Checks that an end is the truth."""
         ran = any(
