Move the exchange of envelopes out of the peers' loop

Cause: instances/peering.py had 428 lines: the loops that decide when to talk to whom, and how an envelope is composed, sent and taken. Change: instances/envelopes.py composes, sends and takes envelopes and holds the counters, which `Peering.counters` still names.

--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -8,18 +8,14 @@
 
 from __future__ import annotations
 
-import contextlib
 from typing import TYPE_CHECKING
 
 import anyio
 import attrs
 import loguru
-import result
 
-from cardamomfork._internal.contracts import gossip
-from cardamomfork._internal.contracts import peering as peering_contract
 from cardamomfork._internal.instances import byte_budget
-from cardamomfork._internal.instances import composing
+from cardamomfork._internal.instances import envelopes
 from cardamomfork._internal.instances import membership
 from cardamomfork._internal.instances import records
 from cardamomfork._internal.models import identifiers
@@ -28,9 +24,12 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Sequence
+    import contextlib
     import random
 
     from cardamomfork._internal.contracts import clock as clock_contract
+    from cardamomfork._internal.contracts import gossip
+    from cardamomfork._internal.contracts import peering as peering_contract
     from cardamomfork._internal.data_centres import summaries
     from cardamomfork._internal.models import instances
 
@@ -47,27 +46,6 @@
 SEEK_S = 30.0
 
 
-@attrs.define
-class PeeringCounters:
-    """What happened.
-
-    Attributes:
-        exchanges: Exchanges that came to an answer.
-        silent: Exchanges that failed on an open connection.
-        renewed: Of these, those that a new connection then carried.
-        indirect: Peers reached only through others.
-        unpaid: Envelopes not sent for want of budget.
-        broken: Envelopes whose handling raised an error.
-    """
-
-    exchanges: int = 0
-    silent: int = 0
-    renewed: int = 0
-    indirect: int = 0
-    unpaid: int = 0
-    broken: int = 0
-
-
 class Peering:
     """Runs the exchanges; also answers those of peers."""
 
@@ -93,7 +71,9 @@
         self._members = members
         self._others = others
         self._answerers: dict[int, Answerer] = {}
-        self._composer = composing.EnvelopeComposer(participants, budget)
+        self._envelopes = envelopes.EnvelopeExchanger(
+            members, participants, budget, clock
+        )
         self._clock = clock
         self._rng = rng
         self._link: peering_contract.PeerLink | None = None
@@ -105,21 +85,18 @@
         self._participants = participants
         members.subscribe(self._on_change)
         self.budget = budget
-        self.counters = PeeringCounters()
-        self._timed: Callable[[], contextlib.AbstractContextManager[None]] = (
-            contextlib.nullcontext
-        )
+        self.counters = self._envelopes.counters
 
     @property
     def bytes_by_topic(self) -> dict[gossip.Topic, int]:
         """Payload bytes told, by topic."""
-        return self._composer.bytes_by_topic
+        return self._envelopes.bytes_by_topic
 
     def time_with(
         self, timed: Callable[[], contextlib.AbstractContextManager[None]]
     ) -> None:
         """Makes a context for each piece of work; nothing is awaited in it."""
-        self._timed = timed
+        self._envelopes.time_with(timed)
 
     def hurry(self) -> None:
         """Asks for an exchange with a few peers soon."""
@@ -173,7 +150,7 @@
                 host=host,
                 port=port,
             )
-            await self._exchange(link, unknown, fresh=False)
+            await self._envelopes.exchange(link, unknown, fresh=False)
             alone = len(self._members.live()) == 1
             period = SEEK_ALONE_S if alone else SEEK_S
             await anyio.sleep(period * self._rng.uniform(0.8, 1.2))
@@ -181,22 +158,14 @@
     def handle(
         self, envelope: peering_contract.Envelope
     ) -> peering_contract.Envelope:
-        """Takes a peer's envelope and returns the answer.
-
-        An answer without sections still proves that this instance lives.
-        """
-        now = self._clock.monotonic()
-        self._take(envelope, now)
-        answer = self._compose(envelope.sender, now)
-        if answer is None:
-            return peering_contract.Envelope(self._members.me.instance)
-        return answer
+        """Takes a peer's envelope and returns the answer."""
+        return self._envelopes.handle(envelope)
 
     async def probe_for(self, subject: instances.Instance) -> bool:
         """Probes an instance on behalf of a peer, on a new connection."""
         if self._link is None:
             return False
-        return await self._exchange(self._link, subject, fresh=True)
+        return await self._envelopes.exchange(self._link, subject, fresh=True)
 
     def answer_with(
         self, question: peering_contract.Question, answerer: Answerer
@@ -230,7 +199,7 @@
         """Exchanges envelopes with a peer now, to hear how it stands."""
         if self._link is None:
             return False
-        return await self._exchange(self._link, peer, fresh=False)
+        return await self._envelopes.exchange(self._link, peer, fresh=False)
 
     async def probe(
         self, link: peering_contract.PeerLink, peer: instances.Instance
@@ -240,10 +209,10 @@
         A connection that went silent proves nothing: the peer is called on a
         new one, then by others, before it is suspected.
         """
-        reached = await self._exchange(link, peer, fresh=False)
+        reached = await self._envelopes.exchange(link, peer, fresh=False)
         if not reached:
             self.counters.silent += 1
-            reached = await self._exchange(link, peer, fresh=True)
+            reached = await self._envelopes.exchange(link, peer, fresh=True)
             self.counters.renewed += reached
         if not reached:
             reached = await self._reach_through_others(link, peer)
@@ -274,10 +243,10 @@
         while True:
             await anyio.sleep(REMOTE_PERIOD_S * self._rng.uniform(0.9, 1.1))
             peer = self._others.next_remote()
-            if peer is not None and not await self._exchange(
+            if peer is not None and not await self._envelopes.exchange(
                 link, peer, fresh=False
             ):
-                await self._exchange(link, peer, fresh=True)
+                await self._envelopes.exchange(link, peer, fresh=True)
 
     async def _hurry_loop(
         self,
@@ -323,25 +292,11 @@
             ]
             for peer in peers:
                 for topic in sorted(topics):
-                    envelope = self._composer.compose_one(
-                        me, peer.instance_id, topic, now
-                    )
+                    envelope = self._envelopes.compose_one(peer, topic, now)
                     if envelope is not None:
-                        group.start_soon(self._send, link, peer, envelope)
-
-    async def _send(
-        self,
-        link: peering_contract.PeerLink,
-        peer: instances.Instance,
-        envelope: peering_contract.Envelope,
-    ) -> bool:
-        """Sends an envelope and takes the answer; on a fault, once more."""
-        for fresh in (False, True):
-            answer = await link.exchange(peer, envelope, fresh=fresh)
-            if isinstance(answer, result.Ok):
-                self._take(answer.ok_value, self._clock.monotonic())
-                return True
-        return False
+                        group.start_soon(
+                            self._envelopes.send, link, peer, envelope
+                        )
 
     async def _wait_for_bytes(self) -> None:
         """Waits until news fits; before, an exchange would only cost."""
@@ -356,7 +311,7 @@
         self, link: peering_contract.PeerLink, peer: instances.Instance
     ) -> None:
         """Exchanges envelopes without judging the peer."""
-        await self._exchange(link, peer, fresh=False)
+        await self._envelopes.exchange(link, peer, fresh=False)
 
     async def _reach_through_others(
         self, link: peering_contract.PeerLink, subject: instances.Instance
@@ -374,55 +329,8 @@
                 group.start_soon(ask, helper)
         return any(answers)
 
-    async def _exchange(
-        self,
-        link: peering_contract.PeerLink,
-        peer: instances.Instance,
-        *,
-        fresh: bool,
-    ) -> bool:
-        """Sends an envelope and takes the answer; False on a fault."""
-        envelope = self._compose(peer, self._clock.monotonic())
-        if envelope is None:
-            # Without sections it is still a probe, paid from the next bytes.
-            envelope = peering_contract.Envelope(self._members.me.instance)
-        answer = await link.exchange(peer, envelope, fresh=fresh)
-        if isinstance(answer, result.Err):
-            return False
-        sender = answer.ok_value.sender
-        self.counters.exchanges += 1
-        self._take(answer.ok_value, self._clock.monotonic())
-        # Another instance may have taken the address over.
-        return sender.instance_id == peer.instance_id
-
     def _on_change(self, record: records.Record) -> None:
         """Passes on what changed near: a refutation must beat the verdict."""
         home = self._members.me.instance.data_centre
         if record.instance.data_centre == home:
             self.hurry()
-
-    def _compose(
-        self, peer: instances.Instance, now: float
-    ) -> peering_contract.Envelope | None:
-        """Composes an envelope for a peer, as far as the budget goes."""
-        me = self._members.me.instance
-        scope = gossip.Scope.FLEET
-        if peer.data_centre == me.data_centre:
-            scope = gossip.Scope.DATA_CENTRE
-        with self._timed():
-            envelope = self._composer.compose(me, peer.instance_id, scope, now)
-        self.counters.unpaid += envelope is None
-        return envelope
-
-    def _take(self, envelope: peering_contract.Envelope, now: float) -> None:
-        """Hands a peer's payloads on; a broken one ends only itself."""
-        sender = envelope.sender
-        self._members.hear(records.Record(sender), now)
-        try:
-            with self._timed():
-                self._composer.deliver(envelope, now)
-        except Exception:  # noqa: BLE001 - one payload must not end the loop.
-            self.counters.broken += 1
-            loguru.logger.exception(
-                "peer payload from {} failed", sender.instance_id
-            )
