Run all virtual-time code by one runner

Change: all call standins/virtual_time.py; the measurements pass their seed, which now decides the order of tasks too. In the tests that order is one fixed order; checks and bounds are untouched. Conclusion: one runner, and a seed's fleet rows repeat. The full-size measurements were not run again.

--- a/src/cardamomfork/_internal/measure/configuration.py
+++ b/src/cardamomfork/_internal/measure/configuration.py
@@ -11,7 +11,6 @@
 
 import anyio
 import attrs
-import trio.testing
 
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.configuration import codec
@@ -20,6 +19,7 @@
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.standins import fleet
+from cardamomfork._internal.standins import virtual_time
 
 BOUND_S = 4.0
 BOUND_BYTES_PER_S = 6000.0
@@ -218,15 +218,13 @@
     fault: Fault | None = None,  # type: ignore[valid-type]
 ) -> Run:
     """Runs one fleet under virtual time."""
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return anyio.run(
+    return virtual_time.run(
         _run_async,
         sizes,
         seed,
         burst,
         fault,
-        backend="trio",
-        backend_options={"clock": clock},
+        seed=seed,
     )
 
 
--- a/src/cardamomfork/_internal/measure/limits.py
+++ b/src/cardamomfork/_internal/measure/limits.py
@@ -14,7 +14,6 @@
 
 import anyio
 import attrs
-import trio.testing
 
 from cardamomfork._internal.accounts import limit_claims
 from cardamomfork._internal.accounts import limits
@@ -24,6 +23,7 @@
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.standins import fleet
+from cardamomfork._internal.standins import virtual_time
 
 if TYPE_CHECKING:
     from cardamomfork._internal.data_centres import summaries
@@ -232,13 +232,11 @@
 
 def _run(sizes: tuple[int, ...], seed: int) -> Run:
     """Runs one fleet under virtual time."""
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return anyio.run(
+    return virtual_time.run(
         _run_async,
         sizes,
         seed,
-        backend="trio",
-        backend_options={"clock": clock},
+        seed=seed,
     )
 
 
--- a/src/cardamomfork/_internal/measure/membership.py
+++ b/src/cardamomfork/_internal/measure/membership.py
@@ -12,11 +12,11 @@
 
 import anyio
 import attrs
-import trio.testing
 
 from cardamomfork._internal.measure import reports
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.standins import fleet
+from cardamomfork._internal.standins import virtual_time
 from cardamomfork._internal.targets import leaving
 
 if TYPE_CHECKING:
@@ -136,13 +136,11 @@
 
 def _run(sizes: tuple[int, ...], seed: int) -> Run:
     """Runs one fleet under virtual time."""
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return anyio.run(
+    return virtual_time.run(
         _run_async,
         sizes,
         seed,
-        backend="trio",
-        backend_options={"clock": clock},
+        seed=seed,
     )
 
 
@@ -265,13 +263,11 @@
 
 def _run_pauses(pause_s: float, seed: int) -> Run:
     """Runs a fleet in which instances stand still for a while."""
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return anyio.run(
+    return virtual_time.run(
         _run_pauses_async,
         pause_s,
         seed,
-        backend="trio",
-        backend_options={"clock": clock},
+        seed=seed,
     )
 
 
--- a/tests/functional/test_configuration_fleet.py
+++ b/tests/functional/test_configuration_fleet.py
@@ -9,8 +9,8 @@
 from cardamomfork._internal.configuration import codec
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.standins import fleet
+from cardamomfork._internal.standins import virtual_time
 from tests.lib import configurations
-from tests.lib import virtual_time
 
 DRAIN = configuration.ObjectKind.DRAIN
 BOUND_S = 4.0
--- a/tests/unit/test_configuration_editor.py
+++ b/tests/unit/test_configuration_editor.py
@@ -13,8 +13,8 @@
 from cardamomfork._internal.contracts import store as store_contract
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.standins import store
+from cardamomfork._internal.standins import virtual_time
 from tests.lib import configurations
-from tests.lib import virtual_time
 
 DRAIN = configuration.ObjectKind.DRAIN
 SERVICE = configuration.ObjectKind.SERVICE
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -13,8 +13,8 @@
 from cardamomfork._internal.instances import records
 from cardamomfork._internal.models import instances
 from cardamomfork._internal.standins import fleet
+from cardamomfork._internal.standins import virtual_time
 from tests.lib import seeds
-from tests.lib import virtual_time
 
 
 def instance(name, boot="b1", centre="kempten"):
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -8,11 +8,11 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
-import trio.testing
 
 from cardamomfork._internal.contracts import clock
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.models import targets
+from cardamomfork._internal.standins import virtual_time
 from cardamomfork._internal.targets import orders
 from cardamomfork._internal.targets import orders_feed
 from cardamomfork._internal.targets import orders_models as models
@@ -62,8 +62,7 @@
 
 
 def run(scenario):
-    options = {"clock": trio.testing.MockClock(autojump_threshold=0)}
-    anyio.run(scenario, backend="trio", backend_options=options)
+    virtual_time.run(scenario)
 
 
 class RunnerTest(unittest.TestCase):
--- a/tests/unit/test_orders_lease.py
+++ b/tests/unit/test_orders_lease.py
@@ -4,11 +4,11 @@
 import unittest
 
 import anyio
-import trio.testing
 
 from cardamomfork._internal.contracts import clock
 from cardamomfork._internal.models import instances
 from cardamomfork._internal.standins import store as store_standin
+from cardamomfork._internal.standins import virtual_time
 from cardamomfork._internal.targets import orders_lease
 
 
@@ -25,8 +25,7 @@
         return session, lease
 
     def run_scenario(self, scenario):
-        options = {"clock": trio.testing.MockClock(autojump_threshold=0)}
-        anyio.run(scenario, backend="trio", backend_options=options)
+        virtual_time.run(scenario)
 
     def test_one_holder_at_a_time_and_numbers_grow(self):
         async def scenario():
--- a/tests/unit/test_statuses.py
+++ b/tests/unit/test_statuses.py
@@ -3,17 +3,16 @@
 import unittest
 
 import anyio
-import trio.testing
 
 from cardamomfork._internal.links.operators import statuses
 from cardamomfork._internal.models import instances
 from cardamomfork._internal.standins import fleet
+from cardamomfork._internal.standins import virtual_time
 
 
 class StatusTest(unittest.TestCase):
     def test_lagging_instances_are_asked(self):
-        options = {"clock": trio.testing.MockClock(autojump_threshold=0)}
-        anyio.run(self.scenario, backend="trio", backend_options=options)
+        virtual_time.run(self.scenario)
 
     async def scenario(self):
         made = fleet.Fleet([4, 3])
