Share bounded tables, ages on the wire and lookups

Cause: the load reports and the limits' claims each turned ages into deciseconds; five tables dropped their oldest entry by the same lines; three methods of the summaries looked up instances by name alike. Change: instances/wire_ages.py, bounded_tables.put_newest and `DataCentreSummaries._known_instances` hold each once. Tables that keep another order of eviction, codecs and protocol methods stay apart. Conclusion: behaviour unchanged; each rule has one place.

--- a/src/cardamomfork/_internal/accounts/limit_claims.py
+++ b/src/cardamomfork/_internal/accounts/limit_claims.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from cardamomfork._internal.contracts import gossip
+from cardamomfork._internal.instances import wire_ages
 from cardamomfork._internal.models import identifiers
 
 if TYPE_CHECKING:
@@ -31,8 +32,6 @@
 """Least time between two looks at the own demands, per account."""
 REMOTE_MARK = "@"
 _SCALE = 10_000
-_DECISECONDS = 10
-_MAX_AGE = 0xFFFF
 _MIN_YOUNGER_S = 0.15
 _HEAD_BYTES = 16
 
@@ -205,7 +204,8 @@
         self._reach.refresh(now)
         self._table.expire(now)
         ages = {
-            name: _told_age(age) for name, age in self._reach.ages(now).items()
+            name: wire_ages.to_wire(age)
+            for name, age in self._reach.ages(now).items()
         }
         if scope is gossip.Scope.FLEET or self._reach.is_delegate:
             ages[self._reach.home] = 0
@@ -224,7 +224,7 @@
             told.setdefault(source, []).append(
                 (
                     account,
-                    _told_age(age) if age else 0,
+                    wire_ages.to_wire(age) if age else 0,
                     min(round(demand * _SCALE), 0xFFFFFF),
                 )
             )
@@ -244,13 +244,12 @@
             if source in (self._me, REMOTE_MARK + self._reach.home):
                 continue
             for account, age, demand in claims:
-                self._table.hear(
-                    source, account, demand / _SCALE, age / _DECISECONDS, now
-                )
+                age_s = wire_ages.to_seconds(age)
+                self._table.hear(source, account, demand / _SCALE, age_s, now)
         # After the claims: a word confirms only what came with it.
         self._reach.hear(
             {
-                identifiers.DataCentreId(name): age / _DECISECONDS
+                identifiers.DataCentreId(name): wire_ages.to_seconds(age)
                 for name, age in heard.ages.items()
             },
             now,
@@ -278,12 +277,3 @@
             mine = [(d, self._me, a, 0.0) for a, d in own.items()]
         relayed = self._table.to_relay(now, scope is gossip.Scope.FLEET)
         return heapq.nlargest(MAX_TOLD, [*mine, *relayed])
-
-
-def _told_age(age_s: float) -> int:
-    """Returns an age in deciseconds, never younger than it is on arrival.
-
-    One decisecond more covers the way: rounded down, a word passed round
-    among a few instances would stay young for ever.
-    """
-    return min(math.ceil(age_s * _DECISECONDS) + 1, _MAX_AGE)
--- a/src/cardamomfork/_internal/configuration/distribution.py
+++ b/src/cardamomfork/_internal/configuration/distribution.py
@@ -14,6 +14,7 @@
 import attrs
 import msgspec
 
+from cardamomfork._internal import bounded_tables
 from cardamomfork._internal.configuration import codec
 from cardamomfork._internal.configuration import replica
 from cardamomfork._internal.contracts import gossip
@@ -213,10 +214,9 @@
             self.counters.unreadable += 1
             return
         self._note(sender, heard.revision)
-        self._heard[sender] = (heard.revision, now)
-        self._heard.move_to_end(sender)
-        while len(self._heard) > MAX_PEERS:
-            self._heard.popitem(last=False)
+        bounded_tables.put_newest(
+            self._heard, sender, (heard.revision, now), MAX_PEERS
+        )
         self._asked = (sender, now)
         if heard.upto > 0:
             self._replica.apply_range(changes.unwrap(), heard.since, heard.upto)
@@ -270,10 +270,7 @@
 
     def _note(self, peer: identifiers.InstanceId, revision: int) -> None:
         """Keeps what a peer holds; forgets the peers heard longest ago."""
-        self._revisions[peer] = revision
-        self._revisions.move_to_end(peer)
-        while len(self._revisions) > MAX_PEERS:
-            self._revisions.popitem(last=False)
+        bounded_tables.put_newest(self._revisions, peer, revision, MAX_PEERS)
 
     def _watch_lag(
         self, sender: identifiers.InstanceId, revision: int, now: float
--- a/src/cardamomfork/_internal/data_centres/summaries.py
+++ b/src/cardamomfork/_internal/data_centres/summaries.py
@@ -105,10 +105,7 @@
         me = self._members.me.instance.instance_id
         names = [name for name in self._own_delegates() if name != me]
         self._rng.shuffle(names)
-        found = [
-            self._members.record(identifiers.InstanceId(name)) for name in names
-        ]
-        return [record.instance for record in found if record]
+        return self._known_instances(names)
 
     def get(self, data_centre: identifiers.DataCentreId) -> Summary | None:
         """Returns the summary of another data centre."""
@@ -127,11 +124,7 @@
 
         Instances that hear the same summaries return the same.
         """
-        found = [
-            self._members.record(identifiers.InstanceId(name))
-            for name in self._own_delegates()
-        ]
-        own = [record.instance for record in found if record]
+        own = self._known_instances(self._own_delegates())
         names = [name for name in self.reachable(now) if name != self.home]
         others = [self._summaries[name].delegates for name in names]
         return own + [instance for each in others for instance in each]
@@ -189,16 +182,19 @@
             f"delegate/{self.home}", self._members.staying(), DELEGATES
         )
 
+    def _known_instances(self, names: list[str]) -> list[instances.Instance]:
+        """Returns the named instances that the membership table holds."""
+        found = [
+            self._members.record(identifiers.InstanceId(name)) for name in names
+        ]
+        return [record.instance for record in found if record]
+
     def _publish(self, now: float) -> None:
         """Renews this data centre's own summary if it is a delegate's turn."""
         held = self._summaries.get(self.home)
         if not self.is_delegate:
             return
-        names = self._own_delegates()
-        found = [
-            self._members.record(identifiers.InstanceId(name)) for name in names
-        ]
-        delegates = tuple(record.instance for record in found if record)
+        delegates = tuple(self._known_instances(self._own_delegates()))
         live = len(self._members.live(self.home))
         wall = self._clock.wall()
         if (
--- a/src/cardamomfork/_internal/requests/claims/record_store.py
+++ b/src/cardamomfork/_internal/requests/claims/record_store.py
@@ -15,6 +15,7 @@
 import msgspec
 import result
 
+from cardamomfork._internal import bounded_tables
 from cardamomfork._internal.contracts import store as store_contract
 from cardamomfork._internal.requests.claims import records
 
@@ -176,10 +177,9 @@
 
     def _keep(self, record: str, cached: Cached) -> None:
         """Keeps a record as last seen; drops the least recently written."""
-        self._cache[record] = cached
-        self._cache.move_to_end(record)
-        while len(self._cache) > MAX_CACHED_RECORDS:
-            self._cache.popitem(last=False)
+        bounded_tables.put_newest(
+            self._cache, record, cached, MAX_CACHED_RECORDS
+        )
 
     async def _retention_lease(self) -> int | None:
         """Returns the lease that new records live by; None for no answer."""
--- a/src/cardamomfork/_internal/requests/poison.py
+++ b/src/cardamomfork/_internal/requests/poison.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from cardamomfork._internal import bounded_tables
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.data_centres import rendezvous
 from cardamomfork._internal.models import identifiers
@@ -227,11 +228,8 @@
         if finished:
             self._clear(key, now)
             return
-        self._lost[target_id, key] = now
-        self._lost.move_to_end((target_id, key))
+        bounded_tables.put_newest(self._lost, (target_id, key), now, MAX_LOST)
         self._held[key] = now + LOST_HOLD_S
-        while len(self._lost) > MAX_LOST:
-            self._lost.popitem(last=False)
         while len(self._held) > MAX_LOST:
             self._held.popitem(last=False)
 
--- a/src/cardamomfork/_internal/targets/watching.py
+++ b/src/cardamomfork/_internal/targets/watching.py
@@ -8,14 +8,15 @@
 from __future__ import annotations
 
 import collections
-import math
 from typing import TYPE_CHECKING
 
 import attrs
 import msgspec
 
+from cardamomfork._internal import bounded_tables
 from cardamomfork._internal.contracts import gossip
 from cardamomfork._internal.data_centres import rendezvous
+from cardamomfork._internal.instances import wire_ages
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.models import targets
 
@@ -28,10 +29,8 @@
 MAX_REPORTS = 4096
 RELAY_MAX_AGE_S = 4.0
 TELLS = 3
-_DECISECONDS = 10
 _MIN_YOUNGER_S = 0.25
 _HEAD_BYTES = 5
-_MAX_AGE = 0xFFFF
 
 
 class _PackedReport(
@@ -116,10 +115,10 @@
         held = self._held.get(report.target_id)
         if held is not None and not _is_newer(report, held.report):
             return False
-        self._held[report.target_id] = _Held(report, TELLS)
-        self._held.move_to_end(report.target_id)
-        while len(self._held) > self._max_reports:
-            self._held.popitem(last=False)
+        held = _Held(report, TELLS)
+        bounded_tables.put_newest(
+            self._held, report.target_id, held, self._max_reports
+        )
         self._deliver(report, now)
         return True
 
@@ -174,7 +173,7 @@
     return _PackedReport(
         report.target_id,
         report.boot_id,
-        min(max(math.ceil(age_s * _DECISECONDS), 0) + 1, _MAX_AGE),
+        wire_ages.to_wire(age_s),
         report.queued_tokens,
         report.running,
         report.free_tokens,
@@ -188,7 +187,7 @@
     return targets.LoadReport(
         identifiers.TargetId(packed.target_id),
         identifiers.BootId(packed.boot_id),
-        now - packed.age / _DECISECONDS,
+        now - wire_ages.to_seconds(packed.age),
         packed.queued_tokens,
         packed.running,
         packed.free_tokens,
