Share the TLS reload loop and the making of orders

Cause: the peers' TLS repeated the loop of the other sides' TLS, and three commands each made an order in their own way. Change: `tls.reload_periodically` is the one loop; `_write` in `commands/order.py` makes every order.

--- a/src/cardamomfork/_internal/cli/commands/order.py
+++ b/src/cardamomfork/_internal/cli/commands/order.py
@@ -14,6 +14,8 @@
 
 NO_CONNECTION = connection_module.Connection()
 
+Action = configuration.OrderAction
+
 app = cyclopts.App(name="order")
 
 
@@ -43,12 +45,10 @@
     """
     return _write(
         connection,
-        configuration.Order(
-            identifiers.TargetId(target),
-            configuration.OrderAction.LOAD,
-            model,
-            model_version,
-        ),
+        target,
+        Action.LOAD,
+        model=model,
+        model_version=model_version,
     )
 
 
@@ -71,9 +71,7 @@
     connection
         How to reach an instance.
     """
-    action = configuration.OrderAction.UNLOAD
-    name = identifiers.TargetId(target)
-    return _write(connection, configuration.Order(name, action, model))
+    return _write(connection, target, Action.UNLOAD, model=model)
 
 
 @app.command
@@ -95,9 +93,7 @@
     connection
         How to reach an instance.
     """
-    action = configuration.OrderAction.ROLE
-    name = identifiers.TargetId(target)
-    return _write(connection, configuration.Order(name, action, role=role))
+    return _write(connection, target, Action.ROLE, role=role)
 
 
 @app.command
@@ -120,7 +116,17 @@
 
 
 def _write(
-    connection: connection_module.Connection, order: configuration.Order
+    connection: connection_module.Connection,
+    target: str,
+    action: configuration.OrderAction,
+    *,
+    model: str = "",
+    model_version: str = "",
+    role: str = "",
 ) -> exit_codes.ExitCode:
-    """Writes an order over the one in force."""
-    return edits.write(connection, order)
+    """Writes a target's order over the one in force."""
+    name = identifiers.TargetId(target)
+    return edits.write(
+        connection,
+        configuration.Order(name, action, model, model_version, role),
+    )
--- a/src/cardamomfork/_internal/links/peers/tls.py
+++ b/src/cardamomfork/_internal/links/peers/tls.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import anyio
-
 from cardamomfork._internal.links import tls
 
 if TYPE_CHECKING:
@@ -52,9 +50,7 @@
 
     async def watch(self) -> None:
         """Looks for changed files until cancelled."""
-        while True:
-            await anyio.sleep(tls.RELOAD_S)
-            self.reload()
+        await tls.reload_periodically(self.reload)
 
 
 def make_peer_tls(files: settings.TlsSettings) -> PeerTls | None:
--- a/src/cardamomfork/_internal/links/tls.py
+++ b/src/cardamomfork/_internal/links/tls.py
@@ -10,6 +10,8 @@
 from loguru import logger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cardamomfork._internal.models import settings
 
 RELOAD_S = 30.0
@@ -67,9 +69,7 @@
 
     async def watch(self) -> None:
         """Looks for changed files until cancelled."""
-        while True:
-            await anyio.sleep(RELOAD_S)
-            self.reload()
+        await reload_periodically(self.reload)
 
     def _read_stamp(self) -> _Stamp:
         """Returns what changes with the files; empty if one is missing."""
@@ -81,6 +81,13 @@
         return tuple((each.st_mtime_ns, each.st_ino) for each in found)
 
 
+async def reload_periodically(reload: Callable[[], bool]) -> None:
+    """Calls a side's `reload` every `RELOAD_S` until cancelled."""
+    while True:
+        await anyio.sleep(RELOAD_S)
+        reload()
+
+
 def make_server_tls(tls: settings.TlsSettings) -> ServerTls | None:
     """Returns a side's TLS, or None if it listens in plain TCP."""
     return ServerTls(tls) if tls.certificate else None
