Pass on events whose lines end in CRLF as they come

Cause: only a blank line of LF ended an event, so a target's CRLF events were held back until 1 MiB and its whole stream counted as broken. Change: an event also ends at a blank line of CRLF, and the last event is known with either line end. The stand-in engine can send CRLF. A lone CR, which the format also allows, still ends no event.

--- a/src/cardamomfork/_internal/requests/delivery.py
+++ b/src/cardamomfork/_internal/requests/delivery.py
@@ -4,8 +4,11 @@
 
 from typing import Protocol
 
-EVENT_END = b"\n\n"
+LF_END = b"\n\n"
+CRLF_END = b"\n\r\n"
+EVENT_ENDS = (LF_END, CRLF_END)
 DONE_EVENT = b"data: [DONE]\n\n"
+MAX_DONE_BYTES = len(b"data: [DONE]\r\n\r\n")
 MAX_EVENT_BYTES = 1024 * 1024
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
@@ -56,26 +59,35 @@
     @property
     def whole(self) -> bool:
         """Whether the stream ended with the event that says so."""
-        return not self._held and self._tail.endswith(DONE_EVENT)
+        tail = self._tail.replace(b"\r\n", b"\n")
+        return not self._held and tail.endswith(DONE_EVENT)
 
     def write(self, data: bytes) -> None:
         """Takes bytes of the answer."""
         if self._held:
             data = self._held + data
             self._held = b""
-        if not data.endswith(EVENT_END):
-            end = data.rfind(EVENT_END) + len(EVENT_END)
-            if end >= len(EVENT_END):
+        if not data.endswith(EVENT_ENDS):
+            end = _end_of_last_event(data)
+            if end:
                 self._held = data[end:]
                 data = data[:end]
             elif len(data) <= MAX_EVENT_BYTES:
                 self._held = data
                 return
-        self.events += data.count(EVENT_END)
-        self._tail = data[-len(DONE_EVENT) :]
+        self.events += data.count(LF_END)
+        if b"\r" in data:
+            self.events += data.count(CRLF_END)
+        self._tail = data[-MAX_DONE_BYTES:]
         self._sink.write(data)
 
 
+def _end_of_last_event(data: bytes) -> int:
+    """Returns the offset behind the last whole event; 0 if there is none."""
+    found = [(data.rfind(end), len(end)) for end in EVENT_ENDS]
+    return max((at + size for at, size in found if at >= 0), default=0)
+
+
 class BodyDelivery:
     """Collects a whole body of bounded length."""
 
--- a/src/cardamomfork/_internal/standins/engine.py
+++ b/src/cardamomfork/_internal/standins/engine.py
@@ -44,6 +44,7 @@
         skip_cache_events: Loses so many cache events.
         crash_on: Dies of a body that holds this; empty for none.
         ignore_fencing: Takes orders with old numbers.
+        crlf: Ends the lines of new answers with CRLF.
     """
 
     refuse: bool = False
@@ -56,6 +57,7 @@
     skip_cache_events: int = 0
     crash_on: bytes = b""
     ignore_fencing: bool = False
+    crlf: bool = False
 
 
 @attrs.define
@@ -176,7 +178,7 @@
         need = self._scheduler.need(work)
         if need > self._speed.memory_tokens or self._tasks is None:
             return None
-        run = engine_runs.Run(work)
+        run = engine_runs.Run(work, self.faults.crlf)
         self._runs[attempt_id] = run
         if len(self._runs) > MAX_RUNS:
             self._runs.popitem(last=False)
@@ -212,7 +214,7 @@
                 break
             if offset == len(run.answer):
                 await run.changed.wait()
-        if run.answer.endswith(b"data: [DONE]\n\n"):
+        if run.answer.rstrip().endswith(b"data: [DONE]"):
             await exchange.end_stream()
         else:
             await exchange.cut()
--- a/src/cardamomfork/_internal/standins/engine_runs.py
+++ b/src/cardamomfork/_internal/standins/engine_runs.py
@@ -54,6 +54,7 @@
     """One attempt on the engine; its answer can be read from any offset."""
 
     work: Work
+    crlf: bool = False
     answer: bytearray = attrs.field(factory=bytearray, repr=False)
     ended: bool = False
     changed: anyio.Event = attrs.field(factory=anyio.Event)
@@ -61,7 +62,7 @@
 
     def append(self, data: bytes, ended: bool = False) -> None:
         """Adds bytes to the answer and wakes its readers."""
-        self.answer += data
+        self.answer += data.replace(b"\n", b"\r\n") if self.crlf else data
         self.ended = self.ended or ended
         self.changed.set()
         self.changed = anyio.Event()
--- a/tests/functional/test_path_faults.py
+++ b/tests/functional/test_path_faults.py
@@ -6,6 +6,7 @@
 
 WORDS = "".join(f"word{index} " for index in range(20))
 DONE = b"data: [DONE]\n\n"
+CRLF_DONE = b"data: [DONE]\r\n\r\n"
 
 
 class EngineFaultTest(unittest.TestCase):
@@ -58,6 +59,33 @@
 
         serving.run(test)
 
+    def test_event_that_ends_in_crlf_is_passed_on_at_once(self):
+        async def test():
+            async with serving.site() as site:
+                site.engines[0].faults.crlf = True
+                site.engines[0].faults.silent_after = 500
+                raw = await site.open_raw(20)
+                got = b""
+                with raw, serving.anyio.fail_after(20):
+                    while not got.count(b"word0 "):
+                        await serving.anyio.wait_readable(raw)
+                        piece = raw.recv(65536)
+                        self.assertTrue(piece, got)
+                        got += piece
+
+        serving.run(test)
+
+    def test_stream_whose_lines_end_in_crlf_arrives_whole(self):
+        async def test():
+            async with serving.site() as site:
+                site.engines[0].faults.crlf = True
+                answer = await site.complete()
+                self.assertTrue(answer.body.endswith(CRLF_DONE))
+                answer.body = answer.body.replace(b"\r\n", b"\n")
+                self.assertEqual(answer.text, WORDS)
+
+        serving.run(test)
+
     def test_body_that_is_lost_is_run_again_elsewhere(self):
         async def test():
             async with serving.site(engines=2) as site:
--- a/tests/unit/test_delivery.py
+++ b/tests/unit/test_delivery.py
@@ -27,11 +27,13 @@
         ),
         strategies.lists(strategies.integers(1, 9), max_size=20),
         strategies.booleans(),
+        strategies.sampled_from((b"\n", b"\r\n")),
     )
-    def test_any_cut_gives_whole_events(self, texts, sizes, ended):
+    def test_any_cut_gives_whole_events(self, texts, sizes, ended, line_end):
         data = b"".join(b"id: 1\ndata: %b\n\n" % t.encode() for t in texts)
         if ended:
             data += delivery.DONE_EVENT
+        data = data.replace(b"\n", line_end)
         sink = _Sink()
         stream = delivery.StreamDelivery(sink)
         rest = data
@@ -43,8 +45,9 @@
             stream.write(rest)
         self.assertEqual(b"".join(sink.writes), data)
         for one in sink.writes:
-            self.assertTrue(one.endswith(b"\n\n"))
+            self.assertTrue(one.endswith(line_end * 2))
         self.assertEqual(stream.whole, ended)
+        self.assertEqual(stream.events, data.count(line_end * 2))
 
     def test_event_over_the_bound_is_not_held(self):
         sink = _Sink()
