Tell a leaving target to every data centre at once

Ruled out: the byte budget, of which half was left. Change: a delegate that learns of a mark tells one delegate of each other data centre at once. Chosen ports of the real processes' tests lie below the system's own range, since one had been taken between choice and use. The baselines' base class is abstract.

--- a/src/cardamomfork/_internal/data_centres/summaries.py
+++ b/src/cardamomfork/_internal/data_centres/summaries.py
@@ -129,6 +129,14 @@
         others = [self._summaries[name].delegates for name in names]
         return own + [instance for each in others for instance in each]
 
+    def one_in_each(self, now: float) -> list[instances.Instance]:
+        """Returns a delegate of each other data centre heard lately."""
+        return [
+            self._rng.choice(self._summaries[name].delegates)
+            for name in self.reachable(now)
+            if name != self.home and self._summaries[name].delegates
+        ]
+
     def next_remote(self) -> instances.Instance | None:
         """Returns a delegate elsewhere to talk to; None unless a delegate.
 
--- a/src/cardamomfork/_internal/instances/joining.py
+++ b/src/cardamomfork/_internal/instances/joining.py
@@ -216,7 +216,7 @@
     )
     urgency.loop = loop
     held.subscribe(lambda _change: loop.hurry())
-    marks.subscribe(lambda _target, _leaving: loop.hurry())
+    marks.subscribe(lambda _target, _leaving: loop.spread(marks.topic))
     followed = None
     if connect is not None:
         followed = follower.ConfigurationFollower(
--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -80,6 +80,7 @@
         self._hurry = anyio.Event()
         self._push = anyio.Event()
         self._pushed: set[gossip.Topic] = set()
+        self._pushed_far: set[gossip.Topic] = set()
         self._hurry_fanout = 1
         self._wants_delegate = False
         self._participants = participants
@@ -103,11 +104,25 @@
         self._hurry_fanout = HURRY_FANOUT
         self._hurry.set()
 
+    def spread(self, topic: gossip.Topic) -> None:
+        """Has a change known everywhere within seconds."""
+        self.hurry()
+        self.push_far(topic)
+
     def push(self, topic: gossip.Topic) -> None:
         """Has one topic's news told to all peers of the data centre now."""
         self._pushed.add(topic)
         self._push.set()
 
+    def push_far(self, topic: gossip.Topic) -> None:
+        """Has one topic's news told to a delegate of each data centre now.
+
+        Only a delegate does so; what others hold reaches it by gossip.
+        """
+        if self._others.is_delegate:
+            self._pushed_far.add(topic)
+            self._push.set()
+
     def catch_up(self) -> None:
         """Asks for an exchange with one peer soon."""
         self._hurry.set()
@@ -278,25 +293,34 @@
         link: peering_contract.PeerLink,
         group: anyio.abc.TaskGroup,
     ) -> None:
-        """Tells all peers of the data centre at once when asked to."""
+        """Tells all peers near, or one in each data centre, when asked to."""
         while True:
             await self._push.wait()
+            await anyio.sleep(HURRY_PAUSE_S)
             self._push = anyio.Event()
-            topics, self._pushed = self._pushed, set()
-            me = self._members.me.instance
+            near, self._pushed = self._pushed, set()
+            far, self._pushed_far = self._pushed_far, set()
             now = self._clock.monotonic()
-            peers = [
-                peer
-                for peer in self._members.live(me.data_centre)
-                if peer.instance_id != me.instance_id
-            ]
-            for peer in peers:
-                for topic in sorted(topics):
-                    envelope = self._envelopes.compose_one(peer, topic, now)
-                    if envelope is not None:
-                        group.start_soon(
-                            self._envelopes.send, link, peer, envelope
-                        )
+            me = self._members.me.instance
+            for peer in self._members.live(me.data_centre) if near else ():
+                if peer.instance_id != me.instance_id:
+                    self._push_to(link, group, peer, near)
+            for peer in self._others.one_in_each(now) if far else ():
+                self._push_to(link, group, peer, far)
+
+    def _push_to(
+        self,
+        link: peering_contract.PeerLink,
+        group: anyio.abc.TaskGroup,
+        peer: instances.Instance,
+        topics: set[gossip.Topic],
+    ) -> None:
+        """Starts to tell a peer some topics' news."""
+        now = self._clock.monotonic()
+        for topic in sorted(topics):
+            envelope = self._envelopes.compose_one(peer, topic, now)
+            if envelope is not None:
+                group.start_soon(self._envelopes.send, link, peer, envelope)
 
     async def _wait_for_bytes(self) -> None:
         """Waits until news fits; before, an exchange would only cost."""
--- a/src/cardamomfork/_internal/measure/membership.py
+++ b/src/cardamomfork/_internal/measure/membership.py
@@ -168,7 +168,7 @@
     """Passes a change of marks on at once, as the daemon does."""
 
     def hurry(_target: identifiers.TargetId, _leaving: bool) -> None:
-        member.peering.hurry()
+        member.peering.spread(held.topic)
 
     held.subscribe(hurry)
 
--- a/src/cardamomfork/_internal/routing/baselines.py
+++ b/src/cardamomfork/_internal/routing/baselines.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import abc
 from typing import TYPE_CHECKING
 
 import attrs
@@ -64,7 +65,7 @@
     prefilled: bool = False
 
 
-class FifoDispatcher:
+class FifoDispatcher(abc.ABC):
     """Queue, accounts of what is outstanding, and expiry.
 
     Subclasses choose the order of targets for the request at the head.
@@ -187,9 +188,9 @@
         """Returns what this instance has on a target."""
         return self._outstanding.get(target_id, Outstanding())
 
+    @abc.abstractmethod
     def _order(self, candidates: list[targets.Target]) -> list[targets.Target]:
         """Returns the targets that may take a request now, best first."""
-        raise NotImplementedError
 
     def _holds_back_others(self) -> bool:
         """Returns whether a head without a target holds back the rest."""
--- a/src/cardamomfork/_internal/targets/leaving.py
+++ b/src/cardamomfork/_internal/targets/leaving.py
@@ -26,6 +26,8 @@
 
 MAX_TARGETS = 8192
 MAX_ID_LENGTH = 200
+MARK_TELLS = 24
+"""Peers that hear of a mark unasked: a delegate in each data centre too."""
 NO_BOOT_ID = identifiers.BootId("")
 
 
@@ -215,7 +217,9 @@
         )
         before = self.is_leaving(target_id)
         self._marks[target_id] = merged
-        dropped = self._spreader.put(target_id, _pack(target_id, merged))
+        dropped = self._spreader.put(
+            target_id, _pack(target_id, merged), MARK_TELLS
+        )
         if dropped is not None:
             self._forget(identifiers.TargetId(dropped))
         self._notify(target_id, before)
--- a/tests/lib/process_fleet.py
+++ b/tests/lib/process_fleet.py
@@ -25,10 +25,25 @@
 DAEMON = "cardamomfork._internal.daemon"
 
 
+# Below what the system gives to connections, so that none takes a port
+# between its choice and its use; each test process has a range of its own.
+PORTS = 64
+LOWEST_PORT = 20_000
+_ports = iter(range(PORTS))
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Chooses a port that nothing listens on."""
+    start = LOWEST_PORT + os.getpid() % 150 * PORTS
+    for offset in _ports:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, start + offset))
+            except OSError:
+                continue
+            return start + offset
+    raise AssertionError("no port is free")
 
 
 @attrs.define
