Use standard terms and units in names and docstrings

Cause: names and comments in instances/, data_centres/ and requests/ were metaphors (passage, doubts, last words, speaks for) or named no unit or moment. Change: GuardedAttempt, MAX_UNCHECKED, LEAVE_TELL_S, INDIRECT_PROBES, _LatePeering and rng replace them; docstrings name units and what a value of 0 or None means. Names that other packages use are unchanged. Conclusion: behaviour unchanged; WaitingRoom, hurry, told and `chance` of Runner are left, as callers elsewhere name them.

--- a/src/cardamomfork/_internal/data_centres/reach.py
+++ b/src/cardamomfork/_internal/data_centres/reach.py
@@ -60,7 +60,7 @@
 
     @property
     def is_delegate(self) -> bool:
-        """Whether this instance speaks for its data centre."""
+        """Whether this instance is a delegate of its data centre."""
         return self._others.is_delegate
 
     def refresh(self, now: float) -> None:
@@ -85,7 +85,7 @@
     def hear(
         self, ages: Mapping[identifiers.DataCentreId, float], now: float
     ) -> None:
-        """Takes ages from a peer; keeps the younger."""
+        """Takes ages in seconds from a peer; keeps the younger."""
         for name, age in ages.items():
             if name == self.home or age < 0:
                 continue
@@ -96,7 +96,7 @@
                 held.spoke_at = max(held.spoke_at, now - age)
 
     def spoke_at(self, data_centre: identifiers.DataCentreId) -> float:
-        """Returns the local time at which a data centre last spoke."""
+        """Returns the monotonic time of a data centre's last news, or 0."""
         held = self._heard.get(data_centre)
         return held.spoke_at if held else 0.0
 
--- a/src/cardamomfork/_internal/data_centres/summaries.py
+++ b/src/cardamomfork/_internal/data_centres/summaries.py
@@ -28,7 +28,9 @@
 REFRESH_S = 10.0
 MAX_DATA_CENTRES = 64
 MAX_AHEAD_S = 60.0
+"""Most seconds that a summary may be ahead of the local wall clock."""
 SILENT_AFTER_S = 30.0
+"""Seconds without a newer summary after which one is not reachable."""
 _ARRAY_HEAD_BYTES = 5
 
 
@@ -61,7 +63,7 @@
 
 
 class DataCentreSummaries:
-    """Summaries of all data centres, and who speaks for this one."""
+    """Summaries of all data centres, and the delegates of this one."""
 
     def __init__(
         self,
@@ -91,7 +93,7 @@
 
     @property
     def is_delegate(self) -> bool:
-        """Whether this instance speaks for its data centre."""
+        """Whether this instance is a delegate of its data centre."""
         me = self._members.me.instance.instance_id
         return me in self._own_delegates()
 
@@ -120,7 +122,7 @@
         )
 
     def delegates(self, now: float) -> list[instances.Instance]:
-        """Returns the delegates of all data centres heard lately, this one's.
+        """Returns this data centre's delegates, then those of others heard.
 
         Instances that hear the same summaries return the same.
         """
@@ -177,7 +179,7 @@
                 self._summaries[summary.data_centre] = summary
 
     def _own_delegates(self) -> list[str]:
-        """Names the instances that speak for this data centre."""
+        """Names the delegates of this data centre."""
         return rendezvous.owners(
             f"delegate/{self.home}", self._members.staying(), DELEGATES
         )
--- a/src/cardamomfork/_internal/instances/joining.py
+++ b/src/cardamomfork/_internal/instances/joining.py
@@ -46,7 +46,8 @@
     from cardamomfork._internal.models import targets
 
 LIST_PERIOD_S = 5.0
-LAST_WORDS_S = 0.5
+LEAVE_TELL_S = 0.5
+"""Seconds in which peers are told that this instance stops."""
 
 
 @attrs.define
@@ -121,7 +122,7 @@
         self.limiter.hand_over()
         self.members.leave(self.clock.monotonic())
         self.peering.hurry()
-        await anyio.sleep(LAST_WORDS_S)
+        await anyio.sleep(LEAVE_TELL_S)
 
     async def _list_loop(self, listed: listing.InstanceList) -> None:
         """Reads the platform's list every few seconds."""
@@ -183,10 +184,10 @@
     others = summaries.DataCentreSummaries(members, clock, rng)
     side = reach.Reach(members, others)
     claims = limit_claims.ClaimTable(side)
-    urgency = _Urgency()
-    limiter = limits.FleetLimiter(side, claims, urgency.ask_delegate)
+    late_peering = _LatePeering()
+    limiter = limits.FleetLimiter(side, claims, late_peering.ask_delegate)
     held = replica.ConfigurationReplica()
-    told = distribution.ConfigurationGossip(held, urgency.catch_up)
+    told = distribution.ConfigurationGossip(held, late_peering.catch_up)
     marks = leaving.LeavingTargets()
     loads = watching.LoadReports(deliver_load)
     loop = peering.Peering(
@@ -204,7 +205,7 @@
         clock,
         rng,
     )
-    urgency.loop = loop
+    late_peering.loop = loop
     held.subscribe(lambda _change: loop.hurry())
     marks.subscribe(lambda _target, _leaving: loop.hurry())
     followed = None
@@ -240,8 +241,11 @@
 
 
 @attrs.define
-class _Urgency:
-    """Lets parts that the loop is made of ask it to hurry."""
+class _LatePeering:
+    """Passes requests on to the peering loop.
+
+    Its participants need it in their constructors, before the loop is made.
+    """
 
     loop: peering.Peering | None = None
 
--- a/src/cardamomfork/_internal/instances/membership.py
+++ b/src/cardamomfork/_internal/instances/membership.py
@@ -1,9 +1,9 @@
-"""Which instances live: the table and its rules, without any I/O.
+"""Which instances are alive: the table and its rules, without any I/O.
 
 An instance that does not answer is suspected first and declared dead only
 after a while, so that it can refute the suspicion by a higher incarnation.
 Of two reports the one with the later boot id wins, then the higher
-incarnation, then the worse health; so old news never wins.
+incarnation, then the worse health; so a stale report never wins.
 """
 
 from __future__ import annotations
@@ -177,7 +177,12 @@
     def helpers(
         self, subject: identifiers.InstanceId, count: int
     ) -> list[instances.Instance]:
-        """Returns peers that may reach an instance which we can't."""
+        """Returns random live peers for indirect probes of an instance.
+
+        Args:
+            subject: Whom they are to probe; not among them.
+            count: Most peers.
+        """
         others = [
             record.instance
             for record in self._peers(records.Health.ALIVE)
@@ -211,7 +216,7 @@
         last, self._last_tick = self._last_tick, now
         paused = now - last if last is not None else 0.0
         if paused > PAUSE_S:
-            # This process stood still: give the suspected their time anew.
+            # This process was paused, so it could have heard no refutation.
             for record in self.known():
                 if record.health is records.Health.SUSPECT:
                     self._changed_at[record.instance.instance_id] = now
--- a/src/cardamomfork/_internal/instances/membership_gossip.py
+++ b/src/cardamomfork/_internal/instances/membership_gossip.py
@@ -33,7 +33,7 @@
 
 
 class MembershipGossip:
-    """Membership's part in the peers' talk."""
+    """Gossips records of instances and summaries of data centres."""
 
     def __init__(
         self,
@@ -69,7 +69,7 @@
         rows = b""
         if scope is gossip.Scope.DATA_CENTRE:
             rows = self._spreader.collect(
-                peer, left - len(about), self._doubted(peer)
+                peer, left - len(about), self._suspected(peer)
             )
         return msgspec.msgpack.encode(_Payload(rows, about))
 
@@ -93,7 +93,7 @@
         if heard.records:
             self._spreader.compare(sender, digest)
 
-    def _doubted(self, peer: identifiers.InstanceId) -> str:
+    def _suspected(self, peer: identifiers.InstanceId) -> str:
         """Names the peer if it must hear of a report against itself.
 
         It can refute only what it hears.
--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -1,4 +1,4 @@
-"""The loop that keeps an instance in touch with its peers.
+"""The loops that exchange envelopes with peers and so probe them.
 
 Once a period it exchanges envelopes with one random peer of its data centre,
 which is also the probe of that peer; a delegate talks to one other data centre
@@ -35,7 +35,7 @@
 
     Answerer = Callable[[bytes], Awaitable[bytes]]
 
-HELPERS = 3
+INDIRECT_PROBES = 3
 HURRY_FANOUT = 2
 HURRY_PAUSE_S = 0.05
 HURRY_BYTES = 3000
@@ -323,7 +323,7 @@
             answer = await link.probe_via(helper, subject)
             answers.append(answer.unwrap_or(False))
 
-        helpers = self._members.helpers(subject.instance_id, HELPERS)
+        helpers = self._members.helpers(subject.instance_id, INDIRECT_PROBES)
         async with anyio.create_task_group() as group:
             for helper in helpers:
                 group.start_soon(ask, helper)
--- a/src/cardamomfork/_internal/requests/cancellation.py
+++ b/src/cardamomfork/_internal/requests/cancellation.py
@@ -49,13 +49,13 @@
     home instance.
     """
 
-    def __init__(self, chance: random.Random) -> None:
+    def __init__(self, rng: random.Random) -> None:
         """Starts with nothing to cancel.
 
         Args:
-            chance: Source of the jitter between tries.
+            rng: Source of the jitter between tries.
         """
-        self._chance = chance
+        self._rng = rng
         self._pending: collections.deque[_Pending] = collections.deque()
         self._wake = anyio.Event()
         self._busy = 0
@@ -87,7 +87,7 @@
         link: target_link.TargetLink,
         attempt_id: identifiers.AttemptId,
     ) -> None:
-        """Cancels an attempt as soon as may be."""
+        """Queues a cancel; past the bound the oldest one is given up."""
         if len(self._pending) >= MAX_PENDING:
             self._pending.popleft()
             self.counters.given_up += 1
@@ -134,5 +134,5 @@
             return
         self.counters.repeated += 1
         longest = min(MAX_DELAY_S, FIRST_DELAY_S * 2**one.tries)
-        await anyio.sleep(self._chance.uniform(0.0, longest))
+        await anyio.sleep(self._rng.uniform(0.0, longest))
         self._pending.append(one)
--- a/src/cardamomfork/_internal/requests/poison_gate.py
+++ b/src/cardamomfork/_internal/requests/poison_gate.py
@@ -1,4 +1,4 @@
-"""Stands between a request's run and the guard against poison requests."""
+"""Holds back requests under suspicion and tells the guard how runs ended."""
 
 from __future__ import annotations
 
@@ -27,7 +27,8 @@
 """Pause before a suspect asks again for its turn, in seconds."""
 CHECK_PAUSE_S = 0.2
 CHECKS = 2
-MAX_DOUBTS = 1024
+"""Failed checks after which a target counts as dead."""
+MAX_UNCHECKED = 1024
 FORGET_PERIOD_S = 60.0
 DOWN_S = 30.0
 """Seconds for which a target found dead is no place for suspects."""
@@ -37,8 +38,8 @@
 
 
 @attrs.define
-class Passage:
-    """One attempt's way through the gate.
+class GuardedAttempt:
+    """One attempt that the guard counts.
 
     Attributes:
         fingerprint: The request.
@@ -85,10 +86,10 @@
         self._connects = connects
         self._down: dict[identifiers.TargetId, float] = {}
         self._checking: set[identifiers.TargetId] = set()
-        self._doubts: collections.deque[Passage] = collections.deque(
-            maxlen=MAX_DOUBTS
+        self._unchecked: collections.deque[GuardedAttempt] = collections.deque(
+            maxlen=MAX_UNCHECKED
         )
-        self._doubted = anyio.Event()
+        self._check_wanted = anyio.Event()
 
     async def admit(
         self, request: requests.Request
@@ -117,46 +118,48 @@
             await anyio.sleep(min(wait_s, suspicion.SUSPECT_S))
 
     def retry_after_s(self, request: requests.Request) -> float:
-        """Returns when a caller should send a lost request again."""
+        """Returns the seconds after which a caller should resend."""
         now = self._clock.monotonic()
         return self._guard.retry_at(request.fingerprint, now) - now
 
     def enter(
         self, request: requests.Request, link: target_link.TargetLink
-    ) -> Passage:
+    ) -> GuardedAttempt:
         """Notes that an attempt is sent to a target."""
         target_id = link.target.target_id
         now = self._clock.monotonic()
         self._guard.started(request.fingerprint, target_id, now)
-        return Passage(request.fingerprint, link, self._boot_of(target_id))
+        return GuardedAttempt(
+            request.fingerprint, link, self._boot_of(target_id)
+        )
 
     def leave(
-        self, passage: Passage, fault: targets.TargetFault | None
+        self, guarded: GuardedAttempt, fault: targets.TargetFault | None
     ) -> None:
         """Notes how an attempt ended; `run` looks at a target that lost one.
 
         The guard holds the request back meanwhile, so nothing waits here.
         """
-        target_id = passage.link.target.target_id
+        target_id = guarded.link.target.target_id
         now = self._clock.monotonic()
         if fault is None:
             self._down.pop(target_id, None)
         elif fault.kind is targets.FaultKind.UNREACHABLE:
             self._down[target_id] = now + DOWN_S
         if fault is not None and fault.kind in _NEVER_RAN:
-            self._guard.withdrawn(passage.fingerprint, target_id)
+            self._guard.withdrawn(guarded.fingerprint, target_id)
             return
         lost = fault is not None and fault.kind in _LOSSES
-        self._guard.ended(passage.fingerprint, target_id, now, not lost)
+        self._guard.ended(guarded.fingerprint, target_id, now, not lost)
         if lost:
-            self._doubts.append(passage)
-            self._doubted.set()
+            self._unchecked.append(guarded)
+            self._check_wanted.set()
         self._on_news()
 
-    def abandon(self, passage: Passage) -> None:
+    def abandon(self, guarded: GuardedAttempt) -> None:
         """Notes that an attempt was given up while its target was well."""
         self._guard.withdrawn(
-            passage.fingerprint, passage.link.target.target_id
+            guarded.fingerprint, guarded.link.target.target_id
         )
 
     async def run(self) -> None:
@@ -164,21 +167,21 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 with anyio.move_on_after(FORGET_PERIOD_S):
-                    await self._doubted.wait()
-                self._doubted = anyio.Event()
+                    await self._check_wanted.wait()
+                self._check_wanted = anyio.Event()
                 self._guard.forget_old(self._clock.monotonic())
-                while self._doubts:
-                    passage = self._doubts.popleft()
-                    target_id = passage.link.target.target_id
+                while self._unchecked:
+                    guarded = self._unchecked.popleft()
+                    target_id = guarded.link.target.target_id
                     if target_id not in self._checking:
                         self._checking.add(target_id)
-                        tasks.start_soon(self._check, passage)
+                        tasks.start_soon(self._check, guarded)
 
-    async def _check(self, passage: Passage) -> None:
+    async def _check(self, guarded: GuardedAttempt) -> None:
         """Finds out on a new connection whether a target died."""
-        target_id = passage.link.target.target_id
+        target_id = guarded.link.target.target_id
         try:
-            alive = await self._is_alive(passage)
+            alive = await self._is_alive(guarded)
         finally:
             self._checking.discard(target_id)
         if alive:
@@ -189,27 +192,27 @@
             self._guard.target_died(target_id, now)
         self._on_news()
 
-    async def _is_alive(self, passage: Passage) -> bool:
+    async def _is_alive(self, guarded: GuardedAttempt) -> bool:
         """Looks at a target, twice before it counts as dead."""
         for attempt in range(CHECKS):
             if attempt:
                 await anyio.sleep(CHECK_PAUSE_S)
-            if await self._answers(passage):
+            if await self._answers(guarded):
                 return True
         return False
 
-    async def _answers(self, passage: Passage) -> bool:
+    async def _answers(self, guarded: GuardedAttempt) -> bool:
         """Asks an engine for its load; only connects to a plain service.
 
         Whatever else is sent to a plain service might run there.
         """
-        target = passage.link.target
+        target = guarded.link.target
         if target.kind is targets.TargetKind.PLAIN:
             return await self._connects(target)
-        report = await passage.link.load()
+        report = await guarded.link.load()
         if isinstance(report, result.Err):
             return report.err_value.kind is targets.FaultKind.REJECTED
-        return passage.boot_id in (None, report.ok_value.boot_id)
+        return guarded.boot_id in (None, report.ok_value.boot_id)
 
     def _without_down(
         self, served: frozenset[identifiers.TargetId], now: float
--- a/src/cardamomfork/_internal/requests/reservation_sweep.py
+++ b/src/cardamomfork/_internal/requests/reservation_sweep.py
@@ -114,7 +114,7 @@
         Args:
             engines: Engines of this data centre.
             live: Live instances of this data centre, this one included.
-            now: Current time.
+            now: Monotonic time in seconds.
         """
         home = {
             engine
--- a/src/cardamomfork/_internal/requests/reservations.py
+++ b/src/cardamomfork/_internal/requests/reservations.py
@@ -127,7 +127,7 @@
         return [Release(pending.target_id, name) for name, pending in due]
 
     def next_due(self) -> float | None:
-        """Returns when to try next."""
+        """Returns the monotonic time of the next try; None if none is due."""
         return min((p.due for p in self._pending.values()), default=None)
 
     def discard(self, name: str) -> None:
--- a/src/cardamomfork/_internal/requests/running.py
+++ b/src/cardamomfork/_internal/requests/running.py
@@ -245,15 +245,15 @@
         hops: Sequence[dispatching.Hop],
     ) -> targets.TargetFault | None:
         """Makes an attempt and tells the gate how it ended."""
-        passage = self._gate.enter(run.request, link)
+        guarded = self._gate.enter(run.request, link)
         ended = False
         try:
             fault = await self._attempt_over(run, link, hops)
             ended = True
         finally:
             if not ended:
-                self._gate.abandon(passage)
-        self._gate.leave(passage, fault)
+                self._gate.abandon(guarded)
+        self._gate.leave(guarded, fault)
         return fault
 
     async def _attempt_over(
--- a/src/cardamomfork/_internal/requests/suspicion.py
+++ b/src/cardamomfork/_internal/requests/suspicion.py
@@ -33,7 +33,12 @@
 
 @attrs.frozen
 class Admission:
-    """A verdict, and when to ask again."""
+    """A verdict, and when to ask again.
+
+    Attributes:
+        verdict: What to do with the request.
+        retry_at: Monotonic time in seconds; only with `WAIT` and `QUARANTINED`.
+    """
 
     verdict: Verdict
     retry_at: float = 0.0
@@ -54,8 +59,8 @@
         held_until: Not run before.
         quarantined_until: Refused before.
         quarantines: How often it was quarantined.
-        elsewhere_until: A peer said that it runs there, until so.
-        changed: Counts this instance's changes, for the peers.
+        elsewhere_until: Not run before; a peer said that it runs there.
+        changed: The guard's count of changes at the record's last change.
     """
 
     deaths: dict[identifiers.TargetId, float] = attrs.field(factory=dict)
