Add close to the store's contract

Cause: who opens a session with the store could not close it by the contract, though the gateway's client has had `close`. Change: `Store.close`; the stand-in's sessions have it too, and the stand-in counts its open sessions. Conclusion: nothing calls it yet.

--- a/src/cardamomfork/_internal/contracts/store.py
+++ b/src/cardamomfork/_internal/contracts/store.py
@@ -168,3 +168,7 @@
         empty batch at least every few seconds.
         """
         ...
+
+    async def close(self) -> None:
+        """Closes the session's connections; no call may follow."""
+        ...
--- a/src/cardamomfork/_internal/standins/store.py
+++ b/src/cardamomfork/_internal/standins/store.py
@@ -75,6 +75,7 @@
         self._revision = 0
         self._changed = anyio.Event()
         self.counters = StoreCounters()
+        self.open_sessions = 0
 
     @property
     def revision(self) -> int:
@@ -190,7 +191,14 @@
     def __init__(self, store: MemoryStore) -> None:
         """Opens a session without faults."""
         self._store = store
+        self._closed = False
         self.faults = StoreFaults()
+        store.open_sessions += 1
+
+    async def close(self) -> None:
+        """Closes the session; again does nothing."""
+        self._store.open_sessions -= not self._closed
+        self._closed = True
 
     async def get(
         self, key: str
