Close the sessions that follow the configuration

Cause: the configuration follower opened a session with the store for each load, watch and poll, and closed none. Change: the follower closes each session after its use, also when it is cancelled at the stop, within `CLOSE_S`. Conclusion: a watcher holds one session, two while it polls, and none after the stop. The session that all parts share stays as it was.

--- a/src/cardamomfork/_internal/configuration/follower.py
+++ b/src/cardamomfork/_internal/configuration/follower.py
@@ -47,6 +47,7 @@
 MAX_RETRY_S = 2.0
 LAG_CHECK_S = 0.2
 MAX_PAGES = 2000
+CLOSE_S = 2.0
 
 
 @attrs.define
@@ -140,7 +141,7 @@
 
     async def _load(self, link: peering.PeerLink) -> None:
         """Loads everything once, from the store or else from a peer."""
-        while not await self._scan(self._connect()):
+        while not await self._scan_once():
             home = self._members.me.instance.data_centre
             for peer in self._shuffled_peers(home):
                 if await self._load_from_peer(link, peer):
@@ -159,6 +160,21 @@
         self._rng.shuffle(peers)
         return sorted(peers, key=lambda peer: peer.data_centre != home)
 
+    @contextlib.asynccontextmanager
+    async def _session(self) -> AsyncIterator[store_contract.Store]:
+        """Opens a session and closes it, also if cancelled."""
+        store = self._connect()
+        try:
+            yield store
+        finally:
+            with anyio.move_on_after(CLOSE_S, shield=True):
+                await store.close()
+
+    async def _scan_once(self) -> bool:
+        """Loads everything from the store on a session of its own."""
+        async with self._session() as store:
+            return await self._scan(store)
+
     async def _scan(self, store: store_contract.Store) -> bool:
         """Loads everything from the store."""
         self.counters.scans += 1
@@ -185,7 +201,8 @@
         pause_s = ROLE_CHECK_S
         while True:
             if self.is_watcher:
-                told = await self._watch_once(self._connect())
+                async with self._session() as store:
+                    told = await self._watch_once(store)
                 pause_s = ROLE_CHECK_S if told else pause_s * 2
             pause_s = min(pause_s, MAX_RETRY_S)
             await anyio.sleep(pause_s * self._rng.uniform(0.5, 1.5))
@@ -239,7 +256,8 @@
         while True:
             await anyio.sleep(POLL_S * self._rng.uniform(0.8, 1.2))
             if self.is_watcher:
-                await self._poll(self._connect())
+                async with self._session() as store:
+                    await self._poll(store)
 
     async def _poll(self, store: store_contract.Store) -> None:
         """Takes the first batch of a short watch."""
--- a/tests/functional/test_configuration_fleet.py
+++ b/tests/functional/test_configuration_fleet.py
@@ -7,6 +7,7 @@
 import attrs
 
 from cardamomfork._internal.configuration import codec
+from cardamomfork._internal.configuration import follower
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.standins import fleet
 from tests.lib import configurations
@@ -14,6 +15,7 @@
 
 DRAIN = configuration.ObjectKind.DRAIN
 BOUND_S = 4.0
+WATCHING = 4
 
 
 class ConfigurationFleetTest(unittest.TestCase):
@@ -46,6 +48,18 @@
 
         virtual_time.run(main)
 
+    def test_sessions_are_closed_after_use_and_at_the_stop(self):
+        async def scenario(_group):
+            store = self.fleet.store
+            self.assertEqual(store.open_sessions, WATCHING)
+            await anyio.sleep(follower.WATCH_LIFE_S * 3)
+            self.assertGreater(store.counters.watches, WATCHING * 2)
+            # A poll holds one beside a watcher's own.
+            self.assertLessEqual(store.open_sessions, WATCHING * 2)
+
+        self.run_fleet((6, 6), scenario)
+        self.assertEqual(self.fleet.store.open_sessions, 0)
+
     def test_change_reaches_all_and_few_watch(self):
         async def scenario(_group):
             self.put()
