Name the metrics' sources and default options for what they are

Cause: `seeing.py`, `NO_CONNECTION` (the default options) and a "lenient" transport needed explaining; three docstrings spoke in metaphors. Change: `composition/metrics_sources.py`, `DEFAULT_CONNECTION` and `_PostponingTransport`; the docstrings say what the parts do. Conclusion: names and texts only; no behaviour changes.

--- a/src/cardamomfork/_internal/cli/commands/accounts.py
+++ b/src/cardamomfork/_internal/cli/commands/accounts.py
@@ -8,7 +8,7 @@
 from cardamomfork._internal.links.operators import client
 from cardamomfork._internal.models import configuration
 
-NO_CONNECTION = connection_module.Connection()
+DEFAULT_CONNECTION = connection_module.Connection()
 
 COLUMNS = (
     "account",
@@ -24,7 +24,7 @@
 
 
 def run(
-    *, connection: connection_module.Connection = NO_CONNECTION
+    *, connection: connection_module.Connection = DEFAULT_CONNECTION
 ) -> exit_codes.ExitCode:
     """List client accounts with their limits and number of keys.
 
--- a/src/cardamomfork/_internal/cli/commands/apply.py
+++ b/src/cardamomfork/_internal/cli/commands/apply.py
@@ -12,7 +12,7 @@
 from cardamomfork._internal.links.operators import client
 from cardamomfork._internal.links.operators import collaborators
 
-NO_CONNECTION = connection_module.Connection()
+DEFAULT_CONNECTION = connection_module.Connection()
 
 
 def run(
@@ -20,7 +20,7 @@
     /,
     *,
     check: bool = False,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Send a change set; it is checked whole before anything is written.
 
--- a/src/cardamomfork/_internal/cli/commands/diff.py
+++ b/src/cardamomfork/_internal/cli/commands/diff.py
@@ -14,14 +14,14 @@
 from cardamomfork._internal.links.operators import client
 from cardamomfork._internal.models import configuration
 
-NO_CONNECTION = connection_module.Connection()
+DEFAULT_CONNECTION = connection_module.Connection()
 
 
 def run(
     file: pathlib.Path,
     /,
     *,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Show what a change set would change; exit code 8 if anything.
 
--- a/src/cardamomfork/_internal/cli/commands/drain.py
+++ b/src/cardamomfork/_internal/cli/commands/drain.py
@@ -7,7 +7,7 @@
 from cardamomfork._internal.cli import exit_codes
 from cardamomfork._internal.models import configuration
 
-NO_CONNECTION = connection_module.Connection()
+DEFAULT_CONNECTION = connection_module.Connection()
 
 
 def run(
@@ -15,7 +15,7 @@
     /,
     *,
     reason: str = "",
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Let a target or instance take no new work; what runs there finishes.
 
--- a/src/cardamomfork/_internal/cli/commands/dump.py
+++ b/src/cardamomfork/_internal/cli/commands/dump.py
@@ -8,13 +8,13 @@
 from cardamomfork._internal.links.operators import client
 from cardamomfork._internal.telemetry import dump
 
-NO_CONNECTION = connection_module.Connection()
+DEFAULT_CONNECTION = connection_module.Connection()
 
 
 def run(
     *tables: str,
     rows: int = dump.DEFAULT_ROWS,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Show an instance's tables, each with its size and bound.
 
--- a/src/cardamomfork/_internal/cli/commands/get.py
+++ b/src/cardamomfork/_internal/cli/commands/get.py
@@ -9,7 +9,7 @@
 from cardamomfork._internal.links.operators import client
 from cardamomfork._internal.models import configuration
 
-NO_CONNECTION = connection_module.Connection()
+DEFAULT_CONNECTION = connection_module.Connection()
 
 
 def run(
@@ -17,7 +17,7 @@
     name: str,
     /,
     *,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Show one object, with JSON in the form that `apply` takes.
 
--- a/src/cardamomfork/_internal/cli/commands/keys.py
+++ b/src/cardamomfork/_internal/cli/commands/keys.py
@@ -15,7 +15,7 @@
 from cardamomfork._internal.cli import output as output_module
 from cardamomfork._internal.models import configuration
 
-NO_CONNECTION = connection_module.Connection()
+DEFAULT_CONNECTION = connection_module.Connection()
 OVERLAP_S = 86_400.0
 DAY_S = 86_400.0
 
@@ -44,7 +44,7 @@
     /,
     *,
     overlap: float = OVERLAP_S,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Give an account a new key; the old ones end after the overlap.
 
@@ -85,7 +85,7 @@
     key_id: str,
     /,
     *,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """End one of an account's keys at once.
 
@@ -119,7 +119,7 @@
     account: str,
     /,
     *,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """List an account's key ids and when they end.
 
--- a/src/cardamomfork/_internal/cli/commands/list.py
+++ b/src/cardamomfork/_internal/cli/commands/list.py
@@ -9,12 +9,12 @@
 from cardamomfork._internal.links.operators import client
 from cardamomfork._internal.models import configuration
 
-NO_CONNECTION = connection_module.Connection()
+DEFAULT_CONNECTION = connection_module.Connection()
 
 
 def run(
     *kinds: configuration.ObjectKind,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """List objects in force, with JSON in the form that `apply` takes.
 
--- a/src/cardamomfork/_internal/cli/commands/order.py
+++ b/src/cardamomfork/_internal/cli/commands/order.py
@@ -12,7 +12,7 @@
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.models import identifiers
 
-NO_CONNECTION = connection_module.Connection()
+DEFAULT_CONNECTION = connection_module.Connection()
 
 Action = configuration.OrderAction
 
@@ -28,7 +28,7 @@
     model_version: Annotated[
         str, cyclopts.Parameter(name="--model-version")
     ] = "",
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Order an engine to run a model.
 
@@ -58,7 +58,7 @@
     model: str,
     /,
     *,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Order an engine to drop a model.
 
@@ -80,7 +80,7 @@
     role: str,
     /,
     *,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Order an engine to change its role.
 
@@ -101,7 +101,7 @@
     target: str,
     /,
     *,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Withdraw an engine's order; it keeps what it runs.
 
--- a/src/cardamomfork/_internal/cli/commands/status.py
+++ b/src/cardamomfork/_internal/cli/commands/status.py
@@ -10,7 +10,7 @@
 from cardamomfork._internal.links.operators import client
 from cardamomfork._internal.links.operators import collaborators
 
-NO_CONNECTION = connection_module.Connection()
+DEFAULT_CONNECTION = connection_module.Connection()
 WAIT_S = 30.0
 
 
@@ -18,7 +18,7 @@
     *,
     wait: int = 0,
     timeout: float = WAIT_S,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Show the instances and the configuration in force on each.
 
--- a/src/cardamomfork/_internal/cli/commands/undrain.py
+++ b/src/cardamomfork/_internal/cli/commands/undrain.py
@@ -7,14 +7,14 @@
 from cardamomfork._internal.cli import exit_codes
 from cardamomfork._internal.models import configuration
 
-NO_CONNECTION = connection_module.Connection()
+DEFAULT_CONNECTION = connection_module.Connection()
 
 
 def run(
     name: str,
     /,
     *,
-    connection: connection_module.Connection = NO_CONNECTION,
+    connection: connection_module.Connection = DEFAULT_CONNECTION,
 ) -> exit_codes.ExitCode:
     """Let a drained target or instance take new work again.
 
--- a/src/cardamomfork/_internal/composition/engine_news.py
+++ b/src/cardamomfork/_internal/composition/engine_news.py
@@ -1,4 +1,4 @@
-"""What the watched engines tell, on its way to routing and to the peers."""
+"""Passes what the watched engines report on to routing and to the peers."""
 
 from __future__ import annotations
 
--- a/src/cardamomfork/_internal/composition/seeing.py
+++ b/src/cardamomfork/_internal/composition/metrics_sources.py
@@ -1,4 +1,4 @@
-"""Feeds the metrics from the sides of a process."""
+"""Records metrics of requests and reads those of the other parts."""
 
 from __future__ import annotations
 
--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -13,9 +13,9 @@
 from cardamomfork._internal import wiring
 from cardamomfork._internal.composition import applying
 from cardamomfork._internal.composition import engine_news
+from cardamomfork._internal.composition import metrics_sources
 from cardamomfork._internal.composition import platform as platform_module
 from cardamomfork._internal.composition import questions
-from cardamomfork._internal.composition import seeing
 from cardamomfork._internal.composition import surroundings
 from cardamomfork._internal.composition import tables
 from cardamomfork._internal.contracts import clock as clock_contract
@@ -146,7 +146,7 @@
             on_poison_news=_make_poison_push(fleet, poison_news),
             staying=_make_staying(fleet),
             watches=news.is_mine,
-            observer=seeing.MetricsObserver(observation.metrics),
+            observer=metrics_sources.MetricsObserver(observation.metrics),
         ),
     )
     _connect_fleet(fleet, serving)
@@ -154,7 +154,9 @@
     tables.register(
         observation, serving, fleet, dispatcher, order_side.keeper, guard
     )
-    seeing.watch_sides(observation.metrics, serving, fleet, dispatcher, clock)
+    metrics_sources.watch_sides(
+        observation.metrics, serving, fleet, dispatcher, clock
+    )
     return Process(
         settings=settings,
         platform=platform,
--- a/src/cardamomfork/_internal/composition/tables.py
+++ b/src/cardamomfork/_internal/composition/tables.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from cardamomfork._internal.accounts import limits
-from cardamomfork._internal.composition import seeing
+from cardamomfork._internal.composition import metrics_sources
 from cardamomfork._internal.configuration import replica
 from cardamomfork._internal.contracts import gossip
 from cardamomfork._internal.data_centres import summaries
@@ -315,7 +315,7 @@
         MAX_TOPICS,
         lambda: [
             {"topic": topic, "bytes": int(count)}
-            for topic, count in seeing.bytes_by_topic(fleet).items()
+            for topic, count in metrics_sources.bytes_by_topic(fleet).items()
         ],
     )
     yield dump.Table(
--- a/src/cardamomfork/_internal/links/event_loop.py
+++ b/src/cardamomfork/_internal/links/event_loop.py
@@ -21,7 +21,7 @@
     from collections.abc import Callable
 
 
-class _LenientTransport:
+class _PostponingTransport:
     """A transport whose reading can be paused and resumed at any time."""
 
     def __init__(self, transport: asyncio.Transport) -> None:
@@ -63,11 +63,11 @@
     def __init__(self, inner: Any) -> None:
         """Takes the protocol to pass everything on to."""
         self.inner = inner
-        self._transport: _LenientTransport | None = None
+        self._transport: _PostponingTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Gives the inner protocol a transport that it can work with."""
-        self._transport = _LenientTransport(
+        self._transport = _PostponingTransport(
             typing.cast("asyncio.Transport", transport)
         )
         self.inner.connection_made(self._transport)
@@ -105,7 +105,7 @@
 
 
 def _wrap(factory: Callable[[], Any]) -> Callable[[], Any]:
-    """Returns a factory whose buffered protocols get a lenient transport."""
+    """Returns a factory whose buffered protocols can pause at any time."""
 
     def make() -> Any:
         made = factory()
--- a/src/cardamomfork/_internal/telemetry/observing.py
+++ b/src/cardamomfork/_internal/telemetry/observing.py
@@ -1,4 +1,4 @@
-"""All that makes a process visible, wired from its settings."""
+"""The metrics, state dump and watchdog of a process."""
 
 from __future__ import annotations
 
@@ -69,7 +69,7 @@
     settings: settings_models.DaemonSettings,
     clock: clock_contract.Clock,
 ) -> Observation:
-    """Makes what a process is seen by; nothing runs yet."""
+    """Makes metrics, state dump and watchdog; nothing runs yet."""
     instance_id = settings.instance.instance_id
     state = dump.StateDump(instance_id)
     export = exporting.MetricsExport(settings.telemetry, instance_id)
--- a/tests/unit/test_seeing.py
+++ b/tests/unit/test_metrics_sources.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from cardamomfork._internal.composition import seeing
+from cardamomfork._internal.composition import metrics_sources
 from cardamomfork._internal.composition import tables
 from cardamomfork._internal.contracts import clock
 from cardamomfork._internal.models import outcomes
@@ -23,7 +23,7 @@
         self.export = exporting.MetricsExport(
             settings.TelemetrySettings(), "one"
         )
-        self.observer = seeing.MetricsObserver(
+        self.observer = metrics_sources.MetricsObserver(
             metrics.Metrics(self.export.meter)
         )
 
