Close the shared session with the store at the stop

Cause: a stop closed the links to targets and left the store's connections to the end of the process. Change: one call at the close of a process. Conclusion: nothing is left open.

--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -119,8 +119,9 @@
             )
 
     async def close(self) -> None:
-        """Drops connections."""
+        """Drops the connections to targets and to the store."""
         await self.serving.links.close()
+        await self.platform.store.close()
 
 
 def make_process(settings: settings_models.DaemonSettings) -> Process:
