--- a/src/cardamomfork/_internal/instances/joining.py
+++ b/src/cardamomfork/_internal/instances/joining.py
@@ -23,6 +23,7 @@
 from cardamomfork._internal.data_centres import rendezvous
 from cardamomfork._internal.data_centres import summaries
 from cardamomfork._internal.instances import byte_budget
+from cardamomfork._internal.instances import identity
 from cardamomfork._internal.instances import membership
 from cardamomfork._internal.instances import membership_gossip
 from cardamomfork._internal.instances import peering
@@ -107,6 +108,7 @@
                 async with anyio.create_task_group() as group:
                     group.start_soon(self.peering.run, self.link)
                     group.start_soon(self.peering.seek, self.link, self.seeds)
+                    group.start_soon(identity.warn_superseded, self.members)
                     if self.follower is not None:
                         group.start_soon(self.follower.run, self.link)
                     if self.secured is not None:
--- a/src/cardamomfork/_internal/instances/membership.py
+++ b/src/cardamomfork/_internal/instances/membership.py
@@ -88,7 +88,7 @@
         """A later boot id heard for this instance's name, or None.
 
         Either this process' clock was behind at its start or two processes
-        run under one name; the daemon logs it and starts again.
+        run under one name; `identity.warn_superseded` logs it.
         """
         return self._superseded_by
 
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -7,8 +7,10 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import loguru
 
 from cardamomfork._internal.instances import byte_budget
+from cardamomfork._internal.instances import identity
 from cardamomfork._internal.instances import membership
 from cardamomfork._internal.instances import records
 from cardamomfork._internal.models import instances
@@ -25,6 +27,27 @@
     return membership.Membership(instance(name), random.Random(1), **rest)
 
 
+class IdentityTest(unittest.TestCase):
+    def test_later_life_under_the_same_name_is_logged_once(self):
+        lines = []
+        sink = loguru.logger.add(lines.append, level="ERROR")
+        self.addCleanup(loguru.logger.remove, sink)
+        me = table()
+
+        async def scenario():
+            async with anyio.create_task_group() as group:
+                group.start_soon(identity.warn_superseded, me)
+                await anyio.sleep(20.0)
+                self.assertEqual(lines, [])
+                me.hear(records.Record(instance("me", "b9")), 20.0)
+                await anyio.sleep(20.0)
+                group.cancel_scope.cancel()
+
+        virtual_time.run(scenario)
+        self.assertEqual(len(lines), 1)
+        self.assertIn("superseded", lines[0])
+
+
 class MembershipTest(unittest.TestCase):
     def test_suspicion_comes_first_and_can_be_refuted(self):
         me = table()
