Drop code that nothing calls and a second look-up of targets

Cause: a reading of the whole change found eight functions without a caller, and the gate for suspects that looked the service's targets up twice. Change: they are gone (is_loaded, look_up with the committer's read, open_attempts, watched_count, pools_of, is_cached, last_bytes); the gate looks once. Conclusion: behaviour is as before.

--- a/src/cardamomfork/_internal/configuration/follower.py
+++ b/src/cardamomfork/_internal/configuration/follower.py
@@ -118,11 +118,6 @@
         names = rendezvous.owners(key, self._members.staying(), WATCHERS)
         return me.instance_id in names
 
-    @property
-    def is_loaded(self) -> bool:
-        """Whether a first configuration is in force."""
-        return self._loaded.is_set()
-
     async def wait_loaded(self) -> None:
         """Waits until a first configuration is in force."""
         await self._loaded.wait()
--- a/src/cardamomfork/_internal/requests/claims/committer.py
+++ b/src/cardamomfork/_internal/requests/claims/committer.py
@@ -19,7 +19,6 @@
 from cardamomfork._internal.requests.claims import records
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
     from collections.abc import Sequence
     import random
 
@@ -182,13 +181,6 @@
         self._enqueue(record, operation, keep_s)
         return True
 
-    async def read(
-        self, record: str
-    ) -> Mapping[bytes, records.ClaimEntry] | None:
-        """Reads a record afresh; None if the store gives no answer."""
-        cached = await self._records.refresh(record)
-        return None if cached is None else cached.entries
-
     async def drain(self) -> None:
         """Waits until nothing waits; bound it by a time limit."""
         await self._idle.wait()
--- a/src/cardamomfork/_internal/requests/claims/ledger.py
+++ b/src/cardamomfork/_internal/requests/claims/ledger.py
@@ -172,20 +172,6 @@
         )
         return verdict.verdict is records.Verdict.SETTLED
 
-    async def look_up(
-        self, account: identifiers.AccountName, key: str
-    ) -> claiming.StoredOutcome | None:
-        """Returns what the store holds of a key; None for nothing known."""
-        located = keys.locate(self._policy, account, key, self._wall.now())
-        if isinstance(located, result.Err):
-            return None
-        place = located.ok_value
-        entries = await self._committer.read(place.record)
-        entry = entries.get(place.digest) if entries else None
-        if entry is None:
-            return None
-        return _stored(records.OperationResult(records.Verdict.STORED, entry))
-
     async def serve(self, payload: bytes) -> bytes:
         """Commits an operation that another instance forwarded.
 
--- a/src/cardamomfork/_internal/requests/lifecycle.py
+++ b/src/cardamomfork/_internal/requests/lifecycle.py
@@ -109,11 +109,6 @@
         """Attempts begun so far."""
         return self._begun
 
-    @property
-    def open_attempts(self) -> tuple[attempts.AttemptMachine, ...]:
-        """Attempts that have not ended; cancel these once it has an end."""
-        return tuple(a for a in self._open if not a.terminal)
-
     @property
     def source(self) -> attempts.AttemptMachine | None:
         """The attempt whose bytes go to the caller; a hedge's winner."""
--- a/src/cardamomfork/_internal/requests/poison_gate.py
+++ b/src/cardamomfork/_internal/requests/poison_gate.py
@@ -107,13 +107,11 @@
                 return result.Err(_quarantined(admission.retry_at - now))
             if admission.verdict is suspicion.Verdict.ALONE:
                 served = self._targets_of(request.service)
-                served = self._without_down(served, now)
                 place = self._guard.isolation_target(
-                    request.fingerprint, served, now
+                    request.fingerprint, self._without_down(served, now), now
                 )
                 if place is not None:
-                    every = self._targets_of(request.service)
-                    return result.Ok(every - {place})
+                    return result.Ok(served - {place})
             wait_s = max(admission.retry_at - now, TURN_S)
             await anyio.sleep(min(wait_s, suspicion.SUSPECT_S))
 
--- a/src/cardamomfork/_internal/requests/reservation_sweep.py
+++ b/src/cardamomfork/_internal/requests/reservation_sweep.py
@@ -98,11 +98,6 @@
         self._releases = reservations.Releases(rng, MAX_WATCHED)
         self.foreign_names = 0
 
-    @property
-    def watched_count(self) -> int:
-        """Reservations that are watched."""
-        return len(self._watched)
-
     def engines_to_list(
         self,
         engines: Collection[identifiers.TargetId],
--- a/src/cardamomfork/_internal/routing/fleet.py
+++ b/src/cardamomfork/_internal/routing/fleet.py
@@ -77,10 +77,6 @@
             model = ""
         return self._pools.get((request.service, model))
 
-    def pools_of(self, target_id: identifiers.TargetId) -> Iterable[pools.Pool]:
-        """Returns the pools that a target is part of."""
-        return [self._pools[key] for key in self._pools_of.get(target_id, ())]
-
     def apply(self, service: configuration.Service, now: float) -> None:
         """Takes a service's configuration."""
         self._services[service.name] = service
--- a/src/cardamomfork/_internal/standins/engine_memory.py
+++ b/src/cardamomfork/_internal/standins/engine_memory.py
@@ -111,10 +111,6 @@
             count += 1
         return count * BLOCK_TOKENS
 
-    def is_cached(self, prefix_hash: int) -> bool:
-        """Tells whether a block is in the cache."""
-        return prefix_hash in self._cache
-
     def store(self, hashes: tuple[int, ...]) -> None:
         """Puts a prompt's blocks into the cache."""
         new = tuple(one for one in hashes if one not in self._cache)
--- a/src/cardamomfork/_internal/telemetry/watchdog.py
+++ b/src/cardamomfork/_internal/telemetry/watchdog.py
@@ -65,11 +65,6 @@
             collections.deque(maxlen=samples)
         )
 
-    @property
-    def last_bytes(self) -> float:
-        """The newest sample, in bytes."""
-        return self._samples[-1][1] if self._samples else 0.0
-
     @property
     def bytes_per_h(self) -> float | None:
         """The slope in bytes an hour; None for too few samples."""
