--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/application.py
@@ -0,0 +1,366 @@
+"""The ASGI applications of an entry instance."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import result
+import xxhash
+
+from cardamomfork._internal.gateway import caller_protocol
+from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway import forwarding
+from cardamomfork._internal.gateway import peers
+from cardamomfork._internal.gateway import request_log
+from cardamomfork._internal.models import fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from cardamomfork._internal.contracts import platform_format
+    from cardamomfork._internal.gateway import fleet_state
+    from cardamomfork._internal.gateway import routes
+    from cardamomfork._internal.gateway import stopping
+    from cardamomfork._internal.gateway import traffic_metrics
+    from cardamomfork._internal.models import forwarding as forwarding_models
+    from cardamomfork._internal.telemetry import exporting
+
+    Receive = Callable[[], Awaitable[dict[str, Any]]]
+    Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+MAX_IN_PROGRESS = 1500
+"""Requests at once; with their bodies they stay well under the memory."""
+RETRY_AFTER_OVERLOAD_S = 1.0
+RETRY_AFTER_START_S = 0.5
+"""Time to come back while the instance has no configuration yet."""
+RETRY_AFTER_STOP_S = 0.05
+"""Time to come back from an instance that stops; others have room."""
+STREAM_STOP_S = 5.0
+CALL_STOP_S = 1.5
+"""Time until the exit that a new stream, and another request, need."""
+
+OK = 200
+NOT_FOUND = 404
+TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+UNAVAILABLE = 503
+
+_CLOSE = (b"connection", b"close")
+
+
+class _Sink:
+    """Sends an answer to the caller; meets `attempt.CallerSink`."""
+
+    def __init__(self, send: Send, stop: stopping.StopState) -> None:
+        """Takes where messages go."""
+        self._send = send
+        self._stop = stop
+        self.status = 0
+
+    async def start(
+        self,
+        status: int,
+        headers: forwarding_models.Headers,
+        length: int | None,
+    ) -> None:
+        """Sends the head; chunked if the length isn't known."""
+        pairs = list(headers)
+        if length is not None:
+            pairs.append((b"content-length", b"%d" % length))
+        if self._stop.is_stopping:
+            pairs.append(_CLOSE)
+        self.status = status
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": pairs,
+            }
+        )
+
+    async def send(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def finish(self) -> None:
+        """Ends the answer."""
+        await self._send(
+            {"type": "http.response.body", "body": b"", "more_body": False}
+        )
+
+    async def answer(
+        self, final: forwarding.FinalAnswer, *, close: bool = False
+    ) -> None:
+        """Sends a whole answer of the system's own."""
+        body = final.reason.encode("utf-8", "replace") + b"\n"
+        pairs = [(b"content-type", b"text/plain; charset=utf-8")]
+        if final.retry_after_s is not None:
+            pairs.append((b"retry-after", b"%.3f" % final.retry_after_s))
+        if close:
+            pairs.append(_CLOSE)
+        await self.start(final.status, tuple(pairs), len(body))
+        await self.send(body)
+        await self.finish()
+
+
+@attrs.frozen
+class _Bodyless:
+    """Why a request's body was not read to its end."""
+
+    final: forwarding.FinalAnswer | None
+
+
+class CallerApplication:
+    """Serves callers."""
+
+    def __init__(
+        self,
+        wire: platform_format.PlatformFormat,
+        state: fleet_state.FleetState,
+        forwarder: forwarding.Forwarder,
+        stop: stopping.StopState,
+        metrics: traffic_metrics.TrafficMetrics,
+        clock: Callable[[], float],
+        source: random.Random,
+    ) -> None:
+        """Takes the parts of the request path."""
+        self._wire = wire
+        self._state = state
+        self._forwarder = forwarder
+        self._stop = stop
+        self._metrics = metrics
+        self._clock = clock
+        self._source = source
+        self._in_progress = 0
+
+    @property
+    def in_progress(self) -> int:
+        """Requests that have no final answer yet."""
+        return self._in_progress
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Serves one request."""
+        arrived_at = self._clock()
+        sink = _Sink(send, self._stop)
+        request = self._wire.decode_request(
+            scope["method"],
+            scope["extensions"][caller_protocol.RAW_TARGET],
+            scope["headers"],
+        )
+        log = request_log.RequestLog(request.request_id)
+        matched = self._match(request, scope)
+        if isinstance(matched, result.Err):
+            final = matched.err_value
+            version = self._version()
+            log.rejected(final.reason, final.status, version)
+            self._metrics.rejected(final.status)
+            await sink.answer(final)
+            return
+        body = await self._read_body(receive)
+        if isinstance(body, _Bodyless):
+            if body.final is not None:
+                log.rejected(
+                    body.final.reason, body.final.status, self._version()
+                )
+                await sink.answer(body.final, close=True)
+            return
+        exchange = forwarding.Exchange(
+            request=request,
+            body=body,
+            match=matched.ok_value,
+            sink=sink,
+            arrived_at=arrived_at,
+            fingerprint=_fingerprint(request, body),
+            log=log,
+        )
+        self._in_progress += 1
+        try:
+            await self._serve(exchange, receive, sink)
+        finally:
+            self._in_progress -= 1
+
+    def _match(
+        self, request: forwarding_models.CallerRequest, scope: dict[str, Any]
+    ) -> result.Result[routes.Match, forwarding.FinalAnswer]:
+        """Returns what the configuration says, or the answer without it."""
+        table = self._state.routes
+        if table is None:
+            return result.Err(
+                forwarding.FinalAnswer(
+                    UNAVAILABLE, "no configuration yet", RETRY_AFTER_START_S
+                )
+            )
+        size = sum(len(name) + len(value) for name, value in scope["headers"])
+        if size > table.configuration.limits.max_header_bytes:
+            return result.Err(
+                forwarding.FinalAnswer(HEADERS_TOO_LARGE, "headers too large")
+            )
+        if self._in_progress >= MAX_IN_PROGRESS:
+            return result.Err(
+                forwarding.FinalAnswer(
+                    UNAVAILABLE,
+                    "too many requests here",
+                    RETRY_AFTER_OVERLOAD_S,
+                )
+            )
+        matched = table.match(request, self._source)
+        if isinstance(matched, result.Err):
+            rejection = matched.err_value
+            return result.Err(
+                forwarding.FinalAnswer(
+                    rejection.value, rejection.name.lower().replace("_", " ")
+                )
+            )
+        is_stream = matched.ok_value.route.rule is fleet.RepeatRule.STREAM
+        needed = STREAM_STOP_S if is_stream else CALL_STOP_S
+        if self._stop.left_s(self._clock()) < needed:
+            return result.Err(
+                forwarding.FinalAnswer(
+                    UNAVAILABLE, "stopping", RETRY_AFTER_STOP_S
+                )
+            )
+        return matched
+
+    async def _read_body(self, receive: Receive) -> bytes | _Bodyless:
+        """Reads a request's body."""
+        table = self._state.routes
+        most = table.configuration.limits.max_body_bytes if table else 0
+        parts = []
+        size = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return _Bodyless(None)
+            parts.append(message["body"])
+            size += len(message["body"])
+            if size > most:
+                return _Bodyless(
+                    forwarding.FinalAnswer(TOO_LARGE, "body too large")
+                )
+            if not message["more_body"]:
+                return b"".join(parts)
+
+    async def _serve(
+        self, exchange: forwarding.Exchange, receive: Receive, sink: _Sink
+    ) -> None:
+        """Forwards a request until its end, or until its caller leaves."""
+        reason = "caller left"
+        async with anyio.create_task_group() as tasks:
+
+            async def watch() -> None:
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(watch)
+            final = await self._forwarder.forward(exchange)
+            if final is None:
+                reason = "answered"
+            elif exchange.progress.has_started:
+                reason = f"cut: {final.reason}"
+            else:
+                reason = final.reason
+                await sink.answer(final)
+            tasks.cancel_scope.cancel()
+        seconds = self._clock() - exchange.arrived_at
+        exchange.log.ended(
+            exchange.match,
+            sink.status,
+            reason,
+            seconds,
+            f"events {exchange.progress.events}, arrivals"
+            f" {exchange.arrivals}, configuration age"
+            f" {self._state.configuration_age_s:.1f} s",
+        )
+        self._metrics.ended(exchange, sink.status, reason, seconds)
+
+    def _version(self) -> int:
+        """Returns the version of the configuration; 0 if there is none."""
+        table = self._state.routes
+        return table.configuration.version if table else 0
+
+
+class ReadinessApplication:
+    """Tells the balancer whether this instance takes new connections."""
+
+    def __init__(self, path: str, is_ready: Callable[[], bool]) -> None:
+        """Takes the path that is asked and what decides."""
+        self._path = path
+        self._is_ready = is_ready
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Answers one question."""
+        del receive
+        status = NOT_FOUND
+        if scope["path"] == self._path:
+            status = OK if self._is_ready() else UNAVAILABLE
+        await _answer_bytes(send, status, b"")
+
+
+class PeerApplication:
+    """Gives peers the configuration that is in force here."""
+
+    def __init__(self, state: fleet_state.FleetState) -> None:
+        """Takes what holds the configuration."""
+        self._state = state
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Answers one question."""
+        del receive
+        stored = self._state.stored
+        if scope["path"] != peers.CONFIGURATION_PATH or stored is None:
+            await _answer_bytes(send, NOT_FOUND, b"")
+            return
+        body = digest_codec.encode_configuration(stored)
+        await _answer_bytes(send, OK, body)
+
+
+async def _answer_bytes(send: Send, status: int, body: bytes) -> None:
+    """Sends a whole answer."""
+    length = (b"content-length", b"%d" % len(body))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [length],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+def _fingerprint(
+    request: forwarding_models.CallerRequest, body: bytes
+) -> int:
+    """Tells requests with the same path, caller and body."""
+    digest = xxhash.xxh3_64(request.target)
+    digest.update(request.api_key.encode("latin-1"))
+    digest.update(body)
+    return int(digest.intdigest())
+
+
+class MetricsApplication:
+    """Serves the metrics as text."""
+
+    def __init__(self, scrape: Callable[[], exporting.Scrape]) -> None:
+        """Takes what collects them."""
+        self._scrape = scrape
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Answers one scrape."""
+        del scope, receive
+        await _answer_bytes(send, OK, self._scrape().body)
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/daemon.py
@@ -0,0 +1,44 @@
+"""The program of an entry instance on a platform: its composition root."""
+
+from __future__ import annotations
+
+import sys
+
+import anyio
+from loguru import logger
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.gateway import process
+from cardamomfork._internal.links import event_loop
+from cardamomfork._internal.platform import node_settings
+from cardamomfork._internal.platform import store_client
+from cardamomfork._internal.platform import wire_format
+from cardamomfork._internal.telemetry import bounded_output
+from cardamomfork._internal.telemetry import logs
+
+
+def main() -> None:
+    """Runs the program; a message on stderr says why it can't start."""
+    try:
+        path = node_settings.find_path()
+        settings = node_settings.load(path)
+    except exceptions.CardamomforkError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(1)
+    logs.configure(
+        "INFO",
+        bounded_output.BoundedOutput(sys.stdout.fileno()),
+        instance_id=settings.instance_id,
+        data_centre=settings.data_centre,
+    )
+    gateway = process.GatewayProcess(
+        settings,
+        wire_format.WireFormat(),
+        store_client.PlatformStore(settings.store_host, settings.store_port),
+        lambda: node_settings.load(path),
+    )
+    try:
+        anyio.run(gateway.run, backend_options=event_loop.BACKEND_OPTIONS)
+    except BaseException:
+        logger.exception("ended by an error")
+        raise
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/digest_codec.py
@@ -0,0 +1,170 @@
+"""Digests and configurations between peers, as Cap'n Proto messages."""
+
+from __future__ import annotations
+
+import functools
+import math
+import pathlib
+from typing import Any
+
+import attrs
+import capnp
+import result
+
+from cardamomfork._internal.gateway import fleet_state
+from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway import placement
+from cardamomfork._internal.gateway import poison_guard
+
+MS_PER_S = 1000.0
+MAX_MS = 2**31
+_PATH = pathlib.Path(__file__).with_name("digests.capnp")
+
+
+@attrs.frozen
+class Peer:
+    """Where an instance is reached.
+
+    Attributes:
+        instance_id: Its name.
+        host: IP number.
+        port: TCP and UDP port.
+    """
+
+    instance_id: str
+    host: str
+    port: int
+
+
+@attrs.frozen
+class Digest:
+    """What an instance tells its peers.
+
+    Attributes:
+        sender: Where it comes from.
+        incarnation: Differs with each start of the sender.
+        sequence: Grows with each digest of an incarnation.
+        configuration_revision: The store's revision of what is in force.
+        is_leaving: Whether the sender is about to stop.
+        jobs: What the sender has placed.
+        deaths: Targets that requests have crashed.
+    """
+
+    sender: Peer
+    incarnation: int
+    sequence: int
+    configuration_revision: int
+    is_leaving: bool
+    jobs: tuple[load_view.Job, ...]
+    deaths: tuple[poison_guard.Death, ...]
+
+
+@functools.cache
+def _schema() -> Any:
+    """Returns the schema, read at the first use."""
+    return capnp.load(str(_PATH))
+
+
+def encode(digest: Digest, now: float) -> bytes:
+    """Returns a digest as bytes; times are sent as durations from now."""
+    message = _schema().Digest.new_message(
+        instanceId=digest.sender.instance_id,
+        incarnation=digest.incarnation,
+        sequence=digest.sequence,
+        host=digest.sender.host,
+        port=digest.sender.port,
+        configurationRevision=digest.configuration_revision,
+        isLeaving=digest.is_leaving,
+    )
+    jobs = message.init("jobs", len(digest.jobs))
+    for index, job in enumerate(digest.jobs):
+        _fill_job(jobs[index], job, now)
+    deaths = message.init("deaths", len(digest.deaths))
+    for index, death in enumerate(digest.deaths):
+        deaths[index].fingerprint = death.fingerprint
+        deaths[index].targetId = death.target_id
+    return bytes(message.to_bytes_packed())
+
+
+def decode(data: bytes, now: float) -> result.Result[Digest, str]:
+    """Decodes a digest; an error says what is wrong with the bytes."""
+    try:
+        message = _schema().Digest.from_bytes_packed(data)
+        sender = Peer(message.instanceId, message.host, message.port)
+        return result.Ok(
+            Digest(
+                sender,
+                message.incarnation,
+                message.sequence,
+                message.configurationRevision,
+                message.isLeaving,
+                tuple(
+                    _make_job(f"{sender.instance_id}#{index}", job, now)
+                    for index, job in enumerate(message.jobs)
+                ),
+                tuple(
+                    poison_guard.Death(death.fingerprint, death.targetId)
+                    for death in message.deaths
+                ),
+            )
+        )
+    except (capnp.KjException, ValueError) as error:
+        return result.Err(f"malformed digest: {type(error).__name__}")
+
+
+def encode_configuration(stored: fleet_state.StoredConfiguration) -> bytes:
+    """Returns a configuration as bytes."""
+    message = _schema().StoredConfiguration.new_message(
+        revision=stored.revision, value=stored.value
+    )
+    return bytes(message.to_bytes())
+
+
+def decode_configuration(
+    data: bytes,
+) -> result.Result[fleet_state.StoredConfiguration, str]:
+    """Decodes a configuration; an error says what is wrong."""
+    try:
+        with _schema().StoredConfiguration.from_bytes(data) as message:
+            return result.Ok(
+                fleet_state.StoredConfiguration(
+                    bytes(message.value), message.revision
+                )
+            )
+    except (capnp.KjException, ValueError) as error:
+        return result.Err(f"malformed configuration: {type(error).__name__}")
+
+
+def _fill_job(message: Any, job: load_view.Job, now: float) -> None:
+    """Fills the message of a job."""
+    message.targetId = job.target_id
+    message.helperIds = list(job.helper_ids)
+    message.promptTokens = job.prompt_tokens
+    message.outputTokens = job.output_tokens
+    gap = 0.0 if math.isinf(job.max_gap_s) else job.max_gap_s
+    message.maxGapMs = round(gap * MS_PER_S)
+    message.readingLeftMs = _to_ms(job.reads_until - now)
+    message.endsInMs = _to_ms(job.ends_at - now)
+    message.isWriting = job.is_writing
+
+
+def _make_job(job_id: str, message: Any, now: float) -> load_view.Job:
+    """Returns the job that a message holds."""
+    return load_view.Job(
+        job_id=job_id,
+        target_id=message.targetId,
+        helper_ids=tuple(message.helperIds),
+        prompt_tokens=message.promptTokens,
+        output_tokens=message.outputTokens,
+        max_gap_s=message.maxGapMs / MS_PER_S or math.inf,
+        value=placement.value_of(message.promptTokens),
+        placed_at=now,
+        reads_until=now + message.readingLeftMs / MS_PER_S,
+        is_writing=message.isWriting,
+        ends_at=now + message.endsInMs / MS_PER_S,
+    )
+
+
+def _to_ms(seconds: float) -> int:
+    """Returns a duration in milliseconds, never below 0."""
+    return int(min(max(seconds * MS_PER_S, 0.0), MAX_MS))
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/fleet_state.py
@@ -0,0 +1,210 @@
+"""What this instance knows of the configuration and the targets, and its age.
+
+The configuration comes from the store or, while the store does not answer
+this instance, from a peer. A version is never followed by an older one.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+import result
+
+from cardamomfork._internal.contracts import store
+from cardamomfork._internal.gateway import routes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from cardamomfork._internal.contracts import platform_format
+    from cardamomfork._internal.gateway import target_table
+
+OUTAGE_MEMORY_S = 3.0
+"""Time after an outage in which an entry's end may be a lapse."""
+
+
+@attrs.frozen
+class StoredConfiguration:
+    """A configuration as the store holds it.
+
+    Attributes:
+        value: Its bytes.
+        revision: The store's revision of them.
+    """
+
+    value: bytes
+    revision: int
+
+
+class FleetState:
+    """Holds the newest configuration and the table of targets."""
+
+    def __init__(
+        self,
+        wire: platform_format.PlatformFormat,
+        table: target_table.TargetTable,
+        clock: Callable[[], float],
+    ) -> None:
+        """Starts without a configuration."""
+        self._wire = wire
+        self._table = table
+        self._clock = clock
+        self._stored: StoredConfiguration | None = None
+        self._routes: routes.RouteTable | None = None
+        self._applied_at = 0.0
+        self._knows_targets = False
+        self._lost_store_at: float | None = None
+        self._found_store_at = -OUTAGE_MEMORY_S
+
+    @property
+    def routes(self) -> routes.RouteTable | None:
+        """The configuration in force; None before the first."""
+        return self._routes
+
+    @property
+    def stored(self) -> StoredConfiguration | None:
+        """The configuration in force as bytes, for peers."""
+        return self._stored
+
+    @property
+    def revision(self) -> int:
+        """The store's revision of the configuration; 0 before the first."""
+        return self._stored.revision if self._stored else 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether configuration and targets are known."""
+        return self._routes is not None and self._knows_targets
+
+    @property
+    def configuration_age_s(self) -> float:
+        """Seconds since the configuration was applied."""
+        return self._clock() - self._applied_at
+
+    def apply_configuration(
+        self, value: bytes, revision: int, origin: str
+    ) -> bool:
+        """Takes a configuration if it is newer; returns whether it was."""
+        if revision <= self.revision:
+            return False
+        decoded = self._wire.decode_configuration(value, revision)
+        if isinstance(decoded, result.Err):
+            logger.error(
+                "configuration not applied",
+                reason=decoded.err_value,
+                version=revision,
+            )
+            return False
+        found = decoded.ok_value
+        known = self._routes.configuration.version if self._routes else -1
+        if found.version < known:
+            logger.error(
+                "configuration is older than the one in force",
+                version=found.version,
+                count=known,
+            )
+            return False
+        self._stored = StoredConfiguration(value, revision)
+        self._routes = routes.RouteTable(found)
+        self._applied_at = self._clock()
+        logger.info(
+            "configuration applied",
+            version=found.version,
+            revision=revision,
+            kind=origin,
+            count=len(found.routes),
+        )
+        return True
+
+    def apply_target(self, entry: store.Entry) -> None:
+        """Takes the change of one target's entry."""
+        target_id = self._wire.target_id(entry.key)
+        if entry.version == store.ABSENT:
+            self._remove(target_id)
+            return
+        decoded = self._wire.decode_target(entry.key, entry.value)
+        if isinstance(decoded, result.Err):
+            logger.warning(
+                "entry names no target",
+                target_id=target_id,
+                reason=decoded.err_value,
+            )
+            self._remove(target_id)
+            return
+        is_new = self._table.put(decoded.ok_value)
+        logger.info(
+            "target known",
+            target_id=target_id,
+            service=decoded.ok_value.service,
+            outcome="new" if is_new else "changed",
+            reason="leaving" if decoded.ok_value.is_leaving else "ready",
+            revision=entry.version,
+        )
+
+    def replace_targets(self, entries: Iterable[store.Entry]) -> None:
+        """Takes all entries of targets."""
+        records = []
+        for entry in entries:
+            decoded = self._wire.decode_target(entry.key, entry.value)
+            if isinstance(decoded, result.Err):
+                logger.warning(
+                    "entry names no target",
+                    target_id=self._wire.target_id(entry.key),
+                    reason=decoded.err_value,
+                )
+                continue
+            records.append(decoded.ok_value)
+        self._table.replace_all(
+            records, self._clock(), may_return=self._had_outage()
+        )
+        self._knows_targets = True
+        logger.info("targets read", count=len(records))
+
+    def store_lost(self, detail: str) -> None:
+        """Notes that the store does not answer."""
+        if self._lost_store_at is None:
+            self._lost_store_at = self._clock()
+            logger.warning(
+                "dependency lost", dependency="store", reason=detail
+            )
+
+    def store_found(self) -> None:
+        """Notes that the store answers."""
+        if self._lost_store_at is not None:
+            now = self._clock()
+            logger.info(
+                "dependency regained",
+                dependency="store",
+                seconds=round(now - self._lost_store_at, 3),
+            )
+            self._lost_store_at = None
+            self._found_store_at = now
+            self._table.postpone_expiry(now)
+
+    def expire(self) -> None:
+        """Drops targets whose entries did not come back after an outage."""
+        if self._lost_store_at is not None:
+            return
+        for target_id in self._table.expire(self._clock()):
+            logger.info(
+                "target gone", target_id=target_id, reason="did not return"
+            )
+
+    def _remove(self, target_id: str) -> None:
+        """Takes the end of an entry."""
+        may_return = self._had_outage()
+        self._table.remove(target_id, self._clock(), may_return=may_return)
+        logger.info(
+            "target gone",
+            target_id=target_id,
+            reason="entry lapsed" if may_return else "entry removed",
+        )
+
+    def _had_outage(self) -> bool:
+        """Whether the store is away, or was until a moment ago."""
+        if self._lost_store_at is not None:
+            return True
+        return self._clock() - self._found_store_at < OUTAGE_MEMORY_S
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -0,0 +1,415 @@
+"""The way of a request: a place, attempts, and one truthful end."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import result
+
+from cardamomfork._internal.gateway import attempt
+from cardamomfork._internal.gateway import outcomes
+from cardamomfork._internal.gateway import placement
+from cardamomfork._internal.gateway import request_log
+from cardamomfork._internal.gateway import scheduling
+from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.models import fleet
+from cardamomfork._internal.models import forwarding
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomfork._internal.contracts import platform_format
+    from cardamomfork._internal.gateway import load_view
+    from cardamomfork._internal.gateway import poison_guard
+    from cardamomfork._internal.gateway import retry_share
+    from cardamomfork._internal.gateway import routes
+    from cardamomfork._internal.gateway import target_links
+
+END_MARGIN_S = 0.03
+"""Time before a limit at which the final answer is sent."""
+MIN_SENDING_S = 0.05
+"""Least time for which an attempt is worth sending."""
+FIRST_PATIENCE_FACTOR = 3.0
+MIN_FIRST_PATIENCE_S = 1.0
+"""An attempt that can be repeated is given up for silence after its predicted
+time, times the factor, and never before this."""
+GAP_PATIENCE_FACTOR = 3.0
+MIN_GAP_PATIENCE_S = 1.0
+"""The same for the pause between two parts of an answer."""
+RETRY_AFTER_NOT_RUN_S = 0.3
+"""Time to come back after a target refused; its queue drains in parts of a
+second."""
+RETRY_AFTER_POISON_S = 30.0
+EXTRA_ARRIVALS = 2
+"""Targets that may refuse a request beside those that may run it."""
+
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+
+
+@attrs.define
+class Exchange:
+    """A caller's request on its way.
+
+    Attributes:
+        request: What the caller sent.
+        body: Its body.
+        match: What the configuration says about it.
+        sink: Where the answer goes.
+        arrived_at: Monotonic time of its arrival.
+        fingerprint: Tells requests with the same content.
+        progress: What the caller has got.
+        tried: Targets that it was sent to.
+        runs: Attempts that may have run.
+        log: Lines about it.
+    """
+
+    request: forwarding.CallerRequest
+    body: bytes
+    match: routes.Match
+    sink: attempt.CallerSink
+    arrived_at: float
+    fingerprint: int
+    log: request_log.RequestLog
+    progress: attempt.Progress = attrs.field(factory=attempt.Progress)
+    tried: set[str] = attrs.field(factory=set)
+    arrivals: int = 0
+    runs: int = 0
+
+    @property
+    def ends_at(self) -> float:
+        """Monotonic time at which it must have its final answer."""
+        limit = self.match.route.timeout_s
+        if self.request.time_limit_s is not None:
+            limit = min(limit, self.request.time_limit_s)
+        return self.arrived_at + limit - END_MARGIN_S
+
+
+@attrs.frozen
+class FinalAnswer:
+    """An answer of the system's own.
+
+    Attributes:
+        status: HTTP status.
+        reason: Why, in a few words.
+        retry_after_s: When to come back; None where no time can be named.
+    """
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+class Forwarder:
+    """Serves requests; one a process."""
+
+    def __init__(
+        self,
+        wire: platform_format.PlatformFormat,
+        scheduler: scheduling.Scheduler,
+        links: target_links.TargetLinks,
+        table: target_table.TargetTable,
+        load: load_view.LoadView,
+        retries: retry_share.RetryShare,
+        guard: poison_guard.PoisonGuard,
+        clock: Callable[[], float],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Takes the parts that decide and those that do the I/O.
+
+        Args:
+            wire: Names and formats of the platform.
+            scheduler: Gives places.
+            links: Connections to targets.
+            table: What is believed of targets.
+            load: What runs where.
+            retries: This instance's share of repeats.
+            guard: Requests that crash targets.
+            clock: Monotonic time.
+            on_change: Called when what runs here has changed.
+        """
+        self._wire = wire
+        self._scheduler = scheduler
+        self._links = links
+        self._table = table
+        self._load = load
+        self._retries = retries
+        self._guard = guard
+        self._clock = clock
+        self._on_change = on_change
+
+    async def forward(self, exchange: Exchange) -> FinalAnswer | None:
+        """Serves a request.
+
+        Returns:
+            The answer that the caller is owed; None if it has a whole one, or
+            a part of one that can't be finished.
+        """
+        service = exchange.match.service.name
+        self._retries.count_request(service, self._clock())
+        if self._guard.is_blocked(exchange.fingerprint, self._clock()):
+            return FinalAnswer(
+                UNAVAILABLE, "crashed several targets", RETRY_AFTER_POISON_S
+            )
+        while True:
+            demand = self._make_demand(exchange)
+            place = await self._scheduler.acquire(
+                demand, exchange.match.priority
+            )
+            if isinstance(place, scheduling.Refusal):
+                return self._refuse(exchange, place)
+            try:
+                ending = await self._attempt(exchange, demand, place)
+            finally:
+                self._load.end(demand.job_id)
+                self._on_change()
+            if isinstance(ending, outcomes.Delivered):
+                return None
+            final = self._after_failure(exchange, ending)
+            if final is not None:
+                return await self._settle(exchange, ending, final)
+
+    def _make_demand(self, exchange: Exchange) -> placement.Demand:
+        """Returns what the next attempt needs."""
+        now = self._clock()
+        route = exchange.match.route
+        size = exchange.request.generation or forwarding.Generation(0, 0)
+        law = exchange.match.service.law
+        output = size.expected_output_tokens
+        if law is not None:
+            written = exchange.progress.events * law.stride_steps
+            output = max(output - written, law.stride_steps)
+        late_at = exchange.arrived_at + route.objective_s
+        return placement.Demand(
+            job_id=f"{exchange.request.request_id}/{exchange.arrivals}",
+            service=exchange.match.service,
+            prompt_tokens=size.prompt_tokens,
+            output_tokens=output,
+            max_gap_s=route.max_gap_s or math.inf,
+            objective_left_s=late_at - now,
+            time_left_s=exchange.ends_at - now,
+            excluded=frozenset(exchange.tried),
+        )
+
+    async def _attempt(
+        self,
+        exchange: Exchange,
+        demand: placement.Demand,
+        place: placement.Placement,
+    ) -> outcomes.Ending:
+        """Sends a request to the place that it got."""
+        target = place.target
+        record = target.record
+        exchange.tried.add(record.target_id)
+        started_at = self._clock()
+        opened = await self._links.open(
+            record, runs_once=not exchange.match.route.may_repeat
+        )
+        if isinstance(opened, result.Err):
+            ending: outcomes.Ending = outcomes.Failed(
+                outcomes.Failure.UNREACHABLE, opened.err_value
+            )
+            self._learn(exchange, record, place, ending, started_at)
+            return ending
+        connection = opened.ok_value
+        exchange.arrivals += 1
+        exchange.runs += 1
+        messages = connection.start(
+            self._encode(exchange, place),
+            exchange.request.request_id,
+            is_head=exchange.request.method == b"HEAD",
+        )
+        first_event_at: list[float] = []
+
+        def on_event() -> None:
+            if not first_event_at:
+                first_event_at.append(self._clock())
+                self._load.mark_writing(demand.job_id, first_event_at[0])
+                self._on_change()
+
+        runner = attempt.Attempt(
+            exchange.match.route,
+            exchange.sink,
+            exchange.progress,
+            self._clock,
+            on_event,
+        )
+        is_whole = False
+        try:
+            ending = await runner.run(
+                connection, messages, self._patience(exchange, place)
+            )
+            is_whole = isinstance(ending, outcomes.Delivered) or (
+                ending.failure
+                in (outcomes.Failure.NOT_RUN, outcomes.Failure.FAILED)
+            )
+        finally:
+            if is_whole:
+                self._links.put_back(record, connection)
+            else:
+                connection.abort()
+        if isinstance(ending, outcomes.Failed) and ending.surely_not_run:
+            exchange.runs -= 1
+        first_at = first_event_at[0] if first_event_at else None
+        self._learn(exchange, record, place, ending, started_at, first_at)
+        return ending
+
+    def _encode(
+        self, exchange: Exchange, place: placement.Placement
+    ) -> bytes:
+        """Returns the bytes that are sent to the target."""
+        account = exchange.match.account
+        last = exchange.progress.order.last_id
+        helpers = tuple(
+            forwarding.Helper(
+                helper.record.target_id, helper.record.host, helper.record.port
+            )
+            for helper in place.helpers
+        )
+        sending = forwarding.Sending(
+            target_id=place.target.record.target_id,
+            account=account.name if account is not None else "",
+            time_left_s=exchange.ends_at - self._clock(),
+            last_event_id=last if exchange.progress.events else None,
+            helpers=helpers,
+        )
+        head = self._wire.encode_request(
+            exchange.request, sending, len(exchange.body)
+        )
+        return head + exchange.body
+
+    def _patience(
+        self, exchange: Exchange, place: placement.Placement
+    ) -> attempt.Patience:
+        """Returns how long an attempt may be silent."""
+        route = exchange.match.route
+        if not route.may_repeat or exchange.runs >= route.max_attempts:
+            return attempt.Patience(math.inf, math.inf, exchange.ends_at)
+        return attempt.Patience(
+            first_s=max(
+                FIRST_PATIENCE_FACTOR * place.first_token_s,
+                MIN_FIRST_PATIENCE_S,
+            ),
+            between_s=max(
+                GAP_PATIENCE_FACTOR * route.max_gap_s, MIN_GAP_PATIENCE_S
+            ),
+            until=exchange.ends_at,
+        )
+
+    def _learn(
+        self,
+        exchange: Exchange,
+        record: fleet.TargetRecord,
+        place: placement.Placement,
+        ending: outcomes.Ending,
+        started_at: float,
+        first_at: float | None = None,
+    ) -> None:
+        """Takes what an attempt showed of its target."""
+        now = self._clock()
+        sign = _sign_of(ending)
+        if first_at is not None:
+            ratio = (first_at - started_at) / max(place.first_token_s, 0.05)
+            self._table.observe_time(record.target_id, ratio, now)
+        if sign is not None:
+            self._table.observe(record.target_id, sign, now)
+        if sign is target_table.Sign.UNREACHABLE:
+            self._guard.confirm_death(record.target_id, now)
+        if isinstance(ending, outcomes.Failed):
+            if ending.failure is outcomes.Failure.BROKEN:
+                self._guard.suspect(
+                    exchange.fingerprint, record.target_id, now
+                )
+            if "421" in ending.detail and not ending.blamed_target_id:
+                self._table.observe(
+                    record.target_id, target_table.Sign.UNREACHABLE, now
+                )
+        exchange.log.attempt_ended(
+            exchange.arrivals, place, ending, now - started_at
+        )
+
+    def _after_failure(
+        self, exchange: Exchange, failed: outcomes.Failed
+    ) -> FinalAnswer | None:
+        """Returns the end of a request, or None to try once more."""
+        route = exchange.match.route
+        now = self._clock()
+        may_run_again = failed.surely_not_run or route.may_repeat
+        left = exchange.ends_at - now
+        why = None
+        if not may_run_again:
+            why = "may not run again"
+        elif left < MIN_SENDING_S:
+            why = "no time left"
+        elif exchange.runs >= route.max_attempts:
+            why = "no attempt left"
+        elif exchange.arrivals >= route.max_attempts + EXTRA_ARRIVALS:
+            why = "refused by several targets"
+        elif self._guard.is_blocked(exchange.fingerprint, now):
+            why = "crashed several targets"
+        elif exchange.arrivals and not self._retries.take(
+            exchange.match.service.name, now
+        ):
+            why = "no retry left"
+        if why is None:
+            exchange.log.tries_again(failed, left)
+            return None
+        return self._make_final(exchange, failed, why)
+
+    def _make_final(
+        self, exchange: Exchange, failed: outcomes.Failed, why: str
+    ) -> FinalAnswer:
+        """Returns the truthful end after a failure."""
+        reason = f"{failed.failure.value}: {failed.detail}; {why}"
+        if exchange.runs == 0:
+            return FinalAnswer(UNAVAILABLE, reason, RETRY_AFTER_NOT_RUN_S)
+        if failed.failure is outcomes.Failure.SILENT:
+            return FinalAnswer(GATEWAY_TIMEOUT, reason)
+        return FinalAnswer(BAD_GATEWAY, reason)
+
+    async def _settle(
+        self,
+        exchange: Exchange,
+        failed: outcomes.Failed,
+        final: FinalAnswer,
+    ) -> FinalAnswer | None:
+        """Passes a target's own failure on, where it gave a whole one."""
+        if failed.answer is None or exchange.progress.has_started:
+            return final
+        runner = attempt.Attempt(
+            exchange.match.route,
+            exchange.sink,
+            exchange.progress,
+            self._clock,
+            _ignore,
+        )
+        await runner.pass_answer(failed.answer, failed.body)
+        return None
+
+    def _refuse(
+        self, exchange: Exchange, refusal: scheduling.Refusal
+    ) -> FinalAnswer:
+        """Returns the end of a request that gets no place."""
+        if exchange.runs:
+            return FinalAnswer(BAD_GATEWAY, refusal.reason)
+        return FinalAnswer(UNAVAILABLE, refusal.reason, refusal.retry_after_s)
+
+
+def _sign_of(ending: outcomes.Ending) -> target_table.Sign | None:
+    """Returns what an ending tells of the target's health."""
+    if isinstance(ending, outcomes.Delivered):
+        return target_table.Sign.GOOD
+    return {
+        outcomes.Failure.UNREACHABLE: target_table.Sign.UNREACHABLE,
+        outcomes.Failure.BROKEN: target_table.Sign.FAILED,
+        outcomes.Failure.SILENT: target_table.Sign.FAILED,
+        outcomes.Failure.NOT_RUN: None,
+        outcomes.Failure.FAILED: None,
+    }[ending.failure]
+
+
+def _ignore() -> None:
+    """Does nothing with an event."""
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/load_view.py
@@ -0,0 +1,191 @@
+"""What runs on each target, as this instance and its peers have placed it."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+MIN_READING_LEFT_S = 0.02
+"""Reading that is overdue counts as this much still to do."""
+MAX_JOBS_OF_PEER = 4096
+STALE_PEER_S = 3.0
+"""Placements of an instance that is silent for longer don't count."""
+
+
+@attrs.define
+class Job:
+    """A request that has been sent to a target.
+
+    Attributes:
+        job_id: Unique among all instances.
+        target_id: Where it runs.
+        helper_ids: Targets that read parts of its prompt.
+        prompt_tokens: Length of its prompt.
+        output_tokens: Tokens expected in its answer.
+        max_gap_s: Longest pause between events that is on time.
+        value: What it is worth beside others.
+        placed_at: Monotonic time at which it was sent.
+        reads_until: Predicted end of reading.
+        is_writing: Whether its answer has begun.
+        ends_at: Predicted end, or 0 if there is no prediction.
+    """
+
+    job_id: str
+    target_id: str
+    helper_ids: tuple[str, ...]
+    prompt_tokens: int
+    output_tokens: int
+    max_gap_s: float
+    value: float
+    placed_at: float
+    reads_until: float
+    is_writing: bool = False
+    ends_at: float = 0.0
+
+
+@attrs.frozen
+class Writer:
+    """A request whose answer is being written.
+
+    Attributes:
+        context_tokens: Tokens that it has in memory.
+        max_gap_s: Longest pause between events that is on time.
+        value: What it is worth beside others.
+    """
+
+    context_tokens: int
+    max_gap_s: float
+    value: float
+
+
+@attrs.frozen
+class TargetLoad:
+    """The load of one target.
+
+    Attributes:
+        running: Requests that it has, without parts read for others.
+        helping: Parts that it reads for others.
+        reading_left_s: Time until all known prompts are read.
+        readers_value: Value of the requests that wait for their first token.
+        writers: Requests that write, and those that soon will.
+        memory_tokens: Tokens that its requests will hold.
+        frees_in_s: Time until the first of its requests ends.
+    """
+
+    running: int = 0
+    helping: int = 0
+    reading_left_s: float = 0.0
+    readers_value: float = 0.0
+    writers: tuple[Writer, ...] = ()
+    memory_tokens: int = 0
+    frees_in_s: float = math.inf
+
+
+IDLE = TargetLoad()
+
+
+class LoadView:
+    """Jobs of this instance and its peers, by target."""
+
+    def __init__(self) -> None:
+        """Starts without jobs."""
+        self._own: dict[str, Job] = {}
+        self._peers: dict[str, tuple[float, tuple[Job, ...]]] = {}
+        self._by_target: dict[str, dict[str, Job]] = {}
+
+    @property
+    def own_jobs(self) -> tuple[Job, ...]:
+        """Jobs of this instance."""
+        return tuple(self._own.values())
+
+    def start(self, job: Job) -> None:
+        """Adds a job of this instance."""
+        self._own[job.job_id] = job
+        self._index(job)
+
+    def mark_writing(self, job_id: str, now: float) -> None:
+        """Notes that a job's answer has begun."""
+        job = self._own.get(job_id)
+        if job is not None:
+            job.is_writing = True
+            job.reads_until = min(job.reads_until, now)
+
+    def end(self, job_id: str) -> None:
+        """Drops a job of this instance."""
+        job = self._own.pop(job_id, None)
+        if job is not None:
+            self._unindex(job)
+
+    def replace_peer(
+        self, peer_id: str, jobs: tuple[Job, ...], now: float
+    ) -> None:
+        """Takes all jobs of a peer in place of what it told before."""
+        self.drop_peer(peer_id)
+        kept = jobs[:MAX_JOBS_OF_PEER]
+        self._peers[peer_id] = (now, kept)
+        for job in kept:
+            self._index(job)
+
+    def drop_peer(self, peer_id: str) -> None:
+        """Forgets the jobs of a peer."""
+        _, jobs = self._peers.pop(peer_id, (0.0, ()))
+        for job in jobs:
+            self._unindex(job)
+
+    def expire_peers(self, now: float) -> list[str]:
+        """Forgets peers that have been silent; returns their ids."""
+        silent = [
+            peer_id
+            for peer_id, (told_at, _) in self._peers.items()
+            if now - told_at > STALE_PEER_S
+        ]
+        for peer_id in silent:
+            self.drop_peer(peer_id)
+        return silent
+
+    def load(self, target_id: str, now: float) -> TargetLoad:
+        """Returns the load of a target."""
+        jobs = self._by_target.get(target_id)
+        if not jobs:
+            return IDLE
+        running = helping = memory = 0
+        reading_left = readers_value = 0.0
+        frees_in = math.inf
+        writers = []
+        for job in jobs.values():
+            is_helper = job.target_id != target_id
+            if not job.is_writing:
+                left = max(job.reads_until - now, MIN_READING_LEFT_S)
+                reading_left = max(reading_left, left)
+            if is_helper:
+                helping += 0 if job.is_writing else 1
+                continue
+            running += 1
+            size = job.prompt_tokens + job.output_tokens
+            memory += size
+            frees_in = min(frees_in, max(job.ends_at - now, 0.0))
+            readers_value += 0.0 if job.is_writing else job.value
+            writers.append(Writer(size, job.max_gap_s, job.value))
+        return TargetLoad(
+            running,
+            helping,
+            reading_left,
+            readers_value,
+            tuple(writers),
+            memory,
+            frees_in,
+        )
+
+    def _index(self, job: Job) -> None:
+        """Files a job under each target that works on it."""
+        for target_id in (job.target_id, *job.helper_ids):
+            self._by_target.setdefault(target_id, {})[job.job_id] = job
+
+    def _unindex(self, job: Job) -> None:
+        """Takes a job out from under its targets."""
+        for target_id in (job.target_id, *job.helper_ids):
+            jobs = self._by_target.get(target_id, {})
+            jobs.pop(job.job_id, None)
+            if not jobs:
+                self._by_target.pop(target_id, None)
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -0,0 +1,356 @@
+"""Other entry instances: who they are, and what they place.
+
+Peers find each other by leased entries in the platform's store and by each
+other's datagrams, so that they go on when the store is away. Each digest
+holds the sender's whole state; a lost one is made good by the next.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import httpcore
+from loguru import logger
+import msgspec
+import result
+
+from cardamomfork._internal.contracts import store
+from cardamomfork._internal.gateway import digest_codec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from cardamomfork._internal.gateway import fleet_state
+    from cardamomfork._internal.gateway import load_view
+    from cardamomfork._internal.gateway import poison_guard
+
+PREFIX = "instances/"
+"""Keys of entry instances in the store."""
+LEASE_S = 5.0
+RENEW_S = 1.5
+"""Three renewals fit into a lease."""
+HEARTBEAT_S = 0.5
+COALESCE_S = 0.004
+"""Changes within this time go out in one digest."""
+SILENT_PEER_S = 4.0
+"""A peer that is in neither the store nor the air this long is dropped."""
+FETCH_TIMEOUT_S = 1.0
+INCARNATION_BITS = 63
+CONFIGURATION_PATH = "/configuration"
+
+
+@attrs.define
+class _Known:
+    """A peer, and when it was last heard.
+
+    Attributes:
+        peer: Where it is reached.
+        is_listed: Whether the store has its entry.
+        heard_at: Monotonic time of its last digest.
+        incarnation: Of its last digest.
+        former: Incarnation before that; its late digests are dropped.
+        sequence: Of its last digest.
+    """
+
+    peer: digest_codec.Peer
+    is_listed: bool = False
+    heard_at: float = 0.0
+    incarnation: int = 0
+    former: int = 0
+    sequence: int = -1
+
+
+class PeerTable:
+    """Which peers there are; also takes entries from the store."""
+
+    def __init__(
+        self, own: digest_codec.Peer, clock: Callable[[], float]
+    ) -> None:
+        """Starts alone."""
+        self._own = own
+        self._clock = clock
+        self._known: dict[str, _Known] = {}
+
+    @property
+    def peers(self) -> list[digest_codec.Peer]:
+        """All peers."""
+        return [known.peer for known in self._known.values()]
+
+    @property
+    def count(self) -> int:
+        """Instances, this one included."""
+        return len(self._known) + 1
+
+    def replaced(self, entries: Iterable[store.Entry]) -> None:
+        """Takes all entries of the store."""
+        for known in self._known.values():
+            known.is_listed = False
+        for entry in entries:
+            self.changed(entry)
+
+    def changed(self, entry: store.Entry) -> None:
+        """Takes one entry of the store."""
+        instance_id = entry.key.removeprefix(PREFIX)
+        if instance_id == self._own.instance_id:
+            return
+        if entry.version == store.ABSENT:
+            if instance_id in self._known:
+                self._known[instance_id].is_listed = False
+            return
+        try:
+            peer = msgspec.json.decode(entry.value, type=digest_codec.Peer)
+        except msgspec.DecodeError as error:
+            logger.warning(
+                "entry names no peer", peer=instance_id, reason=str(error)
+            )
+            return
+        self._learn(peer).is_listed = True
+
+    def hear(self, digest: digest_codec.Digest) -> bool:
+        """Takes a digest's sender; returns whether the digest is news."""
+        known = self._learn(digest.sender)
+        if digest.incarnation == known.incarnation:
+            if digest.sequence <= known.sequence:
+                return False
+        elif digest.incarnation == known.former:
+            return False
+        else:
+            known.former = known.incarnation
+            known.incarnation = digest.incarnation
+        known.sequence = digest.sequence
+        known.heard_at = self._clock()
+        return True
+
+    def expire(self) -> None:
+        """Drops peers that nothing speaks for any more."""
+        now = self._clock()
+        for instance_id, known in list(self._known.items()):
+            if not known.is_listed and now - known.heard_at > SILENT_PEER_S:
+                del self._known[instance_id]
+                logger.info("peer gone", peer=instance_id)
+
+    def _learn(self, peer: digest_codec.Peer) -> _Known:
+        """Returns what is known of a peer, as it is reached now."""
+        known = self._known.get(peer.instance_id)
+        if known is None or known.peer != peer:
+            known = _Known(peer, heard_at=self._clock())
+            self._known[peer.instance_id] = known
+            logger.info("peer known", peer=peer.instance_id)
+        return known
+
+
+class PeerLinks(asyncio.DatagramProtocol):
+    """Tells peers what is placed here, and takes what they tell."""
+
+    def __init__(
+        self,
+        own: digest_codec.Peer,
+        table: PeerTable,
+        load: load_view.LoadView,
+        state: fleet_state.FleetState,
+        guard: poison_guard.PoisonGuard,
+        clock: Callable[[], float],
+        on_news: Callable[[], None],
+    ) -> None:
+        """Takes what is told and what is heard.
+
+        Args:
+            own: Where this instance is reached.
+            table: The peers.
+            load: Placements.
+            state: Configuration.
+            guard: Requests that crash targets.
+            clock: Monotonic time.
+            on_news: Called when a peer's placements have changed.
+        """
+        self._own = own
+        self._table = table
+        self._load = load
+        self._state = state
+        self._guard = guard
+        self._clock = clock
+        self._on_news = on_news
+        self._incarnation = secrets.randbits(INCARNATION_BITS)
+        self._sequence = 0
+        self._is_leaving = False
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._ahead: digest_codec.Peer | None = None
+        self._ahead_event = anyio.Event()
+
+    async def run(self) -> None:
+        """Opens the socket; sends heartbeats while the task runs."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self._own.host, self._own.port)
+        )
+        self._transport = transport
+        try:
+            while True:
+                self._send()
+                self._table.expire()
+                for peer_id in self._load.expire_peers(self._clock()):
+                    logger.info("peer is silent", peer=peer_id)
+                await anyio.sleep(HEARTBEAT_S)
+        finally:
+            transport.close()
+
+    async def fetch_configurations(self) -> None:
+        """Fetches newer configurations from peers while the task runs."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            while True:
+                await self._ahead_event.wait()
+                self._ahead_event = anyio.Event()
+                peer, self._ahead = self._ahead, None
+                if peer is not None:
+                    await self._fetch(pool, peer)
+
+    def notify(self) -> None:
+        """Tells peers soon that something has changed here."""
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(COALESCE_S, self._send)
+
+    def leave(self) -> None:
+        """Tells peers that this instance is about to stop."""
+        self._is_leaving = True
+        self.notify()
+
+    def datagram_received(
+        self,
+        data: bytes,
+        addr: tuple[str, int],
+    ) -> None:
+        """Takes a digest."""
+        now = self._clock()
+        decoded = digest_codec.decode(data, now)
+        if isinstance(decoded, result.Err):
+            logger.warning(
+                "datagram dropped", peer=addr[0], reason=decoded.err_value
+            )
+            return
+        digest = decoded.ok_value
+        if digest.sender.instance_id == self._own.instance_id:
+            return
+        if not self._table.hear(digest):
+            return
+        self._load.replace_peer(digest.sender.instance_id, digest.jobs, now)
+        for death in digest.deaths:
+            self._guard.count(death, now)
+        if digest.configuration_revision > self._state.revision:
+            self._ahead = digest.sender
+            self._ahead_event.set()
+        self._on_news()
+
+    def _send(self) -> None:
+        """Sends the state of this instance to all peers."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._transport is None or self._transport.is_closing():
+            return
+        now = self._clock()
+        self._sequence += 1
+        data = digest_codec.encode(
+            digest_codec.Digest(
+                self._own,
+                self._incarnation,
+                self._sequence,
+                self._state.revision,
+                self._is_leaving,
+                self._load.own_jobs,
+                tuple(self._guard.deaths(now)),
+            ),
+            now,
+        )
+        for peer in self._table.peers:
+            self._transport.sendto(data, (peer.host, peer.port))
+
+    async def _fetch(
+        self, pool: httpcore.AsyncConnectionPool, peer: digest_codec.Peer
+    ) -> None:
+        """Takes a peer's configuration."""
+        url = f"http://{peer.host}:{peer.port}{CONFIGURATION_PATH}"
+        try:
+            with anyio.fail_after(FETCH_TIMEOUT_S):
+                response = await pool.request("GET", url)
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            TimeoutError,
+        ) as error:
+            logger.info(
+                "configuration not fetched",
+                peer=peer.instance_id,
+                reason=repr(error),
+            )
+            return
+        decoded = digest_codec.decode_configuration(response.content)
+        if isinstance(decoded, result.Err):
+            logger.warning(
+                "configuration not fetched",
+                peer=peer.instance_id,
+                reason=decoded.err_value,
+            )
+            return
+        stored = decoded.ok_value
+        self._state.apply_configuration(
+            stored.value, stored.revision, f"peer {peer.instance_id}"
+        )
+
+
+async def register(
+    platform_store: store.Store,
+    own: digest_codec.Peer,
+    on_answer: Callable[[store.StoreFault | None], None],
+) -> None:
+    """Keeps this instance's entry in the store while the task runs."""
+    lease: store.Lease | None = None
+    while True:
+        if lease is None:
+            lease = await _enter(platform_store, own, on_answer)
+        else:
+            renewed = await platform_store.renew_lease(lease.lease_id)
+            if isinstance(renewed, result.Err):
+                on_answer(renewed.err_value)
+                if renewed.err_value.kind is store.StoreFaultKind.LEASE_GONE:
+                    lease = None
+                    continue
+            else:
+                on_answer(None)
+        await anyio.sleep(RENEW_S)
+
+
+async def _enter(
+    platform_store: store.Store,
+    own: digest_codec.Peer,
+    on_answer: Callable[[store.StoreFault | None], None],
+) -> store.Lease | None:
+    """Writes this instance's entry under a new lease; None if that fails."""
+    granted = await platform_store.grant_lease(LEASE_S)
+    if isinstance(granted, result.Err):
+        on_answer(granted.err_value)
+        return None
+    key = PREFIX + own.instance_id
+    value = msgspec.json.encode(own)
+    expected = store.ABSENT
+    for _ in range(2):
+        written = await platform_store.put(
+            key, value, expected=expected, lease=granted.ok_value.lease_id
+        )
+        if isinstance(written, result.Ok):
+            on_answer(None)
+            return granted.ok_value
+        if isinstance(written.err_value, store.StoreFault):
+            on_answer(written.err_value)
+            return None
+        # An earlier run's entry, or one whose answer was lost.
+        current = written.err_value.current
+        expected = current.version if current else store.ABSENT
+    return None
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/placement.py
@@ -0,0 +1,387 @@
+"""Where a request runs: the choice of a target and of its helpers.
+
+The choice is made for mixed loads, in which prompts of a thousand tokens
+share engines with prompts of a hundred thousand. An engine reads prompts
+between the tokens of its writers, so a long read stretches the pause between
+the events of every stream beside it. The cost of a place is what the request
+is expected to lose there plus what it takes from the requests beside it.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal.gateway import engine_law
+from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.models import fleet
+
+if TYPE_CHECKING:
+    import random
+
+    from cardamomfork._internal.gateway import target_table
+
+PARTS_CHOICES = (1, 2, 3, 4, 6, 8, 12, 16)
+"""Numbers of engines that are weighed for reading one prompt."""
+MIN_PART_S = 0.1
+"""Parts shorter than this gain nothing over the cost of their setup."""
+OBJECTIVE_MARGIN = 0.8
+"""Part of the objective up to which a first token is surely on time."""
+GAP_MARGIN = 0.7
+"""Part of the longest pause up to which an event is surely on time."""
+LATE_LOSS = 0.75
+"""Part of its value that a late answer loses."""
+SPEED_WEIGHT = 0.05
+"""Cost of a first token at the end of the objective against one at once."""
+EMPTY_TARGET_COST = 0.04
+"""Cost of taking an idle engine, which a long prompt could use alone."""
+MIXED_TARGET_COST = 0.08
+"""Cost of joining streams of another length class."""
+REMOTE_COST = 0.01
+"""Cost of a target in another data centre."""
+READERS_WEIGHT = 0.3
+"""Cost of a second's delay to requests that wait for their first token."""
+FAILURE_COST = 2.0
+"""Cost of a target whose attempts all fail, in values of the request."""
+MEMORY_SHARE = 0.97
+"""Part of an engine's memory that is planned with."""
+VALUE_TOKENS = 5000
+VALUE_EXPONENT = 0.7
+"""A longer prompt is worth more, though less than its length says."""
+TYPICAL_CALL_S = 0.1
+"""Time of a call to a plain service, where nothing better is known."""
+
+
+def value_of(prompt_tokens: int) -> float:
+    """Returns what a request is worth beside others."""
+    return float(max(prompt_tokens / VALUE_TOKENS, 0.1) ** VALUE_EXPONENT)
+
+
+def expected_writing_s(demand: Demand) -> float:
+    """Returns the time to write a request's answer alone on an engine."""
+    law = demand.service.law
+    if law is None:
+        return 0.0
+    return engine_law.writing_s(
+        law, demand.output_tokens, [demand.prompt_tokens]
+    )
+
+
+@attrs.frozen
+class Demand:
+    """A request that needs a target.
+
+    Attributes:
+        job_id: Unique among all instances.
+        service: The service that it goes to.
+        prompt_tokens: Length of its prompt; 0 for a plain service.
+        output_tokens: Tokens expected in its answer.
+        max_gap_s: Longest pause between events that is on time.
+        objective_left_s: Time left until its first token is late.
+        time_left_s: Time left until its caller leaves.
+        excluded: Targets that it must not go to.
+    """
+
+    job_id: str
+    service: fleet.Service
+    prompt_tokens: int
+    output_tokens: int
+    max_gap_s: float
+    objective_left_s: float
+    time_left_s: float
+    excluded: frozenset[str] = frozenset()
+
+    @property
+    def value(self) -> float:
+        """What it is worth beside others."""
+        return value_of(self.prompt_tokens)
+
+
+@attrs.frozen
+class Placement:
+    """A place for a request.
+
+    Attributes:
+        target: Where it runs.
+        helpers: Targets that read parts of its prompt.
+        first_token_s: Predicted time to the first token.
+        reading_s: Predicted time until the prompt is read.
+        cost: Expected loss, in values.
+    """
+
+    target: target_table.Target
+    helpers: tuple[target_table.Target, ...]
+    first_token_s: float
+    reading_s: float
+    cost: float
+
+
+@attrs.frozen
+class NoRoom:
+    """No target can take the request now.
+
+    Attributes:
+        reason: Why.
+        room_in_s: Predicted time until one can; infinite if none ever can.
+    """
+
+    reason: str
+    room_in_s: float
+
+
+@attrs.frozen
+class _Candidate:
+    """A target with its load and speed."""
+
+    target: target_table.Target
+    load: load_view.TargetLoad
+    pace: float
+
+    @property
+    def target_id(self) -> str:
+        """The target's id."""
+        return self.target.record.target_id
+
+
+class Placer:
+    """Chooses places from the view of the fleet's load."""
+
+    def __init__(
+        self,
+        table: target_table.TargetTable,
+        load: load_view.LoadView,
+        data_centre: str,
+        source: random.Random,
+    ) -> None:
+        """Takes the views that it reads, and randomness to break ties."""
+        self._table = table
+        self._load = load
+        self._data_centre = data_centre
+        self._source = source
+
+    def choose(self, demand: Demand, now: float) -> Placement | NoRoom:
+        """Chooses a place, or says when there may be one."""
+        listed = self._table.list_service(demand.service.name, now)
+        candidates = [
+            _Candidate(
+                target,
+                self._load.load(target.record.target_id, now),
+                target.pace(now),
+            )
+            for target in listed
+            if target.record.target_id not in demand.excluded
+        ]
+        if not candidates:
+            return NoRoom("no target", math.inf if listed else 1.0)
+        if demand.service.law is None:
+            return self._choose_plain(demand, candidates, now)
+        return self._choose_engine(
+            demand, demand.service.law, candidates, now
+        )
+
+    def _choose_plain(
+        self, demand: Demand, candidates: list[_Candidate], now: float
+    ) -> Placement | NoRoom:
+        """Chooses a target of a plain service: the least loaded one."""
+        free = [
+            candidate
+            for candidate in candidates
+            if candidate.load.running < candidate.target.record.slots
+        ]
+        if not free:
+            return _no_room("all targets are full", candidates)
+
+        def cost(candidate: _Candidate) -> float:
+            record = candidate.target.record
+            return (
+                candidate.load.running / record.slots
+                + FAILURE_COST * candidate.target.failure_share(now)
+                + (candidate.pace - 1.0)
+                + self._distance(candidate)
+                + self._source.random() * REMOTE_COST
+            )
+
+        best = min(free, key=cost)
+        expected = TYPICAL_CALL_S * best.pace
+        return Placement(best.target, (), expected, expected, cost(best))
+
+    def _choose_engine(
+        self,
+        demand: Demand,
+        law: fleet.EngineLaw,
+        candidates: list[_Candidate],
+        now: float,
+    ) -> Placement | NoRoom:
+        """Chooses an engine, and helpers where they shorten the reading."""
+        size = demand.prompt_tokens + demand.output_tokens
+        if size > law.memory_tokens * MEMORY_SHARE:
+            return NoRoom("larger than an engine's memory", math.inf)
+        free = [
+            candidate
+            for candidate in candidates
+            if candidate.load.running < candidate.target.record.slots
+            and candidate.load.memory_tokens + size
+            <= law.memory_tokens * MEMORY_SHARE
+        ]
+        if not free:
+            return _no_room("all engines are full", candidates)
+        whole_s = engine_law.reading_s(law, demand.prompt_tokens)
+        best: Placement | None = None
+        for parts in PARTS_CHOICES:
+            if parts > 1 and whole_s / parts < MIN_PART_S:
+                break
+            found = self._place_in_parts(
+                demand, law, free, candidates, parts, now
+            )
+            if found is not None and (best is None or found.cost < best.cost):
+                best = found
+        return best or _no_room("all engines are full", candidates)
+
+    def _place_in_parts(
+        self,
+        demand: Demand,
+        law: fleet.EngineLaw,
+        free: list[_Candidate],
+        candidates: list[_Candidate],
+        parts: int,
+        now: float,
+    ) -> Placement | None:
+        """Returns the best place for reading in so many parts, if any."""
+        part_s = engine_law.reading_s(law, demand.prompt_tokens, parts)
+
+        def place_cost(candidate: _Candidate) -> float:
+            return self._cost_beside(
+                demand, law, candidate, part_s, now
+            ) + self._own_loss(
+                demand, _first_token_s(law, candidate, part_s, demand)
+            )
+
+        first = min(free, key=place_cost)
+        helpers: list[_Candidate] = []
+        if parts > 1:
+            others = [
+                candidate
+                for candidate in candidates
+                if candidate.target_id != first.target_id
+                and candidate.load.helping < candidate.target.record.slots
+            ]
+            if len(others) < parts - 1:
+                return None
+            others.sort(key=place_cost)
+            helpers = others[: parts - 1]
+        reading = max(
+            _part_done_s(law, candidate, part_s)
+            for candidate in (first, *helpers)
+        )
+        first_token = max(
+            _first_token_s(law, first, part_s, demand), reading
+        )
+        cost = self._own_loss(demand, first_token) + sum(
+            self._cost_beside(demand, law, candidate, part_s, now)
+            for candidate in (first, *helpers)
+        )
+        return Placement(
+            first.target,
+            tuple(helper.target for helper in helpers),
+            first_token,
+            reading,
+            cost,
+        )
+
+    def _own_loss(self, demand: Demand, first_token_s: float) -> float:
+        """Returns what the request loses by its first token's time."""
+        if first_token_s >= demand.time_left_s:
+            return demand.value
+        objective = max(demand.objective_left_s, 1e-3)
+        share = first_token_s / objective
+        return demand.value * (
+            SPEED_WEIGHT * min(share, 1.0)
+            + LATE_LOSS * _ramp(share, OBJECTIVE_MARGIN)
+        )
+
+    def _cost_beside(
+        self,
+        demand: Demand,
+        law: fleet.EngineLaw,
+        candidate: _Candidate,
+        part_s: float,
+        now: float,
+    ) -> float:
+        """Returns what reading there costs others, and the place's risks."""
+        load = candidate.load
+        cost = (
+            FAILURE_COST
+            * demand.value
+            * candidate.target.failure_share(now)
+        )
+        cost += self._distance(candidate)
+        cost += READERS_WEIGHT * load.readers_value * part_s * candidate.pace
+        cost += self._source.random() * REMOTE_COST
+        if not load.writers:
+            if not load.running and demand.max_gap_s < math.inf:
+                cost += EMPTY_TARGET_COST
+            return cost
+        contexts = [writer.context_tokens for writer in load.writers]
+        longest_pass = candidate.pace * (
+            engine_law.pass_s(law, contexts) + part_s
+        ) + load.reading_left_s
+        for writer in load.writers:
+            cost += (
+                LATE_LOSS
+                * writer.value
+                * _ramp(longest_pass / writer.max_gap_s, GAP_MARGIN)
+            )
+        own_pause = candidate.pace * engine_law.pass_s(law, contexts)
+        cost += (
+            LATE_LOSS
+            * demand.value
+            * _ramp(own_pause / demand.max_gap_s, GAP_MARGIN)
+        )
+        if any(
+            writer.max_gap_s != demand.max_gap_s for writer in load.writers
+        ):
+            cost += MIXED_TARGET_COST
+        return cost
+
+    def _distance(self, candidate: _Candidate) -> float:
+        """Returns the cost of another data centre."""
+        is_near = candidate.target.record.data_centre == self._data_centre
+        return 0.0 if is_near else REMOTE_COST
+
+
+def _part_done_s(
+    law: fleet.EngineLaw, candidate: _Candidate, part_s: float
+) -> float:
+    """Returns when a part has been read there."""
+    contexts = [writer.context_tokens for writer in candidate.load.writers]
+    wait = engine_law.pass_s(law, contexts) / 2
+    return candidate.load.reading_left_s + candidate.pace * (part_s + wait)
+
+
+def _first_token_s(
+    law: fleet.EngineLaw,
+    candidate: _Candidate,
+    part_s: float,
+    demand: Demand,
+) -> float:
+    """Returns when the first event comes: a pass after the reading."""
+    contexts = [writer.context_tokens for writer in candidate.load.writers]
+    contexts.append(demand.prompt_tokens)
+    own_pass = candidate.pace * engine_law.pass_s(law, contexts)
+    return _part_done_s(law, candidate, part_s) + own_pass
+
+
+def _ramp(share: float, margin: float) -> float:
+    """Returns 0 up to the margin, 1 from the whole on, and between them."""
+    if share <= margin:
+        return 0.0
+    return min((share - margin) / (1.0 - margin), 1.0)
+
+
+def _no_room(reason: str, candidates: list[_Candidate]) -> NoRoom:
+    """Returns when the first of the targets frees a place."""
+    return NoRoom(
+        reason, min(candidate.load.frees_in_s for candidate in candidates)
+    )
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -0,0 +1,346 @@
+"""Wires the parts of an entry instance and runs them."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from cardamomfork._internal.contracts import store
+from cardamomfork._internal.gateway import application
+from cardamomfork._internal.gateway import caller_protocol
+from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway import fleet_state
+from cardamomfork._internal.gateway import following
+from cardamomfork._internal.gateway import forwarding
+from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway import peers
+from cardamomfork._internal.gateway import placement
+from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import retry_share
+from cardamomfork._internal.gateway import scheduling
+from cardamomfork._internal.gateway import stopping
+from cardamomfork._internal.gateway import target_links
+from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway import traffic_metrics
+from cardamomfork._internal.links import http_server
+from cardamomfork._internal.models import settings as settings_models
+from cardamomfork._internal.telemetry import exporting
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from cardamomfork._internal.contracts import platform_format
+    from cardamomfork._internal.models import fleet
+
+HOUSEKEEPING_S = 0.25
+METRICS_PORT = 9464
+"""Port of the metrics, which the deploy file names too."""
+
+
+class _ConfigurationHandler:
+    """Takes the operators' configuration from the store."""
+
+    def __init__(
+        self, state: fleet_state.FleetState, apply: Callable[[], None]
+    ) -> None:
+        """Takes what holds it, and what to call with a new one."""
+        self._state = state
+        self._apply = apply
+
+    def replaced(self, entries: Iterable[store.Entry]) -> None:
+        """Takes all entries."""
+        for entry in entries:
+            self.changed(entry)
+
+    def changed(self, entry: store.Entry) -> None:
+        """Takes one change; a configuration is never taken away."""
+        if entry.version == store.ABSENT:
+            return
+        if self._state.apply_configuration(
+            entry.value, entry.version, "store"
+        ):
+            self._apply()
+
+
+class _TargetsHandler:
+    """Takes the targets' entries from the store."""
+
+    def __init__(
+        self, state: fleet_state.FleetState, on_change: Callable[[], None]
+    ) -> None:
+        """Takes what holds them, and what to call after a change."""
+        self._state = state
+        self._on_change = on_change
+
+    def replaced(self, entries: Iterable[store.Entry]) -> None:
+        """Takes all entries."""
+        self._state.replace_targets(entries)
+        self._on_change()
+
+    def changed(self, entry: store.Entry) -> None:
+        """Takes one change."""
+        self._state.apply_target(entry)
+        self._on_change()
+
+
+class GatewayProcess:
+    """An entry instance in front of a fleet."""
+
+    def __init__(
+        self,
+        settings: fleet.EntrySettings,
+        wire: platform_format.PlatformFormat,
+        platform_store: store.Store,
+        load_settings: Callable[[], fleet.EntrySettings],
+    ) -> None:
+        """Wires the parts; nothing runs yet.
+
+        Args:
+            settings: What the process was started with.
+            wire: Names and formats of the platform.
+            platform_store: The platform's store.
+            load_settings: Reads the settings again.
+        """
+        clock = time.monotonic
+        self._clock = clock
+        self._settings = settings
+        self._wire = wire
+        self._store = platform_store
+        self._load_settings = load_settings
+        self._source = random.Random()
+        self._table = target_table.TargetTable()
+        self._load = load_view.LoadView()
+        self._state = fleet_state.FleetState(wire, self._table, clock)
+        self._guard = poison_guard.PoisonGuard()
+        self._retries = retry_share.RetryShare(settings)
+        self._links = target_links.TargetLinks(wire)
+        self._stop = stopping.StopState()
+        self._limits = caller_protocol.ConnectionLimits()
+        self._own = digest_codec.Peer(
+            settings.instance_id, settings.host, settings.peer_port
+        )
+        self._peers = peers.PeerTable(self._own, clock)
+        self._scheduler = scheduling.Scheduler(
+            placement.Placer(
+                self._table, self._load, settings.data_centre, self._source
+            ),
+            self._commit,
+            clock,
+            self._source,
+        )
+        self._peer_links = peers.PeerLinks(
+            self._own,
+            self._peers,
+            self._load,
+            self._state,
+            self._guard,
+            clock,
+            self._scheduler.pump,
+        )
+        self._export = exporting.MetricsExport(
+            settings_models.TelemetrySettings(), settings.instance_id
+        )
+        self._callers = application.CallerApplication(
+            wire,
+            self._state,
+            forwarding.Forwarder(
+                wire,
+                self._scheduler,
+                self._links,
+                self._table,
+                self._load,
+                self._retries,
+                self._guard,
+                clock,
+                self._on_change,
+            ),
+            self._stop,
+            self._make_metrics(),
+            clock,
+            self._source,
+        )
+
+    async def run(self) -> None:
+        """Serves until a signal, then until its requests have ended."""
+        callers = self._make_server(
+            self._callers,
+            self._settings.host,
+            self._settings.caller_port,
+            caller_protocol.make_protocol(self._limits),
+        )
+        readiness = self._make_server(
+            application.ReadinessApplication(
+                self._wire.readiness_path, self._is_ready
+            ),
+            self._settings.readiness_host,
+            self._settings.readiness_port,
+        )
+        peer_server = self._make_server(
+            application.PeerApplication(self._state),
+            self._settings.host,
+            self._settings.peer_port,
+        )
+        metrics = self._make_server(
+            application.MetricsApplication(self._export.scrape),
+            self._settings.host,
+            METRICS_PORT,
+        )
+        logger.info("started", name=self._settings.instance_id)
+        async with anyio.create_task_group() as tasks:
+            for server in (readiness, peer_server, metrics):
+                tasks.start_soon(server.serve)
+            for follower in self._make_followers():
+                tasks.start_soon(follower)
+            tasks.start_soon(self._peer_links.run)
+            tasks.start_soon(self._peer_links.fetch_configurations)
+            tasks.start_soon(self._keep_house)
+            tasks.start_soon(self._handle_signals, callers)
+            await callers.serve()
+            logger.info("stopped")
+            tasks.cancel_scope.cancel()
+        self._links.close()
+        await self._store.close()
+
+    def _make_followers(self) -> list[Callable[[], object]]:
+        """Returns the tasks that speak to the store."""
+
+        def follow(prefix: str, handler: following.Handler) -> object:
+            return following.follow(
+                self._store, prefix, handler, self._on_answer, self._source
+            )
+
+        configuration = _ConfigurationHandler(
+            self._state, self._apply_configuration
+        )
+        targets = _TargetsHandler(self._state, self._scheduler.pump)
+        return [
+            lambda: follow(self._wire.configuration_key, configuration),
+            lambda: follow(self._wire.targets_prefix, targets),
+            lambda: follow(peers.PREFIX, self._peers),
+            lambda: peers.register(self._store, self._own, self._on_answer),
+        ]
+
+    def _commit(
+        self,
+        demand: placement.Demand,
+        place: placement.Placement,
+        now: float,
+    ) -> None:
+        """Takes a place that has been given."""
+        writing = (
+            placement.TYPICAL_CALL_S
+            if demand.service.law is None
+            else placement.expected_writing_s(demand)
+        )
+        self._load.start(
+            load_view.Job(
+                job_id=demand.job_id,
+                target_id=place.target.record.target_id,
+                helper_ids=tuple(
+                    helper.record.target_id for helper in place.helpers
+                ),
+                prompt_tokens=demand.prompt_tokens,
+                output_tokens=demand.output_tokens,
+                max_gap_s=demand.max_gap_s,
+                value=demand.value,
+                placed_at=now,
+                reads_until=now + place.reading_s,
+                ends_at=now + place.first_token_s + writing,
+            )
+        )
+        self._peer_links.notify()
+
+    def _on_change(self) -> None:
+        """Takes a change of what runs here."""
+        self._peer_links.notify()
+        self._scheduler.pump()
+
+    def _on_answer(self, fault: store.StoreFault | None) -> None:
+        """Takes whether the store answered."""
+        if fault is None:
+            self._state.store_found()
+        elif fault.kind in (
+            store.StoreFaultKind.UNAVAILABLE,
+            store.StoreFaultKind.INDETERMINATE,
+        ):
+            self._state.store_lost(f"{fault.kind} {fault.key} {fault.detail}")
+
+    def _apply_configuration(self) -> None:
+        """Puts bounds of a new configuration in force."""
+        table = self._state.routes
+        if table is not None:
+            self._limits.apply(table.configuration.limits)
+
+    def _is_ready(self) -> bool:
+        """Whether the balancer should send new connections."""
+        return self._state.is_complete and not self._stop.is_stopping
+
+    async def _keep_house(self) -> None:
+        """Drops what is out of date while the task runs."""
+        while True:
+            await anyio.sleep(HOUSEKEEPING_S)
+            self._state.expire()
+            self._links.close_idle()
+            self._retries.update_instances(self._peers.count)
+
+    async def _handle_signals(self, callers: http_server.HttpServer) -> None:
+        """Stops at SIGTERM; reads the settings again at SIGHUP."""
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async with anyio.create_task_group() as tasks:
+                async for number in signals:
+                    if number == signal.SIGHUP:
+                        self._reload()
+                    elif not self._stop.is_stopping:
+                        tasks.start_soon(self._stop_serving, callers)
+
+    def _reload(self) -> None:
+        """Reads the settings again; addresses stay as they are."""
+        self._settings = self._load_settings()
+        self._retries = retry_share.RetryShare(self._settings)
+        logger.info("settings reloaded", name=self._settings.instance_id)
+
+    async def _stop_serving(self, callers: http_server.HttpServer) -> None:
+        """Ends the process within its grace time."""
+        self._stop.begin(self._clock(), self._settings)
+        self._peer_links.leave()
+        logger.info("stopping", count=self._callers.in_progress)
+        await anyio.sleep(stopping.BALANCER_NOTICE_S)
+        callers.stop()
+        await anyio.sleep(max(self._stop.left_s(self._clock()), 0.0))
+        logger.warning(
+            "grace time is over", count=self._callers.in_progress
+        )
+        callers.stop_now()
+
+    def _make_metrics(self) -> traffic_metrics.TrafficMetrics:
+        """Returns the metrics, with gauges of what is believed."""
+        return traffic_metrics.TrafficMetrics(
+            self._export.meter,
+            {
+                "waiting": lambda: self._scheduler.waiting,
+                "targets": lambda: len(self._table),
+                "instances": lambda: self._peers.count,
+                "configuration_age": lambda: self._state.configuration_age_s,
+                "connections_opened": lambda: self._links.opened,
+            },
+        )
+
+    def _make_server(
+        self,
+        served: object,
+        host: str,
+        port: int,
+        protocol: type | str = "httptools",
+    ) -> http_server.HttpServer:
+        """Binds a server."""
+        return http_server.HttpServer(
+            served, http_server.bind(host, port), protocol
+        )
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/request_log.py
@@ -0,0 +1,77 @@
+"""Log lines about one request, each with what decided."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from cardamomfork._internal.gateway import outcomes
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.gateway import placement
+    from cardamomfork._internal.gateway import routes
+
+
+class RequestLog:
+    """Writes the lines of a request."""
+
+    def __init__(self, request_id: str) -> None:
+        """Takes the id that every line carries."""
+        self._logger = logger.bind(request_id=request_id)
+
+    def rejected(self, reason: str, status: int, version: int) -> None:
+        """Logs a request that the configuration doesn't allow."""
+        self._logger.info(
+            "rejected", reason=reason, status=status, version=version
+        )
+
+    def attempt_ended(
+        self,
+        number: int,
+        place: placement.Placement,
+        ending: outcomes.Ending,
+        seconds: float,
+    ) -> None:
+        """Logs an attempt with the prediction that it was placed by."""
+        is_good = isinstance(ending, outcomes.Delivered)
+        self._logger.log(
+            "DEBUG" if is_good else "INFO",
+            "attempt ended",
+            count=number,
+            target_id=place.target.record.target_id,
+            outcome="delivered" if is_good else ending.failure.value,
+            reason="" if is_good else ending.detail,
+            seconds=round(seconds, 3),
+            predicted_s=round(place.first_token_s, 3),
+            helpers=len(place.helpers),
+            cost=round(place.cost, 2),
+        )
+
+    def tries_again(self, failed: outcomes.Failed, left_s: float) -> None:
+        """Logs the decision to send a request once more."""
+        self._logger.info(
+            "tries again",
+            reason=failed.failure.value,
+            left_s=round(left_s, 3),
+        )
+
+    def ended(
+        self,
+        match: routes.Match,
+        status: int,
+        reason: str,
+        seconds: float,
+        detail: str,
+    ) -> None:
+        """Logs the end of a request."""
+        self._logger.info(
+            "request ended",
+            route=match.route.name,
+            service=match.service.name,
+            version=match.version,
+            status=status,
+            reason=reason,
+            seconds=round(seconds, 3),
+            detail=detail,
+        )
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/routes.py
@@ -0,0 +1,121 @@
+"""Which route, service and client account a request belongs to."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+import result
+
+if TYPE_CHECKING:
+    import random
+
+    from cardamomfork._internal.models import fleet
+    from cardamomfork._internal.models import forwarding
+
+
+class Rejection(enum.Enum):
+    """Why a request has no place in the configuration; its HTTP status."""
+
+    NO_ROUTE = 404
+    UNKNOWN_KEY = 401
+
+
+@attrs.frozen
+class Match:
+    """What the configuration says about a request.
+
+    Attributes:
+        route: The route that serves it.
+        service: The service that it goes to.
+        account: The caller's account; None where no key is needed.
+        priority: Rank; 0 goes first.
+        version: Version of the configuration.
+    """
+
+    route: fleet.Route
+    service: fleet.Service
+    account: fleet.ClientAccount | None
+    priority: int
+    version: int
+
+
+class RouteTable:
+    """Looks requests up in one version of the configuration."""
+
+    def __init__(self, configuration: fleet.FleetConfiguration) -> None:
+        """Indexes the configuration."""
+        self._configuration = configuration
+        self._routes = {
+            (route.host, route.prefix): route for route in configuration.routes
+        }
+        self._accounts = {
+            key: account
+            for account in configuration.accounts
+            for key in account.api_keys
+        }
+
+    @property
+    def configuration(self) -> fleet.FleetConfiguration:
+        """The version that this table holds."""
+        return self._configuration
+
+    def match(
+        self, request: forwarding.CallerRequest, source: random.Random
+    ) -> result.Result[Match, Rejection]:
+        """Finds route, service and account of a request.
+
+        Args:
+            request: The request.
+            source: Picks among the services of a route that is split.
+        """
+        route = self._find_route(request.host, request.path)
+        if route is None:
+            return result.Err(Rejection.NO_ROUTE)
+        account = self._accounts.get(request.api_key)
+        if account is None and route.needs_key and self._configuration.accounts:
+            return result.Err(Rejection.UNKNOWN_KEY)
+        service = self._pick_service(route, source)
+        if service is None:
+            return result.Err(Rejection.NO_ROUTE)
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        return result.Ok(
+            Match(
+                route,
+                service,
+                account,
+                priority,
+                self._configuration.version,
+            )
+        )
+
+    def _find_route(self, host: str, path: str) -> fleet.Route | None:
+        """Returns the route with the longest prefix that begins the path."""
+        end = path.rfind("/")
+        while end >= 0:
+            route = self._routes.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def _pick_service(
+        self, route: fleet.Route, source: random.Random
+    ) -> fleet.Service | None:
+        """Returns one of the route's services, by weight."""
+        shares = [
+            share
+            for share in route.shares
+            if share.weight > 0 and share.service in self._configuration.services
+        ]
+        if not shares:
+            return None
+        if len(shares) == 1:
+            name = shares[0].service
+        else:
+            weights = [share.weight for share in shares]
+            name = source.choices(shares, weights)[0].service
+        return self._configuration.services[name]
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -0,0 +1,230 @@
+"""What this instance believes of each target: its entry and its health."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal.models import fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+VANISHED_GRACE_S = 2.5
+"""Entries that lapsed in an outage of the store are back within about 2 s."""
+FAILURE_WEIGHT = 0.25
+"""Weight of one attempt in the smoothed share of failures."""
+FAILURE_HALF_LIFE_S = 6.0
+"""Time in which an old failure counts half."""
+FIRST_PAUSE_S = 0.5
+MAX_PAUSE_S = 4.0
+FAILURES_TO_PAUSE = 2
+"""Failures in a row after which a target gets no work for a while."""
+SLOWNESS_WEIGHT = 0.3
+"""Weight of one observation in the smoothed slowness."""
+SLOWNESS_HALF_LIFE_S = 5.0
+"""Time in which slowness that nobody observes again counts half."""
+MAX_SLOWNESS = 20.0
+
+
+class Sign(enum.Enum):
+    """What an attempt showed of a target's health."""
+
+    GOOD = "good"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
+
+
+@attrs.define
+class Target:
+    """One target.
+
+    Attributes:
+        record: Its entry.
+        vanished_at: When its entry went in an outage of the store, or None.
+        failures: Smoothed share of attempts that failed, at `failed_at`.
+        failed_at: Time of the last failure.
+        failures_in_row: Failures since the last success.
+        paused_until: Time up to which it gets no work.
+        slowness: Observed time over predicted time, at `slow_at`.
+        slow_at: Time of the last observation.
+    """
+
+    record: fleet.TargetRecord
+    vanished_at: float | None = None
+    failures: float = 0.0
+    failed_at: float = 0.0
+    failures_in_row: int = 0
+    paused_until: float = 0.0
+    slowness: float = 1.0
+    slow_at: float = 0.0
+
+    def failure_share(self, now: float) -> float:
+        """Returns the share of attempts that fail, less for old failures."""
+        age = max(now - self.failed_at, 0.0)
+        return float(self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_S))
+
+    def pace(self, now: float) -> float:
+        """Returns how many times longer than predicted its work takes."""
+        age = max(now - self.slow_at, 0.0)
+        excess = (self.slowness - 1.0) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+        return float(1.0 + max(excess, 0.0))
+
+    def is_usable(self, now: float) -> bool:
+        """Whether it may get new work."""
+        return not self.record.is_leaving and now >= self.paused_until
+
+
+class TargetTable:
+    """All targets by id."""
+
+    def __init__(self) -> None:
+        """Starts without targets."""
+        self._targets: dict[str, Target] = {}
+        self._by_service: dict[str, dict[str, Target]] = {}
+
+    def __len__(self) -> int:
+        """Returns how many targets are known."""
+        return len(self._targets)
+
+    def find(self, target_id: str) -> Target | None:
+        """Returns a target, or None if it is unknown."""
+        return self._targets.get(target_id)
+
+    def all(self) -> list[Target]:
+        """Returns all targets."""
+        return list(self._targets.values())
+
+    def list_service(self, service: str, now: float) -> list[Target]:
+        """Returns a service's targets that may get new work."""
+        found = self._by_service.get(service, {}).values()
+        return [target for target in found if target.is_usable(now)]
+
+    def put(self, record: fleet.TargetRecord) -> bool:
+        """Takes an entry; returns whether it names another run of a target."""
+        known = self._targets.get(record.target_id)
+        is_new_run = known is None or _is_other_run(known.record, record)
+        if known is not None and not is_new_run:
+            known.vanished_at = None
+            if record.is_leaving or not known.record.is_leaving:
+                known.record = record
+            return False
+        self._drop(record.target_id)
+        target = Target(record)
+        self._targets[record.target_id] = target
+        self._by_service.setdefault(record.service, {})[
+            record.target_id
+        ] = target
+        return True
+
+    def remove(self, target_id: str, now: float, *, may_return: bool) -> None:
+        """Takes the end of an entry.
+
+        Args:
+            target_id: The target.
+            now: Monotonic time.
+            may_return: Whether the entry may have lapsed in an outage of the
+                store while its target runs on.
+        """
+        target = self._targets.get(target_id)
+        if target is None:
+            return
+        if may_return and not target.record.is_leaving:
+            if target.vanished_at is None:
+                target.vanished_at = now
+            return
+        self._drop(target_id)
+
+    def replace_all(
+        self,
+        records: Iterable[fleet.TargetRecord],
+        now: float,
+        *,
+        may_return: bool,
+    ) -> None:
+        """Takes a full list; whatever it lacks has ended."""
+        listed = set()
+        for record in records:
+            listed.add(record.target_id)
+            self.put(record)
+        for target_id in list(self._targets):
+            if target_id not in listed:
+                self.remove(target_id, now, may_return=may_return)
+
+    def expire(self, now: float) -> list[str]:
+        """Drops targets whose entries have not come back; returns their ids."""
+        gone = [
+            target_id
+            for target_id, target in self._targets.items()
+            if target.vanished_at is not None
+            and now - target.vanished_at >= VANISHED_GRACE_S
+        ]
+        for target_id in gone:
+            self._drop(target_id)
+        return gone
+
+    def postpone_expiry(self, now: float) -> None:
+        """Restarts the wait for entries to come back, at the store's return."""
+        for target in self._targets.values():
+            if target.vanished_at is not None:
+                target.vanished_at = now
+
+    def mark_leaving(self, target_id: str) -> None:
+        """Notes that a target has said that it takes no new work."""
+        target = self._targets.get(target_id)
+        if target is not None:
+            target.record = attrs.evolve(target.record, is_leaving=True)
+
+    def observe(self, target_id: str, sign: Sign, now: float) -> bool:
+        """Takes what an attempt showed; returns whether the target pauses."""
+        target = self._targets.get(target_id)
+        if target is None:
+            return False
+        share = target.failure_share(now)
+        if sign is Sign.GOOD:
+            target.failures = share * (1 - FAILURE_WEIGHT)
+            target.failed_at = now
+            target.failures_in_row = 0
+            return False
+        target.failures = share + FAILURE_WEIGHT * (1 - share)
+        target.failed_at = now
+        target.failures_in_row += 1
+        beyond = target.failures_in_row - FAILURES_TO_PAUSE
+        if sign is Sign.UNREACHABLE:
+            beyond = max(beyond, 0)
+        if beyond < 0:
+            return False
+        pause = min(FIRST_PAUSE_S * 2.0**beyond, MAX_PAUSE_S)
+        target.paused_until = max(target.paused_until, now + pause)
+        return True
+
+    def observe_time(
+        self, target_id: str, ratio: float, now: float
+    ) -> float | None:
+        """Takes observed over predicted time; returns the pace, if known."""
+        target = self._targets.get(target_id)
+        if target is None:
+            return None
+        old = target.pace(now)
+        bounded = min(max(ratio, 1.0), MAX_SLOWNESS)
+        target.slowness = old + SLOWNESS_WEIGHT * (bounded - old)
+        target.slow_at = now
+        return target.slowness
+
+    def _drop(self, target_id: str) -> None:
+        """Forgets a target."""
+        target = self._targets.pop(target_id, None)
+        if target is not None:
+            self._by_service[target.record.service].pop(target_id, None)
+
+
+def _is_other_run(old: fleet.TargetRecord, new: fleet.TargetRecord) -> bool:
+    """Tells whether an entry comes from another start than a known one."""
+    return (old.host, old.port, old.service, old.started_at_ms) != (
+        new.host,
+        new.port,
+        new.service,
+        new.started_at_ms,
+    )
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/traffic_metrics.py
@@ -0,0 +1,82 @@
+"""Counters and histograms of the requests that this instance serves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from opentelemetry import metrics as api
+
+from cardamomfork._internal.telemetry import metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomfork._internal.gateway import forwarding
+
+LATENCY_EDGES_S = (
+    0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 5.0, 10.0, 15.0
+)  # fmt: skip
+
+
+class TrafficMetrics:
+    """Takes the end of each request."""
+
+    def __init__(
+        self, meter: api.Meter, readings: dict[str, Callable[[], float]]
+    ) -> None:
+        """Makes the instruments.
+
+        Args:
+            meter: Of the exporter, or `api.NoOpMeter("cardamomfork")`.
+            readings: Functions that are read at each scrape, by name.
+        """
+        self._requests = meter.create_counter(
+            metrics.PREFIX + "gateway.requests",
+            "1",
+            "Ended requests by service, status and cause",
+        )
+        self._latency = meter.create_histogram(
+            metrics.PREFIX + "gateway.latency",
+            "s",
+            "Time from a request's arrival to its end",
+            explicit_bucket_boundaries_advisory=LATENCY_EDGES_S,
+        )
+        for name, read in readings.items():
+            meter.create_observable_gauge(
+                metrics.PREFIX + "gateway." + name,
+                [_make_callback(read)],
+            )
+
+    def rejected(self, status: int) -> None:
+        """Counts a request that the configuration doesn't allow."""
+        self._requests.add(1, {"status": status, "cause": "rejected"})
+
+    def ended(
+        self,
+        exchange: forwarding.Exchange,
+        status: int,
+        reason: str,
+        seconds: float,
+    ) -> None:
+        """Counts a request that was forwarded or refused."""
+        service = exchange.match.service.name
+        cause = reason.partition(":")[0]
+        self._requests.add(
+            1, {"service": service, "status": status, "cause": cause}
+        )
+        generation = exchange.request.generation
+        band = metrics.band_of(generation.prompt_tokens) if generation else "-"
+        self._latency.record(
+            seconds, {"service": service, "prompt_length": band}
+        )
+
+
+def _make_callback(
+    read: Callable[[], float],
+) -> Callable[[api.CallbackOptions], list[api.Observation]]:
+    """Returns a callback that reads a gauge."""
+
+    def observe(_: api.CallbackOptions) -> list[api.Observation]:
+        return [api.Observation(read())]
+
+    return observe
--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -129,6 +129,14 @@
         """Takes no more connections; open requests go on to their end."""
         self._server.should_exit = True
 
+    def stop_now(self) -> None:
+        """Cuts what is open and stops."""
+        self._server.force_exit = True
+        self.stop()
+        for connection in list(self._server.server_state.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[HttpServer]:
         """Serves while the context is open; cuts what is open at its end."""
@@ -138,8 +146,4 @@
                 await self._server.listening.wait()
                 yield self
             finally:
-                self._server.force_exit = True
-                self.stop()
-                for connection in list(self._server.server_state.connections):
-                    if connection.transport is not None:
-                        connection.transport.abort()
+                self.stop_now()
--- /dev/null
+++ b/src/cardamomfork/_internal/platform/configuration_format.py
@@ -0,0 +1,188 @@
+"""The operators' configuration as the platform's store holds it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import result
+
+from cardamomfork._internal.models import fleet
+
+KEY = "op/config"
+MS_PER_S = 1000.0
+PAIRS_UNIT = 1e6
+CONTEXT_UNIT = 1e3
+
+_RULES = {
+    "safe": fleet.RepeatRule.SAFE,
+    "unsafe": fleet.RepeatRule.ONCE,
+    "streaming": fleet.RepeatRule.STREAM,
+}
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    """Timing of a service's engines; times in milliseconds."""
+
+    slots: int = 8
+    kv_capacity: int = 0
+    """Tokens, not bytes."""
+    stride: int = 1
+    step_ms: float = msgspec.field(name="step_ms", default=1.0)
+    per_seq_ms: float = msgspec.field(name="per_seq_ms", default=0.0)
+    context_per_k: float = msgspec.field(name="context_per_k", default=0.0)
+    """Milliseconds a step for each 1,000 tokens of a writer's context."""
+    read_per_s: float = msgspec.field(name="read_per_s", default=100_000.0)
+    pairs_per_m: float = msgspec.field(name="pairs_per_m", default=0.0)
+    """Milliseconds for a million pairs of tokens."""
+    chunk: int = 2048
+    usual: dict[str, float] = {}
+    """Mean lengths; `answer` counts output tokens."""
+    hop_ms: float = 0.0
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    """A service; other fields do not matter to callers' requests."""
+
+    name: str
+    max_connections: int = 64
+    engine: _Engine | None = None
+
+
+class _Backend(msgspec.Struct):
+    """One service of a route that is split."""
+
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    """A route; `kind` says what may be repeated, not what is asked."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 1
+    service: str = ""
+    backends: list[_Backend] = []
+    max_attempts: int = 1
+    allow_anonymous: bool = False
+    stream_resume: bool = False
+    target_gap_ms: float = 0.0
+    """Longest pause between events, not a time to aim for."""
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    """A client account."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    """Bounds on callers."""
+
+    max_header_bytes: int = 65_536
+    max_body_bytes: int = 16_777_216
+    idle_timeout_ms: float = 30_000.0
+
+
+class _Configuration(msgspec.Struct, rename="camel"):
+    """The whole configuration."""
+
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+_decoder = msgspec.json.Decoder(_Configuration, strict=False)
+
+
+def decode(
+    value: bytes, revision: int
+) -> result.Result[fleet.FleetConfiguration, str]:
+    """Decodes a configuration; an error says what is wrong with it.
+
+    Args:
+        value: Bytes as stored.
+        revision: The store's revision of these bytes.
+    """
+    try:
+        found = _decoder.decode(value)
+        routes = tuple(_make_route(route) for route in found.routes)
+    except (msgspec.DecodeError, KeyError) as error:
+        return result.Err(f"malformed configuration: {error}")
+    return result.Ok(
+        fleet.FleetConfiguration(
+            version=found.version,
+            revision=revision,
+            routes=routes,
+            services={
+                service.name: fleet.Service(
+                    service.name,
+                    service.max_connections,
+                    _make_law(service.engine),
+                )
+                for service in found.services
+            },
+            accounts=tuple(
+                fleet.ClientAccount(
+                    tenant.name, tuple(tenant.api_keys), tenant.priority
+                )
+                for tenant in found.tenants
+            ),
+            limits=fleet.CallerLimits(
+                found.limits.max_header_bytes,
+                found.limits.max_body_bytes,
+                found.limits.idle_timeout_ms / MS_PER_S,
+            ),
+        )
+    )
+
+
+def _make_route(route: _Route) -> fleet.Route:
+    """Returns a route in the project's terms."""
+    shares = [fleet.Share(one.service, one.weight) for one in route.backends]
+    if route.service:
+        shares.append(fleet.Share(route.service, 1.0))
+    return fleet.Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        rule=_RULES[route.kind],
+        timeout_s=route.timeout_ms / MS_PER_S,
+        objective_s=route.target_latency_ms / MS_PER_S,
+        priority=route.priority,
+        shares=tuple(shares),
+        max_attempts=max(route.max_attempts, 1),
+        needs_key=not route.allow_anonymous,
+        may_resume=route.stream_resume,
+        max_gap_s=route.target_gap_ms / MS_PER_S,
+    )
+
+
+def _make_law(engine: _Engine | None) -> fleet.EngineLaw | None:
+    """Returns the timing of an engine; None for a plain service."""
+    if engine is None or engine.kv_capacity <= 0:
+        return None
+    usual: dict[str, Any] = engine.usual
+    return fleet.EngineLaw(
+        slots=max(engine.slots, 1),
+        memory_tokens=engine.kv_capacity,
+        step_s=engine.step_ms / MS_PER_S,
+        sequence_step_s=engine.per_seq_ms / MS_PER_S,
+        context_step_s=engine.context_per_k / MS_PER_S / CONTEXT_UNIT,
+        read_tokens_per_s=max(engine.read_per_s, 1.0),
+        pair_s=engine.pairs_per_m / MS_PER_S / PAIRS_UNIT,
+        chunk_tokens=max(engine.chunk, 1),
+        stride_steps=max(engine.stride, 1),
+        typical_prompt_tokens=int(usual.get("prompt", 1000)),
+        typical_output_tokens=int(usual.get("answer", 500)),
+        hop_s=engine.hop_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/src/cardamomfork/_internal/platform/headers.py
@@ -0,0 +1,171 @@
+"""Header names and paths that callers and targets use."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.models import forwarding
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+READINESS_PATH = "/-/readyz"
+MS_PER_S = 1000.0
+
+_REQUEST_ID = b"x-cardamomfork-request-id"
+_TIME_LIMIT = b"x-cardamomfork-deadline-ms"  # A duration, not a point in time.
+_TOKEN_USAGE = b"x-cardamomfork-token-usage"  # Prompt and most output tokens.
+_OUTPUT_HINT = b"x-cardamomfork-length-hint"  # Output tokens, not a length.
+_ACCOUNT = b"x-cardamomfork-tenant"
+_TARGET_ID = b"x-cardamomfork-target-instance"
+_PRIORITY = b"x-cardamomfork-request-priority"
+_HELPERS = b"x-cardamomfork-helpers"
+_SIGNATURE = b"x-cardamomfork-server-signature"
+_NOT_RUN = b"x-cardamomfork-not-executed"
+_BLAMED = b"at-server"
+_API_KEY = b"api-key"
+_LAST_EVENT_ID = b"last-event-id"
+
+_MISDIRECTED = 421
+
+_CONNECTION_HEADERS = frozenset(
+    (
+        b"connection", b"keep-alive", b"proxy-authenticate",
+        b"proxy-authorization", b"proxy-connection", b"te", b"trailer",
+        b"transfer-encoding", b"upgrade", b"content-length", b"expect",
+    )
+)  # fmt: skip
+"""Headers of one connection; the length is set anew for each side."""
+
+_SET_HERE = frozenset(
+    (_TIME_LIMIT, _ACCOUNT, _TARGET_ID, _PRIORITY, _HELPERS, _API_KEY)
+)
+"""Headers that a caller can't set towards a target."""
+
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+
+
+def decode_request(
+    method: str, raw_target: bytes, headers: Iterable[tuple[bytes, bytes]]
+) -> forwarding.CallerRequest:
+    """Decodes the head of a caller's request; header names are lower case."""
+    pairs = tuple(headers)
+    values = dict(reversed(pairs))
+    dropped = _CONNECTION_HEADERS | _SET_HERE | _named_by(pairs)
+    raw_path = raw_target.partition(b"?")[0]
+    return forwarding.CallerRequest(
+        request_id=values.get(_REQUEST_ID, b"").decode("latin-1"),
+        method=method.encode(),
+        target=raw_target,
+        path=raw_path.decode("latin-1"),
+        host=_strip_port(values.get(b"host", b"").decode("latin-1")).lower(),
+        headers=tuple(pair for pair in pairs if pair[0] not in dropped),
+        api_key=values.get(_API_KEY, b"").decode("latin-1"),
+        time_limit_s=_to_seconds(values.get(_TIME_LIMIT)),
+        last_event_id=_to_int(values.get(_LAST_EVENT_ID)),
+        generation=_to_generation(values),
+    )
+
+
+def encode_request(
+    request: forwarding.CallerRequest,
+    sending: forwarding.Sending,
+    body_bytes: int,
+) -> bytes:
+    """Returns the head of a request to a target."""
+    lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
+    resumes = sending.last_event_id is not None
+    lines += [
+        name + b": " + value
+        for name, value in request.headers
+        if not (resumes and name == _LAST_EVENT_ID)
+    ]
+    if resumes:
+        lines.append(b"%b: %d" % (_LAST_EVENT_ID, sending.last_event_id))
+    left_ms = max(int(sending.time_left_s * MS_PER_S), 1)
+    lines.append(b"%b: %d" % (_TIME_LIMIT, left_ms))
+    lines.append(_TARGET_ID + b": " + sending.target_id.encode("latin-1"))
+    if sending.account:
+        lines.append(_ACCOUNT + b": " + sending.account.encode("latin-1"))
+    if sending.priority is not None:
+        lines.append(b"%b: %d" % (_PRIORITY, sending.priority))
+    if sending.helpers:
+        listed = ",".join(_name_helper(helper) for helper in sending.helpers)
+        lines.append(_HELPERS + b": " + listed.encode())
+    if body_bytes or request.method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"content-length: %d" % body_bytes)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def decode_answer(
+    status: int, headers: Iterable[tuple[bytes, bytes]]
+) -> forwarding.AnswerHead:
+    """Decodes the head of a target's answer; names are lower case."""
+    pairs = tuple(headers)
+    values = dict(reversed(pairs))
+    dropped = _CONNECTION_HEADERS | _named_by(pairs)
+    keep_alive = _KEEP_ALIVE_TIMEOUT.search(values.get(b"keep-alive", b""))
+    return forwarding.AnswerHead(
+        status=status,
+        headers=tuple(pair for pair in pairs if pair[0] not in dropped),
+        request_id=values.get(_REQUEST_ID, b"").decode("latin-1"),
+        is_signed=_SIGNATURE in values,
+        is_not_run=_NOT_RUN in values or status == _MISDIRECTED,
+        blamed_target_id=values.get(_BLAMED, b"").decode("latin-1"),
+        idle_timeout_s=float(keep_alive[1]) if keep_alive else None,
+        content_length=_to_int(values.get(b"content-length")),
+        closes=b"close" in values.get(b"connection", b"").lower(),
+    )
+
+
+def _name_helper(helper: forwarding.Helper) -> str:
+    """Returns a helper as targets read it."""
+    address = f"{helper.host}:{helper.port}"
+    if helper.reservation_id:
+        return f"{address}/{helper.reservation_id}"
+    return address
+
+
+def _named_by(pairs: tuple[tuple[bytes, bytes], ...]) -> frozenset[bytes]:
+    """Returns the headers that `Connection` names as its own."""
+    return frozenset(
+        token.strip().lower()
+        for name, value in pairs
+        if name == b"connection"
+        for token in value.split(b",")
+    )
+
+
+def _strip_port(host: str) -> str:
+    """Returns a host without its port."""
+    return host.partition(":")[0]
+
+
+def _to_seconds(value: bytes | None) -> float | None:
+    """Returns milliseconds as seconds; None if there is no number."""
+    try:
+        return None if value is None else float(value) / MS_PER_S
+    except ValueError:
+        return None
+
+
+def _to_int(value: bytes | None) -> int | None:
+    """Returns a whole number; None if there is none."""
+    try:
+        return None if value is None else int(value)
+    except ValueError:
+        return None
+
+
+def _to_generation(
+    values: dict[bytes, bytes],
+) -> forwarding.Generation | None:
+    """Returns the size of a model request; None if it names none."""
+    prompt, _, output = values.get(_TOKEN_USAGE, b"").partition(b",")
+    try:
+        return forwarding.Generation(
+            int(prompt), int(output), _to_int(values.get(_OUTPUT_HINT))
+        )
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/cardamomfork/_internal/platform/node_settings.py
@@ -0,0 +1,97 @@
+"""The settings file that the platform gives a process."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import tomllib
+from typing import Any
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.models import fleet
+
+PATH_VARIABLE = "CARDAMOMFORK_NODE_FILE"
+BYTES_PER_MEGABYTE = 1_000_000
+MS_PER_S = 1000.0
+
+
+def find_path() -> pathlib.Path:
+    """Returns the path of the settings file.
+
+    Raises:
+        exceptions.SettingsError: The variable with the path isn't set.
+    """
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise exceptions.SettingsError(
+            f"{PATH_VARIABLE} is not set.",
+            "It holds the path of the platform's settings file.",
+        )
+    return pathlib.Path(path)
+
+
+def load(path: pathlib.Path) -> fleet.EntrySettings:
+    """Reads the settings of an entry instance.
+
+    Raises:
+        exceptions.SettingsError: The file can't be read, or lacks a field.
+    """
+    try:
+        return decode(tomllib.loads(path.read_text()))
+    except OSError as error:
+        raise exceptions.SettingsError(
+            f"{path} can't be read: {error.strerror}."
+        ) from error
+    except (KeyError, ValueError, TypeError) as error:
+        raise exceptions.SettingsError(
+            f"{path} has a missing or malformed field: {error!r}."
+        ) from error
+
+
+def decode(table: dict[str, Any]) -> fleet.EntrySettings:
+    """Returns the settings that a parsed file holds.
+
+    Raises:
+        KeyError: A field is missing.
+        ValueError: A field is malformed.
+        TypeError: A field has another type.
+    """
+    listen = table["listen"]
+    bounds = table.get("bounds", {})
+    limits = table.get("limits", {})
+    host, caller_port = split_address(listen["front"])
+    readiness_host, readiness_port = split_address(listen["readyAddr"])
+    store_host, store_port = split_address(table["platform"]["address"])
+    return fleet.EntrySettings(
+        instance_id=str(table["nodeName"]),
+        data_centre=str(table["zone"]),
+        host=host,
+        caller_port=caller_port,
+        readiness_host=readiness_host,
+        readiness_port=readiness_port,
+        peer_port=int(table["portRange"][0]),
+        store_host=store_host,
+        store_port=store_port,
+        memory_bytes=int(
+            float(limits.get("memoryMb", 300)) * BYTES_PER_MEGABYTE
+        ),
+        max_files=int(limits.get("maxFds", 4096)),
+        drain_timeout_s=float(bounds.get("drainTimeoutMs", 2000)) / MS_PER_S,
+        stop_grace_s=float(bounds.get("graceS", 8)),
+        retry_share=float(bounds.get("retryBudget", 0.2)),
+        retry_reserve=float(bounds.get("retrySlack", 100)),
+        retry_window_s=float(bounds.get("budgetWindowS", 10)),
+        reservation_max_s=float(bounds.get("holdMaxMs", 20_000)) / MS_PER_S,
+    )
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns IP number and port of an `IP:PORT` text.
+
+    Raises:
+        ValueError: The text is something else.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not host:
+        raise ValueError(f"{address!r} is not an IP:PORT address")
+    return host, int(port)
--- /dev/null
+++ b/src/cardamomfork/_internal/platform/target_entries.py
@@ -0,0 +1,56 @@
+"""Entries under which targets register themselves in the store."""
+
+from __future__ import annotations
+
+import msgspec
+import result
+
+from cardamomfork._internal.models import fleet
+from cardamomfork._internal.platform import node_settings
+
+PREFIX = "servers/"
+
+_LEAVING = {"ready": False, "draining": True}
+
+
+class _Entry(msgspec.Struct, rename="camel"):
+    """An entry; fields that a caller of a target has no use for are left out.
+
+    Attributes:
+        zone: The target's data centre.
+        version: Of its software, not of the entry.
+        born: Unix milliseconds of its start.
+    """
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    version: str = ""
+    born: int = 0
+
+
+_decoder = msgspec.json.Decoder(_Entry)
+
+
+def decode(key: str, value: bytes) -> result.Result[fleet.TargetRecord, str]:
+    """Decodes an entry; an error says why it names no target."""
+    try:
+        entry = _decoder.decode(value)
+        host, port = node_settings.split_address(entry.address)
+        is_leaving = _LEAVING[entry.state]
+    except (msgspec.DecodeError, ValueError, KeyError) as error:
+        return result.Err(f"malformed entry of a target: {error!r}")
+    return result.Ok(
+        fleet.TargetRecord(
+            target_id=key.removeprefix(PREFIX),
+            service=entry.service,
+            host=host,
+            port=port,
+            data_centre=entry.zone,
+            slots=max(entry.slots, 1),
+            is_leaving=is_leaving,
+            started_at_ms=entry.born,
+        )
+    )
--- /dev/null
+++ b/src/cardamomfork/_internal/platform/wire_format.py
@@ -0,0 +1,76 @@
+"""All translations of the platform's wire in one object."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.platform import configuration_format
+from cardamomfork._internal.platform import headers
+from cardamomfork._internal.platform import target_entries
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    import result
+
+    from cardamomfork._internal.models import fleet
+    from cardamomfork._internal.models import forwarding
+
+
+class WireFormat:
+    """Meets the `PlatformFormat` contract."""
+
+    @property
+    def readiness_path(self) -> str:
+        """Path on which the balancer asks whether an instance is ready."""
+        return headers.READINESS_PATH
+
+    @property
+    def configuration_key(self) -> str:
+        """Key of the operators' configuration in the store."""
+        return configuration_format.KEY
+
+    @property
+    def targets_prefix(self) -> str:
+        """Beginning of the keys under which targets register."""
+        return target_entries.PREFIX
+
+    def decode_configuration(
+        self, value: bytes, revision: int
+    ) -> result.Result[fleet.FleetConfiguration, str]:
+        """Decodes the operators' configuration."""
+        return configuration_format.decode(value, revision)
+
+    def decode_target(
+        self, key: str, value: bytes
+    ) -> result.Result[fleet.TargetRecord, str]:
+        """Decodes a target's entry."""
+        return target_entries.decode(key, value)
+
+    def target_id(self, key: str) -> str:
+        """Returns the id of the target that an entry belongs to."""
+        return key.removeprefix(target_entries.PREFIX)
+
+    def decode_request(
+        self,
+        method: str,
+        raw_target: bytes,
+        pairs: Iterable[tuple[bytes, bytes]],
+    ) -> forwarding.CallerRequest:
+        """Decodes the head of a caller's request."""
+        return headers.decode_request(method, raw_target, pairs)
+
+    def encode_request(
+        self,
+        request: forwarding.CallerRequest,
+        sending: forwarding.Sending,
+        body_bytes: int,
+    ) -> bytes:
+        """Returns the head of a request to a target."""
+        return headers.encode_request(request, sending, body_bytes)
+
+    def decode_answer(
+        self, status: int, pairs: Iterable[tuple[bytes, bytes]]
+    ) -> forwarding.AnswerHead:
+        """Decodes the head of a target's answer."""
+        return headers.decode_answer(status, pairs)
--- a/src/cardamomfork/_internal/telemetry/logs.py
+++ b/src/cardamomfork/_internal/telemetry/logs.py
@@ -51,6 +51,15 @@
     "peers_port",
     "operators_host",
     "operators_port",
+    "route",
+    "revision",
+    "dependency",
+    "predicted_s",
+    "left_s",
+    "retry_after_s",
+    "helpers",
+    "cost",
+    "detail",
 )
 """Fields that a line may carry beside time, level, message and place."""
 
--- /dev/null
+++ b/src/cardamomforkd_entry.py
@@ -0,0 +1,8 @@
+"""Starts an entry instance on the users' platform."""
+
+from __future__ import annotations
+
+from cardamomfork._internal.gateway import daemon
+
+if __name__ == "__main__":
+    daemon.main()
