--- a/src/cardamomfork/_internal/gateway/application.py
+++ b/src/cardamomfork/_internal/gateway/application.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -21,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    import random
 
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.gateway import fleet_state
@@ -341,9 +341,7 @@
     await send({"type": "http.response.body", "body": body})
 
 
-def _fingerprint(
-    request: forwarding_models.CallerRequest, body: bytes
-) -> int:
+def _fingerprint(request: forwarding_models.CallerRequest, body: bytes) -> int:
     """Tells requests with the same path, caller and body."""
     digest = xxhash.xxh3_64(request.target)
     digest.update(request.api_key.encode("latin-1"))
--- a/src/cardamomfork/_internal/gateway/attempt.py
+++ b/src/cardamomfork/_internal/gateway/attempt.py
@@ -120,9 +120,7 @@
             self._route.rule is fleet.RepeatRule.STREAM and head.status == _OK
         )
         if is_stream and head.is_signed:
-            return await self._pass_stream(
-                head, connection, messages, patience
-            )
+            return await self._pass_stream(head, connection, messages, patience)
         return await self._pass_whole(head, connection, messages, patience)
 
     async def _pass_whole(
@@ -296,9 +294,7 @@
     )
 
 
-def _judge(
-    head: forwarding.AnswerHead, body: bytes
-) -> outcomes.Failed | None:
+def _judge(head: forwarding.AnswerHead, body: bytes) -> outcomes.Failed | None:
     """Returns why a whole answer is no answer for the caller, if so."""
     if head.is_not_run:
         return outcomes.Failed(
--- a/src/cardamomfork/_internal/gateway/caller_protocol.py
+++ b/src/cardamomfork/_internal/gateway/caller_protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -45,7 +46,7 @@
 
         def on_response_complete(self) -> None:
             """Starts the idle time that is in force now."""
-            self.timeout_keep_alive = limits.idle_timeout_s
+            self.timeout_keep_alive = math.ceil(limits.idle_timeout_s)
             super().on_response_complete()
 
     return GatewayProtocol
--- a/src/cardamomfork/_internal/gateway/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/fleet_state.py
@@ -167,9 +167,7 @@
         """Notes that the store does not answer."""
         if self._lost_store_at is None:
             self._lost_store_at = self._clock()
-            logger.warning(
-                "dependency lost", dependency="store", reason=detail
-            )
+            logger.warning("dependency lost", dependency="store", reason=detail)
 
     def store_found(self) -> None:
         """Notes that the store answers."""
--- a/src/cardamomfork/_internal/gateway/following.py
+++ b/src/cardamomfork/_internal/gateway/following.py
@@ -78,7 +78,7 @@
 ) -> None:
     """Passes changes on until a fault; a watch that broke goes on once."""
     failures = 0
-    while failures < 2:  # noqa: PLR2004
+    while failures < 2:
         async with platform_store.watch(prefix, revision) as batches:
             async for batch in batches:
                 if isinstance(batch, result.Err):
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -257,9 +257,7 @@
         self._learn(exchange, record, place, ending, started_at, first_at)
         return ending
 
-    def _encode(
-        self, exchange: Exchange, place: placement.Placement
-    ) -> bytes:
+    def _encode(self, exchange: Exchange, place: placement.Placement) -> bytes:
         """Returns the bytes that are sent to the target."""
         account = exchange.match.account
         last = exchange.progress.order.last_id
@@ -320,9 +318,7 @@
             self._guard.confirm_death(record.target_id, now)
         if isinstance(ending, outcomes.Failed):
             if ending.failure is outcomes.Failure.BROKEN:
-                self._guard.suspect(
-                    exchange.fingerprint, record.target_id, now
-                )
+                self._guard.suspect(exchange.fingerprint, record.target_id, now)
             if "421" in ending.detail and not ending.blamed_target_id:
                 self._table.observe(
                     record.target_id, target_table.Sign.UNREACHABLE, now
--- a/src/cardamomfork/_internal/gateway/placement.py
+++ b/src/cardamomfork/_internal/gateway/placement.py
@@ -16,12 +16,12 @@
 
 from cardamomfork._internal.gateway import engine_law
 from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.models import fleet
 
 if TYPE_CHECKING:
     import random
 
     from cardamomfork._internal.gateway import target_table
+    from cardamomfork._internal.models import fleet
 
 PARTS_CHOICES = (1, 2, 3, 4, 6, 8, 12, 16)
 """Numbers of engines that are weighed for reading one prompt."""
@@ -176,13 +176,11 @@
         if not candidates:
             return NoRoom("no target", math.inf if listed else 1.0)
         if demand.service.law is None:
-            return self._choose_plain(demand, candidates, now)
-        return self._choose_engine(
-            demand, demand.service.law, candidates, now
-        )
+            return self._choose_plain(candidates, now)
+        return self._choose_engine(demand, demand.service.law, candidates, now)
 
     def _choose_plain(
-        self, demand: Demand, candidates: list[_Candidate], now: float
+        self, candidates: list[_Candidate], now: float
     ) -> Placement | NoRoom:
         """Chooses a target of a plain service: the least loaded one."""
         free = [
@@ -275,9 +273,7 @@
             _part_done_s(law, candidate, part_s)
             for candidate in (first, *helpers)
         )
-        first_token = max(
-            _first_token_s(law, first, part_s, demand), reading
-        )
+        first_token = max(_first_token_s(law, first, part_s, demand), reading)
         cost = self._own_loss(demand, first_token) + sum(
             self._cost_beside(demand, law, candidate, part_s, now)
             for candidate in (first, *helpers)
@@ -311,11 +307,7 @@
     ) -> float:
         """Returns what reading there costs others, and the place's risks."""
         load = candidate.load
-        cost = (
-            FAILURE_COST
-            * demand.value
-            * candidate.target.failure_share(now)
-        )
+        cost = FAILURE_COST * demand.value * candidate.target.failure_share(now)
         cost += self._distance(candidate)
         cost += READERS_WEIGHT * load.readers_value * part_s * candidate.pace
         cost += self._source.random() * REMOTE_COST
@@ -324,9 +316,10 @@
                 cost += EMPTY_TARGET_COST
             return cost
         contexts = [writer.context_tokens for writer in load.writers]
-        longest_pass = candidate.pace * (
-            engine_law.pass_s(law, contexts) + part_s
-        ) + load.reading_left_s
+        longest_pass = (
+            candidate.pace * (engine_law.pass_s(law, contexts) + part_s)
+            + load.reading_left_s
+        )
         for writer in load.writers:
             cost += (
                 LATE_LOSS
@@ -339,9 +332,7 @@
             * demand.value
             * _ramp(own_pause / demand.max_gap_s, GAP_MARGIN)
         )
-        if any(
-            writer.max_gap_s != demand.max_gap_s for writer in load.writers
-        ):
+        if any(writer.max_gap_s != demand.max_gap_s for writer in load.writers):
             cost += MIXED_TARGET_COST
         return cost
 
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 
 import anyio
@@ -33,6 +34,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Coroutine
     from collections.abc import Iterable
 
     from cardamomfork._internal.contracts import platform_format
@@ -62,9 +64,7 @@
         """Takes one change; a configuration is never taken away."""
         if entry.version == store.ABSENT:
             return
-        if self._state.apply_configuration(
-            entry.value, entry.version, "store"
-        ):
+        if self._state.apply_configuration(entry.value, entry.version, "store"):
             self._apply()
 
 
@@ -207,10 +207,12 @@
         self._links.close()
         await self._store.close()
 
-    def _make_followers(self) -> list[Callable[[], object]]:
+    def _make_followers(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Returns the tasks that speak to the store."""
 
-        def follow(prefix: str, handler: following.Handler) -> object:
+        def follow(
+            prefix: str, handler: following.Handler
+        ) -> Coroutine[Any, Any, None]:
             return following.follow(
                 self._store, prefix, handler, self._on_answer, self._source
             )
@@ -315,9 +317,7 @@
         await anyio.sleep(stopping.BALANCER_NOTICE_S)
         callers.stop()
         await anyio.sleep(max(self._stop.left_s(self._clock()), 0.0))
-        logger.warning(
-            "grace time is over", count=self._callers.in_progress
-        )
+        logger.warning("grace time is over", count=self._callers.in_progress)
         callers.stop_now()
 
     def _make_metrics(self) -> traffic_metrics.TrafficMetrics:
--- a/src/cardamomfork/_internal/gateway/request_log.py
+++ b/src/cardamomfork/_internal/gateway/request_log.py
@@ -34,14 +34,14 @@
         seconds: float,
     ) -> None:
         """Logs an attempt with the prediction that it was placed by."""
-        is_good = isinstance(ending, outcomes.Delivered)
+        failed = ending if isinstance(ending, outcomes.Failed) else None
         self._logger.log(
-            "DEBUG" if is_good else "INFO",
+            "INFO" if failed else "DEBUG",
             "attempt ended",
             count=number,
             target_id=place.target.record.target_id,
-            outcome="delivered" if is_good else ending.failure.value,
-            reason="" if is_good else ending.detail,
+            outcome=failed.failure.value if failed else "delivered",
+            reason=failed.detail if failed else "",
             seconds=round(seconds, 3),
             predicted_s=round(place.first_token_s, 3),
             helpers=len(place.helpers),
--- a/src/cardamomfork/_internal/gateway/routes.py
+++ b/src/cardamomfork/_internal/gateway/routes.py
@@ -109,7 +109,8 @@
         shares = [
             share
             for share in route.shares
-            if share.weight > 0 and share.service in self._configuration.services
+            if share.weight > 0
+            and share.service in self._configuration.services
         ]
         if not shares:
             return None
--- a/src/cardamomfork/_internal/gateway/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/target_connection.py
@@ -17,14 +17,14 @@
 import attrs
 import httptools
 
-from cardamomfork._internal.models import forwarding
-
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
     from anyio.streams import memory
 
+    from cardamomfork._internal.models import forwarding
+
 USER_TIMEOUT_MS = 1200
 """Unacknowledged bytes end a connection after this."""
 KEEP_ALIVE_PROBE_S = 1
@@ -98,9 +98,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
-        self._messages: (
-            memory.MemoryObjectSendStream[Message] | None
-        ) = None
+        self._messages: memory.MemoryObjectSendStream[Message] | None = None
         self._request_id = ""
         self._is_head_request = False
         self._is_skipping = False
--- a/src/cardamomfork/_internal/gateway/target_links.py
+++ b/src/cardamomfork/_internal/gateway/target_links.py
@@ -33,9 +33,7 @@
     def __init__(self, wire: platform_format.PlatformFormat) -> None:
         """Opens nothing yet."""
         self._wire = wire
-        self._idle: dict[
-            Address, list[target_connection.TargetConnection]
-        ] = {}
+        self._idle: dict[Address, list[target_connection.TargetConnection]] = {}
         self._opened = 0
 
     @property
--- a/src/cardamomfork/_internal/gateway/target_table.py
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -7,11 +7,11 @@
 
 import attrs
 
-from cardamomfork._internal.models import fleet
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from cardamomfork._internal.models import fleet
+
 VANISHED_GRACE_S = 2.5
 """Entries that lapsed in an outage of the store are back within about 2 s."""
 FAILURE_WEIGHT = 0.25
@@ -114,9 +114,9 @@
         self._drop(record.target_id)
         target = Target(record)
         self._targets[record.target_id] = target
-        self._by_service.setdefault(record.service, {})[
-            record.target_id
-        ] = target
+        self._by_service.setdefault(record.service, {})[record.target_id] = (
+            target
+        )
         return True
 
     def remove(self, target_id: str, now: float, *, may_return: bool) -> None:
--- a/src/cardamomfork/_internal/models/forwarding.py
+++ b/src/cardamomfork/_internal/models/forwarding.py
@@ -125,4 +125,4 @@
     @property
     def is_success(self) -> bool:
         """Whether the status is 2xx."""
-        return 200 <= self.status < 300  # noqa: PLR2004
+        return 200 <= self.status < 300
--- a/src/cardamomfork/_internal/platform/headers.py
+++ b/src/cardamomfork/_internal/platform/headers.py
@@ -75,14 +75,14 @@
 ) -> bytes:
     """Returns the head of a request to a target."""
     lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
-    resumes = sending.last_event_id is not None
+    last_event_id = sending.last_event_id
     lines += [
         name + b": " + value
         for name, value in request.headers
-        if not (resumes and name == _LAST_EVENT_ID)
+        if last_event_id is None or name != _LAST_EVENT_ID
     ]
-    if resumes:
-        lines.append(b"%b: %d" % (_LAST_EVENT_ID, sending.last_event_id))
+    if last_event_id is not None:
+        lines.append(b"%b: %d" % (_LAST_EVENT_ID, last_event_id))
     left_ms = max(int(sending.time_left_s * MS_PER_S), 1)
     lines.append(b"%b: %d" % (_TIME_LIMIT, left_ms))
     lines.append(_TARGET_ID + b": " + sending.target_id.encode("latin-1"))
--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -206,9 +206,10 @@
                 prefix,
                 timeout_s=WATCH_WAIT_S + WATCH_MARGIN_S,
             )
-            batch = called.and_then(
-                lambda answer: _to_batch(answer, prefix, revision)
-            )
+            if isinstance(called, result.Err):
+                yield called
+                return
+            batch = _to_batch(called.ok_value, prefix, revision)
             yield batch
             if isinstance(batch, result.Err):
                 return
@@ -226,9 +227,9 @@
         if called.ok_value.status == _NOT_FOUND:
             return _fault(store.StoreFaultKind.LEASE_GONE, key)
         if called.ok_value.status != _CONFLICT:
-            return _decode(
-                called.ok_value, store_messages.Committed, key
-            ).map(lambda committed: committed.revision)
+            return _decode(called.ok_value, store_messages.Committed, key).map(
+                lambda committed: committed.revision
+            )
         found = _decode(called.ok_value, store_messages.Items, key).and_then(
             lambda items: _to_entries(items.items, key)
         )
--- a/src/cardamomfork/_internal/telemetry/logs.py
+++ b/src/cardamomfork/_internal/telemetry/logs.py
@@ -13,7 +13,7 @@
 import sys
 import traceback
 from typing import Any
-from typing import TextIO
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -75,9 +75,21 @@
 )
 
 
+class Output(Protocol):
+    """Where lines go, such as a text stream."""
+
+    def write(self, text: str, /) -> object:
+        """Takes a line."""
+        ...
+
+    def flush(self) -> object:
+        """Passes on what has been taken."""
+        ...
+
+
 def configure(
     level: str = "INFO",
-    sink: TextIO | None = None,
+    sink: Output | None = None,
     *,
     instance_id: str = "",
     data_centre: str = "",
@@ -90,7 +102,7 @@
         instance_id: Named on every line.
         data_centre: Named on every line.
     """
-    stream = sink or sys.stderr
+    stream: Output = sink or sys.stderr
 
     def write(message: loguru.Message) -> None:
         stream.write(format_line(message.record))
