--- a/src/cardamomfork/_internal/contracts/platform_format.py
+++ b/src/cardamomfork/_internal/contracts/platform_format.py
@@ -10,6 +10,7 @@
 
     import result
 
+    from cardamomfork._internal.models import engine_orders
     from cardamomfork._internal.models import fleet
     from cardamomfork._internal.models import forwarding
 
@@ -71,3 +72,9 @@
     ) -> forwarding.AnswerHead:
         """Decodes the head of a target's answer."""
         ...
+
+    def encode_order(
+        self, order: engine_orders.Order, target: fleet.TargetRecord
+    ) -> bytes:
+        """Returns the request that gives an order to a target."""
+        ...
--- a/src/cardamomfork/_internal/contracts/store.py
+++ b/src/cardamomfork/_internal/contracts/store.py
@@ -109,6 +109,48 @@
     revision: int
 
 
+class PolledStore(Protocol):
+    """The part of a store that an entry instance uses, by long polls."""
+
+    async def scan(self, prefix: str) -> result.Result[Scan, StoreFault]:
+        """Reads all keys under a prefix; changes may follow its revision."""
+        ...
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> result.Result[WatchBatch, StoreFault]:
+        """Returns changes after a revision.
+
+        Args:
+            prefix: Beginning of the keys.
+            after: Revision up to which all is known.
+            wait_s: Time to wait for the first change.
+        """
+        ...
+
+    async def put(
+        self, key: str, value: bytes, *, expected: int, lease: int = 0
+    ) -> result.Result[Entry, CompareFailed | StoreFault]:
+        """Writes a key if it is at the expected version."""
+        ...
+
+    async def grant_lease(
+        self, ttl_s: float
+    ) -> result.Result[Lease, StoreFault]:
+        """Grants a new lease."""
+        ...
+
+    async def renew_lease(
+        self, lease_id: int
+    ) -> result.Result[Lease, StoreFault]:
+        """Renews a lease; `LEASE_GONE` once it has lapsed."""
+        ...
+
+    async def close(self) -> None:
+        """Closes the connections; no call may follow."""
+        ...
+
+
 class Store(Protocol):
     """The platform's store. Calls end within their own time limit."""
 
--- a/src/cardamomfork/_internal/gateway/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/digest_codec.py
@@ -27,11 +27,13 @@
 
     Attributes:
         instance_id: Its name.
+        data_centre: Where it runs.
         host: IP number.
         port: TCP and UDP port.
     """
 
     instance_id: str
+    data_centre: str
     host: str
     port: int
 
@@ -45,6 +47,7 @@
         incarnation: Differs with each start of the sender.
         sequence: Grows with each digest of an incarnation.
         configuration_revision: The store's revision of what is in force.
+        targets_revision: The store's revision of the last change of a target.
         is_leaving: Whether the sender is about to stop.
         jobs: What the sender has placed.
         deaths: Targets that requests have crashed.
@@ -54,6 +57,7 @@
     incarnation: int
     sequence: int
     configuration_revision: int
+    targets_revision: int
     is_leaving: bool
     jobs: tuple[load_view.Job, ...]
     deaths: tuple[poison_guard.Death, ...]
@@ -69,11 +73,13 @@
     """Returns a digest as bytes; times are sent as durations from now."""
     message = _schema().Digest.new_message(
         instanceId=digest.sender.instance_id,
+        dataCentre=digest.sender.data_centre,
         incarnation=digest.incarnation,
         sequence=digest.sequence,
         host=digest.sender.host,
         port=digest.sender.port,
         configurationRevision=digest.configuration_revision,
+        targetsRevision=digest.targets_revision,
         isLeaving=digest.is_leaving,
     )
     jobs = message.init("jobs", len(digest.jobs))
@@ -90,13 +96,16 @@
     """Decodes a digest; an error says what is wrong with the bytes."""
     try:
         message = _schema().Digest.from_bytes_packed(data)
-        sender = Peer(message.instanceId, message.host, message.port)
+        sender = Peer(
+            message.instanceId, message.dataCentre, message.host, message.port
+        )
         return result.Ok(
             Digest(
                 sender,
                 message.incarnation,
                 message.sequence,
                 message.configurationRevision,
+                message.targetsRevision,
                 message.isLeaving,
                 tuple(
                     _make_job(f"{sender.instance_id}#{index}", job, now)
@@ -138,7 +147,10 @@
 def _fill_job(message: Any, job: load_view.Job, now: float) -> None:
     """Fills the message of a job."""
     message.targetId = job.target_id
-    message.helperIds = list(job.helper_ids)
+    parts = message.init("parts", len(job.parts))
+    for index, part in enumerate(job.parts):
+        parts[index].targetId = part.target_id
+        parts[index].reservedTokens = part.reserved_tokens
     message.promptTokens = job.prompt_tokens
     message.outputTokens = job.output_tokens
     gap = 0.0 if math.isinf(job.max_gap_s) else job.max_gap_s
@@ -146,6 +158,7 @@
     message.readingLeftMs = _to_ms(job.reads_until - now)
     message.endsInMs = _to_ms(job.ends_at - now)
     message.isWriting = job.is_writing
+    message.lateInMs = _to_ms(job.late_at - now)
 
 
 def _make_job(job_id: str, message: Any, now: float) -> load_view.Job:
@@ -153,13 +166,17 @@
     return load_view.Job(
         job_id=job_id,
         target_id=message.targetId,
-        helper_ids=tuple(message.helperIds),
+        parts=tuple(
+            load_view.Part(part.targetId, part.reservedTokens)
+            for part in message.parts
+        ),
         prompt_tokens=message.promptTokens,
         output_tokens=message.outputTokens,
         max_gap_s=message.maxGapMs / MS_PER_S or math.inf,
         value=placement.value_of(message.promptTokens),
         placed_at=now,
         reads_until=now + message.readingLeftMs / MS_PER_S,
+        late_at=now + message.lateInMs / MS_PER_S,
         is_writing=message.isWriting,
         ends_at=now + message.endsInMs / MS_PER_S,
     )
--- a/src/cardamomfork/_internal/gateway/digests.capnp
+++ b/src/cardamomfork/_internal/gateway/digests.capnp
@@ -11,18 +11,27 @@
   isLeaving @6 :Bool;
   jobs @7 :List(Job);
   deaths @8 :List(Death);
+  dataCentre @9 :Text;
+  targetsRevision @10 :UInt64;
 }
 
 # A request that the sender has placed.
 struct Job {
   targetId @0 :Text;
-  helperIds @1 :List(Text);
+  parts @1 :List(Part);
   promptTokens @2 :UInt32;
   outputTokens @3 :UInt32;
   maxGapMs @4 :UInt32;  # 0: any pause is on time.
   readingLeftMs @5 :UInt32;
   endsInMs @6 :UInt32;
   isWriting @7 :Bool;
+  lateInMs @8 :UInt32;  # 0: its first token is late, or there is none.
+}
+
+# What another target does for a request.
+struct Part {
+  targetId @0 :Text;
+  reservedTokens @1 :UInt32;  # 0: it only reads.
 }
 
 # A target that crashed while it ran a request.
--- a/src/cardamomfork/_internal/gateway/following.py
+++ b/src/cardamomfork/_internal/gateway/following.py
@@ -1,4 +1,10 @@
-"""Follows a prefix of the platform's store."""
+"""Follows a prefix of the platform's store.
+
+Every call to the store is paid for, a waiting one too. So one instance of a
+data centre asks often enough to notice a connection that has gone silent, and
+the others wait longer: peers tell each other the revision that they have
+seen, and an instance that is behind asks again at once.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import attrs
 import result
 
 from cardamomfork._internal.contracts import store
@@ -19,6 +26,13 @@
 MAX_BACKOFF_S = 0.8
 """Pauses after a failed call; the longest is far under the time in which a
 configuration must be in force after the store's return."""
+DELEGATE_WAIT_S = 2.0
+"""Wait of the data centre's delegate. With the margin for the answer it ends
+before the 3 s after which a silent connection excuses nothing."""
+OTHERS_WAIT_S = 20.0
+"""Wait of the other instances."""
+BEHIND_S = 0.3
+"""Time for which a peer may know more before this instance asks again."""
 
 
 class Handler(Protocol):
@@ -33,62 +47,134 @@
         ...
 
 
-async def follow(
-    platform_store: store.Store,
-    prefix: str,
-    handler: Handler,
-    on_answer: Callable[[store.StoreFault | None], None],
-    source: random.Random,
-) -> None:
-    """Reads a prefix and then its changes, for as long as the task runs.
+@attrs.frozen
+class Topic:
+    """What is followed, and how closely.
 
-    Args:
-        platform_store: The store.
+    Attributes:
         prefix: Beginning of the keys.
-        handler: Takes entries and changes.
-        on_answer: Called with the fault, or None, after each call.
-        source: Spreads calls after a failure.
+        gather_s: Time after a change in which others are gathered, so that a
+            series of changes costs few calls.
     """
-    backoff = MIN_BACKOFF_S
-    while True:
-        scanned = await platform_store.scan(prefix)
-        if isinstance(scanned, result.Err):
-            on_answer(scanned.err_value)
-        else:
-            on_answer(None)
-            backoff = MIN_BACKOFF_S
-            handler.replaced(scanned.ok_value.entries)
-            await _watch(
-                platform_store,
-                prefix,
-                scanned.ok_value.revision,
-                handler,
-                on_answer,
+
+    prefix: str
+    gather_s: float
+
+
+class Follower:
+    """Keeps a handler up to date with a prefix of the store."""
+
+    def __init__(
+        self,
+        polled_store: store.PolledStore,
+        topic: Topic,
+        handler: Handler,
+        on_answer: Callable[[store.StoreFault | None], None],
+        is_delegate: Callable[[], bool],
+        source: random.Random,
+    ) -> None:
+        """Takes what to follow and whom to tell.
+
+        Args:
+            polled_store: The store.
+            topic: What is followed.
+            handler: Takes entries and changes.
+            on_answer: Called with the fault, or None, after each call.
+            is_delegate: Whether this instance asks for its data centre.
+            source: Spreads calls after a failure.
+        """
+        self._store = polled_store
+        self._topic = topic
+        self._handler = handler
+        self._on_answer = on_answer
+        self._is_delegate = is_delegate
+        self._source = source
+        self._revision = 0
+        self._changed_at = 0
+        self._known_elsewhere = 0
+        self._poll: anyio.CancelScope | None = None
+        self._behind = anyio.Event()
+
+    @property
+    def changed_at(self) -> int:
+        """The store's revision of the last change seen."""
+        return self._changed_at
+
+    def hear(self, revision: int) -> None:
+        """Takes the revision of a change that a peer has seen."""
+        if revision > max(self._revision, self._known_elsewhere):
+            self._known_elsewhere = revision
+            self._behind.set()
+
+    async def run(self) -> None:
+        """Follows the prefix while the task runs."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._catch_up)
+            await self._follow()
+
+    async def _follow(self) -> None:
+        """Reads the prefix, then its changes, again after each fault."""
+        backoff = MIN_BACKOFF_S
+        while True:
+            scanned = await self._store.scan(self._topic.prefix)
+            if isinstance(scanned, result.Err):
+                self._on_answer(scanned.err_value)
+            else:
+                self._on_answer(None)
+                backoff = MIN_BACKOFF_S
+                entries = scanned.ok_value.entries
+                self._revision = scanned.ok_value.revision
+                self._note_changes(entries)
+                self._handler.replaced(entries)
+                await self._take_changes()
+            await anyio.sleep(backoff * (0.5 + self._source.random()))
+            backoff = min(backoff * 2, MAX_BACKOFF_S)
+
+    async def _take_changes(self) -> None:
+        """Passes changes on until two calls in a row fail."""
+        failures = 0
+        while failures < 2:
+            polled = await self._ask()
+            if polled is None:
+                continue
+            if isinstance(polled, result.Err):
+                self._on_answer(polled.err_value)
+                if polled.err_value.kind is store.StoreFaultKind.COMPACTED:
+                    return
+                failures += 1
+                continue
+            failures = 0
+            self._on_answer(None)
+            entries = polled.ok_value.entries
+            self._revision = polled.ok_value.revision
+            if entries:
+                self._note_changes(entries)
+                for entry in entries:
+                    self._handler.changed(entry)
+                await anyio.sleep(self._topic.gather_s)
+
+    async def _ask(
+        self,
+    ) -> result.Result[store.WatchBatch, store.StoreFault] | None:
+        """Waits for changes; None if the wait was cut short."""
+        wait = DELEGATE_WAIT_S if self._is_delegate() else OTHERS_WAIT_S
+        with anyio.CancelScope() as self._poll:
+            return await self._store.changes(
+                self._topic.prefix, self._revision, wait
             )
-        await anyio.sleep(backoff * (0.5 + source.random()))
-        backoff = min(backoff * 2, MAX_BACKOFF_S)
-
-
-async def _watch(
-    platform_store: store.Store,
-    prefix: str,
-    revision: int,
-    handler: Handler,
-    on_answer: Callable[[store.StoreFault | None], None],
-) -> None:
-    """Passes changes on until a fault; a watch that broke goes on once."""
-    failures = 0
-    while failures < 2:
-        async with platform_store.watch(prefix, revision) as batches:
-            async for batch in batches:
-                if isinstance(batch, result.Err):
-                    on_answer(batch.err_value)
-                    if batch.err_value.kind is store.StoreFaultKind.COMPACTED:
-                        return
-                    failures += 1
-                    break
-                on_answer(None)
-                failures = 0
-                revision = batch.ok_value.revision
-                for entry in batch.ok_value.entries:
-                    handler.changed(entry)
+        return None
+
+    async def _catch_up(self) -> None:
+        """Cuts a wait short while a peer knows more for too long."""
+        while True:
+            await self._behind.wait()
+            self._behind = anyio.Event()
+            await anyio.sleep(BEHIND_S)
+            if self._known_elsewhere > self._revision and self._poll:
+                self._poll.cancel()
+
+    def _note_changes(self, entries: Iterable[store.Entry]) -> None:
+        """Notes the newest change; a removal has only the batch's revision."""
+        for entry in entries:
+            revision = entry.version or self._revision
+            self._changed_at = max(self._changed_at, revision)
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -23,6 +23,7 @@
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.gateway import load_view
     from cardamomfork._internal.gateway import poison_guard
+    from cardamomfork._internal.gateway import reservations
     from cardamomfork._internal.gateway import retry_share
     from cardamomfork._internal.gateway import routes
     from cardamomfork._internal.gateway import target_links
@@ -36,12 +37,13 @@
 """An attempt that can be repeated is given up for silence after its predicted
 time, times the factor, and never before this."""
 GAP_PATIENCE_FACTOR = 3.0
-MIN_GAP_PATIENCE_S = 1.0
+MIN_GAP_PATIENCE_S = 1.75
 """The same for the pause between two parts of an answer."""
 RETRY_AFTER_NOT_RUN_S = 0.3
 """Time to come back after a target refused; its queue drains in parts of a
 second."""
 RETRY_AFTER_POISON_S = 30.0
+MAX_RESERVATIONS_REFUSED = 3
 EXTRA_ARRIVALS = 2
 """Targets that may refuse a request beside those that may run it."""
 
@@ -63,7 +65,9 @@
         fingerprint: Tells requests with the same content.
         progress: What the caller has got.
         tried: Targets that it was sent to.
+        arrivals: Attempts that were sent.
         runs: Attempts that may have run.
+        reservations_refused: Places whose memory was gone.
         log: Lines about it.
     """
 
@@ -78,6 +82,7 @@
     tried: set[str] = attrs.field(factory=set)
     arrivals: int = 0
     runs: int = 0
+    reservations_refused: int = 0
 
     @property
     def ends_at(self) -> float:
@@ -115,6 +120,7 @@
         load: load_view.LoadView,
         retries: retry_share.RetryShare,
         guard: poison_guard.PoisonGuard,
+        reserver: reservations.Reserver,
         clock: Callable[[], float],
         on_change: Callable[[], None],
     ) -> None:
@@ -128,6 +134,7 @@
             load: What runs where.
             retries: This instance's share of repeats.
             guard: Requests that crash targets.
+            reserver: Reserves memory on engines.
             clock: Monotonic time.
             on_change: Called when what runs here has changed.
         """
@@ -138,6 +145,7 @@
         self._load = load
         self._retries = retries
         self._guard = guard
+        self._reserver = reserver
         self._clock = clock
         self._on_change = on_change
 
@@ -201,8 +209,24 @@
         place: placement.Placement,
     ) -> outcomes.Ending:
         """Sends a request to the place that it got."""
-        target = place.target
-        record = target.record
+        async with self._reserver.holding(place) as held:
+            if held.refused_by:
+                exchange.tried.update(held.refused_by)
+                exchange.reservations_refused += 1
+                return outcomes.Failed(
+                    outcomes.Failure.NO_MEMORY, ", ".join(held.refused_by)
+                )
+            return await self._send(exchange, demand, place, held)
+
+    async def _send(
+        self,
+        exchange: Exchange,
+        demand: placement.Demand,
+        place: placement.Placement,
+        held: reservations.Held,
+    ) -> outcomes.Ending:
+        """Sends a request whose memory is reserved."""
+        record = place.target.record
         exchange.tried.add(record.target_id)
         started_at = self._clock()
         opened = await self._links.open(
@@ -212,13 +236,13 @@
             ending: outcomes.Ending = outcomes.Failed(
                 outcomes.Failure.UNREACHABLE, opened.err_value
             )
-            self._learn(exchange, record, place, ending, started_at)
+            self._learn(exchange, record, place, demand, ending, started_at)
             return ending
         connection = opened.ok_value
         exchange.arrivals += 1
         exchange.runs += 1
         messages = connection.start(
-            self._encode(exchange, place),
+            self._encode(exchange, place, held),
             exchange.request.request_id,
             is_head=exchange.request.method == b"HEAD",
         )
@@ -254,16 +278,26 @@
         if isinstance(ending, outcomes.Failed) and ending.surely_not_run:
             exchange.runs -= 1
         first_at = first_event_at[0] if first_event_at else None
-        self._learn(exchange, record, place, ending, started_at, first_at)
+        self._learn(
+            exchange, record, place, demand, ending, started_at, first_at
+        )
         return ending
 
-    def _encode(self, exchange: Exchange, place: placement.Placement) -> bytes:
+    def _encode(
+        self,
+        exchange: Exchange,
+        place: placement.Placement,
+        held: reservations.Held,
+    ) -> bytes:
         """Returns the bytes that are sent to the target."""
         account = exchange.match.account
         last = exchange.progress.order.last_id
         helpers = tuple(
             forwarding.Helper(
-                helper.record.target_id, helper.record.host, helper.record.port
+                helper.target.record.target_id,
+                helper.target.record.host,
+                helper.target.record.port,
+                held.find(helper.target.record.target_id),
             )
             for helper in place.helpers
         )
@@ -302,6 +336,7 @@
         exchange: Exchange,
         record: fleet.TargetRecord,
         place: placement.Placement,
+        demand: placement.Demand,
         ending: outcomes.Ending,
         started_at: float,
         first_at: float | None = None,
@@ -324,7 +359,12 @@
                     record.target_id, target_table.Sign.UNREACHABLE, now
                 )
         exchange.log.attempt_ended(
-            exchange.arrivals, place, ending, now - started_at
+            exchange.arrivals,
+            place,
+            demand,
+            ending,
+            now - started_at,
+            None if first_at is None else first_at - started_at,
         )
 
     def _after_failure(
@@ -344,10 +384,14 @@
             why = "no attempt left"
         elif exchange.arrivals >= route.max_attempts + EXTRA_ARRIVALS:
             why = "refused by several targets"
+        elif exchange.reservations_refused > MAX_RESERVATIONS_REFUSED:
+            why = "no memory in several places"
         elif self._guard.is_blocked(exchange.fingerprint, now):
             why = "crashed several targets"
-        elif exchange.arrivals and not self._retries.take(
-            exchange.match.service.name, now
+        elif (
+            exchange.arrivals
+            and failed.failure is not outcomes.Failure.NO_MEMORY
+            and not self._retries.take(exchange.match.service.name, now)
         ):
             why = "no retry left"
         if why is None:
@@ -403,6 +447,7 @@
         outcomes.Failure.BROKEN: target_table.Sign.FAILED,
         outcomes.Failure.SILENT: target_table.Sign.FAILED,
         outcomes.Failure.NOT_RUN: None,
+        outcomes.Failure.NO_MEMORY: None,
         outcomes.Failure.FAILED: None,
     }[ending.failure]
 
--- a/src/cardamomfork/_internal/gateway/load_view.py
+++ b/src/cardamomfork/_internal/gateway/load_view.py
@@ -13,6 +13,19 @@
 """Placements of an instance that is silent for longer don't count."""
 
 
+@attrs.frozen
+class Part:
+    """What another target does for a job.
+
+    Attributes:
+        target_id: The target, which reads a part of the prompt.
+        reserved_tokens: Memory that it holds for the job's prompt.
+    """
+
+    target_id: str
+    reserved_tokens: int = 0
+
+
 @attrs.define
 class Job:
     """A request that has been sent to a target.
@@ -20,29 +33,42 @@
     Attributes:
         job_id: Unique among all instances.
         target_id: Where it runs.
-        helper_ids: Targets that read parts of its prompt.
+        parts: What other targets do for it.
         prompt_tokens: Length of its prompt.
         output_tokens: Tokens expected in its answer.
         max_gap_s: Longest pause between events that is on time.
         value: What it is worth beside others.
         placed_at: Monotonic time at which it was sent.
         reads_until: Predicted end of reading.
+        late_at: Time after which its first token is late.
         is_writing: Whether its answer has begun.
         ends_at: Predicted end, or 0 if there is no prediction.
     """
 
     job_id: str
     target_id: str
-    helper_ids: tuple[str, ...]
+    parts: tuple[Part, ...]
     prompt_tokens: int
     output_tokens: int
     max_gap_s: float
     value: float
     placed_at: float
     reads_until: float
+    late_at: float = math.inf
     is_writing: bool = False
     ends_at: float = 0.0
 
+    @property
+    def own_tokens(self) -> int:
+        """Tokens that it holds where it runs."""
+        elsewhere = sum(part.reserved_tokens for part in self.parts)
+        return max(self.prompt_tokens + self.output_tokens - elsewhere, 0)
+
+    @property
+    def target_ids(self) -> tuple[str, ...]:
+        """All targets that work on it."""
+        return (self.target_id, *(part.target_id for part in self.parts))
+
 
 @attrs.frozen
 class Writer:
@@ -59,6 +85,19 @@
     value: float
 
 
+@attrs.frozen
+class Reader:
+    """A request that waits for its first token.
+
+    Attributes:
+        slack_s: Time by which its reading may be delayed without loss.
+        value: What it is worth beside others.
+    """
+
+    slack_s: float
+    value: float
+
+
 @attrs.frozen
 class TargetLoad:
     """The load of one target.
@@ -67,7 +106,7 @@
         running: Requests that it has, without parts read for others.
         helping: Parts that it reads for others.
         reading_left_s: Time until all known prompts are read.
-        readers_value: Value of the requests that wait for their first token.
+        readers: Requests that read here and wait for their first token.
         writers: Requests that write, and those that soon will.
         memory_tokens: Tokens that its requests will hold.
         frees_in_s: Time until the first of its requests ends.
@@ -76,7 +115,7 @@
     running: int = 0
     helping: int = 0
     reading_left_s: float = 0.0
-    readers_value: float = 0.0
+    readers: tuple[Reader, ...] = ()
     writers: tuple[Writer, ...] = ()
     memory_tokens: int = 0
     frees_in_s: float = math.inf
@@ -150,28 +189,34 @@
         if not jobs:
             return IDLE
         running = helping = memory = 0
-        reading_left = readers_value = 0.0
+        reading_left = 0.0
         frees_in = math.inf
         writers = []
+        readers = []
         for job in jobs.values():
-            is_helper = job.target_id != target_id
+            part = next(
+                (part for part in job.parts if part.target_id == target_id),
+                None,
+            )
             if not job.is_writing:
                 left = max(job.reads_until - now, MIN_READING_LEFT_S)
                 reading_left = max(reading_left, left)
-            if is_helper:
+                slack = job.late_at - max(job.reads_until, now)
+                readers.append(Reader(slack, job.value))
+            if part is not None:
                 helping += 0 if job.is_writing else 1
+                memory += part.reserved_tokens
                 continue
             running += 1
-            size = job.prompt_tokens + job.output_tokens
+            size = job.own_tokens
             memory += size
             frees_in = min(frees_in, max(job.ends_at - now, 0.0))
-            readers_value += 0.0 if job.is_writing else job.value
             writers.append(Writer(size, job.max_gap_s, job.value))
         return TargetLoad(
             running,
             helping,
             reading_left,
-            readers_value,
+            tuple(readers),
             tuple(writers),
             memory,
             frees_in,
@@ -179,12 +224,12 @@
 
     def _index(self, job: Job) -> None:
         """Files a job under each target that works on it."""
-        for target_id in (job.target_id, *job.helper_ids):
+        for target_id in job.target_ids:
             self._by_target.setdefault(target_id, {})[job.job_id] = job
 
     def _unindex(self, job: Job) -> None:
         """Takes a job out from under its targets."""
-        for target_id in (job.target_id, *job.helper_ids):
+        for target_id in job.target_ids:
             jobs = self._by_target.get(target_id, {})
             jobs.pop(job.job_id, None)
             if not jobs:
--- a/src/cardamomfork/_internal/gateway/outcomes.py
+++ b/src/cardamomfork/_internal/gateway/outcomes.py
@@ -16,6 +16,8 @@
 
     UNREACHABLE = "unreachable"
     """No connection; nothing was sent."""
+    NO_MEMORY = "no_memory"
+    """Memory could not be reserved; nothing was sent."""
     NOT_RUN = "not_run"
     """The target said that it did not run the request."""
     BROKEN = "broken"
@@ -58,7 +60,11 @@
     @property
     def surely_not_run(self) -> bool:
         """Whether the request has not run there and never will."""
-        return self.failure in (Failure.UNREACHABLE, Failure.NOT_RUN)
+        return self.failure in (
+            Failure.UNREACHABLE,
+            Failure.NO_MEMORY,
+            Failure.NOT_RUN,
+        )
 
 
 Ending = Delivered | Failed
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -1,7 +1,8 @@
 """Other entry instances: who they are, and what they place.
 
-Peers find each other by leased entries in the platform's store and by each
-other's datagrams, so that they go on when the store is away. Each digest
+An instance enters itself in the platform's store under a lease and reads the
+others' entries when it starts. From then on it knows its peers from their
+datagrams, so that the store is asked rarely and may be away. Each digest
 holds the sender's whole state; a lost one is made good by the next.
 """
 
@@ -17,6 +18,7 @@
 from loguru import logger
 import msgspec
 import result
+import xxhash
 
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway import digest_codec
@@ -26,19 +28,34 @@
     from collections.abc import Iterable
 
     from cardamomfork._internal.gateway import fleet_state
+    from cardamomfork._internal.gateway import following
     from cardamomfork._internal.gateway import load_view
     from cardamomfork._internal.gateway import poison_guard
 
 PREFIX = "instances/"
 """Keys of entry instances in the store."""
-LEASE_S = 5.0
-RENEW_S = 1.5
+LEASE_S = 24.0
+RENEW_S = 8.0
 """Three renewals fit into a lease."""
+RETRY_S = 0.7
+"""Pause after a call that failed."""
+REREAD_S = 30.0
+"""Time after which entries are read again, in case datagrams were cut off
+when both sides read them first."""
 HEARTBEAT_S = 0.5
 COALESCE_S = 0.004
 """Changes within this time go out in one digest."""
+FEW_PEERS = 12
+MANY_HEARTBEAT_S = 1.0
+MANY_COALESCE_S = 0.02
+"""The same among more than a few peers, where each digest costs more."""
 SILENT_PEER_S = 4.0
-"""A peer that is in neither the store nor the air this long is dropped."""
+"""A peer that has been silent for so long counts as gone."""
+FORGET_PEER_S = 90.0
+"""Time for which heartbeats still go to a peer that is gone, since a partition
+may end."""
+FIRST_WORD_S = 20.0
+"""Time that a peer known only from its entry has for its first digest."""
 FETCH_TIMEOUT_S = 1.0
 INCARNATION_BITS = 63
 CONFIGURATION_PATH = "/configuration"
@@ -50,23 +67,21 @@
 
     Attributes:
         peer: Where it is reached.
-        is_listed: Whether the store has its entry.
-        heard_at: Monotonic time of its last digest.
+        silent_at: Monotonic time at which it counts as gone.
         incarnation: Of its last digest.
         former: Incarnation before that; its late digests are dropped.
         sequence: Of its last digest.
     """
 
     peer: digest_codec.Peer
-    is_listed: bool = False
-    heard_at: float = 0.0
+    silent_at: float
     incarnation: int = 0
     former: int = 0
     sequence: int = -1
 
 
 class PeerTable:
-    """Which peers there are; also takes entries from the store."""
+    """Which peers there are."""
 
     def __init__(
         self, own: digest_codec.Peer, clock: Callable[[], float]
@@ -78,38 +93,53 @@
 
     @property
     def peers(self) -> list[digest_codec.Peer]:
-        """All peers."""
-        return [known.peer for known in self._known.values()]
+        """Peers that have been heard of lately."""
+        now = self._clock()
+        return [
+            known.peer
+            for known in self._known.values()
+            if now <= known.silent_at
+        ]
+
+    @property
+    def silent_peers(self) -> list[digest_codec.Peer]:
+        """Peers that count as gone, and may come back."""
+        now = self._clock()
+        return [
+            known.peer
+            for known in self._known.values()
+            if now > known.silent_at
+        ]
 
     @property
     def count(self) -> int:
         """Instances, this one included."""
-        return len(self._known) + 1
+        return len(self.peers) + 1
 
-    def replaced(self, entries: Iterable[store.Entry]) -> None:
-        """Takes all entries of the store."""
-        for known in self._known.values():
-            known.is_listed = False
-        for entry in entries:
-            self.changed(entry)
+    def is_delegate(self) -> bool:
+        """Whether this instance asks the store for its data centre."""
+        own = _rank(self._own.instance_id)
+        now = self._clock()
+        return not any(
+            known.incarnation
+            and now <= known.silent_at
+            and known.peer.data_centre == self._own.data_centre
+            and _rank(known.peer.instance_id) < own
+            for known in self._known.values()
+        )
 
-    def changed(self, entry: store.Entry) -> None:
-        """Takes one entry of the store."""
-        instance_id = entry.key.removeprefix(PREFIX)
-        if instance_id == self._own.instance_id:
-            return
-        if entry.version == store.ABSENT:
-            if instance_id in self._known:
-                self._known[instance_id].is_listed = False
-            return
-        try:
-            peer = msgspec.json.decode(entry.value, type=digest_codec.Peer)
-        except msgspec.DecodeError as error:
-            logger.warning(
-                "entry names no peer", peer=instance_id, reason=str(error)
-            )
-            return
-        self._learn(peer).is_listed = True
+    def read(self, entries: Iterable[store.Entry]) -> None:
+        """Takes the entries of the store."""
+        for entry in entries:
+            try:
+                peer = msgspec.json.decode(entry.value, type=digest_codec.Peer)
+            except msgspec.DecodeError as error:
+                logger.warning(
+                    "entry names no peer", name=entry.key, reason=str(error)
+                )
+                continue
+            if peer.instance_id != self._own.instance_id:
+                self._learn(peer)
 
     def hear(self, digest: digest_codec.Digest) -> bool:
         """Takes a digest's sender; returns whether the digest is news."""
@@ -123,27 +153,32 @@
             known.former = known.incarnation
             known.incarnation = digest.incarnation
         known.sequence = digest.sequence
-        known.heard_at = self._clock()
+        known.silent_at = self._clock() + SILENT_PEER_S
         return True
 
     def expire(self) -> None:
-        """Drops peers that nothing speaks for any more."""
+        """Forgets peers that have been gone for long."""
         now = self._clock()
         for instance_id, known in list(self._known.items()):
-            if not known.is_listed and now - known.heard_at > SILENT_PEER_S:
+            if now > known.silent_at + FORGET_PEER_S:
                 del self._known[instance_id]
-                logger.info("peer gone", peer=instance_id)
+                logger.info("peer forgotten", peer=instance_id)
 
     def _learn(self, peer: digest_codec.Peer) -> _Known:
         """Returns what is known of a peer, as it is reached now."""
         known = self._known.get(peer.instance_id)
         if known is None or known.peer != peer:
-            known = _Known(peer, heard_at=self._clock())
+            known = _Known(peer, self._clock() + FIRST_WORD_S)
             self._known[peer.instance_id] = known
             logger.info("peer known", peer=peer.instance_id)
         return known
 
 
+def _rank(instance_id: str) -> int:
+    """Returns a fixed pseudo-random rank of an instance."""
+    return xxhash.xxh3_64_intdigest(instance_id.encode())
+
+
 class PeerLinks(asyncio.DatagramProtocol):
     """Tells peers what is placed here, and takes what they tell."""
 
@@ -154,6 +189,7 @@
         load: load_view.LoadView,
         state: fleet_state.FleetState,
         guard: poison_guard.PoisonGuard,
+        targets: following.Follower,
         clock: Callable[[], float],
         on_news: Callable[[], None],
     ) -> None:
@@ -165,6 +201,7 @@
             load: Placements.
             state: Configuration.
             guard: Requests that crash targets.
+            targets: Follows the targets' entries.
             clock: Monotonic time.
             on_news: Called when a peer's placements have changed.
         """
@@ -173,6 +210,7 @@
         self._load = load
         self._state = state
         self._guard = guard
+        self._targets = targets
         self._clock = clock
         self._on_news = on_news
         self._incarnation = secrets.randbits(INCARNATION_BITS)
@@ -192,11 +230,15 @@
         self._transport = transport
         try:
             while True:
-                self._send()
+                self._send(to_silent=True)
                 self._table.expire()
                 for peer_id in self._load.expire_peers(self._clock()):
                     logger.info("peer is silent", peer=peer_id)
-                await anyio.sleep(HEARTBEAT_S)
+                await anyio.sleep(
+                    HEARTBEAT_S
+                    if self._table.count <= FEW_PEERS
+                    else MANY_HEARTBEAT_S
+                )
         finally:
             transport.close()
 
@@ -214,7 +256,12 @@
         """Tells peers soon that something has changed here."""
         if self._timer is None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(COALESCE_S, self._send)
+            self._timer = loop.call_later(
+                COALESCE_S
+                if self._table.count <= FEW_PEERS
+                else MANY_COALESCE_S,
+                self._send,
+            )
 
     def leave(self) -> None:
         """Tells peers that this instance is about to stop."""
@@ -245,10 +292,15 @@
         if digest.configuration_revision > self._state.revision:
             self._ahead = digest.sender
             self._ahead_event.set()
+        self._targets.hear(digest.targets_revision)
         self._on_news()
 
-    def _send(self) -> None:
-        """Sends the state of this instance to all peers."""
+    def _send(self, *, to_silent: bool = False) -> None:
+        """Sends the state of this instance to its peers.
+
+        Args:
+            to_silent: Also to those that count as gone.
+        """
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -262,13 +314,17 @@
                 self._incarnation,
                 self._sequence,
                 self._state.revision,
+                self._targets.changed_at,
                 self._is_leaving,
                 self._load.own_jobs,
                 tuple(self._guard.deaths(now)),
             ),
             now,
         )
-        for peer in self._table.peers:
+        receivers = self._table.peers
+        if to_silent:
+            receivers += self._table.silent_peers
+        for peer in receivers:
             self._transport.sendto(data, (peer.host, peer.port))
 
     async def _fetch(
@@ -306,34 +362,43 @@
 
 
 async def register(
-    platform_store: store.Store,
+    polled_store: store.PolledStore,
     own: digest_codec.Peer,
+    table: PeerTable,
     on_answer: Callable[[store.StoreFault | None], None],
 ) -> None:
-    """Keeps this instance's entry in the store while the task runs."""
+    """Keeps this instance's entry in the store, and reads the others'."""
     lease: store.Lease | None = None
+    read_at: float | None = None
     while True:
         if lease is None:
-            lease = await _enter(platform_store, own, on_answer)
+            lease = await _enter(polled_store, own, on_answer)
         else:
-            renewed = await platform_store.renew_lease(lease.lease_id)
-            if isinstance(renewed, result.Err):
+            renewed = await polled_store.renew_lease(lease.lease_id)
+            if isinstance(renewed, result.Ok):
+                on_answer(None)
+            else:
                 on_answer(renewed.err_value)
                 if renewed.err_value.kind is store.StoreFaultKind.LEASE_GONE:
                     lease = None
                     continue
-            else:
-                on_answer(None)
-        await anyio.sleep(RENEW_S)
+        now = anyio.current_time()
+        if read_at is None or now - read_at >= REREAD_S:
+            scanned = await polled_store.scan(PREFIX)
+            if isinstance(scanned, result.Ok):
+                table.read(scanned.ok_value.entries)
+                read_at = now
+        known = lease is not None and read_at is not None
+        await anyio.sleep(RENEW_S if known else RETRY_S)
 
 
 async def _enter(
-    platform_store: store.Store,
+    polled_store: store.PolledStore,
     own: digest_codec.Peer,
     on_answer: Callable[[store.StoreFault | None], None],
 ) -> store.Lease | None:
     """Writes this instance's entry under a new lease; None if that fails."""
-    granted = await platform_store.grant_lease(LEASE_S)
+    granted = await polled_store.grant_lease(LEASE_S)
     if isinstance(granted, result.Err):
         on_answer(granted.err_value)
         return None
@@ -341,7 +406,7 @@
     value = msgspec.json.encode(own)
     expected = store.ABSENT
     for _ in range(2):
-        written = await platform_store.put(
+        written = await polled_store.put(
             key, value, expected=expected, lease=granted.ok_value.lease_id
         )
         if isinstance(written, result.Ok):
--- a/src/cardamomfork/_internal/gateway/placement.py
+++ b/src/cardamomfork/_internal/gateway/placement.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import xxhash
 
 from cardamomfork._internal.gateway import engine_law
 from cardamomfork._internal.gateway import load_view
@@ -27,7 +28,7 @@
 """Numbers of engines that are weighed for reading one prompt."""
 MIN_PART_S = 0.1
 """Parts shorter than this gain nothing over the cost of their setup."""
-OBJECTIVE_MARGIN = 0.8
+OBJECTIVE_MARGIN = 0.6
 """Part of the objective up to which a first token is surely on time."""
 GAP_MARGIN = 0.7
 """Part of the longest pause up to which an event is surely on time."""
@@ -35,14 +36,25 @@
 """Part of its value that a late answer loses."""
 SPEED_WEIGHT = 0.05
 """Cost of a first token at the end of the objective against one at once."""
-EMPTY_TARGET_COST = 0.04
+EMPTY_TARGET_COST = 0.3
 """Cost of taking an idle engine, which a long prompt could use alone."""
-MIXED_TARGET_COST = 0.08
+MIXED_TARGET_COST = 0.3
 """Cost of joining streams of another length class."""
-REMOTE_COST = 0.01
+ORDER_COST = 0.1
+"""Cost of the engine at the far end of the order in which a length class
+fills engines, against the one at its near end."""
+SHORT_READING_S = 0.1
+"""Reading time up to which a prompt counts as short."""
+REMOTE_COST = 0.05
 """Cost of a target in another data centre."""
-READERS_WEIGHT = 0.3
+NOISE_COST = 0.02
+"""Random cost that keeps instances from all choosing the same target."""
+READERS_WEIGHT = 0.1
 """Cost of a second's delay to requests that wait for their first token."""
+SLACK_MARGIN = 0.3
+"""Part of a reader's slack that a further part of a prompt may take."""
+RESERVATION_COST = 0.02
+"""Cost of an order that reserves memory, and of its renewals."""
 FAILURE_COST = 2.0
 """Cost of a target whose attempts all fail, in values of the request."""
 MEMORY_SHARE = 0.97
@@ -99,6 +111,19 @@
         return value_of(self.prompt_tokens)
 
 
+@attrs.frozen
+class Helper:
+    """A target that reads a part of a prompt.
+
+    Attributes:
+        target: The target.
+        reserved_tokens: Memory to reserve there for the prompt.
+    """
+
+    target: target_table.Target
+    reserved_tokens: int = 0
+
+
 @attrs.frozen
 class Placement:
     """A place for a request.
@@ -112,7 +137,7 @@
     """
 
     target: target_table.Target
-    helpers: tuple[target_table.Target, ...]
+    helpers: tuple[Helper, ...]
     first_token_s: float
     reading_s: float
     cost: float
@@ -198,7 +223,7 @@
                 + FAILURE_COST * candidate.target.failure_share(now)
                 + (candidate.pace - 1.0)
                 + self._distance(candidate)
-                + self._source.random() * REMOTE_COST
+                + self._source.random() * NOISE_COST
             )
 
         best = min(free, key=cost)
@@ -214,14 +239,13 @@
     ) -> Placement | NoRoom:
         """Chooses an engine, and helpers where they shorten the reading."""
         size = demand.prompt_tokens + demand.output_tokens
-        if size > law.memory_tokens * MEMORY_SHARE:
-            return NoRoom("larger than an engine's memory", math.inf)
+        if size > law.memory_tokens * MEMORY_SHARE * len(candidates):
+            return NoRoom("larger than all engines' memory", math.inf)
         free = [
             candidate
             for candidate in candidates
             if candidate.load.running < candidate.target.record.slots
-            and candidate.load.memory_tokens + size
-            <= law.memory_tokens * MEMORY_SHARE
+            and _free_tokens(law, candidate) >= demand.output_tokens
         ]
         if not free:
             return _no_room("all engines are full", candidates)
@@ -256,6 +280,12 @@
                 demand, _first_token_s(law, candidate, part_s, demand)
             )
 
+        size = demand.prompt_tokens + demand.output_tokens
+        if parts == 1:
+            # Nobody else holds a part of the prompt.
+            free = [one for one in free if _free_tokens(law, one) >= size]
+            if not free:
+                return None
         first = min(free, key=place_cost)
         helpers: list[_Candidate] = []
         if parts > 1:
@@ -274,13 +304,20 @@
             for candidate in (first, *helpers)
         )
         first_token = max(_first_token_s(law, first, part_s, demand), reading)
+        reserved = _share_out(law, size, first, helpers)
+        if reserved is None:
+            return None
         cost = self._own_loss(demand, first_token) + sum(
             self._cost_beside(demand, law, candidate, part_s, now)
             for candidate in (first, *helpers)
         )
+        cost += RESERVATION_COST * sum(1 for tokens in reserved if tokens)
         return Placement(
             first.target,
-            tuple(helper.target for helper in helpers),
+            tuple(
+                Helper(helper.target, tokens)
+                for helper, tokens in zip(helpers, reserved, strict=True)
+            ),
             first_token,
             reading,
             cost,
@@ -309,28 +346,33 @@
         load = candidate.load
         cost = FAILURE_COST * demand.value * candidate.target.failure_share(now)
         cost += self._distance(candidate)
-        cost += READERS_WEIGHT * load.readers_value * part_s * candidate.pace
-        cost += self._source.random() * REMOTE_COST
+        cost += _delay_cost(load, part_s * candidate.pace)
+        cost += self._source.random() * NOISE_COST
+        cost += _order_cost(law, demand, candidate)
         if not load.writers:
             if not load.running and demand.max_gap_s < math.inf:
                 cost += EMPTY_TARGET_COST
             return cost
         contexts = [writer.context_tokens for writer in load.writers]
-        longest_pass = (
-            candidate.pace * (engine_law.pass_s(law, contexts) + part_s)
-            + load.reading_left_s
+        own_pass = candidate.pace * engine_law.pass_s(law, contexts)
+        longest_read = law.stride_steps * _chunk_s(law, demand.prompt_tokens)
+        before = own_pass + min(load.reading_left_s, longest_read)
+        after = own_pass + min(
+            load.reading_left_s + candidate.pace * part_s, longest_read
         )
         for writer in load.writers:
             cost += (
                 LATE_LOSS
                 * writer.value
-                * _ramp(longest_pass / writer.max_gap_s, GAP_MARGIN)
+                * (
+                    _ramp(after / writer.max_gap_s, GAP_MARGIN)
+                    - _ramp(before / writer.max_gap_s, GAP_MARGIN)
+                )
             )
-        own_pause = candidate.pace * engine_law.pass_s(law, contexts)
         cost += (
             LATE_LOSS
             * demand.value
-            * _ramp(own_pause / demand.max_gap_s, GAP_MARGIN)
+            * _ramp(own_pass / demand.max_gap_s, GAP_MARGIN)
         )
         if any(writer.max_gap_s != demand.max_gap_s for writer in load.writers):
             cost += MIXED_TARGET_COST
@@ -342,6 +384,66 @@
         return 0.0 if is_near else REMOTE_COST
 
 
+def _chunk_s(law: fleet.EngineLaw, prompt_tokens: int) -> float:
+    """Returns the longest time of the reading in one step."""
+    return law.chunk_tokens * (
+        1 / law.read_tokens_per_s + prompt_tokens * law.pair_s
+    )
+
+
+def _delay_cost(load: load_view.TargetLoad, delay_s: float) -> float:
+    """Returns what the requests that read there lose by a delay."""
+    cost = 0.0
+    for reader in load.readers:
+        cost += READERS_WEIGHT * reader.value * delay_s
+        # A reader that is late already has lost what it can lose.
+        if reader.slack_s > 0:
+            share = delay_s / reader.slack_s
+            cost += LATE_LOSS * reader.value * _ramp(share, SLACK_MARGIN)
+    return cost
+
+
+def _order_cost(
+    law: fleet.EngineLaw, demand: Demand, candidate: _Candidate
+) -> float:
+    """Returns the cost of an engine's place in the order of filling.
+
+    All instances fill engines in one order, short prompts from one end and
+    long ones from the other, so that the two seldom share an engine.
+    """
+    digest = xxhash.xxh3_64_intdigest(candidate.target_id.encode())
+    place = digest / 2**64
+    is_short = (
+        engine_law.reading_s(law, demand.prompt_tokens) <= SHORT_READING_S
+    )
+    return ORDER_COST * (place if is_short else 1.0 - place)
+
+
+def _free_tokens(law: fleet.EngineLaw, candidate: _Candidate) -> int:
+    """Returns the memory that is free on an engine."""
+    planned = int(law.memory_tokens * MEMORY_SHARE)
+    return planned - candidate.load.memory_tokens
+
+
+def _share_out(
+    law: fleet.EngineLaw,
+    size: int,
+    first: _Candidate,
+    helpers: list[_Candidate],
+) -> list[int] | None:
+    """Returns the tokens to reserve at each helper; None if they don't fit.
+
+    Memory is reserved elsewhere only for what the first engine can't hold.
+    """
+    missing = max(size - max(_free_tokens(law, first), 0), 0)
+    reserved = []
+    for helper in helpers:
+        tokens = min(max(_free_tokens(law, helper), 0), missing)
+        reserved.append(tokens)
+        missing -= tokens
+    return None if missing else reserved
+
+
 def _part_done_s(
     law: fleet.EngineLaw, candidate: _Candidate, part_s: float
 ) -> float:
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -5,7 +5,6 @@
 import random
 import signal
 import time
-from typing import Any
 from typing import TYPE_CHECKING
 
 import anyio
@@ -22,6 +21,7 @@
 from cardamomfork._internal.gateway import peers
 from cardamomfork._internal.gateway import placement
 from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import reservations
 from cardamomfork._internal.gateway import retry_share
 from cardamomfork._internal.gateway import scheduling
 from cardamomfork._internal.gateway import stopping
@@ -34,13 +34,16 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Coroutine
     from collections.abc import Iterable
 
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.models import fleet
 
 HOUSEKEEPING_S = 0.25
+CONFIGURATION_GATHER_S = 0.1
+TARGETS_GATHER_S = 0.3
+"""Times in which changes are gathered; far under the bounds of seconds in
+which a configuration, and a target's leaving, must be acted on."""
 METRICS_PORT = 9464
 """Port of the metrics, which the deploy file names too."""
 
@@ -96,7 +99,7 @@
         self,
         settings: fleet.EntrySettings,
         wire: platform_format.PlatformFormat,
-        platform_store: store.Store,
+        platform_store: store.PolledStore,
         load_settings: Callable[[], fleet.EntrySettings],
     ) -> None:
         """Wires the parts; nothing runs yet.
@@ -123,7 +126,10 @@
         self._stop = stopping.StopState()
         self._limits = caller_protocol.ConnectionLimits()
         self._own = digest_codec.Peer(
-            settings.instance_id, settings.host, settings.peer_port
+            settings.instance_id,
+            settings.data_centre,
+            settings.host,
+            settings.peer_port,
         )
         self._peers = peers.PeerTable(self._own, clock)
         self._scheduler = scheduling.Scheduler(
@@ -134,12 +140,22 @@
             clock,
             self._source,
         )
+        self._reserver = reservations.Reserver(wire, self._links)
+        self._configuration_follower = self._make_follower(
+            following.Topic(wire.configuration_key, CONFIGURATION_GATHER_S),
+            _ConfigurationHandler(self._state, self._apply_configuration),
+        )
+        self._targets_follower = self._make_follower(
+            following.Topic(wire.targets_prefix, TARGETS_GATHER_S),
+            _TargetsHandler(self._state, self._on_change),
+        )
         self._peer_links = peers.PeerLinks(
             self._own,
             self._peers,
             self._load,
             self._state,
             self._guard,
+            self._targets_follower,
             clock,
             self._scheduler.pump,
         )
@@ -157,6 +173,7 @@
                 self._load,
                 self._retries,
                 self._guard,
+                self._reserver,
                 clock,
                 self._on_change,
             ),
@@ -195,8 +212,16 @@
         async with anyio.create_task_group() as tasks:
             for server in (readiness, peer_server, metrics):
                 tasks.start_soon(server.serve)
-            for follower in self._make_followers():
-                tasks.start_soon(follower)
+            tasks.start_soon(self._configuration_follower.run)
+            tasks.start_soon(self._targets_follower.run)
+            tasks.start_soon(
+                peers.register,
+                self._store,
+                self._own,
+                self._peers,
+                self._on_answer,
+            )
+            tasks.start_soon(self._reserver.run)
             tasks.start_soon(self._peer_links.run)
             tasks.start_soon(self._peer_links.fetch_configurations)
             tasks.start_soon(self._keep_house)
@@ -207,26 +232,18 @@
         self._links.close()
         await self._store.close()
 
-    def _make_followers(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
-        """Returns the tasks that speak to the store."""
-
-        def follow(
-            prefix: str, handler: following.Handler
-        ) -> Coroutine[Any, Any, None]:
-            return following.follow(
-                self._store, prefix, handler, self._on_answer, self._source
-            )
-
-        configuration = _ConfigurationHandler(
-            self._state, self._apply_configuration
+    def _make_follower(
+        self, topic: following.Topic, handler: following.Handler
+    ) -> following.Follower:
+        """Returns what follows a prefix of the store."""
+        return following.Follower(
+            self._store,
+            topic,
+            handler,
+            self._on_answer,
+            self._peers.is_delegate,
+            self._source,
         )
-        targets = _TargetsHandler(self._state, self._scheduler.pump)
-        return [
-            lambda: follow(self._wire.configuration_key, configuration),
-            lambda: follow(self._wire.targets_prefix, targets),
-            lambda: follow(peers.PREFIX, self._peers),
-            lambda: peers.register(self._store, self._own, self._on_answer),
-        ]
 
     def _commit(
         self,
@@ -244,8 +261,11 @@
             load_view.Job(
                 job_id=demand.job_id,
                 target_id=place.target.record.target_id,
-                helper_ids=tuple(
-                    helper.record.target_id for helper in place.helpers
+                parts=tuple(
+                    load_view.Part(
+                        helper.target.record.target_id, helper.reserved_tokens
+                    )
+                    for helper in place.helpers
                 ),
                 prompt_tokens=demand.prompt_tokens,
                 output_tokens=demand.output_tokens,
@@ -253,6 +273,7 @@
                 value=demand.value,
                 placed_at=now,
                 reads_until=now + place.reading_s,
+                late_at=now + demand.objective_left_s,
                 ends_at=now + place.first_token_s + writing,
             )
         )
@@ -278,6 +299,7 @@
         table = self._state.routes
         if table is not None:
             self._limits.apply(table.configuration.limits)
+        self._peer_links.notify()
 
     def _is_ready(self) -> bool:
         """Whether the balancer should send new connections."""
--- a/src/cardamomfork/_internal/gateway/request_log.py
+++ b/src/cardamomfork/_internal/gateway/request_log.py
@@ -30,21 +30,25 @@
         self,
         number: int,
         place: placement.Placement,
+        demand: placement.Demand,
         ending: outcomes.Ending,
         seconds: float,
+        first_s: float | None,
     ) -> None:
         """Logs an attempt with the prediction that it was placed by."""
         failed = ending if isinstance(ending, outcomes.Failed) else None
-        self._logger.log(
-            "INFO" if failed else "DEBUG",
+        self._logger.info(
             "attempt ended",
             count=number,
             target_id=place.target.record.target_id,
             outcome=failed.failure.value if failed else "delivered",
             reason=failed.detail if failed else "",
             seconds=round(seconds, 3),
+            first_s=None if first_s is None else round(first_s, 3),
             predicted_s=round(place.first_token_s, 3),
+            tokens=demand.prompt_tokens,
             helpers=len(place.helpers),
+            reserved=sum(one.reserved_tokens for one in place.helpers),
             cost=round(place.cost, 2),
         )
 
--- a/src/cardamomfork/_internal/gateway/target_table.py
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -22,8 +22,9 @@
 MAX_PAUSE_S = 4.0
 FAILURES_TO_PAUSE = 2
 """Failures in a row after which a target gets no work for a while."""
-SLOWNESS_WEIGHT = 0.3
-"""Weight of one observation in the smoothed slowness."""
+SLOWNESS_SAMPLES = 3
+"""Observations of which the smallest counts: a slow target is slow for all
+requests, while a prompt read for another request delays only some."""
 SLOWNESS_HALF_LIFE_S = 5.0
 """Time in which slowness that nobody observes again counts half."""
 MAX_SLOWNESS = 20.0
@@ -48,7 +49,7 @@
         failed_at: Time of the last failure.
         failures_in_row: Failures since the last success.
         paused_until: Time up to which it gets no work.
-        slowness: Observed time over predicted time, at `slow_at`.
+        ratios: Observed over predicted times, the newest last.
         slow_at: Time of the last observation.
     """
 
@@ -58,7 +59,7 @@
     failed_at: float = 0.0
     failures_in_row: int = 0
     paused_until: float = 0.0
-    slowness: float = 1.0
+    ratios: tuple[float, ...] = ()
     slow_at: float = 0.0
 
     def failure_share(self, now: float) -> float:
@@ -68,8 +69,10 @@
 
     def pace(self, now: float) -> float:
         """Returns how many times longer than predicted its work takes."""
+        if len(self.ratios) < SLOWNESS_SAMPLES:
+            return 1.0
         age = max(now - self.slow_at, 0.0)
-        excess = (self.slowness - 1.0) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+        excess = (min(self.ratios) - 1.0) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
         return float(1.0 + max(excess, 0.0))
 
     def is_usable(self, now: float) -> bool:
@@ -200,18 +203,15 @@
         target.paused_until = max(target.paused_until, now + pause)
         return True
 
-    def observe_time(
-        self, target_id: str, ratio: float, now: float
-    ) -> float | None:
-        """Takes observed over predicted time; returns the pace, if known."""
+    def observe_time(self, target_id: str, ratio: float, now: float) -> None:
+        """Takes observed over predicted time."""
         target = self._targets.get(target_id)
         if target is None:
-            return None
-        old = target.pace(now)
-        bounded = min(max(ratio, 1.0), MAX_SLOWNESS)
-        target.slowness = old + SLOWNESS_WEIGHT * (bounded - old)
+            return
+        # The prediction contained the pace that was known.
+        whole = min(max(ratio * target.pace(now), 1.0), MAX_SLOWNESS)
+        target.ratios = (*target.ratios, whole)[-SLOWNESS_SAMPLES:]
         target.slow_at = now
-        return target.slowness
 
     def _drop(self, target_id: str) -> None:
         """Forgets a target."""
--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -1,10 +1,8 @@
-"""The one client for the platform's store; meets the `Store` contract."""
+"""The one client for the platform's store; meets `PolledStore`."""
 
 from __future__ import annotations
 
-import contextlib
 import socket
-from typing import TYPE_CHECKING
 from typing import TypeVar
 import urllib.parse
 
@@ -17,22 +15,14 @@
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.platform import store_messages
 
-if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
-    from collections.abc import AsyncIterator
-
 CALL_TIMEOUT_S = 1.5
 """An answer takes milliseconds, and 60 times as long on a slow store."""
-WATCH_WAIT_S = 1.2
-"""How long a watch waits; a silent connection shows after it. Short enough
-for two connections to fail within the bound on applying a configuration."""
-WATCH_MARGIN_S = 0.5
+WATCH_MARGIN_S = 0.6
 """Time beyond the wait after which a watch counts as silent."""
 USER_TIMEOUT_MS = 1500
 """Unacknowledged bytes end a connection after this."""
 MAX_CONNECTIONS = 16
 KEEP_ALIVE_S = 20.0
-PAGE_ITEMS = 500
 
 _OK = 200
 _NOT_FOUND = 404
@@ -63,20 +53,6 @@
         """Closes all connections."""
         await self._pool.aclose()
 
-    async def get(
-        self, key: str
-    ) -> result.Result[store.Entry | None, store.StoreFault]:
-        """Reads one key; linearizable."""
-        query = urllib.parse.urlencode({"key": key})
-        called = await self._call("GET", f"/-/kv-key?{query}", key)
-        if isinstance(called, result.Err):
-            return called
-        if called.ok_value.status == _NOT_FOUND:
-            return result.Ok(None)
-        return _decode(called.ok_value, store_messages.OneItem, key).and_then(
-            lambda item: _to_entry(item, key)
-        )
-
     async def scan(
         self, prefix: str
     ) -> result.Result[store.Scan, store.StoreFault]:
@@ -125,19 +101,6 @@
             lambda revision: store.Entry(key, value, revision, lease)
         )
 
-    async def delete(
-        self, key: str, *, expected: int
-    ) -> result.Result[None, store.CompareFailed | store.StoreFault]:
-        """Deletes a key if it is at the expected version."""
-        deleted = await self._commit(
-            store_messages.Transaction(
-                expect=[store_messages.Comparison(key, expected)],
-                deletes=[key],
-            ),
-            key,
-        )
-        return deleted.map(lambda _: None)
-
     async def grant_lease(
         self, ttl_s: float
     ) -> result.Result[store.Lease, store.StoreFault]:
@@ -165,55 +128,22 @@
             called.ok_value, store_messages.LeaseAnswer, "lease"
         ).map(lambda answer: store.Lease(lease_id, answer.ttl_ms / 1000))
 
-    async def revoke_lease(
-        self, lease_id: int
-    ) -> result.Result[None, store.StoreFault]:
-        """Ends a lease and deletes the keys tied to it."""
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> result.Result[store.WatchBatch, store.StoreFault]:
+        """Returns changes after a revision; waits for the first."""
+        query = urllib.parse.urlencode(
+            {"prefix": prefix, "after": after, "waitMs": round(wait_s * 1000)}
+        )
         called = await self._call(
-            "DELETE", f"/-/kv-lease-end/{lease_id}", "lease"
+            "GET",
+            f"/-/kv-watch?{query}",
+            prefix,
+            timeout_s=wait_s + WATCH_MARGIN_S,
         )
-        return called.map(lambda _: None)
-
-    @contextlib.asynccontextmanager
-    async def watch(
-        self, prefix: str, from_revision: int
-    ) -> AsyncIterator[
-        AsyncIterator[result.Result[store.WatchBatch, store.StoreFault]]
-    ]:
-        """Follows changes under a prefix; ends after the first fault."""
-        async with contextlib.aclosing(
-            self._follow(prefix, from_revision)
-        ) as batches:
-            yield batches
-
-    async def _follow(
-        self, prefix: str, revision: int
-    ) -> AsyncGenerator[
-        result.Result[store.WatchBatch, store.StoreFault], None
-    ]:
-        """Asks for changes again and again."""
-        while True:
-            query = urllib.parse.urlencode(
-                {
-                    "prefix": prefix,
-                    "after": revision,
-                    "waitMs": round(WATCH_WAIT_S * 1000),
-                }
-            )
-            called = await self._call(
-                "GET",
-                f"/-/kv-watch?{query}",
-                prefix,
-                timeout_s=WATCH_WAIT_S + WATCH_MARGIN_S,
-            )
-            if isinstance(called, result.Err):
-                yield called
-                return
-            batch = _to_batch(called.ok_value, prefix, revision)
-            yield batch
-            if isinstance(batch, result.Err):
-                return
-            revision = batch.ok_value.revision
+        if isinstance(called, result.Err):
+            return called
+        return _to_batch(called.ok_value, prefix, after)
 
     async def _commit(
         self, transaction: store_messages.Transaction, key: str
@@ -319,16 +249,6 @@
         )
 
 
-def _to_entry(
-    item: store_messages.Item, key: str
-) -> result.Result[store.Entry, store.StoreFault]:
-    """Returns an item as an entry."""
-    try:
-        return result.Ok(item.to_entry())
-    except ValueError as error:
-        return _fault(store.StoreFaultKind.INDETERMINATE, key, str(error))
-
-
 def _to_entries(
     items: list[store_messages.Item], key: str
 ) -> result.Result[list[store.Entry], store.StoreFault]:
--- a/src/cardamomfork/_internal/platform/store_messages.py
+++ b/src/cardamomfork/_internal/platform/store_messages.py
@@ -34,12 +34,6 @@
         return store.Entry(self.key, value, self.revision, self.lease)
 
 
-class OneItem(Item, rename="camel"):
-    """Answer to a read of one key."""
-
-    store_revision: int = 0
-
-
 class Items(msgspec.Struct, rename="camel"):
     """Answer to a read of a prefix, or to a failed comparison."""
 
--- a/src/cardamomfork/_internal/platform/wire_format.py
+++ b/src/cardamomfork/_internal/platform/wire_format.py
@@ -6,6 +6,7 @@
 
 from cardamomfork._internal.platform import configuration_format
 from cardamomfork._internal.platform import headers
+from cardamomfork._internal.platform import orders
 from cardamomfork._internal.platform import target_entries
 
 if TYPE_CHECKING:
@@ -13,6 +14,7 @@
 
     import result
 
+    from cardamomfork._internal.models import engine_orders
     from cardamomfork._internal.models import fleet
     from cardamomfork._internal.models import forwarding
 
@@ -74,3 +76,9 @@
     ) -> forwarding.AnswerHead:
         """Decodes the head of a target's answer."""
         return headers.decode_answer(status, pairs)
+
+    def encode_order(
+        self, order: engine_orders.Order, target: fleet.TargetRecord
+    ) -> bytes:
+        """Returns the request that gives an order to a target."""
+        return orders.encode(order, target)
