--- a/src/cardamomfork/_internal/gateway/attempt.py
+++ b/src/cardamomfork/_internal/gateway/attempt.py
@@ -25,6 +25,7 @@
 on; longer ones are passed on as they come."""
 
 _OK = 200
+_MISDIRECTED = 421
 
 
 class CallerSink(Protocol):
@@ -299,8 +300,9 @@
     if head.is_not_run:
         return outcomes.Failed(
             outcomes.Failure.NOT_RUN,
-            f"status {head.status}",
-            blamed_target_id=head.blamed_target_id,
+            f"status {head.status} at {head.blamed_target or 'the target'}",
+            blamed_target=head.blamed_target,
+            is_misdirected=head.status == _MISDIRECTED,
         )
     if head.is_success and not head.is_signed:
         return outcomes.Failed(outcomes.Failure.BROKEN, "not signed")
--- a/src/cardamomfork/_internal/gateway/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/fleet_state.py
@@ -22,8 +22,11 @@
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.gateway import target_table
 
-OUTAGE_MEMORY_S = 3.0
-"""Time after an outage in which an entry's end may be a lapse."""
+READ_LAPSE_S = 3.0
+"""Time after an outage in which an entry that a full read lacks may have
+lapsed in it."""
+CHANGE_LAPSE_S = 0.5
+"""The same for a removal that is told as a change: later ones are meant."""
 
 
 @attrs.frozen
@@ -57,7 +60,7 @@
         self._applied_at = 0.0
         self._knows_targets = False
         self._lost_store_at: float | None = None
-        self._found_store_at = -OUTAGE_MEMORY_S
+        self._found_store_at = -READ_LAPSE_S
 
     @property
     def routes(self) -> routes.RouteTable | None:
@@ -158,7 +161,7 @@
                 continue
             records.append(decoded.ok_value)
         self._table.replace_all(
-            records, self._clock(), may_return=self._had_outage()
+            records, self._clock(), may_return=self._had_outage(READ_LAPSE_S)
         )
         self._knows_targets = True
         logger.info("targets read", count=len(records))
@@ -193,7 +196,7 @@
 
     def _remove(self, target_id: str) -> None:
         """Takes the end of an entry."""
-        may_return = self._had_outage()
+        may_return = self._had_outage(CHANGE_LAPSE_S)
         self._table.remove(target_id, self._clock(), may_return=may_return)
         logger.info(
             "target gone",
@@ -201,8 +204,8 @@
             reason="entry lapsed" if may_return else "entry removed",
         )
 
-    def _had_outage(self) -> bool:
+    def _had_outage(self, within_s: float) -> bool:
         """Whether the store is away, or was until a moment ago."""
         if self._lost_store_at is not None:
             return True
-        return self._clock() - self._found_store_at < OUTAGE_MEMORY_S
+        return self._clock() - self._found_store_at < within_s
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -354,10 +354,7 @@
         if isinstance(ending, outcomes.Failed):
             if ending.failure is outcomes.Failure.BROKEN:
                 self._guard.suspect(exchange.fingerprint, record.target_id, now)
-            if "421" in ending.detail and not ending.blamed_target_id:
-                self._table.observe(
-                    record.target_id, target_table.Sign.UNREACHABLE, now
-                )
+            self._learn_of_refusal(exchange, record, ending, now)
         exchange.log.attempt_ended(
             exchange.arrivals,
             place,
@@ -367,6 +364,24 @@
             None if first_at is None else first_at - started_at,
         )
 
+    def _learn_of_refusal(
+        self,
+        exchange: Exchange,
+        record: fleet.TargetRecord,
+        failed: outcomes.Failed,
+        now: float,
+    ) -> None:
+        """Takes which target a refusal blames; the one asked may be sound."""
+        blamed = self._table.resolve(failed.blamed_target)
+        if blamed is not None and blamed != record.target_id:
+            exchange.tried.discard(record.target_id)
+            exchange.tried.add(blamed)
+            self._table.observe(blamed, target_table.Sign.UNREACHABLE, now)
+        elif failed.is_misdirected:
+            self._table.observe(
+                record.target_id, target_table.Sign.UNREACHABLE, now
+            )
+
     def _after_failure(
         self, exchange: Exchange, failed: outcomes.Failed
     ) -> FinalAnswer | None:
--- a/src/cardamomfork/_internal/gateway/outcomes.py
+++ b/src/cardamomfork/_internal/gateway/outcomes.py
@@ -48,14 +48,16 @@
         detail: What was seen.
         answer: The target's own answer, if a whole one came.
         body: Body of that answer.
-        blamed_target_id: Another target that a refusal blames.
+        blamed_target: Another target that a refusal blames.
+        is_misdirected: Whether another target has the address by now.
     """
 
     failure: Failure
     detail: str = ""
     answer: forwarding.AnswerHead | None = None
     body: bytes = b""
-    blamed_target_id: str = ""
+    blamed_target: str = ""
+    is_misdirected: bool = False
 
     @property
     def surely_not_run(self) -> bool:
--- a/src/cardamomfork/_internal/gateway/target_table.py
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -12,7 +12,7 @@
 
     from cardamomfork._internal.models import fleet
 
-VANISHED_GRACE_S = 2.5
+VANISHED_GRACE_S = 2.2
 """Entries that lapsed in an outage of the store are back within about 2 s."""
 FAILURE_WEIGHT = 0.25
 """Weight of one attempt in the smoothed share of failures."""
@@ -96,6 +96,15 @@
         """Returns a target, or None if it is unknown."""
         return self._targets.get(target_id)
 
+    def resolve(self, name: str) -> str | None:
+        """Returns the id of the target with an id or `IP:PORT` address."""
+        if name in self._targets:
+            return name
+        for target_id, target in self._targets.items():
+            if f"{target.record.host}:{target.record.port}" == name:
+                return target_id
+        return None
+
     def all(self) -> list[Target]:
         """Returns all targets."""
         return list(self._targets.values())
--- a/src/cardamomfork/_internal/models/forwarding.py
+++ b/src/cardamomfork/_internal/models/forwarding.py
@@ -106,7 +106,7 @@
         request_id: The request that it answers; empty if it names none.
         is_signed: Whether it has the target's signature.
         is_not_run: Whether the target says that it did not run the request.
-        blamed_target_id: The target that a refusal names; empty if none.
+        blamed_target: Id or address of the target that a refusal names.
         idle_timeout_s: Idle time after which the target closes, or None.
         content_length: Length of the body, or None.
         closes: Whether the target closes the connection after it.
@@ -117,7 +117,7 @@
     request_id: str = ""
     is_signed: bool = False
     is_not_run: bool = False
-    blamed_target_id: str = ""
+    blamed_target: str = ""
     idle_timeout_s: float | None = None
     content_length: int | None = None
     closes: bool = False
--- a/src/cardamomfork/_internal/platform/headers.py
+++ b/src/cardamomfork/_internal/platform/headers.py
@@ -112,7 +112,7 @@
         request_id=values.get(_REQUEST_ID, b"").decode("latin-1"),
         is_signed=_SIGNATURE in values,
         is_not_run=_NOT_RUN in values or status == _MISDIRECTED,
-        blamed_target_id=values.get(_BLAMED, b"").decode("latin-1"),
+        blamed_target=values.get(_BLAMED, b"").decode("latin-1"),
         idle_timeout_s=float(keep_alive[1]) if keep_alive else None,
         content_length=_to_int(values.get(b"content-length")),
         closes=b"close" in values.get(b"connection", b"").lower(),
--- /dev/null
+++ b/tests/lib/gateway_parts.py
@@ -0,0 +1,131 @@
+"""Parts of the gateway as tests need them."""
+
+import math
+import random
+
+from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway import placement
+from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.models import fleet
+
+LAW = fleet.EngineLaw(
+    slots=8,
+    memory_tokens=315_000,
+    step_s=0.00085,
+    sequence_step_s=8.5e-6,
+    context_step_s=2.85e-6,
+    read_tokens_per_s=177_000,
+    pair_s=0.184e-9,
+    chunk_tokens=2048,
+    stride_steps=51,
+    typical_prompt_tokens=11_000,
+    typical_output_tokens=1600,
+    hop_s=5e-5,
+)
+ENGINES = fleet.Service("engines", 300, LAW)
+PLAIN = fleet.Service("plain", 100)
+GAP_S = 0.25
+LONG_GAP_S = 1.0
+
+
+class Clock:
+    """Time that tests set."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def make_settings(**changes):
+    """Returns settings of an entry instance."""
+    fields = {
+        "instance_id": "one",
+        "data_centre": "a",
+        "host": "127.0.0.1",
+        "caller_port": 0,
+        "readiness_host": "127.0.0.1",
+        "readiness_port": 0,
+        "peer_port": 0,
+        "store_host": "127.0.0.1",
+        "store_port": 0,
+    }
+    return fleet.EntrySettings(**(fields | changes))
+
+
+def make_record(number, service="engines", **changes):
+    """Returns a target's entry."""
+    fields = {
+        "target_id": f"t{number}",
+        "service": service,
+        "host": "127.0.0.1",
+        "port": 9000 + number,
+        "data_centre": "a",
+        "slots": 8,
+        "is_leaving": False,
+        "started_at_ms": 1,
+    }
+    return fleet.TargetRecord(**(fields | changes))
+
+
+def make_route(**changes):
+    """Returns a route for streams."""
+    fields = {
+        "name": "route",
+        "host": "callers.example",
+        "prefix": "/a/",
+        "rule": fleet.RepeatRule.STREAM,
+        "timeout_s": 10.0,
+        "objective_s": 0.3,
+        "priority": 1,
+        "shares": (fleet.Share("engines", 1.0),),
+        "max_attempts": 2,
+        "needs_key": True,
+        "may_resume": True,
+        "max_gap_s": GAP_S,
+    }
+    return fleet.Route(**(fields | changes))
+
+
+def make_demand(tokens=5000, **changes):
+    """Returns the demand of a request to the engines."""
+    fields = {
+        "job_id": "job",
+        "service": ENGINES,
+        "prompt_tokens": tokens,
+        "output_tokens": 1500,
+        "max_gap_s": GAP_S,
+        "objective_left_s": 0.3,
+        "time_left_s": 10.0,
+    }
+    return placement.Demand(**(fields | changes))
+
+
+class Fleet:
+    """Engines, their load, and the placer that reads both."""
+
+    def __init__(self, engines=6, service="engines", seed=1):
+        self.table = target_table.TargetTable()
+        self.load = load_view.LoadView()
+        self.source = random.Random(seed)
+        self.placer = placement.Placer(self.table, self.load, "a", self.source)
+        for number in range(engines):
+            self.table.put(make_record(number, service))
+
+    def run(self, target_id, job_id, tokens=5000, *, writing=True, **changes):
+        """Puts a request onto a target."""
+        fields = {
+            "job_id": job_id,
+            "target_id": target_id,
+            "parts": (),
+            "prompt_tokens": tokens,
+            "output_tokens": 1500,
+            "max_gap_s": GAP_S,
+            "value": placement.value_of(tokens),
+            "placed_at": 0.0,
+            "reads_until": 0.0,
+            "is_writing": writing,
+            "ends_at": math.inf,
+        }
+        self.load.start(load_view.Job(**(fields | changes)))
--- /dev/null
+++ b/tests/unit/test_gateway_fleet_state.py
@@ -0,0 +1,139 @@
+"""What an instance believes of configuration and targets, and for how long."""
+
+import json
+import unittest
+
+from cardamomfork._internal.contracts import store
+from cardamomfork._internal.gateway import fleet_state
+from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.platform import wire_format
+from tests.lib import gateway_parts
+
+
+def make_entry(number, revision=5, **changes):
+    """Returns a target's entry as the store holds it."""
+    fields = {
+        "service": "engines",
+        "address": f"127.0.0.1:{9000 + number}",
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    value = json.dumps(fields | changes).encode()
+    return store.Entry(f"servers/t{number}", value, revision)
+
+
+def make_configuration(version, routes=()):
+    """Returns a configuration as the store holds it."""
+    return json.dumps({"version": version, "routes": list(routes)}).encode()
+
+
+class FleetStateTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = gateway_parts.Clock()
+        self.table = target_table.TargetTable()
+        self.state = fleet_state.FleetState(
+            wire_format.WireFormat(), self.table, self.clock
+        )
+        self.state.replace_targets([make_entry(1), make_entry(2)])
+
+    def usable(self):
+        found = self.table.list_service("engines", self.clock.now)
+        return sorted(target.record.target_id for target in found)
+
+    def lose_store_for(self, seconds):
+        self.state.store_lost("test")
+        self.clock.now += seconds
+        self.state.store_found()
+
+    def test_removed_entry_ends_a_target_at_once(self):
+        self.state.apply_target(store.Entry("servers/t1", b"", store.ABSENT))
+        self.assertEqual(self.usable(), ["t2"])
+
+    def test_removal_soon_after_an_outage_is_no_lapse(self):
+        # A store that turned this instance away had no lapses: 2.2 s after
+        # its return a target left, and went on getting work for 2.5 s.
+        self.lose_store_for(7.0)
+        self.state.replace_targets([make_entry(1), make_entry(2)])
+        self.clock.now += 2.2
+        self.state.apply_target(store.Entry("servers/t1", b"", store.ABSENT))
+        self.assertEqual(self.usable(), ["t2"])
+
+    def test_entries_that_lapsed_in_an_outage_may_come_back(self):
+        self.lose_store_for(7.0)
+        self.state.replace_targets([])
+        self.assertEqual(self.usable(), ["t1", "t2"])
+        self.clock.now += 1.9
+        self.state.expire()
+        self.state.apply_target(make_entry(1, revision=9))
+        self.clock.now += 0.5
+        self.state.expire()
+        self.assertEqual(self.usable(), ["t1"])
+
+    def test_lapse_while_the_store_is_away_keeps_the_target(self):
+        self.state.store_lost("test")
+        self.clock.now += 30.0
+        self.state.expire()
+        self.assertEqual(self.usable(), ["t1", "t2"])
+
+    def test_leaving_target_gets_no_work(self):
+        self.state.apply_target(make_entry(1, state="draining"))
+        self.assertEqual(self.usable(), ["t2"])
+
+    def test_leaving_target_that_vanishes_in_an_outage_is_gone(self):
+        self.state.apply_target(make_entry(1, state="draining"))
+        self.lose_store_for(1.0)
+        self.state.replace_targets([make_entry(2)])
+        self.assertEqual(self.usable(), ["t2"])
+
+    def test_malformed_entries_name_no_target_and_the_rest_hold(self):
+        bad = [
+            store.Entry("servers/t3", b"\xff\x00", 6),
+            make_entry(4, state="resting"),
+            make_entry(5, address="nowhere"),
+            make_entry(6, slots="many"),
+        ]
+        self.state.replace_targets([*bad, make_entry(1)])
+        self.assertEqual(self.usable(), ["t1"])
+
+    def test_same_id_after_a_restart_is_another_run(self):
+        self.table.observe("t1", target_table.Sign.UNREACHABLE, 100.0)
+        self.table.observe("t1", target_table.Sign.UNREACHABLE, 100.0)
+        self.assertEqual(self.usable(), ["t2"])
+        self.state.apply_target(make_entry(1, born=2))
+        self.assertEqual(self.usable(), ["t1", "t2"])
+
+    def test_older_configuration_is_never_applied(self):
+        self.assertTrue(
+            self.state.apply_configuration(make_configuration(7), 20, "store")
+        )
+        self.assertFalse(
+            self.state.apply_configuration(make_configuration(6), 19, "peer")
+        )
+        self.assertFalse(
+            self.state.apply_configuration(make_configuration(6), 21, "peer")
+        )
+        self.assertEqual(self.state.routes.configuration.version, 7)
+
+    def test_malformed_configuration_leaves_the_one_in_force(self):
+        self.state.apply_configuration(make_configuration(7), 20, "store")
+        self.assertFalse(self.state.apply_configuration(b"{", 21, "store"))
+        self.assertEqual(self.state.revision, 20)
+
+    def test_ready_only_with_configuration_and_targets(self):
+        fresh = fleet_state.FleetState(
+            wire_format.WireFormat(), target_table.TargetTable(), self.clock
+        )
+        self.assertFalse(fresh.is_complete)
+        fresh.apply_configuration(make_configuration(1), 2, "store")
+        self.assertFalse(fresh.is_complete)
+        fresh.replace_targets([])
+        self.assertTrue(fresh.is_complete)
+
+
+if __name__ == "__main__":
+    unittest.main()
