--- a/src/cardamomfork/_internal/composition/platform.py
+++ b/src/cardamomfork/_internal/composition/platform.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from cardamomfork._internal.links.platform import gateway_store
+from cardamomfork._internal.platform import store_client
 from cardamomfork._internal.standins import store as store_standin
 
 if TYPE_CHECKING:
@@ -45,6 +45,6 @@
             lambda: store_standin.StoreSession(memory),
         )
     return Platform(
-        gateway_store.GatewayStore(settings.store),
-        lambda: gateway_store.GatewayStore(settings.store),
+        store_client.PlatformStore(settings.store),
+        lambda: store_client.PlatformStore(settings.store),
     )
--- a/src/cardamomfork/_internal/gateway/daemon.py
+++ b/src/cardamomfork/_internal/gateway/daemon.py
@@ -10,12 +10,16 @@
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.gateway import process
 from cardamomfork._internal.links import event_loop
+from cardamomfork._internal.models import settings as settings_models
 from cardamomfork._internal.platform import node_settings
 from cardamomfork._internal.platform import store_client
 from cardamomfork._internal.platform import wire_format
 from cardamomfork._internal.telemetry import bounded_output
 from cardamomfork._internal.telemetry import logs
 
+STORE_TIMEOUT_S = 1.5
+"""An answer takes milliseconds, and 60 times as long on a slow store."""
+
 
 def main() -> None:
     """Runs the program; a message on stderr says why it can't start."""
@@ -34,7 +38,12 @@
     gateway = process.GatewayProcess(
         settings,
         wire_format.WireFormat(),
-        store_client.PlatformStore(settings.store_host, settings.store_port),
+        store_client.PlatformStore(
+            settings_models.StoreSettings(
+                (f"{settings.store_host}:{settings.store_port}",),
+                STORE_TIMEOUT_S,
+            )
+        ),
         lambda: node_settings.load(path),
     )
     try:
--- a/src/cardamomfork/_internal/links/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Links to the platform's key-value store and lists."""
--- a/src/cardamomfork/_internal/links/platform/gateway_calls.py
+++ b/src/cardamomfork/_internal/platform/store_calls.py
@@ -6,21 +6,18 @@
 
 from __future__ import annotations
 
-import contextlib
+import socket
 from typing import Any
 from typing import TYPE_CHECKING
 
 import anyio
 import attrs
 import httpcore
-import msgspec
 import result
 
 from cardamomfork._internal.contracts import store as store_contract
-from cardamomfork._internal.links.platform import gateway_messages
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from collections.abc import Sequence
 
 MAX_CONNECTIONS = 16
@@ -28,10 +25,17 @@
 IDLE_CONNECTION_S = 15.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
+USER_TIMEOUT_MS = 1500
+"""Unacknowledged bytes end a connection after this."""
+
 _HEADERS = [("Content-Type", "application/json")]
-_LEASE_NOT_FOUND = "requested lease not found"
 _SERVER_ERROR = 500
-_CLIENT_ERROR = 400
+_NOTHING_DONE = (429, 503)
+"""Statuses that say that the call did nothing."""
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+)
 FAULTS = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
@@ -63,8 +67,8 @@
     body: bytes = attrs.field(repr=False)
 
 
-class GatewayCaller:
-    """Posts JSON to the first server that takes it."""
+class StoreCaller:
+    """Makes calls to the first server that takes them."""
 
     def __init__(self, endpoints: Sequence[str], timeout_s: float) -> None:
         """Opens nothing yet.
@@ -94,33 +98,34 @@
         await self._pool.aclose()
         await self._watch_pool.aclose()
 
-    async def post(
-        self, path: str, body: Any, key: str, writes: bool
-    ) -> result.Result[bytes, store_contract.StoreFault]:
-        """Posts a call and returns the body of a good answer.
+    async def call(
+        self, method: str, path: str, body: bytes, key: str, *, writes: bool
+    ) -> result.Result[Answer, store_contract.StoreFault]:
+        """Makes a call; statuses that refuse it are faults.
 
         Args:
-            path: Path of the call.
-            body: What to send as JSON.
+            method: HTTP method.
+            path: Path of the call, with its query.
+            body: What to send.
             key: Names the call in a fault.
             writes: Whether the call can change something. Such a call goes
                 to another server only if no byte of it has left.
         """
-        content = msgspec.json.encode(body)
         fault = _fault(False, key, "The store has no servers.")
         with anyio.move_on_after(self._timeout_s):
             for _ in self._endpoints:
                 progress = _Progress()
                 try:
-                    answered = await self._post_once(
-                        path, content, progress, writes
+                    answered = await self._call_once(
+                        method, path, body, progress, writes
                     )
                 except FAULTS as error:
                     fault = _fault(writes and progress.left, key, repr(error))
                 else:
-                    if answered.status < _SERVER_ERROR:
-                        return _judge(answered, key)
-                    fault = _fault(writes, key, _message(answered))
+                    refused = _refusal(answered, key, writes)
+                    if refused is None:
+                        return result.Ok(answered)
+                    fault = refused
                 self.prefer_next()
                 if writes and progress.left:
                     break
@@ -129,46 +134,61 @@
         late = writes and progress.left
         return result.Err(_fault(late, key, "The store's time limit is over."))
 
-    @contextlib.asynccontextmanager
-    async def stream(
-        self, path: str, body: Any, idle_s: float
-    ) -> AsyncIterator[httpcore.Response]:
-        """Opens a streamed answer on a new or idle connection.
+    async def wait(
+        self, path: str, key: str, wait_s: float
+    ) -> result.Result[Answer, store_contract.StoreFault]:
+        """Makes a reading call that the store answers after a wait.
 
         Args:
-            path: Path of the call.
-            body: What to send as JSON.
-            idle_s: Longest silence on the connection, in seconds.
-
-        Raises:
-            httpcore.NetworkError: The connection failed.
-            httpcore.TimeoutException: Nothing came for too long.
-            httpcore.ProtocolError: The answer broke the protocol.
+            path: Path of the call, with its query.
+            key: Names the call in a fault.
+            wait_s: Longest time until the answer, in seconds.
         """
-        async with self._watch_pool.stream(
-            "POST",
-            self._url(path),
-            headers=_HEADERS,
-            content=msgspec.json.encode(body),
-            extensions={"timeout": self._time_limits(idle_s)},
-        ) as response:
-            yield response
+        try:
+            with anyio.fail_after(wait_s):
+                answered = await self._exchange(
+                    self._watch_pool, "GET", path, b"", wait_s, _Progress()
+                )
+        except (*FAULTS, TimeoutError) as error:
+            self.prefer_next()
+            return result.Err(_fault(False, key, repr(error)))
+        refused = _refusal(answered, key, writes=False)
+        return result.Ok(answered) if refused is None else result.Err(refused)
 
     def prefer_next(self) -> None:
         """Asks another server first from now on."""
         count = max(len(self._endpoints), 1)
         self._preferred = (self._preferred + 1) % count
 
-    async def _post_once(
-        self, path: str, content: bytes, progress: _Progress, writes: bool
+    async def _call_once(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        progress: _Progress,
+        writes: bool,
     ) -> Answer:
-        """Posts to the preferred server."""
+        """Calls the preferred server."""
         read_s = self._timeout_s if writes else self._try_s
-        async with self._pool.stream(
-            "POST",
+        return await self._exchange(
+            self._pool, method, path, body, read_s, progress
+        )
+
+    async def _exchange(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        method: str,
+        path: str,
+        body: bytes,
+        read_s: float,
+        progress: _Progress,
+    ) -> Answer:
+        """Sends a call on a connection of a pool and reads its answer."""
+        async with pool.stream(
+            method,
             self._url(path),
             headers=_HEADERS,
-            content=content,
+            content=body,
             extensions={
                 "timeout": self._time_limits(read_s),
                 "trace": progress.note,
@@ -198,33 +218,22 @@
     def _new_pool(connections: int) -> httpcore.AsyncConnectionPool:
         """Makes a pool that drops connections before others forget them."""
         return httpcore.AsyncConnectionPool(
-            max_connections=connections, keepalive_expiry=IDLE_CONNECTION_S
+            max_connections=connections,
+            keepalive_expiry=IDLE_CONNECTION_S,
+            socket_options=_SOCKET_OPTIONS,
         )
 
 
-def _judge(
-    answered: Answer, key: str
-) -> result.Result[bytes, store_contract.StoreFault]:
-    """Returns the body, or the fault that a 4xx status tells."""
-    if answered.status < _CLIENT_ERROR:
-        return result.Ok(answered.body)
-    message = _message(answered)
-    if _LEASE_NOT_FOUND in message:
-        kind = store_contract.StoreFaultKind.LEASE_GONE
-    else:
-        kind = store_contract.StoreFaultKind.UNAVAILABLE
-    return result.Err(store_contract.StoreFault(kind, key, message))
-
-
-def _message(answered: Answer) -> str:
-    """Returns an error answer's message."""
-    try:
-        decoded = msgspec.json.decode(
-            answered.body, type=gateway_messages.ErrorAnswer
-        )
-    except msgspec.DecodeError:
-        return f"The store answered with status {answered.status}."
-    return f"The store answered {answered.status}: {decoded.message}"
+def _refusal(
+    answered: Answer, key: str, writes: bool
+) -> store_contract.StoreFault | None:
+    """Returns the fault of a call that a status refuses, if it does."""
+    detail = f"The store answered with status {answered.status}."
+    if answered.status in _NOTHING_DONE:
+        return _fault(False, key, detail)
+    if answered.status >= _SERVER_ERROR:
+        return _fault(writes, key, detail)
+    return None
 
 
 def _fault(
--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -1,106 +1,155 @@
-"""The one client for the platform's store; meets `PolledStore`."""
+"""The one client for the platform's store; meets the store's contracts."""
 
 from __future__ import annotations
 
-import socket
+import contextlib
+from typing import TYPE_CHECKING
 from typing import TypeVar
 import urllib.parse
 
-import anyio
-import attrs
-import httpcore
 import msgspec
 import result
 
 from cardamomfork._internal.contracts import store
+from cardamomfork._internal.platform import store_calls
 from cardamomfork._internal.platform import store_messages
 
-CALL_TIMEOUT_S = 1.5
-"""An answer takes milliseconds, and 60 times as long on a slow store."""
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncIterator
+
+    from cardamomfork._internal.models import settings
+
+WATCH_WAIT_S = 2.0
+"""Wait of one call of a watch; an empty batch follows it."""
 WATCH_MARGIN_S = 0.6
 """Time beyond the wait after which a watch counts as silent."""
-USER_TIMEOUT_MS = 1500
-"""Unacknowledged bytes end a connection after this."""
-MAX_CONNECTIONS = 16
-KEEP_ALIVE_S = 20.0
 
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
 _CONFLICT = 412
-_REFUSED = (429, 503, 403)
 
 _T = TypeVar("_T")
 
 
-@attrs.frozen
-class _Answer:
-    """Status and body of an answer."""
-
-    status: int
-    body: bytes
-
-
 class PlatformStore:
-    """Speaks to the store over a pool of connections."""
+    """Speaks to the platform's store; meets `Store` and `PolledStore`."""
+
+    def __init__(self, store_settings: settings.StoreSettings) -> None:
+        """Opens nothing yet.
 
-    def __init__(self, host: str, port: int) -> None:
-        """Opens nothing yet."""
-        self._origin = f"http://{host}:{port}"
-        self._pool = self._make_pool()
+        Args:
+            store_settings: Servers, time limit and key prefix.
+        """
+        self._prefix = store_settings.prefix
+        self._calls = store_calls.StoreCaller(
+            store_settings.endpoints, store_settings.timeout_s
+        )
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._pool.aclose()
+        await self._calls.close()
+
+    async def get(
+        self, key: str
+    ) -> result.Result[store.Entry | None, store.StoreFault]:
+        """Reads one key."""
+        query = urllib.parse.urlencode({"key": self._prefix + key})
+        called = await self._read(f"/-/kv-key?{query}", key)
+        if isinstance(called, result.Err):
+            return called
+        if called.ok_value.status == _NOT_FOUND:
+            return result.Ok(None)
+        return _decode(called.ok_value, store_messages.Item, key).and_then(
+            lambda item: self._to_entries([item], key).map(
+                lambda entries: entries[0]
+            )
+        )
 
     async def scan(
         self, prefix: str
     ) -> result.Result[store.Scan, store.StoreFault]:
-        """Reads all keys under a prefix; a watch may follow its revision."""
+        """Reads all keys under a prefix; changes may follow its revision."""
         entries: list[store.Entry] = []
         revision = 0
         after = ""
         while True:
-            query = urllib.parse.urlencode(
-                {"prefix": prefix, "after": after}
-                if after
-                else {"prefix": prefix}
+            query = {"prefix": self._prefix + prefix}
+            if after:
+                query["after"] = after
+            called = await self._read(
+                f"/-/kv-range?{urllib.parse.urlencode(query)}", prefix
             )
-            called = await self._call("GET", f"/-/kv-range?{query}", prefix)
             if isinstance(called, result.Err):
                 return called
             page = _decode(called.ok_value, store_messages.Items, prefix)
             if isinstance(page, result.Err):
                 return page
-            found = _to_entries(page.ok_value.items, prefix)
+            found = self._to_entries(page.ok_value.items, prefix)
             if isinstance(found, result.Err):
                 return found
             entries += found.ok_value
-            # Later pages may be newer; a watch from the first misses nothing.
+            # Later pages may be newer; changes from the first miss nothing.
             revision = revision or page.ok_value.store_revision
             if not page.ok_value.more_pages or not page.ok_value.items:
                 return result.Ok(store.Scan(tuple(entries), revision))
             after = page.ok_value.items[-1].key
 
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> result.Result[store.WatchBatch, store.StoreFault]:
+        """Returns changes after a revision; waits for the first."""
+        query = urllib.parse.urlencode(
+            {
+                "prefix": self._prefix + prefix,
+                "after": after,
+                "waitMs": round(wait_s * 1000),
+            }
+        )
+        called = await self._calls.wait(
+            f"/-/kv-watch?{query}", prefix, wait_s + WATCH_MARGIN_S
+        )
+        if isinstance(called, result.Err):
+            return called
+        if called.ok_value.status == _GONE:
+            return _fault(store.StoreFaultKind.COMPACTED, prefix)
+        decoded = _decode(called.ok_value, store_messages.Events, prefix)
+        if isinstance(decoded, result.Err):
+            return decoded
+        newest = max(after, decoded.ok_value.store_revision)
+        return self._to_entries(decoded.ok_value.events, prefix).map(
+            lambda entries: store.WatchBatch(tuple(entries), newest)
+        )
+
     async def put(
         self, key: str, value: bytes, *, expected: int, lease: int = 0
     ) -> result.Result[store.Entry, store.CompareFailed | store.StoreFault]:
         """Writes a key if it is at the expected version."""
-        written = await self._commit(
-            store_messages.Transaction(
-                expect=[store_messages.Comparison(key, expected)],
-                puts=[
-                    store_messages.Write(
-                        key, store_messages.encode_value(value), lease
-                    )
-                ],
-            ),
-            key,
+        if len(value) > store.MAX_VALUE_BYTES:
+            return _fault(
+                store.StoreFaultKind.UNAVAILABLE,
+                key,
+                f"The value has {len(value)} bytes, more than the store's"
+                f" {store.MAX_VALUE_BYTES}.",
+            )
+        write = store_messages.Write(
+            self._prefix + key, store_messages.encode_value(value), lease
         )
+        written = await self._commit(key, expected, puts=[write])
         return written.map(
             lambda revision: store.Entry(key, value, revision, lease)
         )
 
+    async def delete(
+        self, key: str, *, expected: int
+    ) -> result.Result[None, store.CompareFailed | store.StoreFault]:
+        """Deletes a key if it is at the expected version."""
+        deleted = await self._commit(
+            key, expected, deletes=[self._prefix + key]
+        )
+        return deleted.map(lambda _: None)
+
     async def grant_lease(
         self, ttl_s: float
     ) -> result.Result[store.Lease, store.StoreFault]:
@@ -108,7 +157,7 @@
         body = msgspec.json.encode(
             store_messages.LeaseRequest(round(ttl_s * 1000))
         )
-        called = await self._call("POST", "/-/kv-lease", "lease", body)
+        called = await self._write("POST", "/-/kv-lease", body, "lease")
         if isinstance(called, result.Err):
             return called
         return _decode(
@@ -119,7 +168,9 @@
         self, lease_id: int
     ) -> result.Result[store.Lease, store.StoreFault]:
         """Renews a lease; `LEASE_GONE` once it has lapsed."""
-        called = await self._call("POST", f"/-/kv-keep/{lease_id}", "lease")
+        called = await self._write(
+            "POST", f"/-/kv-keep/{lease_id}", b"", "lease"
+        )
         if isinstance(called, result.Err):
             return called
         if called.ok_value.status == _NOT_FOUND:
@@ -128,29 +179,56 @@
             called.ok_value, store_messages.LeaseAnswer, "lease"
         ).map(lambda answer: store.Lease(lease_id, answer.ttl_ms / 1000))
 
-    async def changes(
-        self, prefix: str, after: int, wait_s: float
-    ) -> result.Result[store.WatchBatch, store.StoreFault]:
-        """Returns changes after a revision; waits for the first."""
-        query = urllib.parse.urlencode(
-            {"prefix": prefix, "after": after, "waitMs": round(wait_s * 1000)}
-        )
-        called = await self._call(
-            "GET",
-            f"/-/kv-watch?{query}",
-            prefix,
-            timeout_s=wait_s + WATCH_MARGIN_S,
+    async def revoke_lease(
+        self, lease_id: int
+    ) -> result.Result[None, store.StoreFault]:
+        """Ends a lease and deletes the keys tied to it."""
+        called = await self._write(
+            "DELETE", f"/-/kv-lease-end/{lease_id}", b"", "lease"
         )
-        if isinstance(called, result.Err):
-            return called
-        return _to_batch(called.ok_value, prefix, after)
+        return called.map(lambda _: None)
+
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncIterator[
+        AsyncIterator[result.Result[store.WatchBatch, store.StoreFault]]
+    ]:
+        """Follows changes under a prefix; ends after the first fault."""
+        async with contextlib.aclosing(
+            self._follow(prefix, from_revision)
+        ) as batches:
+            yield batches
+
+    async def _follow(
+        self, prefix: str, revision: int
+    ) -> AsyncGenerator[
+        result.Result[store.WatchBatch, store.StoreFault], None
+    ]:
+        """Asks for changes again and again."""
+        while True:
+            batch = await self.changes(prefix, revision, WATCH_WAIT_S)
+            yield batch
+            if isinstance(batch, result.Err):
+                return
+            revision = batch.ok_value.revision
 
     async def _commit(
-        self, transaction: store_messages.Transaction, key: str
+        self,
+        key: str,
+        expected: int,
+        *,
+        puts: list[store_messages.Write] | None = None,
+        deletes: list[str] | None = None,
     ) -> result.Result[int, store.CompareFailed | store.StoreFault]:
-        """Carries out a transaction on one key; returns its revision."""
-        called = await self._call(
-            "POST", "/-/kv-txn", key, msgspec.json.encode(transaction)
+        """Changes one key under a condition; returns the new revision."""
+        transaction = store_messages.Transaction(
+            expect=[store_messages.Comparison(self._prefix + key, expected)],
+            puts=puts or [],
+            deletes=deletes or [],
+        )
+        called = await self._write(
+            "POST", "/-/kv-txn", msgspec.json.encode(transaction), key
         )
         if isinstance(called, result.Err):
             return called
@@ -161,7 +239,7 @@
                 lambda committed: committed.revision
             )
         found = _decode(called.ok_value, store_messages.Items, key).and_then(
-            lambda items: _to_entries(items.items, key)
+            lambda items: self._to_entries(items.items, key)
         )
         if isinstance(found, result.Err):
             return found
@@ -175,57 +253,26 @@
         )
         return result.Err(store.CompareFailed(key, current))
 
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        key: str,
-        body: bytes = b"",
-        timeout_s: float = CALL_TIMEOUT_S,
-    ) -> result.Result[_Answer, store.StoreFault]:
-        """Makes one call and sorts what can go wrong with any of them."""
-        kinds = store.StoreFaultKind
+    async def _read(
+        self, path: str, key: str
+    ) -> result.Result[store_calls.Answer, store.StoreFault]:
+        """Makes a call that changes nothing."""
+        return await self._calls.call("GET", path, b"", key, writes=False)
+
+    async def _write(
+        self, method: str, path: str, body: bytes, key: str
+    ) -> result.Result[store_calls.Answer, store.StoreFault]:
+        """Makes a call that may change something."""
+        return await self._calls.call(method, path, body, key, writes=True)
+
+    def _to_entries(
+        self, items: list[store_messages.Item], key: str
+    ) -> result.Result[list[store.Entry], store.StoreFault]:
+        """Returns items as entries, without the prefix of all keys."""
         try:
-            with anyio.fail_after(timeout_s):
-                response = await self._pool.request(
-                    method,
-                    self._origin + path,
-                    headers={"Content-Type": "application/json"},
-                    content=body,
-                )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            return _fault(kinds.UNAVAILABLE, key, repr(error))
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            TimeoutError,
-        ) as error:
-            return _fault(kinds.INDETERMINATE, key, repr(error))
-        status = response.status
-        if status in _REFUSED:
-            return _fault(kinds.UNAVAILABLE, key, f"status {status}")
-        if status == _GONE:
-            return _fault(kinds.COMPACTED, key)
-        if status not in (_OK, _NOT_FOUND, _CONFLICT):
-            return _fault(kinds.INDETERMINATE, key, f"status {status}")
-        return result.Ok(_Answer(status, response.content))
-
-    def _make_pool(self) -> httpcore.AsyncConnectionPool:
-        """Makes the pool; a connection that timed out is not used again."""
-        return httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=MAX_CONNECTIONS,
-            keepalive_expiry=KEEP_ALIVE_S,
-            socket_options=[
-                (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-                (
-                    socket.IPPROTO_TCP,
-                    socket.TCP_USER_TIMEOUT,
-                    USER_TIMEOUT_MS,
-                ),
-            ],
-        )
+            return result.Ok([item.to_entry(self._prefix) for item in items])
+        except ValueError as error:
+            return _fault(store.StoreFaultKind.INDETERMINATE, key, str(error))
 
 
 def _fault(
@@ -236,10 +283,12 @@
 
 
 def _decode(
-    answer: _Answer, kind: type[_T], key: str
+    answer: store_calls.Answer, kind: type[_T], key: str
 ) -> result.Result[_T, store.StoreFault]:
     """Decodes a body; a status without the expected body is a fault."""
     try:
+        if answer.status not in (_OK, _CONFLICT):
+            raise msgspec.DecodeError("unexpected status")
         return result.Ok(msgspec.json.decode(answer.body, type=kind))
     except msgspec.DecodeError as error:
         return _fault(
@@ -247,27 +296,3 @@
             key,
             f"status {answer.status}: {error}",
         )
-
-
-def _to_entries(
-    items: list[store_messages.Item], key: str
-) -> result.Result[list[store.Entry], store.StoreFault]:
-    """Returns items as entries."""
-    try:
-        return result.Ok([item.to_entry() for item in items])
-    except ValueError as error:
-        return _fault(store.StoreFaultKind.INDETERMINATE, key, str(error))
-
-
-def _to_batch(
-    answer: _Answer, prefix: str, revision: int
-) -> result.Result[store.WatchBatch, store.StoreFault]:
-    """Returns the changes that a watch brought, never an older revision."""
-    decoded = _decode(answer, store_messages.Events, prefix)
-    if isinstance(decoded, result.Err):
-        return decoded
-    found = _to_entries(decoded.ok_value.events, prefix)
-    if isinstance(found, result.Err):
-        return found
-    newest = max(revision, decoded.ok_value.store_revision)
-    return result.Ok(store.WatchBatch(tuple(found.ok_value), newest))
--- a/src/cardamomfork/_internal/platform/store_messages.py
+++ b/src/cardamomfork/_internal/platform/store_messages.py
@@ -19,19 +19,20 @@
     lease: int = 0
     removed: bool = False
 
-    def to_entry(self) -> store.Entry:
+    def to_entry(self, prefix: str) -> store.Entry:
         """Returns the entry; a removed key is absent.
 
+        Args:
+            prefix: Beginning of all keys, which the entry's key lacks.
+
         Raises:
             ValueError: The value isn't base64 text.
         """
+        key = self.key.removeprefix(prefix)
         if self.removed:
-            return store.Entry(self.key, b"", store.ABSENT)
-        try:
-            value = base64.b64decode(self.value, validate=True)
-        except binascii.Error as error:
-            raise ValueError(f"value of {self.key!r}: {error}") from error
-        return store.Entry(self.key, value, self.revision, self.lease)
+            return store.Entry(key, b"", store.ABSENT)
+        value = decode_value(self.value)
+        return store.Entry(key, value, self.revision, self.lease)
 
 
 class Items(msgspec.Struct, rename="camel"):
@@ -94,3 +95,15 @@
 def encode_value(value: bytes) -> str:
     """Returns a value as the store takes it."""
     return base64.b64encode(value).decode()
+
+
+def decode_value(text: str) -> bytes:
+    """Returns a value from the store's text.
+
+    Raises:
+        ValueError: The text isn't base64.
+    """
+    try:
+        return base64.b64decode(text, validate=True)
+    except binascii.Error as error:
+        raise ValueError(f"not base64: {error}") from error
--- a/src/cardamomfork/_internal/standins/store_server.py
+++ b/src/cardamomfork/_internal/standins/store_server.py
@@ -1,4 +1,4 @@
-"""Serves a `MemoryStore` over the subset of the etcd v3 JSON gateway in use.
+"""Serves a `MemoryStore` as the users' platform serves its store.
 
 Run it with `python -m cardamomfork._internal.standins.store_server PORT`. The
 faults are those of the `StoreSession` behind it: `down` answers 503, a lost
@@ -12,6 +12,7 @@
 import sys
 from typing import Any
 from typing import TYPE_CHECKING
+import urllib.parse
 
 import anyio
 import msgspec
@@ -20,18 +21,29 @@
 
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.contracts import store as store_contract
-from cardamomfork._internal.links.platform import gateway_messages
+from cardamomfork._internal.platform import store_messages
 from cardamomfork._internal.standins import store as store_standin
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Iterator
 
+PAGE_ITEMS = 500
+MS_PER_S = 1000
+
+OK = 200
+NOT_FOUND = 404
+GONE = 410
+CONFLICT = 412
 STATUS_OF_FAULT = {
     store_contract.StoreFaultKind.UNAVAILABLE: 503,
-    store_contract.StoreFaultKind.LEASE_GONE: 404,
+    store_contract.StoreFaultKind.LEASE_GONE: NOT_FOUND,
+    store_contract.StoreFaultKind.COMPACTED: GONE,
 }
 
+_Answer = tuple[int, Any]
+_Answered = result.Result[_Answer, store_contract.StoreFault]
+
 
 class StoreApp:
     """ASGI application over one `StoreSession`."""
@@ -48,111 +60,114 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serves one HTTP call."""
-        body = msgspec.json.decode(await _body(receive))
-        if scope["path"] == "/v3/watch":
-            await self._watch(body["create_request"], receive, send)
-            return
-        handlers = {
-            "/v3/kv/range": self._range,
-            "/v3/kv/txn": self._txn,
-            "/v3/lease/grant": self._grant,
-            "/v3/lease/keepalive": self._keepalive,
-            "/v3/lease/revoke": self._revoke,
-        }
-        await _answer(send, await handlers[scope["path"]](body))
-
-    async def _range(self, body: dict[str, Any]) -> Any:
-        """Serves /v3/kv/range for a key or a prefix."""
-        key = gateway_messages.decode_bytes(body["key"]).decode()
-        if "range_end" in body:
-            scanned = await self._session.scan(key)
-            return scanned.map(lambda s: self._found(s.entries))
+        body = await _body(receive)
+        query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
+        _, _, name = scope["path"].partition("/-/")
+        name, _, argument = name.partition("/")
+        match name:
+            case "kv-key":
+                answered = await self._key(query["key"])
+            case "kv-range":
+                answered = await self._range(
+                    query["prefix"], query.get("after", "")
+                )
+            case "kv-watch":
+                answered = await self._watch(
+                    query["prefix"],
+                    int(query["after"]),
+                    int(query["waitMs"]) / MS_PER_S,
+                )
+            case "kv-txn":
+                answered = await self._txn(body)
+            case "kv-lease":
+                answered = await self._grant(body)
+            case "kv-keep":
+                answered = await self._keep(int(argument))
+            case "kv-lease-end":
+                answered = await self._end(int(argument))
+            case _:
+                answered = result.Ok((NOT_FOUND, {}))
+        await _answer(send, answered)
+
+    async def _key(self, key: str) -> _Answered:
+        """Returns one key."""
         found = await self._session.get(key)
-        return found.map(lambda entry: self._found((entry,) if entry else ()))
-
-    async def _txn(self, body: dict[str, Any]) -> Any:
-        """Serves a transaction of one comparison and one write."""
-        (compare,) = body["compare"]
-        (operation,) = body["success"]
-        key = gateway_messages.decode_bytes(compare["key"]).decode()
-        expected = int(compare["mod_revision"])
-        written: Any
-        if put := operation.get("request_put"):
+        return found.map(
+            lambda entry: (
+                (OK, _to_item(entry))
+                if entry is not None
+                else (NOT_FOUND, store_messages.Items())
+            )
+        )
+
+    async def _range(self, prefix: str, after: str) -> _Answered:
+        """Returns a page of the keys under a prefix."""
+        scanned = await self._session.scan(prefix)
+        if isinstance(scanned, result.Err):
+            return scanned
+        entries = [e for e in scanned.ok_value.entries if e.key > after]
+        page = store_messages.Items(
+            [_to_item(entry) for entry in entries[:PAGE_ITEMS]],
+            len(entries) > PAGE_ITEMS,
+            scanned.ok_value.revision,
+        )
+        return result.Ok((OK, page))
+
+    async def _watch(self, prefix: str, after: int, wait_s: float) -> _Answered:
+        """Returns changes as soon as there are some."""
+        async with self._session.watch(prefix, after) as batches:
+            with anyio.move_on_after(wait_s):
+                async for batch in batches:
+                    if isinstance(batch, result.Err):
+                        return batch
+                    if batch.ok_value.entries:
+                        return result.Ok((OK, _to_events(batch.ok_value)))
+        return result.Ok((OK, store_messages.Events([], self._store.revision)))
+
+    async def _txn(self, body: bytes) -> _Answered:
+        """Carries out a transaction of one comparison and one write."""
+        asked = msgspec.json.decode(body, type=store_messages.Transaction)
+        (compared,) = asked.expect
+        written: result.Result[
+            store_contract.Entry | None,
+            store_contract.CompareFailed | store_contract.StoreFault,
+        ]
+        if asked.puts:
+            (put,) = asked.puts
             written = await self._session.put(
-                key,
-                gateway_messages.decode_bytes(put["value"]),
-                expected=expected,
-                lease=int(put.get("lease", "0")),
+                put.key,
+                store_messages.decode_value(put.value),
+                expected=compared.revision,
+                lease=put.lease,
             )
         else:
-            written = await self._session.delete(key, expected=expected)
-        error = written.err()
-        if isinstance(error, store_contract.CompareFailed):
-            entries = (error.current,) if error.current else ()
-            failed = {"response_range": self._found(entries)}
-            return result.Ok({**self._header(), "responses": [failed]})
-        return written.map(lambda _: {**self._header(), "succeeded": True})
-
-    async def _grant(self, body: dict[str, Any]) -> Any:
-        """Serves /v3/lease/grant."""
-        granted = await self._session.grant_lease(float(body["TTL"]))
-        return granted.map(_lease)
-
-    async def _keepalive(self, body: dict[str, Any]) -> Any:
-        """Serves /v3/lease/keepalive; a lapsed lease has no TTL."""
-        renewed = await self._session.renew_lease(int(body["ID"]))
-        gone = store_contract.StoreFaultKind.LEASE_GONE
-        if renewed.is_err() and renewed.unwrap_err().kind is gone:
-            return result.Ok({"result": {"ID": body["ID"]}})
-        return renewed.map(lambda lease: {"result": _lease(lease)})
-
-    async def _revoke(self, body: dict[str, Any]) -> Any:
-        """Serves /v3/lease/revoke."""
-        revoked = await self._session.revoke_lease(int(body["ID"]))
-        return revoked.map(lambda _: self._header())
-
-    async def _watch(
-        self, create: dict[str, Any], receive: Any, send: Any
-    ) -> None:
-        """Serves a watch until the client leaves or a fault ends it."""
-        prefix = gateway_messages.decode_bytes(create["key"]).decode()
-        after = int(create.get("start_revision", "1")) - 1
-        await _start(send, 200)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_at_disconnect, receive, tasks.cancel_scope)
-            async with self._session.watch(prefix, after) as batches:
-                async for batch in batches:
-                    line = msgspec.json.encode(self._watch_message(batch))
-                    await _send(send, line + b"\n", more=True)
-            tasks.cancel_scope.cancel()
-        await _send(send, b"", more=False)
-
-    def _watch_message(self, batch: Any) -> dict[str, Any]:
-        """Returns the message of a batch or of the fault that ends it."""
-        if batch.is_err():
-            compacted = store_contract.StoreFaultKind.COMPACTED
-            revision = self._store.revision
-            ended: dict[str, Any] = {"canceled": True}
-            if batch.unwrap_err().kind is compacted:
-                ended["compact_revision"] = str(revision)
-            return {"result": ended}
-        changes = batch.unwrap()
-        return {
-            "result": {
-                "header": {"revision": str(changes.revision)},
-                "events": [_event(entry) for entry in changes.entries],
-            }
-        }
-
-    def _found(
-        self, entries: tuple[store_contract.Entry, ...]
-    ) -> dict[str, Any]:
-        """Returns the answer that lists entries."""
-        return {**self._header(), "kvs": [_key_value(e) for e in entries]}
-
-    def _header(self) -> dict[str, Any]:
-        """Returns the head of an answer."""
-        return {"header": {"revision": str(self._store.revision)}}
+            written = await self._session.delete(
+                compared.key, expected=compared.revision
+            )
+        if isinstance(written, result.Ok):
+            committed = store_messages.Committed(self._store.revision)
+            return result.Ok((OK, committed))
+        error = written.err_value
+        if isinstance(error, store_contract.StoreFault):
+            return result.Err(error)
+        current = [_to_item(error.current)] if error.current else []
+        return result.Ok((CONFLICT, store_messages.Items(current)))
+
+    async def _grant(self, body: bytes) -> _Answered:
+        """Grants a lease."""
+        asked = msgspec.json.decode(body, type=store_messages.LeaseRequest)
+        granted = await self._session.grant_lease(asked.ttl_ms / MS_PER_S)
+        return granted.map(lambda lease: (OK, _to_lease(lease)))
+
+    async def _keep(self, lease_id: int) -> _Answered:
+        """Renews a lease."""
+        renewed = await self._session.renew_lease(lease_id)
+        return renewed.map(lambda lease: (OK, _to_lease(lease)))
+
+    async def _end(self, lease_id: int) -> _Answered:
+        """Ends a lease."""
+        ended = await self._session.revoke_lease(lease_id)
+        return ended.map(lambda _: (OK, {}))
 
 
 class _Server(uvicorn.Server):
@@ -181,26 +196,28 @@
             server.force_exit = True
 
 
-def _lease(lease: store_contract.Lease) -> dict[str, str]:
+def _to_lease(lease: store_contract.Lease) -> store_messages.LeaseAnswer:
     """Returns a lease's message."""
-    return {"ID": str(lease.lease_id), "TTL": str(int(lease.ttl_s))}
+    ttl_ms = round(lease.ttl_s * MS_PER_S)
+    return store_messages.LeaseAnswer(ttl_ms, lease.lease_id)
 
 
-def _key_value(entry: store_contract.Entry) -> dict[str, str]:
+def _to_item(entry: store_contract.Entry) -> store_messages.Item:
     """Returns a key's message."""
-    return {
-        "key": gateway_messages.encode_bytes(entry.key.encode()),
-        "value": gateway_messages.encode_bytes(entry.value),
-        "mod_revision": str(entry.version),
-        "lease": str(entry.lease),
-    }
+    return store_messages.Item(
+        entry.key,
+        store_messages.encode_value(entry.value),
+        entry.version,
+        entry.lease,
+        entry.version == store_contract.ABSENT,
+    )
 
 
-def _event(entry: store_contract.Entry) -> dict[str, Any]:
-    """Returns a change's message."""
-    if entry.version == store_contract.ABSENT:
-        return {"type": "DELETE", "kv": _key_value(entry)}
-    return {"kv": _key_value(entry)}
+def _to_events(batch: store_contract.WatchBatch) -> store_messages.Events:
+    """Returns the message of changes."""
+    return store_messages.Events(
+        [_to_item(entry) for entry in batch.entries], batch.revision
+    )
 
 
 async def _body(receive: Any) -> bytes:
@@ -214,22 +231,20 @@
     return bytes(parts)
 
 
-async def _answer(send: Any, answered: Any) -> None:
+async def _answer(send: Any, answered: _Answered) -> None:
     """Sends an answer; cuts the connection for one that is lost."""
-    if answered.is_ok():
-        await _start(send, 200)
-        await _send(send, msgspec.json.encode(answered.unwrap()), more=False)
+    if isinstance(answered, result.Ok):
+        status, message = answered.ok_value
+        await _start(send, status)
+        await _send(send, msgspec.json.encode(message), more=False)
         return
-    fault = answered.unwrap_err()
+    fault = answered.err_value
     if fault.kind is store_contract.StoreFaultKind.INDETERMINATE:
-        await _start(send, 200)
+        await _start(send, OK)
         await _send(send, b"{", more=True)
         return
-    message = f"etcdserver: {fault.kind}"
-    if fault.kind is store_contract.StoreFaultKind.LEASE_GONE:
-        message = "etcdserver: requested lease not found"
     await _start(send, STATUS_OF_FAULT[fault.kind])
-    await _send(send, msgspec.json.encode({"message": message}), more=False)
+    await _send(send, b"{}", more=False)
 
 
 async def _start(send: Any, status: int) -> None:
@@ -245,13 +260,6 @@
     await send({"type": "http.response.body", "body": data, "more_body": more})
 
 
-async def _cancel_at_disconnect(receive: Any, scope: anyio.CancelScope) -> None:
-    """Waits until the client has left, then cancels the scope."""
-    while (await receive())["type"] != "http.disconnect":
-        pass
-    scope.cancel()
-
-
 async def _run(port: int) -> None:
     """Serves an empty store until the process is ended."""
     store = store_standin.MemoryStore(clock_contract.LoopClock())
--- a/tests/functional/test_gateway_store.py
+++ b/tests/functional/test_store_client.py
@@ -9,8 +9,8 @@
 
 from cardamomfork._internal.contracts import clock
 from cardamomfork._internal.contracts import store as store_contract
-from cardamomfork._internal.links.platform import gateway_store
 from cardamomfork._internal.models import settings
+from cardamomfork._internal.platform import store_client
 from cardamomfork._internal.standins import store
 from cardamomfork._internal.standins import store_server
 
@@ -24,13 +24,13 @@
         return f"127.0.0.1:{unused.getsockname()[1]}"
 
 
-class GatewayStoreTest(unittest.TestCase):
+class StoreClientTest(unittest.TestCase):
     def run_with_server(self, scenario, timeout_s=5.0, first=()):
         async def main():
             self.memory = store.MemoryStore(clock.LoopClock())
             self.app = store_server.StoreApp(self.memory)
             async with store_server.serve(self.app) as endpoint:
-                client = gateway_store.GatewayStore(
+                client = store_client.PlatformStore(
                     settings.StoreSettings((*first, endpoint), timeout_s)
                 )
                 async with contextlib.aclosing(_Closing(client)):
@@ -79,7 +79,7 @@
     def test_write_that_found_no_server_surely_did_nothing(self):
         async def scenario(client):
             served = await client.put("a", b"1", expected=0)
-            alone = gateway_store.GatewayStore(
+            alone = store_client.PlatformStore(
                 settings.StoreSettings((free_endpoint(),), 1.0)
             )
             async with contextlib.aclosing(_Closing(alone)):
@@ -139,8 +139,10 @@
             async with client.watch("p/", 0) as batches:
                 return (await anext(batches)).unwrap_err().kind
 
-        bound = unittest.mock.patch.object(gateway_store, "WATCH_IDLE_S", 0.2)
-        with bound:
+        with (
+            unittest.mock.patch.object(store_client, "WATCH_WAIT_S", 30.0),
+            unittest.mock.patch.object(store_client, "WATCH_MARGIN_S", -29.8),
+        ):
             kind = self.run_with_server(scenario)
         self.assertEqual(kind, KINDS.UNAVAILABLE)
 
--- /dev/null
+++ b/tests/unit/test_gateway_decisions.py
@@ -0,0 +1,293 @@
+"""Routes, retries, poison, events and digests of the gateway."""
+
+import itertools
+import math
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import result
+
+from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway import event_stream
+from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway import peers
+from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import retry_share
+from cardamomfork._internal.gateway import routes
+from cardamomfork._internal.models import fleet
+from cardamomfork._internal.models import forwarding
+from tests.lib import gateway_parts
+
+
+def make_request(path="/a/x", key="k1", host="callers.example"):
+    """Returns a caller's request."""
+    return forwarding.CallerRequest(
+        "r1", b"POST", path.encode(), path, host, (), api_key=key
+    )
+
+
+def make_table(*changed, accounts=True):
+    """Returns a table of routes."""
+    listed = [gateway_parts.make_route(**changes) for changes in changed]
+    return routes.RouteTable(
+        fleet.FleetConfiguration(
+            version=3,
+            revision=9,
+            routes=tuple(listed),
+            services={
+                "engines": gateway_parts.ENGINES,
+                "plain": gateway_parts.PLAIN,
+            },
+            accounts=(fleet.ClientAccount("depot", ("k1", "k2"), 0),)
+            if accounts
+            else (),
+            limits=fleet.CallerLimits(),
+        )
+    )
+
+
+class RoutesTest(unittest.TestCase):
+    def match(self, table, **request):
+        return table.match(make_request(**request), random.Random(1))
+
+    def test_longest_prefix_wins(self):
+        table = make_table(
+            {"name": "short"}, {"name": "long", "prefix": "/a/b/"}
+        )
+        found = self.match(table, path="/a/b/c").ok_value
+        self.assertEqual(found.route.name, "long")
+        found = self.match(table, path="/a/bc").ok_value
+        self.assertEqual(found.route.name, "short")
+
+    def test_prefix_without_its_last_slash_does_not_match(self):
+        found = self.match(make_table({}), path="/a")
+        self.assertEqual(found.err_value, routes.Rejection.NO_ROUTE)
+
+    def test_other_host_does_not_match(self):
+        found = self.match(make_table({}), host="other.example")
+        self.assertEqual(found.err_value, routes.Rejection.NO_ROUTE)
+
+    def test_unknown_key_is_rejected(self):
+        found = self.match(make_table({}), key="k9")
+        self.assertEqual(found.err_value, routes.Rejection.UNKNOWN_KEY)
+
+    def test_route_without_keys_takes_anybody(self):
+        found = self.match(make_table({"needs_key": False}), key="")
+        self.assertIsNone(found.ok_value.account)
+
+    def test_priority_of_the_account_goes_first(self):
+        self.assertEqual(self.match(make_table({})).ok_value.priority, 0)
+
+    def test_split_follows_weights(self):
+        table = make_table(
+            {"shares": (fleet.Share("engines", 9), fleet.Share("plain", 1))}
+        )
+        source = random.Random(1)
+        names = [
+            table.match(make_request(), source).ok_value.service.name
+            for _ in range(1000)
+        ]
+        self.assertAlmostEqual(names.count("plain") / 1000, 0.1, delta=0.04)
+
+
+class RetryShareTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(strategies.floats(0, 0.5), strategies.booleans()),
+            max_size=300,
+        ),
+        strategies.integers(1, 9),
+    )
+    def test_all_instances_stay_under_the_bound(self, steps, instances):
+        settings = gateway_parts.make_settings()
+        shares = [retry_share.RetryShare(settings) for _ in range(instances)]
+        for share in shares:
+            share.update_instances(instances)
+        now = 0.0
+        requests, repeats = [], []
+        for number, (pause, is_request) in enumerate(steps):
+            now += pause
+            share = shares[number % instances]
+            if is_request:
+                share.count_request("s", now)
+                requests.append(now)
+            elif share.take("s", now):
+                repeats.append(now)
+            recent = [at for at in repeats if at >= now - 10.0]
+            offered = [at for at in requests if at >= now - 10.0]
+            self.assertLessEqual(len(recent), 0.2 * len(offered) + 100)
+
+    def test_repeats_run_out_and_come_back(self):
+        share = retry_share.RetryShare(
+            gateway_parts.make_settings(retry_reserve=30)
+        )
+        taken = sum(share.take("s", 1.0) for _ in range(100))
+        self.assertLess(taken, 30)
+        self.assertTrue(share.take("s", 12.0))
+
+
+class PoisonGuardTest(unittest.TestCase):
+    def test_third_crash_blocks_a_request_also_by_peers_word(self):
+        guard = poison_guard.PoisonGuard()
+        for number in range(2):
+            guard.suspect(7, f"t{number}", 1.0)
+            guard.confirm_death(f"t{number}", 1.5)
+        self.assertFalse(guard.is_blocked(7, 2.0))
+        guard.count(poison_guard.Death(7, "t9"), 2.0)
+        self.assertTrue(guard.is_blocked(7, 2.0))
+        self.assertFalse(guard.is_blocked(8, 2.0))
+        self.assertFalse(guard.is_blocked(7, 2.0 + poison_guard.BLOCK_S))
+
+    def test_broken_answer_of_a_living_target_counts_for_nothing(self):
+        guard = poison_guard.PoisonGuard()
+        for number in range(5):
+            guard.suspect(7, f"t{number}", 1.0)
+        self.assertFalse(guard.is_blocked(7, 2.0))
+
+    def test_death_long_after_is_not_the_requests(self):
+        guard = poison_guard.PoisonGuard()
+        guard.suspect(7, "t1", 1.0)
+        self.assertEqual(guard.confirm_death("t1", 30.0), [])
+
+
+def write_events(first, last):
+    """Returns events as a target sends them."""
+    return b"".join(
+        b"id: %d\ndata: x%d\n\n" % (number, number)
+        for number in range(first, last + 1)
+    )
+
+
+class EventStreamTest(unittest.TestCase):
+    @hypothesis.given(strategies.lists(strategies.integers(0, 200)))
+    def test_any_cut_gives_the_same_events(self, cuts):
+        data = write_events(1, 12)
+        splitter = event_stream.EventSplitter()
+        edges = sorted({0, len(data), *(cut % len(data) for cut in cuts)})
+        events = []
+        for start, end in itertools.pairwise(edges):
+            events += splitter.feed(data[start:end])
+        self.assertEqual(b"".join(event.raw for event in events), data)
+        self.assertEqual(splitter.rest, b"")
+
+    def test_part_of_an_event_is_held_back(self):
+        splitter = event_stream.EventSplitter()
+        self.assertEqual(splitter.feed(b"id: 1\ndata: a"), [])
+        self.assertTrue(splitter.rest)
+
+    def test_carriage_returns_end_events_too(self):
+        splitter = event_stream.EventSplitter()
+        found = splitter.feed(b"id: 4\r\ndata: a\r\n\r\nid: 5\r\n\r\n")
+        self.assertEqual([event.event_id for event in found], [4, 5])
+
+    def test_order_drops_repeats_and_stops_at_gaps(self):
+        order = event_stream.EventOrder()
+        seen = [
+            order.check(event_stream.Event(b"", number))
+            for number in (3, 4, 4, 2, 5, 7)
+        ]
+        names = event_stream.Order
+        self.assertEqual(
+            seen,
+            [
+                names.NEXT,
+                names.NEXT,
+                names.REPEATED,
+                names.REPEATED,
+                names.NEXT,
+                names.GAP,
+            ],
+        )
+
+
+def make_digest(sequence=1, incarnation=5, jobs=(), name="two", centre="a"):
+    """Returns a peer's digest."""
+    return digest_codec.Digest(
+        digest_codec.Peer(name, centre, "127.0.0.1", 7000),
+        incarnation,
+        sequence,
+        11,
+        12,
+        False,
+        jobs,
+        (poison_guard.Death(2**64 - 1, "t1"),),
+    )
+
+
+class DigestTest(unittest.TestCase):
+    def test_digest_comes_back_with_its_times_moved(self):
+        job = load_view.Job(
+            "two#0",
+            "t1",
+            (load_view.Part("t2", 500),),
+            154_000,
+            800,
+            math.inf,
+            1.0,
+            0.0,
+            reads_until=101.5,
+            late_at=103.0,
+            ends_at=104.0,
+        )
+        data = digest_codec.encode(make_digest(jobs=(job,)), 100.0)
+        found = digest_codec.decode(data, 50.0).ok_value
+        self.assertEqual(found.sender, make_digest().sender)
+        self.assertEqual(found.deaths, make_digest().deaths)
+        (read,) = found.jobs
+        self.assertEqual(read.parts, job.parts)
+        self.assertAlmostEqual(read.reads_until, 51.5)
+        self.assertAlmostEqual(read.late_at, 53.0)
+        self.assertTrue(math.isinf(read.max_gap_s))
+
+    @hypothesis.given(strategies.binary(max_size=300))
+    def test_any_bytes_are_decoded_or_refused(self, data):
+        found = digest_codec.decode(data, 1.0)
+        self.assertIsInstance(found, (result.Ok, result.Err))
+
+
+class PeerTableTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = gateway_parts.Clock()
+        self.table = peers.PeerTable(
+            digest_codec.Peer("one", "a", "127.0.0.1", 7000), self.clock
+        )
+
+    def test_late_digest_is_dropped(self):
+        self.assertTrue(self.table.hear(make_digest(2)))
+        self.assertFalse(self.table.hear(make_digest(1)))
+
+    def test_restarted_peer_is_news_and_its_past_is_not(self):
+        self.table.hear(make_digest(9, incarnation=5))
+        self.assertTrue(self.table.hear(make_digest(1, incarnation=3)))
+        self.assertFalse(self.table.hear(make_digest(10, incarnation=5)))
+
+    def test_peer_behind_a_partition_is_heard_of_again(self):
+        self.table.hear(make_digest())
+        self.clock.now += 10.0
+        self.assertEqual(self.table.count, 1)
+        self.assertEqual(len(self.table.silent_peers), 1)
+        self.table.hear(make_digest(2))
+        self.assertEqual(self.table.count, 2)
+
+    def test_one_delegate_a_data_centre(self):
+        names = [f"i{number}" for number in range(6)]
+        delegates = []
+        for name in names:
+            table = peers.PeerTable(
+                digest_codec.Peer(name, "a", "127.0.0.1", 7000), self.clock
+            )
+            for other in names:
+                if other != name:
+                    table.hear(make_digest(name=other))
+            delegates.append(table.is_delegate())
+        self.assertEqual(delegates.count(True), 1)
+
+    def test_alone_in_its_data_centre_it_is_the_delegate(self):
+        self.table.hear(make_digest(centre="b"))
+        self.assertTrue(self.table.is_delegate())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/test_gateway_placement.py
@@ -0,0 +1,240 @@
+"""Where requests run under mixed loads, from what callers would get."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from cardamomfork._internal.gateway import engine_law
+from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway import placement
+from cardamomfork._internal.gateway import target_table
+from tests.lib import gateway_parts
+
+AUDIT = {
+    "max_gap_s": gateway_parts.LONG_GAP_S,
+    "objective_left_s": 3.0,
+    "time_left_s": 15.0,
+    "output_tokens": 800,
+}
+
+
+class EngineLawTest(unittest.TestCase):
+    def test_reading_grows_with_pairs(self):
+        law = gateway_parts.LAW
+        short = engine_law.reading_s(law, 5_000)
+        long = engine_law.reading_s(law, 154_000)
+        self.assertAlmostEqual(short, 0.033, delta=0.005)
+        self.assertAlmostEqual(long, 3.1, delta=0.1)
+
+    def test_parts_share_the_work(self):
+        law = gateway_parts.LAW
+        whole = engine_law.reading_s(law, 154_000)
+        self.assertAlmostEqual(
+            engine_law.reading_s(law, 154_000, 8), whole / 8, delta=0.01
+        )
+
+    def test_a_pass_is_the_pause_between_events(self):
+        law = gateway_parts.LAW
+        self.assertEqual(engine_law.pass_s(law, []), law.step_s)
+        self.assertGreater(engine_law.pass_s(law, [5000] * 8), 0.05)
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = gateway_parts.Fleet()
+
+    def choose(self, demand):
+        return self.fleet.placer.choose(demand, 10.0)
+
+    def test_short_prompts_gather_on_few_engines(self):
+        used = set()
+        for number in range(12):
+            place = self.choose(gateway_parts.make_demand())
+            target_id = place.target.record.target_id
+            used.add(target_id)
+            self.fleet.run(target_id, f"job{number}")
+        self.assertLessEqual(len(used), 3)
+
+    def test_long_prompt_avoids_engines_with_short_streams(self):
+        for number in range(3):
+            self.fleet.run(f"t{number}", f"job{number}")
+        place = self.choose(gateway_parts.make_demand(45_000, **AUDIT))
+        self.assertIn(place.target.record.target_id, {"t3", "t4", "t5"})
+
+    def test_short_prompt_avoids_an_engine_that_reads_a_long_one(self):
+        self.fleet.run("t0", "audit", 154_000, writing=False, reads_until=13.0)
+        place = self.choose(gateway_parts.make_demand())
+        self.assertNotEqual(place.target.record.target_id, "t0")
+
+    def test_long_prompt_is_read_in_parts_to_meet_its_objective(self):
+        place = self.choose(gateway_parts.make_demand(154_000, **AUDIT))
+        self.assertGreaterEqual(len(place.helpers), 1)
+        self.assertLess(place.first_token_s, 3.0)
+
+    def test_prompt_over_one_memory_gets_reservations_for_the_rest(self):
+        demand = gateway_parts.make_demand(500_000, **AUDIT)
+        place = self.choose(demand)
+        reserved = sum(helper.reserved_tokens for helper in place.helpers)
+        planned = gateway_parts.LAW.memory_tokens * placement.MEMORY_SHARE
+        self.assertGreaterEqual(reserved, 500_800 - planned)
+
+    def test_reserved_memory_counts_where_it_is_held(self):
+        self.fleet.run(
+            "t0",
+            "large",
+            500_000,
+            parts=(load_view.Part("t1", 200_000),),
+        )
+        self.assertEqual(
+            self.fleet.load.load("t1", 10.0).memory_tokens, 200_000
+        )
+        self.assertEqual(
+            self.fleet.load.load("t0", 10.0).memory_tokens, 301_500
+        )
+
+    def test_prompt_over_all_memory_is_refused_for_good(self):
+        demand = gateway_parts.make_demand(5_000_000, **AUDIT)
+        self.assertIsInstance(self.choose(demand), placement.NoRoom)
+
+    def test_reader_close_to_its_objective_is_left_alone(self):
+        # A part read ahead of it would make an audit late.
+        for number in range(5):
+            self.fleet.run(f"t{number}", f"short{number}", max_gap_s=10.0)
+        self.fleet.run(
+            "t5",
+            "audit",
+            154_000,
+            writing=False,
+            reads_until=11.0,
+            late_at=11.2,
+            max_gap_s=10.0,
+        )
+        demand = gateway_parts.make_demand(
+            60_000, **(AUDIT | {"max_gap_s": 10.0})
+        )
+        place = self.choose(demand)
+        self.assertNotEqual(place.target.record.target_id, "t5")
+
+    def test_harm_that_is_done_already_does_not_count_again(self):
+        # All engines read long prompts beside streams; one more read of few
+        # milliseconds must not look as if it made all of them late.
+        for number in range(6):
+            self.fleet.run(f"t{number}", f"short{number}")
+            self.fleet.run(
+                f"t{number}",
+                f"audit{number}",
+                154_000,
+                writing=False,
+                reads_until=13.0,
+                max_gap_s=gateway_parts.LONG_GAP_S,
+            )
+        place = self.choose(gateway_parts.make_demand(objective_left_s=9.0))
+        self.assertLess(place.cost, 1.5)
+
+    def test_full_engines_give_the_time_until_there_is_room(self):
+        for target in range(6):
+            for number in range(8):
+                self.fleet.run(
+                    f"t{target}", f"job{target}-{number}", ends_at=10.7
+                )
+        chosen = self.choose(gateway_parts.make_demand())
+        self.assertAlmostEqual(chosen.room_in_s, 0.7)
+
+    def test_target_that_fails_gets_less_work(self):
+        for _ in range(3):
+            self.fleet.table.observe("t0", target_table.Sign.FAILED, 10.0)
+            self.fleet.table.observe("t0", target_table.Sign.GOOD, 10.0)
+        chosen = {
+            self.choose(gateway_parts.make_demand()).target.record.target_id
+            for _ in range(20)
+        }
+        self.assertNotIn("t0", chosen)
+
+    def test_excluded_targets_are_not_chosen(self):
+        excluded = frozenset(f"t{number}" for number in range(5))
+        place = self.choose(gateway_parts.make_demand(excluded=excluded))
+        self.assertEqual(place.target.record.target_id, "t5")
+
+
+class PlainPlacementTest(unittest.TestCase):
+    def test_calls_go_to_the_least_loaded_target(self):
+        fleet = gateway_parts.Fleet(3, "plain")
+        for number in range(4):
+            fleet.run("t0", f"a{number}", 0)
+            fleet.run("t1", f"b{number}", 0)
+        demand = gateway_parts.make_demand(0, service=gateway_parts.PLAIN)
+        place = fleet.placer.choose(demand, 10.0)
+        self.assertEqual(place.target.record.target_id, "t2")
+
+
+class HealthTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = gateway_parts.Fleet(1)
+        self.table = self.fleet.table
+
+    def test_failures_in_a_row_pause_a_target_for_a_growing_time(self):
+        self.table.observe("t0", target_table.Sign.FAILED, 0.0)
+        self.assertTrue(self.table.list_service("engines", 0.0))
+        self.table.observe("t0", target_table.Sign.FAILED, 0.0)
+        self.assertFalse(self.table.list_service("engines", 0.4))
+        self.assertTrue(self.table.list_service("engines", 0.6))
+
+    def test_one_delayed_answer_does_not_make_a_target_slow(self):
+        for ratio in (1.0, 8.0, 1.1):
+            self.table.observe_time("t0", ratio, 1.0)
+        self.assertLess(self.table.find("t0").pace(1.0), 1.2)
+
+    def test_target_that_is_slow_each_time_is_slow(self):
+        for _ in range(3):
+            ratio = 5.0 / self.table.find("t0").pace(1.0)
+            self.table.observe_time("t0", ratio, 1.0)
+        self.assertAlmostEqual(self.table.find("t0").pace(1.0), 5.0, delta=0.5)
+
+    def test_slowness_fades(self):
+        for _ in range(3):
+            self.table.observe_time("t0", 5.0, 1.0)
+        self.assertLess(self.table.find("t0").pace(60.0), 1.1)
+
+
+class PlacementInvariantsTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 3),
+                strategies.integers(100, 400_000),
+                strategies.booleans(),
+            ),
+            max_size=40,
+        ),
+        strategies.integers(1, 900_000),
+    )
+    @hypothesis.settings(deadline=None)
+    def test_no_place_exceeds_slots_or_memory(self, jobs, tokens):
+        fleet = gateway_parts.Fleet(4)
+        for number, (target, size, writing) in enumerate(jobs):
+            fleet.run(f"t{target}", f"j{number}", size, writing=writing)
+        demand = gateway_parts.make_demand(tokens, **AUDIT)
+        place = fleet.placer.choose(demand, 10.0)
+        if isinstance(place, placement.NoRoom):
+            return
+        first = fleet.load.load(place.target.record.target_id, 10.0)
+        self.assertLess(first.running, 8)
+        ids = [place.target.record.target_id]
+        ids += [helper.target.record.target_id for helper in place.helpers]
+        self.assertEqual(len(ids), len(set(ids)))
+        reserved = sum(helper.reserved_tokens for helper in place.helpers)
+        memory = gateway_parts.LAW.memory_tokens
+        self.assertLessEqual(
+            first.memory_tokens + tokens + 800 - reserved, memory
+        )
+        for helper in place.helpers:
+            held = fleet.load.load(helper.target.record.target_id, 10.0)
+            if helper.reserved_tokens:
+                self.assertLessEqual(
+                    held.memory_tokens + helper.reserved_tokens, memory
+                )
+
+
+if __name__ == "__main__":
+    unittest.main()
