--- a/src/cardamomfork/_internal/gateway/daemon.py
+++ b/src/cardamomfork/_internal/gateway/daemon.py
@@ -42,6 +42,7 @@
             settings_models.StoreSettings(
                 (f"{settings.store_host}:{settings.store_port}",),
                 STORE_TIMEOUT_S,
+                prefix="",
             )
         ),
         lambda: node_settings.load(path),
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -49,6 +49,8 @@
 MANY_HEARTBEAT_S = 1.0
 MANY_COALESCE_S = 0.02
 """The same among more than a few peers, where each digest costs more."""
+MANY_DELAY_S = 0.15
+"""Time in which changes that only free places are gathered there."""
 SILENT_PEER_S = 4.0
 """A peer that has been silent for so long counts as gone."""
 FORGET_PEER_S = 90.0
@@ -216,6 +218,7 @@
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._sequence = 0
         self._is_leaving = False
+        self._sent_at = -HEARTBEAT_S
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._ahead: digest_codec.Peer | None = None
@@ -230,7 +233,10 @@
         self._transport = transport
         try:
             while True:
-                self._send(to_silent=True)
+                if self._clock() - self._sent_at >= HEARTBEAT_S:
+                    self._send()
+                if silent := self._table.silent_peers:
+                    self._send_to(silent)
                 self._table.expire()
                 for peer_id in self._load.expire_peers(self._clock()):
                     logger.info("peer is silent", peer=peer_id)
@@ -252,16 +258,22 @@
                 if peer is not None:
                     await self._fetch(pool, peer)
 
-    def notify(self) -> None:
-        """Tells peers soon that something has changed here."""
-        if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(
-                COALESCE_S
-                if self._table.count <= FEW_PEERS
-                else MANY_COALESCE_S,
-                self._send,
-            )
+    def notify(self, *, is_urgent: bool = False) -> None:
+        """Tells peers soon that something has changed here.
+
+        Args:
+            is_urgent: Whether peers could choose wrongly without it.
+        """
+        loop = asyncio.get_running_loop()
+        delay = COALESCE_S
+        if self._table.count > FEW_PEERS:
+            delay = MANY_COALESCE_S if is_urgent else MANY_DELAY_S
+        due = loop.time() + delay
+        if self._timer is not None:
+            if self._timer.when() <= due:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_at(due, self._send)
 
     def leave(self) -> None:
         """Tells peers that this instance is about to stop."""
@@ -295,15 +307,16 @@
         self._targets.hear(digest.targets_revision)
         self._on_news()
 
-    def _send(self, *, to_silent: bool = False) -> None:
-        """Sends the state of this instance to its peers.
-
-        Args:
-            to_silent: Also to those that count as gone.
-        """
+    def _send(self) -> None:
+        """Sends the state of this instance to its peers."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        self._sent_at = self._clock()
+        self._send_to(self._table.peers)
+
+    def _send_to(self, receivers: list[digest_codec.Peer]) -> None:
+        """Sends the state of this instance."""
         if self._transport is None or self._transport.is_closing():
             return
         now = self._clock()
@@ -321,9 +334,6 @@
             ),
             now,
         )
-        receivers = self._table.peers
-        if to_silent:
-            receivers += self._table.silent_peers
         for peer in receivers:
             self._transport.sendto(data, (peer.host, peer.port))
 
--- a/src/cardamomfork/_internal/gateway/placement.py
+++ b/src/cardamomfork/_internal/gateway/placement.py
@@ -19,6 +19,7 @@
 from cardamomfork._internal.gateway import load_view
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     import random
 
     from cardamomfork._internal.gateway import target_table
@@ -48,7 +49,15 @@
 REMOTE_COST = 0.05
 """Cost of a target in another data centre."""
 NOISE_COST = 0.02
-"""Random cost that keeps instances from all choosing the same target."""
+NOISE_INSTANCES = 6
+MAX_NOISE_COST = 0.12
+"""Random cost that keeps instances from all choosing the same target: that of
+a few instances, how many those are, and the most, for many."""
+CROWDED_INSTANCES = 60
+CROWDING_COST = 0.4
+CROWDING_MARGIN = 0.5
+"""Cost of the last place of a target where so many instances choose that
+others surely choose it too, and the part of its places that is free of it."""
 READERS_WEIGHT = 0.1
 """Cost of a second's delay to requests that wait for their first token."""
 SLACK_MARGIN = 0.3
@@ -179,12 +188,22 @@
         load: load_view.LoadView,
         data_centre: str,
         source: random.Random,
+        count_instances: Callable[[], int] = lambda: 1,
     ) -> None:
-        """Takes the views that it reads, and randomness to break ties."""
+        """Takes the views that it reads, and randomness to break ties.
+
+        Args:
+            table: Targets.
+            load: What runs on them.
+            data_centre: Where this instance runs.
+            source: Randomness.
+            count_instances: Returns how many instances place requests.
+        """
         self._table = table
         self._load = load
         self._data_centre = data_centre
         self._source = source
+        self._count_instances = count_instances
 
     def choose(self, demand: Demand, now: float) -> Placement | NoRoom:
         """Chooses a place, or says when there may be one."""
@@ -223,7 +242,8 @@
                 + FAILURE_COST * candidate.target.failure_share(now)
                 + (candidate.pace - 1.0)
                 + self._distance(candidate)
-                + self._source.random() * NOISE_COST
+                + self._noise()
+                + self._crowding(candidate)
             )
 
         best = min(free, key=cost)
@@ -347,7 +367,8 @@
         cost = FAILURE_COST * demand.value * candidate.target.failure_share(now)
         cost += self._distance(candidate)
         cost += _delay_cost(load, part_s * candidate.pace)
-        cost += self._source.random() * NOISE_COST
+        cost += self._noise()
+        cost += self._crowding(candidate)
         cost += _order_cost(law, demand, candidate)
         if not load.writers:
             if not load.running and demand.max_gap_s < math.inf:
@@ -378,6 +399,18 @@
             cost += MIXED_TARGET_COST
         return cost
 
+    def _noise(self) -> float:
+        """Returns a random cost, larger among more instances."""
+        scale = max(self._count_instances() / NOISE_INSTANCES, 1.0)
+        most = min(NOISE_COST * scale, MAX_NOISE_COST)
+        return most * self._source.random()
+
+    def _crowding(self, candidate: _Candidate) -> float:
+        """Returns the cost of places that others are about to take."""
+        crowd = min(self._count_instances() / CROWDED_INSTANCES, 1.0)
+        taken = (candidate.load.running + 1) / candidate.target.record.slots
+        return CROWDING_COST * crowd * _ramp(taken, CROWDING_MARGIN)
+
     def _distance(self, candidate: _Candidate) -> float:
         """Returns the cost of another data centre."""
         is_near = candidate.target.record.data_centre == self._data_centre
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -40,12 +40,10 @@
     from cardamomfork._internal.models import fleet
 
 HOUSEKEEPING_S = 0.25
-CONFIGURATION_GATHER_S = 0.1
-TARGETS_GATHER_S = 0.3
+CONFIGURATION_GATHER_S = 0.2
+TARGETS_GATHER_S = 0.8
 """Times in which changes are gathered; far under the bounds of seconds in
 which a configuration, and a target's leaving, must be acted on."""
-METRICS_PORT = 9464
-"""Port of the metrics, which the deploy file names too."""
 
 
 class _ConfigurationHandler:
@@ -134,7 +132,11 @@
         self._peers = peers.PeerTable(self._own, clock)
         self._scheduler = scheduling.Scheduler(
             placement.Placer(
-                self._table, self._load, settings.data_centre, self._source
+                self._table,
+                self._load,
+                settings.data_centre,
+                self._source,
+                lambda: self._peers.count,
             ),
             self._commit,
             clock,
@@ -206,7 +208,7 @@
         metrics = self._make_server(
             application.MetricsApplication(self._export.scrape),
             self._settings.host,
-            METRICS_PORT,
+            self._settings.metrics_port,
         )
         logger.info("started", name=self._settings.instance_id)
         async with anyio.create_task_group() as tasks:
@@ -277,7 +279,7 @@
                 ends_at=now + place.first_token_s + writing,
             )
         )
-        self._peer_links.notify()
+        self._peer_links.notify(is_urgent=True)
 
     def _on_change(self) -> None:
         """Takes a change of what runs here."""
--- a/src/cardamomfork/_internal/models/fleet.py
+++ b/src/cardamomfork/_internal/models/fleet.py
@@ -199,6 +199,7 @@
         readiness_port: TCP port on which the balancer asks for readiness.
         readiness_host: IP number of that port.
         peer_port: TCP and UDP port for other instances.
+        metrics_port: TCP port of the metrics.
         store_host: IP number of the platform's store.
         store_port: TCP port of the platform's store.
         memory_bytes: Memory that the process may use.
@@ -220,6 +221,7 @@
     peer_port: int
     store_host: str
     store_port: int
+    metrics_port: int = 9464
     memory_bytes: int = 300_000_000
     max_files: int = 4096
     drain_timeout_s: float = 2.0
--- a/src/cardamomfork/_internal/platform/node_settings.py
+++ b/src/cardamomfork/_internal/platform/node_settings.py
@@ -13,6 +13,8 @@
 PATH_VARIABLE = "CARDAMOMFORK_NODE_FILE"
 BYTES_PER_MEGABYTE = 1_000_000
 MS_PER_S = 1000.0
+DEFAULT_METRICS_PORT = 9464
+"""Port of the metrics that the deploy file names."""
 
 
 def find_path() -> pathlib.Path:
@@ -72,6 +74,9 @@
         peer_port=int(table["portRange"][0]),
         store_host=store_host,
         store_port=store_port,
+        metrics_port=int(
+            table.get("metrics", {}).get("port", DEFAULT_METRICS_PORT)
+        ),
         memory_bytes=int(
             float(limits.get("memoryMb", 300)) * BYTES_PER_MEGABYTE
         ),
--- /dev/null
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -0,0 +1,418 @@
+"""A target as the users' platform has them: an engine or a plain service.
+
+Run it with `python -m cardamomfork._internal.standins.platform_engine`. It
+registers itself in the store, serves requests and orders about memory, and
+prints a line of JSON for each run, so that a harness can count them. An
+answer depends on the request alone, so that any target can go on with a
+stream that another one has begun.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import signal
+import sys
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+import cyclopts
+import msgspec
+import xxhash
+
+from cardamomfork._internal.contracts import store as store_contract
+from cardamomfork._internal.gateway import caller_protocol
+from cardamomfork._internal.links import event_loop
+from cardamomfork._internal.links import http_server
+from cardamomfork._internal.links.callers import protocol
+from cardamomfork._internal.models import settings
+from cardamomfork._internal.platform import orders
+from cardamomfork._internal.platform import store_client
+from cardamomfork._internal.platform import target_entries
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MEMORY_TOKENS = 100_000
+MIN_EVENTS = 5
+EVENT_CHOICES = 20
+HEARTBEAT_S = 1.0
+LEASE_S = 3.0
+CALL_S = 0.02
+LINGER_S = 3.0
+"""Time for which a leaving target still serves."""
+
+OK = 200
+CONFLICT = 409
+MISDIRECTED = 421
+FULL = 503
+FAILED = 500
+
+_program = cyclopts.App(name="platform-engine")
+
+
+@attrs.define
+class Faults:
+    """Shares of answers that are spoilt, each between 0 and 1.
+
+    Attributes:
+        reset: The connection is reset in the answer.
+        mute: Nothing is answered.
+        failed: Answered with status 500.
+        extra: A second answer follows.
+        unframed: The answer has no length and ends with its connection.
+    """
+
+    reset: float = 0.0
+    mute: float = 0.0
+    failed: float = 0.0
+    extra: float = 0.0
+    unframed: float = 0.0
+
+
+def count_events(target: str) -> int:
+    """Returns how many events the stream for a request's target has."""
+    return (
+        MIN_EVENTS + xxhash.xxh3_64_intdigest(target.encode()) % EVENT_CHOICES
+    )
+
+
+def make_event(target: str, number: int) -> bytes:
+    """Returns one event of the stream for a request's target."""
+    data = xxhash.xxh3_64_hexdigest(f"{target} {number}".encode())
+    return f"id: {number}\ndata: {data}\n\n".encode()
+
+
+def make_body(target: str) -> bytes:
+    """Returns the answer of a plain service to a request's target."""
+    return xxhash.xxh3_128_hexdigest(target.encode()).encode() * 16
+
+
+class PlatformEngine:
+    """ASGI application of one target."""
+
+    def __init__(
+        self,
+        target_id: str,
+        slots: int,
+        event_s: float,
+        report: Callable[[dict[str, Any]], None],
+        seed: int = 0,
+    ) -> None:
+        """Starts idle.
+
+        Args:
+            target_id: Its id.
+            slots: Requests that it runs at once.
+            event_s: Time between two events.
+            report: Called with a line for each run and its end.
+            seed: Of what decides which answers are spoilt.
+        """
+        self.faults = Faults()
+        self.is_leaving = False
+        self.reservations: dict[str, tuple[int, float]] = {}
+        self._target_id = target_id
+        self._slots = slots
+        self._event_s = event_s
+        self._report = report
+        self._source = random.Random(seed)
+        self._running = 0
+
+    @property
+    def running(self) -> int:
+        """Requests that run now."""
+        return self._running
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Any, send: Any
+    ) -> None:
+        """Serves one request or order."""
+        body = b""
+        more = True
+        while more:
+            message = await receive()
+            body += message.get("body", b"")
+            more = message.get("more_body", False)
+        answer = _Answer(send, scope, self._target_id)
+        wanted = answer.header(b"x-cardamomfork-target-instance")
+        if wanted and wanted != self._target_id:
+            await answer.whole(MISDIRECTED, b"")
+        elif scope["path"].encode() == orders.PATH:
+            await self._order(answer, msgspec.json.decode(body))
+        elif scope["path"] == "/healthz":
+            await answer.whole(FULL if self.is_leaving else OK, b"")
+        elif self._running >= self._slots:
+            answer.extra.append((b"x-cardamomfork-not-executed", b"1"))
+            await answer.whole(FULL, b"")
+        else:
+            await self._run(answer, receive)
+
+    async def _order(self, answer: _Answer, order: dict[str, Any]) -> None:
+        """Reserves or releases memory."""
+        now = time.monotonic()
+        self.free_lapsed(now)
+        name = order["id"]
+        if order["operation"] == "release":
+            self.reservations.pop(name, None)
+            await answer.whole(OK, b"{}")
+            return
+        held = sum(
+            tokens
+            for other, (tokens, _) in self.reservations.items()
+            if other != name
+        )
+        if held + order["tokens"] > MEMORY_TOKENS:
+            await answer.whole(CONFLICT, b"{}")
+            return
+        until = now + order["holdMs"] / 1000
+        self.reservations[name] = (order["tokens"], until)
+        await answer.whole(OK, b"{}")
+
+    def free_lapsed(self, now: float) -> None:
+        """Frees reservations whose time is over."""
+        for name, (_, until) in list(self.reservations.items()):
+            if until <= now:
+                del self.reservations[name]
+
+    async def _run(self, answer: _Answer, receive: Any) -> None:
+        """Runs a request; stops when its caller leaves."""
+        request_id = answer.header(b"x-cardamomfork-request-id")
+        self._running += 1
+        self._report(
+            {
+                "run": request_id,
+                "account": answer.header(b"x-cardamomfork-tenant"),
+                "at": time.monotonic(),
+            }
+        )
+        try:
+            async with anyio.create_task_group() as tasks:
+
+                async def watch() -> None:
+                    while (await receive())["type"] != "http.disconnect":
+                        pass
+                    tasks.cancel_scope.cancel()
+
+                tasks.start_soon(watch)
+                limit = float(answer.header(b"x-cardamomfork-deadline-ms"))
+                with anyio.move_on_after(limit / 1000):
+                    await self._answer(answer)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._running -= 1
+            self._report({"end": request_id, "at": time.monotonic()})
+
+    async def _answer(self, answer: _Answer) -> None:
+        """Answers, spoilt or not."""
+        faults = self.faults
+        drawn = self._source.random()
+        if drawn < faults.mute:
+            await anyio.sleep(math.inf)
+        drawn -= faults.mute
+        if drawn < faults.failed:
+            await answer.whole(FAILED, b"failed")
+            return
+        drawn -= faults.failed
+        resets = drawn < faults.reset
+        drawn -= faults.reset
+        if answer.header(b"x-cardamomfork-token-usage"):
+            await self._stream(answer, resets=resets)
+            return
+        await anyio.sleep(CALL_S)
+        if resets:
+            answer.connection.transport.abort()
+            return
+        if drawn < faults.unframed:
+            answer.unframed(make_body(answer.target))
+            return
+        await answer.whole(OK, make_body(answer.target))
+        if drawn - faults.unframed < faults.extra:
+            answer.connection.transport.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx"
+            )
+
+    async def _stream(self, answer: _Answer, *, resets: bool) -> None:
+        """Sends events from the one after which the caller goes on."""
+        last = count_events(answer.target)
+        first = int(answer.header(b"last-event-id") or 0) + 1
+        cut = self._source.randint(first, last + 1) if resets else last + 1
+        await answer.start(OK, [])
+        for number in range(first, last + 1):
+            await anyio.sleep(self._event_s)
+            event = make_event(answer.target, number)
+            if number == cut:
+                answer.connection.write_chunk(event[: len(event) // 2])
+                answer.connection.transport.abort()
+                return
+            await answer.send(event, more=True)
+        await answer.send(b"", more=False)
+
+
+class _Answer:
+    """One answer, with the headers that a target sets."""
+
+    def __init__(self, send: Any, scope: dict[str, Any], owner: str) -> None:
+        """Takes the request's scope."""
+        self._send = send
+        self._headers = dict(scope["headers"])
+        self.connection = scope["extensions"][protocol.SCOPE_KEY]
+        self.target = scope["extensions"][caller_protocol.RAW_TARGET].decode()
+        self.extra = [
+            (
+                b"x-cardamomfork-request-id",
+                self._headers.get(b"x-cardamomfork-request-id", b""),
+            ),
+            (b"x-cardamomfork-instance-id", owner.encode()),
+        ]
+        self._owner = owner
+
+    def header(self, name: bytes) -> str:
+        """Returns a header of the request; empty if it has none."""
+        return str(self._headers.get(name, b"").decode())
+
+    async def start(
+        self, status: int, fields: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Sends the head."""
+        signed = (b"x-cardamomfork-server-signature", self._owner.encode())
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [*self.extra, *fields, signed],
+            }
+        )
+
+    async def send(self, data: bytes, *, more: bool) -> None:
+        """Sends a part of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": more}
+        )
+
+    async def whole(self, status: int, body: bytes) -> None:
+        """Sends a whole answer."""
+        await self.start(status, [(b"content-length", b"%d" % len(body))])
+        await self.send(body, more=False)
+
+    def unframed(self, body: bytes) -> None:
+        """Sends an answer without a length, which ends the connection."""
+        fields = b"".join(b"%b: %b\r\n" % pair for pair in self.extra)
+        self.connection.transport.write(
+            b"HTTP/1.1 200 OK\r\n"
+            + fields
+            + b"x-cardamomfork-server-signature: s\r\n\r\n"
+            + body
+        )
+        self.connection.transport.close()
+
+
+async def register(
+    engine: PlatformEngine,
+    store: store_contract.PolledStore,
+    entry: dict[str, Any],
+    target_id: str,
+) -> None:
+    """Keeps a target's entry in the store while the task runs."""
+    lease = None
+    written = None
+    while True:
+        if lease is not None:
+            renewed = await store.renew_lease(lease.lease_id)
+            if renewed.is_err():
+                lease = written = None
+        if lease is None:
+            lease = (await store.grant_lease(LEASE_S)).ok()
+        entry["state"] = "draining" if engine.is_leaving else "ready"
+        value = msgspec.json.encode(entry)
+        if lease is not None and written != value:
+            written = await _write(
+                store, target_entries.PREFIX + target_id, value, lease.lease_id
+            )
+        await anyio.sleep(HEARTBEAT_S / 4 if engine.is_leaving else HEARTBEAT_S)
+
+
+async def _write(
+    store: store_contract.PolledStore, key: str, value: bytes, lease: int
+) -> bytes | None:
+    """Writes a key whatever it holds; returns the value once it stands."""
+    expected = store_contract.ABSENT
+    for _ in range(2):
+        put = await store.put(key, value, expected=expected, lease=lease)
+        if put.is_ok():
+            return value
+        error = put.unwrap_err()
+        if isinstance(error, store_contract.StoreFault):
+            return None
+        expected = error.current.version if error.current else expected
+    return None
+
+
+@_program.default
+def run(
+    *,
+    target_id: str,
+    service: str,
+    host: str,
+    port: int,
+    advertised_port: int,
+    store: str,
+    slots: int = 8,
+    event_s: float = 0.02,
+) -> None:
+    """Serves until SIGTERM, and then for a little longer.
+
+    Args:
+        target_id: Its id.
+        service: The service that it belongs to.
+        host: IP number that it listens on.
+        port: TCP port that it listens on.
+        advertised_port: TCP port that its entry names.
+        store: `host:port` of the store.
+        slots: Requests that it runs at once.
+        event_s: Seconds between two events.
+    """
+
+    def report(line: dict[str, Any]) -> None:
+        sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
+        sys.stdout.flush()
+
+    engine = PlatformEngine(target_id, slots, event_s, report)
+    entry = {
+        "service": service,
+        "address": f"{host}:{advertised_port}",
+        "zone": "a",
+        "version": "v1",
+        "slots": slots,
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        "born": time.time_ns() // 1_000_000,
+    }
+    client = store_client.PlatformStore(
+        settings.StoreSettings((store,), prefix="")
+    )
+
+    async def serve() -> None:
+        server = http_server.HttpServer(
+            engine,
+            http_server.bind(host, port),
+            caller_protocol.make_protocol(caller_protocol.ConnectionLimits()),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve)
+            tasks.start_soon(register, engine, client, entry, target_id)
+            report({"started": target_id})
+            with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+                async for _ in signals:
+                    engine.is_leaving = True
+                    await anyio.sleep(LINGER_S)
+                    break
+            tasks.cancel_scope.cancel()
+
+    anyio.run(serve, backend_options=event_loop.BACKEND_OPTIONS)
+
+
+if __name__ == "__main__":
+    _program()
