Explain requests from logs; test the gateway and its soak

Cause: the gateway had tests of its decisions alone, and a request could only be traced by searching the logs by hand.

--- /dev/null
+++ b/src/cardamomfork/_internal/cli/commands/explain.py
@@ -0,0 +1,91 @@
+"""`cardamomfork explain`: prints what logs tell about one request."""
+
+from __future__ import annotations
+
+import contextlib
+import sys
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cardamomfork._internal import exceptions
+from cardamomfork._internal.cli import exit_codes
+from cardamomfork._internal.cli import output as output_module
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+_SHOWN_FIRST = ("time", "instance_id", "message")
+_HIDDEN = ("place", "level", "request_id", "data_centre", *_SHOWN_FIRST)
+
+
+def run(
+    request_id: str,
+    /,
+    *files: str,
+    output: output_module.Output = output_module.Output.TABLE,
+) -> exit_codes.ExitCode:
+    """Print the log lines of one request, in order of time.
+
+    Parameters
+    ----------
+    request_id
+        The id that the caller sent.
+    files
+        Files with log lines; standard input if there are none.
+    output
+        Form of the lines.
+    """
+    found = sorted(
+        _find(request_id, _read(files)), key=lambda line: str(line.get("time"))
+    )
+    if not found:
+        output_module.print_error(f"no line names request {request_id}")
+        return exit_codes.ExitCode.NOT_FOUND
+    if output is output_module.Output.JSON:
+        output_module.print_json(found)
+        return exit_codes.ExitCode.OK
+    for line in found:
+        print(format_line(line))
+    return exit_codes.ExitCode.OK
+
+
+def format_line(line: dict[str, object]) -> str:
+    """Returns a line as text: when, where and what, then its inputs."""
+    first = "  ".join(str(line.get(name, "-")) for name in _SHOWN_FIRST)
+    rest = "  ".join(
+        f"{name}={value}" for name, value in line.items() if name not in _HIDDEN
+    )
+    return f"{first}\n    {rest}"
+
+
+def _find(request_id: str, lines: Iterable[str]) -> Iterator[dict[str, object]]:
+    """Yields the lines of a request; text before the JSON is passed over."""
+    for line in lines:
+        if request_id not in line:
+            continue
+        start = line.find("{")
+        with contextlib.suppress(msgspec.DecodeError):
+            decoded = msgspec.json.decode(line[start:], type=dict[str, object])
+            if decoded.get("request_id") == request_id:
+                yield decoded
+
+
+def _read(files: tuple[str, ...]) -> Iterator[str]:
+    """Yields the lines of all files.
+
+    Raises:
+        exceptions.CardamomforkError: A file can't be read.
+    """
+    if not files:
+        yield from sys.stdin
+        return
+    for name in files:
+        try:
+            with open(name, encoding="utf-8", errors="replace") as lines:
+                yield from lines
+        except OSError as error:
+            raise exceptions.CardamomforkError(
+                f"{name} can't be read: {error.strerror}."
+            ) from error
--- a/src/cardamomfork/_internal/cli/main.py
+++ b/src/cardamomfork/_internal/cli/main.py
@@ -25,6 +25,7 @@
     "accounts": "List client accounts and their limits.",
     "dump": "Show an instance's tables.",
     "check-config": "Check a daemon's settings file.",
+    "explain": "Show what logs tell about one request.",
     "measure": "Run a measurement, or list them all.",
     "completion": "Print a script that completes commands in a shell.",
 }
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -347,8 +347,10 @@
         if first_at is not None:
             ratio = (first_at - started_at) / max(place.first_token_s, 0.05)
             self._table.observe_time(record.target_id, ratio, now)
-        if sign is not None:
-            self._table.observe(record.target_id, sign, now)
+        if sign is not None and self._table.observe(
+            record.target_id, sign, now
+        ):
+            exchange.log.target_paused(record.target_id, sign.value)
         if sign is target_table.Sign.UNREACHABLE:
             self._guard.confirm_death(record.target_id, now)
         if isinstance(ending, outcomes.Failed):
--- a/src/cardamomfork/_internal/gateway/placement.py
+++ b/src/cardamomfork/_internal/gateway/placement.py
@@ -71,6 +71,9 @@
 VALUE_TOKENS = 5000
 VALUE_EXPONENT = 0.7
 """A longer prompt is worth more, though less than its length says."""
+NO_TARGET_S = 1.0
+"""Time to the next look where no target is known: entries of targets that
+lapsed are back within about two seconds."""
 TYPICAL_CALL_S = 0.1
 """Time of a call to a plain service, where nothing better is known."""
 
@@ -208,17 +211,22 @@
     def choose(self, demand: Demand, now: float) -> Placement | NoRoom:
         """Chooses a place, or says when there may be one."""
         listed = self._table.list_service(demand.service.name, now)
+        # Where all have failed, one of them may still do better this time.
+        others = [
+            target
+            for target in listed
+            if target.record.target_id not in demand.excluded
+        ]
         candidates = [
             _Candidate(
                 target,
                 self._load.load(target.record.target_id, now),
                 target.pace(now),
             )
-            for target in listed
-            if target.record.target_id not in demand.excluded
+            for target in others or listed
         ]
         if not candidates:
-            return NoRoom("no target", math.inf if listed else 1.0)
+            return NoRoom("no target", NO_TARGET_S)
         if demand.service.law is None:
             return self._choose_plain(candidates, now)
         return self._choose_engine(demand, demand.service.law, candidates, now)
--- a/src/cardamomfork/_internal/gateway/request_log.py
+++ b/src/cardamomfork/_internal/gateway/request_log.py
@@ -52,6 +52,12 @@
             cost=round(place.cost, 2),
         )
 
+    def target_paused(self, target_id: str, reason: str) -> None:
+        """Logs that a target gets no work for a while."""
+        self._logger.warning(
+            "target paused", target_id=target_id, reason=reason
+        )
+
     def tries_again(self, failed: outcomes.Failed, left_s: float) -> None:
         """Logs the decision to send a request once more."""
         self._logger.info(
--- /dev/null
+++ b/tests/functional/test_gateway_forwarding.py
@@ -0,0 +1,394 @@
+"""What callers and targets see of requests that are forwarded."""
+
+import asyncio
+import contextlib
+import random
+import time
+import unittest
+
+import anyio
+
+from cardamomfork._internal.gateway import forwarding
+from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import request_log
+from cardamomfork._internal.gateway import reservations
+from cardamomfork._internal.gateway import retry_share
+from cardamomfork._internal.gateway import routes
+from cardamomfork._internal.gateway import scheduling
+from cardamomfork._internal.gateway import target_links
+from cardamomfork._internal.models import fleet
+from cardamomfork._internal.platform import wire_format
+from tests.lib import gateway_parts
+from tests.lib import scripted_target
+
+Act = scripted_target.Act
+answer = scripted_target.answer
+stream = scripted_target.stream
+
+
+class Sink:
+    """Keeps what a caller gets."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = ()
+        self.body = b""
+        self.is_whole = False
+
+    async def start(self, status, headers, length):
+        del length
+        self.status = status
+        self.headers = headers
+
+    async def send(self, data):
+        self.body += data
+
+    async def finish(self):
+        self.is_whole = True
+
+
+class World:
+    """A forwarder before scripted targets."""
+
+    def __init__(self, targets, rule=fleet.RepeatRule.STREAM):
+        self.is_stream = rule is fleet.RepeatRule.STREAM
+        service = "engines" if self.is_stream else "plain"
+        self.parts = gateway_parts.Fleet(0)
+        for number, target in enumerate(targets):
+            self.parts.table.put(
+                gateway_parts.make_record(number, service, port=target.port)
+            )
+        self.wire = wire_format.WireFormat()
+        self.links = target_links.TargetLinks(self.wire)
+        self.guard = poison_guard.PoisonGuard()
+        self.route = gateway_parts.make_route(
+            rule=rule,
+            max_attempts=1 if rule is fleet.RepeatRule.ONCE else 2,
+            timeout_s=3.0,
+        )
+        self.service = fleet.Service(
+            service, 100, gateway_parts.LAW if self.is_stream else None
+        )
+        self.forwarder = forwarding.Forwarder(
+            self.wire,
+            scheduling.Scheduler(
+                self.parts.placer,
+                lambda *_: None,
+                time.monotonic,
+                random.Random(1),
+            ),
+            self.links,
+            self.parts.table,
+            self.parts.load,
+            retry_share.RetryShare(gateway_parts.make_settings()),
+            self.guard,
+            reservations.Reserver(self.wire, self.links),
+            time.monotonic,
+            lambda: None,
+        )
+
+    def exchange(self, request_id="r1", body=b"ask"):
+        fields = [
+            (b"host", b"callers.example"),
+            (b"x-cardamomfork-request-id", request_id.encode()),
+            (b"x-cardamomfork-deadline-ms", b"2000"),
+            (b"x-cardamomfork-tenant", b"forged"),
+            (b"api-key", b"secret"),
+            (b"connection", b"x-hop"),
+            (b"x-hop", b"1"),
+            (b"x-kept", b"2"),
+        ]
+        if self.is_stream:
+            fields.append((b"x-cardamomfork-token-usage", b"1000,400"))
+        request = self.wire.decode_request("POST", b"/a/x?q=1", fields)
+        return forwarding.Exchange(
+            request=request,
+            body=body,
+            match=routes.Match(
+                self.route,
+                self.service,
+                fleet.ClientAccount("depot", ("secret",)),
+                1,
+                1,
+            ),
+            sink=Sink(),
+            arrived_at=time.monotonic(),
+            fingerprint=hash(body),
+            log=request_log.RequestLog(request_id),
+        )
+
+    async def send(self, **fields):
+        exchange = self.exchange(**fields)
+        final = await self.forwarder.forward(exchange)
+        return exchange.sink, final
+
+
+def play(scenario, *scripts, rule=fleet.RepeatRule.STREAM):
+    """Runs a scenario against one scripted target for each script."""
+
+    async def main():
+        async with contextlib.AsyncExitStack() as stack:
+            targets = [
+                await stack.enter_async_context(
+                    scripted_target.ScriptedTarget(script)
+                )
+                for script in scripts
+            ]
+            return await scenario(World(targets, rule), targets)
+
+    return anyio.run(main)
+
+
+def send_once(*scripts, rule=fleet.RepeatRule.STREAM):
+    """Sends one request; returns sink, final answer and requests seen."""
+
+    async def scenario(world, targets):
+        sink, final = await world.send()
+        return sink, final, [one for each in targets for one in each.seen]
+
+    return play(scenario, *scripts, rule=rule)
+
+
+class PassedOnTest(unittest.TestCase):
+    def test_target_gets_the_request_with_what_the_system_sets(self):
+        _, _, (seen,) = send_once(
+            lambda r: [answer(r)], rule=fleet.RepeatRule.ONCE
+        )
+        self.assertTrue(seen.head.startswith(b"POST /a/x?q=1 HTTP/1.1\r\n"))
+        self.assertEqual(seen.body, b"ask")
+        self.assertEqual(seen.header("x-cardamomfork-tenant"), "depot")
+        self.assertEqual(seen.header("x-cardamomfork-target-instance"), "t0")
+        self.assertEqual(seen.header("x-kept"), "2")
+        self.assertEqual(seen.header("api-key"), "")
+        self.assertEqual(seen.header("x-hop"), "")
+        left = int(seen.header("x-cardamomfork-deadline-ms"))
+        self.assertLessEqual(left, 2000)
+
+    def test_answer_comes_whole_with_status_and_headers(self):
+        sink, final, _ = send_once(
+            lambda r: [answer(r, extra=b"x-more: 3\r\n")],
+            rule=fleet.RepeatRule.ONCE,
+        )
+        self.assertIsNone(final)
+        self.assertEqual((sink.status, sink.body), (200, b"whole"))
+        self.assertIn((b"x-more", b"3"), sink.headers)
+        self.assertTrue(sink.is_whole)
+
+    def test_answer_without_a_length_ends_with_its_connection(self):
+        def script(request):
+            head = answer(request, b"").replace(b"content-length: 0\r\n", b"")
+            return [head + b"all of it", Act.CLOSE]
+
+        sink, _, _ = send_once(script, rule=fleet.RepeatRule.ONCE)
+        self.assertEqual(sink.body, b"all of it")
+
+    def test_failure_of_the_target_is_passed_on_unchanged(self):
+        sink, final, seen = send_once(
+            lambda r: [answer(r, b"no", 500)], rule=fleet.RepeatRule.ONCE
+        )
+        self.assertIsNone(final)
+        self.assertEqual((sink.status, sink.body), (500, b"no"))
+        self.assertEqual(len(seen), 1)
+
+
+class OnceTest(unittest.TestCase):
+    def test_reset_after_sending_promises_nothing_and_is_not_repeated(self):
+        sink, final, seen = send_once(
+            lambda _: [Act.RESET],
+            lambda r: [answer(r)],
+            rule=fleet.RepeatRule.ONCE,
+        )
+        self.assertEqual(len(seen), 1)
+        self.assertEqual((sink.status, final.status), (0, 502))
+
+    def test_cut_answer_is_not_passed_on(self):
+        sink, final, _ = send_once(
+            lambda r: [answer(r)[:-2], Act.CLOSE], rule=fleet.RepeatRule.ONCE
+        )
+        self.assertEqual((sink.status, final.status), (0, 502))
+
+    def test_unsigned_success_is_not_passed_on(self):
+        sink, final, _ = send_once(
+            lambda r: [answer(r, signed=False)], rule=fleet.RepeatRule.ONCE
+        )
+        self.assertEqual((sink.status, final.status), (0, 502))
+
+    def test_bytes_that_are_no_answer_are_not_passed_on(self):
+        sink, final, _ = send_once(
+            lambda _: [b"SSH-2.0 hello\r\n\r\n"], rule=fleet.RepeatRule.ONCE
+        )
+        self.assertEqual((sink.status, final.status), (0, 502))
+
+    def test_refusal_is_tried_elsewhere(self):
+        refused = b"x-cardamomfork-not-executed: 1\r\n"
+
+        def script(request):
+            if script.calls:
+                return [answer(request)]
+            script.calls += 1
+            return [answer(request, b"", 503, extra=refused)]
+
+        script.calls = 0
+        sink, _, seen = send_once(script, script, rule=fleet.RepeatRule.ONCE)
+        self.assertEqual((sink.status, len(seen)), (200, 2))
+
+    def test_refused_everywhere_is_told_not_run_with_a_time(self):
+        refused = b"x-cardamomfork-not-executed: 1\r\n"
+        _, final, _ = send_once(
+            lambda r: [answer(r, b"", 503, extra=refused)],
+            rule=fleet.RepeatRule.ONCE,
+        )
+        self.assertEqual(final.status, 503)
+        self.assertIsNotNone(final.retry_after_s)
+
+    def test_silence_to_the_limit_is_told_as_unknown(self):
+        started = time.monotonic()
+        _, final, _ = send_once(
+            lambda _: [Act.HANG], rule=fleet.RepeatRule.ONCE
+        )
+        self.assertEqual(final.status, 504)
+        self.assertLess(time.monotonic() - started, 2.2)
+
+    def test_without_a_target_it_is_refused(self):
+        _, final, _ = send_once(rule=fleet.RepeatRule.ONCE)
+        self.assertEqual(final.status, 503)
+
+
+class SafeTest(unittest.TestCase):
+    def test_failure_is_tried_at_another_target(self):
+        def script(request):
+            script.calls += 1
+            return [answer(request, b"", 500 if script.calls == 1 else 200)]
+
+        script.calls = 0
+        sink, _, seen = send_once(script, script, rule=fleet.RepeatRule.SAFE)
+        self.assertEqual((sink.status, len(seen)), (200, 2))
+
+    def test_silent_target_is_given_up_for_another(self):
+        def script(request):
+            script.calls += 1
+            return [Act.HANG] if script.calls == 1 else [answer(request)]
+
+        script.calls = 0
+        sink, _, _ = send_once(script, script, rule=fleet.RepeatRule.SAFE)
+        self.assertEqual(sink.status, 200)
+
+    def test_runs_at_no_more_targets_than_allowed(self):
+        _, _, seen = send_once(
+            *[lambda _: [Act.RESET]] * 5, rule=fleet.RepeatRule.SAFE
+        )
+        self.assertEqual(len(seen), 2)
+
+
+class StreamTest(unittest.TestCase):
+    def test_broken_stream_goes_on_after_its_last_event(self):
+        def script(request):
+            script.calls += 1
+            if script.calls == 1:
+                cut = stream(request, 1, 3, ends=False)
+                return [cut + b"20\r\nid: 4\nda", 0.05, Act.RESET]
+            first = int(request.header("last-event-id")) + 1
+            return [stream(request, first, 6)]
+
+        script.calls = 0
+        sink, final, seen = send_once(script, script)
+        self.assertIsNone(final)
+        events = b"".join(
+            b"id: %d\ndata: e%d\n\n" % (number, number)
+            for number in range(1, 7)
+        )
+        self.assertEqual(sink.body, events)
+        self.assertTrue(sink.is_whole)
+        self.assertEqual(seen[1].header("last-event-id"), "3")
+
+    def test_missing_event_never_reaches_the_caller(self):
+        def script(request):
+            gap = stream(request, 1, 2, ends=False)
+            rest = stream(request, 4, 5).partition(b"\r\n\r\n")[2]
+            return [gap + rest]
+
+        sink, _, _ = send_once(script)
+        self.assertNotIn(b"id: 4", sink.body)
+        self.assertFalse(sink.is_whole)
+
+    def test_stream_that_ends_in_an_event_does_not_look_whole(self):
+        def script(request):
+            return [
+                stream(request, 1, 2, ends=False) + b"5\r\nid: 3\r\n0\r\n\r\n"
+            ]
+
+        sink, _, _ = send_once(script)
+        self.assertFalse(sink.is_whole)
+
+    def test_caller_who_leaves_stops_the_target(self):
+        async def scenario(world, targets):
+            task = asyncio.create_task(world.send())
+            await targets[0].asked.wait()
+            task.cancel()
+            await asyncio.wait_for(targets[0].left.wait(), 0.5)
+            return world.parts.load.own_jobs
+
+        self.assertEqual(
+            play(scenario, lambda r: [stream(r, 1, 2, ends=False), Act.HANG]),
+            (),
+        )
+
+
+class ConnectionTest(unittest.TestCase):
+    def run_two(self, script, pause_s=0.0):
+        async def scenario(world, targets):
+            first, _ = await world.send()
+            await asyncio.sleep(pause_s)
+            second, final = await world.send(request_id="r2")
+            return first, second, final, targets[0].connections
+
+        return play(scenario, script, rule=fleet.RepeatRule.SAFE)
+
+    def test_connection_is_used_again(self):
+        *_, connections = self.run_two(lambda r: [answer(r)])
+        self.assertEqual(connections, 1)
+
+    def test_bytes_after_an_answer_end_the_connection(self):
+        _, second, _, connections = self.run_two(
+            lambda r: [answer(r) + b"stray"]
+        )
+        self.assertEqual((second.status, connections), (200, 2))
+
+    def test_late_second_answer_is_no_answer_to_the_next_request(self):
+        def script(request):
+            if request.header("x-cardamomfork-request-id") == "r1":
+                script.late = answer(request, b"stale")
+                return [answer(request, b"first")]
+            return [script.late + answer(request, b"second")]
+
+        _, second, _, _ = self.run_two(script)
+        self.assertEqual(second.body, b"second")
+
+    def test_closing_answer_ends_the_connection(self):
+        *_, connections = self.run_two(
+            lambda r: [answer(r, extra=b"connection: close\r\n")]
+        )
+        self.assertEqual(connections, 2)
+
+    def test_idle_connection_closed_by_the_target_is_not_used(self):
+        _, second, _, connections = self.run_two(
+            lambda r: [answer(r), Act.CLOSE], pause_s=0.05
+        )
+        self.assertEqual((second.status, connections), (200, 2))
+
+
+class PoisonTest(unittest.TestCase):
+    def test_request_that_crashed_three_targets_is_not_sent(self):
+        async def scenario(world, targets):
+            for number in range(3):
+                death = poison_guard.Death(hash(b"bad"), f"x{number}")
+                world.guard.count(death, time.monotonic())
+            _, final = await world.send(body=b"bad")
+            return final, len(targets[0].seen)
+
+        final, seen = play(scenario, lambda r: [stream(r, 1, 2)])
+        self.assertEqual((final.status, seen), (503, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/functional/test_soak.py
@@ -0,0 +1,78 @@
+"""A short seeded run of the soak, and its checks on answers made up here."""
+
+import asyncio
+import unittest
+
+from cardamomfork._internal.standins import platform_engine
+from tests.soak import callers
+from tests.soak import run
+
+SECONDS = 6.0
+SIZES = (3, 4, 2)
+
+
+def make_call(kind="stream", **changes):
+    """Returns a call that was answered whole."""
+    target = "/x/1"
+    body = b"".join(
+        platform_engine.make_event(target, number)
+        for number in range(1, platform_engine.count_events(target) + 1)
+    )
+    fields = {
+        "request_id": "r1",
+        "kind": kind,
+        "entry": "entry-0",
+        "key": "key-1",
+        "sent_at": 0.0,
+        "ended_at": 1.0,
+        "status": 200,
+        "body": body if kind == "stream" else platform_engine.make_body(target),
+        "is_whole": True,
+        "target": target,
+    }
+    return callers.Call(**(fields | changes))
+
+
+def check(call, runs=1):
+    """Returns what the soak finds wrong with a call."""
+    told = [("t", call.request_id, "depot", 0.0)] * runs
+    return run.check_calls([call], told)
+
+
+class ChecksTest(unittest.TestCase):
+    def test_whole_answers_are_right(self):
+        for kind in ("stream", "once", "safe"):
+            self.assertEqual(check(make_call(kind)), [])
+
+    def test_each_broken_promise_is_found(self):
+        whole = make_call().body
+        events = whole.split(b"\n\n")
+        without_second = b"\n\n".join(events[:1] + events[2:])
+        for call, runs in (
+            (make_call(body=without_second), 1),
+            (make_call(body=whole[:-10]), 1),
+            (make_call(body=whole + events[0]), 1),
+            (make_call("once"), 2),
+            (make_call("once", status=503), 1),
+            (make_call(ended_at=9.0), 1),
+            (make_call(), 3),
+        ):
+            self.assertTrue(check(call, runs), call)
+
+    def test_cut_stream_that_shows_it_is_allowed(self):
+        whole = make_call().body
+        self.assertEqual(check(make_call(body=whole[:60], is_whole=False)), [])
+
+    def test_run_that_nobody_asked_for_is_found(self):
+        told = [("t", "r9", "depot", 0.0)]
+        self.assertTrue(run.check_calls([make_call()], told))
+
+
+class SoakTest(unittest.TestCase):
+    def test_promises_hold_under_faults(self):
+        broken = asyncio.run(run.soak(1, SECONDS, SIZES, lambda _: None))
+        self.assertEqual(broken, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -43,6 +43,25 @@
         self.assertEqual(code, CODE.NOT_FOUND)
         self.assertIn("did you mean 'keys'?", err)
 
+    def test_explain_prints_the_lines_of_one_request(self):
+        lines = [
+            '12.3 node {"time":"2","message":"request ended",'
+            '"request_id":"a1","status":503,"reason":"no target"}',
+            '{"time":"1","message":"attempt ended","request_id":"a1"}',
+            '{"time":"1","message":"request ended","request_id":"b2"}',
+            "no json with a1",
+        ]
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "log")
+            path.write_text("\n".join(lines))
+            code, out, _ = run("explain", "a1", str(path))
+            self.assertEqual(code, CODE.OK)
+            self.assertLess(out.index("attempt"), out.index("no target"))
+            self.assertNotIn("b2", out)
+            self.assertEqual(run("explain", "c3", str(path))[0], CODE.NOT_FOUND)
+            missing = str(pathlib.Path(folder, "none"))
+            self.assertNotEqual(run("explain", "a1", missing)[0], CODE.OK)
+
     def test_check_config(self):
         code, sample, _ = run("check-config", "--sample")
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/unit/test_gateway_placement.py
+++ b/tests/unit/test_gateway_placement.py
@@ -156,6 +156,12 @@
         place = self.choose(gateway_parts.make_demand(excluded=excluded))
         self.assertEqual(place.target.record.target_id, "t5")
 
+    def test_only_target_is_chosen_again_after_a_failure(self):
+        fleet = gateway_parts.Fleet(1)
+        demand = gateway_parts.make_demand(excluded=frozenset({"t0"}))
+        place = fleet.placer.choose(demand, 10.0)
+        self.assertIsInstance(place, placement.Placement)
+
 
 class PlainPlacementTest(unittest.TestCase):
     def test_calls_go_to_the_least_loaded_target(self):
