--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -31,8 +31,12 @@
             harmed.harm(proxy.Harm.NONE)
         for process in self._world.processes:
             process.signal(signal.SIGCONT)
-            if not process.is_running:
-                await process.start()
+        processes = {**self._world.targets, **self._world.entries}
+        for name in sorted(self._busy):
+            # It was told to end, and may still be at it.
+            await processes[name].ended()
+            if not processes[name].is_running:
+                await processes[name].start()
 
     async def _series(self):
         source = self._world.source
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import collections
+import signal
 import sys
 import time
 
@@ -151,6 +152,8 @@
     parser.add_argument("--engines", type=int, default=4)
     parser.add_argument("--ledgers", type=int, default=2)
     asked = parser.parse_args()
+    # The processes that the soak started end with it.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     sizes = (asked.instances, asked.engines, asked.ledgers)
     failed = []
     for seed in range(asked.seed, asked.seed + asked.seeds):
--- /dev/null
+++ b/tests/unit/test_platform_boundary.py
@@ -0,0 +1,51 @@
+"""Nothing outside the adapter and its stand-ins knows the platform's words."""
+
+import pathlib
+import re
+import unittest
+
+SOURCES = pathlib.Path(__file__).resolve().parents[2] / "src" / "cardamomfork"
+ADAPTER = SOURCES / "_internal" / "platform"
+STANDINS = SOURCES / "_internal" / "standins"
+WORDS = re.compile(
+    r"x-cardamomfork-|/-/|\bkv-(key|range|watch|txn|lease|keep)|op/config"
+    r"|\bservers/|holdMs|ttlMs|waitMs|storeRevision|apiKeys|targetLatencyMs"
+    r"|kvCapacity|Not-Executed|At-Server|\bdrainTimeoutMs|\breadyAddr",
+    re.IGNORECASE,
+)
+
+
+def list_sources():
+    """Returns the files outside the adapter and the stand-ins."""
+    return [
+        path
+        for path in sorted(SOURCES.rglob("*.py"))
+        if ADAPTER not in path.parents and STANDINS not in path.parents
+    ]
+
+
+class BoundaryTest(unittest.TestCase):
+    def test_words_of_the_wire_stay_in_the_adapter(self):
+        for path in list_sources():
+            found = WORDS.search(path.read_text(encoding="utf-8"))
+            self.assertIsNone(found, f"{path}: {found}")
+
+    def test_adapter_is_imported_by_composition_roots_alone(self):
+        importing = {
+            path.relative_to(SOURCES / "_internal").as_posix()
+            for path in list_sources()
+            if "_internal.platform " in path.read_text(encoding="utf-8")
+        }
+        self.assertEqual(
+            importing, {"composition/platform.py", "gateway/daemon.py"}
+        )
+
+    def test_adapter_does_not_know_what_decides(self):
+        for path in sorted(ADAPTER.glob("*.py")):
+            text = path.read_text(encoding="utf-8")
+            self.assertNotIn("_internal.gateway", text, path)
+            self.assertNotIn("import random", text, path)
+
+
+if __name__ == "__main__":
+    unittest.main()
