--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -254,6 +254,32 @@
         self.assertEqual(final.status, 503)
 
 
+class BlameTest(unittest.TestCase):
+    def test_target_that_a_refusal_blames_is_not_asked(self):
+        refused = (
+            b"x-cardamomfork-not-executed: 1\r\nat-server: 127.0.0.1:%d\r\n"
+        )
+
+        async def scenario(world, targets):
+            ports.append(targets[1].port)
+            # Both sound targets refuse once, for the third.
+            sink, _ = await world.send()
+            return sink.status, len(targets[1].seen)
+
+        def script(request):
+            script.calls += 1
+            if script.calls == 1:
+                extra = refused % ports[0]
+                return [answer(request, b"", 503, extra=extra)]
+            return [stream(request, 1, 3)]
+
+        script.calls = 0
+        ports = []
+        sound = [script, lambda _: [Act.RESET]]
+        status, asked = play(scenario, *sound)
+        self.assertEqual((status, asked), (200, 0))
+
+
 class SafeTest(unittest.TestCase):
     def test_failure_is_tried_at_another_target(self):
         def script(request):
