--- a/tests/lib/gateway_load.py
+++ b/tests/lib/gateway_load.py
@@ -136,7 +136,7 @@
             -(sigma**2) / 2, sigma
         )
         tokens = int(min(max(tokens, 100), 290_000))
-        name = f"r{self._count}"
+        name = f"r{len(self.done)}"
         request = Request(name, kind, tokens, now, events_left=kind.events)
         self.done.append(request)
         self._try(now, request)
