Dump the state on request; follow settings that change without a signal

Cause: the state of an entry instance could only be guessed from its logs, a settings file that changed without SIGHUP was not read, and a malformed one would have ended the process. Change: /dump on the metrics address; the file is read every 5 s; a malformed one is logged and the settings in force stay; counts of repeats are kept.

--- a/src/cardamomfork/_internal/gateway/application.py
+++ b/src/cardamomfork/_internal/gateway/application.py
@@ -7,6 +7,7 @@
 
 import anyio
 import attrs
+import msgspec
 import result
 import xxhash
 
@@ -44,6 +45,8 @@
 CALL_STOP_S = 1.5
 """Time until the exit that a new stream, and another request, need."""
 
+DUMP_PATH = "/dump"
+
 OK = 200
 NOT_FOUND = 404
 TOO_LARGE = 413
@@ -350,15 +353,24 @@
 
 
 class MetricsApplication:
-    """Serves the metrics as text."""
+    """Serves the metrics as text, and a dump of the process's state."""
 
-    def __init__(self, scrape: Callable[[], exporting.Scrape]) -> None:
+    def __init__(
+        self,
+        scrape: Callable[[], exporting.Scrape],
+        dump: Callable[[], dict[str, Any]],
+    ) -> None:
         """Takes what collects them."""
         self._scrape = scrape
+        self._dump = dump
 
     async def __call__(
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
-        """Answers one scrape."""
-        del scope, receive
-        await _answer_bytes(send, OK, self._scrape().body)
+        """Answers one scrape, or one request for a dump."""
+        del receive
+        if scope["path"] == DUMP_PATH:
+            body = msgspec.json.encode(self._dump())
+        else:
+            body = self._scrape().body
+        await _answer_bytes(send, OK, body)
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -5,11 +5,14 @@
 import random
 import signal
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 
 import anyio
+import attrs
 from loguru import logger
 
+from cardamomfork._internal import exceptions
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway import application
 from cardamomfork._internal.gateway import caller_protocol
@@ -40,6 +43,7 @@
     from cardamomfork._internal.models import fleet
 
 HOUSEKEEPING_S = 0.25
+RELOAD_S = 5.0
 CONFIGURATION_GATHER_S = 0.2
 TARGETS_GATHER_S = 0.8
 """Times in which changes are gathered; far under the bounds of seconds in
@@ -206,7 +210,7 @@
             self._settings.peer_port,
         )
         metrics = self._make_server(
-            application.MetricsApplication(self._export.scrape),
+            application.MetricsApplication(self._export.scrape, self._dump),
             self._settings.host,
             self._settings.metrics_port,
         )
@@ -309,8 +313,13 @@
 
     async def _keep_house(self) -> None:
         """Drops what is out of date while the task runs."""
+        reload_at = self._clock() + RELOAD_S
         while True:
             await anyio.sleep(HOUSEKEEPING_S)
+            if self._clock() >= reload_at:
+                # The file may change without a signal.
+                self._reload()
+                reload_at = self._clock() + RELOAD_S
             self._state.expire()
             self._links.close_idle()
             self._retries.update_instances(self._peers.count)
@@ -329,9 +338,16 @@
 
     def _reload(self) -> None:
         """Reads the settings again; addresses stay as they are."""
-        self._settings = self._load_settings()
-        self._retries = retry_share.RetryShare(self._settings)
-        logger.info("settings reloaded", name=self._settings.instance_id)
+        try:
+            settings = self._load_settings()
+        except exceptions.SettingsError as error:
+            logger.error("settings not reloaded", reason=str(error))
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._retries.update_settings(settings)
+        logger.info("settings reloaded", name=settings.instance_id)
 
     async def _stop_serving(self, callers: http_server.HttpServer) -> None:
         """Ends the process within its grace time."""
@@ -344,6 +360,35 @@
         logger.warning("grace time is over", count=self._callers.in_progress)
         callers.stop_now()
 
+    def _dump(self) -> dict[str, Any]:
+        """Returns what this process believes, for a dump on request."""
+        now = self._clock()
+        return {
+            "instance": self._settings.instance_id,
+            "configuration_revision": self._state.revision,
+            "configuration_age_s": round(self._state.configuration_age_s, 3),
+            "is_ready": self._is_ready(),
+            "is_delegate": self._peers.is_delegate(),
+            "in_progress": self._callers.in_progress,
+            "waiting": self._scheduler.waiting,
+            "peers": [peer.instance_id for peer in self._peers.peers],
+            "silent_peers": [
+                peer.instance_id for peer in self._peers.silent_peers
+            ],
+            "targets": [
+                {
+                    **attrs.asdict(target.record),
+                    "pace": round(target.pace(now), 2),
+                    "failures": round(target.failure_share(now), 2),
+                    "paused_s": round(max(target.paused_until - now, 0.0), 2),
+                    "load": attrs.asdict(
+                        self._load.load(target.record.target_id, now)
+                    ),
+                }
+                for target in self._table.all()
+            ],
+        }
+
     def _make_metrics(self) -> traffic_metrics.TrafficMetrics:
         """Returns the metrics, with gauges of what is believed."""
         return traffic_metrics.TrafficMetrics(
--- a/src/cardamomfork/_internal/gateway/retry_share.py
+++ b/src/cardamomfork/_internal/gateway/retry_share.py
@@ -38,6 +38,10 @@
         self._services: dict[str, _Counts] = {}
         self._instances = MIN_INSTANCES
 
+    def update_settings(self, settings: fleet.EntrySettings) -> None:
+        """Takes another bound; what has been counted stays."""
+        self._settings = settings
+
     def update_instances(self, count: int) -> None:
         """Notes how many instances share the reserve."""
         self._instances = max(count, MIN_INSTANCES)
