--- a/src/cardamomfork/_internal/gateway/following.py
+++ b/src/cardamomfork/_internal/gateway/following.py
@@ -24,8 +24,10 @@
 
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
-"""Pauses after a failed call; the longest is far under the time in which a
-configuration must be in force after the store's return."""
+OTHERS_MAX_BACKOFF_S = 3.0
+"""Pauses after a failed call: the longest of a delegate is far under the time
+in which a configuration must be in force after the store's return; the others
+are told by peers when there is something to read."""
 DELEGATE_WAIT_S = 2.0
 """Wait of the data centre's delegate. With the margin for the answer it ends
 before the 3 s after which a silent connection excuses nothing."""
@@ -127,8 +129,12 @@
                 self._note_changes(entries)
                 self._handler.replaced(entries)
                 await self._take_changes()
-            await anyio.sleep(backoff * (0.5 + self._source.random()))
-            backoff = min(backoff * 2, MAX_BACKOFF_S)
+            with anyio.move_on_after(backoff * (0.5 + self._source.random())):
+                await self._behind.wait()
+            longest = (
+                MAX_BACKOFF_S if self._is_delegate() else OTHERS_MAX_BACKOFF_S
+            )
+            backoff = min(backoff * 2, longest)
 
     async def _take_changes(self) -> None:
         """Passes changes on until two calls in a row fail."""
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -44,7 +44,7 @@
 
 HOUSEKEEPING_S = 0.25
 RELOAD_S = 5.0
-CONFIGURATION_GATHER_S = 0.2
+CONFIGURATION_GATHER_S = 0.5
 TARGETS_GATHER_S = 0.8
 """Times in which changes are gathered; far under the bounds of seconds in
 which a configuration, and a target's leaving, must be acted on."""
--- a/tests/unit/test_gateway_following.py
+++ b/tests/unit/test_gateway_following.py
@@ -172,6 +172,19 @@
 
         self.play(scenario)
 
+    def test_others_spare_a_store_that_is_away(self):
+        async def scenario():
+            self.store.fault = KINDS.UNAVAILABLE
+            await anyio.sleep(8.0)
+            self.assertLess(len(self.store.calls), 12)
+            self.store.write("p/a")
+            self.store.fault = None
+            self.follower.hear(self.store.revision)
+            await anyio.sleep(0.5)
+            self.assertIn("p/a", self.seen.keys)
+
+        self.play(scenario, is_delegate=False)
+
 
 if __name__ == "__main__":
     unittest.main()
