Split the gateway's grown files; one base of the store's contracts

Change: place_costs, demands, learning, peer_table, registration and store_handlers are modules of their own; LeasedStore is the base of both contracts. Nothing behaves differently. Measured: 115 tests of the gateway, the soak, the boundary and the store's client passed.

--- a/src/cardamomfork/_internal/contracts/store.py
+++ b/src/cardamomfork/_internal/contracts/store.py
@@ -109,29 +109,24 @@
     revision: int
 
 
-class PolledStore(Protocol):
-    """The part of a store that an entry instance uses, by long polls."""
+class LeasedStore(Protocol):
+    """What all users of the store need. Calls end within their time limit."""
 
     async def scan(self, prefix: str) -> result.Result[Scan, StoreFault]:
-        """Reads all keys under a prefix; changes may follow its revision."""
-        ...
-
-    async def changes(
-        self, prefix: str, after: int, wait_s: float
-    ) -> result.Result[WatchBatch, StoreFault]:
-        """Returns changes after a revision.
-
-        Args:
-            prefix: Beginning of the keys.
-            after: Revision up to which all is known.
-            wait_s: Time to wait for the first change.
-        """
+        """Reads all keys under a prefix."""
         ...
 
     async def put(
         self, key: str, value: bytes, *, expected: int, lease: int = 0
     ) -> result.Result[Entry, CompareFailed | StoreFault]:
-        """Writes a key if it is at the expected version."""
+        """Writes a key if it is at the expected version.
+
+        Args:
+            key: The key.
+            value: Its new bytes.
+            expected: Version it must have; `ABSENT` to create it.
+            lease: Lease to tie it to, or 0.
+        """
         ...
 
     async def grant_lease(
@@ -147,32 +142,31 @@
         ...
 
     async def close(self) -> None:
-        """Closes the connections; no call may follow."""
+        """Closes the session's connections; no call may follow."""
         ...
 
 
-class Store(Protocol):
-    """The platform's store. Calls end within their own time limit."""
+class PolledStore(LeasedStore, Protocol):
+    """The store as an entry instance uses it, by long polls."""
 
-    async def get(self, key: str) -> result.Result[Entry | None, StoreFault]:
-        """Reads one key."""
-        ...
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> result.Result[WatchBatch, StoreFault]:
+        """Returns changes after a revision.
 
-    async def scan(self, prefix: str) -> result.Result[Scan, StoreFault]:
-        """Reads all keys under a prefix."""
+        Args:
+            prefix: Beginning of the keys.
+            after: Revision up to which all is known.
+            wait_s: Time to wait for the first change.
+        """
         ...
 
-    async def put(
-        self, key: str, value: bytes, *, expected: int, lease: int = 0
-    ) -> result.Result[Entry, CompareFailed | StoreFault]:
-        """Writes a key if it is at the expected version.
 
-        Args:
-            key: The key.
-            value: Its new bytes.
-            expected: Version it must have; `ABSENT` to create it.
-            lease: Lease to tie it to, or 0.
-        """
+class Store(LeasedStore, Protocol):
+    """The store with reads of single keys and watches."""
+
+    async def get(self, key: str) -> result.Result[Entry | None, StoreFault]:
+        """Reads one key."""
         ...
 
     async def delete(
@@ -181,18 +175,6 @@
         """Deletes a key if it is at the expected version."""
         ...
 
-    async def grant_lease(
-        self, ttl_s: float
-    ) -> result.Result[Lease, StoreFault]:
-        """Grants a new lease."""
-        ...
-
-    async def renew_lease(
-        self, lease_id: int
-    ) -> result.Result[Lease, StoreFault]:
-        """Renews a lease; `LEASE_GONE` once it has lapsed."""
-        ...
-
     async def revoke_lease(
         self, lease_id: int
     ) -> result.Result[None, StoreFault]:
@@ -210,7 +192,3 @@
         empty batch at least every few seconds.
         """
         ...
-
-    async def close(self) -> None:
-        """Closes the session's connections; no call may follow."""
-        ...
--- a/src/cardamomfork/_internal/gateway/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/digest_codec.py
@@ -11,9 +11,9 @@
 import capnp
 import result
 
+from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import fleet_state
 from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import placement
 from cardamomfork._internal.gateway import poison_guard
 
 MS_PER_S = 1000.0
@@ -173,7 +173,7 @@
         prompt_tokens=message.promptTokens,
         output_tokens=message.outputTokens,
         max_gap_s=message.maxGapMs / MS_PER_S or math.inf,
-        value=placement.value_of(message.promptTokens),
+        value=demands.value_of(message.promptTokens),
         placed_at=now,
         reads_until=now + message.readingLeftMs / MS_PER_S,
         late_at=now + message.lateInMs / MS_PER_S,
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -9,12 +9,13 @@
 import result
 
 from cardamomfork._internal.gateway import attempt
+from cardamomfork._internal.gateway import demands
+from cardamomfork._internal.gateway import learning
 from cardamomfork._internal.gateway import outcomes
 from cardamomfork._internal.gateway import placement
 from cardamomfork._internal.gateway import request_log
 from cardamomfork._internal.gateway import scheduling
 from cardamomfork._internal.gateway import target_table
-from cardamomfork._internal.models import fleet
 from cardamomfork._internal.models import forwarding
 
 if TYPE_CHECKING:
@@ -141,10 +142,10 @@
         self._wire = wire
         self._scheduler = scheduler
         self._links = links
-        self._table = table
         self._load = load
         self._retries = retries
         self._guard = guard
+        self._learner = learning.Learner(table, guard, clock)
         self._reserver = reserver
         self._clock = clock
         self._on_change = on_change
@@ -180,7 +181,7 @@
             if final is not None:
                 return await self._settle(exchange, ending, final)
 
-    def _make_demand(self, exchange: Exchange) -> placement.Demand:
+    def _make_demand(self, exchange: Exchange) -> demands.Demand:
         """Returns what the next attempt needs."""
         now = self._clock()
         route = exchange.match.route
@@ -191,7 +192,7 @@
             written = exchange.progress.events * law.stride_steps
             output = max(output - written, law.stride_steps)
         late_at = exchange.arrived_at + route.objective_s
-        return placement.Demand(
+        return demands.Demand(
             job_id=f"{exchange.request.request_id}/{exchange.arrivals}",
             service=exchange.match.service,
             prompt_tokens=size.prompt_tokens,
@@ -205,7 +206,7 @@
     async def _attempt(
         self,
         exchange: Exchange,
-        demand: placement.Demand,
+        demand: demands.Demand,
         place: placement.Placement,
     ) -> outcomes.Ending:
         """Sends a request to the place that it got."""
@@ -221,7 +222,7 @@
     async def _send(
         self,
         exchange: Exchange,
-        demand: placement.Demand,
+        demand: demands.Demand,
         place: placement.Placement,
         held: reservations.Held,
     ) -> outcomes.Ending:
@@ -236,7 +237,9 @@
             ending: outcomes.Ending = outcomes.Failed(
                 outcomes.Failure.UNREACHABLE, opened.err_value
             )
-            self._learn(exchange, record, place, demand, ending, started_at)
+            self._learner.take(
+                exchange, record, place, demand, ending, started_at
+            )
             return ending
         connection = opened.ok_value
         exchange.arrivals += 1
@@ -278,7 +281,7 @@
         if isinstance(ending, outcomes.Failed) and ending.surely_not_run:
             exchange.runs -= 1
         first_at = first_event_at[0] if first_event_at else None
-        self._learn(
+        self._learner.take(
             exchange, record, place, demand, ending, started_at, first_at
         )
         return ending
@@ -331,59 +334,6 @@
             until=exchange.ends_at,
         )
 
-    def _learn(
-        self,
-        exchange: Exchange,
-        record: fleet.TargetRecord,
-        place: placement.Placement,
-        demand: placement.Demand,
-        ending: outcomes.Ending,
-        started_at: float,
-        first_at: float | None = None,
-    ) -> None:
-        """Takes what an attempt showed of its target."""
-        now = self._clock()
-        sign = _sign_of(ending)
-        if first_at is not None:
-            ratio = (first_at - started_at) / max(place.first_token_s, 0.05)
-            self._table.observe_time(record.target_id, ratio, now)
-        if sign is not None and self._table.observe(
-            record.target_id, sign, now
-        ):
-            exchange.log.target_paused(record.target_id, sign.value)
-        if sign is target_table.Sign.UNREACHABLE:
-            self._guard.confirm_death(record.target_id, now)
-        if isinstance(ending, outcomes.Failed):
-            if ending.failure is outcomes.Failure.BROKEN:
-                self._guard.suspect(exchange.fingerprint, record.target_id, now)
-            self._learn_of_refusal(exchange, record, ending, now)
-        exchange.log.attempt_ended(
-            exchange.arrivals,
-            place,
-            demand,
-            ending,
-            now - started_at,
-            None if first_at is None else first_at - started_at,
-        )
-
-    def _learn_of_refusal(
-        self,
-        exchange: Exchange,
-        record: fleet.TargetRecord,
-        failed: outcomes.Failed,
-        now: float,
-    ) -> None:
-        """Takes which target a refusal blames; the one asked may be sound."""
-        blamed = self._table.resolve(failed.blamed_target)
-        if blamed is not None and blamed != record.target_id:
-            exchange.tried.discard(record.target_id)
-            exchange.tried.add(blamed)
-            self._table.observe(blamed, target_table.Sign.UNREACHABLE, now)
-        elif failed.is_misdirected:
-            self._table.observe(
-                record.target_id, target_table.Sign.UNREACHABLE, now
-            )
-
     def _after_failure(
         self, exchange: Exchange, failed: outcomes.Failed
     ) -> FinalAnswer | None:
@@ -455,19 +405,5 @@
         return FinalAnswer(UNAVAILABLE, refusal.reason, refusal.retry_after_s)
 
 
-def _sign_of(ending: outcomes.Ending) -> target_table.Sign | None:
-    """Returns what an ending tells of the target's health."""
-    if isinstance(ending, outcomes.Delivered):
-        return target_table.Sign.GOOD
-    return {
-        outcomes.Failure.UNREACHABLE: target_table.Sign.UNREACHABLE,
-        outcomes.Failure.BROKEN: target_table.Sign.FAILED,
-        outcomes.Failure.SILENT: target_table.Sign.FAILED,
-        outcomes.Failure.NOT_RUN: None,
-        outcomes.Failure.NO_MEMORY: None,
-        outcomes.Failure.FAILED: None,
-    }[ending.failure]
-
-
 def _ignore() -> None:
     """Does nothing with an event."""
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -13,35 +13,21 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import attrs
 import httpcore
 from loguru import logger
-import msgspec
 import result
-import xxhash
 
-from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway import digest_codec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     from cardamomfork._internal.gateway import fleet_state
     from cardamomfork._internal.gateway import following
     from cardamomfork._internal.gateway import load_view
+    from cardamomfork._internal.gateway import peer_table
     from cardamomfork._internal.gateway import poison_guard
 
-PREFIX = "instances/"
-"""Keys of entry instances in the store."""
-LEASE_S = 24.0
-RENEW_S = 8.0
-"""Three renewals fit into a lease."""
-RETRY_S = 0.7
-"""Pause after a call that failed."""
-REREAD_S = 30.0
-"""Time after which entries are read again, in case datagrams were cut off
-when both sides read them first."""
 HEARTBEAT_S = 0.5
 COALESCE_S = 0.004
 """Changes within this time go out in one digest."""
@@ -51,143 +37,18 @@
 """The same among more than a few peers, where each digest costs more."""
 MANY_DELAY_S = 0.15
 """Time in which changes that only free places are gathered there."""
-SILENT_PEER_S = 4.0
-"""A peer that has been silent for so long counts as gone."""
-FORGET_PEER_S = 90.0
-"""Time for which heartbeats still go to a peer that is gone, since a partition
-may end."""
-FIRST_WORD_S = 20.0
-"""Time that a peer known only from its entry has for its first digest."""
 FETCH_TIMEOUT_S = 1.0
 INCARNATION_BITS = 63
 CONFIGURATION_PATH = "/configuration"
 
 
-@attrs.define
-class _Known:
-    """A peer, and when it was last heard.
-
-    Attributes:
-        peer: Where it is reached.
-        silent_at: Monotonic time at which it counts as gone.
-        incarnation: Of its last digest.
-        former: Incarnation before that; its late digests are dropped.
-        sequence: Of its last digest.
-    """
-
-    peer: digest_codec.Peer
-    silent_at: float
-    incarnation: int = 0
-    former: int = 0
-    sequence: int = -1
-
-
-class PeerTable:
-    """Which peers there are."""
-
-    def __init__(
-        self, own: digest_codec.Peer, clock: Callable[[], float]
-    ) -> None:
-        """Starts alone."""
-        self._own = own
-        self._clock = clock
-        self._known: dict[str, _Known] = {}
-
-    @property
-    def peers(self) -> list[digest_codec.Peer]:
-        """Peers that have been heard of lately."""
-        now = self._clock()
-        return [
-            known.peer
-            for known in self._known.values()
-            if now <= known.silent_at
-        ]
-
-    @property
-    def silent_peers(self) -> list[digest_codec.Peer]:
-        """Peers that count as gone, and may come back."""
-        now = self._clock()
-        return [
-            known.peer
-            for known in self._known.values()
-            if now > known.silent_at
-        ]
-
-    @property
-    def count(self) -> int:
-        """Instances, this one included."""
-        return len(self.peers) + 1
-
-    def is_delegate(self) -> bool:
-        """Whether this instance asks the store for its data centre."""
-        own = _rank(self._own.instance_id)
-        now = self._clock()
-        return not any(
-            known.incarnation
-            and now <= known.silent_at
-            and known.peer.data_centre == self._own.data_centre
-            and _rank(known.peer.instance_id) < own
-            for known in self._known.values()
-        )
-
-    def read(self, entries: Iterable[store.Entry]) -> None:
-        """Takes the entries of the store."""
-        for entry in entries:
-            try:
-                peer = msgspec.json.decode(entry.value, type=digest_codec.Peer)
-            except msgspec.DecodeError as error:
-                logger.warning(
-                    "entry names no peer", name=entry.key, reason=str(error)
-                )
-                continue
-            if peer.instance_id != self._own.instance_id:
-                self._learn(peer)
-
-    def hear(self, digest: digest_codec.Digest) -> bool:
-        """Takes a digest's sender; returns whether the digest is news."""
-        known = self._learn(digest.sender)
-        if digest.incarnation == known.incarnation:
-            if digest.sequence <= known.sequence:
-                return False
-        elif digest.incarnation == known.former:
-            return False
-        else:
-            known.former = known.incarnation
-            known.incarnation = digest.incarnation
-        known.sequence = digest.sequence
-        known.silent_at = self._clock() + SILENT_PEER_S
-        return True
-
-    def expire(self) -> None:
-        """Forgets peers that have been gone for long."""
-        now = self._clock()
-        for instance_id, known in list(self._known.items()):
-            if now > known.silent_at + FORGET_PEER_S:
-                del self._known[instance_id]
-                logger.info("peer forgotten", peer=instance_id)
-
-    def _learn(self, peer: digest_codec.Peer) -> _Known:
-        """Returns what is known of a peer, as it is reached now."""
-        known = self._known.get(peer.instance_id)
-        if known is None or known.peer != peer:
-            known = _Known(peer, self._clock() + FIRST_WORD_S)
-            self._known[peer.instance_id] = known
-            logger.info("peer known", peer=peer.instance_id)
-        return known
-
-
-def _rank(instance_id: str) -> int:
-    """Returns a fixed pseudo-random rank of an instance."""
-    return xxhash.xxh3_64_intdigest(instance_id.encode())
-
-
 class PeerLinks(asyncio.DatagramProtocol):
     """Tells peers what is placed here, and takes what they tell."""
 
     def __init__(
         self,
         own: digest_codec.Peer,
-        table: PeerTable,
+        table: peer_table.PeerTable,
         load: load_view.LoadView,
         state: fleet_state.FleetState,
         guard: poison_guard.PoisonGuard,
@@ -369,63 +230,3 @@
         self._state.apply_configuration(
             stored.value, stored.revision, f"peer {peer.instance_id}"
         )
-
-
-async def register(
-    polled_store: store.PolledStore,
-    own: digest_codec.Peer,
-    table: PeerTable,
-    on_answer: Callable[[store.StoreFault | None], None],
-) -> None:
-    """Keeps this instance's entry in the store, and reads the others'."""
-    lease: store.Lease | None = None
-    read_at: float | None = None
-    while True:
-        if lease is None:
-            lease = await _enter(polled_store, own, on_answer)
-        else:
-            renewed = await polled_store.renew_lease(lease.lease_id)
-            if isinstance(renewed, result.Ok):
-                on_answer(None)
-            else:
-                on_answer(renewed.err_value)
-                if renewed.err_value.kind is store.StoreFaultKind.LEASE_GONE:
-                    lease = None
-                    continue
-        now = anyio.current_time()
-        if read_at is None or now - read_at >= REREAD_S:
-            scanned = await polled_store.scan(PREFIX)
-            if isinstance(scanned, result.Ok):
-                table.read(scanned.ok_value.entries)
-                read_at = now
-        known = lease is not None and read_at is not None
-        await anyio.sleep(RENEW_S if known else RETRY_S)
-
-
-async def _enter(
-    polled_store: store.PolledStore,
-    own: digest_codec.Peer,
-    on_answer: Callable[[store.StoreFault | None], None],
-) -> store.Lease | None:
-    """Writes this instance's entry under a new lease; None if that fails."""
-    granted = await polled_store.grant_lease(LEASE_S)
-    if isinstance(granted, result.Err):
-        on_answer(granted.err_value)
-        return None
-    key = PREFIX + own.instance_id
-    value = msgspec.json.encode(own)
-    expected = store.ABSENT
-    for _ in range(2):
-        written = await polled_store.put(
-            key, value, expected=expected, lease=granted.ok_value.lease_id
-        )
-        if isinstance(written, result.Ok):
-            on_answer(None)
-            return granted.ok_value
-        if isinstance(written.err_value, store.StoreFault):
-            on_answer(written.err_value)
-            return None
-        # An earlier run's entry, or one whose answer was lost.
-        current = written.err_value.current
-        expected = current.version if current else store.ABSENT
-    return None
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -16,18 +16,22 @@
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway import application
 from cardamomfork._internal.gateway import caller_protocol
+from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import fleet_state
 from cardamomfork._internal.gateway import following
 from cardamomfork._internal.gateway import forwarding
 from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway import peer_table
 from cardamomfork._internal.gateway import peers
 from cardamomfork._internal.gateway import placement
 from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import registration
 from cardamomfork._internal.gateway import reservations
 from cardamomfork._internal.gateway import retry_share
 from cardamomfork._internal.gateway import scheduling
 from cardamomfork._internal.gateway import stopping
+from cardamomfork._internal.gateway import store_handlers
 from cardamomfork._internal.gateway import target_links
 from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.gateway import traffic_metrics
@@ -37,7 +41,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.models import fleet
@@ -50,50 +53,6 @@
 which a configuration, and a target's leaving, must be acted on."""
 
 
-class _ConfigurationHandler:
-    """Takes the operators' configuration from the store."""
-
-    def __init__(
-        self, state: fleet_state.FleetState, apply: Callable[[], None]
-    ) -> None:
-        """Takes what holds it, and what to call with a new one."""
-        self._state = state
-        self._apply = apply
-
-    def replaced(self, entries: Iterable[store.Entry]) -> None:
-        """Takes all entries."""
-        for entry in entries:
-            self.changed(entry)
-
-    def changed(self, entry: store.Entry) -> None:
-        """Takes one change; a configuration is never taken away."""
-        if entry.version == store.ABSENT:
-            return
-        if self._state.apply_configuration(entry.value, entry.version, "store"):
-            self._apply()
-
-
-class _TargetsHandler:
-    """Takes the targets' entries from the store."""
-
-    def __init__(
-        self, state: fleet_state.FleetState, on_change: Callable[[], None]
-    ) -> None:
-        """Takes what holds them, and what to call after a change."""
-        self._state = state
-        self._on_change = on_change
-
-    def replaced(self, entries: Iterable[store.Entry]) -> None:
-        """Takes all entries."""
-        self._state.replace_targets(entries)
-        self._on_change()
-
-    def changed(self, entry: store.Entry) -> None:
-        """Takes one change."""
-        self._state.apply_target(entry)
-        self._on_change()
-
-
 class GatewayProcess:
     """An entry instance in front of a fleet."""
 
@@ -133,7 +92,7 @@
             settings.host,
             settings.peer_port,
         )
-        self._peers = peers.PeerTable(self._own, clock)
+        self._peers = peer_table.PeerTable(self._own, clock)
         self._scheduler = scheduling.Scheduler(
             placement.Placer(
                 self._table,
@@ -149,11 +108,13 @@
         self._reserver = reservations.Reserver(wire, self._links)
         self._configuration_follower = self._make_follower(
             following.Topic(wire.configuration_key, CONFIGURATION_GATHER_S),
-            _ConfigurationHandler(self._state, self._apply_configuration),
+            store_handlers.ConfigurationHandler(
+                self._state, self._apply_configuration
+            ),
         )
         self._targets_follower = self._make_follower(
             following.Topic(wire.targets_prefix, TARGETS_GATHER_S),
-            _TargetsHandler(self._state, self._on_change),
+            store_handlers.TargetsHandler(self._state, self._on_change),
         )
         self._peer_links = peers.PeerLinks(
             self._own,
@@ -221,7 +182,7 @@
             tasks.start_soon(self._configuration_follower.run)
             tasks.start_soon(self._targets_follower.run)
             tasks.start_soon(
-                peers.register,
+                registration.register,
                 self._store,
                 self._own,
                 self._peers,
@@ -253,7 +214,7 @@
 
     def _commit(
         self,
-        demand: placement.Demand,
+        demand: demands.Demand,
         place: placement.Placement,
         now: float,
     ) -> None:
@@ -261,7 +222,7 @@
         writing = (
             placement.TYPICAL_CALL_S
             if demand.service.law is None
-            else placement.expected_writing_s(demand)
+            else demands.expected_writing_s(demand)
         )
         self._load.start(
             load_view.Job(
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/registration.py
@@ -0,0 +1,88 @@
+"""This instance's entry in the platform's store, and a look at the others'."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+import result
+
+from cardamomfork._internal.contracts import store
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomfork._internal.gateway import digest_codec
+    from cardamomfork._internal.gateway import peer_table
+
+PREFIX = "instances/"
+"""Keys of entry instances in the store."""
+LEASE_S = 24.0
+RENEW_S = 8.0
+"""Three renewals fit into a lease."""
+RETRY_S = 0.7
+"""Pause after a call that failed."""
+REREAD_S = 30.0
+"""Time after which entries are read again, in case datagrams were cut off
+when both sides read them first."""
+
+
+async def register(
+    polled_store: store.PolledStore,
+    own: digest_codec.Peer,
+    table: peer_table.PeerTable,
+    on_answer: Callable[[store.StoreFault | None], None],
+) -> None:
+    """Keeps this instance's entry in the store, and reads the others'."""
+    lease: store.Lease | None = None
+    read_at: float | None = None
+    while True:
+        if lease is None:
+            lease = await _enter(polled_store, own, on_answer)
+        else:
+            renewed = await polled_store.renew_lease(lease.lease_id)
+            if isinstance(renewed, result.Ok):
+                on_answer(None)
+            else:
+                on_answer(renewed.err_value)
+                if renewed.err_value.kind is store.StoreFaultKind.LEASE_GONE:
+                    lease = None
+                    continue
+        now = anyio.current_time()
+        if read_at is None or now - read_at >= REREAD_S:
+            scanned = await polled_store.scan(PREFIX)
+            if isinstance(scanned, result.Ok):
+                table.read(scanned.ok_value.entries)
+                read_at = now
+        known = lease is not None and read_at is not None
+        await anyio.sleep(RENEW_S if known else RETRY_S)
+
+
+async def _enter(
+    polled_store: store.PolledStore,
+    own: digest_codec.Peer,
+    on_answer: Callable[[store.StoreFault | None], None],
+) -> store.Lease | None:
+    """Writes this instance's entry under a new lease; None if that fails."""
+    granted = await polled_store.grant_lease(LEASE_S)
+    if isinstance(granted, result.Err):
+        on_answer(granted.err_value)
+        return None
+    key = PREFIX + own.instance_id
+    value = msgspec.json.encode(own)
+    expected = store.ABSENT
+    for _ in range(2):
+        written = await polled_store.put(
+            key, value, expected=expected, lease=granted.ok_value.lease_id
+        )
+        if isinstance(written, result.Ok):
+            on_answer(None)
+            return granted.ok_value
+        if isinstance(written.err_value, store.StoreFault):
+            on_answer(written.err_value)
+            return None
+        # An earlier run's entry, or one whose answer was lost.
+        current = written.err_value.current
+        expected = current.version if current else store.ABSENT
+    return None
--- a/src/cardamomfork/_internal/gateway/request_log.py
+++ b/src/cardamomfork/_internal/gateway/request_log.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import outcomes
 
 if TYPE_CHECKING:
@@ -30,7 +31,7 @@
         self,
         number: int,
         place: placement.Placement,
-        demand: placement.Demand,
+        demand: demands.Demand,
         ending: outcomes.Ending,
         seconds: float,
         first_s: float | None,
--- a/src/cardamomfork/_internal/gateway/scheduling.py
+++ b/src/cardamomfork/_internal/gateway/scheduling.py
@@ -14,6 +14,7 @@
 import anyio
 import attrs
 
+from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import engine_law
 from cardamomfork._internal.gateway import placement
 
@@ -56,7 +57,7 @@
         decided: Set with the answer.
     """
 
-    demand: placement.Demand
+    demand: demands.Demand
     priority: int
     since: float
     answer: placement.Placement | Refusal | None = None
@@ -67,7 +68,7 @@
         """Sorts by rank, then by the time at which it becomes late."""
         return (self.priority, self.since + self.demand.objective_left_s)
 
-    def demand_at(self, now: float) -> placement.Demand:
+    def demand_at(self, now: float) -> demands.Demand:
         """Returns the demand with the times left now."""
         waited = now - self.since
         return attrs.evolve(
@@ -83,7 +84,7 @@
     def __init__(
         self,
         placer: placement.Placer,
-        commit: Callable[[placement.Demand, placement.Placement, float], None],
+        commit: Callable[[demands.Demand, placement.Placement, float], None],
         clock: Callable[[], float],
         source: random.Random,
     ) -> None:
@@ -107,7 +108,7 @@
         return len(self._waiting)
 
     async def acquire(
-        self, demand: placement.Demand, priority: int
+        self, demand: demands.Demand, priority: int
     ) -> placement.Placement | Refusal:
         """Returns a place, after a wait if need be, or a refusal at once."""
         waiter = _Waiter(demand, priority, self._clock())
@@ -158,7 +159,7 @@
         return Refusal(reason, after * spread)
 
 
-def _least_service_s(demand: placement.Demand) -> float:
+def _least_service_s(demand: demands.Demand) -> float:
     """Returns the time that the request takes at an idle target."""
     law = demand.service.law
     if law is None:
--- a/tests/lib/gateway_parts.py
+++ b/tests/lib/gateway_parts.py
@@ -3,6 +3,7 @@
 import math
 import random
 
+from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import load_view
 from cardamomfork._internal.gateway import placement
 from cardamomfork._internal.gateway import target_table
@@ -99,7 +100,7 @@
         "objective_left_s": 0.3,
         "time_left_s": 10.0,
     }
-    return placement.Demand(**(fields | changes))
+    return demands.Demand(**(fields | changes))
 
 
 class Fleet:
@@ -124,7 +125,7 @@
             "prompt_tokens": tokens,
             "output_tokens": 1500,
             "max_gap_s": GAP_S,
-            "value": placement.value_of(tokens),
+            "value": demands.value_of(tokens),
             "placed_at": 0.0,
             "reads_until": 0.0,
             "is_writing": writing,
--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -12,7 +12,7 @@
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import event_stream
 from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import peers
+from cardamomfork._internal.gateway import peer_table
 from cardamomfork._internal.gateway import poison_guard
 from cardamomfork._internal.gateway import retry_share
 from cardamomfork._internal.gateway import routes
@@ -250,7 +250,7 @@
 class PeerTableTest(unittest.TestCase):
     def setUp(self):
         self.clock = gateway_parts.Clock()
-        self.table = peers.PeerTable(
+        self.table = peer_table.PeerTable(
             digest_codec.Peer("one", "a", "127.0.0.1", 7000), self.clock
         )
 
@@ -275,7 +275,7 @@
         names = [f"i{number}" for number in range(6)]
         delegates = []
         for name in names:
-            table = peers.PeerTable(
+            table = peer_table.PeerTable(
                 digest_codec.Peer(name, "a", "127.0.0.1", 7000), self.clock
             )
             for other in names:
