Bound what callers can make an instance hold

Cause: bodies of 1,500 requests could pass the memory of a machine, connections its descriptors; jobs were named by callers' request ids, which need not be unique. Change: bodies take a quarter of the memory at most, more is refused as not run; callers' connections leave 1,000 descriptors; jobs are numbered.

--- a/src/cardamomfork/_internal/gateway/application.py
+++ b/src/cardamomfork/_internal/gateway/application.py
@@ -35,7 +35,9 @@
     Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 MAX_IN_PROGRESS = 1500
-"""Requests at once; with their bodies they stay well under the memory."""
+"""Requests at once."""
+BODIES_SHARE = 0.25
+"""Part of the process's memory that bodies of requests may take."""
 RETRY_AFTER_OVERLOAD_S = 1.0
 RETRY_AFTER_START_S = 0.5
 """Time to come back while the instance has no configuration yet."""
@@ -132,8 +134,20 @@
         metrics: traffic_metrics.TrafficMetrics,
         clock: Callable[[], float],
         source: random.Random,
+        memory_bytes: int,
     ) -> None:
-        """Takes the parts of the request path."""
+        """Takes the parts of the request path.
+
+        Args:
+            wire: Names and formats of the platform.
+            state: Configuration and targets.
+            forwarder: Serves requests.
+            stop: Whether the process is stopping.
+            metrics: Counts requests.
+            clock: Monotonic time.
+            source: Picks among the services of a route that is split.
+            memory_bytes: Memory that the process may use.
+        """
         self._wire = wire
         self._state = state
         self._forwarder = forwarder
@@ -141,7 +155,9 @@
         self._metrics = metrics
         self._clock = clock
         self._source = source
+        self._max_body_bytes = int(memory_bytes * BODIES_SHARE)
         self._in_progress = 0
+        self._body_bytes = 0
 
     @property
     def in_progress(self) -> int:
@@ -168,28 +184,50 @@
             self._metrics.rejected(final.status)
             await sink.answer(final)
             return
-        body = await self._read_body(receive)
-        if isinstance(body, _Bodyless):
-            if body.final is not None:
+        body = bytearray()
+        self._in_progress += 1
+        try:
+            unread = await self._read_body(receive, body)
+            if unread is None:
+                exchange = self._make_exchange(
+                    request, matched.ok_value, bytes(body), sink, arrived_at
+                )
+                await self._serve(exchange, receive, sink)
+            elif unread.final is not None:
                 log.rejected(
-                    body.final.reason, body.final.status, self._version()
+                    unread.final.reason, unread.final.status, self._version()
                 )
-                await sink.answer(body.final, close=True)
-            return
-        exchange = forwarding.Exchange(
+                await sink.answer(unread.final, close=True)
+        finally:
+            self._in_progress -= 1
+            self._body_bytes -= len(body)
+
+    def _make_exchange(
+        self,
+        request: forwarding_models.CallerRequest,
+        match: routes.Match,
+        body: bytes,
+        sink: _Sink,
+        arrived_at: float,
+    ) -> forwarding.Exchange:
+        """Returns a request that has been read, on its way.
+
+        Args:
+            request: Its head.
+            match: What the configuration says about it.
+            body: Its body.
+            sink: Where the answer goes.
+            arrived_at: Monotonic time of its arrival.
+        """
+        return forwarding.Exchange(
             request=request,
             body=body,
-            match=matched.ok_value,
+            match=match,
             sink=sink,
             arrived_at=arrived_at,
             fingerprint=_fingerprint(request, body),
-            log=log,
+            log=request_log.RequestLog(request.request_id),
         )
-        self._in_progress += 1
-        try:
-            await self._serve(exchange, receive, sink)
-        finally:
-            self._in_progress -= 1
 
     def _match(
         self, request: forwarding_models.CallerRequest, scope: dict[str, Any]
@@ -233,24 +271,32 @@
             )
         return matched
 
-    async def _read_body(self, receive: Receive) -> bytes | _Bodyless:
-        """Reads a request's body."""
+    async def _read_body(
+        self, receive: Receive, body: bytearray
+    ) -> _Bodyless | None:
+        """Reads a request's body; returns why it stopped before the end."""
         table = self._state.routes
         most = table.configuration.limits.max_body_bytes if table else 0
-        parts = []
-        size = 0
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 return _Bodyless(None)
-            parts.append(message["body"])
-            size += len(message["body"])
-            if size > most:
+            body += message["body"]
+            self._body_bytes += len(message["body"])
+            if len(body) > most:
                 return _Bodyless(
                     forwarding.FinalAnswer(TOO_LARGE, "body too large")
                 )
+            if self._body_bytes > self._max_body_bytes:
+                return _Bodyless(
+                    forwarding.FinalAnswer(
+                        UNAVAILABLE,
+                        "too much to hold here",
+                        RETRY_AFTER_OVERLOAD_S,
+                    )
+                )
             if not message["more_body"]:
-                return b"".join(parts)
+                return None
 
     async def _serve(
         self, exchange: forwarding.Exchange, receive: Receive, sink: _Sink
--- a/src/cardamomfork/_internal/gateway/demands.py
+++ b/src/cardamomfork/_internal/gateway/demands.py
@@ -38,7 +38,7 @@
     """A request that needs a target.
 
     Attributes:
-        job_id: Unique among all instances.
+        job_id: Unique among the jobs of this instance.
         service: The service that it goes to.
         prompt_tokens: Length of its prompt; 0 for a plain service.
         output_tokens: Tokens expected in its answer.
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import TYPE_CHECKING
 
@@ -149,6 +150,8 @@
         self._reserver = reserver
         self._clock = clock
         self._on_change = on_change
+        # Callers' ids need not be unique.
+        self._job_numbers = itertools.count()
 
     async def forward(self, exchange: Exchange) -> FinalAnswer | None:
         """Serves a request.
@@ -193,7 +196,7 @@
             output = max(output - written, law.stride_steps)
         late_at = exchange.arrived_at + route.objective_s
         return demands.Demand(
-            job_id=f"{exchange.request.request_id}/{exchange.arrivals}",
+            job_id=str(next(self._job_numbers)),
             service=exchange.match.service,
             prompt_tokens=size.prompt_tokens,
             output_tokens=output,
--- a/src/cardamomfork/_internal/gateway/load_view.py
+++ b/src/cardamomfork/_internal/gateway/load_view.py
@@ -31,7 +31,7 @@
     """A request that has been sent to a target.
 
     Attributes:
-        job_id: Unique among all instances.
+        job_id: Unique among the jobs of its instance.
         target_id: Where it runs.
         parts: What other targets do for it.
         prompt_tokens: Length of its prompt.
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -47,6 +47,9 @@
 
 HOUSEKEEPING_S = 0.25
 RELOAD_S = 5.0
+OTHER_FILES = 1000
+"""Descriptors for targets, peers, the store and files."""
+MIN_CALLERS = 200
 CONFIGURATION_GATHER_S = 0.5
 TARGETS_GATHER_S = 0.8
 """Times in which changes are gathered; far under the bounds of seconds in
@@ -148,6 +151,7 @@
             self._make_metrics(),
             clock,
             self._source,
+            settings.memory_bytes,
         )
 
     async def run(self) -> None:
@@ -157,6 +161,7 @@
             self._settings.host,
             self._settings.caller_port,
             caller_protocol.make_protocol(self._limits),
+            max(self._settings.max_files - OTHER_FILES, MIN_CALLERS),
         )
         readiness = self._make_server(
             application.ReadinessApplication(
@@ -369,8 +374,9 @@
         host: str,
         port: int,
         protocol: type | str = "httptools",
+        max_connections: int | None = None,
     ) -> http_server.HttpServer:
         """Binds a server."""
         return http_server.HttpServer(
-            served, http_server.bind(host, port), protocol
+            served, http_server.bind(host, port), protocol, max_connections
         )
