Drop what nothing reads; log a failed read of peers' entries

Cause: read once more as a newcomer: TargetTable.mark_leaving and Job.placed_at had no reader, a request's log was made twice, and the read of peers' entries could fail without a line. Change: the two are gone, the exchange takes the log that is there, and the failure is logged. Nothing else behaves differently; no assertion changed.

--- a/src/cardamomfork/_internal/gateway/application.py
+++ b/src/cardamomfork/_internal/gateway/application.py
@@ -189,8 +189,14 @@
         try:
             unread = await self._read_body(receive, body)
             if unread is None:
-                exchange = self._make_exchange(
-                    request, matched.ok_value, bytes(body), sink, arrived_at
+                exchange = forwarding.Exchange(
+                    request=request,
+                    body=bytes(body),
+                    match=matched.ok_value,
+                    sink=sink,
+                    arrived_at=arrived_at,
+                    fingerprint=_fingerprint(request, body),
+                    log=log,
                 )
                 await self._serve(exchange, receive, sink)
             elif unread.final is not None:
@@ -202,33 +208,6 @@
             self._in_progress -= 1
             self._body_bytes -= len(body)
 
-    def _make_exchange(
-        self,
-        request: forwarding_models.CallerRequest,
-        match: routes.Match,
-        body: bytes,
-        sink: _Sink,
-        arrived_at: float,
-    ) -> forwarding.Exchange:
-        """Returns a request that has been read, on its way.
-
-        Args:
-            request: Its head.
-            match: What the configuration says about it.
-            body: Its body.
-            sink: Where the answer goes.
-            arrived_at: Monotonic time of its arrival.
-        """
-        return forwarding.Exchange(
-            request=request,
-            body=body,
-            match=match,
-            sink=sink,
-            arrived_at=arrived_at,
-            fingerprint=_fingerprint(request, body),
-            log=request_log.RequestLog(request.request_id),
-        )
-
     def _match(
         self, request: forwarding_models.CallerRequest, scope: dict[str, Any]
     ) -> result.Result[routes.Match, forwarding.FinalAnswer]:
@@ -390,7 +369,9 @@
     await send({"type": "http.response.body", "body": body})
 
 
-def _fingerprint(request: forwarding_models.CallerRequest, body: bytes) -> int:
+def _fingerprint(
+    request: forwarding_models.CallerRequest, body: bytes | bytearray
+) -> int:
     """Tells requests with the same path, caller and body."""
     digest = xxhash.xxh3_64(request.target)
     digest.update(request.api_key.encode("latin-1"))
--- a/src/cardamomfork/_internal/gateway/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/digest_codec.py
@@ -174,7 +174,6 @@
         output_tokens=message.outputTokens,
         max_gap_s=message.maxGapMs / MS_PER_S or math.inf,
         value=demands.value_of(message.promptTokens),
-        placed_at=now,
         reads_until=now + message.readingLeftMs / MS_PER_S,
         late_at=now + message.lateInMs / MS_PER_S,
         is_writing=message.isWriting,
--- a/src/cardamomfork/_internal/gateway/load_view.py
+++ b/src/cardamomfork/_internal/gateway/load_view.py
@@ -38,7 +38,6 @@
         output_tokens: Tokens expected in its answer.
         max_gap_s: Longest pause between events that is on time.
         value: What it is worth beside others.
-        placed_at: Monotonic time at which it was sent.
         reads_until: Predicted end of reading.
         late_at: Time after which its first token is late.
         is_writing: Whether its answer has begun.
@@ -52,7 +51,6 @@
     output_tokens: int
     max_gap_s: float
     value: float
-    placed_at: float
     reads_until: float
     late_at: float = math.inf
     is_writing: bool = False
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -243,7 +243,6 @@
                 output_tokens=demand.output_tokens,
                 max_gap_s=demand.max_gap_s,
                 value=demand.value,
-                placed_at=now,
                 reads_until=now + place.reading_s,
                 late_at=now + demand.objective_left_s,
                 ends_at=now + place.first_token_s + writing,
--- a/src/cardamomfork/_internal/gateway/registration.py
+++ b/src/cardamomfork/_internal/gateway/registration.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from loguru import logger
 import msgspec
 import result
 
@@ -55,6 +56,12 @@
             if isinstance(scanned, result.Ok):
                 table.read(scanned.ok_value.entries)
                 read_at = now
+            else:
+                logger.warning(
+                    "entries of peers not read",
+                    reason=f"{scanned.err_value.kind}"
+                    f" {scanned.err_value.detail}",
+                )
         known = lease is not None and read_at is not None
         await anyio.sleep(RENEW_S if known else RETRY_S)
 
--- a/src/cardamomfork/_internal/gateway/target_table.py
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -185,12 +185,6 @@
             if target.vanished_at is not None:
                 target.vanished_at = now
 
-    def mark_leaving(self, target_id: str) -> None:
-        """Notes that a target has said that it takes no new work."""
-        target = self._targets.get(target_id)
-        if target is not None:
-            target.record = attrs.evolve(target.record, is_leaving=True)
-
     def observe(self, target_id: str, sign: Sign, now: float) -> bool:
         """Takes what an attempt showed; returns whether the target pauses."""
         target = self._targets.get(target_id)
--- a/tests/lib/gateway_load.py
+++ b/tests/lib/gateway_load.py
@@ -181,7 +181,6 @@
                 demand.output_tokens,
                 kind.max_gap_s,
                 demand.value,
-                now,
                 reads_until=now + place.reading_s,
                 late_at=now + demand.objective_left_s,
                 ends_at=now + place.first_token_s + 2.0,
--- a/tests/lib/gateway_parts.py
+++ b/tests/lib/gateway_parts.py
@@ -126,7 +126,6 @@
             "output_tokens": 1500,
             "max_gap_s": GAP_S,
             "value": demands.value_of(tokens),
-            "placed_at": 0.0,
             "reads_until": 0.0,
             "is_writing": writing,
             "ends_at": math.inf,
--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -226,7 +226,6 @@
             800,
             math.inf,
             1.0,
-            0.0,
             reads_until=101.5,
             late_at=103.0,
             ends_at=104.0,
