Take back a place that a leaving caller got

Cause: a place may be given to a waiting request between the cancellation of its task and that task's next turn. `acquire` then ended without a word, and the job stayed in the load view and in the digests to peers for good.

Ruled out: a place given before the cancellation. `acquire` returns it then, and the forwarder gives it back.

--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -176,8 +176,7 @@
             try:
                 ending = await self._attempt(exchange, demand, place)
             finally:
-                self._load.end(demand.job_id)
-                self._on_change()
+                self._scheduler.release(demand.job_id)
             if isinstance(ending, outcomes.Delivered):
                 return None
             final = self._after_failure(exchange, ending)
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -105,6 +105,7 @@
                 lambda: self._peers.count,
             ),
             self._commit,
+            self._withdraw,
             clock,
             self._source,
         )
@@ -250,6 +251,11 @@
         )
         self._peer_links.notify(is_urgent=True)
 
+    def _withdraw(self, job_id: str) -> None:
+        """Frees the place of a job."""
+        self._load.end(job_id)
+        self._peer_links.notify()
+
     def _on_change(self) -> None:
         """Takes a change of what runs here."""
         self._peer_links.notify()
--- a/src/cardamomfork/_internal/gateway/scheduling.py
+++ b/src/cardamomfork/_internal/gateway/scheduling.py
@@ -85,6 +85,7 @@
         self,
         placer: placement.Placer,
         commit: Callable[[demands.Demand, placement.Placement, float], None],
+        withdraw: Callable[[str], None],
         clock: Callable[[], float],
         source: random.Random,
     ) -> None:
@@ -93,11 +94,13 @@
         Args:
             placer: Chooses places.
             commit: Called with each place given, before the next choice.
+            withdraw: Called with the id of each job whose place is free again.
             clock: Monotonic time.
             source: Spreads the times to come back.
         """
         self._placer = placer
         self._commit = commit
+        self._withdraw = withdraw
         self._clock = clock
         self._source = source
         self._waiting: list[_Waiter] = []
@@ -124,11 +127,21 @@
                     await waiter.decided.wait()
                 if waiter.answer is None:
                     self.pump()
+        except anyio.get_cancelled_exc_class():
+            # A place may be given between the cancellation and this turn.
+            if isinstance(waiter.answer, placement.Placement):
+                self.release(demand.job_id)
+            raise
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
         return waiter.answer
 
+    def release(self, job_id: str) -> None:
+        """Takes back the place of a job that has ended, and gives it on."""
+        self._withdraw(job_id)
+        self.pump()
+
     def pump(self) -> None:
         """Gives places to those that wait, in order."""
         now = self._clock()
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -74,6 +74,7 @@
             scheduling.Scheduler(
                 self.parts.placer,
                 lambda *_: None,
+                self.parts.load.end,
                 time.monotonic,
                 random.Random(1),
             ),
--- /dev/null
+++ b/tests/unit/test_gateway_scheduling.py
@@ -0,0 +1,104 @@
+"""Waiting requests get places, and places never get lost."""
+
+import contextlib
+import random
+import unittest
+
+import anyio
+
+from cardamomfork._internal.gateway import placement
+from cardamomfork._internal.gateway import scheduling
+from tests.lib import gateway_parts
+
+TOKENS = 5000
+TEST_LIMIT_S = 2.0
+
+
+class Site:
+    """One engine with one place, and the scheduler in front of it."""
+
+    def __init__(self):
+        self.clock = gateway_parts.Clock()
+        self.fleet = gateway_parts.Fleet(engines=0)
+        self.fleet.table.put(gateway_parts.make_record(0, slots=1))
+        self.scheduler = scheduling.Scheduler(
+            self.fleet.placer,
+            self.commit,
+            self.fleet.load.end,
+            self.clock,
+            random.Random(1),
+        )
+
+    def commit(self, demand, place, now):
+        """Notes the request where it runs."""
+        self.fleet.run(
+            place.target.record.target_id, demand.job_id, ends_at=now + 1.0
+        )
+
+    async def acquire(self, job_id, answers):
+        """Asks for a place and notes the answer."""
+        answers[job_id] = await self.scheduler.acquire(
+            gateway_parts.make_demand(TOKENS, job_id=job_id), 1
+        )
+
+    @property
+    def jobs(self):
+        return [job.job_id for job in self.fleet.load.own_jobs]
+
+
+@contextlib.asynccontextmanager
+async def limited_tasks():
+    """Runs tasks for no longer than the limit."""
+    with anyio.fail_after(TEST_LIMIT_S):
+        async with anyio.create_task_group() as tasks:
+            yield tasks
+
+
+class SchedulerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_released_place_goes_to_the_one_that_waits(self):
+        site = Site()
+        answers = {}
+        await site.acquire("first", answers)
+        async with limited_tasks() as tasks:
+            tasks.start_soon(site.acquire, "second", answers)
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(site.scheduler.waiting, 1)
+            site.scheduler.release("first")
+        self.assertIsInstance(answers["second"], placement.Placement)
+        self.assertEqual(site.jobs, ["second"])
+
+    async def test_place_given_to_a_caller_that_has_left_comes_back(self):
+        site = Site()
+        answers = {}
+        await site.acquire("first", answers)
+        async with limited_tasks() as tasks:
+            await self._leave_at_release(site, answers, tasks)
+        self.assertEqual(site.scheduler.waiting, 0)
+        self.assertEqual(site.jobs, [])
+
+    async def test_place_given_back_goes_to_the_next(self):
+        site = Site()
+        answers = {}
+        await site.acquire("first", answers)
+        async with limited_tasks() as tasks:
+            await self._leave_at_release(site, answers, tasks, "third")
+        self.assertIsInstance(answers["third"], placement.Placement)
+        self.assertEqual(site.jobs, ["third"])
+
+    async def _leave_at_release(self, site, answers, tasks, *later):
+        """Frees a place between a caller's leaving and its task's next turn."""
+        scope = anyio.CancelScope()
+
+        async def wait_second():
+            with scope:
+                await site.acquire("second", answers)
+
+        tasks.start_soon(wait_second)
+        await anyio.wait_all_tasks_blocked()
+        for job_id in later:
+            site.clock.now += 0.01
+            tasks.start_soon(site.acquire, job_id, answers)
+        await anyio.wait_all_tasks_blocked()
+        scope.cancel()
+        site.scheduler.release("first")
+        self.assertEqual(site.jobs, ["second"])
