Work out each place's cost once a choice

Cause: the cost beside others was worked out up to three times for one engine and number of parts, with other noise each time, and the number of instances was counted anew for each term, a list over all peers.

`PlaceCosts` now belongs to one choice, and the choice keeps each engine's cost. The load model's engines ended jobs that were seen after their end; they no longer do.

Trial, not kept: telling peers of short prompts late, to save digests.

--- a/src/cardamomfork/_internal/gateway/place_costs.py
+++ b/src/cardamomfork/_internal/gateway/place_costs.py
@@ -13,7 +13,6 @@
 from cardamomfork._internal.gateway import engine_law
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     import random
 
     from cardamomfork._internal.gateway import demands
@@ -46,6 +45,7 @@
 """Random cost that keeps instances from all choosing the same target: of one
 instance alone, and among many."""
 CROWDED_INSTANCES = 60
+"""Instances from which on they count as many."""
 CROWDING_COST = 0.4
 CROWDING_MARGIN = 0.5
 """Cost of the last place of a target where so many instances choose that
@@ -59,24 +59,21 @@
 
 
 class PlaceCosts:
-    """Costs of places, as one instance sees them."""
+    """Costs of places for one choice, as one instance sees them."""
 
     def __init__(
-        self,
-        data_centre: str,
-        source: random.Random,
-        count_instances: Callable[[], int],
+        self, data_centre: str, source: random.Random, instances: int
     ) -> None:
         """Takes what costs depend on beside the load.
 
         Args:
             data_centre: Where this instance runs.
             source: Randomness.
-            count_instances: Returns how many instances place requests.
+            instances: How many instances place requests.
         """
         self._data_centre = data_centre
         self._source = source
-        self._count_instances = count_instances
+        self._crowd = min(instances / CROWDED_INSTANCES, 1.0)
 
     def own_loss(self, demand: demands.Demand, first_token_s: float) -> float:
         """Returns what the request loses by its first token's time."""
@@ -107,7 +104,7 @@
         cost += _order_cost(law, demand, candidate)
         if not load.writers:
             if not load.running and demand.max_gap_s < math.inf:
-                cost += EMPTY_TARGET_COST * (1.0 - self._crowd()) ** 2
+                cost += EMPTY_TARGET_COST * (1.0 - self._crowd) ** 2
             return cost
         contexts = [writer.context_tokens for writer in load.writers]
         own_pass = candidate.pace * engine_law.pass_s(law, contexts)
@@ -136,17 +133,13 @@
 
     def noise(self) -> float:
         """Returns a random cost, larger among more instances."""
-        most = max(NOISE_COST, MAX_NOISE_COST * self._crowd())
+        most = max(NOISE_COST, MAX_NOISE_COST * self._crowd)
         return most * self._source.random()
 
-    def _crowd(self) -> float:
-        """Returns how many instances choose at once, 1 for many."""
-        return min(self._count_instances() / CROWDED_INSTANCES, 1.0)
-
     def crowding(self, candidate: demands.Candidate) -> float:
         """Returns the cost of places that others are about to take."""
         taken = (candidate.load.running + 1) / candidate.target.record.slots
-        return CROWDING_COST * self._crowd() * ramp(taken, CROWDING_MARGIN)
+        return CROWDING_COST * self._crowd * ramp(taken, CROWDING_MARGIN)
 
     def distance(self, candidate: demands.Candidate) -> float:
         """Returns the cost of another data centre."""
--- a/src/cardamomfork/_internal/gateway/placement.py
+++ b/src/cardamomfork/_internal/gateway/placement.py
@@ -108,9 +108,9 @@
         """
         self._table = table
         self._load = load
-        self._costs = place_costs.PlaceCosts(
-            data_centre, source, count_instances
-        )
+        self._data_centre = data_centre
+        self._source = source
+        self._count_instances = count_instances
 
     def choose(self, demand: demands.Demand, now: float) -> Placement | NoRoom:
         """Chooses a place, or says when there may be one."""
@@ -131,12 +131,20 @@
         ]
         if not candidates:
             return NoRoom("no target", NO_TARGET_S)
+        costs = place_costs.PlaceCosts(
+            self._data_centre, self._source, self._count_instances()
+        )
         if demand.service.law is None:
-            return self._choose_plain(candidates, now)
-        return self._choose_engine(demand, demand.service.law, candidates, now)
+            return self._choose_plain(costs, candidates, now)
+        return self._choose_engine(
+            costs, demand, demand.service.law, candidates, now
+        )
 
     def _choose_plain(
-        self, candidates: list[demands.Candidate], now: float
+        self,
+        costs: place_costs.PlaceCosts,
+        candidates: list[demands.Candidate],
+        now: float,
     ) -> Placement | NoRoom:
         """Chooses a target of a plain service: the least loaded one."""
         free = [
@@ -153,17 +161,21 @@
                 candidate.load.running / record.slots
                 + place_costs.FAILURE_COST * candidate.target.failure_share(now)
                 + (candidate.pace - 1.0)
-                + self._costs.distance(candidate)
-                + self._costs.noise()
-                + self._costs.crowding(candidate)
+                + costs.distance(candidate)
+                + costs.noise()
+                + costs.crowding(candidate)
             )
 
-        best = min(free, key=cost)
+        least, best = min(
+            ((cost(candidate), candidate) for candidate in free),
+            key=lambda pair: pair[0],
+        )
         expected = TYPICAL_CALL_S * best.pace
-        return Placement(best.target, (), expected, expected, cost(best))
+        return Placement(best.target, (), expected, expected, least)
 
     def _choose_engine(
         self,
+        costs: place_costs.PlaceCosts,
         demand: demands.Demand,
         law: fleet.EngineLaw,
         candidates: list[demands.Candidate],
@@ -187,7 +199,7 @@
             if parts > 1 and whole_s / parts < MIN_PART_S:
                 break
             found = self._place_in_parts(
-                demand, law, free, candidates, parts, now
+                costs, demand, law, free, candidates, parts, now
             )
             if found is not None and (best is None or found.cost < best.cost):
                 best = found
@@ -195,6 +207,7 @@
 
     def _place_in_parts(
         self,
+        costs: place_costs.PlaceCosts,
         demand: demands.Demand,
         law: fleet.EngineLaw,
         free: list[demands.Candidate],
@@ -204,11 +217,15 @@
     ) -> Placement | None:
         """Returns the best place for reading in so many parts, if any."""
         part_s = engine_law.reading_s(law, demand.prompt_tokens, parts)
+        beside = {
+            candidate.target_id: costs.beside(
+                demand, law, candidate, part_s, now
+            )
+            for candidate in candidates
+        }
 
         def place_cost(candidate: demands.Candidate) -> float:
-            return self._costs.beside(
-                demand, law, candidate, part_s, now
-            ) + self._costs.own_loss(
+            return beside[candidate.target_id] + costs.own_loss(
                 demand, _first_token_s(law, candidate, part_s, demand)
             )
 
@@ -239,9 +256,8 @@
         reserved = _share_out(law, size, first, helpers)
         if reserved is None:
             return None
-        cost = self._costs.own_loss(demand, first_token) + sum(
-            self._costs.beside(demand, law, candidate, part_s, now)
-            for candidate in (first, *helpers)
+        cost = costs.own_loss(demand, first_token) + sum(
+            beside[candidate.target_id] for candidate in (first, *helpers)
         )
         cost += RESERVATION_COST * sum(1 for tokens in reserved if tokens)
         return Placement(
--- a/tests/lib/gateway_load.py
+++ b/tests/lib/gateway_load.py
@@ -120,6 +120,7 @@
         self._view_s = view_s
         self.engines = {f"t{number}": Engine() for number in range(engines)}
         self.done = []
+        self._by_name = {}
         self._place = place
         self._source = random.Random(seed)
         self._queue = []
@@ -151,6 +152,7 @@
         name = f"r{len(self.done)}"
         request = Request(name, kind, tokens, now, events_left=kind.events)
         self.done.append(request)
+        self._by_name[name] = request
         self._try(now, request)
 
     def _try(self, now, request):
@@ -198,7 +200,12 @@
 
     def _see(self, now, job):
         del now
+        request = self._by_name[job.job_id]
+        if request.is_whole:
+            return
         self.fleet.load.start(job)
+        if request.first_at < math.inf:
+            self.fleet.load.mark_writing(job.job_id, request.first_at)
 
     def _start(self, now, engine):
         if not engine.is_busy and (engine.reads or engine.writers):
