Take overdue reading for what it is: held up

Cause: a job whose first token was overdue counted as 20 ms of reading, however long it had been overdue, and digests told peers that it was due now. An engine that is held up (a participant of a joint read is gone, or the engine stalls) so looked idle, and short prompts and parts of long ones went there.

Ruled out: lost or late digests. A trial with the sender's time in each digest found none lost between live instances and none later than 53 ms.

Reading that is overdue for over 0.2 s now counts as lasting for as long again, and digests carry how long it is overdue.

--- a/src/cardamomfork/_internal/gateway/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/digest_codec.py
@@ -17,7 +17,7 @@
 from cardamomfork._internal.gateway import poison_guard
 
 MS_PER_S = 1000.0
-MAX_MS = 2**31
+MAX_MS = 2**31 - 1
 _PATH = pathlib.Path(__file__).with_name("digests.capnp")
 
 
@@ -155,7 +155,7 @@
     message.outputTokens = job.output_tokens
     gap = 0.0 if math.isinf(job.max_gap_s) else job.max_gap_s
     message.maxGapMs = round(gap * MS_PER_S)
-    message.readingLeftMs = _to_ms(job.reads_until - now)
+    message.readingLeftMs = _to_signed_ms(job.reads_until - now)
     message.endsInMs = _to_ms(job.ends_at - now)
     message.isWriting = job.is_writing
     message.lateInMs = _to_ms(job.late_at - now)
@@ -183,4 +183,9 @@
 
 def _to_ms(seconds: float) -> int:
     """Returns a duration in milliseconds, never below 0."""
-    return int(min(max(seconds * MS_PER_S, 0.0), MAX_MS))
+    return max(_to_signed_ms(seconds), 0)
+
+
+def _to_signed_ms(seconds: float) -> int:
+    """Returns a duration in milliseconds, within bounds."""
+    return int(min(max(seconds * MS_PER_S, -MAX_MS), MAX_MS))
--- a/src/cardamomfork/_internal/gateway/digests.capnp
+++ b/src/cardamomfork/_internal/gateway/digests.capnp
@@ -22,7 +22,7 @@
   promptTokens @2 :UInt32;
   outputTokens @3 :UInt32;
   maxGapMs @4 :UInt32;  # 0: any pause is on time.
-  readingLeftMs @5 :UInt32;
+  readingLeftMs @5 :Int32;  # Below 0: it is overdue for so long.
   endsInMs @6 :UInt32;
   isWriting @7 :Bool;
   lateInMs @8 :UInt32;  # 0: its first token is late, or there is none.
--- a/src/cardamomfork/_internal/gateway/load_view.py
+++ b/src/cardamomfork/_internal/gateway/load_view.py
@@ -7,7 +7,10 @@
 import attrs
 
 MIN_READING_LEFT_S = 0.02
-"""Reading that is overdue counts as this much still to do."""
+"""Reading that has just become overdue counts as this much still to do."""
+OVERDUE_GRACE_S = 0.2
+"""Time in which peers are told that an answer has begun. Reading that is
+overdue for longer was mispredicted, and counts as lasting for as long again."""
 MAX_JOBS_OF_PEER = 4096
 STALE_PEER_S = 3.0
 """Placements of an instance that is silent for longer don't count."""
@@ -197,8 +200,7 @@
                 None,
             )
             if not job.is_writing:
-                left = max(job.reads_until - now, MIN_READING_LEFT_S)
-                reading_left = max(reading_left, left)
+                reading_left = max(reading_left, _reading_left_s(job, now))
                 slack = job.late_at - max(job.reads_until, now)
                 readers.append(Reader(slack, job.value))
             if part is not None:
@@ -232,3 +234,9 @@
             jobs.pop(job.job_id, None)
             if not jobs:
                 self._by_target.pop(target_id, None)
+
+
+def _reading_left_s(job: Job, now: float) -> float:
+    """Returns the time until a job's prompt is likely read."""
+    left = job.reads_until - now
+    return max(left, -left - OVERDUE_GRACE_S, MIN_READING_LEFT_S)
--- a/tests/lib/gateway_load.py
+++ b/tests/lib/gateway_load.py
@@ -80,6 +80,7 @@
         self.reads = collections.deque()
         self.writers = []
         self.is_busy = False
+        self.stalled_until = 0.0
 
     def begin(self):
         """Begins a pass; returns its length and what has been read in it."""
@@ -207,11 +208,22 @@
         if request.first_at < math.inf:
             self.fleet.load.mark_writing(job.job_id, request.first_at)
 
+    def stall(self, at, names, seconds):
+        """Lets engines stand still for a while."""
+        for name in names:
+            self._at(at, self._stall, (self.engines[name], at + seconds))
+
+    def _stall(self, now, stalled):
+        del now
+        engine, until = stalled
+        engine.stalled_until = until
+
     def _start(self, now, engine):
         if not engine.is_busy and (engine.reads or engine.writers):
             engine.is_busy = True
             length, read = engine.begin()
-            self._at(now + length, self._pass_over, (engine, read))
+            begins_at = max(now, engine.stalled_until)
+            self._at(begins_at + length, self._pass_over, (engine, read))
 
     def _pass_over(self, now, passed):
         engine, read = passed
--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -240,6 +240,14 @@
         self.assertAlmostEqual(read.late_at, 53.0)
         self.assertTrue(math.isinf(read.max_gap_s))
 
+    def test_overdue_reading_stays_overdue_at_a_peer(self):
+        job = load_view.Job(
+            "two#0", "t1", (), 154_000, 800, 1.0, 1.0, reads_until=98.5
+        )
+        data = digest_codec.encode(make_digest(jobs=(job,)), 100.0)
+        (read,) = digest_codec.decode(data, 50.0).ok_value.jobs
+        self.assertAlmostEqual(read.reads_until, 48.5)
+
     @hypothesis.given(strategies.binary(max_size=300))
     def test_any_bytes_are_decoded_or_refused(self, data):
         found = digest_codec.decode(data, 1.0)
--- a/tests/unit/test_gateway_placement.py
+++ b/tests/unit/test_gateway_placement.py
@@ -67,6 +67,19 @@
         place = self.choose(gateway_parts.make_demand())
         self.assertNotEqual(place.target.record.target_id, "t0")
 
+    def test_short_prompt_avoids_an_engine_whose_reading_is_overdue(self):
+        # Something holds the engine up; it won't be free in a moment.
+        self.fleet.run("t0", "audit", 154_000, writing=False, reads_until=9.0)
+        load = self.fleet.load.load("t0", 10.0)
+        self.assertGreaterEqual(load.reading_left_s, 0.5)
+        place = self.choose(gateway_parts.make_demand())
+        self.assertNotEqual(place.target.record.target_id, "t0")
+
+    def test_reading_that_ended_a_moment_ago_is_almost_over(self):
+        self.fleet.run("t0", "audit", 154_000, writing=False, reads_until=9.9)
+        load = self.fleet.load.load("t0", 10.0)
+        self.assertLess(load.reading_left_s, 0.05)
+
     def test_long_prompt_is_read_in_parts_to_meet_its_objective(self):
         place = self.choose(gateway_parts.make_demand(154_000, **AUDIT))
         self.assertGreaterEqual(len(place.helpers), 1)
