Refuse odd sizes, ids and protocols; fuzz what reads them

Fuzzing the decoders and the target's connection found, each reproduced by its test before the change:

- A caller's negative token count, or a huge one on a plain service's route, could not be encoded for peers.
The instance sent no digest while that request ran, so peers did not see what it placed.
- A deadline of `nan` or `inf`, a negative last event id and numbers with underscores were taken as they stood.
- An entry without an id, or with one that no header can hold, named a target; an account's name outside Latin-1 failed each of its requests.
- A target's 101 answer raised out of the connection's parser.
It ended safely, as a reset with a logged error; it now ends as malformed.

--- a/src/cardamomfork/_internal/gateway/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/target_connection.py
@@ -192,7 +192,11 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            # Nobody has asked for another protocol.
             self._is_reusable = False
             self._finish(Broken(Fault.MALFORMED, str(error)))
 
--- /dev/null
+++ b/src/cardamomfork/_internal/measure/engine_play.py
@@ -0,0 +1,395 @@
+"""Plays loads on engines that follow their timing, in virtual time.
+
+A pass with writers has `stride_steps` steps, each with the reading of a chunk
+at most; without writers it is one step. Parts of a joint read go before an
+engine's other reads.
+"""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import math
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal.gateway import demands
+from cardamomfork._internal.gateway import engine_law
+from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway import placement
+from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.models import fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+SERVICE = "engines"
+DATA_CENTRE = "a"
+TIME_LIMIT_S = 10.0
+LEAST_LEFT_S = 0.1
+RETRY_S = 0.05
+"""Time after which a request without a place looks again."""
+MIN_TOKENS = 100
+MAX_TOKENS = 290_000
+TYPICAL_ANSWER_S = 2.0
+READ_OVERHEAD = 2
+"""Chunks' worth of reading time that a step may take; pairs cost extra."""
+MAX_SIZE_WORTH = 4.0
+"""A longer prompt is worth more, up to so many times its kind's worth."""
+
+
+@attrs.frozen
+class Kind:
+    """A kind of request, with what callers want of it.
+
+    Attributes:
+        name: Its name.
+        tokens: Mean length of its prompts.
+        spread: Standard deviation of the length over its mean.
+        events: Events of an answer.
+        objective_s: Time in which the first event is on time.
+        max_gap_s: Longest pause between events that is on time.
+        worth: Of a request of mean length.
+        per_s: Usual rate on `USUAL_ENGINES` engines.
+    """
+
+    name: str
+    tokens: float
+    spread: float
+    events: int
+    objective_s: float
+    max_gap_s: float
+    worth: float
+    per_s: float
+
+
+USUAL_ENGINES = 23
+KINDS = (
+    Kind("short", 4960, 0.9, 33, 0.3, 0.25, 1.3, 23.5),
+    Kind("medium", 45_000, 0.5, 20, 1.5, 0.6, 4.2, 1.2),
+    Kind("long", 154_000, 0.55, 16, 3.0, 1.0, 21.0, 0.72),
+)
+"""The kinds of the users' deployments, as their sheets give them."""
+
+
+@attrs.define(eq=False)
+class Request:
+    """A request, and what its caller has got.
+
+    Attributes:
+        name: Unique in its play.
+        kind: What it is.
+        tokens: Length of its prompt.
+        sent_at: Time at which it came.
+        parts_left: Parts of its prompt that are not read yet.
+        events_left: Events that are not written yet.
+        first_at: Time of its first event.
+        last_at: Time of its last event so far.
+        longest_gap_s: Longest pause between two events.
+        is_whole: Whether its answer has ended.
+    """
+
+    name: str
+    kind: Kind
+    tokens: int
+    sent_at: float
+    parts_left: int = 0
+    events_left: int = 0
+    first_at: float = math.inf
+    last_at: float = 0.0
+    longest_gap_s: float = 0.0
+    is_whole: bool = False
+
+    @property
+    def is_on_time(self) -> bool:
+        """Whether its caller got all of it in time."""
+        return (
+            self.is_whole
+            and self.first_at - self.sent_at <= self.kind.objective_s
+            and self.longest_gap_s <= self.kind.max_gap_s
+        )
+
+    @property
+    def worth(self) -> float:
+        """What it is worth on time."""
+        size = self.tokens / self.kind.tokens
+        return self.kind.worth * min(0.3 + 0.7 * size, MAX_SIZE_WORTH)
+
+    def take_event(self, now: float) -> None:
+        """Takes an event of its answer."""
+        if math.isinf(self.first_at):
+            self.first_at = now
+        else:
+            gap = now - self.last_at
+            self.longest_gap_s = max(self.longest_gap_s, gap)
+        self.last_at = now
+        self.events_left -= 1
+
+
+class Fleet:
+    """Targets, what is believed of their load, and the placer's choice."""
+
+    def __init__(
+        self, law: fleet.EngineLaw, engines: int, instances: int, seed: int
+    ) -> None:
+        """Starts idle."""
+        self.service = fleet.Service(SERVICE, 300, law)
+        self.table = target_table.TargetTable()
+        self.load = load_view.LoadView()
+        self.source = random.Random(seed)
+        self.placer = placement.Placer(
+            self.table,
+            self.load,
+            DATA_CENTRE,
+            self.source,
+            lambda: instances,
+        )
+        for number in range(engines):
+            self.table.put(
+                fleet.TargetRecord(
+                    target_id=f"t{number}",
+                    service=SERVICE,
+                    host="127.0.0.1",
+                    port=9000 + number,
+                    data_centre=DATA_CENTRE,
+                    slots=law.slots,
+                    is_leaving=False,
+                    started_at_ms=1,
+                )
+            )
+
+    def loads(
+        self, now: float
+    ) -> list[tuple[target_table.Target, load_view.TargetLoad]]:
+        """Returns the targets with what is believed of their load."""
+        return [
+            (target, self.load.load(target.record.target_id, now))
+            for target in self.table.list_service(SERVICE, now)
+        ]
+
+
+class Engine:
+    """One engine."""
+
+    def __init__(self, law: fleet.EngineLaw) -> None:
+        """Starts idle."""
+        self._law = law
+        self.reads: collections.deque[tuple[Any, float]] = collections.deque()
+        self.writers: list[Request] = []
+        self.is_busy = False
+        self.stalled_until = 0.0
+
+    def begin(self) -> tuple[float, list[Any]]:
+        """Begins a pass; returns its length and what has been read in it."""
+        law = self._law
+        contexts = [request.tokens for request in self.writers]
+        steps = law.stride_steps if contexts else 1
+        chunk = law.chunk_tokens / law.read_tokens_per_s
+        left = steps * READ_OVERHEAD * chunk
+        spent = 0.0
+        done = []
+        while self.reads and left > 0:
+            part, work = self.reads[0]
+            used = min(work, left)
+            left -= used
+            spent += used
+            if used < work:
+                self.reads[0] = (part, work - used)
+                break
+            self.reads.popleft()
+            done.append(part)
+        return engine_law.pass_s(law, contexts) + spent, done
+
+
+class Play:
+    """Plays a load with a policy that places each request."""
+
+    def __init__(
+        self,
+        law: fleet.EngineLaw,
+        engines: int,
+        place: Callable[..., placement.Placement | placement.NoRoom],
+        seed: int,
+        *,
+        instances: int = 1,
+        view_s: float = 0.0,
+    ) -> None:
+        """Starts idle.
+
+        Args:
+            law: The engines' timing.
+            engines: How many engines there are.
+            place: Places a request, given the fleet, a demand and the time.
+            seed: Of arrivals and sizes.
+            instances: How many instances place requests.
+            view_s: Time after which a placement is seen by the others.
+        """
+        self.fleet = Fleet(law, engines, instances, seed)
+        self.engines = {f"t{number}": Engine(law) for number in range(engines)}
+        self.done: list[Request] = []
+        self._law = law
+        self._view_s = view_s
+        self._place = place
+        self._by_name: dict[str, Request] = {}
+        self._source = random.Random(seed)
+        self._queue: list[tuple[float, int, Callable[..., None], Any]] = []
+        self._count = 0
+
+    def run(
+        self, seconds: float, factors: Mapping[str, float]
+    ) -> list[Request]:
+        """Plays so many seconds; returns the requests.
+
+        Args:
+            seconds: Time in which requests come.
+            factors: Rates of the kinds over their usual ones.
+        """
+        for kind in KINDS:
+            rate = kind.per_s * factors.get(kind.name, 1.0)
+            at = self._source.expovariate(rate)
+            while at < seconds:
+                self._at(at, self._arrive, kind)
+                at += self._source.expovariate(rate)
+        while self._queue:
+            now, _, call, argument = heapq.heappop(self._queue)
+            call(now, argument)
+        return self.done
+
+    def stall(self, at: float, names: Iterable[str], seconds: float) -> None:
+        """Lets engines stand still for a while."""
+        for name in names:
+            self._at(at, self._stall, (self.engines[name], at + seconds))
+
+    def _at(
+        self, when: float, call: Callable[..., None], argument: Any
+    ) -> None:
+        """Calls something at a time."""
+        self._count += 1
+        heapq.heappush(self._queue, (when, self._count, call, argument))
+
+    def _arrive(self, now: float, kind: Kind) -> None:
+        """Takes a new request."""
+        sigma = math.sqrt(math.log(1 + kind.spread**2))
+        tokens = kind.tokens * self._source.lognormvariate(
+            -(sigma**2) / 2, sigma
+        )
+        request = Request(
+            f"r{len(self.done)}",
+            kind,
+            int(min(max(tokens, MIN_TOKENS), MAX_TOKENS)),
+            now,
+            events_left=kind.events,
+        )
+        self.done.append(request)
+        self._by_name[request.name] = request
+        self._try(now, request)
+
+    def _try(self, now: float, request: Request) -> None:
+        """Gives a request a place, or lets it look again."""
+        kind = request.kind
+        waited = now - request.sent_at
+        demand = demands.Demand(
+            job_id=request.name,
+            service=self.fleet.service,
+            prompt_tokens=request.tokens,
+            output_tokens=kind.events * self._law.stride_steps,
+            max_gap_s=kind.max_gap_s,
+            objective_left_s=kind.objective_s - waited,
+            time_left_s=TIME_LIMIT_S - waited,
+        )
+        place = self._place(self.fleet, demand, now)
+        if isinstance(place, placement.NoRoom):
+            if demand.time_left_s > LEAST_LEFT_S:
+                self._at(now + RETRY_S, self._try, request)
+            return
+        helpers = [helper.target.record.target_id for helper in place.helpers]
+        first = place.target.record.target_id
+        job = load_view.Job(
+            request.name,
+            first,
+            tuple(load_view.Part(name) for name in helpers),
+            request.tokens,
+            demand.output_tokens,
+            kind.max_gap_s,
+            demand.value,
+            reads_until=now + place.reading_s,
+            late_at=now + demand.objective_left_s,
+            ends_at=now + place.first_token_s + TYPICAL_ANSWER_S,
+        )
+        self._at(now + self._view_s, self._see, job)
+        request.parts_left = 1 + len(helpers)
+        work = engine_law.reading_s(
+            self._law, request.tokens, request.parts_left
+        )
+        for name in (first, *helpers):
+            engine = self.engines[name]
+            if name == first:
+                engine.reads.append(((request, first), work))
+            else:
+                engine.reads.appendleft(((request, first), work))
+            self._start(now, engine)
+
+    def _see(self, now: float, job: load_view.Job) -> None:
+        """Shows a placement to all who place."""
+        del now
+        request = self._by_name[job.job_id]
+        if request.is_whole:
+            return
+        self.fleet.load.start(job)
+        if request.first_at < math.inf:
+            self.fleet.load.mark_writing(job.job_id, request.first_at)
+
+    def _stall(self, now: float, stalled: tuple[Engine, float]) -> None:
+        """Lets an engine stand still."""
+        del now
+        engine, until = stalled
+        engine.stalled_until = until
+
+    def _start(self, now: float, engine: Engine) -> None:
+        """Begins a pass if there is work and none is under way."""
+        if not engine.is_busy and (engine.reads or engine.writers):
+            engine.is_busy = True
+            length, read = engine.begin()
+            begins_at = max(now, engine.stalled_until)
+            self._at(begins_at + length, self._end_pass, (engine, read))
+
+    def _end_pass(
+        self, now: float, passed: tuple[Engine, list[tuple[Request, str]]]
+    ) -> None:
+        """Ends a pass: an event for each writer, and prompts read."""
+        engine, read = passed
+        for request in list(engine.writers):
+            request.take_event(now)
+            if request.events_left == 0:
+                engine.writers.remove(request)
+                request.is_whole = True
+                self.fleet.load.end(request.name)
+        for request, first in read:
+            request.parts_left -= 1
+            if request.parts_left == 0:
+                self.engines[first].writers.append(request)
+                self.fleet.load.mark_writing(request.name, now)
+                self._start(now, self.engines[first])
+        engine.is_busy = False
+        self._start(now, engine)
+
+
+def worth_on_time(
+    requests: Iterable[Request], name: str | None = None
+) -> float:
+    """Returns the share of worth that was served on time, by size.
+
+    Args:
+        requests: Those of a play.
+        name: Kind that is counted; None for all.
+    """
+    counted = [one for one in requests if name in (None, one.kind.name)]
+    owed = sum(request.worth for request in counted)
+    if not owed:
+        return math.nan
+    return sum(one.worth for one in counted if one.is_on_time) / owed
--- a/src/cardamomfork/_internal/platform/configuration_format.py
+++ b/src/cardamomfork/_internal/platform/configuration_format.py
@@ -116,7 +116,9 @@
     try:
         found = _decoder.decode(value)
         routes = tuple(_make_route(route) for route in found.routes)
-    except (msgspec.DecodeError, KeyError) as error:
+        for tenant in found.tenants:
+            _check_name(tenant.name)
+    except (msgspec.DecodeError, KeyError, ValueError) as error:
         return result.Err(f"malformed configuration: {error}")
     return result.Ok(
         fleet.FleetConfiguration(
@@ -146,6 +148,16 @@
     )
 
 
+def _check_name(name: str) -> None:
+    """Checks that a header can hold a name.
+
+    Raises:
+        ValueError: It can't.
+    """
+    if not name.isprintable():
+        raise ValueError(f"a name holds control characters: {name!r}")
+
+
 def _make_route(route: _Route) -> fleet.Route:
     """Returns a route in the project's terms."""
     shares = [fleet.Share(one.service, one.weight) for one in route.backends]
--- a/src/cardamomfork/_internal/platform/headers.py
+++ b/src/cardamomfork/_internal/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,8 @@
 
 READINESS_PATH = "/-/readyz"
 MS_PER_S = 1000.0
+MAX_TOKENS = 2**31 - 1
+"""Larger than any engine's memory, and fits into messages to peers."""
 
 _REQUEST_ID = b"x-cardamomfork-request-id"
 _TIME_LIMIT = b"x-cardamomfork-deadline-ms"  # A duration, not a point in time.
@@ -85,9 +88,9 @@
         lines.append(b"%b: %d" % (_LAST_EVENT_ID, last_event_id))
     left_ms = max(int(sending.time_left_s * MS_PER_S), 1)
     lines.append(b"%b: %d" % (_TIME_LIMIT, left_ms))
-    lines.append(_TARGET_ID + b": " + sending.target_id.encode("latin-1"))
+    lines.append(_TARGET_ID + b": " + sending.target_id.encode())
     if sending.account:
-        lines.append(_ACCOUNT + b": " + sending.account.encode("latin-1"))
+        lines.append(_ACCOUNT + b": " + sending.account.encode())
     if sending.priority is not None:
         lines.append(b"%b: %d" % (_PRIORITY, sending.priority))
     if sending.helpers:
@@ -143,18 +146,21 @@
 
 
 def _to_seconds(value: bytes | None) -> float | None:
-    """Returns milliseconds as seconds; None if there is no number."""
+    """Returns milliseconds as seconds; None if there is no such duration."""
     try:
-        return None if value is None else float(value) / MS_PER_S
+        seconds = float(value or b"") / MS_PER_S
     except ValueError:
         return None
+    return max(seconds, 0.0) if math.isfinite(seconds) else None
 
 
 def _to_int(value: bytes | None) -> int | None:
-    """Returns a whole number; None if there is none."""
+    """Returns a whole number; None unless there are digits alone."""
+    digits = (value or b"").strip()
     try:
-        return None if value is None else int(value)
+        return int(digits) if digits.isdigit() else None
     except ValueError:
+        # Python refuses numbers with thousands of digits.
         return None
 
 
@@ -162,10 +168,11 @@
     values: dict[bytes, bytes],
 ) -> forwarding.Generation | None:
     """Returns the size of a model request; None if it names none."""
-    prompt, _, output = values.get(_TOKEN_USAGE, b"").partition(b",")
-    try:
-        return forwarding.Generation(
-            int(prompt), int(output), _to_int(values.get(_OUTPUT_HINT))
-        )
-    except ValueError:
+    first, _, second = values.get(_TOKEN_USAGE, b"").partition(b",")
+    prompt, output = _to_int(first), _to_int(second)
+    if prompt is None or output is None:
         return None
+    hint = _to_int(values.get(_OUTPUT_HINT))
+    return forwarding.Generation(
+        min(prompt, MAX_TOKENS), min(output, MAX_TOKENS), hint
+    )
--- a/src/cardamomfork/_internal/platform/target_entries.py
+++ b/src/cardamomfork/_internal/platform/target_entries.py
@@ -36,6 +36,10 @@
 
 def decode(key: str, value: bytes) -> result.Result[fleet.TargetRecord, str]:
     """Decodes an entry; an error says why it names no target."""
+    target_id = key.removeprefix(PREFIX)
+    # The id goes into a header of each request to the target.
+    if not target_id.isascii() or not target_id.isprintable() or not target_id:
+        return result.Err(f"malformed id of a target: {target_id!r}")
     try:
         entry = _decoder.decode(value)
         host, port = node_settings.split_address(entry.address)
@@ -44,7 +48,7 @@
         return result.Err(f"malformed entry of a target: {error!r}")
     return result.Ok(
         fleet.TargetRecord(
-            target_id=key.removeprefix(PREFIX),
+            target_id=target_id,
             service=entry.service,
             host=host,
             port=port,
--- a/tests/lib/gateway_parts.py
+++ b/tests/lib/gateway_parts.py
@@ -7,22 +7,10 @@
 from cardamomfork._internal.gateway import load_view
 from cardamomfork._internal.gateway import placement
 from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.measure import placing
 from cardamomfork._internal.models import fleet
 
-LAW = fleet.EngineLaw(
-    slots=8,
-    memory_tokens=315_000,
-    step_s=0.00085,
-    sequence_step_s=8.5e-6,
-    context_step_s=2.85e-9,
-    read_tokens_per_s=177_000,
-    pair_s=0.184e-9,
-    chunk_tokens=2048,
-    stride_steps=51,
-    typical_prompt_tokens=11_000,
-    typical_output_tokens=1600,
-    hop_s=5e-5,
-)
+LAW = placing.LAW
 ENGINES = fleet.Service("engines", 300, LAW)
 PLAIN = fleet.Service("plain", 100)
 GAP_S = 0.25
--- a/tests/unit/test_gateway_load.py
+++ b/tests/unit/test_gateway_load.py
@@ -6,13 +6,16 @@
 
 import unittest
 
-from tests.lib import gateway_load
+from cardamomfork._internal.measure import engine_play
+from cardamomfork._internal.measure import placing
+from cardamomfork._internal.measure import reports
 
 ENGINES = 23
 SECONDS = 15.0
-SHORT_BURST = {"short": 2.5, "medium": 0.5, "long": 0.05}
-LONG_BURST = {"short": 0.35, "medium": 1.3, "long": 2.8}
-BOTH = {"short": 2.0, "medium": 1.3, "long": 2.0}
+LOADS = {load.name: load for load in placing.LOADS}
+SHORT_BURST = LOADS["short burst"].factors
+LONG_BURST = LOADS["long burst"].factors
+BOTH = LOADS["both"].factors
 MANY_ENGINES = 78
 MANY_INSTANCES = 86
 MANY_SECONDS = 6.0
@@ -26,21 +29,22 @@
 
 def play(place, factors, seed=1):
     """Plays a load; returns its requests."""
-    return gateway_load.Play(ENGINES, place, seed).run(SECONDS, factors)
+    made = engine_play.Play(placing.LAW, ENGINES, place, seed)
+    return made.run(SECONDS, factors)
 
 
 class HeavyLoadTest(unittest.TestCase):
     def check(self, factors, kinds):
-        ours = play(gateway_load.place_by_cost, factors)
-        plain = play(gateway_load.place_by_least_load, factors)
+        ours = play(placing.place_by_cost, factors)
+        plain = play(placing.place_by_least_load, factors)
         for name in kinds:
             with self.subTest(kind=name):
                 self.assertGreaterEqual(
-                    gateway_load.worth_on_time(ours, name), STATED_SHARE
+                    engine_play.worth_on_time(ours, name), STATED_SHARE
                 )
         self.assertGreater(
-            gateway_load.worth_on_time(ours),
-            gateway_load.worth_on_time(plain),
+            engine_play.worth_on_time(ours),
+            engine_play.worth_on_time(plain),
         )
 
     def test_short_prompts_stay_on_time_in_their_burst(self):
@@ -58,10 +62,11 @@
         grown = {kind: GROWTH * by for kind, by in SHORT_BURST.items()}
         served = {}
         for place in (
-            gateway_load.place_by_cost,
-            gateway_load.place_by_least_load,
+            placing.place_by_cost,
+            placing.place_by_least_load,
         ):
-            played = gateway_load.Play(
+            played = engine_play.Play(
+                placing.LAW,
                 MANY_ENGINES,
                 place,
                 1,
@@ -69,11 +74,48 @@
                 view_s=OLD_VIEW_S,
             )
             done = played.run(MANY_SECONDS, grown)
-            served[place] = gateway_load.worth_on_time(done, "short")
+            served[place] = engine_play.worth_on_time(done, "short")
         ours, plain = served.values()
         self.assertGreaterEqual(ours, STATED_SHARE)
         self.assertGreater(ours, plain)
 
+    def test_engines_that_stand_still_get_little_more(self):
+        # A tenth of the engines stand still by turns, as after the loss of an
+        # engine that reads with others.
+        served = {}
+        for place in (placing.place_by_cost, placing.place_by_least_load):
+            played = engine_play.Play(
+                placing.LAW,
+                MANY_ENGINES,
+                place,
+                1,
+                instances=MANY_INSTANCES,
+                view_s=OLD_VIEW_S,
+            )
+            placing.add_stalls(played, MANY_ENGINES, MANY_SECONDS)
+            usual = dict.fromkeys(SHORT_BURST, GROWTH)
+            served[place] = engine_play.worth_on_time(
+                played.run(MANY_SECONDS, usual)
+            )
+        ours, plain = served.values()
+        self.assertGreater(ours, plain)
+
+
+class PlacingReportTest(unittest.TestCase):
+    def test_smallest_report_names_each_policy_and_its_bound(self):
+        text = str(placing.measure(reports.Options(smallest=True)))
+        for name in ("cardamomfork", "all-seeing", "round robin", "bound"):
+            self.assertIn(name, text)
+
+    def test_no_policy_serves_more_than_the_bound(self):
+        report = placing.measure(reports.Options(smallest=True))
+        (table,) = report.parts
+        for load in {row[0] for row in table.rows}:
+            shares = {
+                row[1]: float(row[2]) for row in table.rows if row[0] == load
+            }
+            self.assertEqual(max(shares.values()), shares["bound"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/unit/test_target_connection.py
@@ -0,0 +1,137 @@
+"""A target's bytes give the same answer however they are cut."""
+
+import asyncio
+import itertools
+import unittest
+
+import anyio
+import hypothesis
+from hypothesis import strategies
+
+from cardamomfork._internal.gateway import target_connection
+from cardamomfork._internal.platform import headers
+from tests.lib import seeds
+
+REQUEST_ID = "r1"
+OWN = b"x-cardamomfork-request-id: r1\r\n"
+OTHER = b"x-cardamomfork-request-id: r0\r\n"
+ENDS = (target_connection.Ended, target_connection.Broken)
+PIECES = strategies.sampled_from(
+    (
+        b"HTTP/1.1 200 OK\r\n" + OWN + b"content-length: 3\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\n" + OTHER + b"content-length: 3\r\n\r\nxyz",
+        b"HTTP/1.1 503 No\r\n" + OWN + b"content-length: 0\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 204 No Content\r\n" + OWN + b"\r\n",
+        b"HTTP/1.1 200 OK\r\n" + OWN + b"transfer-encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + OWN + b"connection: close\r\n\r\n",
+        b"HTTP/1.1 101 Switching\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
+        b"3\r\nabc\r\n",
+        b"0\r\n\r\n",
+        b"fffffffffffffffff\r\n",
+        b"\r\n",
+        b"garbage",
+    )
+)
+STREAMS = strategies.lists(
+    strategies.one_of(PIECES, strategies.binary(max_size=12)), max_size=6
+).map(b"".join)
+
+
+class Transport:
+    """A transport that takes everything and closes at once."""
+
+    def __init__(self):
+        self.is_closed = False
+
+    def get_extra_info(self, name):
+        del name
+        return self
+
+    def setsockopt(self, *option):
+        del option
+
+    def write(self, data):
+        del data
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+    def close(self):
+        self.is_closed = True
+
+    abort = close
+
+
+def answer(parts, *, ends):
+    """Returns messages of an exchange, and whether the connection is kept."""
+
+    async def run():
+        transport = Transport()
+        connection = target_connection.TargetConnection(headers.decode_answer)
+        connection.connection_made(transport)
+        messages = connection.start(b"GET / HTTP/1.1\r\n\r\n", REQUEST_ID)
+        for part in parts:
+            if not transport.is_closed:
+                connection.data_received(part)
+        if ends and not transport.is_closed:
+            connection.eof_received()
+        found, data = [], b""
+        while True:
+            try:
+                message = messages.receive_nowait()
+            except (anyio.WouldBlock, anyio.EndOfStream):
+                break
+            if isinstance(message, target_connection.Data):
+                data += message.data
+            else:
+                found.append(type(message))
+        is_kept = connection.is_open and not transport.is_closed
+        connection.connection_lost(None)
+        messages.close()
+        return found, data, is_kept
+
+    return asyncio.run(run())
+
+
+class TargetConnectionTest(unittest.TestCase):
+    @seeds.STEADY
+    @hypothesis.given(STREAMS, strategies.lists(strategies.integers(0, 200)))
+    def test_any_cut_gives_the_same_answer(self, stream, cuts):
+        edges = sorted({min(cut, len(stream)) for cut in cuts})
+        edges = [0, *edges, len(stream)]
+        parts = [
+            stream[start:end]
+            for start, end in itertools.pairwise(edges)
+            if start < end
+        ]
+        whole = answer([stream] if stream else [], ends=True)
+        self.assertEqual(answer(parts, ends=True), whole)
+
+    @seeds.STEADY
+    @hypothesis.given(STREAMS, strategies.booleans())
+    def test_an_answer_ends_once_and_never_with_bytes_left(self, stream, ends):
+        found, _, is_kept = answer([stream] if stream else [], ends=ends)
+        self.assertLessEqual(sum(one in ENDS for one in found), 1)
+        if any(one in ENDS for one in found):
+            self.assertIn(found[-1], ENDS)
+        if is_kept and found and found[-1] is target_connection.Ended:
+            self.assertIn(b"r1", stream)
+
+    def test_bytes_after_an_answer_end_its_connection(self):
+        whole = b"HTTP/1.1 200 OK\r\n" + OWN + b"content-length: 3\r\n\r\nabc"
+        kept = answer([whole], ends=False)
+        self.assertTrue(kept[2])
+        for rest in (b"x", b"\r\nHTTP/1.1 ", whole):
+            self.assertFalse(answer([whole, rest], ends=False)[2], rest)
+            self.assertFalse(answer([whole + rest], ends=False)[2], rest)
+
+
+if __name__ == "__main__":
+    unittest.main()
