--- /dev/null
+++ b/tests/functional/test_explained_failures.py
@@ -0,0 +1,143 @@
+"""Plays the failures that docs/OPERATIONS.md explains, from id to cause."""
+
+import asyncio
+import contextlib
+import io
+import pathlib
+import tempfile
+import unittest
+
+from cardamomfork._internal.cli.commands import explain
+from cardamomfork._internal.standins import platform_engine
+from tests.soak import callers
+from tests.soak import proxy
+from tests.soak import world
+
+SEED = 7
+SIZES = (1, 1, 1)
+MIN_EVENTS = 15
+AFTER_FIRST_EVENTS_S = 0.12
+SENT_S = 0.3
+OK = 200
+
+
+def explain_request(played, request_id):
+    """Returns what the command prints of a request from the logs."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "entry.log"
+        lines = [line for _, line in played.entries["entry-0"].lines]
+        path.write_text("\n".join(lines), encoding="utf-8")
+        shown = io.StringIO()
+        with contextlib.redirect_stdout(shown):
+            explain.run(request_id, str(path))
+        return shown.getvalue()
+
+
+class Story:
+    """A running world, and what its callers got."""
+
+    def __init__(self):
+        self.world = world.World(SEED, *SIZES)
+        self.callers = callers.Callers(self.world, 0.03)
+        self.told = {}
+
+    async def play(self):
+        """Plays each failure; the service works again in between."""
+        try:
+            await self.world.start()
+            await self._until_served("safe")
+            await self._until_served("stream")
+            await self._cut_stream()
+            await self._lose_booking()
+            await self._refuse()
+        finally:
+            await self.callers.finish()
+            await self.world.stop()
+
+    async def _until_served(self, kind):
+        async def is_served():
+            return (await self.callers.send("entry-0", kind)).status == OK
+
+        await self.world.until(is_served)
+
+    async def _cut_stream(self):
+        """Resets the engine's connections in the middle of a long stream."""
+        engine = self.world.proxies["engine-0"]
+        while True:
+            sending = self.callers.send("entry-0", "stream")
+            await asyncio.sleep(AFTER_FIRST_EVENTS_S)
+            engine.harm(proxy.Harm.RESET)
+            call = await sending
+            engine.harm(proxy.Harm.NONE)
+            if platform_engine.count_events(call.target) >= MIN_EVENTS:
+                break
+            await self._until_served("stream")
+        await self._keep("stream", call)
+
+    async def _lose_booking(self):
+        """Ends the connection after the booking was sent."""
+        ledger = self.world.proxies["ledger-0"]
+        ledger.harm(proxy.Harm.CUT_ANSWERS)
+        sending = self.callers.send("entry-0", "once")
+        await asyncio.sleep(SENT_S)
+        ledger.harm(proxy.Harm.RESET)
+        call = await sending
+        ledger.harm(proxy.Harm.NONE)
+        await self._keep("booking", call)
+
+    async def _refuse(self):
+        """Asks a service whose only target is gone."""
+        await self.world.targets["ledger-0"].kill()
+
+        async def is_gone():
+            return self.world.entry_lines('"target gone"')
+
+        await self.world.until(is_gone)
+        await self._keep("refusal", await self.callers.send("entry-0", "safe"))
+
+    async def _keep(self, name, call):
+        """Keeps a call with its story, once its last line is written."""
+
+        async def is_logged():
+            lines = self.world.entry_lines(call.request_id)
+            return any("request ended" in line for line in lines)
+
+        await self.world.until(is_logged)
+        self.told[name] = (call, explain_request(self.world, call.request_id))
+
+
+class ExplainedFailuresTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        story = Story()
+        asyncio.run(story.play())
+        cls.told = story.told
+        cls.runs = {request_id for _, request_id, *_ in story.world.runs()}
+
+    def test_cut_stream_names_its_target_and_how_it_broke(self):
+        call, shown = self.told["stream"]
+        self.assertEqual((call.status, call.is_whole), (200, False))
+        self.assertIn("reason=cut:", shown)
+        self.assertIn("target_id=engine-0", shown)
+        self.assertIn("outcome=broken", shown)
+        self.assertIn("tries again", shown)
+        self.assertRegex(shown, r"predicted_s=\d")
+        self.assertRegex(shown, r"detail=events [1-9]")
+
+    def test_booking_of_unknown_fate_names_the_target_to_ask(self):
+        call, shown = self.told["booking"]
+        self.assertEqual(call.status, 502)
+        self.assertIn("may not run again", shown)
+        self.assertIn("target_id=ledger-0", shown)
+        self.assertIn("arrivals 1", shown)
+
+    def test_refusal_says_why_and_that_nothing_ran(self):
+        call, shown = self.told["refusal"]
+        self.assertEqual(call.status, 503)
+        self.assertIn("no target", shown)
+        self.assertIn("arrivals 0", shown)
+        self.assertNotIn(call.request_id, self.runs)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -137,7 +137,7 @@
         self._client = store_client.PlatformStore(
             settings.StoreSettings((f"{HOST}:{self.store_port}",), prefix="")
         )
-        await self._until(self._answers)
+        await self.until(self._answers)
         await self.change()
         for started in self.proxies.values():
             await started.start()
@@ -154,6 +154,14 @@
             await self._client.close()
         self._folder.cleanup()
 
+    async def until(self, check):
+        """Waits until an asynchronous check succeeds."""
+        limit = time.monotonic() + START_S
+        while not await check():
+            if time.monotonic() > limit:
+                raise AssertionError(f"never came true: {check}")
+            await asyncio.sleep(0.05)
+
     async def change(self):
         """Writes another version of the configuration, as operators do."""
         self.version += self.source.randint(1, 4)
@@ -196,13 +204,6 @@
     async def _answers(self):
         return (await self._client.scan("op/")).is_ok()
 
-    async def _until(self, check):
-        limit = time.monotonic() + START_S
-        while not await check():
-            if time.monotonic() > limit:
-                raise AssertionError("not started")
-            await asyncio.sleep(0.05)
-
     def _add_target(self, name, service):
         port, advertised = next(self._ports), next(self._ports)
         self.proxies[name] = proxy.Proxy(advertised, port, self.source)
