--- a/src/cardamomfork/_internal/gateway/following.py
+++ b/src/cardamomfork/_internal/gateway/following.py
@@ -32,8 +32,8 @@
 DELEGATE_WAIT_S = 2.0
 """Wait of the data centre's delegate. With the margin for the answer it ends
 before the 3 s after which a silent connection excuses nothing."""
-OTHERS_WAIT_S = 20.0
-"""Wait of the other instances."""
+OTHERS_WAIT_S = 28.0
+"""Wait of the other instances; the platform allows 30 s."""
 BEHIND_S = 0.3
 """Time for which a peer may know more before this instance asks again."""
 
--- a/src/cardamomfork/_internal/gateway/peer_table.py
+++ b/src/cardamomfork/_internal/gateway/peer_table.py
@@ -76,6 +76,15 @@
             if now > known.silent_at
         ]
 
+    def heard_within(self, seconds: float) -> frozenset[str]:
+        """Returns the ids of peers whose last digest is at most so old."""
+        since = self._clock() + SILENT_PEER_S - seconds
+        return frozenset(
+            instance_id
+            for instance_id, known in self._known.items()
+            if known.incarnation and known.silent_at >= since
+        )
+
     @property
     def count(self) -> int:
         """Instances, this one included."""
@@ -104,11 +113,11 @@
                 )
                 continue
             if peer.instance_id != self._own.instance_id:
-                self._learn(peer)
+                self.learn(peer)
 
     def hear(self, digest: digest_codec.Digest) -> bool:
         """Takes a digest's sender; returns whether the digest is news."""
-        known = self._learn(digest.sender)
+        known = self.learn(digest.sender)
         if digest.incarnation == known.incarnation:
             if digest.sequence <= known.sequence:
                 return False
@@ -121,15 +130,7 @@
         known.silent_at = self._clock() + SILENT_PEER_S
         return True
 
-    def expire(self) -> None:
-        """Forgets peers that have been gone for long."""
-        now = self._clock()
-        for instance_id, known in list(self._known.items()):
-            if now > known.silent_at + FORGET_PEER_S:
-                del self._known[instance_id]
-                logger.info("peer forgotten", peer=instance_id)
-
-    def _learn(self, peer: digest_codec.Peer) -> _Known:
+    def learn(self, peer: digest_codec.Peer) -> _Known:
         """Returns what is known of a peer, as it is reached now."""
         known = self._known.get(peer.instance_id)
         if known is None or known.peer != peer:
@@ -138,6 +139,14 @@
             logger.info("peer known", peer=peer.instance_id)
         return known
 
+    def expire(self) -> None:
+        """Forgets peers that have been gone for long."""
+        now = self._clock()
+        for instance_id, known in list(self._known.items()):
+            if now > known.silent_at + FORGET_PEER_S:
+                del self._known[instance_id]
+                logger.info("peer forgotten", peer=instance_id)
+
 
 def _rank(instance_id: str) -> int:
     """Returns a fixed pseudo-random rank of an instance."""
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import secrets
+import typing
 from typing import TYPE_CHECKING
 
 import anyio
@@ -18,9 +19,11 @@
 import result
 
 from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway import digest_routes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from cardamomfork._internal.gateway import fleet_state
     from cardamomfork._internal.gateway import following
@@ -40,6 +43,9 @@
 FETCH_TIMEOUT_S = 1.0
 INCARNATION_BITS = 63
 CONFIGURATION_PATH = "/configuration"
+KEEP = b"\0"
+PASS_ON = b"\1"
+"""First byte of a datagram: whether its digest is passed on here."""
 
 
 class PeerLinks(asyncio.DatagramProtocol):
@@ -49,6 +55,7 @@
         self,
         own: digest_codec.Peer,
         table: peer_table.PeerTable,
+        ways: digest_routes.DigestRoutes,
         load: load_view.LoadView,
         state: fleet_state.FleetState,
         guard: poison_guard.PoisonGuard,
@@ -61,6 +68,7 @@
         Args:
             own: Where this instance is reached.
             table: The peers.
+            ways: Whom digests go to.
             load: Placements.
             state: Configuration.
             guard: Requests that crash targets.
@@ -70,6 +78,7 @@
         """
         self._own = own
         self._table = table
+        self._ways = ways
         self._load = load
         self._state = state
         self._guard = guard
@@ -91,13 +100,12 @@
         transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(self._own.host, self._own.port)
         )
-        self._transport = transport
         try:
             while True:
                 if self._clock() - self._sent_at >= HEARTBEAT_S:
-                    self._send()
+                    self.send()
                 if silent := self._table.silent_peers:
-                    self._send_to(silent)
+                    self._send_to(digest_routes.Ways(tuple(silent)))
                 self._table.expire()
                 for peer_id in self._load.expire_peers(self._clock()):
                     logger.info("peer is silent", peer=peer_id)
@@ -134,13 +142,25 @@
             if self._timer.when() <= due:
                 return
             self._timer.cancel()
-        self._timer = loop.call_at(due, self._send)
+        self._timer = loop.call_at(due, self.send)
+
+    def send(self) -> None:
+        """Sends the state of this instance to its peers."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._sent_at = self._clock()
+        self._send_to(self._ways.choose())
 
     def leave(self) -> None:
         """Tells peers that this instance is about to stop."""
         self._is_leaving = True
         self.notify()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the socket."""
+        self._transport = typing.cast("asyncio.DatagramTransport", transport)
+
     def datagram_received(
         self,
         data: bytes,
@@ -148,7 +168,8 @@
     ) -> None:
         """Takes a digest."""
         now = self._clock()
-        decoded = digest_codec.decode(data, now)
+        digest_bytes = data[1:]
+        decoded = digest_codec.decode(digest_bytes, now)
         if isinstance(decoded, result.Err):
             logger.warning(
                 "datagram dropped", peer=addr[0], reason=decoded.err_value
@@ -157,6 +178,10 @@
         digest = decoded.ok_value
         if digest.sender.instance_id == self._own.instance_id:
             return
+        if data.startswith(PASS_ON):
+            self._transmit(
+                KEEP + digest_bytes, self._ways.pass_on(digest.sender)
+            )
         if not self._table.hear(digest):
             return
         self._load.replace_peer(digest.sender.instance_id, digest.jobs, now)
@@ -168,18 +193,8 @@
         self._targets.hear(digest.targets_revision)
         self._on_news()
 
-    def _send(self) -> None:
-        """Sends the state of this instance to its peers."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        self._sent_at = self._clock()
-        self._send_to(self._table.peers)
-
-    def _send_to(self, receivers: list[digest_codec.Peer]) -> None:
+    def _send_to(self, ways: digest_routes.Ways) -> None:
         """Sends the state of this instance."""
-        if self._transport is None or self._transport.is_closing():
-            return
         now = self._clock()
         self._sequence += 1
         data = digest_codec.encode(
@@ -195,6 +210,16 @@
             ),
             now,
         )
+        # Relays first, since theirs have the longer way.
+        self._transmit(PASS_ON + data, ways.relays)
+        self._transmit(KEEP + data, ways.straight)
+
+    def _transmit(
+        self, data: bytes, receivers: Iterable[digest_codec.Peer]
+    ) -> None:
+        """Sends a datagram to each of some peers."""
+        if self._transport is None or self._transport.is_closing():
+            return
         for peer in receivers:
             self._transport.sendto(data, (peer.host, peer.port))
 
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -18,6 +18,7 @@
 from cardamomfork._internal.gateway import caller_protocol
 from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway import digest_routes
 from cardamomfork._internal.gateway import fleet_state
 from cardamomfork._internal.gateway import following
 from cardamomfork._internal.gateway import forwarding
@@ -123,6 +124,9 @@
         self._peer_links = peers.PeerLinks(
             self._own,
             self._peers,
+            digest_routes.DigestRoutes(
+                settings.data_centre, self._peers, self._source
+            ),
             self._load,
             self._state,
             self._guard,
--- a/src/cardamomfork/_internal/gateway/registration.py
+++ b/src/cardamomfork/_internal/gateway/registration.py
@@ -19,9 +19,10 @@
 
 PREFIX = "instances/"
 """Keys of entry instances in the store."""
-LEASE_S = 24.0
-RENEW_S = 8.0
-"""Three renewals fit into a lease."""
+LEASE_S = 90.0
+RENEW_S = 30.0
+"""Three renewals fit into a lease. An entry that outlives its instance costs
+those that start meanwhile a few digests, and each renewal is a priced call."""
 RETRY_S = 0.7
 """Pause after a call that failed."""
 REREAD_S = 30.0
