Measure the gateway's cost of a relayed event beside the other ways

`cardamomfork measure relay` starts the real program before an event source and a store, each a process of its own, and reads its processor time. What a site of the platform gives an instance is now built in one place, `standins/ platform_site`, which the soak uses too.

--- a/src/cardamomfork/_internal/measure/relay.py
+++ b/src/cardamomfork/_internal/measure/relay.py
@@ -19,6 +19,7 @@
 
 from cardamomfork._internal.measure import reports
 from cardamomfork._internal.measure.relaying import engine
+from cardamomfork._internal.measure.relaying import gateway
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -26,7 +27,7 @@
 STREAMS = (50, 200, 400, 670)
 STATED_STREAMS = (200, 670)
 SMALLEST_STREAMS = 20
-WAYS = ("daemon", "raw", "plain")
+WAYS = ("daemon", "gateway", "raw", "plain")
 WINDOW_S = 5.0
 SMALLEST_WINDOW_S = 0.5
 SETTLE_S = 0.5
@@ -99,6 +100,33 @@
         return answer
 
 
+class _Relay:
+    """A relay in a helper process."""
+
+    def __init__(self, process: _Process) -> None:
+        """Takes the process."""
+        self.port = int(process.first["port"])
+        self._process = process
+
+    def cpu_s(self) -> float:
+        """Returns the processor time that the process has used so far."""
+        return float(self._process.ask()["cpu_s"])
+
+
+@contextlib.contextmanager
+def _running_relay(way: str) -> Iterator[_Relay | gateway.Gateway]:
+    """Runs a relay and the engine behind it."""
+    if way == "gateway":
+        with gateway.running() as started:
+            yield started
+        return
+    with (
+        _running("engine") as source,
+        _running("relay", way, str(source.first["port"])) as process,
+    ):
+        yield _Relay(process)
+
+
 @contextlib.contextmanager
 def _running(*arguments: str) -> Iterator[_Process]:
     """Runs a helper process."""
@@ -112,16 +140,15 @@
 def _sample(way: str, streams: int, window_s: float) -> Sample:
     """Runs one way at one size."""
     with (
-        _running("engine") as source,
-        _running("relay", way, str(source.first["port"])) as relay,
-        _running("client", str(relay.first["port"]), str(streams)) as client,
+        _running_relay(way) as relay,
+        _running("client", str(relay.port), str(streams)) as client,
     ):
         time.sleep(SETTLE_S)
         client.ask()
-        cpu_s = relay.ask()["cpu_s"]
+        cpu_s = relay.cpu_s()
         start = time.monotonic()
         time.sleep(window_s)
-        cpu_s = relay.ask()["cpu_s"] - cpu_s
+        cpu_s = relay.cpu_s() - cpu_s
         elapsed_s = time.monotonic() - start
         seen = client.ask()
     if seen["ended"] or not seen["tokens"]:
@@ -194,19 +221,28 @@
     sizes = ", ".join(str(s.streams) for s in stated)
     worst_us = max(s.us_per_token for s in stated)
     worst_ms = max(s.p95_ms for s in stated)
-    plain = {s.streams: s for s in samples if s.way == "plain"}
-    ratios = [plain[s.streams].us_per_token / s.us_per_token for s in own]
-    shown = ", ".join(f"{ratio:.1f}" for ratio in ratios)
+    shown = _ratios("daemon", samples)
     return [
         f"us a token at {sizes} streams: at most {worst_us:.1f}; bound"
         f" {BOUND_US:g}: {_held(worst_us <= BOUND_US)}",
         f"p95 between tokens: at most {worst_ms:.1f} ms; bound"
         f" {BOUND_GAP_MS:g}: {_held(worst_ms <= BOUND_GAP_MS)}",
-        f"the plain way costs {shown} times the daemon's (a relay with a"
+        f"the plain way costs {shown} times the daemon's, and"
+        f" {_ratios('gateway', samples)} times the gateway's (a relay with a"
         " whole core in use joins late tokens, which lowers its cost a token)",
     ]
 
 
+def _ratios(way: str, samples: list[Sample]) -> str:
+    """Returns the plain way's cost over another's, by number of streams."""
+    plain = {s.streams: s.us_per_token for s in samples if s.way == "plain"}
+    return ", ".join(
+        f"{plain[s.streams] / s.us_per_token:.1f}"
+        for s in samples
+        if s.way == way
+    )
+
+
 def _held(holds: bool) -> str:
     """Returns the verdict as a word."""
     return "met" if holds else "NOT MET"
--- a/src/cardamomfork/_internal/measure/relaying/engine.py
+++ b/src/cardamomfork/_internal/measure/relaying/engine.py
@@ -15,13 +15,13 @@
 
 TOKEN_INTERVAL_S = 0.032
 _ATTEMPT_HEADER = b"x-attempt-id:"
-_EVENT = (
+EVENT = (
     b'data: {"id":"cmpl-01a23df7-e798-71a7-bf2d-1e6bf94a5c03","object":'
     b'"chat.completion.chunk","created":1764799986,"model":"demo-model",'
     b'"choices":[{"index":0,"delta":{"content":" pallet"},'
     b'"finish_reason":null}]}\n\n'
 )
-CHUNK = b"%x\r\n%b\r\n" % (len(_EVENT), _EVENT)
+CHUNK = b"%x\r\n%b\r\n" % (len(EVENT), EVENT)
 
 
 class EngineProtocol(asyncio.Protocol):
@@ -44,25 +44,33 @@
         self._request += data
         if b"\r\n\r\n" not in self._request or self._next:
             return
+        self._transport.write(self.answer_head(self._request))
+        phase = self._chance.uniform(0.0, TOKEN_INTERVAL_S)
+        self._next = self._loop.time() + phase
+        self._loop.call_at(self._next, self._send)
+
+    def answer_head(self, request: bytes) -> bytes:
+        """Returns the head of the answer to a request."""
         attempt = b""
-        for line in self._request.split(b"\r\n"):
+        for line in request.split(b"\r\n"):
             if line.lower().startswith(_ATTEMPT_HEADER):
                 attempt = line[len(_ATTEMPT_HEADER) :].strip()
-        self._transport.write(
+        return (
             b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
             b"transfer-encoding: chunked\r\nx-attempt-id: "
             + attempt
             + b"\r\n\r\n"
         )
-        phase = self._chance.uniform(0.0, TOKEN_INTERVAL_S)
-        self._next = self._loop.time() + phase
-        self._loop.call_at(self._next, self._send)
+
+    def next_chunk(self) -> bytes:
+        """Returns the next event as a chunk."""
+        return CHUNK
 
     def _send(self) -> None:
         """Sends a token and sets the time of the next."""
         if self._transport.is_closing():
             return
-        self._transport.write(CHUNK)
+        self._transport.write(self.next_chunk())
         self._next += TOKEN_INTERVAL_S
         self._loop.call_at(self._next, self._send)
 
--- /dev/null
+++ b/src/cardamomfork/_internal/measure/relaying/gateway.py
@@ -0,0 +1,135 @@
+"""The gateway under measurement: the real program before an event source.
+
+Store, source and gateway are processes of their own on the loopback address.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import TYPE_CHECKING
+import urllib.error
+import urllib.request
+
+import anyio
+
+from cardamomfork._internal.standins import event_source
+from cardamomfork._internal.standins import platform_site
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+START_S = 20.0
+POLL_S = 0.05
+STREAM_S = 600
+UNAVAILABLE = 503
+STOP_TIMEOUT_S = 5.0
+
+
+class Gateway:
+    """A running gateway."""
+
+    def __init__(self, port: int, process_id: int) -> None:
+        """Takes the port for callers and the process."""
+        self.port = port
+        self._process_id = process_id
+
+    def cpu_s(self) -> float:
+        """Returns the processor time that the process has used so far."""
+        stat = pathlib.Path(f"/proc/{self._process_id}/stat").read_text()
+        # User and system ticks, counted from behind the program's name.
+        fields = stat.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+@contextlib.contextmanager
+def running() -> Iterator[Gateway]:
+    """Runs a gateway and what it needs; all end with the context.
+
+    Raises:
+        TimeoutError: It does not become ready.
+    """
+    store, source, *entry = _free_ports(6)
+    ports = platform_site.Ports(*entry)
+    address = f"{platform_site.HOST}:{store}"
+    with contextlib.ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder) / "node.toml"
+        path.write_text(platform_site.make_settings("one", ports, address))
+        command, environment = platform_site.command_entry(path)
+        _start(
+            stack, sys.executable, "-m", platform_site.STORE_MODULE, f"{store}"
+        )
+        anyio.run(_publish, address)
+        _start(
+            stack,
+            sys.executable,
+            "-m",
+            event_source.__name__,
+            f"{source}",
+            address,
+        )
+        started = _start(stack, *command, environment=environment)
+        _wait_until_ready(ports.callers)
+        yield Gateway(ports.callers, started.pid)
+
+
+def _start(
+    stack: contextlib.ExitStack,
+    *command: str,
+    environment: dict[str, str] | None = None,
+) -> subprocess.Popen[bytes]:
+    """Starts a process that ends with the stack."""
+    process = subprocess.Popen(  # noqa: S603
+        command,
+        stdout=subprocess.DEVNULL,
+        env={**os.environ, **(environment or {})},
+    )
+    stack.callback(process.wait, STOP_TIMEOUT_S)
+    stack.callback(process.kill)
+    return process
+
+
+async def _publish(address: str) -> None:
+    """Writes the configuration: one route without keys."""
+    client = platform_site.make_client(address)
+    route = platform_site.Route(
+        "/v1/", "streaming", event_source.SERVICE, STREAM_S * 1000, "relay"
+    )
+    service = {"name": event_source.SERVICE, "maxConnections": 10_000}
+    value = platform_site.make_configuration(1, (route,), (service,), {})
+    await platform_site.publish(client, value)
+    await client.close()
+
+
+def _wait_until_ready(port: int) -> None:
+    """Waits until requests are served: a wrong path is known as one."""
+    limit = time.monotonic() + START_S
+    url = f"http://{platform_site.HOST}:{port}/unknown"
+    while time.monotonic() < limit:
+        try:
+            urllib.request.urlopen(url)
+        except urllib.error.HTTPError as error:
+            if error.code != UNAVAILABLE:
+                return
+        except urllib.error.URLError:
+            pass
+        time.sleep(POLL_S)
+    raise TimeoutError("the gateway did not start")
+
+
+def _free_ports(count: int) -> list[int]:
+    """Returns ports that nothing listens on."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            listener = stack.enter_context(socket.socket())
+            listener.bind((platform_site.HOST, 0))
+            ports.append(int(listener.getsockname()[1]))
+        return ports
--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -28,10 +28,9 @@
 from cardamomfork._internal.links import event_loop
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.links.callers import protocol
-from cardamomfork._internal.models import settings
 from cardamomfork._internal.platform import orders
-from cardamomfork._internal.platform import store_client
 from cardamomfork._internal.platform import target_entries
+from cardamomfork._internal.standins import platform_site
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -310,7 +309,7 @@
 
 
 async def register(
-    engine: PlatformEngine,
+    is_leaving: Callable[[], bool],
     store: store_contract.PolledStore,
     entry: dict[str, Any],
     target_id: str,
@@ -325,13 +324,13 @@
                 lease = written = None
         if lease is None:
             lease = (await store.grant_lease(LEASE_S)).ok()
-        entry["state"] = "draining" if engine.is_leaving else "ready"
+        entry["state"] = "draining" if is_leaving() else "ready"
         value = msgspec.json.encode(entry)
         if lease is not None and written != value:
             written = await _write(
                 store, target_entries.PREFIX + target_id, value, lease.lease_id
             )
-        await anyio.sleep(HEARTBEAT_S / 4 if engine.is_leaving else HEARTBEAT_S)
+        await anyio.sleep(HEARTBEAT_S / 4 if is_leaving() else HEARTBEAT_S)
 
 
 async def _write(
@@ -380,19 +379,8 @@
         sys.stdout.flush()
 
     engine = PlatformEngine(target_id, slots, event_s, report)
-    entry = {
-        "service": service,
-        "address": f"{host}:{advertised_port}",
-        "zone": "a",
-        "version": "v1",
-        "slots": slots,
-        "coldRemainingMs": 0,
-        "sequence": 1,
-        "born": time.time_ns() // 1_000_000,
-    }
-    client = store_client.PlatformStore(
-        settings.StoreSettings((store,), prefix="")
-    )
+    entry = platform_site.make_entry(service, advertised_port, slots)
+    client = platform_site.make_client(store)
 
     async def serve() -> None:
         server = http_server.HttpServer(
@@ -402,7 +390,9 @@
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.serve)
-            tasks.start_soon(register, engine, client, entry, target_id)
+            tasks.start_soon(
+                register, lambda: engine.is_leaving, client, entry, target_id
+            )
             report({"started": target_id})
             with anyio.open_signal_receiver(signal.SIGTERM) as signals:
                 async for _ in signals:
--- /dev/null
+++ b/src/cardamomfork/_internal/standins/platform_site.py
@@ -0,0 +1,176 @@
+"""What the users' platform gives an entry instance: settings and configuration.
+
+Harnesses build sites from it; the formats are those of the adapter.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import time
+from typing import Any
+
+import anyio
+import attrs
+import msgspec
+import result
+
+from cardamomfork._internal.contracts import store as store_contract
+from cardamomfork._internal.models import settings
+from cardamomfork._internal.platform import configuration_format
+from cardamomfork._internal.platform import node_settings
+from cardamomfork._internal.platform import store_client
+
+HOST = "127.0.0.1"
+ENTRY_PROGRAM = pathlib.Path(__file__).parents[3] / "cardamomforkd_entry.py"
+STORE_MODULE = "cardamomfork._internal.standins.store_server"
+DATA_CENTRE = "a"
+RETRY_S = 0.1
+MAX_TRIES = 100
+
+
+@attrs.frozen
+class Ports:
+    """Ports of one entry instance.
+
+    Attributes:
+        callers: For callers.
+        readiness: For the balancer's question.
+        peers: For other instances, TCP and UDP.
+        metrics: For metrics and the dump.
+    """
+
+    callers: int
+    readiness: int
+    peers: int
+    metrics: int
+
+
+@attrs.frozen
+class Route:
+    """A route of the configuration.
+
+    Attributes:
+        prefix: Beginning of the paths.
+        kind: What may be repeated, in the platform's word.
+        service: Where requests go.
+        timeout_ms: Time of a request.
+        host: Host that callers name.
+    """
+
+    prefix: str
+    kind: str
+    service: str
+    timeout_ms: int
+    host: str = "soak.example"
+
+
+def make_settings(
+    name: str,
+    ports: Ports,
+    store_address: str,
+    *,
+    data_centre: str = DATA_CENTRE,
+    stop_grace_s: float = 8.0,
+) -> str:
+    """Returns the text of an instance's settings file."""
+    return (
+        f'nodeName = "{name}"\nzone = "{data_centre}"\n'
+        f"portRange = [{ports.peers},{ports.peers}]\n"
+        f'[listen]\nfront = "{HOST}:{ports.callers}"\n'
+        f'readyAddr = "{HOST}:{ports.readiness}"\n'
+        f'[platform]\naddress = "{store_address}"\n'
+        f"[bounds]\ngraceS = {stop_grace_s:.0f}\n"
+        f"[metrics]\nport = {ports.metrics}\n"
+    )
+
+
+def command_entry(path: pathlib.Path) -> tuple[list[str], dict[str, str]]:
+    """Returns the command of an instance and its environment's additions."""
+    environment = {node_settings.PATH_VARIABLE: str(path)}
+    return [sys.executable, str(ENTRY_PROGRAM)], environment
+
+
+def make_configuration(
+    version: int,
+    routes: tuple[Route, ...],
+    services: tuple[dict[str, Any], ...],
+    accounts: dict[str, list[str]],
+) -> bytes:
+    """Returns a configuration as operators write it.
+
+    Args:
+        version: Its version.
+        routes: Its routes.
+        services: Its services, in the platform's form.
+        accounts: Keys by client account; without any, none is needed.
+    """
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": [
+                {
+                    "name": route.prefix.strip("/"),
+                    "host": route.host,
+                    "prefix": route.prefix,
+                    "kind": route.kind,
+                    "service": route.service,
+                    "timeoutMs": route.timeout_ms,
+                    "targetLatencyMs": 500,
+                    "maxAttempts": 1 if route.kind == "unsafe" else 2,
+                    "streamResume": True,
+                    "targetGapMs": 500,
+                    "allowAnonymous": not accounts,
+                }
+                for route in routes
+            ],
+            "services": list(services),
+            "tenants": [
+                {"name": name, "apiKeys": keys}
+                for name, keys in accounts.items()
+            ],
+        }
+    )
+
+
+def make_client(store_address: str) -> store_client.PlatformStore:
+    """Returns a client of the store."""
+    return store_client.PlatformStore(
+        settings.StoreSettings((store_address,), prefix="")
+    )
+
+
+async def publish(
+    client: store_client.PlatformStore, configuration: bytes
+) -> None:
+    """Writes a configuration, as operators do, again until it stands.
+
+    Raises:
+        TimeoutError: The store never took it.
+    """
+    for _ in range(MAX_TRIES):
+        found = await client.get(configuration_format.KEY)
+        if isinstance(found, result.Ok):
+            entry = found.ok_value
+            expected = entry.version if entry else store_contract.ABSENT
+            written = await client.put(
+                configuration_format.KEY, configuration, expected=expected
+            )
+            if written.is_ok():
+                return
+        await anyio.sleep(RETRY_S)
+    raise TimeoutError("the store took no configuration")
+
+
+def make_entry(service: str, port: int, slots: int) -> dict[str, Any]:
+    """Returns the entry under which a target registers itself."""
+    return {
+        "service": service,
+        "address": f"{HOST}:{port}",
+        "zone": DATA_CENTRE,
+        "version": "v1",
+        "slots": slots,
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        "born": time.time_ns() // 1_000_000,
+    }
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -10,15 +10,10 @@
 import tempfile
 import time
 
-import msgspec
-
-from cardamomfork._internal.contracts import store as store_contract
-from cardamomfork._internal.models import settings
-from cardamomfork._internal.platform import store_client
+from cardamomfork._internal.standins import platform_site
 from tests.soak import proxy
 
-HOST = "127.0.0.1"
-ENTRY = pathlib.Path(__file__).parents[2] / "src" / "cardamomforkd_entry.py"
+HOST = platform_site.HOST
 START_S = 20.0
 STOP_GRACE_S = 8.0
 PORTS_A_WORLD = 200
@@ -38,9 +33,13 @@
     "usual": {"prompt": 1000, "answer": 100},
 }
 ROUTES = (
-    ("/stream/", "streaming", "engines", 8000),
-    ("/once/", "unsafe", "ledger", 3000),
-    ("/safe/", "safe", "ledger", 3000),
+    platform_site.Route("/stream/", "streaming", "engines", 8000),
+    platform_site.Route("/once/", "unsafe", "ledger", 3000),
+    platform_site.Route("/safe/", "safe", "ledger", 3000),
+)
+SERVICES = (
+    {"name": "engines", "maxConnections": 200, "engine": ENGINE_LAW},
+    {"name": "ledger", "maxConnections": 200},
 )
 
 
@@ -113,7 +112,7 @@
         self.store = Process(
             (
                 "-m",
-                "cardamomfork._internal.standins.store_server",
+                platform_site.STORE_MODULE,
                 str(self.store_port),
             )
         )
@@ -134,9 +133,7 @@
 
     async def start(self):
         await self.store.start()
-        self._client = store_client.PlatformStore(
-            settings.StoreSettings((f"{HOST}:{self.store_port}",), prefix="")
-        )
+        self._client = platform_site.make_client(f"{HOST}:{self.store_port}")
         await self.until(self._answers)
         await self.change()
         for started in self.proxies.values():
@@ -165,20 +162,11 @@
     async def change(self):
         """Writes another version of the configuration, as operators do."""
         self.version += self.source.randint(1, 4)
-        value = msgspec.json.encode(self._make_configuration())
-        for _ in range(100):
-            found = await self._client.get("op/config")
-            if found.is_ok():
-                entry = found.unwrap()
-                expected = entry.version if entry else store_contract.ABSENT
-                put = await self._client.put(
-                    "op/config", value, expected=expected
-                )
-                if put.is_ok():
-                    self.changes.append((time.monotonic(), dict(self.keys)))
-                    return
-            await asyncio.sleep(0.1)
-        raise AssertionError("the store took no configuration")
+        value = platform_site.make_configuration(
+            self.version, ROUTES, SERVICES, self.keys
+        )
+        await platform_site.publish(self._client, value)
+        self.changes.append((time.monotonic(), dict(self.keys)))
 
     def runs(self):
         """Returns every run as target, request id, account and time."""
@@ -225,49 +213,16 @@
         self.proxies[to_store] = proxy.Proxy(
             next(self._ports), self.store_port, self.source
         )
-        caller, ready, peer = (next(self._ports) for _ in range(3))
-        self.caller_ports[name] = caller
+        ports = platform_site.Ports(*(next(self._ports) for _ in range(4)))
+        self.caller_ports[name] = ports.callers
         path = pathlib.Path(self._folder.name) / f"{name}.toml"
         path.write_text(
-            f'nodeName = "{name}"\nzone = "a"\nportRange = [{peer},{peer}]\n'
-            f'[listen]\nfront = "{HOST}:{caller}"\n'
-            f'readyAddr = "{HOST}:{ready}"\n'
-            f'[platform]\naddress = "{HOST}:{self.proxies[to_store].port}"\n'
-            f"[bounds]\ngraceS = {STOP_GRACE_S:.0f}\n"
-            f"[metrics]\nport = {next(self._ports)}\n"
-        )
-        self.entries[name] = Process(
-            (str(ENTRY),), {"CARDAMOMFORK_NODE_FILE": str(path)}
+            platform_site.make_settings(
+                name,
+                ports,
+                f"{HOST}:{self.proxies[to_store].port}",
+                stop_grace_s=STOP_GRACE_S,
+            )
         )
-
-    def _make_configuration(self):
-        return {
-            "version": self.version,
-            "routes": [
-                {
-                    "name": prefix.strip("/"),
-                    "host": "soak.example",
-                    "prefix": prefix,
-                    "kind": kind,
-                    "service": service,
-                    "timeoutMs": timeout,
-                    "targetLatencyMs": 500,
-                    "maxAttempts": 1 if kind == "unsafe" else 2,
-                    "streamResume": True,
-                    "targetGapMs": 500,
-                }
-                for prefix, kind, service, timeout in ROUTES
-            ],
-            "services": [
-                {
-                    "name": "engines",
-                    "maxConnections": 200,
-                    "engine": ENGINE_LAW,
-                },
-                {"name": "ledger", "maxConnections": 200},
-            ],
-            "tenants": [
-                {"name": name, "apiKeys": keys}
-                for name, keys in self.keys.items()
-            ],
-        }
+        command, environment = platform_site.command_entry(path)
+        self.entries[name] = Process(command[1:], environment)
