Split what follows a failure from the forwarder; one set of statuses

`retrying.py` decides without I/O whether a request is tried again and how it ends if not, and is tested case by case; `exchanges.py` holds the request on its way. Statuses are the standard library's. Behaviour is unchanged.

--- a/src/cardamomfork/_internal/gateway/application.py
+++ b/src/cardamomfork/_internal/gateway/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 
 from cardamomfork._internal.gateway import caller_protocol
 from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway import exchanges
 from cardamomfork._internal.gateway import forwarding
 from cardamomfork._internal.gateway import peers
 from cardamomfork._internal.gateway import request_log
@@ -49,11 +51,6 @@
 
 DUMP_PATH = "/dump"
 
-OK = 200
-NOT_FOUND = 404
-TOO_LARGE = 413
-HEADERS_TOO_LARGE = 431
-UNAVAILABLE = 503
 
 _CLOSE = (b"connection", b"close")
 
@@ -101,7 +98,7 @@
         )
 
     async def answer(
-        self, final: forwarding.FinalAnswer, *, close: bool = False
+        self, final: exchanges.FinalAnswer, *, close: bool = False
     ) -> None:
         """Sends a whole answer of the system's own."""
         body = final.reason.encode("utf-8", "replace") + b"\n"
@@ -119,7 +116,7 @@
 class _Bodyless:
     """Why a request's body was not read to its end."""
 
-    final: forwarding.FinalAnswer | None
+    final: exchanges.FinalAnswer | None
 
 
 class CallerApplication:
@@ -189,7 +186,7 @@
         try:
             unread = await self._read_body(receive, body)
             if unread is None:
-                exchange = forwarding.Exchange(
+                exchange = exchanges.Exchange(
                     request=request,
                     body=bytes(body),
                     match=matched.ok_value,
@@ -210,24 +207,29 @@
 
     def _match(
         self, request: forwarding_models.CallerRequest, scope: dict[str, Any]
-    ) -> result.Result[routes.Match, forwarding.FinalAnswer]:
+    ) -> result.Result[routes.Match, exchanges.FinalAnswer]:
         """Returns what the configuration says, or the answer without it."""
         table = self._state.routes
         if table is None:
             return result.Err(
-                forwarding.FinalAnswer(
-                    UNAVAILABLE, "no configuration yet", RETRY_AFTER_START_S
+                exchanges.FinalAnswer(
+                    http.HTTPStatus.SERVICE_UNAVAILABLE,
+                    "no configuration yet",
+                    RETRY_AFTER_START_S,
                 )
             )
         size = sum(len(name) + len(value) for name, value in scope["headers"])
         if size > table.configuration.limits.max_header_bytes:
             return result.Err(
-                forwarding.FinalAnswer(HEADERS_TOO_LARGE, "headers too large")
+                exchanges.FinalAnswer(
+                    http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                    "headers too large",
+                )
             )
         if self._in_progress >= MAX_IN_PROGRESS:
             return result.Err(
-                forwarding.FinalAnswer(
-                    UNAVAILABLE,
+                exchanges.FinalAnswer(
+                    http.HTTPStatus.SERVICE_UNAVAILABLE,
                     "too many requests here",
                     RETRY_AFTER_OVERLOAD_S,
                 )
@@ -236,7 +238,7 @@
         if isinstance(matched, result.Err):
             rejection = matched.err_value
             return result.Err(
-                forwarding.FinalAnswer(
+                exchanges.FinalAnswer(
                     rejection.value, rejection.name.lower().replace("_", " ")
                 )
             )
@@ -244,8 +246,10 @@
         needed = STREAM_STOP_S if is_stream else CALL_STOP_S
         if self._stop.left_s(self._clock()) < needed:
             return result.Err(
-                forwarding.FinalAnswer(
-                    UNAVAILABLE, "stopping", RETRY_AFTER_STOP_S
+                exchanges.FinalAnswer(
+                    http.HTTPStatus.SERVICE_UNAVAILABLE,
+                    "stopping",
+                    RETRY_AFTER_STOP_S,
                 )
             )
         return matched
@@ -264,12 +268,15 @@
             self._body_bytes += len(message["body"])
             if len(body) > most:
                 return _Bodyless(
-                    forwarding.FinalAnswer(TOO_LARGE, "body too large")
+                    exchanges.FinalAnswer(
+                        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                        "body too large",
+                    )
                 )
             if self._body_bytes > self._max_body_bytes:
                 return _Bodyless(
-                    forwarding.FinalAnswer(
-                        UNAVAILABLE,
+                    exchanges.FinalAnswer(
+                        http.HTTPStatus.SERVICE_UNAVAILABLE,
                         "too much to hold here",
                         RETRY_AFTER_OVERLOAD_S,
                     )
@@ -278,7 +285,7 @@
                 return None
 
     async def _serve(
-        self, exchange: forwarding.Exchange, receive: Receive, sink: _Sink
+        self, exchange: exchanges.Exchange, receive: Receive, sink: _Sink
     ) -> None:
         """Forwards a request until its end, or until its caller leaves."""
         reason = "caller left"
@@ -330,9 +337,13 @@
     ) -> None:
         """Answers one question."""
         del receive
-        status = NOT_FOUND
+        status = http.HTTPStatus.NOT_FOUND
         if scope["path"] == self._path:
-            status = OK if self._is_ready() else UNAVAILABLE
+            status = (
+                http.HTTPStatus.OK
+                if self._is_ready()
+                else http.HTTPStatus.SERVICE_UNAVAILABLE
+            )
         await _answer_bytes(send, status, b"")
 
 
@@ -350,10 +361,10 @@
         del receive
         stored = self._state.stored
         if scope["path"] != peers.CONFIGURATION_PATH or stored is None:
-            await _answer_bytes(send, NOT_FOUND, b"")
+            await _answer_bytes(send, http.HTTPStatus.NOT_FOUND, b"")
             return
         body = digest_codec.encode_configuration(stored)
-        await _answer_bytes(send, OK, body)
+        await _answer_bytes(send, http.HTTPStatus.OK, body)
 
 
 async def _answer_bytes(send: Send, status: int, body: bytes) -> None:
@@ -400,4 +411,4 @@
             body = msgspec.json.encode(self._dump())
         else:
             body = self._scrape().body
-        await _answer_bytes(send, OK, body)
+        await _answer_bytes(send, http.HTTPStatus.OK, body)
--- a/src/cardamomfork/_internal/gateway/attempt.py
+++ b/src/cardamomfork/_internal/gateway/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 import math
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -24,9 +25,6 @@
 """Answers up to this size are checked to be whole before any byte is passed
 on; longer ones are passed on as they come."""
 
-_OK = 200
-_MISDIRECTED = 421
-
 
 class CallerSink(Protocol):
     """Takes the answer for the caller."""
@@ -118,7 +116,8 @@
             return _fail(first)
         head = first.head
         is_stream = (
-            self._route.rule is fleet.RepeatRule.STREAM and head.status == _OK
+            self._route.rule is fleet.RepeatRule.STREAM
+            and head.status == http.HTTPStatus.OK
         )
         if is_stream and head.is_signed:
             return await self._pass_stream(head, connection, messages, patience)
@@ -302,7 +301,7 @@
             outcomes.Failure.NOT_RUN,
             f"status {head.status} at {head.blamed_target or 'the target'}",
             blamed_target=head.blamed_target,
-            is_misdirected=head.status == _MISDIRECTED,
+            is_misdirected=head.status == http.HTTPStatus.MISDIRECTED_REQUEST,
         )
     if head.is_success and not head.is_signed:
         return outcomes.Failed(outcomes.Failure.BROKEN, "not signed")
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
+import http
 import itertools
 import math
 from typing import TYPE_CHECKING
 
-import attrs
 import result
 
 from cardamomfork._internal.gateway import attempt
 from cardamomfork._internal.gateway import demands
+from cardamomfork._internal.gateway import exchanges
 from cardamomfork._internal.gateway import learning
 from cardamomfork._internal.gateway import outcomes
 from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import request_log
+from cardamomfork._internal.gateway import retrying
 from cardamomfork._internal.gateway import scheduling
 from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.models import forwarding
@@ -27,13 +28,8 @@
     from cardamomfork._internal.gateway import poison_guard
     from cardamomfork._internal.gateway import reservations
     from cardamomfork._internal.gateway import retry_share
-    from cardamomfork._internal.gateway import routes
     from cardamomfork._internal.gateway import target_links
 
-END_MARGIN_S = 0.03
-"""Time before a limit at which the final answer is sent."""
-MIN_SENDING_S = 0.05
-"""Least time for which an attempt is worth sending."""
 FIRST_PATIENCE_FACTOR = 3.0
 MIN_FIRST_PATIENCE_S = 1.0
 """An attempt that can be repeated is given up for silence after its predicted
@@ -41,73 +37,7 @@
 GAP_PATIENCE_FACTOR = 3.0
 MIN_GAP_PATIENCE_S = 1.75
 """The same for the pause between two parts of an answer."""
-RETRY_AFTER_NOT_RUN_S = 0.3
-"""Time to come back after a target refused; its queue drains in parts of a
-second."""
 RETRY_AFTER_POISON_S = 30.0
-MAX_RESERVATIONS_REFUSED = 3
-EXTRA_ARRIVALS = 2
-"""Targets that may refuse a request beside those that may run it."""
-
-BAD_GATEWAY = 502
-UNAVAILABLE = 503
-GATEWAY_TIMEOUT = 504
-
-
-@attrs.define
-class Exchange:
-    """A caller's request on its way.
-
-    Attributes:
-        request: What the caller sent.
-        body: Its body.
-        match: What the configuration says about it.
-        sink: Where the answer goes.
-        arrived_at: Monotonic time of its arrival.
-        fingerprint: Tells requests with the same content.
-        progress: What the caller has got.
-        tried: Targets that it was sent to.
-        arrivals: Attempts that were sent.
-        runs: Attempts that may have run.
-        reservations_refused: Places whose memory was gone.
-        log: Lines about it.
-    """
-
-    request: forwarding.CallerRequest
-    body: bytes
-    match: routes.Match
-    sink: attempt.CallerSink
-    arrived_at: float
-    fingerprint: int
-    log: request_log.RequestLog
-    progress: attempt.Progress = attrs.field(factory=attempt.Progress)
-    tried: set[str] = attrs.field(factory=set)
-    arrivals: int = 0
-    runs: int = 0
-    reservations_refused: int = 0
-
-    @property
-    def ends_at(self) -> float:
-        """Monotonic time at which it must have its final answer."""
-        limit = self.match.route.timeout_s
-        if self.request.time_limit_s is not None:
-            limit = min(limit, self.request.time_limit_s)
-        return self.arrived_at + limit - END_MARGIN_S
-
-
-@attrs.frozen
-class FinalAnswer:
-    """An answer of the system's own.
-
-    Attributes:
-        status: HTTP status.
-        reason: Why, in a few words.
-        retry_after_s: When to come back; None where no time can be named.
-    """
-
-    status: int
-    reason: str
-    retry_after_s: float | None = None
 
 
 class Forwarder:
@@ -146,6 +76,7 @@
         self._load = load
         self._retries = retries
         self._guard = guard
+        self._decider = retrying.RetryDecider(retries, guard, clock)
         self._learner = learning.Learner(table, guard, clock)
         self._reserver = reserver
         self._clock = clock
@@ -153,7 +84,9 @@
         # Callers' ids need not be unique.
         self._job_numbers = itertools.count()
 
-    async def forward(self, exchange: Exchange) -> FinalAnswer | None:
+    async def forward(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.FinalAnswer | None:
         """Serves a request.
 
         Returns:
@@ -163,8 +96,10 @@
         service = exchange.match.service.name
         self._retries.count_request(service, self._clock())
         if self._guard.is_blocked(exchange.fingerprint, self._clock()):
-            return FinalAnswer(
-                UNAVAILABLE, "crashed several targets", RETRY_AFTER_POISON_S
+            return exchanges.FinalAnswer(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                "crashed several targets",
+                RETRY_AFTER_POISON_S,
             )
         while True:
             demand = self._make_demand(exchange)
@@ -179,11 +114,11 @@
                 self._scheduler.release(demand.job_id)
             if isinstance(ending, outcomes.Delivered):
                 return None
-            final = self._after_failure(exchange, ending)
+            final = self._decider.after_failure(exchange, ending)
             if final is not None:
                 return await self._settle(exchange, ending, final)
 
-    def _make_demand(self, exchange: Exchange) -> demands.Demand:
+    def _make_demand(self, exchange: exchanges.Exchange) -> demands.Demand:
         """Returns what the next attempt needs."""
         now = self._clock()
         route = exchange.match.route
@@ -207,7 +142,7 @@
 
     async def _attempt(
         self,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
         demand: demands.Demand,
         place: placement.Placement,
     ) -> outcomes.Ending:
@@ -223,7 +158,7 @@
 
     async def _send(
         self,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
         demand: demands.Demand,
         place: placement.Placement,
         held: reservations.Held,
@@ -290,7 +225,7 @@
 
     def _encode(
         self,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
         place: placement.Placement,
         held: reservations.Held,
     ) -> bytes:
@@ -319,7 +254,7 @@
         return head + exchange.body
 
     def _patience(
-        self, exchange: Exchange, place: placement.Placement
+        self, exchange: exchanges.Exchange, place: placement.Placement
     ) -> attempt.Patience:
         """Returns how long an attempt may be silent."""
         route = exchange.match.route
@@ -336,55 +271,12 @@
             until=exchange.ends_at,
         )
 
-    def _after_failure(
-        self, exchange: Exchange, failed: outcomes.Failed
-    ) -> FinalAnswer | None:
-        """Returns the end of a request, or None to try once more."""
-        route = exchange.match.route
-        now = self._clock()
-        may_run_again = failed.surely_not_run or route.may_repeat
-        left = exchange.ends_at - now
-        why = None
-        if not may_run_again:
-            why = "may not run again"
-        elif left < MIN_SENDING_S:
-            why = "no time left"
-        elif exchange.runs >= route.max_attempts:
-            why = "no attempt left"
-        elif exchange.arrivals >= route.max_attempts + EXTRA_ARRIVALS:
-            why = "refused by several targets"
-        elif exchange.reservations_refused > MAX_RESERVATIONS_REFUSED:
-            why = "no memory in several places"
-        elif self._guard.is_blocked(exchange.fingerprint, now):
-            why = "crashed several targets"
-        elif (
-            exchange.arrivals
-            and failed.failure is not outcomes.Failure.NO_MEMORY
-            and not self._retries.take(exchange.match.service.name, now)
-        ):
-            why = "no retry left"
-        if why is None:
-            exchange.log.tries_again(failed, left)
-            return None
-        return self._make_final(exchange, failed, why)
-
-    def _make_final(
-        self, exchange: Exchange, failed: outcomes.Failed, why: str
-    ) -> FinalAnswer:
-        """Returns the truthful end after a failure."""
-        reason = f"{failed.failure.value}: {failed.detail}; {why}"
-        if exchange.runs == 0:
-            return FinalAnswer(UNAVAILABLE, reason, RETRY_AFTER_NOT_RUN_S)
-        if failed.failure is outcomes.Failure.SILENT:
-            return FinalAnswer(GATEWAY_TIMEOUT, reason)
-        return FinalAnswer(BAD_GATEWAY, reason)
-
     async def _settle(
         self,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
         failed: outcomes.Failed,
-        final: FinalAnswer,
-    ) -> FinalAnswer | None:
+        final: exchanges.FinalAnswer,
+    ) -> exchanges.FinalAnswer | None:
         """Passes a target's own failure on, where it gave a whole one."""
         if failed.answer is None or exchange.progress.has_started:
             return final
@@ -399,12 +291,18 @@
         return None
 
     def _refuse(
-        self, exchange: Exchange, refusal: scheduling.Refusal
-    ) -> FinalAnswer:
+        self, exchange: exchanges.Exchange, refusal: scheduling.Refusal
+    ) -> exchanges.FinalAnswer:
         """Returns the end of a request that gets no place."""
         if exchange.runs:
-            return FinalAnswer(BAD_GATEWAY, refusal.reason)
-        return FinalAnswer(UNAVAILABLE, refusal.reason, refusal.retry_after_s)
+            return exchanges.FinalAnswer(
+                http.HTTPStatus.BAD_GATEWAY, refusal.reason
+            )
+        return exchanges.FinalAnswer(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            refusal.reason,
+            refusal.retry_after_s,
+        )
 
 
 def _ignore() -> None:
--- a/src/cardamomfork/_internal/gateway/learning.py
+++ b/src/cardamomfork/_internal/gateway/learning.py
@@ -11,7 +11,7 @@
     from collections.abc import Callable
 
     from cardamomfork._internal.gateway import demands
-    from cardamomfork._internal.gateway import forwarding
+    from cardamomfork._internal.gateway import exchanges
     from cardamomfork._internal.gateway import placement
     from cardamomfork._internal.gateway import poison_guard
     from cardamomfork._internal.models import fleet
@@ -42,7 +42,7 @@
 
     def take(
         self,
-        exchange: forwarding.Exchange,
+        exchange: exchanges.Exchange,
         record: fleet.TargetRecord,
         place: placement.Placement,
         demand: demands.Demand,
@@ -79,7 +79,7 @@
 
     def _learn_of_refusal(
         self,
-        exchange: forwarding.Exchange,
+        exchange: exchanges.Exchange,
         record: fleet.TargetRecord,
         failed: outcomes.Failed,
         now: float,
--- a/src/cardamomfork/_internal/gateway/reservations.py
+++ b/src/cardamomfork/_internal/gateway/reservations.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import contextlib
+import http
 import math
 import secrets
 from typing import TYPE_CHECKING
@@ -38,8 +39,6 @@
 objective, and its memory is freed by itself."""
 ID_BYTES = 8
 
-_OK = 200
-
 
 @attrs.frozen
 class Reservation:
@@ -153,7 +152,7 @@
             reservation.reservation_id, reservation.tokens, HOLD_S
         )
         answered = await self._send(order, reservation.target)
-        if answered == _OK:
+        if answered == http.HTTPStatus.OK:
             granted.append(reservation)
             return
         logger.info(
@@ -168,7 +167,7 @@
         """Ends a reservation; one that stays is freed by its time."""
         order = engine_orders.Release(reservation.reservation_id)
         answered = await self._send(order, reservation.target)
-        if answered != _OK:
+        if answered != http.HTTPStatus.OK:
             logger.info(
                 "memory not released",
                 target_id=reservation.target.target_id,
--- a/src/cardamomfork/_internal/gateway/traffic_metrics.py
+++ b/src/cardamomfork/_internal/gateway/traffic_metrics.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cardamomfork._internal.gateway import forwarding
+    from cardamomfork._internal.gateway import exchanges
 
 LATENCY_EDGES_S = (
     0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 5.0, 10.0, 15.0
@@ -53,7 +53,7 @@
 
     def ended(
         self,
-        exchange: forwarding.Exchange,
+        exchange: exchanges.Exchange,
         status: int,
         reason: str,
         seconds: float,
--- /dev/null
+++ b/src/cardamomfork/_internal/measure/digests.py
@@ -0,0 +1,116 @@
+"""Size and processor time of digests between entry instances."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway import digest_routes
+from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.measure import reports
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+JOBS = (0, 1, 4, 16, 64)
+ROUNDS = 2000
+SMALLEST_ROUNDS = 50
+INSTANCES = (9, 84, 340)
+DATA_CENTRES = {9: 4, 84: 3, 340: 11}
+"""Data centres of the users' deployments of that size."""
+MIN_TO_RELAY = digest_routes.MIN_PEERS_TO_RELAY + 1
+"""Instances up to which each peer is sent its own digest."""
+BOUND_SHARE = 0.044
+"""Share of a core that control may use, by the users' target."""
+
+
+def measure(options: reports.Options) -> reports.Report:
+    """Measures encoding and decoding by the number of jobs."""
+    rounds = SMALLEST_ROUNDS if options.smallest else ROUNDS
+    sizes = JOBS[:2] if options.smallest else JOBS
+    samples = [(count, *_sample(count, rounds)) for count in sizes]
+    decoding = reports.Slope(
+        "us to decode a digest",
+        "jobs",
+        tuple((float(count), took) for count, _, _, took in samples),
+    )
+    return reports.Report(
+        "digests",
+        (
+            reports.Table(
+                "a digest by the jobs that it holds",
+                ("jobs", "bytes", "encode us", "decode us"),
+                tuple(
+                    (f"{count}", f"{size}", f"{encode:.1f}", f"{decode:.1f}")
+                    for count, size, encode, decode in samples
+                ),
+            ),
+            decoding,
+            _spread(decoding),
+        ),
+    )
+
+
+def _spread(decoding: reports.Slope) -> reports.Table:
+    """Returns how often a digest is sent, and how many an instance bears."""
+    slope, intercept = decoding.fit
+    took_s = (slope + intercept) / 1e6
+    rows = []
+    for instances in INSTANCES:
+        centres = DATA_CENTRES[instances]
+        there = instances - instances // centres
+        across = there if instances <= MIN_TO_RELAY else centres - 1
+        most = BOUND_SHARE / (took_s * (instances - 1))
+        rows.append(
+            (
+                f"{instances}",
+                f"{centres}",
+                f"{there}",
+                f"{across}",
+                f"{most:.1f}",
+            )
+        )
+    return reports.Table(
+        "a digest's ways, and digests a second of each instance that use"
+        f" {BOUND_SHARE:.1%} of a core at every other (one job each)",
+        (
+            "instances",
+            "data centres",
+            "peers elsewhere",
+            "datagrams across",
+            "digests/s",
+        ),
+        tuple(rows),
+    )
+
+
+def _sample(count: int, rounds: int) -> tuple[int, float, float]:
+    """Returns bytes, and us to encode and to decode."""
+    digest = digest_codec.Digest(
+        digest_codec.Peer("front-rosenheim-3", "rosenheim", "10.0.0.1", 7000),
+        2**61,
+        55,
+        1_234_567,
+        1_234_567,
+        False,
+        tuple(
+            load_view.Job(
+                f"{number}", f"i-{number:010x}", (), 5000, 1500, 0.25, 1.0, 0.2
+            )
+            for number in range(count)
+        ),
+        (),
+    )
+    data = digest_codec.encode(digest, 0.0)
+    encode = _time_us(lambda: digest_codec.encode(digest, 0.0), rounds)
+    decode = _time_us(lambda: digest_codec.decode(data, 0.0), rounds)
+    return len(data), encode, decode
+
+
+def _time_us(call: Callable[[], object], rounds: int) -> float:
+    """Returns the processor time of a call, in us."""
+    start = time.process_time_ns()
+    for _ in range(rounds):
+        call()
+    return (time.process_time_ns() - start) / rounds / 1000
--- a/src/cardamomfork/_internal/platform/headers.py
+++ b/src/cardamomfork/_internal/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 import math
 import re
 from typing import TYPE_CHECKING
@@ -30,7 +31,6 @@
 _API_KEY = b"api-key"
 _LAST_EVENT_ID = b"last-event-id"
 
-_MISDIRECTED = 421
 
 _CONNECTION_HEADERS = frozenset(
     (
@@ -114,7 +114,8 @@
         headers=tuple(pair for pair in pairs if pair[0] not in dropped),
         request_id=values.get(_REQUEST_ID, b"").decode("latin-1"),
         is_signed=_SIGNATURE in values,
-        is_not_run=_NOT_RUN in values or status == _MISDIRECTED,
+        is_not_run=_NOT_RUN in values
+        or status == http.HTTPStatus.MISDIRECTED_REQUEST,
         blamed_target=values.get(_BLAMED, b"").decode("latin-1"),
         idle_timeout_s=float(keep_alive[1]) if keep_alive else None,
         content_length=_to_int(values.get(b"content-length")),
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from cardamomfork._internal.gateway import exchanges
 from cardamomfork._internal.gateway import forwarding
 from cardamomfork._internal.gateway import poison_guard
 from cardamomfork._internal.gateway import request_log
@@ -102,7 +103,7 @@
         if self.is_stream:
             fields.append((b"x-cardamomfork-token-usage", b"1000,400"))
         request = self.wire.decode_request("POST", b"/a/x?q=1", fields)
-        return forwarding.Exchange(
+        return exchanges.Exchange(
             request=request,
             body=body,
             match=routes.Match(
--- a/tests/unit/test_gateway_application.py
+++ b/tests/unit/test_gateway_application.py
@@ -9,8 +9,8 @@
 
 from cardamomfork._internal.gateway import application
 from cardamomfork._internal.gateway import caller_protocol
+from cardamomfork._internal.gateway import exchanges
 from cardamomfork._internal.gateway import fleet_state
-from cardamomfork._internal.gateway import forwarding
 from cardamomfork._internal.gateway import stopping
 from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.gateway import traffic_metrics
@@ -40,7 +40,7 @@
 
     def __init__(self):
         self.exchanges = []
-        self.final = forwarding.FinalAnswer(503, "no room", 0.25)
+        self.final = exchanges.FinalAnswer(503, "no room", 0.25)
         self.asked = anyio.Event()
         self.hold = None
 
--- /dev/null
+++ b/tests/unit/test_gateway_retrying.py
@@ -0,0 +1,110 @@
+"""What follows a failed attempt, case by case."""
+
+import types
+import unittest
+
+from cardamomfork._internal.gateway import exchanges
+from cardamomfork._internal.gateway import outcomes
+from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import request_log
+from cardamomfork._internal.gateway import retry_share
+from cardamomfork._internal.gateway import retrying
+from cardamomfork._internal.gateway import routes
+from cardamomfork._internal.models import fleet
+from cardamomfork._internal.models import forwarding
+from tests.lib import gateway_parts
+
+Failure = outcomes.Failure
+SENT = (Failure.BROKEN, Failure.SILENT, Failure.FAILED)
+UNSENT = (Failure.UNREACHABLE, Failure.NO_MEMORY, Failure.NOT_RUN)
+
+
+class Case:
+    """A request after an attempt, and the decider."""
+
+    def __init__(self, rule, *, arrivals=1, runs=1, waited=0.5, **route):
+        self.clock = gateway_parts.Clock()
+        attempts = 1 if rule is fleet.RepeatRule.ONCE else 2
+        self.guard = poison_guard.PoisonGuard()
+        self.decider = retrying.RetryDecider(
+            retry_share.RetryShare(gateway_parts.make_settings()),
+            self.guard,
+            self.clock,
+        )
+        fields = {"rule": rule, "max_attempts": attempts, "timeout_s": 3.0}
+        self.exchange = exchanges.Exchange(
+            request=forwarding.CallerRequest(
+                "r1", b"POST", b"/a/", "/a/", "h", ()
+            ),
+            body=b"",
+            match=routes.Match(
+                gateway_parts.make_route(**(fields | route)),
+                gateway_parts.PLAIN,
+                None,
+                1,
+                1,
+            ),
+            sink=types.SimpleNamespace(),
+            arrived_at=self.clock.now - waited,
+            fingerprint=7,
+            log=request_log.RequestLog("r1"),
+            arrivals=arrivals,
+            runs=runs,
+        )
+
+    def decide(self, failure):
+        failed = outcomes.Failed(failure, "seen")
+        return self.decider.after_failure(self.exchange, failed)
+
+
+class RetryDeciderTest(unittest.TestCase):
+    def test_what_may_run_once_ends_unknown_after_it_was_sent(self):
+        for failure, status in zip(SENT, (502, 504, 502), strict=True):
+            final = Case(fleet.RepeatRule.ONCE).decide(failure)
+            self.assertEqual(final.status, status)
+            self.assertIsNone(final.retry_after_s)
+
+    def test_what_did_not_run_goes_elsewhere(self):
+        for rule in fleet.RepeatRule:
+            for failure in UNSENT:
+                case = Case(rule, runs=0)
+                self.assertIsNone(case.decide(failure), (rule, failure))
+
+    def test_what_may_repeat_is_tried_once_more_and_no_more(self):
+        for rule in (fleet.RepeatRule.SAFE, fleet.RepeatRule.STREAM):
+            for failure in SENT:
+                self.assertIsNone(Case(rule).decide(failure))
+                again = Case(rule, runs=2, arrivals=2).decide(failure)
+                self.assertIn("no attempt left", again.reason)
+
+    def test_not_run_is_said_only_where_nothing_may_have_run(self):
+        for rule in fleet.RepeatRule:
+            for failure in UNSENT:
+                for runs in (0, 1):
+                    case = Case(rule, runs=runs, arrivals=9)
+                    final = case.decide(failure)
+                    self.assertEqual(final.status == 503, runs == 0)
+                    self.assertEqual(final.retry_after_s is None, runs > 0)
+
+    def test_nothing_is_sent_when_the_time_is_over(self):
+        case = Case(fleet.RepeatRule.SAFE, runs=0, waited=2.95)
+        self.assertIn("no time left", case.decide(Failure.NOT_RUN).reason)
+
+    def test_request_that_crashed_several_targets_is_not_sent_on(self):
+        case = Case(fleet.RepeatRule.SAFE)
+        for number in range(3):
+            death = poison_guard.Death(case.exchange.fingerprint, f"t{number}")
+            case.guard.count(death, case.clock.now)
+        final = case.decide(Failure.BROKEN)
+        self.assertIn("crashed several targets", final.reason)
+
+    def test_repeats_end_with_the_instance_s_share(self):
+        case = Case(fleet.RepeatRule.SAFE)
+        ends = [case.decide(Failure.BROKEN) for _ in range(500)]
+        reasons = {final.reason for final in ends if final is not None}
+        self.assertEqual(reasons, {"broken: seen; no retry left"})
+        self.assertIsNone(ends[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
