--- a/src/cardamomfork/_internal/gateway/application.py
+++ b/src/cardamomfork/_internal/gateway/application.py
@@ -18,6 +18,7 @@
 from cardamomfork._internal.gateway import forwarding
 from cardamomfork._internal.gateway import peers
 from cardamomfork._internal.gateway import request_log
+from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import fleet
 
 if TYPE_CHECKING:
@@ -292,8 +293,7 @@
         async with anyio.create_task_group() as tasks:
 
             async def watch() -> None:
-                while (await receive())["type"] != "http.disconnect":
-                    pass
+                await protocol.wait_until_left(receive)
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(watch)
--- a/src/cardamomfork/_internal/gateway/attempt.py
+++ b/src/cardamomfork/_internal/gateway/attempt.py
@@ -211,21 +211,15 @@
                     connection.consumed(len(data))
                     events = splitter.feed(data)
                     if not await self._pass_events(head, events):
-                        return outcomes.Failed(
-                            outcomes.Failure.BROKEN, "an event is missing"
-                        )
+                        return _broken("an event is missing")
                     if splitter.is_overlong:
-                        return outcomes.Failed(
-                            outcomes.Failure.BROKEN, "an event never ends"
-                        )
+                        return _broken("an event never ends")
                     if events:
                         limit = patience.between_s
                 case target_connection.Ended() if not splitter.rest:
                     return await self._finish_stream(head)
                 case target_connection.Ended():
-                    return outcomes.Failed(
-                        outcomes.Failure.BROKEN, "ended in an event"
-                    )
+                    return _broken("ended in an event")
                 case _:
                     return _fail(message)
 
@@ -286,12 +280,13 @@
     if message is None:
         return outcomes.Failed(outcomes.Failure.SILENT, "nothing came in time")
     if isinstance(message, target_connection.Broken):
-        return outcomes.Failed(
-            outcomes.Failure.BROKEN, f"{message.fault}: {message.detail}"
-        )
-    return outcomes.Failed(
-        outcomes.Failure.BROKEN, f"unexpected {type(message).__name__}"
-    )
+        return _broken(f"{message.fault}: {message.detail}")
+    return _broken(f"unexpected {type(message).__name__}")
+
+
+def _broken(detail: str) -> outcomes.Failed:
+    """Returns the end by an answer that broke off, or was none."""
+    return outcomes.Failed(outcomes.Failure.BROKEN, detail)
 
 
 def _judge(head: forwarding.AnswerHead, body: bytes) -> outcomes.Failed | None:
@@ -304,7 +299,7 @@
             is_misdirected=head.status == http.HTTPStatus.MISDIRECTED_REQUEST,
         )
     if head.is_success and not head.is_signed:
-        return outcomes.Failed(outcomes.Failure.BROKEN, "not signed")
+        return _broken("not signed")
     if not head.is_success:
         return outcomes.Failed(
             outcomes.Failure.FAILED,
--- a/src/cardamomfork/_internal/links/callers/protocol.py
+++ b/src/cardamomfork/_internal/links/callers/protocol.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,8 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Awaitable
+    from collections.abc import Callable
 
 SCOPE_KEY = "cardamomfork.connection"
 HEAD_TIMEOUT_S = 15.0
@@ -20,6 +23,18 @@
 """Time a caller has to read a full buffer's worth, in seconds."""
 
 
+async def wait_until_left(
+    receive: Callable[[], Awaitable[dict[str, Any]]],
+) -> None:
+    """Returns once the caller has closed its connection.
+
+    Args:
+        receive: ASGI's receive, after the whole body.
+    """
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
 class FlowListener(Protocol):
     """Hears when the caller's connection is full."""
 
--- a/src/cardamomfork/_internal/standins/http_exchange.py
+++ b/src/cardamomfork/_internal/standins/http_exchange.py
@@ -113,5 +113,4 @@
 
     async def wait_for_caller_to_leave(self) -> None:
         """Says nothing until the other side closes."""
-        while (await self.receive())["type"] != "http.disconnect":
-            pass
+        await protocol.wait_until_left(self.receive)
--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -191,8 +191,7 @@
             async with anyio.create_task_group() as tasks:
 
                 async def watch() -> None:
-                    while (await receive())["type"] != "http.disconnect":
-                        pass
+                    await protocol.wait_until_left(receive)
                     tasks.cancel_scope.cancel()
 
                 tasks.start_soon(watch)
