Fetch configurations from peers over new connections

Two of six instances were 2.6 s behind version 18.

Ruled out: the longer wait at the store (the wait began at 21.5 s, and 20 s would have held as well); news that went missing (each instance had it at once).

A connection is used for one fetch now. The new test has a peer whose connections say nothing after their first answer; it fails before (revision 1 after half a second, not 2).

--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -119,7 +119,10 @@
 
     async def fetch_configurations(self) -> None:
         """Fetches newer configurations from peers while the task runs."""
-        async with httpcore.AsyncConnectionPool() as pool:
+        # A kept connection may have gone silent; a new one costs little.
+        async with httpcore.AsyncConnectionPool(
+            max_keepalive_connections=0
+        ) as pool:
             while True:
                 await self._ahead_event.wait()
                 self._ahead_event = anyio.Event()
--- /dev/null
+++ b/tests/functional/test_peer_fetch.py
@@ -0,0 +1,95 @@
+"""A newer configuration comes from a peer over a connection of its own."""
+
+import asyncio
+import random
+import unittest
+
+from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway import digest_routes
+from cardamomfork._internal.gateway import fleet_state
+from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway import peer_table
+from cardamomfork._internal.gateway import peers
+from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.platform import wire_format
+from cardamomfork._internal.standins import platform_site
+from tests.lib import gateway_parts
+
+HOST = "127.0.0.1"
+SOON_S = peers.FETCH_TIMEOUT_S / 2
+
+
+class SilentAfterwards:
+    """A peer whose connections say nothing after their first answer."""
+
+    def __init__(self):
+        self.revision = 0
+        self.connections = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        await reader.readuntil(b"\r\n\r\n")
+        value = platform_site.make_configuration(self.revision, (), (), {})
+        stored = fleet_state.StoredConfiguration(value, self.revision)
+        body = digest_codec.encode_configuration(stored)
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+        writer.write(head + body)
+        await reader.read()
+        writer.close()
+
+
+class Targets:
+    """Stands for what follows the targets' entries."""
+
+    changed_at = 0
+
+    def hear(self, revision):
+        del revision
+
+
+def make_links(state, clock):
+    """Returns the links of an instance without peers."""
+    own = digest_codec.Peer("one", "a", HOST, 1)
+    table = peer_table.PeerTable(own, clock)
+    return peers.PeerLinks(
+        own,
+        table,
+        digest_routes.DigestRoutes("a", table, random.Random(1)),
+        load_view.LoadView(),
+        state,
+        poison_guard.PoisonGuard(),
+        Targets(),
+        clock,
+        lambda: None,
+    )
+
+
+class FetchTest(unittest.IsolatedAsyncioTestCase):
+    async def test_connection_that_has_gone_silent_delays_nothing(self):
+        clock = gateway_parts.Clock()
+        state = fleet_state.FleetState(
+            wire_format.WireFormat(), target_table.TargetTable(), clock
+        )
+        links = make_links(state, clock)
+        peer = SilentAfterwards()
+        server = await asyncio.start_server(peer.serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        fetching = asyncio.create_task(links.fetch_configurations())
+        for revision in (1, 2, 3):
+            peer.revision = revision
+            sender = digest_codec.Peer("two", "b", HOST, port)
+            digest = digest_codec.Digest(
+                sender, 5, revision, revision, 0, False, (), ()
+            )
+            data = peers.KEEP + digest_codec.encode(digest, clock())
+            links.datagram_received(data, (HOST, port))
+            await asyncio.sleep(SOON_S)
+            self.assertEqual(state.revision, revision)
+        fetching.cancel()
+        await asyncio.gather(fetching, return_exceptions=True)
+        server.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
