Stop one request that finds no room from holding up those that would

The placer now says whether its answer holds for every request to the same targets (no target, or no place left at any), and only that is reused, among requests with the same exclusions. The bound on looks stays at 6.

--- a/src/cardamomfork/_internal/gateway/placement.py
+++ b/src/cardamomfork/_internal/gateway/placement.py
@@ -80,10 +80,12 @@
     Attributes:
         reason: Why.
         room_in_s: Predicted time until one can; infinite if none ever can.
+        is_for_all: Whether no other request finds room at these targets.
     """
 
     reason: str
     room_in_s: float
+    is_for_all: bool = False
 
 
 class Placer:
@@ -130,7 +132,7 @@
             for target in others or listed
         ]
         if not candidates:
-            return NoRoom("no target", NO_TARGET_S)
+            return NoRoom("no target", NO_TARGET_S, is_for_all=True)
         costs = place_costs.PlaceCosts(
             self._data_centre, self._source, self._count_instances()
         )
@@ -147,14 +149,9 @@
         now: float,
     ) -> Placement | NoRoom:
         """Chooses a target of a plain service: the least loaded one."""
-        free = [
-            candidate
-            for candidate in candidates
-            if candidate.load.running < candidate.target.record.slots
-        ]
+        free = _list_free(candidates)
         if not free:
-            return _no_room("all targets are full", candidates)
-
+            return _no_room("all targets are full", candidates, is_for_all=True)
         least, best = min(
             ((costs.call(candidate, now), candidate) for candidate in free),
             key=lambda pair: pair[0],
@@ -174,11 +171,13 @@
         size = demand.prompt_tokens + demand.output_tokens
         if size > law.memory_tokens * MEMORY_SHARE * len(candidates):
             return NoRoom("larger than all engines' memory", math.inf)
+        free = _list_free(candidates)
+        if not free:
+            return _no_room("all engines are full", candidates, is_for_all=True)
         free = [
             candidate
-            for candidate in candidates
-            if candidate.load.running < candidate.target.record.slots
-            and _free_tokens(law, candidate) >= demand.output_tokens
+            for candidate in free
+            if _free_tokens(law, candidate) >= demand.output_tokens
         ]
         if not free:
             return _no_room("all engines are full", candidates)
@@ -261,6 +260,15 @@
         )
 
 
+def _list_free(candidates: list[demands.Candidate]) -> list[demands.Candidate]:
+    """Returns those that have a place left."""
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.load.running < candidate.target.record.slots
+    ]
+
+
 def _free_tokens(law: fleet.EngineLaw, candidate: demands.Candidate) -> int:
     """Returns the memory that is free on an engine."""
     planned = int(law.memory_tokens * MEMORY_SHARE)
@@ -308,8 +316,12 @@
     return _part_done_s(law, candidate, part_s) + own_pass
 
 
-def _no_room(reason: str, candidates: list[demands.Candidate]) -> NoRoom:
+def _no_room(
+    reason: str,
+    candidates: list[demands.Candidate],
+    *,
+    is_for_all: bool = False,
+) -> NoRoom:
     """Returns when the first of the targets frees a place."""
-    return NoRoom(
-        reason, min(candidate.load.frees_in_s for candidate in candidates)
-    )
+    room_in_s = min(candidate.load.frees_in_s for candidate in candidates)
+    return NoRoom(reason, room_in_s, is_for_all)
--- a/src/cardamomfork/_internal/gateway/scheduling.py
+++ b/src/cardamomfork/_internal/gateway/scheduling.py
@@ -81,6 +81,10 @@
         )
 
 
+_Full = dict[tuple[str, frozenset[str]], placement.NoRoom]
+"""Where no request finds room, by service and the targets that it excludes."""
+
+
 class Scheduler:
     """Gives places to requests in order; one a process."""
 
@@ -119,7 +123,7 @@
     ) -> placement.Placement | Refusal:
         """Returns a place, after a wait if need be, or a refusal at once."""
         waiter = _Waiter(demand, priority, self._clock())
-        if self._waiting or not self._try(waiter, waiter.since):
+        if self._waiting or not self._try(waiter, waiter.since, {}):
             if len(self._waiting) >= MAX_WAITING:
                 return self._refuse("too many requests wait", 1.0)
             self._waiting.append(waiter)
@@ -154,7 +158,7 @@
         """Gives places to those that wait, in order."""
         now = self._clock()
         self._looked_at = now
-        full: dict[str, tuple[int, placement.NoRoom]] = {}
+        full: _Full = {}
         for waiter in list(self._waiting):
             if self._try(waiter, now, full):
                 self._waiting.remove(waiter)
@@ -165,37 +169,23 @@
         if self._clock() - self._looked_at >= pause_s:
             self.pump()
 
-    def _try(
-        self,
-        waiter: _Waiter,
-        now: float,
-        full: dict[str, tuple[int, placement.NoRoom]] | None = None,
-    ) -> bool:
+    def _try(self, waiter: _Waiter, now: float, full: _Full) -> bool:
         """Decides on one request if that can be done now.
 
         Args:
             waiter: The request.
             now: Monotonic time.
-            full: By service, the smallest size that found no room in this
-                look, and why; larger ones find none either.
+            full: Where nobody finds room in this look; it is added to.
         """
         demand = waiter.demand_at(now)
-        size = demand.prompt_tokens + demand.output_tokens
-        known = full.get(demand.service.name) if full is not None else None
-        if known is not None and size >= known[0]:
-            chosen: placement.Placement | placement.NoRoom = known[1]
-        else:
-            chosen = self._placer.choose(demand, now)
+        alike = (demand.service.name, demand.excluded)
+        chosen = full.get(alike) or self._placer.choose(demand, now)
         if isinstance(chosen, placement.Placement):
             self._commit(demand, chosen, now)
             waiter.answer = chosen
             return True
-        if full is not None:
-            full[demand.service.name] = min(
-                full.get(demand.service.name, (size, chosen)),
-                (size, chosen),
-                key=lambda pair: pair[0],
-            )
+        if chosen.is_for_all:
+            full[alike] = chosen
         least = _least_service_s(demand)
         if chosen.room_in_s + least > demand.time_left_s:
             waiter.answer = self._refuse(chosen.reason, chosen.room_in_s)
--- a/tests/unit/test_gateway_scheduling.py
+++ b/tests/unit/test_gateway_scheduling.py
@@ -14,6 +14,7 @@
 TOKENS = 5000
 TEST_LIMIT_S = 2.0
 WAITING = 30
+FREE_TOKENS = 12_000
 
 
 class Site:
@@ -37,11 +38,12 @@
             place.target.record.target_id, demand.job_id, ends_at=now + 1.0
         )
 
-    async def acquire(self, job_id, answers):
+    async def acquire(self, job_id, answers, changes=None, priority=1):
         """Asks for a place and notes the answer."""
-        answers[job_id] = await self.scheduler.acquire(
-            gateway_parts.make_demand(TOKENS, job_id=job_id), 1
+        demand = gateway_parts.make_demand(
+            TOKENS, **({"job_id": job_id} | (changes or {}))
         )
+        answers[job_id] = await self.scheduler.acquire(demand, priority)
 
     @property
     def jobs(self):
@@ -115,6 +117,68 @@
             self.assertLessEqual(len(looks), 6)
             tasks.cancel_scope.cancel()
 
+    async def test_one_that_may_not_use_the_free_place_holds_nobody_up(self):
+        # The first in order has been at the target that becomes free; it
+        # found no room at the other one, which says nothing of the next.
+        site = Site()
+        site.fleet.table.put(gateway_parts.make_record(1, slots=1))
+        answers = {}
+        for job_id in ("first", "second"):
+            await site.acquire(job_id, answers)
+        freed = next(
+            job for job in site.fleet.load.own_jobs if job.target_id == "t0"
+        )
+        async with limited_tasks() as tasks:
+            for job_id, changes, priority in (
+                ("again", {"excluded": frozenset(("t0",))}, 0),
+                ("next", {}, 1),
+            ):
+                tasks.start_soon(
+                    site.acquire, job_id, answers, changes, priority
+                )
+                await anyio.wait_all_tasks_blocked()
+            site.scheduler.release(freed.job_id)
+            await anyio.wait_all_tasks_blocked()
+            self.assertIn("next", answers)
+            tasks.cancel_scope.cancel()
+
+    async def test_one_with_a_long_answer_holds_no_prompt_up(self):
+        # No engine has memory for the first one's answer. The next one's is
+        # short, and its prompt, though longer than both, fits on four.
+        site = Site()
+        most = int(gateway_parts.LAW.memory_tokens * placement.MEMORY_SHARE)
+        for number in range(4):
+            site.fleet.table.put(gateway_parts.make_record(number))
+            site.fleet.run(
+                f"t{number}",
+                f"large{number}",
+                most - FREE_TOKENS,
+                output_tokens=0,
+                ends_at=site.clock.now + 1.0,
+            )
+        answers = {}
+        wanted = (
+            (
+                "long",
+                {
+                    "prompt_tokens": 9,
+                    "output_tokens": FREE_TOKENS + 1,
+                    "time_left_s": 60.0,
+                },
+                0,
+            ),
+            ("next", {"prompt_tokens": 45_000, "output_tokens": 9}, 1),
+        )
+        async with limited_tasks() as tasks:
+            for job_id, changes, priority in wanted:
+                tasks.start_soon(
+                    site.acquire, job_id, answers, changes, priority
+                )
+                await anyio.wait_all_tasks_blocked()
+            self.assertIsInstance(answers.get("next"), placement.Placement)
+            self.assertNotIn("long", answers)
+            tasks.cancel_scope.cancel()
+
     async def _leave_at_release(self, site, answers, tasks, *later):
         """Frees a place between a caller's leaving and its task's next turn."""
         scope = anyio.CancelScope()
