Share what the change had written twice

No behaviour changes. A header of a raw request is found in one place, for both event sources; the measured policies build a whole placement in one place; the fleet of the tests is the model's; the plays of many instances in the tests are made by one function, with the same loads, bounds and assertions. The bound up to which digests go straight is named for what it is.

--- a/src/cardamomfork/_internal/gateway/digest_routes.py
+++ b/src/cardamomfork/_internal/gateway/digest_routes.py
@@ -20,7 +20,7 @@
     from cardamomfork._internal.gateway import digest_codec
     from cardamomfork._internal.gateway import peer_table
 
-MIN_PEERS_TO_RELAY = 12
+MAX_STRAIGHT_PEERS = 12
 """Up to so many peers, each is sent its own."""
 MIN_PEERS_THERE = 3
 """A data centre with fewer gets each its own."""
@@ -59,7 +59,7 @@
     def choose(self) -> Ways:
         """Returns the receivers of the next digest."""
         peers = self._table.peers
-        if len(peers) <= MIN_PEERS_TO_RELAY:
+        if len(peers) <= MAX_STRAIGHT_PEERS:
             return Ways(tuple(peers))
         straight: list[digest_codec.Peer] = []
         relays: list[digest_codec.Peer] = []
--- a/src/cardamomfork/_internal/measure/digests.py
+++ b/src/cardamomfork/_internal/measure/digests.py
@@ -19,7 +19,7 @@
 INSTANCES = (9, 84, 340)
 DATA_CENTRES = {9: 4, 84: 3, 340: 11}
 """Data centres of the users' deployments of that size."""
-MIN_TO_RELAY = digest_routes.MIN_PEERS_TO_RELAY + 1
+MAX_STRAIGHT_INSTANCES = digest_routes.MAX_STRAIGHT_PEERS + 1
 """Instances up to which each peer is sent its own digest."""
 BOUND_SHARE = 0.044
 """Share of a core that control may use, by the users' target."""
@@ -60,7 +60,7 @@
     for instances in INSTANCES:
         centres = DATA_CENTRES[instances]
         there = instances - instances // centres
-        across = there if instances <= MIN_TO_RELAY else centres - 1
+        across = there if instances <= MAX_STRAIGHT_INSTANCES else centres - 1
         most = BOUND_SHARE / (took_s * (instances - 1))
         rows.append(
             (
--- a/src/cardamomfork/_internal/measure/engine_play.py
+++ b/src/cardamomfork/_internal/measure/engine_play.py
@@ -135,10 +135,23 @@
     """Targets, what is believed of their load, and the placer's choice."""
 
     def __init__(
-        self, law: fleet.EngineLaw, engines: int, instances: int, seed: int
+        self,
+        law: fleet.EngineLaw,
+        engines: int,
+        instances: int,
+        seed: int,
+        service: str = SERVICE,
     ) -> None:
-        """Starts idle."""
-        self.service = fleet.Service(SERVICE, 300, law)
+        """Starts idle.
+
+        Args:
+            law: The engines' timing.
+            engines: How many targets there are.
+            instances: How many instances place requests.
+            seed: Of what the choice leaves to chance.
+            service: The service that the targets belong to.
+        """
+        self.service = fleet.Service(service, 300, law)
         self.table = target_table.TargetTable()
         self.load = load_view.LoadView()
         self.source = random.Random(seed)
@@ -153,7 +166,7 @@
             self.table.put(
                 fleet.TargetRecord(
                     target_id=f"t{number}",
-                    service=SERVICE,
+                    service=service,
                     host="127.0.0.1",
                     port=9000 + number,
                     data_centre=DATA_CENTRE,
--- a/src/cardamomfork/_internal/measure/placing.py
+++ b/src/cardamomfork/_internal/measure/placing.py
@@ -26,6 +26,7 @@
     from collections.abc import Sequence
 
     from cardamomfork._internal.gateway import demands
+    from cardamomfork._internal.gateway import target_table
 
 LAW = fleet.EngineLaw(
     slots=8,
@@ -118,13 +119,12 @@
     """The engine with the fewest requests, whole."""
     loads = fleet_view.loads(now)
     fewest = min(load.running for _, load in loads)
-    if fewest >= demand_law(demand).slots:
+    if fewest >= _law_of(demand).slots:
         return placement.NoRoom("full", FULL_RETRY_S)
     chosen = fleet_view.source.choice(
         [target for target, load in loads if load.running == fewest]
     )
-    reading = engine_law.reading_s(demand_law(demand), demand.prompt_tokens)
-    return placement.Placement(chosen, (), reading, reading, 0.0)
+    return _place_whole(chosen, demand)
 
 
 def place_from_shared_queue(
@@ -134,13 +134,12 @@
     idle = [
         (load.running, target)
         for target, load in fleet_view.loads(now)
-        if not load.readers and load.running < demand_law(demand).slots
+        if not load.readers and load.running < _law_of(demand).slots
     ]
     if not idle:
         return placement.NoRoom("all read", FULL_RETRY_S)
     _, chosen = min(idle, key=lambda pair: pair[0])
-    reading = engine_law.reading_s(demand_law(demand), demand.prompt_tokens)
-    return placement.Placement(chosen, (), reading, reading, 0.0)
+    return _place_whole(chosen, demand)
 
 
 def make_round_robin() -> Callable[
@@ -154,14 +153,20 @@
     ) -> placement.Placement:
         targets = fleet_view.table.list_service(engine_play.SERVICE, now)
         chosen = targets[next(numbers) % len(targets)]
-        law = demand_law(demand)
-        reading = engine_law.reading_s(law, demand.prompt_tokens)
-        return placement.Placement(chosen, (), reading, reading, 0.0)
+        return _place_whole(chosen, demand)
 
     return place
 
 
-def demand_law(demand: demands.Demand) -> fleet.EngineLaw:
+def _place_whole(
+    target: target_table.Target, demand: demands.Demand
+) -> placement.Placement:
+    """Returns a place that reads the whole prompt."""
+    reading = engine_law.reading_s(_law_of(demand), demand.prompt_tokens)
+    return placement.Placement(target, (), reading, reading, 0.0)
+
+
+def _law_of(demand: demands.Demand) -> fleet.EngineLaw:
     """Returns the timing of the engines that a request goes to."""
     law = demand.service.law
     if law is None:
--- a/src/cardamomfork/_internal/measure/relaying/engine.py
+++ b/src/cardamomfork/_internal/measure/relaying/engine.py
@@ -24,6 +24,19 @@
 CHUNK = b"%x\r\n%b\r\n" % (len(EVENT), EVENT)
 
 
+def find_header(request: bytes, name: bytes) -> bytes:
+    """Returns a header's value; empty if the request has none.
+
+    Args:
+        request: The request's head.
+        name: The header's name in lower case, with its colon.
+    """
+    for line in request.split(b"\r\n"):
+        if line.lower().startswith(name):
+            return line[len(name) :].strip()
+    return b""
+
+
 class EngineProtocol(asyncio.Protocol):
     """Answers each request with an endless stream."""
 
@@ -51,10 +64,7 @@
 
     def answer_head(self, request: bytes) -> bytes:
         """Returns the head of the answer to a request."""
-        attempt = b""
-        for line in request.split(b"\r\n"):
-            if line.lower().startswith(_ATTEMPT_HEADER):
-                attempt = line[len(_ATTEMPT_HEADER) :].strip()
+        attempt = find_header(request, _ATTEMPT_HEADER)
         return (
             b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
             b"transfer-encoding: chunked\r\nx-attempt-id: "
--- a/src/cardamomfork/_internal/standins/event_source.py
+++ b/src/cardamomfork/_internal/standins/event_source.py
@@ -30,10 +30,7 @@
 
     def answer_head(self, request: bytes) -> bytes:
         """Returns the head of the answer to a request."""
-        identity = b""
-        for line in request.split(b"\r\n"):
-            if line.lower().startswith(_REQUEST_ID):
-                identity = line[len(_REQUEST_ID) :].strip()
+        identity = engine.find_header(request, _REQUEST_ID)
         return (
             b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
             b"transfer-encoding: chunked\r\n"
--- a/tests/lib/gateway_parts.py
+++ b/tests/lib/gateway_parts.py
@@ -1,12 +1,10 @@
 """Parts of the gateway as tests need them."""
 
 import math
-import random
 
 from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.measure import engine_play
 from cardamomfork._internal.measure import placing
 from cardamomfork._internal.models import fleet
 
@@ -91,18 +89,11 @@
     return demands.Demand(**(fields | changes))
 
 
-class Fleet:
-    """Engines, their load, and the placer that reads both."""
+class Fleet(engine_play.Fleet):
+    """A fleet that tests put requests onto."""
 
     def __init__(self, engines=6, service="engines", seed=1, instances=1):
-        self.table = target_table.TargetTable()
-        self.load = load_view.LoadView()
-        self.source = random.Random(seed)
-        self.placer = placement.Placer(
-            self.table, self.load, "a", self.source, lambda: instances
-        )
-        for number in range(engines):
-            self.table.put(make_record(number, service))
+        super().__init__(LAW, engines, instances, seed, service)
 
     def run(self, target_id, job_id, tokens=5000, *, writing=True, **changes):
         """Puts a request onto a target."""
--- a/tests/unit/test_gateway_load.py
+++ b/tests/unit/test_gateway_load.py
@@ -16,13 +16,13 @@
 SHORT_BURST = LOADS["short burst"].factors
 LONG_BURST = LOADS["long burst"].factors
 BOTH = LOADS["both"].factors
-MANY_ENGINES = 78
-MANY_INSTANCES = 86
 MANY_SECONDS = 6.0
 GROWTH = 2.7
-"""Size of the grown deployments, and their load over that of today."""
+"""Load of the grown deployments over that of today."""
 OLD_VIEW_S = 0.03
 """Age at which many instances see each other's placements."""
+MANY = placing.Size(86, 78, GROWTH, OLD_VIEW_S)
+"""Size of the grown deployments."""
 STATED_SHARE = 0.95
 """The users want the first token in time for 95 in 100."""
 
@@ -33,6 +33,18 @@
     return made.run(SECONDS, factors)
 
 
+def make_play(size, place):
+    """Returns a play of many instances, which see each other late."""
+    return engine_play.Play(
+        placing.LAW,
+        size.engines,
+        place,
+        1,
+        instances=size.instances,
+        view_s=size.view_s,
+    )
+
+
 class HeavyLoadTest(unittest.TestCase):
     def check(self, factors, kinds):
         ours = play(placing.place_by_cost, factors)
@@ -65,14 +77,7 @@
             placing.place_by_cost,
             placing.place_by_least_load,
         ):
-            played = engine_play.Play(
-                placing.LAW,
-                MANY_ENGINES,
-                place,
-                1,
-                instances=MANY_INSTANCES,
-                view_s=OLD_VIEW_S,
-            )
+            played = make_play(MANY, place)
             done = played.run(MANY_SECONDS, grown)
             served[place] = engine_play.worth_on_time(done, "short")
         ours, plain = served.values()
@@ -86,14 +91,7 @@
         factors = {kind: size.load * by for kind, by in SHORT_BURST.items()}
         served = []
         for place in (placing.place_by_cost, placing.make_round_robin()):
-            played = engine_play.Play(
-                placing.LAW,
-                size.engines,
-                place,
-                1,
-                instances=size.instances,
-                view_s=size.view_s,
-            )
+            played = make_play(size, place)
             done = played.run(MANY_SECONDS, factors)
             served.append(engine_play.worth_on_time(done, "short"))
         ours, in_turn = served
@@ -105,15 +103,8 @@
         # engine that reads with others.
         served = {}
         for place in (placing.place_by_cost, placing.place_by_least_load):
-            played = engine_play.Play(
-                placing.LAW,
-                MANY_ENGINES,
-                place,
-                1,
-                instances=MANY_INSTANCES,
-                view_s=OLD_VIEW_S,
-            )
-            placing.add_stalls(played, MANY_ENGINES, MANY_SECONDS)
+            played = make_play(MANY, place)
+            placing.add_stalls(played, MANY.engines, MANY_SECONDS)
             usual = dict.fromkeys(SHORT_BURST, GROWTH)
             served[place] = engine_play.worth_on_time(
                 played.run(MANY_SECONDS, usual)
