Log the end of each scan and poll with its revisions

All watches are cut at one instant and no instance reads the store for two seconds; no log line told whether polls failed, hung or skipped a change. Each end of a call is now one line with the prefix, the outcome, the revision polled from and the revision received. A poll ends at most once in the batch delay of its prefix, which bounds the volume.

--- a/src/cardamomfork/_internal/gateway/follower.py
+++ b/src/cardamomfork/_internal/gateway/follower.py
@@ -14,6 +14,7 @@
 
 import anyio
 import attrs
+from loguru import logger
 import result
 
 from cardamomfork._internal.contracts import store
@@ -123,10 +124,18 @@
         """Scans the prefix and polls for changes; rescans after faults."""
         backoff_s = MIN_BACKOFF_S
         while True:
+            started_at = anyio.current_time()
             scanned = await self._store.scan(self._subscription.prefix)
             if isinstance(scanned, result.Err):
+                self._log_call("scan failed", started_at, scanned.err_value)
                 self._on_answer(scanned.err_value)
             else:
+                self._log_call(
+                    "scanned",
+                    started_at,
+                    revision=scanned.ok_value.revision,
+                    count=len(scanned.ok_value.entries),
+                )
                 self._on_answer(None)
                 backoff_s = MIN_BACKOFF_S
                 entries = scanned.ok_value.entries
@@ -151,10 +160,13 @@
         """
         failures = 0
         while failures < 2:
+            started_at = anyio.current_time()
             polled = await self._poll_once()
             if polled is None:
+                self._log_call("poll cancelled", started_at)
                 continue
             if isinstance(polled, result.Err):
+                self._log_call("poll failed", started_at, polled.err_value)
                 self._on_answer(polled.err_value)
                 if polled.err_value.kind is store.StoreFaultKind.COMPACTED:
                     return
@@ -163,6 +175,12 @@
             failures = 0
             self._on_answer(None)
             entries = polled.ok_value.entries
+            self._log_call(
+                "polled",
+                started_at,
+                revision=polled.ok_value.revision,
+                count=len(entries),
+            )
             self._revision = polled.ok_value.revision
             if entries:
                 self._record_last_change(entries)
@@ -190,6 +208,35 @@
             if self._peer_revision > self._revision and self._poll_scope:
                 self._poll_scope.cancel()
 
+    def _log_call(
+        self,
+        outcome: str,
+        started_at: float,
+        fault: store.StoreFault | None = None,
+        *,
+        revision: int | None = None,
+        count: int | None = None,
+    ) -> None:
+        """Logs the end of a call to the store.
+
+        Args:
+            outcome: How the call ended.
+            started_at: Time at which it was sent.
+            fault: Its fault, if it failed.
+            revision: Store revision of the answer.
+            count: Number of entries or changes in the answer.
+        """
+        logger.info(
+            "store followed",
+            name=self._subscription.prefix,
+            outcome=outcome,
+            seconds=round(anyio.current_time() - started_at, 3),
+            version=self._revision,
+            revision=revision,
+            count=count,
+            reason=f"{fault.kind} {fault.detail}" if fault else None,
+        )
+
     def _record_last_change(self, entries: Iterable[store.Entry]) -> None:
         """Records the newest revision among some changes.
 
