--- /dev/null
+++ b/tests/unit/test_gateway_compaction.py
@@ -0,0 +1,139 @@
+"""Tests that followers catch up after the store has dropped its history."""
+
+import random
+import unittest
+
+import anyio
+import result
+import trio.testing
+
+from cardamomfork._internal.contracts import store as store_contract
+from cardamomfork._internal.gateway import follower
+
+KINDS = store_contract.StoreFaultKind
+KEY = "op/config"
+DATA_CENTRES = 3
+READ_S = 0.004
+DEAF_S = 1.0
+"""Time in which watches hear nothing before they are cut."""
+APPLY_LIMIT_S = 2.0
+"""Time from the acknowledgement of a version until it must be in force."""
+SETTLE_S = 0.5
+
+
+class CompactingStore:
+    """A store that loses its history and does not answer polls for it.
+
+    A poll from a revision that is no longer held waits for the next change, or
+    for its time limit, before it is refused.
+    """
+
+    def __init__(self):
+        self.revision = 1
+        self.is_deaf = False
+        self.compacted_revision = 0
+        self.cuts = 0
+        self.reads = []
+
+    def write(self):
+        self.revision += 1
+
+    def compact(self):
+        """Drops the history and cuts all watches."""
+        self.compacted_revision = self.revision
+        self.cuts += 1
+
+    async def scan(self, prefix):
+        self.reads.append(anyio.current_time())
+        await anyio.sleep(READ_S)
+        entry = store_contract.Entry(prefix, b"v", self.revision)
+        return result.Ok(store_contract.Scan((entry,), self.revision))
+
+    async def changes(self, prefix, after, wait_s):
+        until = anyio.current_time() + wait_s
+        is_lost = after < self.compacted_revision
+        cuts, revision = self.cuts, self.revision
+        while anyio.current_time() < until:
+            await anyio.sleep(0.01)
+            if self.cuts > cuts:
+                fault = store_contract.StoreFault(KINDS.UNAVAILABLE, prefix)
+                return result.Err(fault)
+            if is_lost and self.revision > revision:
+                break
+            if self.revision > after and not (self.is_deaf or is_lost):
+                entry = store_contract.Entry(prefix, b"v", self.revision)
+                batch = store_contract.WatchBatch((entry,), self.revision)
+                return result.Ok(batch)
+        if is_lost:
+            fault = store_contract.StoreFault(KINDS.COMPACTED, prefix)
+            return result.Err(fault)
+        return result.Ok(store_contract.WatchBatch((), after))
+
+
+class RevisionHandler:
+    """Records the newest revision and the time at which it arrived."""
+
+    def __init__(self):
+        self.revision = 0
+        self.received_at = 0.0
+
+    def apply_snapshot(self, entries):
+        for entry in entries:
+            self.apply_change(entry)
+
+    def apply_change(self, entry):
+        if entry.version > self.revision:
+            self.revision = entry.version
+            self.received_at = anyio.current_time()
+
+
+class CompactionTest(unittest.TestCase):
+    def run_fleet(self, instances, scenario):
+        """Runs a scenario beside the followers of some instances."""
+
+        async def main():
+            self.store = CompactingStore()
+            self.handlers = [RevisionHandler() for _ in range(instances)]
+            async with anyio.create_task_group() as tasks:
+                for number, handler in enumerate(self.handlers):
+                    follows = follower.Follower(
+                        self.store,
+                        follower.Subscription(KEY, 0.5),
+                        handler,
+                        lambda fault: None,
+                        lambda number=number: number < DATA_CENTRES,
+                        random.Random(number),
+                    )
+                    tasks.start_soon(follows.run)
+                await anyio.sleep(SETTLE_S)
+                await scenario()
+                tasks.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_change_lost_in_a_compaction_is_read_after_the_watches_are_cut(
+        self,
+    ):
+        async def scenario():
+            self.store.is_deaf = True
+            self.store.write()
+            written_at = anyio.current_time()
+            await anyio.sleep(DEAF_S)
+            self.store.compact()
+            self.store.is_deaf = False
+            await anyio.sleep(APPLY_LIMIT_S)
+            slowest_s = max(
+                handler.received_at - written_at
+                if handler.revision == self.store.revision
+                else float("inf")
+                for handler in self.handlers
+            )
+            self.assertLessEqual(slowest_s, APPLY_LIMIT_S)
+
+        for instances in (6, 86):
+            with self.subTest(instances=instances):
+                self.run_fleet(instances, scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
