Read the store after a failed poll instead of polling again

Cause: after one failed poll the follower polled again from its old revision. When the store drops its history it cuts all watches; a poll from a dropped revision is accepted and hears nothing until the next change or its time limit: 2 s for the three delegates, 28 s for all others, which then fetched from the peer that was first.

With the second change after the cut all 84 polls end as compacted at that change.

A scan is linearizable and needs no history, so every failed poll is now followed by a scan after 50 to 150 ms. The backoff grows while scans succeed and polls are refused, so a store that refuses polls is not scanned ten times a second.

--- a/src/cardamomfork/_internal/gateway/follower.py
+++ b/src/cardamomfork/_internal/gateway/follower.py
@@ -121,14 +121,20 @@
             await self._follow()
 
     async def _follow(self) -> None:
-        """Scans the prefix and polls for changes; rescans after faults."""
+        """Scans the prefix and polls for changes; rescans after faults.
+
+        The backoff starts anew with the first scan after an outage, but not
+        while scans succeed and polls are refused.
+        """
         backoff_s = MIN_BACKOFF_S
+        has_polled = True
         while True:
             started_at = anyio.current_time()
             scanned = await self._store.scan(self._subscription.prefix)
             if isinstance(scanned, result.Err):
                 self._log_call("scan failed", started_at, scanned.err_value)
                 self._on_answer(scanned.err_value)
+                has_polled = True
             else:
                 self._log_call(
                     "scanned",
@@ -137,12 +143,13 @@
                     count=len(scanned.ok_value.entries),
                 )
                 self._on_answer(None)
-                backoff_s = MIN_BACKOFF_S
                 entries = scanned.ok_value.entries
                 self._revision = scanned.ok_value.revision
                 self._record_last_change(entries)
                 self._handler.apply_snapshot(entries)
-                await self._poll_changes()
+                if has_polled:
+                    backoff_s = MIN_BACKOFF_S
+                has_polled = await self._poll_changes()
             with anyio.move_on_after(backoff_s * (0.5 + self._rng.random())):
                 await self._behind_peers.wait()
             max_backoff_s = (
@@ -152,14 +159,19 @@
             )
             backoff_s = min(backoff_s * 2, max_backoff_s)
 
-    async def _poll_changes(self) -> None:
-        """Passes changes to the handler.
+    async def _poll_changes(self) -> bool:
+        """Passes changes to the handler until a poll fails.
+
+        The store may have dropped the changes since the last revision, and
+        then sends nothing to a poll from there. So the next call after a
+        failure must be a scan.
 
-        Returns when two consecutive calls have failed, or when the store no
-        longer holds the changes since the last revision.
+        Returns:
+            Whether a poll has succeeded or was held for some time.
         """
-        failures = 0
-        while failures < 2:
+        polling_since = anyio.current_time()
+        has_succeeded = False
+        while True:
             started_at = anyio.current_time()
             polled = await self._poll_once()
             if polled is None:
@@ -168,11 +180,11 @@
             if isinstance(polled, result.Err):
                 self._log_call("poll failed", started_at, polled.err_value)
                 self._on_answer(polled.err_value)
-                if polled.err_value.kind is store.StoreFaultKind.COMPACTED:
-                    return
-                failures += 1
-                continue
-            failures = 0
+                return has_succeeded or (
+                    anyio.current_time() - polling_since
+                    >= NON_DELEGATE_MAX_BACKOFF_S
+                )
+            has_succeeded = True
             self._on_answer(None)
             entries = polled.ok_value.entries
             self._log_call(
--- a/tests/unit/test_gateway_following.py
+++ b/tests/unit/test_gateway_following.py
@@ -21,6 +21,7 @@
         self.revision = 1
         self.calls = []
         self.fault = None
+        self.poll_fault = None
         self.is_silent = False
 
     def write(self, key, value=b"v"):
@@ -40,9 +41,10 @@
         until = anyio.current_time() + wait_s
         silent = self.is_silent
         while True:
-            if self.fault:
+            if self.fault or self.poll_fault:
                 await anyio.sleep(0.01)
-                fault = store_contract.StoreFault(self.fault, prefix)
+                kind = self.fault or self.poll_fault
+                fault = store_contract.StoreFault(kind, prefix)
                 return result.Err(fault)
             newer = [e for e in self.entries.values() if e.version > after]
             if (newer and not silent) or anyio.current_time() >= until:
@@ -161,6 +163,30 @@
 
         self.run_scenario(scenario)
 
+    def test_refused_polls_do_not_cause_a_scan_each_time(self):
+        async def scenario():
+            self.store.poll_fault = KINDS.UNAVAILABLE
+            await anyio.sleep(0.05)
+            before = len(self.store.calls)
+            await anyio.sleep(8.0)
+            self.assertLess(len(self.store.calls) - before, 40)
+
+        self.run_scenario(scenario)
+
+    def test_poll_cut_right_after_an_outage_is_followed_by_a_scan(self):
+        async def scenario():
+            self.store.fault = KINDS.UNAVAILABLE
+            await anyio.sleep(8.0)
+            self.store.fault = None
+            self.follower.note_peer_revision(self.store.revision + 1)
+            await anyio.sleep(0.5)
+            self.store.poll_fault = KINDS.UNAVAILABLE
+            self.store.write("p/a")
+            await anyio.sleep(0.5)
+            self.assertIn("p/a", self.handler.keys)
+
+        self.run_scenario(scenario, is_delegate=False)
+
     def test_delegate_scans_soon_after_an_outage(self):
         async def scenario():
             self.store.fault = KINDS.UNAVAILABLE
