--- a/src/cardamomfork/_internal/gateway/follower.py
+++ b/src/cardamomfork/_internal/gateway/follower.py
@@ -17,13 +17,13 @@
 from loguru import logger
 import result
 
-from cardamomfork._internal.contracts import store
-
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
     import random
 
+    from cardamomfork._internal.contracts import store
+
 MIN_BACKOFF_S = 0.1
 DELEGATE_MAX_BACKOFF_S = 0.8
 NON_DELEGATE_MAX_BACKOFF_S = 1.6
