Extract the fetching of configurations; reproduce the herd at one peer

No change of behaviour: the fetching moves from PeerLinks to an object that is tested without a network. And a fetch begins at once, also if the store is about to deliver the change.

--- a/src/cardamomfork/_internal/gateway/application.py
+++ b/src/cardamomfork/_internal/gateway/application.py
@@ -13,10 +13,10 @@
 import xxhash
 
 from cardamomfork._internal.gateway import caller_protocol
+from cardamomfork._internal.gateway import configuration_fetching
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import exchanges
 from cardamomfork._internal.gateway import forwarding
-from cardamomfork._internal.gateway import peers
 from cardamomfork._internal.gateway import request_log
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import fleet
@@ -398,7 +398,10 @@
         """Serves one request."""
         del receive
         stored = self._state.stored
-        if scope["path"] != peers.CONFIGURATION_PATH or stored is None:
+        if (
+            scope["path"] != configuration_fetching.CONFIGURATION_PATH
+            or stored is None
+        ):
             await _send_response(send, http.HTTPStatus.NOT_FOUND, b"")
             return
         body = digest_codec.encode_configuration(stored)
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -14,7 +14,6 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import httpcore
 from loguru import logger
 import result
 
@@ -26,6 +25,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from cardamomfork._internal.gateway import configuration_fetching
     from cardamomfork._internal.gateway import fleet_state
     from cardamomfork._internal.gateway import follower
     from cardamomfork._internal.gateway import load_view
@@ -45,9 +45,7 @@
 """Longer than in a small fleet, since each digest costs more."""
 LARGE_FLEET_RELEASE_DELAY_S = 0.15
 """Changes that only free capacity are not urgent and wait for this time."""
-FETCH_TIMEOUT_S = 1.0
 INCARNATION_BITS = 63
-CONFIGURATION_PATH = "/configuration"
 NO_RELAY = b"\0"
 RELAY = b"\1"
 """First byte of a datagram: whether the recipient forwards its digest."""
@@ -63,6 +61,7 @@
         selector: digest_recipients.RecipientSelector,
         load: load_view.LoadView,
         state: fleet_state.FleetState,
+        fetcher: configuration_fetching.ConfigurationFetcher,
         guard: poison_guard.PoisonGuard,
         targets: follower.Follower,
         clock: Callable[[], float],
@@ -76,6 +75,7 @@
             selector: Selects the recipients of digests.
             load: Requests placed by this instance and its peers.
             state: Configuration of this instance.
+            fetcher: Fetches newer configurations of peers.
             guard: Records requests that crash targets.
             targets: Follower of the targets' entries.
             clock: Monotonic time.
@@ -86,6 +86,7 @@
         self._selector = selector
         self._load = load
         self._state = state
+        self._fetcher = fetcher
         self._guard = guard
         self._targets_follower = targets
         self._clock = clock
@@ -97,8 +98,6 @@
         self._crashes_sent_at = -CRASH_REPORT_INTERVAL_S
         self._transport: asyncio.DatagramTransport | None = None
         self._digest_timer: asyncio.TimerHandle | None = None
-        self._newer_peer: digest_codec.Peer | None = None
-        self._newer_peer_event = anyio.Event()
 
     async def run(self) -> None:
         """Opens the socket and sends heartbeats until cancelled."""
@@ -126,20 +125,6 @@
         finally:
             transport.close()
 
-    async def fetch_configurations(self) -> None:
-        """Fetches newer configurations from peers until cancelled."""
-        # Connections are not reused: an idle one may have been cut without
-        # notice, and a new one is cheap.
-        async with httpcore.AsyncConnectionPool(
-            max_keepalive_connections=0
-        ) as pool:
-            while True:
-                await self._newer_peer_event.wait()
-                self._newer_peer_event = anyio.Event()
-                peer, self._newer_peer = self._newer_peer, None
-                if peer is not None:
-                    await self._fetch(pool, peer)
-
     def notify(self, *, is_urgent: bool = False) -> None:
         """Schedules a digest after a change of this instance's state.
 
@@ -217,9 +202,7 @@
                 request_log.request_blocked(
                     death.crash, self._guard.crash_count(fingerprint), "peer"
                 )
-        if digest.configuration_revision > self._state.revision:
-            self._newer_peer = digest.sender
-            self._newer_peer_event.set()
+        self._fetcher.note_peer(digest.sender, digest.configuration_revision)
         self._targets_follower.note_peer_revision(digest.targets_revision)
         self._on_peer_update()
 
@@ -261,36 +244,3 @@
             return
         for peer in recipients:
             self._transport.sendto(data, (peer.host, peer.port))
-
-    async def _fetch(
-        self, pool: httpcore.AsyncConnectionPool, peer: digest_codec.Peer
-    ) -> None:
-        """Fetches the configuration of a peer and applies it if it is newer."""
-        url = f"http://{peer.host}:{peer.port}{CONFIGURATION_PATH}"
-        try:
-            with anyio.fail_after(FETCH_TIMEOUT_S):
-                response = await pool.request("GET", url)
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            TimeoutError,
-        ) as error:
-            logger.info(
-                "configuration not fetched",
-                peer=peer.instance_id,
-                reason=repr(error),
-            )
-            return
-        decoded = digest_codec.decode_configuration(response.content)
-        if isinstance(decoded, result.Err):
-            logger.warning(
-                "configuration not fetched",
-                peer=peer.instance_id,
-                reason=decoded.err_value,
-            )
-            return
-        stored = decoded.ok_value
-        self._state.apply_configuration(
-            stored.value, stored.revision, f"peer {peer.instance_id}"
-        )
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway import application
 from cardamomfork._internal.gateway import caller_protocol
+from cardamomfork._internal.gateway import configuration_fetching
 from cardamomfork._internal.gateway import crash_detector
 from cardamomfork._internal.gateway import crash_persistence
 from cardamomfork._internal.gateway import demands
@@ -141,6 +142,13 @@
             ),
             self._peer_table.is_delegate,
         )
+        self._configuration_fetcher = (
+            configuration_fetching.ConfigurationFetcher(
+                self._fleet_state,
+                configuration_fetching.HttpTransport(),
+                self._rng,
+            )
+        )
         self._peer_links = peers.PeerLinks(
             self._local_peer,
             self._peer_table,
@@ -149,6 +157,7 @@
             ),
             self._load_view,
             self._fleet_state,
+            self._configuration_fetcher,
             self._poison_guard,
             self._targets_follower,
             clock,
@@ -246,7 +255,7 @@
             tasks.start_soon(self._crash_persistence.run)
             tasks.start_soon(self._crashes_follower.run)
             tasks.start_soon(self._peer_links.run)
-            tasks.start_soon(self._peer_links.fetch_configurations)
+            tasks.start_soon(self._configuration_fetcher.run)
             tasks.start_soon(self._run_maintenance)
             tasks.start_soon(self._handle_signals, caller_server)
             await caller_server.serve()
--- a/tests/functional/test_peer_fetch.py
+++ b/tests/functional/test_peer_fetch.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from cardamomfork._internal.gateway import configuration_fetching
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import digest_recipients
 from cardamomfork._internal.gateway import fleet_state
@@ -17,7 +18,7 @@
 from tests.lib import gateway_parts
 
 HOST = "127.0.0.1"
-FETCH_WAIT_S = peers.FETCH_TIMEOUT_S / 2
+FETCH_WAIT_S = configuration_fetching.FETCH_TIMEOUT_S / 2
 
 
 class PeerSilentAfterFirstAnswer:
@@ -48,7 +49,7 @@
         del revision
 
 
-def make_links(state, clock):
+def make_links(state, fetcher, clock):
     """Returns the peer links of an instance with an empty peer table."""
     local_peer = digest_codec.Peer("one", "a", HOST, 1)
     table = peer_table.PeerTable(local_peer, clock)
@@ -58,6 +59,7 @@
         digest_recipients.RecipientSelector("a", table, random.Random(1)),
         load_view.LoadView(),
         state,
+        fetcher,
         poison_guard.PoisonGuard(),
         FakeFollower(),
         clock,
@@ -71,11 +73,14 @@
         state = fleet_state.FleetState(
             wire_format.WireFormat(), target_table.TargetTable(), clock
         )
-        links = make_links(state, clock)
+        fetcher = configuration_fetching.ConfigurationFetcher(
+            state, configuration_fetching.HttpTransport(), random.Random(1)
+        )
+        links = make_links(state, fetcher, clock)
         peer = PeerSilentAfterFirstAnswer()
         server = await asyncio.start_server(peer.serve, HOST, 0)
         port = server.sockets[0].getsockname()[1]
-        fetching = asyncio.create_task(links.fetch_configurations())
+        fetching = asyncio.create_task(fetcher.run())
         for revision in (1, 2, 3):
             peer.revision = revision
             sender = digest_codec.Peer("two", "b", HOST, port)
--- /dev/null
+++ b/tests/unit/test_gateway_configuration_fetching.py
@@ -0,0 +1,153 @@
+"""Tests of fetching configurations from peers."""
+
+import random
+import unittest
+
+import anyio
+import result
+import trio.testing
+
+from cardamomfork._internal.gateway import configuration_fetching
+from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway import fleet_state
+from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.platform import wire_format
+from cardamomfork._internal.standins import platform_site
+
+OLD = fleet_state.StoredConfiguration(
+    platform_site.make_configuration(1, (), (), {}), 10
+)
+NEW = fleet_state.StoredConfiguration(
+    platform_site.make_configuration(2, (), (), {}), 20
+)
+TRANSFER_S = 0.043
+"""Time in which an instance sends one configuration."""
+DIGEST_S = 0.006
+HEARTBEAT_S = 1.0
+APPLY_LIMIT_S = 2.0
+
+
+class Fleet:
+    """Instances that are cut off from the store, joined by a network."""
+
+    def __init__(self, count):
+        self.states = []
+        self.fetchers = []
+        self.received_at = {}
+        self.failures = 0
+        self._free_at = [0.0] * count
+        self.dead = set()
+        for number in range(count):
+            state = fleet_state.FleetState(
+                wire_format.WireFormat(),
+                target_table.TargetTable(),
+                anyio.current_time,
+            )
+            state.apply_configuration(OLD.value, OLD.revision, "store")
+            state.store_lost("test")
+            self.states.append(state)
+            self.fetchers.append(
+                configuration_fetching.ConfigurationFetcher(
+                    state, self, random.Random(number)
+                )
+            )
+
+    async def fetch(self, peer):
+        """Transfers a configuration; an instance sends one at a time."""
+        started_at = anyio.current_time()
+        sender = peer.port
+        ends_at = max(self._free_at[sender], started_at) + TRANSFER_S
+        limit = started_at + configuration_fetching.FETCH_TIMEOUT_S
+        if sender in self.dead:
+            ends_at = limit + 1.0
+        else:
+            self._free_at[sender] = ends_at
+        await anyio.sleep(min(ends_at, limit) - started_at)
+        if ends_at > limit:
+            self.failures += 1
+            return result.Err("time-out")
+        return result.Ok(self.states[sender].stored)
+
+    async def send_digests(self):
+        """Sends a digest of each instance when it changes, and at times."""
+        sent_at = {}
+        while True:
+            now = anyio.current_time()
+            for number, state in enumerate(self.states):
+                if state.revision < NEW.revision:
+                    continue
+                self.received_at.setdefault(number, now)
+                if now - sent_at.get(number, -HEARTBEAT_S) >= HEARTBEAT_S:
+                    sent_at[number] = now
+                    self.notify_all(number)
+            await anyio.sleep(DIGEST_S)
+
+    def notify_all(self, number):
+        """Delivers the digest of an instance to the others."""
+        peer = digest_codec.Peer(str(number), "a", "127.0.0.1", number)
+        for other, fetcher in enumerate(self.fetchers):
+            if other != number:
+                fetcher.note_peer(peer, self.states[number].revision)
+
+
+class FetchingTest(unittest.TestCase):
+    def run_fleet(self, count, scenario):
+        async def main():
+            self.fleet = Fleet(count)
+            async with anyio.create_task_group() as tasks:
+                for fetcher in self.fleet.fetchers:
+                    tasks.start_soon(fetcher.run)
+                tasks.start_soon(self.fleet.send_digests)
+                await scenario()
+                tasks.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_one_source_does_not_serve_all_instances(self):
+        async def scenario():
+            self.fleet.states[0].apply_configuration(
+                NEW.value, NEW.revision, "store"
+            )
+            await anyio.sleep(APPLY_LIMIT_S)
+            self.assertEqual(
+                len(self.fleet.received_at), len(self.fleet.states)
+            )
+            self.assertLess(self.fleet.failures, len(self.fleet.states) / 10)
+
+        for count in (6, 86):
+            with self.subTest(instances=count):
+                self.run_fleet(count, scenario)
+
+    def test_failed_fetch_is_repeated_at_another_peer(self):
+        async def scenario():
+            for number in (0, 1):
+                self.fleet.states[number].apply_configuration(
+                    NEW.value, NEW.revision, "store"
+                )
+            self.fleet.dead.add(1)
+            await anyio.sleep(APPLY_LIMIT_S)
+            self.assertEqual(
+                len(self.fleet.received_at), len(self.fleet.states)
+            )
+
+        self.run_fleet(6, scenario)
+
+    def test_store_has_a_head_start(self):
+        async def scenario():
+            for state in self.fleet.states:
+                state.store_regained()
+            self.fleet.states[0].apply_configuration(
+                NEW.value, NEW.revision, "store"
+            )
+            await anyio.sleep(0.3)
+            self.assertEqual(len(self.fleet.received_at), 1)
+            for state in self.fleet.states:
+                state.apply_configuration(NEW.value, NEW.revision, "store")
+            self.fleet.fetch = None
+            await anyio.sleep(1.0)
+
+        self.run_fleet(6, scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from cardamomfork._internal.gateway import configuration_fetching
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import digest_recipients
 from cardamomfork._internal.gateway import fleet_state
@@ -46,6 +47,7 @@
         clock = self.network.clock
         self.table = peer_table.PeerTable(self.peer, clock)
         wire = wire_format.WireFormat()
+        state = fleet_state.FleetState(wire, target_table.TargetTable(), clock)
         self.links = peers.PeerLinks(
             self.peer,
             self.table,
@@ -53,7 +55,10 @@
                 self.peer.data_centre, self.table, random.Random(self.peer.port)
             ),
             self.load,
-            fleet_state.FleetState(wire, target_table.TargetTable(), clock),
+            state,
+            configuration_fetching.ConfigurationFetcher(
+                state, configuration_fetching.HttpTransport(), random.Random(1)
+            ),
             self.guard,
             FakeFollower(),
             clock,
