Fetch configurations from random peers, after the store had its chance

Cause: the peer heard last was asked, which is the same for all; a failure was final until the next digest; and peers were asked at once although the store was about to deliver the change, which it does for most versions.

Now each instance takes a random one of the peers that have the newer configuration, after a random delay of up to 0.4 s in which more peers get it, and another one after a failure. While the store answers, it has a head start of 0.6 s.

--- a/src/cardamomfork/_internal/gateway/configuration_fetching.py
+++ b/src/cardamomfork/_internal/gateway/configuration_fetching.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import attrs
 import httpcore
 from loguru import logger
 import result
@@ -21,6 +22,13 @@
 
     from cardamomfork._internal.gateway import fleet_state
 
+STORE_HEAD_START_S = 0.6
+"""Time after the report of a newer configuration in which this instance reads
+it from the store. Covers the pause after the previous change, in which
+followers do not poll."""
+FETCH_SPREAD_S = 0.4
+"""Random delay before a fetch, in which more peers receive the configuration.
+Without it, all instances would fetch from the first peer that has it."""
 FETCH_TIMEOUT_S = 1.0
 CONFIGURATION_PATH = "/configuration"
 _TRANSPORT_ERRORS = (
@@ -60,6 +68,19 @@
         return digest_codec.decode_configuration(response.content)
 
 
+@attrs.frozen
+class _Source:
+    """A peer with a newer configuration.
+
+    Attributes:
+        peer: The peer.
+        revision: Store revision of its configuration.
+    """
+
+    peer: digest_codec.Peer
+    revision: int
+
+
 class ConfigurationFetcher:
     """Fetches a configuration if peers have a newer one for some time."""
 
@@ -79,8 +100,8 @@
         self._state = state
         self._transport = transport
         self._rng = rng
-        self._newer_peer: digest_codec.Peer | None = None
-        self._newer_peer_event = anyio.Event()
+        self._sources: dict[str, _Source] = {}
+        self._has_sources = anyio.Event()
 
     def note_peer(self, peer: digest_codec.Peer, revision: int) -> None:
         """Records the configuration that a peer has in force.
@@ -90,17 +111,37 @@
             revision: Store revision of its configuration.
         """
         if revision > self._state.revision:
-            self._newer_peer = peer
-            self._newer_peer_event.set()
+            self._sources[peer.instance_id] = _Source(peer, revision)
+            self._has_sources.set()
 
     async def run(self) -> None:
         """Fetches newer configurations from peers until cancelled."""
         while True:
-            await self._newer_peer_event.wait()
-            self._newer_peer_event = anyio.Event()
-            peer, self._newer_peer = self._newer_peer, None
-            if peer is not None:
-                await self._fetch(peer)
+            await self._has_sources.wait()
+            if not self._state.is_store_lost:
+                await anyio.sleep(STORE_HEAD_START_S)
+            while self._has_newer_source():
+                await anyio.sleep(FETCH_SPREAD_S * self._rng.random())
+                if self._has_newer_source():
+                    await self._fetch(self._take_source())
+            self._has_sources = anyio.Event()
+
+    def _has_newer_source(self) -> bool:
+        """Drops sources that are not newer; returns whether any is left."""
+        self._sources = {
+            instance_id: source
+            for instance_id, source in self._sources.items()
+            if source.revision > self._state.revision
+        }
+        return bool(self._sources)
+
+    def _take_source(self) -> digest_codec.Peer:
+        """Removes a random source and returns it.
+
+        A source that fails is used again only after its next digest.
+        """
+        instance_id = self._rng.choice(list(self._sources))
+        return self._sources.pop(instance_id).peer
 
     async def _fetch(self, peer: digest_codec.Peer) -> None:
         """Fetches the configuration of a peer and applies it if it is newer."""
--- a/src/cardamomfork/_internal/gateway/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/fleet_state.py
@@ -89,6 +89,11 @@
         """Whether both a configuration and the targets have been received."""
         return self._routes is not None and self._has_targets
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Whether the last call to the store had no answer."""
+        return self._store_lost_at is not None
+
     @property
     def configuration_age_s(self) -> float:
         """Seconds since the configuration was applied."""
--- a/tests/functional/test_peer_fetch.py
+++ b/tests/functional/test_peer_fetch.py
@@ -73,6 +73,7 @@
         state = fleet_state.FleetState(
             wire_format.WireFormat(), target_table.TargetTable(), clock
         )
+        state.store_lost("there is none")
         fetcher = configuration_fetching.ConfigurationFetcher(
             state, configuration_fetching.HttpTransport(), random.Random(1)
         )
