Apply caller limits also if a configuration comes from a peer

Cause: only the store's handler reported a new configuration, so limits on callers' connections stayed those of the version before, and the digest that tells peers waited for the next heartbeat, if the configuration was fetched from a peer. Found by reading beside; both sources now report through one callback, and the digest is sent as an urgent one. The test fails without the callback.

--- a/src/cardamomfork/_internal/gateway/configuration_fetching.py
+++ b/src/cardamomfork/_internal/gateway/configuration_fetching.py
@@ -18,6 +18,7 @@
 from cardamomfork._internal.gateway import digest_codec
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     import random
 
     from cardamomfork._internal.gateway import fleet_state
@@ -89,6 +90,7 @@
         state: fleet_state.FleetState,
         transport: Transport,
         rng: random.Random,
+        on_applied: Callable[[], None],
     ) -> None:
         """Initializes the fetcher.
 
@@ -96,10 +98,12 @@
             state: Configuration of this instance.
             transport: Fetches from one peer.
             rng: Random generator for the choice of peers and for delays.
+            on_applied: Called after a new configuration is in force.
         """
         self._state = state
         self._transport = transport
         self._rng = rng
+        self._on_applied = on_applied
         self._sources: dict[str, _Source] = {}
         self._has_sources = anyio.Event()
 
@@ -154,6 +158,7 @@
             )
             return
         stored = fetched.ok_value
-        self._state.apply_configuration(
+        if self._state.apply_configuration(
             stored.value, stored.revision, f"peer {peer.instance_id}"
-        )
+        ):
+            self._on_applied()
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -131,7 +131,7 @@
                 wire.configuration_key, CONFIGURATION_BATCH_DELAY_S
             ),
             store_handlers.ConfigurationHandler(
-                self._fleet_state, self._apply_caller_limits
+                self._fleet_state, self._on_configuration_applied
             ),
             self._peer_table.is_delegate,
         )
@@ -147,6 +147,7 @@
                 self._fleet_state,
                 configuration_fetching.HttpTransport(),
                 self._rng,
+                self._on_configuration_applied,
             )
         )
         self._peer_links = peers.PeerLinks(
@@ -344,12 +345,12 @@
                 f"{fault.kind} {fault.key} {fault.detail}"
             )
 
-    def _apply_caller_limits(self) -> None:
+    def _on_configuration_applied(self) -> None:
         """Applies the caller limits of a new configuration; notifies peers."""
         route_table = self._fleet_state.routes
         if route_table is not None:
             self._connection_limits.apply(route_table.configuration.limits)
-        self._peer_links.notify()
+        self._peer_links.notify(is_urgent=True)
 
     def _is_ready(self) -> bool:
         """Returns whether the balancer may send new connections."""
--- a/tests/functional/test_peer_fetch.py
+++ b/tests/functional/test_peer_fetch.py
@@ -75,7 +75,10 @@
         )
         state.store_lost("there is none")
         fetcher = configuration_fetching.ConfigurationFetcher(
-            state, configuration_fetching.HttpTransport(), random.Random(1)
+            state,
+            configuration_fetching.HttpTransport(),
+            random.Random(1),
+            lambda: None,
         )
         links = make_links(state, fetcher, clock)
         peer = PeerSilentAfterFirstAnswer()
--- a/tests/unit/test_gateway_configuration_fetching.py
+++ b/tests/unit/test_gateway_configuration_fetching.py
@@ -35,6 +35,7 @@
         self.fetchers = []
         self.received_at = {}
         self.failures = 0
+        self.applied = 0
         self._free_at = [0.0] * count
         self.dead = set()
         for number in range(count):
@@ -48,10 +49,13 @@
             self.states.append(state)
             self.fetchers.append(
                 configuration_fetching.ConfigurationFetcher(
-                    state, self, random.Random(number)
+                    state, self, random.Random(number), self.count_applied
                 )
             )
 
+    def count_applied(self):
+        self.applied += 1
+
     async def fetch(self, peer):
         """Transfers a configuration; an instance sends one at a time."""
         started_at = anyio.current_time()
@@ -132,6 +136,16 @@
 
         self.run_fleet(6, scenario)
 
+    def test_fetched_configuration_is_reported_as_applied(self):
+        async def scenario():
+            self.fleet.states[0].apply_configuration(
+                NEW.value, NEW.revision, "store"
+            )
+            await anyio.sleep(APPLY_LIMIT_S)
+            self.assertEqual(self.fleet.applied, 5)
+
+        self.run_fleet(6, scenario)
+
     def test_store_has_a_head_start(self):
         async def scenario():
             for state in self.fleet.states:
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -57,7 +57,10 @@
             self.load,
             state,
             configuration_fetching.ConfigurationFetcher(
-                state, configuration_fetching.HttpTransport(), random.Random(1)
+                state,
+                configuration_fetching.HttpTransport(),
+                random.Random(1),
+                lambda: None,
             ),
             self.guard,
             FakeFollower(),
