Tell the configuration's follower which revision peers have

Cause: only the follower of the targets heard of peers' revisions. A poll of the configuration on a connection that no longer delivers lasted up to 28 s, and each version meanwhile had to come from a peer. Read in the code, of the same class as: a poll that hears nothing is trusted. The follower now scans if it is behind a peer for 1 s, more than a transfer of a large configuration takes on a slow link. The test fails without the call.

--- a/src/cardamomfork/_internal/gateway/follower.py
+++ b/src/cardamomfork/_internal/gateway/follower.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -37,8 +38,6 @@
 ends within the 3 s in which a silent connection must be detected."""
 NON_DELEGATE_WAIT_S = 28.0
 """Wait of the other instances' polls; the platform allows 30 s."""
-MAX_LAG_S = 0.3
-"""Time for which an instance may be behind a peer before it scans."""
 
 
 class Handler(Protocol):
@@ -61,10 +60,13 @@
         prefix: Prefix of the keys.
         batch_delay_s: Pause after a change, in seconds, in which further
             changes accumulate, so that a series of changes costs few calls.
+        max_lag_s: Time for which this instance may be behind a peer before it
+            scans, in seconds; infinite if peers don't report revisions.
     """
 
     prefix: str
     batch_delay_s: float
+    max_lag_s: float = math.inf
 
 
 class Follower:
@@ -213,7 +215,7 @@
         while True:
             await self._behind_peers.wait()
             self._behind_peers = anyio.Event()
-            await anyio.sleep(MAX_LAG_S)
+            await anyio.sleep(self._subscription.max_lag_s)
             if self._peer_revision > self._revision and self._poll_scope:
                 self._poll_scope.cancel()
 
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -63,6 +63,7 @@
         state: fleet_state.FleetState,
         fetcher: configuration_fetching.ConfigurationFetcher,
         guard: poison_guard.PoisonGuard,
+        configuration: follower.Follower,
         targets: follower.Follower,
         clock: Callable[[], float],
         on_peer_update: Callable[[], None],
@@ -77,6 +78,7 @@
             state: Configuration of this instance.
             fetcher: Fetches newer configurations of peers.
             guard: Records requests that crash targets.
+            configuration: Follower of the configuration.
             targets: Follower of the targets' entries.
             clock: Monotonic time.
             on_peer_update: Called after each new digest.
@@ -88,6 +90,7 @@
         self._state = state
         self._fetcher = fetcher
         self._guard = guard
+        self._configuration_follower = configuration
         self._targets_follower = targets
         self._clock = clock
         self._on_peer_update = on_peer_update
@@ -203,6 +206,9 @@
                     death.crash, self._guard.crash_count(fingerprint), "peer"
                 )
         self._fetcher.note_peer(digest.sender, digest.configuration_revision)
+        self._configuration_follower.note_peer_revision(
+            digest.configuration_revision
+        )
         self._targets_follower.note_peer_revision(digest.targets_revision)
         self._on_peer_update()
 
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -59,6 +59,10 @@
 """Pauses in which changes accumulate. They are far below the limits of some
 seconds within which a new configuration and a leaving target must take
 effect."""
+CONFIGURATION_MAX_LAG_S = 1.0
+TARGETS_MAX_LAG_S = 0.3
+"""Times for which this instance may be behind a peer before it scans. A large
+configuration takes some tenths of a second on a slow link."""
 
 
 class GatewayProcess:
@@ -128,7 +132,9 @@
         )
         self._configuration_follower = self._make_follower(
             follower.Subscription(
-                wire.configuration_key, CONFIGURATION_BATCH_DELAY_S
+                wire.configuration_key,
+                CONFIGURATION_BATCH_DELAY_S,
+                CONFIGURATION_MAX_LAG_S,
             ),
             store_handlers.ConfigurationHandler(
                 self._fleet_state, self._on_configuration_applied
@@ -136,7 +142,9 @@
             self._peer_table.is_delegate,
         )
         self._targets_follower = self._make_follower(
-            follower.Subscription(wire.targets_prefix, TARGETS_BATCH_DELAY_S),
+            follower.Subscription(
+                wire.targets_prefix, TARGETS_BATCH_DELAY_S, TARGETS_MAX_LAG_S
+            ),
             store_handlers.TargetsHandler(
                 self._fleet_state, self._on_capacity_change
             ),
@@ -160,6 +168,7 @@
             self._fleet_state,
             self._configuration_fetcher,
             self._poison_guard,
+            self._configuration_follower,
             self._targets_follower,
             clock,
             self._scheduler.receive_update,
--- a/tests/functional/test_peer_fetch.py
+++ b/tests/functional/test_peer_fetch.py
@@ -62,6 +62,7 @@
         fetcher,
         poison_guard.PoisonGuard(),
         FakeFollower(),
+        FakeFollower(),
         clock,
         lambda: None,
     )
--- a/tests/unit/test_gateway_compaction.py
+++ b/tests/unit/test_gateway_compaction.py
@@ -99,7 +99,7 @@
                 for number, handler in enumerate(self.handlers):
                     follows = follower.Follower(
                         self.store,
-                        follower.Subscription(KEY, 0.5),
+                        follower.Subscription(KEY, 0.5, 0.3),
                         handler,
                         lambda fault: None,
                         lambda number=number: number < DATA_CENTRES,
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -17,6 +17,7 @@
 from cardamomfork._internal.gateway import poison_guard
 from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.platform import wire_format
+from cardamomfork._internal.standins import platform_site
 from tests.lib import gateway_parts
 
 LARGE_FLEET = {"a": 8, "b": 7, "c": 6}
@@ -28,8 +29,11 @@
 
     last_change_revision = 0
 
+    def __init__(self):
+        self.peer_revision = 0
+
     def note_peer_revision(self, revision):
-        del revision
+        self.peer_revision = max(self.peer_revision, revision)
 
 
 @attrs.define(eq=False, slots=False)
@@ -47,7 +51,10 @@
         clock = self.network.clock
         self.table = peer_table.PeerTable(self.peer, clock)
         wire = wire_format.WireFormat()
-        state = fleet_state.FleetState(wire, target_table.TargetTable(), clock)
+        self.configuration_follower = FakeFollower()
+        self.state = state = fleet_state.FleetState(
+            wire, target_table.TargetTable(), clock
+        )
         self.links = peers.PeerLinks(
             self.peer,
             self.table,
@@ -63,6 +70,7 @@
                 lambda: None,
             ),
             self.guard,
+            self.configuration_follower,
             FakeFollower(),
             clock,
             lambda: None,
@@ -219,6 +227,21 @@
 
         run_scenario(scenario)
 
+    def test_digest_tells_peers_the_revision_of_the_configuration(self):
+        def scenario():
+            network = Network(LARGE_FLEET)
+            first = network.all[0]
+            value = platform_site.make_configuration(1, (), (), {})
+            first.state.apply_configuration(value, 120, "store")
+            first.links.send()
+            network.deliver()
+            for other in network.all[1:]:
+                self.assertEqual(
+                    other.configuration_follower.peer_revision, 120
+                )
+
+        run_scenario(scenario)
+
     def test_silent_peer_is_not_chosen_as_relay(self):
         def scenario():
             network = Network(LARGE_FLEET)
--- a/tests/unit/test_gateway_following.py
+++ b/tests/unit/test_gateway_following.py
@@ -85,7 +85,7 @@
             self.handler = RecordingHandler()
             self.follower = follower.Follower(
                 self.store,
-                follower.Subscription("p/", 0.2),
+                follower.Subscription("p/", 0.2, 0.3),
                 self.handler,
                 self.handler.on_answer,
                 lambda: is_delegate,
