Order configurations by version instead of store revision

Callers would keep an old configuration after the store is restored from a copy: revisions go back, and a newer version with a lower or equal revision was dropped. The operators' version decides, in the state and in what instances tell each other; a digest carries it in a new field, and an older process, which sends none, is not asked for configurations.

--- a/src/cardamomfork/_internal/gateway/configuration_fetching.py
+++ b/src/cardamomfork/_internal/gateway/configuration_fetching.py
@@ -75,11 +75,11 @@
 
     Attributes:
         peer: The peer.
-        revision: Store revision of its configuration.
+        version: Version of its configuration.
     """
 
     peer: digest_codec.Peer
-    revision: int
+    version: int
 
 
 class ConfigurationFetcher:
@@ -107,15 +107,15 @@
         self._sources: dict[str, _Source] = {}
         self._has_sources = anyio.Event()
 
-    def note_peer(self, peer: digest_codec.Peer, revision: int) -> None:
+    def note_peer(self, peer: digest_codec.Peer, version: int) -> None:
         """Records the configuration that a peer has in force.
 
         Args:
             peer: The peer.
-            revision: Store revision of its configuration.
+            version: Version of its configuration.
         """
-        if revision > self._state.revision:
-            self._sources[peer.instance_id] = _Source(peer, revision)
+        if version > self._state.version:
+            self._sources[peer.instance_id] = _Source(peer, version)
             self._has_sources.set()
 
     async def run(self) -> None:
@@ -135,7 +135,7 @@
         self._sources = {
             instance_id: source
             for instance_id, source in self._sources.items()
-            if source.revision > self._state.revision
+            if source.version > self._state.version
         }
         return bool(self._sources)
 
--- a/src/cardamomfork/_internal/gateway/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/digest_codec.py
@@ -48,6 +48,7 @@
         sequence: Number that increases with each digest of an incarnation.
         configuration_revision: Store revision of the configuration that the
             sender has in force.
+        configuration_version: Version of that configuration, or -1.
         targets_revision: Store revision of the last change of a target that
             the sender has received.
         is_leaving: Whether the sender is about to stop.
@@ -60,6 +61,7 @@
     incarnation: int
     sequence: int
     configuration_revision: int
+    configuration_version: int
     targets_revision: int
     is_leaving: bool
     jobs: tuple[load_view.Job, ...]
@@ -82,6 +84,7 @@
         host=digest.sender.host,
         port=digest.sender.port,
         configurationRevision=digest.configuration_revision,
+        configurationVersion=digest.configuration_version,
         targetsRevision=digest.targets_revision,
         isLeaving=digest.is_leaving,
     )
@@ -110,6 +113,7 @@
                 message.incarnation,
                 message.sequence,
                 message.configurationRevision,
+                message.configurationVersion,
                 message.targetsRevision,
                 message.isLeaving,
                 tuple(
--- a/src/cardamomfork/_internal/gateway/digests.capnp
+++ b/src/cardamomfork/_internal/gateway/digests.capnp
@@ -13,6 +13,7 @@
   deaths @8 :List(Death);
   dataCentre @9 :Text;
   targetsRevision @10 :UInt64;
+  configurationVersion @11 :Int64 = -1;
 }
 
 # A request that the sender has placed on a target.
--- a/src/cardamomfork/_internal/gateway/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/fleet_state.py
@@ -84,6 +84,11 @@
         """Store revision of the configuration in force, or 0."""
         return self._stored.revision if self._stored else 0
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, or -1."""
+        return self._routes.configuration.version if self._routes else -1
+
     @property
     def is_complete(self) -> bool:
         """Whether both a configuration and the targets have been received."""
@@ -104,6 +109,9 @@
     ) -> bool:
         """Applies a configuration if it is valid and newer.
 
+        Versions decide, since revisions go back if the store is restored from
+        a copy.
+
         Args:
             value: Encoded configuration.
             revision: Store revision of the value.
@@ -112,7 +120,7 @@
         Returns:
             Whether the configuration was applied.
         """
-        if revision <= self.revision:
+        if self._stored is not None and value == self._stored.value:
             return False
         decoded = self._wire.decode_configuration(value, revision)
         if isinstance(decoded, result.Err):
@@ -123,14 +131,13 @@
             )
             return False
         decoded_configuration = decoded.ok_value
-        version_in_force = (
-            self._routes.configuration.version if self._routes else -1
-        )
-        if decoded_configuration.version < version_in_force:
-            logger.error(
-                "configuration is older than the one in force",
+        if decoded_configuration.version <= self.version:
+            logger.warning(
+                "configuration is not newer than the one in force",
                 version=decoded_configuration.version,
-                count=version_in_force,
+                count=self.version,
+                revision=revision,
+                kind=origin,
             )
             return False
         self._stored = StoredConfiguration(value, revision)
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -205,7 +205,7 @@
                 request_log.request_blocked(
                     death.crash, self._guard.crash_count(fingerprint), "peer"
                 )
-        self._fetcher.note_peer(digest.sender, digest.configuration_revision)
+        self._fetcher.note_peer(digest.sender, digest.configuration_version)
         self._configuration_follower.note_peer_revision(
             digest.configuration_revision
         )
@@ -222,6 +222,7 @@
                 self._incarnation,
                 self._sequence,
                 self._state.revision,
+                self._state.version,
                 self._targets_follower.last_change_revision,
                 self._is_leaving,
                 self._load.local_jobs,
--- a/src/cardamomfork/_internal/measure/digests.py
+++ b/src/cardamomfork/_internal/measure/digests.py
@@ -103,6 +103,7 @@
         2**61,
         55,
         1_234_567,
+        12_345,
         1_234_567,
         False,
         tuple(
--- a/tests/functional/test_peer_fetch.py
+++ b/tests/functional/test_peer_fetch.py
@@ -90,7 +90,7 @@
             peer.revision = revision
             sender = digest_codec.Peer("two", "b", HOST, port)
             digest = digest_codec.Digest(
-                sender, 5, revision, revision, 0, False, (), ()
+                sender, 5, revision, revision, revision, 0, False, (), ()
             )
             data = peers.NO_RELAY + digest_codec.encode(digest, clock())
             links.datagram_received(data, (HOST, port))
--- a/tests/unit/test_gateway_configuration_fetching.py
+++ b/tests/unit/test_gateway_configuration_fetching.py
@@ -91,7 +91,7 @@
         peer = digest_codec.Peer(str(number), "a", "127.0.0.1", number)
         for other, fetcher in enumerate(self.fetchers):
             if other != number:
-                fetcher.note_peer(peer, self.states[number].revision)
+                fetcher.note_peer(peer, self.states[number].version)
 
 
 class FetchingTest(unittest.TestCase):
--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -357,6 +357,7 @@
         incarnation,
         sequence,
         11,
+        7,
         12,
         False,
         jobs,
--- a/tests/unit/test_gateway_fleet_state.py
+++ b/tests/unit/test_gateway_fleet_state.py
@@ -134,6 +134,15 @@
         )
         self.assertEqual(self.state.routes.configuration.version, 7)
 
+    def test_version_decides_after_the_store_went_back_in_revisions(self):
+        for version, revision in ((7, 120), (9, 95), (11, 120)):
+            value = make_configuration(version)
+            applied = self.state.apply_configuration(value, revision, "store")
+            self.assertTrue(applied, version)
+        value = make_configuration(9)
+        self.assertFalse(self.state.apply_configuration(value, 130, "peer"))
+        self.assertEqual(self.state.routes.configuration.version, 11)
+
     def test_malformed_configuration_is_ignored(self):
         self.state.apply_configuration(make_configuration(7), 20, "store")
         self.assertFalse(self.state.apply_configuration(b"{", 21, "store"))
--- a/tests/unit/test_platform_decoding.py
+++ b/tests/unit/test_platform_decoding.py
@@ -237,7 +237,7 @@
         )
         digest = digest_codec.Digest(
             digest_codec.Peer("one", "a", "127.0.0.1", 1),
-            *(1, 1, 1, 1, False, (job,), ()),
+            *(1, 1, 1, 1, 1, False, (job,), ()),
         )
         decoded = digest_codec.decode(digest_codec.encode(digest, 0.0), 0.0)
         self.assertEqual(len(decoded.unwrap().jobs), 1)
