Log the limits that targets put on the rate of requests

No log line, metric or dump showed that a limit had been received, so nothing told whether it was unread or misused.

The header is decoded in the adapter and kept with the target; a change is one log line, and the dump shows the limit. Nothing acts on it yet.

--- a/src/cardamomfork/_internal/gateway/attempt.py
+++ b/src/cardamomfork/_internal/gateway/attempt.py
@@ -88,6 +88,7 @@
         sink: CallerSink,
         progress: Progress,
         clock: Callable[[], float],
+        on_head: Callable[[forwarding.ResponseHead], None],
         on_event: Callable[[], None],
     ) -> None:
         """Initializes the attempt.
@@ -97,12 +98,14 @@
             sink: Where the answer is written.
             progress: What the caller has received; shared by all attempts.
             clock: Monotonic time.
+            on_head: Called with the head of the answer.
             on_event: Called with each event of a stream.
         """
         self._route = route
         self._sink = sink
         self._progress = progress
         self._clock = clock
+        self._on_head = on_head
         self._on_event = on_event
 
     async def run(
@@ -118,6 +121,7 @@
         if not isinstance(first_message, target_connection.HeadReceived):
             return _to_failure(first_message)
         head = first_message.head
+        self._on_head(head)
         is_stream = (
             self._route.rule is fleet.RepeatPolicy.STREAM
             and head.status == http.HTTPStatus.OK
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -27,6 +27,7 @@
     from cardamomfork._internal.gateway import crash_detector
     from cardamomfork._internal.gateway import load_view
     from cardamomfork._internal.gateway import poison_guard
+    from cardamomfork._internal.gateway import rate_limits
     from cardamomfork._internal.gateway import reservations
     from cardamomfork._internal.gateway import retry_budget
     from cardamomfork._internal.gateway import target_pool
@@ -55,6 +56,7 @@
         guard: poison_guard.PoisonGuard,
         detector: crash_detector.CrashDetector,
         reserver: reservations.MemoryReserver,
+        limits: rate_limits.RateLimits,
         clock: Callable[[], float],
         on_change: Callable[[], None],
     ) -> None:
@@ -70,6 +72,7 @@
             guard: Records of requests that crash targets.
             detector: Collects evidence of crashed targets.
             reserver: Reserves memory on engines.
+            limits: Limits that targets put on the rate of requests.
             clock: Monotonic time.
             on_change: Called when a job of this instance changes state.
         """
@@ -85,6 +88,7 @@
             table, detector, clock
         )
         self._reserver = reserver
+        self._rate_limits = limits
         self._clock = clock
         self._on_change = on_change
         # Request ids of callers need not be unique.
@@ -216,6 +220,7 @@
             exchange.sink,
             exchange.progress,
             self._clock,
+            lambda head: self._rate_limits.record_answer(record, head),
             on_event,
         )
         is_ended = is_complete = False
@@ -316,6 +321,7 @@
             exchange.sink,
             exchange.progress,
             self._clock,
+            _ignore_head,
             _ignore_event,
         )
         await delivery.forward_answer(failed.answer, failed.body)
@@ -336,5 +342,9 @@
         )
 
 
+def _ignore_head(head: forwarding.ResponseHead) -> None:
+    """Ignores the head of an answer."""
+
+
 def _ignore_event() -> None:
     """Ignores an event."""
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -29,6 +29,7 @@
 from cardamomfork._internal.gateway import peers
 from cardamomfork._internal.gateway import placement
 from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import rate_limits
 from cardamomfork._internal.gateway import registration
 from cardamomfork._internal.gateway import reservations
 from cardamomfork._internal.gateway import retry_budget
@@ -130,6 +131,7 @@
         self._reserver = reservations.MemoryReserver(
             wire, self._connection_pool
         )
+        self._rate_limits = rate_limits.RateLimits(self._target_table, clock)
         self._configuration_follower = self._make_follower(
             follower.Subscription(
                 wire.configuration_key,
@@ -206,6 +208,7 @@
                 self._poison_guard,
                 self._crash_detector,
                 self._reserver,
+                self._rate_limits,
                 clock,
                 self._on_capacity_change,
             ),
--- a/src/cardamomfork/_internal/gateway/target_table.py
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -42,6 +42,24 @@
     UNREACHABLE = "unreachable"
 
 
+@attrs.frozen
+class RateLimit:
+    """A limit on the requests of all instances together.
+
+    Attributes:
+        requests_per_s: The limit.
+        observed_at: Time of the newest answer that named it, or of the first
+            answer without it.
+        has_ended: Whether a later answer named no limit.
+        is_local: Whether this instance received that answer itself.
+    """
+
+    requests_per_s: float
+    observed_at: float
+    has_ended: bool = False
+    is_local: bool = True
+
+
 @attrs.define
 class Target:
     """One target.
@@ -56,6 +74,7 @@
         paused_until: Time until which it gets no work.
         slowdown_samples: Ratios of observed to predicted time, newest last.
         slowdown_observed_at: Time of the newest sample.
+        rate_limit: The limit on requests that it has named, or None.
     """
 
     record: fleet.TargetRecord
@@ -66,6 +85,7 @@
     paused_until: float = 0.0
     slowdown_samples: tuple[float, ...] = ()
     slowdown_observed_at: float = 0.0
+    rate_limit: RateLimit | None = None
 
     def decayed_failure_rate(self, now: float) -> float:
         """Returns the failure rate, reduced by the age of the last attempt."""
--- a/src/cardamomfork/_internal/models/forwarding.py
+++ b/src/cardamomfork/_internal/models/forwarding.py
@@ -114,6 +114,8 @@
             or None.
         content_length: Length of the body, or None.
         closes: Whether the target closes the connection after the response.
+        rate_limit_per_s: Requests a second that the target accepts from all
+            instances together, or None if it names no limit.
     """
 
     status: int
@@ -125,6 +127,7 @@
     idle_timeout_s: float | None = None
     content_length: int | None = None
     closes: bool = False
+    rate_limit_per_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/src/cardamomfork/_internal/platform/headers.py
+++ b/src/cardamomfork/_internal/platform/headers.py
@@ -30,6 +30,7 @@
 _SIGNATURE = b"x-cardamomfork-server-signature"
 _NOT_EXECUTED = b"x-cardamomfork-not-executed"
 _BLAMED_TARGET = b"at-server"
+_REQUEST_RATE_LIMIT = b"server-limit"  # Requests a second, from all instances.
 _API_KEY = b"api-key"
 _LAST_EVENT_ID = b"last-event-id"
 
@@ -135,6 +136,7 @@
         idle_timeout_s=float(keep_alive[1]) if keep_alive else None,
         content_length=_parse_int(values.get(b"content-length")),
         closes=b"close" in values.get(b"connection", b"").lower(),
+        rate_limit_per_s=_parse_rate(values.get(_REQUEST_RATE_LIMIT)),
     )
 
 
@@ -172,6 +174,15 @@
     return max(seconds, 0.0) if math.isfinite(seconds) else None
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    """Parses a rate; None if absent, negative or malformed."""
+    try:
+        rate = float(value or b"")
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _parse_int(value: bytes | None) -> int | None:
     """Parses a non-negative integer; None if absent or malformed."""
     digits = (value or b"").strip()
--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -66,6 +66,8 @@
             closes.
         crash_word: A body that contains it crashes the target; if empty, none
             does.
+        rate_limit_per_s: Limit on the rate of requests that answers name, or
+            None.
     """
 
     reset: float = 0.0
@@ -74,6 +76,7 @@
     extra: float = 0.0
     unframed: float = 0.0
     crash_word: bytes = b""
+    rate_limit_per_s: float | None = None
 
 
 def count_events(target: str) -> int:
@@ -143,6 +146,10 @@
             body += message.get("body", b"")
             more = message.get("more_body", False)
         answer = _Response(send, scope, self._target_id)
+        if self.faults.rate_limit_per_s is not None:
+            answer.extra.append(
+                (b"server-limit", b"%g" % self.faults.rate_limit_per_s)
+            )
         requested_target_id = answer.header(b"x-cardamomfork-target-instance")
         if requested_target_id and requested_target_id != self._target_id:
             await answer.send_whole(MISDIRECTED, b"")
@@ -153,6 +160,12 @@
                 SERVICE_UNAVAILABLE if self.is_leaving else OK, b""
             )
         elif self._running >= self._slots:
+            self._report(
+                {
+                    "refused": answer.header(b"x-cardamomfork-request-id"),
+                    "at": time.monotonic(),
+                }
+            )
             answer.extra.append((b"x-cardamomfork-not-executed", b"1"))
             await answer.send_whole(SERVICE_UNAVAILABLE, b"")
         else:
@@ -384,6 +397,7 @@
     slots: int = 8,
     event_s: float = 0.02,
     crash_word: str = "",
+    rate_limit_per_s: float | None = None,
 ) -> None:
     """Serves until SIGTERM, and then for a little longer.
 
@@ -397,6 +411,7 @@
         slots: Requests that it runs at once.
         event_s: Seconds between two events.
         crash_word: A body that contains it crashes the target.
+        rate_limit_per_s: Limit on the rate of requests that its answers name.
     """
 
     def report(line: dict[str, Any]) -> None:
@@ -407,6 +422,7 @@
         target_id, slots, event_s, report, crash=lambda: os._exit(1)
     )
     engine.faults.crash_word = crash_word.encode()
+    engine.faults.rate_limit_per_s = rate_limit_per_s
     entry = platform_site.make_entry(service, advertised_port, slots)
     client = platform_site.make_client(store)
 
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -13,6 +13,7 @@
 from cardamomfork._internal.gateway import exchanges
 from cardamomfork._internal.gateway import forwarding
 from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import rate_limits
 from cardamomfork._internal.gateway import request_log
 from cardamomfork._internal.gateway import reservations
 from cardamomfork._internal.gateway import retry_budget
@@ -95,6 +96,7 @@
             self.guard,
             self.detector,
             reservations.MemoryReserver(self.wire, self.links),
+            rate_limits.RateLimits(self.parts.table, time.monotonic),
             time.monotonic,
             lambda: None,
         )
