--- a/tests/lib/crashing_fleet.py
+++ b/tests/lib/crashing_fleet.py
@@ -189,7 +189,7 @@
     caller = CrashingCaller(deployment)
     try:
         await deployment.start()
-        await _wait_until_served(deployment, generator)
+        await wait_until_served(deployment, generator)
         tasks = [
             asyncio.create_task(generator.run()),
             asyncio.create_task(caller.run()),
@@ -207,7 +207,7 @@
     return deployment, caller
 
 
-async def _wait_until_served(deployment, generator):
+async def wait_until_served(deployment, generator):
     """Waits until each instance serves streams."""
     give_up_at = time.monotonic() + START_TIMEOUT_S
     for entry in deployment.entries:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -17,9 +17,9 @@
 HOST = platform_site.HOST
 START_TIMEOUT_S = 20.0
 STOP_GRACE_S = 8.0
-PORTS_PER_DEPLOYMENT = 200
+PORTS_PER_DEPLOYMENT = 600
 LOWEST_PORT = 11_000
-MAX_DEPLOYMENTS = 40
+MAX_DEPLOYMENTS = 30
 """The ports of all deployments are below the ephemeral port range of the
 operating system."""
 
