Keep to a target's limit with all instances together

Cause: nothing read the limit. Had each instance kept it for itself, 9 or 86 times as many requests would have arrived; even one request of burst each is more than the 11 that are allowed at 1 a second.

Each limited target now has one owner, chosen by rendezvous hashing among the live instances, which issues permits at the rate of the limit with a burst of 2: at most 4 x limit + 2 in any 4 s, whatever the number of instances. The others ask for a permit before they send, one datagram each way. A refusal says when to ask again; until then the target gets nothing from that instance. Without an answer nothing is sent. Limits travel in digests, at most 32, twice a second, only by the instance that received the newest answer. A limit belongs to a process of a target, and holds for 1 s after a signed answer without it, in case another instance received one with it.

Placement prefers other targets. If all targets of a service are limited, a request waits for a permit only if it stays on time, and is refused at once otherwise, with the shared rate's time to return. Limited engines help only with prompts that fit nowhere else.

Weighed: the limit divided by the number of instances can't hold at 86 (a burst of 1 each); few owners without lending leave instances that own nothing without targets if all are limited.

--- a/src/cardamomfork/_internal/gateway/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/digest_codec.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.gateway import fleet_state
 from cardamomfork._internal.gateway import load_view
 from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import rate_limits
 
 MS_PER_S = 1000.0
 MAX_MS = 2**31 - 1
@@ -55,6 +56,7 @@
         jobs: Requests that the sender has placed on targets.
         deaths: Crashes of targets, each with the fingerprint of the request
             that the target ran.
+        rate_limits: Limits that targets have named in answers to the sender.
     """
 
     sender: Peer
@@ -66,17 +68,18 @@
     is_leaving: bool
     jobs: tuple[load_view.Job, ...]
     deaths: tuple[poison_guard.CrashReport, ...]
+    rate_limits: tuple[rate_limits.RateLimitReport, ...] = ()
 
 
 @functools.cache
-def _schema() -> Any:
-    """Loads the schema once and returns it."""
+def schema() -> Any:
+    """Returns the schema of all messages between peers; loads it once."""
     return capnp.load(str(_SCHEMA_PATH))
 
 
 def encode(digest: Digest, now: float) -> bytes:
     """Encodes a digest; points in time are sent as durations from now."""
-    message = _schema().Digest.new_message(
+    message = schema().Digest.new_message(
         instanceId=digest.sender.instance_id,
         dataCentre=digest.sender.data_centre,
         incarnation=digest.incarnation,
@@ -97,13 +100,20 @@
         deaths[index].targetId = death.crash.target_id
         deaths[index].startedAtMs = death.crash.started_at_ms
         deaths[index].isRefuted = death.is_refuted
+    limits = message.init("rateLimits", len(digest.rate_limits))
+    for index, limit in enumerate(digest.rate_limits):
+        limits[index].targetId = limit.target_id
+        limits[index].startedAtMs = limit.started_at_ms
+        limits[index].requestsPerS = limit.requests_per_s
+        limits[index].ageMs = _to_unsigned_ms(limit.age_s)
+        limits[index].hasEnded = limit.has_ended
     return bytes(message.to_bytes_packed())
 
 
 def decode(data: bytes, now: float) -> result.Result[Digest, str]:
     """Decodes a digest, or returns an error message if it is malformed."""
     try:
-        message = _schema().Digest.from_bytes_packed(data)
+        message = schema().Digest.from_bytes_packed(data)
         sender = Peer(
             message.instanceId, message.dataCentre, message.host, message.port
         )
@@ -129,6 +139,16 @@
                     )
                     for death in message.deaths
                 ),
+                tuple(
+                    rate_limits.RateLimitReport(
+                        limit.targetId,
+                        limit.startedAtMs,
+                        limit.requestsPerS,
+                        limit.ageMs / MS_PER_S,
+                        limit.hasEnded,
+                    )
+                    for limit in message.rateLimits
+                ),
             )
         )
     except (capnp.KjException, ValueError) as error:
@@ -137,7 +157,7 @@
 
 def encode_configuration(stored: fleet_state.StoredConfiguration) -> bytes:
     """Encodes a configuration."""
-    message = _schema().StoredConfiguration.new_message(
+    message = schema().StoredConfiguration.new_message(
         revision=stored.revision, value=stored.value
     )
     return bytes(message.to_bytes())
@@ -148,7 +168,7 @@
 ) -> result.Result[fleet_state.StoredConfiguration, str]:
     """Decodes a configuration, or returns an error message."""
     try:
-        with _schema().StoredConfiguration.from_bytes(data) as message:
+        with schema().StoredConfiguration.from_bytes(data) as message:
             return result.Ok(
                 fleet_state.StoredConfiguration(
                     bytes(message.value), message.revision
--- a/src/cardamomfork/_internal/gateway/digests.capnp
+++ b/src/cardamomfork/_internal/gateway/digests.capnp
@@ -14,6 +14,7 @@
   dataCentre @9 :Text;
   targetsRevision @10 :UInt64;
   configurationVersion @11 :Int64 = -1;
+  rateLimits @12 :List(RateLimit);
 }
 
 # A request that the sender has placed on a target.
@@ -43,6 +44,31 @@
   isRefuted @3 :Bool;
 }
 
+# A limit that a target has named on the rate of requests of all instances.
+struct RateLimit {
+  targetId @0 :Text;
+  startedAtMs @1 :Int64;
+  requestsPerS @2 :Float64;
+  ageMs @3 :UInt32;  # Time since the answer that named it, or its end.
+  hasEnded @4 :Bool;
+}
+
+# Asks for a permit to send one request to a target.
+struct PermitRequest {
+  number @0 :UInt64;
+  targetId @1 :Text;
+  startedAtMs @2 :Int64;
+  ratePerS @3 :Float64;
+  maxWaitS @4 :Float64;
+}
+
+# The decision about a permit, sent to the address that asked for it.
+struct PermitDecision {
+  number @0 :UInt64;
+  isGranted @1 :Bool;
+  waitS @2 :Float64;
+}
+
 # A configuration as it is kept in the platform's store.
 struct StoredConfiguration {
   revision @0 :UInt64;
--- a/src/cardamomfork/_internal/gateway/exchanges.py
+++ b/src/cardamomfork/_internal/gateway/exchanges.py
@@ -33,6 +33,7 @@
         sent_attempts: Number of attempts that were sent.
         runs: Number of attempts that may have run.
         reservations_refused: Number of placements without enough memory.
+        permits_refused: Number of placements without a permit.
         log: Its log.
     """
 
@@ -48,6 +49,7 @@
     sent_attempts: int = 0
     possible_runs: int = 0
     reservations_refused: int = 0
+    permits_refused: int = 0
 
     @property
     def deadline(self) -> float:
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -28,6 +28,7 @@
     from cardamomfork._internal.gateway import load_view
     from cardamomfork._internal.gateway import poison_guard
     from cardamomfork._internal.gateway import rate_limits
+    from cardamomfork._internal.gateway import rate_permits
     from cardamomfork._internal.gateway import reservations
     from cardamomfork._internal.gateway import retry_budget
     from cardamomfork._internal.gateway import target_pool
@@ -57,6 +58,7 @@
         detector: crash_detector.CrashDetector,
         reserver: reservations.MemoryReserver,
         limits: rate_limits.RateLimits,
+        permits: rate_permits.RatePermits,
         clock: Callable[[], float],
         on_change: Callable[[], None],
     ) -> None:
@@ -73,6 +75,7 @@
             detector: Collects evidence of crashed targets.
             reserver: Reserves memory on engines.
             limits: Limits that targets put on the rate of requests.
+            permits: Acquires permits for requests to limited targets.
             clock: Monotonic time.
             on_change: Called when a job of this instance changes state.
         """
@@ -89,6 +92,7 @@
         )
         self._reserver = reserver
         self._rate_limits = limits
+        self._permits = permits
         self._clock = clock
         self._on_change = on_change
         # Request ids of callers need not be unique.
@@ -122,7 +126,7 @@
             if isinstance(chosen, scheduling.Refusal):
                 return self._refuse(exchange, chosen)
             try:
-                outcome = await self._reserve_and_send(exchange, demand, chosen)
+                outcome = await self._attempt(exchange, demand, chosen)
             finally:
                 self._scheduler.release(demand.job_id)
             if isinstance(outcome, outcomes.Delivered):
@@ -157,13 +161,19 @@
             excluded=frozenset(exchange.tried_target_ids),
         )
 
-    async def _reserve_and_send(
+    async def _attempt(
         self,
         exchange: exchanges.Exchange,
         demand: demands.Demand,
         chosen: placement.Placement,
     ) -> outcomes.AttemptOutcome:
-        """Reserves the memory of a placement and sends the request."""
+        """Acquires a permit and the memory of a placement, then sends."""
+        record = chosen.target.record
+        if not await self._permits.acquire(record, chosen.max_permit_wait_s):
+            exchange.permits_refused += 1
+            return outcomes.Failed(
+                outcomes.Failure.RATE_LIMITED, record.target_id
+            )
         async with self._reserver.hold(chosen) as held:
             if held.refused_by:
                 exchange.tried_target_ids.update(held.refused_by)
--- a/src/cardamomfork/_internal/gateway/outcomes.py
+++ b/src/cardamomfork/_internal/gateway/outcomes.py
@@ -20,6 +20,8 @@
     """Memory could not be reserved; nothing was sent."""
     BLOCKED = "blocked"
     """The request has crashed several targets; nothing was sent."""
+    RATE_LIMITED = "rate_limited"
+    """No permit was available for the target; nothing was sent."""
     NOT_RUN = "not_run"
     """The target stated that it did not run the request."""
     BROKEN = "broken"
@@ -73,6 +75,7 @@
             Failure.UNREACHABLE,
             Failure.NO_MEMORY,
             Failure.BLOCKED,
+            Failure.RATE_LIMITED,
             Failure.NOT_RUN,
         )
 
--- a/src/cardamomfork/_internal/gateway/peer_table.py
+++ b/src/cardamomfork/_internal/gateway/peer_table.py
@@ -37,6 +37,7 @@
         incarnation: Incarnation in its last digest; 0 before the first digest.
         previous_incarnation: Incarnation before the current one; delayed
             digests of it are dropped.
+        is_leaving: Whether it is about to stop.
         sequence: Sequence number of its last digest.
     """
 
@@ -44,6 +45,7 @@
     gone_at: float
     incarnation: int = 0
     previous_incarnation: int = 0
+    is_leaving: bool = False
     sequence: int = -1
 
 
@@ -121,6 +123,27 @@
             for record in self._records.values()
         )
 
+    def find_owner(self, key: str) -> digest_codec.Peer | None:
+        """Returns the live instance that owns a key; None for this one.
+
+        All instances choose the same owner by rendezvous hashing, and most
+        keys keep theirs when an instance joins or leaves.
+        """
+        now = self._clock()
+        owner: digest_codec.Peer | None = None
+        best = _rank(f"{self._local_peer.instance_id} {key}")
+        for record in self._records.values():
+            if (
+                not record.incarnation
+                or now > record.gone_at
+                or record.is_leaving
+            ):
+                continue
+            rank = _rank(f"{record.peer.instance_id} {key}")
+            if rank > best:
+                owner, best = record.peer, rank
+        return owner
+
     def add_entries(self, entries: Iterable[store.Entry]) -> None:
         """Adds the peers registered in the store."""
         for entry in entries:
@@ -150,6 +173,7 @@
             record.previous_incarnation = record.incarnation
             record.incarnation = digest.incarnation
         record.sequence = digest.sequence
+        record.is_leaving = digest.is_leaving
         record.gone_at = self._clock() + PEER_TIMEOUT_S
         return True
 
@@ -171,6 +195,6 @@
                 logger.info("peer forgotten", peer=instance_id)
 
 
-def _rank(instance_id: str) -> int:
-    """Returns the rank of an instance, a hash of its id."""
-    return xxhash.xxh3_64_intdigest(instance_id.encode())
+def _rank(text: str) -> int:
+    """Returns a hash of a text, which ranks instances."""
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -19,6 +19,7 @@
 
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import digest_recipients
+from cardamomfork._internal.gateway import permit_codec
 from cardamomfork._internal.gateway import request_log
 
 if TYPE_CHECKING:
@@ -31,11 +32,15 @@
     from cardamomfork._internal.gateway import load_view
     from cardamomfork._internal.gateway import peer_table
     from cardamomfork._internal.gateway import poison_guard
+    from cardamomfork._internal.gateway import rate_limits
+    from cardamomfork._internal.gateway import rate_permits
 
 HEARTBEAT_S = 0.5
 CRASH_REPORT_INTERVAL_S = 0.5
 """Crash reports are in a digest at most this often, unless there is a new one.
 Digests may follow each other within milliseconds."""
+RATE_LIMIT_REPORT_INTERVAL_S = 0.5
+"""The same for the limits of targets."""
 COALESCE_S = 0.004
 """Changes within this time are sent in one digest."""
 SMALL_FLEET_MAX_INSTANCES = 12
@@ -63,6 +68,8 @@
         state: fleet_state.FleetState,
         fetcher: configuration_fetching.ConfigurationFetcher,
         guard: poison_guard.PoisonGuard,
+        limits: rate_limits.RateLimits,
+        permits: rate_permits.RatePermits,
         configuration: follower.Follower,
         targets: follower.Follower,
         clock: Callable[[], float],
@@ -78,6 +85,8 @@
             state: Configuration of this instance.
             fetcher: Fetches newer configurations of peers.
             guard: Records requests that crash targets.
+            limits: Limits that targets put on the rate of requests.
+            permits: Issues permits for requests to limited targets.
             configuration: Follower of the configuration.
             targets: Follower of the targets' entries.
             clock: Monotonic time.
@@ -90,6 +99,8 @@
         self._state = state
         self._fetcher = fetcher
         self._guard = guard
+        self._rate_limits = limits
+        self._permits = permits
         self._configuration_follower = configuration
         self._targets_follower = targets
         self._clock = clock
@@ -99,6 +110,7 @@
         self._is_leaving = False
         self._sent_at = -HEARTBEAT_S
         self._crashes_sent_at = -CRASH_REPORT_INTERVAL_S
+        self._rate_limits_sent_at = -RATE_LIMIT_REPORT_INTERVAL_S
         self._transport: asyncio.DatagramTransport | None = None
         self._digest_timer: asyncio.TimerHandle | None = None
 
@@ -154,6 +166,11 @@
         self._crashes_sent_at = -CRASH_REPORT_INTERVAL_S
         self.notify(is_urgent=True)
 
+    def notify_rate_limit(self) -> None:
+        """Schedules a digest with the limits of targets after a change."""
+        self._rate_limits_sent_at = -RATE_LIMIT_REPORT_INTERVAL_S
+        self.notify(is_urgent=True)
+
     def send(self) -> None:
         """Sends a digest of this instance to its peers now."""
         if self._digest_timer is not None:
@@ -162,6 +179,11 @@
         self._sent_at = self._clock()
         self._send_to(self._selector.select())
 
+    def send_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends a datagram that is no digest to the address of a peer."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(data, address)
+
     def leave(self) -> None:
         """Notifies peers that this instance is about to stop."""
         self._is_leaving = True
@@ -176,6 +198,15 @@
         data: bytes,
         addr: tuple[str, int],
     ) -> None:
+        """Processes a digest or a message about a permit."""
+        if data.startswith(permit_codec.REQUEST):
+            self._permits.receive_request(data, addr)
+        elif data.startswith(permit_codec.DECISION):
+            self._permits.receive_answer(data)
+        else:
+            self._receive_digest(data, addr)
+
+    def _receive_digest(self, data: bytes, addr: tuple[str, int]) -> None:
         """Processes a digest, and forwards it if this instance is a relay."""
         now = self._clock()
         digest_bytes = data[1:]
@@ -205,6 +236,8 @@
                 request_log.request_blocked(
                     death.crash, self._guard.crash_count(fingerprint), "peer"
                 )
+        for limit in digest.rate_limits:
+            self._rate_limits.merge(limit)
         self._fetcher.note_peer(digest.sender, digest.configuration_version)
         self._configuration_follower.note_peer_revision(
             digest.configuration_revision
@@ -227,6 +260,7 @@
                 self._is_leaving,
                 self._load.local_jobs,
                 self._due_crash_reports(now),
+                self._due_rate_limits(now),
             ),
             now,
         )
@@ -243,6 +277,15 @@
         self._crashes_sent_at = now
         return tuple(self._guard.recent_crashes(now))
 
+    def _due_rate_limits(
+        self, now: float
+    ) -> tuple[rate_limits.RateLimitReport, ...]:
+        """Returns the limits of targets in a digest that is sent now."""
+        if now - self._rate_limits_sent_at < RATE_LIMIT_REPORT_INTERVAL_S:
+            return ()
+        self._rate_limits_sent_at = now
+        return self._rate_limits.reports()
+
     def _transmit(
         self, data: bytes, recipients: Iterable[digest_codec.Peer]
     ) -> None:
--- a/src/cardamomfork/_internal/gateway/placement.py
+++ b/src/cardamomfork/_internal/gateway/placement.py
@@ -65,6 +65,8 @@
         first_token_s: Predicted time to the first token.
         prefill_s: Predicted time until the prefill is complete.
         cost: Expected loss, in the unit of `demands.request_value`.
+        max_permit_wait_s: Longest wait for a permit, if the target limits the
+            rate of requests.
     """
 
     target: target_table.Target
@@ -72,6 +74,7 @@
     first_token_s: float
     prefill_s: float
     cost: float
+    max_permit_wait_s: float = 0.0
 
 
 @attrs.frozen
@@ -84,11 +87,13 @@
             no target can ever hold the request.
         is_for_all_requests: Whether these targets have no capacity for any
             request.
+        may_wait: Whether the request may wait for the capacity.
     """
 
     reason: str
     capacity_in_s: float
     is_for_all_requests: bool = False
+    may_wait: bool = True
 
 
 class Placer:
@@ -141,14 +146,27 @@
             return NoCapacity(
                 "no target", NO_TARGET_RETRY_S, is_for_all_requests=True
             )
+        permitted, max_permit_wait_s = _filter_by_permit(
+            demand, candidates, now
+        )
+        if not permitted:
+            return NoCapacity(
+                "all targets are at their rate limits",
+                min(one.target.permit_wait_s(now) for one in candidates),
+                may_wait=False,
+            )
         costs = placement_costs.PlacementCosts(
             self._data_centre, self._rng, self._count_instances()
         )
         if demand.service.cost_model is None:
-            return self._choose_plain(costs, candidates, now)
-        return self._choose_engine(
-            costs, demand, demand.service.cost_model, candidates, now
-        )
+            chosen = self._choose_plain(costs, permitted, now)
+        else:
+            chosen = self._choose_engine(
+                costs, demand, demand.service.cost_model, permitted, now
+            )
+        if isinstance(chosen, Placement):
+            return attrs.evolve(chosen, max_permit_wait_s=max_permit_wait_s)
+        return chosen
 
     def _choose_plain(
         self,
@@ -198,6 +216,31 @@
         ]
         if not open_candidates:
             return _no_capacity("all engines are full", candidates)
+        # Limited engines help only a request that fits nowhere else.
+        unlimited = [
+            candidate
+            for candidate in candidates
+            if candidate.target.rate_limit_per_s(now) is None
+        ]
+        best = self._choose_parts(
+            costs, demand, cost_model, open_candidates, unlimited, now
+        )
+        if best is None and len(unlimited) < len(candidates):
+            best = self._choose_parts(
+                costs, demand, cost_model, open_candidates, candidates, now
+            )
+        return best or _no_capacity("all engines are full", candidates)
+
+    def _choose_parts(
+        self,
+        costs: placement_costs.PlacementCosts,
+        demand: demands.Demand,
+        cost_model: fleet.EngineCostModel,
+        open_candidates: list[demands.Candidate],
+        helper_candidates: list[demands.Candidate],
+        now: float,
+    ) -> Placement | None:
+        """Returns the best placement with any number of parts, if any."""
         whole_prefill_s = engine_timing.prefill_s(
             cost_model, demand.prompt_tokens
         )
@@ -210,13 +253,13 @@
                 demand,
                 cost_model,
                 open_candidates,
-                candidates,
+                helper_candidates,
                 parts,
                 now,
             )
             if option is not None and (best is None or option.cost < best.cost):
                 best = option
-        return best or _no_capacity("all engines are full", candidates)
+        return best
 
     def _place_in_parts(
         self,
@@ -224,7 +267,7 @@
         demand: demands.Demand,
         cost_model: fleet.EngineCostModel,
         open_candidates: list[demands.Candidate],
-        candidates: list[demands.Candidate],
+        helper_candidates: list[demands.Candidate],
         parts: int,
         now: float,
     ) -> Placement | None:
@@ -236,7 +279,10 @@
             candidate.target_id: costs.target_cost(
                 demand, cost_model, candidate, part_s, now
             )
-            for candidate in candidates
+            for candidate in {
+                one.target_id: one
+                for one in (*helper_candidates, *open_candidates)
+            }.values()
         }
 
         def total_cost(candidate: demands.Candidate) -> float:
@@ -257,16 +303,16 @@
         primary = min(open_candidates, key=total_cost)
         helpers: list[demands.Candidate] = []
         if parts > 1:
-            helper_candidates = [
+            possible_helpers = [
                 candidate
-                for candidate in candidates
+                for candidate in helper_candidates
                 if candidate.target_id != primary.target_id
                 and candidate.load.helping < candidate.target.record.slots
             ]
-            if len(helper_candidates) < parts - 1:
+            if len(possible_helpers) < parts - 1:
                 return None
-            helper_candidates.sort(key=total_cost)
-            helpers = helper_candidates[: parts - 1]
+            possible_helpers.sort(key=total_cost)
+            helpers = possible_helpers[: parts - 1]
         prefill_end_s = max(
             _part_end_s(cost_model, candidate, part_s)
             for candidate in (primary, *helpers)
@@ -294,6 +340,32 @@
         )
 
 
+def _filter_by_permit(
+    demand: demands.Demand, candidates: list[demands.Candidate], now: float
+) -> tuple[list[demands.Candidate], float]:
+    """Returns the candidates for which a permit may be available.
+
+    Only if all of them limit the rate of requests, a request waits for a
+    permit, as long as its first token is still on time.
+
+    Returns:
+        The candidates and the longest wait for a permit, in seconds.
+    """
+    if any(one.target.rate_limit_per_s(now) is None for one in candidates):
+        max_wait_s = 0.0
+    else:
+        cost_model = demand.service.cost_model
+        service_s = (
+            DEFAULT_CALL_S
+            if cost_model is None
+            else engine_timing.prefill_s(cost_model, demand.prompt_tokens)
+        )
+        max_wait_s = max(demand.objective_left_s - service_s, 0.0)
+    return [
+        one for one in candidates if one.target.permit_wait_s(now) <= max_wait_s
+    ], max_wait_s
+
+
 def _with_free_slots(
     candidates: list[demands.Candidate],
 ) -> list[demands.Candidate]:
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -30,6 +30,7 @@
 from cardamomfork._internal.gateway import placement
 from cardamomfork._internal.gateway import poison_guard
 from cardamomfork._internal.gateway import rate_limits
+from cardamomfork._internal.gateway import rate_permits
 from cardamomfork._internal.gateway import registration
 from cardamomfork._internal.gateway import reservations
 from cardamomfork._internal.gateway import retry_budget
@@ -131,7 +132,17 @@
         self._reserver = reservations.MemoryReserver(
             wire, self._connection_pool
         )
-        self._rate_limits = rate_limits.RateLimits(self._target_table, clock)
+        self._rate_limits = rate_limits.RateLimits(
+            self._target_table,
+            clock,
+            self._on_rate_limit,
+        )
+        self._rate_permits = rate_permits.RatePermits(
+            self._rate_limits,
+            self._peer_table.find_owner,
+            self._send_datagram,
+            clock,
+        )
         self._configuration_follower = self._make_follower(
             follower.Subscription(
                 wire.configuration_key,
@@ -170,6 +181,8 @@
             self._fleet_state,
             self._configuration_fetcher,
             self._poison_guard,
+            self._rate_limits,
+            self._rate_permits,
             self._configuration_follower,
             self._targets_follower,
             clock,
@@ -209,6 +222,7 @@
                 self._crash_detector,
                 self._reserver,
                 self._rate_limits,
+                self._rate_permits,
                 clock,
                 self._on_capacity_change,
             ),
@@ -345,6 +359,14 @@
         self._peer_links.notify_crash()
         self._crash_persistence.notify()
 
+    def _on_rate_limit(self) -> None:
+        """Notifies peers that a target has changed its limit."""
+        self._peer_links.notify_rate_limit()
+
+    def _send_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends a datagram to a peer."""
+        self._peer_links.send_datagram(data, address)
+
     def _on_store_answer(self, fault: store.StoreFault | None) -> None:
         """Records whether the store answered a call."""
         if fault is None:
@@ -462,6 +484,7 @@
                     self._fleet_state.configuration_age_s
                 ),
                 "connections_opened": lambda: self._connection_pool.opened,
+                "permit_targets": lambda: self._rate_permits.issued_targets,
                 "crash_suspects": lambda: self._poison_guard.suspect_count,
                 "blocked_requests": lambda: len(
                     self._poison_guard.blocked(self._clock())
--- a/src/cardamomfork/_internal/gateway/rate_limits.py
+++ b/src/cardamomfork/_internal/gateway/rate_limits.py
@@ -20,37 +20,68 @@
     from cardamomfork._internal.models import fleet
     from cardamomfork._internal.models import forwarding
 
-RELEASE_DELAY_S = 1.0
-"""Time for which a limit holds after an answer that doesn't name it. Another
-instance may have received an answer with the limit in the meantime."""
+MAX_REPORTS = 32
+"""Limits in one digest; the newest ones are reported."""
+REPORT_ENDED_S = 5.0
+"""Time for which the end of a limit is reported."""
+
+
+@attrs.frozen
+class RateLimitReport:
+    """A limit as instances report it to each other.
+
+    Attributes:
+        target_id: The target.
+        started_at_ms: Unix time of the start of its process.
+        requests_per_s: The limit.
+        age_s: Time since the answer that named it, or that ended it.
+        has_ended: Whether it has ended.
+    """
+
+    target_id: str
+    started_at_ms: int
+    requests_per_s: float
+    age_s: float
+    has_ended: bool
 
 
 class RateLimits:
     """Records the limits of the targets in the target table."""
 
     def __init__(
-        self, table: target_table.TargetTable, clock: Callable[[], float]
+        self,
+        table: target_table.TargetTable,
+        clock: Callable[[], float],
+        on_change: Callable[[], None] = lambda: None,
     ) -> None:
         """Initializes the limits.
 
         Args:
             table: The known targets.
             clock: Monotonic time.
+            on_change: Called when an answer to this instance names another
+                limit, or none any more.
         """
         self._table = table
         self._clock = clock
+        self._on_change = on_change
 
     def rate(self, record: fleet.TargetRecord) -> float | None:
         """Returns a target's limit in requests a second, or None."""
+        return self.find_rate(record.target_id, record.started_at_ms)
+
+    def find_rate(self, target_id: str, started_at_ms: int) -> float | None:
+        """Returns the limit of a target's process, or None."""
+        target = self._find(target_id, started_at_ms)
+        return (
+            None if target is None else target.rate_limit_per_s(self._clock())
+        )
+
+    def close(self, record: fleet.TargetRecord, wait_s: float) -> None:
+        """Records that no permit for a target is available for some time."""
         target = self._find(record.target_id, record.started_at_ms)
-        if target is None or target.rate_limit is None:
-            return None
-        limit = target.rate_limit
-        if limit.has_ended and (
-            self._clock() - limit.observed_at >= RELEASE_DELAY_S
-        ):
-            return None
-        return limit.requests_per_s
+        if target is not None:
+            target.permit_expected_at = self._clock() + wait_s
 
     def record_answer(
         self, record: fleet.TargetRecord, head: forwarding.ResponseHead
@@ -84,6 +115,53 @@
                 ),
             )
 
+    def reports(self) -> tuple[RateLimitReport, ...]:
+        """Returns the limits that this instance has received itself.
+
+        Limits that peers have received later are reported by them.
+        """
+        now = self._clock()
+        found = [
+            RateLimitReport(
+                target.record.target_id,
+                target.record.started_at_ms,
+                target.rate_limit.requests_per_s,
+                now - target.rate_limit.observed_at,
+                target.rate_limit.has_ended,
+            )
+            for target in self._table.list_all()
+            if target.rate_limit is not None and target.rate_limit.is_local
+        ]
+        current = [
+            report
+            for report in found
+            if not report.has_ended or report.age_s < REPORT_ENDED_S
+        ]
+        current.sort(key=lambda report: report.age_s)
+        return tuple(current[:MAX_REPORTS])
+
+    def merge(self, report: RateLimitReport) -> None:
+        """Records a peer's report if it is newer than what is known."""
+        target = self._find(report.target_id, report.started_at_ms)
+        if target is None:
+            return
+        known = target.rate_limit
+        observed_at = self._clock() - report.age_s
+        if known is not None and (
+            observed_at <= known.observed_at
+            or (known.has_ended and report.has_ended)
+        ):
+            return
+        self._replace(
+            target,
+            target_table.RateLimit(
+                report.requests_per_s,
+                observed_at,
+                report.has_ended,
+                is_local=False,
+            ),
+        )
+
     def _find(
         self, target_id: str, started_at_ms: int
     ) -> target_table.Target | None:
@@ -110,3 +188,5 @@
                 kind="own answer" if limit.is_local else "peer",
                 detail=f"{limit.requests_per_s} requests a second",
             )
+            if limit.is_local:
+                self._on_change()
--- a/src/cardamomfork/_internal/gateway/retrying.py
+++ b/src/cardamomfork/_internal/gateway/retrying.py
@@ -20,6 +20,10 @@
 """Retry-after time for a request that no target ran. The queue of a target that
 refused it drains in a fraction of a second."""
 MAX_RESERVATIONS_REFUSED = 3
+MAX_PERMITS_REFUSED = 8
+"""Number of targets whose rate limit may refuse one request."""
+NOTHING_SENT = (outcomes.Failure.NO_MEMORY, outcomes.Failure.RATE_LIMITED)
+"""Failures after which another attempt is no retry."""
 MAX_REFUSED_ATTEMPTS = 2
 """Number of attempts that targets may refuse, beyond the maximum number of
 attempts of the route."""
@@ -71,9 +75,11 @@
             stop_reason = "refused by several targets"
         elif exchange.reservations_refused > MAX_RESERVATIONS_REFUSED:
             stop_reason = "no memory in several places"
+        elif exchange.permits_refused > MAX_PERMITS_REFUSED:
+            stop_reason = "rate limits of several targets"
         elif (
             exchange.sent_attempts
-            and failed.failure is not outcomes.Failure.NO_MEMORY
+            and failed.failure not in NOTHING_SENT
             and not self._retry_budget.try_acquire(
                 exchange.match.service.name, now
             )
--- a/src/cardamomfork/_internal/gateway/scheduling.py
+++ b/src/cardamomfork/_internal/gateway/scheduling.py
@@ -195,7 +195,10 @@
         if chosen.is_for_all_requests:
             no_capacity[candidate_set] = chosen
         min_service_s = _min_service_s(demand)
-        if chosen.capacity_in_s + min_service_s > demand.time_left_s:
+        if (
+            not chosen.may_wait
+            or chosen.capacity_in_s + min_service_s > demand.time_left_s
+        ):
             waiter.decision = self._refuse(chosen.reason, chosen.capacity_in_s)
             return True
         return False
--- a/src/cardamomfork/_internal/gateway/target_table.py
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -32,6 +32,9 @@
 SLOWDOWN_HALF_LIFE_S = 5.0
 """Time in which the excess slowdown falls by half without a new sample."""
 MAX_SLOWDOWN = 20.0
+RATE_LIMIT_RELEASE_DELAY_S = 1.0
+"""Time for which a limit holds after an answer that doesn't name it. Another
+instance may have received an answer with the limit in the meantime."""
 
 
 class HealthSignal(enum.Enum):
@@ -75,6 +78,8 @@
         slowdown_samples: Ratios of observed to predicted time, newest last.
         slowdown_observed_at: Time of the newest sample.
         rate_limit: The limit on requests that it has named, or None.
+        permit_expected_at: Time before which no permit for a request to it is
+            available.
     """
 
     record: fleet.TargetRecord
@@ -86,6 +91,24 @@
     slowdown_samples: tuple[float, ...] = ()
     slowdown_observed_at: float = 0.0
     rate_limit: RateLimit | None = None
+    permit_expected_at: float = 0.0
+
+    def rate_limit_per_s(self, now: float) -> float | None:
+        """Returns the limit in force in requests a second, or None."""
+        limit = self.rate_limit
+        if limit is None:
+            return None
+        if limit.has_ended and (
+            now - limit.observed_at >= RATE_LIMIT_RELEASE_DELAY_S
+        ):
+            return None
+        return limit.requests_per_s
+
+    def permit_wait_s(self, now: float) -> float:
+        """Returns the time until a permit may be available; 0 if unlimited."""
+        if self.rate_limit_per_s(now) is None:
+            return 0.0
+        return max(self.permit_expected_at - now, 0.0)
 
     def decayed_failure_rate(self, now: float) -> float:
         """Returns the failure rate, reduced by the age of the last attempt."""
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -80,6 +80,7 @@
         self.service = fleet.Service(
             service, 100, gateway_parts.LAW if self.is_stream else None
         )
+        limits = rate_limits.RateLimits(self.parts.table, time.monotonic)
         self.forwarder = forwarding.Forwarder(
             self.wire,
             scheduling.Scheduler(
@@ -96,7 +97,8 @@
             self.guard,
             self.detector,
             reservations.MemoryReserver(self.wire, self.links),
-            rate_limits.RateLimits(self.parts.table, time.monotonic),
+            limits,
+            gateway_parts.make_permits(limits, time.monotonic),
             time.monotonic,
             lambda: None,
         )
--- a/tests/functional/test_peer_fetch.py
+++ b/tests/functional/test_peer_fetch.py
@@ -12,6 +12,7 @@
 from cardamomfork._internal.gateway import peer_table
 from cardamomfork._internal.gateway import peers
 from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import rate_limits
 from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.platform import wire_format
 from cardamomfork._internal.standins import platform_site
@@ -53,6 +54,7 @@
     """Returns the peer links of an instance with an empty peer table."""
     local_peer = digest_codec.Peer("one", "a", HOST, 1)
     table = peer_table.PeerTable(local_peer, clock)
+    limits = rate_limits.RateLimits(target_table.TargetTable(), clock)
     return peers.PeerLinks(
         local_peer,
         table,
@@ -61,6 +63,8 @@
         state,
         fetcher,
         poison_guard.PoisonGuard(),
+        limits,
+        gateway_parts.make_permits(limits, clock),
         FakeFollower(),
         FakeFollower(),
         clock,
--- a/tests/lib/gateway_parts.py
+++ b/tests/lib/gateway_parts.py
@@ -4,6 +4,7 @@
 
 from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway import rate_permits
 from cardamomfork._internal.measure import engine_simulation
 from cardamomfork._internal.measure import placing
 from cardamomfork._internal.models import fleet
@@ -56,6 +57,13 @@
     return fleet.TargetRecord(**(fields | changes))
 
 
+def make_permits(limits, clock):
+    """Returns the permits of an instance without peers."""
+    return rate_permits.RatePermits(
+        limits, lambda target_id: None, lambda data, address: None, clock
+    )
+
+
 def make_route(**changes):
     """Returns a route for event streams."""
     fields = {
--- a/tests/lib/limited_fleet.py
+++ b/tests/lib/limited_fleet.py
@@ -104,6 +104,7 @@
     try:
         await deployment.start()
         await crashing_fleet.wait_until_served(deployment, generator)
+        generator.finished.clear()
         tasks = [asyncio.create_task(generator.run())]
         if act is not None:
             tasks.append(asyncio.create_task(act(deployment)))
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.gateway import peer_table
 from cardamomfork._internal.gateway import peers
 from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway import rate_limits
 from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.platform import wire_format
 from cardamomfork._internal.standins import platform_site
@@ -52,9 +53,9 @@
         self.table = peer_table.PeerTable(self.peer, clock)
         wire = wire_format.WireFormat()
         self.configuration_follower = FakeFollower()
-        self.state = state = fleet_state.FleetState(
-            wire, target_table.TargetTable(), clock
-        )
+        self.targets = target_table.TargetTable()
+        self.limits = rate_limits.RateLimits(self.targets, clock)
+        self.state = state = fleet_state.FleetState(wire, self.targets, clock)
         self.links = peers.PeerLinks(
             self.peer,
             self.table,
@@ -70,6 +71,8 @@
                 lambda: None,
             ),
             self.guard,
+            self.limits,
+            gateway_parts.make_permits(self.limits, clock),
             self.configuration_follower,
             FakeFollower(),
             clock,
