Cut bytes that targets send without end

A target in trouble may send bytes that are no answer, without end, in a head or in a body. A test of 10 kinds of such bytes failed on: the gateway buffered heads, chunk extensions and answers to other requests until the deadline of the request (up to 1.8 GB taken in 2 s), kept unsigned bodies in memory as long as they came, and other requests took up to 2.1 s meanwhile. The daemon read the body of a status answer until its time limit of 5 s (2.3 GB), and looped over informational heads.

Now a head ends after 64 KB, and bytes that belong to no body after 1 MB; an unsigned body, and a stream without a new event, after 1 MB; a status answer after 4 MB; informational heads after 16. The connection is closed, the attempt is logged as broken with the reason, and the request goes elsewhere if it may run again. Events are split in linear time: the cost of a block of short events grew with its square.

All kinds: the request is served by another target within 4 s, at most 16 MB are taken (buffers of the sockets included), and 20 other requests take less than 1 s each. A check of a target only opens a connection, and closes it on the first byte that it did not ask for, as before.

--- a/src/cardamomfork/_internal/gateway/attempt.py
+++ b/src/cardamomfork/_internal/gateway/attempt.py
@@ -153,7 +153,9 @@
                     parts.append(data)
                     size += len(data)
                     connection.mark_consumed(len(data))
-                    if size > MAX_BUFFERED_BYTES and head.is_signed:
+                    if size > MAX_BUFFERED_BYTES:
+                        if not head.is_signed:
+                            return _broken_answer("too long without signature")
                         return await self._forward_unbuffered(
                             head, parts, connection, messages, timeouts
                         )
@@ -213,18 +215,25 @@
         """Passes on the complete events of a stream in order."""
         splitter = event_stream.EventSplitter()
         timeout_s = timeouts.first_byte_s
+        bytes_without_event = 0
         while True:
             message = await self._receive(messages, timeout_s, timeouts)
             match message:
                 case target_connection.Data(data):
                     connection.mark_consumed(len(data))
                     events = splitter.feed(data)
+                    count = self._progress.events
                     if not await self._forward_events(head, events):
                         return _broken_answer("an event is missing")
                     if splitter.is_overlong:
                         return _broken_answer("an event never ends")
                     if events:
                         timeout_s = timeouts.idle_s
+                    bytes_without_event += len(data)
+                    if self._progress.events > count:
+                        bytes_without_event = 0
+                    if bytes_without_event > MAX_BUFFERED_BYTES:
+                        return _broken_answer("no new event")
                 case target_connection.Completed() if not splitter.incomplete:
                     return await self._finish_stream(head)
                 case target_connection.Completed():
--- a/src/cardamomfork/_internal/gateway/event_stream.py
+++ b/src/cardamomfork/_internal/gateway/event_stream.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import enum
+import re
 
 import attrs
 
 MAX_EVENT_BYTES = 1_048_576
 _ID = b"id:"
+_TERMINATOR = re.compile(rb"\n\n|\r\n\r\n")
 
 
 class Continuity(enum.Enum):
@@ -52,9 +54,12 @@
         """Adds received bytes and returns the events that they complete."""
         self._buffer += data
         events = []
-        while (end := _find_end(self._buffer)) > 0:
-            raw, self._buffer = self._buffer[:end], self._buffer[end:]
+        start = 0
+        for terminator in _TERMINATOR.finditer(self._buffer):
+            raw = self._buffer[start : terminator.end()]
             events.append(Event(raw, _find_id(raw)))
+            start = terminator.end()
+        self._buffer = self._buffer[start:]
         return events
 
 
@@ -84,15 +89,6 @@
         return Continuity.NEXT
 
 
-def _find_end(buffer: bytes) -> int:
-    """Returns the end offset of the first event, or 0 if it is incomplete."""
-    lf = buffer.find(b"\n\n")
-    crlf = buffer.find(b"\r\n\r\n")
-    if lf >= 0 and (crlf < 0 or lf < crlf):
-        return lf + 2
-    return crlf + 4 if crlf >= 0 else 0
-
-
 def _find_id(raw: bytes) -> int | None:
     """Returns the id of an event, or None if it has no numeric id."""
     for line in raw.splitlines():
--- a/src/cardamomfork/_internal/gateway/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/target_connection.py
@@ -37,6 +37,10 @@
 """Subtracted from the target's idle timeout, so that this side closes first."""
 MAX_BUFFERED_BYTES = 262_144
 """Limit of received but unconsumed bytes at which reading pauses."""
+MAX_HEAD_BYTES = 65_536
+MAX_UNUSED_BYTES = 1_048_576
+"""Limit of bytes in a row that neither belong to the answer's body nor end it,
+such as an answer to another request."""
 
 _FIRST_FINAL_STATUS = 200
 
@@ -48,6 +52,7 @@
     RESET = "reset"
     MALFORMED = "malformed answer"
     FOREIGN = "answer to another request"
+    ENDLESS = "too many bytes without an answer"
 
 
 @attrs.frozen
@@ -112,6 +117,8 @@
         self._ends_at_eof = False
         self._is_reusable = True
         self._is_open = False
+        self._has_head = False
+        self._unused_bytes = 0
         self._buffered_bytes = 0
         self._is_paused = False
         self._idle_since = 0.0
@@ -153,6 +160,8 @@
         self._is_head_request = is_head
         self._is_discarding = False
         self._ends_at_eof = False
+        self._has_head = False
+        self._unused_bytes = 0
         if self._transport is None or not self._is_open:
             self._finish(Failed(Fault.RESET, "closed before the request"))
         else:
@@ -202,6 +211,7 @@
         if self._message_stream is None:
             self.abort()
             return
+        self._unused_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (
@@ -211,6 +221,13 @@
             # An upgrade is a fault too, since no request asks for one.
             self._is_reusable = False
             self._finish(Failed(Fault.MALFORMED, str(error)))
+            return
+        is_in_head = not (self._has_head or self._is_discarding)
+        if self._unused_bytes > (
+            MAX_HEAD_BYTES if is_in_head else MAX_UNUSED_BYTES
+        ):
+            self._is_reusable = False
+            self._finish(Failed(Fault.ENDLESS, f"{self._unused_bytes} bytes"))
 
     def eof_received(self) -> bool:
         """Completes an answer that ends at EOF; fails any other."""
@@ -262,6 +279,7 @@
         )
         if self._ends_at_eof:
             self._is_reusable = False
+        self._has_head = True
         self._deliver(HeadReceived(head))
         if self._is_head_request:
             self._is_reusable = False
@@ -294,6 +312,7 @@
 
     def _deliver(self, message: Message) -> None:
         """Delivers a message; aborts if the receiver has been closed."""
+        self._unused_bytes = 0
         if self._message_stream is not None:
             try:
                 self._message_stream.send_nowait(message)
--- a/src/cardamomfork/_internal/links/targets/connections.py
+++ b/src/cardamomfork/_internal/links/targets/connections.py
@@ -24,6 +24,8 @@
 HEAD_TERMINATOR = b"\r\n\r\n"
 MAX_HEAD_BYTES = 64 * 1024
 HIGH_WATER_BYTES = 256 * 1024
+MAX_INFORMATIONAL_HEADS = 16
+"""Heads with status 1xx before the final head of a response."""
 
 
 class BodyReceiver(Protocol):
@@ -47,6 +49,7 @@
         self._buffer = bytearray()
         self._head = b""
         self._reading_head = True
+        self._informational_heads = 0
         self._ended = False
         self._receiver: BodyReceiver | None = None
         self._readable = asyncio.Event()
@@ -138,6 +141,7 @@
         if self._transport is None or self._ended:
             raise httpcore.WriteError("the connection has ended")
         self._reading_head = True
+        self._informational_heads = 0
         self._transport.write(buffer)
         try:
             with anyio.fail_after(timeout):
@@ -170,6 +174,9 @@
             size = head_end + len(HEAD_TERMINATOR)
             self._head = bytes(self._buffer[:size])
             self._reading_head = self._head.startswith(b"HTTP/1.1 1")
+            self._informational_heads += self._reading_head
+            if self._informational_heads > MAX_INFORMATIONAL_HEADS:
+                raise httpcore.RemoteProtocolError("no final head")
         data = bytes(self._buffer[:size])
         del self._buffer[:size]
         self.resume_reading()
--- a/src/cardamomfork/_internal/links/targets/http_client.py
+++ b/src/cardamomfork/_internal/links/targets/http_client.py
@@ -20,6 +20,7 @@
 MAX_CONNECTIONS = 1024
 MAX_IDLE_CONNECTIONS = 16
 MAX_DRAINED_BYTES = 64 * 1024
+MAX_CONTROL_ANSWER_BYTES = 4 * 1024 * 1024
 MIN_ERROR_STATUS = 400
 
 _T = TypeVar("_T")
@@ -153,7 +154,13 @@
         if response.status >= MIN_ERROR_STATUS:
             return result.Err(await self.read_error(response))
         try:
-            body = await response.aread()
+            body = bytearray()
+            async for part in response.aiter_stream():
+                body += part
+                if len(body) > MAX_CONTROL_ANSWER_BYTES:
+                    return self.make_fault(
+                        targets.FaultKind.GARBLED, "the answer is too long"
+                    )
             return result.Ok(msgspec.json.decode(body, type=response_type))
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             return self.make_fault(targets.FaultKind.LOST, repr(error))
