Don't count a discarded answer towards the limit of a head

A late answer of over 64 KB to another request made the next answer on its connection fail as a head without end, if a segment ended within that head; found by reading. The limit of a head now starts after the discarded answer. The test fails without the change.

--- a/src/cardamomfork/_internal/gateway/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/target_connection.py
@@ -119,6 +119,7 @@
         self._is_open = False
         self._has_head = False
         self._unused_bytes = 0
+        self._discarded_bytes = 0
         self._buffered_bytes = 0
         self._is_paused = False
         self._idle_since = 0.0
@@ -162,6 +163,7 @@
         self._ends_at_eof = False
         self._has_head = False
         self._unused_bytes = 0
+        self._discarded_bytes = 0
         if self._transport is None or not self._is_open:
             self._finish(Failed(Fault.RESET, "closed before the request"))
         else:
@@ -222,10 +224,10 @@
             self._is_reusable = False
             self._finish(Failed(Fault.MALFORMED, str(error)))
             return
-        is_in_head = not (self._has_head or self._is_discarding)
-        if self._unused_bytes > (
-            MAX_HEAD_BYTES if is_in_head else MAX_UNUSED_BYTES
-        ):
+        head_bytes = 0
+        if not (self._has_head or self._is_discarding):
+            head_bytes = self._unused_bytes - self._discarded_bytes
+        if head_bytes > MAX_HEAD_BYTES or self._unused_bytes > MAX_UNUSED_BYTES:
             self._is_reusable = False
             self._finish(Failed(Fault.ENDLESS, f"{self._unused_bytes} bytes"))
 
@@ -302,6 +304,7 @@
             return
         if self._is_discarding:
             self._is_discarding = False
+            self._discarded_bytes = self._unused_bytes
             return
         if not self._parser.should_keep_alive():
             self._is_reusable = False
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -434,6 +434,16 @@
         _, second, _, _ = self.run_two(script)
         self.assertEqual(second.body, b"second")
 
+    def test_answer_is_used_after_a_long_late_answer_to_another_request(self):
+        def script(request):
+            late = answer(request, b"x" * 200_000).replace(b"r1", b"r0")
+            own = answer(request)
+            return [late + own[:9], 0.05, own[9:]]
+
+        sink, final, _ = send_once(script, rule=fleet.RepeatPolicy.ONCE)
+        self.assertIsNone(final)
+        self.assertEqual(sink.body, b"whole")
+
     def test_answer_with_connection_close_ends_the_connection(self):
         *_, connections = self.run_two(
             lambda r: [answer(r, extra=b"connection: close\r\n")]
