Fetch only the newest version that peers have

An instance without the store fetched from any peer with a newer version, so it could serve a superseded one first and fetch twice. The test fails without the change.

--- a/src/cardamomfork/_internal/gateway/configuration_fetching.py
+++ b/src/cardamomfork/_internal/gateway/configuration_fetching.py
@@ -140,11 +140,18 @@
         return bool(self._sources)
 
     def _take_source(self) -> digest_codec.Peer:
-        """Removes a random source and returns it.
+        """Removes a random source of the newest version and returns it.
 
         A source that fails is used again only after its next digest.
         """
-        instance_id = self._rng.choice(list(self._sources))
+        newest = max(source.version for source in self._sources.values())
+        instance_id = self._rng.choice(
+            [
+                instance_id
+                for instance_id, source in self._sources.items()
+                if source.version == newest
+            ]
+        )
         return self._sources.pop(instance_id).peer
 
     async def _fetch(self, peer: digest_codec.Peer) -> None:
--- a/tests/unit/test_gateway_configuration_fetching.py
+++ b/tests/unit/test_gateway_configuration_fetching.py
@@ -35,6 +35,7 @@
         self.fetchers = []
         self.received_at = {}
         self.failures = 0
+        self.fetched_versions = []
         self.applied = 0
         self._free_at = [0.0] * count
         self.dead = set()
@@ -70,6 +71,7 @@
         if ends_at > limit:
             self.failures += 1
             return result.Err("time-out")
+        self.fetched_versions.append(self.states[sender].version)
         return result.Ok(self.states[sender].stored)
 
     async def send_digests(self):
@@ -146,6 +148,18 @@
 
         self.run_fleet(6, scenario)
 
+    def test_older_of_two_newer_versions_is_not_fetched(self):
+        async def scenario():
+            newest = platform_site.make_configuration(3, (), (), {})
+            for state in self.fleet.states[1:5]:
+                state.apply_configuration(NEW.value, NEW.revision, "store")
+            self.fleet.states[0].apply_configuration(newest, 30, "store")
+            await anyio.sleep(APPLY_LIMIT_S)
+            self.assertEqual(self.fleet.states[5].version, 3)
+            self.assertEqual(set(self.fleet.fetched_versions), {3})
+
+        self.run_fleet(6, scenario)
+
     def test_store_has_a_head_start(self):
         async def scenario():
             for state in self.fleet.states:
