--- a/src/cardamomfork/_internal/gateway/permit_codec.py
+++ b/src/cardamomfork/_internal/gateway/permit_codec.py
@@ -67,7 +67,7 @@
         message = digest_codec.schema().PermitRequest.from_bytes_packed(
             data[len(REQUEST) :]
         )
-        if not (_is_duration(message.ratePerS) and message.maxWaitS >= 0):
+        if not (_is_finite(message.ratePerS) and message.maxWaitS >= 0):
             return result.Err("malformed permit request: rate or wait")
         return result.Ok(
             PermitRequest(
@@ -100,7 +100,7 @@
         message = digest_codec.schema().PermitDecision.from_bytes_packed(
             data[len(DECISION) :]
         )
-        if not _is_duration(message.waitS):
+        if not _is_finite(message.waitS):
             return result.Err("malformed permit decision: wait")
         return result.Ok(
             (
@@ -114,6 +114,6 @@
         return result.Err(f"malformed permit decision: {type(error).__name__}")
 
 
-def _is_duration(value: float) -> bool:
+def _is_finite(value: float) -> bool:
     """Returns whether a number is finite and not negative."""
     return math.isfinite(value) and value >= 0
--- a/src/cardamomfork/_internal/gateway/rate_limits.py
+++ b/src/cardamomfork/_internal/gateway/rate_limits.py
@@ -77,7 +77,7 @@
             None if target is None else target.rate_limit_per_s(self._clock())
         )
 
-    def close(self, record: fleet.TargetRecord, wait_s: float) -> None:
+    def record_refusal(self, record: fleet.TargetRecord, wait_s: float) -> None:
         """Records that no permit for a target is available for some time."""
         target = self._find(record.target_id, record.started_at_ms)
         if target is not None:
--- a/src/cardamomfork/_internal/gateway/rate_permits.py
+++ b/src/cardamomfork/_internal/gateway/rate_permits.py
@@ -50,6 +50,14 @@
     available_at: float
 
 
+@attrs.define
+class _PendingRequest:
+    """A request for a permit that the owner has not answered yet."""
+
+    answered: anyio.Event = attrs.field(factory=anyio.Event)
+    decision: permit_codec.PermitDecision | None = None
+
+
 class PermitIssuer:
     """Issues permits at the rate of each target's limit.
 
@@ -125,8 +133,7 @@
         self._clock = clock
         self._issuer = PermitIssuer()
         self._numbers = itertools.count()
-        self._answers: dict[int, permit_codec.PermitDecision | None] = {}
-        self._answered: dict[int, anyio.Event] = {}
+        self._pending: dict[int, _PendingRequest] = {}
 
     @property
     def issued_targets(self) -> int:
@@ -162,7 +169,7 @@
         else:
             decision = await self._ask(owner, request)
         if not decision.is_granted:
-            self._limits.close(record, decision.wait_s)
+            self._limits.record_refusal(record, decision.wait_s)
             return False
         if decision.wait_s:
             await anyio.sleep(decision.wait_s)
@@ -194,26 +201,26 @@
             logger.warning("datagram dropped", reason=decoded.err_value)
             return
         number, decision = decoded.ok_value
-        if number in self._answered:
-            self._answers[number] = decision
-            self._answered[number].set()
+        pending = self._pending.get(number)
+        if pending is not None:
+            pending.decision = decision
+            pending.answered.set()
 
     async def _ask(
         self, owner: digest_codec.Peer, request: permit_codec.PermitRequest
     ) -> permit_codec.PermitDecision:
         """Asks the owner for a permit; no answer in time is a refusal."""
-        answered = anyio.Event()
-        self._answered[request.number] = answered
+        pending = _PendingRequest()
+        self._pending[request.number] = pending
         self._send(
             permit_codec.encode_request(request), (owner.host, owner.port)
         )
         try:
             with anyio.move_on_after(ANSWER_TIMEOUT_S):
-                await answered.wait()
+                await pending.answered.wait()
         finally:
-            del self._answered[request.number]
-            decision = self._answers.pop(request.number, None)
-        if decision is None:
+            del self._pending[request.number]
+        if pending.decision is None:
             logger.info(
                 "no permit",
                 target_id=request.target_id,
@@ -221,4 +228,4 @@
                 reason="the owner did not answer",
             )
             return permit_codec.PermitDecision(False, NO_ANSWER_WAIT_S)
-        return decision
+        return pending.decision
