--- a/src/cardamomfork/_internal/platform/store_calls.py
+++ b/src/cardamomfork/_internal/platform/store_calls.py
@@ -8,6 +8,7 @@
 
 import socket
 from typing import Any
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 import anyio
@@ -48,8 +49,12 @@
 
 
 @attrs.define
-class _CallProgress:
-    """Progress of one attempt of a call."""
+class CallProgress:
+    """Progress of one attempt of a call.
+
+    Attributes:
+        headers_started: Whether sending it has started.
+    """
 
     headers_started: bool = False
 
@@ -67,22 +72,115 @@
     body: bytes = attrs.field(repr=False)
 
 
-class StoreHttpClient:
+@attrs.frozen
+class Call:
+    """A call to one server.
+
+    Attributes:
+        method: HTTP method.
+        path: Path with its query.
+        body: Request body.
+        connect_s: Time limit for connecting, in seconds.
+        write_s: Time limit for sending.
+        read_s: Time limit for each part of the answer.
+        is_wait: Whether the answer is delayed until there is a change.
+    """
+
+    method: str
+    path: str
+    body: bytes = attrs.field(repr=False)
+    connect_s: float
+    write_s: float
+    read_s: float
+    is_wait: bool = False
+
+
+class Transport(Protocol):
+    """Sends calls to one server."""
+
+    async def exchange(
+        self, endpoint: str, call: Call, progress: CallProgress
+    ) -> Answer:
+        """Sends a call and returns its answer.
+
+        Raises:
+            Exception: One of `TRANSPORT_ERRORS` if no complete answer arrives.
+        """
+        ...
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        ...
+
+
+class HttpTransport:
+    """Sends calls over HTTP; connections open on first use."""
+
+    def __init__(self) -> None:
+        """Creates the connection pools."""
+        self._pool = self._new_pool(MAX_CONNECTIONS)
+        self._watch_pool = self._new_pool(MAX_WATCH_CONNECTIONS)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._pool.aclose()
+        await self._watch_pool.aclose()
+
+    async def exchange(
+        self, endpoint: str, call: Call, progress: CallProgress
+    ) -> Answer:
+        """Sends a call over a connection pool and reads the answer."""
+        pool = self._watch_pool if call.is_wait else self._pool
+        async with pool.stream(
+            call.method,
+            f"http://{endpoint}{call.path}",
+            headers=_HEADERS,
+            content=call.body,
+            extensions={
+                "timeout": {
+                    "connect": call.connect_s,
+                    "pool": call.write_s,
+                    "write": call.write_s,
+                    "read": call.read_s,
+                },
+                "trace": progress.on_trace_event,
+            },
+        ) as response:
+            parts = bytearray()
+            async for part in response.aiter_stream():
+                parts += part
+                if len(parts) > MAX_ANSWER_BYTES:
+                    raise httpcore.RemoteProtocolError("answer too large")
+            return Answer(response.status, bytes(parts))
+
+    @staticmethod
+    def _new_pool(connections: int) -> httpcore.AsyncConnectionPool:
+        """Creates a pool that closes idle connections before the servers do."""
+        return httpcore.AsyncConnectionPool(
+            max_connections=connections,
+            keepalive_expiry=KEEPALIVE_EXPIRY_S,
+            socket_options=_SOCKET_OPTIONS,
+        )
+
+
+class StoreCalls:
     """Sends calls to the preferred server and fails over to the others."""
 
-    def __init__(self, endpoints: Sequence[str], timeout_s: float) -> None:
-        """Initializes the client; connections open on first use.
+    def __init__(
+        self, endpoints: Sequence[str], timeout_s: float, transport: Transport
+    ) -> None:
+        """Initializes the client.
 
         Args:
             endpoints: `host:port` of the store's servers.
             timeout_s: Time limit of one call across all servers, in
                 seconds.
+            transport: Sends the calls.
         """
         self._endpoints = tuple(endpoints)
         self._timeout_s = timeout_s
+        self._transport = transport
         self._preferred = 0
-        self._pool = self._new_pool(MAX_CONNECTIONS)
-        self._watch_pool = self._new_pool(MAX_WATCH_CONNECTIONS)
 
     @property
     def preferred_endpoint(self) -> str:
@@ -96,8 +194,7 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._pool.aclose()
-        await self._watch_pool.aclose()
+        await self._transport.close()
 
     async def call(
         self, method: str, path: str, body: bytes, key: str, *, writes: bool
@@ -115,7 +212,7 @@
         fault = _make_fault(False, key, "The store has no servers.")
         with anyio.move_on_after(self._timeout_s):
             for _ in self._endpoints:
-                progress = _CallProgress()
+                progress = CallProgress()
                 try:
                     answer = await self._call_once(
                         method, path, body, progress, writes
@@ -154,7 +251,7 @@
         try:
             with anyio.fail_after(wait_s):
                 answer = await self._exchange(
-                    self._watch_pool, "GET", path, b"", wait_s, _CallProgress()
+                    "GET", path, b"", CallProgress(), wait_s, is_wait=True
                 )
         except (*TRANSPORT_ERRORS, TimeoutError) as error:
             self.rotate_servers()
@@ -176,62 +273,35 @@
         method: str,
         path: str,
         body: bytes,
-        progress: _CallProgress,
+        progress: CallProgress,
         writes: bool,
     ) -> Answer:
         """Calls the preferred server."""
         read_s = self._timeout_s if writes else self._server_timeout_s
-        return await self._exchange(
-            self._pool, method, path, body, read_s, progress
-        )
+        return await self._exchange(method, path, body, progress, read_s)
 
     async def _exchange(
         self,
-        pool: httpcore.AsyncConnectionPool,
         method: str,
         path: str,
         body: bytes,
+        progress: CallProgress,
         read_s: float,
-        progress: _CallProgress,
+        *,
+        is_wait: bool = False,
     ) -> Answer:
-        """Sends a call over a connection pool and reads the answer."""
-        async with pool.stream(
+        """Sends a call to the preferred server and returns the answer."""
+        call = Call(
             method,
-            self._url(path),
-            headers=_HEADERS,
-            content=body,
-            extensions={
-                "timeout": self._time_limits(read_s),
-                "trace": progress.on_trace_event,
-            },
-        ) as response:
-            parts = bytearray()
-            async for part in response.aiter_stream():
-                parts += part
-                if len(parts) > MAX_ANSWER_BYTES:
-                    raise httpcore.RemoteProtocolError("answer too large")
-            return Answer(response.status, bytes(parts))
-
-    def _time_limits(self, read_s: float) -> dict[str, float]:
-        """Returns the httpcore time-outs in seconds."""
-        return {
-            "connect": self._server_timeout_s,
-            "pool": self._timeout_s,
-            "write": self._timeout_s,
-            "read": read_s,
-        }
-
-    def _url(self, path: str) -> str:
-        """Returns the URL of a path on the preferred server."""
-        return f"http://{self.preferred_endpoint}{path}"
-
-    @staticmethod
-    def _new_pool(connections: int) -> httpcore.AsyncConnectionPool:
-        """Creates a pool that closes idle connections before the servers do."""
-        return httpcore.AsyncConnectionPool(
-            max_connections=connections,
-            keepalive_expiry=KEEPALIVE_EXPIRY_S,
-            socket_options=_SOCKET_OPTIONS,
+            path,
+            body,
+            self._server_timeout_s,
+            self._timeout_s,
+            read_s,
+            is_wait,
+        )
+        return await self._transport.exchange(
+            self.preferred_endpoint, call, progress
         )
 
 
--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -36,15 +36,22 @@
 class PlatformStore:
     """Client of the platform's store; implements `Store` and `PolledStore`."""
 
-    def __init__(self, store_settings: settings.StoreSettings) -> None:
+    def __init__(
+        self,
+        store_settings: settings.StoreSettings,
+        transport: store_calls.Transport | None = None,
+    ) -> None:
         """Initializes the client; connections open on first use.
 
         Args:
             store_settings: Servers, time limit and key prefix.
+            transport: Sends the calls; None for HTTP.
         """
         self._prefix = store_settings.prefix
-        self._client = store_calls.StoreHttpClient(
-            store_settings.endpoints, store_settings.timeout_s
+        self._client = store_calls.StoreCalls(
+            store_settings.endpoints,
+            store_settings.timeout_s,
+            transport or store_calls.HttpTransport(),
         )
 
     async def close(self) -> None:
