--- a/src/cardamomfork/_internal/platform/store_calls.py
+++ b/src/cardamomfork/_internal/platform/store_calls.py
@@ -14,6 +14,7 @@
 import anyio
 import attrs
 import httpcore
+from loguru import logger
 import result
 
 from cardamomfork._internal.contracts import store as store_contract
@@ -30,6 +31,8 @@
 """Closes a connection whose sent bytes stay unacknowledged this long."""
 
 _HEADERS = [("Content-Type", "application/json")]
+_ERA = b"store-era"
+MAX_ERA_DIGITS = 6
 _SERVER_ERROR = 500
 _NOT_EXECUTED_STATUSES = (429, 503)
 """Statuses which guarantee that the call had no effect."""
@@ -66,10 +69,18 @@
 
 @attrs.frozen
 class Answer:
-    """Status and body of an HTTP response."""
+    """An HTTP response.
+
+    Attributes:
+        status: Its status.
+        body: Its body.
+        era: Number of times that the store has been restored from a copy, or
+            None if the response doesn't state it.
+    """
 
     status: int
     body: bytes = attrs.field(repr=False)
+    era: int | None = None
 
 
 @attrs.frozen
@@ -151,7 +162,10 @@
                 parts += part
                 if len(parts) > MAX_ANSWER_BYTES:
                     raise httpcore.RemoteProtocolError("answer too large")
-            return Answer(response.status, bytes(parts))
+            headers = {name.lower(): value for name, value in response.headers}
+            return Answer(
+                response.status, bytes(parts), parse_era(headers.get(_ERA))
+            )
 
     @staticmethod
     def _new_pool(connections: int) -> httpcore.AsyncConnectionPool:
@@ -181,6 +195,7 @@
         self._timeout_s = timeout_s
         self._transport = transport
         self._preferred = 0
+        self._era: int | None = None
 
     @property
     def preferred_endpoint(self) -> str:
@@ -300,9 +315,25 @@
             read_s,
             is_wait,
         )
-        return await self._transport.exchange(
+        answer = await self._transport.exchange(
             self.preferred_endpoint, call, progress
         )
+        self._log_era(answer.era)
+        return answer
+
+    def _log_era(self, era: int | None) -> None:
+        """Logs an answer of another era than the last one."""
+        if era is not None and era != self._era:
+            logger.warning("store era changed", count=self._era, version=era)
+            self._era = era
+
+
+def parse_era(value: bytes | None) -> int | None:
+    """Parses the store's era; None if absent or malformed."""
+    digits = (value or b"").strip()
+    if not digits.isdigit() or len(digits) > MAX_ERA_DIGITS:
+        return None
+    return int(digits)
 
 
 def _status_fault(
