Reproduce what a restored store makes instances miss

The stand-in store can be restored from an older copy: its era rises, revisions are given out again, what was written since the copy is gone, and a watch from a revision that it doesn't have is refused.

--- a/src/cardamomfork/_internal/standins/store.py
+++ b/src/cardamomfork/_internal/standins/store.py
@@ -63,6 +63,16 @@
     keys: set[str] = attrs.field(factory=set)
 
 
+@attrs.frozen
+class StoreCopy:
+    """A copy of a store's state."""
+
+    entries: dict[str, store_contract.Entry]
+    history: tuple[tuple[int, store_contract.Entry], ...]
+    leases: dict[int, _LeaseRecord]
+    revision: int
+
+
 class MemoryStore:
     """Entries, change history and leases of the store."""
 
@@ -73,6 +83,7 @@
         self._history: list[tuple[int, store_contract.Entry]] = []
         self._leases: dict[int, _LeaseRecord] = {}
         self._revision = 0
+        self._era = 0
         self._changed = anyio.Event()
         self.counters = StoreCounters()
         self.open_sessions = 0
@@ -82,6 +93,41 @@
         """The revision of the last change."""
         return self._revision
 
+    @property
+    def era(self) -> int:
+        """Number of times that the store has been restored from a copy."""
+        return self._era
+
+    def copy(self) -> StoreCopy:
+        """Returns a copy from which the store can be restored."""
+        return StoreCopy(
+            dict(self._entries),
+            tuple(self._history),
+            {
+                lease_id: attrs.evolve(record, keys=set(record.keys))
+                for lease_id, record in self._leases.items()
+            },
+            self._revision,
+        )
+
+    def restore(self, copied: StoreCopy) -> None:
+        """Replaces the state by an older copy and wakes the watchers.
+
+        Revisions after that of the copy are given out again.
+        """
+        now = self._clock.monotonic()
+        self._era += 1
+        self._entries = dict(copied.entries)
+        self._history = list(copied.history)
+        self._leases = {
+            lease_id: _LeaseRecord(
+                record.ttl_s, now + record.ttl_s, set(record.keys)
+            )
+            for lease_id, record in copied.leases.items()
+        }
+        self._revision = copied.revision
+        self._wake_watchers()
+
     def read(self, key: str) -> store_contract.Entry | None:
         """Returns a key's entry."""
         self.expire_leases()
@@ -148,10 +194,12 @@
     def changes_after(
         self, prefix: str, revision: int
     ) -> tuple[store_contract.Entry, ...] | None:
-        """Returns the changes after a revision; None if compacted."""
+        """Returns the changes after a revision; None if it is not held."""
         is_truncated = len(self._history) >= MAX_HISTORY
         if is_truncated and revision < self._history[0][0] - 1:
             return None
+        if revision > self._revision:
+            return None
         return tuple(
             entry
             for changed_at, entry in self._history
@@ -180,9 +228,13 @@
             self._leases[lease].keys.add(key)
         self._history.append((self._revision, entry))
         del self._history[:-MAX_HISTORY]
+        self._wake_watchers()
+        return entry
+
+    def _wake_watchers(self) -> None:
+        """Wakes all calls that wait for a change."""
         self._changed.set()
         self._changed = anyio.Event()
-        return entry
 
 
 class StoreSession:
--- a/src/cardamomfork/_internal/standins/store_server.py
+++ b/src/cardamomfork/_internal/standins/store_server.py
@@ -88,7 +88,7 @@
                 outcome = await self._revoke_lease(int(argument))
             case _:
                 outcome = result.Ok((NOT_FOUND, {}))
-        await _send_answer(send, outcome)
+        await _send_answer(send, outcome, self._store.era)
 
     async def _read_key(self, key: str) -> _CallOutcome:
         """Returns one key."""
@@ -234,25 +234,28 @@
     return bytes(parts)
 
 
-async def _send_answer(send: Any, outcome: _CallOutcome) -> None:
+async def _send_answer(send: Any, outcome: _CallOutcome, era: int) -> None:
     """Sends an answer; sends an incomplete one to simulate its loss."""
     if isinstance(outcome, result.Ok):
         status, message = outcome.ok_value
-        await _send_head(send, status)
+        await _send_head(send, status, era)
         await _send_body(send, msgspec.json.encode(message), more=False)
         return
     fault = outcome.err_value
     if fault.kind is store_contract.StoreFaultKind.INDETERMINATE:
-        await _send_head(send, OK)
+        await _send_head(send, OK, era)
         await _send_body(send, b"{", more=True)
         return
-    await _send_head(send, STATUS_BY_FAULT[fault.kind])
+    await _send_head(send, STATUS_BY_FAULT[fault.kind], era)
     await _send_body(send, b"{}", more=False)
 
 
-async def _send_head(send: Any, status: int) -> None:
+async def _send_head(send: Any, status: int, era: int) -> None:
     """Sends the head of an answer."""
-    headers = [(b"content-type", b"application/json")]
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"store-era", b"%d" % era),
+    ]
     await send(
         {"type": "http.response.start", "status": status, "headers": headers}
     )
