Order the store's revisions by era, then by number

What callers saw: after the store had been restored from a copy, requests were handled as a version that had been replaced long before.

Cause: a restored store gives revisions out again. A follower that paused meanwhile polled from a revision that existed again with other content; what had been written below it was never sent. Nothing read the store's era.

Each version, revision and lease id that the client hands out now includes the era, so both doors order them correctly without a change. The client notes the era of every answer, errors too; a poll from another era ends at once, also while it waits, and the follower scans. A condition or lease of another era no longer holds by accident, and a delayed answer of an older era is dropped.

--- a/src/cardamomfork/_internal/contracts/store.py
+++ b/src/cardamomfork/_internal/contracts/store.py
@@ -2,6 +2,11 @@
 
 The store offers compare-and-swap on key versions, leases and watches. The
 platform counts every call; a waiting watch counts as one call.
+
+The store may be restored from an older copy, and then gives revisions and ids
+of leases out again. Each restoration begins an era. Versions, revisions and ids
+of leases in this interface include the era, so they never occur again and those
+of a later era are higher.
 """
 
 from __future__ import annotations
@@ -21,6 +26,18 @@
 MAX_VALUE_BYTES = 1_048_576
 ABSENT = 0
 """Version of a key that does not exist."""
+REVISIONS_PER_ERA = 10**12
+"""A power of ten, so that the era and the revision can be read in logs."""
+
+
+def join_era(era: int, revision: int) -> int:
+    """Returns a revision or the id of a lease including its era."""
+    return era * REVISIONS_PER_ERA + revision
+
+
+def split_era(version: int) -> tuple[int, int]:
+    """Returns the era and the revision of a version."""
+    return divmod(version, REVISIONS_PER_ERA)
 
 
 @attrs.frozen
@@ -30,7 +47,8 @@
     Attributes:
         key: Name of the key.
         value: Its value, at most `MAX_VALUE_BYTES` long.
-        version: Store revision of its last change; `ABSENT` if deleted.
+        version: Store revision of its last change, including the era in which
+            it was read; `ABSENT` if deleted.
         lease: Lease that the key is attached to, or 0. The key is deleted when
             the lease ends.
     """
@@ -51,7 +69,7 @@
     LEASE_GONE = "lease_gone"
     """The lease does not exist or has expired."""
     COMPACTED = "compacted"
-    """A watch requested a revision that the store has compacted."""
+    """A watch requested a revision that the store doesn't hold."""
 
 
 @attrs.frozen
--- a/src/cardamomfork/_internal/platform/store_calls.py
+++ b/src/cardamomfork/_internal/platform/store_calls.py
@@ -14,7 +14,6 @@
 import anyio
 import attrs
 import httpcore
-from loguru import logger
 import result
 
 from cardamomfork._internal.contracts import store as store_contract
@@ -22,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from cardamomfork._internal.links import store_eras
+
 MAX_CONNECTIONS = 16
 MAX_WATCH_CONNECTIONS = 64
 KEEPALIVE_EXPIRY_S = 15.0
@@ -40,7 +41,14 @@
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
 )
+
+
+class OutdatedAnswerError(Exception):
+    """An answer is from before the store was restored."""
+
+
 TRANSPORT_ERRORS = (
+    OutdatedAnswerError,
     httpcore.NetworkError,
     httpcore.TimeoutException,
     httpcore.ProtocolError,
@@ -68,14 +76,13 @@
 
 
 @attrs.frozen
-class Answer:
+class Response:
     """An HTTP response.
 
     Attributes:
         status: Its status.
         body: Its body.
-        era: Number of times that the store has been restored from a copy, or
-            None if the response doesn't state it.
+        era: Era of the store that it states, or None.
     """
 
     status: int
@@ -83,6 +90,21 @@
     era: int | None = None
 
 
+@attrs.frozen
+class Answer:
+    """The answer to a call.
+
+    Attributes:
+        status: HTTP status.
+        body: Body of the response.
+        era: Era of the store that it belongs to.
+    """
+
+    status: int
+    body: bytes = attrs.field(repr=False)
+    era: int
+
+
 @attrs.frozen
 class Call:
     """A call to one server.
@@ -111,11 +133,11 @@
 
     async def exchange(
         self, endpoint: str, call: Call, progress: CallProgress
-    ) -> Answer:
-        """Sends a call and returns its answer.
+    ) -> Response:
+        """Sends a call and returns the response.
 
         Raises:
-            Exception: One of `TRANSPORT_ERRORS` if no complete answer arrives.
+            Exception: One of `TRANSPORT_ERRORS` if the response is incomplete.
         """
         ...
 
@@ -139,8 +161,8 @@
 
     async def exchange(
         self, endpoint: str, call: Call, progress: CallProgress
-    ) -> Answer:
-        """Sends a call over a connection pool and reads the answer."""
+    ) -> Response:
+        """Sends a call over a connection pool and reads the response."""
         pool = self._watch_pool if call.is_wait else self._pool
         async with pool.stream(
             call.method,
@@ -163,7 +185,7 @@
                 if len(parts) > MAX_ANSWER_BYTES:
                     raise httpcore.RemoteProtocolError("answer too large")
             headers = {name.lower(): value for name, value in response.headers}
-            return Answer(
+            return Response(
                 response.status, bytes(parts), parse_era(headers.get(_ERA))
             )
 
@@ -181,7 +203,11 @@
     """Sends calls to the preferred server and fails over to the others."""
 
     def __init__(
-        self, endpoints: Sequence[str], timeout_s: float, transport: Transport
+        self,
+        endpoints: Sequence[str],
+        timeout_s: float,
+        transport: Transport,
+        eras: store_eras.EraTracker,
     ) -> None:
         """Initializes the client.
 
@@ -190,12 +216,13 @@
             timeout_s: Time limit of one call across all servers, in
                 seconds.
             transport: Sends the calls.
+            eras: Tells to which era of the store answers belong.
         """
         self._endpoints = tuple(endpoints)
         self._timeout_s = timeout_s
         self._transport = transport
         self._preferred = 0
-        self._era: int | None = None
+        self._eras = eras
 
     @property
     def preferred_endpoint(self) -> str:
@@ -315,17 +342,14 @@
             read_s,
             is_wait,
         )
-        answer = await self._transport.exchange(
+        sent_era = self._eras.current
+        response = await self._transport.exchange(
             self.preferred_endpoint, call, progress
         )
-        self._log_era(answer.era)
-        return answer
-
-    def _log_era(self, era: int | None) -> None:
-        """Logs an answer of another era than the last one."""
-        if era is not None and era != self._era:
-            logger.warning("store era changed", count=self._era, version=era)
-            self._era = era
+        era = self._eras.record(response.era, sent_era)
+        if era is None:
+            raise OutdatedAnswerError("The store was restored meanwhile.")
+        return Answer(response.status, response.body, era)
 
 
 def parse_era(value: bytes | None) -> int | None:
--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -11,6 +11,7 @@
 import result
 
 from cardamomfork._internal.contracts import store
+from cardamomfork._internal.links import store_eras
 from cardamomfork._internal.platform import store_calls
 from cardamomfork._internal.platform import store_messages
 
@@ -48,10 +49,12 @@
             transport: Sends the calls; None for HTTP.
         """
         self._prefix = store_settings.prefix
+        self._eras = store_eras.EraTracker()
         self._client = store_calls.StoreCalls(
             store_settings.endpoints,
             store_settings.timeout_s,
             transport or store_calls.HttpTransport(),
+            self._eras,
         )
 
     async def close(self) -> None:
@@ -68,8 +71,9 @@
             return response
         if response.ok_value.status == _NOT_FOUND:
             return result.Ok(None)
+        era = response.ok_value.era
         return _decode(response.ok_value, store_messages.Item, key).and_then(
-            lambda item: self._to_entries([item], key).map(
+            lambda item: self._to_entries([item], key, era).map(
                 lambda entries: entries[0]
             )
         )
@@ -84,6 +88,7 @@
         entries: list[store.Entry] = []
         revision = 0
         after = ""
+        era: int | None = None
         while True:
             query = {"prefix": self._prefix + prefix}
             if after:
@@ -93,16 +98,25 @@
             )
             if isinstance(response, result.Err):
                 return response
+            if era not in (None, response.ok_value.era):
+                return _fault_result(
+                    store.StoreFaultKind.UNAVAILABLE,
+                    prefix,
+                    "The store was restored during the scan.",
+                )
+            era = response.ok_value.era
             page = _decode(response.ok_value, store_messages.Items, prefix)
             if isinstance(page, result.Err):
                 return page
-            found = self._to_entries(page.ok_value.items, prefix)
+            found = self._to_entries(page.ok_value.items, prefix, era)
             if isinstance(found, result.Err):
                 return found
             entries += found.ok_value
             # Later pages may be newer. A watch from the first page's
             # revision misses no change.
-            revision = revision or page.ok_value.store_revision
+            revision = revision or store.join_era(
+                era, page.ok_value.store_revision
+            )
             if not page.ok_value.more_pages or not page.ok_value.items:
                 return result.Ok(store.Scan(tuple(entries), revision))
             after = page.ok_value.items[-1].key
@@ -110,26 +124,42 @@
     async def changes(
         self, prefix: str, after: int, wait_s: float
     ) -> result.Result[store.WatchBatch, store.StoreFault]:
-        """Returns changes after a revision; waits until there is one."""
+        """Returns changes after a revision; waits until there is one.
+
+        Ends as `COMPACTED` when the store is restored from a copy.
+        """
+        restored = _fault_result(
+            store.StoreFaultKind.COMPACTED, prefix, "The store was restored."
+        )
+        if self._is_outdated(after):
+            return restored
         query = urllib.parse.urlencode(
             {
                 "prefix": self._prefix + prefix,
-                "after": after,
+                "after": store.split_era(after)[1],
                 "waitMs": round(wait_s * 1000),
             }
         )
-        response = await self._client.wait(
-            f"/-/kv-watch?{query}", prefix, wait_s + WATCH_MARGIN_S
-        )
+        with self._eras.cancelled_when_restored() as scope:
+            response = await self._client.wait(
+                f"/-/kv-watch?{query}", prefix, wait_s + WATCH_MARGIN_S
+            )
+        if scope.cancelled_caught:
+            return restored
         if isinstance(response, result.Err):
             return response
+        if self._is_outdated(after):
+            return restored
         if response.ok_value.status == _GONE:
             return _fault_result(store.StoreFaultKind.COMPACTED, prefix)
         decoded = _decode(response.ok_value, store_messages.Events, prefix)
         if isinstance(decoded, result.Err):
             return decoded
-        newest = max(after, decoded.ok_value.store_revision)
-        return self._to_entries(decoded.ok_value.events, prefix).map(
+        era = response.ok_value.era
+        newest = max(
+            after, store.join_era(era, decoded.ok_value.store_revision)
+        )
+        return self._to_entries(decoded.ok_value.events, prefix, era).map(
             lambda entries: store.WatchBatch(tuple(entries), newest)
         )
 
@@ -144,8 +174,12 @@
                 f"The value has {len(value)} bytes, more than the store's"
                 f" {store.MAX_VALUE_BYTES}.",
             )
+        if self._is_outdated(lease):
+            return _fault_result(store.StoreFaultKind.LEASE_GONE, key)
         write = store_messages.Write(
-            self._prefix + key, store_messages.encode_value(value), lease
+            self._prefix + key,
+            store_messages.encode_value(value),
+            store.split_era(lease)[1],
         )
         written = await self._commit(key, expected, puts=[write])
         return written.map(
@@ -171,21 +205,32 @@
         response = await self._write("POST", "/-/kv-lease", body, "lease")
         if isinstance(response, result.Err):
             return response
+        era = response.ok_value.era
         return _decode(
             response.ok_value, store_messages.LeaseAnswer, "lease"
-        ).map(lambda answer: store.Lease(answer.lease, answer.ttl_ms / 1000))
+        ).map(
+            lambda answer: store.Lease(
+                store.join_era(era, answer.lease), answer.ttl_ms / 1000
+            )
+        )
 
     async def renew_lease(
         self, lease_id: int
     ) -> result.Result[store.Lease, store.StoreFault]:
         """Renews a lease; returns `LEASE_GONE` if it has expired."""
+        gone = _fault_result(store.StoreFaultKind.LEASE_GONE, "lease")
+        if self._is_outdated(lease_id):
+            return gone
+        number = store.split_era(lease_id)[1]
         response = await self._write(
-            "POST", f"/-/kv-keep/{lease_id}", b"", "lease"
+            "POST", f"/-/kv-keep/{number}", b"", "lease"
         )
         if isinstance(response, result.Err):
             return response
-        if response.ok_value.status == _NOT_FOUND:
-            return _fault_result(store.StoreFaultKind.LEASE_GONE, "lease")
+        if response.ok_value.status == _NOT_FOUND or self._is_outdated(
+            lease_id
+        ):
+            return gone
         return _decode(
             response.ok_value, store_messages.LeaseAnswer, "lease"
         ).map(lambda answer: store.Lease(lease_id, answer.ttl_ms / 1000))
@@ -194,8 +239,11 @@
         self, lease_id: int
     ) -> result.Result[None, store.StoreFault]:
         """Revokes a lease and deletes the keys attached to it."""
+        if self._is_outdated(lease_id):
+            return result.Ok(None)
+        number = store.split_era(lease_id)[1]
         response = await self._write(
-            "DELETE", f"/-/kv-lease-end/{lease_id}", b"", "lease"
+            "DELETE", f"/-/kv-lease-end/{number}", b"", "lease"
         )
         return response.map(lambda _: None)
 
@@ -232,9 +280,16 @@
         puts: list[store_messages.Write] | None = None,
         deletes: list[str] | None = None,
     ) -> result.Result[int, store.CompareFailed | store.StoreFault]:
-        """Commits a conditional change of one key; returns the revision."""
+        """Commits a conditional change of one key; returns its version."""
+        if self._is_outdated(expected):
+            # The same revision may now belong to another value.
+            read = await self.get(key)
+            if isinstance(read, result.Err):
+                return read
+            return result.Err(store.CompareFailed(key, read.ok_value))
+        revision = store.split_era(expected)[1]
         transaction = store_messages.Transaction(
-            expect=[store_messages.Comparison(self._prefix + key, expected)],
+            expect=[store_messages.Comparison(self._prefix + key, revision)],
             puts=puts or [],
             deletes=deletes or [],
         )
@@ -243,14 +298,21 @@
         )
         if isinstance(response, result.Err):
             return response
+        if self._is_outdated(expected):
+            return _fault_result(
+                store.StoreFaultKind.INDETERMINATE,
+                key,
+                "The store was restored during the write.",
+            )
         if response.ok_value.status == _NOT_FOUND:
             return _fault_result(store.StoreFaultKind.LEASE_GONE, key)
+        era = response.ok_value.era
         if response.ok_value.status != _CONFLICT:
             return _decode(
                 response.ok_value, store_messages.Committed, key
-            ).map(lambda committed: committed.revision)
+            ).map(lambda committed: store.join_era(era, committed.revision))
         found = _decode(response.ok_value, store_messages.Items, key).and_then(
-            lambda items: self._to_entries(items.items, key)
+            lambda items: self._to_entries(items.items, key, era)
         )
         if isinstance(found, result.Err):
             return found
@@ -276,12 +338,20 @@
         """Sends a call that may change data."""
         return await self._client.call(method, path, body, key, writes=True)
 
+    def _is_outdated(self, version: int) -> bool:
+        """Returns whether a version or lease is from another era; 0 isn't."""
+        return (
+            version != 0 and store.split_era(version)[0] != self._eras.current
+        )
+
     def _to_entries(
-        self, items: list[store_messages.Item], key: str
+        self, items: list[store_messages.Item], key: str, era: int
     ) -> result.Result[list[store.Entry], store.StoreFault]:
         """Converts items to entries and strips the key prefix."""
         try:
-            return result.Ok([item.to_entry(self._prefix) for item in items])
+            return result.Ok(
+                [item.to_entry(self._prefix, era) for item in items]
+            )
         except ValueError as error:
             return _fault_result(
                 store.StoreFaultKind.INDETERMINATE, key, str(error)
--- a/src/cardamomfork/_internal/platform/store_messages.py
+++ b/src/cardamomfork/_internal/platform/store_messages.py
@@ -19,11 +19,12 @@
     lease: int = 0
     removed: bool = False
 
-    def to_entry(self, prefix: str) -> store.Entry:
+    def to_entry(self, prefix: str, era: int) -> store.Entry:
         """Converts the item to an entry; a removed key has version `ABSENT`.
 
         Args:
             prefix: Common key prefix to strip.
+            era: Era of the store in which it was read.
 
         Raises:
             ValueError: The value isn't base64 text.
@@ -32,7 +33,12 @@
         if self.removed:
             return store.Entry(key, b"", store.ABSENT)
         value = decode_value(self.value)
-        return store.Entry(key, value, self.revision, self.lease)
+        return store.Entry(
+            key,
+            value,
+            store.join_era(era, self.revision),
+            store.join_era(era, self.lease) if self.lease else 0,
+        )
 
 
 class Items(msgspec.Struct, rename="camel"):
--- a/tests/lib/restored_fleet.py
+++ b/tests/lib/restored_fleet.py
@@ -89,7 +89,7 @@
         scope = {"path": path, "query_string": query.encode()}
         await self._app(scope, receive, send)
         await anyio.sleep(MAX_ANSWER_S / 2 * self._rng.random())
-        return store_calls.Answer(
+        return store_calls.Response(
             messages[0]["status"],
             messages[1]["body"],
             store_calls.parse_era(dict(messages[0]["headers"])[b"store-era"]),
