Register again at once after the store was restored

What callers saw: none reported. An instance renewed its lease every 30 s and so noticed up to 30 s late that its entry was gone; an instance that started meanwhile found no peers.

--- a/src/cardamomfork/_internal/contracts/store.py
+++ b/src/cardamomfork/_internal/contracts/store.py
@@ -184,6 +184,10 @@
         """
         ...
 
+    async def wait_until_restored(self) -> None:
+        """Waits until an answer shows that the store was restored."""
+        ...
+
 
 class Store(LeasedStore, Protocol):
     """The store with single-key reads, deletions and watches."""
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -276,6 +276,7 @@
                 self._local_peer,
                 self._peer_table,
                 self._on_store_answer,
+                self._rng,
             )
             tasks.start_soon(self._reserver.run)
             tasks.start_soon(self._crash_detector.run)
--- a/src/cardamomfork/_internal/gateway/registration.py
+++ b/src/cardamomfork/_internal/gateway/registration.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    import random
 
     from cardamomfork._internal.gateway import digest_codec
     from cardamomfork._internal.gateway import peer_table
@@ -30,12 +31,17 @@
 """Time after which entries are read again, in case datagrams between two
 instances were lost when both read the entries first."""
 
+RESTORED_SPREAD_S = 1.0
+"""Longest random delay before an instance registers again in a store that was
+restored from a copy, so that not all instances write at the same time."""
+
 
 async def maintain_registration(
     polled_store: store.PolledStore,
     local_peer: digest_codec.Peer,
     table: peer_table.PeerTable,
     on_answer: Callable[[store.StoreFault | None], None],
+    rng: random.Random,
 ) -> None:
     """Registers this instance and discovers peers until cancelled.
 
@@ -45,6 +51,7 @@
         table: Receives the peers found in the store.
         on_answer: Called with the fault of a call to the store, or with None
             if it succeeded.
+        rng: Random generator for delays.
     """
     lease: store.Lease | None = None
     scanned_at: float | None = None
@@ -73,7 +80,11 @@
                     f" {scanned.err_value.detail}",
                 )
         is_settled = lease is not None and scanned_at is not None
-        await anyio.sleep(RENEW_INTERVAL_S if is_settled else RETRY_DELAY_S)
+        with anyio.move_on_after(
+            RENEW_INTERVAL_S if is_settled else RETRY_DELAY_S
+        ):
+            await polled_store.wait_until_restored()
+            await anyio.sleep(RESTORED_SPREAD_S * rng.random())
 
 
 async def _write_entry(
--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -163,6 +163,10 @@
             lambda entries: store.WatchBatch(tuple(entries), newest)
         )
 
+    async def wait_until_restored(self) -> None:
+        """Waits until an answer shows that the store was restored."""
+        await self._eras.wait_until_restored()
+
     async def put(
         self, key: str, value: bytes, *, expected: int, lease: int = 0
     ) -> result.Result[store.Entry, store.CompareFailed | store.StoreFault]:
--- a/src/cardamomfork/_internal/standins/store.py
+++ b/src/cardamomfork/_internal/standins/store.py
@@ -354,6 +354,10 @@
             store_contract.WatchBatch((), max(after, self._store.revision))
         )
 
+    async def wait_until_restored(self) -> None:
+        """Waits for ever; a session doesn't notice restorations."""
+        await anyio.sleep_forever()
+
     @contextlib.asynccontextmanager
     async def watch(
         self, prefix: str, from_revision: int
--- a/tests/lib/restored_fleet.py
+++ b/tests/lib/restored_fleet.py
@@ -216,6 +216,7 @@
                 self.peer,
                 self.peer_table,
                 self._on_answer,
+                self._rng,
             )
 
     async def _maintain(self):
