Write crash reports again after the store was restored

What callers saw: none reported. Reports that were written after the copy were lost; instances that all restarted later would have let a crashing request through again.

--- a/src/cardamomfork/_internal/gateway/crash_persistence.py
+++ b/src/cardamomfork/_internal/gateway/crash_persistence.py
@@ -94,7 +94,10 @@
                 await self._renew()
 
     def store_restored(self) -> None:
-        """Does nothing, since reports are only added."""
+        """Writes this instance's reports again, since they may be lost."""
+        if self._lease is not None:
+            self._lease = None
+            self.notify()
 
     def apply_snapshot(self, entries: Iterable[store.Entry]) -> None:
         """Records the reports of all instances."""
