Scan at most every 0.6 s when peers report newer revisions

Cause: a report of a newer revision ends the pause after a failed scan. While an instance waits whether it stays behind, up to 1 s, the report stays pending, so each further scan that the store refuses was repeated at once.

The new test plays that: 194.6 scans a second of each instance before, at 6 and at 86 instances; at most 2.0 now. That a series of changes causes no scans while the store answers held before too, and is now checked.

--- a/src/cardamomfork/_internal/gateway/follower.py
+++ b/src/cardamomfork/_internal/gateway/follower.py
@@ -33,6 +33,9 @@
 after the store recovers. Other instances scan when a peer reports a newer
 revision. Without a report they scan after 2.4 s at the latest, within the 3 s
 in which an instance must be up to date after an outage."""
+MIN_SCAN_INTERVAL_S = 0.6
+"""Time between two scans even if peers report newer revisions meanwhile. The
+store may refuse this instance for long."""
 DELEGATE_WAIT_S = 2.0
 """Wait of a delegate's poll. Including the margin for the answer, it
 ends within the 3 s in which a silent connection must be detected."""
@@ -167,6 +170,8 @@
                 has_polled = polled_s >= NON_DELEGATE_MAX_BACKOFF_S
             with anyio.move_on_after(backoff_s * (0.5 + self._rng.random())):
                 await self._behind_peers.wait()
+                next_scan_at = started_at + MIN_SCAN_INTERVAL_S
+                await anyio.sleep(max(next_scan_at - anyio.current_time(), 0))
             max_backoff_s = (
                 DELEGATE_MAX_BACKOFF_S
                 if self._is_delegate()
--- a/tests/unit/test_gateway_compaction.py
+++ b/tests/unit/test_gateway_compaction.py
@@ -9,6 +9,7 @@
 
 from cardamomfork._internal.contracts import store as store_contract
 from cardamomfork._internal.gateway import follower
+from cardamomfork._internal.gateway import process
 
 KINDS = store_contract.StoreFaultKind
 KEY = "op/config"
@@ -19,6 +20,11 @@
 APPLY_LIMIT_S = 2.0
 """Time from the acknowledgement of a version until it must be in force."""
 SETTLE_S = 0.5
+STORM_GAP_S = 0.4
+STORM_CHANGES = 20
+MAX_READS_PER_S = 2.0
+"""Scans of one prefix by one instance. With three prefixes and 86 instances
+that is a quarter of the reads that the platform allows."""
 
 
 class CompactingStore:
@@ -31,6 +37,7 @@
     def __init__(self):
         self.revision = 1
         self.is_deaf = False
+        self.is_refusing = False
         self.compacted_revision = 0
         self.cuts = 0
         self.reads = []
@@ -46,6 +53,9 @@
     async def scan(self, prefix):
         self.reads.append(anyio.current_time())
         await anyio.sleep(READ_S)
+        if self.is_refusing:
+            fault = store_contract.StoreFault(KINDS.UNAVAILABLE, prefix)
+            return result.Err(fault)
         entry = store_contract.Entry(prefix, b"v", self.revision)
         return result.Ok(store_contract.Scan((entry,), self.revision))
 
@@ -91,7 +101,9 @@
 
 
 class CompactionTest(unittest.TestCase):
-    def run_fleet(self, instances, scenario):
+    def run_fleet(
+        self, instances, scenario, max_lag_s=process.TARGETS_MAX_LAG_S
+    ):
         """Runs a scenario beside the followers of some instances."""
 
         async def main():
@@ -102,7 +114,7 @@
                 for number, handler in enumerate(self.handlers):
                     follows = follower.Follower(
                         self.store,
-                        follower.Subscription(KEY, 0.5, 0.3),
+                        follower.Subscription(KEY, 0.5, max_lag_s),
                         handler,
                         lambda fault: None,
                         lambda number=number: number < DATA_CENTRES,
@@ -146,6 +158,44 @@
 
         self.run_fleet(6, scenario)
 
+    async def run_storm(self):
+        """Changes an entry again and again; peers report each revision."""
+        self.store.reads.clear()
+        for _ in range(STORM_CHANGES):
+            self.store.write()
+            await anyio.sleep(STORM_GAP_S / 2)
+            for follows in self.followers:
+                follows.note_peer_revision(self.store.revision)
+            await anyio.sleep(STORM_GAP_S / 2)
+
+    def test_series_of_changes_does_not_make_instances_scan(self):
+        async def scenario():
+            await self.run_storm()
+            self.assertEqual(self.store.reads, [])
+
+        for instances in (6, 86):
+            with self.subTest(instances=instances):
+                self.run_fleet(instances, scenario)
+
+    def test_refused_scans_are_not_repeated_at_once_when_peers_have_changes(
+        self,
+    ):
+        async def scenario():
+            self.store.is_refusing = True
+            self.store.compact()
+            await self.run_storm()
+            scans = len(self.store.reads) / len(self.followers)
+            seconds = STORM_CHANGES * STORM_GAP_S
+            self.assertLessEqual(scans / seconds, MAX_READS_PER_S)
+
+        for max_lag_s in (
+            process.TARGETS_MAX_LAG_S,
+            process.CONFIGURATION_MAX_LAG_S,
+        ):
+            for instances in (6, 86):
+                with self.subTest(instances=instances, max_lag_s=max_lag_s):
+                    self.run_fleet(instances, scenario, max_lag_s)
+
     def slowest_s(self, written_at):
         """Returns how long after a write the last instance received it."""
         return max(
