Write a registration again with two writes instead of three

The version that the instance wrote last tells the client that it is from another era, so the entry is read instead of being written in vain.

--- a/src/cardamomfork/_internal/gateway/registration.py
+++ b/src/cardamomfork/_internal/gateway/registration.py
@@ -31,7 +31,7 @@
 """Time after which entries are read again, in case datagrams between two
 instances were lost when both read the entries first."""
 
-RESTORED_SPREAD_S = 1.0
+RESTORED_SPREAD_S = 1.3
 """Longest random delay before an instance registers again in a store that was
 restored from a copy, so that not all instances write at the same time."""
 
@@ -54,10 +54,15 @@
         rng: Random generator for delays.
     """
     lease: store.Lease | None = None
+    version = store.ABSENT
     scanned_at: float | None = None
     while True:
         if lease is None:
-            lease = await _write_entry(polled_store, local_peer, on_answer)
+            written = await _write_entry(
+                polled_store, local_peer, version, on_answer
+            )
+            if written is not None:
+                lease, version = written
         else:
             renewed = await polled_store.renew_lease(lease.lease_id)
             if isinstance(renewed, result.Ok):
@@ -90,12 +95,19 @@
 async def _write_entry(
     polled_store: store.PolledStore,
     local_peer: digest_codec.Peer,
+    version: int,
     on_answer: Callable[[store.StoreFault | None], None],
-) -> store.Lease | None:
+) -> tuple[store.Lease, int] | None:
     """Writes this instance's entry under a new lease.
 
+    Args:
+        polled_store: The store.
+        local_peer: This instance.
+        version: Version of the entry that it wrote last, or `ABSENT`.
+        on_answer: Called with the fault of a call, or with None.
+
     Returns:
-        The lease, or None if a call failed.
+        The lease and the version of the entry, or None if a call failed.
     """
     granted = await polled_store.grant_lease(LEASE_S)
     if isinstance(granted, result.Err):
@@ -103,14 +115,14 @@
         return None
     key = INSTANCE_KEY_PREFIX + local_peer.instance_id
     value = msgspec.json.encode(local_peer)
-    expected = store.ABSENT
+    expected = version
     for _ in range(2):
         written = await polled_store.put(
             key, value, expected=expected, lease=granted.ok_value.lease_id
         )
         if isinstance(written, result.Ok):
             on_answer(None)
-            return granted.ok_value
+            return granted.ok_value, written.ok_value.version
         if isinstance(written.err_value, store.StoreFault):
             on_answer(written.err_value)
             return None
