--- a/src/cardamomfork/_internal/gateway/crash_detector.py
+++ b/src/cardamomfork/_internal/gateway/crash_detector.py
@@ -166,7 +166,10 @@
             return False
         self._guard.add_suspect(exchange.fingerprint, record, self._clock())
         exchange.log.crash_suspected(
-            exchange.fingerprint, record.target_id, reason
+            exchange.fingerprint,
+            record.target_id,
+            reason,
+            exchange.request.shared_parts,
         )
         return True
 
--- a/src/cardamomfork/_internal/gateway/request_log.py
+++ b/src/cardamomfork/_internal/gateway/request_log.py
@@ -55,7 +55,11 @@
         )
 
     def crash_suspected(
-        self, fingerprint: int, target_id: str, reason: str
+        self,
+        fingerprint: int,
+        target_id: str,
+        reason: str,
+        parts: tuple[str, ...],
     ) -> None:
         """Logs that a request may have crashed a target."""
         self._logger.info(
@@ -63,6 +67,7 @@
             fingerprint=format_fingerprint(fingerprint),
             target_id=target_id,
             reason=reason,
+            detail=",".join(parts),
         )
 
     def crashes_refuted(self, fingerprint: int, count: int) -> None:
--- a/src/cardamomfork/_internal/models/forwarding.py
+++ b/src/cardamomfork/_internal/models/forwarding.py
@@ -45,6 +45,8 @@
         time_limit_s: How long the caller waits, or None.
         last_event_id: Id of the event after which a stream resumes, or None.
         generation: Size of a model request; None for other requests.
+        shared_parts: Ids of the parts of its prompt that other requests may
+            share, in order.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     time_limit_s: float | None = None
     last_event_id: int | None = None
     generation: Generation | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/src/cardamomfork/_internal/platform/headers.py
+++ b/src/cardamomfork/_internal/platform/headers.py
@@ -14,6 +14,8 @@
 
 READINESS_PATH = "/-/readyz"
 MS_PER_S = 1000.0
+MAX_SHARED_PARTS = 32
+MAX_PART_ID_BYTES = 64
 MAX_TOKENS = 2**31 - 1
 """Exceeds any engine's memory and fits the peer message format."""
 
@@ -23,6 +25,7 @@
     b"x-cardamomfork-token-usage"  # Prompt and maximum output tokens.
 )
 _OUTPUT_HINT = b"x-cardamomfork-length-hint"  # Expected output tokens.
+_PROMPT_PARTS = b"x-cardamomfork-prefix-hash"  # ID:TOKENS, in order.
 _ACCOUNT = b"x-cardamomfork-tenant"
 _TARGET_ID = b"x-cardamomfork-target-instance"
 _PRIORITY = b"x-cardamomfork-request-priority"
@@ -49,6 +52,7 @@
 )
 """Request headers that are not forwarded from callers to targets."""
 
+_PART_ID = re.compile(rb"[0-9a-f]+")
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
@@ -79,6 +83,7 @@
         time_limit_s=_parse_milliseconds(values.get(_TIME_LIMIT)),
         last_event_id=_parse_int(values.get(_LAST_EVENT_ID)),
         generation=_parse_generation(values),
+        shared_parts=_parse_shared_parts(values.get(_PROMPT_PARTS, b"")),
     )
 
 
@@ -205,3 +210,21 @@
     return forwarding.Generation(
         min(prompt, MAX_TOKENS), min(output, MAX_TOKENS), hint
     )
+
+
+def _parse_shared_parts(value: bytes) -> tuple[str, ...]:
+    """Parses the ids of a prompt's parts without the last, its own one.
+
+    Malformed ids and ids beyond `MAX_SHARED_PARTS` are left out.
+    """
+    ids = (
+        part.partition(b":")[0].strip().lower()
+        for part in value.split(b",")[:-1][:MAX_SHARED_PARTS]
+    )
+    return tuple(
+        dict.fromkeys(
+            part_id.decode()
+            for part_id in ids
+            if _PART_ID.fullmatch(part_id) and len(part_id) <= MAX_PART_ID_BYTES
+        )
+    )
--- a/tests/unit/test_crash_detector.py
+++ b/tests/unit/test_crash_detector.py
@@ -10,6 +10,7 @@
 from cardamomfork._internal.gateway import poison_guard
 from cardamomfork._internal.gateway import request_log
 from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.models import forwarding
 from tests.lib import gateway_parts
 
 FINGERPRINT = 7
@@ -19,6 +20,7 @@
     """An exchange as far as the detector uses it."""
 
     fingerprint = FINGERPRINT
+    request = forwarding.CallerRequest("r1", b"POST", b"/", "/", "h", ())
     log = request_log.RequestLog("r1")
 
 
--- a/tests/unit/test_platform_decoding.py
+++ b/tests/unit/test_platform_decoding.py
@@ -220,6 +220,23 @@
         if head.content_length is not None:
             self.assertGreaterEqual(head.content_length, 0)
 
+    def test_shared_parts_of_a_prompt_are_all_but_the_last(self):
+        cases = {
+            b"5c1e07a2:800,91BD3f06:410,e4402b7d:250": ("5c1e07a2", "91bd3f06"),
+            b"5c:8, 5c:8 ,01": ("5c",),
+            b"5c1e07a2:800": (),
+            b"": (),
+            b"x:1,,5g:2,-5:3,0a:z,1:1": ("0a",),
+            b",".join([b"%x:1" % n for n in range(100)]): tuple(
+                f"{n:x}" for n in range(headers.MAX_SHARED_PARTS)
+            ),
+            b"f" * 5000 + b":1,1:1": (),
+        }
+        for value, parts in cases.items():
+            pairs = [(b"x-cardamomfork-prefix-hash", value)]
+            request = headers.decode_request("POST", b"/", pairs)
+            self.assertEqual(request.shared_parts, parts, value[:40])
+
     @seeds.STEADY
     @hypothesis.given(HEADERS)
     def test_peers_hear_of_a_request_whatever_size_it_names(self, pairs):
@@ -325,7 +342,7 @@
     def test_any_text_is_a_value_or_an_error(self, text):
         item = store_messages.Item("k", text, 1)
         try:
-            entry = item.to_entry("")
+            entry = item.to_entry("", 0)
         except ValueError:
             return
         self.assertEqual(store_messages.encode_value(entry.value), text)
