--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -66,6 +66,8 @@
             closes.
         crash_word: A body that contains it crashes the target; if empty, none
             does.
+        crash_part: Part of a prompt, not the last, that crashes the target when
+            it begins to write an answer; if empty, none does.
         rate_limit_per_s: Limit on the rate of requests that answers name, or
             None.
     """
@@ -76,6 +78,7 @@
     extra: float = 0.0
     unframed: float = 0.0
     crash_word: bytes = b""
+    crash_part: str = ""
     rate_limit_per_s: float | None = None
 
 
@@ -273,8 +276,16 @@
             else last + 1
         )
         await answer.start(OK, [])
+        parts = answer.header(b"x-cardamomfork-prefix-hash").split(",")
+        shared_parts = [part.partition(":")[0] for part in parts[:-1]]
         for number in range(first, last + 1):
             await anyio.sleep(self._event_s)
+            if self.faults.crash_part and self.faults.crash_part in (
+                shared_parts
+            ):
+                request_id = answer.header(b"x-cardamomfork-request-id")
+                self._report({"crash": request_id, "at": time.monotonic()})
+                self._crash()
             event = make_event(answer.target, number)
             if number == reset_at_event:
                 answer.connection.write_chunk(event[: len(event) // 2])
@@ -397,6 +408,7 @@
     slots: int = 8,
     event_s: float = 0.02,
     crash_word: str = "",
+    crash_part: str = "",
     rate_limit_per_s: float | None = None,
 ) -> None:
     """Serves until SIGTERM, and then for a little longer.
@@ -411,6 +423,7 @@
         slots: Requests that it runs at once.
         event_s: Seconds between two events.
         crash_word: A body that contains it crashes the target.
+        crash_part: Part of a prompt that crashes the target.
         rate_limit_per_s: Limit on the rate of requests that its answers name.
     """
 
@@ -422,6 +435,7 @@
         target_id, slots, event_s, report, crash=lambda: os._exit(1)
     )
     engine.faults.crash_word = crash_word.encode()
+    engine.faults.crash_part = crash_part
     engine.faults.rate_limit_per_s = rate_limit_per_s
     entry = platform_site.make_entry(service, advertised_port, slots)
     client = platform_site.make_client(store)
--- a/tests/lib/crashing_fleet.py
+++ b/tests/lib/crashing_fleet.py
@@ -22,6 +22,7 @@
 from tests.soak import processes
 
 CRASH_WORD = "splinter"
+CRASH_PART = "badc0de"
 SETTLE_S = 3.0
 """Time after the third crash within which further runs are not counted."""
 MAX_COUNTED_CRASHES = 3
@@ -113,7 +114,12 @@
 
     def _make_engine(self, name, port):
         process = self._make_target(
-            name, "engines", port, port, f"--crash-word={CRASH_WORD}"
+            name,
+            "engines",
+            port,
+            port,
+            f"--crash-word={CRASH_WORD}",
+            f"--crash-part={CRASH_PART}",
         )
         self.targets[name] = process
         return process
