Attribute crashes to the part of prompts that causes them

What callers saw: requests with one part in their prompts ended 60 targets, one after the other; sound requests beside them were refused or failed.

Cause: crashes were counted by whole request, so requests of which no two are alike never reached three. Sound requests that ran beside several culprits did, and were blocked instead.

The shared parts of a prompt are suspects beside the request. A part on which any target has begun to write is sound, for good; peers that know a reported part as sound object. The suspect with the most crashes explains these, so what merely died beside it is no cause. After two crashes under a part its requests are not retried. Reports travel as before, as fingerprints.

--- a/src/cardamomfork/_internal/gateway/application.py
+++ b/src/cardamomfork/_internal/gateway/application.py
@@ -10,12 +10,12 @@
 import attrs
 import msgspec
 import result
-import xxhash
 
 from cardamomfork._internal.gateway import caller_protocol
 from cardamomfork._internal.gateway import configuration_fetching
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import exchanges
+from cardamomfork._internal.gateway import fingerprints
 from cardamomfork._internal.gateway import forwarding
 from cardamomfork._internal.gateway import request_log
 from cardamomfork._internal.links.callers import protocol
@@ -211,10 +211,16 @@
                     match=matched.ok_value,
                     sink=sink,
                     arrived_at=arrived_at,
-                    fingerprint=_fingerprint(
-                        request, matched.ok_value.account, body
+                    fingerprint=fingerprints.of_request(
+                        request.target,
+                        matched.ok_value.account_name,
+                        body,
                     ),
                     log=log,
+                    parts={
+                        part_id: fingerprints.of_part(part_id)
+                        for part_id in request.shared_parts
+                    },
                 )
                 await self._serve(exchange, receive, sink)
             elif incomplete.final is not None:
@@ -421,22 +427,6 @@
     await send({"type": "http.response.body", "body": body})
 
 
-def _fingerprint(
-    request: forwarding_models.CallerRequest,
-    account: fleet.ClientAccount | None,
-    body: bytes | bytearray,
-) -> int:
-    """Returns a hash of a request's path, client account and body.
-
-    Repeats of a request have the same fingerprint, also with another key of
-    the account.
-    """
-    digest = xxhash.xxh3_64(request.target)
-    digest.update(b"\0" + (account.name if account else "").encode() + b"\0")
-    digest.update(body)
-    return int(digest.intdigest())
-
-
 class MetricsApplication:
     """Serves the metrics as text and a dump of the process's state."""
 
--- a/src/cardamomfork/_internal/gateway/crash_detector.py
+++ b/src/cardamomfork/_internal/gateway/crash_detector.py
@@ -105,9 +105,18 @@
         exchange: exchanges.Exchange,
         record: fleet.TargetRecord,
         reason: str,
+        *,
+        has_written: bool = False,
     ) -> None:
-        """Records an attempt without a complete answer; checks its target."""
-        if not self._add_suspect(exchange, record, reason):
+        """Records an attempt without a complete answer; checks its target.
+
+        Args:
+            exchange: The request.
+            record: The target.
+            reason: How the attempt was lost.
+            has_written: Whether the target had begun to write an answer.
+        """
+        if not self._add_suspect(exchange, record, reason, has_written):
             return
         check = self._checks.get(_process_key(record))
         if check is not None:
@@ -119,16 +128,33 @@
         self._has_requests.set()
 
     def attempt_abandoned(
-        self, exchange: exchanges.Exchange, record: fleet.TargetRecord
+        self,
+        exchange: exchanges.Exchange,
+        record: fleet.TargetRecord,
+        *,
+        has_written: bool = False,
     ) -> None:
         """Records an attempt whose caller left before the answer was complete.
 
         The target is not checked: nothing shows that it may have crashed.
         """
-        self._add_suspect(exchange, record, "caller left")
+        self._add_suspect(exchange, record, "caller left", has_written)
+
+    def writing_begun(self, exchange: exchanges.Exchange) -> None:
+        """Records that a target has begun to write the answer to a request."""
+        if exchange.parts:
+            refuted_count = self._guard.record_writing(
+                exchange.parts.values(), self._clock()
+            )
+            if refuted_count:
+                exchange.log.crashes_refuted(
+                    exchange.fingerprint, refuted_count
+                )
+                self._on_crash()
 
     def attempt_completed(self, exchange: exchanges.Exchange) -> None:
         """Records an attempt that its target has answered completely."""
+        self.writing_begun(exchange)
         refuted_count = self._guard.record_completion(
             exchange.fingerprint, self._clock()
         )
@@ -156,6 +182,7 @@
         exchange: exchanges.Exchange,
         record: fleet.TargetRecord,
         reason: str,
+        has_written: bool,
     ) -> bool:
         """Makes a request a suspect; returns False if its target is leaving.
 
@@ -164,12 +191,16 @@
         current = self._table.find(record.target_id)
         if current is not None and current.record.is_leaving:
             return False
-        self._guard.add_suspect(exchange.fingerprint, record, self._clock())
+        suspects = [exchange.fingerprint]
+        if not has_written:
+            suspects += exchange.parts.values()
+        for suspect in suspects:
+            self._guard.add_suspect(suspect, record, self._clock())
         exchange.log.crash_suspected(
             exchange.fingerprint,
             record.target_id,
             reason,
-            exchange.request.shared_parts,
+            exchange.parts,
         )
         return True
 
--- a/src/cardamomfork/_internal/gateway/crash_persistence.py
+++ b/src/cardamomfork/_internal/gateway/crash_persistence.py
@@ -17,7 +17,6 @@
 
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway import poison_guard
-from cardamomfork._internal.gateway import request_log
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -120,13 +119,7 @@
         now = self._clock()
         has_new = False
         for report in reports:
-            is_new = self._guard.record_crash(report, now)
-            has_new |= is_new
-            fingerprint = report.crash.fingerprint
-            if is_new and self._guard.is_blocked(fingerprint, now):
-                request_log.request_blocked(
-                    report.crash, self._guard.crash_count(fingerprint), "store"
-                )
+            has_new |= self._guard.record_crash(report, now)
         if has_new:
             self._on_crash()
 
@@ -137,7 +130,8 @@
                 self._clock(), MIN_WRITTEN_CRASHES
             )
             value = msgspec.json.encode(reports)
-            if not reports or (value == self._written and self._lease):
+            is_known = value == self._written and self._lease is not None
+            if is_known or not (reports or self._written):
                 return
             answer = await self._write(value)
             if isinstance(answer, result.Ok):
--- a/src/cardamomfork/_internal/gateway/exchanges.py
+++ b/src/cardamomfork/_internal/gateway/exchanges.py
@@ -9,6 +9,7 @@
 from cardamomfork._internal.gateway import attempt
 
 if TYPE_CHECKING:
+    from cardamomfork._internal.gateway import crash_attribution
     from cardamomfork._internal.gateway import request_log
     from cardamomfork._internal.gateway import routes
     from cardamomfork._internal.models import forwarding
@@ -28,12 +29,14 @@
         sink: Where the answer is written.
         arrived_at: Monotonic time of its arrival.
         fingerprint: Hash of its content.
+        parts: Fingerprints of the shared parts of its prompt, by id.
         progress: What the caller has received.
         tried_target_ids: Targets to avoid in the next attempt.
         sent_attempts: Number of attempts that were sent.
         runs: Number of attempts that may have run.
         reservations_refused: Number of placements without enough memory.
         permits_refused: Number of placements without a permit.
+        trial: Cause of crashes despite which it is sent, or None.
         log: Its log.
     """
 
@@ -44,12 +47,19 @@
     arrived_at: float
     fingerprint: int
     log: request_log.RequestLog
+    parts: dict[str, int] = attrs.field(factory=dict)
     progress: attempt.Progress = attrs.field(factory=attempt.Progress)
     tried_target_ids: set[str] = attrs.field(factory=set)
     sent_attempts: int = 0
     possible_runs: int = 0
     reservations_refused: int = 0
     permits_refused: int = 0
+    trial: crash_attribution.Cause | None = None
+
+    @property
+    def suspects(self) -> tuple[int, ...]:
+        """Fingerprints of what may crash a target that runs it."""
+        return (self.fingerprint, *self.parts.values())
 
     @property
     def deadline(self) -> float:
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -109,15 +109,16 @@
         """
         service = exchange.match.service.name
         self._retry_budget.count_request(service, self._clock())
-        block_remaining_s = self._guard.block_remaining_s(
-            exchange.fingerprint, self._clock()
-        )
-        if block_remaining_s:
-            return exchanges.FinalAnswer(
-                http.HTTPStatus.SERVICE_UNAVAILABLE,
-                "crashed several targets",
-                block_remaining_s,
-            )
+        now = self._clock()
+        block = self._guard.find_block(exchange.suspects, now)
+        if block is not None:
+            if not self._guard.try_again(block, now):
+                return exchanges.FinalAnswer(
+                    http.HTTPStatus.SERVICE_UNAVAILABLE,
+                    block.reason,
+                    block.retry_after_s,
+                )
+            exchange.trial = block.cause
         while True:
             demand = self._make_demand(exchange)
             chosen = await self._scheduler.acquire(
@@ -207,7 +208,8 @@
             return outcome
         connection = opened.ok_value
         # The request may have crashed other targets while it waited.
-        if self._guard.is_blocked(exchange.fingerprint, self._clock()):
+        block = self._guard.find_block(exchange.suspects, self._clock())
+        if block is not None and block.cause != exchange.trial:
             self._links.release(record, connection)
             return outcomes.Failed(outcomes.Failure.BLOCKED, "not sent")
         exchange.sent_attempts += 1
@@ -222,6 +224,7 @@
         def on_event() -> None:
             if not first_event_at:
                 first_event_at.append(self._clock())
+                self._detector.writing_begun(exchange)
                 self._load.mark_writing(demand.job_id, first_event_at[0])
                 self._on_change()
 
@@ -249,7 +252,9 @@
             else:
                 connection.abort()
             if not is_ended:
-                self._detector.attempt_abandoned(exchange, record)
+                self._detector.attempt_abandoned(
+                    exchange, record, has_written=bool(first_event_at)
+                )
         if isinstance(outcome, outcomes.Failed) and outcome.is_known_not_run:
             exchange.possible_runs -= 1
         first_at = first_event_at[0] if first_event_at else None
--- a/src/cardamomfork/_internal/gateway/outcome_recorder.py
+++ b/src/cardamomfork/_internal/gateway/outcome_recorder.py
@@ -70,7 +70,10 @@
         else:
             if outcome.is_lost:
                 self._detector.attempt_lost(
-                    exchange, record, outcome.failure.value
+                    exchange,
+                    record,
+                    outcome.failure.value,
+                    has_written=first_at is not None,
                 )
             self._record_refusal(exchange, record, outcome, now)
         exchange.log.attempt_ended(
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -20,7 +20,6 @@
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import digest_recipients
 from cardamomfork._internal.gateway import permit_codec
-from cardamomfork._internal.gateway import request_log
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -230,12 +229,7 @@
             digest.sender.instance_id, digest.jobs, now
         )
         for death in digest.deaths:
-            is_new = self._guard.record_crash(death, now)
-            fingerprint = death.crash.fingerprint
-            if is_new and self._guard.is_blocked(fingerprint, now):
-                request_log.request_blocked(
-                    death.crash, self._guard.crash_count(fingerprint), "peer"
-                )
+            self._guard.record_crash(death, now)
         for limit in digest.rate_limits:
             self._rate_limits.merge(limit)
         self._fetcher.note_peer(digest.sender, digest.configuration_version)
--- a/src/cardamomfork/_internal/gateway/poison_guard.py
+++ b/src/cardamomfork/_internal/gateway/poison_guard.py
@@ -1,9 +1,10 @@
-"""Blocks requests that crash the targets that run them.
+"""Blocks requests, and parts of prompts, that crash the targets that run them.
 
-A request is a suspect when its attempt at a target is lost. If evidence of the
-target's end follows, the crash counts against the request. A request that has
-crashed several targets is blocked for some time. A request that completes on a
-target was not the cause of earlier crashes; it only ran beside their cause.
+What a target runs is a suspect when its attempt at the target is lost: the
+request, and each shared part of its prompt unless the target had begun to write
+on it. If evidence of the target's end follows, the crash counts. A part on
+which any target has written is sound, and so is a request that has completed;
+they only ran beside the cause of earlier crashes.
 """
 
 from __future__ import annotations
@@ -14,23 +15,46 @@
 import attrs
 
 from cardamomfork._internal import bounded_tables
+from cardamomfork._internal.gateway import crash_attribution
+from cardamomfork._internal.gateway import fingerprints
+from cardamomfork._internal.gateway import request_log
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+    from collections.abc import Iterable
+
     from cardamomfork._internal.models import fleet
 
 MAX_ENTRIES = 4096
+MAX_SOUND_PARTS = 16_384
+MAX_KEPT_CRASHES = 64
+"""Crashes that are kept of one suspect."""
 CRASH_CONFIRMATION_WINDOW_S = 15.0
 """Time after a lost attempt within which evidence of its target's end confirms
 a crash. Covers the time until the entry of a crashed target lapses."""
-MAX_CRASHES = 3
-"""Number of crashes from which on a request is blocked."""
+MAX_CRASHES = crash_attribution.MAX_REQUEST_CRASHES
 BLOCK_S = 3600.0
-"""Time for which a request stays blocked after the last crash."""
+"""Time for which a block lasts after the last crash."""
+OBJECTION_TIME_S = 1.5
+"""Time from the first crash under a part until it may be blocked. In it, peers
+that know the part as sound say so."""
+TRIAL_DELAY_S = 10.0
+"""Time without a crash after which a blocked part is tried once more."""
+TRIAL_TIMEOUT_S = 15.0
+"""Time after which a trial without a result is over."""
+MAX_TRIALS = 2
+MAX_RETRY_CRASHES = 2
+"""Crashes under a part from which on its requests are not retried."""
+UNCERTAIN_RETRY_AFTER_S = 1.0
+"""Time after which to retry a request that has some suspects of a cause."""
 SHARE_S = 15.0
 """Time for which peers are sent the crashes of a request that is not blocked.
 Covers several digests, since single ones may be lost."""
 MAX_SHARED_CRASHES = 32
 """Bounds the size of a digest and the time to decode it."""
+MAX_SHARED_CRASHES_EACH = 8
+"""Bounds the crashes of one suspect in a digest."""
 
 
 @attrs.frozen
@@ -38,7 +62,7 @@
     """A crash of a target while it ran a request.
 
     Attributes:
-        fingerprint: Hash of the request's content.
+        fingerprint: Fingerprint of the request or of a part of its prompt.
         target_id: The target.
         started_at_ms: Start of the target's process, in Unix milliseconds. A
             target may restart under its id and crash again.
@@ -55,8 +79,7 @@
 
     Attributes:
         crash: The crash.
-        is_refuted: Whether the request has completed on a target since, so
-            that it was not the cause.
+        is_refuted: Whether the request or part is known not to be the cause.
     """
 
     crash: Crash
@@ -65,14 +88,16 @@
 
 @attrs.define
 class _CrashRecord:
-    """Crashes of targets while they ran a request.
+    """Crashes of targets under one suspect.
 
     Attributes:
+        first_at: Time at which the first one was recorded.
         is_refuted: Whether each crash is refuted.
         local: Crashes that this instance confirmed or refuted.
         changed_at: Time of the last change.
     """
 
+    first_at: float
     is_refuted: dict[Crash, bool] = attrs.field(factory=dict)
     local: set[Crash] = attrs.field(factory=set)
     changed_at: float = 0.0
@@ -82,26 +107,93 @@
         """Number of crashes that are not refuted."""
         return sum(not refuted for refuted in self.is_refuted.values())
 
-    def reports(self) -> list[CrashReport]:
-        """Returns reports of all crashes."""
-        return [CrashReport(*item) for item in self.is_refuted.items()]
+    @property
+    def processes(self) -> frozenset[crash_attribution.Process]:
+        """Processes of the crashes that are not refuted."""
+        return frozenset(
+            (crash.target_id, crash.started_at_ms)
+            for crash, refuted in self.is_refuted.items()
+            if not refuted
+        )
+
+    def reports(self, max_count: int) -> list[CrashReport]:
+        """Returns reports of the newest crashes."""
+        newest = list(self.is_refuted.items())[-max_count:]
+        return [CrashReport(*item) for item in newest]
 
-    def local_reports(self) -> list[CrashReport]:
+    def local_reports(self, max_count: int) -> list[CrashReport]:
         """Returns reports of the crashes that peers may not know."""
-        return [
-            CrashReport(crash, self.is_refuted[crash]) for crash in self.local
+        reports = [
+            CrashReport(crash, refuted)
+            for crash, refuted in self.is_refuted.items()
+            if crash in self.local
         ]
+        return reports[-max_count:]
+
+
+@attrs.frozen
+class Block:
+    """Why a request must not be sent to targets.
+
+    Attributes:
+        cause: The suspects that it shares.
+        remaining_s: Time until the block ends, in seconds.
+        is_certain: Whether it has all of them.
+    """
+
+    cause: crash_attribution.Cause
+    remaining_s: float
+    is_certain: bool
+
+    @property
+    def retry_after_s(self) -> float:
+        """Time after which a caller may try again, in seconds."""
+        if self.is_certain:
+            return self.remaining_s
+        return min(self.remaining_s, UNCERTAIN_RETRY_AFTER_S)
+
+    @property
+    def reason(self) -> str:
+        """Reason for the caller and the log."""
+        if self.cause.has_request:
+            return "crashed several targets"
+        return "a part of its prompt crashed several targets"
+
+
+@attrs.define
+class _Trials:
+    """Requests that were let through although their parts are blocked.
+
+    Attributes:
+        count: Their number.
+        started_at: Start of the last one.
+    """
+
+    count: int = 0
+    started_at: float = 0.0
 
 
 class PoisonGuard:
-    """Counts crashes of targets by request fingerprint."""
+    """Counts crashes of targets by suspect and blocks their causes."""
+
+    def __init__(
+        self, owns_trials: Callable[[int], bool] = lambda _: False
+    ) -> None:
+        """Initializes a guard without records.
 
-    def __init__(self) -> None:
-        """Initializes a guard without records."""
+        Args:
+            owns_trials: Returns whether this instance, and no other, may try
+                the part with a fingerprint again.
+        """
+        self._owns_trials = owns_trials
         self._suspects: OrderedDict[Crash, float] = OrderedDict()
         # By fingerprint, least recently changed first.
         self._crashes: OrderedDict[int, _CrashRecord] = OrderedDict()
-        self._blocked: set[int] = set()
+        self._sound_parts: OrderedDict[int, None] = OrderedDict()
+        self._causes: list[crash_attribution.Cause] = []
+        self._judged_at: float | None = None
+        self._rejudge_at = 0.0
+        self._trials: dict[frozenset[int], _Trials] = {}
 
     @property
     def suspect_count(self) -> int:
@@ -109,29 +201,31 @@
         return len(self._suspects)
 
     def crash_count(self, fingerprint: int) -> int:
-        """Returns the number of crashes due to a request."""
+        """Returns the number of crashes under a suspect."""
         record = self._crashes.get(fingerprint)
         return record.count if record else 0
 
     def blocked(self, now: float) -> list[int]:
-        """Returns the fingerprints of the blocked requests."""
-        self._blocked = {
+        """Returns the fingerprints of the blocked requests and parts."""
+        return sorted(
             fingerprint
-            for fingerprint in self._blocked
-            if self.is_blocked(fingerprint, now)
-        }
-        return sorted(self._blocked)
+            for cause in self._judge(now)
+            for fingerprint in cause.suspects
+        )
 
     def recent_crashes(self, now: float) -> list[CrashReport]:
         """Returns the crashes to send to peers, at most `MAX_SHARED_CRASHES`.
 
-        These are all crashes of blocked requests, then the newest that this
+        These are crashes of blocked suspects, then the newest that this
         instance confirmed or refuted.
         """
+        blocked = self.blocked(now)
         shared = [
             report
-            for fingerprint in self.blocked(now)
-            for report in self._crashes[fingerprint].reports()
+            for fingerprint in blocked
+            for report in self._crashes[fingerprint].reports(
+                MAX_SHARED_CRASHES_EACH
+            )
         ]
         for fingerprint, record in reversed(self._crashes.items()):
             if (
@@ -139,33 +233,43 @@
                 or len(shared) >= MAX_SHARED_CRASHES
             ):
                 break
-            if fingerprint not in self._blocked:
-                shared += record.local_reports()
+            if fingerprint not in blocked:
+                shared += record.local_reports(MAX_SHARED_CRASHES_EACH)
         return shared[:MAX_SHARED_CRASHES]
 
     def repeated_crashes(self, now: float, min_count: int) -> list[CrashReport]:
-        """Returns all crashes of the requests with at least `min_count`.
+        """Returns the crashes of the suspects with at least `min_count`.
 
-        Only blocked requests and those with a new crash are included, at most
+        Only blocked suspects and those with a new crash are included, at most
         `MAX_SHARED_CRASHES` crashes.
         """
-        fingerprints = {
+        recent = {
             report.crash.fingerprint: None
             for report in self.recent_crashes(now)
         }
         repeated = [
             report
-            for fingerprint in fingerprints
+            for fingerprint in recent
             if self.crash_count(fingerprint) >= min_count
-            for report in self._crashes[fingerprint].reports()
+            for report in self._crashes[fingerprint].reports(
+                MAX_SHARED_CRASHES_EACH
+            )
         ]
         return repeated[:MAX_SHARED_CRASHES]
 
     def add_suspect(
         self, fingerprint: int, target: fleet.TargetRecord, now: float
     ) -> None:
-        """Records that the attempt of a request at a target was lost."""
+        """Records that an attempt at a target was lost.
+
+        Args:
+            fingerprint: Fingerprint of its request or of a part.
+            target: The target.
+            now: Monotonic time.
+        """
         self._drop_old_suspects(now)
+        if fingerprint in self._sound_parts:
+            return
         bounded_tables.put_newest(
             self._suspects,
             Crash(fingerprint, target.target_id, target.started_at_ms),
@@ -197,15 +301,37 @@
             Whether the crash counts and was not known before.
         """
         crash = report.crash
-        record = self._crashes.get(crash.fingerprint) or _CrashRecord()
+        is_objection = crash.fingerprint in self._sound_parts
+        is_refuted = report.is_refuted or is_objection
+        record = self._crashes.get(crash.fingerprint) or _CrashRecord(now)
         was_refuted = record.is_refuted.get(crash)
-        if was_refuted is None or (report.is_refuted and not was_refuted):
-            record.is_refuted[crash] = report.is_refuted
+        if was_refuted is None or (is_refuted and not was_refuted):
+            record.is_refuted[crash] = is_refuted
+            if is_objection and not report.is_refuted:
+                record.local.add(crash)
+            while len(record.is_refuted) > MAX_KEPT_CRASHES:
+                oldest = next(iter(record.is_refuted))
+                del record.is_refuted[oldest]
+                record.local.discard(oldest)
             self._put_changed(crash.fingerprint, record, now)
-        return was_refuted is None and not report.is_refuted
+        return was_refuted is None and not is_refuted
+
+    def record_writing(self, parts: Iterable[int], now: float) -> int:
+        """Records that a target has written on parts of a prompt.
+
+        Returns:
+            The number of crashes that counted before.
+        """
+        refuted_count = 0
+        for fingerprint in parts:
+            bounded_tables.put_newest(
+                self._sound_parts, fingerprint, None, MAX_SOUND_PARTS
+            )
+            refuted_count += self.record_completion(fingerprint, now)
+        return refuted_count
 
     def record_completion(self, fingerprint: int, now: float) -> int:
-        """Refutes the crashes of a request that has completed on a target.
+        """Refutes the crashes under a request that a target has completed.
 
         Returns:
             The number of crashes that counted before.
@@ -220,15 +346,113 @@
         return refuted_count
 
     def is_blocked(self, fingerprint: int, now: float) -> bool:
-        """Returns whether a request must not be sent to targets."""
+        """Returns whether a request or part is a suspect of a cause."""
         return self.block_remaining_s(fingerprint, now) > 0
 
     def block_remaining_s(self, fingerprint: int, now: float) -> float:
         """Returns the time in seconds until a block ends; 0 without a block."""
-        record = self._crashes.get(fingerprint)
-        if record is None or record.count < MAX_CRASHES:
+        if not any(fingerprint in cause.suspects for cause in self._judge(now)):
             return 0.0
-        return max(record.changed_at + BLOCK_S - now, 0.0)
+        return max(self._crashes[fingerprint].changed_at + BLOCK_S - now, 0.0)
+
+    def find_block(self, suspects: Collection[int], now: float) -> Block | None:
+        """Returns why a request must not be sent; None if it may be.
+
+        A request that has only some suspects of a cause may be sound. If a
+        request as a whole is among them, it passes and adds to the evidence.
+
+        Args:
+            suspects: Fingerprints of the request and of its shared parts.
+            now: Monotonic time.
+        """
+        held = frozenset(suspects)
+        for cause in self._judge(now):
+            is_certain = cause.suspects <= held
+            if not (cause.suspects & held) or (
+                cause.has_request and not is_certain
+            ):
+                continue
+            changed_at = max(
+                self._crashes[suspect].changed_at for suspect in cause.suspects
+            )
+            return Block(cause, changed_at + BLOCK_S - now, is_certain)
+        return None
+
+    def try_again(self, block: Block, now: float) -> bool:
+        """Returns whether a blocked request is let through, as a trial.
+
+        There are few trials, one at a time and at one instance, since each may
+        crash another target. A cause with more crashes gets none.
+        """
+        cause = block.cause
+        if (
+            cause.has_request
+            or cause.crash_count > cause.max_crashes + 1
+            or not self._owns_trials(min(cause.suspects))
+        ):
+            return False
+        if block.is_certain and block.remaining_s > BLOCK_S - TRIAL_DELAY_S:
+            return False
+        trials = self._trials.setdefault(cause.suspects, _Trials())
+        if trials.count >= MAX_TRIALS or (
+            trials.count and now - trials.started_at < TRIAL_TIMEOUT_S
+        ):
+            return False
+        trials.count += 1
+        trials.started_at = now
+        return True
+
+    def may_retry(self, suspects: Iterable[int]) -> bool:
+        """Returns whether another target is risked for a lost request."""
+        return all(
+            self.crash_count(suspect) < MAX_RETRY_CRASHES
+            for suspect in suspects
+            if fingerprints.is_part(suspect)
+        )
+
+    def _judge(self, now: float) -> list[crash_attribution.Cause]:
+        """Returns the causes in force."""
+        if self._judged_at is not None and now < self._rejudge_at:
+            return self._causes
+        self._judged_at = now
+        self._rejudge_at = now + BLOCK_S
+        crashes = {}
+        for fingerprint, record in reversed(self._crashes.items()):
+            ends_at = record.changed_at + BLOCK_S
+            if ends_at <= now:
+                break
+            if record.count >= MAX_CRASHES:
+                crashes[fingerprint] = record.processes
+                self._rejudge_at = min(self._rejudge_at, ends_at)
+        causes = []
+        for cause in crash_attribution.find_causes(crashes):
+            first_at = min(
+                self._crashes[suspect].first_at for suspect in cause.suspects
+            )
+            judge_at = first_at + OBJECTION_TIME_S
+            if cause.has_request or now >= judge_at:
+                causes.append(cause)
+            else:
+                self._rejudge_at = min(self._rejudge_at, judge_at)
+        self._log_changes(causes)
+        self._causes = causes
+        self._trials = {
+            cause.suspects: self._trials[cause.suspects]
+            for cause in causes
+            if cause.suspects in self._trials
+        }
+        return causes
+
+    def _log_changes(self, causes: list[crash_attribution.Cause]) -> None:
+        """Logs causes that are blocked now, and those that no longer are."""
+        before = {cause.suspects for cause in self._causes}
+        after = {cause.suspects for cause in causes}
+        for cause in causes:
+            if cause.suspects not in before:
+                request_log.cause_blocked(cause)
+        for cause in self._causes:
+            if cause.suspects not in after:
+                request_log.block_ended(cause)
 
     def _put_changed(
         self, fingerprint: int, record: _CrashRecord, now: float
@@ -238,8 +462,7 @@
         bounded_tables.put_newest(
             self._crashes, fingerprint, record, MAX_ENTRIES
         )
-        if self.is_blocked(fingerprint, now):
-            self._blocked.add(fingerprint)
+        self._judged_at = None
 
     def _drop_old_suspects(self, now: float) -> None:
         """Drops suspects that no evidence can confirm any more."""
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -97,7 +97,7 @@
         self._fleet_state = fleet_state.FleetState(
             wire, self._target_table, clock
         )
-        self._poison_guard = poison_guard.PoisonGuard()
+        self._poison_guard = poison_guard.PoisonGuard(self._owns_trials)
         self._retry_budget = retry_budget.RetryBudget(settings, clock())
         self._connection_pool = target_pool.TargetConnectionPool(wire)
         self._crash_detector = crash_detector.CrashDetector(
@@ -355,6 +355,10 @@
         """Reports the end of a target's process as evidence of a crash."""
         self._crash_detector.target_ended(record)
 
+    def _owns_trials(self, fingerprint: int) -> bool:
+        """Returns whether this instance may try a blocked part again."""
+        return self._peer_table.find_owner(f"{fingerprint:x}") is None
+
     def _on_crash(self) -> None:
         """Notifies peers of a confirmed crash and keeps it in the store."""
         self._peer_links.notify_crash()
--- a/src/cardamomfork/_internal/gateway/request_log.py
+++ b/src/cardamomfork/_internal/gateway/request_log.py
@@ -10,6 +10,7 @@
 from cardamomfork._internal.gateway import outcomes
 
 if TYPE_CHECKING:
+    from cardamomfork._internal.gateway import crash_attribution
     from cardamomfork._internal.gateway import placement
     from cardamomfork._internal.gateway import poison_guard
     from cardamomfork._internal.gateway import routes
@@ -59,15 +60,25 @@
         fingerprint: int,
         target_id: str,
         reason: str,
-        parts: tuple[str, ...],
+        parts: dict[str, int],
     ) -> None:
-        """Logs that a request may have crashed a target."""
+        """Logs that a request may have crashed a target.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            target_id: The target.
+            reason: How the attempt was lost.
+            parts: Fingerprints of the shared parts of its prompt, by id.
+        """
         self._logger.info(
             "crash suspected",
             fingerprint=format_fingerprint(fingerprint),
             target_id=target_id,
             reason=reason,
-            detail=",".join(parts),
+            detail=", ".join(
+                f"{part_id}: {format_fingerprint(part)}"
+                for part_id, part in parts.items()
+            ),
         )
 
     def crashes_refuted(self, fingerprint: int, count: int) -> None:
@@ -126,15 +137,26 @@
     _log_crash("crash confirmed", crash, count, kind)
 
 
-def request_blocked(crash: poison_guard.Crash, count: int, kind: str) -> None:
-    """Logs that a request is blocked because of a reported crash.
+def cause_blocked(cause: crash_attribution.Cause) -> None:
+    """Logs that requests are blocked, since they crash targets."""
+    _log_cause("request blocked", cause)
 
-    Args:
-        crash: The request and the target of the last crash.
-        count: Number of crashes due to the request so far.
-        kind: Where the report came from.
-    """
-    _log_crash("request blocked", crash, count, kind)
+
+def block_ended(cause: crash_attribution.Cause) -> None:
+    """Logs that requests are no longer blocked."""
+    _log_cause("block ended", cause)
+
+
+def _log_cause(message: str, cause: crash_attribution.Cause) -> None:
+    """Logs a message about the cause of crashes."""
+    logger.warning(
+        message,
+        fingerprint=",".join(
+            format_fingerprint(suspect) for suspect in sorted(cause.suspects)
+        ),
+        count=cause.crash_count,
+        kind="request" if cause.has_request else "part",
+    )
 
 
 def _log_crash(
--- a/src/cardamomfork/_internal/gateway/retrying.py
+++ b/src/cardamomfork/_internal/gateway/retrying.py
@@ -53,48 +53,56 @@
         self, exchange: exchanges.Exchange, failed: outcomes.Failed
     ) -> exchanges.FinalAnswer | None:
         """Returns the final answer, or None if the request is retried."""
-        route = exchange.match.route
         now = self._clock()
-        may_retry = failed.is_known_not_run or route.may_repeat
-        remaining_s = exchange.deadline - now
-        stop_reason = None
-        block_remaining_s = self._guard.block_remaining_s(
-            exchange.fingerprint, now
+        block = self._guard.find_block(exchange.suspects, now)
+        stop_reason = (
+            self._find_stop_reason(exchange, failed, now)
+            if block is None
+            else block.reason
         )
-        if block_remaining_s:
-            stop_reason = "crashed several targets"
-        elif not may_retry:
-            stop_reason = "may not run again"
-        elif remaining_s < MIN_ATTEMPT_S:
-            stop_reason = "no time left"
-        elif exchange.possible_runs >= route.max_attempts:
-            stop_reason = "no attempt left"
-        elif (
-            exchange.sent_attempts >= route.max_attempts + MAX_REFUSED_ATTEMPTS
-        ):
-            stop_reason = "refused by several targets"
-        elif exchange.reservations_refused > MAX_RESERVATIONS_REFUSED:
-            stop_reason = "no memory in several places"
-        elif exchange.permits_refused > MAX_PERMITS_REFUSED:
-            stop_reason = "rate limits of several targets"
-        elif (
-            exchange.sent_attempts
-            and failed.failure not in NOTHING_SENT
-            and not self._retry_budget.try_acquire(
-                exchange.match.service.name, now
-            )
-        ):
-            stop_reason = "no retry left"
         if stop_reason is None:
-            exchange.log.retried(failed, remaining_s)
+            exchange.log.retried(failed, exchange.deadline - now)
             return None
         return _make_final_answer(
             exchange,
             failed,
             stop_reason,
-            block_remaining_s or RETRY_AFTER_NOT_RUN_S,
+            block.retry_after_s if block else RETRY_AFTER_NOT_RUN_S,
         )
 
+    def _find_stop_reason(
+        self, exchange: exchanges.Exchange, failed: outcomes.Failed, now: float
+    ) -> str | None:
+        """Returns why a request is not retried; None if it is."""
+        if not failed.is_known_not_run and not exchange.match.route.may_repeat:
+            return "may not run again"
+        if failed.is_lost and not self._guard.may_retry(exchange.suspects):
+            return "a part of its prompt may crash targets"
+        if exchange.deadline - now < MIN_ATTEMPT_S:
+            return "no time left"
+        if (reason := _find_reached_limit(exchange)) is not None:
+            return reason
+        is_retry = exchange.sent_attempts and failed.failure not in NOTHING_SENT
+        if is_retry and not self._retry_budget.try_acquire(
+            exchange.match.service.name, now
+        ):
+            return "no retry left"
+        return None
+
+
+def _find_reached_limit(exchange: exchanges.Exchange) -> str | None:
+    """Returns which limit on attempts a request has reached, or None."""
+    max_attempts = exchange.match.route.max_attempts
+    if exchange.possible_runs >= max_attempts:
+        return "no attempt left"
+    if exchange.sent_attempts >= max_attempts + MAX_REFUSED_ATTEMPTS:
+        return "refused by several targets"
+    if exchange.reservations_refused > MAX_RESERVATIONS_REFUSED:
+        return "no memory in several places"
+    if exchange.permits_refused > MAX_PERMITS_REFUSED:
+        return "rate limits of several targets"
+    return None
+
 
 def _make_final_answer(
     exchange: exchanges.Exchange,
--- a/src/cardamomfork/_internal/gateway/routes.py
+++ b/src/cardamomfork/_internal/gateway/routes.py
@@ -41,6 +41,11 @@
     priority: int
     version: int
 
+    @property
+    def account_name(self) -> str:
+        """Name of the client account; empty if there is none."""
+        return self.account.name if self.account is not None else ""
+
 
 class RouteTable:
     """Matches requests with one version of the configuration."""
--- a/tests/unit/test_crash_detector.py
+++ b/tests/unit/test_crash_detector.py
@@ -1,5 +1,6 @@
 """Tests of the evidence that a target crashed while it ran a request."""
 
+from typing import ClassVar
 import unittest
 
 import anyio
@@ -10,7 +11,6 @@
 from cardamomfork._internal.gateway import poison_guard
 from cardamomfork._internal.gateway import request_log
 from cardamomfork._internal.gateway import target_table
-from cardamomfork._internal.models import forwarding
 from tests.lib import gateway_parts
 
 FINGERPRINT = 7
@@ -20,7 +20,7 @@
     """An exchange as far as the detector uses it."""
 
     fingerprint = FINGERPRINT
-    request = forwarding.CallerRequest("r1", b"POST", b"/", "/", "h", ())
+    parts: ClassVar = {}
     log = request_log.RequestLog("r1")
 
 
