Don't take a part for sound because it was, or because of one event

Cause, as far as it could be reproduced: the first event on a part cleared it for good. A part that becomes harmful later, or on which an engine writes an event before it ends, was never blocked. A stream without a length that ends with its connection before any event cleared its parts too, and raised no suspicion.

A stream without any event is checked like a lost one.

--- a/src/cardamomfork/_internal/gateway/crash_detector.py
+++ b/src/cardamomfork/_internal/gateway/crash_detector.py
@@ -31,6 +31,9 @@
 MAX_CHECK_WAIT_S = 0.1
 """Longest time for which a request waits for a check before it is retried. A
 crashed target usually refuses the connection within a round trip."""
+SURVIVAL_S = 0.5
+"""Time after the first event from which on a target that ends does so for
+another reason than that it began to write."""
 RECHECK_DELAY_S = 0.2
 """Time after which a new connection to a target must still be open. A target
 that is crashing may accept one before the operating system closes its
@@ -114,7 +117,7 @@
             exchange: The request.
             record: The target.
             reason: How the attempt was lost.
-            has_written: Whether the target had begun to write an answer.
+            has_written: Whether the target had written for `SURVIVAL_S`.
         """
         if not self._add_suspect(exchange, record, reason, has_written):
             return
@@ -140,11 +143,18 @@
         """
         self._add_suspect(exchange, record, "caller left", has_written)
 
-    def writing_begun(self, exchange: exchanges.Exchange) -> None:
-        """Records that a target has begun to write the answer to a request."""
+    def writing_goes_on(
+        self, exchange: exchanges.Exchange, began_at: float
+    ) -> None:
+        """Records that a target has written for `SURVIVAL_S`, or completely.
+
+        Args:
+            exchange: The request.
+            began_at: Time of the first event.
+        """
         if exchange.parts:
             refuted_count = self._guard.record_writing(
-                exchange.parts.values(), self._clock()
+                exchange.parts.values(), began_at, self._clock()
             )
             if refuted_count:
                 exchange.log.crashes_refuted(
@@ -152,9 +162,17 @@
                 )
                 self._on_crash()
 
-    def attempt_completed(self, exchange: exchanges.Exchange) -> None:
-        """Records an attempt that its target has answered completely."""
-        self.writing_begun(exchange)
+    def attempt_completed(
+        self, exchange: exchanges.Exchange, first_at: float | None = None
+    ) -> None:
+        """Records an attempt that its target has answered completely.
+
+        Args:
+            exchange: The request.
+            first_at: Time of the first event; None if there was none.
+        """
+        if first_at is not None:
+            self.writing_goes_on(exchange, first_at)
         refuted_count = self._guard.record_completion(
             exchange.fingerprint, self._clock()
         )
@@ -257,6 +275,16 @@
             self._on_crash()
 
 
+def has_survived(first_at: float | None, now: float) -> bool:
+    """Returns whether a target has written for `SURVIVAL_S`.
+
+    Args:
+        first_at: Time of the first event, or None.
+        now: Monotonic time.
+    """
+    return first_at is not None and now - first_at >= SURVIVAL_S
+
+
 def _process_key(record: fleet.TargetRecord) -> tuple[str, int]:
     """Returns the key of a target's process."""
     return (record.target_id, record.started_at_ms)
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -7,9 +7,11 @@
 import math
 from typing import TYPE_CHECKING
 
+import attrs
 import result
 
 from cardamomfork._internal.gateway import attempt
+from cardamomfork._internal.gateway import crash_detector
 from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import exchanges
 from cardamomfork._internal.gateway import outcome_recorder
@@ -24,7 +26,6 @@
     from collections.abc import Callable
 
     from cardamomfork._internal.contracts import platform_format
-    from cardamomfork._internal.gateway import crash_detector
     from cardamomfork._internal.gateway import load_view
     from cardamomfork._internal.gateway import poison_guard
     from cardamomfork._internal.gateway import rate_limits
@@ -43,6 +44,19 @@
 maximum gap of the route."""
 
 
+@attrs.define
+class _Writing:
+    """What a target has written in an attempt.
+
+    Attributes:
+        first_at: Time of its first event, or None.
+        is_recorded: Whether it is recorded that it went on writing.
+    """
+
+    first_at: float | None = None
+    is_recorded: bool = False
+
+
 class Forwarder:
     """Forwards requests to targets; there is one per process."""
 
@@ -219,14 +233,19 @@
             exchange.request.request_id,
             is_head=exchange.request.method == b"HEAD",
         )
-        first_event_at: list[float] = []
+        writing = _Writing()
 
         def on_event() -> None:
-            if not first_event_at:
-                first_event_at.append(self._clock())
-                self._detector.writing_begun(exchange)
-                self._load.mark_writing(demand.job_id, first_event_at[0])
+            now = self._clock()
+            if writing.first_at is None:
+                writing.first_at = now
+                self._load.mark_writing(demand.job_id, now)
                 self._on_change()
+            elif not writing.is_recorded and crash_detector.has_survived(
+                writing.first_at, now
+            ):
+                writing.is_recorded = True
+                self._detector.writing_goes_on(exchange, writing.first_at)
 
         delivery = attempt.Attempt(
             exchange.match.route,
@@ -253,13 +272,18 @@
                 connection.abort()
             if not is_ended:
                 self._detector.attempt_abandoned(
-                    exchange, record, has_written=bool(first_event_at)
+                    exchange, record, has_written=writing.is_recorded
                 )
         if isinstance(outcome, outcomes.Failed) and outcome.is_known_not_run:
             exchange.possible_runs -= 1
-        first_at = first_event_at[0] if first_event_at else None
         self._recorder.record(
-            exchange, record, chosen, demand, outcome, started_at, first_at
+            exchange,
+            record,
+            chosen,
+            demand,
+            outcome,
+            started_at,
+            writing.first_at,
         )
         if isinstance(outcome, outcomes.Failed) and outcome.is_lost:
             await self._detector.wait_for_check(record)
--- a/src/cardamomfork/_internal/gateway/outcome_recorder.py
+++ b/src/cardamomfork/_internal/gateway/outcome_recorder.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from cardamomfork._internal.gateway import crash_detector
 from cardamomfork._internal.gateway import outcomes
 from cardamomfork._internal.gateway import target_table
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cardamomfork._internal.gateway import crash_detector
     from cardamomfork._internal.gateway import demands
     from cardamomfork._internal.gateway import exchanges
     from cardamomfork._internal.gateway import placement
@@ -66,14 +66,17 @@
         if signal is target_table.HealthSignal.UNREACHABLE:
             self._detector.target_unreachable(record)
         if isinstance(outcome, outcomes.Delivered):
-            self._detector.attempt_completed(exchange)
+            self._detector.attempt_completed(exchange, first_at)
+            if exchange.parts and first_at is None:
+                # The end of a stream without a length may be that of a target.
+                self._detector.attempt_lost(exchange, record, "no event")
         else:
             if outcome.is_lost:
                 self._detector.attempt_lost(
                     exchange,
                     record,
                     outcome.failure.value,
-                    has_written=first_at is not None,
+                    has_written=crash_detector.has_survived(first_at, now),
                 )
             self._record_refusal(exchange, record, outcome, now)
         exchange.log.attempt_ended(
--- a/src/cardamomfork/_internal/gateway/poison_guard.py
+++ b/src/cardamomfork/_internal/gateway/poison_guard.py
@@ -1,10 +1,10 @@
 """Blocks requests, and parts of prompts, that crash the targets that run them.
 
 What a target runs is a suspect when its attempt at the target is lost: the
-request, and each shared part of its prompt unless the target had begun to write
-on it. If evidence of the target's end follows, the crash counts. A part on
-which any target has written is sound, and so is a request that has completed;
-they only ran beside the cause of earlier crashes.
+request, and each shared part of its prompt unless the target had written on it
+for a while. If evidence of the target's end follows, the crash counts. A part
+on which another target begins to write about then or later, and goes on, only
+ran beside the cause, and so did a request that completes.
 """
 
 from __future__ import annotations
@@ -28,6 +28,9 @@
 
 MAX_ENTRIES = 4096
 MAX_SOUND_PARTS = 16_384
+SOUND_S = 2.0
+"""Time before a crash in which a target may have begun to write on a part for
+that to refute the crash. A part may become harmful after it has been sound."""
 MAX_KEPT_CRASHES = 64
 """Crashes that are kept of one suspect."""
 CRASH_CONFIRMATION_WINDOW_S = 15.0
@@ -86,50 +89,84 @@
     is_refuted: bool = False
 
 
+@attrs.define
+class _Evidence:
+    """What is known of a crash.
+
+    Attributes:
+        recorded_at: Time at which it was recorded.
+        is_refuted: Whether the suspect was not its cause.
+    """
+
+    recorded_at: float
+    is_refuted: bool
+
+
 @attrs.define
 class _CrashRecord:
     """Crashes of targets under one suspect.
 
     Attributes:
-        first_at: Time at which the first one was recorded.
-        is_refuted: Whether each crash is refuted.
+        evidence: What is known of each crash, oldest first.
         local: Crashes that this instance confirmed or refuted.
         changed_at: Time of the last change.
     """
 
-    first_at: float
-    is_refuted: dict[Crash, bool] = attrs.field(factory=dict)
+    evidence: dict[Crash, _Evidence] = attrs.field(factory=dict)
     local: set[Crash] = attrs.field(factory=set)
     changed_at: float = 0.0
 
     @property
     def count(self) -> int:
         """Number of crashes that are not refuted."""
-        return sum(not refuted for refuted in self.is_refuted.values())
+        return sum(not known.is_refuted for known in self.evidence.values())
+
+    @property
+    def first_at(self) -> float:
+        """Time of the first crash that is not refuted."""
+        return min(
+            known.recorded_at
+            for known in self.evidence.values()
+            if not known.is_refuted
+        )
 
     @property
     def processes(self) -> frozenset[crash_attribution.Process]:
         """Processes of the crashes that are not refuted."""
         return frozenset(
             (crash.target_id, crash.started_at_ms)
-            for crash, refuted in self.is_refuted.items()
-            if not refuted
+            for crash, known in self.evidence.items()
+            if not known.is_refuted
         )
 
     def reports(self, max_count: int) -> list[CrashReport]:
         """Returns reports of the newest crashes."""
-        newest = list(self.is_refuted.items())[-max_count:]
-        return [CrashReport(*item) for item in newest]
+        newest = list(self.evidence.items())[-max_count:]
+        return [CrashReport(crash, known.is_refuted) for crash, known in newest]
 
     def local_reports(self, max_count: int) -> list[CrashReport]:
         """Returns reports of the crashes that peers may not know."""
         reports = [
-            CrashReport(crash, refuted)
-            for crash, refuted in self.is_refuted.items()
+            CrashReport(crash, known.is_refuted)
+            for crash, known in self.evidence.items()
             if crash in self.local
         ]
         return reports[-max_count:]
 
+    def refute(self, since: float) -> int:
+        """Refutes the crashes recorded until some time; returns their number.
+
+        Args:
+            since: The time.
+        """
+        count = 0
+        for crash, known in self.evidence.items():
+            if not known.is_refuted and known.recorded_at <= since:
+                known.is_refuted = True
+                self.local.add(crash)
+                count += 1
+        return count
+
 
 @attrs.frozen
 class Block:
@@ -189,7 +226,8 @@
         self._suspects: OrderedDict[Crash, float] = OrderedDict()
         # By fingerprint, least recently changed first.
         self._crashes: OrderedDict[int, _CrashRecord] = OrderedDict()
-        self._sound_parts: OrderedDict[int, None] = OrderedDict()
+        # Time at which a target last began to write, by part.
+        self._sound_parts: OrderedDict[int, float] = OrderedDict()
         self._causes: list[crash_attribution.Cause] = []
         self._judged_at: float | None = None
         self._rejudge_at = 0.0
@@ -268,7 +306,7 @@
             now: Monotonic time.
         """
         self._drop_old_suspects(now)
-        if fingerprint in self._sound_parts:
+        if self._is_sound(fingerprint, now):
             return
         bounded_tables.put_newest(
             self._suspects,
@@ -301,33 +339,48 @@
             Whether the crash counts and was not known before.
         """
         crash = report.crash
-        is_objection = crash.fingerprint in self._sound_parts
+        is_objection = self._is_sound(crash.fingerprint, now)
         is_refuted = report.is_refuted or is_objection
-        record = self._crashes.get(crash.fingerprint) or _CrashRecord(now)
-        was_refuted = record.is_refuted.get(crash)
-        if was_refuted is None or (is_refuted and not was_refuted):
-            record.is_refuted[crash] = is_refuted
-            if is_objection and not report.is_refuted:
+        record = self._crashes.get(crash.fingerprint) or _CrashRecord()
+        known = record.evidence.get(crash)
+        if known is None:
+            record.evidence[crash] = _Evidence(now, is_refuted)
+            if is_objection:
                 record.local.add(crash)
-            while len(record.is_refuted) > MAX_KEPT_CRASHES:
-                oldest = next(iter(record.is_refuted))
-                del record.is_refuted[oldest]
+            while len(record.evidence) > MAX_KEPT_CRASHES:
+                oldest = next(iter(record.evidence))
+                del record.evidence[oldest]
                 record.local.discard(oldest)
-            self._put_changed(crash.fingerprint, record, now)
-        return was_refuted is None and not is_refuted
+        elif report.is_refuted and not known.is_refuted:
+            known.is_refuted = True
+        else:
+            return False
+        self._put_changed(crash.fingerprint, record, now)
+        return known is None and not is_refuted
+
+    def record_writing(
+        self, parts: Iterable[int], began_at: float, now: float
+    ) -> int:
+        """Records that a target writes on parts of a prompt without a crash.
 
-    def record_writing(self, parts: Iterable[int], now: float) -> int:
-        """Records that a target has written on parts of a prompt.
+        Args:
+            parts: Fingerprints of the parts.
+            began_at: Time at which it began to write.
+            now: Monotonic time.
 
         Returns:
-            The number of crashes that counted before.
+            The number of crashes that this refutes.
         """
         refuted_count = 0
         for fingerprint in parts:
+            began_last = self._sound_parts.get(fingerprint, began_at)
             bounded_tables.put_newest(
-                self._sound_parts, fingerprint, None, MAX_SOUND_PARTS
+                self._sound_parts,
+                fingerprint,
+                max(began_at, began_last),
+                MAX_SOUND_PARTS,
             )
-            refuted_count += self.record_completion(fingerprint, now)
+            refuted_count += self._refute(fingerprint, began_at + SOUND_S, now)
         return refuted_count
 
     def record_completion(self, fingerprint: int, now: float) -> int:
@@ -336,14 +389,7 @@
         Returns:
             The number of crashes that counted before.
         """
-        record = self._crashes.get(fingerprint)
-        if record is None or not record.count:
-            return 0
-        refuted_count = record.count
-        record.is_refuted = dict.fromkeys(record.is_refuted, True)
-        record.local = set(record.is_refuted)
-        self._put_changed(fingerprint, record, now)
-        return refuted_count
+        return self._refute(fingerprint, now, now)
 
     def is_blocked(self, fingerprint: int, now: float) -> bool:
         """Returns whether a request or part is a suspect of a cause."""
@@ -410,6 +456,19 @@
             if fingerprints.is_part(suspect)
         )
 
+    def _is_sound(self, fingerprint: int, now: float) -> bool:
+        """Returns whether a target has begun to write on a part recently."""
+        began_at = self._sound_parts.get(fingerprint)
+        return began_at is not None and now - began_at <= SOUND_S
+
+    def _refute(self, fingerprint: int, since: float, now: float) -> int:
+        """Refutes a suspect's crashes recorded until some time."""
+        record = self._crashes.get(fingerprint)
+        refuted_count = record.refute(since) if record else 0
+        if record is not None and refuted_count:
+            self._put_changed(fingerprint, record, now)
+        return refuted_count
+
     def _judge(self, now: float) -> list[crash_attribution.Cause]:
         """Returns the causes in force."""
         if self._judged_at is not None and now < self._rejudge_at:
--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -68,6 +68,8 @@
             does.
         crash_part: Part of a prompt, not the last, that crashes the target when
             it begins to write an answer; if empty, none does.
+        crash_events: Number of events that it writes before.
+        crash_from: Monotonic time from which on the part does so.
         rate_limit_per_s: Limit on the rate of requests that answers name, or
             None.
     """
@@ -79,6 +81,8 @@
     unframed: float = 0.0
     crash_word: bytes = b""
     crash_part: str = ""
+    crash_events: int = 0
+    crash_from: float = 0.0
     rate_limit_per_s: float | None = None
 
 
@@ -268,6 +272,7 @@
         self, answer: _Response, *, resets_connection: bool
     ) -> None:
         """Sends the events after the caller's last event id."""
+        faults = self.faults
         last = count_events(answer.target)
         first = int(answer.header(b"last-event-id") or 0) + 1
         reset_at_event = (
@@ -280,8 +285,10 @@
         shared_parts = [part.partition(":")[0] for part in parts[:-1]]
         for number in range(first, last + 1):
             await anyio.sleep(self._event_s)
-            if self.faults.crash_part and self.faults.crash_part in (
-                shared_parts
+            if (
+                faults.crash_part in shared_parts
+                and number - first >= faults.crash_events
+                and time.monotonic() >= faults.crash_from
             ):
                 request_id = answer.header(b"x-cardamomfork-request-id")
                 self._report({"crash": request_id, "at": time.monotonic()})
@@ -409,6 +416,8 @@
     event_s: float = 0.02,
     crash_word: str = "",
     crash_part: str = "",
+    crash_events: int = 0,
+    crash_from: float = 0.0,
     rate_limit_per_s: float | None = None,
 ) -> None:
     """Serves until SIGTERM, and then for a little longer.
@@ -424,6 +433,8 @@
         event_s: Seconds between two events.
         crash_word: A body that contains it crashes the target.
         crash_part: Part of a prompt that crashes the target.
+        crash_events: Number of events that it writes before.
+        crash_from: Monotonic time from which on the part does so.
         rate_limit_per_s: Limit on the rate of requests that its answers name.
     """
 
@@ -436,6 +447,8 @@
     )
     engine.faults.crash_word = crash_word.encode()
     engine.faults.crash_part = crash_part
+    engine.faults.crash_events = crash_events
+    engine.faults.crash_from = crash_from
     engine.faults.rate_limit_per_s = rate_limit_per_s
     entry = platform_site.make_entry(service, advertised_port, slots)
     client = platform_site.make_client(store)
--- a/tests/functional/test_crashing_part.py
+++ b/tests/functional/test_crashing_part.py
@@ -29,6 +29,14 @@
             instances=3, engines=8, away_s=0.5, keeps_id=False
         )
 
+    def test_part_is_contained_if_engines_write_an_event_before_they_crash(
+        self,
+    ):
+        self.assert_contained(instances=6, engines=16, crash_events=1)
+
+    def test_part_that_was_sound_is_contained_when_it_becomes_harmful(self):
+        self.assert_contained(instances=6, engines=16, harmless_s=15.0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/lib/crashing_fleet.py
+++ b/tests/lib/crashing_fleet.py
@@ -49,6 +49,9 @@
         away_s: Time for which an engine is away after a crash.
         keeps_id: Whether an engine restarts under its id.
         pause_s: Time between two requests that crash engines.
+        crash_events: Events that an engine writes before a part crashes it.
+        harmless_s: Time from the construction of the deployment in which the
+            part crashes no engine.
     """
 
     instances: int = 3
@@ -56,6 +59,8 @@
     away_s: float = 3.0
     keeps_id: bool = True
     pause_s: float = 0.25
+    crash_events: int = 0
+    harmless_s: float = 0.0
 
 
 class CrashingDeployment(processes.Deployment):
@@ -63,6 +68,7 @@
 
     def __init__(self, seed, options):
         self.options = options
+        self.harmful_from = time.monotonic() + options.harmless_s
         self._restarts = itertools.count(1)
         super().__init__(seed, options.instances, 0, 1)
         self._engine_ports = [next(self._ports) for _ in range(options.engines)]
@@ -120,6 +126,8 @@
             port,
             f"--crash-word={CRASH_WORD}",
             f"--crash-part={CRASH_PART}",
+            f"--crash-events={self.options.crash_events}",
+            f"--crash-from={self.harmful_from}",
         )
         self.targets[name] = process
         return process
--- a/tests/lib/crashing_part_fleet.py
+++ b/tests/lib/crashing_part_fleet.py
@@ -173,7 +173,8 @@
         await crashing_fleet.wait_until_served(deployment, generator)
         calm_at = time.monotonic()
         tasks = [asyncio.create_task(caller.run())]
-        await asyncio.sleep(CALM_S)
+        caller.sends_crashing = deployment.harmful_from > calm_at
+        await asyncio.sleep(max(deployment.harmful_from - calm_at, CALM_S))
         caller.sends_crashing = True
         crashing_at = time.monotonic()
         if act is not None:
@@ -213,6 +214,8 @@
         options = attrs.evolve(
             crashing_fleet.draw_options(seed),
             pause_s=random.Random(seed).choice((0.1, 0.25, 0.5, 1.0)),
+            crash_events=random.Random(f"events {seed}").choice((0, 0, 1, 3)),
+            harmless_s=random.Random(f"from {seed}").choice((0.0, 0.0, 15.0)),
         )
         act = crashing_fleet.disturb if arguments.disturb else None
         result = asyncio.run(run(seed, options, act=act))
--- a/tests/unit/test_crash_attribution.py
+++ b/tests/unit/test_crash_attribution.py
@@ -4,6 +4,7 @@
 import unittest
 
 from cardamomfork._internal.gateway import crash_attribution
+from cardamomfork._internal.gateway import crash_detector
 from cardamomfork._internal.gateway import fingerprints
 from cardamomfork._internal.gateway import poison_guard
 from tests.lib import gateway_parts
@@ -46,6 +47,7 @@
         self.reached_at = []
         self.refused_sound = []
         self.numbers = iter(range(10**9))
+        self.harmful_from = 0.0
 
     def culprit(self):
         parts = [ROUTE, self.rng.choice(SHARED), CULPRIT]
@@ -56,6 +58,10 @@
         parts = [ROUTE, self.rng.choice(SHARED), new_part]
         return (next(self.numbers) * 256, *parts)
 
+    def crashes(self, suspects):
+        """Returns whether a request crashes the engine that writes on it."""
+        return CULPRIT in suspects and self.now >= self.harmful_from
+
     def arrive(self, suspects):
         """Handles a request at a random instance; tries it twice at most."""
         guard = self.rng.choice(self.guards)
@@ -69,7 +75,7 @@
     def send(self, guard, suspects, attempts):
         usable = [n for n, at in enumerate(self.up_at) if at <= self.now]
         if usable:
-            if CULPRIT in suspects:
+            if self.crashes(suspects):
                 self.reached_at.append(self.now)
             engine = self.rng.choice(usable)
             self.running.append((self.now, engine, guard, suspects, attempts))
@@ -79,11 +85,11 @@
         self.now += STEP_S
         crashed = set()
         for started_at, engine, guard, suspects, _ in self.running:
-            has_begun = self.now - started_at >= WRITING_S
-            if has_begun and CULPRIT in suspects:
+            began_at = started_at + WRITING_S
+            if self.now >= began_at and self.crashes(suspects):
                 crashed.add(engine)
-            elif has_begun:
-                guard.record_writing(suspects[1:], self.now)
+            elif crash_detector.has_survived(began_at, self.now):
+                guard.record_writing(suspects[1:], began_at, self.now)
         for engine in crashed:
             self.end_engine(engine)
         for job in list(self.running):
@@ -112,8 +118,8 @@
         lost = [job for job in self.running if job[1] == engine]
         self.running = [job for job in self.running if job[1] != engine]
         for started_at, _, guard, suspects, _ in lost:
-            has_written = self.now - started_at >= WRITING_S and (
-                CULPRIT not in suspects
+            has_written = crash_detector.has_survived(
+                started_at + WRITING_S, self.now
             )
             for suspect in suspects[:1] if has_written else suspects:
                 guard.add_suspect(suspect, record, self.now)
@@ -250,7 +256,7 @@
         self.assertFalse(block.is_certain)
         self.assertLessEqual(block.retry_after_s, 1.0)
         self.assertFalse(other.try_again(block, fleet.now))
-        fleet.guards[0].record_writing([COMPANION], fleet.now)
+        fleet.guards[0].record_writing([COMPANION], fleet.now, fleet.now)
         fleet.run(3.0, 8, fleet.sound)
         self.assertEqual(fleet.blocked(), {CULPRIT})
         self.assertIsNone(other.find_block(alone, fleet.now))
@@ -261,7 +267,7 @@
             crash_beside(fleet.guards[1], [COMPANION], range(4), fleet.now)
             fleet.run(4.0, 1, fleet.sound)
             self.assertEqual(fleet.blocked(), {COMPANION})
-            fleet.guards[2].record_writing([COMPANION], fleet.now)
+            fleet.guards[2].record_writing([COMPANION], fleet.now, fleet.now)
             fleet.run(3.0, 1, fleet.sound)
             self.assertEqual(fleet.blocked(), set())
 
@@ -283,18 +289,27 @@
             fleet.run(120.0, 4, fleet.culprit)
             self.assertLessEqual(len(fleet.reached_at), MAX_LATE)
 
-    def test_first_event_of_any_request_clears_a_part_for_good(self):
+    def test_part_that_becomes_harmful_after_it_was_sound_is_blocked(self):
+        for instances, engines, rate in ((6, 23, 8), (9, 23, 8), (86, 200, 20)):
+            for seed in range(4):
+                with self.subTest(instances=instances, seed=seed):
+                    fleet = Fleet(seed, instances, engines)
+                    fleet.harmful_from = fleet.now + 8.0
+                    fleet.run(30.0, rate, fleet.culprit)
+                    self.assertLessEqual(fleet.late(), MAX_LATE)
+                    self.assertEqual(fleet.blocked(), {CULPRIT})
+
+    def test_writing_refutes_earlier_crashes_but_not_later_ones(self):
         guard = poison_guard.PoisonGuard()
-        guard.record_writing([COMPANION], 1.0)
-        for number in range(10):
-            record = gateway_parts.make_record(number)
-            guard.add_suspect(COMPANION, record, 2.0)
-            guard.confirm_crash(record, 2.0)
-        self.assertEqual(guard.blocked(10.0), [])
+        crash_beside(guard, [COMPANION], range(3), 1.0)
+        self.assertEqual(guard.record_writing([COMPANION], 1.5, 2.0), 3)
+        crash_beside(guard, [COMPANION], range(3, 6), 20.0)
+        self.assertEqual(guard.crash_count(COMPANION), 3)
+        self.assertEqual(guard.record_writing([COMPANION], 1.6, 20.0), 0)
 
     def test_peer_that_knows_a_part_as_sound_objects_in_time(self):
         knowing, started = (poison_guard.PoisonGuard() for _ in range(2))
-        knowing.record_writing([COMPANION], 1.0)
+        knowing.record_writing([COMPANION], 1.0, 1.5)
         crash_beside(started, [COMPANION], range(8), 2.0)
         for report in started.recent_crashes(2.5):
             knowing.record_crash(report, 2.5)
@@ -329,7 +344,7 @@
     def test_weak_suspect_is_not_retried_at_another_engine(self):
         guard = poison_guard.PoisonGuard()
         suspects = (256, ROUTE, CULPRIT)
-        guard.record_writing([ROUTE], 1.0)
+        guard.record_writing([ROUTE], 1.0, 1.5)
         for number in range(2):
             self.assertTrue(guard.may_retry(suspects))
             crash_beside(guard, suspects, [number], 2.0)
@@ -340,16 +355,16 @@
         guard = poison_guard.PoisonGuard()
         for number in range(1_000_000):
             part = fingerprints.of_part(f"{number}")
-            guard.record_writing([part], 1.0)
+            guard.record_writing([part], 1.0, 1.5)
         for number in range(10_000):
             part = fingerprints.of_part(f"lost {number}")
             record = gateway_parts.make_record(number % 50)
-            guard.add_suspect(part, record, 1.0)
+            guard.add_suspect(part, record, 2.0)
         self.assertLessEqual(guard.suspect_count, poison_guard.MAX_ENTRIES)
         for number in range(50):
-            guard.confirm_crash(gateway_parts.make_record(number), 1.0)
+            guard.confirm_crash(gateway_parts.make_record(number), 2.0)
         self.assertLessEqual(
-            len(guard.recent_crashes(1.0)), poison_guard.MAX_SHARED_CRASHES
+            len(guard.recent_crashes(2.0)), poison_guard.MAX_SHARED_CRASHES
         )
 
     def test_parts_and_requests_have_different_fingerprints(self):
