Block at once after a restart what the store reports as crashing

What callers saw: none reported. An instance that had restarted read the reports from the store and then waited 1.5 s for objections, in which each request with the part crashed another target; with all instances restarting together nothing held them back.

Reports that are in the store when an instance starts have been open to objections already. Reports that were refuted since are rewritten without them, also if none is left, which a second test checks.

--- a/src/cardamomfork/_internal/gateway/crash_persistence.py
+++ b/src/cardamomfork/_internal/gateway/crash_persistence.py
@@ -99,12 +99,24 @@
             self.notify()
 
     def apply_snapshot(self, entries: Iterable[store.Entry]) -> None:
-        """Records the reports of all instances."""
+        """Records the reports of all instances.
+
+        An instance that has just started must not wait for objections again.
+        """
         for entry in entries:
-            self.apply_change(entry)
+            self._record(entry, poison_guard.OBJECTION_TIME_S)
 
     def apply_change(self, entry: store.Entry) -> None:
         """Records the reports of one instance; a deletion changes nothing."""
+        self._record(entry, 0.0)
+
+    def _record(self, entry: store.Entry, age_s: float) -> None:
+        """Records the reports of an entry.
+
+        Args:
+            entry: The entry.
+            age_s: Least time for which others have known them, in seconds.
+        """
         if entry.version == store.ABSENT:
             return
         try:
@@ -119,7 +131,7 @@
         now = self._clock()
         has_new = False
         for report in reports:
-            has_new |= self._guard.record_crash(report, now)
+            has_new |= self._guard.record_crash(report, now, age_s)
         if has_new:
             self._on_crash()
 
--- a/src/cardamomfork/_internal/gateway/poison_guard.py
+++ b/src/cardamomfork/_internal/gateway/poison_guard.py
@@ -332,9 +332,16 @@
             self._crashes[crash.fingerprint].local.add(crash)
         return confirmed
 
-    def record_crash(self, report: CrashReport, now: float) -> bool:
+    def record_crash(
+        self, report: CrashReport, now: float, age_s: float = 0.0
+    ) -> bool:
         """Records a crash that this instance or a peer has seen.
 
+        Args:
+            report: The crash.
+            now: Monotonic time.
+            age_s: Least time for which others have known it, in seconds.
+
         Returns:
             Whether the crash counts and was not known before.
         """
@@ -344,7 +351,7 @@
         record = self._crashes.get(crash.fingerprint) or _CrashRecord()
         known = record.evidence.get(crash)
         if known is None:
-            record.evidence[crash] = _Evidence(now, is_refuted)
+            record.evidence[crash] = _Evidence(now - age_s, is_refuted)
             if is_objection:
                 record.local.add(crash)
             while len(record.evidence) > MAX_KEPT_CRASHES:
--- a/tests/unit/test_crash_persistence.py
+++ b/tests/unit/test_crash_persistence.py
@@ -7,13 +7,16 @@
 import trio.testing
 
 from cardamomfork._internal.contracts import clock
+from cardamomfork._internal.gateway import crash_attribution
 from cardamomfork._internal.gateway import crash_persistence
+from cardamomfork._internal.gateway import fingerprints
 from cardamomfork._internal.gateway import follower
 from cardamomfork._internal.gateway import poison_guard
 from cardamomfork._internal.standins import store
 from tests.lib import gateway_parts
 
 FINGERPRINT = 2**64 - 1
+PART = fingerprints.of_part("bad")
 SETTLE_S = 1.0
 
 
@@ -37,15 +40,15 @@
         if fault is not None:
             self.faults.append(fault)
 
-    def crash(self, number):
+    def crash(self, number, fingerprint=FINGERPRINT):
         """Confirms a crash of a target."""
         target = gateway_parts.make_record(number)
-        self.guard.add_suspect(FINGERPRINT, target, anyio.current_time())
+        self.guard.add_suspect(fingerprint, target, anyio.current_time())
         self.guard.confirm_crash(target, anyio.current_time())
         self.persistence.notify()
 
-    def is_blocked(self):
-        return self.guard.is_blocked(FINGERPRINT, anyio.current_time())
+    def is_blocked(self, fingerprint=FINGERPRINT):
+        return self.guard.is_blocked(fingerprint, anyio.current_time())
 
     async def run(self):
         """Writes and follows the reports until cancelled."""
@@ -108,6 +111,35 @@
 
         run_scenario(scenario)
 
+    def test_part_is_blocked_at_once_after_a_restart_of_all_instances(self):
+        async def scenario(_, start):
+            one = start("one")
+            for number in range(crash_attribution.MAX_PART_CRASHES):
+                one.crash(number, PART)
+            await anyio.sleep(SETTLE_S + poison_guard.OBJECTION_TIME_S)
+            self.assertTrue(one.is_blocked(PART))
+            restarted = start("one")
+            await anyio.sleep(0.1)
+            self.assertTrue(restarted.is_blocked(PART))
+
+        run_scenario(scenario)
+
+    def test_refuted_crashes_are_not_read_again_after_a_restart(self):
+        async def scenario(_, start):
+            one = start("one")
+            for number in range(crash_attribution.MAX_PART_CRASHES):
+                one.crash(number, PART)
+            await anyio.sleep(SETTLE_S)
+            now = anyio.current_time()
+            one.guard.record_writing([PART], now, now)
+            one.persistence.notify()
+            await anyio.sleep(SETTLE_S)
+            restarted = start("one")
+            await anyio.sleep(SETTLE_S + poison_guard.OBJECTION_TIME_S)
+            self.assertFalse(restarted.is_blocked(PART))
+
+        run_scenario(scenario)
+
     def test_instance_that_is_cut_off_from_peers_learns_of_a_block(self):
         async def scenario(_, start):
             isolated = start("two")
