--- a/src/cardamomfork/_internal/gateway/poison_guard.py
+++ b/src/cardamomfork/_internal/gateway/poison_guard.py
@@ -28,9 +28,11 @@
 
 MAX_ENTRIES = 4096
 MAX_SOUND_PARTS = 16_384
-SOUND_S = 2.0
+SOUND_S = 1.0
 """Time before a crash in which a target may have begun to write on a part for
 that to refute the crash. A part may become harmful after it has been sound."""
+REPORT_DELAY_S = 0.5
+"""Usual time from a crash until peers have a report of it."""
 MAX_KEPT_CRASHES = 64
 """Crashes that are kept of one suspect."""
 CRASH_CONFIRMATION_WINDOW_S = 15.0
@@ -346,7 +348,7 @@
             Whether the crash counts and was not known before.
         """
         crash = report.crash
-        is_objection = self._is_sound(crash.fingerprint, now)
+        is_objection = self._is_sound(crash.fingerprint, now - REPORT_DELAY_S)
         is_refuted = report.is_refuted or is_objection
         record = self._crashes.get(crash.fingerprint) or _CrashRecord()
         known = record.evidence.get(crash)
@@ -464,7 +466,7 @@
         )
 
     def _is_sound(self, fingerprint: int, now: float) -> bool:
-        """Returns whether a target has begun to write on a part recently."""
+        """Returns whether a target began to write on a part recently."""
         began_at = self._sound_parts.get(fingerprint)
         return began_at is not None and now - began_at <= SOUND_S
 
