Refute one crash for each time that a part is written on

Cause: one request with the part that an engine survived refuted all crashes under it, at all instances.

A writing now refutes one crash, so what counts is whether a part crashes more often than not. Instances begin at different crashes, so that together they refute many.

--- a/src/cardamomfork/_internal/gateway/poison_guard.py
+++ b/src/cardamomfork/_internal/gateway/poison_guard.py
@@ -2,9 +2,10 @@
 
 What a target runs is a suspect when its attempt at the target is lost: the
 request, and each shared part of its prompt unless the target had written on it
-for a while. If evidence of the target's end follows, the crash counts. A part
-on which another target begins to write about then or later, and goes on, only
-ran beside the cause, and so did a request that completes.
+for a while. If evidence of the target's end follows, the crash counts. Each
+time that a target writes on a part and goes on, one crash under the part is
+refuted: a part that crashes most targets is blocked, one that only ran beside
+the cause is not. A request that completes was not the cause of any crash.
 """
 
 from __future__ import annotations
@@ -27,8 +28,10 @@
     from cardamomfork._internal.models import fleet
 
 MAX_ENTRIES = 4096
-MAX_SOUND_PARTS = 16_384
-SOUND_S = 1.0
+MAX_WRITTEN_PARTS = 8192
+MAX_KEPT_WRITINGS = 8
+"""Writings on one part that can still refute a crash."""
+WRITING_VALID_S = 1.0
 """Time before a crash in which a target may have begun to write on a part for
 that to refute the crash. A part may become harmful after it has been sound."""
 REPORT_DELAY_S = 0.5
@@ -155,19 +158,27 @@
         ]
         return reports[-max_count:]
 
-    def refute(self, since: float) -> int:
-        """Refutes the crashes recorded until some time; returns their number.
+    def refute(self, until: float, max_count: int) -> int:
+        """Refutes crashes; returns their number.
 
         Args:
-            since: The time.
+            until: Time until which they were recorded.
+            max_count: Largest number to refute.
         """
-        count = 0
-        for crash, known in self.evidence.items():
-            if not known.is_refuted and known.recorded_at <= since:
-                known.is_refuted = True
-                self.local.add(crash)
-                count += 1
-        return count
+        refutable = [
+            (crash, known)
+            for crash, known in self.evidence.items()
+            if not known.is_refuted and known.recorded_at <= until
+        ]
+        if not refutable:
+            return 0
+        # Instances begin at different crashes, so that each refutes another.
+        first = int(until * 1e6) % len(refutable)
+        refuted = (refutable[first:] + refutable[:first])[:max_count]
+        for crash, known in refuted:
+            known.is_refuted = True
+            self.local.add(crash)
+        return len(refuted)
 
 
 @attrs.frozen
@@ -228,8 +239,8 @@
         self._suspects: OrderedDict[Crash, float] = OrderedDict()
         # By fingerprint, least recently changed first.
         self._crashes: OrderedDict[int, _CrashRecord] = OrderedDict()
-        # Time at which a target last began to write, by part.
-        self._sound_parts: OrderedDict[int, float] = OrderedDict()
+        # Starts of writings that have not refuted a crash yet, by part.
+        self._writings: OrderedDict[int, tuple[float, ...]] = OrderedDict()
         self._causes: list[crash_attribution.Cause] = []
         self._judged_at: float | None = None
         self._rejudge_at = 0.0
@@ -308,8 +319,6 @@
             now: Monotonic time.
         """
         self._drop_old_suspects(now)
-        if self._is_sound(fingerprint, now):
-            return
         bounded_tables.put_newest(
             self._suspects,
             Crash(fingerprint, target.target_id, target.started_at_ms),
@@ -348,11 +357,14 @@
             Whether the crash counts and was not known before.
         """
         crash = report.crash
-        is_objection = self._is_sound(crash.fingerprint, now - REPORT_DELAY_S)
-        is_refuted = report.is_refuted or is_objection
         record = self._crashes.get(crash.fingerprint) or _CrashRecord()
         known = record.evidence.get(crash)
+        is_refuted = report.is_refuted
         if known is None:
+            is_objection = not is_refuted and self._take_writing(
+                crash.fingerprint, now - REPORT_DELAY_S
+            )
+            is_refuted |= is_objection
             record.evidence[crash] = _Evidence(now - age_s, is_refuted)
             if is_objection:
                 record.local.add(crash)
@@ -382,14 +394,17 @@
         """
         refuted_count = 0
         for fingerprint in parts:
-            began_last = self._sound_parts.get(fingerprint, began_at)
+            until = began_at + WRITING_VALID_S
+            if self._refute(fingerprint, until, 1, now):
+                refuted_count += 1
+                continue
+            unused = self._writings.get(fingerprint, ())
             bounded_tables.put_newest(
-                self._sound_parts,
+                self._writings,
                 fingerprint,
-                max(began_at, began_last),
-                MAX_SOUND_PARTS,
+                (*unused, began_at)[-MAX_KEPT_WRITINGS:],
+                MAX_WRITTEN_PARTS,
             )
-            refuted_count += self._refute(fingerprint, began_at + SOUND_S, now)
         return refuted_count
 
     def record_completion(self, fingerprint: int, now: float) -> int:
@@ -398,7 +413,7 @@
         Returns:
             The number of crashes that counted before.
         """
-        return self._refute(fingerprint, now, now)
+        return self._refute(fingerprint, now, MAX_KEPT_CRASHES, now)
 
     def is_blocked(self, fingerprint: int, now: float) -> bool:
         """Returns whether a request or part is a suspect of a cause."""
@@ -465,15 +480,24 @@
             if fingerprints.is_part(suspect)
         )
 
-    def _is_sound(self, fingerprint: int, now: float) -> bool:
-        """Returns whether a target began to write on a part recently."""
-        began_at = self._sound_parts.get(fingerprint)
-        return began_at is not None and now - began_at <= SOUND_S
+    def _take_writing(self, fingerprint: int, crashed_at: float) -> bool:
+        """Returns whether a writing refutes a crash, and uses it up."""
+        valid = tuple(
+            began_at
+            for began_at in self._writings.get(fingerprint, ())
+            if crashed_at - began_at <= WRITING_VALID_S
+        )
+        if not valid:
+            return False
+        self._writings[fingerprint] = valid[1:]
+        return True
 
-    def _refute(self, fingerprint: int, since: float, now: float) -> int:
+    def _refute(
+        self, fingerprint: int, until: float, max_count: int, now: float
+    ) -> int:
         """Refutes a suspect's crashes recorded until some time."""
         record = self._crashes.get(fingerprint)
-        refuted_count = record.refute(since) if record else 0
+        refuted_count = record.refute(until, max_count) if record else 0
         if record is not None and refuted_count:
             self._put_changed(fingerprint, record, now)
         return refuted_count
