--- a/src/cardamomfork/_internal/gateway/poison_guard.py
+++ b/src/cardamomfork/_internal/gateway/poison_guard.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+import itertools
 from typing import TYPE_CHECKING
 
 import attrs
@@ -267,25 +268,33 @@
     def recent_crashes(self, now: float) -> list[CrashReport]:
         """Returns the crashes to send to peers, at most `MAX_SHARED_CRASHES`.
 
-        These are crashes of blocked suspects, then the newest that this
-        instance confirmed or refuted.
+        Blocked suspects, new crashes that this instance confirmed, and those
+        that it refuted take turns, so that none crowds out the others.
         """
-        blocked = self.blocked(now)
-        shared = [
-            report
-            for fingerprint in blocked
-            for report in self._crashes[fingerprint].reports(
-                MAX_SHARED_CRASHES_EACH
-            )
-        ]
+        blocked = dict.fromkeys(
+            suspect for cause in self._judge(now) for suspect in cause.suspects
+        )
+        confirmed: list[int] = []
+        refuted: list[int] = []
         for fingerprint, record in reversed(self._crashes.items()):
-            if (
-                now - record.changed_at >= SHARE_S
-                or len(shared) >= MAX_SHARED_CRASHES
-            ):
+            if now - record.changed_at >= SHARE_S:
+                break
+            if record.local and fingerprint not in blocked:
+                (confirmed if record.count else refuted).append(fingerprint)
+        confirmed.sort(key=self.crash_count, reverse=True)
+        shared: list[CrashReport] = []
+        for turn in itertools.zip_longest(blocked, confirmed, refuted):
+            if len(shared) >= MAX_SHARED_CRASHES:
                 break
-            if fingerprint not in blocked:
-                shared += record.local_reports(MAX_SHARED_CRASHES_EACH)
+            for fingerprint in turn:
+                if fingerprint is None:
+                    continue
+                record = self._crashes[fingerprint]
+                shared += (
+                    record.reports(MAX_SHARED_CRASHES_EACH)
+                    if fingerprint in blocked
+                    else record.local_reports(MAX_SHARED_CRASHES_EACH)
+                )
         return shared[:MAX_SHARED_CRASHES]
 
     def repeated_crashes(self, now: float, min_count: int) -> list[CrashReport]:
--- a/tests/unit/test_crash_attribution.py
+++ b/tests/unit/test_crash_attribution.py
@@ -346,6 +346,23 @@
         self.assertEqual(started.blocked(10.0), [])
         self.assertEqual(knowing.blocked(10.0), [])
 
+    def test_blocked_requests_do_not_crowd_a_new_suspect_out_of_a_digest(self):
+        guard = poison_guard.PoisonGuard()
+        for number in range(20):
+            for engine in range(3):
+                crash = poison_guard.Crash(number * 256, f"t{engine}", number)
+                guard.record_crash(poison_guard.CrashReport(crash), 1.0)
+        self.assertEqual(len(guard.blocked(1.0)), 20)
+        crash_beside(guard, [CULPRIT], range(2), 2.0)
+        crash_beside(guard, [COMPANION], [3], 2.0)
+        guard.record_writing([COMPANION], 2.0, 2.5)
+        shared = {
+            report.crash.fingerprint: report.is_refuted
+            for report in guard.recent_crashes(3.0)
+        }
+        self.assertIn(CULPRIT, shared)
+        self.assertTrue(shared[COMPANION])
+
     def test_cause_of_many_crashes_gets_no_trial(self):
         for count, expected in ((4, True), (5, True), (6, False)):
             guard = poison_guard.PoisonGuard(lambda _: True)
