--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -388,6 +388,30 @@
         sink, _, _ = send_once(script)
         self.assertFalse(sink.is_whole)
 
+    def send_unframed_stream(self, rest, end):
+        """Sends a stream without a length that ends in some way."""
+
+        def script(request):
+            head = answer(request, b"").replace(b"content-length: 0\r\n", b"")
+            events = b"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+            return [head + events + rest, 0.05, end]
+
+        return send_once(script)[0]
+
+    def test_stream_without_a_length_is_complete_at_the_end_of_an_event(self):
+        sink = self.send_unframed_stream(b"", Act.CLOSE)
+        self.assertEqual(sink.body, b"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n")
+        self.assertTrue(sink.is_whole)
+
+    def test_stream_without_a_length_that_ends_in_an_event_is_broken_off(self):
+        sink = self.send_unframed_stream(b"id: 3\nda", Act.CLOSE)
+        self.assertNotIn(b"id: 3", sink.body)
+        self.assertFalse(sink.is_whole)
+
+    def test_stream_without_a_length_that_is_reset_is_broken_off(self):
+        sink = self.send_unframed_stream(b"", Act.RESET)
+        self.assertFalse(sink.is_whole)
+
     def test_cancelled_request_stops_at_the_target(self):
         async def scenario(fixture, targets):
             task = asyncio.create_task(fixture.send())
--- a/tests/lib/scripted_target.py
+++ b/tests/lib/scripted_target.py
@@ -3,9 +3,13 @@
 import asyncio
 import enum
 import re
+import socket
+import struct
 
 import attrs
 
+_NO_LINGER = struct.pack("ii", 1, 0)
+
 
 class Action(enum.Enum):
     """A step of a script other than bytes to send or a pause."""
@@ -105,6 +109,10 @@
                 self.request_received.set()
                 for step in self._script(request):
                     if step is Action.RESET:
+                        # Without this, a close with nothing unread is no reset.
+                        writer.get_extra_info("socket").setsockopt(
+                            socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+                        )
                         writer.transport.abort()
                         return
                     if step is Action.CLOSE:
