Don't take a version for outdated before a session knows the era

cardamomforkd opens a session for each watch. Since versions include the era, such a session, which knows none yet, ended each watch as compacted once the store had been restored. A conditional write of a new session reads the key first, so that it does not hold by accident.

--- a/src/cardamomfork/_internal/links/store_eras.py
+++ b/src/cardamomfork/_internal/links/store_eras.py
@@ -29,9 +29,14 @@
 
     @property
     def current(self) -> int:
-        """Era of the newest answer."""
+        """Era of the newest answer; 0 before the first."""
         return self._era
 
+    @property
+    def is_known(self) -> bool:
+        """Whether an answer has shown the era."""
+        return self._has_answered
+
     def record(self, era: int | None, sent_era: int) -> int | None:
         """Records the era that an answer states.
 
--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -285,12 +285,14 @@
         deletes: list[str] | None = None,
     ) -> result.Result[int, store.CompareFailed | store.StoreFault]:
         """Commits a conditional change of one key; returns its version."""
-        if self._is_outdated(expected):
-            # The same revision may now belong to another value.
+        is_era_known = self._eras.is_known or expected == store.ABSENT
+        if not is_era_known or self._is_outdated(expected):
+            # In another era, the same revision may belong to another value.
             read = await self.get(key)
             if isinstance(read, result.Err):
                 return read
-            return result.Err(store.CompareFailed(key, read.ok_value))
+            if self._is_outdated(expected):
+                return result.Err(store.CompareFailed(key, read.ok_value))
         revision = store.split_era(expected)[1]
         transaction = store_messages.Transaction(
             expect=[store_messages.Comparison(self._prefix + key, revision)],
@@ -343,10 +345,14 @@
         return await self._client.call(method, path, body, key, writes=True)
 
     def _is_outdated(self, version: int) -> bool:
-        """Returns whether a version or lease is from another era; 0 isn't."""
-        return (
-            version != 0 and store.split_era(version)[0] != self._eras.current
-        )
+        """Returns whether a version or lease is from another era; 0 isn't.
+
+        Before the first answer the store's era is not known, and no version is
+        outdated.
+        """
+        if version == 0 or not self._eras.is_known:
+            return False
+        return store.split_era(version)[0] != self._eras.current
 
     def _to_entries(
         self, items: list[store_messages.Item], key: str, era: int
--- a/tests/unit/test_store_eras.py
+++ b/tests/unit/test_store_eras.py
@@ -48,17 +48,19 @@
 
 
 class RestoredClientTest(unittest.TestCase):
+    def make_client(self):
+        return store_client.PlatformStore(
+            settings.StoreSettings(("store:1",), 1.5, prefix=""),
+            restored_fleet.StandinTransport(
+                self.app, random.Random(1), lambda method, path: None
+            ),
+        )
+
     def run_client(self, scenario):
         async def main():
             self.memory = store_standin.MemoryStore(clock.LoopClock())
             self.app = store_server.StoreApp(self.memory)
-            client = store_client.PlatformStore(
-                settings.StoreSettings(("store:1",), 1.5, prefix=""),
-                restored_fleet.StandinTransport(
-                    self.app, random.Random(1), lambda method, path: None
-                ),
-            )
-            await scenario(client)
+            await scenario(self.make_client())
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
@@ -114,6 +116,36 @@
 
         self.run_client(scenario)
 
+    def test_new_session_goes_on_with_the_versions_of_the_current_era(self):
+        async def scenario(client):
+            self.memory.restore(self.memory.copy())
+            first = (await client.put("k", b"1", expected=0)).unwrap()
+            second = self.make_client()
+            await client.put("k", b"2", expected=first.version)
+            changed = (await second.changes("k", first.version, 2.0)).unwrap()
+            self.assertEqual([e.value for e in changed.entries], [b"2"])
+            third = self.make_client()
+            written = await third.put(
+                "k", b"3", expected=changed.entries[0].version
+            )
+            self.assertTrue(written.is_ok())
+
+        self.run_client(scenario)
+
+    def test_new_session_does_not_write_on_a_condition_of_an_older_era(self):
+        async def scenario(client):
+            copied = self.memory.copy()
+            ours = (await client.put("k", b"ours", expected=0)).unwrap()
+            self.memory.restore(copied)
+            self.memory.write("k", b"theirs", 0, 0)
+            lost = await self.make_client().put(
+                "k", b"again", expected=ours.version
+            )
+            self.assertEqual(lost.unwrap_err().current.value, b"theirs")
+            self.assertEqual(self.memory.read("k").value, b"theirs")
+
+        self.run_client(scenario)
+
     def test_versions_of_a_later_era_are_higher(self):
         async def scenario(client):
             for number in range(3):
