--- a/src/cardamomfork/_internal/gateway/crash_detector.py
+++ b/src/cardamomfork/_internal/gateway/crash_detector.py
@@ -143,7 +143,7 @@
         """
         self._add_suspect(exchange, record, "caller left", has_written)
 
-    def writing_goes_on(
+    def attempt_survived(
         self, exchange: exchanges.Exchange, began_at: float
     ) -> None:
         """Records that a target has written for `SURVIVAL_S`, or completely.
@@ -172,7 +172,7 @@
             first_at: Time of the first event; None if there was none.
         """
         if first_at is not None:
-            self.writing_goes_on(exchange, first_at)
+            self.attempt_survived(exchange, first_at)
         refuted_count = self._guard.record_completion(
             exchange.fingerprint, self._clock()
         )
--- a/src/cardamomfork/_internal/gateway/crash_persistence.py
+++ b/src/cardamomfork/_internal/gateway/crash_persistence.py
@@ -16,6 +16,7 @@
 import result
 
 from cardamomfork._internal.contracts import store
+from cardamomfork._internal.gateway import crash_records
 from cardamomfork._internal.gateway import poison_guard
 
 if TYPE_CHECKING:
@@ -121,7 +122,7 @@
             return
         try:
             reports = msgspec.json.decode(
-                entry.value, type=list[poison_guard.CrashReport]
+                entry.value, type=list[crash_records.CrashReport]
             )
         except msgspec.DecodeError as error:
             logger.warning(
--- a/src/cardamomfork/_internal/gateway/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/digest_codec.py
@@ -11,10 +11,10 @@
 import capnp
 import result
 
+from cardamomfork._internal.gateway import crash_records
 from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import fleet_state
 from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import poison_guard
 from cardamomfork._internal.gateway import rate_limits
 
 MS_PER_S = 1000.0
@@ -67,7 +67,7 @@
     targets_revision: int
     is_leaving: bool
     jobs: tuple[load_view.Job, ...]
-    deaths: tuple[poison_guard.CrashReport, ...]
+    deaths: tuple[crash_records.CrashReport, ...]
     rate_limits: tuple[rate_limits.RateLimitReport, ...] = ()
 
 
@@ -131,8 +131,8 @@
                     for index, job in enumerate(message.jobs)
                 ),
                 tuple(
-                    poison_guard.CrashReport(
-                        poison_guard.Crash(
+                    crash_records.CrashReport(
+                        crash_records.Crash(
                             death.fingerprint, death.targetId, death.startedAtMs
                         ),
                         death.isRefuted,
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -126,7 +126,7 @@
         now = self._clock()
         block = self._guard.find_block(exchange.suspects, now)
         if block is not None:
-            if not self._guard.try_again(block, now):
+            if not self._guard.start_trial(block, now):
                 return exchanges.FinalAnswer(
                     http.HTTPStatus.SERVICE_UNAVAILABLE,
                     block.reason,
@@ -245,7 +245,7 @@
                 writing.first_at, now
             ):
                 writing.is_recorded = True
-                self._detector.writing_goes_on(exchange, writing.first_at)
+                self._detector.attempt_survived(exchange, writing.first_at)
 
         delivery = attempt.Attempt(
             exchange.match.route,
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -26,6 +26,7 @@
     from collections.abc import Iterable
 
     from cardamomfork._internal.gateway import configuration_fetching
+    from cardamomfork._internal.gateway import crash_records
     from cardamomfork._internal.gateway import fleet_state
     from cardamomfork._internal.gateway import follower
     from cardamomfork._internal.gateway import load_view
@@ -264,7 +265,7 @@
 
     def _due_crash_reports(
         self, now: float
-    ) -> tuple[poison_guard.CrashReport, ...]:
+    ) -> tuple[crash_records.CrashReport, ...]:
         """Returns the crash reports of a digest that is sent now."""
         if now - self._crashes_sent_at < CRASH_REPORT_INTERVAL_S:
             return ()
--- a/src/cardamomfork/_internal/gateway/poison_guard.py
+++ b/src/cardamomfork/_internal/gateway/poison_guard.py
@@ -18,6 +18,7 @@
 
 from cardamomfork._internal import bounded_tables
 from cardamomfork._internal.gateway import crash_attribution
+from cardamomfork._internal.gateway import crash_records
 from cardamomfork._internal.gateway import fingerprints
 from cardamomfork._internal.gateway import request_log
 
@@ -66,122 +67,6 @@
 """Bounds the crashes of one suspect in a digest."""
 
 
-@attrs.frozen
-class Crash:
-    """A crash of a target while it ran a request.
-
-    Attributes:
-        fingerprint: Fingerprint of the request or of a part of its prompt.
-        target_id: The target.
-        started_at_ms: Start of the target's process, in Unix milliseconds. A
-            target may restart under its id and crash again.
-    """
-
-    fingerprint: int
-    target_id: str
-    started_at_ms: int
-
-
-@attrs.frozen
-class CrashReport:
-    """A crash as it is sent to peers.
-
-    Attributes:
-        crash: The crash.
-        is_refuted: Whether the request or part is known not to be the cause.
-    """
-
-    crash: Crash
-    is_refuted: bool = False
-
-
-@attrs.define
-class _Evidence:
-    """What is known of a crash.
-
-    Attributes:
-        recorded_at: Time at which it was recorded.
-        is_refuted: Whether the suspect was not its cause.
-    """
-
-    recorded_at: float
-    is_refuted: bool
-
-
-@attrs.define
-class _CrashRecord:
-    """Crashes of targets under one suspect.
-
-    Attributes:
-        evidence: What is known of each crash, oldest first.
-        local: Crashes that this instance confirmed or refuted.
-        changed_at: Time of the last change.
-    """
-
-    evidence: dict[Crash, _Evidence] = attrs.field(factory=dict)
-    local: set[Crash] = attrs.field(factory=set)
-    changed_at: float = 0.0
-
-    @property
-    def count(self) -> int:
-        """Number of crashes that are not refuted."""
-        return sum(not known.is_refuted for known in self.evidence.values())
-
-    @property
-    def first_at(self) -> float:
-        """Time of the first crash that is not refuted."""
-        return min(
-            known.recorded_at
-            for known in self.evidence.values()
-            if not known.is_refuted
-        )
-
-    @property
-    def processes(self) -> frozenset[crash_attribution.Process]:
-        """Processes of the crashes that are not refuted."""
-        return frozenset(
-            (crash.target_id, crash.started_at_ms)
-            for crash, known in self.evidence.items()
-            if not known.is_refuted
-        )
-
-    def reports(self, max_count: int) -> list[CrashReport]:
-        """Returns reports of the newest crashes."""
-        newest = list(self.evidence.items())[-max_count:]
-        return [CrashReport(crash, known.is_refuted) for crash, known in newest]
-
-    def local_reports(self, max_count: int) -> list[CrashReport]:
-        """Returns reports of the crashes that peers may not know."""
-        reports = [
-            CrashReport(crash, known.is_refuted)
-            for crash, known in self.evidence.items()
-            if crash in self.local
-        ]
-        return reports[-max_count:]
-
-    def refute(self, until: float, max_count: int) -> int:
-        """Refutes crashes; returns their number.
-
-        Args:
-            until: Time until which they were recorded.
-            max_count: Largest number to refute.
-        """
-        refutable = [
-            (crash, known)
-            for crash, known in self.evidence.items()
-            if not known.is_refuted and known.recorded_at <= until
-        ]
-        if not refutable:
-            return 0
-        # Instances begin at different crashes, so that each refutes another.
-        first = int(until * 1e6) % len(refutable)
-        refuted = (refutable[first:] + refutable[:first])[:max_count]
-        for crash, known in refuted:
-            known.is_refuted = True
-            self.local.add(crash)
-        return len(refuted)
-
-
 @attrs.frozen
 class Block:
     """Why a request must not be sent to targets.
@@ -237,9 +122,11 @@
                 the part with a fingerprint again.
         """
         self._owns_trials = owns_trials
-        self._suspects: OrderedDict[Crash, float] = OrderedDict()
+        self._suspects: OrderedDict[crash_records.Crash, float] = OrderedDict()
         # By fingerprint, least recently changed first.
-        self._crashes: OrderedDict[int, _CrashRecord] = OrderedDict()
+        self._crashes: OrderedDict[int, crash_records.CrashRecord] = (
+            OrderedDict()
+        )
         # Starts of writings that have not refuted a crash yet, by part.
         self._writings: OrderedDict[int, tuple[float, ...]] = OrderedDict()
         self._causes: list[crash_attribution.Cause] = []
@@ -265,7 +152,7 @@
             for fingerprint in cause.suspects
         )
 
-    def recent_crashes(self, now: float) -> list[CrashReport]:
+    def recent_crashes(self, now: float) -> list[crash_records.CrashReport]:
         """Returns the crashes to send to peers, at most `MAX_SHARED_CRASHES`.
 
         Blocked suspects, new crashes that this instance confirmed, and those
@@ -282,7 +169,7 @@
             if record.local and fingerprint not in blocked:
                 (confirmed if record.count else refuted).append(fingerprint)
         confirmed.sort(key=self.crash_count, reverse=True)
-        shared: list[CrashReport] = []
+        shared: list[crash_records.CrashReport] = []
         for turn in itertools.zip_longest(blocked, confirmed, refuted):
             if len(shared) >= MAX_SHARED_CRASHES:
                 break
@@ -297,7 +184,9 @@
                 )
         return shared[:MAX_SHARED_CRASHES]
 
-    def repeated_crashes(self, now: float, min_count: int) -> list[CrashReport]:
+    def repeated_crashes(
+        self, now: float, min_count: int
+    ) -> list[crash_records.CrashReport]:
         """Returns the crashes of the suspects with at least `min_count`.
 
         Only blocked suspects and those with a new crash are included, at most
@@ -330,14 +219,16 @@
         self._drop_old_suspects(now)
         bounded_tables.put_newest(
             self._suspects,
-            Crash(fingerprint, target.target_id, target.started_at_ms),
+            crash_records.Crash(
+                fingerprint, target.target_id, target.started_at_ms
+            ),
             now,
             MAX_ENTRIES,
         )
 
     def confirm_crash(
         self, target: fleet.TargetRecord, now: float
-    ) -> list[Crash]:
+    ) -> list[crash_records.Crash]:
         """Records that a target has ended; returns the confirmed crashes."""
         self._drop_old_suspects(now)
         confirmed = [
@@ -348,12 +239,12 @@
         ]
         for crash in confirmed:
             del self._suspects[crash]
-            self.record_crash(CrashReport(crash), now)
+            self.record_crash(crash_records.CrashReport(crash), now)
             self._crashes[crash.fingerprint].local.add(crash)
         return confirmed
 
     def record_crash(
-        self, report: CrashReport, now: float, age_s: float = 0.0
+        self, report: crash_records.CrashReport, now: float, age_s: float = 0.0
     ) -> bool:
         """Records a crash that this instance or a peer has seen.
 
@@ -366,7 +257,9 @@
             Whether the crash counts and was not known before.
         """
         crash = report.crash
-        record = self._crashes.get(crash.fingerprint) or _CrashRecord()
+        record = (
+            self._crashes.get(crash.fingerprint) or crash_records.CrashRecord()
+        )
         known = record.evidence.get(crash)
         is_refuted = report.is_refuted
         if known is None:
@@ -374,7 +267,9 @@
                 crash.fingerprint, now - REPORT_DELAY_S
             )
             is_refuted |= is_objection
-            record.evidence[crash] = _Evidence(now - age_s, is_refuted)
+            record.evidence[crash] = crash_records.Evidence(
+                now - age_s, is_refuted
+            )
             if is_objection:
                 record.local.add(crash)
             while len(record.evidence) > MAX_KEPT_CRASHES:
@@ -457,7 +352,7 @@
             return Block(cause, changed_at + BLOCK_S - now, is_certain)
         return None
 
-    def try_again(self, block: Block, now: float) -> bool:
+    def start_trial(self, block: Block, now: float) -> bool:
         """Returns whether a blocked request is let through, as a trial.
 
         There are few trials, one at a time and at one instance, since each may
@@ -556,7 +451,7 @@
                 request_log.block_ended(cause)
 
     def _put_changed(
-        self, fingerprint: int, record: _CrashRecord, now: float
+        self, fingerprint: int, record: crash_records.CrashRecord, now: float
     ) -> None:
         """Stores a record that has changed."""
         record.changed_at = now
--- a/src/cardamomfork/_internal/gateway/request_log.py
+++ b/src/cardamomfork/_internal/gateway/request_log.py
@@ -11,8 +11,8 @@
 
 if TYPE_CHECKING:
     from cardamomfork._internal.gateway import crash_attribution
+    from cardamomfork._internal.gateway import crash_records
     from cardamomfork._internal.gateway import placement
-    from cardamomfork._internal.gateway import poison_guard
     from cardamomfork._internal.gateway import routes
 
 
@@ -126,7 +126,7 @@
         )
 
 
-def crash_confirmed(crash: poison_guard.Crash, count: int, kind: str) -> None:
+def crash_confirmed(crash: crash_records.Crash, count: int, kind: str) -> None:
     """Logs that this instance confirmed a crash.
 
     Args:
@@ -160,7 +160,7 @@
 
 
 def _log_crash(
-    message: str, crash: poison_guard.Crash, count: int, kind: str
+    message: str, crash: crash_records.Crash, count: int, kind: str
 ) -> None:
     """Logs a message about a crash."""
     logger.warning(
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -10,6 +10,7 @@
 import anyio
 
 from cardamomfork._internal.gateway import crash_detector
+from cardamomfork._internal.gateway import crash_records
 from cardamomfork._internal.gateway import exchanges
 from cardamomfork._internal.gateway import forwarding
 from cardamomfork._internal.gateway import poison_guard
@@ -483,8 +484,8 @@
 
 def record_crash(guard, body, target_id):
     """Records a crash of a target while it ran a request."""
-    crash = poison_guard.Crash(hash(body), target_id, 1)
-    guard.record_crash(poison_guard.CrashReport(crash), time.monotonic())
+    crash = crash_records.Crash(hash(body), target_id, 1)
+    guard.record_crash(crash_records.CrashReport(crash), time.monotonic())
 
 
 def refuse_as_another_target(request):
--- a/tests/unit/test_crash_attribution.py
+++ b/tests/unit/test_crash_attribution.py
@@ -5,6 +5,7 @@
 
 from cardamomfork._internal.gateway import crash_attribution
 from cardamomfork._internal.gateway import crash_detector
+from cardamomfork._internal.gateway import crash_records
 from cardamomfork._internal.gateway import fingerprints
 from cardamomfork._internal.gateway import poison_guard
 from tests.lib import gateway_parts
@@ -72,7 +73,7 @@
         """Handles a request at a random instance; tries it twice at most."""
         guard = self.rng.choice(self.guards)
         block = guard.find_block(suspects, self.now)
-        if block is not None and not guard.try_again(block, self.now):
+        if block is not None and not guard.start_trial(block, self.now):
             if CULPRIT not in suspects:
                 self.refused_sound.append((self.now, suspects))
             return
@@ -264,7 +265,7 @@
         block = other.find_block(alone, fleet.now)
         self.assertFalse(block.is_certain)
         self.assertLessEqual(block.retry_after_s, 1.0)
-        self.assertFalse(other.try_again(block, fleet.now))
+        self.assertFalse(other.start_trial(block, fleet.now))
         fleet.guards[0].record_writing([COMPANION], fleet.now, fleet.now)
         fleet.run(3.0, 8, fleet.sound)
         self.assertEqual(fleet.blocked(), {CULPRIT})
@@ -350,8 +351,8 @@
         guard = poison_guard.PoisonGuard()
         for number in range(20):
             for engine in range(3):
-                crash = poison_guard.Crash(number * 256, f"t{engine}", number)
-                guard.record_crash(poison_guard.CrashReport(crash), 1.0)
+                crash = crash_records.Crash(number * 256, f"t{engine}", number)
+                guard.record_crash(crash_records.CrashReport(crash), 1.0)
         self.assertEqual(len(guard.blocked(1.0)), 20)
         crash_beside(guard, [CULPRIT], range(2), 2.0)
         crash_beside(guard, [COMPANION], [3], 2.0)
@@ -369,14 +370,14 @@
             crash_beside(guard, [CULPRIT], range(count), 1.0)
             now = 1.0 + poison_guard.TRIAL_DELAY_S
             block = guard.find_block((256, CULPRIT), now)
-            self.assertEqual(guard.try_again(block, now), expected)
-            self.assertFalse(guard.try_again(block, now))
+            self.assertEqual(guard.start_trial(block, now), expected)
+            self.assertFalse(guard.start_trial(block, now))
 
     def test_block_is_not_tried_right_after_a_crash(self):
         guard = poison_guard.PoisonGuard(lambda _: True)
         crash_beside(guard, [CULPRIT], range(4), 1.0)
         block = guard.find_block((256, CULPRIT), 9.0)
-        self.assertFalse(guard.try_again(block, 9.0))
+        self.assertFalse(guard.start_trial(block, 9.0))
 
     def test_repeated_request_is_blocked_but_not_others_with_its_part(self):
         guard = poison_guard.PoisonGuard()
--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 import result
 
+from cardamomfork._internal.gateway import crash_records
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import event_stream
 from cardamomfork._internal.gateway import load_view
@@ -166,8 +167,8 @@
 def record_crashes(guard, fingerprint, count, now):
     """Records crashes of different targets due to a request."""
     for number in range(count):
-        crash = poison_guard.Crash(fingerprint, f"t{number}", 1)
-        guard.record_crash(poison_guard.CrashReport(crash), now)
+        crash = crash_records.Crash(fingerprint, f"t{number}", 1)
+        guard.record_crash(crash_records.CrashReport(crash), now)
 
 
 def confirm_crashes(guard, fingerprint, count, now):
@@ -186,8 +187,8 @@
             guard.add_suspect(7, target, 1.0)
             guard.confirm_crash(target, 1.5)
         self.assertFalse(guard.is_blocked(7, 2.0))
-        crash = poison_guard.Crash(7, "t9", 1)
-        guard.record_crash(poison_guard.CrashReport(crash), 2.0)
+        crash = crash_records.Crash(7, "t9", 1)
+        guard.record_crash(crash_records.CrashReport(crash), 2.0)
         self.assertTrue(guard.is_blocked(7, 2.0))
         self.assertFalse(guard.is_blocked(8, 2.0))
         self.assertFalse(guard.is_blocked(7, 2.0 + poison_guard.BLOCK_S))
@@ -362,8 +363,8 @@
         False,
         jobs,
         (
-            poison_guard.CrashReport(
-                poison_guard.Crash(2**64 - 1, "t1", 1_790_000_000_000), True
+            crash_records.CrashReport(
+                crash_records.Crash(2**64 - 1, "t1", 1_790_000_000_000), True
             ),
         ),
     )
--- a/tests/unit/test_gateway_retrying.py
+++ b/tests/unit/test_gateway_retrying.py
@@ -4,6 +4,7 @@
 import types
 import unittest
 
+from cardamomfork._internal.gateway import crash_records
 from cardamomfork._internal.gateway import exchanges
 from cardamomfork._internal.gateway import outcomes
 from cardamomfork._internal.gateway import poison_guard
@@ -107,11 +108,11 @@
     def test_request_that_crashed_several_targets_is_not_retried(self):
         case = Case(fleet.RepeatPolicy.SAFE)
         for number in range(3):
-            crash = poison_guard.Crash(
+            crash = crash_records.Crash(
                 case.exchange.fingerprint, f"t{number}", 1
             )
             case.guard.record_crash(
-                poison_guard.CrashReport(crash), case.clock.now
+                crash_records.CrashReport(crash), case.clock.now
             )
         final = case.decide(Failure.BROKEN)
         self.assertIn("crashed several targets", final.reason)
@@ -119,9 +120,9 @@
     def test_caller_of_a_blocked_request_learns_when_the_block_ends(self):
         case = Case(fleet.RepeatPolicy.ONCE, possible_runs=0)
         for number in range(3):
-            crash = poison_guard.Crash(7, f"t{number}", 1)
+            crash = crash_records.Crash(7, f"t{number}", 1)
             case.guard.record_crash(
-                poison_guard.CrashReport(crash), case.clock.now - 10.0
+                crash_records.CrashReport(crash), case.clock.now - 10.0
             )
         final = case.decide(Failure.BLOCKED)
         self.assertEqual(final.status, 503)
