Use ids of leases as the store gives them

The platform's ids are far above the revisions, so their upper digits were taken for an era, each lease counted as gone, and no instance registered: since then instances had found no peers, and shared neither load nor crash reports.

Ids are now passed on as they are, and the client remembers the era of each lease that it was granted. The stand-in store grants ids far above its revisions.

--- a/src/cardamomfork/_internal/contracts/store.py
+++ b/src/cardamomfork/_internal/contracts/store.py
@@ -3,10 +3,10 @@
 The store offers compare-and-swap on key versions, leases and watches. The
 platform counts every call; a waiting watch counts as one call.
 
-The store may be restored from an older copy, and then gives revisions and ids
-of leases out again. Each restoration begins an era. Versions, revisions and ids
-of leases in this interface include the era, so they never occur again and those
-of a later era are higher.
+The store may be restored from an older copy, and then gives revisions out
+again. Each restoration begins an era. Versions and revisions in this interface
+include the era, so they never occur again and those of a later era are higher.
+A lease ends with the era in which it was granted.
 """
 
 from __future__ import annotations
@@ -31,7 +31,7 @@
 
 
 def join_era(era: int, revision: int) -> int:
-    """Returns a revision or the id of a lease including its era."""
+    """Returns a revision including its era."""
     return era * REVISIONS_PER_ERA + revision
 
 
--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 import contextlib
 from typing import TYPE_CHECKING
 from typing import TypeVar
@@ -10,6 +11,7 @@
 import msgspec
 import result
 
+from cardamomfork._internal import bounded_tables
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.links import store_eras
 from cardamomfork._internal.platform import store_calls
@@ -25,6 +27,8 @@
 """Long-poll duration of a watch; an empty batch is yielded after it."""
 WATCH_MARGIN_S = 0.6
 """Time beyond `WATCH_WAIT_S` after which a watch call times out."""
+MAX_LEASES = 1024
+"""Leases of one client whose era is kept."""
 
 _OK = 200
 _NOT_FOUND = 404
@@ -50,6 +54,7 @@
         """
         self._prefix = store_settings.prefix
         self._eras = store_eras.EraTracker()
+        self._lease_eras: OrderedDict[int, int] = OrderedDict()
         self._client = store_calls.StoreCalls(
             store_settings.endpoints,
             store_settings.timeout_s,
@@ -178,12 +183,10 @@
                 f"The value has {len(value)} bytes, more than the store's"
                 f" {store.MAX_VALUE_BYTES}.",
             )
-        if self._is_outdated(lease):
+        if self._is_lease_gone(lease):
             return _fault_result(store.StoreFaultKind.LEASE_GONE, key)
         write = store_messages.Write(
-            self._prefix + key,
-            store_messages.encode_value(value),
-            store.split_era(lease)[1],
+            self._prefix + key, store_messages.encode_value(value), lease
         )
         written = await self._commit(key, expected, puts=[write])
         return written.map(
@@ -209,31 +212,31 @@
         response = await self._write("POST", "/-/kv-lease", body, "lease")
         if isinstance(response, result.Err):
             return response
-        era = response.ok_value.era
-        return _decode(
+        granted = _decode(
             response.ok_value, store_messages.LeaseAnswer, "lease"
-        ).map(
-            lambda answer: store.Lease(
-                store.join_era(era, answer.lease), answer.ttl_ms / 1000
-            )
         )
+        if isinstance(granted, result.Err):
+            return granted
+        lease_id = granted.ok_value.lease
+        bounded_tables.put_newest(
+            self._lease_eras, lease_id, response.ok_value.era, MAX_LEASES
+        )
+        return result.Ok(store.Lease(lease_id, granted.ok_value.ttl_ms / 1000))
 
     async def renew_lease(
         self, lease_id: int
     ) -> result.Result[store.Lease, store.StoreFault]:
         """Renews a lease; returns `LEASE_GONE` if it has expired."""
         gone = _fault_result(store.StoreFaultKind.LEASE_GONE, "lease")
-        if self._is_outdated(lease_id):
+        if self._is_lease_gone(lease_id):
             return gone
-        number = store.split_era(lease_id)[1]
         response = await self._write(
-            "POST", f"/-/kv-keep/{number}", b"", "lease"
+            "POST", f"/-/kv-keep/{lease_id}", b"", "lease"
         )
         if isinstance(response, result.Err):
             return response
-        if response.ok_value.status == _NOT_FOUND or self._is_outdated(
-            lease_id
-        ):
+        is_missing = response.ok_value.status == _NOT_FOUND
+        if is_missing or self._is_lease_gone(lease_id):
             return gone
         return _decode(
             response.ok_value, store_messages.LeaseAnswer, "lease"
@@ -243,11 +246,10 @@
         self, lease_id: int
     ) -> result.Result[None, store.StoreFault]:
         """Revokes a lease and deletes the keys attached to it."""
-        if self._is_outdated(lease_id):
+        if self._is_lease_gone(lease_id):
             return result.Ok(None)
-        number = store.split_era(lease_id)[1]
         response = await self._write(
-            "DELETE", f"/-/kv-lease-end/{number}", b"", "lease"
+            "DELETE", f"/-/kv-lease-end/{lease_id}", b"", "lease"
         )
         return response.map(lambda _: None)
 
@@ -344,8 +346,13 @@
         """Sends a call that may change data."""
         return await self._client.call(method, path, body, key, writes=True)
 
+    def _is_lease_gone(self, lease_id: int) -> bool:
+        """Returns whether a lease of this client is from another era."""
+        era = self._lease_eras.get(lease_id, self._eras.current)
+        return era != self._eras.current
+
     def _is_outdated(self, version: int) -> bool:
-        """Returns whether a version or lease is from another era; 0 isn't.
+        """Returns whether a version is from another era; 0 isn't.
 
         Before the first answer the store's era is not known, and no version is
         outdated.
--- a/src/cardamomfork/_internal/platform/store_messages.py
+++ b/src/cardamomfork/_internal/platform/store_messages.py
@@ -34,10 +34,7 @@
             return store.Entry(key, b"", store.ABSENT)
         value = decode_value(self.value)
         return store.Entry(
-            key,
-            value,
-            store.join_era(era, self.revision),
-            store.join_era(era, self.lease) if self.lease else 0,
+            key, value, store.join_era(era, self.revision), self.lease
         )
 
 
--- a/src/cardamomfork/_internal/standins/store.py
+++ b/src/cardamomfork/_internal/standins/store.py
@@ -24,6 +24,8 @@
 
 WATCH_HEARTBEAT_S = 2.0
 MAX_HISTORY = 10_000
+FIRST_LEASE_ID = 10**15
+"""Ids of leases may be any whole numbers, also far above the revisions."""
 
 
 @attrs.define
@@ -162,12 +164,13 @@
         return result.Ok(self._apply(key, value, lease))
 
     def grant(self, ttl_s: float) -> store_contract.Lease:
-        """Grants a lease; its id is a new revision, so ids increase."""
+        """Grants a lease; its id follows a new revision, so ids increase."""
         self._revision += 1
-        self._leases[self._revision] = _LeaseRecord(
+        lease_id = FIRST_LEASE_ID + self._revision
+        self._leases[lease_id] = _LeaseRecord(
             ttl_s, self._clock.monotonic() + ttl_s
         )
-        return store_contract.Lease(self._revision, ttl_s)
+        return store_contract.Lease(lease_id, ttl_s)
 
     def renew(self, lease_id: int) -> store_contract.Lease | None:
         """Renews a lease; returns None if it has expired."""
--- a/tests/unit/test_store_eras.py
+++ b/tests/unit/test_store_eras.py
@@ -95,6 +95,19 @@
 
         self.run_client(scenario)
 
+    def test_lease_with_a_large_id_can_be_used_and_renewed(self):
+        async def scenario(client):
+            lease = (await client.grant_lease(5.0)).unwrap()
+            self.assertGreater(lease.lease_id, store_contract.REVISIONS_PER_ERA)
+            written = await client.put(
+                "k", b"v", expected=0, lease=lease.lease_id
+            )
+            self.assertTrue(written.is_ok())
+            renewed = await client.renew_lease(lease.lease_id)
+            self.assertTrue(renewed.is_ok())
+
+        self.run_client(scenario)
+
     def test_poll_ends_as_soon_as_another_call_shows_the_restoration(self):
         async def scenario(client):
             await client.put("k", b"v", expected=0)
