--- a/src/cardamomfork/_internal/gateway/registration.py
+++ b/src/cardamomfork/_internal/gateway/registration.py
@@ -31,9 +31,12 @@
 """Time after which entries are read again, in case datagrams between two
 instances were lost when both read the entries first."""
 
-RESTORED_SPREAD_S = 1.3
-"""Longest random delay before an instance registers again in a store that was
-restored from a copy, so that not all instances write at the same time."""
+SPREAD_PER_INSTANCE_S = 0.015
+"""Longest random delay, times the number of instances, before one registers
+again in a store that was restored from a copy. Keeps the writes of all
+instances together below 200 a second."""
+MAX_SPREAD_S = 1.3
+"""Longest delay in a large fleet."""
 
 
 async def maintain_registration(
@@ -89,7 +92,8 @@
             RENEW_INTERVAL_S if is_settled else RETRY_DELAY_S
         ):
             await polled_store.wait_until_restored()
-            await anyio.sleep(RESTORED_SPREAD_S * rng.random())
+            spread_s = SPREAD_PER_INSTANCE_S * table.known_count
+            await anyio.sleep(min(spread_s, MAX_SPREAD_S) * rng.random())
 
 
 async def _write_entry(
