Doubt restored entries also across outages and for lapsed targets

What callers saw: none reported.

Cause: the time in which a restored entry is doubted ran out while the store was away and was restored once more; and a target whose entry had lapsed was not remembered as ended, so that a second restoration brought it back.

An outage now starts that time anew, and lapsed targets are remembered. What tells a late entry from one of the copy is its revision: entries above that of the first scan since the restoration were written again.

--- a/src/cardamomfork/_internal/gateway/crash_persistence.py
+++ b/src/cardamomfork/_internal/gateway/crash_persistence.py
@@ -93,8 +93,9 @@
             elif self._lease is not None:
                 await self._renew()
 
-    def store_restored(self) -> None:
+    def store_restored(self, revision: int) -> None:
         """Writes this instance's reports again, since they may be lost."""
+        del revision
         if self._lease is not None:
             self._lease = None
             self.notify()
--- a/src/cardamomfork/_internal/gateway/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/fleet_state.py
@@ -68,6 +68,7 @@
         self._has_targets = False
         self._store_lost_at: float | None = None
         self._store_regained_at = -SCAN_LAPSE_WINDOW_S
+        self._restored_revision = 0
 
     @property
     def routes(self) -> routes.RouteTable | None:
@@ -180,6 +181,7 @@
     def replace_targets(self, entries: Iterable[store.Entry]) -> None:
         """Replaces all targets by those of a full scan."""
         records = []
+        rewritten = set()
         for entry in entries:
             decoded = self._wire.decode_target(entry.key, entry.value)
             if isinstance(decoded, result.Err):
@@ -190,10 +192,13 @@
                 )
                 continue
             records.append(decoded.ok_value)
+            if entry.version > self._restored_revision:
+                rewritten.add(decoded.ok_value.target_id)
         self._table.replace_all(
             records,
             self._clock(),
             may_return=self._had_recent_outage(SCAN_LAPSE_WINDOW_S),
+            rewritten=rewritten,
         )
         self._has_targets = True
         logger.info("targets read", count=len(records))
@@ -217,9 +222,15 @@
             self._store_regained_at = now
             self._table.postpone_expiry(now)
 
-    def store_restored(self) -> None:
-        """Records that the store was restored from an older copy."""
+    def store_restored(self, revision: int) -> None:
+        """Records that the store was restored from an older copy.
+
+        Args:
+            revision: Revision of the first scan since then. Entries up to it
+                may be those of the copy.
+        """
         now = self._clock()
+        self._restored_revision = revision
         self._store_regained_at = now
         self._table.postpone_expiry(now)
         self._table.store_restored(now)
--- a/src/cardamomfork/_internal/gateway/follower.py
+++ b/src/cardamomfork/_internal/gateway/follower.py
@@ -46,11 +46,14 @@
 class Handler(Protocol):
     """Receives the entries of a prefix and their changes."""
 
-    def store_restored(self) -> None:
+    def store_restored(self, revision: int) -> None:
         """Prepares for the first scan after a restoration from a copy.
 
         The scan may lack entries that are about to be written again, and may
         have entries that had been removed.
+
+        Args:
+            revision: Revision of that scan.
         """
         ...
 
@@ -158,7 +161,7 @@
                 self._on_answer(None)
                 entries = scanned.ok_value.entries
                 if self._is_restored(scanned.ok_value.revision):
-                    self._handler.store_restored()
+                    self._handler.store_restored(scanned.ok_value.revision)
                 self._revision = scanned.ok_value.revision
                 self._record_last_change(entries)
                 self._handler.apply_snapshot(entries)
--- a/src/cardamomfork/_internal/gateway/store_handlers.py
+++ b/src/cardamomfork/_internal/gateway/store_handlers.py
@@ -28,8 +28,9 @@
         self._state = state
         self._on_applied = on_applied
 
-    def store_restored(self) -> None:
+    def store_restored(self, revision: int) -> None:
         """Does nothing, since versions decide which configuration is newer."""
+        del revision
 
     def apply_snapshot(self, entries: Iterable[store.Entry]) -> None:
         """Applies the entries of a full scan."""
@@ -59,9 +60,9 @@
         self._state = state
         self._on_change = on_change
 
-    def store_restored(self) -> None:
+    def store_restored(self, revision: int) -> None:
         """Keeps what is known of targets until their entries are back."""
-        self._state.store_restored()
+        self._state.store_restored(revision)
 
     def apply_snapshot(self, entries: Iterable[store.Entry]) -> None:
         """Applies the entries of a full scan."""
--- a/src/cardamomfork/_internal/gateway/target_table.py
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Iterable
 
     from cardamomfork._internal.models import fleet
@@ -254,13 +255,25 @@
         now: float,
         *,
         may_return: bool,
+        rewritten: Collection[str] = (),
     ) -> None:
-        """Replaces all entries; processes that are not listed have ended."""
+        """Replaces all entries; processes that are not listed have ended.
+
+        Args:
+            records: The entries.
+            now: Monotonic time.
+            may_return: Whether entries may have lapsed in a store outage.
+            rewritten: Ids of the targets whose entries were written since the
+                store was last restored.
+        """
         self._doubtful.clear()
         listed = set()
         for record in records:
             listed.add(_process_key(record))
-            self._put_scanned(record, now)
+            if record.target_id in rewritten:
+                self.put(record)
+            else:
+                self._put_scanned(record, now)
         for target_id, target in list(self._targets.items()):
             if _process_key(target.record) not in listed:
                 self.remove(target_id, now, may_return=may_return)
@@ -284,14 +297,16 @@
             and now - target.entry_lost_at >= LOST_ENTRY_GRACE_S
         ]
         for target_id in expired:
-            # Its entry may be back late; nothing shows that it has ended.
-            record = self._targets[target_id].record
             self._drop(target_id)
-            del self._ended[_process_key(record)]
         return expired
 
     def postpone_expiry(self, now: float) -> None:
-        """Restarts the grace time of lost entries when the store is back."""
+        """Restarts the times of lost and doubtful entries after an outage.
+
+        The store may have been restored again in the outage.
+        """
+        if self._doubtful:
+            self._doubt_until = now + RESTORED_ENTRY_DOUBT_S
         for target in self._targets.values():
             if target.entry_lost_at is not None:
                 target.entry_lost_at = now
--- a/tests/unit/test_gateway_compaction.py
+++ b/tests/unit/test_gateway_compaction.py
@@ -87,7 +87,7 @@
         self.revision = 0
         self.received_at = 0.0
 
-    def store_restored(self):
+    def store_restored(self, revision):
         pass
 
     def apply_snapshot(self, entries):
--- a/tests/unit/test_gateway_fleet_state.py
+++ b/tests/unit/test_gateway_fleet_state.py
@@ -32,6 +32,9 @@
     return json.dumps({"version": version, "routes": list(routes)}).encode()
 
 
+RESTORED_REVISION = 7
+
+
 class FleetStateTest(unittest.TestCase):
     def setUp(self):
         self.clock = gateway_parts.Clock()
@@ -87,7 +90,7 @@
 
     def test_entry_of_a_copy_does_not_bring_back_a_target_that_left(self):
         self.state.apply_target(store.Entry("servers/t1", b"", store.ABSENT))
-        self.state.store_restored()
+        self.state.store_restored(RESTORED_REVISION)
         self.state.replace_targets([make_entry(1), make_entry(2)])
         self.assertEqual(self.usable_target_ids(), ["t2"])
         self.state.apply_target(make_entry(1, revision=9))
@@ -95,7 +98,7 @@
 
     def test_entry_of_a_copy_that_stays_is_used_again(self):
         self.state.apply_target(store.Entry("servers/t1", b"", store.ABSENT))
-        self.state.store_restored()
+        self.state.store_restored(RESTORED_REVISION)
         self.state.replace_targets([make_entry(1), make_entry(2)])
         self.clock.now += target_table.RESTORED_ENTRY_DOUBT_S
         self.state.expire()
@@ -104,25 +107,34 @@
     def test_leaving_target_stays_leaving_after_a_restoration(self):
         self.state.apply_target(make_entry(1, state="draining"))
         self.state.apply_target(store.Entry("servers/t1", b"", store.ABSENT))
-        self.state.store_restored()
+        self.state.store_restored(RESTORED_REVISION)
         self.state.replace_targets([make_entry(1), make_entry(2)])
         self.state.apply_target(make_entry(1, revision=9))
         self.assertEqual(self.usable_target_ids(), ["t2"])
 
     def test_older_process_in_a_copy_does_not_replace_a_newer_one(self):
         self.state.apply_target(make_entry(1, born=2))
-        self.state.store_restored()
+        self.state.store_restored(RESTORED_REVISION)
         self.state.replace_targets([make_entry(1), make_entry(2)])
         self.assertEqual(self.table.find("t1").record.started_at_ms, 2)
 
     def test_target_whose_entry_is_back_late_after_a_restoration_is_used(self):
-        self.state.store_restored()
+        self.state.store_restored(RESTORED_REVISION)
         self.state.replace_targets([make_entry(2)])
         self.clock.now += 1.7
         self.state.expire()
-        self.state.replace_targets([make_entry(1), make_entry(2)])
+        self.state.replace_targets([make_entry(1, revision=9), make_entry(2)])
         self.assertEqual(self.usable_target_ids(), ["t1", "t2"])
 
+    def test_lapsed_target_is_not_brought_back_by_a_second_restoration(self):
+        self.state.store_restored(RESTORED_REVISION)
+        self.state.replace_targets([make_entry(2)])
+        self.clock.now += 1.7
+        self.state.expire()
+        self.state.store_restored(RESTORED_REVISION)
+        self.state.replace_targets([make_entry(1), make_entry(2)])
+        self.assertEqual(self.usable_target_ids(), ["t2"])
+
     def test_targets_do_not_expire_during_an_outage(self):
         self.state.store_lost("test")
         self.clock.now += 30.0
--- a/tests/unit/test_gateway_following.py
+++ b/tests/unit/test_gateway_following.py
@@ -64,7 +64,7 @@
         self.keys = {}
         self.faults = 0
 
-    def store_restored(self):
+    def store_restored(self, revision):
         pass
 
     def apply_snapshot(self, entries):
--- a/tests/unit/test_gateway_restored_store.py
+++ b/tests/unit/test_gateway_restored_store.py
@@ -8,7 +8,7 @@
 SMALL_FLEET = 6
 LARGE_FLEET = 86
 RUNS = (
-    (SMALL_FLEET, (*range(1, 21), 75, 77, 88, 2099)),
+    (SMALL_FLEET, (*range(1, 21), 75, 77, 88, 2099, 2204)),
     (LARGE_FLEET, (2, 20)),
 )
 MAX_READS_PER_S = restored_fleet.READS_PER_S / 2
