--- a/src/cardamomfork/_internal/gateway/fingerprints.py
+++ b/src/cardamomfork/_internal/gateway/fingerprints.py
@@ -23,11 +23,9 @@
     digest.update(b"\0" + account.encode() + b"\0")
     digest.update(body)
     fingerprint = int(digest.intdigest())
-    return (
-        fingerprint ^ _REQUEST_KIND_FLIP
-        if is_part(fingerprint)
-        else (fingerprint)
-    )
+    if is_part(fingerprint):
+        fingerprint ^= _REQUEST_KIND_FLIP
+    return fingerprint
 
 
 def of_part(part_id: str) -> int:
