Don't read the due time of a digest from the event loop's handle

Cause: uvloop's `call_at` returns a `Handle` without `when` if the time has passed by then. `PeerLinks.notify` asked the pending handle for `when()`, and the AttributeError went through `_on_capacity_change` and the follower of the store, whose task ends the process. With 4 ms of coalescing, a pause of that length between two statements is enough.

The test gives `notify` such a handle: AttributeError before, passes now. The due time is now kept beside the handle, so nothing is asked of the handle but to be cancelled.

The other handlers of store changes and datagrams were read for the same: no other use of a handle's time, and exceptions in datagram callbacks go to the event loop's handler, which does not end the process.

--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -112,7 +112,8 @@
         self._crashes_sent_at = -CRASH_REPORT_INTERVAL_S
         self._rate_limits_sent_at = -RATE_LIMIT_REPORT_INTERVAL_S
         self._transport: asyncio.DatagramTransport | None = None
-        self._digest_timer: asyncio.TimerHandle | None = None
+        self._digest_timer: asyncio.Handle | None = None
+        self._digest_due_at = 0.0
 
     async def run(self) -> None:
         """Opens the socket and sends heartbeats until cancelled."""
@@ -156,9 +157,11 @@
             )
         due_at = loop.time() + delay_s
         if self._digest_timer is not None:
-            if self._digest_timer.when() <= due_at:
+            if self._digest_due_at <= due_at:
                 return
             self._digest_timer.cancel()
+        # uvloop returns a handle without `when` if that time has passed.
+        self._digest_due_at = due_at
         self._digest_timer = loop.call_at(due_at, self.send)
 
     def notify_crash(self) -> None:
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -4,6 +4,7 @@
 import collections
 import random
 import unittest
+from unittest import mock
 
 import attrs
 
@@ -101,6 +102,24 @@
         return load.running > local_jobs
 
 
+class LateLoop:
+    """An event loop that is late, as uvloop behaves then."""
+
+    def __init__(self):
+        self.scheduled = []
+
+    def time(self):
+        return 1.0
+
+    def call_at(self, when, callback):
+        del when
+        self.scheduled.append(callback)
+        return asyncio.Handle(callback, (), self)
+
+    def get_debug(self):
+        return False
+
+
 class Network:
     """Queues datagrams and counts those sent between data centres."""
 
@@ -279,5 +298,15 @@
         run_scenario(scenario)
 
 
+class LateTimerTest(unittest.TestCase):
+    def test_changes_on_a_late_event_loop_do_not_end_the_process(self):
+        instance = Network(SMALL_FLEET).all[0]
+        loop = LateLoop()
+        with mock.patch.object(asyncio, "get_running_loop", lambda: loop):
+            instance.links.notify()
+            instance.links.notify(is_urgent=True)
+        self.assertEqual(len(loop.scheduled), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
