--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -58,9 +58,10 @@
 class LoadGenerator:
     """Sends requests to random instances until its task is cancelled."""
 
-    def __init__(self, deployment, pause_s):
+    def __init__(self, deployment, pause_s, timeout_s=None):
         self._deployment = deployment
         self._pause_s = pause_s
+        self._timeout_s = timeout_s
         self._rng = random.Random(deployment.rng.random())
         self._pending = set()
         self.finished = []
@@ -101,7 +102,7 @@
     async def _send(self, call):
         port = self._deployment.caller_ports[call.entry]
         call.target = f"/{call.kind}/{call.request_id[:6]}"
-        timeout_s = TIMEOUT_S[call.kind]
+        timeout_s = self._timeout_s or TIMEOUT_S[call.kind]
         headers = {
             "Host": "soak.example",
             "X-Cardamomfork-Request-Id": call.request_id,
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -51,7 +51,8 @@
 
     def __init__(self, arguments, environment=None):
         self._arguments = arguments
-        self._environment = {**os.environ, **(environment or {})}
+        self.environment = dict(environment or {})
+        self._environment = {**os.environ, **self.environment}
         self.lines = []
         self.starts = 0
         self._process = None
@@ -261,8 +262,19 @@
                 name,
                 ports,
                 f"{HOST}:{self.proxies[proxy_name].port}",
+                data_centre=self.data_centre_of(name),
                 stop_grace_s=STOP_GRACE_S,
             )
         )
+        self.entries[name] = self._make_entry(name, path)
+
+    def data_centre_of(self, name):
+        """Returns the data centre of an instance."""
+        del name
+        return platform_site.DATA_CENTRE
+
+    def _make_entry(self, name, path):
+        """Returns the process of an instance with a settings file."""
+        del name
         command, environment = platform_site.make_entry_command(path)
-        self.entries[name] = Process(command[1:], environment)
+        return Process(command[1:], environment)
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -302,7 +302,7 @@
     def test_changes_on_a_late_event_loop_do_not_end_the_process(self):
         instance = Network(SMALL_FLEET).all[0]
         loop = LateLoop()
-        with mock.patch.object(asyncio, "get_running_loop", lambda: loop):
+        with mock.patch.object(asyncio, "get_running_loop", return_value=loop):
             instance.links.notify()
             instance.links.notify(is_urgent=True)
         self.assertEqual(len(loop.scheduled), 1)
