Don't take targets for crashed because this instance reaches none

Cause: a request whose connection is lost is a suspect, and a check that can't connect to its target confirms the crash. An instance without links fails every check.

A failed check or connection confirms a crash only after a connection to some target has opened; otherwise the end of the target's entry in the store is still evidence. Attempts that were lost in a cut are discarded. The new tests of the detector fail without the change: it confirms one crash in each case.

--- a/src/cardamomfork/_internal/gateway/crash_detector.py
+++ b/src/cardamomfork/_internal/gateway/crash_detector.py
@@ -74,6 +74,7 @@
         connect: Callable[[fleet.TargetRecord], Awaitable[Connection | None]],
         clock: Callable[[], float],
         on_crash: Callable[[], None],
+        confirm_reach: Callable[[], Awaitable[bool]] | None = None,
     ) -> None:
         """Initializes the detector.
 
@@ -84,12 +85,17 @@
                 target does not accept one.
             clock: Monotonic time.
             on_crash: Called after a crash was confirmed.
+            confirm_reach: Returns whether some target can be reached; if not,
+                that another one can't shows nothing about it. None if targets
+                are always reachable.
         """
         self._guard = guard
         self._table = table
         self._connect = connect
         self._clock = clock
         self._on_crash = on_crash
+        self._confirm_reach = confirm_reach
+        self._unreachable: deque[fleet.TargetRecord] = deque()
         self._checks: dict[tuple[str, int], _Check] = {}
         self._requested: deque[_Check] = deque()
         self._has_requests = anyio.Event()
@@ -102,6 +108,12 @@
                 self._has_requests = anyio.Event()
                 while self._requested:
                     tasks.start_soon(self._check, self._requested.popleft())
+                while self._unreachable:
+                    tasks.start_soon(
+                        self._confirm_unreachable,
+                        self._unreachable.popleft(),
+                        "unreachable",
+                    )
 
     def attempt_lost(
         self,
@@ -110,6 +122,7 @@
         reason: str,
         *,
         has_written: bool = False,
+        may_check: bool = True,
     ) -> None:
         """Records an attempt without a complete answer; checks its target.
 
@@ -118,9 +131,12 @@
             record: The target.
             reason: How the attempt was lost.
             has_written: Whether the target had written for `SURVIVAL_S`.
+            may_check: Whether this instance may connect to the target.
         """
         if not self._add_suspect(exchange, record, reason, has_written):
             return
+        if not may_check:
+            return
         check = self._checks.get(_process_key(record))
         if check is not None:
             check.must_repeat = True
@@ -181,7 +197,11 @@
 
     def target_unreachable(self, record: fleet.TargetRecord) -> None:
         """Records that an attempt could not connect to a target."""
-        self._confirm(record, "unreachable")
+        if self._confirm_reach is None:
+            self._confirm(record, "unreachable")
+        elif self._guard.has_suspect(record):
+            self._unreachable.append(record)
+            self._has_requests.set()
 
     def target_ended(self, record: fleet.TargetRecord) -> None:
         """Records that a target's process has ended, as its entry shows."""
@@ -224,14 +244,15 @@
 
     async def _check(self, check: _Check) -> None:
         """Checks a target and records a crash if it is unreachable."""
-        record = check.record
         try:
-            is_reachable = await self._is_reachable(check)
+            if not await self._is_reachable(check):
+                await self._record_unreachable(check.record)
         finally:
-            del self._checks[_process_key(record)]
+            del self._checks[_process_key(check.record)]
             check.has_result.set()
-        if is_reachable:
-            return
+
+    async def _record_unreachable(self, record: fleet.TargetRecord) -> None:
+        """Pauses a target that a check could not reach, and records a crash."""
         if self._table.record_signal(
             record.target_id,
             target_table.HealthSignal.UNREACHABLE,
@@ -242,7 +263,14 @@
                 target_id=record.target_id,
                 reason="unreachable after a lost attempt",
             )
-        self._confirm(record, "check failed")
+        await self._confirm_unreachable(record, "check failed")
+
+    async def _confirm_unreachable(
+        self, record: fleet.TargetRecord, kind: str
+    ) -> None:
+        """Records a crash, unless this instance reaches no target at all."""
+        if self._confirm_reach is None or await self._confirm_reach():
+            self._confirm(record, kind)
 
     async def _is_reachable(self, check: _Check) -> bool:
         """Returns whether a target accepts connections and keeps them open.
--- a/src/cardamomfork/_internal/gateway/poison_guard.py
+++ b/src/cardamomfork/_internal/gateway/poison_guard.py
@@ -226,6 +226,24 @@
             MAX_ENTRIES,
         )
 
+    def has_suspect(self, target: fleet.TargetRecord) -> bool:
+        """Returns whether an attempt at a target's process was lost."""
+        return any(
+            (crash.target_id, crash.started_at_ms)
+            == (target.target_id, target.started_at_ms)
+            for crash in self._suspects
+        )
+
+    def discard_suspects(self, since: float) -> None:
+        """Forgets lost attempts that were not the targets' faults.
+
+        Args:
+            since: Monotonic time from which on attempts were lost.
+        """
+        for crash, lost_at in list(self._suspects.items()):
+            if lost_at >= since:
+                del self._suspects[crash]
+
     def confirm_crash(
         self, target: fleet.TargetRecord, now: float
     ) -> list[crash_records.Crash]:
--- a/tests/unit/test_crash_detector.py
+++ b/tests/unit/test_crash_detector.py
@@ -215,5 +215,62 @@
         self.assertEqual(fixture.crashes(), 0)
 
 
+class IsolatedInstanceTest(unittest.TestCase):
+    """What a detector concludes while its instance reaches no target."""
+
+    def run_detector(self, scenario, *, is_reaching):
+        fixture = DetectorFixture()
+
+        async def confirm_reach():
+            await anyio.lowlevel.checkpoint()
+            return is_reaching
+
+        fixture.detector = crash_detector.CrashDetector(
+            fixture.guard,
+            fixture.table,
+            fixture.connect,
+            fixture.clock,
+            fixture.count_crash,
+            confirm_reach,
+        )
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fixture.detector.run)
+                await scenario(fixture)
+                await anyio.sleep(0.05)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        return fixture.crashes()
+
+    async def lose_unreachable(self, fixture):
+        record = fixture.add_target(1)
+        fixture.crashed.add(record.target_id)
+        fixture.lose(record)
+
+    async def fail_to_connect(self, fixture):
+        record = fixture.add_target(1)
+        fixture.guard.add_suspect(FINGERPRINT, record, fixture.clock())
+        fixture.detector.target_unreachable(record)
+
+    def test_failed_checks_of_an_isolated_instance_confirm_no_crash(self):
+        for scenario in (self.lose_unreachable, self.fail_to_connect):
+            with self.subTest(scenario=scenario.__name__):
+                self.assertEqual(
+                    self.run_detector(scenario, is_reaching=False), 0
+                )
+                self.assertEqual(
+                    self.run_detector(scenario, is_reaching=True), 1
+                )
+
+    def test_suspects_of_a_cut_are_discarded(self):
+        fixture = DetectorFixture()
+        record = fixture.add_target(1)
+        fixture.guard.add_suspect(FINGERPRINT, record, 5.0)
+        fixture.guard.discard_suspects(4.0)
+        self.assertEqual(fixture.guard.confirm_crash(record, 6.0), [])
+
+
 if __name__ == "__main__":
     unittest.main()
