Send requests over a peer while this instance is cut off from all targets

Cause: an instance had direct links only. During a cut each request met one failed connection after the other until its caller left or all targets were paused, and nothing concluded that it is the instance that is cut off.

Why this works: as soon as no target can be reached, requests and memory orders go over a peer, encoded as for the target. Placement, attempts, deadlines, the retry budget, rate limits and the health of targets stay with the instance that the caller is connected to; the peer only passes bytes on over a direct connection, so there are no loops, nothing is retried twice, and a lost answer counts as a possible run. What a peer refuses was not sent and goes to another peer. Digests say which instances reach targets and how busy they are; a peer in the same data centre goes first. The door on the peers' port wants a secret that lives in the platform's store, and is bounded in connections, requests and bytes. If no peer helps, requests are refused at once with 503. A probe a second finds out when the links are back; pauses of targets that date from the cut are then forgotten.

--- a/src/cardamomfork/_internal/gateway/application.py
+++ b/src/cardamomfork/_internal/gateway/application.py
@@ -17,6 +17,7 @@
 from cardamomfork._internal.gateway import exchanges
 from cardamomfork._internal.gateway import fingerprints
 from cardamomfork._internal.gateway import forwarding
+from cardamomfork._internal.gateway import peer_forwarding_codec
 from cardamomfork._internal.gateway import request_log
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import fleet
@@ -28,6 +29,7 @@
 
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.gateway import fleet_state
+    from cardamomfork._internal.gateway import peer_forwarding_server
     from cardamomfork._internal.gateway import routes
     from cardamomfork._internal.gateway import stopping
     from cardamomfork._internal.gateway import traffic_metrics
@@ -392,17 +394,29 @@
 
 
 class PeerApplication:
-    """Serves the configuration in force on this instance to peers."""
+    """Serves peers: the configuration in force here, and their requests."""
 
-    def __init__(self, state: fleet_state.FleetState) -> None:
-        """Initializes the application with the state that it serves from."""
+    def __init__(
+        self,
+        state: fleet_state.FleetState,
+        forward: peer_forwarding_server.PeerForwardingApplication,
+    ) -> None:
+        """Initializes the application.
+
+        Args:
+            state: Configuration of this instance.
+            forward: Passes requests of peers on to targets.
+        """
         self._state = state
+        self._forward = forward
 
     async def __call__(
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
         """Serves one request."""
-        del receive
+        if scope["path"] == peer_forwarding_codec.PATH:
+            await self._forward(scope, receive, send)
+            return
         stored = self._state.stored
         if (
             scope["path"] != configuration_fetching.CONFIGURATION_PATH
--- a/src/cardamomfork/_internal/gateway/attempt.py
+++ b/src/cardamomfork/_internal/gateway/attempt.py
@@ -44,6 +44,14 @@
         ...
 
 
+class Source(Protocol):
+    """The connection on which an answer arrives."""
+
+    def mark_consumed(self, size: int) -> None:
+        """Records that the reader has consumed bytes of the answer."""
+        ...
+
+
 @attrs.define
 class Progress:
     """What the caller has received so far, over all attempts.
@@ -110,7 +118,7 @@
 
     async def run(
         self,
-        connection: target_connection.TargetConnection,
+        connection: Source,
         messages: memory.MemoryObjectReceiveStream[target_connection.Message],
         timeouts: AttemptTimeouts,
     ) -> outcomes.AttemptOutcome:
@@ -137,7 +145,7 @@
     async def _forward_buffered(
         self,
         head: forwarding.ResponseHead,
-        connection: target_connection.TargetConnection,
+        connection: Source,
         messages: memory.MemoryObjectReceiveStream[target_connection.Message],
         timeouts: AttemptTimeouts,
     ) -> outcomes.AttemptOutcome:
@@ -184,7 +192,7 @@
         self,
         head: forwarding.ResponseHead,
         parts: list[bytes],
-        connection: target_connection.TargetConnection,
+        connection: Source,
         messages: memory.MemoryObjectReceiveStream[target_connection.Message],
         timeouts: AttemptTimeouts,
     ) -> outcomes.AttemptOutcome:
@@ -208,7 +216,7 @@
     async def _forward_stream(
         self,
         head: forwarding.ResponseHead,
-        connection: target_connection.TargetConnection,
+        connection: Source,
         messages: memory.MemoryObjectReceiveStream[target_connection.Message],
         timeouts: AttemptTimeouts,
     ) -> outcomes.AttemptOutcome:
@@ -311,6 +319,8 @@
     head: forwarding.ResponseHead, body: bytes
 ) -> outcomes.Failed | None:
     """Returns the failure of a complete answer, or None if it is a success."""
+    if head.peer_fault is not None:
+        return _from_peer_fault(head.peer_fault)
     if head.is_not_executed:
         return outcomes.Failed(
             outcomes.Failure.NOT_RUN,
@@ -328,3 +338,14 @@
             body=body,
         )
     return None
+
+
+def _from_peer_fault(fault: forwarding.PeerFault) -> outcomes.Failed:
+    """Returns the failure of a request that a peer has not passed on."""
+    if fault.is_sent:
+        failure = outcomes.Failure.BROKEN
+    elif fault is forwarding.PeerFault.UNREACHABLE_TARGET:
+        failure = outcomes.Failure.UNREACHABLE
+    else:
+        failure = outcomes.Failure.PEER_REFUSED
+    return outcomes.Failed(failure, f"peer: {fault.value}", peer_fault=fault)
--- a/src/cardamomfork/_internal/gateway/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/digest_codec.py
@@ -57,6 +57,9 @@
         deaths: Crashes of targets, each with the fingerprint of the request
             that the target ran.
         rate_limits: Limits that targets have named in answers to the sender.
+        reaches_targets: Whether the sender can pass requests on to targets.
+        open_requests: Requests that the sender has in progress, including
+            those of peers.
     """
 
     sender: Peer
@@ -69,6 +72,8 @@
     jobs: tuple[load_view.Job, ...]
     deaths: tuple[crash_records.CrashReport, ...]
     rate_limits: tuple[rate_limits.RateLimitReport, ...] = ()
+    reaches_targets: bool = False
+    open_requests: int = 0
 
 
 @functools.cache
@@ -90,6 +95,8 @@
         configurationVersion=digest.configuration_version,
         targetsRevision=digest.targets_revision,
         isLeaving=digest.is_leaving,
+        reachesTargets=digest.reaches_targets,
+        openRequests=digest.open_requests,
     )
     jobs = message.init("jobs", len(digest.jobs))
     for index, job in enumerate(digest.jobs):
@@ -149,6 +156,8 @@
                     )
                     for limit in message.rateLimits
                 ),
+                message.reachesTargets,
+                message.openRequests,
             )
         )
     except (capnp.KjException, ValueError) as error:
--- a/src/cardamomfork/_internal/gateway/digests.capnp
+++ b/src/cardamomfork/_internal/gateway/digests.capnp
@@ -15,6 +15,8 @@
   targetsRevision @10 :UInt64;
   configurationVersion @11 :Int64 = -1;
   rateLimits @12 :List(RateLimit);
+  reachesTargets @13 :Bool;  # Whether peers may send requests over the sender.
+  openRequests @14 :UInt32;
 }
 
 # A request that the sender has placed on a target.
--- a/src/cardamomfork/_internal/gateway/exchanges.py
+++ b/src/cardamomfork/_internal/gateway/exchanges.py
@@ -36,6 +36,7 @@
         runs: Number of attempts that may have run.
         reservations_refused: Number of placements without enough memory.
         permits_refused: Number of placements without a permit.
+        peers_refused: Number of peers that did not pass it on.
         trial: Cause of crashes despite which it is sent, or None.
         log: Its log.
     """
@@ -54,6 +55,7 @@
     possible_runs: int = 0
     reservations_refused: int = 0
     permits_refused: int = 0
+    peers_refused: int = 0
     trial: crash_attribution.Cause | None = None
 
     @property
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -32,7 +32,8 @@
     from cardamomfork._internal.gateway import rate_permits
     from cardamomfork._internal.gateway import reservations
     from cardamomfork._internal.gateway import retry_budget
-    from cardamomfork._internal.gateway import target_pool
+    from cardamomfork._internal.gateway import target_paths
+    from cardamomfork._internal.models import fleet
 
 FIRST_BYTE_TIMEOUT_FACTOR = 3.0
 MIN_FIRST_BYTE_TIMEOUT_S = 1.0
@@ -44,6 +45,11 @@
 maximum gap of the route."""
 
 
+CUT_OFF = scheduling.Refusal(
+    retrying.CUT_OFF_REASON, retrying.RETRY_AFTER_CUT_OFF_S
+)
+
+
 @attrs.define
 class _Writing:
     """What a target has written in an attempt.
@@ -64,7 +70,7 @@
         self,
         wire: platform_format.PlatformFormat,
         scheduler: scheduling.Scheduler,
-        links: target_pool.TargetConnectionPool,
+        links: target_paths.Paths,
         table: target_table.TargetTable,
         load: load_view.LoadView,
         budget: retry_budget.RetryBudget,
@@ -75,13 +81,14 @@
         permits: rate_permits.RatePermits,
         clock: Callable[[], float],
         on_change: Callable[[], None],
+        is_isolated: Callable[[], bool] = lambda: False,
     ) -> None:
         """Initializes the forwarder.
 
         Args:
             wire: Names and formats of the platform.
             scheduler: Assigns placements.
-            links: Connections to targets.
+            links: Opens connections to targets.
             table: The known targets and their health.
             load: The load of each target.
             budget: The retry budget of this instance.
@@ -92,6 +99,8 @@
             permits: Acquires permits for requests to limited targets.
             clock: Monotonic time.
             on_change: Called when a job of this instance changes state.
+            is_isolated: Returns whether this instance is cut off from all
+                targets.
         """
         self._wire = wire
         self._scheduler = scheduler
@@ -102,7 +111,7 @@
         self._detector = detector
         self._decider = retrying.RetryDecider(budget, guard, clock)
         self._recorder = outcome_recorder.OutcomeRecorder(
-            table, detector, clock
+            table, detector, clock, is_isolated
         )
         self._reserver = reserver
         self._rate_limits = limits
@@ -134,6 +143,8 @@
                 )
             exchange.trial = block.cause
         while True:
+            if self._links.is_cut_off:
+                return self._refuse(exchange, CUT_OFF)
             demand = self._make_demand(exchange)
             chosen = await self._scheduler.acquire(
                 demand, exchange.match.priority
@@ -210,16 +221,15 @@
         exchange.tried_target_ids.add(record.target_id)
         started_at = self._clock()
         opened = await self._links.acquire(
-            record, runs_once=not exchange.match.route.may_repeat
+            record,
+            runs_once=not exchange.match.route.may_repeat,
+            time_left_s=exchange.deadline - started_at,
         )
         if isinstance(opened, result.Err):
-            outcome: outcomes.AttemptOutcome = outcomes.Failed(
-                outcomes.Failure.UNREACHABLE, opened.err_value
-            )
             self._recorder.record(
-                exchange, record, chosen, demand, outcome, started_at
+                exchange, record, chosen, demand, opened.err_value, started_at
             )
-            return outcome
+            return opened.err_value
         connection = opened.ok_value
         # The request may have crashed other targets while it waited.
         block = self._guard.find_block(exchange.suspects, self._clock())
@@ -228,12 +238,42 @@
             return outcomes.Failed(outcomes.Failure.BLOCKED, "not sent")
         exchange.sent_attempts += 1
         exchange.possible_runs += 1
+        writing = _Writing()
+        outcome = await self._run_attempt(
+            exchange, demand, chosen, held, connection, writing
+        )
+        if isinstance(outcome, outcomes.Failed):
+            self._record_failure(exchange, record, connection, outcome)
+        self._recorder.record(
+            exchange,
+            record,
+            chosen,
+            demand,
+            outcome,
+            started_at,
+            writing.first_at,
+            connection.peer_id,
+        )
+        if isinstance(outcome, outcomes.Failed) and outcome.is_lost:
+            await self._detector.wait_for_check(record)
+        return outcome
+
+    async def _run_attempt(
+        self,
+        exchange: exchanges.Exchange,
+        demand: demands.Demand,
+        chosen: placement.Placement,
+        held: reservations.HeldReservations,
+        connection: target_paths.Connection,
+        writing: _Writing,
+    ) -> outcomes.AttemptOutcome:
+        """Sends a request on a connection and passes its answer on."""
+        record = chosen.target.record
         messages = connection.start(
             self._encode(exchange, chosen, held),
             exchange.request.request_id,
             is_head=exchange.request.method == b"HEAD",
         )
-        writing = _Writing()
 
         def on_event() -> None:
             now = self._clock()
@@ -262,8 +302,8 @@
             )
             is_ended = True
             is_complete = isinstance(outcome, outcomes.Delivered) or (
-                outcome.failure
-                in (outcomes.Failure.NOT_RUN, outcomes.Failure.FAILED)
+                outcome.is_known_not_run
+                or outcome.failure is outcomes.Failure.FAILED
             )
         finally:
             if is_complete:
@@ -271,24 +311,33 @@
             else:
                 connection.abort()
             if not is_ended:
-                self._detector.attempt_abandoned(
-                    exchange, record, has_written=writing.is_recorded
+                self._recorder.record_abandoned(
+                    exchange,
+                    record,
+                    has_written=writing.is_recorded,
+                    peer_id=connection.peer_id,
                 )
-        if isinstance(outcome, outcomes.Failed) and outcome.is_known_not_run:
-            exchange.possible_runs -= 1
-        self._recorder.record(
-            exchange,
-            record,
-            chosen,
-            demand,
-            outcome,
-            started_at,
-            writing.first_at,
-        )
-        if isinstance(outcome, outcomes.Failed) and outcome.is_lost:
-            await self._detector.wait_for_check(record)
         return outcome
 
+    def _record_failure(
+        self,
+        exchange: exchanges.Exchange,
+        record: fleet.TargetRecord,
+        connection: target_paths.Connection,
+        failed: outcomes.Failed,
+    ) -> None:
+        """Records which attempts count and which peer to avoid."""
+        if failed.is_known_not_run:
+            exchange.possible_runs -= 1
+        fault = failed.peer_fault
+        if fault is not None and not fault.is_sent:
+            exchange.sent_attempts -= 1
+            exchange.peers_refused += 1
+            if not fault.is_about_target:
+                exchange.tried_target_ids.discard(record.target_id)
+        if connection.peer_id and (failed.is_lost or fault is not None):
+            self._links.avoid(connection, failed.detail)
+
     def _encode(
         self,
         exchange: exchanges.Exchange,
--- a/src/cardamomfork/_internal/gateway/outcome_recorder.py
+++ b/src/cardamomfork/_internal/gateway/outcome_recorder.py
@@ -29,6 +29,7 @@
         table: target_table.TargetTable,
         detector: crash_detector.CrashDetector,
         clock: Callable[[], float],
+        is_isolated: Callable[[], bool] = lambda: False,
     ) -> None:
         """Initializes the recorder.
 
@@ -36,10 +37,13 @@
             table: The known targets and their health.
             detector: Collects evidence of crashed targets.
             clock: Monotonic time.
+            is_isolated: Returns whether this instance is cut off from all
+                targets, so that lost connections show nothing about them.
         """
         self._table = table
         self._detector = detector
         self._clock = clock
+        self._is_isolated = is_isolated
 
     def record(
         self,
@@ -50,10 +54,23 @@
         outcome: outcomes.AttemptOutcome,
         started_at: float,
         first_at: float | None = None,
+        peer_id: str = "",
     ) -> None:
-        """Records the outcome of an attempt."""
+        """Records the outcome of an attempt.
+
+        Args:
+            exchange: The request.
+            record: The target.
+            chosen: Its placement.
+            demand: Its requirements.
+            outcome: The outcome.
+            started_at: Monotonic time of the start of the attempt.
+            first_at: Time of its first event, or None.
+            peer_id: Id of the peer that it was sent over; empty if direct.
+        """
         now = self._clock()
-        signal = _health_signal(outcome)
+        is_conclusive = self._is_conclusive(outcome, peer_id)
+        signal = _health_signal(outcome) if is_conclusive else None
         if first_at is not None:
             ratio = (first_at - started_at) / max(
                 chosen.first_token_s, MIN_PREDICTION_S
@@ -71,12 +88,13 @@
                 # The end of a stream without a length may be that of a target.
                 self._detector.attempt_lost(exchange, record, "no event")
         else:
-            if outcome.is_lost:
+            if outcome.is_lost and (is_conclusive or peer_id):
                 self._detector.attempt_lost(
                     exchange,
                     record,
                     outcome.failure.value,
                     has_written=crash_detector.has_survived(first_at, now),
+                    may_check=not peer_id,
                 )
             self._record_refusal(exchange, record, outcome, now)
         exchange.log.attempt_ended(
@@ -86,8 +104,43 @@
             outcome,
             now - started_at,
             None if first_at is None else first_at - started_at,
+            peer_id,
         )
 
+    def record_abandoned(
+        self,
+        exchange: exchanges.Exchange,
+        record: fleet.TargetRecord,
+        *,
+        has_written: bool,
+        peer_id: str,
+    ) -> None:
+        """Records an attempt whose caller left before its answer was complete.
+
+        Args:
+            exchange: The request.
+            record: The target.
+            has_written: Whether the target had written for some time.
+            peer_id: Id of the peer that it was sent over; empty if direct.
+        """
+        if peer_id or not self._is_isolated():
+            self._detector.attempt_abandoned(
+                exchange, record, has_written=has_written
+            )
+
+    def _is_conclusive(
+        self, outcome: outcomes.AttemptOutcome, peer_id: str
+    ) -> bool:
+        """Returns whether an outcome shows something about its target.
+
+        An answer that breaks off over a peer may be the fault of either.
+        """
+        if isinstance(outcome, outcomes.Delivered):
+            return True
+        if peer_id:
+            return not outcome.is_lost or outcome.peer_fault is not None
+        return not self._is_isolated()
+
     def _record_refusal(
         self,
         exchange: exchanges.Exchange,
@@ -120,6 +173,8 @@
         outcomes.Failure.UNREACHABLE: target_table.HealthSignal.UNREACHABLE,
         outcomes.Failure.BROKEN: target_table.HealthSignal.FAILED,
         outcomes.Failure.SILENT: target_table.HealthSignal.FAILED,
+        outcomes.Failure.NO_PATH: None,
+        outcomes.Failure.PEER_REFUSED: None,
         outcomes.Failure.NOT_RUN: None,
         outcomes.Failure.NO_MEMORY: None,
         outcomes.Failure.BLOCKED: None,
--- a/src/cardamomfork/_internal/gateway/outcomes.py
+++ b/src/cardamomfork/_internal/gateway/outcomes.py
@@ -16,6 +16,11 @@
 
     UNREACHABLE = "unreachable"
     """No connection could be opened; nothing was sent."""
+    NO_PATH = "no_path"
+    """This instance is cut off from all targets, and no peer helps; nothing was
+    sent."""
+    PEER_REFUSED = "peer_refused"
+    """A peer did not pass the request on; nothing was sent."""
     NO_MEMORY = "no_memory"
     """Memory could not be reserved; nothing was sent."""
     BLOCKED = "blocked"
@@ -54,6 +59,8 @@
         body: Body of that answer.
         refusing_target: Id or address of the target that a refusal blames.
         is_misdirected: Whether another target now has the address.
+        peer_fault: Why the peer that the request was sent over has answered
+            itself, or None.
     """
 
     failure: Failure
@@ -62,6 +69,7 @@
     body: bytes = b""
     refusing_target: str = ""
     is_misdirected: bool = False
+    peer_fault: forwarding.PeerFault | None = None
 
     @property
     def is_lost(self) -> bool:
@@ -73,6 +81,8 @@
         """Whether the target has not run the request and never will."""
         return self.failure in (
             Failure.UNREACHABLE,
+            Failure.NO_PATH,
+            Failure.PEER_REFUSED,
             Failure.NO_MEMORY,
             Failure.BLOCKED,
             Failure.RATE_LIMITED,
--- a/src/cardamomfork/_internal/gateway/peer_table.py
+++ b/src/cardamomfork/_internal/gateway/peer_table.py
@@ -26,6 +26,19 @@
 """Time that a peer known only from its store entry has to send a digest."""
 
 
+@attrs.frozen
+class ForwardingPeer:
+    """A peer that can pass requests on to targets.
+
+    Attributes:
+        peer: The peer.
+        open_requests: Number of requests that it had in progress.
+    """
+
+    peer: digest_codec.Peer
+    open_requests: int
+
+
 @attrs.define
 class _PeerRecord:
     """State of one peer.
@@ -39,6 +52,8 @@
             digests of it are dropped.
         is_leaving: Whether it is about to stop.
         sequence: Sequence number of its last digest.
+        reaches_targets: Whether it can pass requests on to targets.
+        open_requests: Number of requests that it had in progress.
     """
 
     peer: digest_codec.Peer
@@ -47,6 +62,8 @@
     previous_incarnation: int = 0
     is_leaving: bool = False
     sequence: int = -1
+    reaches_targets: bool = False
+    open_requests: int = 0
 
 
 class PeerTable:
@@ -94,6 +111,22 @@
             if record.incarnation and record.gone_at >= since
         )
 
+    def forwarding_peers(self, max_age_s: float) -> list[ForwardingPeer]:
+        """Returns the peers that can pass requests on to targets.
+
+        Args:
+            max_age_s: Greatest age of a peer's last digest, in seconds.
+        """
+        since = self._clock() + PEER_TIMEOUT_S - max_age_s
+        return [
+            ForwardingPeer(record.peer, record.open_requests)
+            for record in self._records.values()
+            if record.incarnation
+            and record.reaches_targets
+            and not record.is_leaving
+            and record.gone_at >= since
+        ]
+
     @property
     def count(self) -> int:
         """Number of instances, including this one."""
@@ -174,6 +207,8 @@
             record.incarnation = digest.incarnation
         record.sequence = digest.sequence
         record.is_leaving = digest.is_leaving
+        record.reaches_targets = digest.reaches_targets
+        record.open_requests = digest.open_requests
         record.gone_at = self._clock() + PEER_TIMEOUT_S
         return True
 
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -74,6 +74,8 @@
         targets: follower.Follower,
         clock: Callable[[], float],
         on_peer_update: Callable[[], None],
+        reaches_targets: Callable[[], bool] = lambda: False,
+        count_open_requests: Callable[[], int] = lambda: 0,
     ) -> None:
         """Initializes the links.
 
@@ -91,6 +93,9 @@
             targets: Follower of the targets' entries.
             clock: Monotonic time.
             on_peer_update: Called after each new digest.
+            reaches_targets: Returns whether peers may send requests over this
+                instance.
+            count_open_requests: Returns the number of requests in progress.
         """
         self._local_peer = local_peer
         self._table = table
@@ -105,6 +110,8 @@
         self._targets_follower = targets
         self._clock = clock
         self._on_peer_update = on_peer_update
+        self._reaches_targets = reaches_targets
+        self._count_open_requests = count_open_requests
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._sequence = 0
         self._is_leaving = False
@@ -259,6 +266,8 @@
                 self._load.local_jobs,
                 self._due_crash_reports(now),
                 self._due_rate_limits(now),
+                self._reaches_targets(),
+                self._count_open_requests(),
             ),
             now,
         )
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -21,10 +21,13 @@
 from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import digest_recipients
+from cardamomfork._internal.gateway import fleet_secret
 from cardamomfork._internal.gateway import fleet_state
 from cardamomfork._internal.gateway import follower
 from cardamomfork._internal.gateway import forwarding
 from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway import peer_forwarding_client
+from cardamomfork._internal.gateway import peer_forwarding_server
 from cardamomfork._internal.gateway import peer_table
 from cardamomfork._internal.gateway import peers
 from cardamomfork._internal.gateway import placement
@@ -38,7 +41,9 @@
 from cardamomfork._internal.gateway import state_dump
 from cardamomfork._internal.gateway import stopping
 from cardamomfork._internal.gateway import store_handlers
+from cardamomfork._internal.gateway import target_paths
 from cardamomfork._internal.gateway import target_pool
+from cardamomfork._internal.gateway import target_reach
 from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.gateway import traffic_metrics
 from cardamomfork._internal.links import http_server
@@ -56,6 +61,8 @@
 RESERVED_FILES = 1000
 """File descriptors reserved for targets, peers, the store and files."""
 MIN_CALLER_CONNECTIONS = 200
+MAX_PEER_CONNECTIONS = 400
+"""Connections of peers; they are among the reserved file descriptors."""
 CONFIGURATION_BATCH_DELAY_S = 0.5
 TARGETS_BATCH_DELAY_S = 0.8
 """Pauses in which changes accumulate. They are far below the limits of some
@@ -99,13 +106,25 @@
         )
         self._poison_guard = poison_guard.PoisonGuard(self._owns_trials)
         self._retry_budget = retry_budget.RetryBudget(settings, clock())
-        self._connection_pool = target_pool.TargetConnectionPool(wire)
+        self._target_reach = target_reach.TargetReach(
+            self._list_reachable_targets,
+            self._probe_target,
+            clock,
+            self._rng,
+            self._on_reach_change,
+        )
+        self._connection_pool = target_pool.TargetConnectionPool(
+            wire,
+            self._target_reach.record_connection,
+            self._target_reach.record_failure,
+        )
         self._crash_detector = crash_detector.CrashDetector(
             self._poison_guard,
             self._target_table,
             self._connection_pool.open_idle,
             clock,
             self._on_crash,
+            self._target_reach.confirm,
         )
         self._stop_state = stopping.StopState()
         self._connection_limits = caller_protocol.ConnectionLimits()
@@ -116,6 +135,19 @@
             settings.peer_port,
         )
         self._peer_table = peer_table.PeerTable(self._local_peer, clock)
+        self._fleet_secret = fleet_secret.FleetSecret()
+        self._peer_client = peer_forwarding_client.PeerForwardingClient(
+            settings.instance_id,
+            settings.data_centre,
+            self._peer_table,
+            self._fleet_secret,
+            wire,
+            clock,
+            self._rng,
+        )
+        self._target_paths = target_paths.TargetPaths(
+            self._connection_pool, self._target_reach, self._peer_client
+        )
         self._scheduler = scheduling.Scheduler(
             placement.Placer(
                 self._target_table,
@@ -129,14 +161,24 @@
             clock,
             self._rng,
         )
-        self._reserver = reservations.MemoryReserver(
-            wire, self._connection_pool
-        )
+        self._reserver = reservations.MemoryReserver(wire, self._target_paths)
         self._rate_limits = rate_limits.RateLimits(
             self._target_table,
             clock,
             self._on_rate_limit,
         )
+        self._peer_forwarding = (
+            peer_forwarding_server.PeerForwardingApplication(
+                self._connection_pool,
+                self._target_table,
+                self._target_reach,
+                self._fleet_secret,
+                self._rate_limits,
+                self._stop_state,
+                clock,
+                settings.memory_bytes,
+            )
+        )
         self._rate_permits = rate_permits.RatePermits(
             self._rate_limits,
             self._peer_table.find_owner,
@@ -159,7 +201,7 @@
                 wire.targets_prefix, TARGETS_BATCH_DELAY_S, TARGETS_MAX_LAG_S
             ),
             store_handlers.TargetsHandler(
-                self._fleet_state, self._on_capacity_change
+                self._fleet_state, self._on_targets_change
             ),
             self._peer_table.is_delegate,
         )
@@ -187,6 +229,11 @@
             self._targets_follower,
             clock,
             self._scheduler.receive_update,
+            self._reaches_targets,
+            lambda: (
+                self._caller_application.in_progress
+                + self._peer_forwarding.in_progress
+            ),
         )
         self._crash_persistence = crash_persistence.CrashPersistence(
             platform_store,
@@ -214,7 +261,7 @@
             forwarding.Forwarder(
                 wire,
                 self._scheduler,
-                self._connection_pool,
+                self._target_paths,
                 self._target_table,
                 self._load_view,
                 self._retry_budget,
@@ -225,6 +272,7 @@
                 self._rate_permits,
                 clock,
                 self._on_capacity_change,
+                lambda: self._target_reach.is_isolated,
             ),
             self._stop_state,
             self._make_metrics(),
@@ -253,9 +301,12 @@
             self._settings.readiness_port,
         )
         peer_server = self._make_server(
-            application.PeerApplication(self._fleet_state),
+            application.PeerApplication(
+                self._fleet_state, self._peer_forwarding
+            ),
             self._settings.host,
             self._settings.peer_port,
+            max_connections=MAX_PEER_CONNECTIONS,
         )
         metrics_server = self._make_server(
             application.MetricsApplication(
@@ -278,7 +329,14 @@
                 self._on_store_answer,
                 self._rng,
             )
+            tasks.start_soon(
+                self._fleet_secret.run,
+                self._store,
+                self._on_store_answer,
+                self._rng,
+            )
             tasks.start_soon(self._reserver.run)
+            tasks.start_soon(self._target_reach.run)
             tasks.start_soon(self._crash_detector.run)
             tasks.start_soon(self._crash_persistence.run)
             tasks.start_soon(self._crashes_follower.run)
@@ -287,9 +345,13 @@
             tasks.start_soon(self._run_maintenance)
             tasks.start_soon(self._handle_signals, caller_server)
             await caller_server.serve()
+            left_s = self._stop_state.left_s(self._clock())
+            with anyio.move_on_after(max(left_s, 0.0)):
+                await self._peer_forwarding.wait_until_idle()
             logger.info("stopped")
             tasks.cancel_scope.cancel()
         self._connection_pool.close()
+        self._peer_client.close()
         await self._store.close()
 
     def _make_follower(
@@ -351,6 +413,45 @@
         self._peer_links.notify()
         self._scheduler.dispatch_waiting()
 
+    def _on_targets_change(self) -> None:
+        """Applies a change of the targets' entries."""
+        self._target_reach.probe_soon()
+        self._on_capacity_change()
+
+    def _list_reachable_targets(self) -> list[fleet.TargetRecord]:
+        """Returns the targets that show whether links work.
+
+        Those that failed lately may have ended, so they count only if there
+        are no others.
+        """
+        now = self._clock()
+        targets = self._target_table.list_all()
+        usable = [one.record for one in targets if one.is_usable(now)]
+        return usable or [one.record for one in targets]
+
+    async def _probe_target(self, record: fleet.TargetRecord) -> object | None:
+        """Opens a connection to a target, for a later request."""
+        return await self._connection_pool.open_idle(record)
+
+    def _reaches_targets(self) -> bool:
+        """Returns whether peers may send requests over this instance."""
+        return (
+            not self._target_reach.is_isolated
+            and self._fleet_state.is_complete
+            and not self._stop_state.is_stopping
+        )
+
+    def _on_reach_change(self) -> None:
+        """Drops what failures on this instance's links seem to show."""
+        if self._target_reach.is_isolated:
+            self._connection_pool.close()
+            self._poison_guard.discard_suspects(
+                self._target_reach.doubted_since
+            )
+        self._target_table.clear_failures()
+        self._peer_links.notify(is_urgent=True)
+        self._scheduler.dispatch_waiting()
+
     def _on_target_ended(self, record: fleet.TargetRecord) -> None:
         """Reports the end of a target's process as evidence of a crash."""
         self._crash_detector.target_ended(record)
@@ -408,6 +509,7 @@
                 reload_at = self._clock() + SETTINGS_RELOAD_INTERVAL_S
             self._fleet_state.expire()
             self._connection_pool.close_idle()
+            self._peer_client.close_idle()
             self._retry_budget.update_instances(self._peer_table.known_count)
 
     async def _handle_signals(
@@ -462,6 +564,7 @@
                 self._fleet_state.configuration_age_s, 3
             ),
             "is_ready": self._is_ready(),
+            "is_isolated": self._target_reach.is_isolated,
             "is_delegate": self._peer_table.is_delegate(),
             "in_progress": self._caller_application.in_progress,
             "waiting": self._scheduler.waiting,
@@ -491,6 +594,8 @@
                 "connections_opened": lambda: self._connection_pool.opened,
                 "permit_targets": lambda: self._rate_permits.issued_targets,
                 "crash_suspects": lambda: self._poison_guard.suspect_count,
+                "isolated": lambda: int(self._target_reach.is_isolated),
+                "peer_requests": lambda: self._peer_forwarding.in_progress,
                 "blocked_requests": lambda: len(
                     self._poison_guard.blocked(self._clock())
                 ),
--- a/src/cardamomfork/_internal/gateway/request_log.py
+++ b/src/cardamomfork/_internal/gateway/request_log.py
@@ -37,6 +37,7 @@
         outcome: outcomes.AttemptOutcome,
         seconds: float,
         first_s: float | None,
+        peer_id: str,
     ) -> None:
         """Logs the outcome of an attempt and the predicted time."""
         failed = outcome if isinstance(outcome, outcomes.Failed) else None
@@ -44,6 +45,7 @@
             "attempt ended",
             count=number,
             target_id=chosen.target.record.target_id,
+            peer=peer_id,
             outcome=failed.failure.value if failed else "delivered",
             reason=failed.detail if failed else "",
             seconds=round(seconds, 3),
--- a/src/cardamomfork/_internal/gateway/reservations.py
+++ b/src/cardamomfork/_internal/gateway/reservations.py
@@ -27,7 +27,7 @@
 
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.gateway import placement
-    from cardamomfork._internal.gateway import target_pool
+    from cardamomfork._internal.gateway import target_paths
     from cardamomfork._internal.models import fleet
 
 RESERVATION_TTL_S = 3.5
@@ -84,7 +84,7 @@
     def __init__(
         self,
         wire: platform_format.PlatformFormat,
-        links: target_pool.TargetConnectionPool,
+        links: target_paths.Paths,
     ) -> None:
         """Initializes the reserver with the wire format and the connections."""
         self._wire = wire
@@ -186,7 +186,9 @@
         """Sends an order; returns the status of the answer, 0 if none came."""
         status = 0
         with anyio.move_on_after(ORDER_TIMEOUT_S):
-            opened = await self._links.acquire(target, runs_once=False)
+            opened = await self._links.acquire(
+                target, runs_once=False, time_left_s=ORDER_TIMEOUT_S
+            )
             if isinstance(opened, result.Err):
                 return 0
             connection = opened.ok_value
--- a/src/cardamomfork/_internal/gateway/retrying.py
+++ b/src/cardamomfork/_internal/gateway/retrying.py
@@ -22,7 +22,16 @@
 MAX_RESERVATIONS_REFUSED = 3
 MAX_PERMITS_REFUSED = 8
 """Number of targets whose rate limit may refuse one request."""
-NOTHING_SENT = (outcomes.Failure.NO_MEMORY, outcomes.Failure.RATE_LIMITED)
+MAX_PEERS_REFUSED = 3
+RETRY_AFTER_CUT_OFF_S = 1.0
+"""Retry-after time while no target can be reached. Probes find out once a
+second whether that is over."""
+CUT_OFF_REASON = "cut off from all targets"
+NOTHING_SENT = (
+    outcomes.Failure.NO_MEMORY,
+    outcomes.Failure.RATE_LIMITED,
+    outcomes.Failure.PEER_REFUSED,
+)
 """Failures after which another attempt is no retry."""
 MAX_REFUSED_ATTEMPTS = 2
 """Number of attempts that targets may refuse, beyond the maximum number of
@@ -63,17 +72,19 @@
         if stop_reason is None:
             exchange.log.retried(failed, exchange.deadline - now)
             return None
-        return _make_final_answer(
-            exchange,
-            failed,
-            stop_reason,
-            block.retry_after_s if block else RETRY_AFTER_NOT_RUN_S,
-        )
+        retry_after_s = RETRY_AFTER_NOT_RUN_S
+        if block is not None:
+            retry_after_s = block.retry_after_s
+        elif failed.failure is outcomes.Failure.NO_PATH:
+            retry_after_s = RETRY_AFTER_CUT_OFF_S
+        return _make_final_answer(exchange, failed, stop_reason, retry_after_s)
 
     def _find_stop_reason(
         self, exchange: exchanges.Exchange, failed: outcomes.Failed, now: float
     ) -> str | None:
         """Returns why a request is not retried; None if it is."""
+        if failed.failure is outcomes.Failure.NO_PATH:
+            return CUT_OFF_REASON
         if not failed.is_known_not_run and not exchange.match.route.may_repeat:
             return "may not run again"
         if failed.is_lost and not self._guard.may_retry(exchange.suspects):
@@ -101,6 +112,8 @@
         return "no memory in several places"
     if exchange.permits_refused > MAX_PERMITS_REFUSED:
         return "rate limits of several targets"
+    if exchange.peers_refused > MAX_PEERS_REFUSED:
+        return "refused by several peers"
     return None
 
 
--- a/src/cardamomfork/_internal/gateway/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/target_connection.py
@@ -93,18 +93,24 @@
 class TargetConnection(asyncio.Protocol):
     """A connection that carries one exchange at a time."""
 
+    peer_id = ""
+    """Id of the peer that the connection leads over; this one is direct."""
+
     def __init__(
         self,
         decode: Callable[
             [int, Iterable[tuple[bytes, bytes]]], forwarding.ResponseHead
         ],
+        on_lost: Callable[[], None] = lambda: None,
     ) -> None:
         """Initializes the connection.
 
         Args:
             decode: Decodes the status and headers of an answer.
+            on_lost: Called if the connection ends by an error.
         """
         self._decode = decode
+        self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
@@ -242,6 +248,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the current exchange."""
+        if exc is not None:
+            self._on_lost()
         self._is_open = False
         self._is_reusable = False
         self._finish(Failed(Fault.RESET, repr(exc) if exc else ""))
--- a/src/cardamomfork/_internal/gateway/target_pool.py
+++ b/src/cardamomfork/_internal/gateway/target_pool.py
@@ -3,20 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import anyio
 import result
 
+from cardamomfork._internal.gateway import outcomes
 from cardamomfork._internal.gateway import target_connection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.models import fleet
 
 CONNECT_TIMEOUT_S = 0.5
 """The round trip between data centres takes milliseconds. A lost SYN is sent
 again only after 1 s; trying another target is faster."""
+SLOW_CONNECT_S = 0.15
+"""Time after which a connection that is not open yet raises a doubt whether
+targets can be reached."""
 MAX_IDLE_CONNECTIONS = 8
 """Idle connections per target."""
 RUN_ONCE_MAX_IDLE_S = 0.5
@@ -31,13 +38,23 @@
 class TargetConnectionPool:
     """Pool of idle connections by target."""
 
-    def __init__(self, wire: platform_format.PlatformFormat) -> None:
+    def __init__(
+        self,
+        wire: platform_format.PlatformFormat,
+        on_connected: Callable[[], None] = lambda: None,
+        on_failed: Callable[[], None] = lambda: None,
+    ) -> None:
         """Initializes an empty pool.
 
         Args:
             wire: Decodes the heads of answers.
+            on_connected: Called after a connection was opened.
+            on_failed: Called if a connection can't be opened, takes long to
+                open, or ends by an error.
         """
         self._wire = wire
+        self._on_connected = on_connected
+        self._on_failed = on_failed
         self._idle: dict[PoolKey, list[target_connection.TargetConnection]] = {}
         self._opened = 0
 
@@ -46,9 +63,18 @@
         """Number of connections opened so far."""
         return self._opened
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether there is no path to any target; not known here."""
+        return False
+
     async def acquire(
-        self, target: fleet.TargetRecord, *, runs_once: bool
-    ) -> result.Result[target_connection.TargetConnection, str]:
+        self,
+        target: fleet.TargetRecord,
+        *,
+        runs_once: bool,
+        time_left_s: float = math.inf,
+    ) -> result.Result[target_connection.TargetConnection, outcomes.Failed]:
         """Returns an idle connection or opens a new one.
 
         An error means that nothing of the request was sent.
@@ -56,6 +82,7 @@
         Args:
             target: Target to connect to.
             runs_once: Whether the request must not run twice.
+            time_left_s: Time left for the request, in seconds.
         """
         now = asyncio.get_running_loop().time()
         idle_connections = self._idle.get(_pool_key(target), [])
@@ -65,7 +92,7 @@
             if pooled.is_usable(now, max_idle_s):
                 return result.Ok(pooled)
             pooled.close_idle()
-        return await self._open(target)
+        return await self._open(target, min(CONNECT_TIMEOUT_S, time_left_s))
 
     async def open_idle(
         self, target: fleet.TargetRecord
@@ -75,30 +102,37 @@
         Returns:
             The connection, or None if the target does not accept one.
         """
-        opened = await self._open(target)
+        opened = await self._open(target, CONNECT_TIMEOUT_S)
         if isinstance(opened, result.Err):
             return None
         self.release(target, opened.ok_value)
         return opened.ok_value
 
     async def _open(
-        self, target: fleet.TargetRecord
-    ) -> result.Result[target_connection.TargetConnection, str]:
+        self, target: fleet.TargetRecord, timeout_s: float
+    ) -> result.Result[target_connection.TargetConnection, outcomes.Failed]:
         """Opens a connection to a target."""
+        loop = asyncio.get_running_loop()
+        slow_timer = loop.call_later(SLOW_CONNECT_S, self._on_failed)
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                _, conn = await asyncio.get_running_loop().create_connection(
+            with anyio.fail_after(timeout_s):
+                _, conn = await loop.create_connection(
                     lambda: target_connection.TargetConnection(
-                        self._wire.decode_answer
+                        self._wire.decode_answer, self._on_failed
                     ),
                     target.host,
                     target.port,
                 )
         except TimeoutError:
-            return result.Err("connecting timed out")
+            self._on_failed()
+            return _unreachable("connecting timed out")
         except OSError as error:
-            return result.Err(f"connecting failed: {error!r}")
+            self._on_failed()
+            return _unreachable(f"connecting failed: {error!r}")
+        finally:
+            slow_timer.cancel()
         self._opened += 1
+        self._on_connected()
         return result.Ok(conn)
 
     def release(
@@ -113,6 +147,11 @@
         else:
             connection.close_idle()
 
+    def avoid(
+        self, connection: target_connection.TargetConnection, reason: str
+    ) -> None:
+        """Does nothing, since direct connections lead over no peer."""
+
     def close_idle(self) -> None:
         """Closes connections that exceed their idle timeout."""
         now = asyncio.get_running_loop().time()
@@ -139,3 +178,10 @@
 def _pool_key(target: fleet.TargetRecord) -> PoolKey:
     """Returns the key of a target's connections in the pool."""
     return (target.target_id, target.host, target.port)
+
+
+def _unreachable(
+    detail: str,
+) -> result.Result[target_connection.TargetConnection, outcomes.Failed]:
+    """Returns the failure to open a connection."""
+    return result.Err(outcomes.Failed(outcomes.Failure.UNREACHABLE, detail))
--- a/src/cardamomfork/_internal/gateway/target_table.py
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -336,6 +336,13 @@
         target.paused_until = max(target.paused_until, now + pause_s)
         return True
 
+    def clear_failures(self) -> None:
+        """Forgets failed attempts that were not the targets' faults."""
+        for target in self._targets.values():
+            target.failure_rate = 0.0
+            target.consecutive_failures = 0
+            target.paused_until = 0.0
+
     def record_time_ratio(
         self, target_id: str, ratio: float, now: float
     ) -> None:
--- a/src/cardamomfork/_internal/models/forwarding.py
+++ b/src/cardamomfork/_internal/models/forwarding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import attrs
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -100,6 +102,36 @@
     helpers: tuple[PrefillHelper, ...] = ()
 
 
+class PeerFault(enum.Enum):
+    """Why a peer could not pass a request on to a target."""
+
+    UNAUTHORIZED = "unauthorized"
+    MALFORMED = "malformed"
+    STOPPING = "stopping"
+    ISOLATED = "isolated"
+    """The peer is cut off from all targets too."""
+    BUSY = "busy"
+    UNKNOWN_TARGET = "unknown_target"
+    LEAVING_TARGET = "leaving_target"
+    UNREACHABLE_TARGET = "unreachable_target"
+    LOST = "lost"
+    """The target's answer broke off; it may have run the request."""
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the request may have reached the target."""
+        return self is PeerFault.LOST
+
+    @property
+    def is_about_target(self) -> bool:
+        """Whether another peer would say the same of the target."""
+        return self in (
+            PeerFault.UNKNOWN_TARGET,
+            PeerFault.LEAVING_TARGET,
+            PeerFault.LOST,
+        )
+
+
 @attrs.frozen
 class ResponseHead:
     """Status and headers of a target's response.
@@ -119,6 +151,7 @@
         closes: Whether the target closes the connection after the response.
         rate_limit_per_s: Requests a second that the target accepts from all
             instances together, or None if it names no limit.
+        peer_fault: Why a peer has answered instead of the target, or None.
     """
 
     status: int
@@ -131,6 +164,7 @@
     content_length: int | None = None
     closes: bool = False
     rate_limit_per_s: float | None = None
+    peer_fault: PeerFault | None = None
 
     @property
     def is_success(self) -> bool:
