Test requests over a peer with real sockets, and bound the time sent to it

The test of a long answer found that a request without a time limit could not be encoded (an infinite number of milliseconds); the time sent is now bounded by 120 s.

--- a/src/cardamomfork/_internal/gateway/peer_forwarding_codec.py
+++ b/src/cardamomfork/_internal/gateway/peer_forwarding_codec.py
@@ -21,6 +21,8 @@
 
 PATH = "/forward"
 MS_PER_S = 1000.0
+MAX_TIME_LEFT_S = 120.0
+"""Bound of the time for which a peer holds a request."""
 BUSY_STATUS = 503
 """Also sent by the peer's HTTP server, which then has read nothing."""
 
@@ -66,6 +68,7 @@
     request: ForwardedRequest, secret: str, encoded: bytes
 ) -> bytes:
     """Returns the message that carries an encoded request to a peer."""
+    time_left_s = min(max(request.time_left_s, 0.0), MAX_TIME_LEFT_S)
     lines = (
         b"POST %b HTTP/1.1" % PATH.encode(),
         b"host: peer",
@@ -74,7 +77,7 @@
         _REQUEST_ID + b": " + request.request_id.encode("latin-1"),
         _TARGET_ID + b": " + request.target_id.encode(),
         b"%b: %d" % (_TARGET_STARTED_AT, request.target_started_at_ms),
-        b"%b: %d" % (_TIME_LEFT, max(request.time_left_s, 0.0) * MS_PER_S),
+        b"%b: %d" % (_TIME_LEFT, time_left_s * MS_PER_S),
         b"%b: %d" % (_RUNS_ONCE, request.runs_once),
         b"%b: %d" % (_IS_HEAD, request.is_head),
         b"content-length: %d" % len(encoded),
--- a/src/cardamomfork/_internal/gateway/peer_forwarding_server.py
+++ b/src/cardamomfork/_internal/gateway/peer_forwarding_server.py
@@ -38,8 +38,6 @@
 """Requests of peers in progress at one time."""
 BODY_MEMORY_FRACTION = 0.1
 """Share of the process's memory that buffered requests of peers may use."""
-MAX_TIME_LEFT_S = 120.0
-"""Bound of the time for which a request of a peer is held."""
 STATUS = {
     forwarding.PeerFault.UNAUTHORIZED: http.HTTPStatus.FORBIDDEN,
     forwarding.PeerFault.LOST: http.HTTPStatus.BAD_GATEWAY,
@@ -163,7 +161,9 @@
         """Passes a request on until it ends or the peer disconnects."""
         started_at = self._clock()
         outcome = "peer left"
-        time_left_s = min(request.time_left_s, MAX_TIME_LEFT_S)
+        time_left_s = min(
+            request.time_left_s, peer_forwarding_codec.MAX_TIME_LEFT_S
+        )
         try:
             async with anyio.create_task_group() as tasks:
 
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -55,7 +55,7 @@
 class ForwarderFixture:
     """A forwarder with scripted targets."""
 
-    def __init__(self, targets, rule=fleet.RepeatPolicy.STREAM):
+    def __init__(self, targets, rule=fleet.RepeatPolicy.STREAM, links=None):
         self.is_stream = rule is fleet.RepeatPolicy.STREAM
         service = "engines" if self.is_stream else "plain"
         self.parts = gateway_parts.Fleet(0)
@@ -64,12 +64,13 @@
                 gateway_parts.make_record(number, service, port=target.port)
             )
         self.wire = wire_format.WireFormat()
-        self.links = target_pool.TargetConnectionPool(self.wire)
+        self.pool = target_pool.TargetConnectionPool(self.wire)
+        self.links = links or self.pool
         self.guard = poison_guard.PoisonGuard()
         self.detector = crash_detector.CrashDetector(
             self.guard,
             self.parts.table,
-            self.links.open_idle,
+            self.pool.open_idle,
             time.monotonic,
             lambda: None,
         )
