Read and log what targets say of rest and of leaving in their answers

The logs said only that a target refused, so they could not tell a header that is not read from one that is read too late. `Retry-After` (seconds with fractions, or a date, relative to the answer's own date) and `Server-Leaving` are now decoded at the boundary and logged as `target asks for a rest` and `target says it leaves`, for answers to requests, to memory orders and to requests of peers. Nothing acts on them yet.

--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -33,6 +33,7 @@
     from cardamomfork._internal.gateway import reservations
     from cardamomfork._internal.gateway import retry_budget
     from cardamomfork._internal.gateway import target_paths
+    from cardamomfork._internal.gateway import target_statements
     from cardamomfork._internal.models import fleet
 
 FIRST_BYTE_TIMEOUT_FACTOR = 3.0
@@ -78,6 +79,7 @@
         detector: crash_detector.CrashDetector,
         reserver: reservations.MemoryReserver,
         limits: rate_limits.RateLimits,
+        statements: target_statements.TargetStatements,
         permits: rate_permits.RatePermits,
         clock: Callable[[], float],
         on_change: Callable[[], None],
@@ -96,6 +98,7 @@
             detector: Collects evidence of crashed targets.
             reserver: Reserves memory on engines.
             limits: Limits that targets put on the rate of requests.
+            statements: What targets state about themselves.
             permits: Acquires permits for requests to limited targets.
             clock: Monotonic time.
             on_change: Called when a job of this instance changes state.
@@ -115,6 +118,7 @@
         )
         self._reserver = reserver
         self._rate_limits = limits
+        self._statements = statements
         self._permits = permits
         self._clock = clock
         self._on_change = on_change
@@ -275,6 +279,10 @@
             is_head=exchange.request.method == b"HEAD",
         )
 
+        def on_head(head: forwarding.ResponseHead) -> None:
+            self._rate_limits.record_answer(record, head)
+            self._statements.record_answer(record, head)
+
         def on_event() -> None:
             now = self._clock()
             if writing.first_at is None:
@@ -292,7 +300,7 @@
             exchange.sink,
             exchange.progress,
             self._clock,
-            lambda head: self._rate_limits.record_answer(record, head),
+            on_head,
             on_event,
         )
         is_ended = is_complete = False
--- a/src/cardamomfork/_internal/gateway/peer_forwarding_server.py
+++ b/src/cardamomfork/_internal/gateway/peer_forwarding_server.py
@@ -29,6 +29,7 @@
     from cardamomfork._internal.gateway import stopping
     from cardamomfork._internal.gateway import target_pool
     from cardamomfork._internal.gateway import target_reach
+    from cardamomfork._internal.gateway import target_statements
     from cardamomfork._internal.models import fleet
 
     Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -55,6 +56,7 @@
         reach: target_reach.TargetReach,
         secret: fleet_secret.FleetSecret,
         limits: rate_limits.RateLimits,
+        statements: target_statements.TargetStatements,
         stop: stopping.StopState,
         clock: Callable[[], float],
         memory_bytes: int,
@@ -67,6 +69,7 @@
             reach: Whether this instance is cut off from all targets.
             secret: Authenticates instances to each other.
             limits: Limits that targets put on the rate of requests.
+            statements: What targets state about themselves.
             stop: Whether the process is stopping.
             clock: Monotonic time.
             memory_bytes: Memory that the process may use.
@@ -76,6 +79,7 @@
         self._reach = reach
         self._secret = secret
         self._limits = limits
+        self._statements = statements
         self._stop = stop
         self._clock = clock
         self._max_held_bytes = int(memory_bytes * BODY_MEMORY_FRACTION)
@@ -224,6 +228,7 @@
                 self._record(record, target_table.HealthSignal.FAILED)
                 return await _send_fault(send, forwarding.PeerFault.LOST)
             self._limits.record_answer(record, message.head)
+            self._statements.record_answer(record, message.head)
             await _send_head(send, message.head, is_head=request.is_head)
             async for message in messages:
                 if isinstance(message, target_connection.Data):
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -44,6 +44,7 @@
 from cardamomfork._internal.gateway import target_paths
 from cardamomfork._internal.gateway import target_pool
 from cardamomfork._internal.gateway import target_reach
+from cardamomfork._internal.gateway import target_statements
 from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.gateway import traffic_metrics
 from cardamomfork._internal.links import http_server
@@ -161,7 +162,10 @@
             clock,
             self._rng,
         )
-        self._reserver = reservations.MemoryReserver(wire, self._target_paths)
+        self._target_statements = target_statements.TargetStatements()
+        self._reserver = reservations.MemoryReserver(
+            wire, self._target_paths, self._target_statements
+        )
         self._rate_limits = rate_limits.RateLimits(
             self._target_table,
             clock,
@@ -174,6 +178,7 @@
                 self._target_reach,
                 self._fleet_secret,
                 self._rate_limits,
+                self._target_statements,
                 self._stop_state,
                 clock,
                 settings.memory_bytes,
@@ -269,6 +274,7 @@
                 self._crash_detector,
                 self._reserver,
                 self._rate_limits,
+                self._target_statements,
                 self._rate_permits,
                 clock,
                 self._on_capacity_change,
--- a/src/cardamomfork/_internal/gateway/reservations.py
+++ b/src/cardamomfork/_internal/gateway/reservations.py
@@ -28,6 +28,7 @@
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.gateway import placement
     from cardamomfork._internal.gateway import target_paths
+    from cardamomfork._internal.gateway import target_statements
     from cardamomfork._internal.models import fleet
 
 RESERVATION_TTL_S = 3.5
@@ -85,10 +86,18 @@
         self,
         wire: platform_format.PlatformFormat,
         links: target_paths.Paths,
+        statements: target_statements.TargetStatements,
     ) -> None:
-        """Initializes the reserver with the wire format and the connections."""
+        """Initializes the reserver.
+
+        Args:
+            wire: Encodes orders.
+            links: Opens connections to engines.
+            statements: What engines state about themselves.
+        """
         self._wire = wire
         self._links = links
+        self._statements = statements
         sender, receiver = anyio.create_memory_object_stream[Reservation](
             math.inf
         )
@@ -200,6 +209,7 @@
                 async for message in messages:
                     if isinstance(message, target_connection.HeadReceived):
                         status = message.head.status
+                        self._statements.record_answer(target, message.head)
                     is_complete = isinstance(
                         message, target_connection.Completed
                     )
--- a/src/cardamomfork/_internal/models/forwarding.py
+++ b/src/cardamomfork/_internal/models/forwarding.py
@@ -151,6 +151,10 @@
         closes: Whether the target closes the connection after the response.
         rate_limit_per_s: Requests a second that the target accepts from all
             instances together, or None if it names no limit.
+        retry_after_s: Time for which the target wants no further request from
+            this instance, or None.
+        is_leaving: Whether it states that the target's process is about to
+            end.
         peer_fault: Why a peer has answered instead of the target, or None.
     """
 
@@ -164,6 +168,8 @@
     content_length: int | None = None
     closes: bool = False
     rate_limit_per_s: float | None = None
+    retry_after_s: float | None = None
+    is_leaving: bool = False
     peer_fault: PeerFault | None = None
 
     @property
--- a/src/cardamomfork/_internal/platform/headers.py
+++ b/src/cardamomfork/_internal/platform/headers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from email import utils
 import http
 import math
 import re
+import time
 from typing import TYPE_CHECKING
 
 from cardamomfork._internal.models import forwarding
@@ -34,6 +36,8 @@
 _NOT_EXECUTED = b"x-cardamomfork-not-executed"
 _BLAMED_TARGET = b"at-server"
 _REQUEST_RATE_LIMIT = b"server-limit"  # Requests a second, from all instances.
+_IS_LEAVING = b"server-leaving"  # 1: the target's process is about to end.
+_RETRY_AFTER = b"retry-after"  # Seconds or a date.
 _API_KEY = b"api-key"
 _LAST_EVENT_ID = b"last-event-id"
 
@@ -142,6 +146,10 @@
         content_length=_parse_int(values.get(b"content-length")),
         closes=b"close" in values.get(b"connection", b"").lower(),
         rate_limit_per_s=_parse_rate(values.get(_REQUEST_RATE_LIMIT)),
+        retry_after_s=_parse_retry_after(
+            values.get(_RETRY_AFTER), values.get(b"date")
+        ),
+        is_leaving=values.get(_IS_LEAVING) == b"1",
     )
 
 
@@ -188,6 +196,33 @@
     return rate if math.isfinite(rate) and rate >= 0 else None
 
 
+def _parse_retry_after(value: bytes | None, date: bytes | None) -> float | None:
+    """Parses a retry-after time.
+
+    Args:
+        value: Seconds or a date, as in RFC 9110.
+        date: The date of the answer, which a date is relative to.
+
+    Returns:
+        The time in seconds; None if it is absent, malformed or past.
+    """
+    seconds = _parse_rate(value)
+    if seconds is None and value is not None:
+        until = _parse_date(value)
+        if until is None:
+            return None
+        seconds = until - (_parse_date(date or b"") or time.time())
+    return seconds if seconds is not None and seconds > 0 else None
+
+
+def _parse_date(value: bytes) -> float | None:
+    """Parses an HTTP date into Unix seconds; None if malformed."""
+    try:
+        return utils.parsedate_to_datetime(value.decode("latin-1")).timestamp()
+    except (ValueError, TypeError, OverflowError):
+        return None
+
+
 def _parse_int(value: bytes | None) -> int | None:
     """Parses a non-negative integer; None if absent or malformed."""
     digits = (value or b"").strip()
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -21,6 +21,7 @@
 from cardamomfork._internal.gateway import routes
 from cardamomfork._internal.gateway import scheduling
 from cardamomfork._internal.gateway import target_pool
+from cardamomfork._internal.gateway import target_statements
 from cardamomfork._internal.models import fleet
 from cardamomfork._internal.platform import wire_format
 from tests.lib import gateway_parts
@@ -83,6 +84,7 @@
             service, 100, gateway_parts.LAW if self.is_stream else None
         )
         limits = rate_limits.RateLimits(self.parts.table, time.monotonic)
+        statements = target_statements.TargetStatements()
         self.forwarder = forwarding.Forwarder(
             self.wire,
             scheduling.Scheduler(
@@ -98,8 +100,9 @@
             retry_budget.RetryBudget(gateway_parts.make_settings(), -math.inf),
             self.guard,
             self.detector,
-            reservations.MemoryReserver(self.wire, self.links),
+            reservations.MemoryReserver(self.wire, self.links, statements),
             limits,
+            statements,
             gateway_parts.make_permits(limits, time.monotonic),
             time.monotonic,
             lambda: None,
--- a/tests/functional/test_gateway_reservations.py
+++ b/tests/functional/test_gateway_reservations.py
@@ -10,6 +10,7 @@
 from cardamomfork._internal.gateway import placement
 from cardamomfork._internal.gateway import reservations
 from cardamomfork._internal.gateway import target_pool
+from cardamomfork._internal.gateway import target_statements
 from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.platform import wire_format
 from tests.lib import gateway_parts
@@ -48,7 +49,9 @@
                     await stack.enter_async_context(target)
                 wire = wire_format.WireFormat()
                 reserver = reservations.MemoryReserver(
-                    wire, target_pool.TargetConnectionPool(wire)
+                    wire,
+                    target_pool.TargetConnectionPool(wire),
+                    target_statements.TargetStatements(),
                 )
                 known = [
                     target_table.Target(
--- a/tests/lib/forwarding_peers.py
+++ b/tests/lib/forwarding_peers.py
@@ -18,6 +18,7 @@
 from cardamomfork._internal.gateway import stopping
 from cardamomfork._internal.gateway import target_paths
 from cardamomfork._internal.gateway import target_pool
+from cardamomfork._internal.gateway import target_statements
 from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.platform import wire_format
@@ -55,6 +56,7 @@
             self.reach,
             self.secret,
             self.limits,
+            target_statements.TargetStatements(),
             self.stop,
             time.monotonic,
             MEMORY_BYTES,
--- a/tests/unit/test_platform_decoding.py
+++ b/tests/unit/test_platform_decoding.py
@@ -220,6 +220,34 @@
         if head.content_length is not None:
             self.assertGreaterEqual(head.content_length, 0)
 
+    def test_rest_that_a_target_asks_for_is_decoded_in_all_its_forms(self):
+        date = b"Fri, 04 Dec 2026 12:00:00 GMT"
+        for value, seconds in (
+            (b"3", 3.0),
+            (b"0.25", 0.25),
+            (b"1e3", 1000.0),
+            (b"Fri, 04 Dec 2026 12:00:05 GMT", 5.0),
+            (b"Fri, 04 Dec 2026 11:59:00 GMT", None),
+            (b"0", None),
+            (b"-3", None),
+            (b"inf", None),
+            (b"nan", None),
+            (b"soon", None),
+            (b"", None),
+            (b"\xff", None),
+        ):
+            head = headers.decode_answer(
+                503, ((b"date", date), (b"retry-after", value))
+            )
+            self.assertEqual(head.retry_after_s, seconds, value)
+        self.assertIsNone(headers.decode_answer(503, ()).retry_after_s)
+
+    def test_statement_that_a_target_leaves_is_decoded(self):
+        for value, is_leaving in ((b"1", True), (b"0", False), (b"", False)):
+            head = headers.decode_answer(200, ((b"server-leaving", value),))
+            self.assertEqual(head.is_leaving, is_leaving, value)
+        self.assertFalse(headers.decode_answer(200, ()).is_leaving)
+
     def test_shared_parts_of_a_prompt_are_all_but_the_last(self):
         cases = {
             b"5c1e07a2:800,91BD3f06:410,e4402b7d:250": ("5c1e07a2", "91bd3f06"),
