Reproduce requests to targets that asked for rest or said that they leave

Stand-in targets can turn requests away with a retry-after time, and state in answers that they leave while their entries say that they are ready.

--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -72,6 +72,10 @@
         crash_from: Monotonic time from which on the part does so.
         rate_limit_per_s: Limit on the rate of requests that answers name, or
             None.
+        rest_s: Time for which answers that turn a request away ask for rest;
+            each request is turned away. None if none is.
+        says_leaving_from: Monotonic time from which on each answer states that
+            the target leaves, while its entry remains as it was.
     """
 
     reset: float = 0.0
@@ -84,6 +88,8 @@
     crash_events: int = 0
     crash_from: float = 0.0
     rate_limit_per_s: float | None = None
+    rest_s: float | None = None
+    says_leaving_from: float = math.inf
 
 
 def count_events(target: str) -> int:
@@ -157,6 +163,8 @@
             answer.extra.append(
                 (b"server-limit", b"%g" % self.faults.rate_limit_per_s)
             )
+        if time.monotonic() >= self.faults.says_leaving_from:
+            answer.extra.append((b"server-leaving", b"1"))
         requested_target_id = answer.header(b"x-cardamomfork-target-instance")
         if requested_target_id and requested_target_id != self._target_id:
             await answer.send_whole(MISDIRECTED, b"")
@@ -166,7 +174,7 @@
             await answer.send_whole(
                 SERVICE_UNAVAILABLE if self.is_leaving else OK, b""
             )
-        elif self._running >= self._slots:
+        elif self._running >= self._slots or self.faults.rest_s is not None:
             self._report(
                 {
                     "refused": answer.header(b"x-cardamomfork-request-id"),
@@ -174,6 +182,10 @@
                 }
             )
             answer.extra.append((b"x-cardamomfork-not-executed", b"1"))
+            if self.faults.rest_s is not None:
+                answer.extra.append(
+                    (b"retry-after", b"%g" % self.faults.rest_s)
+                )
             await answer.send_whole(SERVICE_UNAVAILABLE, b"")
         else:
             await self._run(answer, receive, body)
@@ -419,6 +431,8 @@
     crash_events: int = 0,
     crash_from: float = 0.0,
     rate_limit_per_s: float | None = None,
+    rest_s: float | None = None,
+    says_leaving_from: float = math.inf,
 ) -> None:
     """Serves until SIGTERM, and then for a little longer.
 
@@ -436,6 +450,8 @@
         crash_events: Number of events that it writes before.
         crash_from: Monotonic time from which on the part does so.
         rate_limit_per_s: Limit on the rate of requests that its answers name.
+        rest_s: Seconds of rest that it asks for as it turns each request away.
+        says_leaving_from: Monotonic time from which on answers say it leaves.
     """
 
     def report(line: dict[str, Any]) -> None:
@@ -450,6 +466,8 @@
     engine.faults.crash_events = crash_events
     engine.faults.crash_from = crash_from
     engine.faults.rate_limit_per_s = rate_limit_per_s
+    engine.faults.rest_s = rest_s
+    engine.faults.says_leaving_from = says_leaving_from
     entry = platform_site.make_entry(service, advertised_port, slots)
     client = platform_site.make_client(store)
 
