Send nothing to a target for the time of rest that it has asked for

Cause: `Retry-After` of a target's answer was not read, and a refusal gave no signal. A target that turns requests away has no work, so the placement preferred it.

Why this works: a 503 with a retry-after time makes its process (id and start) rest for this instance. A rest is never shortened, neither by a later answer nor by an entry that lapses and returns; a restarted process has none. Resting targets are no candidates, neither for requests nor for parts of prompts, and a request that was placed before is placed again instead of being sent. Reservations there are renewed half as often, which still keeps them. If all targets of a service rest, requests are refused at once with the shortest rest as retry-after time, lengthened at random by up to a half; they wait only for a rest that ends before they are late. A peer that forwards refuses too, and passes the time left on. Peers are not told: a target asks each instance on its own.

--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -240,6 +240,11 @@
         if block is not None and block.cause != exchange.trial:
             self._links.release(record, connection)
             return outcomes.Failed(outcomes.Failure.BLOCKED, "not sent")
+        if self._statements.rest_left_s(record):
+            self._links.release(record, connection)
+            return outcomes.Failed(
+                outcomes.Failure.UNWANTED, f"{record.target_id} rests"
+            )
         exchange.sent_attempts += 1
         exchange.possible_runs += 1
         writing = _Writing()
--- a/src/cardamomfork/_internal/gateway/outcome_recorder.py
+++ b/src/cardamomfork/_internal/gateway/outcome_recorder.py
@@ -178,6 +178,7 @@
         outcomes.Failure.NOT_RUN: None,
         outcomes.Failure.NO_MEMORY: None,
         outcomes.Failure.BLOCKED: None,
+        outcomes.Failure.UNWANTED: None,
         outcomes.Failure.RATE_LIMITED: None,
         outcomes.Failure.FAILED: None,
     }[outcome.failure]
--- a/src/cardamomfork/_internal/gateway/outcomes.py
+++ b/src/cardamomfork/_internal/gateway/outcomes.py
@@ -25,6 +25,8 @@
     """Memory could not be reserved; nothing was sent."""
     BLOCKED = "blocked"
     """The request has crashed several targets; nothing was sent."""
+    UNWANTED = "unwanted"
+    """The target has asked for a rest since the placement; nothing was sent."""
     RATE_LIMITED = "rate_limited"
     """No permit was available for the target; nothing was sent."""
     NOT_RUN = "not_run"
@@ -85,6 +87,7 @@
             Failure.PEER_REFUSED,
             Failure.NO_MEMORY,
             Failure.BLOCKED,
+            Failure.UNWANTED,
             Failure.RATE_LIMITED,
             Failure.NOT_RUN,
         )
--- a/src/cardamomfork/_internal/gateway/peer_forwarding_codec.py
+++ b/src/cardamomfork/_internal/gateway/peer_forwarding_codec.py
@@ -119,9 +119,20 @@
         return math.inf
 
 
-def encode_fault(fault: forwarding.PeerFault) -> _Pairs:
-    """Returns the headers of a peer's own answer."""
-    return ((_OUTCOME, fault.value.encode()), (b"content-length", b"0"))
+def encode_fault(
+    fault: forwarding.PeerFault, retry_after_s: float | None = None
+) -> _Pairs:
+    """Returns the headers of a peer's own answer.
+
+    Args:
+        fault: Why the peer has not passed the request on.
+        retry_after_s: Time until the target wants requests, in seconds, or
+            None.
+    """
+    headers = [(_OUTCOME, fault.value.encode()), (b"content-length", b"0")]
+    if retry_after_s is not None:
+        headers.append((b"retry-after", b"%.3f" % retry_after_s))
+    return tuple(headers)
 
 
 def encode_answer_headers(head: forwarding.ResponseHead) -> _Pairs:
--- a/src/cardamomfork/_internal/gateway/peer_forwarding_server.py
+++ b/src/cardamomfork/_internal/gateway/peer_forwarding_server.py
@@ -207,6 +207,11 @@
         record = target.record
         if record.is_leaving:
             return await _send_fault(send, forwarding.PeerFault.LEAVING_TARGET)
+        rest_s = self._statements.rest_left_s(record)
+        if rest_s:
+            return await _send_fault(
+                send, forwarding.PeerFault.RESTING_TARGET, rest_s
+            )
         opened = await self._pool.acquire(
             record,
             runs_once=request.runs_once,
@@ -268,13 +273,24 @@
             return bytes(body)
 
 
-async def _send_fault(send: Send, fault: forwarding.PeerFault) -> str:
-    """Sends an answer of this instance; returns how the request ended."""
+async def _send_fault(
+    send: Send, fault: forwarding.PeerFault, retry_after_s: float | None = None
+) -> str:
+    """Sends an answer of this instance; returns how the request ended.
+
+    Args:
+        send: ASGI's send.
+        fault: Why the request was not passed on.
+        retry_after_s: Time until its target wants requests, in seconds, or
+            None.
+    """
     await send(
         {
             "type": "http.response.start",
             "status": STATUS.get(fault, http.HTTPStatus.SERVICE_UNAVAILABLE),
-            "headers": list(peer_forwarding_codec.encode_fault(fault)),
+            "headers": list(
+                peer_forwarding_codec.encode_fault(fault, retry_after_s)
+            ),
         }
     )
     await _send_body(send, b"", more=False)
--- a/src/cardamomfork/_internal/gateway/placement.py
+++ b/src/cardamomfork/_internal/gateway/placement.py
@@ -127,7 +127,14 @@
         self, demand: demands.Demand, now: float
     ) -> Placement | NoCapacity:
         """Returns a placement, or the predicted time to free capacity."""
-        usable = self._table.list_service(demand.service.name, now)
+        listed = self._table.list_service(demand.service.name, now)
+        usable = [
+            target
+            for target in listed
+            if not self._table.rest_left_s(target.record, now)
+        ]
+        if listed and not usable:
+            return self._no_capacity_before_rest_ends(demand, listed, now)
         # If all targets are excluded, one of them may still succeed now.
         untried = [
             target
@@ -168,6 +175,25 @@
             return attrs.evolve(chosen, max_permit_wait_s=max_permit_wait_s)
         return chosen
 
+    def _no_capacity_before_rest_ends(
+        self,
+        demand: demands.Demand,
+        targets: list[target_table.Target],
+        now: float,
+    ) -> NoCapacity:
+        """Returns the result for targets that have all asked for a rest.
+
+        A request waits only for a rest that ends before it is late.
+        """
+        rest_s = min(
+            self._table.rest_left_s(target.record, now) for target in targets
+        )
+        return NoCapacity(
+            "all targets have asked for a rest",
+            rest_s,
+            may_wait=rest_s < demand.objective_left_s,
+        )
+
     def _choose_plain(
         self,
         costs: placement_costs.PlacementCosts,
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -162,7 +162,9 @@
             clock,
             self._rng,
         )
-        self._target_statements = target_statements.TargetStatements()
+        self._target_statements = target_statements.TargetStatements(
+            self._target_table, clock
+        )
         self._reserver = reservations.MemoryReserver(
             wire, self._target_paths, self._target_statements
         )
--- a/src/cardamomfork/_internal/gateway/reservations.py
+++ b/src/cardamomfork/_internal/gateway/reservations.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import http
+import itertools
 import math
 import secrets
 from typing import TYPE_CHECKING
@@ -151,10 +152,17 @@
 
     async def _renew(self, granted: list[Reservation]) -> None:
         """Renews reservations until it is cancelled."""
-        while True:
+        for number in itertools.count():
             await anyio.sleep(RENEWAL_INTERVAL_S)
+            # Every second renewal also keeps a reservation.
+            due = [
+                reservation
+                for reservation in granted
+                if number % 2
+                or not self._statements.rest_left_s(reservation.target)
+            ]
             async with anyio.create_task_group() as tasks:
-                for reservation in granted:
+                for reservation in due:
                     tasks.start_soon(self._reserve, reservation, [])
 
     async def _reserve(
--- a/src/cardamomfork/_internal/gateway/retrying.py
+++ b/src/cardamomfork/_internal/gateway/retrying.py
@@ -31,6 +31,7 @@
     outcomes.Failure.NO_MEMORY,
     outcomes.Failure.RATE_LIMITED,
     outcomes.Failure.PEER_REFUSED,
+    outcomes.Failure.UNWANTED,
 )
 """Failures after which another attempt is no retry."""
 MAX_REFUSED_ATTEMPTS = 2
--- a/src/cardamomfork/_internal/gateway/scheduling.py
+++ b/src/cardamomfork/_internal/gateway/scheduling.py
@@ -31,6 +31,8 @@
 compares all engines for all waiting requests."""
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 3.0
+MAX_STATED_RETRY_AFTER_S = 30.0
+"""The same for times that targets have stated, rather than predictions."""
 RETRY_AFTER_JITTER_FRACTION = 0.5
 """Retry-after times are lengthened by a random fraction up to this one."""
 
@@ -199,15 +201,26 @@
             not chosen.may_wait
             or chosen.capacity_in_s + min_service_s > demand.time_left_s
         ):
-            waiter.decision = self._refuse(chosen.reason, chosen.capacity_in_s)
+            waiter.decision = self._refuse(
+                chosen.reason,
+                chosen.capacity_in_s,
+                MAX_RETRY_AFTER_S
+                if chosen.may_wait
+                else MAX_STATED_RETRY_AFTER_S,
+            )
             return True
         return False
 
-    def _refuse(self, reason: str, capacity_in_s: float) -> Refusal:
+    def _refuse(
+        self,
+        reason: str,
+        capacity_in_s: float,
+        max_retry_after_s: float = MAX_RETRY_AFTER_S,
+    ) -> Refusal:
         """Returns a refusal with a retry-after time."""
         wait_s = capacity_in_s if math.isfinite(capacity_in_s) else 1.0
         jitter = 1.0 + RETRY_AFTER_JITTER_FRACTION * self._rng.random()
-        delay_s = min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+        delay_s = min(max(wait_s, MIN_RETRY_AFTER_S), max_retry_after_s)
         return Refusal(reason, delay_s * jitter)
 
 
--- a/src/cardamomfork/_internal/gateway/target_table.py
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -27,6 +27,9 @@
 that is known to have ended is not used unless it is written again. Exceeds the
 time after which the store removes the entry of a silent target."""
 MAX_ENDED_PROCESSES = 4096
+MAX_RESTING_PROCESSES = 4096
+MAX_REST_S = 600.0
+"""Bound of the time of rest that a target may ask for."""
 FAILURE_WEIGHT = 0.25
 """Weight of one attempt in the exponential moving average of failures."""
 FAILURE_HALF_LIFE_S = 6.0
@@ -160,6 +163,9 @@
         self._ended: OrderedDict[tuple[str, int], bool] = OrderedDict()
         self._doubtful: dict[str, fleet.TargetRecord] = {}
         self._doubt_until = 0.0
+        # Ends of rests, by target id and start: an entry that lapses and
+        # returns ends none.
+        self._rest_ends: OrderedDict[tuple[str, int], float] = OrderedDict()
 
     def __len__(self) -> int:
         """Returns the number of known targets."""
@@ -336,6 +342,31 @@
         target.paused_until = max(target.paused_until, now + pause_s)
         return True
 
+    def record_rest(
+        self, record: fleet.TargetRecord, rest_s: float, now: float
+    ) -> None:
+        """Records that a target's process wants no requests for some time.
+
+        A shorter rest that is asked for later does not shorten the first.
+
+        Args:
+            record: The target.
+            rest_s: Time of the rest, in seconds.
+            now: Monotonic time of the answer that asked for it.
+        """
+        key = _process_key(record)
+        until = now + min(rest_s, MAX_REST_S)
+        bounded_tables.put_newest(
+            self._rest_ends,
+            key,
+            max(until, self._rest_ends.get(key, 0.0)),
+            MAX_RESTING_PROCESSES,
+        )
+
+    def rest_left_s(self, record: fleet.TargetRecord, now: float) -> float:
+        """Returns the time for which a target's process wants no requests."""
+        return max(self._rest_ends.get(_process_key(record), 0.0) - now, 0.0)
+
     def clear_failures(self) -> None:
         """Forgets failed attempts that were not the targets' faults."""
         for target in self._targets.values():
--- a/src/cardamomfork/_internal/models/forwarding.py
+++ b/src/cardamomfork/_internal/models/forwarding.py
@@ -113,6 +113,8 @@
     BUSY = "busy"
     UNKNOWN_TARGET = "unknown_target"
     LEAVING_TARGET = "leaving_target"
+    RESTING_TARGET = "resting_target"
+    """The target has asked the peer for a rest."""
     UNREACHABLE_TARGET = "unreachable_target"
     LOST = "lost"
     """The target's answer broke off; it may have run the request."""
@@ -128,6 +130,7 @@
         return self in (
             PeerFault.UNKNOWN_TARGET,
             PeerFault.LEAVING_TARGET,
+            PeerFault.RESTING_TARGET,
             PeerFault.LOST,
         )
 
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -84,7 +84,9 @@
             service, 100, gateway_parts.LAW if self.is_stream else None
         )
         limits = rate_limits.RateLimits(self.parts.table, time.monotonic)
-        statements = target_statements.TargetStatements()
+        statements = target_statements.TargetStatements(
+            self.parts.table, time.monotonic
+        )
         self.forwarder = forwarding.Forwarder(
             self.wire,
             scheduling.Scheduler(
@@ -170,6 +172,36 @@
     return run_scenario(scenario, *scripts, rule=rule)
 
 
+class RestTest(unittest.TestCase):
+    def test_rest_asked_for_between_placement_and_sending_is_kept(self):
+        async def scenario(fixture, targets):
+            acquire = fixture.pool.acquire
+
+            async def acquire_late(record, **options):
+                opened = await acquire(record, **options)
+                if record.target_id == first[0]:
+                    fixture.parts.table.record_rest(
+                        record, 3.0, time.monotonic()
+                    )
+                return opened
+
+            chosen = fixture.parts.placer.choose(
+                gateway_parts.make_demand(), time.monotonic()
+            )
+            first = [chosen.target.record.target_id]
+            fixture.pool.acquire = acquire_late
+            results = [await fixture.send() for _ in range(6)]
+            rested = int(first[0].removeprefix("t"))
+            return results, len(targets[rested].requests)
+
+        def script(request):
+            return [stream(request, 1, 2)]
+
+        results, count = run_scenario(scenario, script, script)
+        self.assertEqual(count, 0)
+        self.assertTrue(all(sink.is_whole for sink, _ in results))
+
+
 class CrashingRequestTest(unittest.TestCase):
     def test_crashes_of_targets_that_no_other_request_meets_are_counted(self):
         listening = []
--- a/tests/functional/test_gateway_reservations.py
+++ b/tests/functional/test_gateway_reservations.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import time
 import unittest
 
 import anyio
@@ -51,7 +52,9 @@
                 reserver = reservations.MemoryReserver(
                     wire,
                     target_pool.TargetConnectionPool(wire),
-                    target_statements.TargetStatements(),
+                    target_statements.TargetStatements(
+                        target_table.TargetTable(), time.monotonic
+                    ),
                 )
                 known = [
                     target_table.Target(
--- a/tests/functional/test_peer_forwarding.py
+++ b/tests/functional/test_peer_forwarding.py
@@ -314,6 +314,12 @@
                     gateway_parts.make_record(0, is_leaving=True, port=1)
                 ),
             ),
+            (
+                faults.RESTING_TARGET,
+                lambda p: p.table.record_rest(
+                    gateway_parts.make_record(0), 3.0, time.monotonic()
+                ),
+            ),
             (
                 faults.BUSY,
                 lambda p: setattr(p.application, "_max_held_bytes", 10),
--- a/tests/lib/forwarding_peers.py
+++ b/tests/lib/forwarding_peers.py
@@ -56,7 +56,7 @@
             self.reach,
             self.secret,
             self.limits,
-            target_statements.TargetStatements(),
+            target_statements.TargetStatements(self.table, time.monotonic),
             self.stop,
             time.monotonic,
             MEMORY_BYTES,
