Send nothing to a target that says in its answers that it leaves

Cause: only the entry in the store said whether a target leaves; the header of its answers was not read.

Why this works: the statement, in any answer to a request, a memory order or a peer's request, marks the process (id and start) as leaving, and no entry undoes that, whichever comes first; another process has nothing of it. Such a target is no candidate, gets no first memory order, and a request that was placed before is placed again. Its idle connections are closed, and one that carried the statement is not used again; streams go on. Its end is no crash. An answer with 421 comes from another target and changes nothing.

--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/forwarding.py
@@ -240,11 +240,9 @@
         if block is not None and block.cause != exchange.trial:
             self._links.release(record, connection)
             return outcomes.Failed(outcomes.Failure.BLOCKED, "not sent")
-        if self._statements.rest_left_s(record):
+        if not self._statements.wants_requests(record):
             self._links.release(record, connection)
-            return outcomes.Failed(
-                outcomes.Failure.UNWANTED, f"{record.target_id} rests"
-            )
+            return outcomes.Failed(outcomes.Failure.UNWANTED, record.target_id)
         exchange.sent_attempts += 1
         exchange.possible_runs += 1
         writing = _Writing()
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -163,7 +163,7 @@
             self._rng,
         )
         self._target_statements = target_statements.TargetStatements(
-            self._target_table, clock
+            self._target_table, clock, self._connection_pool.close_target
         )
         self._reserver = reservations.MemoryReserver(
             wire, self._target_paths, self._target_statements
--- a/src/cardamomfork/_internal/gateway/reservations.py
+++ b/src/cardamomfork/_internal/gateway/reservations.py
@@ -132,7 +132,8 @@
             granted: list[Reservation] = []
             async with anyio.create_task_group() as tasks:
                 for reservation in reservations:
-                    tasks.start_soon(self._reserve, reservation, granted)
+                    if self._statements.wants_requests(reservation.target):
+                        tasks.start_soon(self._reserve, reservation, granted)
             held = HeldReservations(
                 tuple(granted),
                 tuple(
--- a/src/cardamomfork/_internal/gateway/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/target_connection.py
@@ -280,7 +280,7 @@
             # after the current exchange.
             self._is_reusable = False
             return
-        if head.closes:
+        if head.closes or head.is_leaving:
             self._is_reusable = False
         if head.idle_timeout_s is not None:
             self._idle_timeout_s = max(head.idle_timeout_s - IDLE_MARGIN_S, 0)
--- a/src/cardamomfork/_internal/gateway/target_pool.py
+++ b/src/cardamomfork/_internal/gateway/target_pool.py
@@ -167,6 +167,11 @@
             else:
                 del self._idle[pool_key]
 
+    def close_target(self, target: fleet.TargetRecord) -> None:
+        """Closes the idle connections to a target."""
+        for connection in self._idle.pop(_pool_key(target), []):
+            connection.close_idle()
+
     def close(self) -> None:
         """Closes all idle connections."""
         for connections in self._idle.values():
--- a/src/cardamomfork/_internal/gateway/target_statements.py
+++ b/src/cardamomfork/_internal/gateway/target_statements.py
@@ -24,21 +24,34 @@
     """Records that targets ask for a rest or are about to end."""
 
     def __init__(
-        self, table: target_table.TargetTable, clock: Callable[[], float]
+        self,
+        table: target_table.TargetTable,
+        clock: Callable[[], float],
+        on_leaving: Callable[[fleet.TargetRecord], None] = lambda _: None,
     ) -> None:
         """Initializes the statements.
 
         Args:
             table: The known targets.
             clock: Monotonic time.
+            on_leaving: Called with a target that says that it leaves, if that
+                was not known.
         """
         self._table = table
         self._clock = clock
+        self._on_leaving = on_leaving
 
     def rest_left_s(self, record: fleet.TargetRecord) -> float:
         """Returns the time for which a target wants no requests."""
         return self._table.rest_left_s(record, self._clock())
 
+    def wants_requests(self, record: fleet.TargetRecord) -> bool:
+        """Returns whether a target's process wants requests.
+
+        It may have asked for a rest, or be leaving, since it was chosen.
+        """
+        return not (self.rest_left_s(record) or self._table.is_leaving(record))
+
     def record_answer(
         self, record: fleet.TargetRecord, head: forwarding.ResponseHead
     ) -> None:
@@ -56,5 +69,6 @@
                 target_id=record.target_id,
                 retry_after_s=round(head.retry_after_s, 3),
             )
-        if head.is_leaving:
+        if head.is_leaving and self._table.mark_leaving(record):
             logger.info("target says it leaves", target_id=record.target_id)
+            self._on_leaving(record)
--- a/src/cardamomfork/_internal/gateway/target_table.py
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -342,6 +342,33 @@
         target.paused_until = max(target.paused_until, now + pause_s)
         return True
 
+    def mark_leaving(self, record: fleet.TargetRecord) -> bool:
+        """Records that a target's process has said that it leaves.
+
+        It remains so, whatever its entry says later.
+
+        Returns:
+            Whether that was not known.
+        """
+        key = _process_key(record)
+        target = self._targets.get(record.target_id)
+        if target is not None and _process_key(target.record) == key:
+            was_leaving = target.record.is_leaving
+            target.record = attrs.evolve(target.record, is_leaving=True)
+            return not was_leaving
+        if key in self._ended:
+            self._ended[key] = True
+        return False
+
+    def is_leaving(self, record: fleet.TargetRecord) -> bool:
+        """Returns whether a target's process is known to be leaving."""
+        target = self._targets.get(record.target_id)
+        if target is None or _process_key(target.record) != _process_key(
+            record
+        ):
+            return self._ended.get(_process_key(record), False)
+        return target.record.is_leaving
+
     def record_rest(
         self, record: fleet.TargetRecord, rest_s: float, now: float
     ) -> None:
--- a/tests/unit/test_gateway_target_statements.py
+++ b/tests/unit/test_gateway_target_statements.py
@@ -8,6 +8,7 @@
 from cardamomfork._internal.gateway import placement
 from cardamomfork._internal.gateway import scheduling
 from cardamomfork._internal.gateway import target_statements
+from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.models import forwarding
 from tests.lib import gateway_parts
 
@@ -134,5 +135,75 @@
         self.assertIsInstance(fixture.choose(), placement.Placement)
 
 
+class LeavingTest(unittest.TestCase):
+    def test_target_that_says_it_leaves_in_any_answer_gets_no_request(self):
+        for status in (200, 404, 500, 503):
+            fixture = StatementsFixture(engines=2)
+            record = fixture.records[0]
+            fixture.answer(record, status, is_leaving=True)
+            self.assertFalse(fixture.statements.wants_requests(record))
+            for tokens in (500, 150_000):
+                chosen = fixture.choose(tokens=tokens)
+                self.assertIsInstance(chosen, placement.Placement)
+                self.assertNotEqual(chosen.target.record, record)
+                self.assertEqual(chosen.helpers, ())
+
+    def test_answer_of_another_target_at_the_address_changes_nothing(self):
+        fixture = StatementsFixture()
+        record = fixture.records[0]
+        fixture.answer(record, 421, is_leaving=True)
+        self.assertTrue(fixture.statements.wants_requests(record))
+
+    def test_entry_that_says_ready_does_not_undo_the_statement(self):
+        fixture = StatementsFixture()
+        record = fixture.records[0]
+        fixture.answer(record, 200, is_leaving=True)
+        fixture.table.put(record)
+        self.assertFalse(fixture.statements.wants_requests(record))
+        fixture.table.replace_all([record], 1.0, may_return=True)
+        self.assertFalse(fixture.statements.wants_requests(record))
+        fixture.table.remove(record.target_id, 1.0, may_return=False)
+        fixture.table.put(record)
+        self.assertFalse(fixture.statements.wants_requests(record))
+
+    def test_statement_that_arrives_after_the_entry_has_gone_counts(self):
+        fixture = StatementsFixture()
+        record = fixture.records[0]
+        fixture.table.remove(record.target_id, 1.0, may_return=False)
+        fixture.answer(record, 200, is_leaving=True)
+        fixture.table.put(record)
+        self.assertFalse(fixture.statements.wants_requests(record))
+
+    def test_restarted_process_gets_requests_again(self):
+        fixture = StatementsFixture()
+        record = fixture.records[0]
+        fixture.answer(record, 200, is_leaving=True)
+        restarted = attrs.evolve(record, started_at_ms=record.started_at_ms + 1)
+        fixture.table.put(restarted)
+        self.assertTrue(fixture.statements.wants_requests(restarted))
+        fixture.answer(record, 200, is_leaving=True)
+        self.assertTrue(fixture.statements.wants_requests(restarted))
+
+    def test_statement_is_reported_once(self):
+        fixture = StatementsFixture()
+        leaving = []
+        statements = target_statements.TargetStatements(
+            fixture.table, fixture.clock, leaving.append
+        )
+        head = forwarding.ResponseHead(200, (), is_leaving=True)
+        for _ in range(3):
+            statements.record_answer(fixture.records[0], head)
+        self.assertEqual(leaving, fixture.records[:1])
+
+    def test_end_of_a_target_that_said_it_leaves_is_no_crash(self):
+        ended = []
+        table = target_table.TargetTable(ended.append)
+        record = gateway_parts.make_record(1)
+        table.put(record)
+        table.mark_leaving(record)
+        table.remove(record.target_id, 1.0, may_return=False)
+        self.assertTrue(ended[0].is_leaving)
+
+
 if __name__ == "__main__":
     unittest.main()
