--- a/tests/lib/isolated_fleet.py
+++ b/tests/lib/isolated_fleet.py
@@ -9,6 +9,7 @@
 import json
 import pathlib
 import random
+import signal
 import sys
 import time
 
@@ -32,6 +33,9 @@
 CUT_S = 10.0
 RESTORED_S = 3.0
 PAUSE_S = 0.03
+MIN_DISTURBED = 2
+MAX_DISTURBANCE_PAUSE_S = 3.0
+MAX_FREEZE_S = 2.0
 SILENT = "silent"
 RESET = "reset"
 REFUSED = "refused"
@@ -231,6 +235,31 @@
     return outcome
 
 
+async def disturb_others(deployment, entries):
+    """Ends and freezes instances that are not cut off, until cancelled."""
+    rng = random.Random(deployment.rng.random())
+    others = sorted(set(deployment.entries) - set(entries))
+    if len(others) < MIN_DISTURBED:
+        return
+    while True:
+        await asyncio.sleep(rng.random() * MAX_DISTURBANCE_PAUSE_S)
+        process = deployment.entries[rng.choice(others)]
+        signal_number = rng.choice(
+            (signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP)
+        )
+        process.signal(signal_number)
+        try:
+            if signal_number == signal.SIGSTOP:
+                await asyncio.sleep(rng.random() * MAX_FREEZE_S)
+            else:
+                await process.wait()
+        finally:
+            if signal_number == signal.SIGSTOP:
+                process.signal(signal.SIGCONT)
+        if not process.is_running:
+            await process.start()
+
+
 async def _do_nothing(deployment, entries):
     """Disturbs nothing."""
     del deployment, entries
@@ -270,11 +299,13 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--disturb", action="store_true")
     arguments = parser.parse_args()
+    act = disturb_others if arguments.disturb else None
     broken = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         options = draw_options(seed)
-        outcome = asyncio.run(run(seed, options))
+        outcome = asyncio.run(run(seed, options, act))
         broken += bool(
             outcome.is_served_less
             or outcome.repeated_once_runs
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -298,6 +298,33 @@
         run_scenario(scenario)
 
 
+class ForwardingPeersTest(unittest.TestCase):
+    def test_all_instances_learn_who_reaches_targets(self):
+        for sizes in (SMALL_FLEET, {"a": 29, "b": 29, "c": 28}):
+            network = Network(sizes)
+            cut_off = network.all[::3]
+            for instance in network.all:
+                is_reaching = instance not in cut_off
+                instance.links._reaches_targets = lambda value=is_reaching: (
+                    value
+                )
+                instance.links._count_open_requests = lambda: 7
+                instance.links.send()
+            network.deliver()
+            expected = {
+                one.peer.instance_id
+                for one in network.all
+                if one not in cut_off
+            }
+            for instance in network.all:
+                found = instance.table.forwarding_peers(2.2)
+                self.assertEqual(
+                    {one.peer.instance_id for one in found},
+                    expected - {instance.peer.instance_id},
+                )
+                self.assertEqual({one.open_requests for one in found}, {7})
+
+
 class LateTimerTest(unittest.TestCase):
     def test_changes_on_a_late_event_loop_do_not_end_the_process(self):
         instance = Network(SMALL_FLEET).all[0]
