Let connections outlast two seconds of a target's silence

A sound target may fall silent for a second or so and go on. TCP_USER_TIMEOUT was 1.2 s: a request that must not repeat and was sent into such a silence failed with 502 although its target would have answered, and it also ended keep-alive probes after two seconds, whatever their count. It is 2.5 s now; requests that may be repeated keep their own, shorter timeouts. The number of probes had no effect beside it and is gone.

The test of the socket's options fails with 1.2 s.

--- a/src/cardamomfork/_internal/gateway/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/target_connection.py
@@ -26,11 +26,11 @@
 
     from cardamomfork._internal.models import forwarding
 
-USER_TIMEOUT_MS = 1200
-"""Time after which unacknowledged bytes end a connection."""
+USER_TIMEOUT_MS = 2500
+"""Time after which unacknowledged bytes end a connection. A sound target may be
+silent for a second or more. It also decides when keep-alive probes give up."""
 KEEP_ALIVE_PROBE_S = 1
 """Idle time before the first keep-alive probe, and interval of probes."""
-KEEP_ALIVE_PROBE_COUNT = 2
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 """Idle timeout of a connection if the target announces none."""
 IDLE_MARGIN_S = 1.0
@@ -210,7 +210,6 @@
             (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
             (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_PROBE_S),
             (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_PROBE_S),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBE_COUNT),
         ):
             tcp_socket.setsockopt(level, option, value)
 
--- a/tests/unit/test_target_connection.py
+++ b/tests/unit/test_target_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import socket
 import unittest
 
 import anyio
@@ -45,13 +46,14 @@
 
     def __init__(self):
         self.is_closed = False
+        self.options = {}
 
     def get_extra_info(self, name):
         del name
         return self
 
-    def setsockopt(self, *option):
-        del option
+    def setsockopt(self, level, option, value):
+        self.options[level, option] = value
 
     def write(self, data):
         del data
@@ -147,5 +149,20 @@
             )
 
 
+class SilentTargetTest(unittest.TestCase):
+    def test_silence_of_two_seconds_does_not_end_a_connection(self):
+        transport = FakeTransport()
+        connection = target_connection.TargetConnection(headers.decode_answer)
+        connection.connection_made(transport)
+        tcp = socket.IPPROTO_TCP
+        timeout_ms = transport.options[tcp, socket.TCP_USER_TIMEOUT]
+        self.assertGreater(timeout_ms, 2000)
+        # The user timeout ends probes whatever their count.
+        self.assertNotIn((tcp, socket.TCP_KEEPCNT), transport.options)
+        self.assertGreater(
+            transport.options[tcp, socket.TCP_KEEPIDLE] * 1000, 0
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
