--- a/tests/lib/isolated_fleet.py
+++ b/tests/lib/isolated_fleet.py
@@ -249,15 +249,14 @@
         )
         process.signal(signal_number)
         try:
-            if signal_number == signal.SIGSTOP:
-                await asyncio.sleep(rng.random() * MAX_FREEZE_S)
-            else:
-                await process.wait()
+            await asyncio.sleep(rng.random() * MAX_FREEZE_S)
         finally:
+            # Also if cancelled, so that the instance serves after the cut.
             if signal_number == signal.SIGSTOP:
                 process.signal(signal.SIGCONT)
-        if not process.is_running:
-            await process.start()
+            else:
+                await process.wait()
+                await process.start()
 
 
 async def _do_nothing(deployment, entries):
