--- a/src/cardamomfork/_internal/gateway/peer_forwarding_client.py
+++ b/src/cardamomfork/_internal/gateway/peer_forwarding_client.py
@@ -215,12 +215,6 @@
         else:
             forwarded.inner.close_idle()
 
-    def _end_use(self, peer_id: str) -> None:
-        """Counts a request that a peer no longer serves."""
-        self._in_use[peer_id] -= 1
-        if not self._in_use[peer_id]:
-            del self._in_use[peer_id]
-
     def avoid(self, peer_id: str, reason: str) -> None:
         """Uses other peers for some time, as long as there are any."""
         self._avoided_until[peer_id] = self._clock() + AVOID_S
@@ -252,6 +246,12 @@
                 connection.close_idle()
         self._idle.clear()
 
+    def _end_use(self, peer_id: str) -> None:
+        """Counts a request that a peer no longer serves."""
+        self._in_use[peer_id] -= 1
+        if not self._in_use[peer_id]:
+            del self._in_use[peer_id]
+
     def _candidates(self) -> list[peer_table.ForwardingPeer]:
         """Returns the peers that are known to reach targets."""
         return self._table.forwarding_peers(MAX_DIGEST_AGE_S)
@@ -304,10 +304,8 @@
 
         try:
             with anyio.fail_after(min(CONNECT_TIMEOUT_S, time_left_s)):
-                (
-                    _,
-                    connection,
-                ) = await asyncio.get_running_loop().create_connection(
+                loop = asyncio.get_running_loop()
+                _, connection = await loop.create_connection(
                     lambda: target_connection.TargetConnection(decode),
                     peer.host,
                     peer.port,
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -21,12 +21,10 @@
 from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import digest_recipients
-from cardamomfork._internal.gateway import fleet_secret
 from cardamomfork._internal.gateway import fleet_state
 from cardamomfork._internal.gateway import follower
 from cardamomfork._internal.gateway import forwarding
 from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import peer_forwarding_client
 from cardamomfork._internal.gateway import peer_forwarding_server
 from cardamomfork._internal.gateway import peer_table
 from cardamomfork._internal.gateway import peers
@@ -41,9 +39,7 @@
 from cardamomfork._internal.gateway import state_dump
 from cardamomfork._internal.gateway import stopping
 from cardamomfork._internal.gateway import store_handlers
-from cardamomfork._internal.gateway import target_paths
-from cardamomfork._internal.gateway import target_pool
-from cardamomfork._internal.gateway import target_reach
+from cardamomfork._internal.gateway import target_access
 from cardamomfork._internal.gateway import target_statements
 from cardamomfork._internal.gateway import target_table
 from cardamomfork._internal.gateway import traffic_metrics
@@ -107,28 +103,6 @@
         )
         self._poison_guard = poison_guard.PoisonGuard(self._owns_trials)
         self._retry_budget = retry_budget.RetryBudget(settings, clock())
-        self._target_reach = target_reach.TargetReach(
-            self._list_reachable_targets,
-            self._probe_target,
-            clock,
-            self._rng,
-            self._on_reach_change,
-        )
-        self._connection_pool = target_pool.TargetConnectionPool(
-            wire,
-            self._target_reach.record_connection,
-            self._target_reach.record_failure,
-        )
-        self._crash_detector = crash_detector.CrashDetector(
-            self._poison_guard,
-            self._target_table,
-            self._connection_pool.open_idle,
-            clock,
-            self._on_crash,
-            self._target_reach.confirm,
-        )
-        self._stop_state = stopping.StopState()
-        self._connection_limits = caller_protocol.ConnectionLimits()
         self._local_peer = digest_codec.Peer(
             settings.instance_id,
             settings.data_centre,
@@ -136,19 +110,25 @@
             settings.peer_port,
         )
         self._peer_table = peer_table.PeerTable(self._local_peer, clock)
-        self._fleet_secret = fleet_secret.FleetSecret()
-        self._peer_client = peer_forwarding_client.PeerForwardingClient(
-            settings.instance_id,
-            settings.data_centre,
-            self._peer_table,
-            self._fleet_secret,
+        self._target_access = target_access.TargetAccess(
             wire,
+            settings,
+            self._target_table,
+            self._peer_table,
             clock,
             self._rng,
+            self._on_reach_change,
         )
-        self._target_paths = target_paths.TargetPaths(
-            self._connection_pool, self._target_reach, self._peer_client
+        self._crash_detector = crash_detector.CrashDetector(
+            self._poison_guard,
+            self._target_table,
+            self._target_access.pool.open_idle,
+            clock,
+            self._on_crash,
+            self._target_access.reach.confirm,
         )
+        self._stop_state = stopping.StopState()
+        self._connection_limits = caller_protocol.ConnectionLimits()
         self._scheduler = scheduling.Scheduler(
             placement.Placer(
                 self._target_table,
@@ -163,10 +143,10 @@
             self._rng,
         )
         self._target_statements = target_statements.TargetStatements(
-            self._target_table, clock, self._connection_pool.close_target
+            self._target_table, clock, self._target_access.pool.close_target
         )
         self._reserver = reservations.MemoryReserver(
-            wire, self._target_paths, self._target_statements
+            wire, self._target_access.paths, self._target_statements
         )
         self._rate_limits = rate_limits.RateLimits(
             self._target_table,
@@ -175,10 +155,10 @@
         )
         self._peer_forwarding = (
             peer_forwarding_server.PeerForwardingApplication(
-                self._connection_pool,
+                self._target_access.pool,
                 self._target_table,
-                self._target_reach,
-                self._fleet_secret,
+                self._target_access.reach,
+                self._target_access.secret,
                 self._rate_limits,
                 self._target_statements,
                 self._stop_state,
@@ -268,7 +248,7 @@
             forwarding.Forwarder(
                 wire,
                 self._scheduler,
-                self._target_paths,
+                self._target_access.paths,
                 self._target_table,
                 self._load_view,
                 self._retry_budget,
@@ -280,7 +260,7 @@
                 self._rate_permits,
                 clock,
                 self._on_capacity_change,
-                lambda: self._target_reach.is_isolated,
+                lambda: self._target_access.reach.is_isolated,
             ),
             self._stop_state,
             self._make_metrics(),
@@ -338,13 +318,13 @@
                 self._rng,
             )
             tasks.start_soon(
-                self._fleet_secret.run,
+                self._target_access.secret.run,
                 self._store,
                 self._on_store_answer,
                 self._rng,
             )
             tasks.start_soon(self._reserver.run)
-            tasks.start_soon(self._target_reach.run)
+            tasks.start_soon(self._target_access.reach.run)
             tasks.start_soon(self._crash_detector.run)
             tasks.start_soon(self._crash_persistence.run)
             tasks.start_soon(self._crashes_follower.run)
@@ -358,8 +338,7 @@
                 await self._peer_forwarding.wait_until_idle()
             logger.info("stopped")
             tasks.cancel_scope.cancel()
-        self._connection_pool.close()
-        self._peer_client.close()
+        self._target_access.close()
         await self._store.close()
 
     def _make_follower(
@@ -423,40 +402,22 @@
 
     def _on_targets_change(self) -> None:
         """Applies a change of the targets' entries."""
-        self._target_reach.probe_soon()
+        self._target_access.reach.probe_soon()
         self._on_capacity_change()
 
-    def _list_reachable_targets(self) -> list[fleet.TargetRecord]:
-        """Returns the targets that show whether links work.
-
-        Those that failed lately may have ended, so they count only if there
-        are no others.
-        """
-        now = self._clock()
-        targets = self._target_table.list_all()
-        usable = [one.record for one in targets if one.is_usable(now)]
-        return usable or [one.record for one in targets]
-
-    async def _probe_target(self, record: fleet.TargetRecord) -> object | None:
-        """Opens a connection to a target, for a later request."""
-        return await self._connection_pool.open_idle(record)
-
     def _reaches_targets(self) -> bool:
         """Returns whether peers may send requests over this instance."""
         return (
-            not self._target_reach.is_isolated
+            not self._target_access.reach.is_isolated
             and self._fleet_state.is_complete
             and not self._stop_state.is_stopping
         )
 
     def _on_reach_change(self) -> None:
-        """Drops what failures on this instance's links seem to show."""
-        if self._target_reach.is_isolated:
-            self._connection_pool.close()
-            self._poison_guard.discard_suspects(
-                self._target_reach.doubted_since
-            )
-        self._target_table.clear_failures()
+        """Drops suspects of a cut, and notifies peers."""
+        reach = self._target_access.reach
+        if reach.is_isolated:
+            self._poison_guard.discard_suspects(reach.doubted_since)
         self._peer_links.notify(is_urgent=True)
         self._scheduler.dispatch_waiting()
 
@@ -516,8 +477,7 @@
                 self._reload()
                 reload_at = self._clock() + SETTINGS_RELOAD_INTERVAL_S
             self._fleet_state.expire()
-            self._connection_pool.close_idle()
-            self._peer_client.close_idle()
+            self._target_access.close_idle()
             self._retry_budget.update_instances(self._peer_table.known_count)
 
     async def _handle_signals(
@@ -572,7 +532,7 @@
                 self._fleet_state.configuration_age_s, 3
             ),
             "is_ready": self._is_ready(),
-            "is_isolated": self._target_reach.is_isolated,
+            "is_isolated": self._target_access.reach.is_isolated,
             "is_delegate": self._peer_table.is_delegate(),
             "in_progress": self._caller_application.in_progress,
             "waiting": self._scheduler.waiting,
@@ -599,10 +559,10 @@
                 "configuration_age": lambda: (
                     self._fleet_state.configuration_age_s
                 ),
-                "connections_opened": lambda: self._connection_pool.opened,
+                "connections_opened": lambda: self._target_access.pool.opened,
                 "permit_targets": lambda: self._rate_permits.issued_targets,
                 "crash_suspects": lambda: self._poison_guard.suspect_count,
-                "isolated": lambda: int(self._target_reach.is_isolated),
+                "isolated": lambda: int(self._target_access.reach.is_isolated),
                 "peer_requests": lambda: self._peer_forwarding.in_progress,
                 "blocked_requests": lambda: len(
                     self._poison_guard.blocked(self._clock())
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/target_access.py
@@ -0,0 +1,125 @@
+"""Wires the links of an instance to targets, direct ones and over peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.gateway import fleet_secret
+from cardamomfork._internal.gateway import peer_forwarding_client
+from cardamomfork._internal.gateway import target_paths
+from cardamomfork._internal.gateway import target_pool
+from cardamomfork._internal.gateway import target_reach
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from cardamomfork._internal.contracts import platform_format
+    from cardamomfork._internal.gateway import peer_table
+    from cardamomfork._internal.gateway import target_table
+    from cardamomfork._internal.models import fleet
+
+
+class TargetAccess:
+    """Connections to targets, and whether they can be reached."""
+
+    def __init__(
+        self,
+        wire: platform_format.PlatformFormat,
+        settings: fleet.EntrySettings,
+        targets: target_table.TargetTable,
+        peers: peer_table.PeerTable,
+        clock: Callable[[], float],
+        rng: random.Random,
+        on_reach_change: Callable[[], None],
+    ) -> None:
+        """Initializes the access without connections.
+
+        Args:
+            wire: Decodes the heads of answers.
+            settings: Settings of this instance.
+            targets: The known targets.
+            peers: The known peers.
+            clock: Monotonic time.
+            rng: Random generator.
+            on_reach_change: Called after this instance was cut off from all
+                targets, or reaches some again.
+        """
+        self._targets = targets
+        self._clock = clock
+        self._on_reach_change = on_reach_change
+        self._reach = target_reach.TargetReach(
+            self._list_targets_to_probe,
+            self._probe,
+            clock,
+            rng,
+            self._apply_reach_change,
+        )
+        self._pool = target_pool.TargetConnectionPool(
+            wire, self._reach.record_connection, self._reach.record_failure
+        )
+        self._secret = fleet_secret.FleetSecret()
+        self._client = peer_forwarding_client.PeerForwardingClient(
+            settings.instance_id,
+            settings.data_centre,
+            peers,
+            self._secret,
+            wire,
+            clock,
+            rng,
+        )
+        self._paths = target_paths.TargetPaths(
+            self._pool, self._reach, self._client
+        )
+
+    @property
+    def reach(self) -> target_reach.TargetReach:
+        """Whether this instance reaches any target."""
+        return self._reach
+
+    @property
+    def pool(self) -> target_pool.TargetConnectionPool:
+        """Direct connections."""
+        return self._pool
+
+    @property
+    def secret(self) -> fleet_secret.FleetSecret:
+        """Authenticates instances to each other."""
+        return self._secret
+
+    @property
+    def paths(self) -> target_paths.TargetPaths:
+        """Connections on the path that works at the time."""
+        return self._paths
+
+    def close_idle(self) -> None:
+        """Closes connections that exceed their idle timeout."""
+        self._pool.close_idle()
+        self._client.close_idle()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        self._pool.close()
+        self._client.close()
+
+    def _list_targets_to_probe(self) -> list[fleet.TargetRecord]:
+        """Returns the targets that show whether links work.
+
+        Those that failed lately may have ended, so they count only if there
+        are no others.
+        """
+        now = self._clock()
+        targets = self._targets.list_all()
+        usable = [one.record for one in targets if one.is_usable(now)]
+        return usable or [one.record for one in targets]
+
+    async def _probe(self, record: fleet.TargetRecord) -> object | None:
+        """Opens a connection to a target, for a later request."""
+        return await self._pool.open_idle(record)
+
+    def _apply_reach_change(self) -> None:
+        """Drops connections and failures that a cut has made worthless."""
+        if self._reach.is_isolated:
+            self._pool.close()
+        self._targets.clear_failures()
+        self._on_reach_change()
