Test that instances that are all cut off refuse at once

Three of three instances without links: each request of the cut is answered 503 within 0.5 s, none of them ran, and callers are served again afterwards.

--- a/tests/functional/test_isolated_instances.py
+++ b/tests/functional/test_isolated_instances.py
@@ -5,6 +5,8 @@
 
 from tests.lib import isolated_fleet
 
+NOT_RUN = 503
+
 
 class IsolatedInstanceTest(unittest.TestCase):
     def check(self, options):
@@ -23,6 +25,18 @@
     def test_callers_of_instances_whose_new_links_are_refused_are_served(self):
         self.check(isolated_fleet.Options(how=isolated_fleet.REFUSED))
 
+    def test_instances_that_are_all_cut_off_refuse_at_once(self):
+        outcome = asyncio.run(
+            isolated_fleet.run(1, isolated_fleet.Options(instances=3, cut=3))
+        )
+        refused = [call for call in outcome.cut_calls if call.status == NOT_RUN]
+        self.assertGreater(len(refused), 20)
+        self.assertEqual(len(refused), len(outcome.cut_calls))
+        held_s = max(call.ended_at - call.sent_at for call in refused)
+        self.assertLess(held_s, 0.5)
+        self.assertEqual(outcome.run_although_refused, [])
+        self.assertGreater(outcome.restored.share, 0.8)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/lib/isolated_fleet.py
+++ b/tests/lib/isolated_fleet.py
@@ -99,6 +99,7 @@
         cut: Requests at instances that were cut off at that time.
         others: Requests at the others at that time.
         restored: Requests after the last cut.
+        cut_calls: Requests at instances that were cut off at that time.
     """
 
     deployment: processes.Deployment
@@ -106,6 +107,7 @@
     cut: Tally = attrs.field(factory=Tally)
     others: Tally = attrs.field(factory=Tally)
     restored: Tally = attrs.field(factory=Tally)
+    cut_calls: list = attrs.field(factory=list)
 
     @property
     def is_served_less(self):
@@ -269,7 +271,10 @@
     is_served = call.status == callers.OK and call.is_complete
     for cut_at, restored_at, entries in periods:
         if cut_at + STABLE_S <= call.sent_at < restored_at - TRY_S:
-            tally = outcome.cut if call.entry in entries else outcome.others
+            tally = outcome.others
+            if call.entry in entries:
+                tally = outcome.cut
+                outcome.cut_calls.append(call)
             break
     else:
         if call.sent_at < periods[-1][1]:
