--- a/tests/functional/test_peer_forwarding.py
+++ b/tests/functional/test_peer_forwarding.py
@@ -7,6 +7,7 @@
 import anyio
 import httpcore
 
+from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import peer_forwarding_client
 from cardamomfork._internal.gateway import peer_forwarding_codec
 from cardamomfork._internal.gateway import peer_forwarding_server
@@ -225,6 +226,30 @@
         )
         self.assertEqual(results, [(True, None)] * 6)
 
+    def test_peer_that_accepted_and_failed_may_have_sent_the_request(self):
+        async def scenario(fixture, isolated, peers, targets):
+            address = peers[0].address
+            isolated.hear(address, open_requests=5)
+            finals = []
+            for step in (Act.HANG, Act.RESET):
+                async with scripted_target.ScriptedTarget(
+                    lambda request, step=step: [step]
+                ) as failing:
+                    failing_peer = digest_codec.Peer(
+                        f"failing {step}", "a", address.host, failing.port
+                    )
+                    isolated.hear(failing_peer)
+                    _, final = await fixture.send()
+                    isolated.hear(failing_peer, is_leaving=True)
+                    finals.append((final.status, len(failing.requests)))
+            return finals, len(targets[0].requests)
+
+        finals, count = run_over_peers(
+            scenario, lambda r: [answer(r)], rule=fleet.RepeatPolicy.ONCE
+        )
+        self.assertEqual(finals, [(504, 1), (502, 1)])
+        self.assertEqual(count, 0)
+
     def test_no_request_goes_on_to_a_third_instance(self):
         async def scenario(fixture, isolated, peers, targets):
             for peer in peers:
