Deliver SIGTERM to the soak between two steps of its event loop

Cause: SIGTERM raised KeyboardInterrupt at any statement, also inside the start of a process, whose id is then lost, and the task that injects faults was still running while all processes were stopped, so it could start one again.

The check is unchanged.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -42,6 +42,7 @@
     """
     deployment = processes.Deployment(seed, *sizes)
     violations = []
+    tasks = []
     try:
         await deployment.start()
         generator = callers.LoadGenerator(deployment, 0.03)
@@ -49,6 +50,7 @@
         load_task = asyncio.create_task(generator.run())
         injector = faults.FaultInjector(deployment, report)
         fault_task = asyncio.create_task(injector.run())
+        tasks += [load_task, fault_task]
         await asyncio.sleep(seconds)
         fault_task.cancel()
         await asyncio.gather(fault_task, return_exceptions=True)
@@ -73,6 +75,10 @@
             f"seed {seed}: {len(generator.finished)} requests, {dict(statuses)}"
         )
     finally:
+        # The faults would start processes again after the stop.
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await deployment.stop()
     return violations
 
@@ -168,6 +174,17 @@
             await asyncio.sleep(0.1)
 
 
+async def _run_until_sigterm(coroutine):
+    """Awaits a coroutine; SIGTERM cancels it, so that it stops processes.
+
+    The event loop delivers the signal between two steps, so that it doesn't
+    interrupt the start of a process.
+    """
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await coroutine
+
+
 def main():
     """Runs the seeds one after another; exits with 1 on a violation."""
     parser = argparse.ArgumentParser()
@@ -178,12 +195,12 @@
     parser.add_argument("--engines", type=int, default=4)
     parser.add_argument("--ledgers", type=int, default=2)
     arguments = parser.parse_args()
-    # SIGTERM raises KeyboardInterrupt, so that started processes are stopped.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     sizes = (arguments.instances, arguments.engines, arguments.ledgers)
     failed = []
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
-        violations = asyncio.run(soak(seed, arguments.seconds, sizes, print))
+        violations = asyncio.run(
+            _run_until_sigterm(soak(seed, arguments.seconds, sizes, print))
+        )
         for line in violations:
             print(f"BROKEN seed {seed}: {line}")
         if violations:
