--- a/src/cardamomfork/_internal/gateway/target_reach.py
+++ b/src/cardamomfork/_internal/gateway/target_reach.py
@@ -64,7 +64,7 @@
         self._failed_at: float | None = None
         self._connected_at = -1.0
         self._wake = anyio.Event()
-        self._news = anyio.Event()
+        self._has_result = anyio.Event()
 
     @property
     def is_isolated(self) -> bool:
@@ -88,7 +88,7 @@
         self._connected_at = self._clock()
         self._failed_at = None
         self._set_isolated(False)
-        self._tell_waiting()
+        self._notify_waiters()
 
     def probe_soon(self) -> None:
         """Probes targets again at once if this instance is cut off."""
@@ -102,7 +102,7 @@
             if self._connected_at >= since or self._is_isolated:
                 break
             self.record_failure()
-            await self._news.wait()
+            await self._has_result.wait()
         return self._connected_at >= since
 
     async def run(self) -> None:
@@ -117,7 +117,7 @@
                 # A connection was opened after the failure.
                 continue
             await self._run_round()
-            self._tell_waiting()
+            self._notify_waiters()
             if not self._is_isolated:
                 await anyio.sleep(MIN_ROUND_INTERVAL_S)
 
@@ -154,10 +154,10 @@
         others = [record for record in records if record not in first]
         return (first + others)[:MAX_PROBES]
 
-    def _tell_waiting(self) -> None:
+    def _notify_waiters(self) -> None:
         """Wakes the callers of `confirm`."""
-        self._news.set()
-        self._news = anyio.Event()
+        self._has_result.set()
+        self._has_result = anyio.Event()
 
     def _set_isolated(self, is_isolated: bool) -> None:
         """Changes the state."""
--- a/tests/functional/test_peer_forwarding.py
+++ b/tests/functional/test_peer_forwarding.py
@@ -288,9 +288,9 @@
         self.assertEqual({choose(()) for _ in range(20)}, {far})
 
 
-class DoorTest(unittest.TestCase):
+class AdmissionTest(unittest.TestCase):
     def ask(self, change, *, secret=forwarding_peers.SECRET, size=0):
-        """Sends a message to the door; returns its answer's head."""
+        """Sends a message to a peer; returns the head of the answer."""
 
         async def scenario(fixture, isolated, peers, targets):
             change(peers[0])
@@ -371,7 +371,7 @@
                 (forwarding.PeerFault.UNAUTHORIZED, 0),
             )
 
-    def test_instance_that_knows_no_secret_opens_its_door_to_nobody(self):
+    def test_instance_without_a_secret_refuses_all_messages(self):
         head, count = self.ask(
             lambda peer: peer.secret._known.clear(), secret=""
         )
@@ -379,7 +379,7 @@
             (head.peer_fault, count), (forwarding.PeerFault.UNAUTHORIZED, 0)
         )
 
-    def test_caller_can_pass_nothing_through_the_door(self):
+    def test_message_of_a_caller_is_refused(self):
         async def scenario(fixture, isolated, peers, targets):
             address = peers[0].address
             async with httpcore.AsyncConnectionPool() as pool:
