Relay changes of targets' entries to instances that don't poll the store

Cause: a long poll of every instance returns for every change.

Two instances of a data centre poll now, those of the lowest rank that the store answers; they send changes in datagrams to the others, which make no call. Fleets of up to 12 instances, instances without such peers, and those beside an earlier build poll as before.

--- a/src/cardamomfork/_internal/contracts/store.py
+++ b/src/cardamomfork/_internal/contracts/store.py
@@ -184,8 +184,13 @@
         """
         ...
 
-    async def wait_until_restored(self) -> None:
-        """Waits until an answer shows that the store was restored."""
+    async def wait_until_restored(self, since: int = 0) -> None:
+        """Waits until an answer shows that the store was restored.
+
+        Args:
+            since: Revision of an answer. Returns at once if the store is known
+                to have been restored since then; 0 for none.
+        """
         ...
 
 
--- a/src/cardamomfork/_internal/gateway/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/digest_codec.py
@@ -60,6 +60,9 @@
         reaches_targets: Whether the sender can pass requests on to targets.
         open_requests: Requests that the sender has in progress, including
             those of peers.
+        exchanges_changes: Whether the sender exchanges changes in the store
+            with peers.
+        reaches_store: Whether the store answers the sender.
     """
 
     sender: Peer
@@ -74,6 +77,8 @@
     rate_limits: tuple[rate_limits.RateLimitReport, ...] = ()
     reaches_targets: bool = False
     open_requests: int = 0
+    exchanges_changes: bool = False
+    reaches_store: bool = False
 
 
 @functools.cache
@@ -97,6 +102,8 @@
         isLeaving=digest.is_leaving,
         reachesTargets=digest.reaches_targets,
         openRequests=digest.open_requests,
+        exchangesChanges=digest.exchanges_changes,
+        reachesStore=digest.reaches_store,
     )
     jobs = message.init("jobs", len(digest.jobs))
     for index, job in enumerate(digest.jobs):
@@ -158,6 +165,8 @@
                 ),
                 message.reachesTargets,
                 message.openRequests,
+                message.exchangesChanges,
+                message.reachesStore,
             )
         )
     except (capnp.KjException, ValueError) as error:
--- a/src/cardamomfork/_internal/gateway/digests.capnp
+++ b/src/cardamomfork/_internal/gateway/digests.capnp
@@ -17,6 +17,8 @@
   rateLimits @12 :List(RateLimit);
   reachesTargets @13 :Bool;  # Whether peers may send requests over the sender.
   openRequests @14 :UInt32;
+  exchangesChanges @15 :Bool;  # Whether it reads `ChangeUpdate` datagrams.
+  reachesStore @16 :Bool;  # Whether the store answers the sender.
 }
 
 # A request that the sender has placed on a target.
@@ -71,6 +73,23 @@
   waitS @2 :Float64;
 }
 
+# All changes of targets' entries in the store within a range of revisions. Only
+# for peers whose digests say `exchangesChanges`. Compressed by zlib.
+struct ChangeUpdate {
+  baseRevision @0 :UInt64;  # The range begins after it.
+  revision @1 :UInt64;
+  changes @2 :List(EntryChange);
+}
+
+# The newest change of a key.
+struct EntryChange {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  isRemoved @3 :Bool;
+  mayReturn @4 :Bool;  # Whether a removed key may have lapsed in an outage.
+}
+
 # A configuration as it is kept in the platform's store.
 struct StoredConfiguration {
   revision @0 :UInt64;
--- a/src/cardamomfork/_internal/gateway/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/fleet_state.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -20,6 +21,7 @@
     from collections.abc import Iterable
 
     from cardamomfork._internal.contracts import platform_format
+    from cardamomfork._internal.gateway import change_relay
     from cardamomfork._internal.gateway import target_table
 
 SCAN_LAPSE_WINDOW_S = 3.0
@@ -69,6 +71,8 @@
         self._store_lost_at: float | None = None
         self._store_regained_at = -SCAN_LAPSE_WINDOW_S
         self._restored_revision = 0
+        # Time of the last change from a peer that the store answers.
+        self._relayed_at = -math.inf
 
     @property
     def routes(self) -> routes.RouteTable | None:
@@ -155,9 +159,34 @@
 
     def apply_target(self, entry: store.Entry) -> None:
         """Applies a change of one target's entry."""
+        self._apply_target(entry, may_return=self.may_have_lapsed())
+
+    def apply_relayed_target(self, change: change_relay.Change) -> None:
+        """Applies a change of one target's entry that a peer has received."""
+        self._relayed_at = self._clock()
+        self._apply_target(change.to_entry(), may_return=change.may_return)
+
+    def may_have_lapsed(self, *, in_scan: bool = False) -> bool:
+        """Returns whether an entry that is gone may have lapsed in an outage.
+
+        Args:
+            in_scan: Whether a full scan lacks it.
+        """
+        return self._had_recent_outage(
+            SCAN_LAPSE_WINDOW_S if in_scan else CHANGE_LAPSE_WINDOW_S
+        )
+
+    def _apply_target(self, entry: store.Entry, *, may_return: bool) -> None:
+        """Applies a change of one target's entry.
+
+        Args:
+            entry: The entry.
+            may_return: Whether an entry that is gone may have lapsed in a
+                store outage.
+        """
         target_id = self._wire.target_id(entry.key)
         if entry.version == store.ABSENT:
-            self._remove_target(target_id)
+            self._remove_target(target_id, may_return=may_return)
             return
         decoded = self._wire.decode_target(entry.key, entry.value)
         if isinstance(decoded, result.Err):
@@ -166,7 +195,7 @@
                 target_id=target_id,
                 reason=decoded.err_value,
             )
-            self._remove_target(target_id)
+            self._remove_target(target_id, may_return=may_return)
             return
         is_new = self._table.put(decoded.ok_value)
         logger.info(
@@ -197,7 +226,7 @@
         self._table.replace_all(
             records,
             self._clock(),
-            may_return=self._had_recent_outage(SCAN_LAPSE_WINDOW_S),
+            may_return=self.may_have_lapsed(in_scan=True),
             rewritten=rewritten,
         )
         self._has_targets = True
@@ -237,16 +266,16 @@
 
     def expire(self) -> None:
         """Removes targets whose entries did not return after an outage."""
-        if self._store_lost_at is not None:
+        lost_at = self._store_lost_at
+        if lost_at is not None and self._relayed_at < lost_at:
             return
         for target_id in self._table.expire(self._clock()):
             logger.info(
                 "target gone", target_id=target_id, reason="did not return"
             )
 
-    def _remove_target(self, target_id: str) -> None:
+    def _remove_target(self, target_id: str, *, may_return: bool) -> None:
         """Removes the target of a deleted or malformed entry."""
-        may_return = self._had_recent_outage(CHANGE_LAPSE_WINDOW_S)
         self._table.remove(target_id, self._clock(), may_return=may_return)
         logger.info(
             "target gone",
--- a/src/cardamomfork/_internal/gateway/follower.py
+++ b/src/cardamomfork/_internal/gateway/follower.py
@@ -5,6 +5,10 @@
 notices a connection that no longer delivers. The other instances wait longer.
 Peers exchange the revisions that they have received, and an instance that is
 behind its peers scans the prefix.
+
+In a large fleet, only some instances poll. The others wait for their updates
+(`change_relay`). They scan when they are behind a peer, and when they must poll
+themselves.
 """
 
 from __future__ import annotations
@@ -25,6 +29,8 @@
     from collections.abc import Iterable
     import random
 
+    from cardamomfork._internal.gateway import change_relay
+
 MIN_BACKOFF_S = 0.1
 DELEGATE_MAX_BACKOFF_S = 0.8
 NON_DELEGATE_MAX_BACKOFF_S = 1.6
@@ -41,6 +47,14 @@
 ends within the 3 s in which a silent connection must be detected."""
 NON_DELEGATE_WAIT_S = 28.0
 """Wait of the other instances' polls; the platform allows 30 s."""
+ROLE_CHECK_INTERVAL_S = 0.5
+"""Interval at which an instance that doesn't poll checks whether it must."""
+UPDATE_WAIT_S = 0.6
+"""Additional time for which an instance that doesn't poll may be behind a peer
+before it scans. Together with that of the subscription, it is longer than the
+pauses in which the peers that poll accumulate changes."""
+PEER_DISCOVERY_S = 1.2
+"""Time after the first scan in which peers are discovered that poll."""
 
 
 class Handler(Protocol):
@@ -66,6 +80,27 @@
         ...
 
 
+class RelayedHandler(Handler, Protocol):
+    """Receives changes from peers as well."""
+
+    def apply_relayed_change(self, change: change_relay.Change) -> None:
+        """Applies a change that a peer has received."""
+        ...
+
+
+@attrs.frozen
+class RelayedChanges:
+    """Connects a follower to the peers that poll the same prefix.
+
+    Attributes:
+        relay: Sends changes that this instance receives to the others.
+        handler: Receives changes from peers.
+    """
+
+    relay: change_relay.ChangeRelay
+    handler: RelayedHandler
+
+
 @attrs.frozen
 class Subscription:
     """A key prefix to follow.
@@ -94,6 +129,8 @@
         on_answer: Callable[[store.StoreFault | None], None],
         is_delegate: Callable[[], bool],
         rng: random.Random,
+        must_poll: Callable[[], bool] = lambda: True,
+        relayed: RelayedChanges | None = None,
     ) -> None:
         """Initializes the follower.
 
@@ -106,6 +143,10 @@
             is_delegate: Returns whether this instance is the delegate of its
                 data centre.
             rng: Random generator for the jitter of the backoff.
+            must_poll: Returns whether this instance polls, rather than rely on
+                its peers.
+            relayed: Exchanges changes with peers; None if peers don't send
+                them.
         """
         self._store = polled_store
         self._subscription = subscription
@@ -118,6 +159,10 @@
         self._peer_revision = 0
         self._poll_scope: anyio.CancelScope | None = None
         self._behind_peers = anyio.Event()
+        self._must_poll = must_poll
+        self._relayed = relayed
+        self._gets_changes_itself = False
+        self._missed_update = anyio.Event()
 
     @property
     def last_change_revision(self) -> int:
@@ -130,6 +175,33 @@
             self._peer_revision = revision
             self._behind_peers.set()
 
+    def apply_update(self, update: change_relay.Update) -> bool:
+        """Applies changes that a peer has received.
+
+        While this instance calls the store itself, an answer that is still to
+        come may be older, and must not replace what is newer.
+
+        Returns:
+            Whether the update was applied.
+        """
+        if self._relayed is None or self._gets_changes_itself:
+            return False
+        if not update.applies_to(self._revision):
+            if update.base_revision > self._revision > 0:
+                # Later updates begin after this one, so none fills the gap.
+                self.note_peer_revision(update.revision)
+                self._missed_update.set()
+            return False
+        for change in update.changes:
+            if change.revision > self._revision:
+                self._relayed.handler.apply_relayed_change(change)
+                self._last_change_revision = max(
+                    self._last_change_revision, change.revision
+                )
+        self._relayed.relay.record_update(update)
+        self._revision = update.revision
+        return True
+
     async def run(self) -> None:
         """Follows the prefix until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -146,7 +218,7 @@
         has_polled = True
         while True:
             started_at = anyio.current_time()
-            scanned = await self._store.scan(self._subscription.prefix)
+            scanned = await self._scan()
             if isinstance(scanned, result.Err):
                 self._log_call("scan failed", started_at, scanned.err_value)
                 self._on_answer(scanned.err_value)
@@ -162,9 +234,14 @@
                 entries = scanned.ok_value.entries
                 if self._is_restored(scanned.ok_value.revision):
                     self._handler.store_restored(scanned.ok_value.revision)
+                is_first = not self._revision
                 self._revision = scanned.ok_value.revision
                 self._record_last_change(entries)
                 self._handler.apply_snapshot(entries)
+                if self._relayed is not None:
+                    self._relayed.relay.record_scan(entries, self._revision)
+                    if is_first:
+                        await anyio.sleep(PEER_DISCOVERY_S)
                 if has_polled:
                     backoff_s = MIN_BACKOFF_S
                 polling_since = anyio.current_time()
@@ -194,9 +271,13 @@
 
         The store may have dropped the changes since the last revision, and
         then sends nothing to a poll from there. So the next call after a
-        failure must be a scan.
+        failure must be a scan. The same holds for an instance that has relied
+        on its peers.
         """
         while True:
+            if not self._must_poll():
+                await self._wait_for_peers()
+                return
             started_at = anyio.current_time()
             polled = await self._poll_once()
             if polled is None:
@@ -219,17 +300,60 @@
                 self._record_last_change(entries)
                 for entry in entries:
                     self._handler.apply_change(entry)
-                await anyio.sleep(self._subscription.batch_delay_s)
+                await self._pause_after_changes(entries)
+
+    async def _pause_after_changes(
+        self, entries: tuple[store.Entry, ...]
+    ) -> None:
+        """Sends changes to peers and lets further ones accumulate.
+
+        They are sent twice, since a datagram may be lost.
+        """
+        delay_s = self._subscription.batch_delay_s
+        if self._relayed is None:
+            await anyio.sleep(delay_s)
+            return
+        # A poller that applied a peer's update here would not pass it on.
+        self._gets_changes_itself = self._must_poll()
+        self._relayed.relay.record_changes(entries, self._revision)
+        await anyio.sleep(delay_s / 3)
+        self._relayed.relay.resend()
+        await anyio.sleep(delay_s - delay_s / 3)
+        self._gets_changes_itself = False
+
+    async def _wait_for_peers(self) -> None:
+        """Returns when this instance must call the store itself.
+
+        That is when it must poll, is behind its peers, or has learned that the
+        store was restored.
+        """
+        with anyio.CancelScope() as self._poll_scope:
+            while not self._must_poll():
+                with anyio.move_on_after(ROLE_CHECK_INTERVAL_S):
+                    await self._store.wait_until_restored(self._revision)
+                    return
+
+    async def _scan(self) -> result.Result[store.Scan, store.StoreFault]:
+        """Reads all entries of the prefix."""
+        self._gets_changes_itself = True
+        try:
+            return await self._store.scan(self._subscription.prefix)
+        finally:
+            self._gets_changes_itself = False
 
     async def _poll_once(
         self,
     ) -> result.Result[store.WatchBatch, store.StoreFault] | None:
         """Waits for changes; returns None if the poll was cancelled."""
         wait_s = DELEGATE_WAIT_S if self._is_delegate() else NON_DELEGATE_WAIT_S
-        with anyio.CancelScope() as self._poll_scope:
-            return await self._store.changes(
-                self._subscription.prefix, self._revision, wait_s
-            )
+        self._gets_changes_itself = True
+        try:
+            with anyio.CancelScope() as self._poll_scope:
+                return await self._store.changes(
+                    self._subscription.prefix, self._revision, wait_s
+                )
+        finally:
+            self._gets_changes_itself = False
         return None
 
     async def _cancel_stale_polls(self) -> None:
@@ -240,7 +364,11 @@
         while True:
             await self._behind_peers.wait()
             self._behind_peers = anyio.Event()
+            if not self._must_poll():
+                with anyio.move_on_after(UPDATE_WAIT_S):
+                    await self._missed_update.wait()
             await anyio.sleep(self._subscription.max_lag_s)
+            self._missed_update = anyio.Event()
             if self._peer_revision > self._revision and self._poll_scope:
                 self._poll_scope.cancel()
 
--- a/src/cardamomfork/_internal/gateway/peer_table.py
+++ b/src/cardamomfork/_internal/gateway/peer_table.py
@@ -24,6 +24,15 @@
 behind a network partition that ends."""
 FIRST_DIGEST_TIMEOUT_S = 20.0
 """Time that a peer known only from its store entry has to send a digest."""
+MIN_FLEET_WITH_RELAYED_CHANGES = 13
+"""In a smaller fleet every instance polls the store."""
+POLLERS_PER_DATA_CENTRE = 2
+"""Instances of a data centre that poll the store and send its changes to the
+others."""
+POLLER_MAX_SILENCE_S = 2.2
+"""Time since its last digest in which a peer counts as one that polls. Covers
+two heartbeats, and leaves time to learn of a leaving target when all pollers of
+a data centre fail."""
 
 
 @attrs.frozen
@@ -54,6 +63,9 @@
         sequence: Sequence number of its last digest.
         reaches_targets: Whether it can pass requests on to targets.
         open_requests: Number of requests that it had in progress.
+        exchanges_changes: Whether it exchanges changes in the store with peers.
+        reaches_store: Whether the store answers it.
+        rank: Its rank among the instances.
     """
 
     peer: digest_codec.Peer
@@ -64,6 +76,13 @@
     sequence: int = -1
     reaches_targets: bool = False
     open_requests: int = 0
+    exchanges_changes: bool = False
+    reaches_store: bool = False
+    rank: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Computes the rank once."""
+        self.rank = _rank(self.peer.instance_id)
 
 
 class PeerTable:
@@ -80,6 +99,7 @@
         """
         self._local_peer = local_peer
         self._clock = clock
+        self._local_rank = _rank(local_peer.instance_id)
         self._records: dict[str, _PeerRecord] = {}
 
     @property
@@ -146,16 +166,58 @@
         The delegate is the active instance with the lowest rank. It polls the
         store more often than the others.
         """
-        local_rank = _rank(self._local_peer.instance_id)
         now = self._clock()
         return not any(
             record.incarnation
             and now <= record.gone_at
             and record.peer.data_centre == self._local_peer.data_centre
-            and _rank(record.peer.instance_id) < local_rank
+            and record.rank < self._local_rank
             for record in self._records.values()
         )
 
+    def must_poll(self, *, reaches_store: bool) -> bool:
+        """Returns whether this instance has to poll the store.
+
+        Others rely on the pollers of their data centre: those of the lowest
+        rank that the store answers. The instances of the lowest rank also poll
+        while it doesn't answer them, to notice its return.
+
+        Args:
+            reaches_store: Whether the store answers this instance.
+        """
+        if self.count < MIN_FLEET_WITH_RELAYED_CHANGES:
+            return True
+        before = [
+            record
+            for record in self._local_exchanging(POLLER_MAX_SILENCE_S)
+            if record.rank < self._local_rank
+        ]
+        if reaches_store:
+            before = [record for record in before if record.reaches_store]
+        return len(before) < POLLERS_PER_DATA_CENTRE
+
+    def change_recipients(self) -> list[digest_codec.Peer]:
+        """Returns the peers to send changes in the store to."""
+        return [
+            record.peer for record in self._local_exchanging(PEER_TIMEOUT_S)
+        ]
+
+    def _local_exchanging(self, max_silence_s: float) -> list[_PeerRecord]:
+        """Returns the peers of this data centre that exchange changes.
+
+        Args:
+            max_silence_s: Greatest age of a peer's last digest, in seconds.
+        """
+        since = self._clock() + PEER_TIMEOUT_S - max_silence_s
+        return [
+            record
+            for record in self._records.values()
+            if record.exchanges_changes
+            and record.gone_at >= since
+            and not record.is_leaving
+            and record.peer.data_centre == self._local_peer.data_centre
+        ]
+
     def find_owner(self, key: str) -> digest_codec.Peer | None:
         """Returns the live instance that owns a key; None for this one.
 
@@ -209,6 +271,8 @@
         record.is_leaving = digest.is_leaving
         record.reaches_targets = digest.reaches_targets
         record.open_requests = digest.open_requests
+        record.exchanges_changes = digest.exchanges_changes
+        record.reaches_store = digest.reaches_store
         record.gone_at = self._clock() + PEER_TIMEOUT_S
         return True
 
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers.py
@@ -17,6 +17,7 @@
 from loguru import logger
 import result
 
+from cardamomfork._internal.gateway import change_codec
 from cardamomfork._internal.gateway import digest_codec
 from cardamomfork._internal.gateway import digest_recipients
 from cardamomfork._internal.gateway import permit_codec
@@ -25,6 +26,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from cardamomfork._internal.gateway import change_relay
     from cardamomfork._internal.gateway import configuration_fetching
     from cardamomfork._internal.gateway import crash_records
     from cardamomfork._internal.gateway import fleet_state
@@ -76,6 +78,7 @@
         on_peer_update: Callable[[], None],
         reaches_targets: Callable[[], bool] = lambda: False,
         count_open_requests: Callable[[], int] = lambda: 0,
+        reaches_store: Callable[[], bool] = lambda: False,
     ) -> None:
         """Initializes the links.
 
@@ -96,6 +99,7 @@
             reaches_targets: Returns whether peers may send requests over this
                 instance.
             count_open_requests: Returns the number of requests in progress.
+            reaches_store: Returns whether the store answers this instance.
         """
         self._local_peer = local_peer
         self._table = table
@@ -112,6 +116,7 @@
         self._on_peer_update = on_peer_update
         self._reaches_targets = reaches_targets
         self._count_open_requests = count_open_requests
+        self._reaches_store = reaches_store
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._sequence = 0
         self._is_leaving = False
@@ -194,6 +199,12 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, address)
 
+    def send_updates(self, updates: tuple[change_relay.Update, ...]) -> None:
+        """Sends changes of targets' entries to the peers that read them."""
+        recipients = self._table.change_recipients()
+        for update in updates:
+            self._transmit(change_codec.encode(update), recipients)
+
     def leave(self) -> None:
         """Notifies peers that this instance is about to stop."""
         self._is_leaving = True
@@ -208,14 +219,33 @@
         data: bytes,
         addr: tuple[str, int],
     ) -> None:
-        """Processes a digest or a message about a permit."""
+        """Processes a digest, an update, or a message about a permit."""
         if data.startswith(permit_codec.REQUEST):
             self._permits.receive_request(data, addr)
         elif data.startswith(permit_codec.DECISION):
             self._permits.receive_answer(data)
+        elif data.startswith(change_codec.UPDATE):
+            self._receive_update(data, addr)
         else:
             self._receive_digest(data, addr)
 
+    def _receive_update(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Applies changes of targets' entries that a peer has received."""
+        decoded = change_codec.decode(data)
+        if isinstance(decoded, result.Err):
+            logger.warning(
+                "datagram dropped", peer=addr[0], reason=decoded.err_value
+            )
+            return
+        update = decoded.ok_value
+        if self._targets_follower.apply_update(update):
+            logger.info(
+                "targets updated",
+                peer=addr[0],
+                revision=update.revision,
+                count=len(update.changes),
+            )
+
     def _receive_digest(self, data: bytes, addr: tuple[str, int]) -> None:
         """Processes a digest, and forwards it if this instance is a relay."""
         now = self._clock()
@@ -268,6 +298,8 @@
                 self._due_rate_limits(now),
                 self._reaches_targets(),
                 self._count_open_requests(),
+                exchanges_changes=True,
+                reaches_store=self._reaches_store(),
             ),
             now,
         )
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway import application
 from cardamomfork._internal.gateway import caller_protocol
+from cardamomfork._internal.gateway import change_relay
 from cardamomfork._internal.gateway import configuration_fetching
 from cardamomfork._internal.gateway import crash_detector
 from cardamomfork._internal.gateway import crash_persistence
@@ -183,14 +184,26 @@
             ),
             self._peer_table.is_delegate,
         )
+        targets_handler = store_handlers.TargetsHandler(
+            self._fleet_state, self._on_targets_change
+        )
         self._targets_follower = self._make_follower(
             follower.Subscription(
                 wire.targets_prefix, TARGETS_BATCH_DELAY_S, TARGETS_MAX_LAG_S
             ),
-            store_handlers.TargetsHandler(
-                self._fleet_state, self._on_targets_change
-            ),
+            targets_handler,
             self._peer_table.is_delegate,
+            self._must_poll,
+            follower.RelayedChanges(
+                change_relay.ChangeRelay(
+                    self._send_updates,
+                    clock,
+                    lambda in_scan: self._fleet_state.may_have_lapsed(
+                        in_scan=in_scan
+                    ),
+                ),
+                targets_handler,
+            ),
         )
         self._configuration_fetcher = (
             configuration_fetching.ConfigurationFetcher(
@@ -221,6 +234,7 @@
                 self._caller_application.in_progress
                 + self._peer_forwarding.in_progress
             ),
+            lambda: not self._fleet_state.is_store_lost,
         )
         self._crash_persistence = crash_persistence.CrashPersistence(
             platform_store,
@@ -238,6 +252,7 @@
             self._crash_persistence,
             # Digests carry most crashes, so no instance polls for them often.
             is_delegate=lambda: False,
+            must_poll=self._must_poll,
         )
         self._metrics_export = exporting.MetricsExport(
             settings_models.TelemetrySettings(), settings.instance_id
@@ -346,6 +361,8 @@
         subscription: follower.Subscription,
         handler: follower.Handler,
         is_delegate: Callable[[], bool],
+        must_poll: Callable[[], bool] = lambda: True,
+        relayed: follower.RelayedChanges | None = None,
     ) -> follower.Follower:
         """Creates a follower of a key prefix in the store."""
         return follower.Follower(
@@ -355,6 +372,8 @@
             self._on_store_answer,
             is_delegate,
             self._rng,
+            must_poll,
+            relayed,
         )
 
     def _commit(
@@ -434,6 +453,17 @@
         self._peer_links.notify_crash()
         self._crash_persistence.notify()
 
+    def _must_poll(self) -> bool:
+        """Returns whether this instance polls the store for changes."""
+        return self._peer_table.must_poll(
+            reaches_store=not self._fleet_state.is_store_lost
+        )
+
+    def _send_updates(self, updates: tuple[change_relay.Update, ...]) -> None:
+        """Sends changes of targets' entries to peers that don't poll."""
+        if self._must_poll():
+            self._peer_links.send_updates(updates)
+
     def _on_rate_limit(self) -> None:
         """Notifies peers that a target has changed its limit."""
         self._peer_links.notify_rate_limit()
@@ -534,6 +564,7 @@
             "is_ready": self._is_ready(),
             "is_isolated": self._target_access.reach.is_isolated,
             "is_delegate": self._peer_table.is_delegate(),
+            "polls_store": self._must_poll(),
             "in_progress": self._caller_application.in_progress,
             "waiting": self._scheduler.waiting,
             "peers": [peer.instance_id for peer in self._peer_table.peers],
--- a/src/cardamomfork/_internal/gateway/store_handlers.py
+++ b/src/cardamomfork/_internal/gateway/store_handlers.py
@@ -10,6 +10,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from cardamomfork._internal.gateway import change_relay
     from cardamomfork._internal.gateway import fleet_state
 
 
@@ -73,3 +74,8 @@
         """Applies a change of one entry."""
         self._state.apply_target(entry)
         self._on_change()
+
+    def apply_relayed_change(self, change: change_relay.Change) -> None:
+        """Applies a change that a peer has received."""
+        self._state.apply_relayed_target(change)
+        self._on_change()
--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -168,8 +168,10 @@
             lambda entries: store.WatchBatch(tuple(entries), newest)
         )
 
-    async def wait_until_restored(self) -> None:
+    async def wait_until_restored(self, since: int = 0) -> None:
         """Waits until an answer shows that the store was restored."""
+        if self._is_outdated(since):
+            return
         await self._eras.wait_until_restored()
 
     async def put(
--- a/src/cardamomfork/_internal/standins/store.py
+++ b/src/cardamomfork/_internal/standins/store.py
@@ -357,8 +357,9 @@
             store_contract.WatchBatch((), max(after, self._store.revision))
         )
 
-    async def wait_until_restored(self) -> None:
+    async def wait_until_restored(self, since: int = 0) -> None:
         """Waits for ever; a session doesn't notice restorations."""
+        del since
         await anyio.sleep_forever()
 
     @contextlib.asynccontextmanager
