Spread retries of registrations by the size of the fleet

Cause: an instance whose registration fails in the outage tries again after 0.7 s, whatever the size of the fleet, and its tries add to those that the return spreads.

The delay after a failure is now that of the spread, 1.3 s at 86 instances, and a renewal that fails is tried again after it rather than in 30 s, since an instance that doesn't poll has no other call to notice that the store is back.

--- a/src/cardamomfork/_internal/gateway/registration.py
+++ b/src/cardamomfork/_internal/gateway/registration.py
@@ -26,15 +26,15 @@
 call, while the entry of an instance that has gone costs only a few digests from
 instances that start before the entry expires."""
 RETRY_DELAY_S = 0.7
-"""Delay after a failed call."""
+"""Delay after a failed call in a small fleet."""
 RESCAN_INTERVAL_S = 30.0
 """Time after which entries are read again, in case datagrams between two
 instances were lost when both read the entries first."""
 
 SPREAD_PER_INSTANCE_S = 0.015
 """Longest random delay, times the number of instances, before one registers
-again in a store that was restored from a copy. Keeps the writes of all
-instances together below 200 a second."""
+again in a store that was restored from a copy, and delay after a failed call.
+Keeps the writes of all instances together below 200 a second."""
 MAX_SPREAD_S = 1.3
 """Longest delay in a large fleet."""
 
@@ -60,6 +60,7 @@
     version = store.ABSENT
     scanned_at: float | None = None
     while True:
+        is_renewed = True
         if lease is None:
             written = await _write_entry(
                 polled_store, local_peer, version, on_answer
@@ -72,6 +73,7 @@
                 on_answer(None)
             else:
                 on_answer(renewed.err_value)
+                is_renewed = False
                 if renewed.err_value.kind is store.StoreFaultKind.LEASE_GONE:
                     lease = None
                     continue
@@ -87,13 +89,13 @@
                     reason=f"{scanned.err_value.kind}"
                     f" {scanned.err_value.detail}",
                 )
-        is_settled = lease is not None and scanned_at is not None
+        is_settled = is_renewed and None not in (lease, scanned_at)
+        spread_s = min(SPREAD_PER_INSTANCE_S * table.known_count, MAX_SPREAD_S)
         with anyio.move_on_after(
-            RENEW_INTERVAL_S if is_settled else RETRY_DELAY_S
+            RENEW_INTERVAL_S if is_settled else max(RETRY_DELAY_S, spread_s)
         ):
             await polled_store.wait_until_restored()
-            spread_s = SPREAD_PER_INSTANCE_S * table.known_count
-            await anyio.sleep(min(spread_s, MAX_SPREAD_S) * rng.random())
+            await anyio.sleep(spread_s * rng.random())
 
 
 async def _write_entry(
--- a/tests/unit/test_gateway_restored_store.py
+++ b/tests/unit/test_gateway_restored_store.py
@@ -9,7 +9,7 @@
 LARGE_FLEET = 86
 RUNS = (
     (SMALL_FLEET, (*range(1, 21), 75, 77, 88, 2099, 2204)),
-    (LARGE_FLEET, (2, 20)),
+    (LARGE_FLEET, (2, 20, 22)),
 )
 MAX_READS_PER_S = restored_fleet.READS_PER_S / 2
 MAX_WRITES_PER_S = restored_fleet.WRITES_PER_S / 2
