--- a/src/cardamomfork/_internal/gateway/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/digest_codec.py
@@ -19,6 +19,8 @@
 
 MS_PER_S = 1000.0
 MAX_MS = 2**31 - 1
+MAX_ENTRIES = 4096
+"""Bound of each list in a digest."""
 _SCHEMA_PATH = pathlib.Path(__file__).with_name("digests.capnp")
 
 
@@ -128,6 +130,12 @@
     """Decodes a digest, or returns an error message if it is malformed."""
     try:
         message = schema().Digest.from_bytes_packed(data)
+        # A small packed message may expand to lists of millions of entries.
+        if (
+            max(len(message.jobs), len(message.deaths), len(message.rateLimits))
+            > MAX_ENTRIES
+        ):
+            return result.Err("malformed digest: too many entries")
         sender = Peer(
             message.instanceId, message.dataCentre, message.host, message.port
         )
