Place requests among some candidates in a large fleet

Cause: instances that don't know of each other's placements of the last 30 ms all compare the same engines, and several choose the same; a choice also cost 3 ms for a short and 21 ms for a long prompt of processor time on a machine with half a core.

Short prompts are now compared on 22 engines drawn at random, half of them local, and on all only if none of these is on time at a low cost; long ones on the 48 engines with the fewest requests. What does not depend on the number of parts is worked out once an engine. Below 64 engines nothing changes but that.

--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/candidate_sampling.py
@@ -0,0 +1,129 @@
+"""Draws the targets among which one request is placed in a large fleet.
+
+The cost of a choice must hardly grow with the number of targets. For a short
+prompt, some targets are drawn at random, half of them from the own data centre.
+That also keeps instances that don't know of each other's latest placements from
+choosing the same target. A long prompt gets the targets with the fewest jobs.
+"""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal.gateway import demands
+from cardamomfork._internal.gateway import engine_timing
+
+if TYPE_CHECKING:
+    import random
+
+    from cardamomfork._internal.gateway import load_view
+    from cardamomfork._internal.gateway import target_table
+
+MIN_SAMPLED_TARGETS = 64
+"""Services with fewer targets are always compared as a whole."""
+SHORT_PREFILL_S = 0.1
+"""Prefill time up to which a prompt is placed on one target."""
+SHORT_CANDIDATES = 22
+"""Candidates of a short prompt, drawn at random."""
+LONG_LEAST_LOADED = 48
+"""Candidates of a long prompt, which up to 16 targets read together."""
+
+
+@attrs.frozen
+class Sample:
+    """Candidates for a request.
+
+    Attributes:
+        targets: Some usable targets of its service.
+        is_random: Whether others may be much better.
+    """
+
+    targets: list[target_table.Target]
+    is_random: bool
+
+
+class CandidateSampler:
+    """Draws candidates from the targets of a service."""
+
+    def __init__(
+        self,
+        table: target_table.TargetTable,
+        load: load_view.LoadView,
+        data_centre: str,
+        rng: random.Random,
+    ) -> None:
+        """Initializes the sampler.
+
+        Args:
+            table: The known targets.
+            load: The load of each target.
+            data_centre: The data centre of this instance.
+            rng: Random generator.
+        """
+        self._table = table
+        self._load = load
+        self._data_centre = data_centre
+        self._rng = rng
+
+    def sample(self, demand: demands.Demand, now: float) -> Sample | None:
+        """Returns some usable targets; None if all must be compared.
+
+        Targets that limit the rate of requests are shared by rules that need
+        the whole service.
+        """
+        service = demand.service
+        if (
+            service.cost_model is None
+            or self._table.count_service(service.name) < MIN_SAMPLED_TARGETS
+        ):
+            return None
+        is_short = (
+            engine_timing.prefill_s(service.cost_model, demand.prompt_tokens)
+            <= SHORT_PREFILL_S
+        )
+        drawn = (
+            self._draw(service.name)
+            if is_short
+            else heapq.nsmallest(
+                LONG_LEAST_LOADED,
+                self._table.order_service(service.name, None),
+                key=self._count_jobs,
+            )
+        )
+        drawn = [
+            target
+            for target in drawn
+            if target.is_usable(now)
+            and target.record.target_id not in demand.excluded
+            and not self._table.rest_left_s(target.record, now)
+        ]
+        if any(target.rate_limit is not None for target in drawn):
+            return None
+        return Sample(drawn, is_random=is_short)
+
+    def _count_jobs(self, target: target_table.Target) -> int:
+        """Returns the number of jobs that a target works on."""
+        return self._load.count_jobs(target.record.target_id)
+
+    def _draw(self, service: str) -> list[target_table.Target]:
+        """Returns random targets of a service, half of them local."""
+        half = SHORT_CANDIDATES // 2
+        local = self._table.order_service(service, self._data_centre)
+        drawn = {id(target): target for target in self._window(local, half)}
+        everywhere = self._table.order_service(service, None)
+        for target in self._window(everywhere, SHORT_CANDIDATES - len(drawn)):
+            drawn[id(target)] = target
+        return list(drawn.values())
+
+    def _window(
+        self, targets: tuple[target_table.Target, ...], size: int
+    ) -> tuple[target_table.Target, ...]:
+        """Returns neighbours in an order, from a random one on."""
+        if len(targets) <= size:
+            return targets
+        start = int(self._rng.random() * len(targets))
+        window = targets[start : start + size]
+        return window + targets[: size - len(window)]
--- a/src/cardamomfork/_internal/gateway/load_view.py
+++ b/src/cardamomfork/_internal/gateway/load_view.py
@@ -188,6 +188,10 @@
             self.drop_peer_jobs(peer_id)
         return stale
 
+    def count_jobs(self, target_id: str) -> int:
+        """Returns the number of jobs that a target works on."""
+        return len(self._by_target.get(target_id, ()))
+
     def load(self, target_id: str, now: float) -> TargetLoad:
         """Returns the load of a target."""
         jobs = self._by_target.get(target_id)
--- a/src/cardamomfork/_internal/gateway/placement.py
+++ b/src/cardamomfork/_internal/gateway/placement.py
@@ -10,11 +10,13 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from typing import TYPE_CHECKING
 
 import attrs
 
+from cardamomfork._internal.gateway import candidate_sampling
 from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import engine_timing
 from cardamomfork._internal.gateway import placement_costs
@@ -38,6 +40,9 @@
 NO_TARGET_RETRY_S = 1.0
 """Assumed time until a target is available when a service has none. Targets
 whose store entries lapsed register again within about two seconds."""
+GOOD_COST_FRACTION = 0.25
+"""Cost up to which a placement on one of some targets is taken, as a fraction
+of the request's value."""
 DEFAULT_CALL_S = 0.1
 """Assumed duration of a call to a plain service."""
 
@@ -122,12 +127,36 @@
         self._data_centre = data_centre
         self._rng = rng
         self._count_instances = count_instances
+        self._sampler = candidate_sampling.CandidateSampler(
+            table, load, data_centre, rng
+        )
 
     def choose(
         self, demand: demands.Demand, now: float
     ) -> Placement | NoCapacity:
-        """Returns a placement, or the predicted time to free capacity."""
-        listed = self._table.list_service(demand.service.name, now)
+        """Returns a placement, or the predicted time to free capacity.
+
+        In a large fleet, some targets are compared first, and all of them only
+        if none of these serves the request well.
+        """
+        sample = self._sampler.sample(demand, now)
+        if sample is not None and sample.targets:
+            chosen = self._choose_among(demand, sample.targets, now)
+            if isinstance(chosen, Placement) and (
+                not sample.is_random or _is_good(demand, chosen)
+            ):
+                return chosen
+        return self._choose_among(
+            demand, self._table.list_service(demand.service.name, now), now
+        )
+
+    def _choose_among(
+        self,
+        demand: demands.Demand,
+        listed: list[target_table.Target],
+        now: float,
+    ) -> Placement | NoCapacity:
+        """Returns the best placement on some targets, if there is any."""
         usable = [
             target
             for target in listed
@@ -270,100 +299,99 @@
         whole_prefill_s = engine_timing.prefill_s(
             cost_model, demand.prompt_tokens
         )
+        by_id = {
+            one.target_id: costs.evaluate(demand, cost_model, one, now)
+            for one in {
+                one.target_id: one
+                for one in (*helper_candidates, *open_candidates)
+            }.values()
+        }
+        primaries = [by_id[one.target_id] for one in open_candidates]
+        helpers = [by_id[one.target_id] for one in helper_candidates]
         best: Placement | None = None
         for parts in PART_COUNTS:
             if parts > 1 and whole_prefill_s / parts < MIN_PART_S:
                 break
-            option = self._place_in_parts(
-                costs,
-                demand,
-                cost_model,
-                open_candidates,
-                helper_candidates,
-                parts,
-                now,
+            option = _place_in_parts(
+                costs, demand, cost_model, primaries, helpers, parts
             )
             if option is not None and (best is None or option.cost < best.cost):
                 best = option
         return best
 
-    def _place_in_parts(
-        self,
-        costs: placement_costs.PlacementCosts,
-        demand: demands.Demand,
-        cost_model: fleet.EngineCostModel,
-        open_candidates: list[demands.Candidate],
-        helper_candidates: list[demands.Candidate],
-        parts: int,
-        now: float,
-    ) -> Placement | None:
-        """Returns the best placement with this number of parts, if any."""
-        part_s = engine_timing.prefill_s(
-            cost_model, demand.prompt_tokens, parts
-        )
-        target_costs = {
-            candidate.target_id: costs.target_cost(
-                demand, cost_model, candidate, part_s, now
-            )
-            for candidate in {
-                one.target_id: one
-                for one in (*helper_candidates, *open_candidates)
-            }.values()
-        }
-
-        def total_cost(candidate: demands.Candidate) -> float:
-            return target_costs[candidate.target_id] + costs.request_loss(
-                demand, _first_token_s(cost_model, candidate, part_s, demand)
-            )
 
-        size = demand.prompt_tokens + demand.output_tokens
-        if parts == 1:
-            # Without helpers, the whole request must fit into one engine.
-            open_candidates = [
-                one
-                for one in open_candidates
-                if _free_tokens(cost_model, one) >= size
-            ]
-            if not open_candidates:
-                return None
-        primary = min(open_candidates, key=total_cost)
-        helpers: list[demands.Candidate] = []
-        if parts > 1:
-            possible_helpers = [
-                candidate
-                for candidate in helper_candidates
-                if candidate.target_id != primary.target_id
-                and candidate.load.helping < candidate.target.record.slots
-            ]
-            if len(possible_helpers) < parts - 1:
-                return None
-            possible_helpers.sort(key=total_cost)
-            helpers = possible_helpers[: parts - 1]
-        prefill_end_s = max(
-            _part_end_s(cost_model, candidate, part_s)
-            for candidate in (primary, *helpers)
-        )
-        first_token_s = max(
-            _first_token_s(cost_model, primary, part_s, demand), prefill_end_s
+def _place_in_parts(
+    costs: placement_costs.PlacementCosts,
+    demand: demands.Demand,
+    cost_model: fleet.EngineCostModel,
+    primaries: list[placement_costs.EvaluatedCandidate],
+    possible_helpers: list[placement_costs.EvaluatedCandidate],
+    parts: int,
+) -> Placement | None:
+    """Returns the best placement with this number of parts, if any."""
+    part_s = engine_timing.prefill_s(cost_model, demand.prompt_tokens, parts)
+
+    def total_cost(one: placement_costs.EvaluatedCandidate) -> float:
+        return one.cost(part_s) + costs.request_loss(
+            demand, one.first_token_s(part_s)
         )
-        reserved = _split_reservation(cost_model, size, primary, helpers)
-        if reserved is None:
+
+    size = demand.prompt_tokens + demand.output_tokens
+    if parts == 1:
+        # Without helpers, the whole request must fit into one engine.
+        primaries = [
+            one
+            for one in primaries
+            if _free_tokens(cost_model, one.candidate) >= size
+        ]
+        if not primaries:
             return None
-        cost = costs.request_loss(demand, first_token_s) + sum(
-            target_costs[candidate.target_id]
-            for candidate in (primary, *helpers)
-        )
-        cost += RESERVATION_COST * sum(1 for tokens in reserved if tokens)
-        return Placement(
-            primary.target,
-            tuple(
-                Helper(helper.target, tokens)
-                for helper, tokens in zip(helpers, reserved, strict=True)
-            ),
-            first_token_s,
-            prefill_end_s,
-            cost,
-        )
+    primary = min(primaries, key=total_cost)
+    helpers: list[placement_costs.EvaluatedCandidate] = []
+    if parts > 1:
+        possible_helpers = [
+            one
+            for one in possible_helpers
+            if one is not primary
+            and one.candidate.load.helping < one.candidate.target.record.slots
+        ]
+        if len(possible_helpers) < parts - 1:
+            return None
+        helpers = heapq.nsmallest(parts - 1, possible_helpers, key=total_cost)
+    prefill_end_s = max(one.part_end_s(part_s) for one in (primary, *helpers))
+    first_token_s = max(primary.first_token_s(part_s), prefill_end_s)
+    reserved = _split_reservation(
+        cost_model,
+        size,
+        primary.candidate,
+        [one.candidate for one in helpers],
+    )
+    if reserved is None:
+        return None
+    cost = costs.request_loss(demand, first_token_s) + sum(
+        one.cost(part_s) for one in (primary, *helpers)
+    )
+    cost += RESERVATION_COST * sum(1 for tokens in reserved if tokens)
+    return Placement(
+        primary.candidate.target,
+        tuple(
+            Helper(helper.candidate.target, tokens)
+            for helper, tokens in zip(helpers, reserved, strict=True)
+        ),
+        first_token_s,
+        prefill_end_s,
+        cost,
+    )
+
+
+def _is_good(demand: demands.Demand, chosen: Placement | NoCapacity) -> bool:
+    """Returns whether a placement is on time and delays others little."""
+    return (
+        isinstance(chosen, Placement)
+        and chosen.first_token_s
+        <= placement_costs.SAFE_OBJECTIVE_FRACTION * demand.objective_left_s
+        and chosen.cost <= GOOD_COST_FRACTION * max(demand.value, 1.0)
+    )
 
 
 def _filter_by_permit(
@@ -431,37 +459,6 @@
     return None if unplaced_tokens else reserved
 
 
-def _part_end_s(
-    cost_model: fleet.EngineCostModel,
-    candidate: demands.Candidate,
-    part_s: float,
-) -> float:
-    """Returns the predicted time until an engine has computed a part."""
-    contexts = [writer.context_tokens for writer in candidate.load.writers]
-    decode_wait_s = engine_timing.event_interval_s(cost_model, contexts) / 2
-    return candidate.load.reading_left_s + candidate.slowdown * (
-        part_s + decode_wait_s
-    )
-
-
-def _first_token_s(
-    cost_model: fleet.EngineCostModel,
-    candidate: demands.Candidate,
-    part_s: float,
-    demand: demands.Demand,
-) -> float:
-    """Returns the predicted time to the first event.
-
-    It is sent one event interval after the end of the prefill.
-    """
-    contexts = [writer.context_tokens for writer in candidate.load.writers]
-    contexts.append(demand.prompt_tokens)
-    event_interval_s = candidate.slowdown * engine_timing.event_interval_s(
-        cost_model, contexts
-    )
-    return _part_end_s(cost_model, candidate, part_s) + event_interval_s
-
-
 def _no_capacity(
     reason: str,
     candidates: list[demands.Candidate],
--- a/src/cardamomfork/_internal/gateway/placement_costs.py
+++ b/src/cardamomfork/_internal/gateway/placement_costs.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import functools
 import math
 from typing import TYPE_CHECKING
 
+import attrs
 import xxhash
 
 from cardamomfork._internal.gateway import engine_timing
@@ -68,11 +70,86 @@
 its value."""
 SAFE_SLACK_FRACTION = 0.3
 """Fraction of a reader's slack that a delay may use without a lateness cost."""
+MAX_FILL_POSITIONS = 8192
 FAILURE_COST = 2.0
 """Cost of a target whose attempts all fail, as a multiple of the request's
 value."""
 
 
+@attrs.frozen
+class EvaluatedCandidate:
+    """A candidate for one request, for any number of parts of its prefill.
+
+    Attributes:
+        candidate: The candidate.
+        fixed_cost: Cost that does not depend on the length of the part,
+            including the risk that the target fails.
+        event_interval_s: Time between two events of its streams.
+        own_event_interval_s: The same with the request among them.
+        max_prefill_step_s: Longest time by which the request's prefill delays
+            an event.
+    """
+
+    candidate: demands.Candidate
+    fixed_cost: float
+    event_interval_s: float
+    own_event_interval_s: float
+    max_prefill_step_s: float
+
+    @property
+    def target_id(self) -> str:
+        """The target's id."""
+        return self.candidate.target_id
+
+    def cost(self, part_s: float) -> float:
+        """Returns the cost of a part apart from the request's lateness.
+
+        It includes the loss of the requests that the target already has.
+
+        Args:
+            part_s: Prefill time of the part.
+        """
+        load = self.candidate.load
+        slowdown = self.candidate.slowdown
+        cost = self.fixed_cost
+        if load.readers:
+            cost += _delay_cost(load, part_s * slowdown)
+        if not load.writers:
+            return cost
+        gap_before_s = slowdown * self.event_interval_s + min(
+            load.reading_left_s, self.max_prefill_step_s
+        )
+        gap_after_s = slowdown * self.event_interval_s + min(
+            load.reading_left_s + slowdown * part_s, self.max_prefill_step_s
+        )
+        for writer in load.writers:
+            cost += (
+                LATE_LOSS_FRACTION
+                * writer.value
+                * (
+                    ramp(gap_after_s / writer.max_gap_s, SAFE_GAP_FRACTION)
+                    - ramp(gap_before_s / writer.max_gap_s, SAFE_GAP_FRACTION)
+                )
+            )
+        return cost
+
+    def part_end_s(self, part_s: float) -> float:
+        """Returns the predicted time until the engine has computed a part."""
+        return self.candidate.load.reading_left_s + self.candidate.slowdown * (
+            part_s + self.event_interval_s / 2
+        )
+
+    def first_token_s(self, part_s: float) -> float:
+        """Returns the predicted time to the first event.
+
+        It is sent one event interval after the end of the prefill.
+        """
+        return (
+            self.part_end_s(part_s)
+            + self.candidate.slowdown * self.own_event_interval_s
+        )
+
+
 class PlacementCosts:
     """Costs of the candidates for one request, as this instance sees them."""
 
@@ -113,64 +190,52 @@
             + LATE_LOSS_FRACTION * ramp(time_ratio, SAFE_OBJECTIVE_FRACTION)
         )
 
-    def target_cost(
+    def evaluate(
         self,
         demand: demands.Demand,
         cost_model: fleet.EngineCostModel,
         candidate: demands.Candidate,
-        part_s: float,
         now: float,
-    ) -> float:
-        """Returns the cost of a target apart from the request's lateness.
-
-        It includes the loss of the requests that the target already has, and
-        the risk that the target fails.
-        """
+    ) -> EvaluatedCandidate:
+        """Works out what does not depend on the number of parts."""
         load = candidate.load
-        cost = (
+        contexts = [writer.context_tokens for writer in load.writers]
+        event_interval_s = engine_timing.event_interval_s(cost_model, contexts)
+        fixed_cost = (
             FAILURE_COST
             * demand.value
             * candidate.target.decayed_failure_rate(now)
+            + self._remote_cost(candidate)
+            + self._max_random_cost * self._rng.random()
+            + _fill_order_cost(cost_model, demand, candidate)
         )
-        cost += self._remote_cost(candidate)
-        cost += _delay_cost(load, part_s * candidate.slowdown)
-        cost += self._max_random_cost * self._rng.random()
-        cost += _fill_order_cost(cost_model, demand, candidate)
-        if not load.writers:
-            if not load.running and demand.max_gap_s < math.inf:
-                cost += self._idle_target_cost
-            return cost
-        contexts = [writer.context_tokens for writer in load.writers]
-        event_interval_s = candidate.slowdown * engine_timing.event_interval_s(
-            cost_model, contexts
-        )
-        max_prefill_step_s = cost_model.steps_per_event * _max_chunk_s(
-            cost_model, demand.prompt_tokens
-        )
-        gap_before_s = event_interval_s + min(
-            load.reading_left_s, max_prefill_step_s
-        )
-        gap_after_s = event_interval_s + min(
-            load.reading_left_s + candidate.slowdown * part_s,
-            max_prefill_step_s,
-        )
-        for writer in load.writers:
-            cost += (
+        max_prefill_step_s = 0.0
+        if load.writers:
+            max_prefill_step_s = cost_model.steps_per_event * _max_chunk_s(
+                cost_model, demand.prompt_tokens
+            )
+            fixed_cost += (
                 LATE_LOSS_FRACTION
-                * writer.value
-                * (
-                    ramp(gap_after_s / writer.max_gap_s, SAFE_GAP_FRACTION)
-                    - ramp(gap_before_s / writer.max_gap_s, SAFE_GAP_FRACTION)
+                * demand.value
+                * ramp(
+                    candidate.slowdown * event_interval_s / demand.max_gap_s,
+                    SAFE_GAP_FRACTION,
                 )
             )
-        cost += (
-            LATE_LOSS_FRACTION
-            * demand.value
-            * ramp(event_interval_s / demand.max_gap_s, SAFE_GAP_FRACTION)
+            if any(
+                writer.max_gap_s != demand.max_gap_s for writer in load.writers
+            ):
+                fixed_cost += MIXED_CLASS_COST
+        elif not load.running and demand.max_gap_s < math.inf:
+            fixed_cost += self._idle_target_cost
+        contexts.append(demand.prompt_tokens)
+        return EvaluatedCandidate(
+            candidate,
+            fixed_cost,
+            event_interval_s,
+            engine_timing.event_interval_s(cost_model, contexts),
+            max_prefill_step_s,
         )
-        if any(writer.max_gap_s != demand.max_gap_s for writer in load.writers):
-            cost += MIXED_CLASS_COST
-        return cost
 
     def call_cost(self, candidate: demands.Candidate, now: float) -> float:
         """Returns the cost of a call to a target of a plain service."""
@@ -229,6 +294,12 @@
     return cost
 
 
+@functools.lru_cache(maxsize=MAX_FILL_POSITIONS)
+def _fill_position(target_id: str) -> float:
+    """Returns a target's position in the fill order, from 0 to 1."""
+    return float(xxhash.xxh3_64_intdigest(target_id.encode()) / 2**64)
+
+
 def _fill_order_cost(
     cost_model: fleet.EngineCostModel,
     demand: demands.Demand,
@@ -239,8 +310,7 @@
     All instances fill engines in the same order. Short prompts start from one
     end and long prompts from the other, so that they seldom share an engine.
     """
-    digest = xxhash.xxh3_64_intdigest(candidate.target_id.encode())
-    position = digest / 2**64
+    position = _fill_position(candidate.target_id)
     is_short = (
         engine_timing.prefill_s(cost_model, demand.prompt_tokens)
         <= SHORT_PREFILL_S
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -97,7 +97,9 @@
         self._store = platform_store
         self._load_settings = load_settings
         self._rng = random.Random()
-        self._target_table = target_table.TargetTable(self._on_target_ended)
+        self._target_table = target_table.TargetTable(
+            self._on_target_ended, self._rng.getrandbits(32)
+        )
         self._load_view = load_view.LoadView()
         self._fleet_state = fleet_state.FleetState(
             wire, self._target_table, clock
--- a/src/cardamomfork/_internal/gateway/target_table.py
+++ b/src/cardamomfork/_internal/gateway/target_table.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import xxhash
 
 from cardamomfork._internal import bounded_tables
 
@@ -148,6 +149,7 @@
     def __init__(
         self,
         on_target_ended: Callable[[fleet.TargetRecord], None] = lambda _: None,
+        order_seed: int = 0,
     ) -> None:
         """Initializes an empty table.
 
@@ -155,10 +157,15 @@
             on_target_ended: Called with the last entry of a target whose
                 process has ended. Entries that lapsed in a store outage don't
                 count.
+            order_seed: Seed of the order of targets.
         """
+        self._order_seed = order_seed
         self._on_target_ended = on_target_ended
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, dict[str, Target]] = {}
+        # Targets in a random order by service and data centre, or None for all
+        # data centres; dropped when a target comes or goes.
+        self._orders: dict[tuple[str, str | None], tuple[Target, ...]] = {}
         # Whether the process was leaving, by target id and start.
         self._ended: OrderedDict[tuple[str, int], bool] = OrderedDict()
         self._doubtful: dict[str, fleet.TargetRecord] = {}
@@ -193,6 +200,36 @@
         targets = self._by_service.get(service, {}).values()
         return [target for target in targets if target.is_usable(now)]
 
+    def count_service(self, service: str) -> int:
+        """Returns the number of known targets of a service."""
+        return len(self._by_service.get(service, {}))
+
+    def order_service(
+        self, service: str, data_centre: str | None
+    ) -> tuple[Target, ...]:
+        """Returns a service's targets in an order of this table's own.
+
+        Args:
+            service: The service.
+            data_centre: Data centre of the targets, or None for all.
+        """
+        key = (service, data_centre)
+        order = self._orders.get(key)
+        if order is None:
+            order = self._orders[key] = tuple(
+                sorted(
+                    (
+                        target
+                        for target in self._by_service.get(service, {}).values()
+                        if data_centre in (None, target.record.data_centre)
+                    ),
+                    key=lambda target: xxhash.xxh3_64_intdigest(
+                        target.record.target_id.encode(), self._order_seed
+                    ),
+                )
+            )
+        return order
+
     def put(self, record: fleet.TargetRecord) -> bool:
         """Stores an entry; returns whether it is of a newly started target.
 
@@ -217,6 +254,7 @@
             record = attrs.evolve(record, is_leaving=True)
         target = Target(record)
         self._targets[record.target_id] = target
+        self._orders.clear()
         self._by_service.setdefault(record.service, {})[record.target_id] = (
             target
         )
@@ -420,6 +458,7 @@
         target = self._targets.pop(target_id, None)
         if target is not None:
             self._by_service[target.record.service].pop(target_id, None)
+            self._orders.clear()
             bounded_tables.put_newest(
                 self._ended,
                 _process_key(target.record),
