Find the candidates of a long prompt among 512 targets at most

A choice for a prompt of 220,000 tokens cost 3.5 ms at 195 engines and 6.2 ms at 3,500, over the 3 ms and 1.5 times asked. Cause: the fewest requests were looked for among all.

--- a/src/cardamomfork/_internal/gateway/candidate_sampling.py
+++ b/src/cardamomfork/_internal/gateway/candidate_sampling.py
@@ -28,8 +28,10 @@
 """Prefill time up to which a prompt is placed on one target."""
 SHORT_CANDIDATES = 22
 """Candidates of a short prompt, drawn at random."""
-LONG_LEAST_LOADED = 48
+LONG_LEAST_LOADED = 40
 """Candidates of a long prompt, which up to 16 targets read together."""
+LONG_DRAWN = 512
+"""Targets among which those are found."""
 
 
 @attrs.frozen
@@ -89,7 +91,9 @@
             if is_short
             else heapq.nsmallest(
                 LONG_LEAST_LOADED,
-                self._table.order_service(service.name, None),
+                self._window(
+                    self._table.order_service(service.name, None), LONG_DRAWN
+                ),
                 key=self._count_jobs,
             )
         )
