Use one threshold for short prompts in sampling and placement costs

No caller sees a difference: the value is the same. It stood twice, so that a change of one would have let the fill order and the candidates disagree on what is short.

--- a/src/cardamomfork/_internal/gateway/candidate_sampling.py
+++ b/src/cardamomfork/_internal/gateway/candidate_sampling.py
@@ -15,6 +15,7 @@
 
 from cardamomfork._internal.gateway import demands
 from cardamomfork._internal.gateway import engine_timing
+from cardamomfork._internal.gateway import placement_costs
 
 if TYPE_CHECKING:
     import random
@@ -24,8 +25,6 @@
 
 MIN_SAMPLED_TARGETS = 64
 """Services with fewer targets are always compared as a whole."""
-SHORT_PREFILL_S = 0.1
-"""Prefill time up to which a prompt is placed on one target."""
 SHORT_CANDIDATES = 22
 """Candidates of a short prompt, drawn at random."""
 LONG_LEAST_LOADED = 40
@@ -40,7 +39,8 @@
 
     Attributes:
         targets: Some usable targets of its service.
-        is_random: Whether others may be much better.
+        is_random: Whether they were drawn at random, so that others may be
+            much better.
     """
 
     targets: list[target_table.Target]
@@ -73,8 +73,8 @@
     def sample(self, demand: demands.Demand, now: float) -> Sample | None:
         """Returns some usable targets; None if all must be compared.
 
-        Targets that limit the rate of requests are shared by rules that need
-        the whole service.
+        That is so where targets limit the rate of requests: whether a request
+        may wait for a permit depends on all targets of the service.
         """
         service = demand.service
         if (
@@ -84,7 +84,7 @@
             return None
         is_short = (
             engine_timing.prefill_s(service.cost_model, demand.prompt_tokens)
-            <= SHORT_PREFILL_S
+            <= placement_costs.SHORT_PREFILL_S
         )
         drawn = (
             self._draw(service.name)
