--- a/src/cardamomfork/_internal/gateway/__init__.py
+++ b/src/cardamomfork/_internal/gateway/__init__.py
@@ -1,6 +1,7 @@
 """Request path of an entry instance in front of a fleet of targets.
 
-The modules that make decisions get the time as an argument and do no I/O:
-`routes`, `engine_timing`, `load_view`, `placement`, `retry_budget`,
-`target_table` and `event_stream`. The other modules do the I/O.
+Each package imports only packages that stand before it in this list: `store`,
+`state`, `choice`, `connections`, `requests`, `crashes`, `peers`, `paths`,
+`queueing`, `serving`. The modules beside them wire the parts. Decisions get the
+time as an argument and do no I/O.
 """
--- a/src/cardamomfork/_internal/gateway/candidate_sampling.py
+++ b/src/cardamomfork/_internal/gateway/choice/candidate_sampling.py
@@ -13,15 +13,15 @@
 
 import attrs
 
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import engine_timing
-from cardamomfork._internal.gateway import placement_costs
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.choice import engine_timing
+from cardamomfork._internal.gateway.choice import placement_costs
 
 if TYPE_CHECKING:
     import random
 
-    from cardamomfork._internal.gateway import load_view
-    from cardamomfork._internal.gateway import target_table
+    from cardamomfork._internal.gateway.state import load_view
+    from cardamomfork._internal.gateway.state import target_table
 
 MIN_SAMPLED_TARGETS = 64
 """Services with fewer targets are always compared as a whole."""
--- a/src/cardamomfork/_internal/gateway/placement.py
+++ b/src/cardamomfork/_internal/gateway/choice/placement.py
@@ -16,17 +16,17 @@
 
 import attrs
 
-from cardamomfork._internal.gateway import candidate_sampling
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import engine_timing
-from cardamomfork._internal.gateway import placement_costs
+from cardamomfork._internal.gateway.choice import candidate_sampling
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.choice import engine_timing
+from cardamomfork._internal.gateway.choice import placement_costs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     import random
 
-    from cardamomfork._internal.gateway import load_view
-    from cardamomfork._internal.gateway import target_table
+    from cardamomfork._internal.gateway.state import load_view
+    from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.models import fleet
 
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
--- a/src/cardamomfork/_internal/gateway/placement_costs.py
+++ b/src/cardamomfork/_internal/gateway/choice/placement_costs.py
@@ -13,13 +13,13 @@
 import attrs
 import xxhash
 
-from cardamomfork._internal.gateway import engine_timing
+from cardamomfork._internal.gateway.choice import engine_timing
 
 if TYPE_CHECKING:
     import random
 
-    from cardamomfork._internal.gateway import demands
-    from cardamomfork._internal.gateway import load_view
+    from cardamomfork._internal.gateway.choice import demands
+    from cardamomfork._internal.gateway.state import load_view
     from cardamomfork._internal.models import fleet
 
 SAFE_OBJECTIVE_FRACTION = 0.6
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/connections/__init__.py
@@ -0,0 +1,4 @@
+"""Connections to targets, and whether any target can be reached.
+
+Imports `choice` and what that may import.
+"""
--- a/src/cardamomfork/_internal/gateway/target_pool.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_pool.py
@@ -9,8 +9,8 @@
 import anyio
 import result
 
-from cardamomfork._internal.gateway import outcomes
-from cardamomfork._internal.gateway import target_connection
+from cardamomfork._internal.gateway.connections import outcomes
+from cardamomfork._internal.gateway.connections import target_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/cardamomfork/_internal/gateway/crash_detector.py
+++ b/src/cardamomfork/_internal/gateway/crashes/crash_detector.py
@@ -17,15 +17,15 @@
 import attrs
 from loguru import logger
 
-from cardamomfork._internal.gateway import request_log
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.crashes import crash_log
+from cardamomfork._internal.gateway.state import target_table
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from cardamomfork._internal.gateway import exchanges
-    from cardamomfork._internal.gateway import poison_guard
+    from cardamomfork._internal.gateway.crashes import poison_guard
+    from cardamomfork._internal.gateway.requests import exchanges
     from cardamomfork._internal.models import fleet
 
 MAX_CHECK_WAIT_S = 0.1
@@ -296,7 +296,7 @@
         """Counts a target's crash against the requests that it ran."""
         confirmed = self._guard.confirm_crash(record, self._clock())
         for crash in confirmed:
-            request_log.crash_confirmed(
+            crash_log.crash_confirmed(
                 crash, self._guard.crash_count(crash.fingerprint), kind
             )
         if confirmed:
--- a/src/cardamomfork/_internal/gateway/crash_persistence.py
+++ b/src/cardamomfork/_internal/gateway/crashes/crash_persistence.py
@@ -16,8 +16,8 @@
 import result
 
 from cardamomfork._internal.contracts import store
-from cardamomfork._internal.gateway import crash_records
-from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.state import crash_records
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/cardamomfork/_internal/gateway/poison_guard.py
+++ b/src/cardamomfork/_internal/gateway/crashes/poison_guard.py
@@ -17,10 +17,10 @@
 import attrs
 
 from cardamomfork._internal import bounded_tables
-from cardamomfork._internal.gateway import crash_attribution
-from cardamomfork._internal.gateway import crash_records
-from cardamomfork._internal.gateway import fingerprints
-from cardamomfork._internal.gateway import request_log
+from cardamomfork._internal.gateway.crashes import crash_log
+from cardamomfork._internal.gateway.state import crash_attribution
+from cardamomfork._internal.gateway.state import crash_records
+from cardamomfork._internal.gateway.state import fingerprints
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -463,10 +463,10 @@
         after = {cause.suspects for cause in causes}
         for cause in causes:
             if cause.suspects not in before:
-                request_log.cause_blocked(cause)
+                crash_log.cause_blocked(cause)
         for cause in self._causes:
             if cause.suspects not in after:
-                request_log.block_ended(cause)
+                crash_log.block_ended(cause)
 
     def _put_changed(
         self, fingerprint: int, record: crash_records.CrashRecord, now: float
--- a/src/cardamomfork/_internal/gateway/reservations.py
+++ b/src/cardamomfork/_internal/gateway/paths/reservations.py
@@ -20,16 +20,16 @@
 from loguru import logger
 import result
 
-from cardamomfork._internal.gateway import target_connection
+from cardamomfork._internal.gateway.connections import target_connection
 from cardamomfork._internal.models import engine_orders
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from cardamomfork._internal.contracts import platform_format
-    from cardamomfork._internal.gateway import placement
-    from cardamomfork._internal.gateway import target_paths
-    from cardamomfork._internal.gateway import target_statements
+    from cardamomfork._internal.gateway.choice import placement
+    from cardamomfork._internal.gateway.paths import target_paths
+    from cardamomfork._internal.gateway.state import target_statements
     from cardamomfork._internal.models import fleet
 
 RESERVATION_TTL_S = 3.5
--- a/src/cardamomfork/_internal/gateway/target_access.py
+++ b/src/cardamomfork/_internal/gateway/paths/target_access.py
@@ -4,19 +4,19 @@
 
 from typing import TYPE_CHECKING
 
-from cardamomfork._internal.gateway import fleet_secret
-from cardamomfork._internal.gateway import peer_forwarding_client
-from cardamomfork._internal.gateway import target_paths
-from cardamomfork._internal.gateway import target_pool
-from cardamomfork._internal.gateway import target_reach
+from cardamomfork._internal.gateway.connections import target_pool
+from cardamomfork._internal.gateway.connections import target_reach
+from cardamomfork._internal.gateway.paths import target_paths
+from cardamomfork._internal.gateway.peers import fleet_secret
+from cardamomfork._internal.gateway.peers import peer_forwarding_client
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     import random
 
     from cardamomfork._internal.contracts import platform_format
-    from cardamomfork._internal.gateway import peer_table
-    from cardamomfork._internal.gateway import target_table
+    from cardamomfork._internal.gateway.peers import peer_table
+    from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.models import fleet
 
 
--- a/src/cardamomfork/_internal/gateway/target_paths.py
+++ b/src/cardamomfork/_internal/gateway/paths/target_paths.py
@@ -8,15 +8,15 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
-from cardamomfork._internal.gateway import peer_forwarding_client
-from cardamomfork._internal.gateway import target_connection
+from cardamomfork._internal.gateway.connections import target_connection
+from cardamomfork._internal.gateway.peers import peer_forwarding_client
 
 if TYPE_CHECKING:
     import result
 
-    from cardamomfork._internal.gateway import outcomes
-    from cardamomfork._internal.gateway import target_pool
-    from cardamomfork._internal.gateway import target_reach
+    from cardamomfork._internal.gateway.connections import outcomes
+    from cardamomfork._internal.gateway.connections import target_pool
+    from cardamomfork._internal.gateway.connections import target_reach
     from cardamomfork._internal.models import fleet
 
 Connection = (
--- a/src/cardamomfork/_internal/gateway/change_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/change_codec.py
@@ -7,8 +7,8 @@
 import capnp
 import result
 
-from cardamomfork._internal.gateway import change_relay
-from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.store import change_relay
 
 UPDATE = b"\4"
 """First byte of a datagram with an update."""
--- a/src/cardamomfork/_internal/gateway/configuration_fetching.py
+++ b/src/cardamomfork/_internal/gateway/peers/configuration_fetching.py
@@ -15,13 +15,13 @@
 from loguru import logger
 import result
 
-from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway.peers import digest_codec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     import random
 
-    from cardamomfork._internal.gateway import fleet_state
+    from cardamomfork._internal.gateway.state import fleet_state
 
 STORE_HEAD_START_S = 0.6
 """Time after the report of a newer configuration in which this instance reads
--- a/src/cardamomfork/_internal/gateway/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/digest_codec.py
@@ -11,11 +11,11 @@
 import capnp
 import result
 
-from cardamomfork._internal.gateway import crash_records
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import fleet_state
-from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import rate_limits
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.state import crash_records
+from cardamomfork._internal.gateway.state import fleet_state
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import rate_limits
 
 MS_PER_S = 1000.0
 MAX_MS = 2**31 - 1
--- a/src/cardamomfork/_internal/gateway/digest_recipients.py
+++ b/src/cardamomfork/_internal/gateway/peers/digest_recipients.py
@@ -19,8 +19,8 @@
 if TYPE_CHECKING:
     import random
 
-    from cardamomfork._internal.gateway import digest_codec
-    from cardamomfork._internal.gateway import peer_table
+    from cardamomfork._internal.gateway.peers import digest_codec
+    from cardamomfork._internal.gateway.peers import peer_table
 
 MAX_DIRECT_PEERS = 12
 """With more peers, digests to other data centres go through relays."""
--- a/src/cardamomfork/_internal/gateway/peer_forwarding_client.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_client.py
@@ -16,9 +16,9 @@
 from loguru import logger
 import result
 
-from cardamomfork._internal.gateway import outcomes
-from cardamomfork._internal.gateway import peer_forwarding_codec
-from cardamomfork._internal.gateway import target_connection
+from cardamomfork._internal.gateway.connections import outcomes
+from cardamomfork._internal.gateway.connections import target_connection
+from cardamomfork._internal.gateway.peers import peer_forwarding_codec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,9 +28,9 @@
     from anyio.streams import memory
 
     from cardamomfork._internal.contracts import platform_format
-    from cardamomfork._internal.gateway import digest_codec
-    from cardamomfork._internal.gateway import fleet_secret
-    from cardamomfork._internal.gateway import peer_table
+    from cardamomfork._internal.gateway.peers import digest_codec
+    from cardamomfork._internal.gateway.peers import fleet_secret
+    from cardamomfork._internal.gateway.peers import peer_table
     from cardamomfork._internal.models import fleet
     from cardamomfork._internal.models import forwarding
 
--- a/src/cardamomfork/_internal/gateway/peer_forwarding_server.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
@@ -14,9 +14,9 @@
 from loguru import logger
 import result
 
-from cardamomfork._internal.gateway import peer_forwarding_codec
-from cardamomfork._internal.gateway import target_connection
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.connections import target_connection
+from cardamomfork._internal.gateway.peers import peer_forwarding_codec
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import forwarding
 
@@ -24,12 +24,12 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from cardamomfork._internal.gateway import fleet_secret
-    from cardamomfork._internal.gateway import rate_limits
-    from cardamomfork._internal.gateway import stopping
-    from cardamomfork._internal.gateway import target_pool
-    from cardamomfork._internal.gateway import target_reach
-    from cardamomfork._internal.gateway import target_statements
+    from cardamomfork._internal.gateway.connections import target_pool
+    from cardamomfork._internal.gateway.connections import target_reach
+    from cardamomfork._internal.gateway.peers import fleet_secret
+    from cardamomfork._internal.gateway.state import rate_limits
+    from cardamomfork._internal.gateway.state import stopping
+    from cardamomfork._internal.gateway.state import target_statements
     from cardamomfork._internal.models import fleet
 
     Receive = Callable[[], Awaitable[dict[str, Any]]]
--- a/src/cardamomfork/_internal/gateway/peers.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -17,25 +17,25 @@
 from loguru import logger
 import result
 
-from cardamomfork._internal.gateway import change_codec
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import digest_recipients
-from cardamomfork._internal.gateway import permit_codec
+from cardamomfork._internal.gateway.peers import change_codec
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import digest_recipients
+from cardamomfork._internal.gateway.peers import permit_codec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from cardamomfork._internal.gateway import change_relay
-    from cardamomfork._internal.gateway import configuration_fetching
-    from cardamomfork._internal.gateway import crash_records
-    from cardamomfork._internal.gateway import fleet_state
-    from cardamomfork._internal.gateway import follower
-    from cardamomfork._internal.gateway import load_view
-    from cardamomfork._internal.gateway import peer_table
-    from cardamomfork._internal.gateway import poison_guard
-    from cardamomfork._internal.gateway import rate_limits
-    from cardamomfork._internal.gateway import rate_permits
+    from cardamomfork._internal.gateway.crashes import poison_guard
+    from cardamomfork._internal.gateway.peers import configuration_fetching
+    from cardamomfork._internal.gateway.peers import peer_table
+    from cardamomfork._internal.gateway.peers import rate_permits
+    from cardamomfork._internal.gateway.state import crash_records
+    from cardamomfork._internal.gateway.state import fleet_state
+    from cardamomfork._internal.gateway.state import load_view
+    from cardamomfork._internal.gateway.state import rate_limits
+    from cardamomfork._internal.gateway.store import change_relay
+    from cardamomfork._internal.gateway.store import follower
 
 HEARTBEAT_S = 0.5
 CRASH_REPORT_INTERVAL_S = 0.5
--- a/src/cardamomfork/_internal/gateway/peer_table.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_table.py
@@ -9,7 +9,7 @@
 import msgspec
 import xxhash
 
-from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway.peers import digest_codec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/cardamomfork/_internal/gateway/permit_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/permit_codec.py
@@ -8,7 +8,7 @@
 import capnp
 import result
 
-from cardamomfork._internal.gateway import digest_codec
+from cardamomfork._internal.gateway.peers import digest_codec
 
 REQUEST = b"\2"
 DECISION = b"\3"
--- a/src/cardamomfork/_internal/gateway/rate_permits.py
+++ b/src/cardamomfork/_internal/gateway/peers/rate_permits.py
@@ -16,13 +16,13 @@
 from loguru import logger
 import result
 
-from cardamomfork._internal.gateway import permit_codec
+from cardamomfork._internal.gateway.peers import permit_codec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cardamomfork._internal.gateway import digest_codec
-    from cardamomfork._internal.gateway import rate_limits
+    from cardamomfork._internal.gateway.peers import digest_codec
+    from cardamomfork._internal.gateway.state import rate_limits
     from cardamomfork._internal.models import fleet
 
 BURST_REQUESTS = 2
--- a/src/cardamomfork/_internal/gateway/registration.py
+++ b/src/cardamomfork/_internal/gateway/peers/registration.py
@@ -15,8 +15,8 @@
     from collections.abc import Callable
     import random
 
-    from cardamomfork._internal.gateway import digest_codec
-    from cardamomfork._internal.gateway import peer_table
+    from cardamomfork._internal.gateway.peers import digest_codec
+    from cardamomfork._internal.gateway.peers import peer_table
 
 INSTANCE_KEY_PREFIX = "instances/"
 """Prefix of the keys of entry instances in the store."""
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -13,37 +13,37 @@
 
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.contracts import store
-from cardamomfork._internal.gateway import application
-from cardamomfork._internal.gateway import caller_protocol
-from cardamomfork._internal.gateway import change_relay
-from cardamomfork._internal.gateway import configuration_fetching
-from cardamomfork._internal.gateway import crash_detector
-from cardamomfork._internal.gateway import crash_persistence
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import digest_recipients
-from cardamomfork._internal.gateway import fleet_state
-from cardamomfork._internal.gateway import follower
-from cardamomfork._internal.gateway import forwarding
-from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import peer_forwarding_server
-from cardamomfork._internal.gateway import peer_table
-from cardamomfork._internal.gateway import peers
-from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import poison_guard
-from cardamomfork._internal.gateway import rate_limits
-from cardamomfork._internal.gateway import rate_permits
-from cardamomfork._internal.gateway import registration
-from cardamomfork._internal.gateway import reservations
-from cardamomfork._internal.gateway import retry_budget
-from cardamomfork._internal.gateway import scheduling
 from cardamomfork._internal.gateway import state_dump
-from cardamomfork._internal.gateway import stopping
-from cardamomfork._internal.gateway import store_handlers
-from cardamomfork._internal.gateway import target_access
-from cardamomfork._internal.gateway import target_statements
-from cardamomfork._internal.gateway import target_table
-from cardamomfork._internal.gateway import traffic_metrics
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.crashes import crash_detector
+from cardamomfork._internal.gateway.crashes import crash_persistence
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.paths import reservations
+from cardamomfork._internal.gateway.paths import target_access
+from cardamomfork._internal.gateway.peers import configuration_fetching
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import digest_recipients
+from cardamomfork._internal.gateway.peers import peer_forwarding_server
+from cardamomfork._internal.gateway.peers import peer_links
+from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.peers import rate_permits
+from cardamomfork._internal.gateway.peers import registration
+from cardamomfork._internal.gateway.queueing import retry_budget
+from cardamomfork._internal.gateway.queueing import scheduling
+from cardamomfork._internal.gateway.serving import application
+from cardamomfork._internal.gateway.serving import caller_protocol
+from cardamomfork._internal.gateway.serving import forwarding
+from cardamomfork._internal.gateway.serving import traffic_metrics
+from cardamomfork._internal.gateway.state import fleet_state
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import rate_limits
+from cardamomfork._internal.gateway.state import stopping
+from cardamomfork._internal.gateway.state import store_handlers
+from cardamomfork._internal.gateway.state import target_statements
+from cardamomfork._internal.gateway.state import target_table
+from cardamomfork._internal.gateway.store import change_relay
+from cardamomfork._internal.gateway.store import follower
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.models import settings as settings_models
 from cardamomfork._internal.telemetry import exporting
@@ -215,7 +215,7 @@
                 self._on_configuration_applied,
             )
         )
-        self._peer_links = peers.PeerLinks(
+        self._peer_links = peer_links.PeerLinks(
             self._local_peer,
             self._peer_table,
             digest_recipients.RecipientSelector(
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/queueing/__init__.py
@@ -0,0 +1,4 @@
+"""Waiting, refusal and retries.
+
+Decides without I/O. Imports `paths` and what that may import.
+"""
--- a/src/cardamomfork/_internal/gateway/retrying.py
+++ b/src/cardamomfork/_internal/gateway/queueing/retrying.py
@@ -5,14 +5,14 @@
 import http
 from typing import TYPE_CHECKING
 
-from cardamomfork._internal.gateway import exchanges
-from cardamomfork._internal.gateway import outcomes
+from cardamomfork._internal.gateway.connections import outcomes
+from cardamomfork._internal.gateway.requests import exchanges
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cardamomfork._internal.gateway import poison_guard
-    from cardamomfork._internal.gateway import retry_budget
+    from cardamomfork._internal.gateway.crashes import poison_guard
+    from cardamomfork._internal.gateway.queueing import retry_budget
 
 MIN_ATTEMPT_S = 0.05
 """Least time left that allows another attempt."""
--- a/src/cardamomfork/_internal/gateway/scheduling.py
+++ b/src/cardamomfork/_internal/gateway/queueing/scheduling.py
@@ -14,9 +14,9 @@
 import anyio
 import attrs
 
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import engine_timing
-from cardamomfork._internal.gateway import placement
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.choice import engine_timing
+from cardamomfork._internal.gateway.choice import placement
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/cardamomfork/_internal/gateway/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -10,9 +10,9 @@
 import anyio
 import attrs
 
-from cardamomfork._internal.gateway import event_stream
-from cardamomfork._internal.gateway import outcomes
-from cardamomfork._internal.gateway import target_connection
+from cardamomfork._internal.gateway.connections import outcomes
+from cardamomfork._internal.gateway.connections import target_connection
+from cardamomfork._internal.gateway.requests import event_stream
 from cardamomfork._internal.models import fleet
 from cardamomfork._internal.models import forwarding
 
--- a/src/cardamomfork/_internal/gateway/exchanges.py
+++ b/src/cardamomfork/_internal/gateway/requests/exchanges.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from cardamomfork._internal.gateway import attempt
+from cardamomfork._internal.gateway.requests import attempt
 
 if TYPE_CHECKING:
-    from cardamomfork._internal.gateway import crash_attribution
-    from cardamomfork._internal.gateway import request_log
-    from cardamomfork._internal.gateway import routes
+    from cardamomfork._internal.gateway.requests import request_log
+    from cardamomfork._internal.gateway.state import crash_attribution
+    from cardamomfork._internal.gateway.state import routes
     from cardamomfork._internal.models import forwarding
 
 DEADLINE_MARGIN_S = 0.03
--- a/src/cardamomfork/_internal/gateway/request_log.py
+++ b/src/cardamomfork/_internal/gateway/requests/request_log.py
@@ -6,14 +6,13 @@
 
 from loguru import logger
 
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import outcomes
+from cardamomfork._internal.gateway.connections import outcomes
+from cardamomfork._internal.gateway.state import fingerprints
 
 if TYPE_CHECKING:
-    from cardamomfork._internal.gateway import crash_attribution
-    from cardamomfork._internal.gateway import crash_records
-    from cardamomfork._internal.gateway import placement
-    from cardamomfork._internal.gateway import routes
+    from cardamomfork._internal.gateway.choice import demands
+    from cardamomfork._internal.gateway.choice import placement
+    from cardamomfork._internal.gateway.state import routes
 
 
 class RequestLog:
@@ -74,11 +73,11 @@
         """
         self._logger.info(
             "crash suspected",
-            fingerprint=format_fingerprint(fingerprint),
+            fingerprint=fingerprints.format_fingerprint(fingerprint),
             target_id=target_id,
             reason=reason,
             detail=", ".join(
-                f"{part_id}: {format_fingerprint(part)}"
+                f"{part_id}: {fingerprints.format_fingerprint(part)}"
                 for part_id, part in parts.items()
             ),
         )
@@ -87,7 +86,7 @@
         """Logs that a request was not the cause of earlier crashes."""
         self._logger.info(
             "crashes refuted",
-            fingerprint=format_fingerprint(fingerprint),
+            fingerprint=fingerprints.format_fingerprint(fingerprint),
             count=count,
         )
 
@@ -117,7 +116,7 @@
         """Logs the end of a request."""
         self._logger.info(
             "request ended",
-            fingerprint=format_fingerprint(fingerprint),
+            fingerprint=fingerprints.format_fingerprint(fingerprint),
             route=match.route.name,
             service=match.service.name,
             version=match.version,
@@ -126,54 +125,3 @@
             seconds=round(seconds, 3),
             detail=detail,
         )
-
-
-def crash_confirmed(crash: crash_records.Crash, count: int, kind: str) -> None:
-    """Logs that this instance confirmed a crash.
-
-    Args:
-        crash: The request and the target.
-        count: Number of crashes due to the request so far.
-        kind: What confirmed it.
-    """
-    _log_crash("crash confirmed", crash, count, kind)
-
-
-def cause_blocked(cause: crash_attribution.Cause) -> None:
-    """Logs that requests are blocked, since they crash targets."""
-    _log_cause("request blocked", cause)
-
-
-def block_ended(cause: crash_attribution.Cause) -> None:
-    """Logs that requests are no longer blocked."""
-    _log_cause("block ended", cause)
-
-
-def _log_cause(message: str, cause: crash_attribution.Cause) -> None:
-    """Logs a message about the cause of crashes."""
-    logger.warning(
-        message,
-        fingerprint=",".join(
-            format_fingerprint(suspect) for suspect in sorted(cause.suspects)
-        ),
-        count=cause.crash_count,
-        kind="request" if cause.has_request else "part",
-    )
-
-
-def _log_crash(
-    message: str, crash: crash_records.Crash, count: int, kind: str
-) -> None:
-    """Logs a message about a crash."""
-    logger.warning(
-        message,
-        fingerprint=format_fingerprint(crash.fingerprint),
-        target_id=crash.target_id,
-        count=count,
-        kind=kind,
-    )
-
-
-def format_fingerprint(fingerprint: int) -> str:
-    """Returns a fingerprint as it is written to logs."""
-    return f"{fingerprint & (2**64 - 1):016x}"
--- a/src/cardamomfork/_internal/gateway/application.py
+++ b/src/cardamomfork/_internal/gateway/serving/application.py
@@ -11,14 +11,14 @@
 import msgspec
 import result
 
-from cardamomfork._internal.gateway import caller_protocol
-from cardamomfork._internal.gateway import configuration_fetching
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import exchanges
-from cardamomfork._internal.gateway import fingerprints
-from cardamomfork._internal.gateway import forwarding
-from cardamomfork._internal.gateway import peer_forwarding_codec
-from cardamomfork._internal.gateway import request_log
+from cardamomfork._internal.gateway.peers import configuration_fetching
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import peer_forwarding_codec
+from cardamomfork._internal.gateway.requests import exchanges
+from cardamomfork._internal.gateway.requests import request_log
+from cardamomfork._internal.gateway.serving import caller_protocol
+from cardamomfork._internal.gateway.serving import forwarding
+from cardamomfork._internal.gateway.state import fingerprints
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import fleet
 
@@ -28,11 +28,11 @@
     import random
 
     from cardamomfork._internal.contracts import platform_format
-    from cardamomfork._internal.gateway import fleet_state
-    from cardamomfork._internal.gateway import peer_forwarding_server
-    from cardamomfork._internal.gateway import routes
-    from cardamomfork._internal.gateway import stopping
-    from cardamomfork._internal.gateway import traffic_metrics
+    from cardamomfork._internal.gateway.peers import peer_forwarding_server
+    from cardamomfork._internal.gateway.serving import traffic_metrics
+    from cardamomfork._internal.gateway.state import fleet_state
+    from cardamomfork._internal.gateway.state import routes
+    from cardamomfork._internal.gateway.state import stopping
     from cardamomfork._internal.models import forwarding as forwarding_models
     from cardamomfork._internal.telemetry import exporting
 
--- a/src/cardamomfork/_internal/gateway/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -10,30 +10,30 @@
 import attrs
 import result
 
-from cardamomfork._internal.gateway import attempt
-from cardamomfork._internal.gateway import crash_detector
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import exchanges
-from cardamomfork._internal.gateway import outcome_recorder
-from cardamomfork._internal.gateway import outcomes
-from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import retrying
-from cardamomfork._internal.gateway import scheduling
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.connections import outcomes
+from cardamomfork._internal.gateway.crashes import crash_detector
+from cardamomfork._internal.gateway.queueing import retrying
+from cardamomfork._internal.gateway.queueing import scheduling
+from cardamomfork._internal.gateway.requests import attempt
+from cardamomfork._internal.gateway.requests import exchanges
+from cardamomfork._internal.gateway.serving import outcome_recorder
 from cardamomfork._internal.models import forwarding
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from cardamomfork._internal.contracts import platform_format
-    from cardamomfork._internal.gateway import load_view
-    from cardamomfork._internal.gateway import poison_guard
-    from cardamomfork._internal.gateway import rate_limits
-    from cardamomfork._internal.gateway import rate_permits
-    from cardamomfork._internal.gateway import reservations
-    from cardamomfork._internal.gateway import retry_budget
-    from cardamomfork._internal.gateway import target_paths
-    from cardamomfork._internal.gateway import target_statements
+    from cardamomfork._internal.gateway.crashes import poison_guard
+    from cardamomfork._internal.gateway.paths import reservations
+    from cardamomfork._internal.gateway.paths import target_paths
+    from cardamomfork._internal.gateway.peers import rate_permits
+    from cardamomfork._internal.gateway.queueing import retry_budget
+    from cardamomfork._internal.gateway.state import load_view
+    from cardamomfork._internal.gateway.state import rate_limits
+    from cardamomfork._internal.gateway.state import target_statements
+    from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.models import fleet
 
 FIRST_BYTE_TIMEOUT_FACTOR = 3.0
--- a/src/cardamomfork/_internal/gateway/outcome_recorder.py
+++ b/src/cardamomfork/_internal/gateway/serving/outcome_recorder.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from cardamomfork._internal.gateway import crash_detector
-from cardamomfork._internal.gateway import outcomes
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.connections import outcomes
+from cardamomfork._internal.gateway.crashes import crash_detector
+from cardamomfork._internal.gateway.state import target_table
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cardamomfork._internal.gateway import demands
-    from cardamomfork._internal.gateway import exchanges
-    from cardamomfork._internal.gateway import placement
+    from cardamomfork._internal.gateway.choice import demands
+    from cardamomfork._internal.gateway.choice import placement
+    from cardamomfork._internal.gateway.requests import exchanges
     from cardamomfork._internal.models import fleet
 
 MIN_PREDICTION_S = 0.05
--- a/src/cardamomfork/_internal/gateway/traffic_metrics.py
+++ b/src/cardamomfork/_internal/gateway/serving/traffic_metrics.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cardamomfork._internal.gateway import exchanges
+    from cardamomfork._internal.gateway.requests import exchanges
 
 LATENCY_BUCKETS_S = (
     0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 5.0, 10.0, 15.0
--- a/src/cardamomfork/_internal/gateway/crash_attribution.py
+++ b/src/cardamomfork/_internal/gateway/state/crash_attribution.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from cardamomfork._internal.gateway import fingerprints
+from cardamomfork._internal.gateway.state import fingerprints
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/cardamomfork/_internal/gateway/crash_records.py
+++ b/src/cardamomfork/_internal/gateway/state/crash_records.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from cardamomfork._internal.gateway import crash_attribution
+    from cardamomfork._internal.gateway.state import crash_attribution
 
 
 @attrs.frozen
--- a/src/cardamomfork/_internal/gateway/fingerprints.py
+++ b/src/cardamomfork/_internal/gateway/state/fingerprints.py
@@ -37,3 +37,8 @@
 def is_part(fingerprint: int) -> bool:
     """Returns whether a fingerprint is that of a part."""
     return fingerprint & _KIND_MASK == _PART_KIND
+
+
+def format_fingerprint(fingerprint: int) -> str:
+    """Returns a fingerprint as it is written to logs."""
+    return f"{fingerprint & (2**64 - 1):016x}"
--- a/src/cardamomfork/_internal/gateway/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/state/fleet_state.py
@@ -14,15 +14,15 @@
 import result
 
 from cardamomfork._internal.contracts import store
-from cardamomfork._internal.gateway import routes
+from cardamomfork._internal.gateway.state import routes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
     from cardamomfork._internal.contracts import platform_format
-    from cardamomfork._internal.gateway import change_relay
-    from cardamomfork._internal.gateway import target_table
+    from cardamomfork._internal.gateway.state import target_table
+    from cardamomfork._internal.gateway.store import change_relay
 
 SCAN_LAPSE_WINDOW_S = 3.0
 """Time after an outage of the store. If a full scan within it lacks a target's
--- a/src/cardamomfork/_internal/gateway/rate_limits.py
+++ b/src/cardamomfork/_internal/gateway/state/rate_limits.py
@@ -12,7 +12,7 @@
 import attrs
 from loguru import logger
 
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.state import target_table
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/cardamomfork/_internal/gateway/store_handlers.py
+++ b/src/cardamomfork/_internal/gateway/state/store_handlers.py
@@ -10,8 +10,8 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from cardamomfork._internal.gateway import change_relay
-    from cardamomfork._internal.gateway import fleet_state
+    from cardamomfork._internal.gateway.state import fleet_state
+    from cardamomfork._internal.gateway.store import change_relay
 
 
 class ConfigurationHandler:
--- a/src/cardamomfork/_internal/gateway/target_statements.py
+++ b/src/cardamomfork/_internal/gateway/state/target_statements.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cardamomfork._internal.gateway import target_table
+    from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.models import fleet
     from cardamomfork._internal.models import forwarding
 
--- a/src/cardamomfork/_internal/gateway/state_dump.py
+++ b/src/cardamomfork/_internal/gateway/state_dump.py
@@ -7,12 +7,12 @@
 
 import attrs
 
-from cardamomfork._internal.gateway import request_log
+from cardamomfork._internal.gateway.state import fingerprints
 
 if TYPE_CHECKING:
-    from cardamomfork._internal.gateway import load_view
-    from cardamomfork._internal.gateway import poison_guard
-    from cardamomfork._internal.gateway import target_table
+    from cardamomfork._internal.gateway.crashes import poison_guard
+    from cardamomfork._internal.gateway.state import load_view
+    from cardamomfork._internal.gateway.state import target_table
 
 
 def dump_targets(
@@ -39,7 +39,7 @@
     """Returns the blocked requests with the crashes that they caused."""
     return [
         {
-            "fingerprint": request_log.format_fingerprint(fingerprint),
+            "fingerprint": fingerprints.format_fingerprint(fingerprint),
             "crashes": guard.crash_count(fingerprint),
             "remaining_s": round(guard.block_remaining_s(fingerprint, now), 1),
         }
--- a/src/cardamomfork/_internal/gateway/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -29,7 +29,7 @@
     from collections.abc import Iterable
     import random
 
-    from cardamomfork._internal.gateway import change_relay
+    from cardamomfork._internal.gateway.store import change_relay
 
 MIN_BACKOFF_S = 0.1
 DELEGATE_MAX_BACKOFF_S = 0.8
--- a/src/cardamomfork/_internal/measure/choosing.py
+++ b/src/cardamomfork/_internal/measure/choosing.py
@@ -4,8 +4,8 @@
 
 import time
 
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.measure import engine_simulation
 from cardamomfork._internal.measure import placing
 from cardamomfork._internal.measure import reports
--- a/src/cardamomfork/_internal/measure/digests.py
+++ b/src/cardamomfork/_internal/measure/digests.py
@@ -5,9 +5,9 @@
 import time
 from typing import TYPE_CHECKING
 
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import digest_recipients
-from cardamomfork._internal.gateway import load_view
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import digest_recipients
+from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.measure import reports
 
 if TYPE_CHECKING:
--- a/src/cardamomfork/_internal/measure/engine_simulation.py
+++ b/src/cardamomfork/_internal/measure/engine_simulation.py
@@ -18,11 +18,11 @@
 
 import attrs
 
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import engine_timing
-from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.choice import engine_timing
+from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.models import fleet
 
 if TYPE_CHECKING:
--- a/src/cardamomfork/_internal/measure/placing.py
+++ b/src/cardamomfork/_internal/measure/placing.py
@@ -15,8 +15,8 @@
 
 import attrs
 
-from cardamomfork._internal.gateway import engine_timing
-from cardamomfork._internal.gateway import placement
+from cardamomfork._internal.gateway.choice import engine_timing
+from cardamomfork._internal.gateway.choice import placement
 from cardamomfork._internal.measure import engine_simulation
 from cardamomfork._internal.measure import reports
 from cardamomfork._internal.models import fleet
@@ -26,8 +26,8 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
-    from cardamomfork._internal.gateway import demands
-    from cardamomfork._internal.gateway import target_table
+    from cardamomfork._internal.gateway.choice import demands
+    from cardamomfork._internal.gateway.state import target_table
 
 ENGINE_COST_MODEL = fleet.EngineCostModel(
     slots=8,
--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -24,7 +24,7 @@
 import xxhash
 
 from cardamomfork._internal.contracts import store as store_contract
-from cardamomfork._internal.gateway import caller_protocol
+from cardamomfork._internal.gateway.serving import caller_protocol
 from cardamomfork._internal.links import event_loop
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.links.callers import protocol
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -9,19 +9,19 @@
 
 import anyio
 
-from cardamomfork._internal.gateway import crash_detector
-from cardamomfork._internal.gateway import crash_records
-from cardamomfork._internal.gateway import exchanges
-from cardamomfork._internal.gateway import forwarding
-from cardamomfork._internal.gateway import poison_guard
-from cardamomfork._internal.gateway import rate_limits
-from cardamomfork._internal.gateway import request_log
-from cardamomfork._internal.gateway import reservations
-from cardamomfork._internal.gateway import retry_budget
-from cardamomfork._internal.gateway import routes
-from cardamomfork._internal.gateway import scheduling
-from cardamomfork._internal.gateway import target_pool
-from cardamomfork._internal.gateway import target_statements
+from cardamomfork._internal.gateway.connections import target_pool
+from cardamomfork._internal.gateway.crashes import crash_detector
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.paths import reservations
+from cardamomfork._internal.gateway.queueing import retry_budget
+from cardamomfork._internal.gateway.queueing import scheduling
+from cardamomfork._internal.gateway.requests import exchanges
+from cardamomfork._internal.gateway.requests import request_log
+from cardamomfork._internal.gateway.serving import forwarding
+from cardamomfork._internal.gateway.state import crash_records
+from cardamomfork._internal.gateway.state import rate_limits
+from cardamomfork._internal.gateway.state import routes
+from cardamomfork._internal.gateway.state import target_statements
 from cardamomfork._internal.models import fleet
 from cardamomfork._internal.platform import wire_format
 from tests.lib import gateway_parts
--- a/tests/functional/test_gateway_reservations.py
+++ b/tests/functional/test_gateway_reservations.py
@@ -8,11 +8,11 @@
 
 import anyio
 
-from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import reservations
-from cardamomfork._internal.gateway import target_pool
-from cardamomfork._internal.gateway import target_statements
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.connections import target_pool
+from cardamomfork._internal.gateway.paths import reservations
+from cardamomfork._internal.gateway.state import target_statements
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.platform import wire_format
 from tests.lib import gateway_parts
 from tests.lib import scripted_target
--- a/tests/functional/test_peer_fetch.py
+++ b/tests/functional/test_peer_fetch.py
@@ -4,16 +4,16 @@
 import random
 import unittest
 
-from cardamomfork._internal.gateway import configuration_fetching
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import digest_recipients
-from cardamomfork._internal.gateway import fleet_state
-from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import peer_table
-from cardamomfork._internal.gateway import peers
-from cardamomfork._internal.gateway import poison_guard
-from cardamomfork._internal.gateway import rate_limits
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.peers import configuration_fetching
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import digest_recipients
+from cardamomfork._internal.gateway.peers import peer_links
+from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.state import fleet_state
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import rate_limits
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.platform import wire_format
 from cardamomfork._internal.standins import platform_site
 from tests.lib import gateway_parts
@@ -55,7 +55,7 @@
     local_peer = digest_codec.Peer("one", "a", HOST, 1)
     table = peer_table.PeerTable(local_peer, clock)
     limits = rate_limits.RateLimits(target_table.TargetTable(), clock)
-    return peers.PeerLinks(
+    return peer_links.PeerLinks(
         local_peer,
         table,
         digest_recipients.RecipientSelector("a", table, random.Random(1)),
@@ -96,7 +96,7 @@
             digest = digest_codec.Digest(
                 sender, 5, revision, revision, revision, 0, False, (), ()
             )
-            data = peers.NO_RELAY + digest_codec.encode(digest, clock())
+            data = peer_links.NO_RELAY + digest_codec.encode(digest, clock())
             links.datagram_received(data, (HOST, port))
             await asyncio.sleep(FETCH_WAIT_S)
             self.assertEqual(state.revision, revision)
--- a/tests/functional/test_peer_forwarding.py
+++ b/tests/functional/test_peer_forwarding.py
@@ -7,11 +7,11 @@
 import anyio
 import httpcore
 
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import peer_forwarding_client
-from cardamomfork._internal.gateway import peer_forwarding_codec
-from cardamomfork._internal.gateway import peer_forwarding_server
-from cardamomfork._internal.gateway import target_connection
+from cardamomfork._internal.gateway.connections import target_connection
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import peer_forwarding_client
+from cardamomfork._internal.gateway.peers import peer_forwarding_codec
+from cardamomfork._internal.gateway.peers import peer_forwarding_server
 from cardamomfork._internal.models import fleet
 from cardamomfork._internal.models import forwarding
 from tests.functional import test_gateway_forwarding
--- a/tests/lib/forwarding_peers.py
+++ b/tests/lib/forwarding_peers.py
@@ -7,19 +7,19 @@
 import anyio
 import attrs
 
-from cardamomfork._internal.gateway import application
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import fleet_secret
-from cardamomfork._internal.gateway import fleet_state
-from cardamomfork._internal.gateway import peer_forwarding_client
-from cardamomfork._internal.gateway import peer_forwarding_server
-from cardamomfork._internal.gateway import peer_table
-from cardamomfork._internal.gateway import rate_limits
-from cardamomfork._internal.gateway import stopping
-from cardamomfork._internal.gateway import target_paths
-from cardamomfork._internal.gateway import target_pool
-from cardamomfork._internal.gateway import target_statements
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.connections import target_pool
+from cardamomfork._internal.gateway.paths import target_paths
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import fleet_secret
+from cardamomfork._internal.gateway.peers import peer_forwarding_client
+from cardamomfork._internal.gateway.peers import peer_forwarding_server
+from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.serving import application
+from cardamomfork._internal.gateway.state import fleet_state
+from cardamomfork._internal.gateway.state import rate_limits
+from cardamomfork._internal.gateway.state import stopping
+from cardamomfork._internal.gateway.state import target_statements
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.platform import wire_format
 
--- a/tests/lib/gateway_parts.py
+++ b/tests/lib/gateway_parts.py
@@ -2,9 +2,9 @@
 
 import math
 
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import rate_permits
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.peers import rate_permits
+from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.measure import engine_simulation
 from cardamomfork._internal.measure import placing
 from cardamomfork._internal.models import fleet
--- a/tests/lib/restored_fleet.py
+++ b/tests/lib/restored_fleet.py
@@ -18,18 +18,18 @@
 import trio.testing
 
 from cardamomfork._internal.contracts import clock
-from cardamomfork._internal.gateway import change_relay
-from cardamomfork._internal.gateway import configuration_fetching
-from cardamomfork._internal.gateway import crash_persistence
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import fleet_state
-from cardamomfork._internal.gateway import follower
-from cardamomfork._internal.gateway import peer_table
-from cardamomfork._internal.gateway import poison_guard
 from cardamomfork._internal.gateway import process
-from cardamomfork._internal.gateway import registration
-from cardamomfork._internal.gateway import store_handlers
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.crashes import crash_persistence
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.peers import configuration_fetching
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.peers import registration
+from cardamomfork._internal.gateway.state import fleet_state
+from cardamomfork._internal.gateway.state import store_handlers
+from cardamomfork._internal.gateway.state import target_table
+from cardamomfork._internal.gateway.store import change_relay
+from cardamomfork._internal.gateway.store import follower
 from cardamomfork._internal.models import settings
 from cardamomfork._internal.platform import store_calls
 from cardamomfork._internal.platform import store_client
--- a/tests/unit/test_crash_attribution.py
+++ b/tests/unit/test_crash_attribution.py
@@ -3,11 +3,11 @@
 import random
 import unittest
 
-from cardamomfork._internal.gateway import crash_attribution
-from cardamomfork._internal.gateway import crash_detector
-from cardamomfork._internal.gateway import crash_records
-from cardamomfork._internal.gateway import fingerprints
-from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway.crashes import crash_detector
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.state import crash_attribution
+from cardamomfork._internal.gateway.state import crash_records
+from cardamomfork._internal.gateway.state import fingerprints
 from tests.lib import gateway_parts
 
 ROUTE = fingerprints.of_part("a0")
--- a/tests/unit/test_crash_detector.py
+++ b/tests/unit/test_crash_detector.py
@@ -7,10 +7,10 @@
 import anyio.lowlevel
 import attrs
 
-from cardamomfork._internal.gateway import crash_detector
-from cardamomfork._internal.gateway import poison_guard
-from cardamomfork._internal.gateway import request_log
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.crashes import crash_detector
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.requests import request_log
+from cardamomfork._internal.gateway.state import target_table
 from tests.lib import gateway_parts
 
 FINGERPRINT = 7
--- a/tests/unit/test_crash_persistence.py
+++ b/tests/unit/test_crash_persistence.py
@@ -7,11 +7,11 @@
 import trio.testing
 
 from cardamomfork._internal.contracts import clock
-from cardamomfork._internal.gateway import crash_attribution
-from cardamomfork._internal.gateway import crash_persistence
-from cardamomfork._internal.gateway import fingerprints
-from cardamomfork._internal.gateway import follower
-from cardamomfork._internal.gateway import poison_guard
+from cardamomfork._internal.gateway.crashes import crash_persistence
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.state import crash_attribution
+from cardamomfork._internal.gateway.state import fingerprints
+from cardamomfork._internal.gateway.store import follower
 from cardamomfork._internal.standins import store
 from tests.lib import gateway_parts
 
--- a/tests/unit/test_gateway_application.py
+++ b/tests/unit/test_gateway_application.py
@@ -7,13 +7,13 @@
 import anyio
 from opentelemetry import metrics as api
 
-from cardamomfork._internal.gateway import application
-from cardamomfork._internal.gateway import caller_protocol
-from cardamomfork._internal.gateway import exchanges
-from cardamomfork._internal.gateway import fleet_state
-from cardamomfork._internal.gateway import stopping
-from cardamomfork._internal.gateway import target_table
-from cardamomfork._internal.gateway import traffic_metrics
+from cardamomfork._internal.gateway.requests import exchanges
+from cardamomfork._internal.gateway.serving import application
+from cardamomfork._internal.gateway.serving import caller_protocol
+from cardamomfork._internal.gateway.serving import traffic_metrics
+from cardamomfork._internal.gateway.state import fleet_state
+from cardamomfork._internal.gateway.state import stopping
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.platform import wire_format
 from tests.lib import gateway_parts
 
--- a/tests/unit/test_gateway_candidate_sampling.py
+++ b/tests/unit/test_gateway_candidate_sampling.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-from cardamomfork._internal.gateway import candidate_sampling
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.choice import candidate_sampling
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.measure import engine_simulation
 from cardamomfork._internal.measure import placing
 from tests.lib import gateway_parts
--- a/tests/unit/test_gateway_change_relay.py
+++ b/tests/unit/test_gateway_change_relay.py
@@ -11,11 +11,11 @@
 import trio.testing
 
 from cardamomfork._internal.contracts import store
-from cardamomfork._internal.gateway import change_codec
-from cardamomfork._internal.gateway import change_relay
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import follower
-from cardamomfork._internal.gateway import peer_table
+from cardamomfork._internal.gateway.peers import change_codec
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.store import change_relay
+from cardamomfork._internal.gateway.store import follower
 from tests.lib import gateway_parts
 from tests.lib import restored_fleet
 from tests.unit import test_gateway_following
--- a/tests/unit/test_gateway_configuration_fetching.py
+++ b/tests/unit/test_gateway_configuration_fetching.py
@@ -7,10 +7,10 @@
 import result
 import trio.testing
 
-from cardamomfork._internal.gateway import configuration_fetching
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import fleet_state
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.peers import configuration_fetching
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.state import fleet_state
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.platform import wire_format
 from cardamomfork._internal.standins import platform_site
 
--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -9,15 +9,15 @@
 from hypothesis import strategies
 import result
 
-from cardamomfork._internal.gateway import crash_records
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import event_stream
-from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import peer_table
-from cardamomfork._internal.gateway import poison_guard
-from cardamomfork._internal.gateway import retry_budget
-from cardamomfork._internal.gateway import routes
 from cardamomfork._internal.gateway import state_dump
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.queueing import retry_budget
+from cardamomfork._internal.gateway.requests import event_stream
+from cardamomfork._internal.gateway.state import crash_records
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import routes
 from cardamomfork._internal.models import fleet
 from cardamomfork._internal.models import forwarding
 from tests.lib import gateway_parts
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -8,18 +8,18 @@
 
 import attrs
 
-from cardamomfork._internal.gateway import change_codec
-from cardamomfork._internal.gateway import change_relay
-from cardamomfork._internal.gateway import configuration_fetching
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import digest_recipients
-from cardamomfork._internal.gateway import fleet_state
-from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import peer_table
-from cardamomfork._internal.gateway import peers
-from cardamomfork._internal.gateway import poison_guard
-from cardamomfork._internal.gateway import rate_limits
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.peers import change_codec
+from cardamomfork._internal.gateway.peers import configuration_fetching
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import digest_recipients
+from cardamomfork._internal.gateway.peers import peer_links
+from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.state import fleet_state
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import rate_limits
+from cardamomfork._internal.gateway.state import target_table
+from cardamomfork._internal.gateway.store import change_relay
 from cardamomfork._internal.platform import wire_format
 from cardamomfork._internal.standins import platform_site
 from tests.lib import gateway_parts
@@ -65,7 +65,7 @@
         self.targets = target_table.TargetTable()
         self.limits = rate_limits.RateLimits(self.targets, clock)
         self.state = state = fleet_state.FleetState(wire, self.targets, clock)
-        self.links = peers.PeerLinks(
+        self.links = peer_links.PeerLinks(
             self.peer,
             self.table,
             digest_recipients.RecipientSelector(
@@ -277,7 +277,7 @@
                 self.assertEqual(count_sent_reports(), number + 1)
             for _ in range(50):
                 self.assertEqual(count_sent_reports(), 0)
-            network.clock.now += peers.CRASH_REPORT_INTERVAL_S
+            network.clock.now += peer_links.CRASH_REPORT_INTERVAL_S
             self.assertEqual(count_sent_reports(), 2)
             network.deliver()
             for other in network.all:
--- a/tests/unit/test_gateway_fleet_secret.py
+++ b/tests/unit/test_gateway_fleet_secret.py
@@ -8,7 +8,7 @@
 
 from cardamomfork._internal.contracts import clock as clock_contract
 from cardamomfork._internal.contracts import store as store_contract
-from cardamomfork._internal.gateway import fleet_secret
+from cardamomfork._internal.gateway.peers import fleet_secret
 from cardamomfork._internal.standins import store as standin_store
 from tests.lib import forwarding_peers
 
--- a/tests/unit/test_gateway_fleet_state.py
+++ b/tests/unit/test_gateway_fleet_state.py
@@ -4,8 +4,8 @@
 import unittest
 
 from cardamomfork._internal.contracts import store
-from cardamomfork._internal.gateway import fleet_state
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.state import fleet_state
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.platform import wire_format
 from tests.lib import gateway_parts
 
--- a/tests/unit/test_gateway_following.py
+++ b/tests/unit/test_gateway_following.py
@@ -8,7 +8,7 @@
 import trio.testing
 
 from cardamomfork._internal.contracts import store as store_contract
-from cardamomfork._internal.gateway import follower
+from cardamomfork._internal.gateway.store import follower
 
 KINDS = store_contract.StoreFaultKind
 
--- a/tests/unit/test_gateway_outcome_recorder.py
+++ b/tests/unit/test_gateway_outcome_recorder.py
@@ -3,11 +3,11 @@
 import unittest
 from unittest import mock
 
-from cardamomfork._internal.gateway import crash_detector
-from cardamomfork._internal.gateway import outcome_recorder
-from cardamomfork._internal.gateway import outcomes
-from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.connections import outcomes
+from cardamomfork._internal.gateway.crashes import crash_detector
+from cardamomfork._internal.gateway.serving import outcome_recorder
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.models import forwarding
 from tests.lib import gateway_parts
 
--- a/tests/unit/test_gateway_placement.py
+++ b/tests/unit/test_gateway_placement.py
@@ -5,10 +5,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from cardamomfork._internal.gateway import engine_timing
-from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.choice import engine_timing
+from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import target_table
 from tests.lib import gateway_parts
 
 AUDIT = {
--- a/tests/unit/test_gateway_rate_permits.py
+++ b/tests/unit/test_gateway_rate_permits.py
@@ -9,14 +9,14 @@
 from hypothesis import strategies
 import trio.testing
 
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import peer_table
-from cardamomfork._internal.gateway import permit_codec
-from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import rate_limits
-from cardamomfork._internal.gateway import rate_permits
-from cardamomfork._internal.gateway import scheduling
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.peers import permit_codec
+from cardamomfork._internal.gateway.peers import rate_permits
+from cardamomfork._internal.gateway.queueing import scheduling
+from cardamomfork._internal.gateway.state import rate_limits
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.models import forwarding
 from tests.lib import gateway_parts
 from tests.lib import seeds
--- a/tests/unit/test_gateway_retrying.py
+++ b/tests/unit/test_gateway_retrying.py
@@ -4,14 +4,14 @@
 import types
 import unittest
 
-from cardamomfork._internal.gateway import crash_records
-from cardamomfork._internal.gateway import exchanges
-from cardamomfork._internal.gateway import outcomes
-from cardamomfork._internal.gateway import poison_guard
-from cardamomfork._internal.gateway import request_log
-from cardamomfork._internal.gateway import retry_budget
-from cardamomfork._internal.gateway import retrying
-from cardamomfork._internal.gateway import routes
+from cardamomfork._internal.gateway.connections import outcomes
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.queueing import retry_budget
+from cardamomfork._internal.gateway.queueing import retrying
+from cardamomfork._internal.gateway.requests import exchanges
+from cardamomfork._internal.gateway.requests import request_log
+from cardamomfork._internal.gateway.state import crash_records
+from cardamomfork._internal.gateway.state import routes
 from cardamomfork._internal.models import fleet
 from cardamomfork._internal.models import forwarding
 from tests.lib import gateway_parts
--- a/tests/unit/test_gateway_scheduling.py
+++ b/tests/unit/test_gateway_scheduling.py
@@ -7,8 +7,8 @@
 
 import anyio
 
-from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import scheduling
+from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.queueing import scheduling
 from tests.lib import gateway_parts
 
 TOKENS = 5000
--- a/tests/unit/test_gateway_target_reach.py
+++ b/tests/unit/test_gateway_target_reach.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from cardamomfork._internal.gateway import target_reach
+from cardamomfork._internal.gateway.connections import target_reach
 from tests.lib import gateway_parts
 
 
--- a/tests/unit/test_gateway_target_statements.py
+++ b/tests/unit/test_gateway_target_statements.py
@@ -5,10 +5,10 @@
 
 import attrs
 
-from cardamomfork._internal.gateway import placement
-from cardamomfork._internal.gateway import scheduling
-from cardamomfork._internal.gateway import target_statements
-from cardamomfork._internal.gateway import target_table
+from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.queueing import scheduling
+from cardamomfork._internal.gateway.state import target_statements
+from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.models import forwarding
 from tests.lib import gateway_parts
 
--- a/tests/unit/test_platform_decoding.py
+++ b/tests/unit/test_platform_decoding.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies
 import result
 
-from cardamomfork._internal.gateway import demands
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import routes
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import routes
 from cardamomfork._internal.models import forwarding
 from cardamomfork._internal.platform import configuration_format
 from cardamomfork._internal.platform import headers
--- a/tests/unit/test_target_connection.py
+++ b/tests/unit/test_target_connection.py
@@ -9,7 +9,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from cardamomfork._internal.gateway import target_connection
+from cardamomfork._internal.gateway.connections import target_connection
 from cardamomfork._internal.platform import headers
 from tests.lib import seeds
 
--- a/tests/unit/test_upgrades.py
+++ b/tests/unit/test_upgrades.py
@@ -9,13 +9,13 @@
 from hypothesis import strategies
 import msgspec
 
-from cardamomfork._internal.gateway import change_codec
-from cardamomfork._internal.gateway import crash_records
-from cardamomfork._internal.gateway import digest_codec
-from cardamomfork._internal.gateway import load_view
-from cardamomfork._internal.gateway import peer_forwarding_codec
-from cardamomfork._internal.gateway import permit_codec
-from cardamomfork._internal.gateway import rate_limits
+from cardamomfork._internal.gateway.peers import change_codec
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import peer_forwarding_codec
+from cardamomfork._internal.gateway.peers import permit_codec
+from cardamomfork._internal.gateway.state import crash_records
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import rate_limits
 
 EARLIER_BUILDS = sorted(
     (pathlib.Path(__file__).parents[1] / "lib" / "earlier_builds").iterdir()
