Create the gateway's parts in one module a side

Cause: parts of all sides were created in one constructor, and their callbacks were methods beside it.

Behaviour, log lines and metrics stay.

Evidence: all tests, one of which named a constant at its old place.

--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/wiring/known_state.py
@@ -0,0 +1,123 @@
+"""What an instance knows, and what the other sides are created from."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal.contracts import store
+from cardamomfork._internal.gateway.crashes import poison_guard
+from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.state import fleet_state
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import stopping
+from cardamomfork._internal.gateway.state import target_table
+from cardamomfork._internal.gateway.wiring import notifications
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomfork._internal.contracts import platform_format
+    from cardamomfork._internal.models import fleet
+
+
+@attrs.frozen(eq=False)
+class KnownState:
+    """Tables that several sides read and update.
+
+    Attributes:
+        settings: Settings of the process.
+        wire: Names and formats of the platform.
+        platform_store: The platform's store.
+        clock: Monotonic time.
+        rng: Random generator.
+        notifications: Changes that concern several sides.
+        target_table: The known targets.
+        load_view: The load of each target.
+        fleet_state: Configuration and targets, and the age of both.
+        poison_guard: Records of requests that crash targets.
+        local_peer: This instance.
+        peer_table: The other instances.
+        stop_state: Whether the process is stopping.
+    """
+
+    settings: fleet.EntrySettings
+    wire: platform_format.PlatformFormat
+    platform_store: store.PolledStore
+    clock: Callable[[], float]
+    rng: random.Random
+    notifications: notifications.Notifications
+    target_table: target_table.TargetTable
+    load_view: load_view.LoadView
+    fleet_state: fleet_state.FleetState
+    poison_guard: poison_guard.PoisonGuard
+    local_peer: digest_codec.Peer
+    peer_table: peer_table.PeerTable
+    stop_state: stopping.StopState
+
+    @property
+    def must_poll(self) -> bool:
+        """Whether this instance polls the store for changes."""
+        return self.peer_table.must_poll(
+            reaches_store=not self.fleet_state.is_store_lost
+        )
+
+    def record_store_answer(self, fault: store.StoreFault | None) -> None:
+        """Records whether the store answered a call."""
+        if fault is None:
+            self.fleet_state.store_regained()
+        elif fault.kind in (
+            store.StoreFaultKind.UNAVAILABLE,
+            store.StoreFaultKind.INDETERMINATE,
+        ):
+            self.fleet_state.store_lost(
+                f"{fault.kind} {fault.key} {fault.detail}"
+            )
+
+
+def create(
+    settings: fleet.EntrySettings,
+    wire: platform_format.PlatformFormat,
+    platform_store: store.PolledStore,
+) -> KnownState:
+    """Creates empty tables.
+
+    Args:
+        settings: Settings of the process.
+        wire: Names and formats of the platform.
+        platform_store: The platform's store.
+    """
+    clock = time.monotonic
+    rng = random.Random()
+    notify = notifications.Notifications()
+    targets = target_table.TargetTable(notify.target_ended, rng.getrandbits(32))
+    local_peer = digest_codec.Peer(
+        settings.instance_id,
+        settings.data_centre,
+        settings.host,
+        settings.peer_port,
+    )
+    peers = peer_table.PeerTable(local_peer, clock)
+    known = KnownState(
+        settings=settings,
+        wire=wire,
+        platform_store=platform_store,
+        clock=clock,
+        rng=rng,
+        notifications=notify,
+        target_table=targets,
+        load_view=load_view.LoadView(),
+        fleet_state=fleet_state.FleetState(wire, targets, clock),
+        poison_guard=poison_guard.PoisonGuard(
+            lambda fingerprint: peers.find_owner(f"{fingerprint:x}") is None
+        ),
+        local_peer=local_peer,
+        peer_table=peers,
+        stop_state=stopping.StopState(),
+    )
+    notify.store_answered.connect(known.record_store_answer)
+    return known
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -0,0 +1,231 @@
+"""The side of an instance that faces callers: queue, choice, forwarding."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.queueing import retry_budget
+from cardamomfork._internal.gateway.queueing import scheduling
+from cardamomfork._internal.gateway.serving import application
+from cardamomfork._internal.gateway.serving import caller_protocol
+from cardamomfork._internal.gateway.serving import forwarding
+from cardamomfork._internal.gateway.serving import traffic_metrics
+from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.wiring import peer_side
+from cardamomfork._internal.models import settings as settings_models
+from cardamomfork._internal.telemetry import exporting
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomfork._internal.gateway.wiring import known_state
+    from cardamomfork._internal.gateway.wiring import target_side
+
+
+class _JobRecorder:
+    """Records the placements of this instance and notifies peers."""
+
+    def __init__(
+        self, load: load_view.LoadView, notify: Callable[..., None]
+    ) -> None:
+        """Initializes the recorder.
+
+        Args:
+            load: The load of each target.
+            notify: Schedules a digest.
+        """
+        self._load = load
+        self._notify = notify
+
+    def commit(
+        self,
+        demand: demands.Demand,
+        chosen: placement.Placement,
+        now: float,
+    ) -> None:
+        """Records a placement chosen by the scheduler and notifies peers."""
+        output_s = (
+            placement.DEFAULT_CALL_S
+            if demand.service.cost_model is None
+            else demands.expected_decode_s(demand)
+        )
+        self._load.start(
+            load_view.Job(
+                job_id=demand.job_id,
+                target_id=chosen.target.record.target_id,
+                parts=tuple(
+                    load_view.Part(
+                        helper.target.record.target_id, helper.reserved_tokens
+                    )
+                    for helper in chosen.helpers
+                ),
+                prompt_tokens=demand.prompt_tokens,
+                output_tokens=demand.output_tokens,
+                max_gap_s=demand.max_gap_s,
+                value=demand.value,
+                reads_until=now + chosen.prefill_s,
+                late_at=now + demand.objective_left_s,
+                ends_at=now + chosen.first_token_s + output_s,
+            )
+        )
+        self._notify(is_urgent=True)
+
+    def release(self, job_id: str) -> None:
+        """Removes a job from the load and notifies peers."""
+        self._load.end(job_id)
+        self._notify()
+
+
+@attrs.frozen(eq=False)
+class RequestPath:
+    """Places the requests of callers and forwards them.
+
+    Attributes:
+        scheduler: Queues requests until a target has capacity.
+        retry_budget: The retry budget of this instance.
+        connection_limits: Limits on callers' connections.
+        metrics_export: Serves the metrics.
+        application: Serves callers.
+        peers: The side that faces peers.
+    """
+
+    scheduler: scheduling.Scheduler
+    retry_budget: retry_budget.RetryBudget
+    connection_limits: caller_protocol.ConnectionLimits
+    metrics_export: exporting.MetricsExport
+    application: application.CallerApplication
+    peers: peer_side.PeerSide
+
+
+def create(
+    known: known_state.KnownState, targets: target_side.TargetSide
+) -> RequestPath:
+    """Creates the path and the side that faces peers.
+
+    Args:
+        known: What this instance knows.
+        targets: The side that faces targets.
+    """
+
+    # These are called only after the parts that they name have been created.
+    def notify_peers(*, is_urgent: bool = False) -> None:
+        peers.links.notify(is_urgent=is_urgent)
+
+    def count_open_requests() -> int:
+        return callers.in_progress + targets.peer_forwarding.in_progress
+
+    recorder = _JobRecorder(known.load_view, notify_peers)
+    scheduler = _make_scheduler(known, recorder)
+    budget = retry_budget.RetryBudget(known.settings, known.clock())
+    peers = peer_side.create(
+        known,
+        targets,
+        scheduler.receive_update,
+        count_open_requests,
+    )
+    metrics = exporting.MetricsExport(
+        settings_models.TelemetrySettings(), known.settings.instance_id
+    )
+    callers = application.CallerApplication(
+        known.wire,
+        known.fleet_state,
+        _make_forwarder(known, targets, peers, scheduler, budget),
+        known.stop_state,
+        traffic_metrics.TrafficMetrics(
+            metrics.meter, _make_gauges(known, targets, peers, scheduler)
+        ),
+        known.clock,
+        known.rng,
+        known.settings.memory_bytes,
+    )
+    limits = caller_protocol.ConnectionLimits()
+    notify = known.notifications
+    notify.targets_changed.connect(notify.capacity_changed)
+    notify.capacity_changed.connect(scheduler.dispatch_waiting)
+    notify.reach_changed.connect(scheduler.dispatch_waiting)
+    notify.configuration_applied.connect(
+        lambda: _apply_caller_limits(known, limits)
+    )
+    return RequestPath(scheduler, budget, limits, metrics, callers, peers)
+
+
+def _make_scheduler(
+    known: known_state.KnownState, recorder: _JobRecorder
+) -> scheduling.Scheduler:
+    """Creates the queue of requests."""
+    return scheduling.Scheduler(
+        placement.Placer(
+            known.target_table,
+            known.load_view,
+            known.settings.data_centre,
+            known.rng,
+            lambda: known.peer_table.count,
+        ),
+        recorder.commit,
+        recorder.release,
+        known.clock,
+        known.rng,
+    )
+
+
+def _make_forwarder(
+    known: known_state.KnownState,
+    targets: target_side.TargetSide,
+    peers: peer_side.PeerSide,
+    scheduler: scheduling.Scheduler,
+    budget: retry_budget.RetryBudget,
+) -> forwarding.Forwarder:
+    """Creates the forwarder of placed requests."""
+    return forwarding.Forwarder(
+        known.wire,
+        scheduler,
+        targets.access.paths,
+        known.target_table,
+        known.load_view,
+        budget,
+        known.poison_guard,
+        targets.crash_detector,
+        targets.reserver,
+        targets.rate_limits,
+        targets.statements,
+        peers.rate_permits,
+        known.clock,
+        known.notifications.capacity_changed,
+        lambda: targets.access.reach.is_isolated,
+    )
+
+
+def _make_gauges(
+    known: known_state.KnownState,
+    targets: target_side.TargetSide,
+    peers: peer_side.PeerSide,
+    scheduler: scheduling.Scheduler,
+) -> dict[str, Callable[[], float]]:
+    """Returns gauges of the state, by name."""
+    return {
+        "waiting": lambda: scheduler.waiting,
+        "targets": lambda: len(known.target_table),
+        "instances": lambda: known.peer_table.count,
+        "configuration_age": lambda: known.fleet_state.configuration_age_s,
+        "connections_opened": lambda: targets.access.pool.opened,
+        "permit_targets": lambda: peers.rate_permits.issued_targets,
+        "crash_suspects": lambda: known.poison_guard.suspect_count,
+        "isolated": lambda: int(targets.access.reach.is_isolated),
+        "peer_requests": lambda: targets.peer_forwarding.in_progress,
+        "blocked_requests": lambda: len(
+            known.poison_guard.blocked(known.clock())
+        ),
+    }
+
+
+def _apply_caller_limits(
+    known: known_state.KnownState, limits: caller_protocol.ConnectionLimits
+) -> None:
+    """Applies the limits on callers of a new configuration."""
+    route_table = known.fleet_state.routes
+    if route_table is not None:
+        limits.apply(route_table.configuration.limits)
--- a/tests/lib/restored_fleet.py
+++ b/tests/lib/restored_fleet.py
@@ -18,7 +18,6 @@
 import trio.testing
 
 from cardamomfork._internal.contracts import clock
-from cardamomfork._internal.gateway import process
 from cardamomfork._internal.gateway.crashes import crash_persistence
 from cardamomfork._internal.gateway.crashes import poison_guard
 from cardamomfork._internal.gateway.peers import configuration_fetching
@@ -30,6 +29,7 @@
 from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.gateway.store import change_relay
 from cardamomfork._internal.gateway.store import follower
+from cardamomfork._internal.gateway.wiring import store_side
 from cardamomfork._internal.models import settings
 from cardamomfork._internal.platform import store_calls
 from cardamomfork._internal.platform import store_client
@@ -160,8 +160,8 @@
                 (
                     follower.Subscription(
                         wire.configuration_key,
-                        process.CONFIGURATION_BATCH_DELAY_S,
-                        process.CONFIGURATION_MAX_LAG_S,
+                        store_side.CONFIGURATION_BATCH_DELAY_S,
+                        store_side.CONFIGURATION_MAX_LAG_S,
                     ),
                     store_handlers.ConfigurationHandler(
                         self.state, self._on_applied
@@ -173,8 +173,8 @@
                 (
                     follower.Subscription(
                         wire.targets_prefix,
-                        process.TARGETS_BATCH_DELAY_S,
-                        process.TARGETS_MAX_LAG_S,
+                        store_side.TARGETS_BATCH_DELAY_S,
+                        store_side.TARGETS_MAX_LAG_S,
                     ),
                     targets_handler,
                     is_delegate,
--- a/tests/unit/test_gateway_compaction.py
+++ b/tests/unit/test_gateway_compaction.py
@@ -8,8 +8,8 @@
 import trio.testing
 
 from cardamomfork._internal.contracts import store as store_contract
-from cardamomfork._internal.gateway import process
 from cardamomfork._internal.gateway.store import follower
+from cardamomfork._internal.gateway.wiring import store_side
 
 KINDS = store_contract.StoreFaultKind
 KEY = "op/config"
@@ -102,7 +102,7 @@
 
 class CompactionTest(unittest.TestCase):
     def run_fleet(
-        self, instances, scenario, max_lag_s=process.TARGETS_MAX_LAG_S
+        self, instances, scenario, max_lag_s=store_side.TARGETS_MAX_LAG_S
     ):
         """Runs a scenario beside the followers of some instances."""
 
@@ -189,8 +189,8 @@
             self.assertLessEqual(scans / seconds, MAX_READS_PER_S)
 
         for max_lag_s in (
-            process.TARGETS_MAX_LAG_S,
-            process.CONFIGURATION_MAX_LAG_S,
+            store_side.TARGETS_MAX_LAG_S,
+            store_side.CONFIGURATION_MAX_LAG_S,
         ):
             for instances in (6, 86):
                 with self.subTest(instances=instances, max_lag_s=max_lag_s):
--- a/tests/unit/test_gateway_packages.py
+++ b/tests/unit/test_gateway_packages.py
@@ -22,6 +22,7 @@
     "paths",
     "queueing",
     "serving",
+    "wiring",
 )
 """Each package may import those before it."""
 IMPORT = re.compile(
