Fetch configurations from peers in a large fleet instead of the store

Cause: each instance polls the configuration, so a change costs a call of each.

Change: as with targets' entries, only the two pollers of a data centre poll. Others fetch the configuration from a peer of their data centre, compressed, when a digest shows a newer version, and scan after 1.6 s if that fails. A digest with a revision of a later era makes them scan within 0.3 s, since registrations may be lost. Followers that may rely on peers wait for the discovery of peers before their first poll.

Ruled out: longer batches, since a configuration must be in force within 3 s.

--- a/src/cardamomfork/_internal/gateway/peers/configuration_fetching.py
+++ b/src/cardamomfork/_internal/gateway/peers/configuration_fetching.py
@@ -8,6 +8,7 @@
 
 from typing import Protocol
 from typing import TYPE_CHECKING
+import zlib
 
 import anyio
 import attrs
@@ -31,6 +32,16 @@
 """Random delay before a fetch, in which more peers receive the configuration.
 Without it, all instances would fetch from the first peer that has it."""
 FETCH_TIMEOUT_S = 1.0
+LOCAL_SOURCE_WAIT_S = 0.5
+"""Time for which an instance waits for a peer of its data centre to have the
+configuration, since bytes between data centres are billed."""
+MAX_CONFIGURATION_BYTES = 32_000_000
+"""Bound of a decompressed answer; the store's values have at most 1 MiB."""
+COMPRESSION = b"deflate"
+COMPRESSION_LEVEL = 1
+"""A configuration of 2,000 routes becomes an eighth of its size in some
+milliseconds. Uncompressed, the fetches of a data centre would fill the link of
+an instance that polls the store for seconds."""
 CONFIGURATION_PATH = "/configuration"
 _TRANSPORT_ERRORS = (
     httpcore.NetworkError,
@@ -63,10 +74,35 @@
         try:
             with anyio.fail_after(FETCH_TIMEOUT_S):
                 async with httpcore.AsyncConnectionPool() as pool:
-                    response = await pool.request("GET", url)
+                    response = await pool.request(
+                        "GET", url, headers=[(b"accept-encoding", COMPRESSION)]
+                    )
         except _TRANSPORT_ERRORS as error:
             return result.Err(repr(error))
-        return digest_codec.decode_configuration(response.content)
+        headers = {name.lower(): value for name, value in response.headers}
+        if headers.get(b"content-encoding") != COMPRESSION:
+            # An earlier build does not compress.
+            return digest_codec.decode_configuration(response.content)
+        return decompress(response.content).and_then(
+            digest_codec.decode_configuration
+        )
+
+
+def compress(body: bytes) -> bytes:
+    """Compresses an answer with a configuration."""
+    return zlib.compress(body, COMPRESSION_LEVEL)
+
+
+def decompress(data: bytes) -> result.Result[bytes, str]:
+    """Decompresses an answer, unless it is malformed or too large."""
+    decompressor = zlib.decompressobj()
+    try:
+        body = decompressor.decompress(data, MAX_CONFIGURATION_BYTES)
+    except zlib.error as error:
+        return result.Err(f"malformed compression: {error}")
+    if not decompressor.eof:
+        return result.Err("compressed configuration truncated or too large")
+    return result.Ok(body)
 
 
 @attrs.frozen
@@ -91,6 +127,8 @@
         transport: Transport,
         rng: random.Random,
         on_applied: Callable[[], None],
+        data_centre: str = "",
+        relies_on_peers: Callable[[], bool] = lambda: False,
     ) -> None:
         """Initializes the fetcher.
 
@@ -99,7 +137,13 @@
             transport: Fetches from one peer.
             rng: Random generator for the choice of peers and for delays.
             on_applied: Called after a new configuration is in force.
+            data_centre: The data centre of this instance, whose peers are
+                preferred.
+            relies_on_peers: Returns whether this instance does not poll the
+                store for configurations.
         """
+        self._data_centre = data_centre
+        self._relies_on_peers = relies_on_peers
         self._state = state
         self._transport = transport
         self._rng = rng
@@ -122,7 +166,9 @@
         """Fetches newer configurations from peers until cancelled."""
         while True:
             await self._has_sources.wait()
-            if not self._state.is_store_lost:
+            if self._relies_on_peers():
+                await self._wait_for_local_source()
+            elif not self._state.is_store_lost:
                 await anyio.sleep(STORE_HEAD_START_S)
             while self._has_newer_source():
                 await anyio.sleep(FETCH_SPREAD_S * self._rng.random())
@@ -130,6 +176,21 @@
                     await self._fetch(self._take_source())
             self._has_sources = anyio.Event()
 
+    async def _wait_for_local_source(self) -> None:
+        """Waits until a peer of this data centre has the configuration."""
+        with anyio.move_on_after(LOCAL_SOURCE_WAIT_S):
+            while not self._local(list(self._sources.values())):
+                self._has_sources = anyio.Event()
+                await self._has_sources.wait()
+
+    def _local(self, sources: list[_Source]) -> list[_Source]:
+        """Returns the sources in the data centre of this instance."""
+        return [
+            source
+            for source in sources
+            if source.peer.data_centre == self._data_centre
+        ]
+
     def _has_newer_source(self) -> bool:
         """Drops sources that are not newer; returns whether any is left."""
         self._sources = {
@@ -144,15 +205,14 @@
 
         A source that fails is used again only after its next digest.
         """
-        newest = max(source.version for source in self._sources.values())
-        instance_id = self._rng.choice(
-            [
-                instance_id
-                for instance_id, source in self._sources.items()
-                if source.version == newest
-            ]
-        )
-        return self._sources.pop(instance_id).peer
+        newest_version = max(one.version for one in self._sources.values())
+        newest = [
+            source
+            for source in self._sources.values()
+            if source.version == newest_version
+        ]
+        source = self._rng.choice(self._local(newest) or newest)
+        return self._sources.pop(source.peer.instance_id).peer
 
     async def _fetch(self, peer: digest_codec.Peer) -> None:
         """Fetches the configuration of a peer and applies it if it is newer."""
--- a/src/cardamomfork/_internal/gateway/serving/application.py
+++ b/src/cardamomfork/_internal/gateway/serving/application.py
@@ -409,6 +409,10 @@
         """
         self._state = state
         self._forward = forward
+        # The newest configuration that was asked for, and its answer.
+        self._compressed: (
+            tuple[fleet_state.StoredConfiguration, bytes] | None
+        ) = None
 
     async def __call__(
         self, scope: dict[str, Any], receive: Receive, send: Send
@@ -424,18 +428,40 @@
         ):
             await _send_response(send, http.HTTPStatus.NOT_FOUND, b"")
             return
-        body = digest_codec.encode_configuration(stored)
-        await _send_response(send, http.HTTPStatus.OK, body)
+        if not _accepts_compression(scope):
+            body = digest_codec.encode_configuration(stored)
+            await _send_response(send, http.HTTPStatus.OK, body)
+            return
+        if self._compressed is None or self._compressed[0] is not stored:
+            body = digest_codec.encode_configuration(stored)
+            self._compressed = (stored, configuration_fetching.compress(body))
+        await _send_response(
+            send,
+            http.HTTPStatus.OK,
+            self._compressed[1],
+            ((b"content-encoding", configuration_fetching.COMPRESSION),),
+        )
+
+
+def _accepts_compression(scope: dict[str, Any]) -> bool:
+    """Returns whether a peer reads compressed answers."""
+    accepted = dict(scope["headers"]).get(b"accept-encoding", b"")
+    return configuration_fetching.COMPRESSION in accepted
 
 
-async def _send_response(send: Send, status: int, body: bytes) -> None:
+async def _send_response(
+    send: Send,
+    status: int,
+    body: bytes,
+    headers: forwarding_models.Headers = (),
+) -> None:
     """Sends a complete response."""
     length = (b"content-length", b"%d" % len(body))
     await send(
         {
             "type": "http.response.start",
             "status": status,
-            "headers": [length],
+            "headers": [length, *headers],
         }
     )
     await send({"type": "http.response.body", "body": body})
--- a/src/cardamomfork/_internal/gateway/store/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -53,6 +53,10 @@
 """Additional time for which an instance that doesn't poll may be behind a peer
 before it scans. Together with that of the subscription, it is longer than the
 pauses in which the peers that poll accumulate changes."""
+RESTORED_SPREAD_S = 0.3
+"""Longest random delay before a scan after a peer's revision shows that the
+store was restored from a copy: registrations may be lost, and have to be
+written again within 2 s."""
 PEER_DISCOVERY_S = 1.2
 """Time after the first scan in which peers are discovered that poll."""
 
@@ -129,7 +133,7 @@
         on_answer: Callable[[store.StoreFault | None], None],
         is_delegate: Callable[[], bool],
         rng: random.Random,
-        must_poll: Callable[[], bool] = lambda: True,
+        must_poll: Callable[[], bool] | None = None,
         relayed: RelayedChanges | None = None,
     ) -> None:
         """Initializes the follower.
@@ -144,7 +148,7 @@
                 data centre.
             rng: Random generator for the jitter of the backoff.
             must_poll: Returns whether this instance polls, rather than rely on
-                its peers.
+                its peers; None if it always does.
             relayed: Exchanges changes with peers; None if peers don't send
                 them.
         """
@@ -159,7 +163,8 @@
         self._peer_revision = 0
         self._poll_scope: anyio.CancelScope | None = None
         self._behind_peers = anyio.Event()
-        self._must_poll = must_poll
+        self._may_rely_on_peers = must_poll is not None
+        self._must_poll = must_poll or (lambda: True)
         self._relayed = relayed
         self._gets_changes_itself = False
         self._missed_update = anyio.Event()
@@ -174,6 +179,22 @@
         if revision > max(self._revision, self._peer_revision):
             self._peer_revision = revision
             self._behind_peers.set()
+            if (
+                store.split_era(revision)[0]
+                > store.split_era(self._revision)[0]
+            ):
+                # Changes before the restoration will not be relayed any more.
+                self._missed_update.set()
+
+    def note_received(self, revision: int) -> None:
+        """Records that a peer has sent all that this instance follows.
+
+        Args:
+            revision: Store revision up to which it is known. While this
+                instance calls the store itself, its answers decide.
+        """
+        if not self._gets_changes_itself:
+            self._revision = max(self._revision, revision)
 
     def apply_update(self, update: change_relay.Update) -> bool:
         """Applies changes that a peer has received.
@@ -240,8 +261,8 @@
                 self._handler.apply_snapshot(entries)
                 if self._relayed is not None:
                     self._relayed.relay.record_scan(entries, self._revision)
-                    if is_first:
-                        await anyio.sleep(PEER_DISCOVERY_S)
+                if is_first and self._may_rely_on_peers:
+                    await anyio.sleep(PEER_DISCOVERY_S)
                 if has_polled:
                     backoff_s = MIN_BACKOFF_S
                 polling_since = anyio.current_time()
@@ -260,7 +281,7 @@
             backoff_s = min(backoff_s * 2, max_backoff_s)
 
     def _is_restored(self, revision: int) -> bool:
-        """Returns whether the store was restored before a scan's revision."""
+        """Returns whether the store was restored before a revision."""
         if not self._revision:
             return False
         era, _ = store.split_era(revision)
@@ -367,7 +388,10 @@
             if not self._must_poll():
                 with anyio.move_on_after(UPDATE_WAIT_S):
                     await self._missed_update.wait()
-            await anyio.sleep(self._subscription.max_lag_s)
+            if self._is_restored(self._peer_revision):
+                await anyio.sleep(RESTORED_SPREAD_S * self._rng.random())
+            else:
+                await anyio.sleep(self._subscription.max_lag_s)
             self._missed_update = anyio.Event()
             if self._peer_revision > self._revision and self._poll_scope:
                 self._poll_scope.cancel()
--- a/src/cardamomfork/_internal/gateway/wiring/peer_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/peer_side.py
@@ -63,6 +63,10 @@
     def notify_crash() -> None:
         links.notify_crash()
 
+    def apply_fetched() -> None:
+        followers.configuration.note_received(known.fleet_state.revision)
+        notify.configuration_applied()
+
     permits = rate_permits.RatePermits(
         targets.rate_limits,
         known.peer_table.find_owner,
@@ -78,7 +82,9 @@
         known.fleet_state,
         configuration_fetching.HttpTransport(),
         known.rng,
-        notify.configuration_applied,
+        apply_fetched,
+        known.settings.data_centre,
+        lambda: not known.must_poll,
     )
     links = peer_links.PeerLinks(
         known.local_peer,
--- a/src/cardamomfork/_internal/gateway/wiring/store_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/store_side.py
@@ -77,6 +77,7 @@
             store_handlers.ConfigurationHandler(
                 known.fleet_state, notify.configuration_applied
             ),
+            must_poll=lambda: known.must_poll,
         ),
         _make_targets_follower(known, send_updates),
         _make_follower(
@@ -132,7 +133,7 @@
     subscription: follower.Subscription,
     handler: follower.Handler,
     is_delegate: Callable[[], bool] | None = None,
-    must_poll: Callable[[], bool] = lambda: True,
+    must_poll: Callable[[], bool] | None = None,
     relayed: follower.RelayedChanges | None = None,
 ) -> follower.Follower:
     """Creates a follower of a key prefix in the store."""
--- a/tests/lib/restored_fleet.py
+++ b/tests/lib/restored_fleet.py
@@ -125,9 +125,6 @@
             self._on_answer,
             lambda: None,
         )
-        self.fetcher = configuration_fetching.ConfigurationFetcher(
-            self.state, world, rng, self._on_applied
-        )
         self.peer_table = peer_table.PeerTable(self.peer, anyio.current_time)
         wire = wire_format.WireFormat()
         is_delegate = number < DATA_CENTRES
@@ -135,6 +132,14 @@
             number < DATA_CENTRES * peer_table.POLLERS_PER_DATA_CENTRE
             or world.instance_count < peer_table.MIN_FLEET_WITH_RELAYED_CHANGES
         )
+        self.fetcher = configuration_fetching.ConfigurationFetcher(
+            self.state,
+            world,
+            rng,
+            self._on_fetched,
+            self.peer.data_centre,
+            lambda: not is_poller,
+        )
         targets_handler = store_handlers.TargetsHandler(
             self.state, lambda: None
         )
@@ -167,7 +172,7 @@
                         self.state, self._on_applied
                     ),
                     is_delegate,
-                    True,
+                    is_poller,
                     None,
                 ),
                 (
@@ -194,6 +199,7 @@
             )
         ]
         self._rng = rng
+        self._world = world
 
     def _on_answer(self, fault):
         if fault is None:
@@ -203,6 +209,11 @@
 
     def _on_applied(self):
         self.versions.append(self.state.version)
+        self._world.announce(self)
+
+    def _on_fetched(self):
+        self.configuration.note_received(self.state.revision)
+        self._on_applied()
 
     def usable(self):
         """Returns ids and start times of the engines that may get work."""
@@ -296,6 +307,8 @@
         self.calls = []
         self.target_calls = 0
         self.target_changes = 0
+        self.configuration_calls = 0
+        self.configuration_changes = 0
         self.problems = []
         self.instance_count = instances
         self.instances = [Instance(n, self) for n in range(instances)]
@@ -312,6 +325,7 @@
         """Records a call to the store; the path includes its query."""
         self.calls.append((anyio.current_time(), method, path))
         self.target_calls += "prefix=servers" in path
+        self.configuration_calls += "prefix=op" in path
 
     async def fetch(self, peer):
         """Returns the configuration of a peer; implements `Transport`."""
@@ -448,6 +462,13 @@
                         sender.targets.last_change_revision
                     )
 
+    def announce(self, sender):
+        """Sends the digest that follows a new configuration at once."""
+        for receiver in self.instances:
+            if sender is not receiver and self.rng.random() >= DIGEST_LOSS:
+                receiver.fetcher.note_peer(sender.peer, sender.state.version)
+                receiver.configuration.note_peer_revision(sender.state.revision)
+
     def send_updates(self, sender, updates):
         """Sends changes to the other instances of a data centre."""
         for receiver in self.instances:
@@ -504,16 +525,21 @@
                     f" misses {sorted(alive - instance.usable())}"
                 )
 
+    def check_versions(self):
+        """Records instances without the newest configuration."""
+        self.problems += [
+            f"{instance.peer.instance_id} has version"
+            f" {instance.state.version} instead of {self.version}"
+            for instance in self.instances
+            if instance.state.version != self.version
+        ]
+
     def check_current(self):
         """Records instances that differ from the store."""
         self.check_targets()
+        self.check_versions()
         for instance in self.instances:
             name = instance.peer.instance_id
-            if instance.state.version != self.version:
-                self.problems.append(
-                    f"{name} has version {instance.state.version}"
-                    f" instead of {self.version}"
-                )
             if sorted(instance.versions) != instance.versions:
                 self.problems.append(f"{name} went back: {instance.versions}")
         crash_keys = self.memory.read_prefix(crash_persistence.KEY_PREFIX)
@@ -530,8 +556,8 @@
             most = max(most, end - start + 1)
         return most
 
-    async def run_calm(self, changes=20):
-        """Changes targets one after the other; counts calls for them."""
+    async def run_calm(self, changes=20, configuration_changes=0):
+        """Changes targets, then the configuration; counts calls for each."""
         self.is_settling = True
         self.version = 1
         self.publish()
@@ -551,6 +577,12 @@
                 await anyio.sleep(1.2)
             await anyio.sleep(APPLY_S)
             self.check_targets()
+            self.configuration_calls = 0
+            for _ in range(configuration_changes):
+                self.change_configuration()
+                self.configuration_changes += 1
+                await anyio.sleep(APPLY_S)
+                self.check_versions()
             tasks.cancel_scope.cancel()
 
     async def run(self, restorations=2):
--- a/tests/unit/test_gateway_change_relay.py
+++ b/tests/unit/test_gateway_change_relay.py
@@ -1,5 +1,6 @@
 """Tests of changes in the store that pollers relay to other instances."""
 
+import functools
 import json
 import random
 import unittest
@@ -445,6 +446,61 @@
         self.run_scenario(scenario)
 
 
+class RelyingOnFetchesTest(unittest.TestCase):
+    """An instance that gets configurations from peers, not from the store."""
+
+    def run_scenario(self, scenario):
+        async def main():
+            self.store = RelayingStore()
+            self.handler = RecordingHandler()
+            self.follower = follower.Follower(
+                self.store,
+                follower.Subscription("p/", 0.2, 1.0),
+                self.handler,
+                self.handler.on_answer,
+                lambda: False,
+                random.Random(1),
+                lambda: False,
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.follower.run)
+                await anyio.sleep(follower.PEER_DISCOVERY_S + 0.5)
+                await scenario()
+                tasks.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_fetched_changes_cost_no_calls(self):
+        async def scenario():
+            for number in range(5):
+                self.store.write(f"p/{number}")
+                self.follower.note_peer_revision(self.store.revision)
+                await anyio.sleep(0.5)
+                self.follower.note_received(self.store.revision)
+                await anyio.sleep(2.0)
+            self.assertEqual(self.store.calls, ["scan"])
+
+        self.run_scenario(scenario)
+
+    def test_change_that_is_not_fetched_is_scanned_within_2_s(self):
+        async def scenario():
+            self.store.write("p/a")
+            self.follower.note_peer_revision(self.store.revision)
+            await anyio.sleep(2.0)
+            self.assertIn("p/a", self.handler.keys)
+
+        self.run_scenario(scenario)
+
+    def test_revision_of_a_later_era_is_scanned_at_once(self):
+        # Registrations may be lost, so the store must be asked.
+        async def scenario():
+            self.follower.note_peer_revision(store.join_era(1, 1))
+            await anyio.sleep(2 * follower.RESTORED_SPREAD_S)
+            self.assertEqual(self.store.calls, ["scan", "scan"])
+
+        self.run_scenario(scenario)
+
+
 class LargeFleetCallsTest(unittest.TestCase):
     def test_change_of_a_target_does_not_cost_a_call_an_instance(self):
         world = restored_fleet.World(1, LARGE_FLEET)
@@ -457,6 +513,21 @@
         limit = MAX_CALLS_PER_INSTANCE_AND_CHANGE * LARGE_FLEET
         self.assertLess(world.target_calls / world.target_changes, limit)
 
+    def test_change_of_the_configuration_does_not_cost_a_call_an_instance(self):
+        world = restored_fleet.World(2, LARGE_FLEET)
+        trio.run(
+            functools.partial(
+                world.run_calm, changes=0, configuration_changes=8
+            ),
+            clock=trio.testing.MockClock(autojump_threshold=0),
+        )
+        self.assertEqual(world.problems, [])
+        # Long polls of the pollers that end without a change count as well.
+        limit = MAX_CALLS_PER_INSTANCE_AND_CHANGE * LARGE_FLEET
+        self.assertLess(
+            world.configuration_calls / world.configuration_changes, limit
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/test_gateway_configuration_fetching.py
+++ b/tests/unit/test_gateway_configuration_fetching.py
@@ -4,6 +4,8 @@
 import unittest
 
 import anyio
+import hypothesis
+from hypothesis import strategies
 import result
 import trio.testing
 
@@ -177,5 +179,82 @@
         self.run_fleet(6, scenario)
 
 
+class LocalSourcesTest(unittest.TestCase):
+    """Bytes between data centres are billed."""
+
+    def run_fetch(self, sources, seconds):
+        """Returns the peers fetched from.
+
+        Args:
+            sources: Time, id and data centre of each peer with a newer
+                configuration.
+            seconds: Length of the run.
+        """
+        fetched = []
+
+        class Transport:
+            async def fetch(self, peer):
+                fetched.append(peer.instance_id)
+                return result.Ok(NEW)
+
+        async def main():
+            state = fleet_state.FleetState(
+                wire_format.WireFormat(),
+                target_table.TargetTable(),
+                anyio.current_time,
+            )
+            fetcher = configuration_fetching.ConfigurationFetcher(
+                state,
+                Transport(),
+                random.Random(1),
+                lambda: None,
+                "a",
+                lambda: True,
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fetcher.run)
+                for at, name, data_centre in sources:
+                    await anyio.sleep(at - anyio.current_time())
+                    fetcher.note_peer(
+                        digest_codec.Peer(name, data_centre, "127.0.0.1", 1), 2
+                    )
+                await anyio.sleep(seconds)
+                tasks.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return fetched
+
+    def test_peer_of_the_own_data_centre_is_preferred(self):
+        fetched = self.run_fetch([(0.1, "far", "b"), (0.3, "near", "a")], 1.0)
+        self.assertEqual(fetched, ["near"])
+
+    def test_far_peer_serves_where_no_near_one_has_the_configuration(self):
+        fetched = self.run_fetch([(0.1, "far", "b")], 1.0)
+        self.assertEqual(fetched, ["far"])
+
+
+class CompressionTest(unittest.TestCase):
+    BODY = digest_codec.encode_configuration(NEW) * 500
+
+    def test_compressed_configuration_is_read_back(self):
+        data = configuration_fetching.compress(self.BODY)
+        self.assertLess(len(data), len(self.BODY) / 8)
+        self.assertEqual(
+            configuration_fetching.decompress(data).ok_value, self.BODY
+        )
+
+    def test_truncated_or_overlarge_answer_is_refused(self):
+        data = configuration_fetching.compress(self.BODY)
+        self.assertTrue(configuration_fetching.decompress(data[:-9]).is_err())
+        huge = configuration_fetching.compress(
+            bytes(configuration_fetching.MAX_CONFIGURATION_BYTES + 1)
+        )
+        self.assertTrue(configuration_fetching.decompress(huge).is_err())
+
+    @hypothesis.given(strategies.binary(max_size=200))
+    def test_any_answer_is_decompressed_or_refused(self, data):
+        configuration_fetching.decompress(data)
+
+
 if __name__ == "__main__":
     unittest.main()
