Evacuate a data centre by order of the operators

Cause: nothing read keys under op/ beside the configuration, and no list of targets could leave out a data centre.

Change: where the settings have evacuateMs, the configuration's follower follows op/. Evacuations holds the newest order of each data centre by revision; digests (field 17) and fetched configurations carry it. No request is served before the orders are known. Handlers of the store now get whole scans and batches, since a removal has no revision of its own and counts by its place in the batch.

--- a/src/cardamomfork/_internal/contracts/platform_format.py
+++ b/src/cardamomfork/_internal/contracts/platform_format.py
@@ -28,6 +28,11 @@
         """Store key of the operators' configuration."""
         ...
 
+    @property
+    def operators_prefix(self) -> str:
+        """Prefix of the configuration's key and of orders to evacuate."""
+        ...
+
     @property
     def targets_prefix(self) -> str:
         """Prefix of the store keys under which targets register."""
@@ -39,6 +44,15 @@
         """Decodes the operators' configuration."""
         ...
 
+    def decode_evacuation(self, key: str) -> result.Result[str, str] | None:
+        """Returns the data centre that a key orders to evacuate.
+
+        Returns:
+            The data centre, or an error if its name is malformed; None if the
+            key is no such order.
+        """
+        ...
+
     def decode_target(
         self, key: str, value: bytes
     ) -> result.Result[fleet.TargetRecord, str]:
--- a/src/cardamomfork/_internal/gateway/choice/candidate_sampling.py
+++ b/src/cardamomfork/_internal/gateway/choice/candidate_sampling.py
@@ -101,6 +101,7 @@
             target
             for target in drawn
             if target.is_usable(now)
+            and not self._table.is_evacuated(target.record)
             and target.record.target_id not in demand.excluded
             and not self._table.rest_left_s(target.record, now)
         ]
--- a/src/cardamomfork/_internal/gateway/choice/placement.py
+++ b/src/cardamomfork/_internal/gateway/choice/placement.py
@@ -40,6 +40,10 @@
 NO_TARGET_RETRY_S = 1.0
 """Assumed time until a target is available when a service has none. Targets
 whose store entries lapsed register again within about two seconds."""
+EVACUATED_RETRY_S = 1.3
+"""Time after which callers of a service without another data centre may come
+back. With the jitter of refusals it is spread over 1.3 to 1.95 s; evacuations
+last for seconds at least."""
 GOOD_COST_FRACTION = 0.25
 """Cost up to which a placement on one of some targets is taken, as a fraction
 of the request's value."""
@@ -164,6 +168,13 @@
         ]
         if listed and not usable:
             return self._no_capacity_before_rest_ends(demand, listed, now)
+        if not listed and self._table.is_service_evacuated(demand.service.name):
+            return NoCapacity(
+                "all data centres of the service are evacuated",
+                EVACUATED_RETRY_S,
+                is_for_all_requests=True,
+                may_wait=False,
+            )
         # If all targets are excluded, one of them may still succeed now.
         untried = [
             target
--- a/src/cardamomfork/_internal/gateway/crashes/crash_persistence.py
+++ b/src/cardamomfork/_internal/gateway/crashes/crash_persistence.py
@@ -21,7 +21,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
 
 KEY_PREFIX = "crashes/"
 MIN_WRITTEN_CRASHES = 2
@@ -100,17 +99,18 @@
             self._lease = None
             self.notify()
 
-    def apply_snapshot(self, entries: Iterable[store.Entry]) -> None:
+    def apply_snapshot(self, scan: store.Scan) -> None:
         """Records the reports of all instances.
 
         An instance that has just started must not wait for objections again.
         """
-        for entry in entries:
+        for entry in scan.entries:
             self._record(entry, poison_guard.OBJECTION_TIME_S)
 
-    def apply_change(self, entry: store.Entry) -> None:
-        """Records the reports of one instance; a deletion changes nothing."""
-        self._record(entry, 0.0)
+    def apply_changes(self, batch: store.WatchBatch) -> None:
+        """Records the reports of some instances; deletions change nothing."""
+        for entry in batch.entries:
+            self._record(entry, 0.0)
 
     def _record(self, entry: store.Entry, age_s: float) -> None:
         """Records the reports of an entry.
--- a/src/cardamomfork/_internal/gateway/paths/target_access.py
+++ b/src/cardamomfork/_internal/gateway/paths/target_access.py
@@ -106,10 +106,14 @@
         """Returns the targets that show whether links work.
 
         Those that failed lately may have ended, so they count only if there
-        are no others.
+        are no others. Those in evacuated data centres are not connected to.
         """
         now = self._clock()
-        targets = self._targets.list_all()
+        targets = [
+            one
+            for one in self._targets.list_all()
+            if not self._targets.is_evacuated(one.record)
+        ]
         usable = [one.record for one in targets if one.is_usable(now)]
         return usable or [one.record for one in targets]
 
--- a/src/cardamomfork/_internal/gateway/peers/configuration_fetching.py
+++ b/src/cardamomfork/_internal/gateway/peers/configuration_fetching.py
@@ -164,8 +164,5 @@
                 reason=fetched.err_value,
             )
             return
-        stored = fetched.ok_value
-        if self._state.apply_configuration(
-            stored.value, stored.revision, f"peer {peer.instance_id}"
-        ):
+        if self._state.apply_fetched(fetched.ok_value, peer.instance_id):
             self._on_applied()
--- a/src/cardamomfork/_internal/gateway/peers/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/digest_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import itertools
 import math
 import pathlib
 from typing import Any
@@ -13,6 +14,7 @@
 
 from cardamomfork._internal.gateway.choice import demands
 from cardamomfork._internal.gateway.state import crash_records
+from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.gateway.state import rate_limits
@@ -65,6 +67,7 @@
         exchanges_changes: Whether the sender exchanges changes in the store
             with peers.
         reaches_store: Whether the store answers the sender.
+        evacuations: Evacuations that the sender knows; empty in most digests.
     """
 
     sender: Peer
@@ -81,6 +84,7 @@
     open_requests: int = 0
     exchanges_changes: bool = False
     reaches_store: bool = False
+    evacuations: tuple[evacuations.Evacuation, ...] = ()
 
 
 @functools.cache
@@ -123,6 +127,7 @@
         limits[index].requestsPerS = limit.requests_per_s
         limits[index].ageMs = _to_unsigned_ms(limit.age_s)
         limits[index].hasEnded = limit.has_ended
+    _encode_evacuations(message, digest.evacuations)
     return bytes(message.to_bytes_packed())
 
 
@@ -132,7 +137,12 @@
         message = schema().Digest.from_bytes_packed(data)
         # A small packed message may expand to lists of millions of entries.
         if (
-            max(len(message.jobs), len(message.deaths), len(message.rateLimits))
+            max(
+                len(message.jobs),
+                len(message.deaths),
+                len(message.rateLimits),
+                len(message.evacuations),
+            )
             > MAX_ENTRIES
         ):
             return result.Err("malformed digest: too many entries")
@@ -175,6 +185,7 @@
                 message.openRequests,
                 message.exchangesChanges,
                 message.reachesStore,
+                _decode_evacuations(message),
             )
         )
     except (capnp.KjException, ValueError) as error:
@@ -184,8 +195,11 @@
 def encode_configuration(stored: fleet_state.StoredConfiguration) -> bytes:
     """Encodes a configuration."""
     message = schema().StoredConfiguration.new_message(
-        revision=stored.revision, value=stored.value
+        revision=stored.revision,
+        value=stored.value,
+        knowsEvacuations=stored.knows_evacuations,
     )
+    _encode_evacuations(message, stored.evacuations)
     return bytes(message.to_bytes())
 
 
@@ -197,13 +211,39 @@
         with schema().StoredConfiguration.from_bytes(data) as message:
             return result.Ok(
                 fleet_state.StoredConfiguration(
-                    bytes(message.value), message.revision
+                    bytes(message.value),
+                    message.revision,
+                    _decode_evacuations(message),
+                    message.knowsEvacuations,
                 )
             )
     except (capnp.KjException, ValueError) as error:
         return result.Err(f"malformed configuration: {type(error).__name__}")
 
 
+def _encode_evacuations(
+    message: Any, known: tuple[evacuations.Evacuation, ...]
+) -> None:
+    """Writes evacuations to a digest or to a configuration."""
+    if not known:
+        return
+    encoded = message.init("evacuations", len(known))
+    for index, one in enumerate(known):
+        encoded[index].dataCentre = one.data_centre
+        encoded[index].revision = one.revision
+        encoded[index].isActive = one.is_active
+
+
+def _decode_evacuations(message: Any) -> tuple[evacuations.Evacuation, ...]:
+    """Creates evacuations from a digest or from a configuration."""
+    return tuple(
+        evacuations.Evacuation(one.dataCentre, one.revision, one.isActive)
+        for one in itertools.islice(
+            message.evacuations, evacuations.MAX_DATA_CENTRES
+        )
+    )
+
+
 def _encode_job(message: Any, job: load_view.Job, now: float) -> None:
     """Writes a job to a message."""
     message.targetId = job.target_id
--- a/src/cardamomfork/_internal/gateway/peers/digests.capnp
+++ b/src/cardamomfork/_internal/gateway/peers/digests.capnp
@@ -19,6 +19,14 @@
   openRequests @14 :UInt32;
   exchangesChanges @15 :Bool;  # Whether it reads `ChangeUpdate` datagrams.
   reachesStore @16 :Bool;  # Whether the store answers the sender.
+  evacuations @17 :List(Evacuation);
+}
+
+# The newest known order to evacuate a data centre, or the end of one.
+struct Evacuation {
+  dataCentre @0 :Text;
+  revision @1 :UInt64;  # Of the store, including its era.
+  isActive @2 :Bool;
 }
 
 # A request that the sender has placed on a target.
@@ -94,4 +102,6 @@
 struct StoredConfiguration {
   revision @0 :UInt64;
   value @1 :Data;
+  evacuations @2 :List(Evacuation);
+  knowsEvacuations @3 :Bool;  # Whether the sender has read all of them.
 }
--- a/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import attrs
 from loguru import logger
 import result
 
@@ -46,6 +47,28 @@
 """Status of an answer by fault; 503 for all others."""
 
 
+@attrs.frozen
+class _Refusal:
+    """Why a target must not get a request.
+
+    Attributes:
+        fault: The fault that the peer is told.
+        rest_s: Time until its target wants requests, in seconds, or None.
+        reason: The reason for the log, if the fault doesn't name it.
+    """
+
+    fault: forwarding.PeerFault
+    rest_s: float | None = None
+    reason: str = ""
+
+
+EVACUATED = _Refusal(
+    forwarding.PeerFault.LEAVING_TARGET, reason="evacuated data centre"
+)
+"""Peers of earlier builds would take a fault that they don't know for a lost
+answer, so the fault is that of a leaving target."""
+
+
 class PeerForwardingApplication:
     """ASGI application that passes requests of peers on to targets."""
 
@@ -198,20 +221,10 @@
         send: Send,
     ) -> str:
         """Passes a request on; returns how it ended."""
-        target = self._table.find(request.target_id)
-        if (
-            target is None
-            or target.record.started_at_ms != request.target_started_at_ms
-        ):
-            return await _send_fault(send, forwarding.PeerFault.UNKNOWN_TARGET)
-        record = target.record
-        if record.is_leaving:
-            return await _send_fault(send, forwarding.PeerFault.LEAVING_TARGET)
-        rest_s = self._statements.rest_left_s(record)
-        if rest_s:
-            return await _send_fault(
-                send, forwarding.PeerFault.RESTING_TARGET, rest_s
-            )
+        found = self._find_target(request)
+        if isinstance(found, result.Err):
+            return await _send_refusal(send, found.err_value)
+        record = found.ok_value
         opened = await self._pool.acquire(
             record,
             runs_once=request.runs_once,
@@ -223,6 +236,10 @@
                 send, forwarding.PeerFault.UNREACHABLE_TARGET
             )
         connection = opened.ok_value
+        # An order may have come while the connection was opened.
+        if self._table.is_evacuated(record):
+            self._pool.release(record, connection)
+            return await _send_refusal(send, EVACUATED)
         messages = connection.start(
             encoded, request.request_id, is_head=request.is_head
         )
@@ -253,6 +270,28 @@
                 connection.abort()
         return "answered"
 
+    def _find_target(
+        self, request: peer_forwarding_codec.ForwardedRequest
+    ) -> result.Result[fleet.TargetRecord, _Refusal]:
+        """Returns the target of a request, or why it must get none."""
+        target = self._table.find(request.target_id)
+        if (
+            target is None
+            or target.record.started_at_ms != request.target_started_at_ms
+        ):
+            return result.Err(_Refusal(forwarding.PeerFault.UNKNOWN_TARGET))
+        record = target.record
+        if record.is_leaving:
+            return result.Err(_Refusal(forwarding.PeerFault.LEAVING_TARGET))
+        if self._table.is_evacuated(record):
+            return result.Err(EVACUATED)
+        rest_s = self._statements.rest_left_s(record)
+        if rest_s:
+            return result.Err(
+                _Refusal(forwarding.PeerFault.RESTING_TARGET, rest_s)
+            )
+        return result.Ok(record)
+
     def _record(
         self, record: fleet.TargetRecord, signal: target_table.HealthSignal
     ) -> None:
@@ -273,6 +312,12 @@
             return bytes(body)
 
 
+async def _send_refusal(send: Send, refusal: _Refusal) -> str:
+    """Refuses a request; returns how it ended, for the log."""
+    await _send_fault(send, refusal.fault, refusal.rest_s)
+    return refusal.reason or refusal.fault.value
+
+
 async def _send_fault(
     send: Send, fault: forwarding.PeerFault, retry_after_s: float | None = None
 ) -> str:
--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -31,6 +31,7 @@
     from cardamomfork._internal.gateway.peers import peer_table
     from cardamomfork._internal.gateway.peers import rate_permits
     from cardamomfork._internal.gateway.state import crash_records
+    from cardamomfork._internal.gateway.state import evacuations
     from cardamomfork._internal.gateway.state import fleet_state
     from cardamomfork._internal.gateway.state import load_view
     from cardamomfork._internal.gateway.state import rate_limits
@@ -43,6 +44,8 @@
 Digests may follow each other within milliseconds."""
 RATE_LIMIT_REPORT_INTERVAL_S = 0.5
 """The same for the limits of targets."""
+EVACUATION_REPORT_INTERVAL_S = 0.5
+"""The same for evacuations."""
 COALESCE_S = 0.004
 """Changes within this time are sent in one digest."""
 SMALL_FLEET_MAX_INSTANCES = 12
@@ -79,6 +82,7 @@
         reaches_targets: Callable[[], bool] = lambda: False,
         count_open_requests: Callable[[], int] = lambda: 0,
         reaches_store: Callable[[], bool] = lambda: False,
+        orders: evacuations.Evacuations | None = None,
     ) -> None:
         """Initializes the links.
 
@@ -100,6 +104,7 @@
                 instance.
             count_open_requests: Returns the number of requests in progress.
             reaches_store: Returns whether the store answers this instance.
+            orders: Evacuations; None if they are not observed.
         """
         self._local_peer = local_peer
         self._table = table
@@ -117,12 +122,14 @@
         self._reaches_targets = reaches_targets
         self._count_open_requests = count_open_requests
         self._reaches_store = reaches_store
+        self._evacuations = orders
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._sequence = 0
         self._is_leaving = False
         self._sent_at = -HEARTBEAT_S
         self._crashes_sent_at = -CRASH_REPORT_INTERVAL_S
         self._rate_limits_sent_at = -RATE_LIMIT_REPORT_INTERVAL_S
+        self._evacuations_sent_at = -EVACUATION_REPORT_INTERVAL_S
         self._transport: asyncio.DatagramTransport | None = None
         self._digest_timer: asyncio.Handle | None = None
         self._digest_due_at = 0.0
@@ -186,6 +193,11 @@
         self._rate_limits_sent_at = -RATE_LIMIT_REPORT_INTERVAL_S
         self.notify(is_urgent=True)
 
+    def notify_evacuation(self) -> None:
+        """Schedules a digest with the evacuations after a change."""
+        self._evacuations_sent_at = -EVACUATION_REPORT_INTERVAL_S
+        self.notify(is_urgent=True)
+
     def send(self) -> None:
         """Sends a digest of this instance to its peers now."""
         if self._digest_timer is not None:
@@ -273,6 +285,10 @@
             self._guard.record_crash(death, now)
         for limit in digest.rate_limits:
             self._rate_limits.merge(limit)
+        if self._evacuations is not None and digest.evacuations:
+            self._evacuations.apply_reports(
+                digest.evacuations, digest.sender.instance_id
+            )
         self._fetcher.note_peer(digest.sender, digest.configuration_version)
         self._configuration_follower.note_peer_revision(
             digest.configuration_revision
@@ -300,6 +316,7 @@
                 self._count_open_requests(),
                 exchanges_changes=True,
                 reaches_store=self._reaches_store(),
+                evacuations=self._due_evacuations(now),
             ),
             now,
         )
@@ -325,6 +342,18 @@
         self._rate_limits_sent_at = now
         return self._rate_limits.reports()
 
+    def _due_evacuations(
+        self, now: float
+    ) -> tuple[evacuations.Evacuation, ...]:
+        """Returns the evacuations in a digest that is sent now."""
+        if (
+            self._evacuations is None
+            or now - self._evacuations_sent_at < EVACUATION_REPORT_INTERVAL_S
+        ):
+            return ()
+        self._evacuations_sent_at = now
+        return self._evacuations.reports()
+
     def _transmit(
         self, data: bytes, recipients: Iterable[digest_codec.Peer]
     ) -> None:
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -224,6 +224,7 @@
             "blocked_requests": state_dump.dump_blocked(
                 self._known.poison_guard, now
             ),
+            "evacuations": state_dump.dump_evacuations(self._known.evacuations),
             "targets": state_dump.dump_targets(
                 self._known.target_table, self._known.load_view, now
             ),
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -109,6 +109,7 @@
         self._scheduler = scheduler
         self._links = links
         self._load = load
+        self._table = table
         self._retry_budget = budget
         self._guard = guard
         self._detector = detector
@@ -243,6 +244,11 @@
         if not self._statements.wants_requests(record):
             self._links.release(record, connection)
             return outcomes.Failed(outcomes.Failure.UNWANTED, record.target_id)
+        if not self._may_use_helpers(chosen):
+            self._links.release(record, connection)
+            return outcomes.Failed(
+                outcomes.Failure.UNWANTED, "a helper's data centre"
+            )
         exchange.sent_attempts += 1
         exchange.possible_runs += 1
         writing = _Writing()
@@ -265,6 +271,13 @@
             await self._detector.wait_for_check(record)
         return outcome
 
+    def _may_use_helpers(self, chosen: placement.Placement) -> bool:
+        """Returns whether all helpers may still get new work."""
+        return not any(
+            self._table.is_evacuated(helper.target.record)
+            for helper in chosen.helpers
+        )
+
     async def _run_attempt(
         self,
         exchange: exchanges.Exchange,
--- a/src/cardamomfork/_internal/gateway/state/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/state/fleet_state.py
@@ -14,6 +14,7 @@
 import result
 
 from cardamomfork._internal.contracts import store
+from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import routes
 
 if TYPE_CHECKING:
@@ -39,10 +40,14 @@
     Attributes:
         value: Encoded configuration.
         revision: Store revision of the value.
+        evacuations: Evacuations that the instance knows that holds it.
+        knows_evacuations: Whether that instance has read all of them.
     """
 
     value: bytes
     revision: int
+    evacuations: tuple[evacuations.Evacuation, ...] = ()
+    knows_evacuations: bool = False
 
 
 class FleetState:
@@ -53,6 +58,7 @@
         wire: platform_format.PlatformFormat,
         table: target_table.TargetTable,
         clock: Callable[[], float],
+        orders: evacuations.Evacuations | None = None,
     ) -> None:
         """Initializes the state without a configuration.
 
@@ -60,8 +66,10 @@
             wire: Decodes configurations and entries of targets.
             table: Target table to update.
             clock: Monotonic time.
+            orders: Evacuations; None if they are not observed.
         """
         self._wire = wire
+        self._evacuations = orders or evacuations.Evacuations()
         self._table = table
         self._clock = clock
         self._stored: StoredConfiguration | None = None
@@ -76,13 +84,26 @@
 
     @property
     def routes(self) -> routes.RouteTable | None:
-        """Routes of the configuration in force, or None before the first."""
-        return self._routes
+        """Routes of the configuration in force, or None before the first.
+
+        No request is served before the evacuations are known.
+        """
+        return self._routes if self._evacuations.is_known else None
 
     @property
     def stored(self) -> StoredConfiguration | None:
-        """The configuration in force in encoded form, or None."""
-        return self._stored
+        """The configuration in force in encoded form, or None.
+
+        It comes with the evacuations, so that a peer that fetches it knows them
+        as soon as it serves.
+        """
+        if self._stored is None or not self._evacuations.is_enabled:
+            return self._stored
+        return attrs.evolve(
+            self._stored,
+            evacuations=self._evacuations.reports(),
+            knows_evacuations=self._evacuations.is_known,
+        )
 
     @property
     def revision(self) -> int:
@@ -97,7 +118,7 @@
     @property
     def is_complete(self) -> bool:
         """Whether both a configuration and the targets have been received."""
-        return self._routes is not None and self._has_targets
+        return self.routes is not None and self._has_targets
 
     @property
     def is_store_lost(self) -> bool:
@@ -157,6 +178,23 @@
         )
         return True
 
+    def apply_fetched(self, fetched: StoredConfiguration, peer_id: str) -> bool:
+        """Applies the configuration of a peer, and the evacuations with it.
+
+        Args:
+            fetched: The configuration.
+            peer_id: Id of the peer.
+
+        Returns:
+            Whether the configuration was applied.
+        """
+        if fetched.knows_evacuations:
+            self._evacuations.apply_reports(fetched.evacuations, peer_id)
+            self._evacuations.mark_known()
+        return self.apply_configuration(
+            fetched.value, fetched.revision, f"peer {peer_id}"
+        )
+
     def apply_target(self, entry: store.Entry) -> None:
         """Applies a change of one target's entry."""
         self._apply_target(entry, may_return=self.may_have_lapsed())
--- a/src/cardamomfork/_internal/gateway/state/target_statements.py
+++ b/src/cardamomfork/_internal/gateway/state/target_statements.py
@@ -48,9 +48,14 @@
     def wants_requests(self, record: fleet.TargetRecord) -> bool:
         """Returns whether a target's process wants requests.
 
-        It may have asked for a rest, or be leaving, since it was chosen.
+        It may have asked for a rest, or be leaving, since it was chosen, or its
+        data centre may be in evacuation.
         """
-        return not (self.rest_left_s(record) or self._table.is_leaving(record))
+        return not (
+            self.rest_left_s(record)
+            or self._table.is_leaving(record)
+            or self._table.is_evacuated(record)
+        )
 
     def record_answer(
         self, record: fleet.TargetRecord, head: forwarding.ResponseHead
--- a/src/cardamomfork/_internal/gateway/state/target_table.py
+++ b/src/cardamomfork/_internal/gateway/state/target_table.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from cardamomfork._internal import bounded_tables
+from cardamomfork._internal.gateway.state import evacuations
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -150,6 +151,7 @@
         self,
         on_target_ended: Callable[[fleet.TargetRecord], None] = lambda _: None,
         order_seed: int = 0,
+        excluded: evacuations.Evacuations | None = None,
     ) -> None:
         """Initializes an empty table.
 
@@ -158,14 +160,19 @@
                 process has ended. Entries that lapsed in a store outage don't
                 count.
             order_seed: Seed of the order of targets.
+            excluded: Data centres whose targets get no new work; None if all
+                may get some.
         """
         self._order_seed = order_seed
+        self._evacuations = excluded or evacuations.Evacuations()
         self._on_target_ended = on_target_ended
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, dict[str, Target]] = {}
         # Targets in a random order by service and data centre, or None for all
         # data centres; dropped when a target comes or goes.
         self._orders: dict[tuple[str, str | None], tuple[Target, ...]] = {}
+        # Data centres that these orders lack.
+        self._orders_exclude: frozenset[str] = frozenset()
         # Whether the process was leaving, by target id and start.
         self._ended: OrderedDict[tuple[str, int], bool] = OrderedDict()
         self._doubtful: dict[str, fleet.TargetRecord] = {}
@@ -198,7 +205,31 @@
     def list_service(self, service: str, now: float) -> list[Target]:
         """Returns a service's targets that may get new work."""
         targets = self._by_service.get(service, {}).values()
-        return [target for target in targets if target.is_usable(now)]
+        if self._evacuations.is_unrestricted:
+            return [target for target in targets if target.is_usable(now)]
+        return [
+            target
+            for target in targets
+            if target.is_usable(now) and not self.is_evacuated(target.record)
+        ]
+
+    def is_evacuated(self, record: fleet.TargetRecord) -> bool:
+        """Returns whether a target's data centre must get no new work."""
+        return self._evacuations.excludes(record.data_centre)
+
+    def is_service_evacuated(self, service: str) -> bool:
+        """Returns whether all data centres of a service are in evacuation.
+
+        Targets that are leaving don't count, since they get no work anyway.
+        """
+        if self._evacuations.is_unrestricted:
+            return False
+        staying = [
+            target.record
+            for target in self._by_service.get(service, {}).values()
+            if not target.record.is_leaving
+        ]
+        return bool(staying) and all(map(self.is_evacuated, staying))
 
     def count_service(self, service: str) -> int:
         """Returns the number of known targets of a service."""
@@ -209,10 +240,15 @@
     ) -> tuple[Target, ...]:
         """Returns a service's targets in an order of this table's own.
 
+        Those in evacuated data centres are left out.
+
         Args:
             service: The service.
             data_centre: Data centre of the targets, or None for all.
         """
+        if self._orders_exclude != self._evacuations.active:
+            self._orders_exclude = self._evacuations.active
+            self._orders.clear()
         key = (service, data_centre)
         order = self._orders.get(key)
         if order is None:
@@ -222,6 +258,8 @@
                         target
                         for target in self._by_service.get(service, {}).values()
                         if data_centre in (None, target.record.data_centre)
+                        and target.record.data_centre
+                        not in self._orders_exclude
                     ),
                     key=lambda target: xxhash.xxh3_64_intdigest(
                         target.record.target_id.encode(), self._order_seed
--- a/src/cardamomfork/_internal/gateway/state_dump.py
+++ b/src/cardamomfork/_internal/gateway/state_dump.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from cardamomfork._internal.gateway.crashes import poison_guard
+    from cardamomfork._internal.gateway.state import evacuations
     from cardamomfork._internal.gateway.state import load_view
     from cardamomfork._internal.gateway.state import target_table
 
@@ -33,6 +34,14 @@
     ]
 
 
+def dump_evacuations(known: evacuations.Evacuations) -> dict[str, Any]:
+    """Returns the known orders to evacuate data centres, and their ends."""
+    return {
+        "is_known": known.is_known,
+        "data_centres": [attrs.asdict(one) for one in known.reports()],
+    }
+
+
 def dump_blocked(
     guard: poison_guard.PoisonGuard, now: float
 ) -> list[dict[str, Any]]:
--- a/src/cardamomfork/_internal/gateway/store/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -71,12 +71,12 @@
         """
         ...
 
-    def apply_snapshot(self, entries: Iterable[store.Entry]) -> None:
+    def apply_snapshot(self, scan: store.Scan) -> None:
         """Replaces all entries by those of a full scan."""
         ...
 
-    def apply_change(self, entry: store.Entry) -> None:
-        """Applies a change of one entry."""
+    def apply_changes(self, batch: store.WatchBatch) -> None:
+        """Applies the changes of one poll, in their order."""
         ...
 
 
@@ -237,7 +237,7 @@
                 is_first = not self._revision
                 self._revision = scanned.ok_value.revision
                 self._record_last_change(entries)
-                self._handler.apply_snapshot(entries)
+                self._handler.apply_snapshot(scanned.ok_value)
                 if self._relayed is not None:
                     self._relayed.relay.record_scan(entries, self._revision)
                     if is_first:
@@ -298,8 +298,7 @@
             self._revision = polled.ok_value.revision
             if entries:
                 self._record_last_change(entries)
-                for entry in entries:
-                    self._handler.apply_change(entry)
+                self._handler.apply_changes(polled.ok_value)
                 await self._pause_after_changes(entries)
 
     async def _pause_after_changes(
--- a/src/cardamomfork/_internal/gateway/wiring/known_state.py
+++ b/src/cardamomfork/_internal/gateway/wiring/known_state.py
@@ -12,6 +12,7 @@
 from cardamomfork._internal.gateway.crashes import poison_guard
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.gateway.state import stopping
@@ -36,6 +37,7 @@
         clock: Monotonic time.
         rng: Random generator.
         notifications: Changes that concern several sides.
+        evacuations: Data centres that must get no new work.
         target_table: The known targets.
         load_view: The load of each target.
         fleet_state: Configuration and targets, and the age of both.
@@ -51,6 +53,7 @@
     clock: Callable[[], float]
     rng: random.Random
     notifications: notifications.Notifications
+    evacuations: evacuations.Evacuations
     target_table: target_table.TargetTable
     load_view: load_view.LoadView
     fleet_state: fleet_state.FleetState
@@ -94,7 +97,13 @@
     clock = time.monotonic
     rng = random.Random()
     notify = notifications.Notifications()
-    targets = target_table.TargetTable(notify.target_ended, rng.getrandbits(32))
+    orders = evacuations.Evacuations(
+        is_enabled=settings.evacuate_s is not None,
+        on_change=notify.evacuations_changed,
+    )
+    targets = target_table.TargetTable(
+        notify.target_ended, rng.getrandbits(32), orders
+    )
     local_peer = digest_codec.Peer(
         settings.instance_id,
         settings.data_centre,
@@ -109,9 +118,10 @@
         clock=clock,
         rng=rng,
         notifications=notify,
+        evacuations=orders,
         target_table=targets,
         load_view=load_view.LoadView(),
-        fleet_state=fleet_state.FleetState(wire, targets, clock),
+        fleet_state=fleet_state.FleetState(wire, targets, clock, orders),
         poison_guard=poison_guard.PoisonGuard(
             lambda fingerprint: peers.find_owner(f"{fingerprint:x}") is None
         ),
--- a/src/cardamomfork/_internal/gateway/wiring/notifications.py
+++ b/src/cardamomfork/_internal/gateway/wiring/notifications.py
@@ -42,6 +42,7 @@
         crash_confirmed: A target has crashed.
         rate_limit_changed: A target has changed its limit.
         configuration_applied: A new configuration is in force.
+        evacuations_changed: Other data centres than before are in evacuation.
         store_answered: A call to the store has ended; called with its fault,
             or None.
     """
@@ -53,4 +54,5 @@
     crash_confirmed: Notification = attrs.field(factory=Notification)
     rate_limit_changed: Notification = attrs.field(factory=Notification)
     configuration_applied: Notification = attrs.field(factory=Notification)
+    evacuations_changed: Notification = attrs.field(factory=Notification)
     store_answered: Notification = attrs.field(factory=Notification)
--- a/src/cardamomfork/_internal/gateway/wiring/peer_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/peer_side.py
@@ -99,12 +99,14 @@
         lambda: _reaches_targets(known, targets),
         count_open_requests,
         lambda: not known.fleet_state.is_store_lost,
+        known.evacuations if known.evacuations.is_enabled else None,
     )
     notify.capacity_changed.connect(links.notify)
     notify.reach_changed.connect(lambda: links.notify(is_urgent=True))
     notify.configuration_applied.connect(lambda: links.notify(is_urgent=True))
     notify.crash_confirmed.connect(links.notify_crash)
     notify.rate_limit_changed.connect(links.notify_rate_limit)
+    notify.evacuations_changed.connect(links.notify_evacuation)
     return PeerSide(links, permits, fetcher, followers)
 
 
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -145,6 +145,7 @@
     limits = caller_protocol.ConnectionLimits()
     notify = known.notifications
     notify.targets_changed.connect(notify.capacity_changed)
+    notify.evacuations_changed.connect(notify.capacity_changed)
     notify.capacity_changed.connect(scheduler.dispatch_waiting)
     notify.reach_changed.connect(scheduler.dispatch_waiting)
     notify.configuration_applied.connect(
@@ -216,6 +217,7 @@
         "crash_suspects": lambda: known.poison_guard.suspect_count,
         "isolated": lambda: int(targets.access.reach.is_isolated),
         "peer_requests": lambda: targets.peer_forwarding.in_progress,
+        "evacuated_data_centres": lambda: len(known.evacuations.active),
         "blocked_requests": lambda: len(
             known.poison_guard.blocked(known.clock())
         ),
--- a/src/cardamomfork/_internal/gateway/wiring/store_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/store_side.py
@@ -70,12 +70,19 @@
         _make_follower(
             known,
             follower.Subscription(
-                known.wire.configuration_key,
+                # One poll returns the changes of the configuration and of the
+                # orders to evacuate.
+                known.wire.operators_prefix
+                if known.evacuations.is_enabled
+                else known.wire.configuration_key,
                 CONFIGURATION_BATCH_DELAY_S,
                 CONFIGURATION_MAX_LAG_S,
             ),
             store_handlers.ConfigurationHandler(
-                known.fleet_state, notify.configuration_applied
+                known.fleet_state,
+                notify.configuration_applied,
+                known.wire,
+                known.evacuations,
             ),
         ),
         _make_targets_follower(known, send_updates),
--- a/src/cardamomfork/_internal/gateway/wiring/target_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/target_side.py
@@ -71,6 +71,7 @@
 
     notify.target_ended.connect(detector.target_ended)
     notify.targets_changed.connect(access.reach.probe_soon)
+    notify.evacuations_changed.connect(access.reach.probe_soon)
     notify.reach_changed.connect(drop_suspects_of_cut)
     return TargetSide(
         access,
--- a/src/cardamomfork/_internal/models/fleet.py
+++ b/src/cardamomfork/_internal/models/fleet.py
@@ -216,6 +216,8 @@
         retry_reserve: Retries that a service may get in addition to that.
         retry_window_s: Window over which requests and retries are counted.
         max_reservation_s: Longest time for which engine memory may be reserved.
+        evacuate_s: Time within which requests to a data centre in evacuation
+            must stop; None if evacuations are not observed.
     """
 
     instance_id: str
@@ -236,3 +238,4 @@
     retry_reserve: float = 100.0
     retry_window_s: float = 10.0
     max_reservation_s: float = 20.0
+    evacuate_s: float | None = None
--- a/src/cardamomfork/_internal/platform/node_settings.py
+++ b/src/cardamomfork/_internal/platform/node_settings.py
@@ -88,9 +88,23 @@
         retry_reserve=float(bounds.get("retrySlack", 100)),
         retry_window_s=float(bounds.get("budgetWindowS", 10)),
         max_reservation_s=float(bounds.get("holdMaxMs", 20_000)) / MS_PER_S,
+        evacuate_s=_decode_bound(bounds.get("evacuateMs")),
     )
 
 
+def _decode_bound(value_ms: Any) -> float | None:
+    """Converts a bound to seconds; None if it is absent or not positive.
+
+    Raises:
+        ValueError: The bound is malformed.
+        TypeError: The bound has the wrong type.
+    """
+    if value_ms is None:
+        return None
+    seconds = float(value_ms) / MS_PER_S
+    return seconds if seconds > 0 else None
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Splits an `IP:PORT` text into IP address and port.
 
--- a/src/cardamomfork/_internal/platform/wire_format.py
+++ b/src/cardamomfork/_internal/platform/wire_format.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cardamomfork._internal.platform import configuration_format
+from cardamomfork._internal.platform import evacuation_orders
 from cardamomfork._internal.platform import headers
 from cardamomfork._internal.platform import orders
 from cardamomfork._internal.platform import target_entries
@@ -32,6 +33,11 @@
         """Key of the operators' configuration in the store."""
         return configuration_format.KEY
 
+    @property
+    def operators_prefix(self) -> str:
+        """Key prefix of the configuration and of orders to evacuate."""
+        return evacuation_orders.FOLLOWED_PREFIX
+
     @property
     def targets_prefix(self) -> str:
         """Key prefix of the targets' entries."""
@@ -43,6 +49,10 @@
         """Decodes the operators' configuration."""
         return configuration_format.decode(value, revision)
 
+    def decode_evacuation(self, key: str) -> result.Result[str, str] | None:
+        """Returns the data centre of an order; None for other keys."""
+        return evacuation_orders.decode(key)
+
     def decode_target(
         self, key: str, value: bytes
     ) -> result.Result[fleet.TargetRecord, str]:
--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -433,6 +433,7 @@
     rate_limit_per_s: float | None = None,
     rest_s: float | None = None,
     says_leaving_from: float = math.inf,
+    data_centre: str = platform_site.DATA_CENTRE,
 ) -> None:
     """Serves until SIGTERM, and then for a little longer.
 
@@ -452,6 +453,7 @@
         rate_limit_per_s: Limit on the rate of requests that its answers name.
         rest_s: Seconds of rest that it asks for as it turns each request away.
         says_leaving_from: Monotonic time from which on answers say it leaves.
+        data_centre: Data centre that its entry names.
     """
 
     def report(line: dict[str, Any]) -> None:
@@ -468,7 +470,9 @@
     engine.faults.rate_limit_per_s = rate_limit_per_s
     engine.faults.rest_s = rest_s
     engine.faults.says_leaving_from = says_leaving_from
-    entry = platform_site.make_entry(service, advertised_port, slots)
+    entry = platform_site.make_entry(
+        service, advertised_port, slots, data_centre
+    )
     client = platform_site.make_client(store)
 
     async def serve() -> None:
--- a/src/cardamomfork/_internal/standins/platform_site.py
+++ b/src/cardamomfork/_internal/standins/platform_site.py
@@ -72,15 +72,26 @@
     *,
     data_centre: str = DATA_CENTRE,
     stop_grace_s: float = 8.0,
+    evacuate_ms: int = 0,
 ) -> str:
-    """Returns the contents of an instance's settings file."""
+    """Returns the contents of an instance's settings file.
+
+    Args:
+        name: Name of the instance.
+        ports: Its ports.
+        store_address: Address of the store.
+        data_centre: Data centre that it runs in.
+        stop_grace_s: Time from SIGTERM to SIGKILL, in seconds.
+        evacuate_ms: Bound for evacuations, in milliseconds; 0 for none.
+    """
+    bounds = f"evacuateMs = {evacuate_ms}\n" if evacuate_ms else ""
     return (
         f'nodeName = "{name}"\nzone = "{data_centre}"\n'
         f"portRange = [{ports.peers},{ports.peers}]\n"
         f'[listen]\nfront = "{HOST}:{ports.callers}"\n'
         f'readyAddr = "{HOST}:{ports.readiness}"\n'
         f'[platform]\naddress = "{store_address}"\n'
-        f"[bounds]\ngraceS = {stop_grace_s:.0f}\n"
+        f"[bounds]\ngraceS = {stop_grace_s:.0f}\n{bounds}"
         f"[metrics]\nport = {ports.metrics}\n"
     )
 
@@ -162,12 +173,14 @@
     raise TimeoutError("the store accepted no write of the configuration")
 
 
-def make_entry(service: str, port: int, slots: int) -> dict[str, Any]:
+def make_entry(
+    service: str, port: int, slots: int, data_centre: str = DATA_CENTRE
+) -> dict[str, Any]:
     """Returns the entry with which a target registers."""
     return {
         "service": service,
         "address": f"{HOST}:{port}",
-        "zone": DATA_CENTRE,
+        "zone": data_centre,
         "version": "v1",
         "slots": slots,
         "coldRemainingMs": 0,
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -19,6 +19,7 @@
 from cardamomfork._internal.gateway.requests import request_log
 from cardamomfork._internal.gateway.serving import forwarding
 from cardamomfork._internal.gateway.state import crash_records
+from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import rate_limits
 from cardamomfork._internal.gateway.state import routes
 from cardamomfork._internal.gateway.state import target_statements
@@ -202,6 +203,43 @@
         self.assertTrue(all(sink.is_whole for sink, _ in results))
 
 
+class EvacuationTest(unittest.TestCase):
+    def test_order_between_placement_and_sending_is_kept(self):
+        async def scenario(fixture, targets):
+            known = evacuations.Evacuations(is_enabled=True)
+            known.apply_scan((), 1)
+            fixture.parts.table._evacuations = known
+            for number, data_centre in enumerate("ab"):
+                fixture.parts.table.put(
+                    gateway_parts.make_record(
+                        number,
+                        port=targets[number].port,
+                        data_centre=data_centre,
+                    )
+                )
+            acquire = fixture.pool.acquire
+
+            async def acquire_late(record, **options):
+                opened = await acquire(record, **options)
+                if not known.active:
+                    known.apply_changes(
+                        [evacuations.Change(record.data_centre, 2)], 2
+                    )
+                return opened
+
+            fixture.pool.acquire = acquire_late
+            results = [await fixture.send() for _ in range(4)]
+            (evacuated,) = known.active
+            return results, len(targets["ab".index(evacuated)].requests)
+
+        def script(request):
+            return [stream(request, 1, 2)]
+
+        results, count = run_scenario(scenario, script, script)
+        self.assertEqual(count, 0)
+        self.assertTrue(all(sink.is_whole for sink, _ in results))
+
+
 class CrashingRequestTest(unittest.TestCase):
     def test_crashes_of_targets_that_no_other_request_meets_are_counted(self):
         listening = []
--- a/tests/functional/test_peer_forwarding.py
+++ b/tests/functional/test_peer_forwarding.py
@@ -339,6 +339,12 @@
                     gateway_parts.make_record(0, is_leaving=True, port=1)
                 ),
             ),
+            # A fault that earlier builds don't know would count as a lost
+            # answer there.
+            (
+                faults.LEAVING_TARGET,
+                lambda p: p.evacuate("a"),
+            ),
             (
                 faults.RESTING_TARGET,
                 lambda p: p.table.record_rest(
--- a/tests/lib/forwarding_peers.py
+++ b/tests/lib/forwarding_peers.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.gateway.peers import peer_forwarding_server
 from cardamomfork._internal.gateway.peers import peer_table
 from cardamomfork._internal.gateway.serving import application
+from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import rate_limits
 from cardamomfork._internal.gateway.state import stopping
@@ -41,7 +42,9 @@
     def __init__(self, name, records, data_centre="a"):
         self.name = name
         self.data_centre = data_centre
-        self.table = target_table.TargetTable()
+        self.evacuations = evacuations.Evacuations(is_enabled=True)
+        self.evacuations.apply_scan((), 1)
+        self.table = target_table.TargetTable(excluded=self.evacuations)
         for record in records:
             self.table.put(record)
         self.reach = Reach()
@@ -63,6 +66,10 @@
         )
         self.listener = http_server.open_listener(HOST, 0)
 
+    def evacuate(self, data_centre):
+        """Applies an order to evacuate a data centre."""
+        self.evacuations.apply_changes([evacuations.Change(data_centre, 2)], 2)
+
     @property
     def address(self):
         """Identity and address, as other instances know it."""
--- a/tests/lib/restored_fleet.py
+++ b/tests/lib/restored_fleet.py
@@ -164,7 +164,7 @@
                         store_side.CONFIGURATION_MAX_LAG_S,
                     ),
                     store_handlers.ConfigurationHandler(
-                        self.state, self._on_applied
+                        self.state, self._on_applied, wire
                     ),
                     is_delegate,
                     True,
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -133,6 +133,9 @@
         ledgers: Number of targets of the ledger service.
     """
 
+    evacuate_ms = 0
+    """Bound for evacuations in the settings of instances; 0 for none."""
+
     def __init__(self, seed, instances, engines, ledgers):
         self.rng = random.Random(seed)
         self._port_lock, base = _reserve_ports()
@@ -229,10 +232,12 @@
     async def _store_answers(self):
         return (await self._client.scan("op/")).is_ok()
 
-    def _add_target(self, name, service):
+    def _add_target(self, name, service, *options):
         port, advertised = next(self._ports), next(self._ports)
         self.proxies[name] = proxy.Proxy(advertised, port, self.rng)
-        self.targets[name] = self._make_target(name, service, port, advertised)
+        self.targets[name] = self._make_target(
+            name, service, port, advertised, *options
+        )
 
     def _make_target(self, name, service, port, advertised, *options):
         return Process(
@@ -264,6 +269,7 @@
                 f"{HOST}:{self.proxies[proxy_name].port}",
                 data_centre=self.data_centre_of(name),
                 stop_grace_s=STOP_GRACE_S,
+                evacuate_ms=self.evacuate_ms,
             )
         )
         self.entries[name] = self._make_entry(name, path)
--- a/tests/unit/test_gateway_compaction.py
+++ b/tests/unit/test_gateway_compaction.py
@@ -90,8 +90,12 @@
     def store_restored(self, revision):
         pass
 
-    def apply_snapshot(self, entries):
-        for entry in entries:
+    def apply_snapshot(self, scan):
+        for entry in scan.entries:
+            self.apply_change(entry)
+
+    def apply_changes(self, batch):
+        for entry in batch.entries:
             self.apply_change(entry)
 
     def apply_change(self, entry):
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.gateway.peers import digest_recipients
 from cardamomfork._internal.gateway.peers import peer_links
 from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.gateway.state import rate_limits
@@ -62,6 +63,10 @@
         wire = wire_format.WireFormat()
         self.configuration_follower = FakeFollower()
         self.targets_follower = FakeFollower()
+        self.evacuations = evacuations.Evacuations(
+            is_enabled=True, on_change=self.notify_evacuation
+        )
+        self.evacuations.apply_scan((), 1)
         self.targets = target_table.TargetTable()
         self.limits = rate_limits.RateLimits(self.targets, clock)
         self.state = state = fleet_state.FleetState(wire, self.targets, clock)
@@ -86,9 +91,13 @@
             self.targets_follower,
             clock,
             lambda: None,
+            orders=self.evacuations,
         )
         self.links.connection_made(self)
 
+    def notify_evacuation(self):
+        self.links.notify_evacuation()
+
     def is_closing(self):
         return False
 
@@ -285,6 +294,37 @@
 
         run_scenario(scenario)
 
+    def test_order_reaches_all_peers_and_is_repeated(self):
+        # Guards against an instance that hears of an order only from the store,
+        # and against one that a single lost datagram leaves without it.
+        def scenario():
+            network = Network(LARGE_FLEET)
+            first, deaf = network.all[0], network.all[1]
+            network.dead = {deaf.peer.port}
+            order = evacuations.Change("b", 7)
+            first.evacuations.apply_changes([order], 7)
+            first.links.send()
+            network.deliver()
+            network.dead = set()
+            for other in network.all:
+                self.assertEqual(
+                    other.evacuations.active,
+                    frozenset() if other is deaf else frozenset("b"),
+                )
+            first.links.send()
+            self.assertEqual(self.last_evacuations(network), ())
+            network.clock.now += peer_links.EVACUATION_REPORT_INTERVAL_S
+            first.links.send()
+            self.assertEqual(len(self.last_evacuations(network)), 1)
+            network.deliver()
+            self.assertEqual(deaf.evacuations.active, frozenset("b"))
+
+        run_scenario(scenario)
+
+    def last_evacuations(self, network):
+        decoded = digest_codec.decode(network.last_data[1:], 0.0)
+        return decoded.unwrap().evacuations
+
     def test_digest_tells_peers_the_revision_of_the_configuration(self):
         def scenario():
             network = Network(LARGE_FLEET)
--- a/tests/unit/test_gateway_following.py
+++ b/tests/unit/test_gateway_following.py
@@ -67,9 +67,13 @@
     def store_restored(self, revision):
         pass
 
-    def apply_snapshot(self, entries):
+    def apply_snapshot(self, scan):
         self.keys = {}
-        for entry in entries:
+        for entry in scan.entries:
+            self.apply_change(entry)
+
+    def apply_changes(self, batch):
+        for entry in batch.entries:
             self.apply_change(entry)
 
     def apply_change(self, entry):
--- a/tests/unit/test_upgrades.py
+++ b/tests/unit/test_upgrades.py
@@ -4,6 +4,7 @@
 import re
 import unittest
 
+import attrs
 import capnp
 import hypothesis
 from hypothesis import strategies
@@ -14,8 +15,11 @@
 from cardamomfork._internal.gateway.peers import peer_forwarding_codec
 from cardamomfork._internal.gateway.peers import permit_codec
 from cardamomfork._internal.gateway.state import crash_records
+from cardamomfork._internal.gateway.state import evacuations
+from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.gateway.state import rate_limits
+from cardamomfork._internal.gateway.store import change_relay
 
 EARLIER_BUILDS = sorted(
     (pathlib.Path(__file__).parents[1] / "lib" / "earlier_builds").iterdir()
@@ -77,13 +81,40 @@
                 yield (directory / name).read_bytes()
 
     def test_digest_of_an_earlier_build_is_read(self):
-        for data in self.for_each_build("digest.bin"):
+        found = {}
+        for directory in EARLIER_BUILDS:
+            build = directory.name
+            data = (directory / "digest.bin").read_bytes()
             digest = digest_codec.decode(data, NOW).unwrap()
-            self.assertEqual(digest, make_digest())
-            self.assertFalse(digest.exchanges_changes)
+            self.assertFalse(digest.evacuations)
+            found[build] = digest
+        first, second = found["e084f59"], found["404d9c2"]
+        self.assertEqual(first, make_digest())
+        self.assertFalse(first.exchanges_changes)
+        self.assertEqual(
+            second,
+            attrs.evolve(first, exchanges_changes=True, reaches_store=True),
+        )
+
+    def test_changes_of_an_earlier_build_are_read(self):
+        path = next(one for one in EARLIER_BUILDS if one.name == "404d9c2")
+        data = (path / "change_update.bin").read_bytes()
+        self.assertEqual(
+            change_codec.decode(data).unwrap(),
+            change_relay.Update(
+                3, 9, (change_relay.Change("servers/t1", b"v", 5),)
+            ),
+        )
 
     def test_earlier_build_reads_a_digest(self):
-        data = digest_codec.encode(make_digest(), NOW)
+        # Guards against a field of today's that an earlier schema can't pass
+        # over.
+        digest = attrs.evolve(
+            make_digest(),
+            evacuations=(evacuations.Evacuation("b", 2_000_000_000_007, True),),
+        )
+        data = digest_codec.encode(digest, NOW)
+        self.assertEqual(digest_codec.decode(data, NOW).unwrap(), digest)
         for directory in EARLIER_BUILDS:
             schema = capnp.SchemaParser().load(str(directory / "digests.capnp"))
             message = schema.Digest.from_bytes_packed(data)
@@ -119,6 +150,19 @@
             stored = digest_codec.decode_configuration(data).unwrap()
             self.assertEqual(stored.revision, 17)
             self.assertEqual(stored.value, b'{"version": 3}')
+            self.assertFalse(stored.knows_evacuations)
+
+    def test_earlier_build_reads_a_configuration(self):
+        data = digest_codec.encode_configuration(
+            fleet_state.StoredConfiguration(
+                b"value", 17, (evacuations.Evacuation("b", 9, True),), True
+            )
+        )
+        for directory in EARLIER_BUILDS:
+            schema = capnp.SchemaParser().load(str(directory / "digests.capnp"))
+            with schema.StoredConfiguration.from_bytes(data) as message:
+                self.assertEqual(message.revision, 17)
+                self.assertEqual(bytes(message.value), b"value")
 
     def test_stored_records_are_read_and_written_as_before(self):
         digest = make_digest()
@@ -168,7 +212,7 @@
         change_codec.decode(change_codec.UPDATE + data)
 
     def test_digest_with_very_many_jobs_is_refused(self):
-        for name in ("jobs", "deaths", "rateLimits"):
+        for name in ("jobs", "deaths", "rateLimits", "evacuations"):
             message = digest_codec.schema().Digest.new_message()
             message.init(name, 300_000)
             data = bytes(message.to_bytes_packed())
