Serve requests in the allowed regions of route and account only

What callers saw: allowedRegions in the configuration had no effect; a request could be served, and its body passed to a peer, in any region.

Cause: the field was not decoded, and nothing filtered candidates or peers.

Change: routes and accounts have allowed_regions, settings the regions of data centres ([zones], region). RegionRules asks the newest configuration before each choice of targets, while a request waits, and right before sending. Where no target is in an allowed region, the request is refused at once. No header of the platform states a caller's region, so callers count as elsewhere.

--- a/src/cardamomfork/_internal/gateway/choice/candidate_sampling.py
+++ b/src/cardamomfork/_internal/gateway/choice/candidate_sampling.py
@@ -87,13 +87,11 @@
             <= placement_costs.SHORT_PREFILL_S
         )
         drawn = (
-            self._draw(service.name)
+            self._draw(demand)
             if is_short
             else heapq.nsmallest(
                 LONG_LEAST_LOADED,
-                self._window(
-                    self._table.order_service(service.name, None), LONG_DRAWN
-                ),
+                self._window(self._list_allowed(demand), LONG_DRAWN),
                 key=self._count_jobs,
             )
         )
@@ -102,6 +100,7 @@
             for target in drawn
             if target.is_usable(now)
             and not self._table.is_evacuated(target.record)
+            and demand.allows(target.record.data_centre)
             and target.record.target_id not in demand.excluded
             and not self._table.rest_left_s(target.record, now)
         ]
@@ -113,12 +112,30 @@
         """Returns the number of jobs that a target works on."""
         return self._load.count_jobs(target.record.target_id)
 
-    def _draw(self, service: str) -> list[target_table.Target]:
+    def _list_allowed(
+        self, demand: demands.Demand
+    ) -> tuple[target_table.Target, ...]:
+        """Returns the targets in all data centres that a request allows."""
+        service = demand.service.name
+        allowed = demand.allowed_data_centres
+        if allowed is None:
+            return self._table.order_service(service, None)
+        return tuple(
+            target
+            for data_centre in sorted(allowed)
+            for target in self._table.order_service(service, data_centre)
+        )
+
+    def _draw(self, demand: demands.Demand) -> list[target_table.Target]:
         """Returns random targets of a service, half of them local."""
         half = SHORT_CANDIDATES // 2
-        local = self._table.order_service(service, self._data_centre)
+        local = (
+            self._table.order_service(demand.service.name, self._data_centre)
+            if demand.allows(self._data_centre)
+            else ()
+        )
         drawn = {id(target): target for target in self._window(local, half)}
-        everywhere = self._table.order_service(service, None)
+        everywhere = self._list_allowed(demand)
         for target in self._window(everywhere, SHORT_CANDIDATES - len(drawn)):
             drawn[id(target)] = target
         return list(drawn.values())
--- a/src/cardamomfork/_internal/gateway/choice/demands.py
+++ b/src/cardamomfork/_internal/gateway/choice/demands.py
@@ -9,6 +9,8 @@
 from cardamomfork._internal.gateway.choice import engine_timing
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cardamomfork._internal.gateway.state import load_view
     from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.models import fleet
@@ -47,6 +49,10 @@
         objective_left_s: Time left until its first token is late.
         time_left_s: Time left until the caller stops waiting.
         excluded: Ids of the targets to avoid.
+        allowed_data_centres: Data centres of the targets and helpers that may
+            serve it; None for all.
+        find_allowed: Returns these data centres anew, since they change with
+            the configuration while the request waits; None if they don't.
     """
 
     job_id: str
@@ -57,6 +63,17 @@
     objective_left_s: float
     time_left_s: float
     excluded: frozenset[str] = frozenset()
+    allowed_data_centres: frozenset[str] | None = None
+    find_allowed: Callable[[], frozenset[str] | None] | None = attrs.field(
+        default=None, eq=False, repr=False
+    )
+
+    def allows(self, data_centre: str) -> bool:
+        """Returns whether targets of a data centre may serve the request."""
+        return (
+            self.allowed_data_centres is None
+            or data_centre in self.allowed_data_centres
+        )
 
     @property
     def value(self) -> float:
--- a/src/cardamomfork/_internal/gateway/choice/placement.py
+++ b/src/cardamomfork/_internal/gateway/choice/placement.py
@@ -40,10 +40,10 @@
 NO_TARGET_RETRY_S = 1.0
 """Assumed time until a target is available when a service has none. Targets
 whose store entries lapsed register again within about two seconds."""
-EVACUATED_RETRY_S = 1.3
-"""Time after which callers of a service without another data centre may come
-back. With the jitter of refusals it is spread over 1.3 to 1.95 s; evacuations
-last for seconds at least."""
+EXCLUDED_RETRY_S = 1.3
+"""Time after which callers may come back if evacuations or allowed regions
+leave no data centre. With the jitter of refusals it is spread over 1.3 to
+1.95 s; evacuations last for seconds at least."""
 GOOD_COST_FRACTION = 0.25
 """Cost up to which a placement on one of some targets is taken, as a fraction
 of the request's value."""
@@ -151,7 +151,13 @@
             ):
                 return chosen
         return self._choose_among(
-            demand, self._table.list_service(demand.service.name, now), now
+            demand,
+            [
+                target
+                for target in self._table.list_service(demand.service.name, now)
+                if demand.allows(target.record.data_centre)
+            ],
+            now,
         )
 
     def _choose_among(
@@ -168,10 +174,10 @@
         ]
         if listed and not usable:
             return self._no_capacity_before_rest_ends(demand, listed, now)
-        if not listed and self._table.is_service_evacuated(demand.service.name):
+        if not listed and (reason := self._find_exclusion(demand)) is not None:
             return NoCapacity(
-                "all data centres of the service are evacuated",
-                EVACUATED_RETRY_S,
+                reason,
+                EXCLUDED_RETRY_S,
                 is_for_all_requests=True,
                 may_wait=False,
             )
@@ -215,6 +221,23 @@
             return attrs.evolve(chosen, max_permit_wait_s=max_permit_wait_s)
         return chosen
 
+    def _find_exclusion(self, demand: demands.Demand) -> str | None:
+        """Returns why no data centre may serve a request, or None if one may.
+
+        It isn't for lack of usable targets, for which a request may wait.
+        """
+        allowed = demand.allowed_data_centres
+        staying = self._table.staying_data_centres(demand.service.name)
+        if allowed is not None and not allowed & staying:
+            return "no target is in an allowed region"
+        if not staying or not self._table.are_evacuated(
+            staying if allowed is None else staying & allowed
+        ):
+            return None
+        if allowed is None:
+            return "all data centres of the service are evacuated"
+        return "all allowed data centres of the service are evacuated"
+
     def _no_capacity_before_rest_ends(
         self,
         demand: demands.Demand,
--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -95,6 +95,8 @@
 
     peer_id = ""
     """Id of the peer that the connection leads over; this one is direct."""
+    peer_data_centre = ""
+    """Data centre of that peer."""
 
     def __init__(
         self,
--- a/src/cardamomfork/_internal/gateway/connections/target_pool.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_pool.py
@@ -74,6 +74,7 @@
         *,
         runs_once: bool,
         time_left_s: float = math.inf,
+        may_pass: Callable[[str], bool] = lambda _: True,
     ) -> result.Result[target_connection.TargetConnection, outcomes.Failed]:
         """Returns an idle connection or opens a new one.
 
@@ -83,7 +84,9 @@
             target: Target to connect to.
             runs_once: Whether the request must not run twice.
             time_left_s: Time left for the request, in seconds.
+            may_pass: Not used, since a direct connection leads over no peer.
         """
+        del may_pass
         now = asyncio.get_running_loop().time()
         idle_connections = self._idle.get(_pool_key(target), [])
         max_idle_s = RUN_ONCE_MAX_IDLE_S if runs_once else MAX_IDLE_S
--- a/src/cardamomfork/_internal/gateway/paths/target_paths.py
+++ b/src/cardamomfork/_internal/gateway/paths/target_paths.py
@@ -12,6 +12,8 @@
 from cardamomfork._internal.gateway.peers import peer_forwarding_client
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import result
 
     from cardamomfork._internal.gateway.connections import outcomes
@@ -39,6 +41,7 @@
         *,
         runs_once: bool,
         time_left_s: float = math.inf,
+        may_pass: Callable[[str], bool] = lambda _: True,
     ) -> result.Result[Any, outcomes.Failed]:
         """Returns a connection for one request to a target."""
         ...
@@ -83,6 +86,7 @@
         *,
         runs_once: bool,
         time_left_s: float = math.inf,
+        may_pass: Callable[[str], bool] = lambda _: True,
     ) -> result.Result[Connection, outcomes.Failed]:
         """Returns a connection for one request to a target.
 
@@ -92,10 +96,14 @@
             target: Target to connect to.
             runs_once: Whether the request must not run twice.
             time_left_s: Time left for the request, in seconds.
+            may_pass: Returns whether it may go over a peer in a data centre.
         """
         path = self._client if self._reach.is_isolated else self._pool
         return await path.acquire(
-            target, runs_once=runs_once, time_left_s=time_left_s
+            target,
+            runs_once=runs_once,
+            time_left_s=time_left_s,
+            may_pass=may_pass,
         )
 
     def release(
--- a/src/cardamomfork/_internal/gateway/peers/peer_forwarding_client.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_client.py
@@ -82,6 +82,11 @@
         """Id of the peer."""
         return self._peer.instance_id
 
+    @property
+    def peer_data_centre(self) -> str:
+        """Data centre of the peer."""
+        return self._peer.data_centre
+
     @property
     def peer(self) -> digest_codec.Peer:
         """The peer."""
@@ -165,6 +170,7 @@
         *,
         runs_once: bool,
         time_left_s: float,
+        may_pass: Callable[[str], bool] = lambda _: True,
     ) -> result.Result[ForwardedConnection, outcomes.Failed]:
         """Returns a connection to a peer that can reach targets.
 
@@ -174,10 +180,11 @@
             target: Target of the request.
             runs_once: Whether the request must not run twice.
             time_left_s: Time left for the request, in seconds.
+            may_pass: Returns whether it may go over a peer in a data centre.
         """
         tried: set[str] = set()
         for _ in range(MAX_CONNECT_ATTEMPTS):
-            peer = self._choose(tried)
+            peer = self._choose(tried, may_pass)
             if peer is None:
                 break
             tried.add(peer.instance_id)
@@ -200,7 +207,7 @@
         return result.Err(
             outcomes.Failed(
                 outcomes.Failure.NO_PATH,
-                "no peer that reaches targets"
+                "no peer that reaches targets and may carry it"
                 if not tried
                 else f"no connection to peers {', '.join(sorted(tried))}",
             )
@@ -256,13 +263,24 @@
         """Returns the peers that are known to reach targets."""
         return self._table.forwarding_peers(MAX_DIGEST_AGE_S)
 
-    def _choose(self, tried: Iterable[str]) -> digest_codec.Peer | None:
-        """Returns the best peer that was not tried, or None."""
+    def _choose(
+        self,
+        tried: Iterable[str],
+        may_pass: Callable[[str], bool] = lambda _: True,
+    ) -> digest_codec.Peer | None:
+        """Returns the best peer that was not tried, or None.
+
+        Args:
+            tried: Ids of peers that were tried.
+            may_pass: Returns whether the request may go over a peer in a data
+                centre.
+        """
         now = self._clock()
         candidates = [
             one
             for one in self._candidates()
             if one.peer.instance_id not in tried
+            and may_pass(one.peer.data_centre)
         ]
         if not self._secret.current or not candidates:
             return None
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -183,6 +183,7 @@
             return
         self._settings = settings
         self._requests.retry_budget.update_settings(settings)
+        self._known.region_rules.update_settings(settings)
         logger.info("settings reloaded", name=settings.instance_id)
 
     async def _stop_serving(
--- a/src/cardamomfork/_internal/gateway/queueing/scheduling.py
+++ b/src/cardamomfork/_internal/gateway/queueing/scheduling.py
@@ -76,15 +76,22 @@
     def demand_at(self, now: float) -> demands.Demand:
         """Returns the demand with the times left at a given time."""
         waited_s = now - self.enqueued_at
+        find_allowed = self.demand.find_allowed
         return attrs.evolve(
             self.demand,
+            allowed_data_centres=find_allowed()
+            if find_allowed is not None
+            else self.demand.allowed_data_centres,
             objective_left_s=self.demand.objective_left_s - waited_s,
             time_left_s=self.demand.time_left_s - waited_s,
         )
 
 
-_NoCapacityByGroup = dict[tuple[str, frozenset[str]], placement.NoCapacity]
-"""Results without capacity for any request, by service and excluded targets."""
+_NoCapacityByGroup = dict[
+    tuple[str, frozenset[str], frozenset[str] | None], placement.NoCapacity
+]
+"""Results without capacity for any request, by service, excluded targets and
+allowed data centres."""
 
 
 class Scheduler:
@@ -186,7 +193,11 @@
                 for any request; a new one is added.
         """
         demand = waiter.demand_at(now)
-        candidate_set = (demand.service.name, demand.excluded)
+        candidate_set = (
+            demand.service.name,
+            demand.excluded,
+            demand.allowed_data_centres,
+        )
         chosen = no_capacity.get(candidate_set) or self._placer.choose(
             demand, now
         )
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import http
 import itertools
 import math
@@ -32,6 +33,7 @@
     from cardamomfork._internal.gateway.queueing import retry_budget
     from cardamomfork._internal.gateway.state import load_view
     from cardamomfork._internal.gateway.state import rate_limits
+    from cardamomfork._internal.gateway.state import regions
     from cardamomfork._internal.gateway.state import target_statements
     from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.models import fleet
@@ -84,6 +86,7 @@
         clock: Callable[[], float],
         on_change: Callable[[], None],
         is_isolated: Callable[[], bool] = lambda: False,
+        rules: regions.RegionRules | None = None,
     ) -> None:
         """Initializes the forwarder.
 
@@ -104,6 +107,7 @@
             on_change: Called when a job of this instance changes state.
             is_isolated: Returns whether this instance is cut off from all
                 targets.
+            rules: Regions in which requests may be served; None for any.
         """
         self._wire = wire
         self._scheduler = scheduler
@@ -123,6 +127,7 @@
         self._permits = permits
         self._clock = clock
         self._on_change = on_change
+        self._region_rules = rules
         # Request ids of callers need not be unique.
         self._job_numbers = itertools.count()
 
@@ -190,8 +195,56 @@
             objective_left_s=late_at - now,
             time_left_s=exchange.deadline - now,
             excluded=frozenset(exchange.tried_target_ids),
+            allowed_data_centres=self._find_allowed(exchange),
+            find_allowed=functools.partial(self._find_allowed, exchange),
         )
 
+    def _find_allowed(
+        self, exchange: exchanges.Exchange
+    ) -> frozenset[str] | None:
+        """Returns the data centres that may serve a request; None for all."""
+        if self._region_rules is None:
+            return None
+        return self._region_rules.allowed_data_centres(
+            exchange.request, exchange.match
+        )
+
+    def _may_pass(self, exchange: exchanges.Exchange, data_centre: str) -> bool:
+        """Returns whether a request may go over a peer in a data centre."""
+        return self._region_rules is None or self._region_rules.may_pass(
+            exchange.request, exchange.match, data_centre
+        )
+
+    def _find_unwanted(
+        self,
+        exchange: exchanges.Exchange,
+        chosen: placement.Placement,
+        peer_data_centre: str = "",
+    ) -> str | None:
+        """Returns what must not get a request any more, or None.
+
+        Targets may have asked for a rest, orders and regions may have changed
+        since the choice.
+
+        Args:
+            exchange: The request.
+            chosen: Its placement.
+            peer_data_centre: Data centre of the peer that it is sent over;
+                empty if direct.
+        """
+        record = chosen.target.record
+        if not self._statements.wants_requests(record):
+            return record.target_id
+        allowed = self._find_allowed(exchange)
+        for one in (record, *(one.target.record for one in chosen.helpers)):
+            if self._table.is_evacuated(one) or (
+                allowed is not None and one.data_centre not in allowed
+            ):
+                return f"data centre of {one.target_id}"
+        if peer_data_centre and not self._may_pass(exchange, peer_data_centre):
+            return "region of the peer"
+        return None
+
     async def _attempt(
         self,
         exchange: exchanges.Exchange,
@@ -205,6 +258,9 @@
             return outcomes.Failed(
                 outcomes.Failure.RATE_LIMITED, record.target_id
             )
+        unwanted = self._find_unwanted(exchange, chosen)
+        if unwanted is not None:
+            return outcomes.Failed(outcomes.Failure.UNWANTED, unwanted)
         async with self._reserver.hold(chosen) as held:
             if held.refused_by:
                 exchange.tried_target_ids.update(held.refused_by)
@@ -229,6 +285,7 @@
             record,
             runs_once=not exchange.match.route.may_repeat,
             time_left_s=exchange.deadline - started_at,
+            may_pass=functools.partial(self._may_pass, exchange),
         )
         if isinstance(opened, result.Err):
             self._recorder.record(
@@ -241,14 +298,12 @@
         if block is not None and block.cause != exchange.trial:
             self._links.release(record, connection)
             return outcomes.Failed(outcomes.Failure.BLOCKED, "not sent")
-        if not self._statements.wants_requests(record):
-            self._links.release(record, connection)
-            return outcomes.Failed(outcomes.Failure.UNWANTED, record.target_id)
-        if not self._may_use_helpers(chosen):
+        unwanted = self._find_unwanted(
+            exchange, chosen, connection.peer_data_centre
+        )
+        if unwanted is not None:
             self._links.release(record, connection)
-            return outcomes.Failed(
-                outcomes.Failure.UNWANTED, "a helper's data centre"
-            )
+            return outcomes.Failed(outcomes.Failure.UNWANTED, unwanted)
         exchange.sent_attempts += 1
         exchange.possible_runs += 1
         writing = _Writing()
@@ -271,13 +326,6 @@
             await self._detector.wait_for_check(record)
         return outcome
 
-    def _may_use_helpers(self, chosen: placement.Placement) -> bool:
-        """Returns whether all helpers may still get new work."""
-        return not any(
-            self._table.is_evacuated(helper.target.record)
-            for helper in chosen.helpers
-        )
-
     async def _run_attempt(
         self,
         exchange: exchanges.Exchange,
--- a/src/cardamomfork/_internal/gateway/state/routes.py
+++ b/src/cardamomfork/_internal/gateway/state/routes.py
@@ -33,6 +33,8 @@
             needs none.
         priority: Priority; 0 goes first.
         version: Version of the configuration.
+        allowed_regions: Regions in which the request may be served, by route
+            and account; None for any.
     """
 
     route: fleet.Route
@@ -40,6 +42,7 @@
     account: fleet.ClientAccount | None
     priority: int
     version: int
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def account_name(self) -> str:
@@ -95,9 +98,24 @@
                 account,
                 priority,
                 self._configuration.version,
+                _common_regions(route, account),
             )
         )
 
+    def allowed_regions(
+        self, request: forwarding.CallerRequest, match: Match
+    ) -> frozenset[str] | None:
+        """Returns the regions in which a request may be served; None for any.
+
+        Args:
+            request: The request.
+            match: The configuration at its arrival, which counts for a route or
+                an account that this one lacks.
+        """
+        route = self._find_route(request.host, request.path) or match.route
+        account = self._accounts.get(request.api_key) or match.account
+        return _common_regions(route, account)
+
     def _find_route(self, host: str, path: str) -> fleet.Route | None:
         """Returns the route with the longest matching prefix."""
         prefix_end = path.rfind("/")
@@ -126,3 +144,15 @@
             weights = [share.weight for share in shares]
             service_name = rng.choices(shares, weights)[0].service
         return self._configuration.services[service_name]
+
+
+def _common_regions(
+    route: fleet.Route, account: fleet.ClientAccount | None
+) -> frozenset[str] | None:
+    """Returns the regions that route and account both allow; None for any."""
+    by_account = account.allowed_regions if account is not None else None
+    if route.allowed_regions is None:
+        return by_account
+    if by_account is None:
+        return route.allowed_regions
+    return route.allowed_regions & by_account
--- a/src/cardamomfork/_internal/gateway/state/target_table.py
+++ b/src/cardamomfork/_internal/gateway/state/target_table.py
@@ -217,19 +217,20 @@
         """Returns whether a target's data centre must get no new work."""
         return self._evacuations.excludes(record.data_centre)
 
-    def is_service_evacuated(self, service: str) -> bool:
-        """Returns whether all data centres of a service are in evacuation.
+    def are_evacuated(self, data_centres: Iterable[str]) -> bool:
+        """Returns whether all of some data centres must get no new work."""
+        return all(map(self._evacuations.excludes, data_centres))
 
-        Targets that are leaving don't count, since they get no work anyway.
+    def staying_data_centres(self, service: str) -> frozenset[str]:
+        """Returns the data centres of a service's targets that don't leave.
+
+        Targets that are leaving get no work anyway.
         """
-        if self._evacuations.is_unrestricted:
-            return False
-        staying = [
-            target.record
+        return frozenset(
+            target.record.data_centre
             for target in self._by_service.get(service, {}).values()
             if not target.record.is_leaving
-        ]
-        return bool(staying) and all(map(self.is_evacuated, staying))
+        )
 
     def count_service(self, service: str) -> int:
         """Returns the number of known targets of a service."""
--- a/src/cardamomfork/_internal/gateway/wiring/known_state.py
+++ b/src/cardamomfork/_internal/gateway/wiring/known_state.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import regions
 from cardamomfork._internal.gateway.state import stopping
 from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.gateway.wiring import notifications
@@ -41,6 +42,7 @@
         target_table: The known targets.
         load_view: The load of each target.
         fleet_state: Configuration and targets, and the age of both.
+        region_rules: Regions in which requests may be served.
         poison_guard: Records of requests that crash targets.
         local_peer: This instance.
         peer_table: The other instances.
@@ -57,6 +59,7 @@
     target_table: target_table.TargetTable
     load_view: load_view.LoadView
     fleet_state: fleet_state.FleetState
+    region_rules: regions.RegionRules
     poison_guard: poison_guard.PoisonGuard
     local_peer: digest_codec.Peer
     peer_table: peer_table.PeerTable
@@ -111,6 +114,7 @@
         settings.peer_port,
     )
     peers = peer_table.PeerTable(local_peer, clock)
+    state = fleet_state.FleetState(wire, targets, clock, orders)
     known = KnownState(
         settings=settings,
         wire=wire,
@@ -121,7 +125,8 @@
         evacuations=orders,
         target_table=targets,
         load_view=load_view.LoadView(),
-        fleet_state=fleet_state.FleetState(wire, targets, clock, orders),
+        fleet_state=state,
+        region_rules=regions.RegionRules(settings, lambda: state.routes),
         poison_guard=poison_guard.PoisonGuard(
             lambda fingerprint: peers.find_owner(f"{fingerprint:x}") is None
         ),
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -197,6 +197,7 @@
         known.clock,
         known.notifications.capacity_changed,
         lambda: targets.access.reach.is_isolated,
+        known.region_rules,
     )
 
 
--- a/src/cardamomfork/_internal/models/fleet.py
+++ b/src/cardamomfork/_internal/models/fleet.py
@@ -99,6 +99,7 @@
         needs_key: Whether callers must send an API key.
         may_resume: Whether a stream may be resumed at another target.
         max_gap_s: Longest pause between events; 0 for no limit.
+        allowed_regions: Regions in which requests may be served; None for any.
     """
 
     name: str
@@ -113,6 +114,7 @@
     needs_key: bool
     may_resume: bool
     max_gap_s: float
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -130,11 +132,14 @@
         name: Name of the account; also sent to targets.
         api_keys: API keys of its callers.
         priority: Priority that overrides the route's; None if unset.
+        allowed_regions: Regions in which its requests may be served; None for
+            any.
     """
 
     name: str
     api_keys: tuple[str, ...]
     priority: int | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 @attrs.frozen
@@ -218,6 +223,8 @@
         max_reservation_s: Longest time for which engine memory may be reserved.
         evacuate_s: Time within which requests to a data centre in evacuation
             must stop; None if evacuations are not observed.
+        region: Region in which it runs; empty if unknown.
+        regions: Region of each data centre.
     """
 
     instance_id: str
@@ -239,3 +246,5 @@
     retry_window_s: float = 10.0
     max_reservation_s: float = 20.0
     evacuate_s: float | None = None
+    region: str = ""
+    regions: dict[str, str] = attrs.field(factory=dict)
--- a/src/cardamomfork/_internal/models/forwarding.py
+++ b/src/cardamomfork/_internal/models/forwarding.py
@@ -49,6 +49,8 @@
         generation: Size of a model request; None for other requests.
         shared_parts: Ids of the parts of its prompt that other requests may
             share, in order.
+        region: Region of the caller; empty if unknown. No header of the
+            platform states it.
     """
 
     request_id: str
@@ -62,6 +64,7 @@
     last_event_id: int | None = None
     generation: Generation | None = None
     shared_parts: tuple[str, ...] = ()
+    region: str = ""
 
 
 @attrs.frozen
--- a/src/cardamomfork/_internal/platform/configuration_format.py
+++ b/src/cardamomfork/_internal/platform/configuration_format.py
@@ -73,6 +73,7 @@
     stream_resume: bool = False
     target_gap_ms: float = 0.0
     """Maximum pause between stream events; a limit, not an objective."""
+    allowed_regions: list[str] | None = None
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
@@ -81,6 +82,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -135,7 +137,10 @@
             },
             accounts=tuple(
                 fleet.ClientAccount(
-                    tenant.name, tuple(tenant.api_keys), tenant.priority
+                    tenant.name,
+                    tuple(tenant.api_keys),
+                    tenant.priority,
+                    _make_regions(tenant.allowed_regions),
                 )
                 for tenant in configuration.tenants
             ),
@@ -178,9 +183,15 @@
         needs_key=not route.allow_anonymous,
         may_resume=route.stream_resume,
         max_gap_s=route.target_gap_ms / MS_PER_S,
+        allowed_regions=_make_regions(route.allowed_regions),
     )
 
 
+def _make_regions(names: list[str] | None) -> frozenset[str] | None:
+    """Returns the allowed regions; None for any, if none is named."""
+    return frozenset(names) if names else None
+
+
 def _make_cost_model(engine: _Engine | None) -> fleet.EngineCostModel | None:
     """Returns an engine's cost model; None for a plain service."""
     if engine is None or engine.kv_capacity <= 0:
--- a/src/cardamomfork/_internal/platform/node_settings.py
+++ b/src/cardamomfork/_internal/platform/node_settings.py
@@ -89,6 +89,11 @@
         retry_window_s=float(bounds.get("budgetWindowS", 10)),
         max_reservation_s=float(bounds.get("holdMaxMs", 20_000)) / MS_PER_S,
         evacuate_s=_decode_bound(bounds.get("evacuateMs")),
+        region=str(table.get("region", "")),
+        regions={
+            str(data_centre): str(region)
+            for data_centre, region in dict(table.get("zones", {})).items()
+        },
     )
 
 
--- a/src/cardamomfork/_internal/standins/platform_site.py
+++ b/src/cardamomfork/_internal/standins/platform_site.py
@@ -73,6 +73,7 @@
     data_centre: str = DATA_CENTRE,
     stop_grace_s: float = 8.0,
     evacuate_ms: int = 0,
+    regions: dict[str, str] | None = None,
 ) -> str:
     """Returns the contents of an instance's settings file.
 
@@ -83,16 +84,22 @@
         data_centre: Data centre that it runs in.
         stop_grace_s: Time from SIGTERM to SIGKILL, in seconds.
         evacuate_ms: Bound for evacuations, in milliseconds; 0 for none.
+        regions: Region of each data centre; None if the file states none.
     """
+    zones = "".join(
+        f'"{zone}" = "{region}"\n' for zone, region in (regions or {}).items()
+    )
+    own_region = (regions or {}).get(data_centre, "")
     bounds = f"evacuateMs = {evacuate_ms}\n" if evacuate_ms else ""
     return (
         f'nodeName = "{name}"\nzone = "{data_centre}"\n'
+        f'region = "{own_region}"\n'
         f"portRange = [{ports.peers},{ports.peers}]\n"
         f'[listen]\nfront = "{HOST}:{ports.callers}"\n'
         f'readyAddr = "{HOST}:{ports.readiness}"\n'
         f'[platform]\naddress = "{store_address}"\n'
         f"[bounds]\ngraceS = {stop_grace_s:.0f}\n{bounds}"
-        f"[metrics]\nport = {ports.metrics}\n"
+        f"[metrics]\nport = {ports.metrics}\n[zones]\n{zones}"
     )
 
 
@@ -107,6 +114,7 @@
     routes: tuple[Route, ...],
     services: tuple[dict[str, Any], ...],
     accounts: dict[str, list[str]],
+    allowed_regions: dict[str, list[str]] | None = None,
 ) -> bytes:
     """Encodes a configuration in the operators' format.
 
@@ -115,6 +123,8 @@
         routes: Routes.
         services: Services in the platform's format.
         accounts: API keys by client account; if empty, no key is required.
+        allowed_regions: Allowed regions by client account; those without any
+            may be served anywhere.
     """
     return msgspec.json.encode(
         {
@@ -137,7 +147,11 @@
             ],
             "services": list(services),
             "tenants": [
-                {"name": name, "apiKeys": keys}
+                {
+                    "name": name,
+                    "apiKeys": keys,
+                    "allowedRegions": (allowed_regions or {}).get(name),
+                }
                 for name, keys in accounts.items()
             ],
         }
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -27,6 +27,7 @@
 from cardamomfork._internal.platform import wire_format
 from tests.lib import gateway_parts
 from tests.lib import scripted_target
+from tests.unit import test_gateway_regions
 
 Act = scripted_target.Action
 answer = scripted_target.answer
@@ -240,6 +241,85 @@
         self.assertTrue(all(sink.is_whole for sink, _ in results))
 
 
+class RegionTest(unittest.TestCase):
+    def send_while_regions_change(self, change, script):
+        """Sends a request to targets in two regions, of which one is allowed.
+
+        Args:
+            change: Called with the rules, the fixture and the targets before.
+            script: Script of both targets.
+
+        Returns:
+            The sink, the final answer and the requests that each target saw.
+        """
+
+        async def scenario(fixture, targets):
+            rules = test_gateway_regions.Rules(frozenset({"east"}))
+            fixture.forwarder._region_rules = rules.rules
+            for number, data_centre in enumerate("ab"):
+                fixture.parts.table.put(
+                    gateway_parts.make_record(
+                        number,
+                        port=targets[number].port,
+                        data_centre=data_centre,
+                    )
+                )
+            change(rules, fixture)
+            sink, final = await fixture.send()
+            return sink, final, [target.requests for target in targets]
+
+        return run_scenario(scenario, script, script)
+
+    def test_change_between_placement_and_sending_is_kept(self):
+        def change(rules, fixture):
+            acquire = fixture.pool.acquire
+
+            async def acquire_late(record, **options):
+                opened = await acquire(record, **options)
+                rules.table = test_gateway_regions.make_table(
+                    frozenset({"west"}), None, 2
+                )
+                return opened
+
+            fixture.pool.acquire = acquire_late
+
+        sink, _, seen = self.send_while_regions_change(
+            change, lambda r: [stream(r, 1, 2)]
+        )
+        self.assertTrue(sink.is_whole)
+        self.assertEqual([len(one) for one in seen], [0, 1])
+
+    def send_broken(self, allowed):
+        """Breaks a stream off while the regions change."""
+        changed = []
+
+        def script(request):
+            if not request.header("last-event-id"):
+                changed[0].table = test_gateway_regions.make_table(
+                    frozenset(allowed), None, 2
+                )
+                return [stream(request, 1, 3, ends=False), 0.05, Act.RESET]
+            first = int(request.header("last-event-id")) + 1
+            return [stream(request, first, 6)]
+
+        return self.send_while_regions_change(
+            lambda rules, _: changed.append(rules), script
+        )
+
+    def test_stream_is_resumed_in_the_regions_of_that_time(self):
+        sink, _, seen = self.send_broken({"west"})
+        self.assertTrue(sink.is_whole)
+        self.assertEqual([len(one) for one in seen], [1, 1])
+
+    def test_stream_is_not_resumed_outside_of_the_allowed_regions(self):
+        sink, final, seen = self.send_broken({"south"})
+        self.assertFalse(sink.is_whole)
+        self.assertEqual(final.reason, "no target is in an allowed region")
+        # It may have run, so it must not be called "not run".
+        self.assertEqual(final.status, 502)
+        self.assertEqual([len(one) for one in seen], [1, 0])
+
+
 class CrashingRequestTest(unittest.TestCase):
     def test_crashes_of_targets_that_no_other_request_meets_are_counted(self):
         listening = []
--- a/tests/functional/test_peer_forwarding.py
+++ b/tests/functional/test_peer_forwarding.py
@@ -18,6 +18,7 @@
 from tests.lib import forwarding_peers
 from tests.lib import gateway_parts
 from tests.lib import scripted_target
+from tests.unit import test_gateway_regions
 
 Act = scripted_target.Action
 answer = scripted_target.answer
@@ -287,6 +288,39 @@
         isolated.hear(near, open_requests=penalty + 10)
         self.assertEqual({choose(()) for _ in range(20)}, {far})
 
+    def test_body_goes_only_to_peers_that_its_regions_allow(self):
+        # Guards against a body that leaves the allowed regions over the peer
+        # that has the fewest requests, or over an idle connection.
+        isolated = forwarding_peers.IsolatedInstance()
+        near = forwarding_peers.Peer("near", []).address
+        far = forwarding_peers.Peer("far", [], "b").address
+        isolated.hear(near)
+        isolated.hear(far)
+        choose = isolated.client._choose
+        self.assertEqual(
+            {choose((), lambda one: one == "b") for _ in range(20)}, {far}
+        )
+        self.assertIsNone(choose(("far",), lambda one: one == "b"))
+
+    def test_request_that_no_peer_may_carry_is_refused_with_nothing_sent(self):
+        async def scenario(fixture, isolated, peers, targets):
+            fixture.forwarder._region_rules = test_gateway_regions.Rules(
+                frozenset({"west"})
+            ).rules
+            for number, target in enumerate(targets):
+                fixture.parts.table.put(
+                    gateway_parts.make_record(
+                        number, port=target.port, data_centre="b"
+                    )
+                )
+            _, final = await fixture.send()
+            return final, len(targets[0].requests)
+
+        # The peers are in data centre "a", whose region is "east".
+        final, count = run_over_peers(scenario, lambda r: [stream(r, 1, 3)])
+        self.assertEqual((final.status, count), (503, 0))
+        self.assertIn("cut off from all targets", final.reason)
+
 
 class AdmissionTest(unittest.TestCase):
     def ask(self, change, *, secret=forwarding_peers.SECRET, size=0):
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -135,6 +135,8 @@
 
     evacuate_ms = 0
     """Bound for evacuations in the settings of instances; 0 for none."""
+    regions = None
+    """Region of each data centre in these settings."""
 
     def __init__(self, seed, instances, engines, ledgers):
         self.rng = random.Random(seed)
@@ -161,6 +163,7 @@
             self._add_entry(f"entry-{number}")
         self.version = 0
         self.keys = {"depot": ["key-1"]}
+        self.allowed_regions = {}
         self.changes = []
         self._client = None
 
@@ -203,7 +206,11 @@
         """Writes a new configuration version to the store."""
         self.version += self.rng.randint(1, 4)
         value = platform_site.make_configuration(
-            self.version, ROUTES, SERVICES, self.keys
+            self.version,
+            ROUTES,
+            SERVICES,
+            self.keys,
+            self.allowed_regions,
         )
         await platform_site.publish(self._client, value)
         self.changes.append((time.monotonic(), dict(self.keys)))
@@ -270,6 +277,7 @@
                 data_centre=self.data_centre_of(name),
                 stop_grace_s=STOP_GRACE_S,
                 evacuate_ms=self.evacuate_ms,
+                regions=self.regions,
             )
         )
         self.entries[name] = self._make_entry(name, path)
