--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -183,6 +183,7 @@
             return
         self._settings = settings
         self._requests.retry_budget.update_settings(settings)
+        self._known.region_rules.update_settings(settings)
         logger.info("settings reloaded", name=settings.instance_id)
 
     async def _stop_serving(
@@ -224,6 +225,7 @@
             "blocked_requests": state_dump.dump_blocked(
                 self._known.poison_guard, now
             ),
+            "evacuations": state_dump.dump_evacuations(self._known.evacuations),
             "targets": state_dump.dump_targets(
                 self._known.target_table, self._known.load_view, now
             ),
--- a/src/cardamomfork/_internal/gateway/wiring/known_state.py
+++ b/src/cardamomfork/_internal/gateway/wiring/known_state.py
@@ -12,8 +12,10 @@
 from cardamomfork._internal.gateway.crashes import poison_guard
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import regions
 from cardamomfork._internal.gateway.state import stopping
 from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.gateway.wiring import notifications
@@ -36,9 +38,11 @@
         clock: Monotonic time.
         rng: Random generator.
         notifications: Changes that concern several sides.
+        evacuations: Data centres that must get no new work.
         target_table: The known targets.
         load_view: The load of each target.
         fleet_state: Configuration and targets, and the age of both.
+        region_rules: Regions in which requests may be served.
         poison_guard: Records of requests that crash targets.
         local_peer: This instance.
         peer_table: The other instances.
@@ -51,9 +55,11 @@
     clock: Callable[[], float]
     rng: random.Random
     notifications: notifications.Notifications
+    evacuations: evacuations.Evacuations
     target_table: target_table.TargetTable
     load_view: load_view.LoadView
     fleet_state: fleet_state.FleetState
+    region_rules: regions.RegionRules
     poison_guard: poison_guard.PoisonGuard
     local_peer: digest_codec.Peer
     peer_table: peer_table.PeerTable
@@ -94,7 +100,13 @@
     clock = time.monotonic
     rng = random.Random()
     notify = notifications.Notifications()
-    targets = target_table.TargetTable(notify.target_ended, rng.getrandbits(32))
+    orders = evacuations.Evacuations(
+        is_enabled=settings.evacuate_s is not None,
+        on_change=notify.evacuations_changed,
+    )
+    targets = target_table.TargetTable(
+        notify.target_ended, rng.getrandbits(32), orders
+    )
     local_peer = digest_codec.Peer(
         settings.instance_id,
         settings.data_centre,
@@ -102,6 +114,7 @@
         settings.peer_port,
     )
     peers = peer_table.PeerTable(local_peer, clock)
+    state = fleet_state.FleetState(wire, targets, clock, orders)
     known = KnownState(
         settings=settings,
         wire=wire,
@@ -109,9 +122,11 @@
         clock=clock,
         rng=rng,
         notifications=notify,
+        evacuations=orders,
         target_table=targets,
         load_view=load_view.LoadView(),
-        fleet_state=fleet_state.FleetState(wire, targets, clock),
+        fleet_state=state,
+        region_rules=regions.RegionRules(settings, lambda: state.routes),
         poison_guard=poison_guard.PoisonGuard(
             lambda fingerprint: peers.find_owner(f"{fingerprint:x}") is None
         ),
--- a/src/cardamomfork/_internal/standins/platform_site.py
+++ b/src/cardamomfork/_internal/standins/platform_site.py
@@ -72,16 +72,34 @@
     *,
     data_centre: str = DATA_CENTRE,
     stop_grace_s: float = 8.0,
+    evacuate_ms: int = 0,
+    regions: dict[str, str] | None = None,
 ) -> str:
-    """Returns the contents of an instance's settings file."""
+    """Returns the contents of an instance's settings file.
+
+    Args:
+        name: Name of the instance.
+        ports: Its ports.
+        store_address: Address of the store.
+        data_centre: Data centre that it runs in.
+        stop_grace_s: Time from SIGTERM to SIGKILL, in seconds.
+        evacuate_ms: Bound for evacuations, in milliseconds; 0 for none.
+        regions: Region of each data centre; None if the file states none.
+    """
+    zones = "".join(
+        f'"{zone}" = "{region}"\n' for zone, region in (regions or {}).items()
+    )
+    own_region = (regions or {}).get(data_centre, "")
+    bounds = f"evacuateMs = {evacuate_ms}\n" if evacuate_ms else ""
     return (
         f'nodeName = "{name}"\nzone = "{data_centre}"\n'
+        f'region = "{own_region}"\n'
         f"portRange = [{ports.peers},{ports.peers}]\n"
         f'[listen]\nfront = "{HOST}:{ports.callers}"\n'
         f'readyAddr = "{HOST}:{ports.readiness}"\n'
         f'[platform]\naddress = "{store_address}"\n'
-        f"[bounds]\ngraceS = {stop_grace_s:.0f}\n"
-        f"[metrics]\nport = {ports.metrics}\n"
+        f"[bounds]\ngraceS = {stop_grace_s:.0f}\n{bounds}"
+        f"[metrics]\nport = {ports.metrics}\n[zones]\n{zones}"
     )
 
 
@@ -96,6 +114,7 @@
     routes: tuple[Route, ...],
     services: tuple[dict[str, Any], ...],
     accounts: dict[str, list[str]],
+    allowed_regions: dict[str, list[str]] | None = None,
 ) -> bytes:
     """Encodes a configuration in the operators' format.
 
@@ -104,6 +123,8 @@
         routes: Routes.
         services: Services in the platform's format.
         accounts: API keys by client account; if empty, no key is required.
+        allowed_regions: Allowed regions by client account; those without any
+            may be served anywhere.
     """
     return msgspec.json.encode(
         {
@@ -126,7 +147,11 @@
             ],
             "services": list(services),
             "tenants": [
-                {"name": name, "apiKeys": keys}
+                {
+                    "name": name,
+                    "apiKeys": keys,
+                    "allowedRegions": (allowed_regions or {}).get(name),
+                }
                 for name, keys in accounts.items()
             ],
         }
@@ -162,12 +187,14 @@
     raise TimeoutError("the store accepted no write of the configuration")
 
 
-def make_entry(service: str, port: int, slots: int) -> dict[str, Any]:
+def make_entry(
+    service: str, port: int, slots: int, data_centre: str = DATA_CENTRE
+) -> dict[str, Any]:
     """Returns the entry with which a target registers."""
     return {
         "service": service,
         "address": f"{HOST}:{port}",
-        "zone": DATA_CENTRE,
+        "zone": data_centre,
         "version": "v1",
         "slots": slots,
         "coldRemainingMs": 0,
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -133,6 +133,11 @@
         ledgers: Number of targets of the ledger service.
     """
 
+    evacuate_ms = 0
+    """Bound for evacuations in the settings of instances; 0 for none."""
+    regions = None
+    """Region of each data centre in these settings."""
+
     def __init__(self, seed, instances, engines, ledgers):
         self.rng = random.Random(seed)
         self._port_lock, base = _reserve_ports()
@@ -158,6 +163,7 @@
             self._add_entry(f"entry-{number}")
         self.version = 0
         self.keys = {"depot": ["key-1"]}
+        self.allowed_regions = {}
         self.changes = []
         self._client = None
 
@@ -200,7 +206,11 @@
         """Writes a new configuration version to the store."""
         self.version += self.rng.randint(1, 4)
         value = platform_site.make_configuration(
-            self.version, ROUTES, SERVICES, self.keys
+            self.version,
+            ROUTES,
+            SERVICES,
+            self.keys,
+            self.allowed_regions,
         )
         await platform_site.publish(self._client, value)
         self.changes.append((time.monotonic(), dict(self.keys)))
@@ -229,10 +239,12 @@
     async def _store_answers(self):
         return (await self._client.scan("op/")).is_ok()
 
-    def _add_target(self, name, service):
+    def _add_target(self, name, service, *options):
         port, advertised = next(self._ports), next(self._ports)
         self.proxies[name] = proxy.Proxy(advertised, port, self.rng)
-        self.targets[name] = self._make_target(name, service, port, advertised)
+        self.targets[name] = self._make_target(
+            name, service, port, advertised, *options
+        )
 
     def _make_target(self, name, service, port, advertised, *options):
         return Process(
@@ -264,6 +276,8 @@
                 f"{HOST}:{self.proxies[proxy_name].port}",
                 data_centre=self.data_centre_of(name),
                 stop_grace_s=STOP_GRACE_S,
+                evacuate_ms=self.evacuate_ms,
+                regions=self.regions,
             )
         )
         self.entries[name] = self._make_entry(name, path)
