--- a/src/cardamomfork/_internal/gateway/serving/application.py
+++ b/src/cardamomfork/_internal/gateway/serving/application.py
@@ -432,7 +432,7 @@
             body = digest_codec.encode_configuration(stored)
             await _send_response(send, http.HTTPStatus.OK, body)
             return
-        if self._compressed is None or self._compressed[0] is not stored:
+        if self._compressed is None or self._compressed[0] != stored:
             body = digest_codec.encode_configuration(stored)
             self._compressed = (stored, configuration_fetching.compress(body))
         await _send_response(
