--- a/tests/unit/test_gateway_application.py
+++ b/tests/unit/test_gateway_application.py
@@ -69,7 +69,13 @@
         self.state.apply_configuration(value, 5, "store")
 
     def send_request(
-        self, *, path=b"/a/x", key=b"k1", bodies=(b"ask",), extra=()
+        self,
+        *,
+        path=b"/a/x",
+        key=b"k1",
+        bodies=(b"ask",),
+        extra=(),
+        configured_after_s=None,
     ):
         """Sends one request; returns its status, headers and the forwarder."""
         sent = []
@@ -114,7 +120,11 @@
                 "headers": headers,
                 "extensions": {caller_protocol.RAW_TARGET: path},
             }
-            await app(scope, receive, send)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(app, scope, receive, send)
+                if configured_after_s is not None:
+                    await anyio.sleep(configured_after_s)
+                    self.apply_configuration()
             self.assertEqual(app.in_progress, 0)
             return forwarder
 
@@ -126,6 +136,12 @@
         self.assertEqual(status, 503)
         self.assertIn(b"retry-after", headers)
 
+    def test_request_waits_for_the_first_configuration(self):
+        # All instances start at once after a loss of power, and a caller that
+        # is refused by one has no retry left.
+        _, _, forwarder = self.send_request(configured_after_s=0.1)
+        self.assertEqual(len(forwarder.exchanges), 1)
+
     def test_final_answer_carries_retry_after(self):
         self.apply_configuration()
         status, headers, forwarder = self.send_request()
