--- a/src/cardamomfork/_internal/gateway/serving/application.py
+++ b/src/cardamomfork/_internal/gateway/serving/application.py
@@ -44,11 +44,10 @@
 """Share of the process's memory that buffered request bodies may use."""
 RETRY_AFTER_OVERLOAD_S = 1.0
 STARTUP_WAIT_S = 0.8
-"""Time for which a request waits for the first configuration of an instance that
-has just started. Callers have one retry, and it often meets an instance that
-started at the same moment as the others; they give up on an instance that has
-not read a request after 1 s."""
-STARTUP_CHECK_INTERVAL_S = 0.02
+"""Time for which a request waits for the first configuration of an instance
+that has just started. Callers have one retry, and it often meets an instance
+that started at the same moment as the others; they give up on an instance that
+has not read a request after 1 s."""
 RETRY_AFTER_STARTUP_S = 0.5
 """Sent while the instance has not received a configuration yet."""
 RETRY_AFTER_STOPPING_S = 0.05
@@ -248,8 +247,7 @@
         if self._state.routes is not None:
             return
         with anyio.move_on_after(STARTUP_WAIT_S):
-            while self._state.routes is None and not self._stop.is_stopping:
-                await anyio.sleep(STARTUP_CHECK_INTERVAL_S)
+            await self._state.wait_until_configured()
 
     def _admit(
         self, request: forwarding_models.CallerRequest, scope: dict[str, Any]
--- a/src/cardamomfork/_internal/gateway/state/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/state/fleet_state.py
@@ -9,6 +9,7 @@
 import math
 from typing import TYPE_CHECKING
 
+import anyio
 import attrs
 from loguru import logger
 import result
@@ -74,6 +75,7 @@
         self._clock = clock
         self._stored: StoredConfiguration | None = None
         self._routes: routes.RouteTable | None = None
+        self._configured = anyio.Event()
         self._applied_at = 0.0
         self._has_targets = False
         self._store_lost_at: float | None = None
@@ -130,6 +132,10 @@
         """Seconds since the configuration was applied."""
         return self._clock() - self._applied_at
 
+    async def wait_until_configured(self) -> None:
+        """Waits for the first configuration."""
+        await self._configured.wait()
+
     def apply_configuration(
         self, value: bytes, revision: int, origin: str
     ) -> bool:
@@ -168,6 +174,7 @@
             return False
         self._stored = StoredConfiguration(value, revision)
         self._routes = routes.RouteTable(decoded_configuration)
+        self._configured.set()
         self._applied_at = self._clock()
         logger.info(
             "configuration applied",
