Decode what targets and operators state about cold targets

Callers saw targets that had just started crash again: instances sent them as much as warm ones, since they did not read how long a target is cold and what it handles meanwhile.

Cause: `coldRemainingMs` of entries, `coldStartS` and `coldPerS` of services, the header `X-Cardamomfork-Cold-Ms` and the bounds `coldOver` and `coldSlack` were dropped by the decoders.

Change: they are decoded. Nothing uses them yet.

--- a/src/cardamomfork/_internal/models/fleet.py
+++ b/src/cardamomfork/_internal/models/fleet.py
@@ -66,11 +66,16 @@
         max_connections: Connections that a target accepts, from all callers
             together.
         cost_model: Cost model of its engines; None for a plain service.
+        cold_start_s: Time for which a target is cold after its start.
+        cold_per_s: Requests a second that a cold target handles, from all
+            instances together; 0 if its targets are never cold.
     """
 
     name: str
     max_connections: int
     cost_model: EngineCostModel | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -180,6 +185,8 @@
         slots: Requests that it processes concurrently.
         is_leaving: Whether it accepts no new work.
         started_at_ms: Time of its start, in Unix milliseconds; 0 if unknown.
+        cold_remaining_s: Time for which the target was still cold when it wrote
+            the record, or None if the record doesn't state it.
     """
 
     target_id: str
@@ -190,6 +197,7 @@
     slots: int
     is_leaving: bool
     started_at_ms: int = 0
+    cold_remaining_s: float | None = None
 
 
 @attrs.frozen
@@ -216,6 +224,9 @@
         retry_reserve: Retries that a service may get in addition to that.
         retry_window_s: Window over which requests and retries are counted.
         max_reservation_s: Longest time for which engine memory may be reserved.
+        cold_ratio: Requests that may reach a cold target within a second, as a
+            ratio of those that it handles.
+        cold_reserve: Requests that may reach it in addition to that.
     """
 
     instance_id: str
@@ -236,3 +247,5 @@
     retry_reserve: float = 100.0
     retry_window_s: float = 10.0
     max_reservation_s: float = 20.0
+    cold_ratio: float = 1.5
+    cold_reserve: float = 5.0
--- a/src/cardamomfork/_internal/models/forwarding.py
+++ b/src/cardamomfork/_internal/models/forwarding.py
@@ -159,6 +159,8 @@
         is_leaving: Whether it states that the target's process is about to
             end.
         peer_fault: Why a peer has answered instead of the target, or None.
+        cold_remaining_s: Time for which the target states that it is cold; 0
+            if it states that it is not, None if it states neither.
     """
 
     status: int
@@ -174,6 +176,7 @@
     retry_after_s: float | None = None
     is_leaving: bool = False
     peer_fault: PeerFault | None = None
+    cold_remaining_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/src/cardamomfork/_internal/platform/configuration_format.py
+++ b/src/cardamomfork/_internal/platform/configuration_format.py
@@ -4,13 +4,16 @@
 
 from typing import Any
 
+from loguru import logger
 import msgspec
 import result
 
 from cardamomfork._internal.models import fleet
+from cardamomfork._internal.platform import numbers
 
 KEY = "op/config"
 MS_PER_S = 1000.0
+MAX_COLD_PER_S = 1e6
 TOKEN_PAIRS_PER_UNIT = 1e6
 CONTEXT_TOKENS_PER_UNIT = 1e3
 
@@ -47,6 +50,8 @@
     name: str
     max_connections: int = 64
     engine: _Engine | None = None
+    cold_start_s: Any = msgspec.field(name="coldStartS", default=None)
+    cold_per_s: Any = msgspec.field(name="coldPerS", default=None)
 
 
 class _Backend(msgspec.Struct):
@@ -130,6 +135,11 @@
                     service.name,
                     service.max_connections,
                     _make_cost_model(service.engine),
+                    min(
+                        _parse_field(service, "cold_start_s"),
+                        numbers.MAX_COLD_S,
+                    ),
+                    min(_parse_field(service, "cold_per_s"), MAX_COLD_PER_S),
                 )
                 for service in configuration.services
             },
@@ -148,6 +158,23 @@
     )
 
 
+def _parse_field(service: _Service, name: str) -> float:
+    """Returns a number of a service; 0 if it is absent or malformed."""
+    value = getattr(service, name)
+    if value is None:
+        return 0.0
+    number = numbers.parse(value)
+    if number is None:
+        logger.warning(
+            "malformed field",
+            name=name,
+            service=service.name,
+            detail=numbers.describe(value),
+        )
+        return 0.0
+    return number
+
+
 def _check_account_name(name: str) -> None:
     """Checks that an account name can be sent in a header.
 
--- a/src/cardamomfork/_internal/platform/headers.py
+++ b/src/cardamomfork/_internal/platform/headers.py
@@ -9,7 +9,10 @@
 import time
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from cardamomfork._internal.models import forwarding
+from cardamomfork._internal.platform import numbers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,6 +40,7 @@
 _BLAMED_TARGET = b"at-server"
 _REQUEST_RATE_LIMIT = b"server-limit"  # Requests a second, from all instances.
 _IS_LEAVING = b"server-leaving"  # 1: the target's process is about to end.
+_COLD = b"x-cardamomfork-cold-ms"  # Remaining time; 0: not cold.
 _RETRY_AFTER = b"retry-after"  # Seconds or a date.
 _API_KEY = b"api-key"
 _LAST_EVENT_ID = b"last-event-id"
@@ -150,6 +154,7 @@
             values.get(_RETRY_AFTER), values.get(b"date")
         ),
         is_leaving=values.get(_IS_LEAVING) == b"1",
+        cold_remaining_s=_parse_cold(values.get(_COLD)),
     )
 
 
@@ -187,8 +192,23 @@
     return max(seconds, 0.0) if math.isfinite(seconds) else None
 
 
+def _parse_cold(value: bytes | None) -> float | None:
+    """Parses the time for which a target is cold, in seconds."""
+    if value is None:
+        return None
+    milliseconds = _parse_rate(value)
+    if milliseconds is None:
+        logger.warning(
+            "malformed field",
+            name=_COLD.decode(),
+            detail=numbers.describe(value),
+        )
+        return None
+    return min(milliseconds / MS_PER_S, numbers.MAX_COLD_S)
+
+
 def _parse_rate(value: bytes | None) -> float | None:
-    """Parses a rate; None if absent, negative or malformed."""
+    """Parses a number; None if absent, negative or malformed."""
     try:
         rate = float(value or b"")
     except ValueError:
--- a/src/cardamomfork/_internal/platform/node_settings.py
+++ b/src/cardamomfork/_internal/platform/node_settings.py
@@ -7,8 +7,11 @@
 import tomllib
 from typing import Any
 
+from loguru import logger
+
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.models import fleet
+from cardamomfork._internal.platform import numbers
 
 PATH_VARIABLE = "CARDAMOMFORK_NODE_FILE"
 BYTES_PER_MEGABYTE = 1_000_000
@@ -88,9 +91,22 @@
         retry_reserve=float(bounds.get("retrySlack", 100)),
         retry_window_s=float(bounds.get("budgetWindowS", 10)),
         max_reservation_s=float(bounds.get("holdMaxMs", 20_000)) / MS_PER_S,
+        cold_ratio=_decode_bound(bounds, "coldOver", 1.5),
+        cold_reserve=_decode_bound(bounds, "coldSlack", 5.0),
     )
 
 
+def _decode_bound(bounds: dict[str, Any], name: str, default: float) -> float:
+    """Returns a bound; its default if it is absent or malformed."""
+    value = bounds.get(name)
+    number = numbers.parse(value)
+    if value is not None and number is None:
+        logger.warning(
+            "malformed field", name=name, detail=numbers.describe(value)
+        )
+    return default if number is None else number
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Splits an `IP:PORT` text into IP address and port.
 
--- a/src/cardamomfork/_internal/platform/target_entries.py
+++ b/src/cardamomfork/_internal/platform/target_entries.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+from loguru import logger
 import msgspec
 import result
 
 from cardamomfork._internal.models import fleet
 from cardamomfork._internal.platform import node_settings
+from cardamomfork._internal.platform import numbers
 
 PREFIX = "servers/"
+MS_PER_S = 1000.0
 
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -20,6 +25,8 @@
         zone: The target's data centre.
         version: Software version of the target.
         born: Start of the target's process, in Unix milliseconds.
+        cold_remaining_ms: Time for which the target is still cold, of any JSON
+            type, since a malformed one must not drop the entry.
     """
 
     service: str
@@ -29,6 +36,7 @@
     state: str
     version: str = ""
     born: int = 0
+    cold_remaining_ms: Any = None
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -56,5 +64,22 @@
             slots=max(entry.slots, 1),
             is_leaving=is_leaving,
             started_at_ms=entry.born,
+            cold_remaining_s=_decode_cold(target_id, entry.cold_remaining_ms),
         )
     )
+
+
+def _decode_cold(target_id: str, value: object) -> float | None:
+    """Returns the time for which a target is still cold, in seconds."""
+    if value is None:
+        return None
+    milliseconds = numbers.parse(value)
+    if milliseconds is None:
+        logger.warning(
+            "malformed field",
+            name="coldRemainingMs",
+            target_id=target_id,
+            detail=numbers.describe(value),
+        )
+        return None
+    return min(milliseconds / MS_PER_S, numbers.MAX_COLD_S)
--- a/tests/unit/test_platform_decoding.py
+++ b/tests/unit/test_platform_decoding.py
@@ -8,6 +8,7 @@
 import httptools
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import result
 
 from cardamomfork._internal.gateway.choice import demands
@@ -17,6 +18,7 @@
 from cardamomfork._internal.models import forwarding
 from cardamomfork._internal.platform import configuration_format
 from cardamomfork._internal.platform import headers
+from cardamomfork._internal.platform import node_settings
 from cardamomfork._internal.platform import store_messages
 from cardamomfork._internal.platform import target_entries
 from tests.lib import gateway_parts
@@ -50,6 +52,7 @@
         "host",
         "connection",
         "keep-alive",
+        "x-cardamomfork-cold-ms",
         "content-length",
         "transfer-encoding",
     )
@@ -93,6 +96,7 @@
     "slots": 6,
     "state": "ready",
     "born": 1,
+    "coldRemainingMs": 250,
 }
 CONFIGURATION = {
     "version": 3,
@@ -113,6 +117,8 @@
     "services": [
         {
             "name": "engines",
+            "coldStartS": 3,
+            "coldPerS": 23,
             "engine": {
                 "slots": 6,
                 "kvCapacity": 267_750,
@@ -172,6 +178,97 @@
         self.requests += 1
 
 
+COLD_VALUES = JSON | strategies.sampled_from(
+    (10**400, -(10**400), -0.5, 1e300, "12", "-1", "1e999", "\ud800", "1_0")
+)
+
+
+class ColdFieldsTest(unittest.TestCase):
+    """A malformed field must drop neither an entry nor a configuration."""
+
+    @seeds.STEADY
+    @hypothesis.given(COLD_VALUES)
+    def test_any_remaining_time_of_an_entry_is_bounded_or_absent(self, value):
+        data = json.dumps(ENTRY | {"coldRemainingMs": value}).encode()
+        decoded = target_entries.decode("servers/t1", data)
+        if decoded.is_err():
+            # Only what the JSON decoder itself refuses drops the entry.
+            with self.assertRaises(msgspec.DecodeError):
+                msgspec.json.decode(data)
+            return
+        remaining_s = decoded.ok_value.cold_remaining_s
+        if remaining_s is not None:
+            self.assertTrue(0 <= remaining_s <= 60, remaining_s)
+
+    @seeds.STEADY
+    @hypothesis.given(COLD_VALUES, COLD_VALUES)
+    def test_any_fields_of_a_service_are_bounded_or_absent(self, start, rate):
+        document = replace(CONFIGURATION, ("services", 0, "coldStartS"), start)
+        document = replace(document, ("services", 0, "coldPerS"), rate)
+        data = json.dumps(document).encode()
+        decoded = configuration_format.decode(data, 1)
+        if decoded.is_err():
+            with self.assertRaises(msgspec.DecodeError):
+                msgspec.json.decode(data)
+            return
+        service = decoded.ok_value.services["engines"]
+        self.assertTrue(0 <= service.cold_start_s <= 60)
+        self.assertTrue(0 <= service.cold_per_s <= 1e6)
+
+    @seeds.STEADY
+    @hypothesis.given(NUMBERS | VALUES)
+    def test_any_header_is_bounded_or_absent(self, value):
+        pairs = ((b"x-cardamomfork-cold-ms", value),)
+        remaining_s = headers.decode_answer(200, pairs).cold_remaining_s
+        if remaining_s is not None:
+            self.assertTrue(0 <= remaining_s <= 60, remaining_s)
+
+    @seeds.STEADY
+    @hypothesis.given(COLD_VALUES, COLD_VALUES)
+    def test_any_bound_of_the_settings_is_a_number(self, ratio, reserve):
+        table = {
+            "nodeName": "one",
+            "zone": "a",
+            "portRange": [1, 1],
+            "listen": {"front": "127.0.0.1:2", "readyAddr": "127.0.0.1:3"},
+            "platform": {"address": "127.0.0.1:4"},
+            "bounds": {"coldOver": ratio, "coldSlack": reserve},
+        }
+        settings = node_settings.decode(table)
+        for value in (settings.cold_ratio, settings.cold_reserve):
+            self.assertTrue(math.isfinite(value) and value >= 0, value)
+
+    def test_usual_values(self):
+        entry = target_entries.decode("servers/t1", json.dumps(ENTRY).encode())
+        self.assertEqual(entry.ok_value.cold_remaining_s, 0.25)
+        decoded = configuration_format.decode(
+            json.dumps(CONFIGURATION).encode(), 1
+        )
+        service = decoded.ok_value.services["engines"]
+        self.assertEqual((service.cold_start_s, service.cold_per_s), (3, 23))
+        for value, expected in (
+            (b"1500", 1.5),
+            (b"0", 0.0),
+            (b"-1", None),
+            (b"9999999", 60.0),
+        ):
+            head = headers.decode_answer(
+                503, ((b"x-cardamomfork-cold-ms", value),)
+            )
+            self.assertEqual(head.cold_remaining_s, expected)
+        fields = {
+            name: value
+            for name, value in ENTRY.items()
+            if name != "coldRemainingMs"
+        }
+        entry = target_entries.decode("servers/t1", json.dumps(fields).encode())
+        self.assertIsNone(entry.ok_value.cold_remaining_s)
+        for value in ("12", True, -1, [3], 10**400):
+            data = json.dumps(fields | {"coldRemainingMs": value}).encode()
+            entry = target_entries.decode("servers/t1", data)
+            self.assertIsNone(entry.ok_value.cold_remaining_s, value)
+
+
 class HeadersTest(unittest.TestCase):
     @seeds.STEADY
     @hypothesis.given(METHODS, TARGETS, HEADERS)
