Keep all instances together within the rate of a cold target

Callers of a service whose targets returned saw them crash under the first load: with, `coldPerS` 3 and 6 instances, 27 requests arrived in a second (9.5 are allowed).

Cause: each instance filled the free slots of a returned target on its own.

Change: `state/cold_targets.py` decides until when a process is cold: by the newest revision of its entry, by an answer, by a peer's report of an answer, or for `coldStartS` after a start that this instance sees. The limit in force of a cold target is the lower of `coldPerS` and what it names, so that placement, waits and permits treat it like a limited one. Warm targets are preferred by a cost. A digest without statements, and services without `coldPerS`, are as before.

--- a/src/cardamomfork/_internal/gateway/choice/candidate_sampling.py
+++ b/src/cardamomfork/_internal/gateway/choice/candidate_sampling.py
@@ -104,7 +104,10 @@
             and target.record.target_id not in demand.excluded
             and not self._table.rest_left_s(target.record, now)
         ]
-        if any(target.rate_limit is not None for target in drawn):
+        if any(
+            target.rate_limit is not None or target.is_cold(now)
+            for target in drawn
+        ):
             return None
         return Sample(drawn, is_random=is_short)
 
--- a/src/cardamomfork/_internal/gateway/choice/placement_costs.py
+++ b/src/cardamomfork/_internal/gateway/choice/placement_costs.py
@@ -71,6 +71,10 @@
 SAFE_SLACK_FRACTION = 0.3
 """Fraction of a reader's slack that a delay may use without a lateness cost."""
 MAX_FILL_POSITIONS = 8192
+COLD_COST = 0.3
+"""Cost of a cold target, as a multiple of the request's value, and for calls as
+a fraction of a target's slots. Warm targets are preferred until their load
+costs more than this; a request that is late loses 0.75 of its value."""
 FAILURE_COST = 2.0
 """Cost of a target whose attempts all fail, as a multiple of the request's
 value."""
@@ -209,6 +213,8 @@
             + self._max_random_cost * self._rng.random()
             + _fill_order_cost(cost_model, demand, candidate)
         )
+        if candidate.target.is_cold(now):
+            fixed_cost += COLD_COST * demand.value
         max_prefill_step_s = 0.0
         if load.writers:
             max_prefill_step_s = cost_model.steps_per_event * _max_chunk_s(
@@ -247,6 +253,7 @@
         return (
             candidate.load.running / record.slots
             + FAILURE_COST * candidate.target.decayed_failure_rate(now)
+            + (COLD_COST if candidate.target.is_cold(now) else 0.0)
             + (candidate.slowdown - 1.0)
             + self._remote_cost(candidate)
             + random_cost * self._rng.random()
--- a/src/cardamomfork/_internal/gateway/peers/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/digest_codec.py
@@ -12,6 +12,7 @@
 import result
 
 from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import crash_records
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
@@ -65,6 +66,8 @@
         exchanges_changes: Whether the sender exchanges changes in the store
             with peers.
         reaches_store: Whether the store answers the sender.
+        cold_targets: Statements in answers to the sender about the time for
+            which targets are cold.
     """
 
     sender: Peer
@@ -81,6 +84,7 @@
     open_requests: int = 0
     exchanges_changes: bool = False
     reaches_store: bool = False
+    cold_targets: tuple[cold_targets.ColdReport, ...] = ()
 
 
 @functools.cache
@@ -123,6 +127,13 @@
         limits[index].requestsPerS = limit.requests_per_s
         limits[index].ageMs = _to_unsigned_ms(limit.age_s)
         limits[index].hasEnded = limit.has_ended
+    if digest.cold_targets:
+        cold = message.init("coldTargets", len(digest.cold_targets))
+        for index, report in enumerate(digest.cold_targets):
+            cold[index].targetId = report.target_id
+            cold[index].startedAtMs = report.started_at_ms
+            cold[index].remainingMs = _to_unsigned_ms(report.remaining_s)
+            cold[index].ageMs = _to_unsigned_ms(report.age_s)
     return bytes(message.to_bytes_packed())
 
 
@@ -132,7 +143,12 @@
         message = schema().Digest.from_bytes_packed(data)
         # A small packed message may expand to lists of millions of entries.
         if (
-            max(len(message.jobs), len(message.deaths), len(message.rateLimits))
+            max(
+                len(message.jobs),
+                len(message.deaths),
+                len(message.rateLimits),
+                len(message.coldTargets),
+            )
             > MAX_ENTRIES
         ):
             return result.Err("malformed digest: too many entries")
@@ -175,6 +191,18 @@
                 message.openRequests,
                 message.exchangesChanges,
                 message.reachesStore,
+                tuple(
+                    cold_targets.ColdReport(
+                        report.targetId,
+                        report.startedAtMs,
+                        min(
+                            report.remainingMs / MS_PER_S,
+                            cold_targets.MAX_COLD_S,
+                        ),
+                        report.ageMs / MS_PER_S,
+                    )
+                    for report in message.coldTargets
+                ),
             )
         )
     except (capnp.KjException, ValueError) as error:
--- a/src/cardamomfork/_internal/gateway/peers/digests.capnp
+++ b/src/cardamomfork/_internal/gateway/peers/digests.capnp
@@ -19,6 +19,8 @@
   openRequests @14 :UInt32;
   exchangesChanges @15 :Bool;  # Whether it reads `ChangeUpdate` datagrams.
   reachesStore @16 :Bool;  # Whether the store answers the sender.
+  evacuations @17 :List(Evacuation);
+  coldTargets @18 :List(ColdTarget);
 }
 
 # A request that the sender has placed on a target.
@@ -57,6 +59,21 @@
   hasEnded @4 :Bool;
 }
 
+# Whether the operators have ordered the evacuation of a data centre.
+struct Evacuation {
+  dataCentre @0 :Text;
+  revision @1 :UInt64;
+  isActive @2 :Bool;
+}
+
+# What a target has stated in an answer about the time for which it is cold.
+struct ColdTarget {
+  targetId @0 :Text;
+  startedAtMs @1 :Int64;
+  remainingMs @2 :UInt32;  # From the time of the answer; 0: it is not cold.
+  ageMs @3 :UInt32;  # Time since the answer.
+}
+
 # Asks for a permit to send one request to a target.
 struct PermitRequest {
   number @0 :UInt64;
--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -30,6 +30,7 @@
     from cardamomfork._internal.gateway.peers import configuration_fetching
     from cardamomfork._internal.gateway.peers import peer_table
     from cardamomfork._internal.gateway.peers import rate_permits
+    from cardamomfork._internal.gateway.state import cold_targets
     from cardamomfork._internal.gateway.state import crash_records
     from cardamomfork._internal.gateway.state import fleet_state
     from cardamomfork._internal.gateway.state import load_view
@@ -72,6 +73,7 @@
         guard: poison_guard.PoisonGuard,
         limits: rate_limits.RateLimits,
         permits: rate_permits.RatePermits,
+        cold: cold_targets.ColdTargets,
         configuration: follower.Follower,
         targets: follower.Follower,
         clock: Callable[[], float],
@@ -92,6 +94,7 @@
             guard: Records requests that crash targets.
             limits: Limits that targets put on the rate of requests.
             permits: Issues permits for requests to limited targets.
+            cold: Decides until when targets are cold.
             configuration: Follower of the configuration.
             targets: Follower of the targets' entries.
             clock: Monotonic time.
@@ -110,6 +113,7 @@
         self._guard = guard
         self._rate_limits = limits
         self._permits = permits
+        self._cold = cold
         self._configuration_follower = configuration
         self._targets_follower = targets
         self._clock = clock
@@ -136,6 +140,7 @@
         )
         try:
             while True:
+                self._permits.observe()
                 if self._clock() - self._sent_at >= HEARTBEAT_S:
                     self.send()
                 if silent_peers := self._table.silent_peers:
@@ -182,7 +187,7 @@
         self.notify(is_urgent=True)
 
     def notify_rate_limit(self) -> None:
-        """Schedules a digest with the limits of targets after a change."""
+        """Schedules a digest with what targets state after a change."""
         self._rate_limits_sent_at = -RATE_LIMIT_REPORT_INTERVAL_S
         self.notify(is_urgent=True)
 
@@ -273,6 +278,8 @@
             self._guard.record_crash(death, now)
         for limit in digest.rate_limits:
             self._rate_limits.merge(limit)
+        for report in digest.cold_targets:
+            self._cold.merge(report)
         self._fetcher.note_peer(digest.sender, digest.configuration_version)
         self._configuration_follower.note_peer_revision(
             digest.configuration_revision
@@ -284,6 +291,7 @@
         """Encodes a digest of this instance and sends it to recipients."""
         now = self._clock()
         self._sequence += 1
+        limits, cold = self._due_target_reports(now)
         data = digest_codec.encode(
             digest_codec.Digest(
                 self._local_peer,
@@ -295,11 +303,12 @@
                 self._is_leaving,
                 self._load.local_jobs,
                 self._due_crash_reports(now),
-                self._due_rate_limits(now),
+                limits,
                 self._reaches_targets(),
                 self._count_open_requests(),
                 exchanges_changes=True,
                 reaches_store=self._reaches_store(),
+                cold_targets=cold,
             ),
             now,
         )
@@ -316,14 +325,20 @@
         self._crashes_sent_at = now
         return tuple(self._guard.recent_crashes(now))
 
-    def _due_rate_limits(
+    def _due_target_reports(
         self, now: float
-    ) -> tuple[rate_limits.RateLimitReport, ...]:
-        """Returns the limits of targets in a digest that is sent now."""
+    ) -> tuple[
+        tuple[rate_limits.RateLimitReport, ...],
+        tuple[cold_targets.ColdReport, ...],
+    ]:
+        """Returns what a digest that is sent now reports of targets.
+
+        These are the limits that they have named, and which of them are cold.
+        """
         if now - self._rate_limits_sent_at < RATE_LIMIT_REPORT_INTERVAL_S:
-            return ()
+            return (), ()
         self._rate_limits_sent_at = now
-        return self._rate_limits.reports()
+        return self._rate_limits.reports(), self._cold.reports()
 
     def _transmit(
         self, data: bytes, recipients: Iterable[digest_codec.Peer]
--- a/src/cardamomfork/_internal/gateway/peers/peer_table.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -65,11 +66,15 @@
         open_requests: Number of requests that it had in progress.
         exchanges_changes: Whether it exchanges changes in the store with peers.
         reaches_store: Whether the store answers it.
+        added_at: Time at which it became known.
+        leaving_at: Time at which it said that it is about to stop, or None.
+        returned_at: Time of the first digest after it had been silent.
         rank: Its rank among the instances.
     """
 
     peer: digest_codec.Peer
     gone_at: float
+    added_at: float
     incarnation: int = 0
     previous_incarnation: int = 0
     is_leaving: bool = False
@@ -78,12 +83,21 @@
     open_requests: int = 0
     exchanges_changes: bool = False
     reaches_store: bool = False
+    leaving_at: float | None = None
+    returned_at: float = -math.inf
     rank: int = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Computes the rank once."""
         self.rank = _rank(self.peer.instance_id)
 
+    @property
+    def silent_at(self) -> float:
+        """Time from which on it is silent, unless a digest arrives before."""
+        if self.incarnation:
+            return self.gone_at
+        return self.added_at + PEER_TIMEOUT_S
+
 
 class PeerTable:
     """Table of the known peers."""
@@ -218,15 +232,26 @@
             and record.peer.data_centre == self._local_peer.data_centre
         ]
 
-    def find_owner(self, key: str) -> digest_codec.Peer | None:
+    def find_owner(
+        self, key: str, *, among_peers: bool = False
+    ) -> digest_codec.Peer | None:
         """Returns the live instance that owns a key; None for this one.
 
         All instances choose the same owner by rendezvous hashing, and most
         keys keep theirs when an instance joins or leaves.
+
+        Args:
+            key: The key.
+            among_peers: Whether this instance is left out. The result is None
+                if there is no other.
         """
         now = self._clock()
         owner: digest_codec.Peer | None = None
-        best = _rank(f"{self._local_peer.instance_id} {key}")
+        best = (
+            -1
+            if among_peers
+            else _rank(f"{self._local_peer.instance_id} {key}")
+        )
         for record in self._records.values():
             if (
                 not record.incarnation
@@ -239,6 +264,41 @@
                 owner, best = record.peer, rank
         return owner
 
+    def owned_from(self, key: str) -> float:
+        """Returns the time since or from which this instance owns a key.
+
+        It is that at which the last peer before it in the order of owners
+        stopped to count: it became silent, or said that it is about to stop.
+        It is in the future while such a peer counts, and minus infinity if
+        there is none. A peer that has never been heard counts until it is
+        silent.
+        """
+        local = _rank(f"{self._local_peer.instance_id} {key}")
+        ends = [-math.inf]
+        for record in self._records.values():
+            if _rank(f"{record.peer.instance_id} {key}") > local:
+                ends.append(
+                    record.silent_at
+                    if record.leaving_at is None
+                    else min(record.leaving_at, record.silent_at)
+                )
+        return max(ends)
+
+    def has_silence_since(self, since: float) -> bool:
+        """Returns whether a peer has been silent at any time since then.
+
+        Peers that said that they are about to stop don't count.
+
+        Args:
+            since: Monotonic time.
+        """
+        now = self._clock()
+        return any(
+            not record.is_leaving
+            and (now > record.silent_at or record.returned_at >= since)
+            for record in self._records.values()
+        )
+
     def add_entries(self, entries: Iterable[store.Entry]) -> None:
         """Adds the peers registered in the store."""
         for entry in entries:
@@ -259,6 +319,8 @@
             Whether the digest is newer than all earlier ones of its sender.
         """
         record = self.upsert(digest.sender)
+        now = self._clock()
+        was_silent = now > record.silent_at
         if digest.incarnation == record.incarnation:
             if digest.sequence <= record.sequence:
                 return False
@@ -268,19 +330,26 @@
             record.previous_incarnation = record.incarnation
             record.incarnation = digest.incarnation
         record.sequence = digest.sequence
+        if was_silent:
+            record.returned_at = now
+        if not digest.is_leaving:
+            record.leaving_at = None
+        elif record.leaving_at is None:
+            record.leaving_at = now
         record.is_leaving = digest.is_leaving
         record.reaches_targets = digest.reaches_targets
         record.open_requests = digest.open_requests
         record.exchanges_changes = digest.exchanges_changes
         record.reaches_store = digest.reaches_store
-        record.gone_at = self._clock() + PEER_TIMEOUT_S
+        record.gone_at = now + PEER_TIMEOUT_S
         return True
 
     def upsert(self, peer: digest_codec.Peer) -> _PeerRecord:
         """Returns the record of a peer; a changed peer gets a new record."""
         record = self._records.get(peer.instance_id)
         if record is None or record.peer != peer:
-            record = _PeerRecord(peer, self._clock() + FIRST_DIGEST_TIMEOUT_S)
+            now = self._clock()
+            record = _PeerRecord(peer, now + FIRST_DIGEST_TIMEOUT_S, now)
             self._records[peer.instance_id] = record
             logger.info("peer known", peer=peer.instance_id)
         return record
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -153,6 +153,7 @@
                 self._reload()
                 reload_at = self._clock() + SETTINGS_RELOAD_INTERVAL_S
             self._known.fleet_state.expire()
+            self._known.cold_targets.update()
             self._targets.access.close_idle()
             self._requests.retry_budget.update_instances(
                 self._known.peer_table.known_count
@@ -183,6 +184,7 @@
             return
         self._settings = settings
         self._requests.retry_budget.update_settings(settings)
+        self._requests.peers.cold_permits.update_settings(settings)
         logger.info("settings reloaded", name=settings.instance_id)
 
     async def _stop_serving(
@@ -221,6 +223,7 @@
             "silent_peers": [
                 peer.instance_id for peer in self._known.peer_table.silent_peers
             ],
+            "cold_permits": self._requests.peers.cold_permits.dump(),
             "blocked_requests": state_dump.dump_blocked(
                 self._known.poison_guard, now
             ),
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -199,7 +199,8 @@
     ) -> outcomes.AttemptOutcome:
         """Acquires a permit and the memory of a placement, then sends."""
         record = chosen.target.record
-        if not await self._permits.acquire(record, chosen.max_permit_wait_s):
+        permit = await self._permits.acquire(record, chosen.max_permit_wait_s)
+        if permit is None:
             exchange.permits_refused += 1
             return outcomes.Failed(
                 outcomes.Failure.RATE_LIMITED, record.target_id
@@ -211,7 +212,7 @@
                 return outcomes.Failed(
                     outcomes.Failure.NO_MEMORY, ", ".join(held.refused_by)
                 )
-            return await self._send(exchange, demand, chosen, held)
+            return await self._send(exchange, demand, chosen, held, permit)
 
     async def _send(
         self,
@@ -219,6 +220,7 @@
         demand: demands.Demand,
         chosen: placement.Placement,
         held: reservations.HeldReservations,
+        permit: rate_permits.Permit,
     ) -> outcomes.AttemptOutcome:
         """Sends a request after its memory has been reserved."""
         record = chosen.target.record
@@ -243,6 +245,13 @@
         if not self._statements.wants_requests(record):
             self._links.release(record, connection)
             return outcomes.Failed(outcomes.Failure.UNWANTED, record.target_id)
+        if not self._permits.may_send(record, permit):
+            self._links.release(record, connection)
+            exchange.tried_target_ids.discard(record.target_id)
+            exchange.permits_refused += 1
+            return outcomes.Failed(
+                outcomes.Failure.RATE_LIMITED, record.target_id
+            )
         exchange.sent_attempts += 1
         exchange.possible_runs += 1
         writing = _Writing()
--- a/src/cardamomfork/_internal/gateway/state/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/state/fleet_state.py
@@ -14,6 +14,7 @@
 import result
 
 from cardamomfork._internal.contracts import store
+from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import routes
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.gateway.store import change_relay
+    from cardamomfork._internal.models import fleet
 
 SCAN_LAPSE_WINDOW_S = 3.0
 """Time after an outage of the store. If a full scan within it lacks a target's
@@ -53,6 +55,7 @@
         wire: platform_format.PlatformFormat,
         table: target_table.TargetTable,
         clock: Callable[[], float],
+        cold: cold_targets.ColdTargets | None = None,
     ) -> None:
         """Initializes the state without a configuration.
 
@@ -60,7 +63,10 @@
             wire: Decodes configurations and entries of targets.
             table: Target table to update.
             clock: Monotonic time.
+            cold: Decides until when targets are cold; None for decisions of
+                its own.
         """
+        self._cold = cold or cold_targets.ColdTargets(table, clock)
         self._wire = wire
         self._table = table
         self._clock = clock
@@ -147,6 +153,7 @@
             return False
         self._stored = StoredConfiguration(value, revision)
         self._routes = routes.RouteTable(decoded_configuration)
+        self._cold.apply_services(decoded_configuration.services)
         self._applied_at = self._clock()
         logger.info(
             "configuration applied",
@@ -198,6 +205,7 @@
             self._remove_target(target_id, may_return=may_return)
             return
         is_new = self._table.put(decoded.ok_value)
+        self._record_cold(decoded.ok_value, entry.version)
         logger.info(
             "target known",
             target_id=target_id,
@@ -210,6 +218,7 @@
     def replace_targets(self, entries: Iterable[store.Entry]) -> None:
         """Replaces all targets by those of a full scan."""
         records = []
+        revisions = []
         rewritten = set()
         for entry in entries:
             decoded = self._wire.decode_target(entry.key, entry.value)
@@ -221,6 +230,7 @@
                 )
                 continue
             records.append(decoded.ok_value)
+            revisions.append(entry.version)
             if entry.version > self._restored_revision:
                 rewritten.add(decoded.ok_value.target_id)
         self._table.replace_all(
@@ -229,6 +239,8 @@
             may_return=self.may_have_lapsed(in_scan=True),
             rewritten=rewritten,
         )
+        for record, revision in zip(records, revisions, strict=True):
+            self._record_cold(record, revision)
         self._has_targets = True
         logger.info("targets read", count=len(records))
 
@@ -274,6 +286,18 @@
                 "target gone", target_id=target_id, reason="did not return"
             )
 
+    def _record_cold(self, record: fleet.TargetRecord, revision: int) -> None:
+        """Records whether a target is cold, by its entry.
+
+        Processes in the first scan may have run for long.
+        """
+        self._cold.record_entry(
+            record,
+            revision,
+            is_start_seen=self._has_targets,
+            may_be_outdated=revision <= self._restored_revision,
+        )
+
     def _remove_target(self, target_id: str, *, may_return: bool) -> None:
         """Removes the target of a deleted or malformed entry."""
         self._table.remove(target_id, self._clock(), may_return=may_return)
--- a/src/cardamomfork/_internal/gateway/state/rate_limits.py
+++ b/src/cardamomfork/_internal/gateway/state/rate_limits.py
@@ -77,6 +77,11 @@
             None if target is None else target.rate_limit_per_s(self._clock())
         )
 
+    def is_cold(self, record: fleet.TargetRecord) -> bool:
+        """Returns whether a target's process is cold."""
+        target = self._find(record.target_id, record.started_at_ms)
+        return target is not None and target.is_cold(self._clock())
+
     def record_refusal(self, record: fleet.TargetRecord, wait_s: float) -> None:
         """Records that no permit for a target is available for some time."""
         target = self._find(record.target_id, record.started_at_ms)
--- a/src/cardamomfork/_internal/gateway/state/target_statements.py
+++ b/src/cardamomfork/_internal/gateway/state/target_statements.py
@@ -2,7 +2,8 @@
 
 A target that turns a request away may ask the instance that sent it for a rest.
 The rest is not reported to peers: the target asks each instance on its own, and
-may have places for the requests of others.
+may have places for the requests of others. Any answer may state that the target
+is cold (`cold_targets`).
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cardamomfork._internal.gateway.state import cold_targets
     from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.models import fleet
     from cardamomfork._internal.models import forwarding
@@ -28,6 +30,7 @@
         table: target_table.TargetTable,
         clock: Callable[[], float],
         on_leaving: Callable[[fleet.TargetRecord], None] = lambda _: None,
+        cold: cold_targets.ColdTargets | None = None,
     ) -> None:
         """Initializes the statements.
 
@@ -36,10 +39,12 @@
             clock: Monotonic time.
             on_leaving: Called with a target that says that it leaves, if that
                 was not known.
+            cold: Decides until when targets are cold; None if none ever is.
         """
         self._table = table
         self._clock = clock
         self._on_leaving = on_leaving
+        self._cold = cold
 
     def rest_left_s(self, record: fleet.TargetRecord) -> float:
         """Returns the time for which a target wants no requests."""
@@ -59,6 +64,8 @@
         if head.status == http.HTTPStatus.MISDIRECTED_REQUEST:
             # Another target answers at that address now.
             return
+        if self._cold is not None:
+            self._cold.record_answer(record, head)
         if (
             head.status == http.HTTPStatus.SERVICE_UNAVAILABLE
             and head.retry_after_s is not None
--- a/src/cardamomfork/_internal/gateway/state/target_table.py
+++ b/src/cardamomfork/_internal/gateway/state/target_table.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 import enum
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -93,6 +94,8 @@
         rate_limit: The limit on requests that it has named, or None.
         permit_expected_at: Time before which no permit for a request to it is
             available.
+        cold_until: Time until which it is cold.
+        cold_per_s: Requests a second that it handles while it is cold.
     """
 
     record: fleet.TargetRecord
@@ -105,9 +108,27 @@
     slowdown_observed_at: float = 0.0
     rate_limit: RateLimit | None = None
     permit_expected_at: float = 0.0
+    cold_until: float = -math.inf
+    cold_per_s: float = 0.0
+
+    def is_cold(self, now: float) -> bool:
+        """Returns whether it handles only few requests a second."""
+        return now < self.cold_until
 
     def rate_limit_per_s(self, now: float) -> float | None:
-        """Returns the limit in force in requests a second, or None."""
+        """Returns the limit in force in requests a second, or None.
+
+        That of a cold target is the lower of what it handles and what it names.
+        """
+        stated_per_s = self._stated_limit_per_s(now)
+        if not self.is_cold(now):
+            return stated_per_s
+        if stated_per_s is None:
+            return self.cold_per_s
+        return min(stated_per_s, self.cold_per_s)
+
+    def _stated_limit_per_s(self, now: float) -> float | None:
+        """Returns the limit that it names, or None."""
         limit = self.rate_limit
         if limit is None:
             return None
--- a/src/cardamomfork/_internal/gateway/state_dump.py
+++ b/src/cardamomfork/_internal/gateway/state_dump.py
@@ -26,6 +26,8 @@
             "failures": round(target.decayed_failure_rate(now), 2),
             "paused_s": round(max(target.paused_until - now, 0.0), 2),
             "rest_s": round(table.rest_left_s(target.record, now), 2),
+            "cold_s": round(max(target.cold_until - now, 0.0), 2),
+            "cold_per_s": target.cold_per_s,
             "rate_limit": target.rate_limit and attrs.asdict(target.rate_limit),
             "load": attrs.asdict(load.load(target.record.target_id, now)),
         }
--- a/src/cardamomfork/_internal/gateway/wiring/known_state.py
+++ b/src/cardamomfork/_internal/gateway/wiring/known_state.py
@@ -12,6 +12,7 @@
 from cardamomfork._internal.gateway.crashes import poison_guard
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.gateway.state import stopping
@@ -37,6 +38,7 @@
         rng: Random generator.
         notifications: Changes that concern several sides.
         target_table: The known targets.
+        cold_targets: Decides until when targets are cold.
         load_view: The load of each target.
         fleet_state: Configuration and targets, and the age of both.
         poison_guard: Records of requests that crash targets.
@@ -52,6 +54,7 @@
     rng: random.Random
     notifications: notifications.Notifications
     target_table: target_table.TargetTable
+    cold_targets: cold_targets.ColdTargets
     load_view: load_view.LoadView
     fleet_state: fleet_state.FleetState
     poison_guard: poison_guard.PoisonGuard
@@ -95,6 +98,7 @@
     rng = random.Random()
     notify = notifications.Notifications()
     targets = target_table.TargetTable(notify.target_ended, rng.getrandbits(32))
+    cold = cold_targets.ColdTargets(targets, clock, notify.rate_limit_changed)
     local_peer = digest_codec.Peer(
         settings.instance_id,
         settings.data_centre,
@@ -110,8 +114,9 @@
         rng=rng,
         notifications=notify,
         target_table=targets,
+        cold_targets=cold,
         load_view=load_view.LoadView(),
-        fleet_state=fleet_state.FleetState(wire, targets, clock),
+        fleet_state=fleet_state.FleetState(wire, targets, clock, cold),
         poison_guard=poison_guard.PoisonGuard(
             lambda fingerprint: peers.find_owner(f"{fingerprint:x}") is None
         ),
--- a/src/cardamomfork/_internal/gateway/wiring/notifications.py
+++ b/src/cardamomfork/_internal/gateway/wiring/notifications.py
@@ -40,7 +40,8 @@
         reach_changed: This instance was cut off from all targets, or reaches
             some again.
         crash_confirmed: A target has crashed.
-        rate_limit_changed: A target has changed its limit.
+        rate_limit_changed: A target has changed its limit, or has stated
+            that it is cold for another time.
         configuration_applied: A new configuration is in force.
         store_answered: A call to the store has ended; called with its fault,
             or None.
--- a/src/cardamomfork/_internal/gateway/wiring/peer_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/peer_side.py
@@ -26,12 +26,14 @@
 
     Attributes:
         links: Sends digests and receives those of peers.
+        cold_permits: Decides about permits for cold targets.
         rate_permits: Permits for requests to limited targets.
         fetcher: Fetches newer configurations of peers.
         followers: Followers of the store.
     """
 
     links: peer_links.PeerLinks
+    cold_permits: rate_permits.ColdPermits
     rate_permits: rate_permits.RatePermits
     fetcher: configuration_fetching.ConfigurationFetcher
     followers: store_side.StoreSide
@@ -63,11 +65,21 @@
     def notify_crash() -> None:
         links.notify_crash()
 
+    cold_permits = rate_permits.ColdPermits(
+        known.cold_targets,
+        rate_permits.OwnerAuthority(
+            known.peer_table,
+            known.clock,
+            lambda: known.stop_state.is_stopping,
+        ),
+        known.settings,
+    )
     permits = rate_permits.RatePermits(
         targets.rate_limits,
         known.peer_table.find_owner,
         send_datagram,
         known.clock,
+        cold_permits,
     )
     followers = store_side.create(
         known,
@@ -92,6 +104,7 @@
         known.poison_guard,
         targets.rate_limits,
         permits,
+        known.cold_targets,
         followers.configuration,
         followers.targets,
         known.clock,
@@ -105,7 +118,7 @@
     notify.configuration_applied.connect(lambda: links.notify(is_urgent=True))
     notify.crash_confirmed.connect(links.notify_crash)
     notify.rate_limit_changed.connect(links.notify_rate_limit)
-    return PeerSide(links, permits, fetcher, followers)
+    return PeerSide(links, cold_permits, permits, fetcher, followers)
 
 
 def _reaches_targets(
--- a/src/cardamomfork/_internal/gateway/wiring/target_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/target_side.py
@@ -59,7 +59,10 @@
         access.reach.confirm,
     )
     statements = target_statements.TargetStatements(
-        known.target_table, known.clock, access.pool.close_target
+        known.target_table,
+        known.clock,
+        access.pool.close_target,
+        known.cold_targets,
     )
     limits = rate_limits.RateLimits(
         known.target_table, known.clock, notify.rate_limit_changed
--- a/tests/functional/test_peer_fetch.py
+++ b/tests/functional/test_peer_fetch.py
@@ -10,6 +10,7 @@
 from cardamomfork._internal.gateway.peers import digest_recipients
 from cardamomfork._internal.gateway.peers import peer_links
 from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.gateway.state import rate_limits
@@ -54,7 +55,8 @@
     """Returns the peer links of an instance with an empty peer table."""
     local_peer = digest_codec.Peer("one", "a", HOST, 1)
     table = peer_table.PeerTable(local_peer, clock)
-    limits = rate_limits.RateLimits(target_table.TargetTable(), clock)
+    targets = target_table.TargetTable()
+    limits = rate_limits.RateLimits(targets, clock)
     return peer_links.PeerLinks(
         local_peer,
         table,
@@ -65,6 +67,7 @@
         poison_guard.PoisonGuard(),
         limits,
         gateway_parts.make_permits(limits, clock),
+        cold_targets.ColdTargets(targets, clock),
         FakeFollower(),
         FakeFollower(),
         clock,
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.gateway.peers import digest_recipients
 from cardamomfork._internal.gateway.peers import peer_links
 from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.gateway.state import rate_limits
@@ -82,6 +83,7 @@
             self.guard,
             self.limits,
             gateway_parts.make_permits(self.limits, clock),
+            cold_targets.ColdTargets(self.targets, clock),
             self.configuration_follower,
             self.targets_follower,
             clock,
