Ask the owner's own knowledge before a permit for a cold target is issued

An owner that had not read the target's entry yet issued permits as for a limited target, beside those for a cold one. And `FleetState` replaced the decisions that it was given while they were empty, since an object without entries is false, so that real instances applied neither of the two rules.

Change: the owner refuses permits for a process that it does not know, if any service has cold targets; the given decisions are kept.

--- a/src/cardamomfork/_internal/gateway/peers/rate_permits.py
+++ b/src/cardamomfork/_internal/gateway/peers/rate_permits.py
@@ -216,7 +216,14 @@
     def decide(
         self, request: permit_codec.PermitRequest, now: float
     ) -> permit_codec.PermitDecision | None:
-        """Returns the decision about a request; None if its target is warm."""
+        """Returns the decision about a request; None if its target is warm.
+
+        A target that is not known here gets no permit, since its rate isn't
+        known either.
+        """
+        if self._cold.is_unknown(request.target_id, request.started_at_ms):
+            self._refused += 1
+            return permit_codec.PermitDecision(False, ANSWER_TIMEOUT_S)
         per_s = self._cold.find_permit_rate(
             request.target_id, request.started_at_ms, request.rate_per_s
         )
--- a/src/cardamomfork/_internal/gateway/state/cold_targets.py
+++ b/src/cardamomfork/_internal/gateway/state/cold_targets.py
@@ -159,6 +159,16 @@
         found = self._services.get(service)
         return found.cold_per_s if found is not None else 0.0
 
+    def is_unknown(self, target_id: str, started_at_ms: int) -> bool:
+        """Returns whether a process that may be cold is not known here.
+
+        Other instances may have read its entry a moment before.
+        """
+        target = self._table.find(target_id)
+        return (
+            target is None or target.record.started_at_ms != started_at_ms
+        ) and any(service.cold_per_s for service in self._services.values())
+
     def find_permit_rate(
         self, target_id: str, started_at_ms: int, asked_per_s: float
     ) -> float | None:
--- a/src/cardamomfork/_internal/gateway/state/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/state/fleet_state.py
@@ -66,7 +66,10 @@
             cold: Decides until when targets are cold; None for decisions of
                 its own.
         """
-        self._cold = cold or cold_targets.ColdTargets(table, clock)
+        # An empty object is false.
+        self._cold = (
+            cold_targets.ColdTargets(table, clock) if cold is None else cold
+        )
         self._wire = wire
         self._table = table
         self._clock = clock
--- a/tests/unit/test_gateway_cold_targets.py
+++ b/tests/unit/test_gateway_cold_targets.py
@@ -291,8 +291,9 @@
     def setUp(self):
         self.clock = gateway_parts.Clock()
         self.table = target_table.TargetTable()
+        self.cold = cold_targets.ColdTargets(self.table, self.clock)
         self.state = fleet_state.FleetState(
-            wire_format.WireFormat(), self.table, self.clock
+            wire_format.WireFormat(), self.table, self.clock, self.cold
         )
         services = [
             {"name": "engines", "coldStartS": START_S, "coldPerS": COLD_PER_S}
@@ -319,6 +320,12 @@
             if target.is_cold(self.clock.now)
         ]
 
+    def test_state_updates_the_decisions_that_it_was_given(self):
+        # They are false while they are empty, and permits ask them.
+        self.state.replace_targets([self.make_entry(1, 5, coldRemainingMs=900)])
+        self.assertEqual(len(self.cold), 1)
+        self.assertEqual(self.cold.find_permit_rate("t1", 1, 100.0), COLD_PER_S)
+
     def test_only_targets_that_start_later_are_cold_without_a_statement(self):
         self.state.replace_targets(
             [
@@ -547,9 +554,15 @@
         self.clock.now += 30.0
         self.assertFalse(self.ask().is_granted)
 
+    def test_target_that_the_owner_does_not_know_gets_no_permit(self):
+        # The issuer of limits would issue permits beside those of this one.
+        for changes in ({"started_at_ms": 7}, {"target_id": "t9"}):
+            self.assertFalse(self.ask(**changes).is_granted)
+            self.cold.apply_services({"engines": gateway_parts.ENGINES})
+            self.assertIsNone(self.ask(**changes))
+            self.cold.apply_services(SERVICES)
+
     def test_warm_targets_are_left_to_the_other_issuer(self):
-        self.assertIsNone(self.ask(started_at_ms=7))
-        self.assertIsNone(self.ask(target_id="t9"))
         self.cold.record_entry(make_record(0.0), 6, is_start_seen=False)
         self.table.find("t1").rate_limit = target_table.RateLimit(
             5.0, self.clock.now
