Pass requests of peers on to cold targets only at once

Cause: an instance that is cut off from targets checks its permit before it sends a request to a peer. The peer may hold it up, while it opens a connection, and then sends it together with those of later permits.

Change: the peer refuses a request for a cold target after 0.1 s; nothing was sent then, and the sender tries elsewhere.

--- a/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
@@ -37,6 +37,9 @@
 
 MAX_REQUESTS = 400
 """Requests of peers in progress at one time."""
+MAX_COLD_HOLD_S = 0.1
+"""Time within which a request for a cold target is passed on. A request that is
+held up longer would arrive with those of later permits."""
 BODY_MEMORY_FRACTION = 0.1
 """Share of the process's memory that buffered requests of peers may use."""
 STATUS = {
@@ -204,14 +207,10 @@
             or target.record.started_at_ms != request.target_started_at_ms
         ):
             return await _send_fault(send, forwarding.PeerFault.UNKNOWN_TARGET)
+        received_at = self._clock()
         record = target.record
-        if record.is_leaving:
-            return await _send_fault(send, forwarding.PeerFault.LEAVING_TARGET)
-        rest_s = self._statements.rest_left_s(record)
-        if rest_s:
-            return await _send_fault(
-                send, forwarding.PeerFault.RESTING_TARGET, rest_s
-            )
+        if not self._statements.wants_requests(record):
+            return await self._refuse_unwanted(record, send)
         opened = await self._pool.acquire(
             record,
             runs_once=request.runs_once,
@@ -223,6 +222,11 @@
                 send, forwarding.PeerFault.UNREACHABLE_TARGET
             )
         connection = opened.ok_value
+        if self._is_late(record, received_at):
+            self._pool.release(record, connection)
+            return await _send_fault(
+                send, forwarding.PeerFault.RESTING_TARGET, MAX_COLD_HOLD_S
+            )
         messages = connection.start(
             encoded, request.request_id, is_head=request.is_head
         )
@@ -253,6 +257,24 @@
                 connection.abort()
         return "answered"
 
+    async def _refuse_unwanted(
+        self, record: fleet.TargetRecord, send: Send
+    ) -> str:
+        """Refuses a request for a target that leaves or rests."""
+        if record.is_leaving:
+            return await _send_fault(send, forwarding.PeerFault.LEAVING_TARGET)
+        return await _send_fault(
+            send,
+            forwarding.PeerFault.RESTING_TARGET,
+            self._statements.rest_left_s(record),
+        )
+
+    def _is_late(self, record: fleet.TargetRecord, received_at: float) -> bool:
+        """Returns whether a request for a cold target was held up."""
+        return self._limits.is_cold(record) and (
+            self._clock() - received_at > MAX_COLD_HOLD_S
+        )
+
     def _record(
         self, record: fleet.TargetRecord, signal: target_table.HealthSignal
     ) -> None:
--- a/tests/functional/test_peer_forwarding.py
+++ b/tests/functional/test_peer_forwarding.py
@@ -3,6 +3,7 @@
 import contextlib
 import time
 import unittest
+from unittest import mock
 
 import anyio
 import httpcore
@@ -363,6 +364,17 @@
                 head, count = self.ask(change)
                 self.assertEqual((head.peer_fault, count), (fault, 0))
 
+    def test_request_for_a_cold_target_that_was_held_up_is_not_passed_on(self):
+        # It would arrive with the requests of later permits.
+        def make_cold(peer):
+            peer.table.find("t0").cold_until = time.monotonic() + 60.0
+
+        for max_hold_s, count in ((-1.0, 0), (60.0, 1)):
+            with mock.patch.object(
+                peer_forwarding_server, "MAX_COLD_HOLD_S", max_hold_s
+            ):
+                self.assertEqual(self.ask(make_cold)[1], count)
+
     def test_message_without_the_secret_is_refused(self):
         for secret in ("", "another", forwarding_peers.SECRET[:-1]):
             head, count = self.ask(lambda peer: None, secret=secret)
