--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -76,6 +76,8 @@
             each request is turned away. None if none is.
         says_leaving_from: Monotonic time from which on each answer states that
             the target leaves, while its entry remains as it was.
+        cold_until: Monotonic time until which it is cold; each answer states
+            the remaining time. None if no answer states any.
     """
 
     reset: float = 0.0
@@ -90,6 +92,7 @@
     rate_limit_per_s: float | None = None
     rest_s: float | None = None
     says_leaving_from: float = math.inf
+    cold_until: float | None = None
 
 
 def count_events(target: str) -> int:
@@ -165,6 +168,11 @@
             )
         if time.monotonic() >= self.faults.says_leaving_from:
             answer.extra.append((b"server-leaving", b"1"))
+        if self.faults.cold_until is not None:
+            left_s = max(self.faults.cold_until - time.monotonic(), 0.0)
+            answer.extra.append(
+                (b"x-cardamomfork-cold-ms", b"%d" % (left_s * 1000))
+            )
         requested_target_id = answer.header(b"x-cardamomfork-target-instance")
         if requested_target_id and requested_target_id != self._target_id:
             await answer.send_whole(MISDIRECTED, b"")
@@ -433,6 +441,7 @@
     rate_limit_per_s: float | None = None,
     rest_s: float | None = None,
     says_leaving_from: float = math.inf,
+    cold_s: float | None = None,
 ) -> None:
     """Serves until SIGTERM, and then for a little longer.
 
@@ -452,6 +461,8 @@
         rate_limit_per_s: Limit on the rate of requests that its answers name.
         rest_s: Seconds of rest that it asks for as it turns each request away.
         says_leaving_from: Monotonic time from which on answers say it leaves.
+        cold_s: Seconds for which it is cold after its start, as its entry and
+            its answers state. If None, its answers don't, and it is warm.
     """
 
     def report(line: dict[str, Any]) -> None:
@@ -469,6 +480,9 @@
     engine.faults.rest_s = rest_s
     engine.faults.says_leaving_from = says_leaving_from
     entry = platform_site.make_entry(service, advertised_port, slots)
+    if cold_s is not None:
+        engine.faults.cold_until = time.monotonic() + cold_s
+        entry["coldRemainingMs"] = int(cold_s * 1000)
     client = platform_site.make_client(store)
 
     async def serve() -> None:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -133,6 +133,8 @@
         ledgers: Number of targets of the ledger service.
     """
 
+    services = SERVICES
+
     def __init__(self, seed, instances, engines, ledgers):
         self.rng = random.Random(seed)
         self._port_lock, base = _reserve_ports()
@@ -200,7 +202,7 @@
         """Writes a new configuration version to the store."""
         self.version += self.rng.randint(1, 4)
         value = platform_site.make_configuration(
-            self.version, ROUTES, SERVICES, self.keys
+            self.version, ROUTES, self.services, self.keys
         )
         await platform_site.publish(self._client, value)
         self.changes.append((time.monotonic(), dict(self.keys)))
