--- a/src/cardamomfork/_internal/gateway/peers/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/digest_codec.py
@@ -13,6 +13,7 @@
 import result
 
 from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import crash_records
 from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import fleet_state
@@ -68,6 +69,8 @@
             with peers.
         reaches_store: Whether the store answers the sender.
         evacuations: Evacuations that the sender knows; empty in most digests.
+        cold_targets: Statements in answers to the sender about the time for
+            which targets are cold.
     """
 
     sender: Peer
@@ -85,6 +88,7 @@
     exchanges_changes: bool = False
     reaches_store: bool = False
     evacuations: tuple[evacuations.Evacuation, ...] = ()
+    cold_targets: tuple[cold_targets.ColdReport, ...] = ()
 
 
 @functools.cache
@@ -128,6 +132,13 @@
         limits[index].ageMs = _to_unsigned_ms(limit.age_s)
         limits[index].hasEnded = limit.has_ended
     _encode_evacuations(message, digest.evacuations)
+    if digest.cold_targets:
+        cold = message.init("coldTargets", len(digest.cold_targets))
+        for index, report in enumerate(digest.cold_targets):
+            cold[index].targetId = report.target_id
+            cold[index].startedAtMs = report.started_at_ms
+            cold[index].remainingMs = _to_unsigned_ms(report.remaining_s)
+            cold[index].ageMs = _to_unsigned_ms(report.age_s)
     return bytes(message.to_bytes_packed())
 
 
@@ -142,6 +153,7 @@
                 len(message.deaths),
                 len(message.rateLimits),
                 len(message.evacuations),
+                len(message.coldTargets),
             )
             > MAX_ENTRIES
         ):
@@ -186,6 +198,18 @@
                 message.exchangesChanges,
                 message.reachesStore,
                 _decode_evacuations(message),
+                tuple(
+                    cold_targets.ColdReport(
+                        report.targetId,
+                        report.startedAtMs,
+                        min(
+                            report.remainingMs / MS_PER_S,
+                            cold_targets.MAX_COLD_S,
+                        ),
+                        report.ageMs / MS_PER_S,
+                    )
+                    for report in message.coldTargets
+                ),
             )
         )
     except (capnp.KjException, ValueError) as error:
--- a/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
@@ -38,6 +38,9 @@
 
 MAX_REQUESTS = 400
 """Requests of peers in progress at one time."""
+MAX_COLD_HOLD_S = 0.1
+"""Time within which a request for a cold target is passed on. A request that is
+held up longer would arrive with those of later permits."""
 BODY_MEMORY_FRACTION = 0.1
 """Share of the process's memory that buffered requests of peers may use."""
 STATUS = {
@@ -221,6 +224,7 @@
         send: Send,
     ) -> str:
         """Passes a request on; returns how it ended."""
+        received_at = self._clock()
         found = self._find_target(request)
         if isinstance(found, result.Err):
             return await _send_refusal(send, found.err_value)
@@ -240,6 +244,12 @@
         if self._table.is_evacuated(record):
             self._pool.release(record, connection)
             return await _send_refusal(send, EVACUATED)
+        if self._is_late(record, received_at):
+            self._pool.release(record, connection)
+            return await _send_refusal(
+                send,
+                _Refusal(forwarding.PeerFault.RESTING_TARGET, MAX_COLD_HOLD_S),
+            )
         messages = connection.start(
             encoded, request.request_id, is_head=request.is_head
         )
@@ -292,6 +302,12 @@
             )
         return result.Ok(record)
 
+    def _is_late(self, record: fleet.TargetRecord, received_at: float) -> bool:
+        """Returns whether a request for a cold target was held up."""
+        return self._limits.is_cold(record) and (
+            self._clock() - received_at > MAX_COLD_HOLD_S
+        )
+
     def _record(
         self, record: fleet.TargetRecord, signal: target_table.HealthSignal
     ) -> None:
--- a/src/cardamomfork/_internal/gateway/state/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/state/fleet_state.py
@@ -15,6 +15,7 @@
 import result
 
 from cardamomfork._internal.contracts import store
+from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import routes
 
@@ -25,6 +26,7 @@
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.gateway.store import change_relay
+    from cardamomfork._internal.models import fleet
 
 SCAN_LAPSE_WINDOW_S = 3.0
 """Time after an outage of the store. If a full scan within it lacks a target's
@@ -60,6 +62,7 @@
         table: target_table.TargetTable,
         clock: Callable[[], float],
         orders: evacuations.Evacuations | None = None,
+        cold: cold_targets.ColdTargets | None = None,
     ) -> None:
         """Initializes the state without a configuration.
 
@@ -68,7 +71,13 @@
             table: Target table to update.
             clock: Monotonic time.
             orders: Evacuations; None if they are not observed.
+            cold: Decides until when targets are cold; None for decisions of
+                its own.
         """
+        # An empty object is false.
+        self._cold = (
+            cold_targets.ColdTargets(table, clock) if cold is None else cold
+        )
         self._wire = wire
         self._evacuations = orders or evacuations.Evacuations()
         self._table = table
@@ -175,6 +184,7 @@
         self._stored = StoredConfiguration(value, revision)
         self._routes = routes.RouteTable(decoded_configuration)
         self._configured.set()
+        self._cold.apply_services(decoded_configuration.services)
         self._applied_at = self._clock()
         logger.info(
             "configuration applied",
@@ -243,6 +253,7 @@
             self._remove_target(target_id, may_return=may_return)
             return
         is_new = self._table.put(decoded.ok_value)
+        self._record_cold(decoded.ok_value, entry.version)
         logger.info(
             "target known",
             target_id=target_id,
@@ -255,6 +266,7 @@
     def replace_targets(self, entries: Iterable[store.Entry]) -> None:
         """Replaces all targets by those of a full scan."""
         records = []
+        revisions = []
         rewritten = set()
         for entry in entries:
             decoded = self._wire.decode_target(entry.key, entry.value)
@@ -266,6 +278,7 @@
                 )
                 continue
             records.append(decoded.ok_value)
+            revisions.append(entry.version)
             if entry.version > self._restored_revision:
                 rewritten.add(decoded.ok_value.target_id)
         self._table.replace_all(
@@ -274,6 +287,8 @@
             may_return=self.may_have_lapsed(in_scan=True),
             rewritten=rewritten,
         )
+        for record, revision in zip(records, revisions, strict=True):
+            self._record_cold(record, revision)
         self._has_targets = True
         logger.info("targets read", count=len(records))
 
@@ -319,6 +334,18 @@
                 "target gone", target_id=target_id, reason="did not return"
             )
 
+    def _record_cold(self, record: fleet.TargetRecord, revision: int) -> None:
+        """Records whether a target is cold, by its entry.
+
+        Processes in the first scan may have run for long.
+        """
+        self._cold.record_entry(
+            record,
+            revision,
+            is_start_seen=self._has_targets,
+            may_be_outdated=revision <= self._restored_revision,
+        )
+
     def _remove_target(self, target_id: str, *, may_return: bool) -> None:
         """Removes the target of a deleted or malformed entry."""
         self._table.remove(target_id, self._clock(), may_return=may_return)
--- a/src/cardamomfork/_internal/gateway/wiring/known_state.py
+++ b/src/cardamomfork/_internal/gateway/wiring/known_state.py
@@ -12,6 +12,7 @@
 from cardamomfork._internal.gateway.crashes import poison_guard
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
@@ -40,6 +41,7 @@
         notifications: Changes that concern several sides.
         evacuations: Data centres that must get no new work.
         target_table: The known targets.
+        cold_targets: Decides until when targets are cold.
         load_view: The load of each target.
         fleet_state: Configuration and targets, and the age of both.
         region_rules: Regions in which requests may be served.
@@ -57,6 +59,7 @@
     notifications: notifications.Notifications
     evacuations: evacuations.Evacuations
     target_table: target_table.TargetTable
+    cold_targets: cold_targets.ColdTargets
     load_view: load_view.LoadView
     fleet_state: fleet_state.FleetState
     region_rules: regions.RegionRules
@@ -107,6 +110,7 @@
     targets = target_table.TargetTable(
         notify.target_ended, rng.getrandbits(32), orders
     )
+    cold = cold_targets.ColdTargets(targets, clock, notify.rate_limit_changed)
     local_peer = digest_codec.Peer(
         settings.instance_id,
         settings.data_centre,
@@ -114,7 +118,7 @@
         settings.peer_port,
     )
     peers = peer_table.PeerTable(local_peer, clock)
-    state = fleet_state.FleetState(wire, targets, clock, orders)
+    state = fleet_state.FleetState(wire, targets, clock, orders, cold)
     known = KnownState(
         settings=settings,
         wire=wire,
@@ -124,6 +128,7 @@
         notifications=notify,
         evacuations=orders,
         target_table=targets,
+        cold_targets=cold,
         load_view=load_view.LoadView(),
         fleet_state=state,
         region_rules=regions.RegionRules(settings, lambda: state.routes),
--- a/src/cardamomfork/_internal/models/fleet.py
+++ b/src/cardamomfork/_internal/models/fleet.py
@@ -66,11 +66,16 @@
         max_connections: Connections that a target accepts, from all callers
             together.
         cost_model: Cost model of its engines; None for a plain service.
+        cold_start_s: Time for which a target is cold after its start.
+        cold_per_s: Requests a second that a cold target handles, from all
+            instances together; 0 if its targets are never cold.
     """
 
     name: str
     max_connections: int
     cost_model: EngineCostModel | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -185,6 +190,8 @@
         slots: Requests that it processes concurrently.
         is_leaving: Whether it accepts no new work.
         started_at_ms: Time of its start, in Unix milliseconds; 0 if unknown.
+        cold_remaining_s: Time for which the target was still cold when it wrote
+            the record, or None if the record doesn't state it.
     """
 
     target_id: str
@@ -195,6 +202,7 @@
     slots: int
     is_leaving: bool
     started_at_ms: int = 0
+    cold_remaining_s: float | None = None
 
 
 @attrs.frozen
@@ -225,6 +233,9 @@
             must stop; None if evacuations are not observed.
         region: Region in which it runs; empty if unknown.
         regions: Region of each data centre.
+        cold_ratio: Requests that may reach a cold target within a second, as a
+            ratio of those that it handles.
+        cold_reserve: Requests that may reach it in addition to that.
     """
 
     instance_id: str
@@ -248,3 +259,5 @@
     evacuate_s: float | None = None
     region: str = ""
     regions: dict[str, str] = attrs.field(factory=dict)
+    cold_ratio: float = 1.5
+    cold_reserve: float = 5.0
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -137,6 +137,7 @@
     """Bound for evacuations in the settings of instances; 0 for none."""
     regions = None
     """Region of each data centre in these settings."""
+    services = SERVICES
 
     def __init__(self, seed, instances, engines, ledgers):
         self.rng = random.Random(seed)
@@ -208,7 +209,7 @@
         value = platform_site.make_configuration(
             self.version,
             ROUTES,
-            SERVICES,
+            self.services,
             self.keys,
             self.allowed_regions,
         )
