Decide which data centres an instance reaches

Cause: each instance knew only pauses of single targets.

The pool reports the target of each connection; a prober makes one connection at a time when in doubt; placement excludes data centres and pairs of them; waiting requests are placed again after a change; a gauge and the state dump show it.

--- a/src/cardamomfork/_internal/gateway/choice/candidate_sampling.py
+++ b/src/cardamomfork/_internal/gateway/choice/candidate_sampling.py
@@ -18,6 +18,7 @@
 from cardamomfork._internal.gateway.choice import placement_costs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     import random
 
     from cardamomfork._internal.gateway.state import load_view
@@ -56,6 +57,7 @@
         load: load_view.LoadView,
         data_centre: str,
         rng: random.Random,
+        unreachable: Callable[[float], frozenset[str]] = lambda _: frozenset(),
     ) -> None:
         """Initializes the sampler.
 
@@ -64,11 +66,14 @@
             load: The load of each target.
             data_centre: The data centre of this instance.
             rng: Random generator.
+            unreachable: Returns the data centres that are not reached at a
+                time.
         """
         self._table = table
         self._load = load
         self._data_centre = data_centre
         self._rng = rng
+        self._unreachable = unreachable
 
     def sample(self, demand: demands.Demand, now: float) -> Sample | None:
         """Returns some usable targets; None if all must be compared.
@@ -86,14 +91,20 @@
             engine_timing.prefill_s(service.cost_model, demand.prompt_tokens)
             <= placement_costs.SHORT_PREFILL_S
         )
+        unreachable = self._unreachable(now)
         drawn = (
             self._draw(service.name)
             if is_short
             else heapq.nsmallest(
                 LONG_LEAST_LOADED,
-                self._window(
-                    self._table.order_service(service.name, None), LONG_DRAWN
-                ),
+                [
+                    target
+                    for target in self._window(
+                        self._table.order_service(service.name, None),
+                        LONG_DRAWN,
+                    )
+                    if target.record.data_centre not in unreachable
+                ],
                 key=self._count_jobs,
             )
         )
@@ -101,6 +112,7 @@
             target
             for target in drawn
             if target.is_usable(now)
+            and target.record.data_centre not in unreachable
             and target.record.target_id not in demand.excluded
             and not self._table.rest_left_s(target.record, now)
         ]
--- a/src/cardamomfork/_internal/gateway/choice/placement.py
+++ b/src/cardamomfork/_internal/gateway/choice/placement.py
@@ -23,8 +23,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     import random
 
+    from cardamomfork._internal.gateway.state import data_centre_reach
     from cardamomfork._internal.gateway.state import load_view
     from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.models import fleet
@@ -111,6 +113,7 @@
         data_centre: str,
         rng: random.Random,
         count_instances: Callable[[], int] = lambda: 1,
+        reach: data_centre_reach.DataCentreReach | None = None,
     ) -> None:
         """Initializes the placer.
 
@@ -121,14 +124,16 @@
             rng: Random generator for tie-breaking.
             count_instances: Returns the number of instances that place
                 requests.
+            reach: Which data centres are reached; None if all are.
         """
         self._table = table
         self._load = load
         self._data_centre = data_centre
         self._rng = rng
         self._count_instances = count_instances
+        self._reach = reach
         self._sampler = candidate_sampling.CandidateSampler(
-            table, load, data_centre, rng
+            table, load, data_centre, rng, self._unreachable
         )
 
     def choose(
@@ -150,6 +155,12 @@
             demand, self._table.list_service(demand.service.name, now), now
         )
 
+    def _unreachable(self, now: float) -> frozenset[str]:
+        """Returns the data centres that are not reached."""
+        return (
+            frozenset() if self._reach is None else self._reach.unreachable(now)
+        )
+
     def _choose_among(
         self,
         demand: demands.Demand,
@@ -164,6 +175,14 @@
         ]
         if listed and not usable:
             return self._no_capacity_before_rest_ends(demand, listed, now)
+        unreachable = self._unreachable(now)
+        if unreachable:
+            # Without another target, one out of reach may still succeed.
+            usable = [
+                target
+                for target in usable
+                if target.record.data_centre not in unreachable
+            ] or usable
         # If all targets are excluded, one of them may still succeed now.
         untried = [
             target
@@ -277,12 +296,21 @@
             for candidate in candidates
             if candidate.target.rate_limit_per_s(now) is None
         ]
-        best = self._choose_parts(
-            costs, demand, cost_model, open_candidates, unlimited, now
-        )
+        pairs = {} if self._reach is None else self._reach.pairs_apart(now)
+
+        def choose_parts(
+            helpers: list[demands.Candidate], apart: Collection[frozenset[str]]
+        ) -> Placement | None:
+            return self._choose_parts(
+                costs, demand, cost_model, open_candidates, helpers, apart, now
+            )
+
+        best = choose_parts(unlimited, pairs)
         if best is None and len(unlimited) < len(candidates):
-            best = self._choose_parts(
-                costs, demand, cost_model, open_candidates, candidates, now
+            best = choose_parts(candidates, pairs)
+        if best is None and pairs and choose_parts(candidates, ()):
+            return NoCapacity(
+                "helpers are out of reach of engines", max(pairs.values())
             )
         return best or _no_capacity("all engines are full", candidates)
 
@@ -293,6 +321,7 @@
         cost_model: fleet.EngineCostModel,
         open_candidates: list[demands.Candidate],
         helper_candidates: list[demands.Candidate],
+        apart: Collection[frozenset[str]],
         now: float,
     ) -> Placement | None:
         """Returns the best placement with any number of parts, if any."""
@@ -312,14 +341,39 @@
         for parts in PART_COUNTS:
             if parts > 1 and whole_prefill_s / parts < MIN_PART_S:
                 break
-            option = _place_in_parts(
-                costs, demand, cost_model, primaries, helpers, parts
-            )
-            if option is not None and (best is None or option.cost < best.cost):
-                best = option
+            for group in _group_primaries(primaries, apart):
+                option = _place_in_parts(
+                    costs, demand, cost_model, group, helpers, parts, apart
+                )
+                if option is not None and (
+                    best is None or option.cost < best.cost
+                ):
+                    best = option
         return best
 
 
+def _group_primaries(
+    primaries: list[placement_costs.EvaluatedCandidate],
+    apart: Collection[frozenset[str]],
+) -> list[list[placement_costs.EvaluatedCandidate]]:
+    """Returns the primaries in groups whose best ones are to be compared.
+
+    Which helpers a primary may have depends on its data centre if some data
+    centres are kept apart.
+    """
+    if not apart:
+        return [primaries]
+    groups: dict[str, list[placement_costs.EvaluatedCandidate]] = {}
+    for one in primaries:
+        groups.setdefault(_data_centre(one), []).append(one)
+    return list(groups.values())
+
+
+def _data_centre(one: placement_costs.EvaluatedCandidate) -> str:
+    """Returns the data centre of a candidate."""
+    return one.candidate.target.record.data_centre
+
+
 def _place_in_parts(
     costs: placement_costs.PlacementCosts,
     demand: demands.Demand,
@@ -327,6 +381,7 @@
     primaries: list[placement_costs.EvaluatedCandidate],
     possible_helpers: list[placement_costs.EvaluatedCandidate],
     parts: int,
+    apart: Collection[frozenset[str]],
 ) -> Placement | None:
     """Returns the best placement with this number of parts, if any."""
     part_s = engine_timing.prefill_s(cost_model, demand.prompt_tokens, parts)
@@ -354,6 +409,8 @@
             for one in possible_helpers
             if one is not primary
             and one.candidate.load.helping < one.candidate.target.record.slots
+            and frozenset((_data_centre(primary), _data_centre(one)))
+            not in apart
         ]
         if len(possible_helpers) < parts - 1:
             return None
--- a/src/cardamomfork/_internal/gateway/connections/target_pool.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_pool.py
@@ -41,16 +41,20 @@
     def __init__(
         self,
         wire: platform_format.PlatformFormat,
-        on_connected: Callable[[], None] = lambda: None,
-        on_failed: Callable[[], None] = lambda: None,
+        on_connected: Callable[[fleet.TargetRecord], None] = lambda _: None,
+        on_failed: Callable[[fleet.TargetRecord, bool], None] = (
+            lambda _, __: None
+        ),
     ) -> None:
         """Initializes an empty pool.
 
         Args:
             wire: Decodes the heads of answers.
-            on_connected: Called after a connection was opened.
-            on_failed: Called if a connection can't be opened, takes long to
-                open, or ends by an error.
+            on_connected: Called with the target after a connection was
+                opened.
+            on_failed: Called with the target if a connection can't be opened,
+                takes long to open, or ends by an error, and with whether
+                nothing was heard of the target.
         """
         self._wire = wire
         self._on_connected = on_connected
@@ -113,26 +117,33 @@
     ) -> result.Result[target_connection.TargetConnection, outcomes.Failed]:
         """Opens a connection to a target."""
         loop = asyncio.get_running_loop()
-        slow_timer = loop.call_later(SLOW_CONNECT_S, self._on_failed)
+
+        def report_error() -> None:
+            self._on_failed(target, False)
+
+        def report_timeout() -> None:
+            self._on_failed(target, True)
+
+        slow_timer = loop.call_later(SLOW_CONNECT_S, report_timeout)
         try:
             with anyio.fail_after(timeout_s):
                 _, conn = await loop.create_connection(
                     lambda: target_connection.TargetConnection(
-                        self._wire.decode_answer, self._on_failed
+                        self._wire.decode_answer, report_error
                     ),
                     target.host,
                     target.port,
                 )
         except TimeoutError:
-            self._on_failed()
+            report_timeout()
             return _unreachable("connecting timed out")
         except OSError as error:
-            self._on_failed()
+            report_error()
             return _unreachable(f"connecting failed: {error!r}")
         finally:
             slow_timer.cancel()
         self._opened += 1
-        self._on_connected()
+        self._on_connected(target)
         return result.Ok(conn)
 
     def release(
--- a/src/cardamomfork/_internal/gateway/paths/target_access.py
+++ b/src/cardamomfork/_internal/gateway/paths/target_access.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cardamomfork._internal.gateway.connections import data_centre_probing
 from cardamomfork._internal.gateway.connections import target_pool
 from cardamomfork._internal.gateway.connections import target_reach
 from cardamomfork._internal.gateway.paths import target_paths
@@ -16,6 +17,7 @@
 
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.gateway.peers import peer_table
+    from cardamomfork._internal.gateway.state import data_centre_reach
     from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.models import fleet
 
@@ -32,6 +34,7 @@
         clock: Callable[[], float],
         rng: random.Random,
         on_reach_change: Callable[[], None],
+        data_centres: data_centre_reach.DataCentreReach,
     ) -> None:
         """Initializes the access without connections.
 
@@ -44,10 +47,12 @@
             rng: Random generator.
             on_reach_change: Called after this instance was cut off from all
                 targets, or reaches some again.
+            data_centres: Decides which data centres are reached.
         """
         self._targets = targets
         self._clock = clock
         self._on_reach_change = on_reach_change
+        self._data_centres = data_centres
         self._reach = target_reach.TargetReach(
             self._list_targets_to_probe,
             self._probe,
@@ -56,7 +61,16 @@
             self._apply_reach_change,
         )
         self._pool = target_pool.TargetConnectionPool(
-            wire, self._reach.record_connection, self._reach.record_failure
+            wire, self._record_connection, self._record_failure
+        )
+        self._prober = data_centre_probing.DataCentreProber(
+            data_centres,
+            targets,
+            self._pool.open_idle,
+            lambda: peers.count,
+            lambda: peers.known_count,
+            clock,
+            rng,
         )
         self._secret = fleet_secret.FleetSecret()
         self._client = peer_forwarding_client.PeerForwardingClient(
@@ -77,6 +91,16 @@
         """Whether this instance reaches any target."""
         return self._reach
 
+    @property
+    def data_centres(self) -> data_centre_reach.DataCentreReach:
+        """Which data centres are reached."""
+        return self._data_centres
+
+    @property
+    def prober(self) -> data_centre_probing.DataCentreProber:
+        """Probes data centres that may be out of reach."""
+        return self._prober
+
     @property
     def pool(self) -> target_pool.TargetConnectionPool:
         """Direct connections."""
@@ -117,6 +141,23 @@
         """Opens a connection to a target, for a later request."""
         return await self._pool.open_idle(record)
 
+    def _record_connection(self, record: fleet.TargetRecord) -> None:
+        """Records that a connection to a target was opened."""
+        self._reach.record_connection()
+        self._data_centres.record_connected(record.data_centre, self._clock())
+
+    def _record_failure(
+        self, record: fleet.TargetRecord, is_timeout: bool
+    ) -> None:
+        """Records that a connection to a target failed or was lost."""
+        self._reach.record_failure()
+        self._data_centres.record_failure(
+            record.data_centre,
+            record.target_id,
+            self._clock(),
+            is_timeout=is_timeout,
+        )
+
     def _apply_reach_change(self) -> None:
         """Drops connections and failures that a cut has made worthless."""
         if self._reach.is_isolated:
--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -79,6 +79,7 @@
         reaches_targets: Callable[[], bool] = lambda: False,
         count_open_requests: Callable[[], int] = lambda: 0,
         reaches_store: Callable[[], bool] = lambda: False,
+        on_digest: Callable[[digest_codec.Digest], None] = lambda _: None,
     ) -> None:
         """Initializes the links.
 
@@ -100,6 +101,8 @@
                 instance.
             count_open_requests: Returns the number of requests in progress.
             reaches_store: Returns whether the store answers this instance.
+            on_digest: Called with each new digest, also one that came over a
+                relay.
         """
         self._local_peer = local_peer
         self._table = table
@@ -117,6 +120,7 @@
         self._reaches_targets = reaches_targets
         self._count_open_requests = count_open_requests
         self._reaches_store = reaches_store
+        self._on_digest = on_digest
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._sequence = 0
         self._is_leaving = False
@@ -266,6 +270,7 @@
             )
         if not self._table.record_digest(digest):
             return
+        self._on_digest(digest)
         self._load.replace_peer_jobs(
             digest.sender.instance_id, digest.jobs, now
         )
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -118,6 +118,7 @@
             )
             tasks.start_soon(self._targets.reserver.run)
             tasks.start_soon(self._targets.access.reach.run)
+            tasks.start_soon(self._targets.access.prober.run)
             tasks.start_soon(self._targets.crash_detector.run)
             tasks.start_soon(
                 self._requests.peers.followers.crash_persistence.run
@@ -211,6 +212,7 @@
             ),
             "is_ready": self._is_ready(),
             "is_isolated": self._targets.access.reach.is_isolated,
+            "data_centres": self._targets.access.data_centres.dump(now),
             "is_delegate": self._known.peer_table.is_delegate(),
             "polls_store": self._known.must_poll,
             "in_progress": self._requests.application.in_progress,
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -30,6 +30,7 @@
     from cardamomfork._internal.gateway.paths import target_paths
     from cardamomfork._internal.gateway.peers import rate_permits
     from cardamomfork._internal.gateway.queueing import retry_budget
+    from cardamomfork._internal.gateway.state import data_centre_reach
     from cardamomfork._internal.gateway.state import load_view
     from cardamomfork._internal.gateway.state import rate_limits
     from cardamomfork._internal.gateway.state import target_statements
@@ -84,6 +85,7 @@
         clock: Callable[[], float],
         on_change: Callable[[], None],
         is_isolated: Callable[[], bool] = lambda: False,
+        reach: data_centre_reach.DataCentreReach | None = None,
     ) -> None:
         """Initializes the forwarder.
 
@@ -104,6 +106,7 @@
             on_change: Called when a job of this instance changes state.
             is_isolated: Returns whether this instance is cut off from all
                 targets.
+            reach: Decides which data centres are reached; None if all are.
         """
         self._wire = wire
         self._scheduler = scheduler
@@ -114,7 +117,7 @@
         self._detector = detector
         self._decider = retrying.RetryDecider(budget, guard, clock)
         self._recorder = outcome_recorder.OutcomeRecorder(
-            table, detector, clock, is_isolated
+            table, detector, clock, is_isolated, reach
         )
         self._reserver = reserver
         self._rate_limits = limits
--- a/src/cardamomfork/_internal/gateway/serving/outcome_recorder.py
+++ b/src/cardamomfork/_internal/gateway/serving/outcome_recorder.py
@@ -14,6 +14,7 @@
     from cardamomfork._internal.gateway.choice import demands
     from cardamomfork._internal.gateway.choice import placement
     from cardamomfork._internal.gateway.requests import exchanges
+    from cardamomfork._internal.gateway.state import data_centre_reach
     from cardamomfork._internal.models import fleet
 
 MIN_PREDICTION_S = 0.05
@@ -30,6 +31,7 @@
         detector: crash_detector.CrashDetector,
         clock: Callable[[], float],
         is_isolated: Callable[[], bool] = lambda: False,
+        reach: data_centre_reach.DataCentreReach | None = None,
     ) -> None:
         """Initializes the recorder.
 
@@ -39,11 +41,13 @@
             clock: Monotonic time.
             is_isolated: Returns whether this instance is cut off from all
                 targets, so that lost connections show nothing about them.
+            reach: Decides which data centres are reached; None if all are.
         """
         self._table = table
         self._detector = detector
         self._clock = clock
         self._is_isolated = is_isolated
+        self._reach = reach
 
     def record(
         self,
@@ -96,7 +100,7 @@
                     has_written=crash_detector.has_survived(first_at, now),
                     may_check=not peer_id,
                 )
-            self._record_refusal(exchange, record, outcome, now)
+            self._record_refusal(exchange, record, chosen, outcome, now)
         exchange.log.attempt_ended(
             exchange.sent_attempts,
             chosen,
@@ -145,6 +149,7 @@
         self,
         exchange: exchanges.Exchange,
         record: fleet.TargetRecord,
+        chosen: placement.Placement,
         failed: outcomes.Failed,
         now: float,
     ) -> None:
@@ -156,6 +161,18 @@
             self._table.record_signal(
                 blamed, target_table.HealthSignal.UNREACHABLE, now
             )
+            helper = next(
+                (
+                    one.target.record
+                    for one in chosen.helpers
+                    if one.target.record.target_id == blamed
+                ),
+                None,
+            )
+            if helper is not None and self._reach is not None:
+                self._reach.record_helper_refusal(
+                    record.data_centre, helper.data_centre, blamed, now
+                )
         elif failed.is_misdirected:
             self._table.record_signal(
                 record.target_id, target_table.HealthSignal.UNREACHABLE, now
--- a/src/cardamomfork/_internal/gateway/state/target_table.py
+++ b/src/cardamomfork/_internal/gateway/state/target_table.py
@@ -432,9 +432,15 @@
         """Returns the time for which a target's process wants no requests."""
         return max(self._rest_ends.get(_process_key(record), 0.0) - now, 0.0)
 
-    def clear_failures(self) -> None:
-        """Forgets failed attempts that were not the targets' faults."""
+    def clear_failures(self, data_centre: str | None = None) -> None:
+        """Forgets failed attempts that were not the targets' faults.
+
+        Args:
+            data_centre: Data centre of the targets, or None for all.
+        """
         for target in self._targets.values():
+            if data_centre not in (None, target.record.data_centre):
+                continue
             target.failure_rate = 0.0
             target.consecutive_failures = 0
             target.paused_until = 0.0
--- a/src/cardamomfork/_internal/gateway/wiring/notifications.py
+++ b/src/cardamomfork/_internal/gateway/wiring/notifications.py
@@ -39,6 +39,8 @@
             have changed.
         reach_changed: This instance was cut off from all targets, or reaches
             some again.
+        data_centre_changed: A data centre is out of reach, or no longer;
+            called with it, and whether it was reached before.
         crash_confirmed: A target has crashed.
         rate_limit_changed: A target has changed its limit.
         configuration_applied: A new configuration is in force.
@@ -50,6 +52,7 @@
     targets_changed: Notification = attrs.field(factory=Notification)
     capacity_changed: Notification = attrs.field(factory=Notification)
     reach_changed: Notification = attrs.field(factory=Notification)
+    data_centre_changed: Notification = attrs.field(factory=Notification)
     crash_confirmed: Notification = attrs.field(factory=Notification)
     rate_limit_changed: Notification = attrs.field(factory=Notification)
     configuration_applied: Notification = attrs.field(factory=Notification)
--- a/src/cardamomfork/_internal/gateway/wiring/peer_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/peer_side.py
@@ -99,6 +99,12 @@
         lambda: _reaches_targets(known, targets),
         count_open_requests,
         lambda: not known.fleet_state.is_store_lost,
+        lambda digest: targets.access.data_centres.record_digest(
+            digest.sender.data_centre,
+            digest.sender.instance_id,
+            known.clock(),
+            leaves=digest.is_leaving,
+        ),
     )
     notify.capacity_changed.connect(links.notify)
     notify.reach_changed.connect(lambda: links.notify(is_urgent=True))
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -119,7 +119,7 @@
         return callers.in_progress + targets.peer_forwarding.in_progress
 
     recorder = _JobRecorder(known.load_view, notify_peers)
-    scheduler = _make_scheduler(known, recorder)
+    scheduler = _make_scheduler(known, targets, recorder)
     budget = retry_budget.RetryBudget(known.settings, known.clock())
     peers = peer_side.create(
         known,
@@ -147,6 +147,7 @@
     notify.targets_changed.connect(notify.capacity_changed)
     notify.capacity_changed.connect(scheduler.dispatch_waiting)
     notify.reach_changed.connect(scheduler.dispatch_waiting)
+    notify.data_centre_changed.connect(lambda *_: scheduler.dispatch_waiting())
     notify.configuration_applied.connect(
         lambda: _apply_caller_limits(known, limits)
     )
@@ -154,7 +155,9 @@
 
 
 def _make_scheduler(
-    known: known_state.KnownState, recorder: _JobRecorder
+    known: known_state.KnownState,
+    targets: target_side.TargetSide,
+    recorder: _JobRecorder,
 ) -> scheduling.Scheduler:
     """Creates the queue of requests."""
     return scheduling.Scheduler(
@@ -164,6 +167,7 @@
             known.settings.data_centre,
             known.rng,
             lambda: known.peer_table.count,
+            targets.access.data_centres,
         ),
         recorder.commit,
         recorder.release,
@@ -196,6 +200,7 @@
         known.clock,
         known.notifications.capacity_changed,
         lambda: targets.access.reach.is_isolated,
+        targets.access.data_centres,
     )
 
 
@@ -215,6 +220,9 @@
         "permit_targets": lambda: peers.rate_permits.issued_targets,
         "crash_suspects": lambda: known.poison_guard.suspect_count,
         "isolated": lambda: int(targets.access.reach.is_isolated),
+        "unreachable_data_centres": lambda: len(
+            targets.access.data_centres.unreachable(known.clock())
+        ),
         "peer_requests": lambda: targets.peer_forwarding.in_progress,
         "blocked_requests": lambda: len(
             known.poison_guard.blocked(known.clock())
--- a/src/cardamomfork/_internal/gateway/wiring/target_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/target_side.py
@@ -10,6 +10,8 @@
 from cardamomfork._internal.gateway.paths import reservations
 from cardamomfork._internal.gateway.paths import target_access
 from cardamomfork._internal.gateway.peers import peer_forwarding_server
+from cardamomfork._internal.gateway.peers import peer_table
+from cardamomfork._internal.gateway.state import data_centre_reach
 from cardamomfork._internal.gateway.state import rate_limits
 from cardamomfork._internal.gateway.state import target_statements
 
@@ -49,6 +51,11 @@
         known.clock,
         known.rng,
         notify.reach_changed,
+        data_centre_reach.DataCentreReach(
+            known.settings.data_centre,
+            peer_table.MIN_FLEET_WITH_RELAYED_CHANGES,
+            notify.data_centre_changed,
+        ),
     )
     detector = crash_detector.CrashDetector(
         known.poison_guard,
@@ -69,6 +76,13 @@
         if access.reach.is_isolated:
             known.poison_guard.discard_suspects(access.reach.doubted_since)
 
+    def clear_failures_of_cut(
+        data_centre: str, before: data_centre_reach.Reach
+    ) -> None:
+        if before is data_centre_reach.Reach.UNREACHABLE:
+            known.target_table.clear_failures(data_centre)
+
+    notify.data_centre_changed.connect(clear_failures_of_cut)
     notify.target_ended.connect(detector.target_ended)
     notify.targets_changed.connect(access.reach.probe_soon)
     notify.reach_changed.connect(drop_suspects_of_cut)
