--- a/src/cardamomfork/_internal/gateway/paths/target_access.py
+++ b/src/cardamomfork/_internal/gateway/paths/target_access.py
@@ -150,14 +150,31 @@
         self, record: fleet.TargetRecord, is_timeout: bool
     ) -> None:
         """Records that a connection to a target failed or was lost."""
-        self._reach.record_failure()
+        now = self._clock()
+        if not self._is_behind_partition(record, now):
+            self._reach.record_failure()
         self._data_centres.record_failure(
             record.data_centre,
             record.target_id,
-            self._clock(),
+            now,
             is_timeout=is_timeout,
         )
 
+    def _is_behind_partition(
+        self, record: fleet.TargetRecord, now: float
+    ) -> bool:
+        """Returns whether a target is known to be out of reach.
+
+        A failed probe of its data centre then raises no doubt whether this
+        instance is cut off from all targets, unless no other target is left.
+        Each doubt costs further connections.
+        """
+        unreachable = self._data_centres.unreachable(now)
+        return record.data_centre in unreachable and any(
+            target.record.data_centre not in unreachable
+            for target in self._targets.list_all()
+        )
+
     def _apply_reach_change(self) -> None:
         """Drops connections and failures that a cut has made worthless."""
         if self._reach.is_isolated:
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -58,6 +58,7 @@
 
     def __attrs_post_init__(self):
         clock = self.network.clock
+        self.digests = []
         self.table = peer_table.PeerTable(self.peer, clock)
         wire = wire_format.WireFormat()
         self.configuration_follower = FakeFollower()
@@ -86,6 +87,7 @@
             self.targets_follower,
             clock,
             lambda: None,
+            on_digest=self.digests.append,
         )
         self.links.connection_made(self)
 
@@ -205,6 +207,26 @@
 
         run_scenario(scenario)
 
+    def test_relayed_digest_is_reported_once_with_its_original_sender(self):
+        # A relay's own data centre would show nothing about a partition.
+        def scenario():
+            network = Network(LARGE_FLEET)
+            first = network.all[0]
+            for other in network.all:
+                other.digests.clear()
+            first.start_job("job")
+            network.deliver()
+            # A copy that arrives late shows no reach at present.
+            for other in network.all[1:]:
+                other.links.datagram_received(
+                    network.last_data, ("127.0.0.1", first.peer.port)
+                )
+                self.assertEqual(
+                    [digest.sender for digest in other.digests], [first.peer]
+                )
+
+        run_scenario(scenario)
+
     def test_update_reaches_the_peers_of_its_data_centre(self):
         def scenario():
             network = Network(LARGE_FLEET)
--- a/tests/unit/test_gateway_outcome_recorder.py
+++ b/tests/unit/test_gateway_outcome_recorder.py
@@ -7,6 +7,7 @@
 from cardamomfork._internal.gateway.connections import outcomes
 from cardamomfork._internal.gateway.crashes import crash_detector
 from cardamomfork._internal.gateway.serving import outcome_recorder
+from cardamomfork._internal.gateway.state import data_centre_reach
 from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.models import forwarding
 from tests.lib import gateway_parts
@@ -76,6 +77,44 @@
             )
             self.assertEqual(target.consecutive_failures, 1, failure)
 
+    def record_helper_refusal(self, helper_centre):
+        """Records a refusal that names a helper; returns pairs kept apart."""
+        clock = gateway_parts.Clock()
+        reach = data_centre_reach.DataCentreReach("a", 13)
+        reach.tick(clock(), 69, 69)
+        table = target_table.TargetTable()
+        for number, name in enumerate(("b", helper_centre)):
+            table.put(gateway_parts.make_record(number, data_centre=name))
+        target, helper = table.list_all()
+        recorder = outcome_recorder.OutcomeRecorder(
+            table,
+            mock.create_autospec(crash_detector.CrashDetector, instance=True),
+            clock,
+            reach=reach,
+        )
+        recorder.record(
+            mock.Mock(parts={}, tried_target_ids=set()),
+            target.record,
+            placement.Placement(
+                target, (placement.Helper(helper),), 0.1, 0.1, 0.0
+            ),
+            gateway_parts.make_demand(),
+            outcomes.Failed(
+                Failure.NOT_RUN,
+                refusing_target=(f"{helper.record.host}:{helper.record.port}"),
+            ),
+            clock(),
+        )
+        return set(reach.pairs_apart(clock()))
+
+    def test_refusal_that_names_a_helper_keeps_data_centres_apart(self):
+        # Every prompt whose parts cross a partition would be refused.
+        self.assertEqual(self.record_helper_refusal("c"), {frozenset("bc")})
+
+    def test_refused_helper_beside_its_target_keeps_nothing_apart(self):
+        # A crashed helper is no partition.
+        self.assertEqual(self.record_helper_refusal("b"), set())
+
     def test_refusal_of_a_peer_accuses_no_target(self):
         target, _ = self.record(
             outcomes.Failed(
