--- a/tests/unit/test_gateway_data_centre_reach.py
+++ b/tests/unit/test_gateway_data_centre_reach.py
@@ -4,6 +4,8 @@
 import unittest
 
 import anyio
+import hypothesis
+from hypothesis import strategies
 
 from cardamomfork._internal.gateway.connections import data_centre_probing
 from cardamomfork._internal.gateway.connections import target_pool
@@ -375,6 +377,62 @@
         )
 
 
+class AnySequenceTest(unittest.TestCase):
+    @hypothesis.settings(max_examples=200, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(
+                    ("tick", "small", "hear", "leave", "open", "fail",
+                     "time-out", "helper", "probe")
+                ),
+                strategies.sampled_from(("a", "b", "c", "", "\0")),
+                strategies.floats(0.0, 0.3),
+            ),
+            max_size=60,
+        )
+    )  # fmt: skip
+    def test_no_sequence_of_evidence_excludes_without_reason(self, events):
+        # Names and order of evidence are whatever peers and targets send.
+        now = 100.0
+        changes = []
+        reach = data_centre_reach.DataCentreReach(
+            "a", MIN_FLEET, lambda name, _: changes.append(name)
+        )
+        reach.tick(now, FLEET, FLEET)
+        for kind, name, pause_s in events:
+            now += pause_s
+            if kind == "tick":
+                reach.tick(now, FLEET, FLEET)
+            elif kind == "small":
+                reach.tick(now, 1, 1)
+                self.assertFalse(reach.unreachable(now))
+            elif kind in {"hear", "leave"}:
+                reach.record_digest(name, "i", now, leaves=kind == "leave")
+                self.assertFalse(reach.is_excluded(name, now))
+            elif kind == "open":
+                reach.record_connected(name, now)
+                self.assertFalse(reach.is_excluded(name, now))
+            elif kind == "helper":
+                reach.record_helper_refusal(name, "c", "t", now)
+            elif kind == "probe":
+                due = reach.next_probe(now)
+                if due is not None:
+                    reach.start_probe(due, now)
+                    reach.end_probe(due, now, now, is_open=False)
+                    self.assertNotEqual(reach.next_probe(now), due)
+            else:
+                reach.record_failure(
+                    name, f"t{pause_s}", now, is_timeout=kind == "time-out"
+                )
+            self.assertNotIn("a", reach.unreachable(now))
+            for pair, left_s in reach.pairs_apart(now).items():
+                self.assertEqual(len(pair), 2)
+                self.assertLessEqual(left_s, data_centre_reach.PAIR_APART_S)
+            reach.dump(now)
+        self.assertNotIn("a", changes)
+
+
 class AllowedSilenceTest(unittest.TestCase):
     def test_silences_of_packet_loss_are_as_rare_as_stated(self):
         # The figures of the module's docstring.
