Drop outdated failures from the dump and from probes

What operators saw: the dump went on to list targets of another data centre whose connections had failed long ago, and probes avoided them.

Cause: old failures were dropped only at the next failure.

Change: reading them drops those that no longer count.

Evidence: runner data_centre 44 passed, 0 failed; lint clean.

--- a/src/cardamomfork/_internal/gateway/connections/data_centre_probing.py
+++ b/src/cardamomfork/_internal/gateway/connections/data_centre_probing.py
@@ -103,7 +103,7 @@
             for target in self._table.list_all()
             if target.record.data_centre == data_centre
         ]
-        failed = self._reach.failed_targets(data_centre)
+        failed = self._reach.failed_targets(data_centre, now)
         preferred = [
             target
             for target in targets
--- a/src/cardamomfork/_internal/gateway/state/data_centre_reach.py
+++ b/src/cardamomfork/_internal/gateway/state/data_centre_reach.py
@@ -390,10 +390,13 @@
         ]
         return min(due)[1] if due else None
 
-    def failed_targets(self, data_centre: str) -> frozenset[str]:
+    def failed_targets(self, data_centre: str, now: float) -> frozenset[str]:
         """Returns the targets of a data centre that failed lately."""
         known = self._data_centres.get(data_centre)
-        return frozenset(known.failures) if known is not None else frozenset()
+        if known is None:
+            return frozenset()
+        known.drop_failures(now)
+        return frozenset(known.failures)
 
     def start_probe(self, data_centre: str, now: float) -> None:
         """Records the start of a probe."""
@@ -461,7 +464,7 @@
                     else None
                 ),
                 "instances": known.count_live(now),
-                "failed_targets": sorted(known.failures),
+                "failed_targets": sorted(self.failed_targets(name, now)),
             }
             for name, known in self._data_centres.items()
         ]
--- a/tests/unit/test_gateway_data_centre_cut.py
+++ b/tests/unit/test_gateway_data_centre_cut.py
@@ -166,7 +166,7 @@
         if name is not None and not one.is_probing:
             one.is_probing = True
             one.reach.start_probe(name, self.now)
-            failed = one.reach.failed_targets(name)
+            failed = one.reach.failed_targets(name, self.now)
             target = self.rng.choice(
                 [
                     target
--- a/tests/unit/test_gateway_data_centre_reach.py
+++ b/tests/unit/test_gateway_data_centre_reach.py
@@ -357,6 +357,14 @@
         self.reach.record_helper_refusal("a", "b", "t2", self.now)
         self.assertTrue(self.is_excluded())
 
+    def test_failures_that_no_longer_count_are_not_shown(self):
+        # Probes would avoid targets that have long recovered.
+        self.fail("t1")
+        self.assertEqual(self.reach.failed_targets("b", self.now), {"t1"})
+        self.run_for(data_centre_reach.FAILURE_WINDOW_S + 0.1)
+        self.assertEqual(self.reach.failed_targets("b", self.now), set())
+        self.assertEqual(self.reach.dump(self.now)[0]["failed_targets"], [])
+
     def test_tables_have_bounds(self):
         # Names in digests are whatever a peer sends.
         for number in range(300):
