Send news of prompts that several engines read at once

Cause: placements are gathered for 6 ms and what frees capacity for 150 ms. Change: with more than 12 instances a split prompt's placement is sent at once and its release after 6 ms; smaller fleets send as before. No fleet was played.

--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -17,6 +17,7 @@
 from loguru import logger
 import result
 
+from cardamomfork._internal.gateway.choice import placement_news
 from cardamomfork._internal.gateway.peers import change_codec
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import digest_recipients
@@ -153,20 +154,32 @@
         finally:
             transport.close()
 
-    def notify(self, *, is_urgent: bool = False) -> None:
+    def notify_job(self, urgency: placement_news.Urgency) -> None:
+        """Schedules a digest after a change of a job of this instance."""
+        self.notify(
+            is_urgent=urgency is not placement_news.Urgency.RELAXED,
+            is_immediate=urgency is placement_news.Urgency.IMMEDIATE,
+        )
+
+    def notify(
+        self, *, is_urgent: bool = False, is_immediate: bool = False
+    ) -> None:
         """Schedules a digest after a change of this instance's state.
 
         Args:
             is_urgent: Whether peers could make wrong placements without it.
+            is_immediate: Whether a large fleet must not wait for further
+                changes. Small fleets always gather them.
         """
         loop = asyncio.get_running_loop()
         delay_s = COALESCE_S
         if self._table.count > SMALL_FLEET_MAX_INSTANCES:
-            delay_s = (
-                LARGE_FLEET_COALESCE_S
-                if is_urgent
-                else LARGE_FLEET_RELEASE_DELAY_S
-            )
+            if is_immediate:
+                delay_s = 0.0
+            elif is_urgent:
+                delay_s = LARGE_FLEET_COALESCE_S
+            else:
+                delay_s = LARGE_FLEET_RELEASE_DELAY_S
         due_at = loop.time() + delay_s
         if self._digest_timer is not None:
             if self._digest_due_at <= due_at:
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -82,7 +82,7 @@
         statements: target_statements.TargetStatements,
         permits: rate_permits.RatePermits,
         clock: Callable[[], float],
-        on_change: Callable[[], None],
+        on_answer_begun: Callable[[str], None],
         is_isolated: Callable[[], bool] = lambda: False,
     ) -> None:
         """Initializes the forwarder.
@@ -101,7 +101,8 @@
             statements: What targets state about themselves.
             permits: Acquires permits for requests to limited targets.
             clock: Monotonic time.
-            on_change: Called when a job of this instance changes state.
+            on_answer_begun: Called with the id of a job of this instance when
+                its answer has begun.
             is_isolated: Returns whether this instance is cut off from all
                 targets.
         """
@@ -121,7 +122,7 @@
         self._statements = statements
         self._permits = permits
         self._clock = clock
-        self._on_change = on_change
+        self._on_answer_begun = on_answer_begun
         # Request ids of callers need not be unique.
         self._job_numbers = itertools.count()
 
@@ -291,7 +292,7 @@
             if writing.first_at is None:
                 writing.first_at = now
                 self._load.mark_writing(demand.job_id, now)
-                self._on_change()
+                self._on_answer_begun(demand.job_id)
             elif not writing.is_recorded and crash_detector.has_survived(
                 writing.first_at, now
             ):
--- a/src/cardamomfork/_internal/gateway/state/load_view.py
+++ b/src/cardamomfork/_internal/gateway/state/load_view.py
@@ -143,6 +143,10 @@
         """Jobs of this instance."""
         return tuple(self._local_jobs.values())
 
+    def find_local(self, job_id: str) -> Job | None:
+        """Returns a job of this instance, if it is known."""
+        return self._local_jobs.get(job_id)
+
     def start(self, job: Job) -> None:
         """Adds a job of this instance."""
         self._local_jobs[job.job_id] = job
@@ -192,6 +196,14 @@
         """Returns the number of jobs that a target works on."""
         return len(self._by_target.get(target_id, ()))
 
+    def count_running(self, target_id: str) -> int:
+        """Returns the number of requests that a target runs."""
+        return sum(
+            1
+            for job in self._by_target.get(target_id, {}).values()
+            if job.target_id == target_id
+        )
+
     def load(self, target_id: str, now: float) -> TargetLoad:
         """Returns the load of a target."""
         jobs = self._by_target.get(target_id)
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -7,7 +7,9 @@
 import attrs
 
 from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.choice import load_spread
 from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.choice import placement_news
 from cardamomfork._internal.gateway.queueing import retry_budget
 from cardamomfork._internal.gateway.queueing import scheduling
 from cardamomfork._internal.gateway.serving import application
@@ -30,13 +32,15 @@
     """Records the placements of this instance and notifies peers."""
 
     def __init__(
-        self, load: load_view.LoadView, notify: Callable[..., None]
+        self,
+        load: load_view.LoadView,
+        notify: Callable[[placement_news.Urgency], None],
     ) -> None:
         """Initializes the recorder.
 
         Args:
             load: The load of each target.
-            notify: Schedules a digest.
+            notify: Schedules a digest by the urgency of a change.
         """
         self._load = load
         self._notify = notify
@@ -53,31 +57,36 @@
             if demand.service.cost_model is None
             else demands.expected_decode_s(demand)
         )
-        self._load.start(
-            load_view.Job(
-                job_id=demand.job_id,
-                target_id=chosen.target.record.target_id,
-                parts=tuple(
-                    load_view.Part(
-                        helper.target.record.target_id, helper.reserved_tokens
-                    )
-                    for helper in chosen.helpers
-                ),
-                prompt_tokens=demand.prompt_tokens,
-                output_tokens=demand.output_tokens,
-                max_gap_s=demand.max_gap_s,
-                value=demand.value,
-                reads_until=now + chosen.prefill_s,
-                late_at=now + demand.objective_left_s,
-                ends_at=now + chosen.first_token_s + output_s,
-            )
+        job = load_view.Job(
+            job_id=demand.job_id,
+            target_id=chosen.target.record.target_id,
+            parts=tuple(
+                load_view.Part(
+                    helper.target.record.target_id, helper.reserved_tokens
+                )
+                for helper in chosen.helpers
+            ),
+            prompt_tokens=demand.prompt_tokens,
+            output_tokens=demand.output_tokens,
+            max_gap_s=demand.max_gap_s,
+            value=demand.value,
+            reads_until=now + chosen.prefill_s,
+            late_at=now + demand.objective_left_s,
+            ends_at=now + chosen.first_token_s + output_s,
         )
-        self._notify(is_urgent=True)
+        self._load.start(job)
+        self._notify(placement_news.urgency_of_start(job))
+
+    def answer_begun(self, job_id: str) -> None:
+        """Notifies peers that the prefill of a job is complete."""
+        job = self._load.find_local(job_id)
+        self._notify(placement_news.urgency_of_release(job))
 
     def release(self, job_id: str) -> None:
         """Removes a job from the load and notifies peers."""
+        job = self._load.find_local(job_id)
         self._load.end(job_id)
-        self._notify()
+        self._notify(placement_news.urgency_of_release(job))
 
 
 @attrs.frozen(eq=False)
@@ -112,8 +121,8 @@
     """
 
     # These are called only after the parts that they name have been created.
-    def notify_peers(*, is_urgent: bool = False) -> None:
-        peers.links.notify(is_urgent=is_urgent)
+    def notify_peers(urgency: placement_news.Urgency) -> None:
+        peers.links.notify_job(urgency)
 
     def count_open_requests() -> int:
         return callers.in_progress + targets.peer_forwarding.in_progress
@@ -133,7 +142,7 @@
     callers = application.CallerApplication(
         known.wire,
         known.fleet_state,
-        _make_forwarder(known, targets, peers, scheduler, budget),
+        _make_forwarder(known, targets, peers, scheduler, budget, recorder),
         known.stop_state,
         traffic_metrics.TrafficMetrics(
             metrics.meter, _make_gauges(known, targets, peers, scheduler)
@@ -178,8 +187,14 @@
     peers: peer_side.PeerSide,
     scheduler: scheduling.Scheduler,
     budget: retry_budget.RetryBudget,
+    recorder: _JobRecorder,
 ) -> forwarding.Forwarder:
     """Creates the forwarder of placed requests."""
+
+    def on_answer_begun(job_id: str) -> None:
+        recorder.answer_begun(job_id)
+        known.notifications.capacity_changed()
+
     return forwarding.Forwarder(
         known.wire,
         scheduler,
@@ -194,7 +209,7 @@
         targets.statements,
         peers.rate_permits,
         known.clock,
-        known.notifications.capacity_changed,
+        on_answer_begun,
         lambda: targets.access.reach.is_isolated,
     )
 
@@ -210,6 +225,9 @@
         "waiting": lambda: scheduler.waiting,
         "targets": lambda: len(known.target_table),
         "instances": lambda: known.peer_table.count,
+        "load_spread": lambda: load_spread.highest_over_mean(
+            known.target_table, known.load_view
+        ),
         "configuration_age": lambda: known.fleet_state.configuration_age_s,
         "connections_opened": lambda: targets.access.pool.opened,
         "permit_targets": lambda: peers.rate_permits.issued_targets,
--- a/src/cardamomfork/_internal/measure/placing.py
+++ b/src/cardamomfork/_internal/measure/placing.py
@@ -18,6 +18,7 @@
 from cardamomfork._internal.gateway.choice import engine_timing
 from cardamomfork._internal.gateway.choice import placement
 from cardamomfork._internal.measure import engine_simulation
+from cardamomfork._internal.measure import even_load
 from cardamomfork._internal.measure import reports
 from cardamomfork._internal.models import fleet
 
@@ -206,9 +207,43 @@
                 tuple(rows),
             )
         )
+    deployments = () if options.smallest else even_load.DEPLOYMENTS
+    tables += [_compare_ways(one, options.seed) for one in deployments]
     return reports.Report("placing", tuple(tables))
 
 
+def _compare_ways(
+    deployment: even_load.Deployment, first_seed: int
+) -> reports.Table:
+    """Measures each way to place by load information that is out of date."""
+    seeds = range(first_seed, first_seed + deployment.seeds)
+    rows = []
+    columns: tuple[str, ...] = ()
+    for number, way in enumerate(even_load.list_ways(deployment, first_seed)):
+        runs = [
+            even_load.figures(
+                even_load.simulate(
+                    deployment,
+                    even_load.list_ways(deployment, seed)[number],
+                    seed,
+                )
+            )
+            for seed in seeds
+        ]
+        columns = tuple(runs[0])
+        means = (
+            statistics.fmean(one[column] for one in runs) for column in columns
+        )
+        rows.append((way.name, *(f"{mean:.3f}" for mean in means)))
+    return reports.Table(
+        f"phases at {deployment.instances} instances and"
+        f" {deployment.engines} engines of {deployment.name}, mean of"
+        f" {len(seeds)} seeds",
+        ("way", *columns),
+        tuple(rows),
+    )
+
+
 def _kind_names() -> tuple[str, ...]:
     """Returns the names of the kinds of requests."""
     return tuple(kind.name for kind in engine_simulation.KINDS)
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -107,7 +107,7 @@
             statements,
             gateway_parts.make_permits(limits, time.monotonic),
             time.monotonic,
-            lambda: None,
+            lambda _: None,
         )
 
     def exchange(self, request_id="r1", body=b"ask"):
