--- a/src/cardamomfork/_internal/gateway/choice/placement_costs.py
+++ b/src/cardamomfork/_internal/gateway/choice/placement_costs.py
@@ -66,6 +66,9 @@
 time. The cost applies to the last free slot of a target, and is 0 while at most
 the given fraction of the slots is in use. A request beyond the slots waits
 until another one ends, which makes half of the short prompts late."""
+ENGINE_UNCROWDED_FRACTION = 0.8
+"""The same fraction for engines. With 0.5, short prompts spread so far that
+long ones found fewer idle engines, and their worth on time fell."""
 MIN_CROWDED_ENGINE_INSTANCES = 13
 """Number of instances from which that cost applies to engines. Fewer ones see
 each other's placements before they choose the same slot."""
@@ -219,7 +222,9 @@
             + _fill_order_cost(cost_model, demand, candidate)
         )
         if self._has_crowded_engines:
-            fixed_cost += self._crowding_cost(candidate)
+            fixed_cost += self._crowding_cost(
+                candidate, ENGINE_UNCROWDED_FRACTION
+            )
         if candidate.target.is_cold(now):
             fixed_cost += COLD_COST * demand.value
         max_prefill_step_s = 0.0
@@ -263,10 +268,12 @@
             + (candidate.slowdown - 1.0)
             + self._remote_cost(candidate)
             + random_cost * self._rng.random()
-            + self._crowding_cost(candidate)
+            + self._crowding_cost(candidate, UNCROWDED_FRACTION)
         )
 
-    def _crowding_cost(self, candidate: demands.Candidate) -> float:
+    def _crowding_cost(
+        self, candidate: demands.Candidate, uncrowded_fraction: float
+    ) -> float:
         """Returns the cost of a slot that others may choose now as well."""
         occupied_fraction = (
             candidate.load.running + 1
@@ -274,7 +281,7 @@
         return (
             CROWDING_COST
             * self._crowding_ratio
-            * ramp(occupied_fraction, UNCROWDED_FRACTION)
+            * ramp(occupied_fraction, uncrowded_fraction)
         )
 
     def _remote_cost(self, candidate: demands.Candidate) -> float:
