Share scarce slots among client accounts

Cause: the queue orders by priority and time, and knows no account. Ordering each queue by account mends it at 6 instances, but not at 69, where a freed slot is taken before the instance at which the small account waits hears of it.

Change: FairOrder orders waiting requests of a priority by their accounts' use of slots and memory in the running jobs of all instances. Digests carry the account of a job (Job.accountId @9) and what waits (waiting @19); the fields 17 and 18 that other parts add are declared, since Cap'n Proto requires consecutive numbers.

--- a/src/cardamomfork/_internal/gateway/daemon.py
+++ b/src/cardamomfork/_internal/gateway/daemon.py
@@ -5,7 +5,9 @@
 import sys
 
 import anyio
+import click
 from loguru import logger
+import result
 
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.gateway import process
@@ -14,6 +16,7 @@
 from cardamomfork._internal.platform import node_settings
 from cardamomfork._internal.platform import store_client
 from cardamomfork._internal.platform import wire_format
+from cardamomfork._internal.settings import loader
 from cardamomfork._internal.telemetry import bounded_output
 from cardamomfork._internal.telemetry import logs
 
@@ -21,11 +24,19 @@
 """An answer takes milliseconds, or 60 times as long on a slow store."""
 
 
-def main() -> None:
-    """Runs the program; writes to stderr why it cannot start, if it fails."""
+@click.command()
+@click.option(
+    "--settings",
+    "features_path",
+    metavar="FILE",
+    help="INI file that switches features; see docs/operators/limits.md.",
+)
+def main(features_path: str | None) -> None:
+    """Runs an entry instance on the users' platform."""
     try:
         path = node_settings.find_path()
         settings = node_settings.load(path)
+        features = load_features(features_path)
     except exceptions.CardamomforkError as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(1)
@@ -46,9 +57,26 @@
             )
         ),
         lambda: node_settings.load(path),
+        features,
     )
     try:
         anyio.run(gateway.run, backend_options=event_loop.BACKEND_OPTIONS)
     except BaseException:
         logger.exception("ended by an error")
         raise
+
+
+def load_features(path: str | None) -> settings_models.EntryFeatures:
+    """Reads which features are on; without a file, all have their defaults.
+
+    Raises:
+        exceptions.SettingsError: The file has errors; names all of them.
+    """
+    if path is None:
+        return settings_models.EntryFeatures()
+    loaded = loader.load_features(path)
+    if isinstance(loaded, result.Err):
+        raise exceptions.SettingsError(
+            "\n".join(str(finding) for finding in loaded.err_value)
+        )
+    return loaded.ok_value
--- a/src/cardamomfork/_internal/gateway/peers/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/digest_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import itertools
 import math
 import pathlib
 from typing import Any
@@ -15,10 +16,12 @@
 from cardamomfork._internal.gateway.state import crash_records
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import peer_queues
 from cardamomfork._internal.gateway.state import rate_limits
 
 MS_PER_S = 1000.0
 MAX_MS = 2**31 - 1
+MAX_COUNT = 2**16 - 1
 MAX_ENTRIES = 4096
 """Bound of each list in a digest."""
 _SCHEMA_PATH = pathlib.Path(__file__).with_name("digests.capnp")
@@ -65,6 +68,7 @@
         exchanges_changes: Whether the sender exchanges changes in the store
             with peers.
         reaches_store: Whether the store answers the sender.
+        waiting: Requests that wait at the sender.
     """
 
     sender: Peer
@@ -81,6 +85,7 @@
     open_requests: int = 0
     exchanges_changes: bool = False
     reaches_store: bool = False
+    waiting: tuple[peer_queues.WaitingClass, ...] = ()
 
 
 @functools.cache
@@ -123,6 +128,13 @@
         limits[index].requestsPerS = limit.requests_per_s
         limits[index].ageMs = _to_unsigned_ms(limit.age_s)
         limits[index].hasEnded = limit.has_ended
+    sent_classes = digest.waiting[: peer_queues.MAX_CLASSES]
+    waiting = message.init("waiting", len(sent_classes))
+    for index, one in enumerate(sent_classes):
+        waiting[index].service = one.service
+        waiting[index].isLong = one.is_long
+        waiting[index].count = min(one.count, MAX_COUNT)
+        waiting[index].prefillMs = min(one.prefill_ms, MAX_MS)
     return bytes(message.to_bytes_packed())
 
 
@@ -132,7 +144,12 @@
         message = schema().Digest.from_bytes_packed(data)
         # A small packed message may expand to lists of millions of entries.
         if (
-            max(len(message.jobs), len(message.deaths), len(message.rateLimits))
+            max(
+                len(message.jobs),
+                len(message.deaths),
+                len(message.rateLimits),
+                len(message.waiting),
+            )
             > MAX_ENTRIES
         ):
             return result.Err("malformed digest: too many entries")
@@ -175,6 +192,14 @@
                 message.openRequests,
                 message.exchangesChanges,
                 message.reachesStore,
+                tuple(
+                    peer_queues.WaitingClass(
+                        one.service, one.isLong, one.count, one.prefillMs
+                    )
+                    for one in itertools.islice(
+                        message.waiting, peer_queues.MAX_CLASSES
+                    )
+                ),
             )
         )
     except (capnp.KjException, ValueError) as error:
@@ -219,6 +244,7 @@
     message.endsInMs = _to_unsigned_ms(job.ends_at - now)
     message.isWriting = job.is_writing
     message.lateInMs = _to_unsigned_ms(job.late_at - now)
+    message.accountId = job.account_id
 
 
 def _decode_job(job_id: str, message: Any, now: float) -> load_view.Job:
@@ -238,6 +264,7 @@
         late_at=now + message.lateInMs / MS_PER_S,
         is_writing=message.isWriting,
         ends_at=now + message.endsInMs / MS_PER_S,
+        account_id=message.accountId,
     )
 
 
--- a/src/cardamomfork/_internal/gateway/peers/digests.capnp
+++ b/src/cardamomfork/_internal/gateway/peers/digests.capnp
@@ -19,6 +19,33 @@
   openRequests @14 :UInt32;
   exchangesChanges @15 :Bool;  # Whether it reads `ChangeUpdate` datagrams.
   reachesStore @16 :Bool;  # Whether the store answers the sender.
+  evacuations @17 :List(Evacuation);
+  coldTargets @18 :List(ColdTarget);
+  waiting @19 :List(WaitingClass);  # Queued requests, at most 64 classes.
+}
+
+# Whether targets in a data centre may get requests.
+struct Evacuation {
+  dataCentre @0 :Text;
+  revision @1 :UInt64;
+  isActive @2 :Bool;
+}
+
+# A target's statement that it is cold.
+struct ColdTarget {
+  targetId @0 :Text;
+  startedAtMs @1 :Int64;
+  remainingMs @2 :UInt32;
+  ageMs @3 :UInt32;
+}
+
+# Requests of one service that wait at the sender. Requests of accounts that
+# use more than their share aren't counted: they take what these leave.
+struct WaitingClass {
+  service @0 :Text;
+  isLong @1 :Bool;
+  count @2 :UInt16;
+  prefillMs @3 :UInt32;  # Sum of their prefill times on one idle engine.
 }
 
 # A request that the sender has placed on a target.
@@ -32,6 +59,7 @@
   endsInMs @6 :UInt32;
   isWriting @7 :Bool;
   lateInMs @8 :UInt32;  # 0: the first token is late, or none is expected.
+  accountId @9 :UInt64;  # Fingerprint of the client account. 0: unknown.
 }
 
 # A part of a request that another target runs.
--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -21,6 +21,7 @@
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import digest_recipients
 from cardamomfork._internal.gateway.peers import permit_codec
+from cardamomfork._internal.gateway.state import peer_queues
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -79,6 +80,10 @@
         reaches_targets: Callable[[], bool] = lambda: False,
         count_open_requests: Callable[[], int] = lambda: 0,
         reaches_store: Callable[[], bool] = lambda: False,
+        queues: peer_queues.PeerQueues | None = None,
+        list_waiting: Callable[
+            [], tuple[peer_queues.WaitingClass, ...]
+        ] = tuple,
     ) -> None:
         """Initializes the links.
 
@@ -100,6 +105,8 @@
                 instance.
             count_open_requests: Returns the number of requests in progress.
             reaches_store: Returns whether the store answers this instance.
+            queues: Numbers of requests that wait at peers.
+            list_waiting: Returns those that wait here.
         """
         self._local_peer = local_peer
         self._table = table
@@ -117,6 +124,8 @@
         self._reaches_targets = reaches_targets
         self._count_open_requests = count_open_requests
         self._reaches_store = reaches_store
+        self._queues = queues or peer_queues.PeerQueues()
+        self._list_waiting = list_waiting
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._sequence = 0
         self._is_leaving = False
@@ -269,6 +278,7 @@
         self._load.replace_peer_jobs(
             digest.sender.instance_id, digest.jobs, now
         )
+        self._queues.replace(digest.sender.instance_id, digest.waiting, now)
         for death in digest.deaths:
             self._guard.record_crash(death, now)
         for limit in digest.rate_limits:
@@ -300,6 +310,7 @@
                 self._count_open_requests(),
                 exchanges_changes=True,
                 reaches_store=self._reaches_store(),
+                waiting=self._list_waiting(),
             ),
             now,
         )
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -26,6 +26,7 @@
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.contracts import store
     from cardamomfork._internal.models import fleet
+    from cardamomfork._internal.models import settings as settings_models
 
 MAINTENANCE_INTERVAL_S = 0.25
 SETTINGS_RELOAD_INTERVAL_S = 5.0
@@ -45,6 +46,7 @@
         wire: platform_format.PlatformFormat,
         platform_store: store.PolledStore,
         load_settings: Callable[[], fleet.EntrySettings],
+        features: settings_models.EntryFeatures | None = None,
     ) -> None:
         """Creates and connects the components without starting them.
 
@@ -53,10 +55,14 @@
             wire: Names and formats of the platform.
             platform_store: The platform's store.
             load_settings: Reloads the settings.
+            features: Features that are switched by settings; None for the
+                defaults.
         """
         self._settings = settings
         self._load_settings = load_settings
-        self._known = known_state.create(settings, wire, platform_store)
+        self._known = known_state.create(
+            settings, wire, platform_store, features
+        )
         self._clock = self._known.clock
         self._stop_state = self._known.stop_state
         self._targets = target_side.create(self._known)
@@ -215,6 +221,9 @@
             "polls_store": self._known.must_poll,
             "in_progress": self._requests.application.in_progress,
             "waiting": self._requests.scheduler.waiting,
+            "account_use": self._requests.fair_order.dump(
+                request_path.list_services(self._known), now
+            ),
             "peers": [
                 peer.instance_id for peer in self._known.peer_table.peers
             ],
--- a/src/cardamomfork/_internal/gateway/queueing/scheduling.py
+++ b/src/cardamomfork/_internal/gateway/queueing/scheduling.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 from typing import TYPE_CHECKING
 
@@ -17,11 +18,16 @@
 from cardamomfork._internal.gateway.choice import demands
 from cardamomfork._internal.gateway.choice import engine_timing
 from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.choice import placement_costs
+from cardamomfork._internal.gateway.state import peer_queues
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     import random
 
+    from cardamomfork._internal.gateway.queueing import fair_order
+
+MS_PER_S = 1000.0
 MAX_WAITING_REQUESTS = 2000
 """Bound of the queue of one instance; further requests are refused."""
 MAX_RECHECK_INTERVAL_S = 0.05
@@ -29,6 +35,8 @@
 MIN_UPDATE_RECHECK_INTERVAL_S = 0.01
 """Least time between two attempts after updates from peers: each attempt
 compares all engines for all waiting requests."""
+SHARE_REASON = "its account has used its share"
+"""Reason of a refusal that makes room for requests of other accounts."""
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 3.0
 MAX_STATED_RETRY_AFTER_S = 30.0
@@ -58,6 +66,7 @@
         demand: Its requirements; times left count from `enqueued_at`.
         priority: Priority; 0 goes first.
         enqueued_at: Monotonic time at which it joined the queue.
+        account_id: Fingerprint of its client account.
         decision: Its placement or refusal; None before the decision.
         decided: Set together with the decision.
     """
@@ -65,6 +74,7 @@
     demand: demands.Demand
     priority: int
     enqueued_at: float
+    account_id: int = 0
     decision: placement.Placement | Refusal | None = None
     decided: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -93,25 +103,32 @@
     def __init__(
         self,
         placer: placement.Placer,
-        commit: Callable[[demands.Demand, placement.Placement, float], None],
+        commit: Callable[
+            [demands.Demand, placement.Placement, float, int], None
+        ],
         withdraw: Callable[[str], None],
         clock: Callable[[], float],
         rng: random.Random,
+        order: fair_order.FairOrder | None = None,
     ) -> None:
         """Initializes the scheduler.
 
         Args:
             placer: Chooses placements.
-            commit: Called with each placement before the next choice.
+            commit: Called with each placement, and the fingerprint of the
+                request's account, before the next choice.
             withdraw: Called with the id of each job whose slot is free again.
             clock: Monotonic time.
             rng: Random generator for retry-after jitter.
+            order: Shares scarce capacity among accounts; None to order by
+                priority and time alone.
         """
         self._placer = placer
         self._commit = commit
         self._withdraw = withdraw
         self._clock = clock
         self._rng = rng
+        self._order = order
         self._waiters: list[_Waiter] = []
         self._last_dispatch_at = -MAX_RECHECK_INTERVAL_S
 
@@ -120,15 +137,55 @@
         """Number of waiting requests."""
         return len(self._waiters)
 
+    def list_waiting(self) -> tuple[peer_queues.WaitingClass, ...]:
+        """Returns the numbers of waiting requests for the digest.
+
+        Requests of accounts above their share aren't counted, since peers keep
+        slots free for the others.
+        """
+        now = self._clock()
+        if self._order is None:
+            return ()
+        self._order.record_waiting(self._waiters, now)
+        counts: dict[tuple[str, bool], tuple[int, float]] = {}
+        for waiter in self._waiters:
+            service = waiter.demand.service
+            if self._order.is_above_share(service, waiter.account_id, now):
+                continue
+            prefill_s = (
+                engine_timing.prefill_s(
+                    service.cost_model, waiter.demand.prompt_tokens
+                )
+                if service.cost_model is not None
+                else 0.0
+            )
+            key = (service.name, prefill_s > placement_costs.SHORT_PREFILL_S)
+            count, sum_s = counts.get(key, (0, 0.0))
+            counts[key] = (count + 1, sum_s + prefill_s)
+        return tuple(
+            peer_queues.WaitingClass(
+                name, is_long, count, round(sum_s * MS_PER_S)
+            )
+            for (name, is_long), (count, sum_s) in counts.items()
+        )[: peer_queues.MAX_CLASSES]
+
     async def acquire(
-        self, demand: demands.Demand, priority: int
+        self, demand: demands.Demand, priority: int, account_id: int = 0
     ) -> placement.Placement | Refusal:
-        """Returns a placement, if need be after a wait, or a refusal."""
-        waiter = _Waiter(demand, priority, self._clock())
+        """Returns a placement, if need be after a wait, or a refusal.
+
+        Args:
+            demand: The requirements of the request.
+            priority: Its priority; 0 goes first.
+            account_id: Fingerprint of its client account.
+        """
+        waiter = _Waiter(demand, priority, self._clock(), account_id)
         if self._waiters or not self._try_decide(
             waiter, waiter.enqueued_at, {}
         ):
-            if len(self._waiters) >= MAX_WAITING_REQUESTS:
+            if len(
+                self._waiters
+            ) >= MAX_WAITING_REQUESTS and not self._make_room(account_id):
                 return self._refuse("too many requests wait", 1.0)
             self._waiters.append(waiter)
             self._waiters.sort(key=lambda one: one.sort_key)
@@ -164,10 +221,47 @@
         now = self._clock()
         self._last_dispatch_at = now
         no_capacity: _NoCapacityByGroup = {}
-        for waiter in list(self._waiters):
-            if self._try_decide(waiter, now, no_capacity):
-                self._waiters.remove(waiter)
-                waiter.decided.set()
+        if self._order is None:
+            for waiter in list(self._waiters):
+                self._dispatch(waiter, now, no_capacity)
+            return
+        shared = self._order.start_pass(self._waiters, now)
+        for waiter in shared:
+            self._dispatch(waiter, now, no_capacity)
+            if isinstance(waiter.decision, placement.Placement):
+                shared.record_placed(waiter)
+
+    def _dispatch(
+        self, waiter: _Waiter, now: float, no_capacity: _NoCapacityByGroup
+    ) -> None:
+        """Places or refuses a waiting request, if that is possible now."""
+        if self._try_decide(waiter, now, no_capacity):
+            self._waiters.remove(waiter)
+            waiter.decided.set()
+
+    def _make_room(self, account_id: int) -> bool:
+        """Refuses a request of the account that has most in the full queue.
+
+        Returns:
+            Whether there is room for a request of an account.
+        """
+        if self._order is None:
+            return False
+        counts = collections.Counter(
+            waiter.account_id for waiter in self._waiters
+        )
+        most, count = counts.most_common(1)[0]
+        if counts[account_id] + 1 >= count:
+            return False
+        # The newest one has waited least in vain.
+        refused = max(
+            (one for one in self._waiters if one.account_id == most),
+            key=lambda one: one.enqueued_at,
+        )
+        refused.decision = self._refuse(SHARE_REASON, 1.0)
+        self._waiters.remove(refused)
+        refused.decided.set()
+        return True
 
     def _dispatch_if_due(self, min_interval_s: float) -> None:
         """Places waiting requests if the last attempt is long enough ago."""
@@ -187,11 +281,19 @@
         """
         demand = waiter.demand_at(now)
         candidate_set = (demand.service.name, demand.excluded)
-        chosen = no_capacity.get(candidate_set) or self._placer.choose(
-            demand, now
-        )
+        chosen: placement.Placement | placement.NoCapacity
+        if self._order is not None and self._order.must_yield(
+            demand.service, waiter.account_id, now
+        ):
+            chosen = placement.NoCapacity(SHARE_REASON, MAX_RECHECK_INTERVAL_S)
+        else:
+            chosen = no_capacity.get(candidate_set) or self._placer.choose(
+                demand, now
+            )
         if isinstance(chosen, placement.Placement):
-            self._commit(demand, chosen, now)
+            self._commit(demand, chosen, now, waiter.account_id)
+            if self._order is not None:
+                self._order.add(waiter, now)
             waiter.decision = chosen
             return True
         if chosen.is_for_all_requests:
--- a/src/cardamomfork/_internal/gateway/requests/request_log.py
+++ b/src/cardamomfork/_internal/gateway/requests/request_log.py
@@ -119,6 +119,7 @@
             fingerprint=fingerprints.format_fingerprint(fingerprint),
             route=match.route.name,
             service=match.service.name,
+            account=match.account_name,
             version=match.version,
             status=status,
             reason=reason,
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -19,6 +19,7 @@
 from cardamomfork._internal.gateway.requests import attempt
 from cardamomfork._internal.gateway.requests import exchanges
 from cardamomfork._internal.gateway.serving import outcome_recorder
+from cardamomfork._internal.gateway.state import fingerprints
 from cardamomfork._internal.models import forwarding
 
 if TYPE_CHECKING:
@@ -151,7 +152,9 @@
                 return self._refuse(exchange, CUT_OFF)
             demand = self._make_demand(exchange)
             chosen = await self._scheduler.acquire(
-                demand, exchange.match.priority
+                demand,
+                exchange.match.priority,
+                fingerprints.of_account(exchange.match.account_name),
             )
             if isinstance(chosen, scheduling.Refusal):
                 return self._refuse(exchange, chosen)
--- a/src/cardamomfork/_internal/gateway/state/fingerprints.py
+++ b/src/cardamomfork/_internal/gateway/state/fingerprints.py
@@ -34,6 +34,15 @@
     return int(fingerprint & ~_KIND_MASK | _PART_KIND)
 
 
+def of_account(name: str) -> int:
+    """Returns a hash of a client account's name, which is never 0.
+
+    Lone surrogates, which no valid configuration contains, are hashed too.
+    """
+    data = name.encode(errors="surrogatepass")
+    return int(xxhash.xxh3_64_intdigest(data)) or 1
+
+
 def is_part(fingerprint: int) -> bool:
     """Returns whether a fingerprint is that of a part."""
     return fingerprint & _KIND_MASK == _PART_KIND
--- a/src/cardamomfork/_internal/gateway/state/load_view.py
+++ b/src/cardamomfork/_internal/gateway/state/load_view.py
@@ -49,6 +49,7 @@
         late_at: Time after which its first token is late.
         is_writing: Whether it is in decode.
         ends_at: Predicted end; 0 if there is no prediction.
+        account_id: Fingerprint of its client account; 0 if unknown.
     """
 
     job_id: str
@@ -62,6 +63,7 @@
     late_at: float = math.inf
     is_writing: bool = False
     ends_at: float = 0.0
+    account_id: int = 0
 
     @property
     def primary_tokens(self) -> int:
@@ -143,6 +145,13 @@
         """Jobs of this instance."""
         return tuple(self._local_jobs.values())
 
+    @property
+    def job_count(self) -> int:
+        """Number of jobs of this instance and its peers."""
+        return len(self._local_jobs) + sum(
+            len(jobs) for _, jobs in self._peer_jobs.values()
+        )
+
     def start(self, job: Job) -> None:
         """Adds a job of this instance."""
         self._local_jobs[job.job_id] = job
@@ -192,6 +201,10 @@
         """Returns the number of jobs that a target works on."""
         return len(self._by_target.get(target_id, ()))
 
+    def jobs(self, target_id: str) -> tuple[Job, ...]:
+        """Returns the jobs that a target works on."""
+        return tuple(self._by_target.get(target_id, {}).values())
+
     def load(self, target_id: str, now: float) -> TargetLoad:
         """Returns the load of a target."""
         jobs = self._by_target.get(target_id)
--- a/src/cardamomfork/_internal/gateway/wiring/known_state.py
+++ b/src/cardamomfork/_internal/gateway/wiring/known_state.py
@@ -14,9 +14,11 @@
 from cardamomfork._internal.gateway.peers import peer_table
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import peer_queues
 from cardamomfork._internal.gateway.state import stopping
 from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.gateway.wiring import notifications
+from cardamomfork._internal.models import settings as settings_models
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,11 +40,13 @@
         notifications: Changes that concern several sides.
         target_table: The known targets.
         load_view: The load of each target.
+        peer_queues: Numbers of requests that wait at peers.
         fleet_state: Configuration and targets, and the age of both.
         poison_guard: Records of requests that crash targets.
         local_peer: This instance.
         peer_table: The other instances.
         stop_state: Whether the process is stopping.
+        features: Features that are switched by settings.
     """
 
     settings: fleet.EntrySettings
@@ -53,11 +57,13 @@
     notifications: notifications.Notifications
     target_table: target_table.TargetTable
     load_view: load_view.LoadView
+    peer_queues: peer_queues.PeerQueues
     fleet_state: fleet_state.FleetState
     poison_guard: poison_guard.PoisonGuard
     local_peer: digest_codec.Peer
     peer_table: peer_table.PeerTable
     stop_state: stopping.StopState
+    features: settings_models.EntryFeatures
 
     @property
     def must_poll(self) -> bool:
@@ -83,6 +89,7 @@
     settings: fleet.EntrySettings,
     wire: platform_format.PlatformFormat,
     platform_store: store.PolledStore,
+    features: settings_models.EntryFeatures | None = None,
 ) -> KnownState:
     """Creates empty tables.
 
@@ -90,6 +97,8 @@
         settings: Settings of the process.
         wire: Names and formats of the platform.
         platform_store: The platform's store.
+        features: Features that are switched by settings; None for the
+            defaults.
     """
     clock = time.monotonic
     rng = random.Random()
@@ -111,6 +120,7 @@
         notifications=notify,
         target_table=targets,
         load_view=load_view.LoadView(),
+        peer_queues=peer_queues.PeerQueues(),
         fleet_state=fleet_state.FleetState(wire, targets, clock),
         poison_guard=poison_guard.PoisonGuard(
             lambda fingerprint: peers.find_owner(f"{fingerprint:x}") is None
@@ -118,6 +128,7 @@
         local_peer=local_peer,
         peer_table=peers,
         stop_state=stopping.StopState(),
+        features=features or settings_models.EntryFeatures(),
     )
     notify.store_answered.connect(known.record_store_answer)
     return known
--- a/src/cardamomfork/_internal/gateway/wiring/peer_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/peer_side.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cardamomfork._internal.gateway.state import peer_queues
     from cardamomfork._internal.gateway.store import change_relay
     from cardamomfork._internal.gateway.wiring import known_state
     from cardamomfork._internal.gateway.wiring import target_side
@@ -42,6 +43,7 @@
     targets: target_side.TargetSide,
     on_peer_update: Callable[[], None],
     count_open_requests: Callable[[], int],
+    list_waiting: Callable[[], tuple[peer_queues.WaitingClass, ...]],
 ) -> PeerSide:
     """Creates the side without opening a socket.
 
@@ -50,6 +52,7 @@
         targets: The side that faces targets.
         on_peer_update: Called after each new digest.
         count_open_requests: Returns the number of requests in progress.
+        list_waiting: Returns the numbers of waiting requests.
     """
     notify = known.notifications
 
@@ -99,6 +102,8 @@
         lambda: _reaches_targets(known, targets),
         count_open_requests,
         lambda: not known.fleet_state.is_store_lost,
+        known.peer_queues,
+        list_waiting,
     )
     notify.capacity_changed.connect(links.notify)
     notify.reach_changed.connect(lambda: links.notify(is_urgent=True))
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -8,6 +8,7 @@
 
 from cardamomfork._internal.gateway.choice import demands
 from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.queueing import fair_order
 from cardamomfork._internal.gateway.queueing import retry_budget
 from cardamomfork._internal.gateway.queueing import scheduling
 from cardamomfork._internal.gateway.serving import application
@@ -24,6 +25,7 @@
 
     from cardamomfork._internal.gateway.wiring import known_state
     from cardamomfork._internal.gateway.wiring import target_side
+    from cardamomfork._internal.models import fleet
 
 
 class _JobRecorder:
@@ -46,6 +48,7 @@
         demand: demands.Demand,
         chosen: placement.Placement,
         now: float,
+        account_id: int,
     ) -> None:
         """Records a placement chosen by the scheduler and notifies peers."""
         output_s = (
@@ -70,6 +73,7 @@
                 reads_until=now + chosen.prefill_s,
                 late_at=now + demand.objective_left_s,
                 ends_at=now + chosen.first_token_s + output_s,
+                account_id=account_id,
             )
         )
         self._notify(is_urgent=True)
@@ -86,6 +90,7 @@
 
     Attributes:
         scheduler: Queues requests until a target has capacity.
+        fair_order: The use of services by client accounts.
         retry_budget: The retry budget of this instance.
         connection_limits: Limits on callers' connections.
         metrics_export: Serves the metrics.
@@ -94,6 +99,7 @@
     """
 
     scheduler: scheduling.Scheduler
+    fair_order: fair_order.FairOrder
     retry_budget: retry_budget.RetryBudget
     connection_limits: caller_protocol.ConnectionLimits
     metrics_export: exporting.MetricsExport
@@ -119,13 +125,17 @@
         return callers.in_progress + targets.peer_forwarding.in_progress
 
     recorder = _JobRecorder(known.load_view, notify_peers)
-    scheduler = _make_scheduler(known, recorder)
+    order = fair_order.FairOrder(
+        known.target_table, known.load_view, known.peer_queues
+    )
+    scheduler = _make_scheduler(known, recorder, order)
     budget = retry_budget.RetryBudget(known.settings, known.clock())
     peers = peer_side.create(
         known,
         targets,
         scheduler.receive_update,
         count_open_requests,
+        scheduler.list_waiting,
     )
     metrics = exporting.MetricsExport(
         settings_models.TelemetrySettings(), known.settings.instance_id
@@ -136,7 +146,7 @@
         _make_forwarder(known, targets, peers, scheduler, budget),
         known.stop_state,
         traffic_metrics.TrafficMetrics(
-            metrics.meter, _make_gauges(known, targets, peers, scheduler)
+            metrics.meter, _make_gauges(known, targets, peers, scheduler, order)
         ),
         known.clock,
         known.rng,
@@ -150,11 +160,15 @@
     notify.configuration_applied.connect(
         lambda: _apply_caller_limits(known, limits)
     )
-    return RequestPath(scheduler, budget, limits, metrics, callers, peers)
+    return RequestPath(
+        scheduler, order, budget, limits, metrics, callers, peers
+    )
 
 
 def _make_scheduler(
-    known: known_state.KnownState, recorder: _JobRecorder
+    known: known_state.KnownState,
+    recorder: _JobRecorder,
+    order: fair_order.FairOrder,
 ) -> scheduling.Scheduler:
     """Creates the queue of requests."""
     return scheduling.Scheduler(
@@ -169,6 +183,7 @@
         recorder.release,
         known.clock,
         known.rng,
+        order if known.features.sharing.fair_order else None,
     )
 
 
@@ -204,10 +219,14 @@
     targets: target_side.TargetSide,
     peers: peer_side.PeerSide,
     scheduler: scheduling.Scheduler,
+    order: fair_order.FairOrder,
 ) -> dict[str, Callable[[], float]]:
     """Returns gauges of the state, by name."""
     return {
         "waiting": lambda: scheduler.waiting,
+        "highest_account_use": lambda: order.highest_use(
+            list_services(known), known.clock()
+        ),
         "targets": lambda: len(known.target_table),
         "instances": lambda: known.peer_table.count,
         "configuration_age": lambda: known.fleet_state.configuration_age_s,
@@ -229,3 +248,11 @@
     route_table = known.fleet_state.routes
     if route_table is not None:
         limits.apply(route_table.configuration.limits)
+
+
+def list_services(known: known_state.KnownState) -> tuple[fleet.Service, ...]:
+    """Returns the services of the configuration in force."""
+    route_table = known.fleet_state.routes
+    if route_table is None:
+        return ()
+    return tuple(route_table.configuration.services.values())
--- a/src/cardamomfork/_internal/models/settings.py
+++ b/src/cardamomfork/_internal/models/settings.py
@@ -110,6 +110,25 @@
     export_interval_s: float = 30.0
 
 
+@attrs.frozen
+class SharingSettings:
+    """[sharing]: how an entry instance shares scarce capacity.
+
+    Attributes:
+        fair_order: Whether waiting requests are ordered by the use that their
+            client accounts make of the service.
+    """
+
+    fair_order: bool = False
+
+
+@attrs.frozen
+class EntryFeatures:
+    """All sections of the file that switches features of entry instances."""
+
+    sharing: SharingSettings = SharingSettings()
+
+
 @attrs.frozen
 class DaemonSettings:
     """All sections; `embedded` is whether the embedded parts run."""
--- a/src/cardamomfork/_internal/settings/loader.py
+++ b/src/cardamomfork/_internal/settings/loader.py
@@ -46,20 +46,47 @@
     Returns:
         The settings, or all findings with file, section, key and line.
     """
+    read = _read(path)
+    if isinstance(read, result.Err):
+        return read
+    return parse(read.ok_value, str(path), embedded=embedded)
+
+
+def load_features(
+    path: str | pathlib.Path,
+) -> result.Result[settings.EntryFeatures, tuple[findings.Finding, ...]]:
+    """Loads the file that switches features of an entry instance.
+
+    Returns:
+        The features, or all findings with file, section, key and line.
+    """
+    read = _read(path)
+    if isinstance(read, result.Err):
+        return read
+    checker = _Checker(str(path), read.ok_value, sections.FEATURE_SECTIONS)
+    values = checker.read()
+    if checker.found:
+        return result.Err(tuple(sorted(checker.found, key=_line_number)))
+    return result.Ok(sections.build_features(values))
+
+
+def _read(
+    path: str | pathlib.Path,
+) -> result.Result[str, tuple[findings.Finding, ...]]:
+    """Reads the text of a file."""
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8-sig")
+        return result.Ok(pathlib.Path(path).read_text(encoding="utf-8-sig"))
     except (OSError, UnicodeDecodeError) as error:
         place = findings.Location(str(path), "file")
         finding = findings.Finding(place, f"cannot be read: {error}")
         return result.Err((finding,))
-    return parse(text, str(path), embedded=embedded)
 
 
 def parse(
     text: str, source: str, *, embedded: bool = False
 ) -> result.Result[settings.DaemonSettings, tuple[findings.Finding, ...]]:
     """Parses and validates the text of a settings file."""
-    checker = _Checker(source, text)
+    checker = _Checker(source, text, sections.SECTIONS)
     values = checker.read()
     if embedded:
         values["embedded"] = {"enabled": True}
@@ -113,9 +140,15 @@
 class _Checker:
     """Parses one settings file and collects the findings."""
 
-    def __init__(self, source: str, text: str) -> None:
+    def __init__(
+        self,
+        source: str,
+        text: str,
+        known_sections: dict[str, sections.Section],
+    ) -> None:
         """Initializes the checker and indexes the lines of the text."""
         self.found: list[findings.Finding] = []
+        self._sections = known_sections
         self._source = source
         self._text = text
         self._lines = _index_lines(text)
@@ -152,7 +185,7 @@
         return {
             name: self._read_section(name, parser.items(name))
             for name in parser.sections()
-            if self._check_name("", name, sections.SECTIONS)
+            if self._check_name("", name, self._sections)
         }
 
     def _read_section(
@@ -160,7 +193,7 @@
     ) -> dict[str, Any]:
         """Parses the values of one section."""
         values = {}
-        parsers = sections.SECTIONS[section].parsers
+        parsers = self._sections[section].parsers
         for key, text in items:
             if not self._check_name(section, key, parsers):
                 continue
--- a/src/cardamomfork/_internal/settings/sections.py
+++ b/src/cardamomfork/_internal/settings/sections.py
@@ -91,6 +91,25 @@
     "embedded": Section(dict, {"enabled": fields.parse_boolean}),
 }
 
+FEATURE_SECTIONS: dict[str, Section] = {
+    "sharing": Section(
+        settings.SharingSettings, {"fair_order": fields.parse_boolean}
+    ),
+}
+"""Sections of the file that switches features of an entry instance."""
+
+
+def build_features(
+    values: dict[str, dict[str, Any]],
+) -> settings.EntryFeatures:
+    """Builds the features from the parsed values by section and key."""
+    return settings.EntryFeatures(
+        **{
+            name: _build_section(section.model, values.get(name, {}))
+            for name, section in FEATURE_SECTIONS.items()
+        }
+    )
+
 
 def build(values: dict[str, dict[str, Any]]) -> settings.DaemonSettings:
     """Builds the settings from the parsed values by section and key."""
--- a/tests/unit/test_gateway_scheduling.py
+++ b/tests/unit/test_gateway_scheduling.py
@@ -32,7 +32,7 @@
             random.Random(1),
         )
 
-    def commit(self, demand, chosen, now):
+    def commit(self, demand, chosen, now, account_id):
         """Records the request on its target."""
         self.fleet.run(
             chosen.target.record.target_id, demand.job_id, ends_at=now + 1.0
