Refuse at once a request whose turn can't come in time

What callers saw: a request waited if the first running job of any target ended in time, whoever waited ahead of it and however much memory it needed. Under a load of 1.65 times the capacity (6 instances, tests/lib/sharing_fleet.py, 8 s) 53 of 1,223 requests of the large account were refused, all of them after a wait of an eighth of their objective or more.

Change: Admission predicts the wait of a request when it joins the queue, from the ends of running jobs, the requests ahead of it here and at peers, and the memory that engines must free. It waits only if its turn is predicted in time with a margin of a quarter; then it is refused only once it can't be served any more. Predictions are corrected by observed waits, since requests of other accounts that come later may go first. Nothing that fits is refused while under half of the slots are taken and nothing waits. Retry-After is spread between the predicted wait and a third of the caller's time left, if capacity is likely by then. Off unless predicted_waits is set.

--- a/src/cardamomfork/_internal/gateway/queueing/scheduling.py
+++ b/src/cardamomfork/_internal/gateway/queueing/scheduling.py
@@ -19,6 +19,7 @@
 from cardamomfork._internal.gateway.choice import engine_timing
 from cardamomfork._internal.gateway.choice import placement
 from cardamomfork._internal.gateway.choice import placement_costs
+from cardamomfork._internal.gateway.queueing import admission
 from cardamomfork._internal.gateway.state import peer_queues
 
 if TYPE_CHECKING:
@@ -67,6 +68,8 @@
         priority: Priority; 0 goes first.
         enqueued_at: Monotonic time at which it joined the queue.
         account_id: Fingerprint of its client account.
+        predicted_s: Predicted wait with which it was admitted, or None.
+        is_above_share: Whether its account was above its share then.
         decision: Its placement or refusal; None before the decision.
         decided: Set together with the decision.
     """
@@ -75,6 +78,8 @@
     priority: int
     enqueued_at: float
     account_id: int = 0
+    predicted_s: float | None = None
+    is_above_share: bool = False
     decision: placement.Placement | Refusal | None = None
     decided: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -110,6 +115,8 @@
         clock: Callable[[], float],
         rng: random.Random,
         order: fair_order.FairOrder | None = None,
+        admitter: admission.Admission | None = None,
+        count_instances: Callable[[], int] = lambda: 1,
     ) -> None:
         """Initializes the scheduler.
 
@@ -122,6 +129,9 @@
             rng: Random generator for retry-after jitter.
             order: Shares scarce capacity among accounts; None to order by
                 priority and time alone.
+            admitter: Decides which requests may wait; None to let all wait
+                until no target is predicted to be free in time.
+            count_instances: Returns the number of instances.
         """
         self._placer = placer
         self._commit = commit
@@ -129,6 +139,8 @@
         self._clock = clock
         self._rng = rng
         self._order = order
+        self._admission = admitter
+        self._count_instances = count_instances
         self._waiters: list[_Waiter] = []
         self._last_dispatch_at = -MAX_RECHECK_INTERVAL_S
 
@@ -144,13 +156,14 @@
         slots free for the others.
         """
         now = self._clock()
-        if self._order is None:
+        if self._order is not None:
+            self._order.record_waiting(self._waiters, now)
+        elif self._admission is None:
             return ()
-        self._order.record_waiting(self._waiters, now)
         counts: dict[tuple[str, bool], tuple[int, float]] = {}
         for waiter in self._waiters:
             service = waiter.demand.service
-            if self._order.is_above_share(service, waiter.account_id, now):
+            if self._is_above_share(waiter, now):
                 continue
             prefill_s = (
                 engine_timing.prefill_s(
@@ -295,10 +308,19 @@
             if self._order is not None:
                 self._order.add(waiter, now)
             waiter.decision = chosen
+            self._record_wait(waiter, now)
             return True
         if chosen.is_for_all_requests:
             no_capacity[candidate_set] = chosen
         min_service_s = _min_service_s(demand)
+        if (
+            self._admission is not None
+            and chosen.may_wait
+            and math.isfinite(chosen.capacity_in_s)
+        ):
+            return self._try_refuse(
+                self._admission, waiter, demand, chosen.reason, now
+            )
         if (
             not chosen.may_wait
             or chosen.capacity_in_s + min_service_s > demand.time_left_s
@@ -313,6 +335,82 @@
             return True
         return False
 
+    def _try_refuse(
+        self,
+        admitter: admission.Admission,
+        waiter: _Waiter,
+        demand: demands.Demand,
+        reason: str,
+        now: float,
+    ) -> bool:
+        """Refuses a request by the predicted wait; returns whether it did.
+
+        A request that was admitted is only refused once it can't be served any
+        more, since it has lost the time to ask elsewhere.
+        """
+        min_service_s = _min_service_s(demand)
+        if waiter.predicted_s is not None:
+            if min_service_s <= demand.time_left_s:
+                return False
+            self._record_wait(waiter, now)
+            wait_s = math.inf
+        else:
+            ahead = self._ahead(waiter, now)
+            verdict = admitter.decide(demand, ahead, min_service_s, now)
+            if verdict.may_wait:
+                waiter.predicted_s = verdict.wait_s
+                waiter.is_above_share = ahead.is_above_share
+                return False
+            wait_s = verdict.wait_s
+        waiter.decision = Refusal(
+            reason, admitter.retry_after_s(wait_s, demand.time_left_s)
+        )
+        return True
+
+    def _record_wait(self, waiter: _Waiter, now: float) -> None:
+        """Records how long a request waited, if its wait was predicted."""
+        if self._admission is not None and waiter.predicted_s is not None:
+            self._admission.record_wait(
+                waiter.predicted_s,
+                now - waiter.enqueued_at,
+                is_above_share=waiter.is_above_share,
+            )
+
+    def _ahead(self, waiter: _Waiter, now: float) -> admission.Ahead:
+        """Returns the requests that wait ahead of a new one."""
+        service = waiter.demand.service
+        is_above = self._is_above_share(waiter, now)
+        ahead = [
+            one
+            for one in self._waiters
+            if one is not waiter
+            and one.demand.service.name == service.name
+            and one.sort_key <= waiter.sort_key
+            and (is_above or not self._is_above_share(one, now))
+        ]
+        # Peers don't report requests above their accounts' shares; as many of
+        # them are assumed at each peer as here.
+        unreported = (
+            sum(self._is_above_share(one, now) for one in ahead)
+            * (self._count_instances() - 1)
+            if is_above
+            else 0
+        )
+        return admission.Ahead(
+            len(ahead) + unreported,
+            sum(
+                one.demand.prompt_tokens + one.demand.output_tokens
+                for one in ahead
+            ),
+            is_above,
+        )
+
+    def _is_above_share(self, waiter: _Waiter, now: float) -> bool:
+        """Returns whether the account of a request is above its share."""
+        return self._order is not None and self._order.is_above_share(
+            waiter.demand.service, waiter.account_id, now
+        )
+
     def _refuse(
         self,
         reason: str,
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -8,6 +8,7 @@
 
 from cardamomfork._internal.gateway.choice import demands
 from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.queueing import admission
 from cardamomfork._internal.gateway.queueing import fair_order
 from cardamomfork._internal.gateway.queueing import retry_budget
 from cardamomfork._internal.gateway.queueing import scheduling
@@ -184,6 +185,12 @@
         known.clock,
         known.rng,
         order if known.features.sharing.fair_order else None,
+        admission.Admission(
+            known.target_table, known.load_view, known.peer_queues, known.rng
+        )
+        if known.features.sharing.predicted_waits
+        else None,
+        lambda: known.peer_table.count,
     )
 
 
--- a/src/cardamomfork/_internal/models/settings.py
+++ b/src/cardamomfork/_internal/models/settings.py
@@ -117,9 +117,12 @@
     Attributes:
         fair_order: Whether waiting requests are ordered by the use that their
             client accounts make of the service.
+        predicted_waits: Whether a request waits only if its turn is predicted
+            to come in time.
     """
 
     fair_order: bool = False
+    predicted_waits: bool = False
 
 
 @attrs.frozen
--- a/src/cardamomfork/_internal/settings/sections.py
+++ b/src/cardamomfork/_internal/settings/sections.py
@@ -93,7 +93,11 @@
 
 FEATURE_SECTIONS: dict[str, Section] = {
     "sharing": Section(
-        settings.SharingSettings, {"fair_order": fields.parse_boolean}
+        settings.SharingSettings,
+        {
+            "fair_order": fields.parse_boolean,
+            "predicted_waits": fields.parse_boolean,
+        },
     ),
 }
 """Sections of the file that switches features of an entry instance."""
