--- a/src/cardamomfork/_internal/gateway/peers/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/digest_codec.py
@@ -18,10 +18,12 @@
 from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import peer_queues
 from cardamomfork._internal.gateway.state import rate_limits
 
 MS_PER_S = 1000.0
 MAX_MS = 2**31 - 1
+MAX_COUNT = 2**16 - 1
 MAX_ENTRIES = 4096
 """Bound of each list in a digest."""
 _SCHEMA_PATH = pathlib.Path(__file__).with_name("digests.capnp")
@@ -71,6 +73,7 @@
         evacuations: Evacuations that the sender knows; empty in most digests.
         cold_targets: Statements in answers to the sender about the time for
             which targets are cold.
+        waiting: Requests that wait at the sender.
     """
 
     sender: Peer
@@ -89,6 +92,7 @@
     reaches_store: bool = False
     evacuations: tuple[evacuations.Evacuation, ...] = ()
     cold_targets: tuple[cold_targets.ColdReport, ...] = ()
+    waiting: tuple[peer_queues.WaitingClass, ...] = ()
 
 
 @functools.cache
@@ -139,6 +143,13 @@
             cold[index].startedAtMs = report.started_at_ms
             cold[index].remainingMs = _to_unsigned_ms(report.remaining_s)
             cold[index].ageMs = _to_unsigned_ms(report.age_s)
+    sent_classes = digest.waiting[: peer_queues.MAX_CLASSES]
+    waiting = message.init("waiting", len(sent_classes))
+    for index, one in enumerate(sent_classes):
+        waiting[index].service = one.service
+        waiting[index].isLong = one.is_long
+        waiting[index].count = min(one.count, MAX_COUNT)
+        waiting[index].prefillMs = min(one.prefill_ms, MAX_MS)
     return bytes(message.to_bytes_packed())
 
 
@@ -154,6 +165,7 @@
                 len(message.rateLimits),
                 len(message.evacuations),
                 len(message.coldTargets),
+                len(message.waiting),
             )
             > MAX_ENTRIES
         ):
@@ -210,6 +222,14 @@
                     )
                     for report in message.coldTargets
                 ),
+                tuple(
+                    peer_queues.WaitingClass(
+                        one.service, one.isLong, one.count, one.prefillMs
+                    )
+                    for one in itertools.islice(
+                        message.waiting, peer_queues.MAX_CLASSES
+                    )
+                ),
             )
         )
     except (capnp.KjException, ValueError) as error:
@@ -283,6 +303,7 @@
     message.endsInMs = _to_unsigned_ms(job.ends_at - now)
     message.isWriting = job.is_writing
     message.lateInMs = _to_unsigned_ms(job.late_at - now)
+    message.accountId = job.account_id
 
 
 def _decode_job(job_id: str, message: Any, now: float) -> load_view.Job:
@@ -302,6 +323,7 @@
         late_at=now + message.lateInMs / MS_PER_S,
         is_writing=message.isWriting,
         ends_at=now + message.endsInMs / MS_PER_S,
+        account_id=message.accountId,
     )
 
 
--- a/src/cardamomfork/_internal/gateway/peers/digests.capnp
+++ b/src/cardamomfork/_internal/gateway/peers/digests.capnp
@@ -21,6 +21,7 @@
   reachesStore @16 :Bool;  # Whether the store answers the sender.
   evacuations @17 :List(Evacuation);
   coldTargets @18 :List(ColdTarget);
+  waiting @19 :List(WaitingClass);  # Queued requests, at most 64 classes.
 }
 
 # The newest known order to evacuate a data centre, or the end of one.
@@ -30,6 +31,15 @@
   isActive @2 :Bool;
 }
 
+# Requests of one service that wait at the sender. Requests of accounts that
+# use more than their share aren't counted: they take what these leave.
+struct WaitingClass {
+  service @0 :Text;
+  isLong @1 :Bool;
+  count @2 :UInt16;
+  prefillMs @3 :UInt32;  # Sum of their prefill times on one idle engine.
+}
+
 # A request that the sender has placed on a target.
 struct Job {
   targetId @0 :Text;
@@ -41,6 +51,7 @@
   endsInMs @6 :UInt32;
   isWriting @7 :Bool;
   lateInMs @8 :UInt32;  # 0: the first token is late, or none is expected.
+  accountId @9 :UInt64;  # Fingerprint of the client account. 0: unknown.
 }
 
 # A part of a request that another target runs.
--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -22,6 +22,7 @@
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import digest_recipients
 from cardamomfork._internal.gateway.peers import permit_codec
+from cardamomfork._internal.gateway.state import peer_queues
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -87,6 +88,10 @@
         reaches_store: Callable[[], bool] = lambda: False,
         orders: evacuations.Evacuations | None = None,
         on_digest: Callable[[digest_codec.Digest], None] = lambda _: None,
+        queues: peer_queues.PeerQueues | None = None,
+        list_waiting: Callable[
+            [], tuple[peer_queues.WaitingClass, ...]
+        ] = tuple,
     ) -> None:
         """Initializes the links.
 
@@ -112,6 +117,8 @@
             orders: Evacuations; None if they are not observed.
             on_digest: Called with each new digest, also one that came over a
                 relay.
+            queues: Numbers of requests that wait at peers.
+            list_waiting: Returns those that wait here.
         """
         self._local_peer = local_peer
         self._table = table
@@ -132,6 +139,8 @@
         self._reaches_store = reaches_store
         self._evacuations = orders
         self._on_digest = on_digest
+        self._queues = queues or peer_queues.PeerQueues()
+        self._list_waiting = list_waiting
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._sequence = 0
         self._is_leaving = False
@@ -304,6 +313,7 @@
         self._load.replace_peer_jobs(
             digest.sender.instance_id, digest.jobs, now
         )
+        self._queues.replace(digest.sender.instance_id, digest.waiting, now)
         for death in digest.deaths:
             self._guard.record_crash(death, now)
         for limit in digest.rate_limits:
@@ -344,6 +354,7 @@
                 reaches_store=self._reaches_store(),
                 evacuations=self._due_evacuations(now),
                 cold_targets=cold,
+                waiting=self._list_waiting(),
             ),
             now,
         )
--- a/src/cardamomfork/_internal/gateway/wiring/known_state.py
+++ b/src/cardamomfork/_internal/gateway/wiring/known_state.py
@@ -16,10 +16,12 @@
 from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import peer_queues
 from cardamomfork._internal.gateway.state import regions
 from cardamomfork._internal.gateway.state import stopping
 from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.gateway.wiring import notifications
+from cardamomfork._internal.models import settings as settings_models
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,12 +45,14 @@
         target_table: The known targets.
         cold_targets: Decides until when targets are cold.
         load_view: The load of each target.
+        peer_queues: Numbers of requests that wait at peers.
         fleet_state: Configuration and targets, and the age of both.
         region_rules: Regions in which requests may be served.
         poison_guard: Records of requests that crash targets.
         local_peer: This instance.
         peer_table: The other instances.
         stop_state: Whether the process is stopping.
+        features: Features that are switched by settings.
     """
 
     settings: fleet.EntrySettings
@@ -61,12 +65,14 @@
     target_table: target_table.TargetTable
     cold_targets: cold_targets.ColdTargets
     load_view: load_view.LoadView
+    peer_queues: peer_queues.PeerQueues
     fleet_state: fleet_state.FleetState
     region_rules: regions.RegionRules
     poison_guard: poison_guard.PoisonGuard
     local_peer: digest_codec.Peer
     peer_table: peer_table.PeerTable
     stop_state: stopping.StopState
+    features: settings_models.EntryFeatures
 
     @property
     def must_poll(self) -> bool:
@@ -92,6 +98,7 @@
     settings: fleet.EntrySettings,
     wire: platform_format.PlatformFormat,
     platform_store: store.PolledStore,
+    features: settings_models.EntryFeatures | None = None,
 ) -> KnownState:
     """Creates empty tables.
 
@@ -99,6 +106,8 @@
         settings: Settings of the process.
         wire: Names and formats of the platform.
         platform_store: The platform's store.
+        features: Features that are switched by settings; None for the
+            defaults.
     """
     clock = time.monotonic
     rng = random.Random()
@@ -130,6 +139,7 @@
         target_table=targets,
         cold_targets=cold,
         load_view=load_view.LoadView(),
+        peer_queues=peer_queues.PeerQueues(),
         fleet_state=state,
         region_rules=regions.RegionRules(settings, lambda: state.routes),
         poison_guard=poison_guard.PoisonGuard(
@@ -138,6 +148,7 @@
         local_peer=local_peer,
         peer_table=peers,
         stop_state=stopping.StopState(),
+        features=features or settings_models.EntryFeatures(),
     )
     notify.store_answered.connect(known.record_store_answer)
     return known
--- a/src/cardamomfork/_internal/models/settings.py
+++ b/src/cardamomfork/_internal/models/settings.py
@@ -110,6 +110,28 @@
     export_interval_s: float = 30.0
 
 
+@attrs.frozen
+class SharingSettings:
+    """[sharing]: how an entry instance shares scarce capacity.
+
+    Attributes:
+        fair_order: Whether waiting requests are ordered by the use that their
+            client accounts make of the service.
+        predicted_waits: Whether a request waits only if its turn is predicted
+            to come in time.
+    """
+
+    fair_order: bool = False
+    predicted_waits: bool = False
+
+
+@attrs.frozen
+class EntryFeatures:
+    """All sections of the file that switches features of entry instances."""
+
+    sharing: SharingSettings = SharingSettings()
+
+
 @attrs.frozen
 class DaemonSettings:
     """All sections; `embedded` is whether the embedded parts run."""
