--- a/src/cardamomfork/_internal/gateway/peers/registration.py
+++ b/src/cardamomfork/_internal/gateway/peers/registration.py
@@ -31,7 +31,7 @@
 """Time after which entries are read again, in case datagrams between two
 instances were lost when both read the entries first."""
 
-SPREAD_PER_INSTANCE_S = 0.015
+SPREAD_PER_INSTANCE_S = 0.012
 """Longest random delay, times the number of instances, before one registers
 again in a store that was restored from a copy, and delay after a failed call.
 Keeps the writes of all instances together below 200 a second."""
