Wait for a silent stream if no other attempt may follow

Cause, by reading: an attempt gives up a silent target after three times the longest gap, 1.75 s at least, also when the retry budget then refuses another attempt.

Change: a stream that has begun is given up only if another attempt may follow; otherwise it is waited for until the deadline. Before the first event nothing changes, since callers can still ask again.

Evidence: a test with real connections that fails before; with budget left, the stream goes on elsewhere as before.

--- a/src/cardamomfork/_internal/gateway/queueing/retrying.py
+++ b/src/cardamomfork/_internal/gateway/queueing/retrying.py
@@ -80,6 +80,19 @@
             retry_after_s = RETRY_AFTER_CUT_OFF_S
         return _make_final_answer(exchange, failed, stop_reason, retry_after_s)
 
+    def may_follow_silence(self, exchange: exchanges.Exchange) -> bool:
+        """Returns whether another attempt may follow one without an answer."""
+        now = self._clock()
+        return (
+            exchange.match.route.may_repeat
+            and self._guard.find_block(exchange.suspects, now) is None
+            and self._guard.may_retry(exchange.suspects)
+            and exchange.deadline - now >= MIN_ATTEMPT_S
+            and _find_reached_limit(exchange) is None
+            and self._retry_budget.available(exchange.match.service.name, now)
+            >= 1
+        )
+
     def _find_stop_reason(
         self, exchange: exchanges.Exchange, failed: outcomes.Failed, now: float
     ) -> str | None:
--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -80,11 +80,15 @@
             first event.
         idle_s: Longest wait for the next part after that.
         deadline: Monotonic time at which the request ends in any case.
+        may_give_up: Returns whether another attempt may follow. Without one, a
+            silent target is waited for until the deadline, since its answer is
+            the only one that the caller can still get.
     """
 
     first_byte_s: float
     idle_s: float
     deadline: float
+    may_give_up: Callable[[], bool] = lambda: True
 
 
 class Attempt:
@@ -287,18 +291,21 @@
         timeouts: AttemptTimeouts,
     ) -> target_connection.Message | None:
         """Returns the next message; None after a timeout."""
-        remaining_s = min(timeout_s, timeouts.deadline - self._clock())
-        if remaining_s <= 0:
-            return None
-        timeout = None if math.isinf(remaining_s) else remaining_s
-        with anyio.move_on_after(timeout):
-            try:
-                return await messages.receive()
-            except anyio.EndOfStream:
-                return target_connection.Failed(
-                    target_connection.Fault.RESET, "ended without a word"
-                )
-        return None
+        while True:
+            left_s = timeouts.deadline - self._clock()
+            remaining_s = min(timeout_s, left_s)
+            if remaining_s <= 0:
+                return None
+            timeout = None if math.isinf(remaining_s) else remaining_s
+            with anyio.move_on_after(timeout):
+                try:
+                    return await messages.receive()
+                except anyio.EndOfStream:
+                    return target_connection.Failed(
+                        target_connection.Fault.RESET, "ended without a word"
+                    )
+            if remaining_s == left_s or timeouts.may_give_up():
+                return None
 
 
 def _to_failure(message: target_connection.Message | None) -> outcomes.Failed:
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -477,6 +477,11 @@
                 IDLE_TIMEOUT_FACTOR * route.max_gap_s, MIN_IDLE_TIMEOUT_S
             ),
             deadline=exchange.deadline,
+            # Before its first event, a caller can still ask again itself.
+            may_give_up=lambda: (
+                not exchange.progress.events
+                or self._decider.may_follow_silence(exchange)
+            ),
         )
 
     async def _finish_failed(
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -6,6 +6,7 @@
 import random
 import time
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -14,6 +15,7 @@
 from cardamomfork._internal.gateway.crashes import poison_guard
 from cardamomfork._internal.gateway.paths import reservations
 from cardamomfork._internal.gateway.queueing import retry_budget
+from cardamomfork._internal.gateway.queueing import retrying
 from cardamomfork._internal.gateway.queueing import scheduling
 from cardamomfork._internal.gateway.requests import exchanges
 from cardamomfork._internal.gateway.requests import request_log
@@ -524,6 +526,54 @@
         self.assertTrue(sink.is_whole)
         self.assertEqual(seen[1].header("last-event-id"), "3")
 
+    def play_pause(self, budget):
+        """Sends a stream whose target pauses for longer than the time-out.
+
+        Returns:
+            The sink and the number of requests that targets got.
+        """
+
+        def script(request):
+            script.calls += 1
+            if script.calls > 1:
+                first = int(request.header("last-event-id")) + 1
+                return [stream(request, first, 4)]
+            return [
+                stream(request, 1, 2, ends=False),
+                0.5,
+                stream(request, 3, 4).partition(b"\r\n\r\n")[2],
+            ]
+
+        async def scenario(fixture, targets):
+            fixture.forwarder._retry_budget = budget
+            fixture.forwarder._decider = retrying.RetryDecider(
+                budget, fixture.guard, time.monotonic
+            )
+            sink, _ = await fixture.send()
+            return sink, sum(len(one.requests) for one in targets)
+
+        script.calls = 0
+        with (
+            mock.patch.object(forwarding, "MIN_IDLE_TIMEOUT_S", 0.1),
+            mock.patch.object(forwarding, "IDLE_TIMEOUT_FACTOR", 0.0),
+        ):
+            return run_scenario(scenario, script, script)
+
+    def test_stream_is_not_cut_for_a_pause_if_no_other_attempt_may_follow(self):
+        settings = gateway_parts.make_settings(
+            retry_ratio=0.0, retry_reserve=0.0
+        )
+        sink, requests = self.play_pause(
+            retry_budget.RetryBudget(settings, -math.inf)
+        )
+        self.assertEqual((sink.is_whole, requests), (True, 1))
+
+    def test_stream_goes_on_elsewhere_after_a_pause_within_the_budget(self):
+        sink, requests = self.play_pause(
+            retry_budget.RetryBudget(gateway_parts.make_settings(), -math.inf)
+        )
+        self.assertEqual((sink.is_whole, requests), (True, 2))
+
     def test_event_after_a_gap_is_not_passed_on(self):
         def script(request):
             gap = stream(request, 1, 2, ends=False)
