--- a/src/cardamomfork/_internal/gateway/wiring/peer_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/peer_side.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from cardamomfork._internal.gateway.peers import cold_permits
 from cardamomfork._internal.gateway.peers import configuration_fetching
 from cardamomfork._internal.gateway.peers import digest_recipients
 from cardamomfork._internal.gateway.peers import peer_links
@@ -34,7 +35,7 @@
     """
 
     links: peer_links.PeerLinks
-    cold_permits: rate_permits.ColdPermits
+    cold_permits: cold_permits.ColdPermits
     rate_permits: rate_permits.RatePermits
     fetcher: configuration_fetching.ConfigurationFetcher
     followers: store_side.StoreSide
@@ -72,9 +73,9 @@
         followers.configuration.note_received(known.fleet_state.revision)
         notify.configuration_applied()
 
-    cold_permits = rate_permits.ColdPermits(
+    for_cold_targets = cold_permits.ColdPermits(
         known.cold_targets,
-        rate_permits.OwnerAuthority(
+        cold_permits.OwnerAuthority(
             known.peer_table,
             known.clock,
             lambda: known.stop_state.is_stopping,
@@ -86,7 +87,7 @@
         known.peer_table.find_owner,
         send_datagram,
         known.clock,
-        cold_permits,
+        for_cold_targets,
     )
     followers = store_side.create(
         known,
@@ -137,7 +138,7 @@
     notify.crash_confirmed.connect(links.notify_crash)
     notify.rate_limit_changed.connect(links.notify_rate_limit)
     notify.evacuations_changed.connect(links.notify_evacuation)
-    return PeerSide(links, cold_permits, permits, fetcher, followers)
+    return PeerSide(links, for_cold_targets, permits, fetcher, followers)
 
 
 def _reaches_targets(
--- a/tests/lib/cold_fleet.py
+++ b/tests/lib/cold_fleet.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from cardamomfork._internal.gateway.peers import cold_permits
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import peer_links
 from cardamomfork._internal.gateway.peers import peer_table
@@ -93,8 +94,8 @@
             }
         )
         self.limits = rate_limits.RateLimits(self.targets, clock)
-        self.authority = rate_permits.OwnerAuthority(self.peers, clock)
-        self.permits = rate_permits.ColdPermits(
+        self.authority = cold_permits.OwnerAuthority(self.peers, clock)
+        self.permits = cold_permits.ColdPermits(
             self.cold, self.authority, SETTINGS
         )
         self.sequence = 0
@@ -293,7 +294,7 @@
         if not decision.is_granted:
             instance.limits.record_refusal(TARGET, decision.wait_s)
             return
-        expires_at = asked_at + decision.wait_s + rate_permits.PERMIT_LIFETIME_S
+        expires_at = asked_at + decision.wait_s + cold_permits.PERMIT_LIFETIME_S
         # A connection is usually open; opening one may take long.
         preparing_s = self._rng.random() if self._rng.random() < 0.05 else 0.002
         self._at(
--- a/tests/unit/test_cold_fleet.py
+++ b/tests/unit/test_cold_fleet.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from cardamomfork._internal.gateway.peers import rate_permits
+from cardamomfork._internal.gateway.peers import cold_permits
 from tests.lib import cold_fleet
 
 SETTLED_S = cold_fleet.COLD_FROM_S + 1.0
@@ -76,9 +76,9 @@
             cold_fleet.Conditions(instances=6, fault="cut"), 1
         )
         with mock.patch.object(
-            rate_permits.OwnerAuthority,
+            cold_permits.OwnerAuthority,
             "decide",
-            return_value=rate_permits.Authority(1.0),
+            return_value=cold_permits.Authority(1.0),
         ):
             self.assertGreater(fleet.run(), fleet.conditions.allowed)
 
--- a/tests/unit/test_gateway_cold_targets.py
+++ b/tests/unit/test_gateway_cold_targets.py
@@ -9,9 +9,11 @@
 
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.peers import cold_permits
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import peer_table
 from cardamomfork._internal.gateway.peers import permit_codec
+from cardamomfork._internal.gateway.peers import permit_issuing
 from cardamomfork._internal.gateway.peers import rate_permits
 from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import fleet_state
@@ -384,7 +386,7 @@
         self.clock = gateway_parts.Clock()
         self.peers = Peers(self.clock)
         self.is_leaving = False
-        self.authority = rate_permits.OwnerAuthority(
+        self.authority = cold_permits.OwnerAuthority(
             self.peers.table, self.clock, lambda: self.is_leaving
         )
         # The names of targets that the local instance and "other" own.
@@ -413,7 +415,7 @@
         # It may not have heard of the instance that issues permits now.
         self.run_fleet(3.5, "other")
         decided = self.authority.decide(self.own)
-        self.assertEqual(decided, rate_permits.Authority(0.0, 0.5))
+        self.assertEqual(decided, cold_permits.Authority(0.0, 0.5))
         self.run_fleet(0.5, "other")
         self.assertEqual(self.share(), 1.0)
 
@@ -493,11 +495,11 @@
         self.table.put(make_record())
         self.cold.record_entry(make_record(60.0), 5, is_start_seen=False)
         self.peers = Peers(self.clock)
-        self.authority = rate_permits.OwnerAuthority(
+        self.authority = cold_permits.OwnerAuthority(
             self.peers.table, self.clock
         )
         self.settings = gateway_parts.make_settings()
-        self.permits = rate_permits.ColdPermits(
+        self.permits = cold_permits.ColdPermits(
             self.cold, self.authority, self.settings
         )
         for _ in range(5):
@@ -541,9 +543,9 @@
         # The next owner issues permits before it would be used.
         waits = [self.ask(1000.0) for _ in range(200)]
         granted = [one.wait_s for one in waits if one.is_granted]
-        self.assertLessEqual(max(granted), rate_permits.MAX_COLD_WAIT_S)
+        self.assertLessEqual(max(granted), cold_permits.MAX_COLD_WAIT_S)
         self.assertLess(
-            rate_permits.MAX_COLD_WAIT_S + rate_permits.PERMIT_LIFETIME_S,
+            cold_permits.MAX_COLD_WAIT_S + cold_permits.PERMIT_LIFETIME_S,
             peer_table.PEER_TIMEOUT_S,
         )
 
@@ -572,22 +574,22 @@
         self.assertIsNone(self.ask())
 
     def test_settings_may_lower_the_rate(self):
-        rate = rate_permits.cold_rate_per_s
+        rate = cold_permits.cold_rate_per_s
         self.assertEqual(rate(COLD_PER_S, self.settings), COLD_PER_S)
         strict = gateway_parts.make_settings(cold_ratio=1.0, cold_reserve=0.0)
         for per_s in (5.0, 23.0, 100.0):
             # Each of two parts may add a burst, and requests may be held up.
-            most = rate(per_s, strict) * (1 + rate_permits.PERMIT_LIFETIME_S)
+            most = rate(per_s, strict) * (1 + cold_permits.PERMIT_LIFETIME_S)
             self.assertLessEqual(most + 4, per_s)
         self.assertGreater(rate(0.0, strict), 0.0)
 
     def test_schedules_are_bounded(self):
-        for number in range(rate_permits.MAX_ISSUED_TARGETS + 10):
+        for number in range(permit_issuing.MAX_ISSUED_TARGETS + 10):
             record = gateway_parts.make_record(number)
             self.table.put(record)
             self.cold.record_entry(record, 5, is_start_seen=True)
             self.ask(target_id=f"t{number}")
-        self.assertEqual(len(self.permits), rate_permits.MAX_ISSUED_TARGETS)
+        self.assertEqual(len(self.permits), permit_issuing.MAX_ISSUED_TARGETS)
 
 
 class RatePermitsTest(unittest.IsolatedAsyncioTestCase):
@@ -600,13 +602,13 @@
         self.cold.record_entry(make_record(0.0), 5, is_start_seen=False)
         self.limits = rate_limits.RateLimits(self.table, self.clock)
         peers = Peers(self.clock)
-        authority = rate_permits.OwnerAuthority(peers.table, self.clock)
+        authority = cold_permits.OwnerAuthority(peers.table, self.clock)
         self.permits = rate_permits.RatePermits(
             self.limits,
             peers.table.find_owner,
             lambda data, address: None,
             self.clock,
-            rate_permits.ColdPermits(
+            cold_permits.ColdPermits(
                 self.cold, authority, gateway_parts.make_settings()
             ),
         )
@@ -629,7 +631,7 @@
             self.permits.observe()
         permit = await self.permits.acquire(make_record(), 0.0)
         self.assertTrue(self.permits.may_send(make_record(), permit))
-        self.clock.now += rate_permits.PERMIT_LIFETIME_S + 0.01
+        self.clock.now += cold_permits.PERMIT_LIFETIME_S + 0.01
         self.assertFalse(self.permits.may_send(make_record(), permit))
         self.clock.now += 30.0
         self.assertTrue(self.permits.may_send(make_record(), permit))
--- a/tests/unit/test_gateway_rate_permits.py
+++ b/tests/unit/test_gateway_rate_permits.py
@@ -13,6 +13,7 @@
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import peer_table
 from cardamomfork._internal.gateway.peers import permit_codec
+from cardamomfork._internal.gateway.peers import permit_issuing
 from cardamomfork._internal.gateway.peers import rate_permits
 from cardamomfork._internal.gateway.queueing import scheduling
 from cardamomfork._internal.gateway.state import rate_limits
@@ -277,7 +278,7 @@
         ),
     )
     def test_permits_of_any_window_are_within_the_rate(self, rate, asks):
-        issuer = rate_permits.PermitIssuer()
+        issuer = permit_issuing.PermitIssuer()
         now = 0.0
         times = []
         for pause_s, max_wait_s in asks:
@@ -289,11 +290,11 @@
         times.sort()
         self.assertLessEqual(
             most_in_a_window(times),
-            math.ceil(rate * WINDOW_S) + rate_permits.BURST_REQUESTS,
+            math.ceil(rate * WINDOW_S) + permit_issuing.BURST_REQUESTS,
         )
 
     def test_limit_of_zero_still_allows_to_learn_its_end(self):
-        issuer = rate_permits.PermitIssuer()
+        issuer = permit_issuing.PermitIssuer()
         granted = [
             issuer.issue(make_request(0.0), float(now)).is_granted
             for now in range(41)
@@ -302,22 +303,22 @@
 
     def test_first_permit_is_available_at_once(self):
         for number in range(100):
-            issuer = rate_permits.PermitIssuer()
+            issuer = permit_issuing.PermitIssuer()
             decision = issuer.issue(make_request(1.3), 1000.0 + number / 7)
             self.assertTrue(decision.is_granted)
 
     def test_raised_limit_is_used_without_delay(self):
-        issuer = rate_permits.PermitIssuer()
+        issuer = permit_issuing.PermitIssuer()
         issuer.issue(make_request(0.1), 0.0)
         self.assertTrue(issuer.issue(make_request(10.0), 0.2).is_granted)
 
     def test_table_is_bounded(self):
-        issuer = rate_permits.PermitIssuer()
-        for number in range(rate_permits.MAX_ISSUED_TARGETS + 10):
+        issuer = permit_issuing.PermitIssuer()
+        for number in range(permit_issuing.MAX_ISSUED_TARGETS + 10):
             issuer.issue(
                 permit_codec.PermitRequest(1, f"t{number}", 1, 1.0, 0.0), 0.0
             )
-        self.assertEqual(len(issuer), rate_permits.MAX_ISSUED_TARGETS)
+        self.assertEqual(len(issuer), permit_issuing.MAX_ISSUED_TARGETS)
 
 
 class CodecTest(unittest.TestCase):
