--- a/tests/unit/test_gateway_change_relay.py
+++ b/tests/unit/test_gateway_change_relay.py
@@ -339,7 +339,22 @@
         self.apply_change(change.to_entry())
 
 
-class RelyingFollowerTest(unittest.TestCase):
+class RelyingScenario(unittest.TestCase):
+    """Runs scenarios of an instance that relies on its peers."""
+
+    MAX_LAG_S = 0.3
+
+    def make_relayed(self):
+        """Returns the exchange of changes with peers, or None."""
+        return follower.RelayedChanges(
+            change_relay.ChangeRelay(
+                lambda updates: None,
+                anyio.current_time,
+                lambda in_scan: False,
+            ),
+            self.handler,
+        )
+
     def run_scenario(self, scenario):
         async def main():
             self.must_poll = False
@@ -347,20 +362,13 @@
             self.handler = RecordingHandler()
             self.follower = follower.Follower(
                 self.store,
-                follower.Subscription("p/", 0.2, 0.3),
+                follower.Subscription("p/", 0.2, self.MAX_LAG_S),
                 self.handler,
                 self.handler.on_answer,
                 lambda: True,
                 random.Random(1),
                 lambda: self.must_poll,
-                follower.RelayedChanges(
-                    change_relay.ChangeRelay(
-                        lambda updates: None,
-                        anyio.current_time,
-                        lambda in_scan: False,
-                    ),
-                    self.handler,
-                ),
+                self.make_relayed(),
             )
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.follower.run)
@@ -370,6 +378,8 @@
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+
+class RelyingFollowerTest(RelyingScenario):
     def write_and_relay(self, key, base=None):
         """Writes a key and delivers it as a peer's update."""
         before = self.store.revision
@@ -438,29 +448,13 @@
         self.run_scenario(scenario)
 
 
-class RelyingOnFetchesTest(unittest.TestCase):
+class RelyingOnFetchesTest(RelyingScenario):
     """An instance that gets configurations from peers, not from the store."""
 
-    def run_scenario(self, scenario):
-        async def main():
-            self.store = test_gateway_following.FakeStore()
-            self.handler = RecordingHandler()
-            self.follower = follower.Follower(
-                self.store,
-                follower.Subscription("p/", 0.2, 1.0),
-                self.handler,
-                self.handler.on_answer,
-                lambda: False,
-                random.Random(1),
-                lambda: False,
-            )
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.follower.run)
-                await anyio.sleep(follower.PEER_DISCOVERY_S + 0.5)
-                await scenario()
-                tasks.cancel_scope.cancel()
+    MAX_LAG_S = 1.0
 
-        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    def make_relayed(self):
+        return None
 
     def test_fetched_changes_cost_no_calls(self):
         async def scenario():
