--- a/src/cardamomfork/_internal/measure/even_load.py
+++ b/src/cardamomfork/_internal/measure/even_load.py
@@ -64,16 +64,16 @@
     typical_output_tokens=1600,
     remote_memory_step_s=5e-5,
 )
-"""The engines of Hokuyo. What the deployment doesn't state is taken from the
+"""Engines with much memory. What the deployment doesn't state is taken from the
 data sheets of earlier users' engines."""
-HOKUYO_KINDS = (
+LARGE_MEMORY_KINDS = (
     engine_simulation.Kind("short", 5000, 0.9, 33, 0.321, 0.2, 1.4, 44.9),
     engine_simulation.Kind("medium", 45_000, 0.5, 20, 1.53, 0.5, 2.6, 4.13),
     engine_simulation.Kind(
         "long", 300_000, 0.1, 16, 4.06, 0.8, 30.0, 1.22, 360_000
     ),
 )
-SATRIA_KINDS = (
+SMALL_MEMORY_KINDS = (
     engine_simulation.Kind("short", 5000, 0.9, 33, 0.271, 0.25, 1.8, 28.1),
     engine_simulation.Kind("medium", 45_000, 0.5, 20, 1.53, 0.6, 2.4, 3.32),
     engine_simulation.Kind(
@@ -105,9 +105,11 @@
     seeds: int = 4
 
 
-HOKUYO = Deployment("Hokuyo", 69, 60, COST_MODEL, HOKUYO_KINDS)
-SATRIA = Deployment(
-    "Satria",
+LARGE_MEMORY = Deployment(
+    "large memory", 69, 60, COST_MODEL, LARGE_MEMORY_KINDS
+)
+SMALL_MEMORY = Deployment(
+    "small memory",
     78,
     45,
     attrs.evolve(
@@ -116,15 +118,21 @@
         step_s=0.00102,
         prefill_rate_tokens_per_s=206_000,
     ),
-    SATRIA_KINDS,
+    SMALL_MEMORY_KINDS,
 )
 DEPLOYMENTS = (
-    HOKUYO,
-    SATRIA,
-    attrs.evolve(HOKUYO, name="Hokuyo", instances=30, engines=26, load=26 / 60),
+    LARGE_MEMORY,
+    SMALL_MEMORY,
+    attrs.evolve(
+        LARGE_MEMORY,
+        name="large memory",
+        instances=30,
+        engines=26,
+        load=26 / 60,
+    ),
     attrs.evolve(
-        HOKUYO,
-        name="Hokuyo",
+        LARGE_MEMORY,
+        name="large memory",
         instances=195,
         engines=170,
         load=170 / 60,
--- a/tests/unit/test_gateway_data_centre_cut.py
+++ b/tests/unit/test_gateway_data_centre_cut.py
@@ -30,7 +30,7 @@
 CUT_OFF = "asahikawa"
 SILENT = "silent"
 REFUSED = "refused"
-HOKUYO_REQUESTS_PER_S = 57.3
+REQUESTS_PER_S = 57.3
 SILENT_BOUND_S = 0.7
 REFUSED_BOUND_S = 0.2
 RETURN_BOUND_S = 0.5
@@ -307,7 +307,7 @@
             simulation.run_until(simulation.now + 0.05)
 
     def poisson(self, simulation):
-        rate = HOKUYO_REQUESTS_PER_S / len(simulation.instances)
+        rate = REQUESTS_PER_S / len(simulation.instances)
         return lambda: simulation.rng.expovariate(rate)
 
     def run_cut(self, seed, kind, interval=None):
--- a/tests/unit/test_gateway_even_load.py
+++ b/tests/unit/test_gateway_even_load.py
@@ -21,7 +21,7 @@
 SEEDS = range(1, 13)
 """Four seeds are too few: the difference changes its sign with the draws."""
 MIN_WORTH = 0.60
-"""Mean worth that Hokuyo requires on days with faults."""
+"""Mean worth that is required on days with faults."""
 
 
 def make_job(job_id="j", target_id="t0", helpers=()):
@@ -177,7 +177,9 @@
         """Returns the mean figures of some seeds."""
         way = even_load.Way("", even_load.place_by_cost, digests)
         runs = [
-            even_load.figures(even_load.simulate(even_load.HOKUYO, way, seed))
+            even_load.figures(
+                even_load.simulate(even_load.LARGE_MEMORY, way, seed)
+            )
             for seed in SEEDS
         ]
         return {
