--- a/tests/unit/test_upgrades.py
+++ b/tests/unit/test_upgrades.py
@@ -14,10 +14,12 @@
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import peer_forwarding_codec
 from cardamomfork._internal.gateway.peers import permit_codec
+from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import crash_records
 from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import fleet_state
 from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.state import peer_queues
 from cardamomfork._internal.gateway.state import rate_limits
 from cardamomfork._internal.gateway.store import change_relay
 
@@ -109,9 +111,13 @@
     def test_earlier_build_reads_a_digest(self):
         # Guards against a field of today's that an earlier schema can't pass
         # over.
+        digest = make_digest()
         digest = attrs.evolve(
-            make_digest(),
+            digest,
+            jobs=tuple(attrs.evolve(job, account_id=7) for job in digest.jobs),
             evacuations=(evacuations.Evacuation("b", 2_000_000_000_007, True),),
+            cold_targets=(cold_targets.ColdReport("t1", 1, 2.0, 0.5),),
+            waiting=(peer_queues.WaitingClass("engines", True, 3, 900),),
         )
         data = digest_codec.encode(digest, NOW)
         self.assertEqual(digest_codec.decode(data, NOW).unwrap(), digest)
