Log which exceptions ended a process, and memory near its limit

Callers saw connections closed by processes that ended; operators could not tell why. The line "ended by an error" described the exception group of the process alone, whose frames are those of the task group and not of the task that failed. A process that the platform kills for its memory and one that a signal ends before its handler is there both log nothing.

The line now describes the exceptions in the group as well, without their messages.

--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -19,6 +19,7 @@
 from cardamomfork._internal.gateway.wiring import request_path
 from cardamomfork._internal.gateway.wiring import target_side
 from cardamomfork._internal.links import http_server
+from cardamomfork._internal.telemetry import memory_warning
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -133,6 +134,9 @@
             tasks.start_soon(self._requests.peers.links.run)
             tasks.start_soon(self._requests.peers.fetcher.run)
             tasks.start_soon(self._run_maintenance)
+            tasks.start_soon(
+                memory_warning.MemoryWarning(self._settings.memory_bytes).run
+            )
             tasks.start_soon(self._handle_signals, caller_server)
             await caller_server.serve()
             left_s = self._stop_state.left_s(self._clock())
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -22,6 +22,7 @@
 from cardamomfork._internal.gateway.wiring import peer_side
 from cardamomfork._internal.models import settings as settings_models
 from cardamomfork._internal.telemetry import exporting
+from cardamomfork._internal.telemetry import watchdog
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -271,6 +272,7 @@
         "unreachable_data_centres": lambda: len(
             targets.access.data_centres.unreachable(known.clock())
         ),
+        "resident_memory_bytes": lambda: float(watchdog.resident_bytes()),
         "peer_requests": lambda: targets.peer_forwarding.in_progress,
         "evacuated_data_centres": lambda: len(known.evacuations.active),
         "blocked_requests": lambda: len(
--- a/src/cardamomfork/_internal/telemetry/logs.py
+++ b/src/cardamomfork/_internal/telemetry/logs.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import datetime
+import itertools
 import logging
 import re
 import sys
@@ -23,6 +24,7 @@
 from cardamomfork._internal import exceptions
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     import types
 
     import loguru
@@ -70,6 +72,8 @@
 
 MAX_TEXT_CHARACTERS = 1000
 MAX_SCANNED_CHARACTERS = 8000
+MAX_CAUSES = 4
+"""Exceptions of a group that are described."""
 TRUNCATION_MARGIN_CHARACTERS = 100
 REDACTED = "[redacted]"
 
@@ -161,7 +165,9 @@
 def _describe_exception(exception: loguru.RecordException) -> dict[str, Any]:
     """Describes an exception; omits the message of foreign exceptions.
 
-    The message of a foreign exception may contain a prompt or a key.
+    The message of a foreign exception may contain a prompt or a key. Of a
+    group, the exceptions in it are described as well, since the frames of the
+    group only show where its tasks were started.
     """
     description: dict[str, Any] = {
         "type": exception.type.__name__ if exception.type else "",
@@ -169,9 +175,30 @@
     }
     if isinstance(exception.value, exceptions.CardamomforkError):
         description["text"] = redact(str(exception.value))
+    if isinstance(exception.value, BaseExceptionGroup):
+        description["causes"] = [
+            {
+                "type": type(cause).__name__,
+                "frames": _list_frames(cause.__traceback__),
+            }
+            for cause in itertools.islice(
+                _list_causes(exception.value), MAX_CAUSES
+            )
+        ]
     return description
 
 
+def _list_causes(
+    group: BaseExceptionGroup[BaseException],
+) -> Iterator[BaseException]:
+    """Yields the exceptions of a group and of the groups in it."""
+    for cause in group.exceptions:
+        if isinstance(cause, BaseExceptionGroup):
+            yield from _list_causes(cause)
+        else:
+            yield cause
+
+
 def _list_frames(start: types.TracebackType | None) -> list[str]:
     """Formats the eight innermost frames as `file:line function`."""
     frames = traceback.extract_tb(start, limit=-8)
--- a/tests/unit/test_logs.py
+++ b/tests/unit/test_logs.py
@@ -52,6 +52,17 @@
         self.assertNotIn(SECRET, text)
         self.assertNotIn(PROMPT, text)
 
+    def test_log_of_a_group_names_the_exceptions_in_it(self):
+        inner = ExceptionGroup("inner", [RecursionError(PROMPT)])
+        try:
+            raise ExceptionGroup("outer", [inner, OSError(KEY)])
+        except ExceptionGroup:
+            logger.exception("ended by an error")
+        (line,) = self.lines()
+        causes = [one["type"] for one in line["exception"]["causes"]]
+        self.assertEqual(causes, ["RecursionError", "OSError"])
+        self.assertNotIn(PROMPT, self.sink.getvalue())
+
     def test_key_at_truncation_limit_is_not_logged(self):
         for limit in (logs.MAX_TEXT_CHARACTERS, logs.MAX_SCANNED_CHARACTERS):
             for shift in range(0, 160, 7):
