Never begin a second answer after a stream has begun

Callers saw their stream broken off; operators saw 'Exception in ASGI application' and no line and no count of how the request ended. When the stream of one target broke off and the next one answered with 201, 204, 206, or with a signed error longer than 1 MiB, the attempt sent a second head to the caller. Only uvicorn, which raises a RuntimeError for it, kept the bytes back.

An attempt now treats such an answer as broken if the caller's answer has begun.

Evidence: tests/functional/test_broken_answers.py plays streams that break off and the next target's answers on real sockets, directly and over a peer, and checks the bytes that the caller receives. Errors with a late body, without a length, in chunks that break off and after 1xx were clean before, as were streams that may not be resumed.

--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -166,6 +166,8 @@
                     size += len(data)
                     connection.mark_consumed(len(data))
                     if size > MAX_BUFFERED_BYTES:
+                        if self._progress.has_started:
+                            return _not_continued(head)
                         if not head.is_signed:
                             return _broken_answer("too long without signature")
                         return await self._forward_unbuffered(
@@ -179,6 +181,8 @@
         failed = _check_answer(head, body)
         if failed is not None:
             return failed
+        if self._progress.has_started:
+            return _not_continued(head)
         return await self.forward_answer(head, body)
 
     async def forward_answer(
@@ -322,6 +326,11 @@
     return outcomes.Failed(outcomes.Failure.BROKEN, detail)
 
 
+def _not_continued(head: forwarding.ResponseHead) -> outcomes.Failed:
+    """Returns the failure for an answer that can't go on with a begun one."""
+    return _broken_answer(f"status {head.status} after the answer has begun")
+
+
 def _check_answer(
     head: forwarding.ResponseHead, body: bytes
 ) -> outcomes.Failed | None:
--- /dev/null
+++ b/tests/functional/test_broken_answers.py
@@ -0,0 +1,64 @@
+"""Tests of answers that break off after a caller has received a part."""
+
+import collections
+import itertools
+import unittest
+
+import anyio
+
+from tests.lib import broken_answers
+
+MAX_CONCURRENT_CASES = 48
+MAIN_BREAKS = ("reset between events", "reset in an event", "no chunk")
+MAIN_ANSWERS = ("the rest", "500", "close before the first event")
+
+
+def play_all(cases):
+    """Plays cases concurrently; returns the faults of each that has any."""
+    found = collections.defaultdict(list)
+    limiter = anyio.CapacityLimiter(MAX_CONCURRENT_CASES)
+
+    async def play(case):
+        async with limiter:
+            received, errors = await broken_answers.play(case)
+        found[case] += broken_answers.find_faults(received, case)
+        found[case] += [f"exception: {error!r}" for error in errors]
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            for case in cases:
+                tasks.start_soon(play, case)
+
+    anyio.run(main)
+    return {case: faults for case, faults in found.items() if faults}
+
+
+class BegunStreamTest(unittest.TestCase):
+    def check(self, breaks, answers, **fields):
+        """Checks all combinations, directly and over a peer."""
+        cases = [
+            broken_answers.Case(one, answer, is_over_peer, **fields)
+            for one, answer, is_over_peer in itertools.product(
+                breaks, answers, (False, True)
+            )
+        ]
+        faults = play_all(cases)
+        text = "\n".join(f"{case}\n  {one}" for case, one in faults.items())
+        if faults:
+            self.fail(f"{len(faults)} of {len(cases)}\n{text}")
+
+    def test_no_byte_of_the_next_answer_follows_unless_it_goes_on(self):
+        self.check(MAIN_BREAKS, broken_answers.ANSWERS)
+
+    def test_stream_ends_as_complete_only_after_its_last_event(self):
+        self.check(broken_answers.BREAKS, MAIN_ANSWERS)
+
+    def test_stream_that_the_caller_resumed_is_not_joined_with_another(self):
+        self.check(MAIN_BREAKS[:1], broken_answers.ANSWERS, last_event_id=2)
+
+    def test_stream_that_may_not_be_resumed_has_no_second_run(self):
+        self.check(broken_answers.BREAKS, ("the rest",), may_resume=False)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/lib/broken_answers.py
@@ -0,0 +1,505 @@
+"""Answers that break off, and what a caller receives on a real connection.
+
+`Entry` serves callers in this process with scripted targets, directly or over
+a peer. `find_faults` checks the bytes that a caller has received.
+"""
+
+import asyncio
+import contextlib
+import json
+import random
+import re
+import time
+
+import attrs
+from opentelemetry import metrics as api
+
+from cardamomfork._internal.gateway.serving import application
+from cardamomfork._internal.gateway.serving import caller_protocol
+from cardamomfork._internal.gateway.serving import traffic_metrics
+from cardamomfork._internal.gateway.state import fleet_state
+from cardamomfork._internal.gateway.state import stopping
+from cardamomfork._internal.gateway.state import target_table
+from cardamomfork._internal.links import http_server
+from cardamomfork._internal.models import fleet
+from cardamomfork._internal.platform import wire_format
+from tests.functional import test_gateway_forwarding
+from tests.lib import forwarding_peers
+from tests.lib import gateway_parts
+from tests.lib import scripted_target
+
+Act = scripted_target.Action
+TOTAL = 6
+"""Id of the last event of each stream."""
+FOREIGN = b"FOREIGN"
+"""Part of all bytes that must not reach a caller whose answer has begun."""
+LONG = 1_200_000
+"""Length of a body that is not buffered."""
+TIMEOUT_MS = 2500
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\w+)\n\n")
+_KINDS = {
+    fleet.RepeatPolicy.STREAM: "streaming",
+    fleet.RepeatPolicy.SAFE: "safe",
+    fleet.RepeatPolicy.ONCE: "unsafe",
+}
+
+
+@attrs.frozen
+class Case:
+    """A request whose first target breaks off.
+
+    Attributes:
+        breaks: Name of the break, a key of `BREAKS`.
+        follows: Name of the next target's answer, a key of `ANSWERS`.
+        is_over_peer: Whether the targets are reached over a peer.
+        may_resume: Whether the route allows a stream to be resumed.
+        last_event_id: `Last-Event-Id` of the caller; 0 for none.
+        version: HTTP version of the caller.
+        rule: What the route allows.
+    """
+
+    breaks: str
+    follows: str
+    is_over_peer: bool = False
+    may_resume: bool = True
+    last_event_id: int = 0
+    version: str = "1.1"
+    rule: fleet.RepeatPolicy = fleet.RepeatPolicy.STREAM
+
+
+@attrs.define
+class Received:
+    """What a caller has received until the end of its connection.
+
+    Attributes:
+        raw: All bytes.
+        is_reset: Whether the connection was reset.
+        requests: Number of requests that targets got.
+    """
+
+    raw: bytes = b""
+    is_reset: bool = False
+    requests: int = 0
+
+
+class Entry:
+    """An entry instance that serves callers on a real socket."""
+
+    def __init__(self, forwarder, rule, *, may_resume=True):
+        wire = wire_format.WireFormat()
+        state = fleet_state.FleetState(
+            wire, target_table.TargetTable(), time.monotonic
+        )
+        service = "engines" if rule is fleet.RepeatPolicy.STREAM else "plain"
+        route = {
+            "name": "r",
+            "host": "callers.example",
+            "prefix": "/a/",
+            "kind": _KINDS[rule],
+            "service": service,
+            "timeoutMs": TIMEOUT_MS,
+            "maxAttempts": 2,
+            "streamResume": may_resume,
+        }
+        configuration = {
+            "version": 1,
+            "routes": [route],
+            "services": [{"name": service}],
+        }
+        state.apply_configuration(
+            json.dumps(configuration).encode(), 5, "store"
+        )
+        self.application = application.CallerApplication(
+            wire,
+            state,
+            forwarder,
+            stopping.StopState(),
+            traffic_metrics.TrafficMetrics(api.NoOpMeter("t"), {}),
+            time.monotonic,
+            random.Random(1),
+            100_000_000,
+        )
+        self.errors = []
+        self.server = http_server.HttpServer(
+            self,
+            http_server.open_listener("127.0.0.1", 0),
+            caller_protocol.make_protocol(caller_protocol.ConnectionLimits()),
+        )
+
+    async def __call__(self, scope, receive, send):
+        try:
+            await self.application(scope, receive, send)
+        except Exception as error:
+            self.errors.append(error)
+            raise
+
+
+def make_event(event_id, data):
+    """Returns an event; its data names the run that it is from."""
+    return b"id: %d\ndata: %b\n\n" % (event_id, data)
+
+
+def chunk(data):
+    """Returns one chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def start(request, framing=b"transfer-encoding: chunked", **options):
+    """Returns the head of an answer."""
+    return scripted_target.answer(request, b"", **options).replace(
+        b"content-length: 0", framing
+    )
+
+
+def events(first, last, data=b"a"):
+    """Returns events in chunks."""
+    return b"".join(
+        chunk(make_event(number, data)) for number in range(first, last + 1)
+    )
+
+
+def first_id(request):
+    """Returns the id of the first event that a request asks for."""
+    return int(request.header("last-event-id") or 0) + 1
+
+
+def _begin(request, count=3, framing=b"transfer-encoding: chunked"):
+    """Returns the start of a stream up to an event."""
+    first = first_id(request)
+    if framing.startswith(b"transfer"):
+        return start(request, framing) + events(first, first + count - 1)
+    body = b"".join(make_event(first + one, b"a") for one in range(count))
+    return start(request, framing) + body
+
+
+def _to_last(request):
+    """Returns a stream up to its last event, without its end."""
+    return _begin(request, TOTAL + 1 - first_id(request))
+
+
+BREAKS = {
+    "reset between events": lambda r: [_begin(r), 0.02, Act.RESET],
+    "close between events": lambda r: [_begin(r), Act.CLOSE],
+    "reset in an event": lambda r: [
+        _begin(r) + b"20\r\nid: 4\nda",
+        0.02,
+        Act.RESET,
+    ],
+    "event torn over two chunks": lambda r: [
+        _begin(r) + chunk(b"id: 4\n") + chunk(b"data: a"),
+        Act.CLOSE,
+    ],
+    "close in the head of a chunk": lambda r: [_begin(r) + b"1", Act.CLOSE],
+    "no chunk": lambda r: [_begin(r) + b"HTTP/1.1 500 FOREIGN\r\n\r\nFOREIGN"],
+    "end in an event": lambda r: [
+        _begin(r) + chunk(b"id: 4\nda") + b"0\r\n\r\n"
+    ],
+    "length beyond the events": lambda r: [
+        _begin(r, framing=b"content-length: 900"),
+        Act.CLOSE,
+    ],
+    "reset without a length": lambda r: [
+        _begin(r, framing=b"x-a: b"),
+        0.02,
+        Act.RESET,
+    ],
+    "close in an event without a length": lambda r: [
+        _begin(r, framing=b"x-a: b") + b"id: 4\nda",
+        Act.CLOSE,
+    ],
+    "missing event": lambda r: [
+        _begin(r) + events(first_id(r) + 4, TOTAL + 1, FOREIGN) + b"0\r\n\r\n"
+    ],
+    "silence": lambda r: [_begin(r), Act.HANG],
+    "reset after the last event": lambda r: [_to_last(r), 0.02, Act.RESET],
+    "close in the last chunk": lambda r: [_to_last(r) + b"0\r\n", Act.CLOSE],
+    "close in the trailer": lambda r: [
+        _to_last(r) + b"0\r\nx-a: 1\r\n",
+        Act.CLOSE,
+    ],
+}
+"""How the stream of the first target ends, by name."""
+
+_NOT_RUN = b"x-cardamomfork-not-executed: 1\r\n"
+
+
+def _error(status, **options):
+    """Returns a complete error answer."""
+    return lambda r: [
+        scripted_target.answer(r, b"FOREIGN error\n\n", status, **options)
+    ]
+
+
+def _stream_of(data, framing=b"transfer-encoding: chunked", **options):
+    """Returns a signed and complete answer with a body in one chunk."""
+
+    def make(request):
+        if framing.startswith(b"transfer"):
+            return [
+                start(request, framing, **options)
+                + (chunk(data) if data else b"")
+                + b"0\r\n\r\n"
+            ]
+        length = b"content-length: %d" % len(data)
+        return [start(request, length, **options) + data]
+
+    return make
+
+
+def _resumed(request):
+    """Returns the rest of a stream, as asked for."""
+    return events(first_id(request), TOTAL, b"b")
+
+
+def _resumed_body(request):
+    """Returns the rest of a stream without chunks."""
+    return b"".join(
+        make_event(number, b"b")
+        for number in range(first_id(request), TOTAL + 1)
+    )
+
+
+SOUND = {
+    "the rest": lambda r: [start(r) + _resumed(r) + b"0\r\n\r\n"],
+    "the rest with a trailer": lambda r: [
+        start(r) + _resumed(r) + b"0\r\nx-a: 1\r\n\r\n"
+    ],
+    "the rest with a length": lambda r: [
+        start(r, b"content-length: %d" % len(_resumed_body(r)))
+        + _resumed_body(r)
+    ],
+    "the rest until the close": lambda r: [
+        start(r, b"x-a: b") + _resumed_body(r),
+        Act.CLOSE,
+    ],
+    "the rest after 100": lambda r: [
+        b"HTTP/1.1 100 Continue\r\n\r\n" + start(r) + _resumed(r) + b"0\r\n\r\n"
+    ],
+    "the rest after a comment": lambda r: [
+        start(r) + chunk(b": kept\n\n") + _resumed(r) + b"0\r\n\r\n"
+    ],
+}
+"""Answers of the next target that complete a stream."""
+
+FAULTY = {
+    "500": _error(500),
+    "500 without signature": _error(500, signed=False),
+    "404": _error(404),
+    "429": _error(429, extra=_NOT_RUN, signed=False),
+    "503 not run": _error(503, extra=_NOT_RUN, signed=False),
+    "503": _error(503),
+    "421": _error(421, extra=_NOT_RUN, signed=False),
+    "late 500": lambda r: [
+        start(r, b"content-length: 7", status=500),
+        0.1,
+        FOREIGN,
+    ],
+    "500 until the close": lambda r: [
+        start(r, b"x-a: b", status=500) + FOREIGN,
+        0.05,
+        FOREIGN,
+        Act.CLOSE,
+    ],
+    "500 that breaks off": lambda r: [
+        start(r, status=500) + chunk(FOREIGN) + b"9\r\nFOR",
+        Act.CLOSE,
+    ],
+    "long 500": lambda r: [
+        start(r, b"content-length: %d" % LONG, status=500)
+        + FOREIGN
+        + b"x" * (LONG - len(FOREIGN))
+    ],
+    "long 500 that breaks off": lambda r: [
+        start(r, status=500) + chunk(FOREIGN + b"x" * LONG),
+        0.02,
+        Act.RESET,
+    ],
+    "200 without signature": lambda r: [
+        start(r, signed=False) + events(first_id(r), TOTAL, FOREIGN)
+    ],
+    "200 with an error text": _stream_of(b"FOREIGN error\n", b"length"),
+    "200 after a gap": lambda r: [
+        start(r) + events(first_id(r) + 1, TOTAL + 2, FOREIGN) + b"0\r\n\r\n"
+    ],
+    "201": _stream_of(FOREIGN, status=201),
+    "204": lambda r: [start(r, b"x-a: b", status=204)],
+    "206": _stream_of(make_event(4, FOREIGN), status=206),
+    "long 206": _stream_of(FOREIGN + b"x" * LONG, status=206),
+    "304": lambda r: [start(r, b"x-a: b", status=304)],
+    "302": _error(302, extra=b"location: /FOREIGN\r\n"),
+    "101": lambda r: [
+        b"HTTP/1.1 101 X\r\nupgrade: FOREIGN\r\nconnection: upgrade\r\n\r\n"
+    ],
+    "500 after 103": lambda r: [
+        b"HTTP/1.1 103 Early Hints\r\nlink: FOREIGN\r\n\r\n",
+        0.02,
+        *_error(500)(r),
+    ],
+    "close": lambda r: [Act.CLOSE],
+    "reset in the head": lambda r: [start(r)[:40], 0.02, Act.RESET],
+    "no answer in the protocol": lambda r: [b"FOREIGN\r\n\r\n"],
+    "answer to another request": lambda r: [
+        scripted_target.answer(r, FOREIGN).replace(b"r1", b"r9"),
+        0.05,
+        Act.CLOSE,
+    ],
+    "close before the first event": lambda r: [start(r), Act.CLOSE],
+}
+"""Answers of the next target that can't complete a stream."""
+
+ANSWERS = SOUND | FAULTY
+
+
+async def read_answer(port, *, version="1.1", last_event_id=0, timeout_s=8.0):
+    """Sends a request and reads until the connection ends."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    lines = [
+        f"POST /a/x HTTP/{version}",
+        "Host: callers.example",
+        "X-Cardamomfork-Request-Id: r1",
+        "Connection: close",
+        "Content-Length: 3",
+    ]
+    if last_event_id:
+        lines.append(f"Last-Event-Id: {last_event_id}")
+    writer.write("\r\n".join([*lines, "", "ask"]).encode())
+    received = Received()
+    try:
+        async with asyncio.timeout(timeout_s):
+            while data := await reader.read(65_536):
+                received.raw += data
+    except ConnectionError:
+        received.is_reset = True
+    finally:
+        writer.transport.abort()
+    return received
+
+
+def decode_answer(received):
+    """Decodes a received answer strictly.
+
+    Returns:
+        Its status, its headers, its body as received, and whether it is
+        complete.
+
+    Raises:
+        ValueError: The bytes are not one answer.
+    """
+    head, separator, rest = received.raw.partition(b"\r\n\r\n")
+    if not separator:
+        raise ValueError("no head")
+    status_line, *lines = head.split(b"\r\n")
+    headers = dict(line.lower().split(b": ", 1) for line in lines)
+    status = int(status_line.split(b" ")[1])
+    if b"transfer-encoding" in headers:
+        body, is_complete = _decode_chunks(rest)
+    elif b"content-length" in headers:
+        length = int(headers[b"content-length"])
+        if len(rest) > length:
+            raise ValueError("bytes after the answer")
+        body, is_complete = rest, len(rest) == length
+    else:
+        body, is_complete = rest, not received.is_reset
+    return status, headers, body, is_complete
+
+
+def _decode_chunks(data):
+    """Returns the content of chunks, and whether the last one has come."""
+    body = b""
+    while data:
+        head, _, rest = data.partition(b"\r\n")
+        size = int(head, 16)
+        if not size:
+            if rest != b"\r\n":
+                raise ValueError(f"bytes after the last chunk: {rest[:50]!r}")
+            return body, True
+        body += rest[:size]
+        if len(rest) >= size + 2 and rest[size : size + 2] != b"\r\n":
+            raise ValueError("a chunk that does not end")
+        data = rest[size + 2 :]
+    return body, False
+
+
+def find_faults(received, case):
+    """Returns what is wrong with the bytes of a stream that has begun."""
+    try:
+        status, headers, body, is_complete = decode_answer(received)
+    except ValueError as error:
+        return [f"not one answer: {error}: {received.raw[:300]!r}"]
+    faults = []
+    if status != 200 or received.raw.count(b"HTTP/1.") != 1:
+        faults.append(f"head after {received.requests}: {received.raw[:400]!r}")
+    if case.version == "1.0" and b"transfer-encoding" in headers:
+        faults.append("chunks for an HTTP/1.0 client")
+    if FOREIGN in received.raw:
+        faults.append("bytes of another answer")
+    seen = [int(one[1]) for one in _EVENT.finditer(body)]
+    if _EVENT.sub(b"", body).replace(b": kept\n\n", b""):
+        faults.append("bytes that are no whole event")
+    first = case.last_event_id + 1
+    if seen != list(range(first, first + len(seen))):
+        faults.append(f"events {seen}")
+    last = seen[-1] if seen else 0
+    if is_complete and last != TOTAL:
+        faults.append(f"complete after event {last}")
+    if case.follows in SOUND and case.may_resume and not is_complete:
+        faults.append(f"not resumed after event {last}")
+    if not case.may_resume and received.requests != 1:
+        faults.append(f"{received.requests} runs")
+    return faults
+
+
+@contextlib.asynccontextmanager
+async def serving(scripts, case):
+    """Runs an entry instance with scripted targets; yields both."""
+    async with contextlib.AsyncExitStack() as stack:
+        targets = [
+            await stack.enter_async_context(
+                scripted_target.ScriptedTarget(script)
+            )
+            for script in scripts
+        ]
+        links = None
+        if case.is_over_peer:
+            service = (
+                "engines" if case.rule is fleet.RepeatPolicy.STREAM else "plain"
+            )
+            records = [
+                gateway_parts.make_record(number, service, port=target.port)
+                for number, target in enumerate(targets)
+            ]
+            isolated, _ = await stack.enter_async_context(
+                forwarding_peers.running(records)
+            )
+            links = isolated.paths
+        fixture = test_gateway_forwarding.ForwarderFixture(
+            targets, case.rule, links
+        )
+        entry = Entry(fixture.forwarder, case.rule, may_resume=case.may_resume)
+        await stack.enter_async_context(entry.server.running())
+        try:
+            yield entry, targets
+        finally:
+            fixture.pool.close()
+
+
+async def play(case, breaks=None, follows=None):
+    """Sends the request of a case; returns what its caller received, and the
+    exceptions of the instance.
+    """
+    steps = [breaks or BREAKS[case.breaks], follows or ANSWERS[case.follows]]
+    count = 0
+
+    def script(request):
+        nonlocal count
+        count += 1
+        return steps[min(count, len(steps)) - 1](request)
+
+    async with serving([script, script], case) as (entry, targets):
+        received = await read_answer(
+            entry.server.port,
+            version=case.version,
+            last_event_id=case.last_event_id,
+        )
+        received.requests = sum(len(one.requests) for one in targets)
+    return received, entry.errors
