Join a stream only with a run that goes on where it broke off

A target that ignored Last-Event-Id began again at event 1; the events that the caller had were left out, and the rest was passed on. Where the caller itself sent Last-Event-Id, nothing compared the first event with it: it got events twice, or a stream with a gap that ended as complete.

The first event of a run that resumes must now be the next one; any other ends the attempt, which may be followed by one at another target. The order of a stream that its caller resumes starts at its Last-Event-Id. Repeats within a run are still left out.

Evidence: tests/functional/test_broken_answers.py.

--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -230,6 +230,7 @@
     ) -> outcomes.AttemptOutcome:
         """Passes on the complete events of a stream in order."""
         splitter = event_stream.EventSplitter()
+        self._progress.order.begin_run()
         timeout_s = timeouts.first_byte_s
         bytes_without_event = 0
         while True:
@@ -240,7 +241,7 @@
                     events = splitter.feed(data)
                     count = self._progress.events
                     if not await self._forward_events(head, events):
-                        return _broken_answer("an event is missing")
+                        return _broken_answer("the events do not go on")
                     if splitter.is_overlong:
                         return _broken_answer("an event never ends")
                     if events:
@@ -260,7 +261,7 @@
     async def _forward_events(
         self, head: forwarding.ResponseHead, events: list[event_stream.Event]
     ) -> bool:
-        """Passes events on; returns False at a gap in their order."""
+        """Passes events on; returns False at one that does not go on."""
         for event in events:
             order = self._progress.order.check(event)
             if order is event_stream.Continuity.GAP:
--- a/src/cardamomfork/_internal/gateway/requests/event_stream.py
+++ b/src/cardamomfork/_internal/gateway/requests/event_stream.py
@@ -68,24 +68,35 @@
     """Checks that the ids of events are consecutive.
 
     Attributes:
-        last_id: Id of the last event accepted, or None before the first.
+        last_id: Id of the last event accepted, or of the last one that the
+            caller has from an earlier stream; None before the first.
+        is_resuming: Whether the next event is the first of a run that must go
+            on after `last_id`.
     """
 
     last_id: int | None = None
+    is_resuming: bool = False
+
+    def begin_run(self) -> None:
+        """Starts to check the events of another run."""
+        self.is_resuming = self.last_id is not None
 
     def check(self, event: Event) -> Continuity:
         """Returns how an event continues the stream.
 
-        Records the id of an event that is the next one.
+        Records the id of an event that is the next one. A run that repeats
+        events at its start has not been resumed but has started again, so its
+        later events may differ from those of the run before.
         """
         if event.event_id is None:
             return Continuity.NEXT
         if self.last_id is not None:
-            if event.event_id <= self.last_id:
+            if event.event_id <= self.last_id and not self.is_resuming:
                 return Continuity.REPEATED
             if event.event_id != self.last_id + 1:
                 return Continuity.GAP
         self.last_id = event.event_id
+        self.is_resuming = False
         return Continuity.NEXT
 
 
--- a/src/cardamomfork/_internal/gateway/requests/exchanges.py
+++ b/src/cardamomfork/_internal/gateway/requests/exchanges.py
@@ -7,6 +7,7 @@
 import attrs
 
 from cardamomfork._internal.gateway.requests import attempt
+from cardamomfork._internal.gateway.requests import event_stream
 
 if TYPE_CHECKING:
     from cardamomfork._internal.gateway.requests import request_log
@@ -49,7 +50,7 @@
     fingerprint: int
     log: request_log.RequestLog
     parts: dict[str, int] = attrs.field(factory=dict)
-    progress: attempt.Progress = attrs.field(factory=attempt.Progress)
+    progress: attempt.Progress = attrs.field()
     tried_target_ids: set[str] = attrs.field(factory=set)
     sent_attempts: int = 0
     possible_runs: int = 0
@@ -58,6 +59,14 @@
     peers_refused: int = 0
     trial: crash_attribution.Cause | None = None
 
+    @progress.default
+    def _make_progress(self) -> attempt.Progress:
+        """Returns the progress of a stream that the caller may resume."""
+        last_id = None
+        if self.match.route.may_resume:
+            last_id = self.request.last_event_id
+        return attempt.Progress(order=event_stream.SequenceChecker(last_id))
+
     @property
     def suspects(self) -> tuple[int, ...]:
         """Fingerprints of what may crash a target that runs it."""
--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -13,14 +13,14 @@
 MAIN_ANSWERS = ("the rest", "500", "close before the first event")
 
 
-def play_all(cases):
+def play_all(cases, breaks=broken_answers.BREAKS):
     """Plays cases concurrently; returns the faults of each that has any."""
     found = collections.defaultdict(list)
     limiter = anyio.CapacityLimiter(MAX_CONCURRENT_CASES)
 
     async def play(case):
         async with limiter:
-            received, errors = await broken_answers.play(case)
+            received, errors = await broken_answers.play(case, breaks)
         found[case] += broken_answers.find_faults(received, case)
         found[case] += [f"exception: {error!r}" for error in errors]
 
@@ -34,7 +34,7 @@
 
 
 class BegunStreamTest(unittest.TestCase):
-    def check(self, breaks, answers, **fields):
+    def check(self, breaks, answers, answers_by_break=None, **fields):
         """Checks all combinations, directly and over a peer."""
         cases = [
             broken_answers.Case(one, answer, is_over_peer, **fields)
@@ -42,7 +42,7 @@
                 breaks, answers, (False, True)
             )
         ]
-        faults = play_all(cases)
+        faults = play_all(cases, answers_by_break or broken_answers.BREAKS)
         text = "\n".join(f"{case}\n  {one}" for case, one in faults.items())
         if faults:
             self.fail(f"{len(faults)} of {len(cases)}\n{text}")
@@ -56,6 +56,18 @@
     def test_stream_that_the_caller_resumed_is_not_joined_with_another(self):
         self.check(MAIN_BREAKS[:1], broken_answers.ANSWERS, last_event_id=2)
 
+    def test_answer_that_starts_elsewhere_is_not_passed_on(self):
+        self.check(
+            (
+                "200 from the start",
+                "200 with the last event again",
+                "200 after a gap",
+            ),
+            ("the rest",),
+            broken_answers.ANSWERS,
+            last_event_id=2,
+        )
+
     def test_stream_that_may_not_be_resumed_has_no_second_run(self):
         self.check(broken_answers.BREAKS, ("the rest",), may_resume=False)
 
--- a/tests/lib/broken_answers.py
+++ b/tests/lib/broken_answers.py
@@ -318,6 +318,12 @@
         start(r, signed=False) + events(first_id(r), TOTAL, FOREIGN)
     ],
     "200 with an error text": _stream_of(b"FOREIGN error\n", b"length"),
+    "200 from the start": _stream_of(
+        b"".join(make_event(one, FOREIGN) for one in range(1, TOTAL + 1))
+    ),
+    "200 with the last event again": lambda r: [
+        start(r) + events(first_id(r) - 1, TOTAL, FOREIGN) + b"0\r\n\r\n"
+    ],
     "200 after a gap": lambda r: [
         start(r) + events(first_id(r) + 1, TOTAL + 2, FOREIGN) + b"0\r\n\r\n"
     ],
@@ -483,11 +489,17 @@
             fixture.pool.close()
 
 
-async def play(case, breaks=None, follows=None):
-    """Sends the request of a case; returns what its caller received, and the
-    exceptions of the instance.
+async def play(case, breaks=BREAKS):
+    """Sends the request of a case.
+
+    Args:
+        case: The case.
+        breaks: The answers of the first target by name.
+
+    Returns:
+        What its caller received, and the exceptions of the instance.
     """
-    steps = [breaks or BREAKS[case.breaks], follows or ANSWERS[case.follows]]
+    steps = [breaks[case.breaks], ANSWERS[case.follows]]
     count = 0
 
     def script(request):
