Keep error texts of status 200 out of a stream that has begun

The next target had answered with status 200, a signature, and an error text or an error event as its body. Events without an id were passed on without a check, and an answer that ended after one ended the stream.

An event without an id at the start of a run that resumes now ends the attempt. It may also be one that the caller has already, for which there is no check. Comments are left out there.

--- a/src/cardamomfork/_internal/gateway/requests/event_stream.py
+++ b/src/cardamomfork/_internal/gateway/requests/event_stream.py
@@ -9,6 +9,7 @@
 
 MAX_EVENT_BYTES = 1_048_576
 _ID = b"id:"
+_COMMENT = b":"
 _TERMINATOR = re.compile(rb"\n\n|\r\n\r\n")
 
 
@@ -32,6 +33,13 @@
     raw: bytes
     event_id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has only comments, which callers ignore."""
+        return all(
+            line.startswith(_COMMENT) for line in self.raw.splitlines() if line
+        )
+
 
 class EventSplitter:
     """Splits a stream of bytes into events."""
@@ -89,7 +97,7 @@
         later events may differ from those of the run before.
         """
         if event.event_id is None:
-            return Continuity.NEXT
+            return self._check_unnumbered(event)
         if self.last_id is not None:
             if event.event_id <= self.last_id and not self.is_resuming:
                 return Continuity.REPEATED
@@ -99,6 +107,16 @@
         self.is_resuming = False
         return Continuity.NEXT
 
+    def _check_unnumbered(self, event: Event) -> Continuity:
+        """Returns how an event without an id continues the stream.
+
+        At the start of a run that resumes, it may be an error or an event that
+        the caller has already. Comments are left out there.
+        """
+        if not self.is_resuming:
+            return Continuity.NEXT
+        return Continuity.REPEATED if event.is_comment else Continuity.GAP
+
 
 def _find_id(raw: bytes) -> int | None:
     """Returns the id of an event, or None if it has no numeric id."""
--- a/tests/lib/broken_answers.py
+++ b/tests/lib/broken_answers.py
@@ -318,6 +318,8 @@
         start(r, signed=False) + events(first_id(r), TOTAL, FOREIGN)
     ],
     "200 with an error text": _stream_of(b"FOREIGN error\n", b"length"),
+    "200 with an error text and blank line": _stream_of(b"FOREIGN error\n\n"),
+    "200 with an error event": _stream_of(b"event: error\ndata: FOREIGN\n\n"),
     "200 from the start": _stream_of(
         b"".join(make_event(one, FOREIGN) for one in range(1, TOTAL + 1))
     ),
