Send no second request after a long answer has begun

Callers found the events of a stream in the body of an error or a 206 (MIXED). A signed answer over 1 MiB is passed on as it arrives. When it broke off, the request was retried if its route allows it: a stream of the next target went into the body that had begun, and its end completed the chunked body. On other routes a target ran the request for an answer that could not be delivered, the second head raised an exception, and its arrival drew on the retry budget.

A failed attempt is now final if the caller's answer has begun and is not a stream of events, the only answer that can be resumed.

Evidence: tests/functional/test_broken_answers.py breaks long answers off in 8 ways, directly and over a peer.

--- a/src/cardamomfork/_internal/gateway/queueing/retrying.py
+++ b/src/cardamomfork/_internal/gateway/queueing/retrying.py
@@ -101,6 +101,8 @@
             return CUT_OFF_REASON
         if not failed.is_known_not_run and not exchange.match.route.may_repeat:
             return "may not run again"
+        if not exchange.progress.may_continue:
+            return "its answer has begun"
         if failed.is_lost and not self._guard.may_retry(exchange.suspects):
             return "a part of its prompt may crash targets"
         if exchange.deadline - now < MIN_ATTEMPT_S:
--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -58,18 +58,25 @@
 
     Attributes:
         has_started: Whether the head has been passed on.
+        is_stream: Whether it is the head of a stream of events.
         order: Checks the order of the events.
         events: Number of events passed on.
         last_event_at: Monotonic time of the last event.
     """
 
     has_started: bool = False
+    is_stream: bool = False
     order: event_stream.SequenceChecker = attrs.field(
         factory=event_stream.SequenceChecker
     )
     events: int = 0
     last_event_at: float = 0.0
 
+    @property
+    def may_continue(self) -> bool:
+        """Whether another attempt can give the answer or the rest of it."""
+        return not self.has_started or self.is_stream
+
 
 @attrs.frozen
 class AttemptTimeouts:
@@ -286,7 +293,7 @@
     async def _start_stream(self, head: forwarding.ResponseHead) -> None:
         """Passes on the head, unless an earlier attempt has done so."""
         if not self._progress.has_started:
-            self._progress.has_started = True
+            self._progress.has_started = self._progress.is_stream = True
             await self._sink.start(head.status, head.headers, None)
 
     async def _receive(
--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from cardamomfork._internal.models import fleet
 from tests.lib import broken_answers
 
 MAX_CONCURRENT_CASES = 48
@@ -13,7 +14,9 @@
 MAIN_ANSWERS = ("the rest", "500", "close before the first event")
 
 
-def play_all(cases, breaks=broken_answers.BREAKS):
+def play_all(
+    cases, breaks=broken_answers.BREAKS, find_faults=broken_answers.find_faults
+):
     """Plays cases concurrently; returns the faults of each that has any."""
     found = collections.defaultdict(list)
     limiter = anyio.CapacityLimiter(MAX_CONCURRENT_CASES)
@@ -21,7 +24,7 @@
     async def play(case):
         async with limiter:
             received, errors = await broken_answers.play(case, breaks)
-        found[case] += broken_answers.find_faults(received, case)
+        found[case] += find_faults(received, case)
         found[case] += [f"exception: {error!r}" for error in errors]
 
     async def main():
@@ -33,6 +36,11 @@
     return {case: faults for case, faults in found.items() if faults}
 
 
+def describe(faults):
+    """Returns the faults of each case as lines."""
+    return "\n".join(f"{case}\n  {one}" for case, one in faults.items())
+
+
 class BegunStreamTest(unittest.TestCase):
     def check(self, breaks, answers, answers_by_break=None, **fields):
         """Checks all combinations, directly and over a peer."""
@@ -43,9 +51,8 @@
             )
         ]
         faults = play_all(cases, answers_by_break or broken_answers.BREAKS)
-        text = "\n".join(f"{case}\n  {one}" for case, one in faults.items())
         if faults:
-            self.fail(f"{len(faults)} of {len(cases)}\n{text}")
+            self.fail(f"{len(faults)} of {len(cases)}\n{describe(faults)}")
 
     def test_no_byte_of_the_next_answer_follows_unless_it_goes_on(self):
         self.check(MAIN_BREAKS, broken_answers.ANSWERS)
@@ -72,5 +79,26 @@
         self.check(broken_answers.BREAKS, ("the rest",), may_resume=False)
 
 
+class BegunLongAnswerTest(unittest.TestCase):
+    def test_no_second_run_and_no_second_answer_follow(self):
+        cases = [
+            broken_answers.Case(one, answer, is_over_peer, rule=rule)
+            for one, answer, is_over_peer, rule in itertools.product(
+                broken_answers.LONG_BREAKS,
+                ("the rest", "500", "201"),
+                (False, True),
+                (fleet.RepeatPolicy.SAFE, fleet.RepeatPolicy.STREAM),
+            )
+            if rule is fleet.RepeatPolicy.SAFE or one[:3] in ("500", "206")
+        ]
+        faults = play_all(
+            cases,
+            broken_answers.LONG_BREAKS,
+            broken_answers.find_long_faults,
+        )
+        if faults:
+            self.fail(f"{len(faults)} of {len(cases)}\n{describe(faults)}")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/lib/broken_answers.py
+++ b/tests/lib/broken_answers.py
@@ -220,6 +220,39 @@
 }
 """How the stream of the first target ends, by name."""
 
+
+def _break_long(framing, body, *end, status=200):
+    """Returns a long answer that breaks off after its head was passed on."""
+    return lambda r: [start(r, framing, status=status) + body, 0.1, *end]
+
+
+_LONG_CHUNK = chunk(b"a" * LONG)
+LONG_BREAKS = {
+    "reset before the length": _break_long(
+        b"content-length: %d" % (LONG + 9), b"a" * LONG, Act.RESET
+    ),
+    "close before the length": _break_long(
+        b"content-length: %d" % (LONG + 9), b"a" * LONG, Act.CLOSE
+    ),
+    "close between chunks": _break_long(
+        b"transfer-encoding: chunked", _LONG_CHUNK, Act.CLOSE
+    ),
+    "reset in a chunk": _break_long(
+        b"transfer-encoding: chunked", _LONG_CHUNK + b"9\r\naa", Act.RESET
+    ),
+    "reset without a length": _break_long(b"x-a: b", b"a" * LONG, Act.RESET),
+    "500 that breaks off": _break_long(
+        b"transfer-encoding: chunked", _LONG_CHUNK, Act.CLOSE, status=500
+    ),
+    "206 that breaks off": _break_long(
+        b"transfer-encoding: chunked", _LONG_CHUNK, Act.CLOSE, status=206
+    ),
+    "206 that pauses and breaks off": _break_long(
+        b"transfer-encoding: chunked", _LONG_CHUNK, 2.0, Act.CLOSE, status=206
+    ),
+}
+"""How a long answer of the first target ends, by name."""
+
 _NOT_RUN = b"x-cardamomfork-not-executed: 1\r\n"
 
 
@@ -457,6 +490,26 @@
     return faults
 
 
+def find_long_faults(received, case):
+    """Returns what is wrong with the bytes of a long answer that broke off."""
+    try:
+        _, headers, body, is_complete = decode_answer(received)
+    except ValueError as error:
+        return [f"not one answer: {error}: {received.raw[-300:]!r}"]
+    faults = []
+    if received.raw.count(b"HTTP/1.") != 1:
+        faults.append("not exactly one head")
+    if case.version == "1.0" and b"transfer-encoding" in headers:
+        faults.append("chunks for an HTTP/1.0 client")
+    if body.strip(b"a"):
+        faults.append(f"bytes of another answer: {body.strip(b'a')[:100]!r}")
+    if is_complete:
+        faults.append("complete")
+    if received.requests != 1:
+        faults.append(f"{received.requests} runs")
+    return faults
+
+
 @contextlib.asynccontextmanager
 async def serving(scripts, case):
     """Runs an entry instance with scripted targets; yields both."""
