Wait for the rest of a long answer that no other can follow

Callers of routes that may be repeated saw long answers cut off after a pause of their target of at least 1.75 s. An attempt gives a silent target up if another attempt may follow; whether the answer had begun was asked of streams only.

An attempt at an answer that has begun and can't be resumed now waits until the deadline.

Evidence: a target sends all but the last of 1,200,000 bytes and the last byte after 0.5 s, with a time-out of 0.1 s. Before: the caller received 1,199,999 bytes and the connection ended. After: the whole answer.

--- a/src/cardamomfork/_internal/gateway/queueing/retrying.py
+++ b/src/cardamomfork/_internal/gateway/queueing/retrying.py
@@ -85,6 +85,7 @@
         now = self._clock()
         return (
             exchange.match.route.may_repeat
+            and exchange.progress.may_continue
             and self._guard.find_block(exchange.suspects, now) is None
             and self._guard.may_retry(exchange.suspects)
             and exchange.deadline - now >= MIN_ATTEMPT_S
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -477,9 +477,9 @@
                 IDLE_TIMEOUT_FACTOR * route.max_gap_s, MIN_IDLE_TIMEOUT_S
             ),
             deadline=exchange.deadline,
-            # Before its first event, a caller can still ask again itself.
+            # Before its answer begins, a caller can still ask again itself.
             may_give_up=lambda: (
-                not exchange.progress.events
+                not exchange.progress.has_started
                 or self._decider.may_follow_silence(exchange)
             ),
         )
--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -3,9 +3,11 @@
 import collections
 import itertools
 import unittest
+from unittest import mock
 
 import anyio
 
+from cardamomfork._internal.gateway.serving import forwarding
 from cardamomfork._internal.models import fleet
 from tests.lib import broken_answers
 
@@ -99,6 +101,21 @@
         if faults:
             self.fail(f"{len(faults)} of {len(cases)}\n{describe(faults)}")
 
+    def test_answer_that_pauses_is_not_cut_if_none_can_follow(self):
+        def pause(request):
+            size = broken_answers.LONG
+            head = broken_answers.start(request, b"content-length: %d" % size)
+            return [head + b"a" * (size - 1), 0.5, b"a"]
+
+        case = broken_answers.Case("pause", "500", rule=fleet.RepeatPolicy.SAFE)
+        with (
+            mock.patch.object(forwarding, "MIN_IDLE_TIMEOUT_S", 0.1),
+            mock.patch.object(forwarding, "IDLE_TIMEOUT_FACTOR", 0.0),
+        ):
+            received, _ = anyio.run(broken_answers.play, case, {"pause": pause})
+        *_, body, is_complete = broken_answers.decode_answer(received)
+        self.assertEqual((len(body), is_complete), (broken_answers.LONG, True))
+
 
 if __name__ == "__main__":
     unittest.main()
