Do not resume a stream whose events had no ids

When a stream broke off whose events so far had no ids, the next target got the request without Last-Event-Id, ran it from its start, and all its events were passed on after those of the first run.

Such a stream is now ended as broken off, since there is nothing to resume it from.

Evidence: a target sends one event without an id and resets the connection, directly and over a peer. After: the event alone, without the last chunk, and one run.

--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -74,8 +74,13 @@
 
     @property
     def may_continue(self) -> bool:
-        """Whether another attempt can give the answer or the rest of it."""
-        return not self.has_started or self.is_stream
+        """Whether another attempt can give the answer or the rest of it.
+
+        An answer can be resumed only after an event with an id.
+        """
+        return not self.has_started or (
+            self.is_stream and self.order.last_id is not None
+        )
 
 
 @attrs.frozen
--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -80,6 +80,25 @@
     def test_stream_that_may_not_be_resumed_has_no_second_run(self):
         self.check(broken_answers.BREAKS, ("the rest",), may_resume=False)
 
+    def test_stream_without_ids_is_not_sent_again_from_its_start(self):
+        def break_off(request):
+            data = broken_answers.chunk(b"data: a\n\n")
+            return [
+                broken_answers.start(request) + data,
+                0.02,
+                broken_answers.Act.RESET,
+            ]
+
+        for is_over_peer in (False, True):
+            case = broken_answers.Case("no ids", "the rest", is_over_peer)
+            with self.subTest(is_over_peer=is_over_peer):
+                received, _ = anyio.run(
+                    broken_answers.play, case, {"no ids": break_off}
+                )
+                *_, body, is_complete = broken_answers.decode_answer(received)
+                self.assertEqual((body, is_complete), (b"data: a\n\n", False))
+                self.assertEqual(received.requests, 1)
+
 
 class BegunLongAnswerTest(unittest.TestCase):
     def test_no_second_run_and_no_second_answer_follow(self):
