--- a/src/cardamomfork/_internal/gateway/queueing/retrying.py
+++ b/src/cardamomfork/_internal/gateway/queueing/retrying.py
@@ -85,6 +85,7 @@
         now = self._clock()
         return (
             exchange.match.route.may_repeat
+            and exchange.progress.may_continue
             and self._guard.find_block(exchange.suspects, now) is None
             and self._guard.may_retry(exchange.suspects)
             and exchange.deadline - now >= MIN_ATTEMPT_S
@@ -101,6 +102,8 @@
             return CUT_OFF_REASON
         if not failed.is_known_not_run and not exchange.match.route.may_repeat:
             return "may not run again"
+        if not exchange.progress.may_continue:
+            return "its answer has begun"
         if failed.is_lost and not self._guard.may_retry(exchange.suspects):
             return "a part of its prompt may crash targets"
         if exchange.deadline - now < MIN_ATTEMPT_S:
--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -58,18 +58,30 @@
 
     Attributes:
         has_started: Whether the head has been passed on.
+        is_stream: Whether it is the head of a stream of events.
         order: Checks the order of the events.
         events: Number of events passed on.
         last_event_at: Monotonic time of the last event.
     """
 
     has_started: bool = False
+    is_stream: bool = False
     order: event_stream.SequenceChecker = attrs.field(
         factory=event_stream.SequenceChecker
     )
     events: int = 0
     last_event_at: float = 0.0
 
+    @property
+    def may_continue(self) -> bool:
+        """Whether another attempt can give the answer or the rest of it.
+
+        An answer can be resumed only after an event with an id.
+        """
+        return not self.has_started or (
+            self.is_stream and self.order.last_id is not None
+        )
+
 
 @attrs.frozen
 class AttemptTimeouts:
@@ -166,6 +178,8 @@
                     size += len(data)
                     connection.mark_consumed(len(data))
                     if size > MAX_BUFFERED_BYTES:
+                        if self._progress.has_started:
+                            return _not_continued(head)
                         if not head.is_signed:
                             return _broken_answer("too long without signature")
                         return await self._forward_unbuffered(
@@ -179,6 +193,8 @@
         failed = _check_answer(head, body)
         if failed is not None:
             return failed
+        if self._progress.has_started:
+            return _not_continued(head)
         return await self.forward_answer(head, body)
 
     async def forward_answer(
@@ -226,6 +242,7 @@
     ) -> outcomes.AttemptOutcome:
         """Passes on the complete events of a stream in order."""
         splitter = event_stream.EventSplitter()
+        self._progress.order.begin_run()
         timeout_s = timeouts.first_byte_s
         bytes_without_event = 0
         while True:
@@ -236,7 +253,7 @@
                     events = splitter.feed(data)
                     count = self._progress.events
                     if not await self._forward_events(head, events):
-                        return _broken_answer("an event is missing")
+                        return _broken_answer("the events do not go on")
                     if splitter.is_overlong:
                         return _broken_answer("an event never ends")
                     if events:
@@ -256,7 +273,7 @@
     async def _forward_events(
         self, head: forwarding.ResponseHead, events: list[event_stream.Event]
     ) -> bool:
-        """Passes events on; returns False at a gap in their order."""
+        """Passes events on; returns False at one that does not go on."""
         for event in events:
             order = self._progress.order.check(event)
             if order is event_stream.Continuity.GAP:
@@ -281,7 +298,7 @@
     async def _start_stream(self, head: forwarding.ResponseHead) -> None:
         """Passes on the head, unless an earlier attempt has done so."""
         if not self._progress.has_started:
-            self._progress.has_started = True
+            self._progress.has_started = self._progress.is_stream = True
             await self._sink.start(head.status, head.headers, None)
 
     async def _receive(
@@ -322,6 +339,11 @@
     return outcomes.Failed(outcomes.Failure.BROKEN, detail)
 
 
+def _not_continued(head: forwarding.ResponseHead) -> outcomes.Failed:
+    """Returns the failure for an answer that can't go on with a begun one."""
+    return _broken_answer(f"status {head.status} after the answer has begun")
+
+
 def _check_answer(
     head: forwarding.ResponseHead, body: bytes
 ) -> outcomes.Failed | None:
--- a/src/cardamomfork/_internal/gateway/requests/event_stream.py
+++ b/src/cardamomfork/_internal/gateway/requests/event_stream.py
@@ -9,6 +9,7 @@
 
 MAX_EVENT_BYTES = 1_048_576
 _ID = b"id:"
+_COMMENT = b":"
 _TERMINATOR = re.compile(rb"\n\n|\r\n\r\n")
 
 
@@ -32,6 +33,13 @@
     raw: bytes
     event_id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has only comments, which callers ignore."""
+        return all(
+            line.startswith(_COMMENT) for line in self.raw.splitlines() if line
+        )
+
 
 class EventSplitter:
     """Splits a stream of bytes into events."""
@@ -68,26 +76,47 @@
     """Checks that the ids of events are consecutive.
 
     Attributes:
-        last_id: Id of the last event accepted, or None before the first.
+        last_id: Id of the last event accepted, or of the last one that the
+            caller has from an earlier stream; None before the first.
+        is_resuming: Whether the next event is the first of a run that must go
+            on after `last_id`.
     """
 
     last_id: int | None = None
+    is_resuming: bool = False
+
+    def begin_run(self) -> None:
+        """Starts to check the events of another run."""
+        self.is_resuming = self.last_id is not None
 
     def check(self, event: Event) -> Continuity:
         """Returns how an event continues the stream.
 
-        Records the id of an event that is the next one.
+        Records the id of an event that is the next one. A run that repeats
+        events at its start has not been resumed but has started again, so its
+        later events may differ from those of the run before.
         """
         if event.event_id is None:
-            return Continuity.NEXT
+            return self._check_unnumbered(event)
         if self.last_id is not None:
-            if event.event_id <= self.last_id:
+            if event.event_id <= self.last_id and not self.is_resuming:
                 return Continuity.REPEATED
             if event.event_id != self.last_id + 1:
                 return Continuity.GAP
         self.last_id = event.event_id
+        self.is_resuming = False
         return Continuity.NEXT
 
+    def _check_unnumbered(self, event: Event) -> Continuity:
+        """Returns how an event without an id continues the stream.
+
+        At the start of a run that resumes, it may be an error or an event that
+        the caller has already. Comments are left out there.
+        """
+        if not self.is_resuming:
+            return Continuity.NEXT
+        return Continuity.REPEATED if event.is_comment else Continuity.GAP
+
 
 def _find_id(raw: bytes) -> int | None:
     """Returns the id of an event, or None if it has no numeric id."""
--- /dev/null
+++ b/tests/functional/test_broken_answers.py
@@ -0,0 +1,140 @@
+"""Tests of answers that break off after a caller has received a part."""
+
+import collections
+import itertools
+import unittest
+from unittest import mock
+
+import anyio
+
+from cardamomfork._internal.gateway.serving import forwarding
+from cardamomfork._internal.models import fleet
+from tests.lib import broken_answers
+
+MAX_CONCURRENT_CASES = 48
+MAIN_BREAKS = ("reset between events", "reset in an event", "no chunk")
+MAIN_ANSWERS = ("the rest", "500", "close before the first event")
+
+
+def play_all(
+    cases, breaks=broken_answers.BREAKS, find_faults=broken_answers.find_faults
+):
+    """Plays cases concurrently; returns the faults of each that has any."""
+    found = collections.defaultdict(list)
+    limiter = anyio.CapacityLimiter(MAX_CONCURRENT_CASES)
+
+    async def play(case):
+        async with limiter:
+            received, errors = await broken_answers.play(case, breaks)
+        found[case] += find_faults(received, case)
+        found[case] += [f"exception: {error!r}" for error in errors]
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            for case in cases:
+                tasks.start_soon(play, case)
+
+    anyio.run(main)
+    return {case: faults for case, faults in found.items() if faults}
+
+
+def describe(faults):
+    """Returns the faults of each case as lines."""
+    return "\n".join(f"{case}\n  {one}" for case, one in faults.items())
+
+
+class BegunStreamTest(unittest.TestCase):
+    def check(self, breaks, answers, answers_by_break=None, **fields):
+        """Checks all combinations, directly and over a peer."""
+        cases = [
+            broken_answers.Case(one, answer, is_over_peer, **fields)
+            for one, answer, is_over_peer in itertools.product(
+                breaks, answers, (False, True)
+            )
+        ]
+        faults = play_all(cases, answers_by_break or broken_answers.BREAKS)
+        if faults:
+            self.fail(f"{len(faults)} of {len(cases)}\n{describe(faults)}")
+
+    def test_no_byte_of_the_next_answer_follows_unless_it_goes_on(self):
+        self.check(MAIN_BREAKS, broken_answers.ANSWERS)
+
+    def test_stream_ends_as_complete_only_after_its_last_event(self):
+        self.check(broken_answers.BREAKS, MAIN_ANSWERS)
+
+    def test_stream_that_the_caller_resumed_is_not_joined_with_another(self):
+        self.check(MAIN_BREAKS[:1], broken_answers.ANSWERS, last_event_id=2)
+
+    def test_answer_that_starts_elsewhere_is_not_passed_on(self):
+        self.check(
+            (
+                "200 from the start",
+                "200 with the last event again",
+                "200 after a gap",
+            ),
+            ("the rest",),
+            broken_answers.ANSWERS,
+            last_event_id=2,
+        )
+
+    def test_stream_that_may_not_be_resumed_has_no_second_run(self):
+        self.check(broken_answers.BREAKS, ("the rest",), may_resume=False)
+
+    def test_stream_without_ids_is_not_sent_again_from_its_start(self):
+        def break_off(request):
+            data = broken_answers.chunk(b"data: a\n\n")
+            return [
+                broken_answers.start(request) + data,
+                0.02,
+                broken_answers.Act.RESET,
+            ]
+
+        for is_over_peer in (False, True):
+            case = broken_answers.Case("no ids", "the rest", is_over_peer)
+            with self.subTest(is_over_peer=is_over_peer):
+                received, _ = anyio.run(
+                    broken_answers.play, case, {"no ids": break_off}
+                )
+                *_, body, is_complete = broken_answers.decode_answer(received)
+                self.assertEqual((body, is_complete), (b"data: a\n\n", False))
+                self.assertEqual(received.requests, 1)
+
+
+class BegunLongAnswerTest(unittest.TestCase):
+    def test_no_second_run_and_no_second_answer_follow(self):
+        cases = [
+            broken_answers.Case(one, answer, is_over_peer, rule=rule)
+            for one, answer, is_over_peer, rule in itertools.product(
+                broken_answers.LONG_BREAKS,
+                ("the rest", "500", "201"),
+                (False, True),
+                (fleet.RepeatPolicy.SAFE, fleet.RepeatPolicy.STREAM),
+            )
+            if rule is fleet.RepeatPolicy.SAFE or one[:3] in ("500", "206")
+        ]
+        faults = play_all(
+            cases,
+            broken_answers.LONG_BREAKS,
+            broken_answers.find_long_faults,
+        )
+        if faults:
+            self.fail(f"{len(faults)} of {len(cases)}\n{describe(faults)}")
+
+    def test_answer_that_pauses_is_not_cut_if_none_can_follow(self):
+        def pause(request):
+            size = broken_answers.LONG
+            head = broken_answers.start(request, b"content-length: %d" % size)
+            return [head + b"a" * (size - 1), 0.5, b"a"]
+
+        case = broken_answers.Case("pause", "500", rule=fleet.RepeatPolicy.SAFE)
+        with (
+            mock.patch.object(forwarding, "MIN_IDLE_TIMEOUT_S", 0.1),
+            mock.patch.object(forwarding, "IDLE_TIMEOUT_FACTOR", 0.0),
+        ):
+            received, _ = anyio.run(broken_answers.play, case, {"pause": pause})
+        *_, body, is_complete = broken_answers.decode_answer(received)
+        self.assertEqual((len(body), is_complete), (broken_answers.LONG, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
