Don't send a request again on a connection on which it failed

Callers of routes whose requests must not repeat got 503 ("not run") for requests that a target ran, or such a request ran twice. A faulty target wrote its refusal of the first attempt once more on the kept connection, while the retry was under way on that connection. Both answers bear the same request id, so the second refusal was taken for that of the retry, which ran.

The id tells answers apart only if a connection carries each id once. A connection now remembers the ids of requests that failed on it (at most 256, then it is closed after use), and the pools don't choose it for one of these; a repeated answer then arrives on a connection that is idle, which closes it, or under the id of another request, where it is discarded. The same holds on a peer that passes requests on, and for a repeated error answer to a request that may repeat.

--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -41,8 +41,11 @@
 MAX_UNUSED_BYTES = 1_048_576
 """Limit of bytes in a row that neither belong to the answer's body nor end it,
 such as an answer to another request."""
+MAX_FAILED_IDS = 256
+"""Limit of remembered request ids, after which a connection is not reused."""
 
 _FIRST_FINAL_STATUS = 200
+_FIRST_FAILED_STATUS = 300
 
 
 class Fault(enum.StrEnum):
@@ -128,6 +131,8 @@
         self._has_head = False
         self._unused_bytes = 0
         self._discarded_bytes = 0
+        # Hashes, since ids can be as long as a head.
+        self._failed_ids: set[int] = set()
         self._buffered_bytes = 0
         self._is_paused = False
         self._idle_since = 0.0
@@ -148,6 +153,14 @@
             and idle_s < min(self._idle_timeout_s, max_idle_s)
         )
 
+    def may_carry(self, request_id: str) -> bool:
+        """Returns whether no request with this id has failed on it.
+
+        If the target wrote its earlier answer once more, that would look like
+        the answer to the new request.
+        """
+        return hash(request_id) not in self._failed_ids
+
     @property
     def is_open(self) -> bool:
         """Whether the connection is open and may carry another request."""
@@ -335,6 +348,8 @@
         """Delivers the last message and ends the exchange."""
         if self._message_stream is None:
             return
+        if isinstance(message, Completed):
+            self._remember_failed_request()
         self._deliver(message)
         if self._message_stream is not None:
             self._message_stream.close()
@@ -343,3 +358,11 @@
         self._idle_since = asyncio.get_running_loop().time()
         if not self._is_reusable and self._transport is not None:
             self._transport.close()
+
+    def _remember_failed_request(self) -> None:
+        """Remembers the id of a request that may be sent again."""
+        is_failure = self._parser.get_status_code() >= _FIRST_FAILED_STATUS
+        if self._request_id and is_failure:
+            self._failed_ids.add(hash(self._request_id))
+            if len(self._failed_ids) >= MAX_FAILED_IDS:
+                self._is_reusable = False
--- a/src/cardamomfork/_internal/gateway/connections/target_pool.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_pool.py
@@ -77,6 +77,7 @@
         target: fleet.TargetRecord,
         *,
         runs_once: bool,
+        request_id: str = "",
         time_left_s: float = math.inf,
         may_pass: Callable[[str], bool] = lambda _: True,
     ) -> result.Result[target_connection.TargetConnection, outcomes.Failed]:
@@ -87,6 +88,7 @@
         Args:
             target: Target to connect to.
             runs_once: Whether the request must not run twice.
+            request_id: Id of the request; empty for orders.
             time_left_s: Time left for the request, in seconds.
             may_pass: Not used, since a direct connection leads over no peer.
         """
@@ -94,11 +96,13 @@
         now = asyncio.get_running_loop().time()
         idle_connections = self._idle.get(_pool_key(target), [])
         max_idle_s = RUN_ONCE_MAX_IDLE_S if runs_once else MAX_IDLE_S
-        while idle_connections:
-            pooled = idle_connections.pop()
-            if pooled.is_usable(now, max_idle_s):
-                return result.Ok(pooled)
-            pooled.close_idle()
+        for index in reversed(range(len(idle_connections))):
+            pooled = idle_connections[index]
+            if not pooled.is_usable(now, max_idle_s):
+                del idle_connections[index]
+                pooled.close_idle()
+            elif pooled.may_carry(request_id):
+                return result.Ok(idle_connections.pop(index))
         return await self._open(target, min(CONNECT_TIMEOUT_S, time_left_s))
 
     async def open_idle(
--- a/src/cardamomfork/_internal/gateway/paths/target_paths.py
+++ b/src/cardamomfork/_internal/gateway/paths/target_paths.py
@@ -40,6 +40,7 @@
         target: fleet.TargetRecord,
         *,
         runs_once: bool,
+        request_id: str = "",
         time_left_s: float = math.inf,
         may_pass: Callable[[str], bool] = lambda _: True,
     ) -> result.Result[Any, outcomes.Failed]:
@@ -85,6 +86,7 @@
         target: fleet.TargetRecord,
         *,
         runs_once: bool,
+        request_id: str = "",
         time_left_s: float = math.inf,
         may_pass: Callable[[str], bool] = lambda _: True,
     ) -> result.Result[Connection, outcomes.Failed]:
@@ -95,6 +97,7 @@
         Args:
             target: Target to connect to.
             runs_once: Whether the request must not run twice.
+            request_id: Id of the request; empty for orders.
             time_left_s: Time left for the request, in seconds.
             may_pass: Returns whether it may go over a peer in a data centre.
         """
@@ -102,6 +105,7 @@
         return await path.acquire(
             target,
             runs_once=runs_once,
+            request_id=request_id,
             time_left_s=time_left_s,
             may_pass=may_pass,
         )
--- a/src/cardamomfork/_internal/gateway/peers/peer_forwarding_client.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_client.py
@@ -169,6 +169,7 @@
         target: fleet.TargetRecord,
         *,
         runs_once: bool,
+        request_id: str = "",
         time_left_s: float,
         may_pass: Callable[[str], bool] = lambda _: True,
     ) -> result.Result[ForwardedConnection, outcomes.Failed]:
@@ -179,6 +180,7 @@
         Args:
             target: Target of the request.
             runs_once: Whether the request must not run twice.
+            request_id: Id of the request; empty for orders.
             time_left_s: Time left for the request, in seconds.
             may_pass: Returns whether it may go over a peer in a data centre.
         """
@@ -189,7 +191,9 @@
                 break
             tried.add(peer.instance_id)
             connection = self._take_idle(
-                peer, RUN_ONCE_MAX_IDLE_S if runs_once else MAX_IDLE_S
+                peer,
+                RUN_ONCE_MAX_IDLE_S if runs_once else MAX_IDLE_S,
+                request_id,
             ) or await self._connect(peer, time_left_s)
             if connection is None:
                 continue
@@ -296,16 +300,18 @@
         return min(candidates, key=cost).peer
 
     def _take_idle(
-        self, peer: digest_codec.Peer, max_idle_s: float
+        self, peer: digest_codec.Peer, max_idle_s: float, request_id: str
     ) -> target_connection.TargetConnection | None:
         """Returns an idle connection to a peer, if there is one."""
         now = asyncio.get_running_loop().time()
         connections = self._idle.get(peer, [])
-        while connections:
-            connection = connections.pop()
-            if connection.is_usable(now, max_idle_s):
-                return connection
-            connection.close_idle()
+        for index in reversed(range(len(connections))):
+            connection = connections[index]
+            if not connection.is_usable(now, max_idle_s):
+                del connections[index]
+                connection.close_idle()
+            elif connection.may_carry(request_id):
+                return connections.pop(index)
         return None
 
     async def _connect(
--- a/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
@@ -232,6 +232,7 @@
         opened = await self._pool.acquire(
             record,
             runs_once=request.runs_once,
+            request_id=request.request_id,
             time_left_s=request.time_left_s,
         )
         if isinstance(opened, result.Err):
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -293,6 +293,7 @@
         opened = await self._links.acquire(
             record,
             runs_once=not exchange.match.route.may_repeat,
+            request_id=exchange.request.request_id,
             time_left_s=exchange.deadline - started_at,
             may_pass=functools.partial(self._may_pass, exchange),
         )
--- a/tests/unit/test_target_connection.py
+++ b/tests/unit/test_target_connection.py
@@ -149,6 +149,33 @@
             )
 
 
+class FailedRequestTest(unittest.TestCase):
+    def test_connection_does_not_carry_a_failed_request_again(self):
+        async def exchange_many(count):
+            transport = FakeTransport()
+            connection = target_connection.TargetConnection(
+                headers.decode_answer
+            )
+            connection.connection_made(transport)
+            for number in range(count):
+                connection.start(b"GET / HTTP/1.1\r\n\r\n", f"r{number}")
+                connection.data_received(
+                    b"HTTP/1.1 503 No\r\nx-cardamomfork-request-id: r%d\r\n"
+                    b"content-length: 0\r\n\r\n" % number
+                )
+            may_carry = [
+                connection.may_carry(f"r{number}") for number in range(count)
+            ]
+            return may_carry, connection.may_carry("new"), connection.is_open
+
+        limit = target_connection.MAX_FAILED_IDS
+        self.assertEqual(
+            asyncio.run(exchange_many(limit - 1)),
+            ([False] * (limit - 1), True, True),
+        )
+        self.assertFalse(asyncio.run(exchange_many(limit))[2])
+
+
 class SilentTargetTest(unittest.TestCase):
     def test_silence_of_two_seconds_does_not_end_a_connection(self):
         transport = FakeTransport()
