Handle signals from the first line of an entry process to its last

Operators saw: SIGHUP within 0.5 s of the start ended the process with status -1, SIGTERM with -15 and SIGUSR1, SIGUSR2 at any time with -10 and -12, all without a log line, so such an end looked like a kill for memory. SIGHUP in the last moments of a planned stop gave status -1 instead of 0.

Cause: handlers existed only while the task that receives signals ran. The imports take half a second before it. When it ends, the event loop resets the handlers to the default action; the interpreter does so again when it ends.

Evidence before: test_entry_start sends signals while the process imports its libraries (three stages): SIGHUP -1, SIGTERM -15, SIGINT -2, SIGUSR1 -10, SIGUSR2 -12 in each of the stages.

Now the entry program installs handlers before it imports the rest. They only count signals and wake the event loop, and are the same ones for the whole life, so there is no moment between two handlers. At the end the signals are ignored, which the interpreter leaves alone. A stop signal before the instance serves ends it with status 0 and a line `stopped`.

--- a/src/cardamomfork/_internal/gateway/daemon.py
+++ b/src/cardamomfork/_internal/gateway/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from typing import TYPE_CHECKING
 
 import anyio
 import click
@@ -11,6 +12,8 @@
 
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.gateway import process
+from cardamomfork._internal.gateway import signal_handling
+from cardamomfork._internal.gateway import signal_queue
 from cardamomfork._internal.links import event_loop
 from cardamomfork._internal.models import settings as settings_models
 from cardamomfork._internal.platform import node_settings
@@ -20,6 +23,9 @@
 from cardamomfork._internal.telemetry import bounded_output
 from cardamomfork._internal.telemetry import logs
 
+if TYPE_CHECKING:
+    import signal
+
 STORE_TIMEOUT_S = 1.5
 """An answer takes milliseconds, or 60 times as long on a slow store."""
 
@@ -31,8 +37,22 @@
     metavar="FILE",
     help="INI file that switches features; see docs/operators/limits.md.",
 )
-def main(features_path: str | None) -> None:
+@click.pass_obj
+def main(signals: signal_queue.SignalQueue, features_path: str | None) -> None:
     """Runs an entry instance on the users' platform."""
+    try:
+        _run(signals, features_path)
+    finally:
+        signals.ignore()
+
+
+def _run(signals: signal_queue.SignalQueue, features_path: str | None) -> None:
+    """Loads the settings and serves until a signal to stop.
+
+    Args:
+        signals: Signals received since the start.
+        features_path: File that switches features; None for the defaults.
+    """
     try:
         path = node_settings.find_path()
         settings = node_settings.load(path)
@@ -57,8 +77,12 @@
             )
         ),
         lambda: node_settings.load(path),
+        signals,
         features,
     )
+    if stop_signal := signal_handling.find_stop_signal(signals):
+        _log_early_stop(stop_signal)
+        return
     try:
         anyio.run(gateway.run, backend_options=event_loop.BACKEND_OPTIONS)
     except BaseException:
@@ -66,6 +90,13 @@
         raise
 
 
+def _log_early_stop(stop_signal: signal.Signals) -> None:
+    """Logs the end of a process that was stopped before it served."""
+    logger.info(
+        "stopped", reason="signal before serving", signal=stop_signal.name
+    )
+
+
 def load_features(path: str | None) -> settings_models.EntryFeatures:
     """Reads which features are on; without a file, all have their defaults.
 
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -10,6 +9,8 @@
 from loguru import logger
 
 from cardamomfork._internal import exceptions
+from cardamomfork._internal.gateway import signal_handling
+from cardamomfork._internal.gateway import signal_queue
 from cardamomfork._internal.gateway import state_dump
 from cardamomfork._internal.gateway.peers import registration
 from cardamomfork._internal.gateway.serving import application
@@ -23,6 +24,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    import signal
 
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.contracts import store
@@ -47,6 +49,7 @@
         wire: platform_format.PlatformFormat,
         platform_store: store.PolledStore,
         load_settings: Callable[[], fleet.EntrySettings],
+        signals: signal_queue.SignalQueue,
         features: settings_models.EntryFeatures | None = None,
     ) -> None:
         """Creates and connects the components without starting them.
@@ -56,11 +59,14 @@
             wire: Names and formats of the platform.
             platform_store: The platform's store.
             load_settings: Reloads the settings.
+            signals: Signals that the process receives.
             features: Features that are switched by settings; None for the
                 defaults.
         """
         self._settings = settings
         self._load_settings = load_settings
+        self._signals = signals
+        self._stop_signal = ""
         self._known = known_state.create(
             settings, wire, platform_store, features
         )
@@ -142,7 +148,9 @@
             left_s = self._stop_state.left_s(self._clock())
             with anyio.move_on_after(max(left_s, 0.0)):
                 await self._targets.peer_forwarding.wait_until_idle()
-            logger.info("stopped")
+            logger.info(
+                "stopped", reason="planned stop", signal=self._stop_signal
+            )
             tasks.cancel_scope.cancel()
         self._targets.access.close()
         await self._known.platform_store.close()
@@ -174,15 +182,19 @@
         self, caller_server: http_server.HttpServer
     ) -> None:
         """Stops on SIGTERM or SIGINT; reloads the settings on SIGHUP."""
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async with anyio.create_task_group() as tasks:
-                async for signal_number in signals:
-                    if signal_number == signal.SIGHUP:
-                        self._reload()
-                    elif not self._stop_state.is_stopping:
-                        tasks.start_soon(self._stop_serving, caller_server)
+        async with anyio.create_task_group() as tasks:
+
+            def handle(received: signal.Signals) -> None:
+                if received == signal_queue.RELOAD_SIGNAL:
+                    self._reload()
+                elif (
+                    received in signal_queue.STOP_SIGNALS
+                    and not self._stop_signal
+                ):
+                    self._stop_signal = received.name
+                    tasks.start_soon(self._stop_serving, caller_server)
+
+            await signal_handling.handle(self._signals, handle)
 
     def _reload(self) -> None:
         """Reloads the settings; new listening addresses have no effect."""
--- a/src/cardamomforkd_entry.py
+++ b/src/cardamomforkd_entry.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from cardamomfork._internal.gateway import daemon
+from cardamomfork._internal.gateway import signal_queue
 
 if __name__ == "__main__":
-    daemon.main()
+    signals = signal_queue.SignalQueue()
+    signals.install()
+
+    # The imports take half a second, in which signals must not end the process.
+    from cardamomfork._internal.gateway import daemon
+
+    daemon.main(obj=signals)
--- /dev/null
+++ b/tests/functional/test_entry_start.py
@@ -0,0 +1,84 @@
+"""Start and end of a real entry process under signals and odd settings."""
+
+import signal
+import time
+import unittest
+
+from tests.lib import entry_process
+
+IMPORT_STAGES = ("_asyncio", "msgspec", "uvloop")
+"""Libraries that are loaded one after the other while the process starts."""
+
+
+class EntryTestCase(unittest.TestCase):
+    def setUp(self):
+        self.entry = entry_process.EntryProcess()
+        self.addCleanup(self.entry.close)
+
+
+class EarlySignalTest(EntryTestCase):
+    def send_while_importing(self, signal_number, stage):
+        self.entry.close()
+        self.setUp()
+        self.entry.start()
+        self.entry.wait_until_loaded(stage)
+        self.entry.process.send_signal(signal_number)
+
+    def check_is_survived(self, signal_number):
+        for stage in IMPORT_STAGES:
+            with self.subTest(stage):
+                self.send_while_importing(signal_number, stage)
+                self.entry.wait_until_serving()
+                (line,) = self.entry.find("signal received")
+                self.assertEqual(line["signal"], signal_number.name)
+
+    def check_ends_cleanly(self, signal_number):
+        for stage in IMPORT_STAGES:
+            with self.subTest(stage):
+                self.send_while_importing(signal_number, stage)
+                sent_at = time.monotonic()
+                status = self.entry.process.wait(entry_process.TIMEOUT_S)
+                self.assertEqual(status, 0, self.entry.output)
+                self.assertLess(time.monotonic() - sent_at, 2.3)
+                (line,) = self.entry.find("stopped")
+                self.assertEqual(line["signal"], signal_number.name)
+                self.assertEqual(self.entry.find("started"), [])
+
+    def test_reload_signal_while_starting_does_not_end_the_process(self):
+        self.check_is_survived(signal.SIGHUP)
+
+    def test_user_signals_while_starting_do_not_end_the_process(self):
+        self.check_is_survived(signal.SIGUSR1)
+        self.check_is_survived(signal.SIGUSR2)
+
+    def test_stop_signal_while_starting_ends_with_status_0_and_a_line(self):
+        self.check_ends_cleanly(signal.SIGTERM)
+        self.check_ends_cleanly(signal.SIGINT)
+
+
+class LateSignalTest(EntryTestCase):
+    def test_signals_until_the_end_do_not_change_the_status_of_a_stop(self):
+        self.entry.start()
+        self.entry.wait_until_serving()
+        self.entry.process.send_signal(signal.SIGTERM)
+        while self.entry.process.poll() is None:
+            self.entry.process.send_signal(signal.SIGHUP)
+            self.entry.process.send_signal(signal.SIGTERM)
+            time.sleep(0.0005)
+        self.assertEqual(self.entry.process.returncode, 0, self.entry.output)
+        (line,) = self.entry.find("stopped")
+        self.assertEqual(line["signal"], "SIGTERM")
+
+    def test_user_signals_do_not_end_a_serving_process(self):
+        self.entry.start()
+        self.entry.wait_until_serving()
+        for signal_number in (signal.SIGUSR1, signal.SIGUSR2, signal.SIGPIPE):
+            self.entry.process.send_signal(signal_number)
+        self.entry.wait_until(
+            lambda: len(self.entry.find("signal received")) == 2
+        )
+        self.assertEqual(self.entry.stop(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
