Start an entry process although its standard streams are closed

Operators saw: a process that is started with its standard output closed (by a shell's `>&-`) ended with status 1 and, where standard error was closed too, without a word. A standard output that is full, or whose reader left, was and is no problem.

Cause: the interpreter sets `sys.stdout` to None then, and the log asked it for its descriptor. Had the log used the number 1, it would have written to the socket that gets this number.

Evidence: test_closed_standard_streams_do_not_prevent_the_start failed with status 1 and passes now; the test with /dev/full passed before and does now.

Now the null device is opened for each closed standard stream before any socket is, and the log writes to descriptor 1.

--- a/src/cardamomfork/_internal/gateway/daemon.py
+++ b/src/cardamomfork/_internal/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,8 @@
 if TYPE_CHECKING:
     import signal
 
+STANDARD_OUTPUT = 1
+STANDARD_ERROR = 2
 STORE_TIMEOUT_S = 1.5
 """An answer takes milliseconds, or 60 times as long on a slow store."""
 
@@ -40,12 +43,24 @@
 @click.pass_obj
 def main(signals: signal_queue.SignalQueue, features_path: str | None) -> None:
     """Runs an entry instance on the users' platform."""
+    _open_standard_streams()
     try:
         _run(signals, features_path)
     finally:
         signals.ignore()
 
 
+def _open_standard_streams() -> None:
+    """Opens the null device for each closed standard stream.
+
+    A socket would get the number of the closed stream otherwise, and the log
+    would be written to it.
+    """
+    while (descriptor := os.open(os.devnull, os.O_RDWR)) <= STANDARD_ERROR:
+        pass
+    os.close(descriptor)
+
+
 def _run(signals: signal_queue.SignalQueue, features_path: str | None) -> None:
     """Loads the settings and serves until a signal to stop.
 
@@ -58,11 +73,12 @@
         settings = node_settings.load(path)
         features = load_features(features_path)
     except exceptions.CardamomforkError as error:
-        sys.stderr.write(f"{error}\n")
+        if sys.stderr is not None:
+            sys.stderr.write(f"{error}\n")
         sys.exit(1)
     logs.configure(
         "INFO",
-        bounded_output.BoundedOutput(sys.stdout.fileno()),
+        bounded_output.BoundedOutput(STANDARD_OUTPUT),
         instance_id=settings.instance_id,
         data_centre=settings.data_centre,
     )
--- a/tests/functional/test_entry_start.py
+++ b/tests/functional/test_entry_start.py
@@ -80,5 +80,20 @@
         self.assertEqual(self.entry.stop(), 0)
 
 
+class StandardStreamTest(EntryTestCase):
+    def test_closed_standard_streams_do_not_prevent_the_start(self):
+        self.check("<&- >&- 2>&-")
+
+    def test_full_standard_streams_do_not_prevent_the_start(self):
+        self.check(">/dev/full 2>/dev/full")
+
+    def check(self, redirections):
+        """Checks that a process with these streams starts and stops."""
+        command = f'exec "$@" {redirections}'
+        self.entry.start(prefix=("sh", "-c", command, "sh"))
+        self.entry.wait_until_serving()
+        self.assertEqual(self.entry.stop(), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
