Restart background tasks of an entry instance that fail

Callers saw connections closed, and no process behind the address, after an exception that no one expected in any background task, also in one that serving doesn't need, such as the memory warning. All tasks and the servers ran in one task group, which ends with its first failing task.

Every task is started by the supervisor now. Servers open their ports within their tasks; a restarted server keeps the open connections of the one before, so that a stop waits for them. The stop itself is a task of its own that goes on where it was. A failing step of the maintenance does not keep the others from running. Readiness also needs the callers' port to be open. Failures are a metric and in the dump.

No task is marked as one whose failure ends the process: a new process would meet the same cause, and the requests in progress would be lost. The process ends when the callers' server was stopped as planned.

--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
+import functools
 import signal
 from typing import Any
 from typing import TYPE_CHECKING
 
 import anyio
+import attrs
 from loguru import logger
 
 from cardamomfork._internal import exceptions
+from cardamomfork._internal import supervision
 from cardamomfork._internal.gateway import state_dump
 from cardamomfork._internal.gateway.peers import registration
 from cardamomfork._internal.gateway.serving import application
 from cardamomfork._internal.gateway.serving import caller_protocol
-from cardamomfork._internal.gateway.state import stopping
 from cardamomfork._internal.gateway.wiring import known_state
 from cardamomfork._internal.gateway.wiring import request_path
 from cardamomfork._internal.gateway.wiring import target_side
@@ -22,6 +24,7 @@
 from cardamomfork._internal.telemetry import memory_warning
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from cardamomfork._internal.contracts import platform_format
@@ -37,6 +40,30 @@
 MAX_PEER_CONNECTIONS = 400
 """Connections of peers; they are among the reserved file descriptors."""
 
+MAINTENANCE_TASK = "maintenance"
+
+
+def _never() -> bool:
+    """Returns False."""
+    return False
+
+
+@attrs.frozen
+class BackgroundTask:
+    """A task that runs until the process ends.
+
+    Attributes:
+        name: Name in logs and metrics.
+        run: The task.
+        max_backoff_s: Longest delay of a restart, in seconds.
+        may_return: Returns whether the task is complete once it has returned.
+    """
+
+    name: str
+    run: Callable[[], Awaitable[object]]
+    max_backoff_s: float = supervision.PROMPT_MAX_BACKOFF_S
+    may_return: Callable[[], bool] = _never
+
 
 class GatewayProcess:
     """An entry instance in front of a fleet of targets."""
@@ -68,77 +95,114 @@
         self._stop_state = self._known.stop_state
         self._targets = target_side.create(self._known)
         self._requests = request_path.create(self._known, self._targets)
-
-    async def run(self) -> None:
-        """Serves until a stop signal, then completes open requests."""
-        caller_server = self._make_server(
+        self._stop_requested = anyio.Event()
+        self._caller_server = http_server.RestartableServer(
             self._requests.application,
-            self._settings.host,
-            self._settings.caller_port,
+            settings.host,
+            settings.caller_port,
             caller_protocol.make_protocol(self._requests.connection_limits),
             max(
-                self._settings.max_file_descriptors - RESERVED_FILES,
+                settings.max_file_descriptors - RESERVED_FILES,
                 MIN_CALLER_CONNECTIONS,
             ),
         )
-        readiness_server = self._make_server(
+        self._readiness_server = http_server.RestartableServer(
             application.ReadinessApplication(
-                self._known.wire.readiness_path, self._is_ready
+                wire.readiness_path, self._is_ready
             ),
-            self._settings.readiness_host,
-            self._settings.readiness_port,
+            settings.readiness_host,
+            settings.readiness_port,
         )
-        peer_server = self._make_server(
+        self._peer_server = http_server.RestartableServer(
             application.PeerApplication(
                 self._known.fleet_state, self._targets.peer_forwarding
             ),
-            self._settings.host,
-            self._settings.peer_port,
+            settings.host,
+            settings.peer_port,
             max_connections=MAX_PEER_CONNECTIONS,
         )
-        metrics_server = self._make_server(
+        self._metrics_server = http_server.RestartableServer(
             application.MetricsApplication(
                 self._requests.metrics_export.scrape, self._dump
             ),
-            self._settings.host,
-            self._settings.metrics_port,
+            settings.host,
+            settings.metrics_port,
+        )
+
+    @property
+    def background_tasks(self) -> tuple[BackgroundTask, ...]:
+        """The background tasks of the process.
+
+        Each of them is restarted when it fails, also those without which the
+        process serves nothing: a new process would meet the same cause.
+        """
+        known, targets, peers = self._known, self._targets, self._requests.peers
+        followers = peers.followers
+        store, answered = (
+            known.platform_store,
+            known.notifications.store_answered,
+        )
+        secret = functools.partial(
+            targets.access.secret.run, store, answered, known.rng
+        )
+        register = functools.partial(
+            registration.maintain_registration,
+            store,
+            known.local_peer,
+            known.peer_table,
+            answered,
+            known.rng,
+        )
+        warning = memory_warning.MemoryWarning(self._settings.memory_bytes)
+        late_s = supervision.MAX_BACKOFF_S
+        return (
+            BackgroundTask("signals", self._handle_signals),
+            BackgroundTask(
+                "planned stop",
+                self._stop_serving,
+                may_return=lambda: self._stop_state.is_stopping,
+            ),
+            BackgroundTask("readiness server", self._readiness_server.run),
+            BackgroundTask(
+                "callers' server",
+                self._caller_server.run,
+                may_return=lambda: self._caller_server.has_ended,
+            ),
+            BackgroundTask("peers' server", self._peer_server.run),
+            BackgroundTask("metrics server", self._metrics_server.run),
+            BackgroundTask(
+                "configuration follower", followers.configuration.run
+            ),
+            BackgroundTask("targets follower", followers.targets.run),
+            BackgroundTask("crashes follower", followers.crashes.run),
+            BackgroundTask(
+                "crash persistence", followers.crash_persistence.run, late_s
+            ),
+            BackgroundTask("registration", register, late_s),
+            BackgroundTask("fleet secret", secret, late_s),
+            BackgroundTask("memory reserver", targets.reserver.run),
+            BackgroundTask("target reach", targets.access.reach.run),
+            BackgroundTask("data centre prober", targets.access.prober.run),
+            BackgroundTask("crash detector", targets.crash_detector.run),
+            BackgroundTask("peer links", peers.links.run),
+            BackgroundTask("configuration fetcher", peers.fetcher.run),
+            BackgroundTask(MAINTENANCE_TASK, self._run_maintenance),
+            BackgroundTask("memory warning", warning.run, late_s),
         )
+
+    async def run(self) -> None:
+        """Serves until a stop signal, then completes open requests."""
         logger.info("started", name=self._settings.instance_id)
         async with anyio.create_task_group() as tasks:
-            for server in (readiness_server, peer_server, metrics_server):
-                tasks.start_soon(server.serve)
-            tasks.start_soon(self._requests.peers.followers.configuration.run)
-            tasks.start_soon(self._requests.peers.followers.targets.run)
-            tasks.start_soon(
-                registration.maintain_registration,
-                self._known.platform_store,
-                self._known.local_peer,
-                self._known.peer_table,
-                self._known.notifications.store_answered,
-                self._known.rng,
-            )
-            tasks.start_soon(
-                self._targets.access.secret.run,
-                self._known.platform_store,
-                self._known.notifications.store_answered,
-                self._known.rng,
-            )
-            tasks.start_soon(self._targets.reserver.run)
-            tasks.start_soon(self._targets.access.reach.run)
-            tasks.start_soon(self._targets.access.prober.run)
-            tasks.start_soon(self._targets.crash_detector.run)
-            tasks.start_soon(
-                self._requests.peers.followers.crash_persistence.run
-            )
-            tasks.start_soon(self._requests.peers.followers.crashes.run)
-            tasks.start_soon(self._requests.peers.links.run)
-            tasks.start_soon(self._requests.peers.fetcher.run)
-            tasks.start_soon(self._run_maintenance)
-            tasks.start_soon(
-                memory_warning.MemoryWarning(self._settings.memory_bytes).run
-            )
-            tasks.start_soon(self._handle_signals, caller_server)
-            await caller_server.serve()
+            for task in self.background_tasks:
+                self._known.supervisor.start(
+                    tasks,
+                    task.name,
+                    task.run,
+                    max_backoff_s=task.max_backoff_s,
+                    may_return=task.may_return,
+                )
+            await self._caller_server.wait_until_ended()
             left_s = self._stop_state.left_s(self._clock())
             with anyio.move_on_after(max(left_s, 0.0)):
                 await self._targets.peer_forwarding.wait_until_idle()
@@ -151,38 +215,38 @@
         """Returns whether the balancer may send new connections."""
         return (
             self._known.fleet_state.is_complete
+            and self._caller_server.is_listening
             and not self._stop_state.is_stopping
         )
 
     async def _run_maintenance(self) -> None:
         """Runs periodic maintenance until cancelled."""
         reload_at = self._clock() + SETTINGS_RELOAD_INTERVAL_S
+        call = functools.partial(self._known.supervisor.call, MAINTENANCE_TASK)
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL_S)
             if self._clock() >= reload_at:
                 # The settings file may change without a SIGHUP.
-                self._reload()
                 reload_at = self._clock() + SETTINGS_RELOAD_INTERVAL_S
-            self._known.fleet_state.expire()
-            self._known.cold_targets.update()
-            self._targets.access.close_idle()
-            self._requests.retry_budget.update_instances(
-                self._known.peer_table.known_count
+                call(self._reload)
+            call(self._known.fleet_state.expire)
+            call(self._known.cold_targets.update)
+            call(self._targets.access.close_idle)
+            call(
+                self._requests.retry_budget.update_instances,
+                self._known.peer_table.known_count,
             )
 
-    async def _handle_signals(
-        self, caller_server: http_server.HttpServer
-    ) -> None:
+    async def _handle_signals(self) -> None:
         """Stops on SIGTERM or SIGINT; reloads the settings on SIGHUP."""
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
-            async with anyio.create_task_group() as tasks:
-                async for signal_number in signals:
-                    if signal_number == signal.SIGHUP:
-                        self._reload()
-                    elif not self._stop_state.is_stopping:
-                        tasks.start_soon(self._stop_serving, caller_server)
+            async for signal_number in signals:
+                if signal_number == signal.SIGHUP:
+                    self._known.supervisor.call("signals", self._reload)
+                else:
+                    self._stop_requested.set()
 
     def _reload(self) -> None:
         """Reloads the settings; new listening addresses have no effect."""
@@ -199,20 +263,23 @@
         self._requests.peers.cold_permits.update_settings(settings)
         logger.info("settings reloaded", name=settings.instance_id)
 
-    async def _stop_serving(
-        self, caller_server: http_server.HttpServer
-    ) -> None:
-        """Stops serving within the grace period."""
+    async def _stop_serving(self) -> None:
+        """Waits for a stop signal; stops serving within the grace period."""
+        await self._stop_requested.wait()
         self._stop_state.begin(self._clock(), self._settings)
-        self._requests.peers.links.leave()
+        self._known.supervisor.call(
+            "planned stop", self._requests.peers.links.leave
+        )
         logger.info("stopping", count=self._requests.application.in_progress)
-        await anyio.sleep(stopping.BALANCER_REMOVAL_DELAY_S)
-        caller_server.stop()
+        await anyio.sleep(
+            max(self._stop_state.removal_left_s(self._clock()), 0.0)
+        )
+        self._caller_server.stop()
         await anyio.sleep(max(self._stop_state.left_s(self._clock()), 0.0))
         logger.warning(
             "grace period expired", count=self._requests.application.in_progress
         )
-        caller_server.abort()
+        self._caller_server.abort()
 
     def _dump(self) -> dict[str, Any]:
         """Returns the state of this process for a dump."""
@@ -243,24 +310,9 @@
             "blocked_requests": state_dump.dump_blocked(
                 self._known.poison_guard, now
             ),
+            "background_task_failures": dict(self._known.supervisor.failures),
             "evacuations": state_dump.dump_evacuations(self._known.evacuations),
             "targets": state_dump.dump_targets(
                 self._known.target_table, self._known.load_view, now
             ),
         }
-
-    def _make_server(
-        self,
-        app: object,
-        host: str,
-        port: int,
-        protocol: type | str = "httptools",
-        max_connections: int | None = None,
-    ) -> http_server.HttpServer:
-        """Creates a server bound to an address."""
-        return http_server.HttpServer(
-            app,
-            http_server.open_listener(host, port),
-            protocol,
-            max_connections,
-        )
--- a/src/cardamomfork/_internal/gateway/serving/traffic_metrics.py
+++ b/src/cardamomfork/_internal/gateway/serving/traffic_metrics.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from cardamomfork._internal.gateway.requests import exchanges
 
@@ -22,13 +23,18 @@
     """Records the end of each request."""
 
     def __init__(
-        self, meter: api.Meter, gauges: dict[str, Callable[[], float]]
+        self,
+        meter: api.Meter,
+        gauges: dict[str, Callable[[], float]],
+        count_task_failures: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         """Creates the instruments.
 
         Args:
             meter: Meter of the exporter, or `api.NoOpMeter("cardamomfork")`.
             gauges: Functions that return the values of gauges, by name.
+            count_task_failures: Returns the number of failures of each
+                background task, by name.
         """
         self._requests = meter.create_counter(
             metrics.PREFIX + "gateway.requests",
@@ -47,6 +53,21 @@
                 [_make_callback(read)],
             )
 
+        def observe_failures(
+            _: api.CallbackOptions,
+        ) -> list[api.Observation]:
+            return [
+                api.Observation(count, {"task": name})
+                for name, count in count_task_failures().items()
+            ]
+
+        meter.create_observable_counter(
+            metrics.PREFIX + "background_task_failures",
+            [observe_failures],
+            "1",
+            "Failures of background tasks by task",
+        )
+
     def record_rejected(self, status: int) -> None:
         """Counts a request that was rejected before forwarding."""
         self._requests.add(1, {"status": status, "cause": "rejected"})
--- a/src/cardamomfork/_internal/gateway/state/stopping.py
+++ b/src/cardamomfork/_internal/gateway/state/stopping.py
@@ -51,3 +51,12 @@
         if self.stopping_since is None:
             return float("inf")
         return self.stopping_since + self.grace_s - EXIT_MARGIN_S - now
+
+    def removal_left_s(self, now: float) -> float:
+        """Returns the time until the load balancer sends nothing new.
+
+        It is infinite before the stop signal.
+        """
+        if self.stopping_since is None:
+            return float("inf")
+        return self.stopping_since + BALANCER_REMOVAL_DELAY_S - now
--- a/src/cardamomfork/_internal/gateway/wiring/known_state.py
+++ b/src/cardamomfork/_internal/gateway/wiring/known_state.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway.crashes import poison_guard
 from cardamomfork._internal.gateway.peers import digest_codec
@@ -53,6 +54,7 @@
         peer_table: The other instances.
         stop_state: Whether the process is stopping.
         features: Features that are switched by settings.
+        supervisor: Runs the background tasks.
     """
 
     settings: fleet.EntrySettings
@@ -73,6 +75,7 @@
     peer_table: peer_table.PeerTable
     stop_state: stopping.StopState
     features: settings_models.EntryFeatures
+    supervisor: supervision.Supervisor
 
     @property
     def must_poll(self) -> bool:
@@ -149,6 +152,7 @@
         peer_table=peers,
         stop_state=stopping.StopState(),
         features=features or settings_models.EntryFeatures(),
+        supervisor=supervision.Supervisor(rng, clock),
     )
     notify.store_answered.connect(known.record_store_answer)
     return known
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -157,7 +157,9 @@
         _make_forwarder(known, targets, peers, scheduler, budget, recorder),
         known.stop_state,
         traffic_metrics.TrafficMetrics(
-            metrics.meter, _make_gauges(known, targets, peers, scheduler, order)
+            metrics.meter,
+            _make_gauges(known, targets, peers, scheduler, order),
+            lambda: known.supervisor.failures,
         ),
         known.clock,
         known.rng,
--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -83,6 +83,7 @@
         protocol: type[asyncio.Protocol] | str = "httptools",
         max_connections: int | None = None,
         tls: ssl.SSLContext | None = None,
+        state: uvicorn.server.ServerState | None = None,
     ) -> None:
         """Initializes the server without starting it.
 
@@ -93,6 +94,8 @@
             max_connections: Maximum open connections; further ones get
                 status 503.
             tls: Server-side TLS context; None for plain TCP.
+            state: Open connections of an earlier server in whose place this
+                one serves; None if there was none.
         """
         self._listener = listener
         self._server = _Server(
@@ -111,6 +114,13 @@
                 ssl_context_factory=_make_context_factory(tls),
             )
         )
+        if state is not None:
+            self._server.server_state = state
+
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections are accepted."""
+        return self._server.started and not self._server.should_exit
 
     @property
     def host(self) -> str:
@@ -138,6 +148,12 @@
             if connection.transport is not None:
                 connection.transport.abort()
 
+    def close(self) -> None:
+        """Closes the listening socket; open connections stay."""
+        for server in getattr(self._server, "servers", ()):
+            server.close()
+        self._listener.close()
+
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[HttpServer]:
         """Serves while the context is open; aborts connections on exit."""
@@ -148,3 +164,93 @@
                 yield self
             finally:
                 self.abort()
+
+
+class RestartableServer:
+    """Serves one ASGI application on an address that it opens itself.
+
+    After a failure, `run` may be called again. Connections that were open stay
+    open, and a later `stop` waits for their requests too.
+    """
+
+    def __init__(
+        self,
+        application: Any,
+        host: str,
+        port: int,
+        protocol: type[asyncio.Protocol] | str = "httptools",
+        max_connections: int | None = None,
+    ) -> None:
+        """Initializes the server without opening its port.
+
+        Args:
+            application: The ASGI application.
+            host: IP address to listen on.
+            port: TCP port to listen on.
+            protocol: uvicorn's HTTP protocol, or a class derived from it.
+            max_connections: Maximum open connections; further ones get
+                status 503.
+        """
+        self._application = application
+        self._host = host
+        self._port = port
+        self._protocol = protocol
+        self._max_connections = max_connections
+        self._state = uvicorn.server.ServerState()
+        self._server: HttpServer | None = None
+        self._is_stopped = False
+        self._has_ended = anyio.Event()
+
+    @property
+    def is_listening(self) -> bool:
+        """Whether the port is open."""
+        return self._server is not None and self._server.is_listening
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the server was stopped and its open requests have ended."""
+        return self._has_ended.is_set()
+
+    async def run(self) -> None:
+        """Opens the port and serves until `stop` is called.
+
+        Raises:
+            exceptions.CardamomforkError: The address can't be bound.
+        """
+        if self._is_stopped:
+            self._has_ended.set()
+            return
+        server = HttpServer(
+            self._application,
+            open_listener(self._host, self._port),
+            self._protocol,
+            self._max_connections,
+            state=self._state,
+        )
+        self._server = server
+        try:
+            await server.serve()
+        finally:
+            self._server = None
+            server.close()
+        if self._is_stopped:
+            self._has_ended.set()
+
+    async def wait_until_ended(self) -> None:
+        """Waits until the server was stopped and its requests have ended."""
+        await self._has_ended.wait()
+
+    def stop(self) -> None:
+        """Stops accepting connections; lets open requests finish."""
+        self._is_stopped = True
+        if self._server is not None:
+            self._server.stop()
+        elif not self._state.connections:
+            self._has_ended.set()
+
+    def abort(self) -> None:
+        """Stops and aborts all open connections."""
+        self.stop()
+        if self._server is not None:
+            self._server.abort()
+        self._has_ended.set()
