--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -17,6 +17,7 @@
 from loguru import logger
 import result
 
+from cardamomfork._internal import exceptions
 from cardamomfork._internal.gateway.choice import placement_news
 from cardamomfork._internal.gateway.peers import change_codec
 from cardamomfork._internal.gateway.peers import digest_codec
@@ -153,12 +154,22 @@
         self._digest_due_at = 0.0
 
     async def run(self) -> None:
-        """Opens the socket and sends heartbeats until cancelled."""
+        """Opens the socket and sends heartbeats until cancelled.
+
+        Raises:
+            exceptions.CardamomforkError: The address can't be bound.
+        """
+        host, port = self._local_peer.host, self._local_peer.port
         loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: self,
-            local_addr=(self._local_peer.host, self._local_peer.port),
-        )
+        try:
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda: self, local_addr=(host, port)
+            )
+        except OSError as error:
+            raise exceptions.CardamomforkError(
+                f"cannot receive datagrams on {host}:{port}.",
+                "Set a free port or another address in the settings.",
+            ) from error
         try:
             while True:
                 self._permits.observe()
