Log and count exceptions of callbacks of the event loop

Operators saw "Exception in callback" with the callback's representation, without the type and the frames of the exception, without a bound on the number of such lines, and in no metric. A failure of a timer or of the handling of a datagram could go on unseen.

Cause: the event loop's own handler logs through the standard library, of whose records only the template is logged. The entry process installs a handler that reports to the supervisor under the task `event loop`; lines are bounded as those of tasks.

--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -20,6 +20,7 @@
 from cardamomfork._internal.gateway.wiring import known_state
 from cardamomfork._internal.gateway.wiring import request_path
 from cardamomfork._internal.gateway.wiring import target_side
+from cardamomfork._internal.links import event_loop
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.telemetry import memory_warning
 
@@ -41,6 +42,8 @@
 """Connections of peers; they are among the reserved file descriptors."""
 
 MAINTENANCE_TASK = "maintenance"
+EVENT_LOOP_TASK = "event loop"
+"""Name under which failures of callbacks of the event loop are counted."""
 
 
 def _never() -> bool:
@@ -192,6 +195,12 @@
 
     async def run(self) -> None:
         """Serves until a stop signal, then completes open requests."""
+        self._known.supervisor.register(EVENT_LOOP_TASK)
+        event_loop.report_exceptions(
+            lambda error, reason: self._known.supervisor.record_failure(
+                EVENT_LOOP_TASK, error, reason=reason
+            )
+        )
         logger.info("started", name=self._settings.instance_id)
         async with anyio.create_task_group() as tasks:
             for task in self.background_tasks:
--- a/src/cardamomfork/_internal/links/event_loop.py
+++ b/src/cardamomfork/_internal/links/event_loop.py
@@ -141,3 +141,25 @@
 
 BACKEND_OPTIONS: Final[dict[str, Any]] = {"loop_factory": EventLoop}
 """`backend_options` for `anyio.run`."""
+
+
+def report_exceptions(
+    report: Callable[[BaseException | None, str], None],
+) -> None:
+    """Reports the exceptions of callbacks of the running event loop.
+
+    Args:
+        report: Called with an exception that nothing else handles, or None,
+            and with the event loop's description if there is no exception. The
+            description of an exception may contain data of a request.
+    """
+
+    def handle(
+        loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        del loop
+        error = context.get("exception")
+        reason = "" if error is not None else context.get("message", "")
+        report(error, reason)
+
+    asyncio.get_running_loop().set_exception_handler(handle)
--- a/tests/functional/test_failing_tasks.py
+++ b/tests/functional/test_failing_tasks.py
@@ -126,7 +126,9 @@
 
     async def check_reports(self):
         failures = await small_site.count_failures(self.ports.metrics)
-        self.assertEqual(failures, dict.fromkeys(self.names, 1))
+        self.assertEqual(
+            failures, dict.fromkeys(self.names, 1) | {"event loop": 0}
+        )
         logged = [
             record["extra"]["name"]
             for record in self.records
