Take a success that ends after its head for broken off

A target that ended after the head of an answer without a length looked like one whose body was empty: such an answer ends with its connection.

A 2xx answer without a length now needs at least one byte of its body before the close. A target with an empty body can state the length 0. Errors are passed on as before, also without a body.

Evidence: tests/functional/test_broken_answers.py.

--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -126,6 +126,8 @@
         self._is_reusable = True
         self._is_open = False
         self._has_head = False
+        self._is_success = False
+        self._has_body = False
         self._unused_bytes = 0
         self._discarded_bytes = 0
         self._buffered_bytes = 0
@@ -170,6 +172,7 @@
         self._is_discarding = False
         self._ends_at_eof = False
         self._has_head = False
+        self._has_body = False
         self._unused_bytes = 0
         self._discarded_bytes = 0
         if self._transport is None or not self._is_open:
@@ -239,9 +242,16 @@
             self._finish(Failed(Fault.ENDLESS, f"{self._unused_bytes} bytes"))
 
     def eof_received(self) -> bool:
-        """Completes an answer that ends at EOF; fails any other."""
+        """Completes an answer that ends at EOF; fails any other.
+
+        An empty success can't be told from one whose body never came.
+        """
         self._is_reusable = False
-        if self._ends_at_eof and not self._is_discarding:
+        if (
+            self._ends_at_eof
+            and not self._is_discarding
+            and (self._has_body or not self._is_success)
+        ):
             self._finish(Completed())
         else:
             self._finish(Failed(Fault.CLOSED))
@@ -291,6 +301,7 @@
         if self._ends_at_eof:
             self._is_reusable = False
         self._has_head = True
+        self._is_success = head.is_success
         self._deliver(HeadReceived(head))
         if self._is_head_request:
             self._is_reusable = False
@@ -300,6 +311,7 @@
         """Delivers a part of the body; pauses reading above the limit."""
         if self._is_discarding or self._message_stream is None:
             return
+        self._has_body = True
         self._buffered_bytes += len(body)
         if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._is_paused:
             self._is_paused = True
--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -77,6 +77,13 @@
             last_event_id=2,
         )
 
+    def test_head_alone_is_no_complete_stream(self):
+        self.check(
+            ("close before the first event without a length",),
+            ("the rest",),
+            broken_answers.ANSWERS,
+        )
+
     def test_stream_that_may_not_be_resumed_has_no_second_run(self):
         self.check(broken_answers.BREAKS, ("the rest",), may_resume=False)
 
--- a/tests/lib/broken_answers.py
+++ b/tests/lib/broken_answers.py
@@ -385,6 +385,10 @@
         Act.CLOSE,
     ],
     "close before the first event": lambda r: [start(r), Act.CLOSE],
+    "close before the first event without a length": lambda r: [
+        start(r, b"x-a: b"),
+        Act.CLOSE,
+    ],
 }
 """Answers of the next target that can't complete a stream."""
 
