Resume a stream only with an answer of its media type

Callers saw a stream end as complete before its last event (ORDER). The next target had answered with status 200, a signature and an empty body of another type, such as the page of an intermediary. An empty stream is a sound answer where only the end was missing, so nothing else told it apart.

An answer that resumes a stream must state the media type of the answer that began it.

Evidence: tests/functional/test_broken_answers.py.

--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -59,6 +59,7 @@
     Attributes:
         has_started: Whether the head has been passed on.
         is_stream: Whether it is the head of a stream of events.
+        media_type: Media type of that head; empty if it states none.
         order: Checks the order of the events.
         events: Number of events passed on.
         last_event_at: Monotonic time of the last event.
@@ -66,6 +67,7 @@
 
     has_started: bool = False
     is_stream: bool = False
+    media_type: bytes = b""
     order: event_stream.SequenceChecker = attrs.field(
         factory=event_stream.SequenceChecker
     )
@@ -151,6 +153,11 @@
             and head.status == http.HTTPStatus.OK
         )
         if is_stream and head.is_signed:
+            if (
+                self._progress.has_started
+                and _media_type(head) != self._progress.media_type
+            ):
+                return _broken_answer("not of the media type of the stream")
             return await self._forward_stream(
                 head, connection, messages, timeouts
             )
@@ -299,6 +306,7 @@
         """Passes on the head, unless an earlier attempt has done so."""
         if not self._progress.has_started:
             self._progress.has_started = self._progress.is_stream = True
+            self._progress.media_type = _media_type(head)
             await self._sink.start(head.status, head.headers, None)
 
     async def _receive(
@@ -325,6 +333,12 @@
                 return None
 
 
+def _media_type(head: forwarding.ResponseHead) -> bytes:
+    """Returns the media type of an answer; empty if it states none."""
+    value = dict(head.headers).get(b"content-type", b"")
+    return value.partition(b";")[0].strip().lower()
+
+
 def _to_failure(message: target_connection.Message | None) -> outcomes.Failed:
     """Returns the failure for a message that ends an attempt."""
     if message is None:
--- a/tests/lib/broken_answers.py
+++ b/tests/lib/broken_answers.py
@@ -353,6 +353,9 @@
     "200 with an error text": _stream_of(b"FOREIGN error\n", b"length"),
     "200 with an error text and blank line": _stream_of(b"FOREIGN error\n\n"),
     "200 with an error event": _stream_of(b"event: error\ndata: FOREIGN\n\n"),
+    "200 with another type": _stream_of(
+        b"", extra=b"content-type: text/html\r\n"
+    ),
     "200 from the start": _stream_of(
         b"".join(make_event(one, FOREIGN) for one in range(1, TOTAL + 1))
     ),
