Send HTTP/1.0 callers streams without chunks

A caller of HTTP/1.0 read the heads of chunks as parts of its body (MIXED), as uvicorn sends an answer without a length in chunks to any caller. Without chunks, the end of the connection is the end of the answer, so a stream that breaks off would look complete.

Such a caller now receives the body as it is. From the head on, the socket resets the connection when it is closed, also by the end of the process; only after the last byte of a complete answer has been written is the close an ordinary one.

Evidence: tests/functional/test_broken_answers.py.

--- a/src/cardamomfork/_internal/gateway/serving/application.py
+++ b/src/cardamomfork/_internal/gateway/serving/application.py
@@ -69,15 +69,23 @@
     Implements `attempt.CallerSink`.
     """
 
-    def __init__(self, send: Send, stop: stopping.StopState) -> None:
+    def __init__(
+        self,
+        send: Send,
+        stop: stopping.StopState,
+        unframed: protocol.CallerProtocol | None = None,
+    ) -> None:
         """Initializes the sink.
 
         Args:
             send: The ASGI send callable of the request.
             stop: Whether the process is stopping.
+            unframed: The connection of a caller that knows no chunks; None for
+                any other.
         """
         self._send = send
         self._stop = stop
+        self._unframed = unframed
         self.status = 0
 
     async def start(
@@ -90,6 +98,9 @@
         pairs = list(headers)
         if length is not None:
             pairs.append((b"content-length", b"%d" % length))
+            self._unframed = None
+        elif self._unframed is not None:
+            self._unframed.begin_unframed()
         if self._stop.is_stopping:
             pairs.append(_CLOSE)
         self.status = status
@@ -109,6 +120,8 @@
 
     async def finish(self) -> None:
         """Ends the answer."""
+        if self._unframed is not None:
+            self._unframed.end_unframed()
         await self._send(
             {"type": "http.response.body", "body": b"", "more_body": False}
         )
@@ -192,7 +205,7 @@
     ) -> None:
         """Serves one request."""
         arrived_at = self._clock()
-        sink = _AsgiSink(send, self._stop)
+        sink = _AsgiSink(send, self._stop, _find_unframed(scope))
         request = self._wire.decode_request(
             scope["method"],
             scope["extensions"][caller_protocol.RAW_TARGET],
@@ -378,6 +391,16 @@
         return route_table.configuration.version if route_table else 0
 
 
+def _find_unframed(scope: dict[str, Any]) -> protocol.CallerProtocol | None:
+    """Returns the connection of a caller that knows no chunks, or None."""
+    if scope.get("http_version") != "1.0":
+        return None
+    connection: protocol.CallerProtocol = scope["extensions"][
+        protocol.SCOPE_KEY
+    ]
+    return connection
+
+
 class ReadinessApplication:
     """Serves the readiness check of the load balancer."""
 
--- a/src/cardamomfork/_internal/links/callers/protocol.py
+++ b/src/cardamomfork/_internal/links/callers/protocol.py
@@ -7,6 +7,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+import struct
+import sys
 from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -23,6 +27,8 @@
 HEADERS_TIMEOUT_S = 15.0
 WRITE_STALL_TIMEOUT_S = 60.0
 """Time after which a connection is aborted if its write buffer stays full."""
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+_NO_LINGER = struct.pack("ii", 0, 0)
 
 
 async def wait_for_disconnect(
@@ -55,6 +61,7 @@
     _headers_timer: asyncio.TimerHandle | None = None
     _stall_timer: asyncio.TimerHandle | None = None
     _flow_listener: FlowControlListener | None = None
+    _is_unframed_complete = False
 
     @property
     def is_write_paused(self) -> bool:
@@ -65,6 +72,34 @@
         """Sets the receiver of flow control events; None for none."""
         self._flow_listener = listener
 
+    def begin_unframed(self) -> None:
+        """Prepares a response that has no length and ends at the close.
+
+        A client of HTTP/1.0 doesn't know chunks. To it, a close is the end of a
+        complete response, so any close before `end_unframed` is a reset, also
+        when the process ends.
+        """
+        self.cycle.chunked_encoding = False
+        self.cycle.expected_content_length = sys.maxsize
+        self._is_unframed_complete = False
+        # Writing is then paused until all bytes have left the buffer.
+        self.transport.set_write_buffer_limits(high=0)
+        self._set_linger(_RESET_AT_CLOSE)
+
+    def end_unframed(self) -> None:
+        """Marks such a response as complete once it has been written."""
+        self.cycle.expected_content_length = 0
+        self._is_unframed_complete = True
+        if not self.is_write_paused:
+            self._set_linger(_NO_LINGER)
+
+    def _set_linger(self, option: bytes) -> None:
+        """Sets what a close of the socket does."""
+        with contextlib.suppress(OSError):
+            self.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, option
+            )
+
     def write_chunk(self, data: bytes) -> None:
         """Writes one response chunk, or drops it if the connection closes."""
         if self.transport.is_closing():
@@ -109,6 +144,8 @@
         """Stops the stall timeout and notifies the listener."""
         super().resume_writing()
         self._stop_stall_timer()
+        if self._is_unframed_complete:
+            self._set_linger(_NO_LINGER)
         if self._flow_listener is not None:
             self._flow_listener.on_write_resumed()
 
--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -1,6 +1,7 @@
 """Tests of answers that break off after a caller has received a part."""
 
 import collections
+import functools
 import itertools
 import unittest
 from unittest import mock
@@ -52,7 +53,8 @@
                 breaks, answers, (False, True)
             )
         ]
-        faults = play_all(cases, answers_by_break or broken_answers.BREAKS)
+        with mock.patch.object(forwarding, "MIN_IDLE_TIMEOUT_S", 0.6):
+            faults = play_all(cases, answers_by_break or broken_answers.BREAKS)
         if faults:
             self.fail(f"{len(faults)} of {len(cases)}\n{describe(faults)}")
 
@@ -87,6 +89,9 @@
     def test_stream_that_may_not_be_resumed_has_no_second_run(self):
         self.check(broken_answers.BREAKS, ("the rest",), may_resume=False)
 
+    def test_early_end_is_visible_to_a_client_that_reads_no_chunks(self):
+        self.check(broken_answers.BREAKS, MAIN_ANSWERS, version="1.0")
+
     def test_stream_without_ids_is_not_sent_again_from_its_start(self):
         def break_off(request):
             data = broken_answers.chunk(b"data: a\n\n")
@@ -110,12 +115,15 @@
 class BegunLongAnswerTest(unittest.TestCase):
     def test_no_second_run_and_no_second_answer_follow(self):
         cases = [
-            broken_answers.Case(one, answer, is_over_peer, rule=rule)
-            for one, answer, is_over_peer, rule in itertools.product(
+            broken_answers.Case(
+                one, answer, is_over_peer, rule=rule, version=version
+            )
+            for one, answer, is_over_peer, rule, version in itertools.product(
                 broken_answers.LONG_BREAKS,
                 ("the rest", "500", "201"),
                 (False, True),
                 (fleet.RepeatPolicy.SAFE, fleet.RepeatPolicy.STREAM),
+                ("1.0", "1.1"),
             )
             if rule is fleet.RepeatPolicy.SAFE or one[:3] in ("500", "206")
         ]
@@ -127,6 +135,25 @@
         if faults:
             self.fail(f"{len(faults)} of {len(cases)}\n{describe(faults)}")
 
+    def test_long_answer_without_chunks_reaches_a_slow_client_whole(self):
+        size = 8 * broken_answers.LONG
+
+        def send(request):
+            data = broken_answers.chunk(b"a" * size)
+            return [broken_answers.start(request) + data + b"0\r\n\r\n"]
+
+        case = broken_answers.Case(
+            "long", "500", version="1.0", rule=fleet.RepeatPolicy.SAFE
+        )
+        received, errors = anyio.run(
+            functools.partial(
+                broken_answers.play, case, {"long": send}, read_after_s=0.5
+            )
+        )
+        *_, body, is_complete = broken_answers.decode_answer(received)
+        self.assertEqual((len(body), is_complete), (size, True))
+        self.assertEqual(errors, [])
+
     def test_answer_that_pauses_is_not_cut_if_none_can_follow(self):
         def pause(request):
             size = broken_answers.LONG
--- a/tests/lib/broken_answers.py
+++ b/tests/lib/broken_answers.py
@@ -398,7 +398,9 @@
 ANSWERS = SOUND | FAULTY
 
 
-async def read_answer(port, *, version="1.1", last_event_id=0, timeout_s=8.0):
+async def read_answer(
+    port, *, version="1.1", last_event_id=0, timeout_s=8.0, read_after_s=0.0
+):
     """Sends a request and reads until the connection ends."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     lines = [
@@ -412,6 +414,10 @@
         lines.append(f"Last-Event-Id: {last_event_id}")
     writer.write("\r\n".join([*lines, "", "ask"]).encode())
     received = Received()
+    if read_after_s:
+        writer.transport.pause_reading()
+        await asyncio.sleep(read_after_s)
+        writer.transport.resume_reading()
     try:
         async with asyncio.timeout(timeout_s):
             while data := await reader.read(65_536):
@@ -551,12 +557,13 @@
             fixture.pool.close()
 
 
-async def play(case, breaks=BREAKS):
+async def play(case, breaks=BREAKS, *, read_after_s=0.0):
     """Sends the request of a case.
 
     Args:
         case: The case.
         breaks: The answers of the first target by name.
+        read_after_s: Time after which its caller begins to read.
 
     Returns:
         What its caller received, and the exceptions of the instance.
@@ -574,6 +581,7 @@
             entry.server.port,
             version=case.version,
             last_event_id=case.last_event_id,
+            read_after_s=read_after_s,
         )
         received.requests = sum(len(one.requests) for one in targets)
     return received, entry.errors
