Pass only streams of events on to callers of a daemon's streams

Callers of the daemon's own interface found an error's text in the middle of their stream, repeated once per resume. The daemon resumes a stream that broke off at its byte offset; an answer with status below 400 was taken for its rest whatever its status and type, and every blank line in it passed it on as an event.

An answer to a streamed request must have status 200 and the type text/event-stream. Any other is an invalid answer, after which the request is resumed or retried as before.

Evidence: tests/functional/test_resumed_streams.py breaks a stream off and answers its resume in 9 ways. Before: with 302, 206, and 200 of another type with a length and until the close (4 of 9), the text was in the caller's stream. After: the stream ends with the error event in all 9. Errors of status 400 and above were clean before.

--- a/src/cardamomfork/_internal/contracts/target_link.py
+++ b/src/cardamomfork/_internal/contracts/target_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,8 @@
     from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import targets
 
+EVENT_STREAM = "text/event-stream"
+
 
 @attrs.frozen
 class TargetCall:
@@ -74,6 +77,12 @@
     content_type: str
     length: int | None = None
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether it is the head of a stream of server-sent events."""
+        media_type = self.content_type.partition(";")[0].strip().lower()
+        return self.status == http.HTTPStatus.OK and media_type == EVENT_STREAM
+
 
 class ByteSink(Protocol):
     """Receives the bytes of an answer as they arrive."""
--- a/src/cardamomfork/_internal/links/targets/link.py
+++ b/src/cardamomfork/_internal/links/targets/link.py
@@ -21,8 +21,6 @@
 
     from cardamomfork._internal.links.targets import idle
 
-EVENT_STREAM = "text/event-stream"
-
 
 @attrs.define
 class LinkCounters:
@@ -232,7 +230,7 @@
             length=int(length) if length else None,
         )
         chunked = headers.get(b"transfer-encoding", b"").lower() == b"chunked"
-        if chunked and head.content_type.startswith(EVENT_STREAM):
+        if chunked and head.is_event_stream:
             return streams.EventStream(
                 head,
                 self._target.target_id,
--- a/src/cardamomfork/_internal/requests/exchanging.py
+++ b/src/cardamomfork/_internal/requests/exchanging.py
@@ -190,6 +190,10 @@
         """Relays an answer to the run's answer writer."""
         run.answer_writer.begin_attempt(attempt)
         if run.request.stream:
+            if not stream.head.is_event_stream:
+                return _make_garbled_fault(
+                    link, stream, "the answer is not a stream of events"
+                )
             await run.sink.open()
             run.sink.attach(stream)
         ended = await self._relay_with_probe(run, link, stream)
@@ -199,12 +203,7 @@
         if isinstance(answer, Answer):
             run.answer = answer
             return None
-        return targets.TargetFault(
-            targets.FaultKind.GARBLED,
-            link.target.target_id,
-            answer,
-            stream.head.status,
-        )
+        return _make_garbled_fault(link, stream, answer)
 
     async def _relay_with_probe(
         self,
@@ -290,3 +289,15 @@
             if is_engine
             else "",
         )
+
+
+def _make_garbled_fault(
+    link: target_link.TargetLink, stream: target_link.TargetStream, detail: str
+) -> targets.TargetFault:
+    """Returns the fault of an invalid answer."""
+    return targets.TargetFault(
+        targets.FaultKind.GARBLED,
+        link.target.target_id,
+        detail,
+        stream.head.status,
+    )
