--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from cardamomfork._internal.gateway.requests import event_stream
 from cardamomfork._internal.gateway.serving import forwarding
 from cardamomfork._internal.models import fleet
 from tests.lib import broken_answers
@@ -127,11 +128,12 @@
             )
             if rule is fleet.RepeatPolicy.SAFE or one[:3] in ("500", "206")
         ]
-        faults = play_all(
-            cases,
-            broken_answers.LONG_BREAKS,
-            broken_answers.find_long_faults,
-        )
+        with mock.patch.object(forwarding, "MIN_IDLE_TIMEOUT_S", 0.5):
+            faults = play_all(
+                cases,
+                broken_answers.LONG_BREAKS,
+                broken_answers.find_long_faults,
+            )
         if faults:
             self.fail(f"{len(faults)} of {len(cases)}\n{describe(faults)}")
 
@@ -170,5 +172,67 @@
         self.assertEqual((len(body), is_complete), (broken_answers.LONG, True))
 
 
+class InstanceFaultTest(unittest.TestCase):
+    """The instance itself fails after the head has been sent."""
+
+    def check(self, version, on_event):
+        """Sends a request; checks that its stream ends visibly early.
+
+        Args:
+            version: HTTP version of the caller.
+            on_event: Called with the entry and the number of each event.
+        """
+
+        def script(request):
+            first = broken_answers.start(request)
+            return [
+                first + broken_answers.events(1, 2),
+                0.05,
+                broken_answers.events(3, 6) + b"0\r\n\r\n",
+            ]
+
+        async def main():
+            case = broken_answers.Case("none", "none", version=version)
+            async with broken_answers.serving([script], case) as (entry, _):
+                check = event_stream.SequenceChecker.check
+
+                def check_and_fail(checker, event):
+                    on_event(entry, event.event_id)
+                    return check(checker, event)
+
+                with mock.patch.object(
+                    event_stream.SequenceChecker, "check", check_and_fail
+                ):
+                    return await broken_answers.read_answer(
+                        entry.server.port, version=version
+                    )
+
+        received = anyio.run(main)
+        status, _, body, is_complete = broken_answers.decode_answer(received)
+        self.assertEqual((status, is_complete), (200, False))
+        self.assertEqual(received.raw.count(b"HTTP/1."), 1)
+        self.assertNotIn(b"Error", received.raw)
+        whole = b"id: 1\ndata: a\n\nid: 2\ndata: a\n\n"
+        self.assertTrue(whole.startswith(body), body)
+
+    def test_exception_leaves_the_stream_incomplete(self):
+        def fail(entry, event_id):
+            if event_id == 3:
+                raise RuntimeError("internal Error")
+
+        for version in ("1.1", "1.0"):
+            with self.subTest(version):
+                self.check(version, fail)
+
+    def test_end_of_the_instance_leaves_the_stream_incomplete(self):
+        def end(entry, event_id):
+            if event_id == 3:
+                entry.server.abort()
+
+        for version in ("1.1", "1.0"):
+            with self.subTest(version):
+                self.check(version, end)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/lib/scripted_target.py
+++ b/tests/lib/scripted_target.py
@@ -88,10 +88,14 @@
         """Refuses new connections."""
         self._server.close()
 
-    async def __aexit__(self, *_):
-        self._server.close()
+    def abort_connections(self):
+        """Ends all connections, as a crash of its process would."""
         for writer in self._writers:
             writer.transport.abort()
+
+    async def __aexit__(self, *_):
+        self._server.close()
+        self.abort_connections()
         # Lets the tasks of the connections run to their ends.
         await asyncio.sleep(0)
         await asyncio.sleep(0)
