--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -1,12 +1,14 @@
 """Tests of answers that break off after a caller has received a part."""
 
 import collections
+import functools
 import itertools
 import unittest
 from unittest import mock
 
 import anyio
 
+from cardamomfork._internal.gateway.requests import event_stream
 from cardamomfork._internal.gateway.serving import forwarding
 from cardamomfork._internal.models import fleet
 from tests.lib import broken_answers
@@ -52,7 +54,8 @@
                 breaks, answers, (False, True)
             )
         ]
-        faults = play_all(cases, answers_by_break or broken_answers.BREAKS)
+        with mock.patch.object(forwarding, "MIN_IDLE_TIMEOUT_S", 0.6):
+            faults = play_all(cases, answers_by_break or broken_answers.BREAKS)
         if faults:
             self.fail(f"{len(faults)} of {len(cases)}\n{describe(faults)}")
 
@@ -77,9 +80,19 @@
             last_event_id=2,
         )
 
+    def test_head_alone_is_no_complete_stream(self):
+        self.check(
+            ("close before the first event without a length",),
+            ("the rest",),
+            broken_answers.ANSWERS,
+        )
+
     def test_stream_that_may_not_be_resumed_has_no_second_run(self):
         self.check(broken_answers.BREAKS, ("the rest",), may_resume=False)
 
+    def test_early_end_is_visible_to_a_client_that_reads_no_chunks(self):
+        self.check(broken_answers.BREAKS, MAIN_ANSWERS, version="1.0")
+
     def test_stream_without_ids_is_not_sent_again_from_its_start(self):
         def break_off(request):
             data = broken_answers.chunk(b"data: a\n\n")
@@ -103,23 +116,46 @@
 class BegunLongAnswerTest(unittest.TestCase):
     def test_no_second_run_and_no_second_answer_follow(self):
         cases = [
-            broken_answers.Case(one, answer, is_over_peer, rule=rule)
-            for one, answer, is_over_peer, rule in itertools.product(
+            broken_answers.Case(
+                one, answer, is_over_peer, rule=rule, version=version
+            )
+            for one, answer, is_over_peer, rule, version in itertools.product(
                 broken_answers.LONG_BREAKS,
                 ("the rest", "500", "201"),
                 (False, True),
                 (fleet.RepeatPolicy.SAFE, fleet.RepeatPolicy.STREAM),
+                ("1.0", "1.1"),
             )
             if rule is fleet.RepeatPolicy.SAFE or one[:3] in ("500", "206")
         ]
-        faults = play_all(
-            cases,
-            broken_answers.LONG_BREAKS,
-            broken_answers.find_long_faults,
-        )
+        with mock.patch.object(forwarding, "MIN_IDLE_TIMEOUT_S", 0.5):
+            faults = play_all(
+                cases,
+                broken_answers.LONG_BREAKS,
+                broken_answers.find_long_faults,
+            )
         if faults:
             self.fail(f"{len(faults)} of {len(cases)}\n{describe(faults)}")
 
+    def test_long_answer_without_chunks_reaches_a_slow_client_whole(self):
+        size = 8 * broken_answers.LONG
+
+        def send(request):
+            data = broken_answers.chunk(b"a" * size)
+            return [broken_answers.start(request) + data + b"0\r\n\r\n"]
+
+        case = broken_answers.Case(
+            "long", "500", version="1.0", rule=fleet.RepeatPolicy.SAFE
+        )
+        received, errors = anyio.run(
+            functools.partial(
+                broken_answers.play, case, {"long": send}, read_after_s=0.5
+            )
+        )
+        *_, body, is_complete = broken_answers.decode_answer(received)
+        self.assertEqual((len(body), is_complete), (size, True))
+        self.assertEqual(errors, [])
+
     def test_answer_that_pauses_is_not_cut_if_none_can_follow(self):
         def pause(request):
             size = broken_answers.LONG
@@ -136,5 +172,67 @@
         self.assertEqual((len(body), is_complete), (broken_answers.LONG, True))
 
 
+class InstanceFaultTest(unittest.TestCase):
+    """The instance itself fails after the head has been sent."""
+
+    def check(self, version, on_event):
+        """Sends a request; checks that its stream ends visibly early.
+
+        Args:
+            version: HTTP version of the caller.
+            on_event: Called with the entry and the number of each event.
+        """
+
+        def script(request):
+            first = broken_answers.start(request)
+            return [
+                first + broken_answers.events(1, 2),
+                0.05,
+                broken_answers.events(3, 6) + b"0\r\n\r\n",
+            ]
+
+        async def main():
+            case = broken_answers.Case("none", "none", version=version)
+            async with broken_answers.serving([script], case) as (entry, _):
+                check = event_stream.SequenceChecker.check
+
+                def check_and_fail(checker, event):
+                    on_event(entry, event.event_id)
+                    return check(checker, event)
+
+                with mock.patch.object(
+                    event_stream.SequenceChecker, "check", check_and_fail
+                ):
+                    return await broken_answers.read_answer(
+                        entry.server.port, version=version
+                    )
+
+        received = anyio.run(main)
+        status, _, body, is_complete = broken_answers.decode_answer(received)
+        self.assertEqual((status, is_complete), (200, False))
+        self.assertEqual(received.raw.count(b"HTTP/1."), 1)
+        self.assertNotIn(b"Error", received.raw)
+        whole = b"id: 1\ndata: a\n\nid: 2\ndata: a\n\n"
+        self.assertTrue(whole.startswith(body), body)
+
+    def test_exception_leaves_the_stream_incomplete(self):
+        def fail(entry, event_id):
+            if event_id == 3:
+                raise RuntimeError("internal Error")
+
+        for version in ("1.1", "1.0"):
+            with self.subTest(version):
+                self.check(version, fail)
+
+    def test_end_of_the_instance_leaves_the_stream_incomplete(self):
+        def end(entry, event_id):
+            if event_id == 3:
+                entry.server.abort()
+
+        for version in ("1.1", "1.0"):
+            with self.subTest(version):
+                self.check(version, end)
+
+
 if __name__ == "__main__":
     unittest.main()
