Take no answer without a request id on a used connection as proof

Callers of routes whose requests must not repeat got 503 ("not run") for requests that a target ran, or such a request ran twice, where a faulty target's refusals bear no request id and one of them was written once more on a kept connection. Nothing tells such a refusal from that of an earlier request.

An answer without an id now counts only for the first request on a connection, which is then closed. On a connection that has carried others the attempt ends as `unattributed`: a request that may repeat goes to another target, one that must not ends with 502 and is not sent again. This is no sign that the target has crashed, so it is neither paused nor checked. A peer that passes requests on does the same and says so; an earlier build reads its fault as a lost answer. Orders and requests that bear no id themselves are as before.

Evidence: tests/functional/test_repeated_answers.py, tests/unit/test_target_connection.py.

--- a/src/cardamomfork/_internal/gateway/connections/outcomes.py
+++ b/src/cardamomfork/_internal/gateway/connections/outcomes.py
@@ -34,6 +34,8 @@
     """The target stated that it did not run the request."""
     BROKEN = "broken"
     """The answer broke off or was not valid."""
+    UNATTRIBUTED = "unattributed"
+    """The answer may be that of another request on the connection."""
     SILENT = "silent"
     """No data arrived within the timeout."""
     FAILED = "failed"
--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -54,7 +54,7 @@
     CLOSED = "closed by the target"
     RESET = "reset"
     MALFORMED = "malformed answer"
-    FOREIGN = "answer to another request"
+    FOREIGN = "may answer another request"
     ENDLESS = "too many bytes without an answer"
 
 
@@ -107,15 +107,20 @@
             [int, Iterable[tuple[bytes, bytes]]], forwarding.ResponseHead
         ],
         on_lost: Callable[[], None] = lambda: None,
+        *,
+        answers_in_order: bool = False,
     ) -> None:
         """Initializes the connection.
 
         Args:
             decode: Decodes the status and headers of an answer.
             on_lost: Called if the connection ends by an error.
+            answers_in_order: Whether the other side is known to answer each
+                request once and in order, with or without its id.
         """
         self._decode = decode
         self._on_lost = on_lost
+        self._answers_in_order = answers_in_order
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
@@ -123,6 +128,8 @@
             None
         )
         self._request_id = ""
+        self._is_used = False
+        self._has_carried_others = False
         self._is_head_request = False
         self._is_discarding = False
         self._ends_at_eof = False
@@ -176,6 +183,8 @@
             request_id: Request id that the answer must carry.
             is_head: Whether this is a HEAD request, whose answer has no body.
         """
+        self._has_carried_others = self._is_used
+        self._is_used = True
         sender, receiver = anyio.create_memory_object_stream[Message](math.inf)
         self._message_stream = sender
         self._request_id = request_id
@@ -294,6 +303,13 @@
             # after the current exchange.
             self._is_reusable = False
             return
+        lacks_id = self._request_id and not head.request_id
+        if lacks_id and not self._answers_in_order:
+            # Another answer without an id could not be told from this one.
+            self._is_reusable = False
+            if self._has_carried_others:
+                self._finish(Failed(Fault.FOREIGN, f"{status} without an id"))
+                return
         if head.closes or head.is_leaving:
             self._is_reusable = False
         if head.idle_timeout_s is not None:
--- a/src/cardamomfork/_internal/gateway/peers/peer_forwarding_client.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_client.py
@@ -330,7 +330,9 @@
             with anyio.fail_after(min(CONNECT_TIMEOUT_S, time_left_s)):
                 loop = asyncio.get_running_loop()
                 _, connection = await loop.create_connection(
-                    lambda: target_connection.TargetConnection(decode),
+                    lambda: target_connection.TargetConnection(
+                        decode, answers_in_order=True
+                    ),
                     peer.host,
                     peer.port,
                 )
--- a/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
@@ -46,6 +46,7 @@
 STATUS = {
     forwarding.PeerFault.UNAUTHORIZED: http.HTTPStatus.FORBIDDEN,
     forwarding.PeerFault.LOST: http.HTTPStatus.BAD_GATEWAY,
+    forwarding.PeerFault.UNATTRIBUTED: http.HTTPStatus.BAD_GATEWAY,
 }
 """Status of an answer by fault; 503 for all others."""
 
@@ -258,8 +259,7 @@
         try:
             message = await messages.receive()
             if not isinstance(message, target_connection.HeadReceived):
-                self._record(record, target_table.HealthSignal.FAILED)
-                return await _send_fault(send, forwarding.PeerFault.LOST)
+                return await self._send_lost(send, message, record)
             self._limits.record_answer(record, message.head)
             self._statements.record_answer(record, message.head)
             await _send_head(send, message.head, is_head=request.is_head)
@@ -281,6 +281,27 @@
                 connection.abort()
         return "answered"
 
+    async def _send_lost(
+        self,
+        send: Send,
+        message: target_connection.Message,
+        record: fleet.TargetRecord,
+    ) -> str:
+        """Answers a request whose target has not; returns how it ended.
+
+        Args:
+            send: ASGI's send.
+            message: What the connection gave instead of a head.
+            record: The target.
+        """
+        if (
+            isinstance(message, target_connection.Failed)
+            and message.fault is target_connection.Fault.FOREIGN
+        ):
+            return await _send_fault(send, forwarding.PeerFault.UNATTRIBUTED)
+        self._record(record, target_table.HealthSignal.FAILED)
+        return await _send_fault(send, forwarding.PeerFault.LOST)
+
     def _find_target(
         self, request: peer_forwarding_codec.ForwardedRequest
     ) -> result.Result[fleet.TargetRecord, _Refusal]:
--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -313,6 +313,10 @@
     if message is None:
         return outcomes.Failed(outcomes.Failure.SILENT, "nothing came in time")
     if isinstance(message, target_connection.Failed):
+        if message.fault is target_connection.Fault.FOREIGN:
+            return outcomes.Failed(
+                outcomes.Failure.UNATTRIBUTED, message.detail
+            )
         return _broken_answer(f"{message.fault}: {message.detail}")
     return _broken_answer(f"unexpected {type(message).__name__}")
 
@@ -349,7 +353,9 @@
 
 def _from_peer_fault(fault: forwarding.PeerFault) -> outcomes.Failed:
     """Returns the failure of a request that a peer has not passed on."""
-    if fault.is_sent:
+    if fault is forwarding.PeerFault.UNATTRIBUTED:
+        failure = outcomes.Failure.UNATTRIBUTED
+    elif fault.is_sent:
         failure = outcomes.Failure.BROKEN
     elif fault is forwarding.PeerFault.UNREACHABLE_TARGET:
         failure = outcomes.Failure.UNREACHABLE
--- a/src/cardamomfork/_internal/gateway/serving/outcome_recorder.py
+++ b/src/cardamomfork/_internal/gateway/serving/outcome_recorder.py
@@ -190,6 +190,7 @@
         outcomes.Failure.UNREACHABLE: target_table.HealthSignal.UNREACHABLE,
         outcomes.Failure.BROKEN: target_table.HealthSignal.FAILED,
         outcomes.Failure.SILENT: target_table.HealthSignal.FAILED,
+        outcomes.Failure.UNATTRIBUTED: None,
         outcomes.Failure.NO_PATH: None,
         outcomes.Failure.PEER_REFUSED: None,
         outcomes.Failure.NOT_RUN: None,
--- a/src/cardamomfork/_internal/models/forwarding.py
+++ b/src/cardamomfork/_internal/models/forwarding.py
@@ -121,11 +121,14 @@
     UNREACHABLE_TARGET = "unreachable_target"
     LOST = "lost"
     """The target's answer broke off; it may have run the request."""
+    UNATTRIBUTED = "unattributed"
+    """The target's answer may be that of another request. Earlier builds take
+    it for `LOST`."""
 
     @property
     def is_sent(self) -> bool:
         """Whether the request may have reached the target."""
-        return self is PeerFault.LOST
+        return self in (PeerFault.LOST, PeerFault.UNATTRIBUTED)
 
     @property
     def is_about_target(self) -> bool:
@@ -135,6 +138,7 @@
             PeerFault.LEAVING_TARGET,
             PeerFault.RESTING_TARGET,
             PeerFault.LOST,
+            PeerFault.UNATTRIBUTED,
         )
 
 
--- a/tests/functional/test_repeated_answers.py
+++ b/tests/functional/test_repeated_answers.py
@@ -17,6 +17,7 @@
 Moment = repeating_target.Moment
 
 REFUSALS = (Kind(503), Kind(429), Kind(400))
+WITHOUT_ID = tuple(Kind(status, has_id=False) for status in (503, 429, 400))
 MISDIRECTED = (Kind(421), Kind(421, is_marked=False))
 """Refusals after which the target is not used for some time."""
 FAILURE = Kind(500, is_marked=False, is_signed=True)
@@ -123,6 +124,36 @@
     def test_repeated_refusal_over_a_peer_breaks_no_promise(self):
         self.check(REFUSALS, Moment, over_peer=True)
 
+    def test_refusal_without_id_on_a_kept_connection_proves_nothing(self):
+        self.check(WITHOUT_ID, Moment)
+
+    def test_misdirection_without_id_on_a_kept_connection_proves_nothing(self):
+        refusals = [Kind(421, False, marked) for marked in (True, False)]
+        self.check(refusals, (Moment.AFTER_BODY,), count=1)
+
+    def test_refusal_without_id_over_a_peer_breaks_no_promise(self):
+        self.check(WITHOUT_ID, Moment, over_peer=True)
+
+    def test_refusal_without_id_on_a_new_connection_is_a_proof(self):
+        for refusal in WITHOUT_ID:
+            target = repeating_target.RepeatingTarget(
+                lambda _: True, lambda: None, refusal
+            )
+            results = play(target, count=1)
+            self.assertEqual(results["r0"].status, 503)
+            self.assertEqual(len(target.received), target.connections)
+
+    def test_request_that_may_repeat_outlives_a_refusal_without_id(self):
+        refuses = refuse_once()
+        target = repeating_target.RepeatingTarget(
+            lambda request_id: request_id != "r0" and refuses(request_id),
+            lambda: None,
+            Kind(has_id=False),
+        )
+        results = play(target, rule=fleet.RepeatPolicy.SAFE)
+        statuses = [one.status for one in results.values()]
+        self.assertEqual(statuses, [200] * 4)
+
     def test_repeated_failure_is_not_taken_for_the_answer_of_the_retry(self):
         for moment in (Moment.FIRST_BYTE, Moment.AFTER_BODY, Moment.LATE):
             target = repeating_target.RepeatingTarget(
@@ -133,10 +164,10 @@
             self.assertEqual(statuses, [200] * 4, moment)
 
     def test_answers_repeated_at_random_break_no_promise(self):
-        self.check_random((Kind(503),))
+        self.check_random((Kind(503), Kind(503, has_id=False)))
 
     def test_answers_repeated_at_random_over_a_peer_break_no_promise(self):
-        self.check_random((Kind(503),), over_peer=True)
+        self.check_random((Kind(503), Kind(503, has_id=False)), over_peer=True)
 
 
 class ConnectionCostTest(unittest.TestCase):
--- a/tests/unit/test_target_connection.py
+++ b/tests/unit/test_target_connection.py
@@ -176,6 +176,55 @@
         self.assertFalse(asyncio.run(exchange_many(limit))[2])
 
 
+class AnswerWithoutIdTest(unittest.TestCase):
+    def exchange(self, *request_ids, status=200, **options):
+        """Exchanges requests whose answers bear no id.
+
+        Returns:
+            The last message of each answer, and whether the connection is kept.
+        """
+
+        async def main():
+            connection = target_connection.TargetConnection(
+                headers.decode_answer, **options
+            )
+            connection.connection_made(FakeTransport())
+            found = []
+            for request_id in request_ids:
+                messages = connection.start(b"GET / HTTP/1.1", request_id)
+                extra = SAME_ID if request_id == REQUEST_ID else b""
+                connection.data_received(
+                    b"HTTP/1.1 %d X\r\n" % status
+                    + extra
+                    + b"content-length: 0\r\n\r\n"
+                )
+                found.append([one async for one in messages][-1])
+            return found, connection.is_open
+
+        return asyncio.run(main())
+
+    def test_answer_to_a_later_request_is_not_attributed(self):
+        for status in (200, 204, 400, 421, 429, 500, 503):
+            (_, last), is_kept = self.exchange(REQUEST_ID, "r2", status=status)
+            self.assertIsInstance(last, target_connection.Failed)
+            self.assertIs(last.fault, target_connection.Fault.FOREIGN)
+            self.assertFalse(is_kept)
+
+    def test_connection_is_not_kept_after_an_answer_to_the_first_request(self):
+        (last,), is_kept = self.exchange("r2")
+        self.assertIsInstance(last, target_connection.Completed)
+        self.assertFalse(is_kept)
+
+    def test_answers_to_orders_and_of_instances_are_used(self):
+        for found, is_kept in (
+            self.exchange(REQUEST_ID, "", ""),
+            self.exchange(REQUEST_ID, "r2", answers_in_order=True),
+        ):
+            for message in found:
+                self.assertIsInstance(message, target_connection.Completed)
+            self.assertTrue(is_kept)
+
+
 class SilentTargetTest(unittest.TestCase):
     def test_silence_of_two_seconds_does_not_end_a_connection(self):
         transport = FakeTransport()
