--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -440,6 +440,15 @@
         self.assertEqual(final.status, 503)
         self.assertIsNotNone(final.retry_after_s)
 
+    def test_error_that_says_not_run_without_a_proof_becomes_502(self):
+        for status in (408, 429, 503):
+            sink, final, seen = send_once(
+                lambda r, status=status: [answer(r, b"ran", status)],
+                rule=fleet.RepeatPolicy.ONCE,
+            )
+            self.assertEqual(sink.status, 0)
+            self.assertEqual((final.status, len(seen)), (502, 1))
+
     def test_silence_until_the_deadline_gets_504(self):
         started = time.monotonic()
         _, final, _ = send_once(
@@ -504,6 +513,15 @@
         )
         self.assertEqual(len(seen), 2)
 
+    def test_error_of_a_request_that_may_repeat_is_passed_on(self):
+        for status in (408, 429, 503):
+            sink, final, _ = send_once(
+                lambda r, status=status: [answer(r, b"no", status)],
+                rule=fleet.RepeatPolicy.SAFE,
+            )
+            self.assertIsNone(final)
+            self.assertEqual((sink.status, sink.body), (status, b"no"))
+
 
 class StreamTest(unittest.TestCase):
     def test_broken_stream_resumes_after_its_last_event(self):
