Send commands to engines on connections of their own

An instance took the memory of a call for freed, or an order for accepted or refused, although the engine had not said so of this command. An engine wrote its answer to an earlier command once more on the kept connection. Answers to cancellations, releases, orders and transfers of the KV cache bear no id, so the repeated answer was taken for that of the next command. A repeated answer in the same segment as the first was also taken, since the HTTP client keeps the surplus for the next exchange.

Commands now use a client that keeps no connections, so no answer of an earlier one can come. Load reports, lists of reservations and cache events stay on kept connections: a repeated one is an older report, which the next poll corrects.

Cost: one connection for each command. A call that ends whole sends none; one that is cancelled or lost, or that used imported KV cache, sends a cancellation or a release.

--- a/src/cardamomfork/_internal/links/targets/http_client.py
+++ b/src/cardamomfork/_internal/links/targets/http_client.py
@@ -30,13 +30,21 @@
 class TargetHttpClient:
     """Sends requests to one target over a connection pool."""
 
-    def __init__(self, target: targets.Target) -> None:
+    def __init__(
+        self, target: targets.Target, *, keeps_connections: bool = True
+    ) -> None:
         """Initializes the client without a connection pool.
 
         The first request creates the pool, since an instance never calls most
         targets of a fleet.
+
+        Args:
+            target: The target.
+            keeps_connections: Whether a connection carries several requests,
+                one after the other.
         """
         self._target = target
+        self._max_idle = MAX_IDLE_CONNECTIONS if keeps_connections else 0
         self._authority = f"{target.host}:{target.port}".encode()
         self._pool: httpcore.AsyncConnectionPool | None = None
 
@@ -80,7 +88,7 @@
         if self._pool is None:
             self._pool = httpcore.AsyncConnectionPool(
                 max_connections=MAX_CONNECTIONS,
-                max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+                max_keepalive_connections=self._max_idle,
                 keepalive_expiry=KEEP_ALIVE_TIMEOUT_S,
                 network_backend=connections.TargetNetworkBackend(),
             )
--- a/src/cardamomfork/_internal/links/targets/link.py
+++ b/src/cardamomfork/_internal/links/targets/link.py
@@ -62,6 +62,11 @@
         # A separate pool, so that cancels get through when all connections
         # for calls are busy or silent.
         self._control_client = http_client.TargetHttpClient(target)
+        # Answers to control calls bear no id, so on a kept connection an
+        # earlier answer that comes once more would confirm the wrong call.
+        self._command_client = http_client.TargetHttpClient(
+            target, keeps_connections=False
+        )
 
     @property
     def target(self) -> targets.Target:
@@ -72,6 +77,7 @@
         """Closes all connections."""
         await self._call_client.close()
         await self._control_client.close()
+        await self._command_client.close()
 
     async def call(
         self, call: target_link.TargetCall
@@ -90,7 +96,7 @@
     ) -> result.Result[bool, targets.TargetFault]:
         """Cancels an attempt; returns whether its memory is already free."""
         path = f"{extension.ATTEMPTS_PATH}/{_quote_path_segment(attempt_id)}"
-        answer = await self._control_client.request_json(
+        answer = await self._command_client.request_json(
             extension.FreedAnswer, "DELETE", path
         )
         return answer.map(lambda message: message.freed)
@@ -115,7 +121,7 @@
         path = (
             f"{extension.RESERVATIONS_PATH}/{_quote_path_segment(reservation)}"
         )
-        answer = await self._control_client.request_json(
+        answer = await self._command_client.request_json(
             extension.FreedAnswer, "DELETE", path
         )
         return answer.map(lambda message: message.freed)
@@ -157,7 +163,7 @@
         self, reservation: str, prefix_hash: int
     ) -> result.Result[str, targets.TargetFault]:
         """Exports the KV cache of a prefix; returns its import handle."""
-        answer = await self._control_client.request_json(
+        answer = await self._command_client.request_json(
             extension.ExportAnswer,
             "POST",
             extension.KV_EXPORT_PATH,
@@ -169,7 +175,7 @@
         self, reservation: str, handle: str, source: targets.Target
     ) -> result.Result[int, targets.TargetFault]:
         """Imports KV cache from another engine; returns the tokens held."""
-        answer = await self._control_client.request_json(
+        answer = await self._command_client.request_json(
             extension.ImportAnswer,
             "POST",
             extension.KV_IMPORT_PATH,
@@ -183,7 +189,7 @@
         self, action: str, arguments: dict[str, str], fencing: int
     ) -> result.Result[None, targets.TargetFault]:
         """Sends an order; an engine that checks fencing refuses a stale one."""
-        answer = await self._control_client.request_json(
+        answer = await self._command_client.request_json(
             extension.OrderAnswer,
             "POST",
             extension.ORDERS_PATH,
