Decode each settings field to a sound value or a SettingsError

Operators saw: `graceS = []` under `bounds` prevented the start (status 1).

Cause: any malformed field failed the whole file, whether it is needed to serve or not, and the readers expected KeyError, ValueError, TypeError and OSError only.

Now only the fields without which an instance can't serve are required, and decode raises SettingsError alone. Others are checked for type and range; a malformed one is logged and keeps its last sound value, or has its default. The log is configured before the file is read, so that these lines are JSON.

--- a/src/cardamomfork/_internal/gateway/daemon.py
+++ b/src/cardamomfork/_internal/gateway/daemon.py
@@ -68,9 +68,11 @@
         signals: Signals received since the start.
         features_path: File that switches features; None for the defaults.
     """
+    output = bounded_output.BoundedOutput(STANDARD_OUTPUT)
+    logs.configure("INFO", output)
     try:
-        path = node_settings.find_path()
-        settings = node_settings.load(path)
+        settings_file = node_settings.SettingsFile(node_settings.find_path())
+        settings = settings_file.load()
         features = load_features(features_path)
     except exceptions.CardamomforkError as error:
         if sys.stderr is not None:
@@ -78,7 +80,7 @@
         sys.exit(1)
     logs.configure(
         "INFO",
-        bounded_output.BoundedOutput(STANDARD_OUTPUT),
+        output,
         instance_id=settings.instance_id,
         data_centre=settings.data_centre,
     )
@@ -92,7 +94,7 @@
                 prefix="",
             )
         ),
-        lambda: node_settings.load(path),
+        settings_file.load,
         signals,
         features,
     )
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -67,6 +67,7 @@
         self._load_settings = load_settings
         self._signals = signals
         self._stop_signal = ""
+        self._settings_problem = ""
         self._known = known_state.create(
             settings, wire, platform_store, features
         )
@@ -186,6 +187,7 @@
 
             def handle(received: signal.Signals) -> None:
                 if received == signal_queue.RELOAD_SIGNAL:
+                    self._settings_problem = ""
                     self._reload()
                 elif (
                     received in signal_queue.STOP_SIGNALS
@@ -197,12 +199,18 @@
             await signal_handling.handle(self._signals, handle)
 
     def _reload(self) -> None:
-        """Reloads the settings; new listening addresses have no effect."""
+        """Reloads the settings; new listening addresses have no effect.
+
+        Logs the same problem once until a SIGHUP or a sound file.
+        """
         try:
             settings = self._load_settings()
         except exceptions.SettingsError as error:
-            logger.error("settings not reloaded", reason=str(error))
+            if str(error) != self._settings_problem:
+                self._settings_problem = str(error)
+                logger.error("settings not reloaded", reason=str(error))
             return
+        self._settings_problem = ""
         if settings == self._settings:
             return
         self._settings = settings
--- a/src/cardamomfork/_internal/platform/numbers.py
+++ b/src/cardamomfork/_internal/platform/numbers.py
@@ -32,6 +32,6 @@
     """Returns a short description of a malformed value for the log."""
     try:
         return repr(value)[:_MAX_DESCRIPTION_CHARACTERS]
-    except ValueError:
-        # repr() rejects integers with thousands of digits.
+    except (ValueError, RecursionError):
+        # repr() rejects integers with thousands of digits and deep nesting.
         return type(value).__name__
--- a/tests/functional/test_entry_start.py
+++ b/tests/functional/test_entry_start.py
@@ -80,6 +80,34 @@
         self.assertEqual(self.entry.stop(), 0)
 
 
+class SettingsFileTest(EntryTestCase):
+    def test_malformed_optional_fields_do_not_prevent_the_start(self):
+        whole = self.entry.settings
+        bounds = "[bounds]\ngraceS = []\nholdMaxMs = -1\nretryBudget = nan\n"
+        settings = whole.replace("[bounds]\ngraceS = 8\n", bounds)
+        self.assertNotEqual(settings, whole)
+        self.entry.start(settings + "[limits]\nmemoryMb = {}\nmaxFds = 0\n")
+        self.entry.wait_until_serving()
+        names = {line["name"] for line in self.entry.find("malformed field")}
+        self.assertEqual(
+            names, {"graceS", "holdMaxMs", "retryBudget", "memoryMb", "maxFds"}
+        )
+
+    def test_broken_settings_keep_the_present_ones_of_a_serving_process(self):
+        self.entry.start()
+        self.entry.wait_until_serving()
+        for text in ("a = " + "[" * 50_000, f"a = {'9' * 5000}", "nodeName = "):
+            self.entry.settings_path.write_text(text)
+            self.entry.process.send_signal(signal.SIGHUP)
+            count = len(self.entry.find("settings not reloaded"))
+            self.entry.wait_until(
+                lambda count=count: (
+                    len(self.entry.find("settings not reloaded")) > count
+                )
+            )
+        self.assertEqual(self.entry.stop(), 0)
+
+
 class StandardStreamTest(EntryTestCase):
     def test_closed_standard_streams_do_not_prevent_the_start(self):
         self.check("<&- >&- 2>&-")
