Wait at the start until the settings file is sound

Operators saw: an entry process whose settings file was missing, empty or half written at that moment ended with status 1, and again at each restart within that time.

Cause: the file was read once, and any error ended the process.

Evidence before: test_missing_settings_file_is_waited_for, test_settings_half_written_at_the_start_are_read_again and test_stop_signal_ends_the_wait_for_settings failed with status 1.

A stop signal in this time ends the process with status 0 and a line `stopped`. A path that isn't set and a broken file of features still end it with status 1, and now with a line `stopped`: both belong to the deployment, and reading them again gives the same. Errors while the components are created are logged as `ended by an error`, too.

After: these tests pass.

--- a/src/cardamomfork/_internal/gateway/daemon.py
+++ b/src/cardamomfork/_internal/gateway/daemon.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
-from typing import TYPE_CHECKING
 
 import anyio
 import click
@@ -13,9 +13,11 @@
 
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.gateway import process
+from cardamomfork._internal.gateway import settings_wait
 from cardamomfork._internal.gateway import signal_handling
 from cardamomfork._internal.gateway import signal_queue
 from cardamomfork._internal.links import event_loop
+from cardamomfork._internal.models import fleet
 from cardamomfork._internal.models import settings as settings_models
 from cardamomfork._internal.platform import node_settings
 from cardamomfork._internal.platform import store_client
@@ -24,9 +26,6 @@
 from cardamomfork._internal.telemetry import bounded_output
 from cardamomfork._internal.telemetry import logs
 
-if TYPE_CHECKING:
-    import signal
-
 STANDARD_OUTPUT = 1
 STANDARD_ERROR = 2
 STORE_TIMEOUT_S = 1.5
@@ -71,20 +70,43 @@
     output = bounded_output.BoundedOutput(STANDARD_OUTPUT)
     logs.configure("INFO", output)
     try:
-        settings_file = node_settings.SettingsFile(node_settings.find_path())
-        settings = settings_file.load()
+        # Both belong to the deployment: no later reading would differ.
         features = load_features(features_path)
+        settings_file = node_settings.SettingsFile(node_settings.find_path())
     except exceptions.CardamomforkError as error:
+        logger.error("stopped", reason=str(error))
         if sys.stderr is not None:
             sys.stderr.write(f"{error}\n")
         sys.exit(1)
+    settings = settings_wait.load(settings_file.load, signals)
+    if isinstance(settings, signal.Signals):
+        _log_early_stop(settings)
+        return
     logs.configure(
         "INFO",
         output,
         instance_id=settings.instance_id,
         data_centre=settings.data_centre,
     )
-    gateway = process.GatewayProcess(
+    try:
+        gateway = _create_gateway(settings, settings_file, signals, features)
+        if stop_signal := signal_handling.find_stop_signal(signals):
+            _log_early_stop(stop_signal)
+            return
+        anyio.run(gateway.run, backend_options=event_loop.BACKEND_OPTIONS)
+    except BaseException:
+        logger.exception("ended by an error")
+        raise
+
+
+def _create_gateway(
+    settings: fleet.EntrySettings,
+    settings_file: node_settings.SettingsFile,
+    signals: signal_queue.SignalQueue,
+    features: settings_models.EntryFeatures,
+) -> process.GatewayProcess:
+    """Creates the process and its adapters to the platform."""
+    return process.GatewayProcess(
         settings,
         wire_format.WireFormat(),
         store_client.PlatformStore(
@@ -98,14 +120,6 @@
         signals,
         features,
     )
-    if stop_signal := signal_handling.find_stop_signal(signals):
-        _log_early_stop(stop_signal)
-        return
-    try:
-        anyio.run(gateway.run, backend_options=event_loop.BACKEND_OPTIONS)
-    except BaseException:
-        logger.exception("ended by an error")
-        raise
 
 
 def _log_early_stop(stop_signal: signal.Signals) -> None:
