Contain the failure of one check, probe or order

An unexpected exception in one check of a target, probe or memory order cancelled all others of the same task group, and a restart of the task lost them: a crash of another target was not counted, callers of `TargetReach.confirm` waited for ever, a suspected data centre was never probed again and so got no work, releases of memory were lost until the reservations expired, and a request in progress failed because the renewal of its memory at one engine did.

Each child runs contained now: its failure is counted and logged under the name of the task, and the others go on. What a restart interrupts is taken up again: checks and unconfirmed connect failures of the crash detector, a round of probes, the probe of a data centre, releases. Probes that end with an exception show nothing about the links of an instance: a round without any other result decides nothing.

--- a/src/cardamomfork/_internal/gateway/connections/data_centre_probing.py
+++ b/src/cardamomfork/_internal/gateway/connections/data_centre_probing.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.gateway.state import data_centre_reach
 
 if TYPE_CHECKING:
@@ -16,6 +17,8 @@
     from cardamomfork._internal.gateway.state import target_table
     from cardamomfork._internal.models import fleet
 
+TASK = "data centre prober"
+"""Name under which probes that fail are counted."""
 INACTIVE_INTERVAL_S = 0.5
 """Interval at which a small fleet is checked for its size."""
 
@@ -32,6 +35,7 @@
         count_known_instances: Callable[[], int],
         clock: Callable[[], float],
         rng: random.Random,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes the prober.
 
@@ -45,6 +49,7 @@
                 that have fallen silent.
             clock: Monotonic time.
             rng: Random generator that selects targets to probe.
+            supervisor: Counts probes that fail; None for one of its own.
         """
         self._reach = reach
         self._table = table
@@ -53,10 +58,12 @@
         self._count_known_instances = count_known_instances
         self._clock = clock
         self._rng = rng
+        self._supervisor = supervisor or supervision.Supervisor()
         self._is_probing = False
 
     async def run(self) -> None:
         """Applies the passing of time and probes until it is cancelled."""
+        self._is_probing = False
         async with anyio.create_task_group() as tasks:
             while True:
                 now = self._clock()
@@ -67,7 +74,12 @@
                     data_centre = self._reach.next_probe(now)
                     if data_centre is not None:
                         self._is_probing = True
-                        tasks.start_soon(self._probe, data_centre)
+                        tasks.start_soon(
+                            self._supervisor.run_once,
+                            TASK,
+                            self._probe,
+                            data_centre,
+                        )
                 await anyio.sleep(
                     data_centre_reach.TICK_INTERVAL_S
                     if self._reach.is_active
@@ -80,12 +92,16 @@
         self._reach.start_probe(data_centre, started_at)
         record = self._select(data_centre, started_at)
         connection = None
+        is_complete = False
         try:
             if record is not None:
                 with anyio.move_on_after(data_centre_reach.PROBE_LIMIT_S):
                     connection = await self._connect(record)
+            is_complete = True
         finally:
             self._is_probing = False
+            if not is_complete:
+                self._reach.abandon_probe(data_centre, self._clock())
         self._reach.end_probe(
             data_centre,
             started_at,
--- a/src/cardamomfork/_internal/gateway/connections/target_reach.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_reach.py
@@ -13,6 +13,8 @@
 import anyio
 from loguru import logger
 
+from cardamomfork._internal import supervision
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
@@ -20,6 +22,8 @@
 
     from cardamomfork._internal.models import fleet
 
+TASK = "target reach"
+"""Name under which probes that fail are counted."""
 MAX_PROBES = 4
 """Targets that are tried before this instance counts as cut off."""
 PROBE_STAGGER_S = 0.1
@@ -43,6 +47,7 @@
         clock: Callable[[], float],
         rng: random.Random,
         on_change: Callable[[], None],
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes the state of an instance that reaches its targets.
 
@@ -53,12 +58,14 @@
             clock: Monotonic time.
             rng: Random generator that selects targets to probe.
             on_change: Called after `is_isolated` has changed.
+            supervisor: Counts probes that fail; None for one of its own.
         """
         self._list_targets = list_targets
         self._connect = connect
         self._clock = clock
         self._rng = rng
         self._on_change = on_change
+        self._supervisor = supervisor or supervision.Supervisor()
         self._is_isolated = False
         self._changed_at = clock()
         self._failed_at: float | None = None
@@ -107,6 +114,9 @@
 
     async def run(self) -> None:
         """Probes targets when there is a doubt, until cancelled."""
+        if self._failed_at is not None:
+            # A round that was interrupted by a failure is repeated.
+            self._wake.set()
         while True:
             with anyio.move_on_after(
                 ISOLATED_PROBE_INTERVAL_S if self._is_isolated else None
@@ -128,18 +138,26 @@
             self._failed_at = None
             return
         started_at = self._clock()
+        failed_count = 0
         async with anyio.create_task_group() as tasks:
 
             async def probe(record: fleet.TargetRecord) -> None:
-                if await self._connect(record) is not None:
-                    self.record_connection()
-                    tasks.cancel_scope.cancel()
+                nonlocal failed_count
+                if await self._connect(record) is None:
+                    failed_count += 1
+                    return
+                self.record_connection()
+                tasks.cancel_scope.cancel()
 
             for record in records:
-                tasks.start_soon(probe, record)
+                tasks.start_soon(self._supervisor.run_once, TASK, probe, record)
                 await anyio.sleep(PROBE_STAGGER_S)
         if self._connected_at >= started_at:
             return
+        if not failed_count:
+            # Probes that ended with an exception show nothing.
+            self._failed_at = None
+            return
         if self._clock() - started_at > MAX_ROUND_S:
             self._wake.set()
             return
--- a/src/cardamomfork/_internal/gateway/crashes/crash_detector.py
+++ b/src/cardamomfork/_internal/gateway/crashes/crash_detector.py
@@ -17,6 +17,7 @@
 import attrs
 from loguru import logger
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.gateway.crashes import crash_log
 from cardamomfork._internal.gateway.state import target_table
 
@@ -28,6 +29,8 @@
     from cardamomfork._internal.gateway.requests import exchanges
     from cardamomfork._internal.models import fleet
 
+TASK = "crash detector"
+"""Name under which checks that fail are counted."""
 MAX_CHECK_WAIT_S = 0.1
 """Longest time for which a request waits for a check before it is retried. A
 crashed target usually refuses the connection within a round trip."""
@@ -75,6 +78,7 @@
         clock: Callable[[], float],
         on_crash: Callable[[], None],
         confirm_reach: Callable[[], Awaitable[bool]] | None = None,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes the detector.
 
@@ -88,6 +92,7 @@
             confirm_reach: Returns whether some target can be reached; if not,
                 that another one can't shows nothing about it. None if targets
                 are always reachable.
+            supervisor: Counts checks that fail; None for one of its own.
         """
         self._guard = guard
         self._table = table
@@ -95,6 +100,7 @@
         self._clock = clock
         self._on_crash = on_crash
         self._confirm_reach = confirm_reach
+        self._supervisor = supervisor or supervision.Supervisor()
         self._unreachable: deque[fleet.TargetRecord] = deque()
         self._checks: dict[tuple[str, int], _Check] = {}
         self._requested: deque[_Check] = deque()
@@ -102,17 +108,26 @@
 
     async def run(self) -> None:
         """Checks targets on which attempts were lost, until cancelled."""
+        # Checks that were interrupted by a failure are repeated.
+        self._requested = deque(self._checks.values())
+        self._has_requests.set()
         async with anyio.create_task_group() as tasks:
             while True:
                 await self._has_requests.wait()
                 self._has_requests = anyio.Event()
                 while self._requested:
-                    tasks.start_soon(self._check, self._requested.popleft())
+                    tasks.start_soon(
+                        self._supervisor.run_once,
+                        TASK,
+                        self._check,
+                        self._requested.popleft(),
+                    )
                 while self._unreachable:
                     tasks.start_soon(
-                        self._confirm_unreachable,
+                        self._supervisor.run_once,
+                        TASK,
+                        self._confirm_connect_failure,
                         self._unreachable.popleft(),
-                        "unreachable",
                     )
 
     def attempt_lost(
@@ -244,13 +259,28 @@
 
     async def _check(self, check: _Check) -> None:
         """Checks a target and records a crash if it is unreachable."""
+        is_interrupted = False
         try:
             if not await self._is_reachable(check):
                 await self._record_unreachable(check.record)
+        except anyio.get_cancelled_exc_class():
+            is_interrupted = True
+            raise
         finally:
-            del self._checks[_process_key(check.record)]
+            if not is_interrupted:
+                del self._checks[_process_key(check.record)]
             check.has_result.set()
 
+    async def _confirm_connect_failure(
+        self, record: fleet.TargetRecord
+    ) -> None:
+        """Records a crash of a target to which an attempt didn't connect."""
+        try:
+            await self._confirm_unreachable(record, "unreachable")
+        except anyio.get_cancelled_exc_class():
+            self._unreachable.append(record)
+            raise
+
     async def _record_unreachable(self, record: fleet.TargetRecord) -> None:
         """Pauses a target that a check could not reach, and records a crash."""
         if self._table.record_signal(
--- a/src/cardamomfork/_internal/gateway/paths/reservations.py
+++ b/src/cardamomfork/_internal/gateway/paths/reservations.py
@@ -20,6 +20,7 @@
 from loguru import logger
 import result
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.gateway.connections import target_connection
 from cardamomfork._internal.models import engine_orders
 
@@ -32,6 +33,8 @@
     from cardamomfork._internal.gateway.state import target_statements
     from cardamomfork._internal.models import fleet
 
+TASK = "memory reserver"
+"""Name under which orders that fail are counted."""
 RESERVATION_TTL_S = 3.5
 """Below the 4 s after which memory that no request uses counts as leaked."""
 RENEWAL_INTERVAL_S = 1.1
@@ -88,6 +91,7 @@
         wire: platform_format.PlatformFormat,
         links: target_paths.Paths,
         statements: target_statements.TargetStatements,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes the reserver.
 
@@ -95,7 +99,9 @@
             wire: Encodes orders.
             links: Opens connections to engines.
             statements: What engines state about themselves.
+            supervisor: Counts orders that fail; None for one of its own.
         """
+        self._supervisor = supervisor or supervision.Supervisor()
         self._wire = wire
         self._links = links
         self._statements = statements
@@ -109,7 +115,9 @@
         """Sends release orders until it is cancelled."""
         async with anyio.create_task_group() as tasks:
             async for reservation in self._release_receiver:
-                tasks.start_soon(self._release, reservation)
+                tasks.start_soon(
+                    self._supervisor.run_once, TASK, self._release, reservation
+                )
 
     @contextlib.asynccontextmanager
     async def hold(
@@ -133,7 +141,13 @@
             async with anyio.create_task_group() as tasks:
                 for reservation in reservations:
                     if self._statements.wants_requests(reservation.target):
-                        tasks.start_soon(self._reserve, reservation, granted)
+                        tasks.start_soon(
+                            self._supervisor.run_once,
+                            TASK,
+                            self._reserve,
+                            reservation,
+                            granted,
+                        )
             held = HeldReservations(
                 tuple(granted),
                 tuple(
@@ -143,7 +157,9 @@
                 ),
             )
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._renew, granted)
+                tasks.start_soon(
+                    self._supervisor.run_once, TASK, self._renew, granted
+                )
                 yield held
                 tasks.cancel_scope.cancel()
         finally:
@@ -164,7 +180,13 @@
             ]
             async with anyio.create_task_group() as tasks:
                 for reservation in due:
-                    tasks.start_soon(self._reserve, reservation, [])
+                    tasks.start_soon(
+                        self._supervisor.run_once,
+                        TASK,
+                        self._reserve,
+                        reservation,
+                        [],
+                    )
 
     async def _reserve(
         self, reservation: Reservation, granted: list[Reservation]
@@ -188,7 +210,12 @@
     async def _release(self, reservation: Reservation) -> None:
         """Sends a release order; if it is lost, the reservation expires."""
         order = engine_orders.ReleaseMemory(reservation.reservation_id)
-        status = await self._send(order, reservation.target)
+        try:
+            status = await self._send(order, reservation.target)
+        except anyio.get_cancelled_exc_class():
+            # It is sent once the task has been restarted.
+            self._release_sender.send_nowait(reservation)
+            raise
         if status != http.HTTPStatus.OK:
             logger.info(
                 "memory not released",
--- a/src/cardamomfork/_internal/gateway/paths/target_access.py
+++ b/src/cardamomfork/_internal/gateway/paths/target_access.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
     import random
 
+    from cardamomfork._internal import supervision
     from cardamomfork._internal.contracts import platform_format
     from cardamomfork._internal.gateway.peers import peer_table
     from cardamomfork._internal.gateway.state import data_centre_reach
@@ -35,6 +36,7 @@
         rng: random.Random,
         on_reach_change: Callable[[], None],
         data_centres: data_centre_reach.DataCentreReach,
+        supervisor: supervision.Supervisor,
     ) -> None:
         """Initializes the access without connections.
 
@@ -48,6 +50,7 @@
             on_reach_change: Called after this instance was cut off from all
                 targets, or reaches some again.
             data_centres: Decides which data centres are reached.
+            supervisor: Counts probes that fail.
         """
         self._targets = targets
         self._clock = clock
@@ -59,6 +62,7 @@
             clock,
             rng,
             self._apply_reach_change,
+            supervisor,
         )
         self._pool = target_pool.TargetConnectionPool(
             wire, self._record_connection, self._record_failure
@@ -71,6 +75,7 @@
             lambda: peers.known_count,
             clock,
             rng,
+            supervisor,
         )
         self._secret = fleet_secret.FleetSecret()
         self._client = peer_forwarding_client.PeerForwardingClient(
--- a/src/cardamomfork/_internal/gateway/state/data_centre_reach.py
+++ b/src/cardamomfork/_internal/gateway/state/data_centre_reach.py
@@ -405,6 +405,12 @@
             known.probe_at = None
             known.probed_at = now
 
+    def abandon_probe(self, data_centre: str, now: float) -> None:
+        """Schedules another probe after one that ended without a result."""
+        known = self._data_centres.get(data_centre)
+        if known is not None and known.reach is not Reach.REACHABLE:
+            known.probe_at = now + PROBE_INTERVAL_S
+
     def end_probe(
         self,
         data_centre: str,
--- a/src/cardamomfork/_internal/gateway/wiring/target_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/target_side.py
@@ -56,6 +56,7 @@
             peer_table.MIN_FLEET_WITH_RELAYED_CHANGES,
             notify.data_centre_changed,
         ),
+        known.supervisor,
     )
     detector = crash_detector.CrashDetector(
         known.poison_guard,
@@ -64,6 +65,7 @@
         known.clock,
         notify.crash_confirmed,
         access.reach.confirm,
+        known.supervisor,
     )
     statements = target_statements.TargetStatements(
         known.target_table,
@@ -94,7 +96,9 @@
         access,
         detector,
         statements,
-        reservations.MemoryReserver(known.wire, access.paths, statements),
+        reservations.MemoryReserver(
+            known.wire, access.paths, statements, known.supervisor
+        ),
         limits,
         peer_forwarding_server.PeerForwardingApplication(
             access.pool,
