Lose nothing when a task is restarted in the middle of its work

Under the supervisor, a task that failed and runs again went on from a state that its failure had left half changed:

- Crash reports whose write failed unexpectedly were not written again until the next crash, and after a failed renewal their lease expired: other instances that restart then would not know blocked requests.
- A follower that failed after a change kept the mark that it receives changes itself, and applied no updates of its peers until its next call to the store.
- Receivers of a change after one that failed were not told of it, such as the limits of callers of a new configuration.
- A request for a permit that could not be sent stayed in the table of those that wait.

The crash reports are marked as unwritten again, the mark is reset in any case, all receivers are called before the first failure is raised, and the table is cleared. The fetcher of configurations looks at the sources it knows when it starts.

Checked: the three followers, crash persistence, configuration fetcher, registration, fleet secret (reads again, keeps nothing else), maintenance and memory warning (no state between steps), signals and planned stop (goes on where it was), the four servers (keep their connections), rate permits and peer forwarding (groups of one request, no task of the process). The retry budget, crash records, evacuations and the incarnation and sequence of digests are held by objects that a restart doesn't create anew.

--- a/src/cardamomfork/_internal/gateway/crashes/crash_persistence.py
+++ b/src/cardamomfork/_internal/gateway/crashes/crash_persistence.py
@@ -20,6 +20,7 @@
 from cardamomfork._internal.gateway.state import crash_records
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
 KEY_PREFIX = "crashes/"
@@ -88,9 +89,24 @@
             if self._has_unwritten.is_set():
                 await anyio.sleep(BATCH_DELAY_S)
                 self._has_unwritten = anyio.Event()
-                await self._write_changes()
+                await self._or_write_again(self._write_changes)
             elif self._lease is not None:
-                await self._renew()
+                await self._or_write_again(self._renew)
+
+    async def _or_write_again(
+        self, function: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Calls the store; if that fails, reports are written after a restart.
+
+        Raises:
+            Exception: The failure of the function.
+        """
+        try:
+            await function()
+        except Exception:
+            self._lease = None
+            self._has_unwritten.set()
+            raise
 
     def store_restored(self, revision: int) -> None:
         """Writes this instance's reports again, since they may be lost."""
--- a/src/cardamomfork/_internal/gateway/peers/configuration_fetching.py
+++ b/src/cardamomfork/_internal/gateway/peers/configuration_fetching.py
@@ -164,6 +164,8 @@
 
     async def run(self) -> None:
         """Fetches newer configurations from peers until cancelled."""
+        if self._sources:
+            self._has_sources.set()
         while True:
             await self._has_sources.wait()
             if self._relies_on_peers():
--- a/src/cardamomfork/_internal/gateway/peers/rate_permits.py
+++ b/src/cardamomfork/_internal/gateway/peers/rate_permits.py
@@ -198,10 +198,10 @@
         """Asks the owner for a permit; no answer in time is a refusal."""
         pending = _PendingRequest()
         self._pending[request.number] = pending
-        self._send(
-            permit_codec.encode_request(request), (owner.host, owner.port)
-        )
         try:
+            self._send(
+                permit_codec.encode_request(request), (owner.host, owner.port)
+            )
             with anyio.move_on_after(ANSWER_TIMEOUT_S):
                 await pending.answered.wait()
         finally:
--- a/src/cardamomfork/_internal/gateway/store/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -343,11 +343,13 @@
             return
         # A poller that applied a peer's update here would not pass it on.
         self._gets_changes_itself = self._must_poll()
-        self._relayed.relay.record_changes(entries, self._revision)
-        await self._sleep_unless_restored(delay_s / 3)
-        self._relayed.relay.resend()
-        await self._sleep_unless_restored(delay_s - delay_s / 3)
-        self._gets_changes_itself = False
+        try:
+            self._relayed.relay.record_changes(entries, self._revision)
+            await self._sleep_unless_restored(delay_s / 3)
+            self._relayed.relay.resend()
+            await self._sleep_unless_restored(delay_s - delay_s / 3)
+        finally:
+            self._gets_changes_itself = False
 
     async def _sleep_unless_restored(self, seconds: float) -> None:
         """Sleeps; returns at once when the store is restored from a copy.
--- a/src/cardamomfork/_internal/gateway/wiring/notifications.py
+++ b/src/cardamomfork/_internal/gateway/wiring/notifications.py
@@ -23,9 +23,21 @@
         self._receivers.append(receiver)
 
     def __call__(self, *arguments: Any) -> None:
-        """Calls the receivers with the details of the change."""
+        """Calls the receivers with the details of the change.
+
+        All of them are called, also if one fails.
+
+        Raises:
+            Exception: The first failure of a receiver.
+        """
+        failure: Exception | None = None
         for receiver in self._receivers:
-            receiver(*arguments)
+            try:
+                receiver(*arguments)
+            except Exception as error:  # noqa: BLE001  # Raised below.
+                failure = failure or error
+        if failure is not None:
+            raise failure
 
 
 @attrs.frozen
