Keep sending digests when one of them, or a peer's address, fails

Other instances counted an instance as silent although it served: a digest that failed when its timer fired counted as sent, so the next heartbeat was left out; a peer to which no datagram can be sent kept all peers after it from getting theirs; and a socket that the event loop had closed after an error stayed closed.

A digest counts as sent once it was sent. Each recipient and each step of the heartbeat is contained, and its failure counted under `peer links`. A closed socket ends the task, which opens it anew; incarnation and sequence go on.

--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -18,6 +18,7 @@
 import result
 
 from cardamomfork._internal import exceptions
+from cardamomfork._internal import supervision
 from cardamomfork._internal.gateway.choice import placement_news
 from cardamomfork._internal.gateway.peers import change_codec
 from cardamomfork._internal.gateway.peers import digest_codec
@@ -42,6 +43,8 @@
     from cardamomfork._internal.gateway.store import change_relay
     from cardamomfork._internal.gateway.store import follower
 
+TASK = "peer links"
+"""Name under which failures are counted."""
 HEARTBEAT_S = 0.5
 CRASH_REPORT_INTERVAL_S = 0.5
 """Crash reports are in a digest at most this often, unless there is a new one.
@@ -93,6 +96,7 @@
         list_waiting: Callable[
             [], tuple[peer_queues.WaitingClass, ...]
         ] = tuple,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes the links.
 
@@ -120,6 +124,7 @@
                 relay.
             queues: Numbers of requests that wait at peers.
             list_waiting: Returns those that wait here.
+            supervisor: Counts failures; None for one of its own.
         """
         self._local_peer = local_peer
         self._table = table
@@ -142,6 +147,7 @@
         self._on_digest = on_digest
         self._queues = queues or peer_queues.PeerQueues()
         self._list_waiting = list_waiting
+        self._supervisor = supervisor or supervision.Supervisor()
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._sequence = 0
         self._is_leaving = False
@@ -171,17 +177,15 @@
                 "Set a free port or another address in the settings.",
             ) from error
         try:
-            while True:
-                self._permits.observe()
-                if self._clock() - self._sent_at >= HEARTBEAT_S:
-                    self.send()
-                if silent_peers := self._table.silent_peers:
-                    self._send_to(
-                        digest_recipients.Recipients(tuple(silent_peers))
-                    )
-                self._table.expire()
-                for peer_id in self._load.expire_peers(self._clock()):
-                    logger.info("peer is silent", peer=peer_id)
+            # The event loop closes the socket after some errors.
+            while not transport.is_closing():
+                for step in (
+                    self._permits.observe,
+                    self._send_heartbeat,
+                    self._send_to_silent_peers,
+                    self._expire_peers,
+                ):
+                    self._supervisor.call(TASK, step)
                 await anyio.sleep(
                     HEARTBEAT_S
                     if self._table.count <= SMALL_FLEET_MAX_INSTANCES
@@ -190,6 +194,22 @@
         finally:
             transport.close()
 
+    def _send_heartbeat(self) -> None:
+        """Sends a digest unless one was sent lately."""
+        if self._clock() - self._sent_at >= HEARTBEAT_S:
+            self.send()
+
+    def _send_to_silent_peers(self) -> None:
+        """Sends a digest to peers that may have been cut off."""
+        if silent_peers := self._table.silent_peers:
+            self._send_to(digest_recipients.Recipients(tuple(silent_peers)))
+
+    def _expire_peers(self) -> None:
+        """Drops what is known of peers that have fallen silent."""
+        self._table.expire()
+        for peer_id in self._load.expire_peers(self._clock()):
+            logger.info("peer is silent", peer=peer_id)
+
     def notify_job(self, urgency: placement_news.Urgency) -> None:
         """Schedules a digest after a change of a job of this instance."""
         self.notify(
@@ -245,8 +265,10 @@
         if self._digest_timer is not None:
             self._digest_timer.cancel()
             self._digest_timer = None
-        self._sent_at = self._clock()
+        sent_at = self._clock()
         self._send_to(self._selector.select())
+        # After a failure, the next heartbeat is not left out.
+        self._sent_at = sent_at
 
     def send_datagram(self, data: bytes, address: tuple[str, int]) -> None:
         """Sends a datagram that is no digest to the address of a peer."""
@@ -416,4 +438,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         for peer in recipients:
-            self._transport.sendto(data, (peer.host, peer.port))
+            try:
+                self._transport.sendto(data, (peer.host, peer.port))
+            except Exception as error:  # noqa: BLE001  # The others get theirs.
+                self._supervisor.record_failure(TASK, error)
--- a/src/cardamomfork/_internal/gateway/wiring/peer_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/peer_side.py
@@ -131,6 +131,7 @@
         ),
         known.peer_queues,
         list_waiting,
+        known.supervisor,
     )
     notify.capacity_changed.connect(links.notify)
     notify.reach_changed.connect(lambda: links.notify(is_urgent=True))
