Complete open requests in a stop after the callers' server has failed

If the callers' server failed again and again while the process was stopped, the restart counted the server as ended at once, and its open requests were cut off before the end of the grace time; an abort left their connections open.

A restart after the stop now closes idle connections and waits for those with requests, and an abort closes all of them.

--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -21,6 +21,8 @@
 
 LISTEN_BACKLOG = 4096
 KEEP_ALIVE_TIMEOUT_S = 30
+DRAIN_CHECK_INTERVAL_S = 0.1
+"""Interval at which a stop checks whether the open requests have ended."""
 
 
 class _Server(uvicorn.Server):
@@ -73,6 +75,13 @@
     return lambda *_: existing_context
 
 
+def _abort_connections(state: uvicorn.server.ServerState) -> None:
+    """Aborts all open connections."""
+    for connection in list(state.connections):
+        if connection.transport is not None:
+            connection.transport.abort()
+
+
 class HttpServer:
     """Serves one ASGI application on one listening socket."""
 
@@ -144,9 +153,7 @@
         """Stops and aborts all open connections."""
         self._server.force_exit = True
         self.stop()
-        for connection in list(self._server.server_state.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
+        _abort_connections(self._server.server_state)
 
     def close(self) -> None:
         """Closes the listening socket; open connections stay."""
@@ -218,7 +225,8 @@
             exceptions.CardamomforkError: The address can't be bound.
         """
         if self._is_stopped:
-            self._has_ended.set()
+            # The server has failed; only its open requests are left.
+            await self._drain()
             return
         server = HttpServer(
             self._application,
@@ -236,6 +244,16 @@
         if self._is_stopped:
             self._has_ended.set()
 
+    async def _drain(self) -> None:
+        """Closes idle connections and waits for the requests of others."""
+        for connection in list(self._state.connections):
+            connection.shutdown()
+        while True:
+            if not self._state.connections:
+                self._has_ended.set()
+                return
+            await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
+
     async def wait_until_ended(self) -> None:
         """Waits until the server was stopped and its requests have ended."""
         await self._has_ended.wait()
@@ -253,4 +271,5 @@
         self.stop()
         if self._server is not None:
             self._server.abort()
-        self._has_ended.set()
+        else:
+            _abort_connections(self._state)
