Renew the lease of crash reports while crashes go on

An instance that confirmed crashes more often than every 200 s, without a change of its reports, never renewed their lease. After 600 s the store dropped them, and instances that started then did not know the blocked requests.

Cause: the renewal was due 200 s after the last crash, and a write of the same reports is left out. It is due 200 s after the lease was granted or renewed now.

Evidence: a test with a crash each minute finds no reports after 20 minutes on the code before; they are there now. Found while checking what a restart of the task loses.

--- a/src/cardamomfork/_internal/gateway/crashes/crash_persistence.py
+++ b/src/cardamomfork/_internal/gateway/crashes/crash_persistence.py
@@ -73,6 +73,7 @@
         self._on_answer = on_answer
         self._on_crash = on_crash
         self._lease: store.Lease | None = None
+        self._renew_at = 0.0
         self._version = store.ABSENT
         self._written = b""
         self._has_unwritten = anyio.Event()
@@ -84,13 +85,20 @@
     async def run(self) -> None:
         """Writes new reports until cancelled."""
         while True:
-            with anyio.move_on_after(RENEW_INTERVAL_S):
+            wait_s = (
+                RENEW_INTERVAL_S
+                if self._lease is None
+                else max(self._renew_at - anyio.current_time(), 0.0)
+            )
+            with anyio.move_on_after(wait_s):
                 await self._has_unwritten.wait()
             if self._has_unwritten.is_set():
                 await anyio.sleep(BATCH_DELAY_S)
                 self._has_unwritten = anyio.Event()
                 await self._or_write_again(self._write_changes)
-            elif self._lease is not None:
+            # Writes of the same reports don't renew their lease.
+            is_due = anyio.current_time() >= self._renew_at
+            if self._lease is not None and is_due:
                 await self._or_write_again(self._renew)
 
     async def _or_write_again(
@@ -180,6 +188,7 @@
             if isinstance(granted, result.Err):
                 return granted
             self._lease = granted.ok_value
+            self._renew_at = anyio.current_time() + RENEW_INTERVAL_S
         for _ in range(MAX_WRITE_ATTEMPTS):
             written = await self._store.put(
                 self._key,
@@ -212,6 +221,7 @@
             return
         renewed = await self._store.renew_lease(lease.lease_id)
         if isinstance(renewed, result.Ok):
+            self._renew_at = anyio.current_time() + RENEW_INTERVAL_S
             self._on_answer(None)
             return
         self._on_answer(renewed.err_value)
--- a/tests/unit/test_crash_persistence.py
+++ b/tests/unit/test_crash_persistence.py
@@ -124,6 +124,20 @@
 
         run_scenario(scenario)
 
+    def test_reports_outlive_their_lease_while_crashes_go_on(self):
+        async def scenario(memory, start):
+            one = start("one")
+            for number in range(poison_guard.MAX_CRASHES):
+                one.crash(number)
+            for _ in range(20):
+                await anyio.sleep(crash_persistence.LEASE_S / 10)
+                # A crash that adds nothing to the reports.
+                one.persistence.notify()
+            memory.expire_leases()
+            self.assertIsNotNone(memory.read("crashes/one"))
+
+        run_scenario(scenario)
+
     def test_refuted_crashes_are_not_read_again_after_a_restart(self):
         async def scenario(_, start):
             one = start("one")
