Decode the bytes of other parties to a value or an error

What operators saw: one entry of another writer with an added field of nested lists under the targets' prefix, among the registrations of instances or in the configuration ended every entry process with status 1 within a second, and again at each start. An answer of the store with a revision of 20 digits did the same.

Cause: each call of a decoding library listed the exceptions that its author expected. msgspec raises RecursionError for nested JSON, which is neither DecodeError nor ValueError, and integers without a bound raised OverflowError later, where they were encoded.

Change: decoding.py holds the boundary. Decoders are registered, and return a value or an error for any exception. Integers are limited to what messages between instances carry, times to what timers carry; an address is an IP address and a port from 1 to 65535; an answer of the store that is out of range is a fault of its call. A peer whose address can't be sent to is not recorded.

Evidence: test_foreign_entries fails on the code before (processes end, or are not ready in 20 s) and passes now.

Two tests in test_platform_decoding read the results of decode_value and to_entry, which raised ValueError before; what they check is the same.

--- a/src/cardamomfork/_internal/gateway/crashes/crash_persistence.py
+++ b/src/cardamomfork/_internal/gateway/crashes/crash_persistence.py
@@ -11,16 +11,18 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from loguru import logger
 import msgspec
 import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway.crashes import poison_guard
 from cardamomfork._internal.gateway.state import crash_records
+from cardamomfork._internal.gateway.store import entry_faults
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
 KEY_PREFIX = "crashes/"
 MIN_WRITTEN_CRASHES = 2
@@ -37,6 +39,31 @@
 """Delay after a failed call."""
 MAX_WRITE_ATTEMPTS = 2
 """The first attempt may have an outdated version of the key."""
+MAX_FINGERPRINT = 2**64 - 1
+MAX_STARTED_AT_MS = 2**63 - 1
+MAX_TARGET_ID_CHARACTERS = 200
+"""What digests can carry."""
+
+
+@decoding.decoder("crash reports")
+def decode(
+    value: bytes,
+) -> result.Result[list[crash_records.CrashReport], str]:
+    """Decodes crash reports; those that digests can't carry are left out."""
+    return decoding.decode_json(value, list[crash_records.CrashReport]).map(
+        lambda reports: [
+            report for report in reports if _is_sendable(report.crash)
+        ]
+    )
+
+
+def _is_sendable(crash: crash_records.Crash) -> bool:
+    """Returns whether a digest can carry a crash."""
+    return (
+        0 <= crash.fingerprint <= MAX_FINGERPRINT
+        and abs(crash.started_at_ms) <= MAX_STARTED_AT_MS
+        and len(crash.target_id) <= MAX_TARGET_ID_CHARACTERS
+    )
 
 
 class CrashPersistence:
@@ -75,6 +102,7 @@
         self._version = store.ABSENT
         self._written = b""
         self._has_unwritten = anyio.Event()
+        self._faults = entry_faults.EntryFaults("malformed crash reports")
 
     def notify(self) -> None:
         """Schedules a write after a crash that this instance confirmed."""
@@ -104,13 +132,18 @@
 
         An instance that has just started must not wait for objections again.
         """
-        for entry in scan.entries:
-            self._record(entry, poison_guard.OBJECTION_TIME_S)
+        self._record_all(scan.entries, poison_guard.OBJECTION_TIME_S)
 
     def apply_changes(self, batch: store.WatchBatch) -> None:
         """Records the reports of some instances; deletions change nothing."""
-        for entry in batch.entries:
-            self._record(entry, 0.0)
+        self._record_all(batch.entries, 0.0)
+
+    def _record_all(self, entries: Iterable[store.Entry], age_s: float) -> None:
+        """Records the reports of some entries, each on its own."""
+        for entry in entries:
+            with self._faults.contained(entry.key, entry.version):
+                self._record(entry, age_s)
+        self._faults.summarize()
 
     def _record(self, entry: store.Entry, age_s: float) -> None:
         """Records the reports of an entry.
@@ -121,18 +154,13 @@
         """
         if entry.version == store.ABSENT:
             return
-        try:
-            reports = msgspec.json.decode(
-                entry.value, type=list[crash_records.CrashReport]
-            )
-        except msgspec.DecodeError as error:
-            logger.warning(
-                "malformed crash reports", name=entry.key, reason=str(error)
-            )
+        decoded = decode(entry.value)
+        if isinstance(decoded, result.Err):
+            self._faults.record(entry.key, entry.version, decoded.err_value)
             return
         now = self._clock()
         has_new = False
-        for report in reports:
+        for report in decoded.ok_value:
             has_new |= self._guard.record_crash(report, now, age_s)
         if has_new:
             self._on_crash()
--- a/src/cardamomfork/_internal/gateway/peers/change_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/change_codec.py
@@ -4,9 +4,9 @@
 
 import zlib
 
-import capnp
 import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.store import change_relay
 
@@ -31,32 +31,32 @@
     return UPDATE + zlib.compress(message.to_bytes())
 
 
+@decoding.decoder("update")
 def decode(data: bytes) -> result.Result[change_relay.Update, str]:
     """Decodes a datagram with an update, or returns an error message."""
-    try:
-        decompressor = zlib.decompressobj()
-        unpacked = decompressor.decompress(
-            data[len(UPDATE) :], MAX_DECODED_BYTES
-        )
-        if not decompressor.eof:
-            return result.Err("malformed update: truncated or too large")
-        with digest_codec.schema().ChangeUpdate.from_bytes(unpacked) as message:
-            if len(message.changes) > MAX_CHANGES:
-                return result.Err("malformed update: too many changes")
-            return result.Ok(
-                change_relay.Update(
-                    message.baseRevision,
-                    message.revision,
-                    tuple(
-                        change_relay.Change(
-                            change.key,
-                            None if change.isRemoved else bytes(change.value),
-                            change.revision,
-                            change.mayReturn,
-                        )
-                        for change in message.changes
-                    ),
-                )
+    unpacked = decoding.decompress(data[len(UPDATE) :], MAX_DECODED_BYTES)
+    if isinstance(unpacked, result.Err):
+        return result.Err(f"malformed update: {unpacked.err_value}")
+    with digest_codec.schema().ChangeUpdate.from_bytes(
+        unpacked.ok_value
+    ) as message:
+        if len(message.changes) > MAX_CHANGES:
+            return result.Err("malformed update: too many changes")
+        if message.revision > digest_codec.MAX_REVISION:
+            return result.Err("malformed update: revision out of range")
+        return result.Ok(
+            change_relay.Update(
+                message.baseRevision,
+                message.revision,
+                tuple(
+                    change_relay.Change(
+                        change.key,
+                        None if change.isRemoved else bytes(change.value),
+                        change.revision,
+                        change.mayReturn,
+                    )
+                    for change in message.changes
+                    if change.revision <= message.revision
+                ),
             )
-    except (capnp.KjException, ValueError, zlib.error) as error:
-        return result.Err(f"malformed update: {type(error).__name__}")
+        )
--- a/src/cardamomfork/_internal/gateway/peers/configuration_fetching.py
+++ b/src/cardamomfork/_internal/gateway/peers/configuration_fetching.py
@@ -16,6 +16,7 @@
 from loguru import logger
 import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.gateway.peers import digest_codec
 
 if TYPE_CHECKING:
@@ -93,16 +94,10 @@
     return zlib.compress(body, COMPRESSION_LEVEL)
 
 
+@decoding.decoder("compression")
 def decompress(data: bytes) -> result.Result[bytes, str]:
     """Decompresses an answer, unless it is malformed or too large."""
-    decompressor = zlib.decompressobj()
-    try:
-        body = decompressor.decompress(data, MAX_CONFIGURATION_BYTES)
-    except zlib.error as error:
-        return result.Err(f"malformed compression: {error}")
-    if not decompressor.eof:
-        return result.Err("compressed configuration truncated or too large")
-    return result.Ok(body)
+    return decoding.decompress(data, MAX_CONFIGURATION_BYTES)
 
 
 @attrs.frozen
--- a/src/cardamomfork/_internal/gateway/peers/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/digest_codec.py
@@ -12,6 +12,9 @@
 import capnp
 import result
 
+from cardamomfork._internal import addresses
+from cardamomfork._internal import decoding
+from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway.choice import demands
 from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import crash_records
@@ -26,6 +29,11 @@
 MAX_COUNT = 2**16 - 1
 MAX_ENTRIES = 4096
 """Bound of each list in a digest."""
+MAX_PARTS = 64
+"""Bound of the parts of a job."""
+MAX_REVISION = 10**6 * store.REVISIONS_PER_ERA
+"""Eras have up to six digits."""
+MAX_NAME_CHARACTERS = 256
 _SCHEMA_PATH = pathlib.Path(__file__).with_name("digests.capnp")
 
 
@@ -153,87 +161,113 @@
     return bytes(message.to_bytes_packed())
 
 
+@decoding.decoder("peer entry")
+def decode_peer(value: bytes) -> result.Result[Peer, str]:
+    """Decodes the entry with which an instance registers in the store."""
+    return decoding.decode_json(value, Peer).and_then(check_peer)
+
+
+@decoding.decoder("digest")
 def decode(data: bytes, now: float) -> result.Result[Digest, str]:
     """Decodes a digest, or returns an error message if it is malformed."""
-    try:
-        message = schema().Digest.from_bytes_packed(data)
-        # A small packed message may expand to lists of millions of entries.
-        if (
-            max(
-                len(message.jobs),
-                len(message.deaths),
-                len(message.rateLimits),
-                len(message.evacuations),
-                len(message.coldTargets),
-                len(message.waiting),
-            )
-            > MAX_ENTRIES
-        ):
-            return result.Err("malformed digest: too many entries")
-        sender = Peer(
-            message.instanceId, message.dataCentre, message.host, message.port
+    message = schema().Digest.from_bytes_packed(data)
+    # A small packed message may expand to lists of millions of entries.
+    if (
+        max(
+            len(message.jobs),
+            len(message.deaths),
+            len(message.rateLimits),
+            len(message.evacuations),
+            len(message.coldTargets),
+            len(message.waiting),
         )
-        return result.Ok(
-            Digest(
-                sender,
-                message.incarnation,
-                message.sequence,
-                message.configurationRevision,
-                message.configurationVersion,
-                message.targetsRevision,
-                message.isLeaving,
-                tuple(
-                    _decode_job(f"{sender.instance_id}#{index}", job, now)
-                    for index, job in enumerate(message.jobs)
-                ),
-                tuple(
-                    crash_records.CrashReport(
-                        crash_records.Crash(
-                            death.fingerprint, death.targetId, death.startedAtMs
-                        ),
-                        death.isRefuted,
-                    )
-                    for death in message.deaths
-                ),
-                tuple(
-                    rate_limits.RateLimitReport(
-                        limit.targetId,
-                        limit.startedAtMs,
-                        limit.requestsPerS,
-                        limit.ageMs / MS_PER_S,
-                        limit.hasEnded,
-                    )
-                    for limit in message.rateLimits
-                ),
-                message.reachesTargets,
-                message.openRequests,
-                message.exchangesChanges,
-                message.reachesStore,
-                _decode_evacuations(message),
-                tuple(
-                    cold_targets.ColdReport(
-                        report.targetId,
-                        report.startedAtMs,
-                        min(
-                            report.remainingMs / MS_PER_S,
-                            cold_targets.MAX_COLD_S,
-                        ),
-                        report.ageMs / MS_PER_S,
-                    )
-                    for report in message.coldTargets
-                ),
-                tuple(
-                    peer_queues.WaitingClass(
-                        one.service, one.isLong, one.count, one.prefillMs
-                    )
-                    for one in itertools.islice(
-                        message.waiting, peer_queues.MAX_CLASSES
-                    )
-                ),
-            )
+        > MAX_ENTRIES
+    ):
+        return result.Err("malformed digest: too many entries")
+    sender = Peer(
+        message.instanceId, message.dataCentre, message.host, message.port
+    )
+    if (
+        max(message.configurationRevision, message.targetsRevision)
+        > MAX_REVISION
+    ):
+        return result.Err("malformed digest: revision out of range")
+    if any(len(job.parts) > MAX_PARTS for job in message.jobs):
+        return result.Err("malformed digest: too many parts")
+    if not all(
+        math.isfinite(limit.requestsPerS) and limit.requestsPerS >= 0
+        for limit in message.rateLimits
+    ):
+        return result.Err("malformed digest: rate")
+    return result.Ok(
+        Digest(
+            sender,
+            message.incarnation,
+            message.sequence,
+            message.configurationRevision,
+            message.configurationVersion,
+            message.targetsRevision,
+            message.isLeaving,
+            tuple(
+                _decode_job(f"{sender.instance_id}#{index}", job, now)
+                for index, job in enumerate(message.jobs)
+            ),
+            tuple(
+                crash_records.CrashReport(
+                    crash_records.Crash(
+                        death.fingerprint, death.targetId, death.startedAtMs
+                    ),
+                    death.isRefuted,
+                )
+                for death in message.deaths
+            ),
+            tuple(
+                rate_limits.RateLimitReport(
+                    limit.targetId,
+                    limit.startedAtMs,
+                    limit.requestsPerS,
+                    limit.ageMs / MS_PER_S,
+                    limit.hasEnded,
+                )
+                for limit in message.rateLimits
+            ),
+            message.reachesTargets,
+            message.openRequests,
+            message.exchangesChanges,
+            message.reachesStore,
+            _decode_evacuations(message),
+            tuple(
+                cold_targets.ColdReport(
+                    report.targetId,
+                    report.startedAtMs,
+                    min(
+                        report.remainingMs / MS_PER_S,
+                        cold_targets.MAX_COLD_S,
+                    ),
+                    report.ageMs / MS_PER_S,
+                )
+                for report in message.coldTargets
+            ),
+            tuple(
+                peer_queues.WaitingClass(
+                    one.service, one.isLong, one.count, one.prefillMs
+                )
+                for one in itertools.islice(
+                    message.waiting, peer_queues.MAX_CLASSES
+                )
+            ),
         )
-    except (capnp.KjException, ValueError) as error:
-        return result.Err(f"malformed digest: {type(error).__name__}")
+    )
+
+
+def check_peer(peer: Peer) -> result.Result[Peer, str]:
+    """Checks that a peer can be recorded and datagrams can be sent to it."""
+    if not (
+        0 < len(peer.instance_id) <= MAX_NAME_CHARACTERS
+        and len(peer.data_centre) <= MAX_NAME_CHARACTERS
+    ):
+        return result.Err("malformed peer: name")
+    return addresses.check(peer.host, peer.port).map(lambda _: peer)
 
 
 def encode_configuration(stored: fleet_state.StoredConfiguration) -> bytes:
@@ -247,22 +281,22 @@
     return bytes(message.to_bytes())
 
 
+@decoding.decoder("configuration of a peer")
 def decode_configuration(
     data: bytes,
 ) -> result.Result[fleet_state.StoredConfiguration, str]:
     """Decodes a configuration, or returns an error message."""
-    try:
-        with schema().StoredConfiguration.from_bytes(data) as message:
-            return result.Ok(
-                fleet_state.StoredConfiguration(
-                    bytes(message.value),
-                    message.revision,
-                    _decode_evacuations(message),
-                    message.knowsEvacuations,
-                )
+    with schema().StoredConfiguration.from_bytes(data) as message:
+        if message.revision > MAX_REVISION:
+            return result.Err("malformed configuration: revision out of range")
+        return result.Ok(
+            fleet_state.StoredConfiguration(
+                bytes(message.value),
+                message.revision,
+                _decode_evacuations(message),
+                message.knowsEvacuations,
             )
-    except (capnp.KjException, ValueError) as error:
-        return result.Err(f"malformed configuration: {type(error).__name__}")
+        )
 
 
 def _encode_evacuations(
--- a/src/cardamomfork/_internal/gateway/peers/fleet_secret.py
+++ b/src/cardamomfork/_internal/gateway/peers/fleet_secret.py
@@ -14,6 +14,7 @@
 from loguru import logger
 import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.contracts import store
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
 
 KEY = "peering/secret"
 SECRET_BYTES = 32
+MAX_SECRET_BYTES = 512
 MAX_ACCEPTED = 4
 """Secrets that are accepted; a store that was restored from a copy may lead to
 a new one."""
@@ -32,6 +34,17 @@
 those that start together write it."""
 
 
+@decoding.decoder("fleet secret")
+def decode(value: bytes) -> result.Result[str, str]:
+    """Decodes a secret, which is sent in a header."""
+    if not 0 < len(value) <= MAX_SECRET_BYTES:
+        return result.Err("malformed fleet secret: length")
+    secret = value.decode("ascii")
+    if not secret.isalnum():
+        return result.Err("malformed fleet secret: characters")
+    return result.Ok(secret)
+
+
 class FleetSecret:
     """The secrets that this instance knows, newest first."""
 
@@ -104,7 +117,13 @@
         on_answer(None)
         for entry in scanned.ok_value.entries:
             if entry.key == KEY:
-                self.add(entry.value.decode("latin-1"))
+                decoded = decode(entry.value)
+                if isinstance(decoded, result.Err):
+                    logger.warning(
+                        "fleet secret not read", reason=decoded.err_value
+                    )
+                else:
+                    self.add(decoded.ok_value)
                 return True
         return False
 
--- a/src/cardamomfork/_internal/gateway/peers/peer_forwarding_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_codec.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.models import forwarding
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
 MS_PER_S = 1000.0
 MAX_TIME_LEFT_S = 120.0
 """Bound of the time for which a peer holds a request."""
+MAX_INTEGER = 2**63 - 1
 BUSY_STATUS = 503
 """Also sent by the peer's HTTP server, which then has read nothing."""
 
@@ -85,6 +87,7 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + encoded
 
 
+@decoding.register
 def decode_request(headers: _Pairs) -> ForwardedRequest | None:
     """Decodes the head of such a message; returns None if it is malformed."""
     values = dict(headers)
@@ -93,15 +96,30 @@
             sender_id=values[_SENDER].decode(),
             request_id=values[_REQUEST_ID].decode("latin-1"),
             target_id=values[_TARGET_ID].decode(),
-            target_started_at_ms=int(values[_TARGET_STARTED_AT]),
-            time_left_s=int(values[_TIME_LEFT]) / MS_PER_S,
+            target_started_at_ms=_parse_int(values[_TARGET_STARTED_AT]),
+            time_left_s=min(
+                max(_parse_int(values[_TIME_LEFT]) / MS_PER_S, 0.0),
+                MAX_TIME_LEFT_S,
+            ),
             runs_once=values[_RUNS_ONCE] == b"1",
             is_head=values[_IS_HEAD] == b"1",
         )
-    except (KeyError, ValueError):
+    except Exception:  # noqa: BLE001
         return None
 
 
+def _parse_int(value: bytes) -> int:
+    """Parses an integer of 64 bits.
+
+    Raises:
+        ValueError: The value is malformed.
+    """
+    number = int(value)
+    if abs(number) > MAX_INTEGER:
+        raise ValueError("integer out of range")
+    return number
+
+
 def is_authorized(headers: _Pairs, secrets: Iterable[str]) -> bool:
     """Returns whether a message bears one of the secrets of the fleet."""
     given = dict(headers).get(_AUTHORIZATION, b"")
--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -23,6 +23,7 @@
 from cardamomfork._internal.gateway.peers import digest_recipients
 from cardamomfork._internal.gateway.peers import permit_codec
 from cardamomfork._internal.gateway.state import peer_queues
+from cardamomfork._internal.gateway.store import entry_faults
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -151,6 +152,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._digest_timer: asyncio.Handle | None = None
         self._digest_due_at = 0.0
+        self._send_faults = entry_faults.EntryFaults("datagram not sent")
 
     async def run(self) -> None:
         """Opens the socket and sends heartbeats until cancelled."""
@@ -240,7 +242,8 @@
     def send_datagram(self, data: bytes, address: tuple[str, int]) -> None:
         """Sends a datagram that is no digest to the address of a peer."""
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(data, address)
+            with self._send_faults.contained(*address):
+                self._transport.sendto(data, address)
 
     def send_updates(self, updates: tuple[change_relay.Update, ...]) -> None:
         """Sends changes of targets' entries to the peers that read them."""
@@ -293,7 +296,11 @@
         """Processes a digest, and forwards it if this instance is a relay."""
         now = self._clock()
         digest_bytes = data[1:]
-        decoded = digest_codec.decode(digest_bytes, now)
+        decoded = digest_codec.decode(digest_bytes, now).and_then(
+            lambda digest: digest_codec.check_peer(digest.sender).map(
+                lambda _: digest
+            )
+        )
         if isinstance(decoded, result.Err):
             logger.warning(
                 "datagram dropped", peer=addr[0], reason=decoded.err_value
@@ -405,4 +412,6 @@
         if self._transport is None or self._transport.is_closing():
             return
         for peer in recipients:
-            self._transport.sendto(data, (peer.host, peer.port))
+            # One address must not keep datagrams from the other peers.
+            with self._send_faults.contained(peer.instance_id, peer.port):
+                self._transport.sendto(data, (peer.host, peer.port))
--- a/src/cardamomfork/_internal/gateway/peers/peer_table.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_table.py
@@ -7,10 +7,12 @@
 
 import attrs
 from loguru import logger
-import msgspec
+import result
 import xxhash
 
+from cardamomfork._internal import addresses
 from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.store import entry_faults
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -115,6 +117,8 @@
         self._clock = clock
         self._local_rank = _rank(local_peer.instance_id)
         self._records: dict[str, _PeerRecord] = {}
+        self._ip_version = addresses.ip_version(local_peer.host)
+        self._faults = entry_faults.EntryFaults("malformed peer entry")
 
     @property
     def peers(self) -> list[digest_codec.Peer]:
@@ -126,6 +130,11 @@
             if now <= record.gone_at
         ]
 
+    @property
+    def dropped_entries(self) -> int:
+        """Number of peers' entries dropped so far, with those of scans."""
+        return self._faults.dropped
+
     @property
     def silent_peers(self) -> list[digest_codec.Peer]:
         """Peers that count as gone but have not been forgotten."""
@@ -302,15 +311,25 @@
     def add_entries(self, entries: Iterable[store.Entry]) -> None:
         """Adds the peers registered in the store."""
         for entry in entries:
-            try:
-                peer = msgspec.json.decode(entry.value, type=digest_codec.Peer)
-            except msgspec.DecodeError as error:
-                logger.warning(
-                    "malformed peer entry", name=entry.key, reason=str(error)
-                )
-                continue
-            if peer.instance_id != self._local_peer.instance_id:
-                self.upsert(peer)
+            with self._faults.contained(entry.key, entry.version):
+                decoded = digest_codec.decode_peer(entry.value)
+                if isinstance(decoded, result.Err):
+                    self._faults.record(
+                        entry.key, entry.version, decoded.err_value
+                    )
+                elif not self._is_of_family(decoded.ok_value):
+                    self._faults.record(
+                        entry.key, entry.version, "other address family"
+                    )
+                elif (
+                    decoded.ok_value.instance_id != self._local_peer.instance_id
+                ):
+                    self.upsert(decoded.ok_value)
+        self._faults.summarize()
+
+    def _is_of_family(self, peer: digest_codec.Peer) -> bool:
+        """Returns whether datagrams can be sent to a peer's address."""
+        return self._ip_version in (None, addresses.ip_version(peer.host))
 
     def record_digest(self, digest: digest_codec.Digest) -> bool:
         """Records a digest.
@@ -318,6 +337,8 @@
         Returns:
             Whether the digest is newer than all earlier ones of its sender.
         """
+        if not self._is_of_family(digest.sender):
+            return False
         record = self.upsert(digest.sender)
         now = self._clock()
         was_silent = now > record.silent_at
--- a/src/cardamomfork/_internal/gateway/peers/permit_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/permit_codec.py
@@ -5,9 +5,9 @@
 import math
 
 import attrs
-import capnp
 import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.gateway.peers import digest_codec
 
 REQUEST = b"\2"
@@ -61,25 +61,23 @@
     return REQUEST + bytes(message.to_bytes_packed())
 
 
+@decoding.decoder("permit request")
 def decode_request(data: bytes) -> result.Result[PermitRequest, str]:
     """Decodes a datagram with a request, or returns an error message."""
-    try:
-        message = digest_codec.schema().PermitRequest.from_bytes_packed(
-            data[len(REQUEST) :]
-        )
-        if not (_is_finite(message.ratePerS) and message.maxWaitS >= 0):
-            return result.Err("malformed permit request: rate or wait")
-        return result.Ok(
-            PermitRequest(
-                message.number,
-                message.targetId,
-                message.startedAtMs,
-                message.ratePerS,
-                message.maxWaitS,
-            )
+    message = digest_codec.schema().PermitRequest.from_bytes_packed(
+        data[len(REQUEST) :]
+    )
+    if not (_is_finite(message.ratePerS) and message.maxWaitS >= 0):
+        return result.Err("malformed permit request: rate or wait")
+    return result.Ok(
+        PermitRequest(
+            message.number,
+            message.targetId,
+            message.startedAtMs,
+            message.ratePerS,
+            min(message.maxWaitS, MAX_WAIT_S),
         )
-    except (capnp.KjException, ValueError) as error:
-        return result.Err(f"malformed permit request: {type(error).__name__}")
+    )
 
 
 def encode_decision(number: int, decision: PermitDecision) -> bytes:
@@ -92,26 +90,22 @@
     return DECISION + bytes(message.to_bytes_packed())
 
 
+@decoding.decoder("permit decision")
 def decode_decision(
     data: bytes,
 ) -> result.Result[tuple[int, PermitDecision], str]:
     """Decodes a datagram with a decision, or returns an error message."""
-    try:
-        message = digest_codec.schema().PermitDecision.from_bytes_packed(
-            data[len(DECISION) :]
-        )
-        if not _is_finite(message.waitS):
-            return result.Err("malformed permit decision: wait")
-        return result.Ok(
-            (
-                message.number,
-                PermitDecision(
-                    message.isGranted, min(message.waitS, MAX_WAIT_S)
-                ),
-            )
+    message = digest_codec.schema().PermitDecision.from_bytes_packed(
+        data[len(DECISION) :]
+    )
+    if not _is_finite(message.waitS):
+        return result.Err("malformed permit decision: wait")
+    return result.Ok(
+        (
+            message.number,
+            PermitDecision(message.isGranted, min(message.waitS, MAX_WAIT_S)),
         )
-    except (capnp.KjException, ValueError) as error:
-        return result.Err(f"malformed permit decision: {type(error).__name__}")
+    )
 
 
 def _is_finite(value: float) -> bool:
--- a/src/cardamomfork/_internal/platform/configuration_format.py
+++ b/src/cardamomfork/_internal/platform/configuration_format.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import Any
 
 from loguru import logger
 import msgspec
 import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.models import fleet
 from cardamomfork._internal.platform import numbers
 
 KEY = "op/config"
 MS_PER_S = 1000.0
 MAX_COLD_PER_S = 1e6
+MAX_TIME_S = 1e7
+"""Longest time of a timer; far beyond any sound one."""
+MAX_COUNT = 2**31 - 1
+MAX_NUMBER = 1e12
 TOKEN_PAIRS_PER_UNIT = 1e6
 CONTEXT_TOKENS_PER_UNIT = 1e3
 
@@ -101,16 +107,15 @@
 class _Configuration(msgspec.Struct, rename="camel"):
     """The top-level document of the configuration."""
 
-    version: int
+    # The range in messages between instances; -1 stands for none.
+    version: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
     tenants: list[_Tenant] = []
 
 
-_decoder = msgspec.json.Decoder(_Configuration, strict=False)
-
-
+@decoding.decoder("configuration")
 def decode(
     value: bytes, revision: int
 ) -> result.Result[fleet.FleetConfiguration, str]:
@@ -120,13 +125,14 @@
         value: Stored bytes.
         revision: Store revision of the value.
     """
-    try:
-        configuration = _decoder.decode(value)
-        routes = tuple(_make_route(route) for route in configuration.routes)
-        for tenant in configuration.tenants:
-            _check_account_name(tenant.name)
-    except (msgspec.DecodeError, KeyError, ValueError) as error:
-        return result.Err(f"malformed configuration: {error}")
+    # The store accepts unknown fields, however deeply they are nested.
+    decoded = decoding.decode_shallow_json(value, _Configuration, strict=False)
+    if isinstance(decoded, result.Err):
+        return result.Err(f"malformed configuration: {decoded.err_value}")
+    configuration = decoded.ok_value
+    routes = tuple(_make_route(route) for route in configuration.routes)
+    for tenant in configuration.tenants:
+        _check_account_name(tenant.name)
     return result.Ok(
         fleet.FleetConfiguration(
             version=configuration.version,
@@ -135,7 +141,7 @@
             services={
                 service.name: fleet.Service(
                     service.name,
-                    service.max_connections,
+                    _clamp_count(service.max_connections),
                     _make_cost_model(service.engine),
                     min(
                         _parse_field(service, "cold_start_s"),
@@ -155,9 +161,9 @@
                 for tenant in configuration.tenants
             ),
             limits=fleet.CallerLimits(
-                configuration.limits.max_header_bytes,
-                configuration.limits.max_body_bytes,
-                configuration.limits.idle_timeout_ms / MS_PER_S,
+                _clamp_count(configuration.limits.max_header_bytes),
+                _clamp_count(configuration.limits.max_body_bytes),
+                _to_seconds(configuration.limits.idle_timeout_ms),
             ),
         )
     )
@@ -193,7 +199,10 @@
 def _make_route(route: _Route) -> fleet.Route:
     """Converts a route to the project's type."""
     service_weights = [
-        fleet.ServiceWeight(one.service, one.weight) for one in route.backends
+        fleet.ServiceWeight(
+            one.service, numbers.clamp(one.weight, 0.0, MAX_NUMBER)
+        )
+        for one in route.backends
     ]
     if route.service:
         service_weights.append(fleet.ServiceWeight(route.service, 1.0))
@@ -202,18 +211,33 @@
         host=route.host.lower(),
         prefix=route.prefix,
         rule=_REPEAT_RULES[route.kind],
-        timeout_s=route.timeout_ms / MS_PER_S,
-        objective_s=route.target_latency_ms / MS_PER_S,
+        timeout_s=_to_seconds(route.timeout_ms),
+        objective_s=_to_seconds(route.target_latency_ms),
         priority=route.priority,
         service_weights=tuple(service_weights),
-        max_attempts=max(route.max_attempts, 1),
+        max_attempts=max(_clamp_count(route.max_attempts), 1),
         needs_key=not route.allow_anonymous,
         may_resume=route.stream_resume,
-        max_gap_s=route.target_gap_ms / MS_PER_S,
+        max_gap_s=_to_seconds(route.target_gap_ms),
         allowed_regions=_make_regions(route.allowed_regions),
     )
 
 
+def _to_seconds(milliseconds: float) -> float:
+    """Converts a time to seconds that a timer can wait."""
+    return numbers.clamp(milliseconds / MS_PER_S, 0.0, MAX_TIME_S)
+
+
+def _clamp_count(value: int) -> int:
+    """Limits a count to what the code and messages can carry."""
+    return min(max(value, 0), MAX_COUNT)
+
+
+def _clamp(value: float) -> float:
+    """Limits a cost or a size, so that sums and products stay finite."""
+    return numbers.clamp(value, 0.0, MAX_NUMBER)
+
+
 def _make_regions(names: list[str] | None) -> frozenset[str] | None:
     """Returns the allowed regions; None for any, if none is named."""
     return frozenset(names) if names else None
@@ -225,18 +249,20 @@
         return None
     usual: dict[str, Any] = engine.usual
     return fleet.EngineCostModel(
-        slots=max(engine.slots, 1),
-        memory_tokens=engine.kv_capacity,
-        step_s=engine.step_ms / MS_PER_S,
-        sequence_step_s=engine.per_seq_ms / MS_PER_S,
-        context_token_step_s=engine.context_per_k
+        slots=max(_clamp_count(engine.slots), 1),
+        memory_tokens=_clamp_count(engine.kv_capacity),
+        step_s=_clamp(engine.step_ms) / MS_PER_S,
+        sequence_step_s=_clamp(engine.per_seq_ms) / MS_PER_S,
+        context_token_step_s=_clamp(engine.context_per_k)
         / MS_PER_S
         / CONTEXT_TOKENS_PER_UNIT,
-        prefill_rate_tokens_per_s=max(engine.read_per_s, 1.0),
-        attention_pair_s=engine.pairs_per_m / MS_PER_S / TOKEN_PAIRS_PER_UNIT,
-        chunk_tokens=max(engine.chunk, 1),
-        steps_per_event=max(engine.stride, 1),
-        typical_prompt_tokens=int(usual.get("prompt", 1000)),
-        typical_output_tokens=int(usual.get("answer", 500)),
-        remote_memory_step_s=engine.hop_ms / MS_PER_S,
+        prefill_rate_tokens_per_s=max(_clamp(engine.read_per_s), 1.0),
+        attention_pair_s=_clamp(engine.pairs_per_m)
+        / MS_PER_S
+        / TOKEN_PAIRS_PER_UNIT,
+        chunk_tokens=max(_clamp_count(engine.chunk), 1),
+        steps_per_event=max(_clamp_count(engine.stride), 1),
+        typical_prompt_tokens=int(_clamp(usual.get("prompt", 1000))),
+        typical_output_tokens=int(_clamp(usual.get("answer", 500))),
+        remote_memory_step_s=_clamp(engine.hop_ms) / MS_PER_S,
     )
--- a/src/cardamomfork/_internal/platform/evacuation_orders.py
+++ b/src/cardamomfork/_internal/platform/evacuation_orders.py
@@ -7,6 +7,8 @@
 
 import result
 
+from cardamomfork._internal import decoding
+
 PREFIX = "op/evacuate/"
 FOLLOWED_PREFIX = "op/"
 """Prefix of the configuration's key and of all orders, so that one poll returns
@@ -14,6 +16,7 @@
 MAX_NAME_LENGTH = 64
 
 
+@decoding.register
 def decode(key: str) -> result.Result[str, str] | None:
     """Returns the data centre that a key names.
 
--- a/src/cardamomfork/_internal/platform/headers.py
+++ b/src/cardamomfork/_internal/platform/headers.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.models import forwarding
 from cardamomfork._internal.platform import numbers
 
@@ -24,6 +25,10 @@
 MAX_TOKENS = 2**31 - 1
 """Exceeds any engine's memory and fits the peer message format."""
 
+MAX_INTEGER = 2**63 - 1
+MAX_TIME_S = 1e7
+"""Bounds of numbers in heads, so that all sums and timers can carry them."""
+
 _REQUEST_ID = b"x-cardamomfork-request-id"
 _TIME_LIMIT = b"x-cardamomfork-deadline-ms"  # Remaining time, not a timestamp.
 _TOKEN_USAGE = (
@@ -64,6 +69,7 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
+@decoding.register
 def decode_request(
     method: str, raw_target: bytes, headers: Iterable[tuple[bytes, bytes]]
 ) -> forwarding.CallerRequest:
@@ -125,6 +131,7 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+@decoding.register
 def decode_answer(
     status: int, headers: Iterable[tuple[bytes, bytes]]
 ) -> forwarding.ResponseHead:
@@ -146,7 +153,9 @@
         is_not_executed=_NOT_EXECUTED in values
         or status == http.HTTPStatus.MISDIRECTED_REQUEST,
         refusing_target=values.get(_BLAMED_TARGET, b"").decode("latin-1"),
-        idle_timeout_s=float(keep_alive[1]) if keep_alive else None,
+        idle_timeout_s=(
+            min(float(keep_alive[1]), MAX_TIME_S) if keep_alive else None
+        ),
         content_length=_parse_int(values.get(b"content-length")),
         closes=b"close" in values.get(b"connection", b"").lower(),
         rate_limit_per_s=_parse_rate(values.get(_REQUEST_RATE_LIMIT)),
@@ -189,7 +198,9 @@
         seconds = float(value or b"") / MS_PER_S
     except ValueError:
         return None
-    return max(seconds, 0.0) if math.isfinite(seconds) else None
+    if not math.isfinite(seconds):
+        return None
+    return min(max(seconds, 0.0), MAX_TIME_S)
 
 
 def _parse_cold(value: bytes | None) -> float | None:
@@ -232,7 +243,9 @@
         if until is None:
             return None
         seconds = until - (_parse_date(date or b"") or time.time())
-    return seconds if seconds is not None and seconds > 0 else None
+    if seconds is None or seconds <= 0:
+        return None
+    return min(seconds, MAX_TIME_S)
 
 
 def _parse_date(value: bytes) -> float | None:
@@ -247,10 +260,11 @@
     """Parses a non-negative integer; None if absent or malformed."""
     digits = (value or b"").strip()
     try:
-        return int(digits) if digits.isdigit() else None
+        number = int(digits) if digits.isdigit() else None
     except ValueError:
         # int() rejects numbers with thousands of digits.
         return None
+    return None if number is None or number > MAX_INTEGER else number
 
 
 def _parse_generation(
--- a/src/cardamomfork/_internal/platform/numbers.py
+++ b/src/cardamomfork/_internal/platform/numbers.py
@@ -28,6 +28,11 @@
     return number if math.isfinite(number) and number >= 0 else None
 
 
+def clamp(value: float, low: float, high: float) -> float:
+    """Limits a number to a range; a NaN counts as the lowest."""
+    return min(max(value, low), high) if value == value else low
+
+
 def describe(value: object) -> str:
     """Returns a short description of a malformed value for the log."""
     try:
--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from cardamomfork._internal.models import settings
 
@@ -77,7 +78,9 @@
         if response.ok_value.status == _NOT_FOUND:
             return result.Ok(None)
         era = response.ok_value.era
-        return _decode(response.ok_value, store_messages.Item, key).and_then(
+        return _decode(
+            response.ok_value, store_messages.decode_item, key
+        ).and_then(
             lambda item: self._to_entries([item], key, era).map(
                 lambda entries: entries[0]
             )
@@ -110,9 +113,14 @@
                     "The store was restored during the scan.",
                 )
             era = response.ok_value.era
-            page = _decode(response.ok_value, store_messages.Items, prefix)
+            page = _decode(
+                response.ok_value, store_messages.decode_items, prefix
+            )
             if isinstance(page, result.Err):
                 return page
+            last_key = (
+                page.ok_value.items[-1].key if page.ok_value.items else ""
+            )
             found = self._to_entries(page.ok_value.items, prefix, era)
             if isinstance(found, result.Err):
                 return found
@@ -122,9 +130,15 @@
             revision = revision or store.join_era(
                 era, page.ok_value.store_revision
             )
-            if not page.ok_value.more_pages or not page.ok_value.items:
+            if not page.ok_value.more_pages or not found.ok_value:
                 return result.Ok(store.Scan(tuple(entries), revision))
-            after = page.ok_value.items[-1].key
+            if last_key == after:
+                return _fault_result(
+                    store.StoreFaultKind.INDETERMINATE,
+                    prefix,
+                    "A page does not begin after the one before.",
+                )
+            after = last_key
 
     async def changes(
         self, prefix: str, after: int, wait_s: float
@@ -157,7 +171,9 @@
             return restored
         if response.ok_value.status == _GONE:
             return _fault_result(store.StoreFaultKind.COMPACTED, prefix)
-        decoded = _decode(response.ok_value, store_messages.Events, prefix)
+        decoded = _decode(
+            response.ok_value, store_messages.decode_events, prefix
+        )
         if isinstance(decoded, result.Err):
             return decoded
         era = response.ok_value.era
@@ -215,7 +231,7 @@
         if isinstance(response, result.Err):
             return response
         granted = _decode(
-            response.ok_value, store_messages.LeaseAnswer, "lease"
+            response.ok_value, store_messages.decode_lease, "lease"
         )
         if isinstance(granted, result.Err):
             return granted
@@ -241,7 +257,7 @@
         if is_missing or self._is_lease_gone(lease_id):
             return gone
         return _decode(
-            response.ok_value, store_messages.LeaseAnswer, "lease"
+            response.ok_value, store_messages.decode_lease, "lease"
         ).map(lambda answer: store.Lease(lease_id, answer.ttl_ms / 1000))
 
     async def revoke_lease(
@@ -319,11 +335,11 @@
         era = response.ok_value.era
         if response.ok_value.status != _CONFLICT:
             return _decode(
-                response.ok_value, store_messages.Committed, key
+                response.ok_value, store_messages.decode_committed, key
             ).map(lambda committed: store.join_era(era, committed.revision))
-        found = _decode(response.ok_value, store_messages.Items, key).and_then(
-            lambda items: self._to_entries(items.items, key, era)
-        )
+        found = _decode(
+            response.ok_value, store_messages.decode_items, key
+        ).and_then(lambda items: self._to_entries(items.items, key, era))
         if isinstance(found, result.Err):
             return found
         current = next(
@@ -366,15 +382,23 @@
     def _to_entries(
         self, items: list[store_messages.Item], key: str, era: int
     ) -> result.Result[list[store.Entry], store.StoreFault]:
-        """Converts items to entries and strips the key prefix."""
-        try:
-            return result.Ok(
-                [item.to_entry(self._prefix, era) for item in items]
-            )
-        except ValueError as error:
-            return _fault_result(
-                store.StoreFaultKind.INDETERMINATE, key, str(error)
-            )
+        """Converts items to entries and strips the key prefix.
+
+        The items are consumed, so that a page's text and its values are not
+        held at the same time.
+        """
+        entries = []
+        items.reverse()
+        while items:
+            converted = items.pop().to_entry(self._prefix, era)
+            if isinstance(converted, result.Err):
+                return _fault_result(
+                    store.StoreFaultKind.INDETERMINATE,
+                    key,
+                    converted.err_value,
+                )
+            entries.append(converted.ok_value)
+        return result.Ok(entries)
 
 
 def _fault_result(
@@ -385,16 +409,18 @@
 
 
 def _decode(
-    answer: store_calls.Answer, kind: type[_T], key: str
+    answer: store_calls.Answer,
+    decode: Callable[[bytes], result.Result[_T, str]],
+    key: str,
 ) -> result.Result[_T, store.StoreFault]:
     """Decodes an answer's body; an unexpected status is a fault."""
-    try:
-        if answer.status not in (_OK, _CONFLICT):
-            raise msgspec.DecodeError("unexpected status")
-        return result.Ok(msgspec.json.decode(answer.body, type=kind))
-    except msgspec.DecodeError as error:
-        return _fault_result(
+    decoded: result.Result[_T, str] = result.Err("unexpected status")
+    if answer.status in (_OK, _CONFLICT):
+        decoded = decode(answer.body)
+    return decoded.map_err(
+        lambda reason: store.StoreFault(
             store.StoreFaultKind.INDETERMINATE,
             key,
-            f"status {answer.status}: {error}",
+            f"status {answer.status}: {reason}",
         )
+    )
--- a/src/cardamomfork/_internal/platform/store_messages.py
+++ b/src/cardamomfork/_internal/platform/store_messages.py
@@ -3,38 +3,50 @@
 from __future__ import annotations
 
 import base64
-import binascii
+from typing import Annotated
 
 import msgspec
+import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.contracts import store
 
+MAX_DECODED_BYTES = 64 * 1024 * 1024
+MAX_LEASE = 2**63 - 1
+MAX_TTL_MS = 24 * 3600 * 1000
+
+# An answer that is out of range is a fault of its call.
+_Revision = Annotated[int, msgspec.Meta(ge=0, lt=store.REVISIONS_PER_ERA)]
+_Lease = Annotated[int, msgspec.Meta(ge=0, le=MAX_LEASE)]
+
 
 class Item(msgspec.Struct, rename="camel"):
     """A key and its value; in a watch, possibly a deleted key."""
 
     key: str
     value: str = ""
-    revision: int = 0
-    lease: int = 0
+    revision: _Revision = 0
+    lease: _Lease = 0
     removed: bool = False
 
-    def to_entry(self, prefix: str, era: int) -> store.Entry:
+    def to_entry(
+        self, prefix: str, era: int
+    ) -> result.Result[store.Entry, str]:
         """Converts the item to an entry; a removed key has version `ABSENT`.
 
         Args:
             prefix: Common key prefix to strip.
             era: Era of the store in which it was read.
 
-        Raises:
-            ValueError: The value isn't base64 text.
+        Returns:
+            The entry, or an error if the value isn't base64 text.
         """
         key = self.key.removeprefix(prefix)
         if self.removed:
-            return store.Entry(key, b"", store.ABSENT)
-        value = decode_value(self.value)
-        return store.Entry(
-            key, value, store.join_era(era, self.revision), self.lease
+            return result.Ok(store.Entry(key, b"", store.ABSENT))
+        version = store.join_era(era, self.revision)
+        return decode_value(self.value).map(
+            lambda value: store.Entry(key, value, version, self.lease)
         )
 
 
@@ -43,14 +55,14 @@
 
     items: list[Item] = []
     more_pages: bool = False
-    store_revision: int = 0
+    store_revision: _Revision = 0
 
 
 class Events(msgspec.Struct, rename="camel"):
     """Response to a watch."""
 
     events: list[Item] = []
-    store_revision: int = 0
+    store_revision: _Revision = 0
 
 
 class Comparison(msgspec.Struct):
@@ -79,7 +91,7 @@
 class Committed(msgspec.Struct):
     """Response to a committed transaction."""
 
-    revision: int
+    revision: _Revision
 
 
 class LeaseRequest(msgspec.Struct, rename="camel"):
@@ -91,22 +103,27 @@
 class LeaseAnswer(msgspec.Struct, rename="camel"):
     """A granted or renewed lease; a renewal omits the lease id."""
 
-    ttl_ms: int
-    lease: int = 0
+    ttl_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TTL_MS)]
+    lease: _Lease = 0
 
 
 def encode_value(value: bytes) -> str:
     """Encodes a value as base64 text."""
-    return base64.b64encode(value).decode()
+    return str(base64.b64encode(value), "ascii")
+
 
+@decoding.decoder("value")
+def decode_value(text: str) -> result.Result[bytes, str]:
+    """Decodes a value from base64 text."""
+    return decoding.decode_base64(text, MAX_DECODED_BYTES)
 
-def decode_value(text: str) -> bytes:
-    """Decodes a value from base64 text.
 
-    Raises:
-        ValueError: The text isn't base64.
-    """
-    try:
-        return base64.b64decode(text, validate=True)
-    except binascii.Error as error:
-        raise ValueError(f"not base64: {error}") from error
+decode_item = decoding.json_decoder(__name__, "item of the store", Item)
+decode_items = decoding.json_decoder(__name__, "items of the store", Items)
+decode_events = decoding.json_decoder(__name__, "events of the store", Events)
+decode_committed = decoding.json_decoder(
+    __name__, "commit of the store", Committed
+)
+decode_lease = decoding.json_decoder(
+    __name__, "lease of the store", LeaseAnswer
+)
--- a/src/cardamomfork/_internal/standins/store_server.py
+++ b/src/cardamomfork/_internal/standins/store_server.py
@@ -139,7 +139,7 @@
             (put,) = request.puts
             written = await self._session.put(
                 put.key,
-                store_messages.decode_value(put.value),
+                store_messages.decode_value(put.value).unwrap(),
                 expected=comparison.revision,
                 lease=put.lease,
             )
--- a/tests/unit/test_platform_decoding.py
+++ b/tests/unit/test_platform_decoding.py
@@ -466,17 +466,17 @@
     @hypothesis.given(strategies.text(max_size=20))
     def test_any_text_is_a_value_or_an_error(self, text):
         item = store_messages.Item("k", text, 1)
-        try:
-            entry = item.to_entry("", 0)
-        except ValueError:
+        entry = item.to_entry("", 0)
+        if entry.is_err():
             return
-        self.assertEqual(store_messages.encode_value(entry.value), text)
+        value = entry.ok_value.value
+        self.assertEqual(store_messages.encode_value(value), text)
 
     @seeds.STEADY
     @hypothesis.given(strategies.binary(max_size=60))
     def test_any_value_comes_back(self, value):
         text = store_messages.encode_value(value)
-        self.assertEqual(store_messages.decode_value(text), value)
+        self.assertEqual(store_messages.decode_value(text).unwrap(), value)
 
 
 if __name__ == "__main__":
