Apply the store's entries one by one

What operators could see: an unexpected error for one entry ended the scan or the poll that it came with, and so the process. Each scan of 20,000 malformed entries wrote 20,000 lines again.

Cause: handlers applied whole batches, and nothing stood between an entry and the task group of the process. Each malformed entry was logged whenever it was read.

A follower goes on after an error of its handler. Removals of targets that were not known are not logged as gone.

--- a/src/cardamomfork/_internal/gateway/state/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/state/fleet_state.py
@@ -18,9 +18,11 @@
 from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import routes
+from cardamomfork._internal.gateway.store import entry_faults
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Iterable
 
     from cardamomfork._internal.contracts import platform_format
@@ -87,6 +89,7 @@
         self._configured = anyio.Event()
         self._applied_at = 0.0
         self._has_targets = False
+        self._faults = entry_faults.EntryFaults("malformed target entry", clock)
         self._store_lost_at: float | None = None
         self._store_regained_at = -SCAN_LAPSE_WINDOW_S
         self._restored_revision = 0
@@ -101,6 +104,11 @@
         """
         return self._routes if self._evacuations.is_known else None
 
+    @property
+    def services(self) -> Collection[str]:
+        """Names of the services of the configuration in force."""
+        return self._routes.configuration.services if self._routes else ()
+
     @property
     def stored(self) -> StoredConfiguration | None:
         """The configuration in force in encoded form, or None.
@@ -214,12 +222,15 @@
 
     def apply_target(self, entry: store.Entry) -> None:
         """Applies a change of one target's entry."""
-        self._apply_target(entry, may_return=self.may_have_lapsed())
+        with self._faults.contained(entry.key, entry.version):
+            self._apply_target(entry, may_return=self.may_have_lapsed())
 
     def apply_relayed_target(self, change: change_relay.Change) -> None:
         """Applies a change of one target's entry that a peer has received."""
         self._relayed_at = self._clock()
-        self._apply_target(change.to_entry(), may_return=change.may_return)
+        entry = change.to_entry()
+        with self._faults.contained(entry.key, entry.version):
+            self._apply_target(entry, may_return=change.may_return)
 
     def may_have_lapsed(self, *, in_scan: bool = False) -> bool:
         """Returns whether an entry that is gone may have lapsed in an outage.
@@ -245,11 +256,7 @@
             return
         decoded = self._wire.decode_target(entry.key, entry.value)
         if isinstance(decoded, result.Err):
-            logger.warning(
-                "malformed target entry",
-                target_id=target_id,
-                reason=decoded.err_value,
-            )
+            self._faults.record(entry.key, entry.version, decoded.err_value)
             self._remove_target(target_id, may_return=may_return)
             return
         is_new = self._table.put(decoded.ok_value)
@@ -263,24 +270,32 @@
             revision=entry.version,
         )
 
+    @property
+    def dropped_entries(self) -> int:
+        """Number of targets' entries dropped so far, with those of scans."""
+        return self._faults.dropped
+
+    def summarize_faults(self) -> None:
+        """Logs how many malformed entries were not logged one by one."""
+        self._faults.summarize()
+
     def replace_targets(self, entries: Iterable[store.Entry]) -> None:
         """Replaces all targets by those of a full scan."""
         records = []
         revisions = []
         rewritten = set()
         for entry in entries:
-            decoded = self._wire.decode_target(entry.key, entry.value)
-            if isinstance(decoded, result.Err):
-                logger.warning(
-                    "malformed target entry",
-                    target_id=self._wire.target_id(entry.key),
-                    reason=decoded.err_value,
-                )
-                continue
-            records.append(decoded.ok_value)
-            revisions.append(entry.version)
-            if entry.version > self._restored_revision:
-                rewritten.add(decoded.ok_value.target_id)
+            with self._faults.contained(entry.key, entry.version):
+                decoded = self._wire.decode_target(entry.key, entry.value)
+                if isinstance(decoded, result.Err):
+                    self._faults.record(
+                        entry.key, entry.version, decoded.err_value
+                    )
+                    continue
+                records.append(decoded.ok_value)
+                revisions.append(entry.version)
+                if entry.version > self._restored_revision:
+                    rewritten.add(decoded.ok_value.target_id)
         self._table.replace_all(
             records,
             self._clock(),
@@ -288,7 +303,9 @@
             rewritten=rewritten,
         )
         for record, revision in zip(records, revisions, strict=True):
-            self._record_cold(record, revision)
+            with self._faults.contained(record.target_id, revision):
+                self._record_cold(record, revision)
+        self._faults.summarize()
         self._has_targets = True
         logger.info("targets read", count=len(records))
 
@@ -348,12 +365,14 @@
 
     def _remove_target(self, target_id: str, *, may_return: bool) -> None:
         """Removes the target of a deleted or malformed entry."""
+        was_known = self._table.find(target_id) is not None
         self._table.remove(target_id, self._clock(), may_return=may_return)
-        logger.info(
-            "target gone",
-            target_id=target_id,
-            reason="entry lapsed" if may_return else "entry removed",
-        )
+        if was_known:
+            logger.info(
+                "target gone",
+                target_id=target_id,
+                reason="entry lapsed" if may_return else "entry removed",
+            )
 
     def _had_recent_outage(self, within_s: float) -> bool:
         """Returns whether the store is down or recovered only recently."""
--- a/src/cardamomfork/_internal/gateway/state/store_handlers.py
+++ b/src/cardamomfork/_internal/gateway/state/store_handlers.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from loguru import logger
 import result
 
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway.state import evacuations
+from cardamomfork._internal.gateway.store import entry_faults
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,8 +18,6 @@
     from cardamomfork._internal.gateway.state import fleet_state
     from cardamomfork._internal.gateway.store import change_relay
 
-MAX_LOGGED_KEY_LENGTH = 120
-
 
 class ConfigurationHandler:
     """Applies the operators' configuration and orders from the store."""
@@ -43,6 +41,10 @@
         self._on_applied = on_applied
         self._wire = wire
         self._evacuations = orders or evacuations.Evacuations()
+        self._order_faults = entry_faults.EntryFaults(
+            "malformed order to evacuate"
+        )
+        self._faults = entry_faults.EntryFaults("configuration not applied")
 
     def store_restored(self, revision: int) -> None:
         """Does nothing, since versions decide which configuration is newer."""
@@ -69,13 +71,15 @@
         """Applies the configurations among some entries."""
         for entry in entries:
             if (
-                entry.key == self._wire.configuration_key
-                and entry.version != store.ABSENT
-                and self._state.apply_configuration(
-                    entry.value, entry.version, "store"
-                )
+                entry.key != self._wire.configuration_key
+                or entry.version == store.ABSENT
             ):
-                self._on_applied()
+                continue
+            with self._faults.contained(entry.key, entry.version):
+                if self._state.apply_configuration(
+                    entry.value, entry.version, "store"
+                ):
+                    self._on_applied()
 
     def _decode_orders(
         self, entries: Iterable[store.Entry]
@@ -85,15 +89,14 @@
         for entry in entries:
             decoded = self._wire.decode_evacuation(entry.key)
             if isinstance(decoded, result.Err):
-                logger.warning(
-                    "malformed order to evacuate",
-                    name=entry.key[:MAX_LOGGED_KEY_LENGTH],
-                    reason=decoded.err_value,
+                self._order_faults.record(
+                    entry.key, entry.version, decoded.err_value
                 )
             elif decoded is not None:
                 orders.append(
                     evacuations.Change(decoded.ok_value, entry.version)
                 )
+        self._order_faults.summarize()
         return orders
 
 
@@ -125,7 +128,8 @@
         """Applies changes of entries."""
         for entry in batch.entries:
             self._state.apply_target(entry)
-            self._on_change()
+        self._state.summarize_faults()
+        self._on_change()
 
     def apply_relayed_change(self, change: change_relay.Change) -> None:
         """Applies a change that a peer has received."""
--- a/src/cardamomfork/_internal/gateway/state/target_table.py
+++ b/src/cardamomfork/_internal/gateway/state/target_table.py
@@ -12,6 +12,7 @@
 
 from cardamomfork._internal import bounded_tables
 from cardamomfork._internal.gateway.state import evacuations
+from cardamomfork._internal.gateway.store import entry_faults
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -197,6 +198,7 @@
         # Whether the process was leaving, by target id and start.
         self._ended: OrderedDict[tuple[str, int], bool] = OrderedDict()
         self._doubtful: dict[str, fleet.TargetRecord] = {}
+        self._faults = entry_faults.EntryFaults("target not recorded")
         self._doubt_until = 0.0
         # Ends of rests, by target id and start: an entry that lapses and
         # returns ends none.
@@ -374,10 +376,11 @@
         listed = set()
         for record in records:
             listed.add(_process_key(record))
-            if record.target_id in rewritten:
-                self.put(record)
-            else:
-                self._put_scanned(record, now)
+            with self._faults.contained(record.target_id, 0):
+                if record.target_id in rewritten:
+                    self.put(record)
+                else:
+                    self._put_scanned(record, now)
         for target_id, target in list(self._targets.items()):
             if _process_key(target.record) not in listed:
                 self.remove(target_id, now, may_return=may_return)
--- a/src/cardamomfork/_internal/gateway/store/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -23,6 +23,7 @@
 import result
 
 from cardamomfork._internal.contracts import store
+from cardamomfork._internal.gateway.store import entry_faults
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -170,6 +171,7 @@
         self._relayed = relayed
         self._gets_changes_itself = False
         self._missed_update = anyio.Event()
+        self._faults = entry_faults.EntryFaults("store entries not applied")
 
     @property
     def last_change_revision(self) -> int:
@@ -217,7 +219,8 @@
             return False
         for change in update.changes:
             if change.revision > self._revision:
-                self._relayed.handler.apply_relayed_change(change)
+                with self._faults.contained(change.key, change.revision):
+                    self._relayed.handler.apply_relayed_change(change)
                 self._last_change_revision = max(
                     self._last_change_revision, change.revision
                 )
@@ -237,6 +240,7 @@
         The backoff starts anew with the first scan after an outage, but not
         while scans succeed and polls are refused.
         """
+        prefix = self._subscription.prefix
         backoff_s = MIN_BACKOFF_S
         has_polled = True
         while True:
@@ -257,13 +261,18 @@
                 entries = scanned.ok_value.entries
                 is_restored = self._is_restored(scanned.ok_value.revision)
                 if is_restored:
-                    self._handler.store_restored(scanned.ok_value.revision)
+                    with self._faults.contained(
+                        prefix, scanned.ok_value.revision
+                    ):
+                        self._handler.store_restored(scanned.ok_value.revision)
                 is_first = not self._revision
                 self._revision = scanned.ok_value.revision
                 self._record_last_change(entries)
-                self._handler.apply_snapshot(scanned.ok_value)
+                with self._faults.contained(prefix, self._revision):
+                    self._handler.apply_snapshot(scanned.ok_value)
                 if self._relayed is not None:
-                    self._relayed.relay.record_scan(entries, self._revision)
+                    with self._faults.contained(prefix, self._revision):
+                        self._relayed.relay.record_scan(entries, self._revision)
                     if is_restored:
                         # A datagram may be lost, and peers that don't poll
                         # have to register again.
@@ -327,7 +336,10 @@
             self._revision = polled.ok_value.revision
             if entries:
                 self._record_last_change(entries)
-                self._handler.apply_changes(polled.ok_value)
+                with self._faults.contained(
+                    self._subscription.prefix, self._revision
+                ):
+                    self._handler.apply_changes(polled.ok_value)
                 await self._pause_after_changes(entries)
 
     async def _pause_after_changes(
@@ -343,7 +355,8 @@
             return
         # A poller that applied a peer's update here would not pass it on.
         self._gets_changes_itself = self._must_poll()
-        self._relayed.relay.record_changes(entries, self._revision)
+        with self._faults.contained(self._subscription.prefix, self._revision):
+            self._relayed.relay.record_changes(entries, self._revision)
         await self._sleep_unless_restored(delay_s / 3)
         self._relayed.relay.resend()
         await self._sleep_unless_restored(delay_s - delay_s / 3)
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -268,6 +268,9 @@
         "cold_permits_issued": lambda: peers.cold_permits.issued,
         "cold_permits_refused": lambda: peers.cold_permits.refused,
         "crash_suspects": lambda: known.poison_guard.suspect_count,
+        "dropped_entries": lambda: (
+            known.fleet_state.dropped_entries + known.peer_table.dropped_entries
+        ),
         "isolated": lambda: int(targets.access.reach.is_isolated),
         "unreachable_data_centres": lambda: len(
             targets.access.data_centres.unreachable(known.clock())
