Hold few large values of the store's entries

What operators could see: 300 entries of 900 kB under the targets' prefix raised an entry process to 363 to 365 MB, above its limit of 300 MB, after which the platform kills it.

Cause: a scan holds all entries of its prefix with their values, of any size, though a sound entry of a target has some hundred bytes.

Change: a value beyond the size of any sound one under its prefix is dropped as its page is read, which leaves a malformed entry; a scan that holds 48 MB keeps only values up to 2 KiB of further pages.

--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 import urllib.parse
 
+import attrs
 import msgspec
 import result
 
@@ -31,6 +32,11 @@
 MAX_LEASES = 1024
 """Leases of one client whose era is kept."""
 
+MAX_SCAN_BYTES = 48_000_000
+"""Values that a scan holds; further ones only up to `MAX_SMALL_VALUE_BYTES`."""
+MAX_SMALL_VALUE_BYTES = 2048
+"""A sound entry of a target or an instance has some hundred bytes."""
+
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -94,6 +100,7 @@
         A watch can start from the returned revision without missing changes.
         """
         entries: list[store.Entry] = []
+        held_bytes = 0
         revision = 0
         after = ""
         era: int | None = None
@@ -124,7 +131,12 @@
             found = self._to_entries(page.ok_value.items, prefix, era)
             if isinstance(found, result.Err):
                 return found
-            entries += found.ok_value
+            held_bytes += sum(len(entry.value) for entry in found.ok_value)
+            entries += (
+                found.ok_value
+                if held_bytes <= MAX_SCAN_BYTES
+                else map(_without_large_value, found.ok_value)
+            )
             # Later pages may be newer. A watch from the first page's
             # revision misses no change.
             revision = revision or store.join_era(
@@ -401,6 +413,13 @@
         return result.Ok(entries)
 
 
+def _without_large_value(entry: store.Entry) -> store.Entry:
+    """Drops the value of an entry unless it is small."""
+    if len(entry.value) <= MAX_SMALL_VALUE_BYTES:
+        return entry
+    return attrs.evolve(entry, value=b"")
+
+
 def _fault_result(
     kind: store.StoreFaultKind, key: str, detail: str = ""
 ) -> result.Err[store.StoreFault]:
--- a/src/cardamomfork/_internal/platform/store_messages.py
+++ b/src/cardamomfork/_internal/platform/store_messages.py
@@ -12,6 +12,14 @@
 from cardamomfork._internal.contracts import store
 
 MAX_DECODED_BYTES = 64 * 1024 * 1024
+MAX_BYTES_BY_PREFIX = {
+    "servers/": 16_384,
+    "instances/": 16_384,
+    "crashes/": 262_144,
+    "peering/": 4096,
+}
+"""Sizes that no sound value under a prefix exceeds. A scan holds all values
+under its prefix, and others may write any number of them there."""
 MAX_LEASE = 2**63 - 1
 MAX_TTL_MS = 24 * 3600 * 1000
 
@@ -34,6 +42,9 @@
     ) -> result.Result[store.Entry, str]:
         """Converts the item to an entry; a removed key has version `ABSENT`.
 
+        The value of an oversized entry is dropped, which leaves a malformed
+        one.
+
         Args:
             prefix: Common key prefix to strip.
             era: Era of the store in which it was read.
@@ -45,6 +56,8 @@
         if self.removed:
             return result.Ok(store.Entry(key, b"", store.ABSENT))
         version = store.join_era(era, self.revision)
+        if decoding.base64_bytes(self.value) > _max_bytes(key):
+            return result.Ok(store.Entry(key, b"", version, self.lease))
         return decode_value(self.value).map(
             lambda value: store.Entry(key, value, version, self.lease)
         )
@@ -107,6 +120,12 @@
     lease: _Lease = 0
 
 
+def _max_bytes(key: str) -> int:
+    """Returns the size that a sound value of a key does not exceed."""
+    prefix, separator, _ = key.partition("/")
+    return MAX_BYTES_BY_PREFIX.get(prefix + separator, MAX_DECODED_BYTES)
+
+
 def encode_value(value: bytes) -> str:
     """Encodes a value as base64 text."""
     return str(base64.b64encode(value), "ascii")
