Contain errors of single peers and datagrams

Cause: sendto raises for some addresses, in the task that sends heartbeats to all peers, and a datagram whose application fails unexpectedly was left to the event loop. The table of peers had no bound.

Change: each datagram is sent and applied on its own, and an error is logged as for entries of the store. The table of peers has at most 2,048.

Evidence: the new tests of test_foreign_batches; a digest with an address that can't be sent to is dropped, and a peer whose address raises leaves the others.

--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -153,6 +153,7 @@
         self._digest_timer: asyncio.Handle | None = None
         self._digest_due_at = 0.0
         self._send_faults = entry_faults.EntryFaults("datagram not sent")
+        self._receive_faults = entry_faults.EntryFaults("datagram not applied")
 
     async def run(self) -> None:
         """Opens the socket and sends heartbeats until cancelled."""
@@ -266,14 +267,15 @@
         addr: tuple[str, int],
     ) -> None:
         """Processes a digest, an update, or a message about a permit."""
-        if data.startswith(permit_codec.REQUEST):
-            self._permits.receive_request(data, addr)
-        elif data.startswith(permit_codec.DECISION):
-            self._permits.receive_answer(data)
-        elif data.startswith(change_codec.UPDATE):
-            self._receive_update(data, addr)
-        else:
-            self._receive_digest(data, addr)
+        with self._receive_faults.contained(addr[0], addr[1]):
+            if data.startswith(permit_codec.REQUEST):
+                self._permits.receive_request(data, addr)
+            elif data.startswith(permit_codec.DECISION):
+                self._permits.receive_answer(data)
+            elif data.startswith(change_codec.UPDATE):
+                self._receive_update(data, addr)
+            else:
+                self._receive_digest(data, addr)
 
     def _receive_update(self, data: bytes, addr: tuple[str, int]) -> None:
         """Applies changes of targets' entries that a peer has received."""
--- a/src/cardamomfork/_internal/gateway/peers/peer_table.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_table.py
@@ -25,6 +25,8 @@
 FORGET_PEER_AFTER_S = 90.0
 """Time for which a peer that is gone still gets heartbeats, since it may be
 behind a network partition that ends."""
+MAX_PEERS = 2048
+"""Bound of the table; peers that are not heard are forgotten after a time."""
 FIRST_DIGEST_TIMEOUT_S = 20.0
 """Time that a peer known only from its store entry has to send a digest."""
 MIN_FLEET_WITH_RELAYED_CHANGES = 13
@@ -317,9 +319,11 @@
                     self._faults.record(
                         entry.key, entry.version, decoded.err_value
                     )
-                elif not self._is_of_family(decoded.ok_value):
+                elif not self._may_record(decoded.ok_value):
                     self._faults.record(
-                        entry.key, entry.version, "other address family"
+                        entry.key,
+                        entry.version,
+                        "other address family, or too many peers",
                     )
                 elif (
                     decoded.ok_value.instance_id != self._local_peer.instance_id
@@ -327,9 +331,14 @@
                     self.upsert(decoded.ok_value)
         self._faults.summarize()
 
-    def _is_of_family(self, peer: digest_codec.Peer) -> bool:
-        """Returns whether datagrams can be sent to a peer's address."""
-        return self._ip_version in (None, addresses.ip_version(peer.host))
+    def _may_record(self, peer: digest_codec.Peer) -> bool:
+        """Returns whether a peer's address can be sent to, and it has room."""
+        return self._ip_version in (
+            None,
+            addresses.ip_version(peer.host),
+        ) and (
+            peer.instance_id in self._records or len(self._records) < MAX_PEERS
+        )
 
     def record_digest(self, digest: digest_codec.Digest) -> bool:
         """Records a digest.
@@ -337,7 +346,7 @@
         Returns:
             Whether the digest is newer than all earlier ones of its sender.
         """
-        if not self._is_of_family(digest.sender):
+        if not self._may_record(digest.sender):
             return False
         record = self.upsert(digest.sender)
         now = self._clock()
--- a/tests/unit/test_foreign_batches.py
+++ b/tests/unit/test_foreign_batches.py
@@ -1,5 +1,6 @@
 """Tests that one entry does not keep the others from being applied."""
 
+import asyncio
 import random
 import time
 import unittest
@@ -19,6 +20,7 @@
 from cardamomfork._internal.gateway.store import follower
 from cardamomfork._internal.platform import wire_format
 from tests.lib import gateway_parts
+from tests.unit import test_gateway_data_centre_wiring
 from tests.unit import test_gateway_fleet_state
 from tests.unit import test_gateway_following
 
@@ -90,6 +92,19 @@
         )
         self.assertEqual([one.instance_id for one in peers.peers], ["ok"])
 
+    def test_very_many_registrations_leave_the_table_of_peers_bounded(self):
+        local = digest_codec.Peer("one", "a", "127.0.0.1", 7000)
+        peers = peer_table.PeerTable(local, self.clock)
+        text = (
+            b'{"instance_id":"%d","data_centre":"a",'
+            b'"host":"127.0.0.1","port":9}'
+        )
+        peers.add_entries(
+            store.Entry(f"instances/{number}", text % number, 5)
+            for number in range(5000)
+        )
+        self.assertEqual(len(peers.peers), peer_table.MAX_PEERS)
+
     def test_very_many_malformed_entries_log_few_lines(self):
         handler = self.make_handler(wire_format.WireFormat())
         entries = tuple(
@@ -115,6 +130,40 @@
         self.assertEqual(len(found), 2)
 
 
+class DatagramTest(unittest.IsolatedAsyncioTestCase):
+    async def test_digest_with_an_address_that_cannot_be_sent_to_is_dropped(
+        self,
+    ):
+        process = test_gateway_data_centre_wiring.Process(["b"])
+        for host in ("node..localhost", "", "::1", "a" * 300, "1.2.3.4%x"):
+            process.receive(digest_codec.Peer("odd", "b", host, 7000))
+        process.receive(digest_codec.Peer("odd", "b", "127.0.0.1", 0))
+        self.assertEqual(process.known.peer_table.count, 2)
+        process.receive(digest_codec.Peer("ok", "b", "127.0.0.1", 7000))
+        self.assertEqual(process.known.peer_table.count, 3)
+
+    async def test_address_that_cannot_be_sent_to_leaves_the_other_peers(self):
+        process = test_gateway_data_centre_wiring.Process(["b", "b", "b"])
+        transport = mock.create_autospec(
+            asyncio.DatagramTransport, instance=True
+        )
+        transport.is_closing.return_value = False
+        transport.sendto.side_effect = (UnicodeError("label too long"), 0, 0)
+        links = process.requests.peers.links
+        links.connection_made(transport)
+        links.send()
+        self.assertEqual(transport.sendto.call_count, 3)
+
+    async def test_unexpected_error_leaves_later_datagrams(self):
+        process = test_gateway_data_centre_wiring.Process(["b"])
+        with mock.patch.object(
+            process.known.peer_table, "record_digest", side_effect=RuntimeError
+        ):
+            process.receive(process.peers[0])
+        process.receive(process.peers[0])
+        self.assertEqual(len(process.known.peer_table.active_within(1.0)), 1)
+
+
 class FailingHandler(test_gateway_following.RecordingHandler):
     """Fails with one key."""
 
