Count any failure to open a connection as unreachable

Cause: the resolution of a name with an empty or long label raises UnicodeError, and a port out of range OverflowError, where only OSError and TimeoutError were expected. Targets of services that no configuration names were probed as well.

Change: any failure to open counts as unreachable. Only targets of services of the configuration in force are probed, for the links of this instance and for those to another data centre.

--- a/src/cardamomfork/_internal/gateway/connections/data_centre_probing.py
+++ b/src/cardamomfork/_internal/gateway/connections/data_centre_probing.py
@@ -32,6 +32,7 @@
         count_known_instances: Callable[[], int],
         clock: Callable[[], float],
         rng: random.Random,
+        is_configured: Callable[[str], bool] = lambda _: True,
     ) -> None:
         """Initializes the prober.
 
@@ -45,6 +46,7 @@
                 that have fallen silent.
             clock: Monotonic time.
             rng: Random generator that selects targets to probe.
+            is_configured: Returns whether the configuration names a service.
         """
         self._reach = reach
         self._table = table
@@ -53,6 +55,7 @@
         self._count_known_instances = count_known_instances
         self._clock = clock
         self._rng = rng
+        self._is_configured = is_configured
         self._is_probing = False
 
     async def run(self) -> None:
@@ -102,6 +105,7 @@
             target
             for target in self._table.list_all()
             if target.record.data_centre == data_centre
+            and self._is_configured(target.record.service)
         ]
         failed = self._reach.failed_targets(data_centre, now)
         preferred = [
--- a/src/cardamomfork/_internal/gateway/connections/target_pool.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_pool.py
@@ -9,6 +9,7 @@
 import anyio
 import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.gateway.connections import outcomes
 from cardamomfork._internal.gateway.connections import target_connection
 
@@ -140,9 +141,12 @@
         except TimeoutError:
             report_timeout()
             return _unreachable("connecting timed out")
-        except OSError as error:
+        except Exception as error:  # noqa: BLE001
+            # Not only OSError: the resolution of a name raises UnicodeError.
             report_error()
-            return _unreachable(f"connecting failed: {error!r}")
+            return _unreachable(
+                f"connecting failed: {decoding.describe(error)}"
+            )
         finally:
             slow_timer.cancel()
         self._opened += 1
--- a/src/cardamomfork/_internal/gateway/paths/target_access.py
+++ b/src/cardamomfork/_internal/gateway/paths/target_access.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Container
     import random
 
     from cardamomfork._internal.contracts import platform_format
@@ -35,6 +36,7 @@
         rng: random.Random,
         on_reach_change: Callable[[], None],
         data_centres: data_centre_reach.DataCentreReach,
+        list_services: Callable[[], Container[str]],
     ) -> None:
         """Initializes the access without connections.
 
@@ -48,8 +50,10 @@
             on_reach_change: Called after this instance was cut off from all
                 targets, or reaches some again.
             data_centres: Decides which data centres are reached.
+            list_services: Returns the services of the configuration in force.
         """
         self._targets = targets
+        self._list_services = list_services
         self._clock = clock
         self._on_reach_change = on_reach_change
         self._data_centres = data_centres
@@ -71,6 +75,7 @@
             lambda: peers.known_count,
             clock,
             rng,
+            lambda service: service in list_services(),
         )
         self._secret = fleet_secret.FleetSecret()
         self._client = peer_forwarding_client.PeerForwardingClient(
@@ -130,13 +135,16 @@
         """Returns the targets that show whether links work.
 
         Those that failed lately may have ended, so they count only if there
-        are no others. Those in evacuated data centres are not connected to.
+        are no others. Those in evacuated data centres and of services that
+        the configuration does not name are not connected to.
         """
         now = self._clock()
+        services = self._list_services()
         targets = [
             one
             for one in self._targets.list_all()
-            if not self._targets.is_evacuated(one.record)
+            if one.record.service in services
+            and not self._targets.is_evacuated(one.record)
         ]
         usable = [one.record for one in targets if one.is_usable(now)]
         return usable or [one.record for one in targets]
--- a/src/cardamomfork/_internal/gateway/wiring/target_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/target_side.py
@@ -56,6 +56,7 @@
             peer_table.MIN_FLEET_WITH_RELAYED_CHANGES,
             notify.data_centre_changed,
         ),
+        lambda: known.fleet_state.services,
     )
     detector = crash_detector.CrashDetector(
         known.poison_guard,
