--- a/src/cardamomfork/_internal/gateway/connections/data_centre_probing.py
+++ b/src/cardamomfork/_internal/gateway/connections/data_centre_probing.py
@@ -36,6 +36,7 @@
         clock: Callable[[], float],
         rng: random.Random,
         supervisor: supervision.Supervisor | None = None,
+        is_configured: Callable[[str], bool] = lambda _: True,
     ) -> None:
         """Initializes the prober.
 
@@ -50,6 +51,7 @@
             clock: Monotonic time.
             rng: Random generator that selects targets to probe.
             supervisor: Counts probes that fail; None for one of its own.
+            is_configured: Returns whether the configuration names a service.
         """
         self._reach = reach
         self._table = table
@@ -59,6 +61,7 @@
         self._clock = clock
         self._rng = rng
         self._supervisor = supervisor or supervision.Supervisor()
+        self._is_configured = is_configured
         self._is_probing = False
 
     async def run(self) -> None:
@@ -118,6 +121,7 @@
             target
             for target in self._table.list_all()
             if target.record.data_centre == data_centre
+            and self._is_configured(target.record.service)
         ]
         failed = self._reach.failed_targets(data_centre, now)
         preferred = [
--- a/src/cardamomfork/_internal/gateway/paths/target_access.py
+++ b/src/cardamomfork/_internal/gateway/paths/target_access.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Container
     import random
 
     from cardamomfork._internal import supervision
@@ -37,6 +38,7 @@
         on_reach_change: Callable[[], None],
         data_centres: data_centre_reach.DataCentreReach,
         supervisor: supervision.Supervisor,
+        list_services: Callable[[], Container[str]],
     ) -> None:
         """Initializes the access without connections.
 
@@ -51,8 +53,10 @@
                 targets, or reaches some again.
             data_centres: Decides which data centres are reached.
             supervisor: Counts probes that fail.
+            list_services: Returns the services of the configuration in force.
         """
         self._targets = targets
+        self._list_services = list_services
         self._clock = clock
         self._on_reach_change = on_reach_change
         self._data_centres = data_centres
@@ -76,6 +80,7 @@
             clock,
             rng,
             supervisor,
+            lambda service: service in list_services(),
         )
         self._secret = fleet_secret.FleetSecret()
         self._client = peer_forwarding_client.PeerForwardingClient(
@@ -135,13 +140,16 @@
         """Returns the targets that show whether links work.
 
         Those that failed lately may have ended, so they count only if there
-        are no others. Those in evacuated data centres are not connected to.
+        are no others. Those in evacuated data centres and of services that
+        the configuration does not name are not connected to.
         """
         now = self._clock()
+        services = self._list_services()
         targets = [
             one
             for one in self._targets.list_all()
-            if not self._targets.is_evacuated(one.record)
+            if one.record.service in services
+            and not self._targets.is_evacuated(one.record)
         ]
         usable = [one.record for one in targets if one.is_usable(now)]
         return usable or [one.record for one in targets]
--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -25,6 +25,7 @@
 from cardamomfork._internal.gateway.peers import digest_recipients
 from cardamomfork._internal.gateway.peers import permit_codec
 from cardamomfork._internal.gateway.state import peer_queues
+from cardamomfork._internal.gateway.store import entry_faults
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -158,6 +159,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._digest_timer: asyncio.Handle | None = None
         self._digest_due_at = 0.0
+        self._send_faults = entry_faults.EntryFaults("datagram not sent")
+        self._receive_faults = entry_faults.EntryFaults("datagram not applied")
 
     async def run(self) -> None:
         """Opens the socket and sends heartbeats until cancelled.
@@ -273,7 +276,8 @@
     def send_datagram(self, data: bytes, address: tuple[str, int]) -> None:
         """Sends a datagram that is no digest to the address of a peer."""
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(data, address)
+            with self._send_faults.contained(*address):
+                self._transport.sendto(data, address)
 
     def send_updates(self, updates: tuple[change_relay.Update, ...]) -> None:
         """Sends changes of targets' entries to the peers that read them."""
@@ -296,14 +300,15 @@
         addr: tuple[str, int],
     ) -> None:
         """Processes a digest, an update, or a message about a permit."""
-        if data.startswith(permit_codec.REQUEST):
-            self._permits.receive_request(data, addr)
-        elif data.startswith(permit_codec.DECISION):
-            self._permits.receive_answer(data)
-        elif data.startswith(change_codec.UPDATE):
-            self._receive_update(data, addr)
-        else:
-            self._receive_digest(data, addr)
+        with self._receive_faults.contained(addr[0], addr[1]):
+            if data.startswith(permit_codec.REQUEST):
+                self._permits.receive_request(data, addr)
+            elif data.startswith(permit_codec.DECISION):
+                self._permits.receive_answer(data)
+            elif data.startswith(change_codec.UPDATE):
+                self._receive_update(data, addr)
+            else:
+                self._receive_digest(data, addr)
 
     def _receive_update(self, data: bytes, addr: tuple[str, int]) -> None:
         """Applies changes of targets' entries that a peer has received."""
@@ -326,7 +331,11 @@
         """Processes a digest, and forwards it if this instance is a relay."""
         now = self._clock()
         digest_bytes = data[1:]
-        decoded = digest_codec.decode(digest_bytes, now)
+        decoded = digest_codec.decode(digest_bytes, now).and_then(
+            lambda digest: digest_codec.check_peer(digest.sender).map(
+                lambda _: digest
+            )
+        )
         if isinstance(decoded, result.Err):
             logger.warning(
                 "datagram dropped", peer=addr[0], reason=decoded.err_value
@@ -438,7 +447,6 @@
         if self._transport is None or self._transport.is_closing():
             return
         for peer in recipients:
-            try:
+            # One address must not keep datagrams from the other peers.
+            with self._send_faults.contained(peer.instance_id, peer.port):
                 self._transport.sendto(data, (peer.host, peer.port))
-            except Exception as error:  # noqa: BLE001  # The others get theirs.
-                self._supervisor.record_failure(TASK, error)
--- a/src/cardamomfork/_internal/gateway/peers/peer_table.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_table.py
@@ -7,10 +7,12 @@
 
 import attrs
 from loguru import logger
-import msgspec
+import result
 import xxhash
 
+from cardamomfork._internal import addresses
 from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.store import entry_faults
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,6 +25,8 @@
 FORGET_PEER_AFTER_S = 90.0
 """Time for which a peer that is gone still gets heartbeats, since it may be
 behind a network partition that ends."""
+MAX_PEERS = 2048
+"""Bound of the table; peers that are not heard are forgotten after a time."""
 FIRST_DIGEST_TIMEOUT_S = 20.0
 """Time that a peer known only from its store entry has to send a digest."""
 MIN_FLEET_WITH_RELAYED_CHANGES = 13
@@ -115,6 +119,8 @@
         self._clock = clock
         self._local_rank = _rank(local_peer.instance_id)
         self._records: dict[str, _PeerRecord] = {}
+        self._ip_version = addresses.ip_version(local_peer.host)
+        self._faults = entry_faults.EntryFaults("malformed peer entry")
 
     @property
     def peers(self) -> list[digest_codec.Peer]:
@@ -126,6 +132,11 @@
             if now <= record.gone_at
         ]
 
+    @property
+    def dropped_entries(self) -> int:
+        """Number of peers' entries dropped so far, with those of scans."""
+        return self._faults.dropped
+
     @property
     def silent_peers(self) -> list[digest_codec.Peer]:
         """Peers that count as gone but have not been forgotten."""
@@ -302,15 +313,32 @@
     def add_entries(self, entries: Iterable[store.Entry]) -> None:
         """Adds the peers registered in the store."""
         for entry in entries:
-            try:
-                peer = msgspec.json.decode(entry.value, type=digest_codec.Peer)
-            except msgspec.DecodeError as error:
-                logger.warning(
-                    "malformed peer entry", name=entry.key, reason=str(error)
-                )
-                continue
-            if peer.instance_id != self._local_peer.instance_id:
-                self.upsert(peer)
+            with self._faults.contained(entry.key, entry.version):
+                decoded = digest_codec.decode_peer(entry.value)
+                if isinstance(decoded, result.Err):
+                    self._faults.record(
+                        entry.key, entry.version, decoded.err_value
+                    )
+                elif not self._may_record(decoded.ok_value):
+                    self._faults.record(
+                        entry.key,
+                        entry.version,
+                        "other address family, or too many peers",
+                    )
+                elif (
+                    decoded.ok_value.instance_id != self._local_peer.instance_id
+                ):
+                    self.upsert(decoded.ok_value)
+        self._faults.summarize()
+
+    def _may_record(self, peer: digest_codec.Peer) -> bool:
+        """Returns whether a peer's address can be sent to, and it has room."""
+        return self._ip_version in (
+            None,
+            addresses.ip_version(peer.host),
+        ) and (
+            peer.instance_id in self._records or len(self._records) < MAX_PEERS
+        )
 
     def record_digest(self, digest: digest_codec.Digest) -> bool:
         """Records a digest.
@@ -318,6 +346,8 @@
         Returns:
             Whether the digest is newer than all earlier ones of its sender.
         """
+        if not self._may_record(digest.sender):
+            return False
         record = self.upsert(digest.sender)
         now = self._clock()
         was_silent = now > record.silent_at
--- a/src/cardamomfork/_internal/gateway/wiring/target_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/target_side.py
@@ -57,6 +57,7 @@
             notify.data_centre_changed,
         ),
         known.supervisor,
+        lambda: known.fleet_state.services,
     )
     detector = crash_detector.CrashDetector(
         known.poison_guard,
--- a/tests/functional/test_failing_tasks.py
+++ b/tests/functional/test_failing_tasks.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from cardamomfork._internal.gateway import process
+from cardamomfork._internal.gateway import signal_queue
 from cardamomfork._internal.links import event_loop
 from cardamomfork._internal.models import settings as settings_models
 from cardamomfork._internal.platform import node_settings
@@ -29,12 +30,13 @@
     """An instance whose background tasks can be made to fail at work."""
 
     def __init__(self, path, store):
-        settings = node_settings.load(path)
+        load_settings = node_settings.SettingsFile(path).load
         super().__init__(
-            settings,
+            load_settings(),
             wire_format.WireFormat(),
             store,
-            lambda: node_settings.load(path),
+            load_settings,
+            signal_queue.SignalQueue(),
         )
         self.starts = {}
         self.triggers = {}
