Let tests of broken answers ignore requests of other processes

Single cases failed in 4 runs beside other test processes, two of them on the code before the fixes: the answer that should follow a break came first, and in the one run that showed the count, the targets of a case had received 8 requests. Store clients of other processes had reconnected to a port that a scripted target of the test now had, and their requests advanced its script.

Each case now has a random request id, and its targets close connections that carry another. No check is changed.

--- a/tests/lib/broken_answers.py
+++ b/tests/lib/broken_answers.py
@@ -9,6 +9,7 @@
 import json
 import random
 import re
+import secrets
 import time
 
 import attrs
@@ -577,19 +578,25 @@
         What its caller received, and the exceptions of the instance.
     """
     steps = [breaks[case.breaks], ANSWERS[case.follows]]
+    request_id = f"r1{secrets.token_hex(8)}"
     count = 0
 
     def script(request):
         nonlocal count
+        if request.header("x-cardamomfork-request-id") != request_id:
+            # Another process on this host still knows an earlier user of the
+            # port.
+            return [Act.CLOSE]
         count += 1
         return steps[min(count, len(steps)) - 1](request)
 
-    async with serving([script, script], case) as (entry, targets):
+    async with serving([script, script], case) as (entry, _):
         received = await read_answer(
             entry.server.port,
             version=case.version,
             last_event_id=case.last_event_id,
             read_after_s=read_after_s,
+            request_id=request_id,
         )
-        received.requests = sum(len(one.requests) for one in targets)
+        received.requests = count
     return received, entry.errors
