Take a status above 599 for a malformed answer

A caller's connection ended without an answer, and the request was logged only as an exception. A target had answered with a three-digit status that is none of HTTP, such as 700; the server knows no status line for it and raised a KeyError. Over a peer, the peer raised it, and the caller received 502.

The connection to the target now reports such an answer as malformed.

Evidence: test_status_above_599_is_not_passed_on_and_raises_nothing. Before: KeyError directly and at the peer. After: 502 and no exception, both ways.

--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -43,6 +43,7 @@
 such as an answer to another request."""
 
 _FIRST_FINAL_STATUS = 200
+_LAST_STATUS = 599
 
 
 class Fault(enum.StrEnum):
@@ -282,6 +283,10 @@
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS or self._message_stream is None:
             return
+        if status > _LAST_STATUS:
+            self._is_reusable = False
+            self._finish(Failed(Fault.MALFORMED, f"status {status}"))
+            return
         head = self._decode(status, self._headers)
         self._is_discarding = bool(
             head.request_id and head.request_id != self._request_id
--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -172,6 +172,27 @@
         self.assertEqual((len(body), is_complete), (broken_answers.LONG, True))
 
 
+class InvalidStatusTest(unittest.TestCase):
+    def test_status_above_599_is_not_passed_on_and_raises_nothing(self):
+        def answer(request):
+            head = broken_answers.start(
+                request, b"content-length: 0", status=700
+            )
+            return [head]
+
+        for is_over_peer in (False, True):
+            with self.subTest(is_over_peer=is_over_peer):
+                case = broken_answers.Case(
+                    "700", "500", is_over_peer, rule=fleet.RepeatPolicy.ONCE
+                )
+                received, errors = anyio.run(
+                    broken_answers.play, case, {"700": answer}
+                )
+                self.assertEqual(errors, [])
+                status, *_, is_complete = broken_answers.decode_answer(received)
+                self.assertEqual((status, is_complete), (502, True))
+
+
 class InstanceFaultTest(unittest.TestCase):
     """The instance itself fails after the head has been sent."""
 
