--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -46,6 +46,7 @@
 
 _FIRST_FINAL_STATUS = 200
 _FIRST_FAILED_STATUS = 300
+_LAST_STATUS = 599
 
 
 class Fault(enum.StrEnum):
@@ -304,6 +305,10 @@
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS or self._message_stream is None:
             return
+        if status > _LAST_STATUS:
+            self._is_reusable = False
+            self._finish(Failed(Fault.MALFORMED, f"status {status}"))
+            return
         head = self._decode(status, self._headers)
         self._is_discarding = bool(
             head.request_id and head.request_id != self._request_id
