Contain the count of instances in the maintenance

The number of instances for the retry budget was read outside of the contained step, so a failure there restarted the maintenance each 0.25 s, and with it the interval after which the settings are read again, which then never were.

Evidence: a test in which every step fails; it ends with the exception before, and each step runs at least twice now.

--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -241,10 +241,13 @@
             call(self._known.fleet_state.expire)
             call(self._known.cold_targets.update)
             call(self._targets.access.close_idle)
-            call(
-                self._requests.retry_budget.update_instances,
-                self._known.peer_table.known_count,
-            )
+            call(self._update_retry_budget)
+
+    def _update_retry_budget(self) -> None:
+        """Applies the number of instances to the retry budget."""
+        self._requests.retry_budget.update_instances(
+            self._known.peer_table.known_count
+        )
 
     async def _handle_signals(self) -> None:
         """Stops on SIGTERM or SIGINT; reloads the settings on SIGHUP."""
--- a/tests/functional/test_failing_tasks.py
+++ b/tests/functional/test_failing_tasks.py
@@ -4,6 +4,7 @@
 import signal
 import time
 import unittest
+import unittest.mock
 
 import anyio
 import attrs
@@ -98,6 +99,36 @@
         self.assertIn("stopped", messages)
         self.assertNotIn("grace period expired", messages)
 
+    def test_failing_step_of_the_maintenance_skips_no_other(self):
+        site = small_site.Site()
+        self.addCleanup(site.release)
+        instance = FailingProcess(site.paths["entry-0"], None)
+        known = instance._known
+        steps = [
+            (known.fleet_state, "expire"),
+            (known.cold_targets, "update"),
+            (instance._targets.access, "close_idle"),
+            (instance._requests.retry_budget, "update_instances"),
+        ]
+        for owner, name in steps:
+            step = unittest.mock.Mock(side_effect=UnexpectedError)
+            setattr(owner, name, step)
+        table = unittest.mock.PropertyMock(side_effect=UnexpectedError)
+        self.enterContext(
+            unittest.mock.patch.object(
+                type(known.peer_table), "known_count", table
+            )
+        )
+
+        async def main():
+            with anyio.move_on_after(3.5 * process.MAINTENANCE_INTERVAL_S):
+                await instance._run_maintenance()
+
+        anyio.run(main)
+        for owner, name in steps[:3]:
+            self.assertGreaterEqual(getattr(owner, name).call_count, 2, name)
+        self.assertGreaterEqual(table.call_count, 2)
+
     async def is_serving(self):
         status, _ = await small_site.get(
             self.ports.readiness, small_site.READINESS_PATH
--- a/tests/lib/small_site.py
+++ b/tests/lib/small_site.py
@@ -19,6 +19,11 @@
         self._metrics_setting = metrics_setting
         super().__init__(1, instances, 0, 1)
 
+    def release(self):
+        """Removes files and frees ports of a site that was not started."""
+        self._directory.cleanup()
+        self._port_lock.close()
+
     def _make_entry(self, name, path):
         text = path.read_text()
         front = self.caller_ports[name]
