Keep an item with numbers out of range from hiding others

Numbers of an item are limited now instead; those of the answer itself, and of leases that are granted, are still faults.

--- a/src/cardamomfork/_internal/platform/store_messages.py
+++ b/src/cardamomfork/_internal/platform/store_messages.py
@@ -29,14 +29,23 @@
 
 
 class Item(msgspec.Struct, rename="camel"):
-    """A key and its value; in a watch, possibly a deleted key."""
+    """A key and its value; in a watch, possibly a deleted key.
+
+    Numbers out of range are limited rather than a fault, which would hide the
+    other items of the answer.
+    """
 
     key: str
     value: str = ""
-    revision: _Revision = 0
-    lease: _Lease = 0
+    revision: int = 0
+    lease: int = 0
     removed: bool = False
 
+    def __post_init__(self) -> None:
+        """Limits the numbers."""
+        self.revision = min(max(self.revision, 0), store.REVISIONS_PER_ERA - 1)
+        self.lease = min(max(self.lease, 0), MAX_LEASE)
+
     def to_entry(
         self, prefix: str, era: int
     ) -> result.Result[store.Entry, str]:
