--- a/src/cardamomfork/_internal/gateway/peers/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/digest_codec.py
@@ -192,13 +192,6 @@
         > MAX_REVISION
     ):
         return result.Err("malformed digest: revision out of range")
-    if any(len(job.parts) > MAX_PARTS for job in message.jobs):
-        return result.Err("malformed digest: too many parts")
-    if not all(
-        math.isfinite(limit.requestsPerS) and limit.requestsPerS >= 0
-        for limit in message.rateLimits
-    ):
-        return result.Err("malformed digest: rate")
     return result.Ok(
         Digest(
             sender,
@@ -221,16 +214,7 @@
                 )
                 for death in message.deaths
             ),
-            tuple(
-                rate_limits.RateLimitReport(
-                    limit.targetId,
-                    limit.startedAtMs,
-                    limit.requestsPerS,
-                    limit.ageMs / MS_PER_S,
-                    limit.hasEnded,
-                )
-                for limit in message.rateLimits
-            ),
+            tuple(_decode_rate_limit(limit) for limit in message.rateLimits),
             message.reachesTargets,
             message.openRequests,
             message.exchangesChanges,
@@ -340,14 +324,39 @@
     message.accountId = job.account_id
 
 
+def _decode_rate_limit(message: Any) -> rate_limits.RateLimitReport:
+    """Creates the report of a target's limit from a message.
+
+    Raises:
+        ValueError: The rate is negative or not finite.
+    """
+    rate = message.requestsPerS
+    if not 0 <= rate < math.inf:
+        raise ValueError("rate out of range")
+    return rate_limits.RateLimitReport(
+        message.targetId,
+        message.startedAtMs,
+        rate,
+        message.ageMs / MS_PER_S,
+        message.hasEnded,
+    )
+
+
 def _decode_job(job_id: str, message: Any, now: float) -> load_view.Job:
-    """Creates a job from a message."""
+    """Creates a job from a message.
+
+    Raises:
+        ValueError: The job has too many parts.
+    """
+    encoded_parts = message.parts
+    if len(encoded_parts) > MAX_PARTS:
+        raise ValueError("too many parts")
     return load_view.Job(
         job_id=job_id,
         target_id=message.targetId,
         parts=tuple(
             load_view.Part(part.targetId, part.reservedTokens)
-            for part in message.parts
+            for part in encoded_parts
         ),
         prompt_tokens=message.promptTokens,
         output_tokens=message.outputTokens,
--- a/tests/unit/test_decoders.py
+++ b/tests/unit/test_decoders.py
@@ -299,6 +299,19 @@
             )
             self.check(name, data.draw(odd_bytes.changed(text), name))
 
+    def test_digest_with_very_many_parts_of_a_job_is_refused(self):
+        message = digest_codec.schema().Digest.new_message()
+        message.init("jobs", 1)[0].init("parts", 300_000)
+        data = bytes(message.to_bytes_packed())
+        self.assertTrue(digest_codec.decode(data, 0.0).is_err())
+
+    def test_digest_with_a_rate_out_of_range_is_refused(self):
+        for rate in (math.nan, math.inf, -1.0):
+            message = digest_codec.schema().Digest.new_message()
+            message.init("rateLimits", 1)[0].requestsPerS = rate
+            data = bytes(message.to_bytes_packed())
+            self.assertTrue(digest_codec.decode(data, 0.0).is_err())
+
     def test_compressed_bombs_are_refused(self):
         bomb = zlib.compress(b"\0" * 40_000_000)
         for name in (
