--- a/tests/functional/test_failing_tasks.py
+++ b/tests/functional/test_failing_tasks.py
@@ -30,14 +30,14 @@
 class FailingProcess(process.GatewayProcess):
     """An instance whose background tasks can be made to fail at work."""
 
-    def __init__(self, path, store):
+    def __init__(self, path, store, signals):
         load_settings = node_settings.SettingsFile(path).load
         super().__init__(
             load_settings(),
             wire_format.WireFormat(),
             store,
             load_settings,
-            signal_queue.SignalQueue(),
+            signals,
         )
         self.starts = {}
         self.triggers = {}
@@ -71,6 +71,10 @@
         logger.remove()
         handler = logger.add(lambda line: self.records.append(line.record))
         self.addCleanup(logger.remove, handler)
+        self.signals = signal_queue.SignalQueue()
+        for number in signal_queue.HANDLED_SIGNALS:
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        self.signals.install()
 
     def test_process_serves_on_whichever_background_task_fails(self):
         async def main():
@@ -83,7 +87,9 @@
                 )
             )
             self.ports = site.ports["entry-0"]
-            self.process = FailingProcess(site.paths["entry-0"], store)
+            self.process = FailingProcess(
+                site.paths["entry-0"], store, self.signals
+            )
             try:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self.process.run)
@@ -104,7 +110,9 @@
     def test_failing_step_of_the_maintenance_skips_no_other(self):
         site = small_site.Site()
         self.addCleanup(site.release)
-        instance = FailingProcess(site.paths["entry-0"], None)
+        instance = FailingProcess(
+            site.paths["entry-0"], None, self.signals
+        )
         known = instance._known
         steps = [
             (known.fleet_state, "expire"),
