--- a/tests/lib/entry_process.py
+++ b/tests/lib/entry_process.py
@@ -1,6 +1,5 @@
 """Runs one entry process without a store, from its first moment to its end."""
 
-import functools
 import http.client
 import json
 import os
@@ -11,16 +10,20 @@
 import time
 
 from cardamomfork._internal.standins import platform_site
-from tests.lib import process_fleet
 
 TIMEOUT_S = 30.0
 NEVER_READY = 503
+LOWEST_PORT = 10_000
+PORTS_PER_PROCESS = 10
 
 
-@functools.cache
 def _choose_ports():
-    """Returns four ports of an entry process and one without a store."""
-    return tuple(process_fleet.free_port() for _ in range(5))
+    """Returns four ports of an entry process and one without a store.
+
+    They lie below those of the deployments of other tests.
+    """
+    first = LOWEST_PORT + os.getpid() % 100 * PORTS_PER_PROCESS
+    return tuple(range(first, first + 5))
 
 
 class EntryProcess:
