--- a/tests/functional/test_failing_tasks.py
+++ b/tests/functional/test_failing_tasks.py
@@ -110,9 +110,7 @@
     def test_failing_step_of_the_maintenance_skips_no_other(self):
         site = small_site.Site()
         self.addCleanup(site.release)
-        instance = FailingProcess(
-            site.paths["entry-0"], None, self.signals
-        )
+        instance = FailingProcess(site.paths["entry-0"], None, self.signals)
         known = instance._known
         steps = [
             (known.fleet_state, "expire"),
