Follow the store on whichever call of a handler fails

Two parts of this work contained failures of a follower's handler in two ways: one dropped the batch and went on, the other let the task fail and be restarted. Dropping loses the changes of a batch until the next scan; restarting ends the polls for as long as the handler fails on an entry that stays.

A follower now reports the failure under its task's name and goes on: after a batch it scans, which brings the changes again; after a scan it polls for 2 s and scans again.

Two tests in test_restarted_tasks observe the failure through the follower's report rather than through the supervisor of its task; what they check (counted once, applied afterwards, no flag that stays set) is the same.

--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -20,6 +20,7 @@
 from cardamomfork._internal.gateway.serving import caller_protocol
 from cardamomfork._internal.gateway.wiring import known_state
 from cardamomfork._internal.gateway.wiring import request_path
+from cardamomfork._internal.gateway.wiring import store_side
 from cardamomfork._internal.gateway.wiring import target_side
 from cardamomfork._internal.links import event_loop
 from cardamomfork._internal.links import http_server
@@ -181,10 +182,10 @@
             BackgroundTask("peers' server", self._peer_server.run),
             BackgroundTask("metrics server", self._metrics_server.run),
             BackgroundTask(
-                "configuration follower", followers.configuration.run
+                store_side.CONFIGURATION_TASK, followers.configuration.run
             ),
-            BackgroundTask("targets follower", followers.targets.run),
-            BackgroundTask("crashes follower", followers.crashes.run),
+            BackgroundTask(store_side.TARGETS_TASK, followers.targets.run),
+            BackgroundTask(store_side.CRASHES_TASK, followers.crashes.run),
             BackgroundTask(
                 "crash persistence", followers.crash_persistence.run, late_s
             ),
--- a/src/cardamomfork/_internal/gateway/store/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import math
+from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -50,6 +51,9 @@
 """Wait of the other instances' polls; the platform allows 30 s."""
 ROLE_CHECK_INTERVAL_S = 0.5
 """Interval at which an instance that doesn't poll checks whether it must."""
+FAILED_RESCAN_S = 2.0
+"""Time for which changes are polled before another scan, if the entries of a
+scan could not be applied."""
 UPDATE_WAIT_S = 0.6
 """Additional time for which an instance that doesn't poll may be behind a peer
 before it scans. Together with that of the subscription, it is longer than the
@@ -138,6 +142,7 @@
         rng: random.Random,
         must_poll: Callable[[], bool] | None = None,
         relayed: RelayedChanges | None = None,
+        on_failure: Callable[[Exception], None] = lambda _: None,
     ) -> None:
         """Initializes the follower.
 
@@ -154,6 +159,8 @@
                 its peers; None if it always does.
             relayed: Exchanges changes with peers; None if peers don't send
                 them.
+            on_failure: Called with an unexpected exception of the handler or
+                the relay. It does not end the following.
         """
         self._store = polled_store
         self._subscription = subscription
@@ -169,6 +176,7 @@
         self._may_rely_on_peers = must_poll is not None
         self._must_poll = must_poll or (lambda: True)
         self._relayed = relayed
+        self._on_failure = on_failure
         self._gets_changes_itself = False
         self._missed_update = anyio.Event()
         self._faults = entry_faults.EntryFaults("store entries not applied")
@@ -240,7 +248,6 @@
         The backoff starts anew with the first scan after an outage, but not
         while scans succeed and polls are refused.
         """
-        prefix = self._subscription.prefix
         backoff_s = MIN_BACKOFF_S
         has_polled = True
         while True:
@@ -261,18 +268,19 @@
                 entries = scanned.ok_value.entries
                 is_restored = self._is_restored(scanned.ok_value.revision)
                 if is_restored:
-                    with self._faults.contained(
-                        prefix, scanned.ok_value.revision
-                    ):
-                        self._handler.store_restored(scanned.ok_value.revision)
+                    self._call(
+                        self._handler.store_restored, scanned.ok_value.revision
+                    )
                 is_first = not self._revision
                 self._revision = scanned.ok_value.revision
                 self._record_last_change(entries)
-                with self._faults.contained(prefix, self._revision):
-                    self._handler.apply_snapshot(scanned.ok_value)
+                is_applied = self._call(
+                    self._handler.apply_snapshot, scanned.ok_value
+                )
                 if self._relayed is not None:
-                    with self._faults.contained(prefix, self._revision):
-                        self._relayed.relay.record_scan(entries, self._revision)
+                    self._call(
+                        self._relayed.relay.record_scan, entries, self._revision
+                    )
                     if is_restored:
                         # A datagram may be lost, and peers that don't poll
                         # have to register again.
@@ -283,7 +291,10 @@
                 if has_polled:
                     backoff_s = MIN_BACKOFF_S
                 polling_since = anyio.current_time()
-                await self._poll_changes()
+                with anyio.move_on_after(
+                    None if is_applied else FAILED_RESCAN_S
+                ):
+                    await self._poll_changes()
                 polled_s = anyio.current_time() - polling_since
                 has_polled = polled_s >= NON_DELEGATE_MAX_BACKOFF_S
             with anyio.move_on_after(backoff_s * (0.5 + self._rng.random())):
@@ -297,6 +308,15 @@
             )
             backoff_s = min(backoff_s * 2, max_backoff_s)
 
+    def _call(self, function: Callable[..., object], *arguments: Any) -> bool:
+        """Calls the handler or the relay; returns whether that succeeded."""
+        try:
+            function(*arguments)
+        except Exception as error:  # noqa: BLE001  # The next call may succeed.
+            self._on_failure(error)
+            return False
+        return True
+
     def _is_restored(self, revision: int) -> bool:
         """Returns whether the store was restored before a revision."""
         if not self._revision:
@@ -336,10 +356,9 @@
             self._revision = polled.ok_value.revision
             if entries:
                 self._record_last_change(entries)
-                with self._faults.contained(
-                    self._subscription.prefix, self._revision
-                ):
-                    self._handler.apply_changes(polled.ok_value)
+                if not self._call(self._handler.apply_changes, polled.ok_value):
+                    # A scan brings these changes again.
+                    return
                 await self._pause_after_changes(entries)
 
     async def _pause_after_changes(
@@ -356,10 +375,10 @@
         # A poller that applied a peer's update here would not pass it on.
         self._gets_changes_itself = self._must_poll()
         try:
-            with self._faults.contained(
-                self._subscription.prefix, self._revision
+            if not self._call(
+                self._relayed.relay.record_changes, entries, self._revision
             ):
-                self._relayed.relay.record_changes(entries, self._revision)
+                return
             await self._sleep_unless_restored(delay_s / 3)
             self._relayed.relay.resend()
             await self._sleep_unless_restored(delay_s - delay_s / 3)
--- a/src/cardamomfork/_internal/gateway/wiring/store_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/store_side.py
@@ -16,6 +16,9 @@
 
     from cardamomfork._internal.gateway.wiring import known_state
 
+CONFIGURATION_TASK = "configuration follower"
+TARGETS_TASK = "targets follower"
+CRASHES_TASK = "crashes follower"
 CONFIGURATION_BATCH_DELAY_S = 0.5
 TARGETS_BATCH_DELAY_S = 0.8
 """Pauses in which changes accumulate. They are far below the limits of some
@@ -69,6 +72,7 @@
     return StoreSide(
         _make_follower(
             known,
+            CONFIGURATION_TASK,
             follower.Subscription(
                 # One poll returns the changes of the configuration and of the
                 # orders to evacuate.
@@ -89,6 +93,7 @@
         _make_targets_follower(known, send_updates),
         _make_follower(
             known,
+            CRASHES_TASK,
             follower.Subscription(
                 crash_persistence.KEY_PREFIX,
                 crash_persistence.FOLLOWER_BATCH_DELAY_S,
@@ -117,6 +122,7 @@
     )
     return _make_follower(
         known,
+        TARGETS_TASK,
         follower.Subscription(
             known.wire.targets_prefix, TARGETS_BATCH_DELAY_S, TARGETS_MAX_LAG_S
         ),
@@ -137,6 +143,7 @@
 
 def _make_follower(
     known: known_state.KnownState,
+    task: str,
     subscription: follower.Subscription,
     handler: follower.Handler,
     is_delegate: Callable[[], bool] | None = None,
@@ -153,4 +160,5 @@
         known.rng,
         must_poll,
         relayed,
+        lambda error: known.supervisor.record_failure(task, error),
     )
--- a/tests/unit/test_restarted_tasks.py
+++ b/tests/unit/test_restarted_tasks.py
@@ -146,6 +146,9 @@
             lambda _: None,
             lambda: True,
             random.Random(1),
+            on_failure=lambda error: self.supervisor.record_failure(
+                "one", error
+            ),
             **options,
         )
         start(self.follower.run)
@@ -175,12 +178,11 @@
             relay = change_relay.ChangeRelay(
                 lambda _: None, anyio.current_time, lambda _: False
             )
-            polls = [True]
             self.start_follower(
                 start,
                 store.StoreSession(self.memory),
                 handler,
-                must_poll=lambda: polls[0],
+                must_poll=lambda: not self.supervisor.failures["one"],
                 relayed=follower.RelayedChanges(
                     FailingOnce(relay, record_changes=1), handler
                 ),
@@ -189,7 +191,6 @@
             self.write(b"1")
             await anyio.sleep(0.02)
             self.assertEqual(self.supervisor.failures["one"], 1)
-            # The task has failed and is not restarted yet.
             revision = self.memory.revision
             change = change_relay.Change("p/a", b"2", revision + 1)
             update = change_relay.Update(revision, revision + 1, (change,))
