Keep cardamomforkd alive under SIGHUP, and under signals at its edges

Operators who sent SIGHUP to a serving daemon, as they do for log rotation or a reload, ended it with status -1 and without draining: callers lost their requests. SIGHUP, SIGUSR1 and SIGTERM in the half second of the imports, and in the last moments of a stop, ended it with the signal's default action and without a line.

The handlers were installed by the event loop, after the start, for three signals only, and were reset to the default action while the loop ended. The signal queue of the entry process takes their place: it is installed before any other import and stays until the process ends. `daemon.py` is that first part; the program moved to `daemon_program.py`.

SIGHUP loads changed TLS files at once (they are otherwise looked at every 30 s) and logs `files reloaded` with their number; other settings need a restart as before. A signal to stop ends the wait for the first configuration, which lasts up to 10 s.

Evidence: six tests with real processes (three signals at three stages of the imports, two stop signals at the same stages, a stop while waiting for the configuration, repeated SIGHUP, SIGUSR1 and SIGUSR2 while serving, all signals every 2 ms until a stop has ended, changed TLS files).

The test of the dump on SIGUSR1 sends the signal through the queue, since no handler of the event loop is left; it checks the same dump.

--- a/src/cardamomfork/_internal/links/operators/server.py
+++ b/src/cardamomfork/_internal/links/operators/server.py
@@ -248,6 +248,12 @@
         self._clock = clock
         self._open_streams: set[Any] = set()
         self._port = 0
+        self._tls = tls_link.make_server_tls(operators.tls)
+
+    @property
+    def tls(self) -> tls_link.ServerTls | None:
+        """TLS of incoming connections; None for plain TCP."""
+        return self._tls
 
     @property
     def port(self) -> int:
@@ -265,18 +271,17 @@
         task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serves until cancelled; reports the port once it is listening."""
-        tls = tls_link.make_server_tls(self._operator_settings.tls)
         listener = await capnp.AsyncIoStream.create_server(
             self._accept,
             self._operator_settings.host,
             self._operator_settings.port,
-            ssl=tls.context if tls else None,
+            ssl=self._tls.context if self._tls else None,
         )
         self._port = listener.sockets[0].getsockname()[1]
         task_status.started(self._port)
         try:
-            if tls:
-                await tls.watch()
+            if self._tls:
+                await self._tls.watch()
             await anyio.sleep_forever()
         finally:
             listener.close()
--- a/src/cardamomfork/_internal/measure/footprint.py
+++ b/src/cardamomfork/_internal/measure/footprint.py
@@ -34,7 +34,7 @@
 _PRINT_RSS = (
     "import sys\n"
     "sys.modules['trio'] = None\n"
-    "from cardamomfork._internal import daemon\n"
+    "from cardamomfork._internal import daemon_program\n"
     "from cardamomfork._internal.telemetry import watchdog\n"
     "print(watchdog.resident_bytes())"
 )
--- a/src/cardamomfork/_internal/telemetry/process_instrumentation.py
+++ b/src/cardamomfork/_internal/telemetry/process_instrumentation.py
@@ -60,13 +60,14 @@
             )
 
     async def run(self) -> None:
-        """Runs the watchdog, OTLP push and dump on signal until cancelled."""
+        """Runs the watchdog and OTLP push until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self.watchdog.run)
             group.start_soon(self.export.run)
-            group.start_soon(
-                signals.dump_on_signal, self.table_registry, self.clock
-            )
+
+    def write_dump(self) -> None:
+        """Writes the state dump to stderr."""
+        signals.write_dump(self.table_registry, self.clock)
 
 
 def make_instrumentation(
--- a/src/cardamomfork/_internal/telemetry/signals.py
+++ b/src/cardamomfork/_internal/telemetry/signals.py
@@ -1,34 +1,29 @@
-"""Writes a state dump to stderr on SIGUSR1."""
+"""Writes a state dump to stderr, as operators request it by SIGUSR1."""
 
 from __future__ import annotations
 
-import signal
 import sys
 from typing import TextIO
 from typing import TYPE_CHECKING
 
-import anyio
-
 if TYPE_CHECKING:
     from cardamomfork._internal.contracts import clock as clock_contract
     from cardamomfork._internal.telemetry import dump
 
 
-async def dump_on_signal(
+def write_dump(
     table_registry: dump.TableRegistry,
     clock: clock_contract.Clock,
     stream: TextIO | None = None,
 ) -> None:
-    """Writes a dump as a line of JSON on each SIGUSR1 until cancelled.
+    """Writes a dump as a line of JSON.
 
     Args:
         table_registry: Tables to dump.
         clock: Clock for the time of the dump.
         stream: Stream to write to; stderr if None.
     """
-    with anyio.open_signal_receiver(signal.SIGUSR1) as received:
-        async for _ in received:
-            captured = table_registry.take(clock.wall())
-            output_stream = stream or sys.stderr
-            output_stream.write(captured.to_json().decode() + "\n")
-            output_stream.flush()
+    captured = table_registry.take(clock.wall())
+    output_stream = stream or sys.stderr
+    output_stream.write(captured.to_json().decode() + "\n")
+    output_stream.flush()
--- a/tests/functional/test_telemetry.py
+++ b/tests/functional/test_telemetry.py
@@ -11,6 +11,8 @@
 from opentelemetry.proto.collector.metrics.v1 import metrics_service_pb2
 
 from cardamomfork._internal.contracts import clock
+from cardamomfork._internal.gateway import signal_handling
+from cardamomfork._internal.gateway import signal_queue
 from cardamomfork._internal.models import settings
 from cardamomfork._internal.telemetry import dump
 from cardamomfork._internal.telemetry import exporting
@@ -77,35 +79,30 @@
         self.assertIn("cardamomfork.first_token", names)
 
 
-class SignallingStream(io.StringIO):
-    """A stream that sets an event when it is flushed."""
-
-    def __init__(self):
-        super().__init__()
-        self.written = anyio.Event()
-
-    def flush(self):
-        self.written.set()
-
-
 class SignalTest(unittest.TestCase):
     def test_dump_on_signal(self):
-        anyio.run(self.dump_on_signal)
+        queue = signal_queue.SignalQueue()
+        for number in signal_queue.HANDLED_SIGNALS:
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        queue.install()
+        anyio.run(self.dump_on_signal, queue)
 
-    async def dump_on_signal(self):
+    async def dump_on_signal(self, queue):
         table_registry = dump.TableRegistry("one")
         table_registry.register(dump.Table("t", lambda: 3, 9))
-        stream = SignallingStream()
+        stream = io.StringIO()
+        written = anyio.Event()
+
+        def handle(received):
+            self.assertEqual(received, signal.SIGUSR1)
+            signals.write_dump(table_registry, clock.LoopClock(), stream)
+            written.set()
+
         async with anyio.create_task_group() as group:
-            group.start_soon(
-                signals.dump_on_signal,
-                table_registry,
-                clock.LoopClock(),
-                stream,
-            )
+            group.start_soon(signal_handling.handle, queue, handle)
             await anyio.wait_all_tasks_blocked()
             os.kill(os.getpid(), signal.SIGUSR1)
-            await stream.written.wait()
+            await written.wait()
             group.cancel_scope.cancel()
         (table,) = json.loads(stream.getvalue())["tables"]
         self.assertEqual((table["name"], table["size"]), ("t", 3))
--- a/tests/lib/daemons.py
+++ b/tests/lib/daemons.py
@@ -3,9 +3,11 @@
 import contextlib
 import json
 import os
+import pathlib
 import signal
 import subprocess
 import sys
+import time
 
 import attrs
 import httpcore
@@ -55,16 +57,14 @@
 
 
 @contextlib.contextmanager
-def running(*arguments):
-    """Runs a daemon with the embedded components on a free port."""
+def starting(*arguments, embedded=True):
+    """Runs a daemon process without waiting until it serves."""
     process = subprocess.Popen(
         [
             sys.executable,
             "-m",
             "cardamomfork._internal.daemon",
-            "--embedded",
-            "--port",
-            "0",
+            *(("--embedded",) if embedded else ()),
             *arguments,
         ],
         stderr=subprocess.PIPE,
@@ -72,6 +72,28 @@
         env={**os.environ, "PYTHONUNBUFFERED": "1"},
     )
     try:
+        yield process
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+        process.stderr.close()
+
+
+def wait_until_loaded(process, library):
+    """Waits until a process has loaded a library of an import."""
+    maps = pathlib.Path(f"/proc/{process.pid}/maps")
+    give_up_at = time.monotonic() + START_TIMEOUT_S
+    while library not in maps.read_text():
+        if process.poll() is not None or time.monotonic() > give_up_at:
+            raise AssertionError(f"{library} not loaded: {process.returncode}")
+        time.sleep(0.002)
+
+
+@contextlib.contextmanager
+def running(*arguments):
+    """Runs a daemon with the embedded components on a free port."""
+    with starting("--port", "0", *arguments) as process:
         operators = read_until(process, "serving operators on ")["message"]
         callers = read_until(process, "serving callers on ")["message"]
         yield Daemon(
@@ -79,8 +101,3 @@
             int(callers.rsplit(":", 1)[1]),
             int(operators.rsplit(" ", 1)[1]),
         )
-    finally:
-        if process.poll() is None:
-            process.kill()
-        process.wait()
-        process.stderr.close()
