Don't stop the daemon when nobody reads its log

A daemon whose standard error is a pipe that its reader doesn't empty stopped serving at the first line that didn't fit: the write blocked the event loop. The reader of the log is not needed to serve.

Evidence: a real daemon whose standard error isn't read gets 30 SIGUSR1 (dumps of more bytes than the pipe holds).

--- a/src/cardamomfork/_internal/daemon_program.py
+++ b/src/cardamomfork/_internal/daemon_program.py
@@ -26,6 +26,7 @@
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import settings as settings_models
 from cardamomfork._internal.settings import loader
+from cardamomfork._internal.telemetry import bounded_output
 from cardamomfork._internal.telemetry import logs
 
 if TYPE_CHECKING:
@@ -69,8 +70,10 @@
         loaded_settings = _load(settings, embedded)
         if port is not None:
             loaded_settings = _with_port(loaded_settings, port)
+        output = bounded_output.BoundedOutput(sys.stderr.fileno())
         logs.configure(
             loaded_settings.telemetry.log_level,
+            output,
             instance_id=loaded_settings.instance.instance_id,
             data_centre=loaded_settings.instance.data_centre,
         )
@@ -81,11 +84,21 @@
         anyio.run(
             self._serve,
             loaded_settings,
+            output,
             backend_options=event_loop.BACKEND_OPTIONS,
         )
 
-    async def _serve(self, settings: settings_models.DaemonSettings) -> None:
-        """Serves until a signal, and until all admitted requests have ended."""
+    async def _serve(
+        self,
+        settings: settings_models.DaemonSettings,
+        output: bounded_output.BoundedOutput,
+    ) -> None:
+        """Serves until a signal, and until all admitted requests have ended.
+
+        Args:
+            settings: Settings of the daemon.
+            output: Receives the state dumps.
+        """
         async with (
             capnp.kj_loop(),
             embedded.running_if_enabled(settings) as environment,
@@ -94,7 +107,9 @@
             callers_tls = tls.make_server_tls(settings.callers.tls)
             await environment.configure(process.platform.store)
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._handle_signals, process, callers_tls)
+                tasks.start_soon(
+                    self._handle_signals, process, callers_tls, output
+                )
                 if await self._start(process, tasks):
                     keys = environment.wrap_verifier(process.serving.keys)
                     if callers_tls is not None:
@@ -122,7 +137,10 @@
         return self._stop_signal is None
 
     async def _handle_signals(
-        self, process: process_module.Process, callers_tls: tls.ServerTls | None
+        self,
+        process: process_module.Process,
+        callers_tls: tls.ServerTls | None,
+        output: bounded_output.BoundedOutput,
     ) -> None:
         """Handles signals until cancelled."""
 
@@ -133,7 +151,7 @@
             elif received == signal_queue.RELOAD_SIGNAL:
                 _reload(process, callers_tls)
             elif received == signal.SIGUSR1:
-                process.instrumentation.write_dump()
+                process.instrumentation.write_dump(output)
 
         await signal_handling.handle(self._signals, handle)
 
--- a/src/cardamomfork/_internal/telemetry/process_instrumentation.py
+++ b/src/cardamomfork/_internal/telemetry/process_instrumentation.py
@@ -9,6 +9,7 @@
 
 from cardamomfork._internal.telemetry import dump
 from cardamomfork._internal.telemetry import exporting
+from cardamomfork._internal.telemetry import logs
 from cardamomfork._internal.telemetry import metrics
 from cardamomfork._internal.telemetry import signals
 from cardamomfork._internal.telemetry import watchdog
@@ -65,9 +66,9 @@
             group.start_soon(self.watchdog.run)
             group.start_soon(self.export.run)
 
-    def write_dump(self) -> None:
-        """Writes the state dump to stderr."""
-        signals.write_dump(self.table_registry, self.clock)
+    def write_dump(self, output: logs.LineSink) -> None:
+        """Writes the state dump as a line."""
+        signals.write_dump(self.table_registry, self.clock, output)
 
 
 def make_instrumentation(
--- a/tests/functional/test_daemon_signals.py
+++ b/tests/functional/test_daemon_signals.py
@@ -7,6 +7,7 @@
 import threading
 import time
 import unittest
+import urllib.request
 
 from tests.lib import daemons
 
@@ -14,6 +15,8 @@
 """Libraries that are loaded one after the other while the process starts."""
 SURVIVED_SIGNALS = (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2)
 PROMPT = {"model": "demo-model", "prompt": "Hello", "max_tokens": 3}
+FULL_PIPE_DUMPS = 30
+"""Dumps of more bytes than a pipe holds."""
 MAX_STOP_WHILE_STARTING_S = 3.0
 
 
@@ -106,6 +109,16 @@
                 time.sleep(0.002)
             self.assertEqual(daemon.process.returncode, 0)
 
+    def test_full_pipe_of_the_log_does_not_stop_a_serving_daemon(self):
+        with daemons.running() as daemon:
+            for _ in range(FULL_PIPE_DUMPS):
+                daemon.process.send_signal(signal.SIGUSR1)
+                time.sleep(0.06)
+            url = daemon.url("/readyz")
+            with urllib.request.urlopen(url, timeout=5.0) as answer:
+                self.assertEqual(answer.status, 200)
+            self.assertEqual(daemon.terminate(), 0)
+
     def test_reload_signal_loads_changed_tls_files_at_once(self):
         with tempfile.TemporaryDirectory() as directory:
             make_certificate(directory, 0)
