--- a/src/cardamomfork/_internal/composition/dump_tables.py
+++ b/src/cardamomfork/_internal/composition/dump_tables.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from cardamomfork._internal import supervision
     from cardamomfork._internal import wiring
     from cardamomfork._internal.contracts import clock as clock_contract
     from cardamomfork._internal.instances import fleet_membership
@@ -37,6 +38,7 @@
 
 # A topic is one byte on the wire.
 MAX_TOPIC_COUNT = 256
+MAX_BACKGROUND_TASKS = 64
 
 
 def register_tables(
@@ -63,6 +65,24 @@
         instrumentation.table_registry.register(table)
 
 
+def make_failures_table(supervisor: supervision.Supervisor) -> dump.Table:
+    """Returns the table of background tasks that have failed."""
+
+    def failed() -> dict[str, int]:
+        return {
+            name: count for name, count in supervisor.failures.items() if count
+        }
+
+    return dump.Table(
+        "process.background_task_failures",
+        lambda: len(failed()),
+        MAX_BACKGROUND_TASKS,
+        lambda: (
+            {"task": name, "count": count} for name, count in failed().items()
+        ),
+    )
+
+
 def _request_tables(serving: wiring.Daemon) -> Iterator[dump.Table]:
     """Yields the tables of open and ended requests."""
     table = serving.record_table
--- a/src/cardamomfork/_internal/composition/metrics_sources.py
+++ b/src/cardamomfork/_internal/composition/metrics_sources.py
@@ -10,6 +10,7 @@
 from cardamomfork._internal.requests import observing as request_observing
 
 if TYPE_CHECKING:
+    from cardamomfork._internal import supervision
     from cardamomfork._internal import wiring
     from cardamomfork._internal.contracts import clock as clock_contract
     from cardamomfork._internal.instances import fleet_membership
@@ -151,6 +152,21 @@
     fleet.peering.time_with(lambda: metrics_registry.time_control("peers"))
 
 
+def register_failures(
+    metrics_registry: metrics.Metrics, supervisor: supervision.Supervisor
+) -> None:
+    """Registers the number of failures of each background task."""
+    metrics_registry.register_counters(
+        "background_task_failures",
+        "1",
+        "Failures of background tasks by task",
+        "task",
+        lambda: {
+            name: float(count) for name, count in supervisor.failures.items()
+        },
+    )
+
+
 def bytes_by_topic(fleet: fleet_membership.FleetMembership) -> dict[str, float]:
     """Returns the payload bytes sent to peers, by topic name."""
     bytes_sent = fleet.peering.bytes_by_topic
--- a/src/cardamomfork/_internal/composition/process.py
+++ b/src/cardamomfork/_internal/composition/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 import attrs
 from loguru import logger
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal import wiring
 from cardamomfork._internal.composition import configuration_applier
 from cardamomfork._internal.composition import dump_tables
@@ -70,6 +72,7 @@
         operators: Server for operators.
         observation: Metrics, dump and watchdog.
         order_components: Components for orders to engines.
+        supervisor: Restarts background tasks that fail.
     """
 
     settings: settings_models.DaemonSettings
@@ -79,23 +82,31 @@
     operators: operator_server.OperatorServer
     instrumentation: process_instrumentation.Instrumentation
     order_components: OrderComponents
+    supervisor: supervision.Supervisor
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Starts all components and waits for the first configuration.
-
-        Returns after `CONFIGURATION_TIMEOUT_S` even without a configuration.
+        """Starts all components.
 
         Args:
             tasks: Task group in which the components run.
         """
+        start = functools.partial(
+            self.supervisor.start,
+            tasks,
+            max_backoff_s=supervision.PROMPT_MAX_BACKOFF_S,
+        )
         self.serving.start(tasks)
-        tasks.start_soon(self.instrumentation.run)
+        self.instrumentation.start(tasks, self.supervisor)
+        start("operators' server", self.operators.run)
+        start("order lease", self.order_components.lease.run)
+        start(orders_runner.TASK_NAME, self.order_components.runner.run)
         await tasks.start(self.fleet.run)
-        logger.info(f"serving peers on port {self.fleet.server.port}")
-        port = await tasks.start(self.operators.run)
-        logger.info(f"serving operators on port {port}")
-        tasks.start_soon(self.order_components.lease.run)
-        tasks.start_soon(self.order_components.runner.run)
+
+    async def wait_configured(self) -> None:
+        """Waits for the first configuration.
+
+        Returns after `CONFIGURATION_TIMEOUT_S` even without a configuration.
+        """
         if self.fleet.follower is None:
             return
         with anyio.move_on_after(CONFIGURATION_TIMEOUT_S) as configuration_wait:
@@ -128,17 +139,25 @@
 
     async def close(self) -> None:
         """Closes the connections to targets and to the store."""
-        await self.serving.links.close()
-        await self.platform.store.close()
+        for close in (self.serving.links.close, self.platform.store.close):
+            await self.supervisor.run_once("close", close)
 
 
-def make_process(settings: settings_models.DaemonSettings) -> Process:
+def make_process(
+    settings: settings_models.DaemonSettings,
+    supervisor: supervision.Supervisor | None = None,
+) -> Process:
     """Builds the components of a process without starting them.
 
+    Args:
+        settings: Settings of the daemon.
+        supervisor: Restarts tasks that fail; None for one of its own.
+
     Raises:
         SettingsError: An operator's key can't be read.
     """
     clock = clock_contract.LoopClock()
+    supervisor = supervisor or supervision.Supervisor()
     platform = store_sessions.make_store_sessions(settings, clock)
     instrumentation = process_instrumentation.make_instrumentation(
         settings, clock
@@ -156,6 +175,7 @@
         dispatcher.observe_load,
         participants=(poison_updates,),
         key_prefix=store_sessions.KEY_PREFIX,
+        supervisor=supervisor,
     )
     engine_update_publisher = engine_updates.EngineUpdatePublisher(
         fleet, dispatcher
@@ -176,6 +196,7 @@
             available_targets=_make_availability_filter(fleet),
             observes_target=engine_update_publisher.observes_target,
             observer=metrics_sources.MetricsObserver(instrumentation.metrics),
+            supervisor=supervisor,
         ),
     )
     _connect_fleet_to_serving(fleet, serving)
@@ -190,9 +211,13 @@
         order_components.reconciler,
         guard,
     )
+    instrumentation.table_registry.register(
+        dump_tables.make_failures_table(supervisor)
+    )
     metrics_sources.register_sources(
         instrumentation.metrics, serving, fleet, dispatcher, clock
     )
+    metrics_sources.register_failures(instrumentation.metrics, supervisor)
     return Process(
         settings=settings,
         platform=platform,
@@ -203,6 +228,7 @@
         ),
         instrumentation=instrumentation,
         order_components=order_components,
+        supervisor=supervisor,
     )
 
 
@@ -314,7 +340,11 @@
         fleet.is_order_candidate,
     )
     runner = orders_runner.OrderRunner(
-        order_reconciler, lease, serving.links, clock
+        order_reconciler,
+        lease,
+        serving.links,
+        clock,
+        supervisor=serving.supervisor,
     )
     runners.append(runner)
     feed = orders_feed.OrderFeed(order_reconciler, clock, wake_runners)
--- a/src/cardamomfork/_internal/composition/request_components.py
+++ b/src/cardamomfork/_internal/composition/request_components.py
@@ -67,7 +67,9 @@
     """Builds the shared components."""
     clock = clock_contract.LoopClock()
     known_objects = directory.ServiceDirectory()
-    idle_watch = idle.IdleMonitor(IDLE_CHECK_INTERVAL_S)
+    idle_watch = idle.IdleMonitor(
+        IDLE_CHECK_INTERVAL_S, dependencies.supervisor
+    )
     return RequestComponents(
         clock=clock,
         service_directory=known_objects,
@@ -80,7 +82,9 @@
             settings.instance.data_centre,
         ),
         dispatch_queue=queueing.DispatchQueue(dependencies.dispatcher, clock),
-        canceller=cancellation.Canceller(random.Random()),
+        canceller=cancellation.Canceller(
+            random.Random(), dependencies.supervisor
+        ),
         gate=poison_gate.PoisonGate(
             dependencies.guard,
             clock,
@@ -90,6 +94,7 @@
             reachability.is_reachable,
             dependencies.last_boot_id,
             dependencies.on_poison_update,
+            dependencies.supervisor,
         ),
         retry_policy=retries.RetryPolicy(
             random.Random(), retries.MIN_BUDGET_CAPACITY
@@ -142,7 +147,11 @@
         return None, None
     policy = claim_keys.ClaimPolicy()
     claim_committer = committer.GroupCommitter(
-        store, clock, random.Random(), policy.retention_s
+        store,
+        clock,
+        random.Random(),
+        policy.retention_s,
+        supervisor=dependencies.supervisor,
     )
     return claim_committer, ledger.StoreClaimLedger(
         claim_committer, clock, policy, dependencies.claim_routes
@@ -151,11 +160,12 @@
 
 def make_reclaimer(
     settings: settings_models.DaemonSettings,
-    owners: dependencies_module.ReservationOwners,
+    dependencies: dependencies_module.RequestDependencies,
     components: RequestComponents,
 ) -> reservation_reclaimer.ReservationReclaimer:
     """Builds the component that releases owned and orphaned reservations."""
     instance_settings = settings.instance
+    owners = dependencies.owners
     return reservation_reclaimer.ReservationReclaimer(
         components.local_reservations,
         reservation_sweep.HomeSweep(
@@ -173,6 +183,7 @@
             ask=owners.ask,
         ),
         components.clock,
+        dependencies.supervisor,
     )
 
 
--- a/src/cardamomfork/_internal/composition/request_dependencies.py
+++ b/src/cardamomfork/_internal/composition/request_dependencies.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.requests import observing as request_observing
 from cardamomfork._internal.requests import poison
@@ -65,6 +66,7 @@
         available_targets: Returns those targets that accept new requests.
         observes_target: Returns whether the local instance observes an engine.
         observer: Receives events of the request path.
+        supervisor: Contains failures of single parts of background tasks.
     """
 
     boot_id: identifiers.BootId
@@ -87,3 +89,6 @@
     observer: request_observing.RequestObserver = (
         request_observing.RequestObserver()
     )
+    supervisor: supervision.Supervisor = attrs.field(
+        factory=supervision.Supervisor
+    )
--- a/src/cardamomfork/_internal/configuration/follower.py
+++ b/src/cardamomfork/_internal/configuration/follower.py
@@ -18,6 +18,7 @@
 import loguru
 import result
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.configuration import codec
 from cardamomfork._internal.configuration import distribution
 from cardamomfork._internal.configuration import replica
@@ -91,6 +92,7 @@
         clock: clock_contract.Clock,
         rng: random.Random,
         prefix: str = codec.DEFAULT_PREFIX,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes the follower.
 
@@ -103,7 +105,10 @@
             clock: Clock for the detection of lag.
             rng: Random generator for jitter.
             prefix: Prefix of every key in the store.
+            supervisor: Contains failures of single parts; None for one of its
+                own.
         """
+        self._supervisor = supervisor or supervision.Supervisor()
         self._connect = connect
         self._replica = held
         self._gossip = told
@@ -135,11 +140,15 @@
         Args:
             link: Link for loading from peers.
         """
-        await self._load_initial(link)
+        if not self._loaded.is_set():
+            await self._load_initial(link)
         async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_loop)
-            group.start_soon(self._poll_loop)
-            group.start_soon(self._lag_loop, link)
+            for name, loop, arguments in (
+                ("configuration watch", self._watch_loop, ()),
+                ("configuration poll", self._poll_loop, ()),
+                ("configuration lag", self._lag_loop, (link,)),
+            ):
+                self._supervisor.start(group, name, loop, *arguments)
 
     async def _load_initial(self, link: peering.PeerLink) -> None:
         """Loads all objects from the store or, if that fails, from a peer."""
--- a/src/cardamomfork/_internal/configuration/replica.py
+++ b/src/cardamomfork/_internal/configuration/replica.py
@@ -16,6 +16,7 @@
 import attrs
 
 from cardamomfork._internal import exceptions
+from cardamomfork._internal import supervision
 from cardamomfork._internal.configuration import index
 from cardamomfork._internal.models import configuration
 
@@ -30,6 +31,7 @@
 
 MAX_TOMBSTONES = 2048
 """Deletions kept, so that peers that lag behind can receive them."""
+TASK_NAME = "configuration changes"
 MAX_OBJECTS = 50_000
 
 _ObjectKey = tuple[configuration.ObjectKind, str]
@@ -75,13 +77,17 @@
         self,
         max_tombstones: int = MAX_TOMBSTONES,
         max_objects: int = MAX_OBJECTS,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes an empty replica at revision 0.
 
         Args:
             max_tombstones: Deletions kept for peers that lag behind.
             max_objects: Most objects held; further new objects are refused.
+            supervisor: Contains failures of single parts; None for one of its
+                own.
         """
+        self._supervisor = supervisor or supervision.Supervisor()
         self._max_tombstones = max_tombstones
         self._max_objects = max_objects
         self._objects: dict[_ObjectKey, configuration.Versioned] = {}
@@ -300,7 +306,7 @@
         self.counters.applied += 1
         self._index.replace(current.value if current else None, change.value)
         for subscriber in tuple(self._subscribers):
-            subscriber(change)
+            self._supervisor.call(TASK_NAME, subscriber, change)
         return True
 
     def _is_full(self, current: configuration.Versioned | None) -> bool:
--- a/src/cardamomfork/_internal/daemon_program.py
+++ b/src/cardamomfork/_internal/daemon_program.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import functools
 import signal
 import sys
 from typing import TYPE_CHECKING
 
 import anyio
-import anyio.abc
 import attrs
 import capnp
 import cyclopts
@@ -16,6 +16,7 @@
 
 from cardamomfork._internal import embedded
 from cardamomfork._internal import exceptions
+from cardamomfork._internal import supervision
 from cardamomfork._internal import wiring
 from cardamomfork._internal.composition import process as process_module
 from cardamomfork._internal.gateway import signal_handling
@@ -39,6 +40,12 @@
 """
 
 
+EVENT_LOOP_TASK = "event loop"
+"""Name under which failures of callbacks of the event loop are counted."""
+SIGNALS_TASK = "signals"
+STOP_TASK = "planned stop"
+
+
 class DaemonProgram:
     """The program, with the signals that the process receives."""
 
@@ -49,8 +56,6 @@
             signals: Signals received since the start of the process.
         """
         self._signals = signals
-        self._stop_signal: signal.Signals | None = None
-        self._stop_requested = anyio.Event()
 
     def run(
         self,
@@ -104,60 +109,119 @@
             embedded.running_if_enabled(settings) as environment,
         ):
             process = process_module.make_process(environment.settings)
-            callers_tls = tls.make_server_tls(settings.callers.tls)
             await environment.configure(process.platform.store)
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(
-                    self._handle_signals, process, callers_tls, output
-                )
-                if await self._start(process, tasks):
-                    keys = environment.wrap_verifier(process.serving.keys)
-                    if callers_tls is not None:
-                        tasks.start_soon(callers_tls.watch)
-                    server = _make_server(process, keys, callers_tls)
-                    tasks.start_soon(self._drain, process, server)
-                    await server.serve()
-                self._log_stop()
-                tasks.cancel_scope.cancel()
-            await process.close()
-
-    async def _start(
-        self, process: process_module.Process, tasks: anyio.abc.TaskGroup
-    ) -> bool:
-        """Starts a process; returns False if a signal to stop arrives."""
-        async with anyio.create_task_group() as waits:
-
-            async def cancel_on_stop() -> None:
-                await self._stop_requested.wait()
-                waits.cancel_scope.cancel()
-
-            waits.start_soon(cancel_on_stop)
-            await process.start(tasks)
-            waits.cancel_scope.cancel()
-        return self._stop_signal is None
-
-    async def _handle_signals(
+            keys = environment.wrap_verifier(process.serving.keys)
+            serving = ServingProcess(process, keys, self._signals, output)
+            await serving.run()
+
+
+class ServingProcess:
+    """A process from its start to a planned stop."""
+
+    def __init__(
         self,
         process: process_module.Process,
-        callers_tls: tls.ServerTls | None,
+        keys: application.Authenticator,
+        signals: signal_queue.SignalQueue,
         output: bounded_output.BoundedOutput,
     ) -> None:
+        """Initializes the process without starting it.
+
+        Args:
+            process: The components.
+            keys: Verifies the keys of callers.
+            signals: Signals received since the start of the process.
+            output: Receives the state dumps.
+        """
+        self._process = process
+        self._signals = signals
+        self._output = output
+        self._stop_signal: signal.Signals | None = None
+        self._stop_requested = anyio.Event()
+        callers = process.settings.callers
+        self._callers_tls = tls.make_server_tls(callers.tls)
+        self._server = http_server.RestartableServer(
+            wiring.make_application(
+                process.serving, keys, process.instrumentation.export.scrape
+            ),
+            callers.host,
+            callers.port,
+            protocol.CallerProtocol,
+            callers.max_connections,
+            self._callers_tls.context if self._callers_tls else None,
+            _log_address,
+        )
+
+    async def run(self) -> None:
+        """Serves until a signal, and until all admitted requests have ended."""
+        supervisor = self._process.supervisor
+        supervisor.register(EVENT_LOOP_TASK)
+        event_loop.report_exceptions(
+            lambda error, reason: supervisor.record_failure(
+                EVENT_LOOP_TASK, error, reason=reason
+            )
+        )
+        async with anyio.create_task_group() as tasks:
+            start = functools.partial(
+                supervisor.start,
+                tasks,
+                max_backoff_s=supervision.PROMPT_MAX_BACKOFF_S,
+            )
+            start(SIGNALS_TASK, self._handle_signals)
+            start(
+                STOP_TASK,
+                self._drain,
+                may_return=self._stop_requested.is_set,
+            )
+            await self._process.start(tasks)
+            if self._callers_tls is not None:
+                start("callers' TLS files", self._callers_tls.watch)
+            start(
+                "callers' server",
+                self._serve_callers,
+                may_return=lambda: self._server.has_ended,
+            )
+            await self._server.wait_until_ended()
+            name = "" if self._stop_signal is None else self._stop_signal.name
+            logger.bind(signal=name).info("stopped")
+            tasks.cancel_scope.cancel()
+        await self._process.close()
+
+    async def _serve_callers(self) -> None:
+        """Waits for a configuration, then serves callers until a stop."""
+        await self._process.wait_configured()
+        await self._server.run()
+
+    async def _handle_signals(self) -> None:
         """Handles signals until cancelled."""
 
         def handle(received: signal.Signals) -> None:
-            if received in signal_queue.STOP_SIGNALS:
-                self._stop_signal = self._stop_signal or received
-                self._stop_requested.set()
-            elif received == signal_queue.RELOAD_SIGNAL:
-                _reload(process, callers_tls)
-            elif received == signal.SIGUSR1:
-                process.instrumentation.write_dump(output)
+            self._process.supervisor.call(SIGNALS_TASK, self._handle, received)
 
         await signal_handling.handle(self._signals, handle)
 
-    async def _drain(
-        self, process: process_module.Process, server: http_server.HttpServer
-    ) -> None:
+    def _handle(self, received: signal.Signals) -> None:
+        """Handles one signal."""
+        if received in signal_queue.STOP_SIGNALS:
+            self._stop_signal = self._stop_signal or received
+            self._stop_requested.set()
+        elif received == signal_queue.RELOAD_SIGNAL:
+            self._reload()
+        elif received == signal.SIGUSR1:
+            self._process.instrumentation.write_dump(self._output)
+
+    def _reload(self) -> None:
+        """Loads changed TLS files; other settings need a restart."""
+        process = self._process
+        parts = (
+            self._callers_tls,
+            process.fleet.peer_tls,
+            process.operators.tls,
+        )
+        count = sum(part.reload() for part in parts if part is not None)
+        logger.bind(count=count).info("files reloaded")
+
+    async def _drain(self) -> None:
         """Drains the process at the first signal to stop.
 
         The process reports not ready immediately and stops accepting
@@ -167,45 +231,17 @@
         await self._stop_requested.wait()
         if self._stop_signal is not None:
             logger.info(f"draining after {self._stop_signal.name}")
+        process = self._process
         process.serving.requests.drain()
         with anyio.move_on_after(process.settings.instance.drain_timeout_s):
             await anyio.sleep(BALANCER_REMOVAL_DELAY_S)
-            await process.finish()
-        server.stop()
-
-    def _log_stop(self) -> None:
-        """Logs the end of the process."""
-        name = "" if self._stop_signal is None else self._stop_signal.name
-        logger.bind(signal=name).info("stopped")
-
-
-def _reload(
-    process: process_module.Process, callers_tls: tls.ServerTls | None
-) -> None:
-    """Loads changed TLS files; other settings need a restart."""
-    parts = (callers_tls, process.fleet.peer_tls, process.operators.tls)
-    count = sum(part.reload() for part in parts if part is not None)
-    logger.bind(count=count).info("files reloaded")
-
-
-def _make_server(
-    process: process_module.Process,
-    keys: application.Authenticator,
-    server_tls: tls.ServerTls | None,
-) -> http_server.HttpServer:
-    """Creates the server for callers and logs its address."""
-    callers = process.settings.callers
-    server = http_server.HttpServer(
-        wiring.make_application(
-            process.serving, keys, process.instrumentation.export.scrape
-        ),
-        http_server.open_listener(callers.host, callers.port),
-        protocol.CallerProtocol,
-        callers.max_connections,
-        None if server_tls is None else server_tls.context,
-    )
+            await process.supervisor.run_once(STOP_TASK, process.finish)
+        self._server.stop()
+
+
+def _log_address(server: http_server.HttpServer) -> None:
+    """Logs the address of the callers' server."""
     logger.info(f"serving callers on {server.host}:{server.port}")
-    return server
 
 
 def _with_port(
--- a/src/cardamomfork/_internal/instances/fleet_membership.py
+++ b/src/cardamomfork/_internal/instances/fleet_membership.py
@@ -7,12 +7,15 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 import anyio
 import attrs
+import loguru
 import result
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.accounts import limit_claims
 from cardamomfork._internal.accounts import limits
 from cardamomfork._internal.configuration import codec
@@ -48,6 +51,8 @@
     from cardamomfork._internal.models import targets
 
 LIST_POLL_INTERVAL_S = 5.0
+PORT_TIMEOUT_S = 1.0
+"""Time for which the start waits for the peers' port."""
 LEAVE_PROPAGATION_S = 0.5
 """Time for the update that this instance stops to reach the peers."""
 ORDER_CANDIDATE_COUNT = 2
@@ -74,6 +79,7 @@
         instance_list: The platform's instance list, or None.
         seeds: Hosts and ports of the peers to contact first.
         peer_tls: TLS contexts of peer connections; None for plain TCP.
+        supervisor: Restarts tasks that fail.
     """
 
     members: membership.Membership
@@ -91,6 +97,9 @@
     instance_list: listing.InstanceList | None = None
     seeds: tuple[tuple[str, int], ...] = ()
     peer_tls: tls.PeerTls | None = None
+    supervisor: supervision.Supervisor = attrs.field(
+        factory=supervision.Supervisor
+    )
 
     async def run(
         self,
@@ -100,28 +109,53 @@
         """Runs the peer server and all loops until cancelled.
 
         Needs asyncio inside `capnp.kj_loop()`. If started with
-        `TaskGroup.start`, it reports as started once the peer port is open.
+        `TaskGroup.start`, it reports as started once the peer port is open, or
+        after `PORT_TIMEOUT_S` if it can't be opened yet.
         """
+        is_listening = anyio.Event()
+        try:
+            async with anyio.create_task_group() as group:
+                self._start_tasks(group, is_listening)
+                with anyio.move_on_after(PORT_TIMEOUT_S):
+                    await is_listening.wait()
+                task_status.started()
+        finally:
+            self.link.close()
+
+    def _start_tasks(
+        self, group: anyio.abc.TaskGroup, is_listening: anyio.Event
+    ) -> None:
+        """Starts the server and the loops."""
+        start = functools.partial(self.supervisor.start, group)
+        start(
+            "peers' server",
+            self._serve_peers,
+            is_listening,
+            max_backoff_s=supervision.PROMPT_MAX_BACKOFF_S,
+        )
+        start(
+            "peering",
+            self.peering.run,
+            self.link,
+            max_backoff_s=supervision.PROMPT_MAX_BACKOFF_S,
+        )
+        start("boot id", superseded_boot.warn_superseded, self.members)
+        if self.seeds:
+            start("seeds", self.peering.seek, self.link, self.seeds)
+        if self.follower is not None:
+            start("configuration follower", self.follower.run, self.link)
+        if self.peer_tls is not None:
+            start("peers' TLS files", self.peer_tls.watch)
+        if self.instance_list is not None:
+            start("instance list", self._poll_instance_list, self.instance_list)
+
+    async def _serve_peers(self, is_listening: anyio.Event) -> None:
+        """Serves peers until cancelled."""
         async with self.server.serve():
             self.members.listen_on(self.server.port)
-            task_status.started()
-            try:
-                async with anyio.create_task_group() as group:
-                    group.start_soon(self.peering.run, self.link)
-                    group.start_soon(self.peering.seek, self.link, self.seeds)
-                    group.start_soon(
-                        superseded_boot.warn_superseded, self.members
-                    )
-                    if self.follower is not None:
-                        group.start_soon(self.follower.run, self.link)
-                    if self.peer_tls is not None:
-                        group.start_soon(self.peer_tls.watch)
-                    if self.instance_list is not None:
-                        group.start_soon(
-                            self._poll_instance_list, self.instance_list
-                        )
-            finally:
-                self.link.close()
+            loguru.logger.info(f"serving peers on port {self.server.port}")
+            is_listening.set()
+            await anyio.sleep_forever()
 
     def is_order_candidate(self) -> bool:
         """Returns whether this instance may compete for the order lease."""
@@ -180,6 +214,7 @@
     instance_list: listing.InstanceList | None = None,
     participants: Sequence[gossip.Participant] = (),
     key_prefix: str = codec.DEFAULT_PREFIX,
+    supervisor: supervision.Supervisor | None = None,
 ) -> FleetMembership:
     """Builds the components without starting them.
 
@@ -194,6 +229,7 @@
         instance_list: The platform's instance list, if available.
         participants: Additional components that gossip.
         key_prefix: Prefix of all keys in the store.
+        supervisor: Contains failures of single parts; None for one of its own.
     """
     local_instance = instances.Instance(
         settings.instance.instance_id,
@@ -210,7 +246,7 @@
     limiter = limits.FleetLimiter(
         fleet_reach, claim_table, deferred_peering.ask_delegate
     )
-    configuration_replica = replica.ConfigurationReplica()
+    configuration_replica = replica.ConfigurationReplica(supervisor=supervisor)
     configuration_gossip = distribution.ConfigurationGossip(
         configuration_replica, deferred_peering.catch_up
     )
@@ -232,6 +268,7 @@
         byte_budget.ByteBudget(settings.peers.bytes_per_s),
         clock,
         rng,
+        supervisor,
     )
     deferred_peering.peering_loop = peering_loop
     configuration_replica.subscribe(lambda _change: peering_loop.hurry())
@@ -248,6 +285,7 @@
             clock,
             rng,
             key_prefix,
+            supervisor,
         )
     peer_tls = tls.make_peer_tls(settings.peers.tls)
     return FleetMembership(
@@ -273,6 +311,7 @@
         clock=clock,
         instance_list=instance_list,
         seeds=tuple(_parse_seed(seed) for seed in settings.peers.seeds),
+        supervisor=supervisor or supervision.Supervisor(),
     )
 
 
--- a/src/cardamomfork/_internal/instances/peering.py
+++ b/src/cardamomfork/_internal/instances/peering.py
@@ -9,12 +9,14 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import TYPE_CHECKING
 
 import anyio
 import attrs
 import loguru
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.instances import byte_budget
 from cardamomfork._internal.instances import envelope_exchange
 from cardamomfork._internal.instances import membership
@@ -48,6 +50,7 @@
 SEED_RETRY_INTERVAL_S = 1.0
 """Interval between calls to seeds while no peer is known."""
 SEED_INTERVAL_S = 30.0
+TASK_NAME = "peer exchanges"
 
 
 class Peering:
@@ -66,6 +69,7 @@
         budget: byte_budget.ByteBudget,
         clock: clock_contract.Clock,
         rng: random.Random,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes the service; `run` starts the exchanges.
 
@@ -76,7 +80,10 @@
             budget: Byte budget of all envelopes.
             clock: Source of monotonic time.
             rng: Random generator for jitter and the choice of peers.
+            supervisor: Contains failures of single parts; None for one of its
+                own.
         """
+        self._supervisor = supervisor or supervision.Supervisor()
         self._members = members
         self._summaries = others
         self._request_handlers: dict[int, RequestHandler] = {}
@@ -156,10 +163,19 @@
         """
         self._link = link
         async with anyio.create_task_group() as group:
-            group.start_soon(self._probe_loop, link, group)
-            group.start_soon(self._remote_loop, link)
-            group.start_soon(self._urgent_loop, link, group)
-            group.start_soon(self._push_loop, link, group)
+            for name, loop, arguments in (
+                ("peer probes", self._probe_loop, (link, group)),
+                ("remote exchanges", self._remote_loop, (link,)),
+                ("urgent exchanges", self._urgent_loop, (link, group)),
+                ("pushes", self._push_loop, (link, group)),
+            ):
+                self._supervisor.start(
+                    group,
+                    name,
+                    loop,
+                    *arguments,
+                    max_backoff_s=supervision.PROMPT_MAX_BACKOFF_S,
+                )
 
     async def seek(
         self,
@@ -263,6 +279,17 @@
             self._members.probe_failed(peer, now)
             link.forget(peer)
 
+    def _start(
+        self,
+        group: anyio.abc.TaskGroup,
+        function: Callable[..., Awaitable[object]],
+        *arguments: Any,
+    ) -> None:
+        """Starts an exchange whose failure leaves the others as they are."""
+        group.start_soon(
+            self._supervisor.run_once, TASK_NAME, function, *arguments
+        )
+
     async def _probe_loop(
         self,
         link: peering_contract.PeerLink,
@@ -273,7 +300,7 @@
             self._members.tick(self._clock.monotonic())
             peer = self._members.next_probe()
             if peer is not None:
-                group.start_soon(self.probe, link, peer)
+                self._start(group, self.probe, link, peer)
             jitter = self._rng.uniform(0.9, 1.1)
             await anyio.sleep(membership.PROBE_PERIOD_S * jitter)
 
@@ -305,11 +332,11 @@
                 self._delegate_requested = False
                 peers[-1:] = self._summaries.near_delegates()[:1]
             for peer in peers:
-                group.start_soon(self._exchange_once, link, peer)
+                self._start(group, self._exchange_once, link, peer)
             for _ in range(URGENT_REMOTE_FANOUT):
                 remote = self._summaries.next_remote()
                 if remote is not None:
-                    group.start_soon(self._exchange_once, link, remote)
+                    self._start(group, self._exchange_once, link, remote)
             await anyio.sleep(1.0 / MAX_URGENT_ROUNDS_PER_S)
 
     async def _push_loop(
@@ -338,11 +365,19 @@
                 else ()
             ):
                 if peer.instance_id != local_instance.instance_id:
-                    self._push_to(link, group, peer, local_topics)
+                    self._supervisor.call(
+                        TASK_NAME,
+                        self._push_to,
+                        *(link, group, peer, local_topics),
+                    )
             for peer in (
                 self._summaries.one_in_each(now) if remote_topics else ()
             ):
-                self._push_to(link, group, peer, remote_topics)
+                self._supervisor.call(
+                    TASK_NAME,
+                    self._push_to,
+                    *(link, group, peer, remote_topics),
+                )
 
     def _push_to(
         self,
@@ -356,7 +391,7 @@
         for topic in sorted(topics):
             envelope = self._exchanger.compose_one(peer, topic, now)
             if envelope is not None:
-                group.start_soon(self._exchanger.send, link, peer, envelope)
+                self._start(group, self._exchanger.send, link, peer, envelope)
 
     async def _wait_for_budget(self) -> None:
         """Waits until the budget allows an envelope with payloads.
--- a/src/cardamomfork/_internal/links/callers/sinks.py
+++ b/src/cardamomfork/_internal/links/callers/sinks.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from cardamomfork._internal import supervision
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
@@ -16,6 +18,7 @@
 
 HEARTBEAT_COMMENT = b": heartbeat\n\n"
 OK = 200
+TASK_NAME = "stream heartbeats"
 
 
 class StreamSink:
@@ -118,12 +121,19 @@
     between two writes is at most two periods.
     """
 
-    def __init__(self, period_s: float) -> None:
+    def __init__(
+        self,
+        period_s: float,
+        supervisor: supervision.Supervisor | None = None,
+    ) -> None:
         """Initializes the heartbeats without streams.
 
         Args:
             period_s: Time between two checks, in seconds.
+            supervisor: Contains failures of single parts; None for one of its
+                own.
         """
+        self._supervisor = supervisor or supervision.Supervisor()
         self._period_s = period_s
         self._sinks: set[StreamSink] = set()
 
@@ -147,4 +157,6 @@
                 if sink.active:
                     sink.active = False
                 elif sink in self._sinks:
-                    await sink.send_heartbeat()
+                    await self._supervisor.run_once(
+                        TASK_NAME, sink.send_heartbeat
+                    )
--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -187,17 +187,23 @@
         port: int,
         protocol: type[asyncio.Protocol] | str = "httptools",
         max_connections: int | None = None,
+        tls: ssl.SSLContext | None = None,
+        on_listening: Callable[[HttpServer], None] = lambda _: None,
     ) -> None:
         """Initializes the server without opening its port.
 
         Args:
             application: The ASGI application.
             host: IP address to listen on.
-            port: TCP port to listen on.
+            port: TCP port to listen on; 0 picks a free port once.
             protocol: uvicorn's HTTP protocol, or a class derived from it.
             max_connections: Maximum open connections; further ones get
                 status 503.
+            tls: Server-side TLS context; None for plain TCP.
+            on_listening: Called each time that the port is open.
         """
+        self._tls = tls
+        self._on_listening = on_listening
         self._application = application
         self._host = host
         self._port = port
@@ -233,10 +239,13 @@
             open_listener(self._host, self._port),
             self._protocol,
             self._max_connections,
+            self._tls,
             state=self._state,
         )
         self._server = server
+        self._port = server.port
         try:
+            self._on_listening(server)
             await server.serve()
         finally:
             self._server = None
--- a/src/cardamomfork/_internal/links/operators/server.py
+++ b/src/cardamomfork/_internal/links/operators/server.py
@@ -270,14 +270,27 @@
         *,
         task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serves until cancelled; reports the port once it is listening."""
-        listener = await capnp.AsyncIoStream.create_server(
-            self._accept,
-            self._operator_settings.host,
-            self._operator_settings.port,
-            ssl=self._tls.context if self._tls else None,
-        )
+        """Serves until cancelled; reports the port once it is listening.
+
+        Raises:
+            exceptions.CardamomforkError: The address can't be bound.
+        """
+        host = self._operator_settings.host
+        port = self._port or self._operator_settings.port
+        try:
+            listener = await capnp.AsyncIoStream.create_server(
+                self._accept,
+                host,
+                port,
+                ssl=self._tls.context if self._tls else None,
+            )
+        except OSError as error:
+            raise exceptions.CardamomforkError(
+                f"cannot listen for operators on {host}:{port}.",
+                "Set a free port or another address in the settings.",
+            ) from error
         self._port = listener.sockets[0].getsockname()[1]
+        logger.info(f"serving operators on port {self._port}")
         task_status.started(self._port)
         try:
             if self._tls:
--- a/src/cardamomfork/_internal/links/peers/server.py
+++ b/src/cardamomfork/_internal/links/peers/server.py
@@ -12,6 +12,7 @@
 import capnp
 import loguru
 
+from cardamomfork._internal import exceptions
 from cardamomfork._internal.links.peers import schema
 
 if TYPE_CHECKING:
@@ -60,10 +61,21 @@
 
     @contextlib.asynccontextmanager
     async def serve(self) -> AsyncIterator[None]:
-        """Listens until the context exits, then closes all connections."""
-        server = await capnp.AsyncIoStream.create_server(
-            self._accept, host=self._host, port=self._port, ssl=self._tls
-        )
+        """Listens until the context exits, then closes all connections.
+
+        Raises:
+            exceptions.CardamomforkError: The address can't be bound.
+        """
+        try:
+            server = await capnp.AsyncIoStream.create_server(
+                self._accept, host=self._host, port=self._port, ssl=self._tls
+            )
+        except OSError as error:
+            raise exceptions.CardamomforkError(
+                f"cannot listen for peers on {self._host}:{self._port}.",
+                "Set a free port or another address in the settings.",
+            ) from error
+        self._is_stopped = False
         self._port = server.sockets[0].getsockname()[1]
         try:
             yield
--- a/src/cardamomfork/_internal/links/targets/engine_observer.py
+++ b/src/cardamomfork/_internal/links/targets/engine_observer.py
@@ -8,6 +8,7 @@
 import anyio
 import result
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.models import targets
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
 
 POLL_PERIOD_S = 1.0
 MAX_CONCURRENT_POLLS = 32
+TASK_NAME = "engine observer"
 RESYNC_SEQUENCE = -1
 """Requests the whole cache, as one event, in place of later events."""
 
@@ -59,6 +61,7 @@
         clock: clock_contract.Clock,
         is_observed: Callable[[identifiers.TargetId], bool] = lambda _: True,
         period_s: float = POLL_PERIOD_S,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes the observer.
 
@@ -68,7 +71,10 @@
             clock: The event loop's clock.
             is_observed: Returns whether this instance polls an engine.
             period_s: Pause between two rounds, in seconds.
+            supervisor: Contains failures of single parts; None for one of its
+                own.
         """
+        self._supervisor = supervisor or supervision.Supervisor()
         self._links = links
         self._listener = listener
         self._clock = clock
@@ -98,7 +104,13 @@
         limiter = anyio.CapacityLimiter(MAX_CONCURRENT_POLLS)
         async with anyio.create_task_group() as tasks:
             for link in links:
-                tasks.start_soon(self._poll, link, limiter)
+                tasks.start_soon(
+                    self._supervisor.run_once,
+                    TASK_NAME,
+                    self._poll,
+                    link,
+                    limiter,
+                )
 
     async def _poll(
         self, link: target_link.TargetLink, limiter: anyio.CapacityLimiter
--- a/src/cardamomfork/_internal/links/targets/idle.py
+++ b/src/cardamomfork/_internal/links/targets/idle.py
@@ -6,6 +6,10 @@
 
 import anyio
 
+from cardamomfork._internal import supervision
+
+TASK_NAME = "idle streams"
+
 
 class MonitoredStream(Protocol):
     """A stream with an idle timeout.
@@ -30,12 +34,19 @@
     read.
     """
 
-    def __init__(self, period_s: float) -> None:
+    def __init__(
+        self,
+        period_s: float,
+        supervisor: supervision.Supervisor | None = None,
+    ) -> None:
         """Initializes the monitor without streams.
 
         Args:
             period_s: Time between two checks, in seconds.
+            supervisor: Contains failures of single parts; None for one of its
+                own.
         """
+        self._supervisor = supervisor or supervision.Supervisor()
         self._period_s = period_s
         self._streams: set[MonitoredStream] = set()
 
@@ -58,7 +69,7 @@
             if stream.active:
                 stream.active = False
             else:
-                stream.idle_expired()
+                self._supervisor.call(TASK_NAME, stream.idle_expired)
 
     async def run(self) -> None:
         """Expires idle streams once a period until cancelled."""
--- a/src/cardamomfork/_internal/measure/claims.py
+++ b/src/cardamomfork/_internal/measure/claims.py
@@ -26,6 +26,7 @@
 from cardamomfork._internal.requests.claims import keys
 from cardamomfork._internal.requests.claims import ledger
 from cardamomfork._internal.standins import store as store_standin
+from cardamomfork._internal.standins import strict_supervision
 from cardamomfork._internal.standins import virtual_time
 
 if TYPE_CHECKING:
@@ -250,6 +251,7 @@
                 random.Random(self._rng.random()),
                 claim_policy.retention_s,
                 committer.CommitTiming(interval_s=scenario.interval_s),
+                strict_supervision.StrictSupervisor(),
             )
             await tasks.start(group_committer.run)
             routes = (
--- a/src/cardamomfork/_internal/measure/fault_instances.py
+++ b/src/cardamomfork/_internal/measure/fault_instances.py
@@ -18,6 +18,7 @@
 from cardamomfork._internal.requests.claims import ledger
 from cardamomfork._internal.standins import in_memory_engine
 from cardamomfork._internal.standins import store as store_standin
+from cardamomfork._internal.standins import strict_supervision
 from cardamomfork._internal.standins import virtual_time
 
 if TYPE_CHECKING:
@@ -99,7 +100,11 @@
         self._store = _FreezableSession(simulation.store, self)
         policy = keys.ClaimPolicy()
         self._committer = committer.GroupCommitter(
-            self._store, self._clock, rng, policy.retention_s
+            self._store,
+            self._clock,
+            rng,
+            policy.retention_s,
+            supervisor=strict_supervision.StrictSupervisor(),
         )
         self.ledger = ledger.StoreClaimLedger(
             self._committer,
@@ -117,6 +122,7 @@
             reservation_sweep.HomeSweep(instance_id, rng, DATA_CENTRE),
             self,
             self._clock,
+            strict_supervision.StrictSupervisor(),
         )
         self._links: dict[
             identifiers.TargetId, in_memory_engine.MemoryLink
--- a/src/cardamomfork/_internal/requests/cancellation.py
+++ b/src/cardamomfork/_internal/requests/cancellation.py
@@ -11,6 +11,8 @@
 from loguru import logger
 import result
 
+from cardamomfork._internal import supervision
+
 if TYPE_CHECKING:
     import random
 
@@ -21,6 +23,7 @@
 MAX_DELAY_S = 5.0
 MAX_TRIES = 60
 MAX_PENDING = 10_000
+TASK_NAME = "cancellations"
 WORKER_COUNT = 8
 
 
@@ -31,6 +34,7 @@
     link: target_link.TargetLink
     attempt_id: identifiers.AttemptId
     tries: int = 0
+    is_confirmed: bool = False
 
 
 @attrs.define
@@ -49,12 +53,19 @@
     memory later (see `reservation_sweep`).
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        supervisor: supervision.Supervisor | None = None,
+    ) -> None:
         """Initializes a canceller without pending cancellations.
 
         Args:
             rng: Random generator for backoff jitter.
+            supervisor: Contains failures of single parts; None for one of its
+                own.
         """
+        self._supervisor = supervisor or supervision.Supervisor()
         self._rng = rng
         self._pending: collections.deque[_PendingCancel] = collections.deque()
         self._work_added = anyio.Event()
@@ -111,6 +122,10 @@
             self._running_count += 1
             try:
                 await self._send(cancel)
+            except BaseException:
+                # A restarted `run` goes on with it.
+                self._pending.append(cancel)
+                raise
             finally:
                 self._running_count -= 1
 
@@ -120,10 +135,15 @@
             self._work_added = anyio.Event()
         await self._work_added.wait()
 
+    async def _try(self, cancel: _PendingCancel) -> None:
+        """Sends a cancellation once and records whether it is confirmed."""
+        answer = await cancel.link.cancel(cancel.attempt_id)
+        cancel.is_confirmed = answer == result.Ok(True)
+
     async def _send(self, cancel: _PendingCancel) -> None:
         """Sends a cancellation once; requeues it if it is not confirmed."""
-        answer = await cancel.link.cancel(cancel.attempt_id)
-        if answer == result.Ok(True):
+        await self._supervisor.run_once(TASK_NAME, self._try, cancel)
+        if cancel.is_confirmed:
             self.counters.confirmed += 1
             return
         cancel.tries += 1
--- a/src/cardamomfork/_internal/requests/claims/committer.py
+++ b/src/cardamomfork/_internal/requests/claims/committer.py
@@ -17,6 +17,7 @@
 import anyio.abc
 import attrs
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.requests.claims import record_store
 from cardamomfork._internal.requests.claims import records
 
@@ -37,6 +38,7 @@
 """Number of retries of a commit without a delay."""
 MAX_BACKOFF_S = 0.4
 MAX_INTERVAL_S = 0.5
+TASK_NAME = "claim commits"
 INTERVAL_GROWTH = 1.5
 INTERVAL_DECAY = 0.97
 
@@ -110,6 +112,7 @@
         rng: random.Random,
         retention_s: float,
         pace: CommitTiming = CommitTiming(),
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes the committer.
 
@@ -119,7 +122,10 @@
             rng: Random generator for backoff jitter.
             retention_s: Minimum lifetime of a record, in seconds.
             pace: Delays of the commits.
+            supervisor: Contains failures of single parts; None for one of its
+                own.
         """
+        self._supervisor = supervisor or supervision.Supervisor()
         self._records = record_store.RecordStore(store, clock, retention_s)
         self._clock = clock
         self._rng = rng
@@ -131,6 +137,7 @@
         self._drained = anyio.Event()
         self._drained.set()
         self._task_group: anyio.abc.TaskGroup | None = None
+        self._has_started = False
         self.counters = self._records.counters
 
     @property
@@ -151,9 +158,17 @@
         *,
         task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Commits submitted operations until it is cancelled."""
+        """Commits submitted operations until it is cancelled.
+
+        After a failure it may run again; it then goes on with the operations
+        that wait. Operations are accepted between the runs too.
+        """
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
+            self._has_started = True
+            for record, queue in self._queues.items():
+                if queue.pending:
+                    self._start_worker(record, queue)
             task_status.started()
             try:
                 await anyio.sleep_forever()
@@ -181,7 +196,7 @@
             case the operation may have been committed or may yet be.
         """
         if (
-            self._task_group is None
+            not self._has_started
             or self._waiting_count >= MAX_PENDING_OPERATIONS
         ):
             return records.UNAVAILABLE
@@ -195,11 +210,11 @@
     ) -> bool:
         """Submits an operation without waiting for its commit.
 
-        Returns False if it is rejected: too many operations wait, or `run` is
-        not running.
+        Returns False if it is rejected: too many operations wait, or `run` has
+        not been called.
         """
         if (
-            self._task_group is None
+            not self._has_started
             or self._waiting_count >= MAX_PENDING_OPERATIONS
         ):
             return False
@@ -226,28 +241,46 @@
             self._drained = anyio.Event()
         self.counters.operations += 1
         queue.operation_added.set()
+        self._start_worker(record, queue)
+        return pending
+
+    def _start_worker(self, record: str, queue: _RecordQueue) -> None:
+        """Starts a record's worker unless it has one."""
         if not queue.has_worker and self._task_group is not None:
             queue.has_worker = True
             self._task_group.start_soon(self._run_worker, record, queue)
-        return pending
 
     async def _run_worker(self, record: str, queue: _RecordQueue) -> None:
         """Commits a record's operations until its queue is empty."""
         try:
             while queue.pending:
                 await self._wait_until_due(queue)
-                batch = queue.pending[:MAX_BATCH_OPERATIONS]
-                del queue.pending[: len(batch)]
-                postponed = await self._commit(record, batch)
-                queue.last_write_at = self._clock.monotonic()
-                queue.pending[:0] = postponed
-                self._waiting_count -= len(batch) - len(postponed)
-                if not self._waiting_count:
-                    self._drained.set()
+                await self._commit_batch(record, queue)
         finally:
             queue.has_worker = False
             self._evict_idle_queues()
 
+    async def _commit_batch(self, record: str, queue: _RecordQueue) -> None:
+        """Commits one batch; keeps its operations that have no result yet."""
+        batch = queue.pending[:MAX_BATCH_OPERATIONS]
+        del queue.pending[: len(batch)]
+        postponed = batch
+        try:
+            postponed = await self._commit(record, batch)
+        except Exception as error:  # noqa: BLE001  # Any failure is contained.
+            self._supervisor.record_failure(TASK_NAME, error)
+            postponed = self._postpone(_without_result(batch))
+        except BaseException:
+            # A restarted `run` goes on with them.
+            postponed = _without_result(batch)
+            raise
+        finally:
+            queue.last_write_at = self._clock.monotonic()
+            queue.pending[:0] = postponed
+            self._waiting_count -= len(batch) - len(postponed)
+            if not self._waiting_count:
+                self._drained.set()
+
     def _evict_idle_queues(self) -> None:
         """Removes the oldest idle queues over a limit.
 
@@ -255,7 +288,11 @@
         at most `MAX_CACHED_RECORDS` queues, plus those that are in use.
         """
         excess = len(self._queues) - record_store.MAX_CACHED_RECORDS
-        idle = [r for r, q in self._queues.items() if not q.has_worker]
+        idle = [
+            record
+            for record, queue in self._queues.items()
+            if not queue.has_worker and not queue.pending
+        ]
         for record in idle[: max(excess, 0)]:
             del self._queues[record]
 
@@ -366,6 +403,13 @@
         return applied.results if retry_reason is None else retry_reason
 
 
+def _without_result(
+    batch: Sequence[_PendingOperation],
+) -> list[_PendingOperation]:
+    """Returns the operations that are neither committed nor failed."""
+    return [pending for pending in batch if not pending.done.is_set()]
+
+
 def _apply(
     cached: record_store.CachedRecord | None,
     operations: Sequence[records.AnyOperation],
--- a/src/cardamomfork/_internal/requests/poison_gate.py
+++ b/src/cardamomfork/_internal/requests/poison_gate.py
@@ -9,6 +9,7 @@
 import attrs
 import result
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.models import outcomes
 from cardamomfork._internal.models import targets
 from cardamomfork._internal.requests import poison
@@ -29,6 +30,7 @@
 MAX_LIVENESS_CHECKS = 2
 """Consecutive failed checks after which a target counts as dead."""
 MAX_PENDING_CHECKS = 1024
+TASK_NAME = "target checks"
 CLEANUP_INTERVAL_S = 60.0
 DOWN_TARGET_EXCLUSION_S = 30.0
 """Time for which no suspect is sent to a target that was found dead."""
@@ -67,6 +69,7 @@
             [identifiers.TargetId], identifiers.BootId | None
         ] = lambda _: None,
         on_update: Callable[[], None] = lambda: None,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes the gate.
 
@@ -78,7 +81,10 @@
             boot_id_of: Returns the boot id last received from a target.
             on_update: Called when there may be an urgent update for the
                 peers, such as a target's death.
+            supervisor: Contains failures of single parts; None for one of its
+                own.
         """
+        self._supervisor = supervisor or supervision.Supervisor()
         self._guard = guard
         self._clock = clock
         self._targets_of = targets_of
@@ -178,16 +184,21 @@
         """Checks targets that lost an attempt, until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                with anyio.move_on_after(CLEANUP_INTERVAL_S):
-                    await self._check_requested.wait()
                 self._check_requested = anyio.Event()
                 self._guard.drop_expired(self._clock.monotonic())
                 while self._pending_checks:
                     guarded = self._pending_checks.popleft()
                     target_id = guarded.link.target.target_id
                     if target_id not in self._checking:
-                        tasks.start_soon(self._check_target, target_id)
+                        tasks.start_soon(
+                            self._supervisor.run_once,
+                            TASK_NAME,
+                            self._check_target,
+                            target_id,
+                        )
                     self._checking[target_id] = guarded
+                with anyio.move_on_after(CLEANUP_INTERVAL_S):
+                    await self._check_requested.wait()
 
     def _request_check(self, guarded: GuardedAttempt) -> None:
         """Schedules a check of an attempt's target by `run`."""
@@ -205,6 +216,11 @@
             while is_alive and checked is not self._checking[target_id]:
                 checked = self._checking[target_id]
                 is_alive = await self._is_alive(checked)
+        except BaseException:
+            # Nothing is known of the target yet: `run` checks it again at the
+            # next lost attempt, or after a restart or the cleanup interval.
+            self._pending_checks.append(self._checking[target_id])
+            raise
         finally:
             del self._checking[target_id]
         if is_alive:
--- a/src/cardamomfork/_internal/requests/reservation_reclaimer.py
+++ b/src/cardamomfork/_internal/requests/reservation_reclaimer.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
 
 import anyio
+import anyio.abc
 import result
 
+from cardamomfork._internal import supervision
+
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Mapping
 
@@ -21,6 +27,7 @@
 POLL_INTERVAL_S = 0.2
 CALL_TIMEOUT_S = 5.0
 MAX_CONCURRENT_CALLS = 16
+TASK_NAME = "reservations"
 
 
 class ReclaimerDependencies(Protocol):
@@ -67,6 +74,7 @@
         sweep: reservation_sweep.HomeSweep,
         dependencies: ReclaimerDependencies,
         clock: clock_contract.Clock,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         """Initializes the reclaimer.
 
@@ -75,7 +83,10 @@
             sweep: Sweep of the engines whose home is this instance.
             dependencies: Links, membership and ownership queries.
             clock: Clock of the event loop.
+            supervisor: Contains failures of single parts; None for one of its
+                own.
         """
+        self._supervisor = supervisor or supervision.Supervisor()
         self._local = local_reservations
         self._sweep = sweep
         self._dependencies = dependencies
@@ -88,17 +99,28 @@
             while True:
                 now = self._clock.monotonic()
                 for release in self._local.collect_due(now):
-                    tasks.start_soon(self._release, release, self._local)
+                    self._start(tasks, self._release, release, self._local)
                 for release in self._sweep.collect_due(now):
-                    tasks.start_soon(self._release, release, self._sweep)
+                    self._start(tasks, self._release, release, self._sweep)
                 for engine in self._sweep.collect_due_engines(
                     self._dependencies.local_engines(),
                     self._dependencies.live_instances(),
                     now,
                 ):
-                    tasks.start_soon(self._sweep_engine, engine)
+                    self._start(tasks, self._sweep_engine, engine)
                 await anyio.sleep(POLL_INTERVAL_S)
 
+    def _start(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        function: Callable[..., Awaitable[object]],
+        *arguments: Any,
+    ) -> None:
+        """Starts a step whose failure leaves the others as they are."""
+        tasks.start_soon(
+            self._supervisor.run_once, TASK_NAME, function, *arguments
+        )
+
     async def _release(
         self,
         release: reservations.Release,
--- a/src/cardamomfork/_internal/standins/fleet.py
+++ b/src/cardamomfork/_internal/standins/fleet.py
@@ -25,6 +25,7 @@
 from cardamomfork._internal.models import instances
 from cardamomfork._internal.standins import peer_network
 from cardamomfork._internal.standins import store as store_standin
+from cardamomfork._internal.standins import strict_supervision
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -113,7 +114,8 @@
         rng = random.Random(f"{self._seed}/{instance.boot_id}")
         members = membership.Membership(instance, rng)
         others = summaries.DataCentreSummaries(members, self.clock, rng)
-        local_replica = replica.ConfigurationReplica()
+        supervisor = strict_supervision.StrictSupervisor()
+        local_replica = replica.ConfigurationReplica(supervisor=supervisor)
 
         def catch_up() -> None:
             gossip_loop.catch_up()
@@ -132,6 +134,7 @@
             byte_budget.ByteBudget(self._bytes_per_s),
             self.clock,
             rng,
+            supervisor,
         )
         local_replica.subscribe(lambda _change: gossip_loop.hurry())
         faults = store_standin.StoreFaults()
@@ -142,6 +145,7 @@
             members,
             self.clock,
             rng,
+            supervisor=supervisor,
         )
         self.network.serve(instance, gossip_loop)
         return Member(
--- a/src/cardamomfork/_internal/targets/orders_reconciler.py
+++ b/src/cardamomfork/_internal/targets/orders_reconciler.py
@@ -210,6 +210,19 @@
         if engine is not None:
             self._schedule(engine, models.StepKind.READ, now)
 
+    def reschedule_lost(self, now: float) -> None:
+        """Schedules a read of each engine that has no plan.
+
+        A step that was started, and whose outcome will not be reported, would
+        leave its engine without one until the next term of the lease.
+        """
+        planned = {plan[2] for plan in self._plans if self._is_current(plan)}
+        for target_id, engine in self._engines.items():
+            if target_id not in planned and (
+                target_id not in self._waiting_for_slot
+            ):
+                self._schedule(engine, models.StepKind.READ, now)
+
     @property
     def size(self) -> int:
         """Number of engines that have an order."""
--- a/src/cardamomfork/_internal/targets/orders_runner.py
+++ b/src/cardamomfork/_internal/targets/orders_runner.py
@@ -10,6 +10,7 @@
 from loguru import logger
 import result
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.models import targets
 from cardamomfork._internal.targets import orders_models as models
 
@@ -21,6 +22,7 @@
 
 MAX_IDLE_S = 1.0
 MAX_CONCURRENT_STEPS = 32
+TASK_NAME = "order runner"
 
 
 class LeaseView(Protocol):
@@ -52,6 +54,7 @@
         links: Links to the engines.
         clock: Monotonic clock against which the lease is checked.
         max_message_delay_s: Time limit of one exchange, in seconds.
+        supervisor: Contains the failure of a step.
     """
 
     reconciler: orders_reconciler.OrderReconciler
@@ -59,6 +62,9 @@
     links: LinkLookup
     clock: clock_contract.Clock
     max_message_delay_s: float = 5.0
+    supervisor: supervision.Supervisor = attrs.field(
+        factory=supervision.Supervisor
+    )
     _wake_event: anyio.Event = attrs.field(factory=anyio.Event, init=False)
     _step_limiter: anyio.CapacityLimiter | None = attrs.field(
         default=None, init=False
@@ -69,7 +75,12 @@
         self._wake_event.set()
 
     async def run(self) -> None:
-        """Runs until cancelled."""
+        """Runs until cancelled.
+
+        After a failure it may run again: engines whose step has no outcome
+        are then read.
+        """
+        self.reconciler.reschedule_lost(self.clock.monotonic())
         self._step_limiter = anyio.CapacityLimiter(MAX_CONCURRENT_STEPS)
         async with anyio.create_task_group() as group:
             while True:
@@ -99,7 +110,12 @@
         async with self._step_limiter:
             # The lease may have expired while the step waited for the limiter.
             if self._is_lease_valid(step):
-                await self._exchange(step)
+                if not await self.supervisor.run_once(
+                    TASK_NAME, self._exchange, step
+                ):
+                    self._report_fault(
+                        step, targets.FaultKind.SILENT, "unexpected failure"
+                    )
             else:
                 self.reconciler.on_skipped(step, self.clock.monotonic())
         self.wake()
--- a/src/cardamomfork/_internal/telemetry/exporting.py
+++ b/src/cardamomfork/_internal/telemetry/exporting.py
@@ -84,6 +84,11 @@
         """Meter on which `metrics.Metrics` creates its instruments."""
         return self._provider.get_meter("cardamomfork")
 
+    @property
+    def is_pushed(self) -> bool:
+        """Whether an OTLP endpoint is configured."""
+        return self._reader is not None
+
     def scrape(self) -> Scrape:
         """Returns all metrics in the Prometheus text format."""
         body = self._prometheus_client.generate_latest(self._registry)
--- a/src/cardamomfork/_internal/telemetry/process_instrumentation.py
+++ b/src/cardamomfork/_internal/telemetry/process_instrumentation.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import anyio
 import attrs
 
 from cardamomfork._internal.telemetry import dump
@@ -18,6 +17,9 @@
     from collections.abc import Callable
     from collections.abc import Mapping
 
+    import anyio.abc
+
+    from cardamomfork._internal import supervision
     from cardamomfork._internal.contracts import clock as clock_contract
     from cardamomfork._internal.models import settings as settings_models
 
@@ -60,11 +62,13 @@
                 )
             )
 
-    async def run(self) -> None:
-        """Runs the watchdog and OTLP push until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self.watchdog.run)
-            group.start_soon(self.export.run)
+    def start(
+        self, tasks: anyio.abc.TaskGroup, supervisor: supervision.Supervisor
+    ) -> None:
+        """Starts the watchdog and, if it is configured, the OTLP push."""
+        supervisor.start(tasks, "watchdog", self.watchdog.run)
+        if self.export.is_pushed:
+            supervisor.start(tasks, "metrics push", self.export.run)
 
     def write_dump(self, output: logs.LineSink) -> None:
         """Writes the state dump as a line."""
--- a/src/cardamomfork/_internal/wiring.py
+++ b/src/cardamomfork/_internal/wiring.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from cardamomfork._internal import supervision
 from cardamomfork._internal.accounts import keys
 from cardamomfork._internal.composition import request_components
 from cardamomfork._internal.composition import (
@@ -32,8 +33,10 @@
 from cardamomfork._internal.requests import reservations
 from cardamomfork._internal.requests import retries
 from cardamomfork._internal.requests import service
+from cardamomfork._internal.requests.claims import committer
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     import anyio.abc
@@ -45,7 +48,6 @@
     from cardamomfork._internal.models import configuration
     from cardamomfork._internal.models import identifiers
     from cardamomfork._internal.models import settings as settings_models
-    from cardamomfork._internal.requests.claims import committer
     from cardamomfork._internal.requests.claims import ledger
     from cardamomfork._internal.telemetry import exporting
 
@@ -76,6 +78,7 @@
         gate: Isolates requests that may crash targets.
         retry_policy: Retry budgets and counters.
         frame_counters: Counts dropped frames.
+        supervisor: Restarts background tasks that fail.
     """
 
     settings: settings_models.DaemonSettings
@@ -99,6 +102,7 @@
     gate: poison_gate.PoisonGate
     retry_policy: retries.RetryPolicy
     frame_counters: attempts.FrameCounters
+    supervisor: supervision.Supervisor
 
     def apply_service(self, changed: configuration.Service) -> None:
         """Applies the configuration of a service."""
@@ -135,15 +139,24 @@
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts the background tasks."""
-        tasks.start_soon(self.dispatch_queue.run)
-        tasks.start_soon(self.canceller.run)
-        tasks.start_soon(self.heartbeats.run)
-        tasks.start_soon(self.idle_watch.run)
-        tasks.start_soon(self.engine_observer.run)
-        tasks.start_soon(self.reclaimer.run)
-        tasks.start_soon(self.gate.run)
+        runs: dict[str, Callable[[], Awaitable[None]]] = {
+            "dispatch queue": self.dispatch_queue.run,
+            cancellation.TASK_NAME: self.canceller.run,
+            sinks.TASK_NAME: self.heartbeats.run,
+            idle.TASK_NAME: self.idle_watch.run,
+            engine_observer.TASK_NAME: self.engine_observer.run,
+            reservation_reclaimer.TASK_NAME: self.reclaimer.run,
+            poison_gate.TASK_NAME: self.gate.run,
+        }
         if self.committer is not None:
-            tasks.start_soon(self.committer.run)
+            runs[committer.TASK_NAME] = self.committer.run
+        for name, run in runs.items():
+            self.supervisor.start(
+                tasks,
+                name,
+                run,
+                max_backoff_s=supervision.PROMPT_MAX_BACKOFF_S,
+            )
 
 
 def wire(
@@ -174,7 +187,9 @@
         keys=keys.KeyVerifier(),
         dispatch_queue=components.dispatch_queue,
         canceller=components.canceller,
-        heartbeats=sinks.StreamHeartbeats(settings.callers.heartbeat_s),
+        heartbeats=sinks.StreamHeartbeats(
+            settings.callers.heartbeat_s, dependencies.supervisor
+        ),
         idle_watch=components.idle_watch,
         record_table=components.record_table,
         requests=request_components.make_request_service(
@@ -182,17 +197,19 @@
         ),
         retry_policy=components.retry_policy,
         frame_counters=components.frame_counters,
+        supervisor=dependencies.supervisor,
         engine_observer=engine_observer.EngineObserver(
             components.links,
             dependencies.engine_listener,
             components.clock,
             dependencies.observes_target,
+            supervisor=dependencies.supervisor,
         ),
         committer=claims,
         ledger=claim_ledger,
         gate=components.gate,
         reclaimer=request_components.make_reclaimer(
-            settings, dependencies.owners, components
+            settings, dependencies, components
         ),
     )
 
