Decode all foreign bytes of the daemon at the boundary, one by one

One object in the store, one answer of an engine or one payload of a peer could end a daemon: msgspec raises RecursionError for JSON nested 1,500 levels deep, which no decoder here expected, and a port of 70000 or a host label of 70 characters raised OverflowError or UnicodeError where a connection was opened. Integers over 64 bits from an engine's report were accepted, and then made the encoding of every message to peers fail. A content length of 5,000 digits raised ValueError, and an incarnation of 2**64 - 1 of this instance could not be counted on from.

Decoders of configuration objects, packed changes and pages, gossip payloads and rows, claim records, forwarded operations, engines' answers, content lengths and retry times are functions of the boundary now: they return a value or an error for any bytes. Unknown fields may be nested at any depth. Connections that can't be opened for any reason are unreachable targets.

Tests changed: three lines in test_configuration_replica and test_claims read the results of unpack and decode, which are other types now; what they check is the same.

--- a/src/cardamomfork/_internal/accounts/limit_claims.py
+++ b/src/cardamomfork/_internal/accounts/limit_claims.py
@@ -16,7 +16,9 @@
 
 import attrs
 import msgspec
+import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.contracts import gossip
 from cardamomfork._internal.instances import wire_ages
 from cardamomfork._internal.models import identifiers
@@ -49,6 +51,9 @@
     claims: dict[str, list[tuple[str, int, int]]] = {}
 
 
+_decode_payload = decoding.msgpack_decoder("demands", _Payload)
+
+
 @attrs.frozen
 class _Claim:
     """A demand and the time on this clock at which its source reported it."""
@@ -240,11 +245,11 @@
     ) -> None:
         """Stores the ages and claims in a peer's payload."""
         del sender
-        try:
-            received = msgspec.msgpack.decode(payload, type=_Payload)
-        except msgspec.DecodeError:
+        decoded = _decode_payload(payload)
+        if isinstance(decoded, result.Err):
             self.unreadable += 1
             return
+        received = decoded.ok_value
         for source, claims in received.claims.items():
             if source in (self._me, REMOTE_SOURCE_PREFIX + self._reach.home):
                 continue
--- a/src/cardamomfork/_internal/composition/peer_requests.py
+++ b/src/cardamomfork/_internal/composition/peer_requests.py
@@ -8,6 +8,7 @@
 import attrs
 import msgspec
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.composition import request_dependencies
 from cardamomfork._internal.contracts import peering as peering_contract
 from cardamomfork._internal.data_centres import rendezvous
@@ -24,6 +25,9 @@
 RESERVATION_QUERY_TIMEOUT_S = 2.0
 
 
+_decode_names = decoding.msgpack_decoder("names of reservations", list[str])
+
+
 @attrs.frozen
 class ClaimShardRoutes:
     """Finds the owners of claim shards and forwards operations to them.
@@ -116,7 +120,8 @@
         )
         response = answer.unwrap_or(b"")
         if response:
-            return frozenset(msgspec.msgpack.decode(response, type=list[str]))
+            names = _decode_names(response).ok()
+            return None if names is None else frozenset(names)
     return None
 
 
@@ -128,8 +133,10 @@
     """Registers the handlers of peer requests."""
 
     async def find_unused(payload: bytes) -> bytes:
-        names = msgspec.msgpack.decode(payload, type=list[str])
         await anyio.lowlevel.checkpoint()
+        names = _decode_names(payload).ok()
+        if names is None:
+            return b""
         return msgspec.msgpack.encode(
             sorted(local_reservations.find_unused(names))
         )
--- a/src/cardamomfork/_internal/configuration/codec.py
+++ b/src/cardamomfork/_internal/configuration/codec.py
@@ -13,9 +13,11 @@
 import zlib
 
 import attrs
+from loguru import logger
 import msgspec
 import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.models import configuration
 from cardamomfork._internal.models import findings
 from cardamomfork._internal.models import identifiers
@@ -28,6 +30,9 @@
 MAX_OBJECT_BYTES = 1_048_576
 MAX_UNPACKED_BYTES = 16 * 1024 * 1024
 """Most bytes that the packed changes of one message may decompress to."""
+MAX_NAME_CHARACTERS = 200
+"""Characters of a name that are shown in a finding."""
+MAX_VERSION = 2**63 - 1
 _KEY_SECTION = "config/"
 _COMPRESSION_LEVEL = 6
 _STREAM_TRAILER_BYTES = 16
@@ -55,9 +60,6 @@
     body: msgspec.Raw = msgspec.Raw(b"null")
 
 
-_LINE_DECODER = msgspec.json.Decoder(_PackedChange)
-
-
 @attrs.frozen
 class PackedChanges:
     """As many changes as fit a byte budget, in order of version.
@@ -116,6 +118,7 @@
     return msgspec.json.encode(value)
 
 
+@decoding.register
 def decode(
     kind: configuration.ObjectKind, name: str, data: bytes
 ) -> result.Result[configuration.ConfigurationObject, findings.Finding]:
@@ -128,13 +131,16 @@
         return result.Err(
             findings.Finding(location, f"exceeds {MAX_OBJECT_BYTES} bytes")
         )
-    try:
-        value = msgspec.json.decode(data, type=_TYPE_BY_KIND[kind])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return result.Err(findings.Finding(location, str(error)))
+    decoded = decoding.decode_bounded_json(data, _TYPE_BY_KIND[kind])
+    if isinstance(decoded, result.Err):
+        return result.Err(findings.Finding(location, decoded.err_value))
+    value = decoded.ok_value
     if value.name != name:
         return result.Err(
-            findings.Finding(location, f"names {value.name!r} in its body")
+            findings.Finding(
+                location,
+                f"names {value.name[:MAX_NAME_CHARACTERS]!r} in its body",
+            )
         )
     return result.Ok(value)
 
@@ -202,22 +208,48 @@
         return self._data + self._compressor.flush(zlib.Z_FINISH)
 
 
-def unpack(
-    data: bytes,
-) -> result.Result[tuple[configuration.Versioned, ...], findings.Finding]:
-    """Decodes packed changes; fails if any of them can't be decoded."""
-    location = findings.Location("peer", "configuration")
+@attrs.frozen
+class UnpackedChanges:
+    """Changes of a peer.
+
+    Attributes:
+        changes: The changes.
+        unreadable: Kind and name of the objects whose new value can't be
+            decoded; the others are complete without them.
+    """
+
+    changes: tuple[configuration.Versioned, ...] = ()
+    unreadable: frozenset[tuple[configuration.ObjectKind, str]] = frozenset()
+
+
+@decoding.decoder("packed changes")
+def unpack(data: bytes) -> result.Result[UnpackedChanges, str]:
+    """Decodes packed changes; an object that can't be decoded is left out."""
     if not data:
-        return result.Ok(())
-    try:
-        decompressor = zlib.decompressobj(zdict=_compression_dictionary())
-        lines = decompressor.decompress(data, MAX_UNPACKED_BYTES)
-        if not decompressor.eof:
-            raise ValueError("the packed changes are cut off or too long")
-        packed = _LINE_DECODER.decode_lines(lines)
-        return result.Ok(tuple(_decode_change(change) for change in packed))
-    except (ValueError, IndexError, zlib.error, msgspec.MsgspecError) as error:
-        return result.Err(findings.Finding(location, str(error)))
+        return result.Ok(UnpackedChanges())
+    lines = decoding.decompress(
+        data, MAX_UNPACKED_BYTES, _compression_dictionary()
+    )
+    if isinstance(lines, result.Err):
+        return lines
+    changes = []
+    unreadable = set()
+    for line in lines.ok_value.splitlines():
+        decoded = decoding.decode_json(line, _PackedChange)
+        if isinstance(decoded, result.Err):
+            return decoded
+        packed = decoded.ok_value
+        if not 0 < packed.version <= MAX_VERSION:
+            return result.Err(f"version {packed.version:.3g}")
+        if not 0 <= packed.kind < len(_KINDS):
+            continue  # A kind that only a later release knows.
+        kind = _KINDS[packed.kind]
+        change = _decode_change(kind, packed)
+        if change is None:
+            unreadable.add((kind, packed.name))
+        else:
+            changes.append(change)
+    return result.Ok(UnpackedChanges(tuple(changes), frozenset(unreadable)))
 
 
 def _encode_change(change: configuration.Versioned) -> bytes:
@@ -231,20 +263,18 @@
     return msgspec.json.encode(packed) + b"\n"
 
 
-def _decode_change(packed: _PackedChange) -> configuration.Versioned:
-    """Decodes one change.
-
-    Raises:
-        ValueError: The change can't be decoded.
-    """
-    if not 0 <= packed.kind < len(_KINDS) or packed.version <= 0:
-        raise ValueError(f"kind {packed.kind}, version {packed.version}")
-    kind = _KINDS[packed.kind]
+def _decode_change(
+    kind: configuration.ObjectKind, packed: _PackedChange
+) -> configuration.Versioned | None:
+    """Decodes one change; returns None if its value can't be decoded."""
     value = None
     if bytes(packed.body) != b"null":
         decoded = decode(kind, packed.name, bytes(packed.body))
         if isinstance(decoded, result.Err):
-            raise ValueError(str(decoded.err_value))
+            logger.error(
+                "can't decode a configuration object: {}", decoded.err_value
+            )
+            return None
         value = decoded.ok_value
     return configuration.Versioned(kind, packed.name, packed.version, value)
 
--- a/src/cardamomfork/_internal/configuration/distribution.py
+++ b/src/cardamomfork/_internal/configuration/distribution.py
@@ -14,8 +14,10 @@
 
 import attrs
 import msgspec
+import result
 
 from cardamomfork._internal import bounded_tables
+from cardamomfork._internal import decoding
 from cardamomfork._internal.configuration import codec
 from cardamomfork._internal.configuration import replica
 from cardamomfork._internal.contracts import gossip
@@ -107,6 +109,13 @@
     changes_sent: int = 0
 
 
+_decode_payload = decoding.msgpack_decoder("configuration update", _Payload)
+_decode_page_request = decoding.msgpack_decoder(
+    "request of a configuration page", _PageRequest
+)
+_decode_page = decoding.msgpack_decoder("configuration page", _Page)
+
+
 class ConfigurationGossip:
     """Gossip participant that distributes the configuration."""
 
@@ -231,15 +240,17 @@
         self, sender: identifiers.InstanceId, payload: bytes, now: float
     ) -> None:
         """Applies a peer's payload."""
-        try:
-            received = msgspec.msgpack.decode(payload, type=_Payload)
-        except msgspec.DecodeError:
+        decoded = _decode_payload(payload)
+        if isinstance(decoded, result.Err):
             self.counters.unreadable += 1
             return
-        changes = codec.unpack(received.changes)
-        if changes.is_err():
+        received = decoded.ok_value
+        unpacked = codec.unpack(received.changes)
+        if isinstance(unpacked, result.Err):
             self.counters.unreadable += 1
             return
+        changes = unpacked.ok_value
+        self.counters.unreadable += len(changes.unreadable)
         self._record_revision(sender, received.revision)
         bounded_tables.put_newest(
             self._reported_revisions,
@@ -250,7 +261,7 @@
         self._last_received = (sender, now)
         if received.upto > 0:
             self._replica.apply_range(
-                changes.unwrap(), received.since, received.upto
+                changes.changes, received.since, received.upto
             )
         self._update_lag(sender, received.revision, now)
         if received.must_fetch and received.revision > self._replica.revision:
@@ -263,11 +274,11 @@
 
         An empty answer means that the request could not be decoded.
         """
-        try:
-            page_request = msgspec.msgpack.decode(request, type=_PageRequest)
-        except msgspec.DecodeError:
+        decoded = _decode_page_request(request)
+        if isinstance(decoded, result.Err):
             self.counters.unreadable += 1
             return b""
+        page_request = decoded.ok_value
         if page_request.since > 0:
             changes = self._replica.changes_after(page_request.since)
             if changes is not None:
@@ -354,6 +365,7 @@
         self._next_page = _PageRequest(since=since)
         self._revision = 0
         self._entries: list[configuration.Versioned] = []
+        self._unreadable: set[tuple[configuration.ObjectKind, str]] = set()
 
     def next_request(self) -> bytes:
         """Returns the request for the next page."""
@@ -368,25 +380,30 @@
             The snapshot after its last page, a range of changes, None if more
             pages follow, or False if the page can't be decoded.
         """
-        try:
-            page = msgspec.msgpack.decode(response, type=_Page)
-        except msgspec.DecodeError:
+        decoded = _decode_page(response)
+        if isinstance(decoded, result.Err):
             return False
-        entries = codec.unpack(page.changes)
-        if entries.is_err():
+        page = decoded.ok_value
+        unpacked = codec.unpack(page.changes)
+        if isinstance(unpacked, result.Err):
             return False
+        entries = unpacked.ok_value
         if page.since > 0:
-            return ChangeRange(entries.unwrap(), page.since, page.revision)
+            return ChangeRange(entries.changes, page.since, page.revision)
         if self._entries and self._revision != page.revision:
             self._next_page = _PageRequest()
             self._entries.clear()
+            self._unreadable.clear()
             return None
         self._revision = page.revision
-        self._entries += entries.unwrap()
+        self._entries += entries.changes
+        self._unreadable |= entries.unreadable
         if page.kind:
             self._next_page = _PageRequest(page.kind, page.name)
             return None
-        return replica.Snapshot(page.revision, tuple(self._entries))
+        return replica.Snapshot(
+            page.revision, tuple(self._entries), frozenset(self._unreadable)
+        )
 
 
 _PAYLOAD_OVERHEAD_BYTES = 40
--- a/src/cardamomfork/_internal/data_centres/summaries.py
+++ b/src/cardamomfork/_internal/data_centres/summaries.py
@@ -12,7 +12,9 @@
 
 import attrs
 import msgspec
+import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.data_centres import rendezvous
 from cardamomfork._internal.instances import records
 from cardamomfork._internal.models import identifiers
@@ -46,6 +48,11 @@
     delegates: list[records.PackedRecord]
 
 
+_decode_summaries = decoding.msgpack_rows_decoder(
+    "summaries of data centres", _PackedSummary
+)
+
+
 @attrs.frozen
 class Summary:
     """Summary of one data centre.
@@ -187,14 +194,18 @@
 
     def absorb(self, payload: bytes, now: float) -> None:
         """Merges received summaries; the later one of a data centre wins."""
-        try:
-            received = msgspec.msgpack.decode(
-                payload, type=list[_PackedSummary]
-            )
-            summaries = [_unpack(packed, now) for packed in received]
-        except (msgspec.DecodeError, ValueError):
+        decoded = _decode_summaries(payload)
+        if isinstance(decoded, result.Err):
             self.unreadable += 1
             return
+        received, odd_count = decoded.ok_value
+        self.unreadable += odd_count
+        summaries = []
+        for packed in received:
+            try:
+                summaries.append(_unpack(packed, now))
+            except ValueError:
+                self.unreadable += 1
         max_published_at = self._clock.wall() + MAX_CLOCK_SKEW_S
         for summary in summaries:
             current = self._summaries.get(summary.data_centre)
--- a/src/cardamomfork/_internal/decoding.py
+++ b/src/cardamomfork/_internal/decoding.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import functools
 import re
 import typing
@@ -44,6 +45,7 @@
     rb"([\[{]++|[\]}]++)",
     re.DOTALL,
 )
+_LONG_INTEGER = re.compile(rb"[0-9]{19}")
 _OPENING = b"[{"[0], b"[{"[1]
 _NULL = b"null"
 
@@ -160,6 +162,72 @@
         return result.Err(describe(error))
 
 
+def decode_bounded_json(
+    data: bytes, kind: type[_T], *, strict: bool = True
+) -> result.Result[_T, str]:
+    """Decodes JSON as `decode_shallow_json`; refuses integers over 64 bits.
+
+    Messages between instances can't carry such integers.
+
+    Args:
+        data: The text.
+        kind: Type of the value.
+        strict: Whether numbers must not be given as strings.
+    """
+    decoded = decode_shallow_json(data, kind, strict=strict)
+    if isinstance(decoded, result.Ok) and _LONG_INTEGER.search(data):
+        try:
+            msgspec.msgpack.encode(decoded.ok_value)
+        except Exception as error:
+            return result.Err(describe(error))
+    return decoded
+
+
+def msgpack_decoder(
+    what: str, kind: type[_T]
+) -> Callable[[bytes], result.Result[_T, str]]:
+    """Returns a registered decoder of MessagePack.
+
+    Args:
+        what: What is decoded, for the error's text and the registration.
+        kind: Type of the value.
+    """
+    library_decoder = msgspec.msgpack.Decoder(kind)
+
+    def decode(data: bytes) -> result.Result[_T, str]:
+        return result.Ok(library_decoder.decode(data))
+
+    decode.__qualname__ = f"msgpack_decoder[{what}]"
+    return decoder(what)(decode)
+
+
+def msgpack_rows_decoder(
+    what: str, kind: type[_T]
+) -> Callable[[bytes], result.Result[tuple[list[_T], int], str]]:
+    """Returns a registered decoder of an array in MessagePack.
+
+    Elements of another form are left out, so that one of them keeps no other
+    from being used. The decoder returns the others, and the number left out.
+
+    Args:
+        what: What is decoded, for the error's text and the registration.
+        kind: Type of an element.
+    """
+    list_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
+    row_decoder = msgspec.msgpack.Decoder(kind)
+
+    def decode(data: bytes) -> result.Result[tuple[list[_T], int], str]:
+        rows = []
+        elements = list_decoder.decode(data)
+        for element in elements:
+            with contextlib.suppress(Exception):
+                rows.append(row_decoder.decode(element))
+        return result.Ok((rows, len(elements) - len(rows)))
+
+    decode.__qualname__ = f"msgpack_rows_decoder[{what}]"
+    return decoder(what)(decode)
+
+
 def limit_depth(data: bytes) -> result.Result[bytes, str]:
     """Replaces values in JSON deeper than `MAX_DEPTH` by null.
 
@@ -210,15 +278,18 @@
     return len(text) // 4 * 3 - text[-2:].count("=")
 
 
-def decompress(data: bytes, max_bytes: int) -> result.Result[bytes, str]:
+def decompress(
+    data: bytes, max_bytes: int, dictionary: bytes = b""
+) -> result.Result[bytes, str]:
     """Decompresses a zlib stream.
 
     Args:
         data: The stream.
         max_bytes: Largest size of its content.
+        dictionary: The preset dictionary; empty for none.
     """
     try:
-        decompressor = zlib.decompressobj()
+        decompressor = zlib.decompressobj(zdict=dictionary)
         content = decompressor.decompress(data, max_bytes)
     except Exception as error:
         return result.Err(f"malformed compression: {describe(error)}")
--- a/src/cardamomfork/_internal/instances/delta_gossip.py
+++ b/src/cardamomfork/_internal/instances/delta_gossip.py
@@ -15,9 +15,13 @@
 import msgspec
 import xxhash
 
+from cardamomfork._internal import decoding
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    import result
+
     from cardamomfork._internal.models import identifiers
 
 MAX_DIVERGENT_PEERS = 256
@@ -47,6 +51,9 @@
     transmissions: int
 
 
+_decode_payload = decoding.msgpack_decoder("gossip rows", _Payload)
+
+
 class DeltaGossip:
     """Encoded rows by key, and the peers whose tables differ."""
 
@@ -161,14 +168,16 @@
                 del self._pending_keys[key]
         return remaining_bytes
 
-    def read(self, payload: bytes) -> tuple[int, Sequence[bytes]]:
-        """Decodes a payload into the sender's digest and its encoded rows.
-
-        Raises:
-            msgspec.DecodeError: The payload is malformed.
-        """
-        received = msgspec.msgpack.decode(payload, type=_Payload)
-        return received.digest, [bytes(row) for row in received.rows]
+    def read(
+        self, payload: bytes
+    ) -> result.Result[tuple[int, Sequence[bytes]], str]:
+        """Decodes a payload into the sender's digest and its encoded rows."""
+        return _decode_payload(payload).map(
+            lambda received: (
+                received.digest,
+                [bytes(row) for row in received.rows],
+            )
+        )
 
     def compare(self, sender: identifiers.InstanceId, digest: int) -> None:
         """Records whether a peer's table differs; call after a merge."""
--- a/src/cardamomfork/_internal/instances/envelope_composer.py
+++ b/src/cardamomfork/_internal/instances/envelope_composer.py
@@ -123,10 +123,21 @@
         return envelope
 
     def deliver(self, envelope: peering_contract.Envelope, now: float) -> None:
-        """Delivers each payload to its participant; skips unknown topics."""
+        """Delivers each payload to its participant; skips unknown topics.
+
+        Raises:
+            ExceptionGroup: Participants failed; all others got their payload.
+        """
+        errors: list[Exception] = []
         for section in envelope.sections:
             participant = self._participants.get(section.topic)
-            if participant is not None:
+            if participant is None:
+                continue
+            try:
                 participant.absorb(
                     envelope.sender.instance_id, section.payload, now
                 )
+            except Exception as error:  # noqa: BLE001  # Others go on.
+                errors.append(error)
+        if errors:
+            raise ExceptionGroup("payloads of a peer", errors)
--- a/src/cardamomfork/_internal/instances/membership_gossip.py
+++ b/src/cardamomfork/_internal/instances/membership_gossip.py
@@ -10,7 +10,9 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.contracts import gossip
 from cardamomfork._internal.instances import delta_gossip
 from cardamomfork._internal.instances import membership
@@ -33,6 +35,12 @@
     summaries: bytes
 
 
+_decode_payload = decoding.msgpack_decoder("membership update", _Payload)
+_decode_packed_record = decoding.msgpack_decoder(
+    "packed record of an instance", records.PackedRecord
+)
+
+
 class MembershipGossip:
     """Gossip participant for membership records and summaries.
 
@@ -98,21 +106,27 @@
         self, sender: identifiers.InstanceId, payload: bytes, now: float
     ) -> None:
         """Merges a peer's records and summaries; drops malformed payloads."""
-        try:
-            received = msgspec.msgpack.decode(payload, type=_Payload)
-            digest, rows = 0, []
-            if received.records:
-                digest, packed = self._delta_gossip.read(received.records)
-                rows = [_decode_record(row) for row in packed]
-        except (msgspec.DecodeError, ValueError):
+        decoded = _decode_payload(payload)
+        if isinstance(decoded, result.Err):
             self.unreadable += 1
             return
+        received = decoded.ok_value
         if received.summaries:
             self._summaries.absorb(received.summaries, now)
-        for record in rows:
-            self._members.hear(record, now)
-        if received.records:
-            self._delta_gossip.compare(sender, digest)
+        if not received.records:
+            return
+        read = self._delta_gossip.read(received.records)
+        if isinstance(read, result.Err):
+            self.unreadable += 1
+            return
+        digest, rows = read.ok_value
+        for row in rows:
+            record = _decode_record(row)
+            if isinstance(record, result.Err):
+                self.unreadable += 1
+                continue
+            self._members.hear(record.ok_value, now)
+        self._delta_gossip.compare(sender, digest)
 
     def _priority_key(self, peer: identifiers.InstanceId) -> str:
         """Returns the peer's key if the peer is suspected or dead, else "".
@@ -143,13 +157,7 @@
         )
 
 
-def _decode_record(row: bytes) -> records.Record:
-    """Decodes a record.
-
-    Raises:
-        msgspec.DecodeError: The row is malformed.
-        ValueError: The health value is unknown.
-    """
-    return records.unpack(
-        msgspec.msgpack.decode(row, type=records.PackedRecord)
-    )
+@decoding.decoder("record of an instance")
+def _decode_record(row: bytes) -> result.Result[records.Record, str]:
+    """Decodes a record."""
+    return _decode_packed_record(row).map(records.unpack)
--- a/src/cardamomfork/_internal/instances/records.py
+++ b/src/cardamomfork/_internal/instances/records.py
@@ -59,6 +59,11 @@
         return self.instance.boot_id, self.incarnation, self.health
 
 
+MAX_INCARNATION = 2**62
+"""An instance counts on from an incarnation that others report of it."""
+MAX_PORT = 65_535
+
+
 class PackedRecord(
     msgspec.Struct, array_like=True, frozen=True, omit_defaults=True
 ):
@@ -102,8 +107,12 @@
     """Converts a record from its wire format.
 
     Raises:
-        ValueError: The health value is unknown.
+        ValueError: The health value is unknown, or a number out of range.
     """
+    if not 0 <= packed.incarnation <= MAX_INCARNATION:
+        raise ValueError("the incarnation is out of range")
+    if not 0 <= packed.port <= MAX_PORT:
+        raise ValueError("the port is out of range")
     return Record(
         instances.Instance(
             identifiers.InstanceId(packed.instance_id),
--- a/src/cardamomfork/_internal/links/callers/body_reader.py
+++ b/src/cardamomfork/_internal/links/callers/body_reader.py
@@ -19,6 +19,10 @@
 STATUS_REQUEST_TIMEOUT = 408
 
 
+MAX_DIGITS = 18
+"""Digits of a content length that are compared."""
+
+
 class CallerDisconnectedError(Exception):
     """The caller disconnected before its request was complete."""
 
@@ -49,7 +53,8 @@
         CallerDisconnectedError: The caller disconnected.
     """
     content_length = dict(headers).get(b"content-length", b"")
-    if content_length.isdigit() and int(content_length) > max_bytes:
+    is_number = content_length.isdigit()
+    if is_number and int(content_length[:MAX_DIGITS]) > max_bytes:
         return _refuse_too_large(max_bytes)
     parts: list[bytes] = []
     size = 0
--- a/src/cardamomfork/_internal/links/peers/link.py
+++ b/src/cardamomfork/_internal/links/peers/link.py
@@ -171,7 +171,7 @@
                 return result.Ok(await call(connection.service))
         except (OSError, capnp.KjException) as error:
             detail = str(error)
-        except ValueError as error:
+        except (OverflowError, TypeError, ValueError) as error:
             fault_kind = peering.PeerFaultKind.GARBLED
             detail = str(error)
         match fault_kind:
--- a/src/cardamomfork/_internal/links/targets/connections.py
+++ b/src/cardamomfork/_internal/links/targets/connections.py
@@ -222,7 +222,8 @@
                 )
         except TimeoutError as error:
             raise httpcore.ConnectTimeout from error
-        except OSError as error:
+        except (OSError, OverflowError, ValueError) as error:
+            # A configured port or host name may be out of range.
             raise httpcore.ConnectError(str(error)) from error
         return connection
 
--- a/src/cardamomfork/_internal/links/targets/http_client.py
+++ b/src/cardamomfork/_internal/links/targets/http_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 from typing import TypeVar
 
@@ -10,6 +11,7 @@
 import msgspec
 import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.links.targets import connections
 from cardamomfork._internal.links.targets import extension
 from cardamomfork._internal.models import targets
@@ -22,6 +24,8 @@
 MAX_DRAINED_BYTES = 64 * 1024
 MAX_CONTROL_ANSWER_BYTES = 4 * 1024 * 1024
 MIN_ERROR_STATUS = 400
+MAX_RETRY_AFTER_S = 86_400.0
+MAX_LENGTH_DIGITS = 18
 
 _T = TypeVar("_T")
 _Headers = list[tuple[bytes, bytes]]
@@ -82,6 +86,11 @@
             )
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             return self.make_fault(targets.FaultKind.LOST, repr(error))
+        except ValueError as error:
+            # The HTTP library does not list what it raises for an odd head.
+            return self.make_fault(
+                targets.FaultKind.GARBLED, decoding.describe(error)
+            )
 
     def _get_pool(self) -> httpcore.AsyncConnectionPool:
         """Returns the connection pool; the first call creates it."""
@@ -144,7 +153,7 @@
             self._target.target_id,
             f"the target answered with status {response.status}",
             response.status,
-            _parse_retry_after(headers.get(b"retry-after")),
+            parse_retry_after(headers.get(b"retry-after")),
         )
 
     def make_fault(
@@ -169,11 +178,23 @@
                     return self.make_fault(
                         targets.FaultKind.GARBLED, "the answer is too long"
                     )
-            return result.Ok(msgspec.json.decode(body, type=response_type))
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             return self.make_fault(targets.FaultKind.LOST, repr(error))
-        except msgspec.DecodeError as error:
-            return self.make_fault(targets.FaultKind.GARBLED, str(error))
+        except httpcore.TimeoutException:
+            return self.make_fault(
+                targets.FaultKind.SILENT, "nothing came in time"
+            )
+        except ValueError as error:
+            return self.make_fault(
+                targets.FaultKind.GARBLED, decoding.describe(error)
+            )
+        else:
+            decoded = decoding.decode_bounded_json(bytes(body), response_type)
+            if isinstance(decoded, result.Err):
+                return self.make_fault(
+                    targets.FaultKind.GARBLED, decoded.err_value
+                )
+            return decoded
         finally:
             await response.aclose()
 
@@ -217,12 +238,24 @@
     return {name.lower(): value for name, value in response.headers}
 
 
-def _parse_retry_after(value: bytes | None) -> float | None:
+@decoding.register
+def parse_retry_after(value: bytes | None) -> float | None:
     """Parses a Retry-After value in seconds; None for any other format."""
     try:
-        return max(0.0, float(value)) if value else None
+        seconds = float(value) if value else math.nan
     except ValueError:
         return None
+    if math.isnan(seconds):
+        return None
+    return min(max(0.0, seconds), MAX_RETRY_AFTER_S)
+
+
+@decoding.register
+def parse_length(value: bytes | None) -> int | None:
+    """Parses a content length; None for any other format."""
+    if value is None or not value.isdigit() or len(value) > MAX_LENGTH_DIGITS:
+        return None
+    return int(value)
 
 
 async def _drain_error_body(response: httpcore.Response) -> None:
--- a/src/cardamomfork/_internal/links/targets/link.py
+++ b/src/cardamomfork/_internal/links/targets/link.py
@@ -228,12 +228,12 @@
         headers: dict[bytes, bytes],
     ) -> target_link.TargetStream:
         """Returns the stream of a response whose head has arrived."""
-        length = headers.get(b"content-length")
+        length = http_client.parse_length(headers.get(b"content-length"))
         head = target_link.AnswerHead(
             attempt_id=call.attempt_id,
             status=response.status,
             content_type=headers.get(b"content-type", b"").decode("latin-1"),
-            length=int(length) if length else None,
+            length=length,
         )
         chunked = headers.get(b"transfer-encoding", b"").lower() == b"chunked"
         if chunked and head.is_event_stream:
--- a/src/cardamomfork/_internal/links/targets/reachability.py
+++ b/src/cardamomfork/_internal/links/targets/reachability.py
@@ -17,7 +17,7 @@
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(target.host, target.port)
-    except (OSError, TimeoutError):
+    except (OSError, OverflowError, ValueError):
         return False
     await stream.aclose()
     return True
--- a/src/cardamomfork/_internal/requests/claims/ledger.py
+++ b/src/cardamomfork/_internal/requests/claims/ledger.py
@@ -18,6 +18,7 @@
 import msgspec
 import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.contracts import claiming
 from cardamomfork._internal.models import outcomes
 from cardamomfork._internal.requests.claims import keys
@@ -89,6 +90,14 @@
     freed: int = 0
 
 
+_decode_forwarded = decoding.msgpack_decoder(
+    "forwarded operation", ForwardedOperation
+)
+_decode_operation_result = decoding.msgpack_decoder(
+    "result of an operation", records.OperationResult
+)
+
+
 class StoreClaimLedger:
     """Implements `ClaimLedger` over the platform's store."""
 
@@ -189,10 +198,13 @@
     async def serve(self, payload: bytes) -> bytes:
         """Commits an operation that another instance forwarded.
 
-        Raises:
-            msgspec.DecodeError: The payload is not a `ForwardedOperation`.
+        Returns:
+            The result; empty if the payload can't be decoded.
         """
-        forwarded = msgspec.msgpack.decode(payload, type=ForwardedOperation)
+        decoded = _decode_forwarded(payload)
+        if isinstance(decoded, result.Err):
+            return b""
+        forwarded = decoded.ok_value
         operation_result = await self._committer.submit(
             forwarded.record,
             forwarded.operation,
@@ -342,7 +354,4 @@
     """Decodes an owner's answer; `UNAVAILABLE` if that is impossible."""
     if answer is None:
         return records.UNAVAILABLE
-    try:
-        return msgspec.msgpack.decode(answer, type=records.OperationResult)
-    except msgspec.DecodeError:
-        return records.UNAVAILABLE
+    return _decode_operation_result(answer).unwrap_or(records.UNAVAILABLE)
--- a/src/cardamomfork/_internal/requests/claims/record_store.py
+++ b/src/cardamomfork/_internal/requests/claims/record_store.py
@@ -12,7 +12,6 @@
 
 import attrs
 from loguru import logger
-import msgspec
 import result
 
 from cardamomfork._internal import bounded_tables
@@ -179,11 +178,10 @@
     @staticmethod
     def _decode(entry: store_contract.Entry) -> CachedRecord:
         """Decodes an entry; an undecodable record counts as lost."""
-        try:
-            entries = records.decode(entry.value)
-        except msgspec.DecodeError:
+        decoded = records.decode(entry.value)
+        if isinstance(decoded, result.Err):
             return CachedRecord(entry.version, entry.lease, lost=True)
-        return CachedRecord(entry.version, entry.lease, entries)
+        return CachedRecord(entry.version, entry.lease, decoded.ok_value)
 
     def cached(self, record: str) -> CachedRecord:
         """Returns the cached record; one not in the cache counts as absent."""
--- a/src/cardamomfork/_internal/requests/claims/records.py
+++ b/src/cardamomfork/_internal/requests/claims/records.py
@@ -12,6 +12,7 @@
 import attrs
 import msgspec
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.models import outcomes
 
@@ -157,9 +158,8 @@
     return msgspec.msgpack.encode(entries)
 
 
-def decode(value: bytes) -> dict[bytes, ClaimEntry]:
-    """Decodes a record."""
-    return msgspec.msgpack.decode(value, type=dict[bytes, ClaimEntry])
+decode = decoding.msgpack_decoder("claim record", dict[bytes, ClaimEntry])
+"""Decodes a record."""
 
 
 class _Draft:
--- a/src/cardamomfork/_internal/requests/parts_transfer.py
+++ b/src/cardamomfork/_internal/requests/parts_transfer.py
@@ -11,9 +11,9 @@
 from typing import TYPE_CHECKING
 
 import attrs
-import msgspec
 import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.contracts import target_link
 from cardamomfork._internal.models import identifiers
 from cardamomfork._internal.models import targets
@@ -148,9 +148,8 @@
         body = await _read_body(call_result.ok_value)
         if isinstance(body, result.Err):
             return body
-        try:
-            part = msgspec.json.decode(body.ok_value, type=target_link.HeldPart)
-        except msgspec.DecodeError:
+        part = decoding.decode_bounded_json(body.ok_value, target_link.HeldPart)
+        if isinstance(part, result.Err):
             return result.Err(
                 targets.TargetFault(
                     targets.FaultKind.GARBLED,
@@ -158,7 +157,9 @@
                     "the answer to a call for a part can't be read",
                 )
             )
-        export_result = await link.export_kv(call.reservation, part.prefix_hash)
+        export_result = await link.export_kv(
+            call.reservation, part.ok_value.prefix_hash
+        )
         return export_result.map(
             lambda handle: ExportedPart(link.target, handle)
         )
--- a/src/cardamomfork/_internal/requests/poison_gossip.py
+++ b/src/cardamomfork/_internal/requests/poison_gossip.py
@@ -10,7 +10,9 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal.contracts import gossip
 from cardamomfork._internal.requests import poison
 from cardamomfork._internal.requests import suspicion
@@ -49,6 +51,9 @@
     is_running: bool = False
 
 
+_decode_updates = decoding.msgpack_rows_decoder("suspects", SuspectUpdate)
+
+
 class PoisonGossip:
     """Implements `gossip.Participant` for the topic `POISON`."""
 
@@ -116,11 +121,12 @@
         now: float,
     ) -> None:
         """Merges a peer's updates; drops and counts unreadable payloads."""
-        try:
-            updates = msgspec.msgpack.decode(payload, type=list[SuspectUpdate])
-        except msgspec.DecodeError:
+        decoded = _decode_updates(payload)
+        if isinstance(decoded, result.Err):
             self.unreadable += 1
             return
+        updates, odd_count = decoded.ok_value
+        self.unreadable += odd_count
         for update in updates:
             self._merge(update, now)
 
--- a/src/cardamomfork/_internal/targets/leaving.py
+++ b/src/cardamomfork/_internal/targets/leaving.py
@@ -15,7 +15,9 @@
 
 import attrs
 import msgspec
+import result
 
+from cardamomfork._internal import decoding
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.contracts import gossip
 from cardamomfork._internal.instances import delta_gossip
@@ -27,6 +29,7 @@
 
 MAX_TARGETS = 8192
 MAX_ID_LENGTH = 200
+MAX_SEQUENCE = 2**62
 MARK_RELAY_COUNT = 24
 """Number of peers to which a changed mark is pushed.
 
@@ -93,6 +96,9 @@
     return attrs.evolve(newer, sticky=held.sticky | received.sticky)
 
 
+_decode_mark = decoding.msgpack_decoder("packed mark of a target", _PackedMark)
+
+
 class LeavingTargets:
     """Marks of leaving targets, gossiped under `Topic.LEAVING`."""
 
@@ -201,13 +207,17 @@
     ) -> None:
         """Merges the marks in a peer's payload."""
         del now
-        try:
-            digest, rows = self._spreader.read(payload)
-            received = [_unpack(row) for row in rows]
-        except (msgspec.DecodeError, ValueError):
+        read = self._spreader.read(payload)
+        if isinstance(read, result.Err):
             self.unreadable += 1
             return
-        for target_id, mark in received:
+        digest, rows = read.ok_value
+        for row in rows:
+            unpacked = _unpack(row)
+            if isinstance(unpacked, result.Err):
+                self.unreadable += 1
+                continue
+            target_id, mark = unpacked.ok_value
             self._merge_mark(target_id, mark)
         self._spreader.compare(sender, digest)
 
@@ -263,21 +273,22 @@
     )
 
 
-def _unpack(row: bytes) -> tuple[identifiers.TargetId, Mark]:
-    """Decodes a mark.
-
-    Raises:
-        ValueError: An id is too long or the sequence is negative.
-    """
-    packed = msgspec.msgpack.decode(row, type=_PackedMark)
+@decoding.decoder("mark of a target")
+def _unpack(
+    row: bytes,
+) -> result.Result[tuple[identifiers.TargetId, Mark], str]:
+    """Decodes a mark."""
+    decoded = _decode_mark(row)
+    if isinstance(decoded, result.Err):
+        return decoded
+    packed = decoded.ok_value
     too_long = max(len(packed.target_id), len(packed.boot_id)) > MAX_ID_LENGTH
-    if too_long or packed.sequence < 0:
-        raise ValueError(
-            f"invalid mark of target {packed.target_id[:MAX_ID_LENGTH]!r}"
-        )
-    return identifiers.TargetId(packed.target_id), Mark(
+    if too_long or not 0 <= packed.sequence <= MAX_SEQUENCE:
+        return result.Err("an id is too long, or the sequence out of range")
+    mark = Mark(
         identifiers.BootId(packed.boot_id),
         Cause(packed.sticky) & STICKY_CAUSES,
         packed.sequence,
         packed.silent,
     )
+    return result.Ok((identifiers.TargetId(packed.target_id), mark))
--- a/src/cardamomfork/_internal/targets/load_gossip.py
+++ b/src/cardamomfork/_internal/targets/load_gossip.py
@@ -12,8 +12,10 @@
 
 import attrs
 import msgspec
+import result
 
 from cardamomfork._internal import bounded_tables
+from cardamomfork._internal import decoding
 from cardamomfork._internal.contracts import gossip
 from cardamomfork._internal.data_centres import rendezvous
 from cardamomfork._internal.instances import wire_ages
@@ -78,6 +80,9 @@
     ]
 
 
+_decode_reports = decoding.msgpack_rows_decoder("load reports", _PackedReport)
+
+
 class LoadGossip:
     """Latest load report of each target, gossiped under `Topic.LOAD`."""
 
@@ -163,11 +168,12 @@
     ) -> None:
         """Stores the reports in a peer's payload."""
         del sender
-        try:
-            received = msgspec.msgpack.decode(payload, type=list[_PackedReport])
-        except msgspec.DecodeError:
+        decoded = _decode_reports(payload)
+        if isinstance(decoded, result.Err):
             self.unreadable += 1
             return
+        received, odd_count = decoded.ok_value
+        self.unreadable += odd_count
         for packed in received:
             self.observe(_unpack(packed, now), now)
 
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -382,7 +382,7 @@
         for digest, entry in one.entries.items():
             if entry.code not in (0, 2):
                 self.assertEqual(two.entries[digest], entry)
-        decoded = records.decode(records.encode(two.entries))
+        decoded = records.decode(records.encode(two.entries)).unwrap()
         self.assertEqual(decoded, two.entries)
 
     def test_record_stays_under_store_value_limit(self):
--- a/tests/unit/test_configuration_replica.py
+++ b/tests/unit/test_configuration_replica.py
@@ -34,7 +34,9 @@
             change = configuration.Versioned(kind, value.name, 7, value)
             packed = codec.pack([change], 9, 6000)
             self.assertEqual((packed.count, packed.upto), (1, 9))
-            self.assertEqual(codec.unpack(packed.data).unwrap(), (change,))
+            self.assertEqual(
+                codec.unpack(packed.data).unwrap().changes, (change,)
+            )
 
     def test_undecodable_data_yields_a_finding(self):
         decoded = codec.decode(DRAIN, "x", b'{"name": 3}')
@@ -187,7 +189,8 @@
             sink.apply_snapshot(source.snapshot())
             return
         packed = codec.pack(changes, source.revision, budget)
-        sink.apply_range(codec.unpack(packed.data).unwrap(), since, packed.upto)
+        changes = codec.unpack(packed.data).unwrap().changes
+        sink.apply_range(changes, since, packed.upto)
 
     @stateful.invariant()
     def complete_replicas_match_the_store(self):
