--- a/tests/functional/test_daemon_signals.py
+++ b/tests/functional/test_daemon_signals.py
@@ -2,13 +2,13 @@
 
 import pathlib
 import signal
-import subprocess
 import tempfile
 import threading
 import time
 import unittest
 import urllib.request
 
+from tests.lib import certificates
 from tests.lib import daemons
 
 IMPORT_STAGES = ("_asyncio", "msgspec", "uvloop")
@@ -20,20 +20,6 @@
 MAX_STOP_WHILE_STARTING_S = 3.0
 
 
-def make_certificate(directory, number):
-    """Writes a new self-signed certificate and its key."""
-    words = (
-        "openssl req -x509 -newkey rsa:2048 -nodes -days 1"
-        f" -subj /CN=localhost{number}"
-        f" -keyout {directory}/key.pem -out {directory}/cert.pem"
-    )
-    subprocess.run(
-        words.split(),
-        check=True,
-        capture_output=True,
-    )
-
-
 class EarlySignalTest(unittest.TestCase):
     def test_signals_while_starting_do_not_end_the_daemon(self):
         for number in SURVIVED_SIGNALS:
@@ -121,7 +107,7 @@
 
     def test_reload_signal_loads_changed_tls_files_at_once(self):
         with tempfile.TemporaryDirectory() as directory:
-            make_certificate(directory, 0)
+            certificates.write(directory)
             path = pathlib.Path(directory, "settings.ini")
             sections = "".join(
                 f"[{name}]\ntls_certificate = {directory}/cert.pem\n"
@@ -130,7 +116,7 @@
             )
             path.write_text(sections)
             with daemons.running("--settings", str(path)) as daemon:
-                make_certificate(directory, 1)
+                certificates.write(directory)
                 daemon.process.send_signal(signal.SIGHUP)
                 line = daemons.read_until(daemon.process, "files reloaded")
                 self.assertEqual(line["count"], 2)
--- a/tests/unit/test_daemon_restarts.py
+++ b/tests/unit/test_daemon_restarts.py
@@ -1,7 +1,10 @@
 """A failing part of a daemon's task harms no other part and loses nothing."""
 
+import pathlib
 import random
+import tempfile
 import unittest
+from unittest import mock
 
 import anyio
 from loguru import logger
@@ -9,9 +12,11 @@
 
 from cardamomfork._internal.configuration import replica
 from cardamomfork._internal.links.callers import sinks
+from cardamomfork._internal.links.peers import tls
 from cardamomfork._internal.links.targets import engine_observer
 from cardamomfork._internal.links.targets import idle
 from cardamomfork._internal.models import configuration
+from cardamomfork._internal.models import settings as settings_models
 from cardamomfork._internal.models import targets
 from cardamomfork._internal.requests import cancellation
 from cardamomfork._internal.requests import poison
@@ -21,6 +26,7 @@
 from cardamomfork._internal.requests.claims import records
 from cardamomfork._internal.standins import store
 from cardamomfork._internal.standins import virtual_time
+from tests.lib import certificates
 from tests.lib import order_engines
 from tests.unit import test_orders
 from tests.unit import test_poison_gate
@@ -358,6 +364,33 @@
         self.assertEqual(held.revision, 2)
 
 
+class PeerTlsTest(unittest.TestCase):
+    def test_files_that_change_again_during_a_reload_are_loaded_later(self):
+        logger.remove()
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        certificates.write(directory)
+        files = settings_models.TlsSettings(
+            f"{directory}/cert.pem",
+            f"{directory}/key.pem",
+            f"{directory}/cert.pem",
+        )
+        peer_tls = tls.PeerTls(files)
+        certificates.write(directory)
+        key = pathlib.Path(directory, "key.pem")
+        text = key.read_text()
+        with mock.patch.object(
+            peer_tls._server_tls, "reload", return_value=True
+        ):
+            key.write_text("")
+            self.assertFalse(peer_tls.reload())
+        key.write_text(text)
+        with mock.patch.object(
+            peer_tls._server_tls, "reload", return_value=False
+        ):
+            self.assertTrue(peer_tls.reload())
+            self.assertFalse(peer_tls.reload())
+
+
 class OddOrderLink(order_engines.OrderLink):
     """A link whose calls fail unexpectedly or take long at first."""
 
