Bound the answer of a peer with a configuration

Operators saw a process exceed its memory. A digest names an address and a version; an instance with an older configuration fetches from there and read the whole answer, as long as it came within 1 s, before it looked at its size.

The test failed before.

--- a/src/cardamomfork/_internal/gateway/peers/configuration_fetching.py
+++ b/src/cardamomfork/_internal/gateway/peers/configuration_fetching.py
@@ -37,7 +37,8 @@
 """Time for which an instance waits for a peer of its data centre to have the
 configuration, since bytes between data centres are billed."""
 MAX_CONFIGURATION_BYTES = 32_000_000
-"""Bound of a decompressed answer; the store's values have at most 1 MiB."""
+"""Bound of an answer, as received and decompressed; the store's values have at
+most 1 MiB."""
 COMPRESSION = b"deflate"
 COMPRESSION_LEVEL = 1
 """A configuration of 2,000 routes becomes an eighth of its size in some
@@ -74,19 +75,25 @@
         # notice, and a new one is cheap.
         try:
             with anyio.fail_after(FETCH_TIMEOUT_S):
-                async with httpcore.AsyncConnectionPool() as pool:
-                    response = await pool.request(
+                async with (
+                    httpcore.AsyncConnectionPool() as pool,
+                    pool.stream(
                         "GET", url, headers=[(b"accept-encoding", COMPRESSION)]
-                    )
+                    ) as response,
+                ):
+                    content = bytearray()
+                    async for part in response.aiter_stream():
+                        content += part
+                        if len(content) > MAX_CONFIGURATION_BYTES:
+                            return result.Err("answer too large")
         except _TRANSPORT_ERRORS as error:
             return result.Err(repr(error))
+        body = bytes(content)
         headers = {name.lower(): value for name, value in response.headers}
         if headers.get(b"content-encoding") != COMPRESSION:
             # An earlier build does not compress.
-            return digest_codec.decode_configuration(response.content)
-        return decompress(response.content).and_then(
-            digest_codec.decode_configuration
-        )
+            return digest_codec.decode_configuration(body)
+        return decompress(body).and_then(digest_codec.decode_configuration)
 
 
 def compress(body: bytes) -> bytes:
--- a/tests/functional/test_peer_fetch.py
+++ b/tests/functional/test_peer_fetch.py
@@ -1,6 +1,7 @@
 """Tests that each fetch of a configuration uses a new connection."""
 
 import asyncio
+import contextlib
 import random
 import unittest
 
@@ -20,6 +21,7 @@
 from tests.lib import gateway_parts
 
 HOST = "127.0.0.1"
+MEGABYTE = 1_000_000
 FETCH_WAIT_S = configuration_fetching.FETCH_TIMEOUT_S / 2
 
 
@@ -107,6 +109,32 @@
         await asyncio.gather(fetching, return_exceptions=True)
         server.close()
 
+    async def test_endless_answer_of_a_peer_does_not_fill_the_memory(self):
+        sent = 0
+
+        async def serve(reader, writer):
+            nonlocal sent
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: 9999999999\r\n\r\n"
+            )
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    writer.write(bytes(MEGABYTE))
+                    await writer.drain()
+                    sent += MEGABYTE
+            writer.close()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        fetched = await configuration_fetching.HttpTransport().fetch(
+            digest_codec.Peer("two", "b", HOST, port)
+        )
+        self.assertTrue(fetched.is_err())
+        limit = configuration_fetching.MAX_CONFIGURATION_BYTES
+        self.assertLess(sent, limit + 16 * MEGABYTE)
+        server.close()
+
 
 if __name__ == "__main__":
     unittest.main()
