Refuse a settings file that is no regular file

A process served nothing any more once its settings file was a named pipe: the file is read every 5 s by the event loop, and opening a pipe waits for a writer.

The test failed before.

--- a/src/cardamomfork/_internal/platform/node_settings.py
+++ b/src/cardamomfork/_internal/platform/node_settings.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import re
+import stat
 import tomllib
 from typing import Any
 
@@ -122,6 +123,11 @@
             exceptions.SettingsError: The file can't be read or is too large.
         """
         try:
+            # Opening a named pipe would wait for a writer.
+            if not stat.S_ISREG(self._path.stat().st_mode):
+                raise exceptions.SettingsError(
+                    f"{self._path} is not a regular file."
+                )
             with self._path.open("rb") as file:
                 data = file.read(MAX_FILE_BYTES + 1)
         except OSError as error:
--- a/tests/unit/test_node_settings.py
+++ b/tests/unit/test_node_settings.py
@@ -3,8 +3,10 @@
 import copy
 import datetime
 import math
+import os
 import pathlib
 import tempfile
+import threading
 import unittest
 
 import attrs
@@ -171,6 +173,21 @@
         with self.assertRaises(exceptions.SettingsError):
             self.file.load()
 
+    def test_named_pipe_in_place_of_the_file_does_not_block(self):
+        os.mkfifo(self.path)
+        errors = []
+
+        def load():
+            try:
+                self.file.load()
+            except exceptions.SettingsError as error:
+                errors.append(error)
+
+        thread = threading.Thread(target=load, daemon=True)
+        thread.start()
+        thread.join(2.0)
+        self.assertEqual(len(errors), 1)
+
     def test_any_part_of_a_file_is_settings_or_a_settings_error(self):
         for length in range(len(FILE)):
             try:
