Forget a peer's revision that a scan does not confirm

An instance no longer noticed that it was behind its peers, once one of them had reported a revision that the store doesn't have: it was the largest so far, and only a larger one interrupts a poll. A poll whose connection has gone silent then lasted its 28 s, and in a large fleet nothing led to a scan after a lost update.

A scan now limits the reported revision to its own. A peer that really has received more reports it again with its next digest.

Evidence: the new test; before, the change was not known 2 s after a peer's report.

--- a/src/cardamomfork/_internal/gateway/store/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -273,6 +273,8 @@
                     )
                 is_first = not self._revision
                 self._revision = scanned.ok_value.revision
+                # A peer that really has more reports it again.
+                self._peer_revision = min(self._peer_revision, self._revision)
                 self._record_last_change(entries)
                 is_applied = self._call(
                     self._handler.apply_snapshot, scanned.ok_value
--- a/tests/unit/test_gateway_following.py
+++ b/tests/unit/test_gateway_following.py
@@ -150,6 +150,20 @@
 
         self.run_scenario(scenario, is_delegate=False)
 
+    def test_impossible_revision_of_a_peer_does_not_hide_later_ones(self):
+        async def scenario():
+            self.follower.note_peer_revision(10**9)
+            await anyio.sleep(5.0)
+            self.store.is_silent = True
+            await anyio.sleep(30.0)
+            self.store.is_silent = False
+            self.store.write("p/a")
+            self.follower.note_peer_revision(self.store.revision)
+            await anyio.sleep(2.0)
+            self.assertIn("p/a", self.handler.keys)
+
+        self.run_scenario(scenario, is_delegate=False)
+
     def test_delegate_recovers_from_a_silent_poll_within_3_s(self):
         async def scenario():
             self.store.is_silent = True
