Limit the revision of an entry to that of its answer

One entry whose revision is too large kept a fleet from exchanging changes. Such a number is limited to the largest one of an era, so that the entry hides no others; but it was then reported to peers as the newest change, and the log of changes began after it, so that each later update was empty and began at a revision that nobody has.

The follower and the relay now limit the revision of an entry to that up to which the answer is complete.

--- a/src/cardamomfork/_internal/gateway/store/change_relay.py
+++ b/src/cardamomfork/_internal/gateway/store/change_relay.py
@@ -183,7 +183,8 @@
                 Change(
                     entry.key,
                     None if is_removed else entry.value,
-                    revision if is_removed else entry.version,
+                    # A larger one would put later updates out of order.
+                    revision if is_removed else min(entry.version, revision),
                     is_removed and may_return,
                 )
             )
--- a/src/cardamomfork/_internal/gateway/store/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -482,10 +482,10 @@
         """Records the newest revision among some changes.
 
         A deleted entry has no revision of its own; the revision of its batch
-        counts for it.
+        counts for it, and for a malformed one beyond it.
         """
         for entry in entries:
-            revision = entry.version or self._revision
+            revision = min(entry.version or self._revision, self._revision)
             self._last_change_revision = max(
                 self._last_change_revision, revision
             )
--- a/tests/unit/test_gateway_change_relay.py
+++ b/tests/unit/test_gateway_change_relay.py
@@ -132,6 +132,16 @@
         self.assertTrue(update.applies_to(1))
         self.assertEqual([one.key for one in update.changes], ["p/a", "p/b"])
 
+    def test_entry_with_an_impossible_revision_does_not_end_the_relaying(self):
+        self.relay.record_scan((), 5)
+        odd = store.Entry("p/odd", b"v", store.REVISIONS_PER_ERA - 1)
+        self.relay.record_changes((odd,), 6)
+        self.clock.now += 2 * change_relay.REPEAT_WINDOW_S
+        self.relay.record_changes((store.Entry("p/a", b"v", 7),), 7)
+        update = self.sent[-1]
+        self.assertTrue(update.applies_to(6))
+        self.assertEqual([one.key for one in update.changes], ["p/a"])
+
     def test_update_of_another_era_does_not_apply(self):
         update = change_relay.Update(
             store.join_era(1, 5), store.join_era(1, 9), ()
--- a/tests/unit/test_gateway_following.py
+++ b/tests/unit/test_gateway_following.py
@@ -164,6 +164,19 @@
 
         self.run_scenario(scenario, is_delegate=False)
 
+    def test_impossible_revision_of_an_entry_is_not_reported_to_peers(self):
+        async def scenario():
+            self.store.entries["p/odd"] = store_contract.Entry(
+                "p/odd", b"v", store_contract.REVISIONS_PER_ERA - 1
+            )
+            self.store.write("p/a")
+            await anyio.sleep(1.0)
+            self.assertEqual(
+                self.follower.last_change_revision, self.store.revision
+            )
+
+        self.run_scenario(scenario)
+
     def test_delegate_recovers_from_a_silent_poll_within_3_s(self):
         async def scenario():
             self.store.is_silent = True
