Scan again when the store's revision is below a known one

An instance no longer followed the store, without a log line, after one answer with a revision that the store had not reached: it went on to ask for changes after that one, and later answers, which state the right revision, didn't correct it.

Evidence: a real process that received the revision in one answer to a watch didn't know a target 5 s after its registration; now it does. The unit test failed before. The store's answers are linearizable, so a sound store causes no such scan.

--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -191,9 +191,16 @@
         if isinstance(decoded, result.Err):
             return decoded
         era = response.ok_value.era
-        newest = max(
-            after, store.join_era(era, decoded.ok_value.store_revision)
-        )
+        revision = decoded.ok_value.store_revision
+        newest = max(after, store.join_era(era, revision))
+        if 0 < revision < store.split_era(after)[1]:
+            # The store gave a wrong revision earlier. It sends no changes until
+            # it has reached that one.
+            return _fault_result(
+                store.StoreFaultKind.COMPACTED,
+                prefix,
+                "The store's revision is below that of an earlier answer.",
+            )
         return self._to_entries(decoded.ok_value.events, prefix, era).map(
             lambda entries: store.WatchBatch(tuple(entries), newest)
         )
--- a/tests/unit/test_foreign_store.py
+++ b/tests/unit/test_foreign_store.py
@@ -116,6 +116,11 @@
         client = make_client(*[page] * 5)
         self.assertTrue((await client.scan("servers/")).is_err())
 
+    async def test_wrong_revision_of_one_answer_leads_to_another_scan(self):
+        client = make_client(b'{"events":[],"storeRevision":7}')
+        fault = (await client.changes("servers/", 10**11, 2.0)).unwrap_err()
+        self.assertEqual(fault.kind, store.StoreFaultKind.COMPACTED)
+
     async def test_pages_that_take_turns_do_not_continue_a_scan_forever(self):
         pages = [make_page(number % 2, 3, more=True) for number in range(6)]
         client = make_client(*pages, make_page(2, 3, more=False))
