Unpack messages of several segments before they are read

One datagram of 8 bytes ended a process with status -6 (SIGABRT) and no line of the log.

Cause: the library reads a packed message of several segments lazily. When the message breaks off after its first segment, the destructor of the reader raises, and the C++ runtime ends the process; no handler in Python sees it. Tests of broken digests had messages of one segment only, which the library reads at once.

Such messages are unpacked by the instance and read as a whole now.

--- a/src/cardamomfork/_internal/gateway/peers/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/digest_codec.py
@@ -16,6 +16,7 @@
 from cardamomfork._internal import decoding
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway.choice import demands
+from cardamomfork._internal.gateway.peers import packed_messages
 from cardamomfork._internal.gateway.state import cold_targets
 from cardamomfork._internal.gateway.state import crash_records
 from cardamomfork._internal.gateway.state import evacuations
@@ -34,6 +35,9 @@
 MAX_REVISION = 10**6 * store.REVISIONS_PER_ERA
 """Eras have up to six digits."""
 MAX_NAME_CHARACTERS = 256
+FIRST_SEGMENT_WORDS = 1024
+WORDS_PER_JOB = 32
+"""Space for a digest. One of a single segment is read faster."""
 _SCHEMA_PATH = pathlib.Path(__file__).with_name("digests.capnp")
 
 
@@ -112,6 +116,8 @@
 def encode(digest: Digest, now: float) -> bytes:
     """Encodes a digest; points in time are sent as durations from now."""
     message = schema().Digest.new_message(
+        num_first_segment_words=FIRST_SEGMENT_WORDS
+        + WORDS_PER_JOB * len(digest.jobs),
         instanceId=digest.sender.instance_id,
         dataCentre=digest.sender.data_centre,
         incarnation=digest.incarnation,
@@ -170,7 +176,13 @@
 @decoding.decoder("digest")
 def decode(data: bytes, now: float) -> result.Result[Digest, str]:
     """Decodes a digest, or returns an error message if it is malformed."""
-    message = schema().Digest.from_bytes_packed(data)
+    return packed_messages.read(
+        data, schema().Digest, lambda message: _decode(message, now)
+    )
+
+
+def _decode(message: Any, now: float) -> result.Result[Digest, str]:
+    """Creates a digest from a message."""
     # A small packed message may expand to lists of millions of entries.
     if (
         max(
--- a/src/cardamomfork/_internal/gateway/peers/permit_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/permit_codec.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import math
+from typing import Any
 
 import attrs
 import result
 
 from cardamomfork._internal import decoding
 from cardamomfork._internal.gateway.peers import digest_codec
+from cardamomfork._internal.gateway.peers import packed_messages
 
 REQUEST = b"\2"
 DECISION = b"\3"
@@ -64,9 +66,15 @@
 @decoding.decoder("permit request")
 def decode_request(data: bytes) -> result.Result[PermitRequest, str]:
     """Decodes a datagram with a request, or returns an error message."""
-    message = digest_codec.schema().PermitRequest.from_bytes_packed(
-        data[len(REQUEST) :]
+    return packed_messages.read(
+        data[len(REQUEST) :],
+        digest_codec.schema().PermitRequest,
+        _decode_request,
     )
+
+
+def _decode_request(message: Any) -> result.Result[PermitRequest, str]:
+    """Creates a request from a message."""
     if not (_is_finite(message.ratePerS) and message.maxWaitS >= 0):
         return result.Err("malformed permit request: rate or wait")
     return result.Ok(
@@ -95,9 +103,17 @@
     data: bytes,
 ) -> result.Result[tuple[int, PermitDecision], str]:
     """Decodes a datagram with a decision, or returns an error message."""
-    message = digest_codec.schema().PermitDecision.from_bytes_packed(
-        data[len(DECISION) :]
+    return packed_messages.read(
+        data[len(DECISION) :],
+        digest_codec.schema().PermitDecision,
+        _decode_decision,
     )
+
+
+def _decode_decision(
+    message: Any,
+) -> result.Result[tuple[int, PermitDecision], str]:
+    """Creates a decision from a message."""
     if not _is_finite(message.waitS):
         return result.Err("malformed permit decision: wait")
     return result.Ok(
--- a/tests/unit/test_decoders.py
+++ b/tests/unit/test_decoders.py
@@ -14,6 +14,7 @@
 import hypothesis
 from hypothesis import strategies
 import msgspec
+import result
 
 from cardamomfork._internal import decoding
 from cardamomfork._internal import gateway
@@ -156,6 +157,14 @@
     "gateway.peers.digest_codec.decode_configuration": (call, STORED),
     "gateway.peers.digest_codec.decode_peer": (call, attrs.asdict(PEER)),
     "gateway.peers.fleet_secret.decode": (call, b"a1" * 32),
+    "gateway.peers.packed_messages.read": (
+        lambda function, data: function(
+            data,
+            digest_codec.schema().Digest,
+            lambda message: result.Ok(message.sequence),
+        ),
+        DIGEST,
+    ),
     "gateway.peers.peer_forwarding_codec.decode_request": (
         decode_forwarded,
         b"5",
