--- a/src/cardamomfork/_internal/gateway/store/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -273,6 +273,8 @@
                     )
                 is_first = not self._revision
                 self._revision = scanned.ok_value.revision
+                # A peer that really has more reports it again.
+                self._peer_revision = min(self._peer_revision, self._revision)
                 self._record_last_change(entries)
                 is_applied = self._call(
                     self._handler.apply_snapshot, scanned.ok_value
@@ -480,10 +482,10 @@
         """Records the newest revision among some changes.
 
         A deleted entry has no revision of its own; the revision of its batch
-        counts for it.
+        counts for it, and for a malformed one beyond it.
         """
         for entry in entries:
-            revision = entry.version or self._revision
+            revision = min(entry.version or self._revision, self._revision)
             self._last_change_revision = max(
                 self._last_change_revision, revision
             )
--- a/src/cardamomfork/_internal/platform/store_client.py
+++ b/src/cardamomfork/_internal/platform/store_client.py
@@ -103,6 +103,7 @@
         held_bytes = 0
         revision = 0
         after = ""
+        page_ends: set[str] = set()
         era: int | None = None
         while True:
             query = {"prefix": self._prefix + prefix}
@@ -144,12 +145,13 @@
             )
             if not page.ok_value.more_pages or not found.ok_value:
                 return result.Ok(store.Scan(tuple(entries), revision))
-            if last_key == after:
+            if last_key in page_ends:
                 return _fault_result(
                     store.StoreFaultKind.INDETERMINATE,
                     prefix,
-                    "A page does not begin after the one before.",
+                    "A page ends where an earlier one ended.",
                 )
+            page_ends.add(last_key)
             after = last_key
 
     async def changes(
@@ -189,9 +191,16 @@
         if isinstance(decoded, result.Err):
             return decoded
         era = response.ok_value.era
-        newest = max(
-            after, store.join_era(era, decoded.ok_value.store_revision)
-        )
+        revision = decoded.ok_value.store_revision
+        newest = max(after, store.join_era(era, revision))
+        if 0 < revision < store.split_era(after)[1]:
+            # The store gave a wrong revision earlier. It sends no changes until
+            # it has reached that one.
+            return _fault_result(
+                store.StoreFaultKind.COMPACTED,
+                prefix,
+                "The store's revision is below that of an earlier answer.",
+            )
         return self._to_entries(decoded.ok_value.events, prefix, era).map(
             lambda entries: store.WatchBatch(tuple(entries), newest)
         )
