Read answers of the store up to 16 MiB

Each of several calls read up to 64 MiB, beside the decoded values.

A page of the store holds about 1 MB. A larger answer to a watch is a fault, after which the follower scans, page by page.

Evidence: the test with 15 changes of 900 kB fails before (the answer is read) and passes now.

--- a/src/cardamomfork/_internal/platform/store_calls.py
+++ b/src/cardamomfork/_internal/platform/store_calls.py
@@ -26,7 +26,9 @@
 MAX_CONNECTIONS = 16
 MAX_WATCH_CONNECTIONS = 64
 KEEPALIVE_EXPIRY_S = 15.0
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Bound of an answer. The store's pages hold about 1 MB; a larger answer to a
+watch is followed by a scan, which reads pages."""
 
 TCP_USER_TIMEOUT_MS = 1500
 """Closes a connection whose sent bytes stay unacknowledged this long."""
--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -133,6 +133,16 @@
         self.assertEqual([e.key for e in seen], ["p/a", "p/a"])
         self.assertEqual(kind, KINDS.UNAVAILABLE)
 
+    def test_answer_too_large_for_the_memory_limit_is_a_fault(self):
+        async def scenario(client):
+            for number in range(15):
+                await client.put(f"p/{number}", bytes(900_000), expected=0)
+            return await client.changes("p/", 1, 1.0)
+
+        fault = self.run_with_server(scenario).unwrap_err()
+        self.assertEqual(fault.kind, KINDS.UNAVAILABLE)
+        self.assertIn("too large", fault.detail)
+
     def test_silent_watch_ends_with_a_fault(self):
         async def scenario(client):
             self.app.faults.silent_watches = True
