Pass on no long error that says "not run" without the target's statement

Callers of routes whose requests must not repeat got a target's 408, 429 or 503 without the statement that it had not run the request, if its body was longer than 1 MiB: such an answer is passed on as it arrives, before its status is looked at.

Its attempt is now broken off, and the caller gets 502, as for shorter ones.

Evidence: test_long_error_that_says_not_run_without_a_proof_becomes_502 fails before (408 is passed on) and passes now.

--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -24,6 +24,13 @@
 MAX_BUFFERED_BYTES = 1_048_576
 """Answers up to this size are buffered and passed on only if complete; longer
 ones are passed on as they arrive."""
+NOT_RUN_STATUSES = (
+    http.HTTPStatus.REQUEST_TIMEOUT,
+    http.HTTPStatus.MISDIRECTED_REQUEST,
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+)
+"""Statuses from which callers conclude that a request has not run."""
 
 
 class CallerSink(Protocol):
@@ -189,6 +196,10 @@
                             return _not_continued(head)
                         if not head.is_signed:
                             return _broken_answer("too long without signature")
+                        if self._says_not_run_without_proof(head):
+                            return _broken_answer(
+                                f"too long with status {head.status}"
+                            )
                         return await self._forward_unbuffered(
                             head, parts, connection, messages, timeouts
                         )
@@ -204,6 +215,16 @@
             return _not_continued(head)
         return await self.forward_answer(head, body)
 
+    def _says_not_run_without_proof(
+        self, head: forwarding.ResponseHead
+    ) -> bool:
+        """Returns whether callers would take a run for none by the status."""
+        return (
+            head.status in NOT_RUN_STATUSES
+            and not head.is_not_executed
+            and not self._route.may_repeat
+        )
+
     async def forward_answer(
         self, head: forwarding.ResponseHead, body: bytes
     ) -> outcomes.Delivered:
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -48,13 +48,6 @@
 MIN_IDLE_TIMEOUT_S = 1.75
 """The same for the time between two parts of an answer, which is based on the
 maximum gap of the route."""
-NOT_RUN_STATUSES = (
-    http.HTTPStatus.REQUEST_TIMEOUT,
-    http.HTTPStatus.MISDIRECTED_REQUEST,
-    http.HTTPStatus.TOO_MANY_REQUESTS,
-    http.HTTPStatus.SERVICE_UNAVAILABLE,
-)
-"""Statuses from which callers conclude that a request has not run."""
 
 CUT_OFF = scheduling.Refusal(
     retrying.CUT_OFF_REASON, retrying.RETRY_AFTER_CUT_OFF_S
@@ -505,7 +498,7 @@
         if failed.answer is None or exchange.progress.has_started:
             return final
         if (
-            failed.answer.status in NOT_RUN_STATUSES
+            failed.answer.status in attempt.NOT_RUN_STATUSES
             and not exchange.match.route.may_repeat
         ):
             # The target has not stated that the request has not run.
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -17,6 +17,7 @@
 from cardamomfork._internal.gateway.queueing import retry_budget
 from cardamomfork._internal.gateway.queueing import retrying
 from cardamomfork._internal.gateway.queueing import scheduling
+from cardamomfork._internal.gateway.requests import attempt
 from cardamomfork._internal.gateway.requests import exchanges
 from cardamomfork._internal.gateway.requests import request_log
 from cardamomfork._internal.gateway.serving import forwarding
@@ -449,6 +450,16 @@
             self.assertEqual(sink.status, 0)
             self.assertEqual((final.status, len(seen)), (502, 1))
 
+    def test_long_error_that_says_not_run_without_a_proof_becomes_502(self):
+        body = bytes(attempt.MAX_BUFFERED_BYTES + 1)
+        for status in (408, 429, 503):
+            sink, final, seen = send_once(
+                lambda r, status=status: [answer(r, body, status)],
+                rule=fleet.RepeatPolicy.ONCE,
+            )
+            self.assertEqual(sink.status, 0)
+            self.assertEqual((final.status, len(seen)), (502, 1))
+
     def test_silence_until_the_deadline_gets_504(self):
         started = time.monotonic()
         _, final, _ = send_once(
