--- a/tests/functional/test_entry_start.py
+++ b/tests/functional/test_entry_start.py
@@ -7,6 +7,8 @@
 from cardamomfork._internal.platform import node_settings
 from tests.lib import entry_process
 
+GRACE_S = 8.0
+"""Time after SIGTERM at which the platform kills a process."""
 IMPORT_STAGES = ("_asyncio", "msgspec", "httptools")
 """Libraries that are loaded one after the other while the process starts."""
 
@@ -37,8 +39,10 @@
         for stage in IMPORT_STAGES:
             with self.subTest(stage):
                 self.send_while_importing(signal_number, stage)
+                sent_at = time.monotonic()
                 status = self.entry.process.wait(entry_process.TIMEOUT_S)
                 self.assertEqual(status, 0, self.entry.output)
+                self.assertLess(time.monotonic() - sent_at, GRACE_S)
                 (line,) = self.entry.find("stopped")
                 self.assertEqual(line["signal"], signal_number.name)
                 self.assertEqual(self.entry.find("started"), [])
