Test that foreign host names fail no task when targets crash

Cause, on earlier code: such entries became targets, and probes after a failed connection tried them. Encoding the name raises UnicodeError, which was not expected and ended the process.

A passing run restarts no task. Ruled out: a missing name service (the codec fails before any lookup) and a restart that hides the fault.

The test crashes all targets, so that each probe meets the entries.

--- a/tests/functional/test_foreign_entries.py
+++ b/tests/functional/test_foreign_entries.py
@@ -1,5 +1,6 @@
 """Tests entry instances beside entries that another party has written."""
 
+import asyncio
 import re
 import unittest
 
@@ -7,10 +8,15 @@
 
 from cardamomfork._internal.platform import configuration_format
 from cardamomfork._internal.standins import platform_site
+from tests.lib import small_site
 from tests.soak import callers
 from tests.soak import processes
 
 SEED = 11
+CRASHES = 2
+FOREIGN_ENTRIES = 6
+PROBE_ROUND_S = 0.6
+"""Time in which an instance probes all targets after a failure."""
 OK = 200
 DEEP = b"[" * 2000 + b"]" * 2000
 KEYS = ("servers/odd", "instances/odd", "crashes/odd")
@@ -105,5 +111,63 @@
         await client.close()
 
 
+class HostNamesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.site = small_site.Site(instances=2, targets=2)
+        self.addAsyncCleanup(self.site.stop)
+        await self.site.start()
+
+    async def until_served(self):
+        for ports in self.site.ports.values():
+
+            async def is_served(port=ports.callers):
+                return await small_site.serves(port)
+
+            await self.site.wait_until(is_served)
+
+    async def write_entries(self):
+        """Writes entries with host names, of a service without a route."""
+        client = platform_site.make_client(
+            f"{processes.HOST}:{self.site.store_port}"
+        )
+        for number in range(FOREIGN_ENTRIES):
+            entry = platform_site.make_entry("metrics", 9, 1) | {
+                "address": f"node-{number}..localhost:9100",
+                "state": "ready",
+            }
+            value = msgspec.json.encode(entry)
+            (
+                await client.put(f"servers/x-{number}", value, expected=0)
+            ).unwrap()
+        await client.close()
+
+        async def is_read():
+            lines = self.site.entry_lines('"malformed target entry"')
+            return len(lines) == FOREIGN_ENTRIES * len(self.site.entries)
+
+        await self.site.wait_until(is_read)
+
+    async def test_host_names_fail_no_task_when_all_targets_crash(self):
+        await self.until_served()
+        await self.write_entries()
+        for _ in range(CRASHES):
+            for name, target in self.site.targets.items():
+                await target.kill()
+                # Otherwise the proxy still accepts connections.
+                self.site.proxies[name].close()
+            for ports in self.site.ports.values():
+                self.assertFalse(await small_site.serves(ports.callers))
+            await asyncio.sleep(PROBE_ROUND_S)
+            for name, target in self.site.targets.items():
+                await self.site.proxies[name].start()
+                await target.start()
+            await self.until_served()
+        for entry in self.site.entries.values():
+            self.assertTrue(entry.is_running, entry.returncode)
+        for ports in self.site.ports.values():
+            failures = await small_site.count_failures(ports.metrics)
+            self.assertEqual(set(failures.values()), {0}, failures)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/lib/small_site.py
+++ b/tests/lib/small_site.py
@@ -1,4 +1,4 @@
-"""Instances in front of one target, and calls to their ports."""
+"""Instances in front of a few targets, and calls to their ports."""
 
 import asyncio
 import re
@@ -11,13 +11,13 @@
 
 
 class Site(processes.Deployment):
-    """A store, one target, and instances with the ports of each."""
+    """A store, targets, and instances with the ports of each."""
 
-    def __init__(self, instances=1, metrics_setting=True):
+    def __init__(self, instances=1, metrics_setting=True, targets=1):
         self.ports = {}
         self.paths = {}
         self._metrics_setting = metrics_setting
-        super().__init__(1, instances, 0, 1)
+        super().__init__(1, instances, 0, targets)
 
     def release(self):
         """Removes files and frees ports of a site that was not started."""
