Refuse waiting requests that a stopping process can't serve

Cause: the time left before the exit was looked at once, when the head of a request arrived. The queue, permits, memory, connections and retries went by the request's own time limit alone.

Evidence: neither request had a line "attempt ended" or "request ended"; the process logged "grace period expired" with both in its queue. Ruled out: a request lost between the queue and its target, and an answer written but not sent.

StopState.may_send decides in one place whether a request may still be sent. The queue asks it at each pass, for the time at which it expects a slot, and the forwarder again just before it sends. A request that can't be served is refused at once with 503; one that may have run ends with 502. An instance that passes on requests of peers looks again once its connection is open.

--- a/src/cardamomfork/_internal/gateway/choice/demands.py
+++ b/src/cardamomfork/_internal/gateway/choice/demands.py
@@ -53,6 +53,7 @@
             serve it; None for all.
         find_allowed: Returns these data centres anew, since they change with
             the configuration while the request waits; None if they don't.
+        may_have_run: Whether an earlier attempt may have run it.
     """
 
     job_id: str
@@ -67,6 +68,7 @@
     find_allowed: Callable[[], frozenset[str] | None] | None = attrs.field(
         default=None, eq=False, repr=False
     )
+    may_have_run: bool = False
 
     def allows(self, data_centre: str) -> bool:
         """Returns whether targets of a data centre may serve the request."""
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/choice/service_times.py
@@ -0,0 +1,27 @@
+"""Predicts how long a target takes for a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cardamomfork._internal.gateway.choice import engine_timing
+from cardamomfork._internal.gateway.choice import placement
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.models import fleet
+
+
+def min_service_s(
+    service: fleet.Service, prompt_tokens: int, output_tokens: int
+) -> float | None:
+    """Returns the time that a request takes on idle targets, in seconds.
+
+    Returns:
+        The time, or None for a service without a cost model.
+    """
+    cost_model = service.cost_model
+    if cost_model is None:
+        return None
+    return engine_timing.prefill_s(
+        cost_model, prompt_tokens, placement.PART_COUNTS[-1]
+    ) + engine_timing.decode_s(cost_model, output_tokens, [prompt_tokens])
--- a/src/cardamomfork/_internal/gateway/connections/outcomes.py
+++ b/src/cardamomfork/_internal/gateway/connections/outcomes.py
@@ -26,8 +26,9 @@
     BLOCKED = "blocked"
     """The request has crashed several targets; nothing was sent."""
     UNWANTED = "unwanted"
-    """The target has asked for a rest, or said that it leaves, or its data
-    centre must get no new work, since it was chosen; nothing was sent."""
+    """Since the target was chosen, it has asked for a rest or said that it
+    leaves, its data centre must get no new work any more, or this process has
+    too little time left; nothing was sent."""
     RATE_LIMITED = "rate_limited"
     """No permit was available for the target; nothing was sent."""
     NOT_RUN = "not_run"
--- a/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
@@ -242,16 +242,10 @@
                 send, forwarding.PeerFault.UNREACHABLE_TARGET
             )
         connection = opened.ok_value
-        # An order may have come while the connection was opened.
-        if self._table.is_evacuated(record):
-            self._pool.release(record, connection)
-            return await _send_refusal(send, EVACUATED)
-        if self._is_late(record, received_at):
+        refusal = self._find_late_refusal(record, received_at)
+        if refusal is not None:
             self._pool.release(record, connection)
-            return await _send_refusal(
-                send,
-                _Refusal(forwarding.PeerFault.RESTING_TARGET, MAX_COLD_HOLD_S),
-            )
+            return await _send_refusal(send, refusal)
         messages = connection.start(
             encoded, request.request_id, is_head=request.is_head
         )
@@ -324,6 +318,23 @@
             )
         return result.Ok(record)
 
+    def _find_late_refusal(
+        self, record: fleet.TargetRecord, received_at: float
+    ) -> _Refusal | None:
+        """Returns why a request is not sent, once its connection is open.
+
+        The stop signal or an order may have come in the meantime.
+        """
+        if self._stop.is_stopping:
+            return _Refusal(forwarding.PeerFault.STOPPING)
+        if self._table.is_evacuated(record):
+            return EVACUATED
+        if self._is_late(record, received_at):
+            return _Refusal(
+                forwarding.PeerFault.RESTING_TARGET, MAX_COLD_HOLD_S
+            )
+        return None
+
     def _is_late(self, record: fleet.TargetRecord, received_at: float) -> bool:
         """Returns whether a request for a cold target was held up."""
         return self._limits.is_cold(record) and (
--- a/src/cardamomfork/_internal/gateway/queueing/scheduling.py
+++ b/src/cardamomfork/_internal/gateway/queueing/scheduling.py
@@ -19,8 +19,10 @@
 from cardamomfork._internal.gateway.choice import engine_timing
 from cardamomfork._internal.gateway.choice import placement
 from cardamomfork._internal.gateway.choice import placement_costs
+from cardamomfork._internal.gateway.choice import service_times
 from cardamomfork._internal.gateway.queueing import admission
 from cardamomfork._internal.gateway.state import peer_queues
+from cardamomfork._internal.gateway.state import stopping
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -124,6 +126,7 @@
         order: fair_order.FairOrder | None = None,
         admitter: admission.Admission | None = None,
         count_instances: Callable[[], int] = lambda: 1,
+        stop: stopping.StopState | None = None,
     ) -> None:
         """Initializes the scheduler.
 
@@ -139,6 +142,7 @@
             admitter: Decides which requests may wait; None to let all wait
                 until no target is predicted to be free in time.
             count_instances: Returns the number of instances.
+            stop: Whether the process is stopping; None if it never does.
         """
         self._placer = placer
         self._commit = commit
@@ -148,6 +152,7 @@
         self._order = order
         self._admission = admitter
         self._count_instances = count_instances
+        self._stop = stop or stopping.StopState()
         self._waiters: list[_Waiter] = []
         self._last_dispatch_at = -MAX_RECHECK_INTERVAL_S
 
@@ -300,6 +305,8 @@
                 for any request; a new one is added.
         """
         demand = waiter.demand_at(now)
+        if self._try_refuse_by_exit(waiter, demand, 0.0, now):
+            return True
         candidate_set = (
             demand.service.name,
             demand.excluded,
@@ -323,6 +330,8 @@
             return True
         if chosen.is_for_all_requests:
             no_capacity[candidate_set] = chosen
+        if self._try_refuse_by_exit(waiter, demand, chosen.capacity_in_s, now):
+            return True
         min_service_s = _min_service_s(demand)
         if (
             self._admission is not None
@@ -346,6 +355,38 @@
             return True
         return False
 
+    def _try_refuse_by_exit(
+        self,
+        waiter: _Waiter,
+        demand: demands.Demand,
+        wait_s: float,
+        now: float,
+    ) -> bool:
+        """Refuses a request that would not end before the process exits.
+
+        Args:
+            waiter: The request.
+            demand: Its requirements at this time.
+            wait_s: Time until there is capacity, in seconds.
+            now: Monotonic time.
+
+        Returns:
+            Whether it was refused.
+        """
+        if not self._stop.is_stopping or self._stop.may_send(
+            stopping.RequestTimes(
+                demand.time_left_s - wait_s,
+                _predict_service_s(demand),
+                demand.may_have_run,
+            ),
+            now + wait_s,
+        ):
+            return False
+        waiter.decision = Refusal(
+            stopping.REFUSAL_REASON, stopping.RETRY_AFTER_S
+        )
+        return True
+
     def _try_refuse(
         self,
         admitter: admission.Admission,
@@ -435,13 +476,14 @@
         return Refusal(reason, delay_s * jitter)
 
 
+def _predict_service_s(demand: demands.Demand) -> float | None:
+    """Returns the time that the request takes on idle targets, if known."""
+    return service_times.min_service_s(
+        demand.service, demand.prompt_tokens, demand.output_tokens
+    )
+
+
 def _min_service_s(demand: demands.Demand) -> float:
     """Returns the time that the request takes on idle targets."""
-    cost_model = demand.service.cost_model
-    if cost_model is None:
-        return placement.DEFAULT_CALL_S
-    return engine_timing.prefill_s(
-        cost_model, demand.prompt_tokens, placement.PART_COUNTS[-1]
-    ) + engine_timing.decode_s(
-        cost_model, demand.output_tokens, [demand.prompt_tokens]
-    )
+    service_s = _predict_service_s(demand)
+    return placement.DEFAULT_CALL_S if service_s is None else service_s
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -13,6 +13,7 @@
 
 from cardamomfork._internal.gateway.choice import demands
 from cardamomfork._internal.gateway.choice import placement
+from cardamomfork._internal.gateway.choice import service_times
 from cardamomfork._internal.gateway.connections import outcomes
 from cardamomfork._internal.gateway.crashes import crash_detector
 from cardamomfork._internal.gateway.queueing import retrying
@@ -21,6 +22,7 @@
 from cardamomfork._internal.gateway.requests import exchanges
 from cardamomfork._internal.gateway.serving import outcome_recorder
 from cardamomfork._internal.gateway.state import fingerprints
+from cardamomfork._internal.gateway.state import stopping
 from cardamomfork._internal.models import forwarding
 
 if TYPE_CHECKING:
@@ -89,6 +91,7 @@
         is_isolated: Callable[[], bool] = lambda: False,
         rules: regions.RegionRules | None = None,
         reach: data_centre_reach.DataCentreReach | None = None,
+        stop: stopping.StopState | None = None,
     ) -> None:
         """Initializes the forwarder.
 
@@ -112,6 +115,7 @@
                 targets.
             rules: Regions in which requests may be served; None for any.
             reach: Decides which data centres are reached; None if all are.
+            stop: Whether the process is stopping; None if it never does.
         """
         self._wire = wire
         self._scheduler = scheduler
@@ -132,6 +136,7 @@
         self._clock = clock
         self._on_answer_begun = on_answer_begun
         self._region_rules = rules
+        self._stop = stop or stopping.StopState()
         # Request ids of callers need not be unique.
         self._job_numbers = itertools.count()
 
@@ -203,6 +208,8 @@
             excluded=frozenset(exchange.tried_target_ids),
             allowed_data_centres=self._find_allowed(exchange),
             find_allowed=functools.partial(self._find_allowed, exchange),
+            may_have_run=exchange.possible_runs > 0
+            or exchange.progress.has_started,
         )
 
     def _find_allowed(
@@ -251,6 +258,25 @@
             return "region of the peer"
         return None
 
+    def _find_exit(
+        self, exchange: exchanges.Exchange, demand: demands.Demand
+    ) -> str | None:
+        """Returns why this process must not send a request any more, or None.
+
+        It may have waited for a permit, for memory or for a connection.
+        """
+        now = self._clock()
+        times = stopping.RequestTimes(
+            exchange.deadline - now,
+            service_times.min_service_s(
+                demand.service, demand.prompt_tokens, demand.output_tokens
+            ),
+            demand.may_have_run,
+        )
+        if self._stop.may_send(times, now):
+            return None
+        return stopping.REFUSAL_REASON
+
     async def _attempt(
         self,
         exchange: exchanges.Exchange,
@@ -309,7 +335,7 @@
             return outcomes.Failed(outcomes.Failure.BLOCKED, "not sent")
         unwanted = self._find_unwanted(
             exchange, chosen, connection.peer_data_centre
-        )
+        ) or self._find_exit(exchange, demand)
         if unwanted is not None:
             self._links.release(record, connection)
             return outcomes.Failed(outcomes.Failure.UNWANTED, unwanted)
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -207,6 +207,7 @@
         if known.features.sharing.predicted_waits
         else None,
         lambda: known.peer_table.count,
+        known.stop_state,
     )
 
 
@@ -242,6 +243,7 @@
         lambda: targets.access.reach.is_isolated,
         known.region_rules,
         targets.access.data_centres,
+        known.stop_state,
     )
 
 
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -25,6 +25,7 @@
 from cardamomfork._internal.gateway.state import evacuations
 from cardamomfork._internal.gateway.state import rate_limits
 from cardamomfork._internal.gateway.state import routes
+from cardamomfork._internal.gateway.state import stopping
 from cardamomfork._internal.gateway.state import target_statements
 from cardamomfork._internal.models import fleet
 from cardamomfork._internal.platform import wire_format
@@ -88,6 +89,7 @@
         self.service = fleet.Service(
             service, 100, gateway_parts.LAW if self.is_stream else None
         )
+        self.stop = stopping.StopState()
         limits = rate_limits.RateLimits(self.parts.table, time.monotonic)
         statements = target_statements.TargetStatements(
             self.parts.table, time.monotonic
@@ -100,6 +102,7 @@
                 self.parts.load.end,
                 time.monotonic,
                 random.Random(1),
+                stop=self.stop,
             ),
             self.links,
             self.parts.table,
@@ -113,6 +116,7 @@
             gateway_parts.make_permits(limits, time.monotonic),
             time.monotonic,
             lambda _: None,
+            stop=self.stop,
         )
 
     def exchange(self, request_id="r1", body=b"ask"):
@@ -177,6 +181,73 @@
     return run_scenario(scenario, *scripts, rule=rule)
 
 
+class StoppingTest(unittest.TestCase):
+    def stop(self, fixture, left_s):
+        """Stops the process, which then exits after a time."""
+        state = fixture.stop
+        state.stopping_since = (
+            time.monotonic() + left_s + stopping.EXIT_MARGIN_S - state.grace_s
+        )
+
+    def send(self, rule, stop, *scripts):
+        async def scenario(fixture, targets):
+            stop(fixture)
+            _, final = await fixture.send()
+            return final, [len(target.requests) for target in targets]
+
+        return run_scenario(scenario, *scripts, rule=rule)
+
+    def test_request_that_waited_past_the_last_moment_is_not_sent(self):
+        def stop_late(fixture):
+            acquire = fixture.pool.acquire
+
+            async def acquire_late(record, **options):
+                opened = await acquire(record, **options)
+                self.stop(fixture, 1.0)
+                return opened
+
+            fixture.pool.acquire = acquire_late
+
+        for rule in fleet.RepeatPolicy:
+            with self.subTest(rule=rule):
+                final, counts = self.send(
+                    rule, stop_late, lambda one: (answer(one),)
+                )
+                self.assertEqual(
+                    (final.status, final.reason), (503, "stopping")
+                )
+                self.assertEqual(final.retry_after_s, stopping.RETRY_AFTER_S)
+                self.assertEqual(counts, [0])
+
+    def test_failed_request_is_not_said_to_be_not_run(self):
+        def keep(fixture):
+            self.fixture = fixture
+
+        def fail(_):
+            self.stop(self.fixture, 0.5)
+            return (Act.RESET,)
+
+        final, counts = self.send(fleet.RepeatPolicy.SAFE, keep, fail, fail)
+        self.assertEqual(final.status, 502)
+        self.assertEqual(sum(counts), 1)
+
+    def test_failed_request_is_retried_while_there_is_time(self):
+        def keep(fixture):
+            self.fixture = fixture
+
+        def fail_once(one):
+            if self.fixture.stop.is_stopping:
+                return (answer(one),)
+            self.stop(self.fixture, 1.8)
+            return (Act.RESET,)
+
+        final, counts = self.send(
+            fleet.RepeatPolicy.SAFE, keep, fail_once, fail_once
+        )
+        self.assertIsNone(final)
+        self.assertEqual(sum(counts), 2)
+
+
 class RestTest(unittest.TestCase):
     def test_rest_asked_for_between_placement_and_sending_is_kept(self):
         async def scenario(fixture, targets):
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -138,6 +138,7 @@
     regions = None
     """Region of each data centre in these settings."""
     services = SERVICES
+    routes = ROUTES
 
     def __init__(self, seed, instances, engines, ledgers):
         self.rng = random.Random(seed)
@@ -208,7 +209,7 @@
         self.version += self.rng.randint(1, 4)
         value = platform_site.make_configuration(
             self.version,
-            ROUTES,
+            self.routes,
             self.services,
             self.keys,
             self.allowed_regions,
