Answer the requests that are left when a stopping process exits

A report of another operator: in a planned stop, requests that came late in the grace time were passed on, and cut at its end without an answer.

Cause: the body of a request can take long. The exit itself gave no answer: whatever was left was closed, also requests that had not been sent and could have been refused truthfully.

When the load balancer sends nothing more, requests with an incomplete body that would be sent too late are refused at once. At the exit, each request whose answer has not begun gets 503 if it was never sent, and 502 if it may have run.

--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -43,6 +43,11 @@
 MIN_CALLER_CONNECTIONS = 200
 MAX_PEER_CONNECTIONS = 400
 """Connections of peers; they are among the reserved file descriptors."""
+LAST_ANSWERS_S = 0.15
+"""Time in which the requests left at the exit are answered; it is part of the
+margin before the end of the grace time."""
+FLUSH_S = 0.05
+"""Time in which these answers leave the buffers of their connections."""
 
 MAINTENANCE_TASK = "maintenance"
 EVENT_LOOP_TASK = "event loop"
@@ -304,11 +309,14 @@
         await anyio.sleep(
             max(self._stop_state.removal_left_s(self._clock()), 0.0)
         )
+        callers = self._requests.application
         self._caller_server.stop()
+        callers.refuse_incomplete()
         await anyio.sleep(max(self._stop_state.left_s(self._clock()), 0.0))
-        logger.warning(
-            "grace period expired", count=self._requests.application.in_progress
-        )
+        logger.warning("grace period expired", count=callers.in_progress)
+        with anyio.move_on_after(LAST_ANSWERS_S):
+            await callers.end_requests()
+            await anyio.sleep(FLUSH_S)
         self._caller_server.abort()
 
     def _dump(self) -> dict[str, Any]:
--- a/src/cardamomfork/_internal/gateway/requests/exchanges.py
+++ b/src/cardamomfork/_internal/gateway/requests/exchanges.py
@@ -19,6 +19,16 @@
 """Time reserved before the timeout for sending the final answer."""
 
 
+def find_deadline(
+    match: routes.Match, request: forwarding.CallerRequest, arrived_at: float
+) -> float:
+    """Returns the monotonic time by which a final answer must be sent."""
+    timeout_s = match.route.timeout_s
+    if request.time_limit_s is not None:
+        timeout_s = min(timeout_s, request.time_limit_s)
+    return arrived_at + timeout_s - DEADLINE_MARGIN_S
+
+
 @attrs.define
 class Exchange:
     """A caller's request in progress.
@@ -75,10 +85,7 @@
     @property
     def deadline(self) -> float:
         """Monotonic time by which its final answer must be sent."""
-        timeout_s = self.match.route.timeout_s
-        if self.request.time_limit_s is not None:
-            timeout_s = min(timeout_s, self.request.time_limit_s)
-        return self.arrived_at + timeout_s - DEADLINE_MARGIN_S
+        return find_deadline(self.match, self.request, self.arrived_at)
 
 
 @attrs.frozen
--- a/src/cardamomfork/_internal/gateway/serving/application.py
+++ b/src/cardamomfork/_internal/gateway/serving/application.py
@@ -11,6 +11,7 @@
 import msgspec
 import result
 
+from cardamomfork._internal.gateway.choice import service_times
 from cardamomfork._internal.gateway.peers import configuration_fetching
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import peer_forwarding_codec
@@ -19,8 +20,10 @@
 from cardamomfork._internal.gateway.serving import caller_protocol
 from cardamomfork._internal.gateway.serving import forwarding
 from cardamomfork._internal.gateway.state import fingerprints
+from cardamomfork._internal.gateway.state import stopping
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import fleet
+from cardamomfork._internal.models import forwarding as forwarding_models
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -32,8 +35,6 @@
     from cardamomfork._internal.gateway.serving import traffic_metrics
     from cardamomfork._internal.gateway.state import fleet_state
     from cardamomfork._internal.gateway.state import routes
-    from cardamomfork._internal.gateway.state import stopping
-    from cardamomfork._internal.models import forwarding as forwarding_models
     from cardamomfork._internal.telemetry import exporting
 
     Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -50,12 +51,18 @@
 has not read a request after 1 s."""
 RETRY_AFTER_STARTUP_S = 0.5
 """Sent while the instance has not received a configuration yet."""
-RETRY_AFTER_STOPPING_S = 0.05
-"""Sent by a stopping instance; short, since other instances have capacity."""
 MIN_STREAM_TIME_LEFT_S = 5.0
-MIN_CALL_TIME_LEFT_S = 1.5
 """Minimum time before the process exits at which a stopping instance still
-accepts a new stream, or a new request of another kind."""
+accepts a new stream."""
+
+STOPPING = exchanges.FinalAnswer(
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+    stopping.REFUSAL_REASON,
+    stopping.RETRY_AFTER_S,
+)
+CUT_BY_EXIT = exchanges.FinalAnswer(
+    http.HTTPStatus.BAD_GATEWAY, "the instance stops; the request may have run"
+)
 
 DUMP_PATH = "/dump"
 
@@ -157,6 +164,34 @@
     final: exchanges.FinalAnswer | None
 
 
+@attrs.define(eq=False)
+class _OpenRequest:
+    """A request that has not been answered completely.
+
+    Attributes:
+        match: Its route and service.
+        request: Its head.
+        deadline: Monotonic time by which its final answer must be sent.
+        scope: Ends what is being done for it.
+        is_ended: Whether it was ended because the process exits.
+        is_reading: Whether its body is being read.
+        closed: Set once it has been answered, or its answer was cut.
+    """
+
+    match: routes.Match
+    request: forwarding_models.CallerRequest
+    deadline: float
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    is_ended: bool = False
+    is_reading: bool = True
+    closed: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def end(self) -> None:
+        """Ends it; an answer that has not begun states that."""
+        self.is_ended = True
+        self.scope.cancel()
+
+
 class CallerApplication:
     """Serves requests from callers."""
 
@@ -192,13 +227,46 @@
         self._clock = clock
         self._rng = rng
         self._max_held_body_bytes = int(memory_bytes * BODY_MEMORY_FRACTION)
-        self._in_progress = 0
+        self._open_requests: set[_OpenRequest] = set()
         self._held_body_bytes = 0
 
     @property
     def in_progress(self) -> int:
         """Number of requests that have not been answered completely."""
-        return self._in_progress
+        return len(self._open_requests)
+
+    def refuse_incomplete(self) -> None:
+        """Refuses requests whose body would be complete too late to send.
+
+        Called by a stopping process once the load balancer sends it nothing.
+        """
+        now = self._clock()
+        for one in self._open_requests:
+            if one.is_reading and not self._may_send(one, now):
+                one.end()
+
+    async def end_requests(self) -> None:
+        """Answers all requests whose answers have not begun."""
+        open_requests = tuple(self._open_requests)
+        for one in open_requests:
+            one.end()
+        for one in open_requests:
+            await one.closed.wait()
+
+    def _may_send(self, one: _OpenRequest, now: float) -> bool:
+        """Returns whether a stopping process may still send a request."""
+        generation = one.request.generation or forwarding_models.Generation(
+            0, 0
+        )
+        times = stopping.RequestTimes(
+            one.deadline - now,
+            service_times.min_service_s(
+                one.match.service,
+                generation.prompt_tokens,
+                generation.expected_output_tokens,
+            ),
+        )
+        return self._stop.may_send(times, now)
 
     async def __call__(
         self, scope: dict[str, Any], receive: Receive, send: Send
@@ -222,9 +290,14 @@
             await sink.answer(final)
             return
         body = bytearray()
-        self._in_progress += 1
+        opened = _OpenRequest(
+            matched.ok_value,
+            request,
+            exchanges.find_deadline(matched.ok_value, request, arrived_at),
+        )
+        self._open_requests.add(opened)
         try:
-            incomplete = await self._read_body(receive, body)
+            incomplete = await self._read_open_body(opened, receive, body)
             if incomplete is None:
                 exchange = exchanges.Exchange(
                     request=request,
@@ -243,7 +316,7 @@
                         for part_id in request.shared_parts
                     },
                 )
-                await self._serve(exchange, receive, sink)
+                await self._serve(opened, exchange, receive, sink)
             elif incomplete.final is not None:
                 log.rejected(
                     incomplete.final.reason,
@@ -252,7 +325,8 @@
                 )
                 await sink.answer(incomplete.final, close=True)
         finally:
-            self._in_progress -= 1
+            self._open_requests.discard(opened)
+            opened.closed.set()
             self._held_body_bytes -= len(body)
 
     async def _wait_for_configuration(self) -> None:
@@ -283,7 +357,7 @@
                     "headers too large",
                 )
             )
-        if self._in_progress >= MAX_CONCURRENT_REQUESTS:
+        if self.in_progress >= MAX_CONCURRENT_REQUESTS:
             return result.Err(
                 exchanges.FinalAnswer(
                     http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -301,18 +375,27 @@
             )
         is_stream = matched.ok_value.route.rule is fleet.RepeatPolicy.STREAM
         min_left_s = (
-            MIN_STREAM_TIME_LEFT_S if is_stream else MIN_CALL_TIME_LEFT_S
+            MIN_STREAM_TIME_LEFT_S
+            if is_stream
+            else stopping.MIN_CALL_TIME_LEFT_S
         )
         if self._stop.left_s(self._clock()) < min_left_s:
-            return result.Err(
-                exchanges.FinalAnswer(
-                    http.HTTPStatus.SERVICE_UNAVAILABLE,
-                    "stopping",
-                    RETRY_AFTER_STOPPING_S,
-                )
-            )
+            return result.Err(STOPPING)
         return matched
 
+    async def _read_open_body(
+        self, opened: _OpenRequest, receive: Receive, body: bytearray
+    ) -> _IncompleteBody | None:
+        """Reads a request body unless the process stops before its end.
+
+        Returns:
+            None if the whole body was read, or the reason why it was not.
+        """
+        with opened.scope:
+            incomplete = await self._read_body(receive, body)
+        opened.is_reading = False
+        return _IncompleteBody(STOPPING) if opened.is_ended else incomplete
+
     async def _read_body(
         self, receive: Receive, body: bytearray
     ) -> _IncompleteBody | None:
@@ -352,11 +435,16 @@
                 return None
 
     async def _serve(
-        self, exchange: exchanges.Exchange, receive: Receive, sink: _AsgiSink
+        self,
+        opened: _OpenRequest,
+        exchange: exchanges.Exchange,
+        receive: Receive,
+        sink: _AsgiSink,
     ) -> None:
         """Forwards a request until it ends or its caller disconnects."""
         reason = "caller left"
         async with anyio.create_task_group() as tasks:
+            opened.scope = tasks.cancel_scope
 
             async def cancel_on_disconnect() -> None:
                 await protocol.wait_for_disconnect(receive)
@@ -372,6 +460,10 @@
                 reason = final.reason
                 await sink.answer(final)
             tasks.cancel_scope.cancel()
+        if opened.is_ended and not sink.status:
+            final = CUT_BY_EXIT if exchange.possible_runs else STOPPING
+            reason = final.reason
+            await sink.answer(final)
         seconds = self._clock() - exchange.arrived_at
         exchange.log.ended(
             exchange.match,
--- a/tests/functional/test_stopping_entry.py
+++ b/tests/functional/test_stopping_entry.py
@@ -27,12 +27,37 @@
         for answer in await asyncio.gather(*waiting):
             self.assertEqual((answer.status, answer.is_complete), (503, True))
             self.assertLess(answer.received_s, 3.0)
-        await asyncio.gather(*running)
+        for answer in await asyncio.gather(*running):
+            # They may have run, which only 502 leaves open.
+            self.assertEqual((answer.status, answer.is_complete), (502, True))
         self.assertEqual(await self.entry.wait_for_exit(), 0)
         paths = self.entry.received_paths
         self.assertNotIn("/once/0.1/waits", paths)
         self.assertNotIn("/safe/0.1/waits", paths)
 
+    async def test_requests_whose_body_ends_late_are_not_sent_and_cut(self):
+        served = [
+            self.call(f"/{kind}/1.2/served", body_at_s=0.5)
+            for kind in ("once", "stream")
+        ]
+        late = [
+            self.call(f"/{kind}/{work_s}/{body_at_s}", body_at_s=body_at_s)
+            for kind in ("once", "safe", "stream")
+            for work_s, body_at_s in ((1.2, 6.8), (4.0, 4.5), (4.0, 7.9))
+        ]
+        await asyncio.sleep(0.5)
+        self.entry.send_stop_signal()
+        for answer in await asyncio.gather(*served):
+            self.assertEqual((answer.status, answer.is_complete), (200, True))
+        for answer in await asyncio.gather(*late):
+            self.assertTrue(answer.is_complete)
+            self.assertEqual(answer.status, 503, answer)
+        self.assertEqual(await self.entry.wait_for_exit(), 0)
+        self.assertEqual(
+            {path for path in self.entry.received_paths if "/4.0/" in path},
+            set(),
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/test_gateway_application.py
+++ b/tests/unit/test_gateway_application.py
@@ -64,6 +64,18 @@
         self.stop = stopping.StopState()
         self.memory_bytes = 1_000_000
 
+    def make_application(self, forwarder):
+        return application.CallerApplication(
+            wire_format.WireFormat(),
+            self.state,
+            forwarder,
+            self.stop,
+            traffic_metrics.TrafficMetrics(api.NoOpMeter("t"), {}),
+            self.clock,
+            random.Random(1),
+            self.memory_bytes,
+        )
+
     def apply_configuration(self):
         value = json.dumps(CONFIGURATION).encode()
         self.state.apply_configuration(value, 5, "store")
@@ -82,16 +94,7 @@
 
         async def main():
             forwarder = FakeForwarder()
-            app = application.CallerApplication(
-                wire_format.WireFormat(),
-                self.state,
-                forwarder,
-                self.stop,
-                traffic_metrics.TrafficMetrics(api.NoOpMeter("t"), {}),
-                self.clock,
-                random.Random(1),
-                self.memory_bytes,
-            )
+            app = self.make_application(forwarder)
             messages = [
                 {
                     "type": "http.request",
@@ -191,6 +194,108 @@
         status, _, forwarder = self.send_request()
         self.assertEqual((status, forwarder.exchanges), (503, []))
 
+    def send_unended(self, act, *, is_whole=True, begin=lambda exchange: None):
+        """Sends a request that doesn't end by itself.
+
+        Args:
+            act: Called with the application once the request has arrived.
+            is_whole: Whether its body arrives completely.
+            begin: Called with the request if it is forwarded.
+
+        Returns:
+            The statuses sent after that, and the number of open requests.
+        """
+        self.apply_configuration()
+        sent = []
+
+        async def main():
+            forwarder = FakeForwarder()
+            forwarder.release = anyio.Event()
+            app = self.make_application(forwarder)
+            messages = [
+                {"type": "http.request", "body": b"a", "more_body": True}
+            ]
+            if is_whole:
+                messages.append(
+                    {"type": "http.request", "body": b"b", "more_body": False}
+                )
+
+            async def receive():
+                if messages:
+                    return messages.pop(0)
+                await anyio.sleep_forever()
+                return None
+
+            async def send(message):
+                sent.append(message)
+
+            scope = {
+                "method": "POST",
+                "headers": [(b"host", b"callers.example"), (b"api-key", b"k1")],
+                "extensions": {caller_protocol.RAW_TARGET: b"/a/x"},
+            }
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(app, scope, receive, send)
+                await anyio.wait_all_tasks_blocked()
+                for exchange in forwarder.exchanges:
+                    begin(exchange)
+                await act(app)
+                await anyio.wait_all_tasks_blocked()
+                in_progress = app.in_progress
+                tasks.cancel_scope.cancel()
+            return in_progress
+
+        in_progress = anyio.run(main)
+        return [one["status"] for one in sent if "status" in one], in_progress
+
+    def end_request(self, **options):
+        """Ends a request at the exit; returns the statuses that it gets."""
+
+        async def act(app):
+            with anyio.fail_after(1.0):
+                await app.end_requests()
+
+        statuses, in_progress = self.send_unended(act, **options)
+        self.assertEqual(in_progress, 0)
+        return statuses
+
+    def test_request_without_its_whole_body_is_refused_at_the_exit(self):
+        self.assertEqual(self.end_request(is_whole=False), [503])
+
+    def test_request_that_was_not_sent_is_refused_at_the_exit(self):
+        self.assertEqual(self.end_request(), [503])
+
+    def test_request_that_may_have_run_is_not_refused_at_the_exit(self):
+        def begin(exchange):
+            exchange.possible_runs = 1
+
+        self.assertEqual(self.end_request(begin=begin), [502])
+
+    def test_answer_that_has_begun_gets_no_second_head_at_the_exit(self):
+        def begin(exchange):
+            exchange.sink.status = 200
+
+        self.assertEqual(self.end_request(begin=begin), [])
+
+    def test_body_that_would_end_too_late_is_refused_at_once(self):
+        async def act(app):
+            self.stop.begin(
+                self.clock.now - self.since_stop_s,
+                gateway_parts.make_settings(),
+            )
+            app.refuse_incomplete()
+
+        for since_stop_s, is_whole, expected in (
+            (3.0, False, ([], 1)),
+            (7.0, True, ([], 1)),
+            (7.0, False, ([503], 0)),
+        ):
+            with self.subTest(since_stop_s=since_stop_s, is_whole=is_whole):
+                self.since_stop_s = since_stop_s
+                self.stop = stopping.StopState()
+                found = self.send_unended(act, is_whole=is_whole)
+                self.assertEqual(found, expected)
+
 
 if __name__ == "__main__":
     unittest.main()
