Answer pipelined requests that a stopping process has read

Callers that pipeline requests got no answer to those behind a running one, if the process was told to stop meanwhile.

Cause: each answer of a stopping instance carries "Connection: close", and the server then drops the requests that wait on the connection. They had been read, and nothing said that they have not run.

The close now comes with the answer to the last request that was read; those before it are served, or refused with 503.

Evidence: test_stopping_entry, two connections with three requests each and a SIGTERM in the first one.

--- a/src/cardamomfork/_internal/gateway/serving/application.py
+++ b/src/cardamomfork/_internal/gateway/serving/application.py
@@ -80,19 +80,22 @@
         self,
         send: Send,
         stop: stopping.StopState,
-        unframed: protocol.CallerProtocol | None = None,
+        connection: protocol.CallerProtocol | None = None,
+        *,
+        knows_chunks: bool = True,
     ) -> None:
         """Initializes the sink.
 
         Args:
             send: The ASGI send callable of the request.
             stop: Whether the process is stopping.
-            unframed: The connection of a caller that knows no chunks; None for
-                any other.
+            connection: The caller's connection, if known.
+            knows_chunks: Whether the caller knows chunks.
         """
         self._send = send
         self._stop = stop
-        self._unframed = unframed
+        self._connection = connection
+        self._unframed = None if knows_chunks else connection
         self.status = 0
 
     async def start(
@@ -108,7 +111,7 @@
             self._unframed = None
         elif self._unframed is not None:
             self._unframed.begin_unframed()
-        if self._stop.is_stopping:
+        if self._stop.is_stopping and not self._has_pipelined_request():
             pairs.append(_CLOSE)
         self.status = status
         await self._send(
@@ -119,6 +122,13 @@
             }
         )
 
+    def _has_pipelined_request(self) -> bool:
+        """Returns whether a request was read behind this one."""
+        return (
+            self._connection is not None
+            and self._connection.has_pipelined_request
+        )
+
     async def send(self, data: bytes) -> None:
         """Sends a part of the body."""
         await self._send(
@@ -273,7 +283,12 @@
     ) -> None:
         """Serves one request."""
         arrived_at = self._clock()
-        sink = _AsgiSink(send, self._stop, _find_unframed(scope))
+        sink = _AsgiSink(
+            send,
+            self._stop,
+            scope["extensions"].get(protocol.SCOPE_KEY),
+            knows_chunks=scope.get("http_version") != "1.0",
+        )
         request = self._wire.decode_request(
             scope["method"],
             scope["extensions"][caller_protocol.RAW_TARGET],
@@ -483,16 +498,6 @@
         return route_table.configuration.version if route_table else 0
 
 
-def _find_unframed(scope: dict[str, Any]) -> protocol.CallerProtocol | None:
-    """Returns the connection of a caller that knows no chunks, or None."""
-    if scope.get("http_version") != "1.0":
-        return None
-    connection: protocol.CallerProtocol = scope["extensions"][
-        protocol.SCOPE_KEY
-    ]
-    return connection
-
-
 class ReadinessApplication:
     """Serves the readiness check of the load balancer."""
 
--- a/tests/functional/test_stopping_entry.py
+++ b/tests/functional/test_stopping_entry.py
@@ -58,6 +58,21 @@
             set(),
         )
 
+    async def test_requests_behind_a_running_one_are_answered(self):
+        # Closing after the first answer would drop what was read behind it.
+        soon = self.call("/once/1.0/a", pipelined=("/once/0.1/b", "/safe/0/c"))
+        late = self.call("/once/4.0/a", pipelined=("/once/0.1/d", "/safe/0/e"))
+        await asyncio.sleep(0.3)
+        self.entry.send_stop_signal()
+        for task, statuses in (
+            (soon, [200, 200, 200]),
+            (late, [200, 503, 503]),
+        ):
+            answers = await task
+            self.assertEqual([one.status for one in answers], statuses)
+            self.assertTrue(all(one.is_complete for one in answers))
+        self.assertEqual(await self.entry.wait_for_exit(), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
