Poll the store on a new connection after a pause

Cause: all instances pause for 0.8 s after a change and then polled on the connection that they had. It had gone silent, so nobody received the removal, and the delegate's poll ended after 2.6 s.

Evidence: the lines "store followed" of six instances. No poll was under way at the removal; the next ones ended without an answer. Ruled out as the only cause: that the removal isn't announced, since the delegate alone would be too late to meet the 3 s after the silence.

The pool of long polls closes connections that were idle for 0.1 s. Polls that follow each other keep their connection, so the number of calls is the same; a connection more is opened for each change.

--- a/src/cardamomfork/_internal/platform/store_calls.py
+++ b/src/cardamomfork/_internal/platform/store_calls.py
@@ -26,6 +26,9 @@
 MAX_CONNECTIONS = 16
 MAX_WATCH_CONNECTIONS = 64
 KEEPALIVE_EXPIRY_S = 15.0
+WATCH_KEEPALIVE_EXPIRY_S = 0.1
+"""A long poll after a pause takes a new connection. An idle one may have gone
+silent meanwhile, which a poll notices only once its wait is over."""
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Bound of an answer. The store's pages hold about 1 MB; a larger answer to a
 watch is followed by a scan, which reads pages."""
@@ -153,8 +156,10 @@
 
     def __init__(self) -> None:
         """Creates the connection pools."""
-        self._pool = self._new_pool(MAX_CONNECTIONS)
-        self._watch_pool = self._new_pool(MAX_WATCH_CONNECTIONS)
+        self._pool = self._new_pool(MAX_CONNECTIONS, KEEPALIVE_EXPIRY_S)
+        self._watch_pool = self._new_pool(
+            MAX_WATCH_CONNECTIONS, WATCH_KEEPALIVE_EXPIRY_S
+        )
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -192,11 +197,13 @@
             )
 
     @staticmethod
-    def _new_pool(connections: int) -> httpcore.AsyncConnectionPool:
+    def _new_pool(
+        connections: int, keepalive_expiry_s: float
+    ) -> httpcore.AsyncConnectionPool:
         """Creates a pool that closes idle connections before the servers do."""
         return httpcore.AsyncConnectionPool(
             max_connections=connections,
-            keepalive_expiry=KEEPALIVE_EXPIRY_S,
+            keepalive_expiry=keepalive_expiry_s,
             socket_options=_SOCKET_OPTIONS,
         )
 
