Don't take a silent connection to the store for an outage

Callers' requests went to a removed target for up to 1.6 s longer than to others, from the instance that had found the removal itself.

Cause: a poll that ended in silence counted as an outage of the store. A target that the next scan lacks is then kept for a while, since its entry may have lapsed in that outage.

Evidence: an instance whose poll ended at 2.18 s after the silence scanned at 2.35 s, and logged "target gone", "did not return", at 3.92 s; an instance that a peer had told dropped the target at once.

A watch without an answer is a fault of its own kind. A longer silence, a longer poll, or any other fault counts as an outage as before.

--- a/src/cardamomfork/_internal/contracts/store.py
+++ b/src/cardamomfork/_internal/contracts/store.py
@@ -70,6 +70,9 @@
     """The lease does not exist or has expired."""
     COMPACTED = "compacted"
     """A watch requested a revision that the store doesn't hold."""
+    SILENT = "silent"
+    """A watch had no answer when its wait was over. Its connection may have
+    gone silent while the store answers others."""
 
 
 @attrs.frozen
--- a/src/cardamomfork/_internal/gateway/state/fleet_state.py
+++ b/src/cardamomfork/_internal/gateway/state/fleet_state.py
@@ -36,6 +36,9 @@
 CHANGE_LAPSE_WINDOW_S = 0.5
 """The same for a removal that arrives as a change. Later removals are
 intentional."""
+MAX_SILENCE_S = 0.5
+"""Time within which a new connection to the store answers if another one has
+gone silent. After that it counts as an outage."""
 
 
 @attrs.frozen
@@ -91,6 +94,7 @@
         self._has_targets = False
         self._faults = entry_faults.EntryFaults("malformed target entry", clock)
         self._store_lost_at: float | None = None
+        self._is_only_silence = False
         self._store_regained_at = -SCAN_LAPSE_WINDOW_S
         self._restored_revision = 0
         # Time of the last change from a peer that the store answers.
@@ -309,22 +313,38 @@
         self._has_targets = True
         logger.info("targets read", count=len(records))
 
-    def store_lost(self, detail: str) -> None:
-        """Records that the store does not answer."""
+    def store_lost(self, detail: str, *, is_silence: bool = False) -> None:
+        """Records that the store does not answer.
+
+        Args:
+            detail: What happened, for the log.
+            is_silence: Whether it may be the connection alone that is silent.
+        """
         if self._store_lost_at is None:
             self._store_lost_at = self._clock()
+            self._is_only_silence = is_silence
             logger.warning("dependency lost", dependency="store", reason=detail)
+        self._is_only_silence = self._is_only_silence and is_silence
 
     def store_regained(self) -> None:
-        """Records that the store answers."""
-        if self._store_lost_at is not None:
-            now = self._clock()
-            logger.info(
-                "dependency regained",
-                dependency="store",
-                seconds=round(now - self._store_lost_at, 3),
-            )
-            self._store_lost_at = None
+        """Records that the store answers.
+
+        If a new connection answers at once where another one was silent, there
+        was no outage in which entries may have lapsed.
+        """
+        if self._store_lost_at is None:
+            return
+        now = self._clock()
+        lost_s = now - self._store_lost_at
+        is_outage = not self._is_only_silence or lost_s > MAX_SILENCE_S
+        logger.info(
+            "dependency regained",
+            dependency="store",
+            seconds=round(lost_s, 3),
+            reason="outage" if is_outage else "silent connection",
+        )
+        self._store_lost_at = None
+        if is_outage:
             self._store_regained_at = now
             self._table.postpone_expiry(now)
 
--- a/src/cardamomfork/_internal/gateway/store/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -64,6 +64,9 @@
 """Longest random delay before a scan after a peer's revision shows that the
 store was restored from a copy: registrations may be lost, and have to be
 written again within 2 s."""
+MAX_SILENT_POLL_S = 3.0
+"""Duration of a poll up to which its silence may be that of its connection. In
+a longer one, the store may have been down long enough for leases to expire."""
 PEER_DISCOVERY_S = 1.2
 """Time after the first scan in which peers are discovered that poll."""
 
@@ -345,7 +348,8 @@
                 return
             if isinstance(polled, result.Err):
                 self._log_call("poll failed", started_at, polled.err_value)
-                self._on_answer(polled.err_value)
+                waited_s = anyio.current_time() - started_at
+                self._on_answer(_to_outage(polled.err_value, waited_s))
                 return
             self._on_answer(None)
             entries = polled.ok_value.entries
@@ -489,3 +493,13 @@
             self._last_change_revision = max(
                 self._last_change_revision, revision
             )
+
+
+def _to_outage(fault: store.StoreFault, waited_s: float) -> store.StoreFault:
+    """Returns the fault of a poll; long silence counts as an outage."""
+    if (
+        fault.kind is not store.StoreFaultKind.SILENT
+        or waited_s <= MAX_SILENT_POLL_S
+    ):
+        return fault
+    return attrs.evolve(fault, kind=store.StoreFaultKind.UNAVAILABLE)
--- a/src/cardamomfork/_internal/gateway/wiring/known_state.py
+++ b/src/cardamomfork/_internal/gateway/wiring/known_state.py
@@ -91,9 +91,11 @@
         elif fault.kind in (
             store.StoreFaultKind.UNAVAILABLE,
             store.StoreFaultKind.INDETERMINATE,
+            store.StoreFaultKind.SILENT,
         ):
             self.fleet_state.store_lost(
-                f"{fault.kind} {fault.key} {fault.detail}"
+                f"{fault.kind} {fault.key} {fault.detail}",
+                is_silence=fault.kind is store.StoreFaultKind.SILENT,
             )
 
 
--- a/src/cardamomfork/_internal/platform/store_calls.py
+++ b/src/cardamomfork/_internal/platform/store_calls.py
@@ -304,7 +304,14 @@
                 answer = await self._exchange(
                     "GET", path, b"", CallProgress(), wait_s, is_wait=True
                 )
-        except (*TRANSPORT_ERRORS, TimeoutError) as error:
+        except (TimeoutError, httpcore.ReadTimeout) as error:
+            self.rotate_servers()
+            return result.Err(
+                store_contract.StoreFault(
+                    store_contract.StoreFaultKind.SILENT, key, repr(error)
+                )
+            )
+        except TRANSPORT_ERRORS as error:
             self.rotate_servers()
             return result.Err(_make_fault(False, key, repr(error)))
         status_fault = _status_fault(answer, key, writes=False)
--- a/tests/unit/test_gateway_fleet_state.py
+++ b/tests/unit/test_gateway_fleet_state.py
@@ -67,6 +67,29 @@
         self.state.apply_target(store.Entry("servers/t1", b"", store.ABSENT))
         self.assertEqual(self.usable_target_ids(), ["t2"])
 
+    def test_removal_found_after_a_silent_poll_is_not_taken_for_a_lapse(self):
+        # A new connection that answers at once shows that the store was up. A
+        # target that left got work for another 1.6 s.
+        self.state.store_lost("test", is_silence=True)
+        self.clock.now += 0.2
+        self.state.store_regained()
+        self.state.replace_targets([make_entry(2)])
+        self.assertEqual(self.usable_target_ids(), ["t2"])
+
+    def test_silence_that_goes_on_counts_as_an_outage(self):
+        def lose_again():
+            self.state.store_lost("test", is_silence=False)
+
+        for seconds, act in ((2.0, lambda: None), (0.2, lose_again)):
+            with self.subTest(seconds=seconds):
+                self.setUp()
+                self.state.store_lost("test", is_silence=True)
+                act()
+                self.clock.now += seconds
+                self.state.store_regained()
+                self.state.replace_targets([make_entry(2)])
+                self.assertEqual(self.usable_target_ids(), ["t1", "t2"])
+
     def test_targets_lapsed_in_an_outage_are_kept_until_the_grace_ends(self):
         self.simulate_outage(7.0)
         self.state.replace_targets([])
