Tell peers of removals that a scan reveals

The others polled on silent connections for up to 28 s, and sent requests to the removed target meanwhile.

Cause: digests name the newest revision of an entry, and a removed key is not among the entries of a scan. Beside it, a scan took an idle connection that had gone silent with the others, and failed after 1.5 s.

Digests carry the revision up to which the sender knows all entries, and a fingerprint of their keys. An instance that is behind and has other keys scans; one with the same keys does nothing, so calls to the store don't grow. After a call without an answer, idle connections are closed before the next call.

--- a/src/cardamomfork/_internal/gateway/peers/digest_codec.py
+++ b/src/cardamomfork/_internal/gateway/peers/digest_codec.py
@@ -24,6 +24,7 @@
 from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.gateway.state import peer_queues
 from cardamomfork._internal.gateway.state import rate_limits
+from cardamomfork._internal.gateway.store import key_set
 
 MS_PER_S = 1000.0
 MAX_MS = 2**31 - 1
@@ -86,6 +87,7 @@
         cold_targets: Statements in answers to the sender about the time for
             which targets are cold.
         waiting: Requests that wait at the sender.
+        target_keys: Keys of the targets' entries that the sender knows.
     """
 
     sender: Peer
@@ -105,6 +107,7 @@
     evacuations: tuple[evacuations.Evacuation, ...] = ()
     cold_targets: tuple[cold_targets.ColdReport, ...] = ()
     waiting: tuple[peer_queues.WaitingClass, ...] = ()
+    target_keys: key_set.KnownKeys = key_set.KnownKeys()
 
 
 @functools.cache
@@ -132,6 +135,8 @@
         openRequests=digest.open_requests,
         exchangesChanges=digest.exchanges_changes,
         reachesStore=digest.reaches_store,
+        targetKeysRevision=digest.target_keys.revision,
+        targetKeysFingerprint=digest.target_keys.fingerprint,
     )
     jobs = message.init("jobs", len(digest.jobs))
     for index, job in enumerate(digest.jobs):
@@ -200,7 +205,11 @@
         message.instanceId, message.dataCentre, message.host, message.port
     )
     if (
-        max(message.configurationRevision, message.targetsRevision)
+        max(
+            message.configurationRevision,
+            message.targetsRevision,
+            message.targetKeysRevision,
+        )
         > MAX_REVISION
     ):
         return result.Err("malformed digest: revision out of range")
@@ -252,6 +261,9 @@
                     message.waiting, peer_queues.MAX_CLASSES
                 )
             ),
+            key_set.KnownKeys(
+                message.targetKeysRevision, message.targetKeysFingerprint
+            ),
         )
     )
 
--- a/src/cardamomfork/_internal/gateway/peers/digests.capnp
+++ b/src/cardamomfork/_internal/gateway/peers/digests.capnp
@@ -22,6 +22,8 @@
   evacuations @17 :List(Evacuation);
   coldTargets @18 :List(ColdTarget);
   waiting @19 :List(WaitingClass);  # Queued requests, at most 64 classes.
+  targetKeysRevision @20 :UInt64;  # All changes up to it are in the next field.
+  targetKeysFingerprint @21 :UInt64;  # Of the keys of targets' entries.
 }
 
 # The newest known order to evacuate a data centre, or the end of one.
--- a/src/cardamomfork/_internal/gateway/peers/peer_links.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_links.py
@@ -373,6 +373,7 @@
             digest.configuration_revision
         )
         self._targets_follower.note_peer_revision(digest.targets_revision)
+        self._targets_follower.note_peer_keys(digest.target_keys)
         self._on_peer_update()
 
     def _send_to(self, recipients: digest_recipients.Recipients) -> None:
@@ -399,6 +400,7 @@
                 evacuations=self._due_evacuations(now),
                 cold_targets=cold,
                 waiting=self._list_waiting(),
+                target_keys=self._targets_follower.known_keys,
             ),
             now,
         )
--- a/src/cardamomfork/_internal/gateway/store/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -3,8 +3,8 @@
 Each call to the store is billed, including a long poll. To save calls, only one
 instance per data centre, the delegate, polls with a short wait, so that it soon
 notices a connection that no longer delivers. The other instances wait longer.
-Peers exchange the revisions that they have received, and an instance that is
-behind its peers scans the prefix.
+Peers exchange the revisions that they have received and fingerprints of the
+keys that they know. An instance that is behind its peers scans the prefix.
 
 In a large fleet, only some instances poll. The others wait for their updates
 (`change_relay`). They scan when they are behind a peer, and when they must poll
@@ -25,6 +25,7 @@
 
 from cardamomfork._internal.contracts import store
 from cardamomfork._internal.gateway.store import entry_faults
+from cardamomfork._internal.gateway.store import key_set
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -174,6 +175,8 @@
         self._revision = 0
         self._last_change_revision = 0
         self._peer_revision = 0
+        self._keys = key_set.KeySet()
+        self._peer_keys = key_set.KnownKeys()
         self._poll_scope: anyio.CancelScope | None = None
         self._behind_peers = anyio.Event()
         self._may_rely_on_peers = must_poll is not None
@@ -189,6 +192,22 @@
         """Store revision of the last change received."""
         return self._last_change_revision
 
+    @property
+    def known_keys(self) -> key_set.KnownKeys:
+        """The keys known here, which a peer compares with its own."""
+        return key_set.KnownKeys(self._revision, self._keys.fingerprint)
+
+    def note_peer_keys(self, known: key_set.KnownKeys) -> None:
+        """Records the keys that a peer knows.
+
+        They show a removal that a scan has revealed to the peer, as the
+        revisions of entries don't.
+        """
+        if known.revision > max(self._revision, self._peer_keys.revision):
+            self._peer_keys = known
+            if self._lacks_change_of_keys():
+                self._behind_peers.set()
+
     def note_peer_revision(self, revision: int) -> None:
         """Records the revision of a change that a peer has received."""
         if revision > max(self._revision, self._peer_revision):
@@ -201,6 +220,13 @@
                 # Changes before the restoration will not be relayed any more.
                 self._missed_update.set()
 
+    def _lacks_change_of_keys(self) -> bool:
+        """Returns whether a peer has seen a change of the keys that is new."""
+        return (
+            self._peer_keys.revision > self._revision
+            and self._peer_keys.fingerprint != self._keys.fingerprint
+        )
+
     def note_received(self, revision: int) -> None:
         """Records that a peer has sent all that this instance follows.
 
@@ -230,6 +256,7 @@
             return False
         for change in update.changes:
             if change.revision > self._revision:
+                self._keys.apply(change.to_entry())
                 with self._faults.contained(change.key, change.revision):
                     self._relayed.handler.apply_relayed_change(change)
                 self._last_change_revision = max(
@@ -278,6 +305,8 @@
                 self._revision = scanned.ok_value.revision
                 # A peer that really has more reports it again.
                 self._peer_revision = min(self._peer_revision, self._revision)
+                self._peer_keys = key_set.KnownKeys()
+                self._keys.replace(entries)
                 self._record_last_change(entries)
                 is_applied = self._call(
                     self._handler.apply_snapshot, scanned.ok_value
@@ -361,6 +390,8 @@
             )
             self._revision = polled.ok_value.revision
             if entries:
+                for entry in entries:
+                    self._keys.apply(entry)
                 self._record_last_change(entries)
                 if not self._call(self._handler.apply_changes, polled.ok_value):
                     # A scan brings these changes again.
@@ -450,7 +481,11 @@
             else:
                 await anyio.sleep(self._subscription.max_lag_s)
             self._missed_update = anyio.Event()
-            if self._peer_revision > self._revision and self._poll_scope:
+            is_behind = (
+                self._peer_revision > self._revision
+                or self._lacks_change_of_keys()
+            )
+            if is_behind and self._poll_scope:
                 self._poll_scope.cancel()
 
     def _log_call(
--- a/src/cardamomfork/_internal/platform/store_calls.py
+++ b/src/cardamomfork/_internal/platform/store_calls.py
@@ -160,6 +160,7 @@
         self._watch_pool = self._new_pool(
             MAX_WATCH_CONNECTIONS, WATCH_KEEPALIVE_EXPIRY_S
         )
+        self._has_unanswered_call = False
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -168,6 +169,27 @@
 
     async def exchange(
         self, endpoint: str, call: Call, progress: CallProgress
+    ) -> Response:
+        """Sends a call over a connection pool and reads the response."""
+        if self._has_unanswered_call:
+            await self._close_idle()
+        try:
+            return await self._exchange(endpoint, call, progress)
+        except BaseException:
+            # A cancellation may mean that an answer is overdue.
+            self._has_unanswered_call = True
+            raise
+
+    async def _close_idle(self) -> None:
+        """Closes idle connections, which may be as silent as another one."""
+        self._has_unanswered_call = False
+        for pool in (self._pool, self._watch_pool):
+            for connection in pool.connections:
+                if connection.is_idle():
+                    await connection.aclose()
+
+    async def _exchange(
+        self, endpoint: str, call: Call, progress: CallProgress
     ) -> Response:
         """Sends a call over a connection pool and reads the response."""
         pool = self._watch_pool if call.is_wait else self._pool
--- a/tests/functional/test_missed_removals.py
+++ b/tests/functional/test_missed_removals.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import json
 import time
 import unittest
 
 import msgspec
 
+from cardamomfork._internal.gateway.store import follower
 from cardamomfork._internal.standins import platform_site
 from tests.lib import scripted_target
 from tests.lib import small_site
@@ -105,6 +107,29 @@
         late = [at - last for at in self.arrivals if at > last]
         self.assertEqual(len(late), 0, late[-1:])
 
+    async def wait_for_poll(self):
+        """Waits until the middle of a poll of the delegate."""
+        seen = len(self.find_short_polls())
+
+        async def has_polled():
+            return len(self.find_short_polls()) > seen
+
+        await self.site.wait_until(has_polled)
+        await asyncio.sleep(follower.DELEGATE_WAIT_S / 2)
+
+    def find_short_polls(self):
+        """Returns the log lines of polls that only the delegate makes."""
+        lines = self.site.entry_lines('"store followed"')
+        records = [json.loads(line) for line in lines]
+        return [
+            one
+            for one in records
+            if one["name"] == "servers/"
+            and one["outcome"] == "polled"
+            and not one["count"]
+            and one["seconds"] < 2 * follower.DELEGATE_WAIT_S
+        ]
+
     async def test_removal_in_the_pause_after_a_change_is_not_missed(self):
         found = (await self.client.get("servers/drained")).unwrap()
         await self.write("drained", "draining", found.version)
@@ -113,6 +138,12 @@
         await asyncio.sleep(0.1)
         await self.check(removed_at, self.silence())
 
+    async def test_removal_that_one_instance_finds_reaches_the_others(self):
+        await self.wait_for_poll()
+        silent_at = self.silence()
+        await asyncio.sleep(0.2)
+        await self.check(await self.remove(), silent_at)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/functional/test_peer_fetch.py
+++ b/tests/functional/test_peer_fetch.py
@@ -16,6 +16,7 @@
 from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.gateway.state import rate_limits
 from cardamomfork._internal.gateway.state import target_table
+from cardamomfork._internal.gateway.store import key_set
 from cardamomfork._internal.platform import wire_format
 from cardamomfork._internal.standins import platform_site
 from tests.lib import gateway_parts
@@ -48,10 +49,14 @@
     """Replaces the follower of the targets' entries."""
 
     last_change_revision = 0
+    known_keys = key_set.KnownKeys()
 
     def note_peer_revision(self, revision):
         del revision
 
+    def note_peer_keys(self, known):
+        del known
+
 
 def make_links(state, fetcher, clock):
     """Returns the peer links of an instance with an empty peer table."""
--- a/tests/lib/restored_fleet.py
+++ b/tests/lib/restored_fleet.py
@@ -465,6 +465,7 @@
                     receiver.targets.note_peer_revision(
                         sender.targets.last_change_revision
                     )
+                    receiver.targets.note_peer_keys(sender.targets.known_keys)
 
     def announce(self, sender):
         """Sends the digest that follows a new configuration at once."""
--- a/tests/unit/test_gateway_digests.py
+++ b/tests/unit/test_gateway_digests.py
@@ -22,6 +22,7 @@
 from cardamomfork._internal.gateway.state import rate_limits
 from cardamomfork._internal.gateway.state import target_table
 from cardamomfork._internal.gateway.store import change_relay
+from cardamomfork._internal.gateway.store import key_set
 from cardamomfork._internal.platform import wire_format
 from cardamomfork._internal.standins import platform_site
 from tests.lib import gateway_parts
@@ -37,6 +38,8 @@
 
     def __init__(self):
         self.peer_revision = 0
+        self.known_keys = key_set.KnownKeys(1, 2**64 - 1)
+        self.peer_keys = None
         self.updates = []
 
     def apply_update(self, update):
@@ -46,6 +49,9 @@
     def note_peer_revision(self, revision):
         self.peer_revision = max(self.peer_revision, revision)
 
+    def note_peer_keys(self, known):
+        self.peer_keys = known
+
 
 @attrs.define(eq=False, slots=False)
 class Instance:
@@ -349,7 +355,7 @@
         decoded = digest_codec.decode(network.last_data[1:], 0.0)
         return decoded.unwrap().evacuations
 
-    def test_digest_tells_peers_the_revision_of_the_configuration(self):
+    def test_digest_tells_peers_what_its_sender_has_received(self):
         def scenario():
             network = Network(LARGE_FLEET)
             first = network.all[0]
@@ -361,6 +367,10 @@
                 self.assertEqual(
                     other.configuration_follower.peer_revision, 120
                 )
+                self.assertEqual(
+                    other.targets_follower.peer_keys,
+                    first.targets_follower.known_keys,
+                )
 
         run_scenario(scenario)
 
--- a/tests/unit/test_gateway_following.py
+++ b/tests/unit/test_gateway_following.py
@@ -9,6 +9,7 @@
 
 from cardamomfork._internal.contracts import store as store_contract
 from cardamomfork._internal.gateway.store import follower
+from cardamomfork._internal.gateway.store import key_set
 
 KINDS = store_contract.StoreFaultKind
 UNAVAILABLE = KINDS.UNAVAILABLE
@@ -25,6 +26,7 @@
         self.poll_fault = None
         self.fault_after_s = 0.01
         self.is_silent = False
+        self.removals = {}
 
     async def wait_until_restored(self, since=0):
         del since
@@ -34,6 +36,11 @@
         self.revision += 1
         self.entries[key] = store_contract.Entry(key, value, self.revision)
 
+    def remove(self, key):
+        self.revision += 1
+        del self.entries[key]
+        self.removals[key] = self.revision
+
     async def scan(self, prefix):
         self.calls.append("scan")
         if self.fault:
@@ -53,6 +60,11 @@
                 fault = store_contract.StoreFault(kind, prefix)
                 return result.Err(fault)
             newer = [e for e in self.entries.values() if e.version > after]
+            newer += [
+                store_contract.Entry(key, b"", store_contract.ABSENT)
+                for key, revision in self.removals.items()
+                if revision > after
+            ]
             if (newer and not silent) or anyio.current_time() >= until:
                 found = () if silent else tuple(newer)
                 return result.Ok(
@@ -84,6 +96,9 @@
             self.apply_change(entry)
 
     def apply_change(self, entry):
+        if entry.version == store_contract.ABSENT:
+            self.keys.pop(entry.key, None)
+            return
         self.keys[entry.key] = anyio.current_time()
 
     def on_answer(self, fault):
@@ -155,6 +170,77 @@
 
         self.run_scenario(scenario, is_delegate=False)
 
+    def known_to_peer(self, *keys):
+        """Returns the keys that a peer knows at the store's revision."""
+        known = key_set.KeySet()
+        known.replace(self.store.entries[key] for key in keys)
+        return key_set.KnownKeys(self.store.revision, known.fingerprint)
+
+    def test_removal_that_a_peer_found_in_a_scan_interrupts_a_silent_poll(
+        self,
+    ):
+        async def scenario():
+            self.store.write("p/a")
+            self.store.write("p/b")
+            await anyio.sleep(1.0)
+            self.assertIn("p/a", self.handler.keys)
+            self.store.is_silent = True
+            await anyio.sleep(30.0)
+            self.store.remove("p/a")
+            # No entry bears the revision of the removal.
+            self.follower.note_peer_revision(self.store.revision - 1)
+            self.follower.note_peer_keys(self.known_to_peer("p/b"))
+            self.store.is_silent = False
+            await anyio.sleep(0.5)
+            self.assertEqual(list(self.handler.keys), ["p/b"])
+            self.assertEqual(
+                self.follower.known_keys, self.known_to_peer("p/b")
+            )
+
+        self.run_scenario(scenario, is_delegate=False)
+
+    def test_peer_with_the_same_keys_costs_no_call(self):
+        async def scenario():
+            self.store.write("p/a")
+            await anyio.sleep(1.0)
+            before = len(self.store.calls)
+            for _ in range(20):
+                self.store.revision += 1
+                self.follower.note_peer_keys(self.known_to_peer("p/a"))
+                await anyio.sleep(0.2)
+            self.assertEqual(len(self.store.calls), before)
+
+        self.run_scenario(scenario, is_delegate=False)
+
+    def test_removal_that_the_own_poll_brings_costs_no_scan(self):
+        async def scenario():
+            self.store.write("p/a")
+            await anyio.sleep(1.0)
+            self.store.remove("p/a")
+            self.store.revision += 5
+            self.follower.note_peer_keys(self.known_to_peer())
+            await anyio.sleep(2.0)
+            self.assertEqual(self.store.calls.count("scan"), 1)
+            self.assertEqual(self.follower.known_keys.fingerprint, 0)
+
+        self.run_scenario(scenario, is_delegate=False)
+
+    def test_impossible_keys_of_a_peer_do_not_hide_later_ones(self):
+        async def scenario():
+            self.store.write("p/a")
+            await anyio.sleep(1.0)
+            self.follower.note_peer_keys(key_set.KnownKeys(10**9, 7))
+            await anyio.sleep(5.0)
+            self.store.is_silent = True
+            await anyio.sleep(30.0)
+            self.store.is_silent = False
+            self.store.remove("p/a")
+            self.follower.note_peer_keys(self.known_to_peer())
+            await anyio.sleep(2.0)
+            self.assertEqual(self.handler.keys, {})
+
+        self.run_scenario(scenario, is_delegate=False)
+
     def test_impossible_revision_of_a_peer_does_not_hide_later_ones(self):
         async def scenario():
             self.follower.note_peer_revision(10**9)
--- a/tests/unit/test_peer_link_failures.py
+++ b/tests/unit/test_peer_link_failures.py
@@ -15,6 +15,7 @@
 from cardamomfork._internal.gateway.peers import peer_links
 from cardamomfork._internal.gateway.peers import peer_table
 from cardamomfork._internal.gateway.state import load_view
+from cardamomfork._internal.gateway.store import key_set
 from tests.lib import gateway_parts
 
 HOST = "127.0.0.1"
@@ -52,6 +53,7 @@
             unused.reports.return_value = ()
             unused.recent_crashes.return_value = ()
             unused.revision = unused.version = unused.last_change_revision = 0
+            unused.known_keys = key_set.KnownKeys()
             self.links = peer_links.PeerLinks(
                 local,
                 table,
