Test that no head that breaks off makes a success

A report of another operator: a target stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body that looked whole.

It was not found here. A head counts once its blank line has come: the end of a connection completes an answer without a length only after its head, and a success only after a part of its body.

With a parser that takes the end of the connection for the end of the head, both of its cases fail.

--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -3,6 +3,8 @@
 import collections
 import functools
 import itertools
+import random
+import secrets
 import unittest
 from unittest import mock
 
@@ -14,6 +16,10 @@
 from tests.lib import broken_answers
 
 MAX_CONCURRENT_CASES = 48
+SEED = 7
+PEER_ANSWER_BYTES = 330
+PEER_CUTS = 40
+WHOLE_BODY = b"id: 1\ndata\n\n"
 MAIN_BREAKS = ("reset between events", "reset in an event", "no chunk")
 MAIN_ANSWERS = ("the rest", "500", "close before the first event")
 
@@ -113,6 +119,103 @@
                 self.assertEqual(received.requests, 1)
 
 
+class CutHeadTest(unittest.TestCase):
+    """An answer whose head breaks off must not become an empty success."""
+
+    def send_all(self, answers):
+        """Sends a request for each case.
+
+        Args:
+            answers: Pairs of a case and the script of its target, with the
+                bytes of the peer's answer that get through or None.
+
+        Returns:
+            The answers by case, without those that no proxy has cut.
+        """
+        received = {}
+        limiter = anyio.CapacityLimiter(MAX_CONCURRENT_CASES)
+
+        async def send(number, case, script, peer_answer_bytes):
+            async with (
+                limiter,
+                broken_answers.serving([script], case, peer_answer_bytes) as (
+                    entry,
+                    proxy,
+                ),
+            ):
+                answer = await broken_answers.read_answer(
+                    entry.server.port,
+                    request_id=f"r1{number:06}{secrets.token_hex(6)}",
+                )
+                if proxy is None or proxy.has_cut:
+                    received[case, number] = answer
+                self.assertEqual(entry.errors, [])
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                for number, one in enumerate(answers):
+                    tasks.start_soon(send, number, *one)
+
+        anyio.run(main)
+        return received
+
+    def test_head_of_a_target_that_breaks_off_makes_no_success(self):
+        rng = random.Random(SEED)
+        answers = []
+        for framing, is_over_peer, rule, end in itertools.product(
+            broken_answers.HEAD_FRAMINGS,
+            (False, True),
+            fleet.RepeatPolicy,
+            (broken_answers.Act.CLOSE, broken_answers.Act.RESET),
+        ):
+            fractions = [rng.random(), 0.999]
+            for fraction in fractions:
+                script = functools.partial(
+                    broken_answers.cut_head,
+                    framing=framing,
+                    interim=rng.choice(broken_answers.INTERIM_HEADS),
+                    fraction=fraction,
+                )
+                answers.append(
+                    (
+                        broken_answers.Case(
+                            framing, "nothing", is_over_peer, rule=rule
+                        ),
+                        lambda one, script=script, end=end: (
+                            [*script(one), 0.01, end]
+                        ),
+                        None,
+                    )
+                )
+        received = self.send_all(answers)
+        self.assertEqual(len(received), len(answers))
+        for case, answer in received.items():
+            status, headers, *_ = broken_answers.decode_answer(answer)
+            self.assertEqual(status, 502, case)
+            self.assertNotIn(b"x-cardamomfork-server-signature", headers, case)
+
+    def test_answer_of_a_peer_that_breaks_off_is_not_complete(self):
+        rng = random.Random(SEED)
+        framings = (b"content-length: 12", b"transfer-encoding: chunked")
+        answers = []
+        for rule, framing in itertools.product(fleet.RepeatPolicy, framings):
+            for size in rng.sample(range(1, PEER_ANSWER_BYTES), PEER_CUTS):
+
+                def script(request, framing=framing):
+                    body = WHOLE_BODY
+                    if framing.startswith(b"transfer"):
+                        body = broken_answers.chunk(body) + b"0\r\n\r\n"
+                    return [broken_answers.start(request, framing) + body]
+
+                case = broken_answers.Case("cut", "nothing", True, rule=rule)
+                answers.append((case, script, size))
+        received = self.send_all(answers)
+        self.assertGreater(len(received), len(answers) / 3)
+        for case, answer in received.items():
+            status, _, _, is_complete = broken_answers.decode_answer(answer)
+            self.assertFalse(status < 300 and is_complete, (case, answer.raw))
+
+
 class BegunLongAnswerTest(unittest.TestCase):
     def test_no_second_run_and_no_second_answer_follow(self):
         cases = [
--- a/tests/lib/broken_answers.py
+++ b/tests/lib/broken_answers.py
@@ -401,6 +401,84 @@
 ANSWERS = SOUND | FAULTY
 
 
+HEAD_FRAMINGS = {
+    "length": b"content-length: 12",
+    "chunks": b"transfer-encoding: chunked",
+    "trailer": b"transfer-encoding: chunked\r\ntrailer: x-sum",
+    "close": b"connection: close",
+    "upgrade": b"connection: upgrade\r\nupgrade: h2c\r\ncontent-length: 12",
+    "empty": b"content-length: 0",
+    "folded": b"x-a: 1\r\n 2\r\ncontent-length: 12",
+}
+"""How a head that breaks off states the length of its body, by name."""
+INTERIM_HEADS = (
+    b"",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n",
+)
+
+
+def cut_head(request, framing, interim, fraction, *end):
+    """Returns the steps of an answer that ends within its head.
+
+    Args:
+        request: The request.
+        framing: A key of `HEAD_FRAMINGS`.
+        interim: Bytes before the head.
+        fraction: Part of the head that is sent; less than 1.
+        *end: Last steps.
+    """
+    head = start(request, HEAD_FRAMINGS[framing])
+    size = max(int(fraction * len(head)), 1)
+    # The head arrives in two segments.
+    return [interim + head[: size // 2], 0.005, head[size // 2 : size], *end]
+
+
+class CuttingProxy:
+    """Passes the first bytes of an answer on, then ends the connection."""
+
+    def __init__(self, port, size):
+        """Initializes the proxy.
+
+        Args:
+            port: Port that it forwards to.
+            size: Number of bytes of the answer that it passes on.
+        """
+        self.port = 0
+        self.has_cut = False
+        self._target_port = port
+        self._size = size
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Serves on a free port while the context is open."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        try:
+            yield self
+        finally:
+            server.close()
+
+    async def _serve(self, reader, writer):
+        target_reader, target_writer = await asyncio.open_connection(
+            "127.0.0.1", self._target_port
+        )
+
+        async def pass_request_on():
+            while data := await reader.read(65_536):
+                target_writer.write(data)
+
+        request = asyncio.create_task(pass_request_on())
+        left = self._size
+        while left and (data := await target_reader.read(65_536)):
+            self.has_cut = len(data) > left
+            writer.write(data[:left])
+            left -= len(data[:left])
+        request.cancel()
+        writer.close()
+        target_writer.transport.abort()
+
+
 async def read_answer(
     port,
     *,
@@ -533,8 +611,18 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(scripts, case):
-    """Runs an entry instance with scripted targets; yields both."""
+async def serving(scripts, case, peer_answer_bytes=None):
+    """Runs an entry instance with scripted targets.
+
+    Args:
+        scripts: Scripts of the targets.
+        case: Which path and route it uses.
+        peer_answer_bytes: Number of bytes after which the answer of the peer
+            is cut; None for never.
+
+    Yields:
+        The instance, and the proxy that cuts the answer or None.
+    """
     async with contextlib.AsyncExitStack() as stack:
         targets = [
             await stack.enter_async_context(
@@ -542,7 +630,7 @@
             )
             for script in scripts
         ]
-        links = None
+        links = proxy = None
         if case.is_over_peer:
             service = (
                 "engines" if case.rule is fleet.RepeatPolicy.STREAM else "plain"
@@ -551,17 +639,23 @@
                 gateway_parts.make_record(number, service, port=target.port)
                 for number, target in enumerate(targets)
             ]
-            isolated, _ = await stack.enter_async_context(
+            isolated, peers = await stack.enter_async_context(
                 forwarding_peers.running(records)
             )
             links = isolated.paths
+            if peer_answer_bytes is not None:
+                address = peers[0].address
+                proxy = await stack.enter_async_context(
+                    CuttingProxy(address.port, peer_answer_bytes).running()
+                )
+                isolated.hear(attrs.evolve(address, port=proxy.port))
         fixture = test_gateway_forwarding.ForwarderFixture(
             targets, case.rule, links
         )
         entry = Entry(fixture.forwarder, case.rule, may_resume=case.may_resume)
         await stack.enter_async_context(entry.server.running())
         try:
-            yield entry, targets
+            yield entry, proxy
         finally:
             fixture.pool.close()
 
