--- a/tests/functional/test_daemon_failing_tasks.py
+++ b/tests/functional/test_daemon_failing_tasks.py
@@ -97,6 +97,8 @@
 
 
 class FailingTasksTest(unittest.TestCase):
+    maxDiff = None
+
     def test_daemon_serves_on_whichever_background_task_fails(self):
         self.recorder = PortRecorder()
         logger.remove()
