Move the open requests of callers into a module of their own

The callers' application read bodies, admitted requests, and kept track of what to end at a stop. Three places put together what a stopping process has to know of a request; two of them share one function now. A wait without an end is left to the reasons that the queue has for it.

--- a/src/cardamomfork/_internal/gateway/queueing/scheduling.py
+++ b/src/cardamomfork/_internal/gateway/queueing/scheduling.py
@@ -373,14 +373,10 @@
         Returns:
             Whether it was refused.
         """
-        if not self._stop.is_stopping or self._stop.may_send(
-            stopping.RequestTimes(
-                demand.time_left_s - wait_s,
-                _predict_service_s(demand),
-                demand.may_have_run,
-            ),
-            now + wait_s,
-        ):
+        if not self._stop.is_stopping or math.isinf(wait_s):
+            return False
+        times = service_times.request_times(demand, demand.time_left_s - wait_s)
+        if self._stop.may_send(times, now + wait_s):
             return False
         waiter.decision = Refusal(
             stopping.REFUSAL_REASON, stopping.RETRY_AFTER_S
@@ -476,14 +472,9 @@
         return Refusal(reason, delay_s * jitter)
 
 
-def _predict_service_s(demand: demands.Demand) -> float | None:
-    """Returns the time that the request takes on idle targets, if known."""
-    return service_times.min_service_s(
-        demand.service, demand.prompt_tokens, demand.output_tokens
-    )
-
-
 def _min_service_s(demand: demands.Demand) -> float:
     """Returns the time that the request takes on idle targets."""
-    service_s = _predict_service_s(demand)
+    service_s = service_times.min_service_s(
+        demand.service, demand.prompt_tokens, demand.output_tokens
+    )
     return placement.DEFAULT_CALL_S if service_s is None else service_s
--- a/src/cardamomfork/_internal/gateway/serving/application.py
+++ b/src/cardamomfork/_internal/gateway/serving/application.py
@@ -11,7 +11,6 @@
 import msgspec
 import result
 
-from cardamomfork._internal.gateway.choice import service_times
 from cardamomfork._internal.gateway.peers import configuration_fetching
 from cardamomfork._internal.gateway.peers import digest_codec
 from cardamomfork._internal.gateway.peers import peer_forwarding_codec
@@ -19,11 +18,11 @@
 from cardamomfork._internal.gateway.requests import request_log
 from cardamomfork._internal.gateway.serving import caller_protocol
 from cardamomfork._internal.gateway.serving import forwarding
+from cardamomfork._internal.gateway.serving import open_requests
 from cardamomfork._internal.gateway.state import fingerprints
 from cardamomfork._internal.gateway.state import stopping
 from cardamomfork._internal.links.callers import protocol
 from cardamomfork._internal.models import fleet
-from cardamomfork._internal.models import forwarding as forwarding_models
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -35,6 +34,7 @@
     from cardamomfork._internal.gateway.serving import traffic_metrics
     from cardamomfork._internal.gateway.state import fleet_state
     from cardamomfork._internal.gateway.state import routes
+    from cardamomfork._internal.models import forwarding as forwarding_models
     from cardamomfork._internal.telemetry import exporting
 
     Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -174,34 +174,6 @@
     final: exchanges.FinalAnswer | None
 
 
-@attrs.define(eq=False)
-class _OpenRequest:
-    """A request that has not been answered completely.
-
-    Attributes:
-        match: Its route and service.
-        request: Its head.
-        deadline: Monotonic time by which its final answer must be sent.
-        scope: Ends what is being done for it.
-        is_ended: Whether it was ended because the process exits.
-        is_reading: Whether its body is being read.
-        closed: Set once it has been answered, or its answer was cut.
-    """
-
-    match: routes.Match
-    request: forwarding_models.CallerRequest
-    deadline: float
-    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
-    is_ended: bool = False
-    is_reading: bool = True
-    closed: anyio.Event = attrs.field(factory=anyio.Event)
-
-    def end(self) -> None:
-        """Ends it; an answer that has not begun states that."""
-        self.is_ended = True
-        self.scope.cancel()
-
-
 class CallerApplication:
     """Serves requests from callers."""
 
@@ -237,46 +209,24 @@
         self._clock = clock
         self._rng = rng
         self._max_held_body_bytes = int(memory_bytes * BODY_MEMORY_FRACTION)
-        self._open_requests: set[_OpenRequest] = set()
+        self._open_requests = open_requests.OpenRequests(stop, clock)
         self._held_body_bytes = 0
 
     @property
     def in_progress(self) -> int:
         """Number of requests that have not been answered completely."""
-        return len(self._open_requests)
+        return self._open_requests.count
 
     def refuse_incomplete(self) -> None:
         """Refuses requests whose body would be complete too late to send.
 
         Called by a stopping process once the load balancer sends it nothing.
         """
-        now = self._clock()
-        for one in self._open_requests:
-            if one.is_reading and not self._may_send(one, now):
-                one.end()
+        self._open_requests.end_incomplete()
 
     async def end_requests(self) -> None:
         """Answers all requests whose answers have not begun."""
-        open_requests = tuple(self._open_requests)
-        for one in open_requests:
-            one.end()
-        for one in open_requests:
-            await one.closed.wait()
-
-    def _may_send(self, one: _OpenRequest, now: float) -> bool:
-        """Returns whether a stopping process may still send a request."""
-        generation = one.request.generation or forwarding_models.Generation(
-            0, 0
-        )
-        times = stopping.RequestTimes(
-            one.deadline - now,
-            service_times.min_service_s(
-                one.match.service,
-                generation.prompt_tokens,
-                generation.expected_output_tokens,
-            ),
-        )
-        return self._stop.may_send(times, now)
+        await self._open_requests.end_all()
 
     async def __call__(
         self, scope: dict[str, Any], receive: Receive, send: Send
@@ -305,7 +255,7 @@
             await sink.answer(final)
             return
         body = bytearray()
-        opened = _OpenRequest(
+        opened = open_requests.OpenRequest(
             matched.ok_value,
             request,
             exchanges.find_deadline(matched.ok_value, request, arrived_at),
@@ -340,8 +290,7 @@
                 )
                 await sink.answer(incomplete.final, close=True)
         finally:
-            self._open_requests.discard(opened)
-            opened.closed.set()
+            self._open_requests.close(opened)
             self._held_body_bytes -= len(body)
 
     async def _wait_for_configuration(self) -> None:
@@ -399,7 +348,10 @@
         return matched
 
     async def _read_open_body(
-        self, opened: _OpenRequest, receive: Receive, body: bytearray
+        self,
+        opened: open_requests.OpenRequest,
+        receive: Receive,
+        body: bytearray,
     ) -> _IncompleteBody | None:
         """Reads a request body unless the process stops before its end.
 
@@ -451,7 +403,7 @@
 
     async def _serve(
         self,
-        opened: _OpenRequest,
+        opened: open_requests.OpenRequest,
         exchange: exchanges.Exchange,
         receive: Receive,
         sink: _AsgiSink,
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -266,13 +266,7 @@
         It may have waited for a permit, for memory or for a connection.
         """
         now = self._clock()
-        times = stopping.RequestTimes(
-            exchange.deadline - now,
-            service_times.min_service_s(
-                demand.service, demand.prompt_tokens, demand.output_tokens
-            ),
-            demand.may_have_run,
-        )
+        times = service_times.request_times(demand, exchange.deadline - now)
         if self._stop.may_send(times, now):
             return None
         return stopping.REFUSAL_REASON
