Show what clients that keep to no limits do to an entry process

Callers saw no answers while such clients were connected: the process took all memory of its machine within seconds.

Test modules in folders named exclusive run after all others, one at a time.

--- a/src/cardamomfork/_internal/standins/platform_site.py
+++ b/src/cardamomfork/_internal/standins/platform_site.py
@@ -75,6 +75,7 @@
     stop_grace_s: float = 8.0,
     evacuate_ms: int = 0,
     regions: dict[str, str] | None = None,
+    limits: dict[str, int] | None = None,
 ) -> str:
     """Returns the contents of an instance's settings file.
 
@@ -86,7 +87,12 @@
         stop_grace_s: Time from SIGTERM to SIGKILL, in seconds.
         evacuate_ms: Bound for evacuations, in milliseconds; 0 for none.
         regions: Region of each data centre; None if the file states none.
+        limits: Limits of the process by name, such as `memoryMb`; None if the
+            file states none.
     """
+    limit_lines = "".join(
+        f"{limit} = {value}\n" for limit, value in (limits or {}).items()
+    )
     zones = "".join(
         f'"{zone}" = "{region}"\n' for zone, region in (regions or {}).items()
     )
@@ -101,6 +107,7 @@
         f'[platform]\naddress = "{store_address}"\n'
         f"[bounds]\ngraceS = {stop_grace_s:.0f}\n{bounds}"
         f"[metrics]\nport = {ports.metrics}\n[zones]\n{zones}"
+        f"[limits]\n{limit_lines}"
     )
 
 
@@ -122,6 +129,7 @@
     services: tuple[dict[str, Any], ...],
     accounts: dict[str, list[str]],
     allowed_regions: dict[str, list[str]] | None = None,
+    limits: dict[str, int] | None = None,
 ) -> bytes:
     """Encodes a configuration in the operators' format.
 
@@ -132,10 +140,13 @@
         accounts: API keys by client account; if empty, no key is required.
         allowed_regions: Allowed regions by client account; those without any
             may be served anywhere.
+        limits: Limits on callers by name, such as `maxHeaderBytes`; None for
+            the defaults.
     """
     return msgspec.json.encode(
         {
             "version": version,
+            "limits": limits or {},
             "routes": [
                 {
                     "name": route.prefix.strip("/"),
--- a/tests/lib/runner.py
+++ b/tests/lib/runner.py
@@ -1,21 +1,31 @@
 """Runs all tests, each test module in its own process.
 
+Modules in folders named `exclusive` run last and one at a time, since they
+check the memory of a process.
+
 Prints each failing test and, last, `N passed, N failed`. Tests listed in
 KNOWN-RED.txt (lines that begin with `test:`) also run and are printed when
 they fail, but do not change the exit status. The run fails if no test ran.
 """
 
+from __future__ import annotations
+
 import concurrent.futures
 import io
 import os
 import pathlib
 import sys
+from typing import TYPE_CHECKING
 import unittest
 
 import attrs
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 MAX_WORKERS = 4
+EXCLUSIVE = ".exclusive."
 
 
 @attrs.frozen
@@ -79,22 +89,31 @@
     }
 
 
+def _run_modules(modules: list[str]) -> Iterator[ModuleReport]:
+    """Runs modules; yields the exclusive ones' reports last."""
+    shared = [name for name in modules if EXCLUSIVE not in name]
+    exclusive = [name for name in modules if EXCLUSIVE in name]
+    workers = min(MAX_WORKERS, os.cpu_count() or 1)
+    for names, max_workers in ((shared, workers), (exclusive, 1)):
+        with concurrent.futures.ProcessPoolExecutor(
+            max_workers=max_workers, max_tasks_per_child=1
+        ) as pool:
+            yield from pool.map(run_module, names)
+
+
 def main(arguments: list[str]) -> int:
     """Runs the tests; returns the exit status."""
     known_red = read_known_red()
     passed = failed = skipped = 0
-    with concurrent.futures.ProcessPoolExecutor(
-        max_workers=min(MAX_WORKERS, os.cpu_count() or 1), max_tasks_per_child=1
-    ) as pool:
-        for report in pool.map(run_module, find_modules(arguments)):
-            passed += report.passed
-            skipped += report.skipped
-            for test_id, text in report.failures:
-                if test_id.split(" ")[0] in known_red:
-                    print(f"known red: {test_id}")
-                    continue
-                failed += 1
-                print(f"FAILED {test_id}\n{text}")
+    for report in _run_modules(find_modules(arguments)):
+        passed += report.passed
+        skipped += report.skipped
+        for test_id, text in report.failures:
+            if test_id.split(" ")[0] in known_red:
+                print(f"known red: {test_id}")
+                continue
+            failed += 1
+            print(f"FAILED {test_id}\n{text}")
     if passed + failed == 0:
         print("no test ran")
         failed = 1
--- a/tests/lib/small_site.py
+++ b/tests/lib/small_site.py
@@ -13,11 +13,11 @@
 class Site(processes.Deployment):
     """A store, targets, and instances with the ports of each."""
 
-    def __init__(self, instances=1, metrics_setting=True, targets=1):
+    def __init__(self, instances=1, metrics_setting=True, targets=1, engines=0):
         self.ports = {}
         self.paths = {}
         self._metrics_setting = metrics_setting
-        super().__init__(1, instances, 0, targets)
+        super().__init__(1, instances, engines, targets)
 
     def release(self):
         """Removes files and frees ports of a site that was not started."""
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -63,6 +63,11 @@
     def is_running(self):
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self):
+        """Its id; None before its first start."""
+        return self._process.pid if self._process is not None else None
+
     @property
     def returncode(self):
         return self._process.returncode
@@ -137,6 +142,10 @@
     """Bound for evacuations in the settings of instances; 0 for none."""
     regions = None
     """Region of each data centre in these settings."""
+    process_limits = None
+    """Limits of instances in these settings; None for the defaults."""
+    caller_limits = None
+    """Limits on callers in the configuration; None for the defaults."""
     services = SERVICES
     routes = ROUTES
 
@@ -213,6 +222,7 @@
             self.services,
             self.keys,
             self.allowed_regions,
+            self.caller_limits,
         )
         await platform_site.publish(self._client, value)
         self.changes.append((time.monotonic(), dict(self.keys)))
@@ -280,6 +290,7 @@
                 stop_grace_s=STOP_GRACE_S,
                 evacuate_ms=self.evacuate_ms,
                 regions=self.regions,
+                limits=self.process_limits,
             )
         )
         self.entries[name] = self._make_entry(name, path)
