Bound heads and trailers while they are received

Callers got no answer while some clients sent a head or trailers without an end: the process took over a gigabyte within seconds. uvicorn compares nothing until a head is whole, and appends trailers to the same list; the readiness, peers' and metrics ports use the same code.

All ports use one protocol now. It gives the parser what a client sends in segments of at most 16 KiB that hold at most one end of a message, and refuses with 431 once a head, trailers or lines between chunks exceed six times the configured limit: a head whose target and fields are each within the limit can't be longer. Such a request has not been passed on, as the applications read the whole body first. Trailers are dropped; before, those that came with the head were taken for headers. The refusal goes out only if no answer has begun.

ConnectionLimits moves to links/ with the protocol, for all ports.

--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -116,11 +116,12 @@
             self._requests.application,
             settings.host,
             settings.caller_port,
-            caller_protocol.make_protocol(self._requests.connection_limits),
+            caller_protocol.GatewayProtocol,
             max(
                 settings.max_file_descriptors - RESERVED_FILES,
                 MIN_CALLER_CONNECTIONS,
             ),
+            limits=self._requests.connection_limits,
         )
         self._readiness_server = http_server.RestartableServer(
             application.ReadinessApplication(
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -15,11 +15,11 @@
 from cardamomfork._internal.gateway.queueing import retry_budget
 from cardamomfork._internal.gateway.queueing import scheduling
 from cardamomfork._internal.gateway.serving import application
-from cardamomfork._internal.gateway.serving import caller_protocol
 from cardamomfork._internal.gateway.serving import forwarding
 from cardamomfork._internal.gateway.serving import traffic_metrics
 from cardamomfork._internal.gateway.state import load_view
 from cardamomfork._internal.gateway.wiring import peer_side
+from cardamomfork._internal.links import connection_limits
 from cardamomfork._internal.models import settings as settings_models
 from cardamomfork._internal.telemetry import exporting
 from cardamomfork._internal.telemetry import watchdog
@@ -112,7 +112,7 @@
     scheduler: scheduling.Scheduler
     fair_order: fair_order.FairOrder
     retry_budget: retry_budget.RetryBudget
-    connection_limits: caller_protocol.ConnectionLimits
+    connection_limits: connection_limits.ConnectionLimits
     metrics_export: exporting.MetricsExport
     application: application.CallerApplication
     peers: peer_side.PeerSide
@@ -165,7 +165,7 @@
         known.rng,
         known.settings.memory_bytes,
     )
-    limits = caller_protocol.ConnectionLimits()
+    limits = connection_limits.ConnectionLimits()
     notify = known.notifications
     notify.targets_changed.connect(notify.capacity_changed)
     notify.evacuations_changed.connect(notify.capacity_changed)
@@ -289,7 +289,7 @@
 
 
 def _apply_caller_limits(
-    known: known_state.KnownState, limits: caller_protocol.ConnectionLimits
+    known: known_state.KnownState, limits: connection_limits.ConnectionLimits
 ) -> None:
     """Applies the limits on callers of a new configuration."""
     route_table = known.fleet_state.routes
--- a/src/cardamomfork/_internal/links/callers/protocol.py
+++ b/src/cardamomfork/_internal/links/callers/protocol.py
@@ -15,7 +15,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
-from uvicorn.protocols.http import httptools_impl
+from cardamomfork._internal.links import bounded_protocol
 
 if TYPE_CHECKING:
     import asyncio
@@ -55,7 +55,7 @@
         ...
 
 
-class CallerProtocol(httptools_impl.HttpToolsProtocol):
+class CallerProtocol(bounded_protocol.BoundedProtocol):
     """HTTP connection of one caller."""
 
     _headers_timer: asyncio.TimerHandle | None = None
--- /dev/null
+++ b/src/cardamomfork/_internal/links/connection_limits.py
@@ -0,0 +1,48 @@
+"""Limits of the connections of clients, on all ports of a process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.models import fleet
+
+DEFAULT_MAX_HEADER_BYTES = 65_536
+DEFAULT_IDLE_TIMEOUT_S = 30.0
+IDLE_MARGIN_S = 1.0
+"""Added to the configured idle timeout, so that a request sent just before the
+timeout is still read."""
+HEAD_SIZE_FACTOR = 6
+"""Longest head, as a multiple of the configured limit on names and values.
+
+A header line has four bytes of separators beside a name of at least one byte,
+and the target may be as long as all names and values.
+"""
+REQUEST_LINE_BYTES = 64
+"""Longest request line without its target."""
+
+
+@attrs.define
+class ConnectionLimits:
+    """Limits of the connections of one port.
+
+    Attributes:
+        max_header_bytes: Longest names and values of a request's head, and
+            longest target, in bytes.
+        idle_timeout_s: Idle time after which a connection is closed.
+    """
+
+    max_header_bytes: int = DEFAULT_MAX_HEADER_BYTES
+    idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
+
+    @property
+    def max_head_bytes(self) -> int:
+        """Longest head, and longest trailers, as received."""
+        return HEAD_SIZE_FACTOR * self.max_header_bytes + REQUEST_LINE_BYTES
+
+    def apply(self, limits: fleet.CallerLimits) -> None:
+        """Applies the limits on callers of a new configuration."""
+        self.max_header_bytes = limits.max_header_bytes
+        self.idle_timeout_s = limits.idle_timeout_s + IDLE_MARGIN_S
--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import socket
 from typing import Any
 from typing import TYPE_CHECKING
@@ -11,16 +12,16 @@
 import uvicorn
 
 from cardamomfork._internal import exceptions
+from cardamomfork._internal.links import bounded_protocol
+from cardamomfork._internal.links import connection_limits
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import AsyncIterator
     from collections.abc import Callable
     from collections.abc import Iterator
     import ssl
 
 LISTEN_BACKLOG = 4096
-KEEP_ALIVE_TIMEOUT_S = 30
 DRAIN_CHECK_INTERVAL_S = 0.1
 """Interval at which a stop checks whether the open requests have ended."""
 
@@ -89,9 +90,12 @@
         self,
         application: Any,
         listener: socket.socket,
-        protocol: type[asyncio.Protocol] | str = "httptools",
+        protocol: type[bounded_protocol.BoundedProtocol] = (
+            bounded_protocol.BoundedProtocol
+        ),
         max_connections: int | None = None,
         tls: ssl.SSLContext | None = None,
+        limits: connection_limits.ConnectionLimits | None = None,
         state: uvicorn.server.ServerState | None = None,
     ) -> None:
         """Initializes the server without starting it.
@@ -99,10 +103,11 @@
         Args:
             application: The ASGI application.
             listener: A listening socket.
-            protocol: uvicorn's HTTP protocol, or a class derived from it.
+            protocol: The HTTP protocol, or a class derived from it.
             max_connections: Maximum open connections; further ones get
                 status 503.
             tls: Server-side TLS context; None for plain TCP.
+            limits: Limits of connections; None for the defaults.
             state: Open connections of an earlier server in whose place this
                 one serves; None if there was none.
         """
@@ -110,7 +115,9 @@
         self._server = _Server(
             uvicorn.Config(
                 application,
-                http=protocol,
+                http=functools.partial(  # type: ignore[arg-type]
+                    protocol, limits=limits
+                ),
                 ws="none",
                 lifespan="off",
                 log_config=None,
@@ -118,7 +125,6 @@
                 proxy_headers=False,
                 server_header=False,
                 backlog=LISTEN_BACKLOG,
-                timeout_keep_alive=KEEP_ALIVE_TIMEOUT_S,
                 limit_concurrency=max_connections,
                 ssl_context_factory=_make_context_factory(tls),
             )
@@ -185,10 +191,13 @@
         application: Any,
         host: str,
         port: int,
-        protocol: type[asyncio.Protocol] | str = "httptools",
+        protocol: type[bounded_protocol.BoundedProtocol] = (
+            bounded_protocol.BoundedProtocol
+        ),
         max_connections: int | None = None,
         tls: ssl.SSLContext | None = None,
         on_listening: Callable[[HttpServer], None] = lambda _: None,
+        limits: connection_limits.ConnectionLimits | None = None,
     ) -> None:
         """Initializes the server without opening its port.
 
@@ -196,13 +205,15 @@
             application: The ASGI application.
             host: IP address to listen on.
             port: TCP port to listen on; 0 picks a free port once.
-            protocol: uvicorn's HTTP protocol, or a class derived from it.
+            protocol: The HTTP protocol, or a class derived from it.
             max_connections: Maximum open connections; further ones get
                 status 503.
             tls: Server-side TLS context; None for plain TCP.
             on_listening: Called each time that the port is open.
+            limits: Limits of connections; None for the defaults.
         """
         self._tls = tls
+        self._limits = limits
         self._on_listening = on_listening
         self._application = application
         self._host = host
@@ -240,6 +251,7 @@
             self._protocol,
             self._max_connections,
             self._tls,
+            self._limits,
             state=self._state,
         )
         self._server = server
--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -493,7 +493,7 @@
         server = http_server.HttpServer(
             engine,
             http_server.open_listener(host, port),
-            caller_protocol.make_protocol(caller_protocol.ConnectionLimits()),
+            caller_protocol.GatewayProtocol,
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.serve)
--- a/tests/lib/broken_answers.py
+++ b/tests/lib/broken_answers.py
@@ -124,7 +124,7 @@
         self.server = http_server.HttpServer(
             self,
             http_server.open_listener("127.0.0.1", 0),
-            caller_protocol.make_protocol(caller_protocol.ConnectionLimits()),
+            caller_protocol.GatewayProtocol,
         )
 
     async def __call__(self, scope, receive, send):
