Parse the requests of a connection one at a time

Callers got no answer while some clients sent requests without waiting for answers: each became a cycle with its objects, thousands from a single read, and uvicorn paused reading only after them. Memory did not fall back afterwards.

The next request is parsed once this one has been answered. What a client sends meanwhile stays as bytes; above 16 KiB reading pauses, independently of the pauses for bodies. As nothing else is parsed, a refusal can't go out inside an earlier answer, and at a planned stop the requests that were read are still served: whether one waits is seen from the end of a head among these bytes.

--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -5,13 +5,56 @@
 import http
 import math
 from typing import Any
+from typing import TYPE_CHECKING
 
 import httptools
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 from cardamomfork._internal.links import connection_limits
 from cardamomfork._internal.links import message_segments
 
+if TYPE_CHECKING:
+    import asyncio
+
+MAX_UNPARSED_BYTES = 16_384
+"""Bytes behind a request in progress above which reading pauses."""
+
+
+class _FlowControl(flow_control.FlowControl):
+    """Pauses reading for bodies, and for requests that wait to be parsed."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        """Initializes the control of a connection that is being read."""
+        super().__init__(transport)
+        self._is_backlogged = False
+
+    def set_backlogged(self, is_backlogged: bool) -> None:
+        """Sets whether requests wait that exceed what may be held."""
+        if is_backlogged is self._is_backlogged:
+            return
+        self._is_backlogged = is_backlogged
+        if self.read_paused:
+            return
+        if is_backlogged:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def pause_reading(self) -> None:
+        """Pauses reading until the application takes the body."""
+        if self._is_backlogged:
+            self.read_paused = True
+        else:
+            super().pause_reading()
+
+    def resume_reading(self) -> None:
+        """Resumes reading unless requests wait."""
+        if self._is_backlogged:
+            self.read_paused = False
+        else:
+            super().resume_reading()
+
 
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """HTTP connection of one client on any port."""
@@ -33,15 +76,68 @@
         self._limits = limits or connection_limits.ConnectionLimits()
         self._segmenter = message_segments.Segmenter()
         self._unparsed = bytearray()
+        self._is_shutting_down = False
         # Bytes parsed since the last message, head or part of a body ended.
         self._line_bytes = 0
 
+    @property
+    def has_pipelined_request(self) -> bool:
+        """Whether a head was read that waits for an earlier answer."""
+        return message_segments.END_OF_LINES in self._unparsed
+
+    @property
+    def _has_open_request(self) -> bool:
+        """Whether a request has no complete answer yet."""
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Starts reading."""
+        super().connection_made(transport)
+        self._reading = _FlowControl(transport)
+        self.flow = self._reading
+
     def data_received(self, data: bytes) -> None:
-        """Parses data until a bound is exceeded or the connection closes."""
+        """Parses what may be parsed already; keeps the rest."""
         self._unset_keepalive_if_required()
+        if not self._unparsed and self._segmenter.take_body(len(data)):
+            self._parse(data)
+            return
         self._unparsed += data
-        while self._unparsed and not self.transport.is_closing():
+        self._parse_received()
+
+    def shutdown(self) -> None:
+        """Closes the connection once all requests that were read are done."""
+        self._is_shutting_down = True
+        self._close_after_last()
+
+    def _close_after_last(self) -> None:
+        """Closes a connection that shuts down once its requests are done."""
+        if not self._has_open_request:
+            self.transport.close()
+        elif not self.has_pipelined_request:
+            self.cycle.keep_alive = False
+
+    def _parse_received(self) -> None:
+        """Parses until a request is whole, a bound is met or nothing is left.
+
+        The next request is parsed when this one has been answered, so that no
+        more than one request of a connection is held as objects.
+        """
+        while self._unparsed and self._may_parse():
             self._parse(self._segmenter.take(self._unparsed))
+        if not self.transport.is_closing():
+            self._reading.set_backlogged(
+                len(self._unparsed) > MAX_UNPARSED_BYTES
+            )
+
+    def _may_parse(self) -> bool:
+        """Returns whether the parser may get the bytes that come next."""
+        if self.transport.is_closing():
+            return False
+        is_head = self._segmenter.expected is message_segments.Expected.HEAD
+        return not (is_head and self._has_open_request)
 
     def _parse(self, segment: bytes) -> None:
         """Parses a segment; refuses its request if it is malformed."""
@@ -71,6 +167,8 @@
         self._line_bytes = 0
         super().on_headers_complete()
         self._segmenter.expect_body(self.headers)
+        if self._is_shutting_down:
+            self._close_after_last()
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the request's body."""
@@ -84,9 +182,12 @@
         super().on_message_complete()
 
     def on_response_complete(self) -> None:
-        """Sets the keep-alive timeout to the idle timeout in force."""
+        """Starts the idle timeout in force, or the next request."""
         self.timeout_keep_alive = math.ceil(self._limits.idle_timeout_s)
         super().on_response_complete()
+        self._parse_received()
+        if self._is_shutting_down:
+            self._close_after_last()
 
     def _refuse(self, status: http.HTTPStatus, reason: str) -> None:
         """Refuses the request that is being received; closes the connection.
@@ -95,7 +196,7 @@
         sent inside another answer.
         """
         cycle = self.cycle
-        is_open = cycle is not None and not cycle.response_complete
+        is_open = self._has_open_request
         if is_open and (cycle.response_started or not cycle.more_body):
             self.transport.close()
             return
--- a/src/cardamomfork/_internal/links/callers/protocol.py
+++ b/src/cardamomfork/_internal/links/callers/protocol.py
@@ -68,11 +68,6 @@
         """Whether the write buffer is above its high-water mark."""
         return self.flow.write_paused
 
-    @property
-    def has_pipelined_request(self) -> bool:
-        """Whether a request was read that waits for an earlier answer."""
-        return bool(self.pipeline)
-
     def set_flow_listener(self, listener: FlowControlListener | None) -> None:
         """Sets the receiver of flow control events; None for none."""
         self._flow_listener = listener
--- a/src/cardamomfork/_internal/links/message_segments.py
+++ b/src/cardamomfork/_internal/links/message_segments.py
@@ -44,6 +44,15 @@
             elif name == b"transfer-encoding":
                 self.expected = Expected.CHUNKED_BODY
 
+    def take_body(self, size: int) -> bool:
+        """Returns whether the next bytes are all of a body, and takes them."""
+        if self.expected is not Expected.SIZED_BODY:
+            return False
+        if size > self._body_bytes_left:
+            return False
+        self._body_bytes_left -= size
+        return True
+
     def take(self, data: bytearray) -> bytes:
         """Removes and returns the next segment of data that isn't empty."""
         size = self._find_size(data)
