Apply the configured header timeout, also behind empty lines

Connections whose head never ended stayed for 15 s whatever headerTimeoutMs said, for ever at the readiness, peers' and metrics ports, and for ever at all ports while empty lines came: each byte ended the idle timeout, and nothing began until the first byte of a request. So few clients held many descriptors.

The idle timeout now ends when a request begins and starts with the connection; the header timeout starts with the first byte of a head. A late head gets 408, which is true: no part of it has been passed on. Both are the configuration's, with a second more each, so that no client inside the limits meets them.

The streams of client_crowd state their tokens now: without, the stand-in's answers were broken.

--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -79,6 +79,7 @@
         self._is_shutting_down = False
         # Bytes parsed since the last message, head or part of a body ended.
         self._line_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
 
     @property
     def has_pipelined_request(self) -> bool:
@@ -93,14 +94,19 @@
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
-        """Starts reading."""
+        """Starts reading, and the idle timeout."""
         super().connection_made(transport)
+        self._start_idle_timer()
         self._reading = _FlowControl(transport)
         self.flow = self._reading
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stops the timers."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
     def data_received(self, data: bytes) -> None:
         """Parses what may be parsed already; keeps the rest."""
-        self._unset_keepalive_if_required()
         if not self._unparsed and self._segmenter.take_body(len(data)):
             self._parse(data)
             return
@@ -162,9 +168,18 @@
         if self._segmenter.expected is message_segments.Expected.HEAD:
             super().on_header(name, value)
 
+    def on_message_begin(self) -> None:
+        """Starts the timeout of a head; empty lines before it start none."""
+        super().on_message_begin()
+        self._unset_keepalive_if_required()
+        self._head_timer = self.loop.call_later(
+            self._limits.header_timeout_s, self._refuse_late_head
+        )
+
     def on_headers_complete(self) -> None:
         """Starts the request."""
         self._line_bytes = 0
+        self._stop_head_timer()
         super().on_headers_complete()
         self._segmenter.expect_body(self.headers)
         if self._is_shutting_down:
@@ -189,6 +204,25 @@
         if self._is_shutting_down:
             self._close_after_last()
 
+    def _start_idle_timer(self) -> None:
+        """Closes the connection if no request begins in time."""
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self._limits.idle_timeout_s, self.timeout_keep_alive_handler
+        )
+
+    def _stop_head_timer(self) -> None:
+        """Stops the timeout of a head."""
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _refuse_late_head(self) -> None:
+        """Refuses a request whose head was not complete in time."""
+        if not self.transport.is_closing():
+            self._refuse(
+                http.HTTPStatus.REQUEST_TIMEOUT, "headers not complete in time"
+            )
+
     def _refuse(self, status: http.HTTPStatus, reason: str) -> None:
         """Refuses the request that is being received; closes the connection.
 
--- a/src/cardamomfork/_internal/links/callers/protocol.py
+++ b/src/cardamomfork/_internal/links/callers/protocol.py
@@ -24,7 +24,6 @@
 
 SCOPE_KEY = "cardamomfork.connection"
 """Key of the connection in the extensions of the ASGI scope."""
-HEADERS_TIMEOUT_S = 15.0
 WRITE_STALL_TIMEOUT_S = 60.0
 """Time after which a connection is aborted if its write buffer stays full."""
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
@@ -58,7 +57,6 @@
 class CallerProtocol(bounded_protocol.BoundedProtocol):
     """HTTP connection of one caller."""
 
-    _headers_timer: asyncio.TimerHandle | None = None
     _stall_timer: asyncio.TimerHandle | None = None
     _flow_listener: FlowControlListener | None = None
     _is_unframed_complete = False
@@ -106,28 +104,14 @@
             return
         self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
 
-    def connection_made(  # type: ignore[override]
-        self, transport: asyncio.Transport
-    ) -> None:
-        """Starts the header timeout of the first request."""
-        super().connection_made(transport)
-        self._start_headers_timer()
-
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stops the timers and removes the flow listener."""
-        self._stop_headers_timer()
+        """Stops the stall timeout and removes the flow listener."""
         self._stop_stall_timer()
         self._flow_listener = None
         super().connection_lost(exc)
 
-    def on_message_begin(self) -> None:
-        """Starts the header timeout of a request."""
-        super().on_message_begin()
-        self._start_headers_timer()
-
     def on_headers_complete(self) -> None:
-        """Stops the header timeout and adds the connection to the scope."""
-        self._stop_headers_timer()
+        """Adds the connection to the scope."""
         self.scope["extensions"] = {SCOPE_KEY: self}  # type: ignore[dict-item]
         super().on_headers_complete()
 
@@ -154,16 +138,3 @@
         if self._stall_timer is not None:
             self._stall_timer.cancel()
             self._stall_timer = None
-
-    def _start_headers_timer(self) -> None:
-        """Closes the connection if the headers are not complete in time."""
-        if self._headers_timer is None:
-            self._headers_timer = self.loop.call_later(
-                HEADERS_TIMEOUT_S, self.transport.close
-            )
-
-    def _stop_headers_timer(self) -> None:
-        """Stops the header timeout."""
-        if self._headers_timer is not None:
-            self._headers_timer.cancel()
-            self._headers_timer = None
--- a/src/cardamomfork/_internal/links/connection_limits.py
+++ b/src/cardamomfork/_internal/links/connection_limits.py
@@ -10,7 +10,11 @@
     from cardamomfork._internal.models import fleet
 
 DEFAULT_MAX_HEADER_BYTES = 65_536
+DEFAULT_HEADER_TIMEOUT_S = 15.0
 DEFAULT_IDLE_TIMEOUT_S = 30.0
+HEADER_MARGIN_S = 1.0
+"""Added to the configured header timeout, so that a head that was sent in time
+is still read."""
 IDLE_MARGIN_S = 1.0
 """Added to the configured idle timeout, so that a request sent just before the
 timeout is still read."""
@@ -31,10 +35,12 @@
     Attributes:
         max_header_bytes: Longest names and values of a request's head, and
             longest target, in bytes.
+        header_timeout_s: Time from the first byte of a head to its last one.
         idle_timeout_s: Idle time after which a connection is closed.
     """
 
     max_header_bytes: int = DEFAULT_MAX_HEADER_BYTES
+    header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
     idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
 
     @property
@@ -45,4 +51,5 @@
     def apply(self, limits: fleet.CallerLimits) -> None:
         """Applies the limits on callers of a new configuration."""
         self.max_header_bytes = limits.max_header_bytes
+        self.header_timeout_s = limits.header_timeout_s + HEADER_MARGIN_S
         self.idle_timeout_s = limits.idle_timeout_s + IDLE_MARGIN_S
--- a/src/cardamomfork/_internal/models/fleet.py
+++ b/src/cardamomfork/_internal/models/fleet.py
@@ -154,6 +154,7 @@
     max_header_bytes: int = 65_536
     max_body_bytes: int = 16_777_216
     idle_timeout_s: float = 30.0
+    header_timeout_s: float = 15.0
 
 
 @attrs.frozen
--- a/src/cardamomfork/_internal/platform/configuration_format.py
+++ b/src/cardamomfork/_internal/platform/configuration_format.py
@@ -102,6 +102,7 @@
     max_header_bytes: int = 65_536
     max_body_bytes: int = 16_777_216
     idle_timeout_ms: float = 30_000.0
+    header_timeout_ms: float = 15_000.0
 
 
 class _Configuration(msgspec.Struct, rename="camel"):
@@ -164,6 +165,7 @@
                 _clamp_count(configuration.limits.max_header_bytes),
                 _clamp_count(configuration.limits.max_body_bytes),
                 _to_seconds(configuration.limits.idle_timeout_ms),
+                _to_seconds(configuration.limits.header_timeout_ms),
             ),
         )
     )
--- a/tests/lib/client_crowd.py
+++ b/tests/lib/client_crowd.py
@@ -25,6 +25,7 @@
     "headerTimeoutMs": 2000,
     "idleTimeoutMs": 4000,
 }
+HOST = small_site.HOST
 CROWD = 12
 """Connections of a crowd that sends without an end."""
 IDLE_CROWD = 450
@@ -42,7 +43,11 @@
 HEAD = b"POST /safe/1 HTTP/1.1\r\nHost: soak.example\r\nApi-Key: key-1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 EMPTY = HEAD + b"Content-Length: 0\r\n"
-STREAM = EMPTY.replace(b"/safe/", b"/stream/") + b"\r\n"
+STREAM = (
+    EMPTY.replace(b"/safe/", b"/stream/")
+    + b"X-Cardamomfork-Request-Id: stream\r\n"
+    + b"X-Cardamomfork-Token-Usage: 1000,400\r\n\r\n"
+)
 
 
 @attrs.frozen
