Make room for new connections by closing those that are least in use

Ordinary callers got no answer while more connections were open than the process has descriptors: uvicorn accepted all of them and answered 503 to whole requests above its limit, so that idle connections and unfinished heads kept out everyone else. The readiness and metrics ports had no limit, and the settings' number of descriptors was taken although the system may allow fewer.

Each port has a table of its connections in the order of their last change, the one owner of their number. If it is full, the oldest unfinished head goes, then the one idle for more than four fifths of the idle timeout, then a body without a byte for a second, and last the one idle for longest; requests that were read are never given up. Else the new one gets 503, which is true. All connections of the listen queue are accepted before the first is refused, so the queue is bounded by half of the limit, at most 512. The process raises the system's limit on descriptors to that of the settings, or takes the lower one.

Limits: callers as before; peers 400 or a quarter of the descriptors; 50 each at the readiness and metrics ports, with heads of 8 KiB.

--- a/src/cardamomfork/_internal/daemon_program.py
+++ b/src/cardamomfork/_internal/daemon_program.py
@@ -21,6 +21,7 @@
 from cardamomfork._internal.composition import process as process_module
 from cardamomfork._internal.gateway import signal_handling
 from cardamomfork._internal.gateway import signal_queue
+from cardamomfork._internal.links import connection_limits
 from cardamomfork._internal.links import event_loop
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.links import tls
@@ -147,9 +148,11 @@
             callers.host,
             callers.port,
             protocol.CallerProtocol,
-            callers.max_connections,
             self._callers_tls.context if self._callers_tls else None,
             _log_address,
+            connection_limits.ConnectionLimits(
+                max_connections=callers.max_connections
+            ),
         )
 
     async def run(self) -> None:
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -22,6 +22,7 @@
 from cardamomfork._internal.gateway.wiring import request_path
 from cardamomfork._internal.gateway.wiring import store_side
 from cardamomfork._internal.gateway.wiring import target_side
+from cardamomfork._internal.links import connection_limits
 from cardamomfork._internal.links import event_loop
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.telemetry import memory_warning
@@ -38,11 +39,12 @@
 
 MAINTENANCE_INTERVAL_S = 0.25
 SETTINGS_RELOAD_INTERVAL_S = 5.0
-RESERVED_FILES = 1000
-"""File descriptors reserved for targets, peers, the store and files."""
-MIN_CALLER_CONNECTIONS = 200
 MAX_PEER_CONNECTIONS = 400
 """Connections of peers; they are among the reserved file descriptors."""
+MAX_OPERATIONS_CONNECTIONS = 50
+"""Connections of the load balancer, and those of operators; they are among the
+reserved file descriptors."""
+MAX_OPERATIONS_HEADER_BYTES = 8192
 LAST_ANSWERS_S = 0.15
 """Time in which the requests left at the exit are answered; it is part of the
 margin before the end of the grace time."""
@@ -54,6 +56,14 @@
 """Name under which failures of callbacks of the event loop are counted."""
 
 
+def _make_operations_limits() -> connection_limits.ConnectionLimits:
+    """Returns the limits of the readiness port and of the metrics port."""
+    return connection_limits.ConnectionLimits(
+        max_header_bytes=MAX_OPERATIONS_HEADER_BYTES,
+        max_connections=MAX_OPERATIONS_CONNECTIONS,
+    )
+
+
 def _never() -> bool:
     """Returns False."""
     return False
@@ -117,10 +127,6 @@
             settings.host,
             settings.caller_port,
             caller_protocol.GatewayProtocol,
-            max(
-                settings.max_file_descriptors - RESERVED_FILES,
-                MIN_CALLER_CONNECTIONS,
-            ),
             limits=self._requests.connection_limits,
         )
         self._readiness_server = http_server.RestartableServer(
@@ -129,6 +135,7 @@
             ),
             settings.readiness_host,
             settings.readiness_port,
+            limits=_make_operations_limits(),
         )
         self._peer_server = http_server.RestartableServer(
             application.PeerApplication(
@@ -136,7 +143,11 @@
             ),
             settings.host,
             settings.peer_port,
-            max_connections=MAX_PEER_CONNECTIONS,
+            limits=connection_limits.ConnectionLimits(
+                max_connections=min(
+                    MAX_PEER_CONNECTIONS, settings.max_file_descriptors // 4
+                )
+            ),
         )
         self._metrics_server = http_server.RestartableServer(
             application.MetricsApplication(
@@ -144,6 +155,7 @@
             ),
             settings.host,
             settings.metrics_port,
+            limits=_make_operations_limits(),
         )
 
     @property
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import resource
 from typing import TYPE_CHECKING
 
 import attrs
+from loguru import logger
 
 from cardamomfork._internal.gateway.choice import demands
 from cardamomfork._internal.gateway.choice import load_spread
@@ -31,6 +33,10 @@
     from cardamomfork._internal.gateway.wiring import target_side
     from cardamomfork._internal.models import fleet
 
+RESERVED_FILES = 1000
+"""File descriptors reserved for targets, peers, the store and files."""
+MIN_CALLER_CONNECTIONS = 200
+
 
 class _JobRecorder:
     """Records the placements of this instance and notifies peers."""
@@ -165,7 +171,12 @@
         known.rng,
         known.settings.memory_bytes,
     )
-    limits = connection_limits.ConnectionLimits()
+    limits = connection_limits.ConnectionLimits(
+        max_connections=max(
+            _available_descriptors(known.settings) - RESERVED_FILES,
+            MIN_CALLER_CONNECTIONS,
+        )
+    )
     notify = known.notifications
     notify.targets_changed.connect(notify.capacity_changed)
     notify.evacuations_changed.connect(notify.capacity_changed)
@@ -180,6 +191,23 @@
     )
 
 
+def _available_descriptors(settings: fleet.EntrySettings) -> int:
+    """Returns how many file descriptors the process may use.
+
+    The system may allow fewer than the settings state.
+    """
+    maximum = settings.max_file_descriptors
+    try:
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if hard != resource.RLIM_INFINITY:
+            maximum = min(maximum, hard)
+        if soft != resource.RLIM_INFINITY and soft < maximum:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (maximum, hard))
+    except (OSError, ValueError) as error:
+        logger.warning("descriptors not raised", reason=str(error))
+    return maximum
+
+
 def _make_scheduler(
     known: known_state.KnownState,
     targets: target_side.TargetSide,
--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -11,15 +11,22 @@
 from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
-from cardamomfork._internal.links import connection_limits
+from cardamomfork._internal.links import connection_table
 from cardamomfork._internal.links import message_segments
 
 if TYPE_CHECKING:
     import asyncio
 
+    from cardamomfork._internal.links import connection_limits
+
+RETRY_AFTER_S = 1
+"""Sent with refusals for want of room."""
 MAX_UNPARSED_BYTES = 16_384
 """Bytes behind a request in progress above which reading pauses."""
 
+_RETRY_AFTER = b"retry-after: %d\r\n" % RETRY_AFTER_S
+_RETRIED = {http.HTTPStatus.SERVICE_UNAVAILABLE}
+
 
 class _FlowControl(flow_control.FlowControl):
     """Pauses reading for bodies, and for requests that wait to be parsed."""
@@ -62,18 +69,21 @@
     def __init__(
         self,
         *arguments: Any,
-        limits: connection_limits.ConnectionLimits | None = None,
+        limits: connection_limits.ConnectionLimits,
+        table: connection_table.ConnectionTable,
         **options: Any,
     ) -> None:
         """Initializes a connection that has not been opened.
 
         Args:
             *arguments: Arguments of uvicorn's protocol.
-            limits: Limits of the port; None for the defaults.
+            limits: Limits of the port.
+            table: Open connections of the port.
             **options: Options of uvicorn's protocol.
         """
         super().__init__(*arguments, **options)
-        self._limits = limits or connection_limits.ConnectionLimits()
+        self._limits = limits
+        self._table = table
         self._segmenter = message_segments.Segmenter()
         self._unparsed = bytearray()
         self._is_shutting_down = False
@@ -99,9 +109,14 @@
         self._start_idle_timer()
         self._reading = _FlowControl(transport)
         self.flow = self._reading
+        if not self._table.add(self):
+            self._refuse(
+                http.HTTPStatus.SERVICE_UNAVAILABLE, "too many connections"
+            )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stops the timers."""
+        self._table.remove(self)
         self._stop_head_timer()
         super().connection_lost(exc)
 
@@ -113,6 +128,10 @@
         self._unparsed += data
         self._parse_received()
 
+    def evict(self) -> None:
+        """Closes the connection to make room for another one."""
+        self.transport.abort()
+
     def shutdown(self) -> None:
         """Closes the connection once all requests that were read are done."""
         self._is_shutting_down = True
@@ -172,6 +191,7 @@
         """Starts the timeout of a head; empty lines before it start none."""
         super().on_message_begin()
         self._unset_keepalive_if_required()
+        self._table.update(self, connection_table.State.HEAD)
         self._head_timer = self.loop.call_later(
             self._limits.header_timeout_s, self._refuse_late_head
         )
@@ -181,6 +201,7 @@
         self._line_bytes = 0
         self._stop_head_timer()
         super().on_headers_complete()
+        self._table.update(self, connection_table.State.BODY)
         self._segmenter.expect_body(self.headers)
         if self._is_shutting_down:
             self._close_after_last()
@@ -189,21 +210,33 @@
         """Adds a part of the request's body."""
         self._line_bytes = 0
         super().on_body(body)
+        self._table.update(self, connection_table.State.BODY)
 
     def on_message_complete(self) -> None:
         """Ends the request's body."""
         self._line_bytes = 0
         self._segmenter.expect_head()
         super().on_message_complete()
+        self._update_idle()
 
     def on_response_complete(self) -> None:
         """Starts the idle timeout in force, or the next request."""
         self.timeout_keep_alive = math.ceil(self._limits.idle_timeout_s)
         super().on_response_complete()
+        self._update_idle()
         self._parse_received()
         if self._is_shutting_down:
             self._close_after_last()
 
+    def _update_idle(self) -> None:
+        """Notes that a message or its answer has ended."""
+        if self.transport.is_closing():
+            return
+        if self._has_open_request:
+            self._table.update(self, connection_table.State.ANSWER)
+        elif self._segmenter.expected is message_segments.Expected.HEAD:
+            self._table.update(self, connection_table.State.IDLE)
+
     def _start_idle_timer(self) -> None:
         """Closes the connection if no request begins in time."""
         self.timeout_keep_alive_task = self.loop.call_later(
@@ -240,7 +273,13 @@
         body = reason.encode()
         self.transport.write(
             b"HTTP/1.1 %d %b\r\ncontent-type: text/plain; charset=utf-8\r\n"
-            b"content-length: %d\r\nconnection: close\r\n\r\n%b"
-            % (status, status.phrase.encode(), len(body), body)
+            b"content-length: %d\r\nconnection: close\r\n%b\r\n%b"
+            % (
+                status,
+                status.phrase.encode(),
+                len(body),
+                _RETRY_AFTER if status in _RETRIED else b"",
+                body,
+            )
         )
         self.transport.close()
--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -5,6 +5,7 @@
 import contextlib
 import functools
 import socket
+import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from cardamomfork._internal import exceptions
 from cardamomfork._internal.links import bounded_protocol
 from cardamomfork._internal.links import connection_limits
+from cardamomfork._internal.links import connection_table
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -21,7 +23,6 @@
     from collections.abc import Iterator
     import ssl
 
-LISTEN_BACKLOG = 4096
 DRAIN_CHECK_INTERVAL_S = 0.1
 """Interval at which a stop checks whether the open requests have ended."""
 
@@ -45,9 +46,16 @@
         yield
 
 
-def open_listener(host: str, port: int) -> socket.socket:
+def open_listener(
+    host: str, port: int, backlog: int = connection_limits.MAX_BACKLOG
+) -> socket.socket:
     """Returns a listening TCP socket; port 0 picks a free port.
 
+    Args:
+        host: IP address to listen on.
+        port: TCP port to listen on.
+        backlog: Most connections that wait to be accepted.
+
     Raises:
         exceptions.CardamomforkError: The address can't be bound.
     """
@@ -56,7 +64,7 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((host, port))
-        listener.listen(LISTEN_BACKLOG)
+        listener.listen(backlog)
     except OSError as error:
         listener.close()
         raise exceptions.CardamomforkError(
@@ -93,9 +101,9 @@
         protocol: type[bounded_protocol.BoundedProtocol] = (
             bounded_protocol.BoundedProtocol
         ),
-        max_connections: int | None = None,
         tls: ssl.SSLContext | None = None,
         limits: connection_limits.ConnectionLimits | None = None,
+        table: connection_table.ConnectionTable | None = None,
         state: uvicorn.server.ServerState | None = None,
     ) -> None:
         """Initializes the server without starting it.
@@ -104,19 +112,23 @@
             application: The ASGI application.
             listener: A listening socket.
             protocol: The HTTP protocol, or a class derived from it.
-            max_connections: Maximum open connections; further ones get
-                status 503.
             tls: Server-side TLS context; None for plain TCP.
             limits: Limits of connections; None for the defaults.
+            table: Open connections; None if there are none.
             state: Open connections of an earlier server in whose place this
                 one serves; None if there was none.
         """
         self._listener = listener
+        limits = limits or connection_limits.ConnectionLimits()
+        backlog = limits.backlog
+        table = table or connection_table.ConnectionTable(
+            limits, time.monotonic
+        )
         self._server = _Server(
             uvicorn.Config(
                 application,
                 http=functools.partial(  # type: ignore[arg-type]
-                    protocol, limits=limits
+                    protocol, limits=limits, table=table
                 ),
                 ws="none",
                 lifespan="off",
@@ -124,8 +136,7 @@
                 access_log=False,
                 proxy_headers=False,
                 server_header=False,
-                backlog=LISTEN_BACKLOG,
-                limit_concurrency=max_connections,
+                backlog=backlog,
                 ssl_context_factory=_make_context_factory(tls),
             )
         )
@@ -194,7 +205,6 @@
         protocol: type[bounded_protocol.BoundedProtocol] = (
             bounded_protocol.BoundedProtocol
         ),
-        max_connections: int | None = None,
         tls: ssl.SSLContext | None = None,
         on_listening: Callable[[HttpServer], None] = lambda _: None,
         limits: connection_limits.ConnectionLimits | None = None,
@@ -206,20 +216,20 @@
             host: IP address to listen on.
             port: TCP port to listen on; 0 picks a free port once.
             protocol: The HTTP protocol, or a class derived from it.
-            max_connections: Maximum open connections; further ones get
-                status 503.
             tls: Server-side TLS context; None for plain TCP.
             on_listening: Called each time that the port is open.
             limits: Limits of connections; None for the defaults.
         """
         self._tls = tls
-        self._limits = limits
+        self._limits = limits or connection_limits.ConnectionLimits()
+        self._table = connection_table.ConnectionTable(
+            self._limits, time.monotonic
+        )
         self._on_listening = on_listening
         self._application = application
         self._host = host
         self._port = port
         self._protocol = protocol
-        self._max_connections = max_connections
         self._state = uvicorn.server.ServerState()
         self._server: HttpServer | None = None
         self._is_stopped = False
@@ -247,11 +257,11 @@
             return
         server = HttpServer(
             self._application,
-            open_listener(self._host, self._port),
+            open_listener(self._host, self._port, self._limits.backlog),
             self._protocol,
-            self._max_connections,
             self._tls,
             self._limits,
+            self._table,
             state=self._state,
         )
         self._server = server
