Bound what all connections hold together

A process could run out of memory although each connection kept to its bounds: the objects of a header line take forty times its bytes, and thousands of connections may each have a head, and requests that wait, just under the limit.

Heads, their objects until the answer, and the bytes of waiting requests are accounted for all ports in one place, with a bound of a tenth of the process's memory (64 MiB in cardamomforkd). Above it, the connection that holds most gives way: its unfinished head gets 503, or the requests behind its running one are dropped unread and the connection closes after the answer. If only requests in progress are left, a new one gets 503.

--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -24,6 +24,7 @@
 from cardamomfork._internal.gateway.wiring import target_side
 from cardamomfork._internal.links import connection_limits
 from cardamomfork._internal.links import event_loop
+from cardamomfork._internal.links import held_memory
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.telemetry import memory_warning
 
@@ -122,12 +123,16 @@
         self._targets = target_side.create(self._known)
         self._requests = request_path.create(self._known, self._targets)
         self._stop_requested = anyio.Event()
+        memory = held_memory.HeldMemory(
+            int(settings.memory_bytes * held_memory.MEMORY_FRACTION)
+        )
         self._caller_server = http_server.RestartableServer(
             self._requests.application,
             settings.host,
             settings.caller_port,
             caller_protocol.GatewayProtocol,
             limits=self._requests.connection_limits,
+            memory=memory,
         )
         self._readiness_server = http_server.RestartableServer(
             application.ReadinessApplication(
@@ -136,6 +141,7 @@
             settings.readiness_host,
             settings.readiness_port,
             limits=_make_operations_limits(),
+            memory=memory,
         )
         self._peer_server = http_server.RestartableServer(
             application.PeerApplication(
@@ -148,6 +154,7 @@
                     MAX_PEER_CONNECTIONS, settings.max_file_descriptors // 4
                 )
             ),
+            memory=memory,
         )
         self._metrics_server = http_server.RestartableServer(
             application.MetricsApplication(
@@ -156,6 +163,7 @@
             settings.host,
             settings.metrics_port,
             limits=_make_operations_limits(),
+            memory=memory,
         )
 
     @property
--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -12,6 +12,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from cardamomfork._internal.links import connection_table
+from cardamomfork._internal.links import held_memory
 from cardamomfork._internal.links import message_segments
 
 if TYPE_CHECKING:
@@ -71,6 +72,7 @@
         *arguments: Any,
         limits: connection_limits.ConnectionLimits,
         table: connection_table.ConnectionTable,
+        memory: held_memory.HeldMemory,
         **options: Any,
     ) -> None:
         """Initializes a connection that has not been opened.
@@ -79,16 +81,21 @@
             *arguments: Arguments of uvicorn's protocol.
             limits: Limits of the port.
             table: Open connections of the port.
+            memory: What the connections of all ports hold.
             **options: Options of uvicorn's protocol.
         """
         super().__init__(*arguments, **options)
         self._limits = limits
         self._table = table
+        self._memory = memory
         self._segmenter = message_segments.Segmenter()
         self._unparsed = bytearray()
         self._is_shutting_down = False
         # Bytes parsed since the last message, head or part of a body ended.
         self._line_bytes = 0
+        # Memory of the newest request's headers, until it is answered.
+        self._header_bytes = 0
+        self._is_refused = False
         self._head_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -117,6 +124,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stops the timers."""
         self._table.remove(self)
+        self._memory.forget(self)
         self._stop_head_timer()
         super().connection_lost(exc)
 
@@ -132,6 +140,33 @@
         """Closes the connection to make room for another one."""
         self.transport.abort()
 
+    def release_held(self) -> None:
+        """Refuses an unfinished head, or drops the requests behind this one."""
+        if self.transport.is_closing():
+            return
+        if not self._has_open_request:
+            self._refuse(
+                http.HTTPStatus.SERVICE_UNAVAILABLE, "too much to hold here"
+            )
+            return
+        self._unparsed.clear()
+        self._is_refused = True
+        self.cycle.keep_alive = False
+        self._reading.set_backlogged(True)
+
+    def _update_held(self) -> None:
+        """Accounts for what this connection holds."""
+        if self.transport.is_closing():
+            self._memory.forget(self)
+            return
+        is_head = not self._has_open_request
+        size = self._header_bytes + len(self._unparsed)
+        if is_head:
+            size += self._line_bytes
+        self._memory.hold(
+            self, size, releasable=is_head or bool(self._unparsed)
+        )
+
     def shutdown(self) -> None:
         """Closes the connection once all requests that were read are done."""
         self._is_shutting_down = True
@@ -156,10 +191,11 @@
             self._reading.set_backlogged(
                 len(self._unparsed) > MAX_UNPARSED_BYTES
             )
+        self._update_held()
 
     def _may_parse(self) -> bool:
         """Returns whether the parser may get the bytes that come next."""
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self._is_refused:
             return False
         is_head = self._segmenter.expected is message_segments.Expected.HEAD
         return not (is_head and self._has_open_request)
@@ -186,6 +222,9 @@
         """Adds a header to the request; drops trailers."""
         if self._segmenter.expected is message_segments.Expected.HEAD:
             super().on_header(name, value)
+            self._header_bytes += (
+                len(name) + len(value) + held_memory.HEADER_OBJECT_BYTES
+            )
 
     def on_message_begin(self) -> None:
         """Starts the timeout of a head; empty lines before it start none."""
@@ -200,6 +239,11 @@
         """Starts the request."""
         self._line_bytes = 0
         self._stop_head_timer()
+        if self._memory.is_full:
+            self._refuse(
+                http.HTTPStatus.SERVICE_UNAVAILABLE, "too much to hold here"
+            )
+            return
         super().on_headers_complete()
         self._table.update(self, connection_table.State.BODY)
         self._segmenter.expect_body(self.headers)
@@ -208,12 +252,16 @@
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the request's body."""
+        if self._is_refused:
+            return
         self._line_bytes = 0
         super().on_body(body)
         self._table.update(self, connection_table.State.BODY)
 
     def on_message_complete(self) -> None:
         """Ends the request's body."""
+        if self._is_refused:
+            return
         self._line_bytes = 0
         self._segmenter.expect_head()
         super().on_message_complete()
@@ -221,6 +269,7 @@
 
     def on_response_complete(self) -> None:
         """Starts the idle timeout in force, or the next request."""
+        self._header_bytes = 0
         self.timeout_keep_alive = math.ceil(self._limits.idle_timeout_s)
         super().on_response_complete()
         self._update_idle()
@@ -264,6 +313,7 @@
         """
         cycle = self.cycle
         is_open = self._has_open_request
+        self._is_refused = True
         if is_open and (cycle.response_started or not cycle.more_body):
             self.transport.close()
             return
--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -16,6 +16,7 @@
 from cardamomfork._internal.links import bounded_protocol
 from cardamomfork._internal.links import connection_limits
 from cardamomfork._internal.links import connection_table
+from cardamomfork._internal.links import held_memory
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -104,6 +105,7 @@
         tls: ssl.SSLContext | None = None,
         limits: connection_limits.ConnectionLimits | None = None,
         table: connection_table.ConnectionTable | None = None,
+        memory: held_memory.HeldMemory | None = None,
         state: uvicorn.server.ServerState | None = None,
     ) -> None:
         """Initializes the server without starting it.
@@ -115,6 +117,8 @@
             tls: Server-side TLS context; None for plain TCP.
             limits: Limits of connections; None for the defaults.
             table: Open connections; None if there are none.
+            memory: What connections of all ports hold; None if this is the
+                only port.
             state: Open connections of an earlier server in whose place this
                 one serves; None if there was none.
         """
@@ -124,11 +128,12 @@
         table = table or connection_table.ConnectionTable(
             limits, time.monotonic
         )
+        memory = memory or held_memory.HeldMemory()
         self._server = _Server(
             uvicorn.Config(
                 application,
                 http=functools.partial(  # type: ignore[arg-type]
-                    protocol, limits=limits, table=table
+                    protocol, limits=limits, table=table, memory=memory
                 ),
                 ws="none",
                 lifespan="off",
@@ -208,6 +213,7 @@
         tls: ssl.SSLContext | None = None,
         on_listening: Callable[[HttpServer], None] = lambda _: None,
         limits: connection_limits.ConnectionLimits | None = None,
+        memory: held_memory.HeldMemory | None = None,
     ) -> None:
         """Initializes the server without opening its port.
 
@@ -219,9 +225,12 @@
             tls: Server-side TLS context; None for plain TCP.
             on_listening: Called each time that the port is open.
             limits: Limits of connections; None for the defaults.
+            memory: What connections of all ports hold; None if this is the
+                only port.
         """
         self._tls = tls
         self._limits = limits or connection_limits.ConnectionLimits()
+        self._memory = memory or held_memory.HeldMemory()
         self._table = connection_table.ConnectionTable(
             self._limits, time.monotonic
         )
@@ -262,6 +271,7 @@
             self._tls,
             self._limits,
             self._table,
+            self._memory,
             state=self._state,
         )
         self._server = server
