Read on for a bounded time behind a refusal

Callers that were still sending a body often lost its refusal: a close with unread bytes becomes a reset, which takes away what the client has not read.

If a client is still sending when its last answer is complete, the connection ends its own side, discards what comes and closes when the client does, after 2 s or after 64 MiB. An answer that breaks off is closed at once, so that it can't look complete. These connections are the first to make room for new ones.

test_refusal_reaches_a_client_that_writes_on fails before.

--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -5,6 +5,7 @@
 import http
 import math
 from typing import Any
+from typing import cast
 from typing import TYPE_CHECKING
 
 import httptools
@@ -13,6 +14,7 @@
 
 from cardamomfork._internal.links import connection_table
 from cardamomfork._internal.links import held_memory
+from cardamomfork._internal.links import lingering_transport
 from cardamomfork._internal.links import message_segments
 
 if TYPE_CHECKING:
@@ -112,7 +114,10 @@
         self, transport: asyncio.Transport
     ) -> None:
         """Starts reading, and the idle timeout."""
-        super().connection_made(transport)
+        self._lingering = lingering_transport.LingeringTransport(
+            transport, self.loop, self._is_sending_in_vain
+        )
+        super().connection_made(cast("asyncio.Transport", self._lingering))
         self._start_idle_timer()
         self._reading = _FlowControl(transport)
         self.flow = self._reading
@@ -125,11 +130,15 @@
         """Stops the timers."""
         self._table.remove(self)
         self._memory.forget(self)
+        self._lingering.stop()
         self._stop_head_timer()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """Parses what may be parsed already; keeps the rest."""
+        if self._lingering.is_lingering:
+            self._lingering.discard(data)
+            return
         if not self._unparsed and self._segmenter.take_body(len(data)):
             self._parse(data)
             return
@@ -154,6 +163,21 @@
         self.cycle.keep_alive = False
         self._reading.set_backlogged(True)
 
+    def _is_sending_in_vain(self) -> bool:
+        """Whether the client sends on although its last answer is complete."""
+        cycle = self.cycle
+        if self._has_open_request and cycle.response_started:
+            # An answer that is broken off must not look complete.
+            return False
+        if self._is_refused:
+            return True
+        is_message = (
+            self._segmenter.expected is not message_segments.Expected.HEAD
+        )
+        return not self._has_open_request and (
+            is_message or bool(self._unparsed)
+        )
+
     def _update_held(self) -> None:
         """Accounts for what this connection holds."""
         if self.transport.is_closing():
@@ -279,6 +303,8 @@
 
     def _update_idle(self) -> None:
         """Notes that a message or its answer has ended."""
+        if self._lingering.is_lingering:
+            self._table.update(self, connection_table.State.CLOSING)
         if self.transport.is_closing():
             return
         if self._has_open_request:
@@ -333,3 +359,4 @@
             )
         )
         self.transport.close()
+        self._update_idle()
--- a/src/cardamomfork/_internal/links/connection_table.py
+++ b/src/cardamomfork/_internal/links/connection_table.py
@@ -31,6 +31,8 @@
     """The answer to a request that was read whole."""
     IDLE = "idle"
     """The next request."""
+    CLOSING = "closing"
+    """The end of what its client sends behind the last answer."""
 
 
 class Connection(Protocol):
@@ -111,14 +113,15 @@
     def _find_victim(self) -> Connection | None:
         """Returns the connection that makes room.
 
-        Unfinished heads go first, then connections that are idle for longer
-        than sound clients reuse them, then bodies that don't come, and last
-        the one that is idle for the longest time. Requests that were read are
-        always answered.
+        Connections that are closing go first, then unfinished heads, then
+        connections that are idle for longer than sound clients reuse them, then
+        bodies that don't come, and last the one that is idle for the longest
+        time. Requests that were read are always answered.
         """
         max_idle_s = MAX_IDLE_FRACTION * self._limits.idle_timeout_s
         return (
-            self._find_oldest(State.HEAD, 0.0)
+            self._find_oldest(State.CLOSING, 0.0)
+            or self._find_oldest(State.HEAD, 0.0)
             or self._find_oldest(State.IDLE, max_idle_s)
             or self._find_oldest(State.BODY, MIN_BODY_STALL_S)
             or self._find_oldest(State.IDLE, 0.0)
--- a/tests/functional/test_connection_limits.py
+++ b/tests/functional/test_connection_limits.py
@@ -149,6 +149,16 @@
         self.assertEqual(status, 431)
         self.assertEqual(len(self.site.runs()), runs)
 
+    async def test_refusal_reaches_a_client_that_writes_on(self):
+        reader, writer = await self.connect()
+        size = 32 * 2**20
+        writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % size)
+        for _ in range(size // 2**16):
+            writer.write(b"x" * 2**16)
+            await writer.drain()
+        self.assertEqual(await self.read_status(reader), 413)
+        self.assertTrue(await self.is_closed(reader))
+
     async def test_refusal_comes_behind_the_answers_before_it(self):
         reader, writer = await self.connect()
         writer.write(client_crowd.STREAM + EMPTY + b"\x00\r\n\r\n")
