Refuse a request whose body misses the request's time limit

A client that sent a part of a body and then nothing, or a byte now and then, held its connection and its request for ever: the time limit was looked at when the body was whole. It now ends the reading with 408, which is true, as nothing has been passed on.

test_late_body_is_refused_and_not_passed_on fails before.

--- a/src/cardamomfork/_internal/gateway/serving/application.py
+++ b/src/cardamomfork/_internal/gateway/serving/application.py
@@ -79,6 +79,13 @@
     final: exchanges.FinalAnswer | None
 
 
+LATE_BODY = _IncompleteBody(
+    exchanges.FinalAnswer(
+        http.HTTPStatus.REQUEST_TIMEOUT, "body not complete in time"
+    )
+)
+
+
 class CallerApplication:
     """Serves requests from callers."""
 
@@ -258,11 +265,15 @@
         receive: Receive,
         body: bytearray,
     ) -> _IncompleteBody | None:
-        """Reads a request body unless the process stops before its end.
+        """Reads a request body until its deadline, or the process stops.
 
         Returns:
             None if the whole body was read, or the reason why it was not.
         """
+        incomplete: _IncompleteBody | None = LATE_BODY
+        opened.scope.deadline = anyio.current_time() + max(
+            opened.deadline - self._clock(), 0.0
+        )
         with opened.scope:
             incomplete = await self._read_body(receive, body)
         opened.is_reading = False
--- a/tests/functional/test_connection_limits.py
+++ b/tests/functional/test_connection_limits.py
@@ -127,6 +127,14 @@
         self.assertTrue(await self.is_closed(reader))
         self.assertGreater(time.monotonic() - started_at, HEADER_TIMEOUT_S)
 
+    async def test_late_body_is_refused_and_not_passed_on(self):
+        runs = len(self.site.runs())
+        limit = b"X-Cardamomfork-Deadline-Ms: 1000\r\n"
+        head = HEAD + limit + b"Content-Length: 10\r\n\r\n"
+        status = await self.ask(head, b"x", b"x", pause_s=0.3)
+        self.assertEqual(status, 408)
+        self.assertEqual(len(self.site.runs()), runs)
+
     async def test_empty_lines_do_not_keep_a_connection(self):
         reader, writer = await self.connect()
         writer.write(EMPTY)
