Report what the limits of connections did, and describe them

Operators saw nothing when a connection was closed to make room, and each broken request had been a warning of its own. Bytes behind a refusal are no longer kept until the connection closes.

--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -18,6 +18,7 @@
 from cardamomfork._internal.gateway.peers import registration
 from cardamomfork._internal.gateway.serving import application
 from cardamomfork._internal.gateway.serving import caller_protocol
+from cardamomfork._internal.gateway.serving import connection_report
 from cardamomfork._internal.gateway.wiring import known_state
 from cardamomfork._internal.gateway.wiring import request_path
 from cardamomfork._internal.gateway.wiring import store_side
@@ -165,6 +166,15 @@
             limits=_make_operations_limits(),
             memory=memory,
         )
+        self._connections = connection_report.ConnectionReport(
+            {
+                "callers": self._caller_server.connections,
+                "readiness": self._readiness_server.connections,
+                "peers": self._peer_server.connections,
+                "metrics": self._metrics_server.connections,
+            },
+            memory,
+        )
 
     @property
     def background_tasks(self) -> tuple[BackgroundTask, ...]:
@@ -278,6 +288,7 @@
             call(self._known.cold_targets.update)
             call(self._targets.access.close_idle)
             call(self._update_retry_budget)
+            call(self._connections.log, self._clock())
 
     def _update_retry_budget(self) -> None:
         """Applies the number of instances to the retry budget."""
@@ -356,6 +367,7 @@
             "polls_store": self._known.must_poll,
             "in_progress": self._requests.application.in_progress,
             "waiting": self._requests.scheduler.waiting,
+            "connections": self._connections.dump(),
             "account_use": self._requests.fair_order.dump(
                 request_path.list_services(self._known), now
             ),
--- /dev/null
+++ b/src/cardamomfork/_internal/gateway/serving/connection_report.py
@@ -0,0 +1,68 @@
+"""Reports what the limits of connections did, to logs and the state dump."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from cardamomfork._internal.links import connection_table
+    from cardamomfork._internal.links import held_memory
+
+LOG_INTERVAL_S = 1.0
+
+
+class ConnectionReport:
+    """Counts of the connections of all ports."""
+
+    def __init__(
+        self,
+        tables: dict[str, connection_table.ConnectionTable],
+        memory: held_memory.HeldMemory,
+    ) -> None:
+        """Initializes a report of which nothing has been logged.
+
+        Args:
+            tables: Connections of each port, by name.
+            memory: What they hold.
+        """
+        self._tables = tables
+        self._memory = memory
+        self._logged = 0
+        self._log_at = 0.0
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the counts for a state dump."""
+        ports: dict[str, Any] = {
+            name: {
+                "open": len(table),
+                "evicted": table.evicted,
+                "refused": table.refused,
+            }
+            for name, table in self._tables.items()
+        }
+        held = {"held_bytes": self._memory.total}
+        return {**ports, **held, "released": self._memory.released}
+
+    def log(self, now: float) -> None:
+        """Logs connections that were closed or refused, once a second.
+
+        Args:
+            now: Monotonic time.
+        """
+        tables = self._tables.values()
+        evicted = sum(table.evicted for table in tables)
+        refused = sum(table.refused for table in tables)
+        count = evicted + refused + self._memory.released
+        if count == self._logged or now < self._log_at:
+            return
+        logger.warning(
+            "connections limited",
+            count=count - self._logged,
+            detail=f"in all: {evicted} evicted, {refused} refused,"
+            f" {self._memory.released} held too much",
+        )
+        self._logged = count
+        self._log_at = now + LOG_INTERVAL_S
--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -181,6 +181,7 @@
     def _update_held(self) -> None:
         """Accounts for what this connection holds."""
         if self.transport.is_closing():
+            self._unparsed.clear()
             self._memory.forget(self)
             return
         is_head = not self._has_open_request
--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -254,6 +254,11 @@
         """Whether the server was stopped and its open requests have ended."""
         return self._has_ended.is_set()
 
+    @property
+    def connections(self) -> connection_table.ConnectionTable:
+        """The open connections."""
+        return self._table
+
     async def run(self) -> None:
         """Opens the port and serves until `stop` is called.
 
