Free the headers of a request when it is answered or refused

Memory that counted as free was still held: a connection kept the headers of its last request until the next one, and those of a refused head for the 2 s in which it reads on.

The protocol drops them with the answer and with the refusal.

--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -294,7 +294,7 @@
 
     def on_response_complete(self) -> None:
         """Starts the idle timeout in force, or the next request."""
-        self._header_bytes = 0
+        self._drop_headers()
         self.timeout_keep_alive = math.ceil(self._limits.idle_timeout_s)
         super().on_response_complete()
         self._update_idle()
@@ -302,6 +302,13 @@
         if self._is_shutting_down:
             self._close_after_last()
 
+    def _drop_headers(self) -> None:
+        """Drops the newest request's headers, whose memory counts as free."""
+        self._header_bytes = 0
+        self.headers = []
+        if self.cycle is not None and self.cycle.response_complete:
+            self.cycle.scope = {**self.cycle.scope, "headers": []}
+
     def _update_idle(self) -> None:
         """Notes that a message or its answer has ended."""
         if self._lingering.is_lingering:
@@ -359,5 +366,8 @@
                 body,
             )
         )
+        if not is_open:
+            self.scope = {**self.scope, "headers": []} if self.scope else None
+        self._drop_headers()
         self.transport.close()
         self._update_idle()
