--- a/src/cardamomfork/_internal/standins/platform_site.py
+++ b/src/cardamomfork/_internal/standins/platform_site.py
@@ -107,7 +107,7 @@
         f'[platform]\naddress = "{store_address}"\n'
         f"[bounds]\ngraceS = {stop_grace_s:.0f}\n{bounds}"
         f"[metrics]\nport = {ports.metrics}\n[zones]\n{zones}"
-        f"[limits]\n{limit_lines}"
+        + (f"[limits]\n{limit_lines}" if limits else "")
     )
 
 
--- a/tests/functional/exclusive/test_misbehaving_clients.py
+++ b/tests/functional/exclusive/test_misbehaving_clients.py
@@ -1,5 +1,7 @@
 """Clients that keep to no limits end no process and leave room for others."""
 
+import asyncio
+import signal
 import unittest
 
 from tests.lib import client_crowd
@@ -191,6 +193,62 @@
         )
 
 
+class StoppingTest(_CrowdTest):
+    """A crowd does not keep a process from ending."""
+
+    async def check_stop(self, kind, size=client_crowd.CROWD):
+        crowd = client_crowd.Crowd(kind, size)
+        self.addCleanup(crowd.close)
+        entry = self.site.entry
+        async with client_crowd.Watch(entry) as watch:
+            sending = asyncio.create_task(crowd.run(self.port, watch))
+            await asyncio.sleep(1.0)
+            entry.signal(signal.SIGTERM)
+            async with asyncio.timeout(client_crowd.ANSWERED_WITHIN_S):
+                await entry.wait()
+                await sending
+        self.assertEqual(entry.returncode, 0)
+        self.assertLessEqual(watch.peak_mb, client_crowd.MEMORY_MB)
+
+    async def test_requests_ahead(self):
+        await self.check_stop(client_crowd.REQUESTS_AHEAD["routed requests"])
+
+    async def test_trailers(self):
+        await self.check_stop(client_crowd.TRAILERS["one trailer value"])
+
+    async def test_half_heads(self):
+        await self.check_stop(
+            client_crowd.IDLE["half a head"], client_crowd.BOUNDED_CROWD
+        )
+
+    async def test_half_bodies(self):
+        await self.check_stop(
+            client_crowd.IDLE["half a body"], client_crowd.BOUNDED_CROWD
+        )
+
+
+class ChangedLimitsTest(_CrowdTest):
+    """Limits that are lowered apply to connections that are open."""
+
+    async def test_unfinished_heads(self):
+        crowd = client_crowd.Crowd(
+            client_crowd.BOUNDED["heads of 15 KB"], client_crowd.BOUNDED_CROWD
+        )
+        self.addCleanup(crowd.close)
+        async with client_crowd.Watch(self.site.entry) as watch:
+            await crowd.run(self.port, watch)
+            self.site.caller_limits = {
+                **client_crowd.CALLER_LIMITS,
+                "maxHeaderBytes": 1024,
+                "headerTimeoutMs": 500,
+            }
+            await self.site.write_configuration()
+            self.assertTrue(
+                await self.site.is_answered(self.port, *self.request)
+            )
+        self.check_bounds(watch)
+
+
 class _OtherPortTest(_CrowdTest):
     """The same at a port that is not the callers'."""
 
