--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -35,7 +35,7 @@
 """Idle timeout of a connection if the target announces none."""
 IDLE_MARGIN_S = 1.0
 """Subtracted from the target's idle timeout, so that this side closes first."""
-MAX_BUFFERED_BYTES = 262_144
+MAX_BUFFERED_BYTES = 16_384
 """Limit of received but unconsumed bytes at which reading pauses."""
 MAX_HEAD_BYTES = 65_536
 MAX_UNUSED_BYTES = 1_048_576
--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -102,10 +102,10 @@
     )
 
 
-def make_event(target: str, number: int) -> bytes:
+def make_event(target: str, number: int, padding_bytes: int = 0) -> bytes:
     """Returns one event of the stream for a request target."""
     data = xxhash.xxh3_64_hexdigest(f"{target} {number}".encode())
-    return f"id: {number}\ndata: {data}\n\n".encode()
+    return f"id: {number}\ndata: {data}{'x' * padding_bytes}\n\n".encode()
 
 
 def make_body(target: str) -> bytes:
@@ -136,6 +136,7 @@
             crash: Ends the process at once.
         """
         self.faults = Faults()
+        self.padding_bytes = 0
         self.is_leaving = False
         self.reservations: dict[str, tuple[int, float]] = {}
         self._target_id = target_id
@@ -313,7 +314,7 @@
                 request_id = answer.header(b"x-cardamomfork-request-id")
                 self._report({"crash": request_id, "at": time.monotonic()})
                 self._crash()
-            event = make_event(answer.target, number)
+            event = make_event(answer.target, number, self.padding_bytes)
             if number == reset_at_event:
                 answer.connection.write_chunk(event[: len(event) // 2])
                 answer.connection.transport.abort()
@@ -443,6 +444,7 @@
     says_leaving_from: float = math.inf,
     data_centre: str = platform_site.DATA_CENTRE,
     cold_s: float | None = None,
+    padding_bytes: int = 0,
 ) -> None:
     """Serves until SIGTERM, and then for a little longer.
 
@@ -465,6 +467,7 @@
         data_centre: Data centre that its entry names.
         cold_s: Seconds for which it is cold after its start, as its entry and
             its answers state. If None, its answers don't, and it is warm.
+        padding_bytes: Size of its events beside their ids.
     """
 
     def report(line: dict[str, Any]) -> None:
@@ -474,6 +477,7 @@
     engine = PlatformEngine(
         target_id, slots, event_s, report, crash=lambda: os._exit(1)
     )
+    engine.padding_bytes = padding_bytes
     engine.faults.crash_word = crash_word.encode()
     engine.faults.crash_part = crash_part
     engine.faults.crash_events = crash_events
--- a/tests/functional/exclusive/test_misbehaving_clients.py
+++ b/tests/functional/exclusive/test_misbehaving_clients.py
@@ -13,8 +13,10 @@
     request = ("/safe/1", "POST", 200)
     """Path, method and status of an ordinary request at the port."""
 
+    make_site = client_crowd.CrowdedSite
+
     async def asyncSetUp(self):
-        self.site = client_crowd.CrowdedSite()
+        self.site = self.make_site()
         self.addAsyncCleanup(self.site.stop)
         await self.site.start()
         self.port = getattr(self.site.ports["entry-0"], self.port_name)
@@ -193,6 +195,13 @@
         )
 
 
+class UnreadStreamsTest(_CrowdTest):
+    make_site = client_crowd.LargeStreamsSite
+
+    async def test_streams_that_nobody_reads(self):
+        await self.check(client_crowd.UNREAD_STREAM, client_crowd.BOUNDED_CROWD)
+
+
 class StoppingTest(_CrowdTest):
     """A crowd does not keep a process from ending."""
 
--- a/tests/lib/client_crowd.py
+++ b/tests/lib/client_crowd.py
@@ -38,6 +38,9 @@
 ANSWERED_WITHIN_S = 60.0
 """Gives up on a process that hangs."""
 BLOCK_BYTES = 65_536
+STREAM_ENGINES = 13
+"""Engines with eight places each."""
+EVENT_BYTES = 262_144
 SAMPLE_INTERVAL_S = 0.01
 
 HEAD = b"POST /safe/1 HTTP/1.1\r\nHost: soak.example\r\nApi-Key: key-1\r\n"
@@ -135,6 +138,8 @@
     "heads of 4,000 lines": Kind(HEAD + b"a:\r\n" * 4000),
 }
 
+UNREAD_STREAM = Kind(STREAM)
+
 
 def _read_status(pid, field):
     """Returns a field of the process's status in kilobytes."""
@@ -261,8 +266,8 @@
     process_limits = PROCESS_LIMITS
     caller_limits = CALLER_LIMITS
 
-    def __init__(self):
-        super().__init__(targets=1, engines=1)
+    def __init__(self, engines=1):
+        super().__init__(targets=1, engines=engines)
         self.entry = self.entries["entry-0"]
 
     async def is_answered(self, port, path, method, status):
@@ -273,3 +278,16 @@
                 return True
             await asyncio.sleep(0.05)
         return False
+
+
+class LargeStreamsSite(CrowdedSite):
+    """A site whose streams are larger than what sockets buffer."""
+
+    def __init__(self):
+        super().__init__(STREAM_ENGINES)
+
+    def _make_target(self, name, service, port, advertised, *options):
+        large = f"--padding-bytes={EVENT_BYTES}", "--event-s=0.001"
+        return super()._make_target(
+            name, service, port, advertised, *options, *large
+        )
