Count requests that are refused before they are whole

A request that a connection refuses (400, 408, 431, 503) reached no application and so no log or metric: operators couldn't explain it. The dump counts these by port and status, and the line a second includes them.

--- a/src/cardamomfork/_internal/gateway/serving/connection_report.py
+++ b/src/cardamomfork/_internal/gateway/serving/connection_report.py
@@ -40,6 +40,10 @@
                 "open": len(table),
                 "evicted": table.evicted,
                 "refused": table.refused,
+                "statuses": {
+                    str(status): count
+                    for status, count in table.refusals.items()
+                },
             }
             for name, table in self._tables.items()
         }
@@ -47,7 +51,7 @@
         return {**ports, **held, "released": self._memory.released}
 
     def log(self, now: float) -> None:
-        """Logs connections that were closed or refused, once a second.
+        """Logs closed connections and refused requests, once a second.
 
         Args:
             now: Monotonic time.
@@ -55,13 +59,15 @@
         tables = self._tables.values()
         evicted = sum(table.evicted for table in tables)
         refused = sum(table.refused for table in tables)
-        count = evicted + refused + self._memory.released
+        refusals = sum(sum(table.refusals.values()) for table in tables)
+        count = evicted + refusals + self._memory.released
         if count == self._logged or now < self._log_at:
             return
         logger.warning(
             "connections limited",
             count=count - self._logged,
-            detail=f"in all: {evicted} evicted, {refused} refused,"
+            detail=f"in all: {evicted} evicted, {refused} not accepted,"
+            f" {refusals} requests refused,"
             f" {self._memory.released} held too much",
         )
         self._logged = count
--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -348,6 +348,7 @@
         cycle = self.cycle
         is_open = self._has_open_request
         self._is_refused = True
+        self._table.count_refusal(status)
         if is_open and (cycle.response_started or not cycle.more_body):
             self.transport.close()
             return
--- a/src/cardamomfork/_internal/links/connection_table.py
+++ b/src/cardamomfork/_internal/links/connection_table.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -66,6 +67,7 @@
         }
         self._evicted = 0
         self._refused = 0
+        self._refusals: collections.Counter[int] = collections.Counter()
 
     def __len__(self) -> int:
         """Returns the number of open connections."""
@@ -81,6 +83,15 @@
         """Connections for which there was no room."""
         return self._refused
 
+    @property
+    def refusals(self) -> dict[int, int]:
+        """Refusals by the limits of connections, by HTTP status."""
+        return dict(self._refusals)
+
+    def count_refusal(self, status: int) -> None:
+        """Counts a request that is refused before its application has it."""
+        self._refusals[status] += 1
+
     def add(self, connection: Connection) -> bool:
         """Adds a new connection; evicts another one if there are too many.
 
