--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -92,11 +92,13 @@
         self._memory = memory
         self._segmenter = message_segments.Segmenter()
         self._unparsed = bytearray()
+        # Whether to close once the requests that were read are answered.
         self._is_shutting_down = False
         # Bytes parsed since the last message, head or part of a body ended.
         self._line_bytes = 0
         # Memory of the newest request's headers, until it is answered.
         self._header_bytes = 0
+        # Whether nothing more is parsed.
         self._is_refused = False
         self._head_timer: asyncio.TimerHandle | None = None
 
@@ -115,7 +117,7 @@
     ) -> None:
         """Starts reading, and the idle timeout."""
         self._lingering = lingering_transport.LingeringTransport(
-            transport, self.loop, self._is_sending_in_vain
+            transport, self.loop, self._must_linger
         )
         super().connection_made(cast("asyncio.Transport", self._lingering))
         self._start_idle_timer()
@@ -163,19 +165,22 @@
         self.cycle.keep_alive = False
         self._reading.set_backlogged(True)
 
-    def _is_sending_in_vain(self) -> bool:
-        """Whether the client sends on although its last answer is complete."""
+    def _must_linger(self) -> bool:
+        """Returns whether a close would lose what the client has not read.
+
+        That is so if its last answer is complete while it is still sending.
+        """
         cycle = self.cycle
         if self._has_open_request and cycle.response_started:
             # An answer that is broken off must not look complete.
             return False
         if self._is_refused:
             return True
-        is_message = (
+        is_receiving_body = (
             self._segmenter.expected is not message_segments.Expected.HEAD
         )
         return not self._has_open_request and (
-            is_message or bool(self._unparsed)
+            is_receiving_body or bool(self._unparsed)
         )
 
     def _update_held(self) -> None:
@@ -184,12 +189,14 @@
             self._unparsed.clear()
             self._memory.forget(self)
             return
-        is_head = not self._has_open_request
         size = self._header_bytes + len(self._unparsed)
-        if is_head:
+        is_between_requests = not self._has_open_request
+        if is_between_requests:
             size += self._line_bytes
         self._memory.hold(
-            self, size, releasable=is_head or bool(self._unparsed)
+            self,
+            size,
+            releasable=is_between_requests or bool(self._unparsed),
         )
 
     def shutdown(self) -> None:
@@ -367,8 +374,8 @@
                 body,
             )
         )
-        if not is_open:
-            self.scope = {**self.scope, "headers": []} if self.scope else None
+        if not is_open and self.scope is not None:
+            self.scope = {**self.scope, "headers": []}
         self._drop_headers()
         self.transport.close()
         self._update_idle()
