Report the connections of the table that is in use

The dump and the line a second showed no connection and no refusal: an empty table is false as a truth value, so the server made another one than the one that is reported. It asks for None now. test_refusals_are_in_the_dump fails before with no status and passes.

--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -125,10 +125,10 @@
         self._listener = listener
         limits = limits or connection_limits.ConnectionLimits()
         backlog = limits.backlog
-        table = table or connection_table.ConnectionTable(
-            limits, time.monotonic
-        )
-        memory = memory or held_memory.HeldMemory()
+        if table is None:
+            table = connection_table.ConnectionTable(limits, time.monotonic)
+        if memory is None:
+            memory = held_memory.HeldMemory()
         self._server = _Server(
             uvicorn.Config(
                 application,
--- a/tests/functional/test_connection_limits.py
+++ b/tests/functional/test_connection_limits.py
@@ -1,10 +1,12 @@
 """Clients inside the limits of connections are served; others are refused."""
 
 import asyncio
+import json
 import time
 import unittest
 
 from tests.lib import client_crowd
+from tests.lib import small_site
 
 HEAD = client_crowd.HEAD
 EMPTY = client_crowd.EMPTY + b"\r\n"
@@ -149,6 +151,13 @@
         for part in (b"a: " + b"x" * 100_000, b"a:\r\n" * 25_000):
             self.assertEqual(await self.ask(HEAD + part), 431)
 
+    async def test_refusals_are_in_the_dump(self):
+        self.assertEqual(await self.ask(b"\x00\r\n\r\n"), 400)
+        metrics = self.site.ports["entry-0"].metrics
+        _, text = await small_site.get(metrics, "/dump")
+        callers = json.loads(text)["connections"]["callers"]
+        self.assertEqual(callers["statuses"], {"400": 1})
+
     async def test_long_trailers_are_refused_and_not_passed_on(self):
         chunk = b"1\r\nx\r\n0\r\n"
         runs = len(self.site.runs())
