Name failing tests at the end of a run

The runner now prints the names and the last line of each error before the count. Evidence: a run with four failing tests ends with four such lines.

--- a/tests/lib/runner.py
+++ b/tests/lib/runner.py
@@ -3,7 +3,8 @@
 Modules in folders named `exclusive` run last and one at a time, since they
 check the memory of a process.
 
-Prints each failing test and, last, `N passed, N failed`. Tests listed in
+Prints each failing test when it has run, the names of all of them at the end,
+and, last, `N passed, N failed`. Tests listed in
 KNOWN-RED.txt (lines that begin with `test:`) also run and are printed when
 they fail, but do not change the exit status. The run fails if no test ran.
 """
@@ -104,7 +105,8 @@
 def main(arguments: list[str]) -> int:
     """Runs the tests; returns the exit status."""
     known_red = read_known_red()
-    passed = failed = skipped = 0
+    passed = skipped = 0
+    failed: dict[str, str] = {}
     for report in _run_modules(find_modules(arguments)):
         passed += report.passed
         skipped += report.skipped
@@ -112,13 +114,16 @@
             if test_id.split(" ")[0] in known_red:
                 print(f"known red: {test_id}")
                 continue
-            failed += 1
+            failed[test_id] = text.strip().rpartition("\n")[2]
             print(f"FAILED {test_id}\n{text}")
-    if passed + failed == 0:
+    # Logs of the tests after a failure can be long.
+    for test_id, error in failed.items():
+        print(f"failed: {test_id}: {error}")
+    if passed + len(failed) == 0:
+        failed["no test ran"] = ""
         print("no test ran")
-        failed = 1
     skipped_text = f", {skipped} skipped" if skipped else ""
-    print(f"{passed} passed, {failed} failed{skipped_text}")
+    print(f"{passed} passed, {len(failed)} failed{skipped_text}")
     return 1 if failed else 0
 
 
