Check crowds that come back, and more kinds at each port

Crowds so far had sent all when the ordinary request was asked, and closed connections stayed closed. New: clients that connect again for as long as the request is open, which has a body now; requests ahead with bodies, chunked bodies, empty lines, garbage, half heads and a planned stop at the readiness, peers' and metrics ports; a chunked body and empty lines at cardamomforkd's.

The checks of a crowd move to tests/lib/crowd_case.py; none of them, no crowd and no bound has changed. The daemon's tests look at descriptors too.

--- a/src/cardamomfork/_internal/standins/platform_engine.py
+++ b/src/cardamomfork/_internal/standins/platform_engine.py
@@ -108,9 +108,10 @@
     return f"id: {number}\ndata: {data}{'x' * padding_bytes}\n\n".encode()
 
 
-def make_body(target: str) -> bytes:
+def make_body(target: str, padding_bytes: int = 0) -> bytes:
     """Returns a plain service's answer to a request target."""
-    return xxhash.xxh3_128_hexdigest(target.encode()).encode() * 16
+    body = xxhash.xxh3_128_hexdigest(target.encode()).encode() * 16
+    return body + b"x" * padding_bytes
 
 
 class PlatformEngine:
@@ -280,10 +281,11 @@
         if resets_connection:
             answer.connection.transport.abort()
             return
+        body = make_body(answer.target, self.padding_bytes)
         if draw < faults.unframed:
-            answer.send_unframed(make_body(answer.target))
+            answer.send_unframed(body)
             return
-        await answer.send_whole(OK, make_body(answer.target))
+        await answer.send_whole(OK, body)
         if draw - faults.unframed < faults.extra:
             answer.connection.transport.write(
                 b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx"
@@ -467,7 +469,7 @@
         data_centre: Data centre that its entry names.
         cold_s: Seconds for which it is cold after its start, as its entry and
             its answers state. If None, its answers don't, and it is warm.
-        padding_bytes: Size of its events beside their ids.
+        padding_bytes: Bytes added to each plain answer and to each event.
     """
 
     def report(line: dict[str, Any]) -> None:
--- a/tests/functional/exclusive/test_misbehaving_clients.py
+++ b/tests/functional/exclusive/test_misbehaving_clients.py
@@ -1,58 +1,13 @@
 """Clients that keep to no limits end no process and leave room for others."""
 
-import asyncio
-import signal
 import unittest
 
 from tests.lib import client_crowd
+from tests.lib import crowd_case
 from tests.lib import small_site
 
 
-class _CrowdTest(unittest.IsolatedAsyncioTestCase):
-    port_name = "callers"
-    request = ("/safe/1", "POST", 200)
-    """Path, method and status of an ordinary request at the port."""
-
-    make_site = client_crowd.CrowdedSite
-
-    async def asyncSetUp(self):
-        self.site = self.make_site()
-        self.addAsyncCleanup(self.site.stop)
-        await self.site.start()
-        self.port = getattr(self.site.ports["entry-0"], self.port_name)
-        path, method, status = self.request
-        self.assertTrue(
-            await self.site.is_answered(self.port, path, method, status)
-        )
-        callers = self.site.ports["entry-0"].callers
-        await self.site.wait_until(lambda: small_site.serves(callers))
-
-    async def check(self, kind, size=client_crowd.CROWD):
-        crowd = client_crowd.Crowd(kind, size)
-        self.addCleanup(crowd.close)
-        entry = self.site.entry
-        async with client_crowd.Watch(entry) as watch:
-            await crowd.run(self.port, watch)
-            self.check_bounds(watch)
-            self.assertTrue(
-                await self.site.is_answered(self.port, *self.request),
-                "an ordinary request beside the crowd",
-            )
-            crowd.close()
-            self.assertTrue(
-                await self.site.is_answered(self.port, *self.request),
-                "an ordinary request after the crowd",
-            )
-        self.check_bounds(watch)
-
-    def check_bounds(self, watch):
-        output = [line for _, line in self.site.entry.lines[-3:]]
-        self.assertTrue(self.site.entry.is_running, output)
-        self.assertLessEqual(watch.peak_mb, client_crowd.MEMORY_MB)
-        self.assertLessEqual(watch.descriptors, client_crowd.MAX_DESCRIPTORS)
-
-
-class HeadsWithoutEndTest(_CrowdTest):
+class HeadsWithoutEndTest(crowd_case.CrowdTestCase):
     async def test_short_header_lines(self):
         await self.check(client_crowd.HEADS["short header lines"])
 
@@ -69,7 +24,7 @@
         await self.check(client_crowd.HEADS["one target"])
 
 
-class TrailersWithoutEndTest(_CrowdTest):
+class TrailersWithoutEndTest(crowd_case.CrowdTestCase):
     async def test_short_trailer_lines(self):
         await self.check(client_crowd.TRAILERS["short trailer lines"])
 
@@ -80,7 +35,7 @@
         await self.check(client_crowd.TRAILERS["one trailer value"])
 
 
-class RequestsAheadTest(_CrowdTest):
+class RequestsAheadTest(crowd_case.CrowdTestCase):
     async def test_bare_requests(self):
         await self.check(client_crowd.REQUESTS_AHEAD["bare requests"])
 
@@ -117,7 +72,7 @@
         await self.check(client_crowd.REQUESTS_AHEAD["streams"])
 
 
-class BodiesWithoutEndTest(_CrowdTest):
+class BodiesWithoutEndTest(crowd_case.CrowdTestCase):
     async def test_body_over_the_limit(self):
         await self.check(client_crowd.BODIES["a body over the limit"])
 
@@ -134,7 +89,7 @@
         await self.check(client_crowd.BODIES["a chunk extension"])
 
 
-class OtherBytesTest(_CrowdTest):
+class OtherBytesTest(crowd_case.CrowdTestCase):
     async def test_empty_lines(self):
         await self.check(client_crowd.OTHERS["empty lines"])
 
@@ -148,7 +103,7 @@
         await self.check(client_crowd.OTHERS["garbage"])
 
 
-class TooManyConnectionsTest(_CrowdTest):
+class TooManyConnectionsTest(crowd_case.CrowdTestCase):
     async def test_idle(self):
         await self.check(client_crowd.IDLE["nothing"], client_crowd.IDLE_CROWD)
 
@@ -169,7 +124,7 @@
         )
 
 
-class ManyConnectionsTest(_CrowdTest):
+class ManyConnectionsTest(crowd_case.CrowdTestCase):
     """Each connection is just under its own bound."""
 
     async def test_unfinished_heads(self):
@@ -195,48 +150,34 @@
         )
 
 
-class UnreadStreamsTest(_CrowdTest):
+class UnreadStreamsTest(crowd_case.CrowdTestCase):
     make_site = client_crowd.LargeStreamsSite
 
     async def test_streams_that_nobody_reads(self):
         await self.check(client_crowd.UNREAD_STREAM, client_crowd.BOUNDED_CROWD)
 
 
-class StoppingTest(_CrowdTest):
+class StoppingTest(crowd_case.CrowdTestCase):
     """A crowd does not keep a process from ending."""
 
-    async def check_stop(self, kind, size=client_crowd.CROWD):
-        crowd = client_crowd.Crowd(kind, size)
-        self.addCleanup(crowd.close)
-        entry = self.site.entry
-        async with client_crowd.Watch(entry) as watch:
-            sending = asyncio.create_task(crowd.run(self.port, watch))
-            await asyncio.sleep(1.0)
-            entry.signal(signal.SIGTERM)
-            async with asyncio.timeout(client_crowd.ANSWERED_WITHIN_S):
-                await entry.wait()
-                await sending
-        self.assertEqual(entry.returncode, 0)
-        self.assertLessEqual(watch.peak_mb, client_crowd.MEMORY_MB)
-
     async def test_requests_ahead(self):
-        await self.check_stop(client_crowd.REQUESTS_AHEAD["routed requests"])
+        await self.check_end(client_crowd.REQUESTS_AHEAD["routed requests"])
 
     async def test_trailers(self):
-        await self.check_stop(client_crowd.TRAILERS["one trailer value"])
+        await self.check_end(client_crowd.TRAILERS["one trailer value"])
 
     async def test_half_heads(self):
-        await self.check_stop(
+        await self.check_end(
             client_crowd.IDLE["half a head"], client_crowd.BOUNDED_CROWD
         )
 
     async def test_half_bodies(self):
-        await self.check_stop(
+        await self.check_end(
             client_crowd.IDLE["half a body"], client_crowd.BOUNDED_CROWD
         )
 
 
-class ChangedLimitsTest(_CrowdTest):
+class ChangedLimitsTest(crowd_case.CrowdTestCase):
     """Limits that are lowered apply to connections that are open."""
 
     async def test_unfinished_heads(self):
@@ -258,9 +199,12 @@
         self.check_bounds(watch)
 
 
-class _OtherPortTest(_CrowdTest):
+class _OtherPortTest(crowd_case.CrowdTestCase):
     """The same at a port that is not the callers'."""
 
+    async def check_stop(self):
+        await self.check_end(client_crowd.REQUESTS_AHEAD["bare requests"])
+
     async def check_short_header_lines(self):
         await self.check(client_crowd.HEADS["short header lines"])
 
@@ -273,9 +217,28 @@
     async def check_requests_ahead(self):
         await self.check(client_crowd.REQUESTS_AHEAD["bare requests"])
 
+    async def check_requests_ahead_with_bodies(self):
+        await self.check(
+            client_crowd.REQUESTS_AHEAD["unrouted requests with bodies"]
+        )
+
+    async def check_chunked_body(self):
+        await self.check(client_crowd.BODIES["a body of an unrouted request"])
+
+    async def check_empty_lines(self):
+        await self.check(client_crowd.OTHERS["empty lines"])
+
+    async def check_garbage(self):
+        await self.check(client_crowd.OTHERS["garbage"])
+
     async def check_idle(self):
         await self.check(client_crowd.IDLE["nothing"], client_crowd.IDLE_CROWD)
 
+    async def check_half_heads(self):
+        await self.check(
+            client_crowd.IDLE["half a head"], client_crowd.IDLE_CROWD
+        )
+
 
 class ReadinessPortTest(_OtherPortTest):
     port_name = "readiness"
@@ -285,7 +248,15 @@
     test_one_header_value = _OtherPortTest.check_one_header_value
     test_trailers = _OtherPortTest.check_trailers
     test_requests_ahead = _OtherPortTest.check_requests_ahead
+    test_requests_ahead_with_bodies = (
+        _OtherPortTest.check_requests_ahead_with_bodies
+    )
+    test_chunked_body = _OtherPortTest.check_chunked_body
+    test_empty_lines = _OtherPortTest.check_empty_lines
+    test_garbage = _OtherPortTest.check_garbage
     test_idle = _OtherPortTest.check_idle
+    test_half_heads = _OtherPortTest.check_half_heads
+    test_stop = _OtherPortTest.check_stop
 
 
 class PeerPortTest(_OtherPortTest):
@@ -296,7 +267,15 @@
     test_one_header_value = _OtherPortTest.check_one_header_value
     test_trailers = _OtherPortTest.check_trailers
     test_requests_ahead = _OtherPortTest.check_requests_ahead
+    test_requests_ahead_with_bodies = (
+        _OtherPortTest.check_requests_ahead_with_bodies
+    )
+    test_chunked_body = _OtherPortTest.check_chunked_body
+    test_empty_lines = _OtherPortTest.check_empty_lines
+    test_garbage = _OtherPortTest.check_garbage
     test_idle = _OtherPortTest.check_idle
+    test_half_heads = _OtherPortTest.check_half_heads
+    test_stop = _OtherPortTest.check_stop
 
 
 class MetricsPortTest(_OtherPortTest):
@@ -307,7 +286,15 @@
     test_one_header_value = _OtherPortTest.check_one_header_value
     test_trailers = _OtherPortTest.check_trailers
     test_requests_ahead = _OtherPortTest.check_requests_ahead
+    test_requests_ahead_with_bodies = (
+        _OtherPortTest.check_requests_ahead_with_bodies
+    )
+    test_chunked_body = _OtherPortTest.check_chunked_body
+    test_empty_lines = _OtherPortTest.check_empty_lines
+    test_garbage = _OtherPortTest.check_garbage
     test_idle = _OtherPortTest.check_idle
+    test_half_heads = _OtherPortTest.check_half_heads
+    test_stop = _OtherPortTest.check_stop
 
 
 if __name__ == "__main__":
--- a/tests/functional/exclusive/test_misbehaving_daemon_clients.py
+++ b/tests/functional/exclusive/test_misbehaving_daemon_clients.py
@@ -20,22 +20,33 @@
 
 
 class DaemonTest(unittest.IsolatedAsyncioTestCase):
-    async def check(self, kind, size=client_crowd.CROWD):
-        with daemons.running() as daemon:
+    client = client_crowd.Client
+
+    def running(self):
+        """Returns a context in which a daemon runs."""
+        return daemons.running()
+
+    def ask(self, daemon):
+        """Returns the status of the answer to an ordinary request."""
+        return daemon.request("GET", "/readyz")[0]
+
+    async def check(self, kind, size=client_crowd.CROWD, client=None):
+        with self.running() as daemon:
             process = _Daemon(daemon.process)
-            crowd = client_crowd.Crowd(kind, size)
+            crowd = client_crowd.Crowd(kind, size, client or self.client)
             self.addCleanup(crowd.close)
             async with client_crowd.Watch(process) as watch:
                 await crowd.run(daemon.port, watch)
                 self.assertTrue(process.is_running)
                 self.assertLessEqual(watch.peak_mb, client_crowd.MEMORY_MB)
                 for _ in range(2):
-                    answer = await asyncio.to_thread(
-                        daemon.request, "GET", "/readyz"
-                    )
-                    self.assertEqual(answer[0], 200)
+                    status = await asyncio.to_thread(self.ask, daemon)
+                    self.assertEqual(status, 200)
                     crowd.close()
             self.assertLessEqual(watch.peak_mb, client_crowd.MEMORY_MB)
+            self.assertLessEqual(
+                watch.descriptors, client_crowd.MAX_DESCRIPTORS
+            )
 
     async def test_short_header_lines(self):
         await self.check(client_crowd.HEADS["short header lines"])
@@ -49,6 +60,12 @@
     async def test_bare_requests(self):
         await self.check(client_crowd.REQUESTS_AHEAD["bare requests"])
 
+    async def test_chunked_body(self):
+        await self.check(client_crowd.BODIES["a body of an unrouted request"])
+
+    async def test_empty_lines(self):
+        await self.check(client_crowd.OTHERS["empty lines"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/lib/client_crowd.py
+++ b/tests/lib/client_crowd.py
@@ -10,10 +10,12 @@
 import pathlib
 import re
 import socket
+import ssl
 import time
 
 import attrs
 
+from tests.lib import isolated_fleet
 from tests.lib import small_site
 
 MEMORY_MB = 150
@@ -32,6 +34,9 @@
 """Connections of a crowd that sends next to nothing."""
 BOUNDED_CROWD = 180
 """Connections of a crowd of which each is just under its own bound."""
+MANY_DESCRIPTORS = 2000
+LARGE_CROWD = 900
+"""The same where a process may use many descriptors."""
 CLIENT_BYTES = 16 * 2**20
 """What one connection of a crowd sends at the most."""
 CROWD_TIME_S = 8.0
@@ -41,6 +46,12 @@
 STREAM_ENGINES = 13
 """Engines with eight places each."""
 EVENT_BYTES = 262_144
+ANSWER_BYTES = 1_000_000
+"""Size of an answer that is larger than what sockets buffer."""
+ORDINARY_BODY_BYTES = 20_000
+RECONNECT_PAUSE_S = 0.01
+RETURNING_TIME_S = 3.0
+"""Time before the ordinary request beside a crowd that comes back."""
 SAMPLE_INTERVAL_S = 0.01
 
 HEAD = b"POST /safe/1 HTTP/1.1\r\nHost: soak.example\r\nApi-Key: key-1\r\n"
@@ -139,6 +150,7 @@
 }
 
 UNREAD_STREAM = Kind(STREAM)
+UNREAD_ANSWERS = Kind((EMPTY + b"\r\n") * 6)
 
 
 def _read_status(pid, field):
@@ -205,24 +217,27 @@
         """Sends until all is sent or the connection is closed."""
         with contextlib.suppress(OSError):
             if not self._kind.reads:
-                await self._send()
+                await self._send_all()
                 return
             reader = asyncio.create_task(self._read())
             try:
-                await self._send()
+                await self._send_all()
             finally:
                 reader.cancel()
 
-    async def _send(self):
-        loop = asyncio.get_running_loop()
-        await loop.sock_sendall(self._socket, self._kind.first)
+    async def _send_all(self):
+        await self._send(self._kind.first)
         if not self._kind.repeated:
             return
         block = self._kind.repeated * (
             BLOCK_BYTES // len(self._kind.repeated) + 1
         )
         for _ in range(CLIENT_BYTES // len(block)):
-            await loop.sock_sendall(self._socket, block)
+            await self._send(block)
+
+    async def _send(self, data):
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(self._socket, data)
 
     async def _read(self):
         loop = asyncio.get_running_loop()
@@ -235,15 +250,61 @@
         self._socket.close()
 
 
+def make_tls_context():
+    """Returns a context of clients that accept each certificate."""
+    context = ssl.create_default_context()
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    return context
+
+
+class TlsClient(Client):
+    """A client that sends over TLS."""
+
+    def __init__(self, kind):
+        super().__init__(kind)
+        self._writer = None
+
+    async def connect(self, port):
+        """Connects; the process may refuse it."""
+        await super().connect(port)
+        with contextlib.suppress(OSError):
+            _, self._writer = await asyncio.open_connection(
+                sock=self._socket,
+                ssl=make_tls_context(),
+                server_hostname=HOST,
+            )
+
+    async def _send(self, data):
+        if self._writer is None:
+            raise ConnectionResetError
+        self._writer.write(data)
+        await self._writer.drain()
+
+    def close(self):
+        """Closes the connection."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+        super().close()
+
+
 class Crowd:
     """Connections of one kind to one port."""
 
-    def __init__(self, kind, size=CROWD):
-        self._clients = [Client(kind) for _ in range(size)]
+    def __init__(self, kind, size=CROWD, client=Client):
+        self._clients = [client(kind) for _ in range(size)]
 
     async def run(self, port, watch):
         """Sends until the end of the crowd, or too much memory is used."""
+        await self.connect(port)
+        await self.send(watch)
+
+    async def connect(self, port):
+        """Opens the connections."""
         await asyncio.gather(*(one.connect(port) for one in self._clients))
+
+    async def send(self, watch):
+        """Sends on the connections, as `run` does."""
         tasks = [asyncio.create_task(one.run()) for one in self._clients]
         give_up_at = time.monotonic() + CROWD_TIME_S
         while not all(task.done() for task in tasks):
@@ -260,6 +321,45 @@
             one.close()
 
 
+class ReturningClient(Client):
+    """A client that connects again whenever its connection is closed."""
+
+    async def run_again(self, port):
+        """Connects and sends until cancelled."""
+        while True:
+            await self.connect(port)
+            await self.run()
+            with contextlib.suppress(OSError):
+                await self._read()
+            await asyncio.sleep(RECONNECT_PAUSE_S)
+            self.close()
+            self._socket = socket.socket()
+            self._socket.setblocking(False)
+
+
+class ReturningCrowd:
+    """Clients that come back for as long as the context is open."""
+
+    def __init__(self, kind, port, size=CROWD):
+        self._clients = [ReturningClient(kind) for _ in range(size)]
+        self._port = port
+        self._tasks = []
+
+    async def __aenter__(self):
+        self._tasks = [
+            asyncio.create_task(one.run_again(self._port))
+            for one in self._clients
+        ]
+        return self
+
+    async def __aexit__(self, *_):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for one in self._clients:
+            one.close()
+
+
 class CrowdedSite(small_site.Site):
     """An instance with little memory and few descriptors, and its targets."""
 
@@ -270,16 +370,36 @@
         super().__init__(targets=1, engines=engines)
         self.entry = self.entries["entry-0"]
 
-    async def is_answered(self, port, path, method, status):
+    async def is_answered(self, port, path, method, status, body_bytes=0):
         """Waits for the answer of an ordinary client; False if none comes."""
         give_up_at = time.monotonic() + ANSWERED_WITHIN_S
+        body = b"x" * body_bytes
         while self.entry.is_running and time.monotonic() < give_up_at:
-            if (await small_site.get(port, path, method))[0] == status:
+            if (await small_site.get(port, path, method, body))[0] == status:
                 return True
             await asyncio.sleep(0.05)
         return False
 
 
+class ManyConnectionsSite(CrowdedSite):
+    """A site whose instance accepts more connections."""
+
+    process_limits = PROCESS_LIMITS | {"maxFds": MANY_DESCRIPTORS}
+
+
+class LargeAnswersSite(CrowdedSite):
+    """A site whose answers are larger than what sockets buffer."""
+
+    def _make_target(self, name, service, port, advertised, *options):
+        large = f"--padding-bytes={ANSWER_BYTES}"
+        return super()._make_target(
+            name, service, port, advertised, *options, large
+        )
+
+
+LARGE_EVENTS = (f"--padding-bytes={EVENT_BYTES}", "--event-s=0.001")
+
+
 class LargeStreamsSite(CrowdedSite):
     """A site whose streams are larger than what sockets buffer."""
 
@@ -287,7 +407,33 @@
         super().__init__(STREAM_ENGINES)
 
     def _make_target(self, name, service, port, advertised, *options):
-        large = f"--padding-bytes={EVENT_BYTES}", "--event-s=0.001"
         return super()._make_target(
-            name, service, port, advertised, *options, *large
+            name, service, port, advertised, *options, *LARGE_EVENTS
+        )
+
+
+class IsolatedSite(isolated_fleet.IsolatedDeployment):
+    """Two instances, of which one reaches targets over the other alone."""
+
+    process_limits = PROCESS_LIMITS
+    caller_limits = CALLER_LIMITS
+
+    def __init__(self):
+        options = isolated_fleet.Options(instances=2, engines=STREAM_ENGINES)
+        super().__init__(1, options)
+        self.isolated = self.entries["entry-0"]
+        self.peer = self.entries["entry-1"]
+        self.port = self.caller_ports["entry-0"]
+
+    async def start(self):
+        """Starts all; returns once requests are served over the peer."""
+        await super().start()
+        for port in self.caller_ports.values():
+            await self.wait_until(lambda port=port: small_site.serves(port))
+        self.cut_off("entry-0", isolated_fleet.RESET)
+        await self.wait_until(lambda: small_site.serves(self.port))
+
+    def _make_target(self, name, service, port, advertised, *options):
+        return super()._make_target(
+            name, service, port, advertised, *options, *LARGE_EVENTS
         )
--- a/tests/lib/small_site.py
+++ b/tests/lib/small_site.py
@@ -34,14 +34,15 @@
         return super()._make_entry(name, path)
 
 
-async def get(port, path, method="GET"):
+async def get(port, path, method="GET", body=b""):
     """Returns status and body of an answer; 0 if none came."""
     head = f"{method} {path} HTTP/1.1\r\nHost: soak.example\r\n"
-    head += "Api-Key: key-1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+    head += f"Api-Key: key-1\r\nContent-Length: {len(body)}\r\n"
+    head += "Connection: close\r\n\r\n"
     try:
         async with asyncio.timeout(1.0):
             reader, writer = await asyncio.open_connection(HOST, port)
-            writer.write(head.encode())
+            writer.write(head.encode() + body)
             answer = await reader.read()
             writer.close()
     except (OSError, TimeoutError):
