Bound bodies as they arrive, and refuse the ones that stall

Callers saw a process that ended for want of memory when the bodies of many connections arrived in the same moment, and 503 for whole, small bodies while the crowd held a quarter of the memory with bodies that never came whole.

Cause: the bound of all bodies was looked at by the application, after the read: each connection had up to one read and 64 KiB more by then. The last part of a body also stayed referenced while the next one was awaited, and a whole body was held twice until its answer. Peers' bodies without a length had no bound.

The protocol accounts for each part as the parser gives it, on all ports, until the answer, and the application's own count is gone: one owner. The body that has not grown for longest is refused, so that one that comes is served (test_held_bodies). The refusal is true: a request is passed on when it is whole. test_body_memory_limit_gives_503_before_forwarding checked the application's count, which no longer exists; test_held_bodies checks the same at the port, and also which body goes and that requests that were read are kept.

--- a/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_forwarding_server.py
@@ -359,6 +359,8 @@
         body += message["body"]
         if not message["more_body"]:
             return bytes(body)
+        # Frees this part while the next one is awaited.
+        del message
 
 
 async def _send_refusal(send: Send, refusal: _Refusal) -> str:
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -124,9 +124,7 @@
         self._targets = target_side.create(self._known)
         self._requests = request_path.create(self._known, self._targets)
         self._stop_requested = anyio.Event()
-        memory = held_memory.HeldMemory(
-            int(settings.memory_bytes * held_memory.MEMORY_FRACTION)
-        )
+        memory = held_memory.make_memory(settings.memory_bytes)
         self._caller_server = http_server.RestartableServer(
             self._requests.application,
             settings.host,
--- a/src/cardamomfork/_internal/gateway/serving/application.py
+++ b/src/cardamomfork/_internal/gateway/serving/application.py
@@ -42,8 +42,6 @@
     Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 MAX_CONCURRENT_REQUESTS = 1500
-BODY_MEMORY_FRACTION = 0.25
-"""Share of the process's memory that buffered request bodies may use."""
 RETRY_AFTER_OVERLOAD_S = 1.0
 STARTUP_WAIT_S = 0.8
 """Time for which a request waits for the first configuration of an instance
@@ -98,7 +96,6 @@
         metrics: traffic_metrics.TrafficMetrics,
         clock: Callable[[], float],
         rng: random.Random,
-        memory_bytes: int,
     ) -> None:
         """Initializes the application.
 
@@ -111,7 +108,6 @@
             clock: Monotonic time.
             rng: Random generator that selects one of the services of a
                 split route.
-            memory_bytes: Memory that the process may use.
         """
         self._wire = wire
         self._state = state
@@ -120,9 +116,7 @@
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
-        self._max_held_body_bytes = int(memory_bytes * BODY_MEMORY_FRACTION)
         self._open_requests = open_requests.OpenRequests(stop, clock)
-        self._held_body_bytes = 0
 
     @property
     def in_progress(self) -> int:
@@ -166,7 +160,7 @@
             self._metrics.record_rejected(final.status)
             await sink.answer(final)
             return
-        body = bytearray()
+        received = bytearray()
         opened = open_requests.OpenRequest(
             matched.ok_value,
             request,
@@ -174,11 +168,13 @@
         )
         self._open_requests.add(opened)
         try:
-            incomplete = await self._read_open_body(opened, receive, body)
+            incomplete = await self._read_open_body(opened, receive, received)
             if incomplete is None:
+                body = bytes(received)
+                received.clear()
                 exchange = exchanges.Exchange(
                     request=request,
-                    body=bytes(body),
+                    body=body,
                     match=matched.ok_value,
                     sink=sink,
                     arrived_at=arrived_at,
@@ -203,7 +199,6 @@
                 await sink.answer(incomplete.final, close=True)
         finally:
             self._open_requests.close(opened)
-            self._held_body_bytes -= len(body)
 
     async def _wait_for_configuration(self) -> None:
         """Waits for the first configuration, for a bounded time."""
@@ -298,7 +293,6 @@
             if message["type"] == "http.disconnect":
                 return _IncompleteBody(None)
             body += message["body"]
-            self._held_body_bytes += len(message["body"])
             if len(body) > max_body_bytes:
                 return _IncompleteBody(
                     exchanges.FinalAnswer(
@@ -306,16 +300,10 @@
                         "body too large",
                     )
                 )
-            if self._held_body_bytes > self._max_held_body_bytes:
-                return _IncompleteBody(
-                    exchanges.FinalAnswer(
-                        http.HTTPStatus.SERVICE_UNAVAILABLE,
-                        "too much to hold here",
-                        RETRY_AFTER_OVERLOAD_S,
-                    )
-                )
             if not message["more_body"]:
                 return None
+            # Frees this part while the next one is awaited.
+            del message
 
     async def _serve(
         self,
--- a/src/cardamomfork/_internal/gateway/serving/connection_report.py
+++ b/src/cardamomfork/_internal/gateway/serving/connection_report.py
@@ -20,7 +20,7 @@
     def __init__(
         self,
         tables: dict[str, connection_table.ConnectionTable],
-        memory: held_memory.HeldMemory,
+        memory: held_memory.ConnectionMemory,
     ) -> None:
         """Initializes a report of which nothing has been logged.
 
@@ -47,8 +47,12 @@
             }
             for name, table in self._tables.items()
         }
-        held = {"held_bytes": self._memory.total}
-        return {**ports, **held, "released": self._memory.released}
+        accounts = self._memory.accounts.items()
+        return {
+            **ports,
+            "held_bytes": {name: one.total for name, one in accounts},
+            "released": {name: one.released for name, one in accounts},
+        }
 
     def log(self, now: float) -> None:
         """Logs closed connections and refused requests, once a second.
@@ -60,7 +64,10 @@
         evicted = sum(table.evicted for table in tables)
         refused = sum(table.refused for table in tables)
         refusals = sum(sum(table.refusals.values()) for table in tables)
-        count = evicted + refusals + self._memory.released
+        released = sum(
+            account.released for account in self._memory.accounts.values()
+        )
+        count = evicted + refusals + released
         if count == self._logged or now < self._log_at:
             return
         logger.warning(
@@ -68,7 +75,7 @@
             count=count - self._logged,
             detail=f"in all: {evicted} evicted, {refused} not accepted,"
             f" {refusals} requests refused,"
-            f" {self._memory.released} held too much",
+            f" {released} held too much",
         )
         self._logged = count
         self._log_at = now + LOG_INTERVAL_S
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -169,7 +169,6 @@
         ),
         known.clock,
         known.rng,
-        known.settings.memory_bytes,
     )
     limits = connection_limits.ConnectionLimits(
         max_connections=max(
--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -9,9 +9,9 @@
 from typing import TYPE_CHECKING
 
 import httptools
-from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
+from cardamomfork._internal.links import backlog_flow
 from cardamomfork._internal.links import connection_table
 from cardamomfork._internal.links import held_memory
 from cardamomfork._internal.links import lingering_transport
@@ -31,41 +31,6 @@
 _RETRIED = {http.HTTPStatus.SERVICE_UNAVAILABLE}
 
 
-class _FlowControl(flow_control.FlowControl):
-    """Pauses reading for bodies, and for requests that wait to be parsed."""
-
-    def __init__(self, transport: asyncio.Transport) -> None:
-        """Initializes the control of a connection that is being read."""
-        super().__init__(transport)
-        self._is_backlogged = False
-
-    def set_backlogged(self, is_backlogged: bool) -> None:
-        """Sets whether requests wait that exceed what may be held."""
-        if is_backlogged is self._is_backlogged:
-            return
-        self._is_backlogged = is_backlogged
-        if self.read_paused:
-            return
-        if is_backlogged:
-            self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
-
-    def pause_reading(self) -> None:
-        """Pauses reading until the application takes the body."""
-        if self._is_backlogged:
-            self.read_paused = True
-        else:
-            super().pause_reading()
-
-    def resume_reading(self) -> None:
-        """Resumes reading unless requests wait."""
-        if self._is_backlogged:
-            self.read_paused = False
-        else:
-            super().resume_reading()
-
-
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """HTTP connection of one client on any port."""
 
@@ -74,7 +39,7 @@
         *arguments: Any,
         limits: connection_limits.ConnectionLimits,
         table: connection_table.ConnectionTable,
-        memory: held_memory.HeldMemory,
+        memory: held_memory.ConnectionMemory,
         **options: Any,
     ) -> None:
         """Initializes a connection that has not been opened.
@@ -98,6 +63,8 @@
         self._line_bytes = 0
         # Memory of the newest request's headers, until it is answered.
         self._header_bytes = 0
+        # Received bytes of its body, until it is answered.
+        self._body_bytes = 0
         # Whether nothing more is parsed.
         self._is_refused = False
         self._head_timer: asyncio.TimerHandle | None = None
@@ -121,7 +88,7 @@
         )
         super().connection_made(cast("asyncio.Transport", self._lingering))
         self._start_idle_timer()
-        self._reading = _FlowControl(transport)
+        self._reading = backlog_flow.BacklogFlowControl(transport)
         self.flow = self._reading
         if not self._table.add(self):
             self._refuse(
@@ -151,7 +118,7 @@
         """Closes the connection to make room for another one."""
         self.transport.abort()
 
-    def release_held(self) -> None:
+    def _release_held(self) -> None:
         """Refuses an unfinished head, or drops the requests behind this one."""
         if self.transport.is_closing():
             return
@@ -187,16 +154,15 @@
         """Accounts for what this connection holds."""
         if self.transport.is_closing():
             self._unparsed.clear()
-            self._memory.forget(self)
+            self._memory.heads.forget(self)
             return
         size = self._header_bytes + len(self._unparsed)
         is_between_requests = not self._has_open_request
         if is_between_requests:
             size += self._line_bytes
-        self._memory.hold(
-            self,
-            size,
-            releasable=is_between_requests or bool(self._unparsed),
+        is_releasable = is_between_requests or bool(self._unparsed)
+        self._memory.heads.hold(
+            self, size, self._release_held if is_releasable else None
         )
 
     def shutdown(self) -> None:
@@ -271,7 +237,7 @@
         """Starts the request."""
         self._line_bytes = 0
         self._stop_head_timer()
-        if self._memory.is_full:
+        if self._memory.heads.is_full:
             self._refuse(
                 http.HTTPStatus.SERVICE_UNAVAILABLE, "too much to hold here"
             )
@@ -289,6 +255,11 @@
         self._line_bytes = 0
         super().on_body(body)
         self._table.update(self, connection_table.State.BODY)
+        if not self.cycle.response_complete:
+            self._body_bytes += len(body)
+            self._memory.bodies.hold(
+                self, self._body_bytes, self._refuse_held_body
+            )
 
     def on_message_complete(self) -> None:
         """Ends the request's body."""
@@ -297,11 +268,14 @@
         self._line_bytes = 0
         self._segmenter.expect_head()
         super().on_message_complete()
+        # A request that was read whole is not given up.
+        self._memory.bodies.hold(self, self._body_bytes)
         self._update_idle()
 
     def on_response_complete(self) -> None:
         """Starts the idle timeout in force, or the next request."""
         self._drop_headers()
+        self._drop_body()
         self.timeout_keep_alive = math.ceil(self._limits.idle_timeout_s)
         super().on_response_complete()
         self._update_idle()
@@ -316,6 +290,11 @@
         if self.cycle is not None and self.cycle.response_complete:
             self.cycle.scope = {**self.cycle.scope, "headers": []}
 
+    def _drop_body(self) -> None:
+        """Drops the newest request's body, whose memory counts as free."""
+        self._body_bytes = 0
+        self._memory.bodies.forget(self)
+
     def _update_idle(self) -> None:
         """Notes that a message or its answer has ended."""
         if self._lingering.is_lingering:
@@ -339,6 +318,13 @@
             self._head_timer.cancel()
             self._head_timer = None
 
+    def _refuse_held_body(self) -> None:
+        """Refuses a request whose body has not been received whole."""
+        if not self.transport.is_closing():
+            self._refuse(
+                http.HTTPStatus.SERVICE_UNAVAILABLE, "too much to hold here"
+            )
+
     def _refuse_late_head(self) -> None:
         """Refuses a request whose head was not complete in time."""
         if not self.transport.is_closing():
@@ -361,6 +347,7 @@
             return
         if is_open:
             cycle.disconnected = True
+            cycle.body = bytearray()
             cycle.message_event.set()
         body = reason.encode()
         self.transport.write(
@@ -377,5 +364,6 @@
         if not is_open and self.scope is not None:
             self.scope = {**self.scope, "headers": []}
         self._drop_headers()
+        self._drop_body()
         self.transport.close()
         self._update_idle()
--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -105,7 +105,7 @@
         tls: ssl.SSLContext | None = None,
         limits: connection_limits.ConnectionLimits | None = None,
         table: connection_table.ConnectionTable | None = None,
-        memory: held_memory.HeldMemory | None = None,
+        memory: held_memory.ConnectionMemory | None = None,
         state: uvicorn.server.ServerState | None = None,
     ) -> None:
         """Initializes the server without starting it.
@@ -128,7 +128,7 @@
         if table is None:
             table = connection_table.ConnectionTable(limits, time.monotonic)
         if memory is None:
-            memory = held_memory.HeldMemory()
+            memory = held_memory.make_memory()
         self._server = _Server(
             uvicorn.Config(
                 application,
@@ -213,7 +213,7 @@
         tls: ssl.SSLContext | None = None,
         on_listening: Callable[[HttpServer], None] = lambda _: None,
         limits: connection_limits.ConnectionLimits | None = None,
-        memory: held_memory.HeldMemory | None = None,
+        memory: held_memory.ConnectionMemory | None = None,
     ) -> None:
         """Initializes the server without opening its port.
 
@@ -230,7 +230,7 @@
         """
         self._tls = tls
         self._limits = limits or connection_limits.ConnectionLimits()
-        self._memory = memory or held_memory.HeldMemory()
+        self._memory = memory or held_memory.make_memory()
         self._table = connection_table.ConnectionTable(
             self._limits, time.monotonic
         )
--- a/tests/lib/broken_answers.py
+++ b/tests/lib/broken_answers.py
@@ -118,7 +118,6 @@
             traffic_metrics.TrafficMetrics(api.NoOpMeter("t"), {}),
             time.monotonic,
             random.Random(1),
-            100_000_000,
         )
         self.errors = []
         self.server = http_server.HttpServer(
--- a/tests/unit/test_connection_report.py
+++ b/tests/unit/test_connection_report.py
@@ -21,7 +21,7 @@
             connection_limits.ConnectionLimits(max_connections=1), lambda: 0.0
         )
         report = connection_report.ConnectionReport(
-            {"callers": table}, held_memory.HeldMemory()
+            {"callers": table}, held_memory.make_memory()
         )
         records = []
         sink = logger.add(lambda message: records.append(message.record))
--- a/tests/unit/test_gateway_application.py
+++ b/tests/unit/test_gateway_application.py
@@ -62,7 +62,6 @@
             wire_format.WireFormat(), target_table.TargetTable(), self.clock
         )
         self.stop = stopping.StopState()
-        self.memory_bytes = 1_000_000
 
     def make_application(self, forwarder):
         return application.CallerApplication(
@@ -73,7 +72,6 @@
             traffic_metrics.TrafficMetrics(api.NoOpMeter("t"), {}),
             self.clock,
             random.Random(1),
-            self.memory_bytes,
         )
 
     def apply_configuration(self):
@@ -177,13 +175,6 @@
         self.assertEqual((status, headers[b"connection"]), (413, b"close"))
         self.assertEqual(forwarder.exchanges, [])
 
-    def test_body_memory_limit_gives_503_before_forwarding(self):
-        self.apply_configuration()
-        self.memory_bytes = 1200
-        status, headers, forwarder = self.send_request(bodies=(b"x" * 400,))
-        self.assertEqual((status, forwarder.exchanges), (503, []))
-        self.assertIn(b"retry-after", headers)
-
     def test_stopping_instance_closes_connections_then_rejects_requests(self):
         self.apply_configuration()
         self.stop.begin(self.clock.now, gateway_parts.make_settings())
