Bound what all unread answers hold together

Callers saw a process that ended for want of memory beside clients that ask and don't read. Cause: the event loop keeps the whole of a write until its last byte is sent, and counts only what is left; a request behind an unread answer was sent on, and its answer was held too; a read from a target took up to 256 KB; nothing bounded all of it. At the readiness, peers' and metrics ports an answer that nobody reads was held for ever, as was one below the high-water mark at the callers' port.

Writing pauses as soon as the system's buffer is full. What is written then counts, by the size of the writes; above a tenth of the memory the connection that has been unread for longest is closed. The next request of a connection is parsed when the answer before it is written. A connection is aborted if nothing was read for 60 s, on all ports, also while it closes; before, a slow reader was cut after 60 s even if it read. Targets are read in parts of 64 KB. If connections are short, answers unread for 5 s make room before idle ones.

--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -37,6 +37,7 @@
 """Subtracted from the target's idle timeout, so that this side closes first."""
 MAX_BUFFERED_BYTES = 16_384
 """Limit of received but unconsumed bytes at which reading pauses."""
+MAX_READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_UNUSED_BYTES = 1_048_576
 """Limit of bytes in a row that neither belong to the answer's body nor end it,
@@ -44,6 +45,8 @@
 MAX_FAILED_IDS = 256
 """Limit of remembered request ids, after which a connection is not reused."""
 
+# Shared by all connections, as each read is parsed before the next one.
+_READ_BUFFER = memoryview(bytearray(MAX_READ_BYTES))
 _FIRST_FINAL_STATUS = 200
 _FIRST_FAILED_STATUS = 300
 _LAST_STATUS = 599
@@ -94,9 +97,11 @@
 Message = HeadReceived | Data | Completed | Failed
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(asyncio.BufferedProtocol):
     """A connection that carries one exchange at a time."""
 
+    pauses_while_reading = False
+
     peer_id = ""
     """Id of the peer that the connection leads over; this one is direct."""
     peer_data_centre = ""
@@ -241,6 +246,15 @@
         ):
             tcp_socket.setsockopt(level, option, value)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read."""
+        del sizehint
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parses the bytes of a read."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parses bytes; closes the connection if no answer is due."""
         if self._message_stream is None:
--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -16,6 +16,7 @@
 from cardamomfork._internal.links import held_memory
 from cardamomfork._internal.links import lingering_transport
 from cardamomfork._internal.links import message_segments
+from cardamomfork._internal.links import write_watch
 
 if TYPE_CHECKING:
     import asyncio
@@ -83,8 +84,11 @@
         self, transport: asyncio.Transport
     ) -> None:
         """Starts reading, and the idle timeout."""
+        # Writing pauses if the system's buffer is full.
+        transport.set_write_buffer_limits(high=0)
+        self._write_watch = write_watch.WriteWatch(transport, self.loop)
         self._lingering = lingering_transport.LingeringTransport(
-            transport, self.loop, self._must_linger
+            transport, self.loop, self._must_linger, self._write_watch
         )
         super().connection_made(cast("asyncio.Transport", self._lingering))
         self._start_idle_timer()
@@ -165,6 +169,32 @@
             self, size, self._release_held if is_releasable else None
         )
 
+    def pause_writing(self) -> None:
+        """Accounts for an answer that is not being read."""
+        super().pause_writing()
+        self._write_watch.start()
+        self._table.set_unread(self, True)
+        self._memory.answers.hold(
+            self, self._lingering.unwritten_bytes, self._drop_unread
+        )
+
+    def resume_writing(self) -> None:
+        """Starts the next request, if one waits."""
+        super().resume_writing()
+        self._table.set_unread(self, False)
+        self._memory.answers.forget(self)
+        if self.transport.is_closing():
+            return
+        self._write_watch.stop()
+        self._parse_received()
+        if self._is_shutting_down:
+            self._close_after_last()
+
+    def _drop_unread(self) -> None:
+        """Closes a connection whose client doesn't read the answer."""
+        # This may be called while the transport writes.
+        self.loop.call_soon(self.transport.abort)
+
     def shutdown(self) -> None:
         """Closes the connection once all requests that were read are done."""
         self._is_shutting_down = True
@@ -172,16 +202,18 @@
 
     def _close_after_last(self) -> None:
         """Closes a connection that shuts down once its requests are done."""
-        if not self._has_open_request:
+        if self._has_open_request:
+            if not self.has_pipelined_request:
+                self.cycle.keep_alive = False
+        elif not (self.flow.write_paused and self.has_pipelined_request):
             self.transport.close()
-        elif not self.has_pipelined_request:
-            self.cycle.keep_alive = False
 
     def _parse_received(self) -> None:
         """Parses until a request is whole, a bound is met or nothing is left.
 
-        The next request is parsed when this one has been answered, so that no
-        more than one request of a connection is held as objects.
+        The next request is parsed when the answer to this one has been written,
+        so that no more than one request of a connection is held as objects, and
+        no more than one answer.
         """
         while self._unparsed and self._may_parse():
             self._parse(self._segmenter.take(self._unparsed))
@@ -195,8 +227,9 @@
         """Returns whether the parser may get the bytes that come next."""
         if self.transport.is_closing() or self._is_refused:
             return False
-        is_head = self._segmenter.expected is message_segments.Expected.HEAD
-        return not (is_head and self._has_open_request)
+        if self._segmenter.expected is not message_segments.Expected.HEAD:
+            return True
+        return not (self._has_open_request or self.flow.write_paused)
 
     def _parse(self, segment: bytes) -> None:
         """Parses a segment; refuses its request if it is malformed."""
--- a/src/cardamomfork/_internal/links/callers/protocol.py
+++ b/src/cardamomfork/_internal/links/callers/protocol.py
@@ -18,14 +18,11 @@
 from cardamomfork._internal.links import bounded_protocol
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import Awaitable
     from collections.abc import Callable
 
 SCOPE_KEY = "cardamomfork.connection"
 """Key of the connection in the extensions of the ASGI scope."""
-WRITE_STALL_TIMEOUT_S = 60.0
-"""Time after which a connection is aborted if its write buffer stays full."""
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 _NO_LINGER = struct.pack("ii", 0, 0)
 
@@ -57,7 +54,6 @@
 class CallerProtocol(bounded_protocol.BoundedProtocol):
     """HTTP connection of one caller."""
 
-    _stall_timer: asyncio.TimerHandle | None = None
     _flow_listener: FlowControlListener | None = None
     _is_unframed_complete = False
 
@@ -80,8 +76,6 @@
         self.cycle.chunked_encoding = False
         self.cycle.expected_content_length = sys.maxsize
         self._is_unframed_complete = False
-        # Writing is then paused until all bytes have left the buffer.
-        self.transport.set_write_buffer_limits(high=0)
         self._set_linger(_RESET_AT_CLOSE)
 
     def end_unframed(self) -> None:
@@ -105,8 +99,7 @@
         self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stops the stall timeout and removes the flow listener."""
-        self._stop_stall_timer()
+        """Removes the flow listener."""
         self._flow_listener = None
         super().connection_lost(exc)
 
@@ -116,25 +109,15 @@
         super().on_headers_complete()
 
     def pause_writing(self) -> None:
-        """Starts the stall timeout and notifies the listener."""
+        """Notifies the listener."""
         super().pause_writing()
-        self._stall_timer = self.loop.call_later(
-            WRITE_STALL_TIMEOUT_S, self.transport.abort
-        )
         if self._flow_listener is not None:
             self._flow_listener.on_write_paused()
 
     def resume_writing(self) -> None:
-        """Stops the stall timeout and notifies the listener."""
+        """Notifies the listener."""
         super().resume_writing()
-        self._stop_stall_timer()
         if self._is_unframed_complete:
             self._set_linger(_NO_LINGER)
         if self._flow_listener is not None:
             self._flow_listener.on_write_resumed()
-
-    def _stop_stall_timer(self) -> None:
-        """Stops the stall timeout."""
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
-            self._stall_timer = None
--- a/src/cardamomfork/_internal/links/connection_table.py
+++ b/src/cardamomfork/_internal/links/connection_table.py
@@ -19,6 +19,8 @@
 """Part of the idle timeout within which sound clients reuse a connection."""
 MIN_BODY_STALL_S = 1.0
 """Time without a byte after which an incomplete body makes room."""
+MIN_UNREAD_S = 5.0
+"""Time after which an answer that is not being read makes room."""
 
 
 class State(enum.Enum):
@@ -65,6 +67,8 @@
         self._since: dict[State, dict[Connection, float]] = {
             state: {} for state in State
         }
+        # Since when an answer is not being read.
+        self._unread: dict[Connection, float] = {}
         self._evicted = 0
         self._refused = 0
         self._refusals: collections.Counter[int] = collections.Counter()
@@ -111,12 +115,24 @@
 
     def update(self, connection: Connection, state: State) -> None:
         """Notes a connection's state, or that it received a part of a body."""
-        self.remove(connection)
+        self._forget_state(connection)
         self._states[connection] = state
         self._since[state][connection] = self._clock()
 
+    def set_unread(self, connection: Connection, is_unread: bool) -> None:
+        """Notes whether a connection's client doesn't read the answer."""
+        if not is_unread:
+            self._unread.pop(connection, None)
+        elif connection in self._states:
+            self._unread.setdefault(connection, self._clock())
+
     def remove(self, connection: Connection) -> None:
         """Removes a connection, if it is in the table."""
+        self._unread.pop(connection, None)
+        self._forget_state(connection)
+
+    def _forget_state(self, connection: Connection) -> None:
+        """Removes a connection's state, if it has one."""
         state = self._states.pop(connection, None)
         if state is not None:
             del self._since[state][connection]
@@ -126,22 +142,31 @@
 
         Connections that are closing go first, then unfinished heads, then
         connections that are idle for longer than sound clients reuse them, then
-        bodies that don't come, and last the one that is idle for the longest
-        time. Requests that were read are always answered.
+        bodies that don't come, then answers that nobody reads, and last the one
+        that is idle for the longest time. Requests that were read are always
+        answered.
         """
         max_idle_s = MAX_IDLE_FRACTION * self._limits.idle_timeout_s
         return (
-            self._find_oldest(State.CLOSING, 0.0)
-            or self._find_oldest(State.HEAD, 0.0)
-            or self._find_oldest(State.IDLE, max_idle_s)
-            or self._find_oldest(State.BODY, MIN_BODY_STALL_S)
-            or self._find_oldest(State.IDLE, 0.0)
+            self._find_oldest(self._since[State.CLOSING], 0.0)
+            or self._find_oldest(self._since[State.HEAD], 0.0)
+            or self._find_oldest(self._since[State.IDLE], max_idle_s)
+            or self._find_oldest(self._since[State.BODY], MIN_BODY_STALL_S)
+            or self._find_oldest(self._unread, MIN_UNREAD_S)
+            or self._find_oldest(self._since[State.IDLE], 0.0)
         )
 
-    def _find_oldest(self, state: State, min_age_s: float) -> Connection | None:
-        """Returns the connection in a state for the longest time."""
-        for connection, since in self._since[state].items():
-            if self._clock() - since >= min_age_s:
+    def _find_oldest(
+        self, since: dict[Connection, float], min_age_s: float
+    ) -> Connection | None:
+        """Returns the first connection if it is old enough.
+
+        Args:
+            since: Times of connections, in their order.
+            min_age_s: Shortest time since then.
+        """
+        for connection, started_at in since.items():
+            if self._clock() - started_at >= min_age_s:
                 return connection
             break
         return None
--- a/src/cardamomfork/_internal/links/event_loop.py
+++ b/src/cardamomfork/_internal/links/event_loop.py
@@ -4,7 +4,8 @@
 transport from within `get_buffer`. asyncio's transports support that. Under
 uvloop, libuv then calls a callback that the pause has removed, and the process
 crashes. pycapnp's protocols therefore get a transport that defers the pause
-until the buffer has been filled.
+until the buffer has been filled. Protocols that never pause in `get_buffer` set
+`pauses_while_reading` to False and use the transport itself.
 """
 
 from __future__ import annotations
@@ -109,7 +110,9 @@
 
     def make_protocol() -> Any:
         protocol = factory()
-        if isinstance(protocol, asyncio.BufferedProtocol):
+        if isinstance(protocol, asyncio.BufferedProtocol) and getattr(
+            protocol, "pauses_while_reading", True
+        ):
             return _BufferedProtocolAdapter(protocol)
         return protocol
 
--- a/src/cardamomfork/_internal/links/held_memory.py
+++ b/src/cardamomfork/_internal/links/held_memory.py
@@ -15,6 +15,9 @@
 """Share of the process's memory that heads and waiting requests may use."""
 BODY_FRACTION = 0.25
 """Share of the process's memory that bodies of requests may use."""
+ANSWER_FRACTION = 0.1
+"""Share of the process's memory that answers may use which clients don't
+read."""
 HEADER_OBJECT_BYTES = 160
 """Memory of a header's objects beside its name and value."""
 
@@ -106,10 +109,12 @@
     Attributes:
         heads: Unfinished heads, headers, and requests that wait.
         bodies: Bodies of requests, until they are answered.
+        answers: Bytes of answers that clients have not read.
     """
 
     heads: HeldMemory
     bodies: HeldMemory
+    answers: HeldMemory
 
     @property
     def accounts(self) -> dict[str, HeldMemory]:
@@ -120,6 +125,7 @@
         """Notes that a connection holds nothing."""
         self.heads.forget(holder)
         self.bodies.forget(holder)
+        self.answers.forget(holder)
 
 
 def make_memory(memory_bytes: int = DEFAULT_MEMORY_BYTES) -> ConnectionMemory:
@@ -131,4 +137,5 @@
     return ConnectionMemory(
         heads=HeldMemory(int(memory_bytes * HEAD_FRACTION)),
         bodies=HeldMemory(int(memory_bytes * BODY_FRACTION), Victim.OLDEST),
+        answers=HeldMemory(int(memory_bytes * ANSWER_FRACTION), Victim.OLDEST),
     )
--- a/tests/lib/client_crowd.py
+++ b/tests/lib/client_crowd.py
@@ -403,8 +403,8 @@
 class LargeStreamsSite(CrowdedSite):
     """A site whose streams are larger than what sockets buffer."""
 
-    def __init__(self):
-        super().__init__(STREAM_ENGINES)
+    def __init__(self, engines=STREAM_ENGINES):
+        super().__init__(engines)
 
     def _make_target(self, name, service, port, advertised, *options):
         return super()._make_target(
--- a/tests/unit/test_connection_table.py
+++ b/tests/unit/test_connection_table.py
@@ -65,6 +65,22 @@
         self.assertTrue(idle[0].is_evicted)
         self.assertFalse(any(one.is_evicted for one in answers))
 
+    def test_answers_that_nobody_reads_make_room_before_idle_connections(self):
+        unread = [self.open(State.ANSWER) for _ in range(3)]
+        idle = self.open(State.IDLE)
+        for one in unread:
+            self.table.set_unread(one, True)
+            self.now += 1.0
+        self.table.set_unread(unread[0], False)
+        self.table.set_unread(unread[1], True)
+        self.now += 3.5
+        self.table.update(unread[1], State.ANSWER)
+        self.open(State.ANSWER)
+        self.assertTrue(unread[1].is_evicted)
+        self.open(State.ANSWER)
+        self.assertTrue(idle.is_evicted)
+        self.assertFalse(unread[0].is_evicted or unread[2].is_evicted)
+
     def test_requests_that_were_read_are_not_given_up(self):
         answers = [self.open(State.ANSWER) for _ in range(4)]
         self.now += 60.0
