Free targets of answers that callers don't read

Callers saw 503 'all targets are full' and waits for up to 60 s while a target was idle. Cause: an attempt ended only when the caller had taken the end of the answer: eight connections that didn't read held the eight places of a target. Streams kept their engines beyond the request's time limit for the same reason, as a wait for the caller had no deadline.

A whole answer is written with its end in one step, which waits for nobody. A caller that isn't reading when the time limit has passed is cut; an answer that was not complete by then is cut in any case. What is ready is still delivered late to a caller that reads.

--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -46,8 +46,8 @@
         """Sends a part of the body."""
         ...
 
-    async def finish(self) -> None:
-        """Ends the answer."""
+    async def finish(self, data: bytes = b"") -> None:
+        """Sends the last part of the body and ends the answer."""
         ...
 
 
@@ -231,9 +231,8 @@
         """Passes on a complete answer."""
         self._progress.has_started = True
         await self._sink.start(head.status, head.headers, len(body))
-        if body:
-            await self._sink.send(body)
-        await self._sink.finish()
+        # A caller that doesn't read must not delay the end of the attempt.
+        await self._sink.finish(body)
         return outcomes.Delivered(head.status)
 
     async def _forward_unbuffered(
--- a/src/cardamomfork/_internal/gateway/serving/application.py
+++ b/src/cardamomfork/_internal/gateway/serving/application.py
@@ -318,6 +318,13 @@
             opened.scope = tasks.cancel_scope
 
             async def cancel_on_disconnect() -> None:
+                # An answer that is not complete at the deadline is cut. A
+                # caller that doesn't read it would delay that.
+                with anyio.move_on_after(opened.deadline - self._clock()):
+                    await protocol.wait_for_disconnect(receive)
+                    tasks.cancel_scope.cancel()
+                    return
+                sink.abort_if_unread()
                 await protocol.wait_for_disconnect(receive)
                 tasks.cancel_scope.cancel()
 
--- a/src/cardamomfork/_internal/gateway/serving/asgi_sink.py
+++ b/src/cardamomfork/_internal/gateway/serving/asgi_sink.py
@@ -47,6 +47,11 @@
         self._unframed = None if knows_chunks else connection
         self.status = 0
 
+    def abort_if_unread(self) -> None:
+        """Aborts the connection if the caller doesn't read the answer."""
+        if self._connection is not None and self._connection.is_write_paused:
+            self._connection.transport.abort()
+
     async def start(
         self,
         status: int,
@@ -84,12 +89,12 @@
             {"type": "http.response.body", "body": data, "more_body": True}
         )
 
-    async def finish(self) -> None:
-        """Ends the answer."""
+    async def finish(self, data: bytes = b"") -> None:
+        """Sends the last part of the body and ends the answer."""
         if self._unframed is not None:
             self._unframed.end_unframed()
         await self._send(
-            {"type": "http.response.body", "body": b"", "more_body": False}
+            {"type": "http.response.body", "body": data, "more_body": False}
         )
 
     async def answer(
@@ -108,5 +113,4 @@
         if close:
             pairs.append(_CLOSE)
         await self.start(final.status, tuple(pairs), len(body))
-        await self.send(body)
-        await self.finish()
+        await self.finish(body)
--- a/tests/functional/exclusive/test_misbehaving_daemon_clients.py
+++ b/tests/functional/exclusive/test_misbehaving_daemon_clients.py
@@ -1,11 +1,18 @@
 """Clients that keep to no limits end no daemon and leave room for others."""
 
 import asyncio
+import contextlib
+import http.client
+import pathlib
+import tempfile
 import unittest
 
+from tests.lib import certificates
 from tests.lib import client_crowd
 from tests.lib import daemons
 
+MAX_CONNECTIONS = 200
+
 
 class _Daemon:
     """Watches the process of a daemon as one of a site."""
@@ -67,5 +74,52 @@
         await self.check(client_crowd.OTHERS["empty lines"])
 
 
+class TlsDaemonTest(DaemonTest):
+    """The same over TLS, with few connections."""
+
+    client = client_crowd.TlsClient
+
+    @contextlib.contextmanager
+    def running(self):
+        """Runs a daemon with a certificate."""
+        with tempfile.TemporaryDirectory() as directory:
+            certificates.write(directory)
+            path = pathlib.Path(directory, "settings.ini")
+            path.write_text(
+                f"[callers]\nmax_connections = {MAX_CONNECTIONS}\n"
+                f"tls_certificate = {directory}/cert.pem\n"
+                f"tls_key = {directory}/key.pem\n"
+            )
+            with daemons.running("--settings", str(path)) as daemon:
+                yield daemon
+
+    def ask(self, daemon):
+        """Returns the status of the answer to an ordinary request."""
+        connection = http.client.HTTPSConnection(
+            client_crowd.HOST,
+            daemon.port,
+            timeout=client_crowd.ANSWERED_WITHIN_S,
+            context=client_crowd.make_tls_context(),
+        )
+        with contextlib.closing(connection):
+            connection.request("GET", "/readyz")
+            return connection.getresponse().status
+
+    async def test_idle(self):
+        await self.check(client_crowd.IDLE["nothing"], client_crowd.IDLE_CROWD)
+
+    async def test_half_heads(self):
+        await self.check(
+            client_crowd.IDLE["half a head"], client_crowd.IDLE_CROWD
+        )
+
+    async def test_handshakes_without_an_end(self):
+        await self.check(
+            client_crowd.IDLE["nothing"],
+            client_crowd.IDLE_CROWD,
+            client_crowd.Client,
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/functional/test_connection_limits.py
+++ b/tests/functional/test_connection_limits.py
@@ -1,6 +1,7 @@
 """Clients inside the limits of connections are served; others are refused."""
 
 import asyncio
+import functools
 import json
 import time
 import unittest
@@ -14,11 +15,17 @@
 HEADER_TIMEOUT_S = client_crowd.CALLER_LIMITS["headerTimeoutMs"] / 1000
 IDLE_TIMEOUT_S = client_crowd.CALLER_LIMITS["idleTimeoutMs"] / 1000
 GIVE_UP_S = 30.0
+ANSWERS = 6
+READ_BYTES = 65_536
+MAX_STREAM_BYTES = 2**26
+ENGINE_SLOTS = 8
 
 
 class _ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    make_site = client_crowd.CrowdedSite
+
     async def asyncSetUp(self):
-        self.site = client_crowd.CrowdedSite()
+        self.site = self.make_site()
         self.addAsyncCleanup(self.site.stop)
         await self.site.start()
         self.port = self.site.ports["entry-0"].callers
@@ -26,8 +33,11 @@
             await self.site.is_answered(self.port, "/safe/1", "POST", 200)
         )
 
-    async def connect(self):
-        reader, writer = await asyncio.open_connection(HOST, self.port)
+    async def connect(self, limit=READ_BYTES):
+        """Connects; the reader pauses at twice the limit."""
+        reader, writer = await asyncio.open_connection(
+            HOST, self.port, limit=limit
+        )
         self.addCleanup(writer.close)
         return reader, writer
 
@@ -45,7 +55,7 @@
 
     async def ask(self, *parts, pause_s=0.0):
         """Sends a request in parts; returns the status of its answer."""
-        reader, writer = await self.connect()
+        reader, writer = await self.connect(MAX_STREAM_BYTES)
         for part in parts:
             writer.write(part)
             await writer.drain()
@@ -116,6 +126,35 @@
         self.assertEqual(await self.read_status(reader), 200)
 
 
+class LargeAnswersTest(_ConnectionTest):
+    make_site = client_crowd.LargeAnswersSite
+
+    async def test_slow_reader_of_requests_sent_ahead(self):
+        reader, writer = await self.connect()
+        writer.write(EMPTY * ANSWERS)
+        read = 0
+        async with asyncio.timeout(GIVE_UP_S):
+            while read < ANSWERS * client_crowd.ANSWER_BYTES:
+                read += len(await reader.read(READ_BYTES))
+                await asyncio.sleep(0.01)
+        # One more answered the request of the set-up.
+        self.assertEqual(len(self.site.runs()), ANSWERS + 1)
+
+
+class UnreadStreamsTest(_ConnectionTest):
+    make_site = functools.partial(client_crowd.LargeStreamsSite, engines=1)
+
+    async def test_unread_streams_leave_engines_at_their_time_limit(self):
+        for _ in range(ENGINE_SLOTS):
+            _, writer = await self.connect()
+            writer.write(client_crowd.STREAM)
+        async with asyncio.timeout(GIVE_UP_S):
+            while len(self.site.runs()) < ENGINE_SLOTS:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            while await self.ask(client_crowd.STREAM) != 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+
+
 class OutsideLimitsTest(_ConnectionTest):
     async def is_closed(self, reader):
         async with asyncio.timeout(GIVE_UP_S):
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -55,7 +55,8 @@
     async def send(self, data):
         self.body += data
 
-    async def finish(self):
+    async def finish(self, data=b""):
+        self.body += data
         self.is_whole = True
 
 
