Count TLS connections from their first byte on

Callers of cardamomforkd over TLS got no connection while a crowd kept the process's descriptors with handshakes that don't end: the event loop reports a TLS connection after its handshake, for which it waits 60 s, so the table of connections knew nothing of it. Bodies of all callers had no bound there.

The plain connection is accepted and counted, then upgraded; the handshake has the time of a head. memory_mb under [callers] bounds heads, bodies and unread answers of cardamomforkd; with its default, 640, heads have 64 MB as before.

--- a/src/cardamomfork/_internal/daemon_program.py
+++ b/src/cardamomfork/_internal/daemon_program.py
@@ -23,6 +23,7 @@
 from cardamomfork._internal.gateway import signal_queue
 from cardamomfork._internal.links import connection_limits
 from cardamomfork._internal.links import event_loop
+from cardamomfork._internal.links import held_memory
 from cardamomfork._internal.links import http_server
 from cardamomfork._internal.links import tls
 from cardamomfork._internal.links.callers import protocol
@@ -153,6 +154,7 @@
             connection_limits.ConnectionLimits(
                 max_connections=callers.max_connections
             ),
+            held_memory.make_memory(callers.memory_mb * held_memory.MB),
         )
 
     async def run(self) -> None:
--- a/src/cardamomfork/_internal/links/bounded_protocol.py
+++ b/src/cardamomfork/_internal/links/bounded_protocol.py
@@ -84,8 +84,6 @@
         self, transport: asyncio.Transport
     ) -> None:
         """Starts reading, and the idle timeout."""
-        # Writing pauses if the system's buffer is full.
-        transport.set_write_buffer_limits(high=0)
         self._write_watch = write_watch.WriteWatch(transport, self.loop)
         self._lingering = lingering_transport.LingeringTransport(
             transport, self.loop, self._must_linger, self._write_watch
@@ -94,6 +92,10 @@
         self._start_idle_timer()
         self._reading = backlog_flow.BacklogFlowControl(transport)
         self.flow = self._reading
+        # Writing pauses if the system's buffer is full. TLS transports pause at
+        # the limit, others above it.
+        is_tls = transport.get_extra_info("sslcontext") is not None
+        transport.set_write_buffer_limits(high=int(is_tls), low=0)
         if not self._table.add(self):
             self._refuse(
                 http.HTTPStatus.SERVICE_UNAVAILABLE, "too many connections"
--- a/src/cardamomfork/_internal/links/held_memory.py
+++ b/src/cardamomfork/_internal/links/held_memory.py
@@ -10,7 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-DEFAULT_MEMORY_BYTES = 640 * 2**20
+MB = 1_000_000
+DEFAULT_MEMORY_BYTES = 640 * MB
 HEAD_FRACTION = 0.1
 """Share of the process's memory that heads and waiting requests may use."""
 BODY_FRACTION = 0.25
--- a/src/cardamomfork/_internal/links/http_server.py
+++ b/src/cardamomfork/_internal/links/http_server.py
@@ -17,6 +17,7 @@
 from cardamomfork._internal.links import connection_limits
 from cardamomfork._internal.links import connection_table
 from cardamomfork._internal.links import held_memory
+from cardamomfork._internal.links import tls_handshake
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -75,16 +76,6 @@
     return listener
 
 
-def _make_context_factory(
-    context: ssl.SSLContext | None,
-) -> Callable[..., ssl.SSLContext] | None:
-    """Returns a uvicorn context factory that returns `context`."""
-    if context is None:
-        return None
-    existing_context = context
-    return lambda *_: existing_context
-
-
 def _abort_connections(state: uvicorn.server.ServerState) -> None:
     """Aborts all open connections."""
     for connection in list(state.connections):
@@ -129,12 +120,21 @@
             table = connection_table.ConnectionTable(limits, time.monotonic)
         if memory is None:
             memory = held_memory.make_memory()
+        make_protocol: Callable[..., Any] = functools.partial(
+            protocol, limits=limits, table=table, memory=memory
+        )
+        if tls is not None:
+            make_protocol = functools.partial(
+                tls_handshake.HandshakeProtocol,
+                make_protocol=make_protocol,
+                context=tls,
+                limits=limits,
+                table=table,
+            )
         self._server = _Server(
             uvicorn.Config(
                 application,
-                http=functools.partial(  # type: ignore[arg-type]
-                    protocol, limits=limits, table=table, memory=memory
-                ),
+                http=make_protocol,  # type: ignore[arg-type]
                 ws="none",
                 lifespan="off",
                 log_config=None,
@@ -142,7 +142,6 @@
                 proxy_headers=False,
                 server_header=False,
                 backlog=backlog,
-                ssl_context_factory=_make_context_factory(tls),
             )
         )
         if state is not None:
--- a/src/cardamomfork/_internal/models/settings.py
+++ b/src/cardamomfork/_internal/models/settings.py
@@ -39,7 +39,18 @@
 
 @attrs.frozen
 class CallerSettings:
-    """[callers]: the HTTP server for callers."""
+    """[callers]: the HTTP server for callers.
+
+    Attributes:
+        host: IP address on which to listen.
+        port: TCP port; 0 for any free port.
+        max_body_bytes: Longest body of a request.
+        heartbeat_s: Interval of comments in a stream without events.
+        body_timeout_s: Time for the whole body of a request.
+        max_connections: Most open connections.
+        memory_mb: Memory of which connections may use fixed shares.
+        tls: TLS files.
+    """
 
     host: str = "127.0.0.1"
     port: int = 8480
@@ -47,6 +58,7 @@
     heartbeat_s: float = 10.0
     body_timeout_s: float = 30.0
     max_connections: int = 10_000
+    memory_mb: int = 640
     tls: TlsSettings = TlsSettings()
 
 
--- a/src/cardamomfork/_internal/settings/sections.py
+++ b/src/cardamomfork/_internal/settings/sections.py
@@ -50,6 +50,7 @@
             "heartbeat_s": fields.make_number_parser(0.1, 3600.0),
             "body_timeout_s": fields.make_number_parser(0.1, 3600.0),
             "max_connections": fields.make_integer_parser(1, 1_000_000),
+            "memory_mb": fields.make_integer_parser(16, 1 << 20),
             **_TLS,
         },
     ),
--- a/tests/functional/exclusive/test_misbehaving_daemon_clients.py
+++ b/tests/functional/exclusive/test_misbehaving_daemon_clients.py
@@ -12,6 +12,13 @@
 from tests.lib import daemons
 
 MAX_CONNECTIONS = 200
+MEMORY_MB = client_crowd.MEMORY_MB
+UNFINISHED_BODY = client_crowd.Kind(
+    b"POST /v1/completions HTTP/1.1\r\nHost: soak.example\r\n"
+    b"Authorization: Bearer %b\r\nContent-Length: 1048576\r\n\r\n"
+    % daemons.KEY.encode()
+    + b"x" * 1_000_000
+)
 
 
 class _Daemon:
@@ -29,9 +36,17 @@
 class DaemonTest(unittest.IsolatedAsyncioTestCase):
     client = client_crowd.Client
 
+    settings = f"[callers]\nmemory_mb = {MEMORY_MB}\n"
+
+    @contextlib.contextmanager
     def running(self):
-        """Returns a context in which a daemon runs."""
-        return daemons.running()
+        """Runs a daemon with few connections and little memory."""
+        with tempfile.TemporaryDirectory() as directory:
+            certificates.write(directory)
+            path = pathlib.Path(directory, "settings.ini")
+            path.write_text(self.settings.format(directory=directory))
+            with daemons.running("--settings", str(path)) as daemon:
+                yield daemon
 
     def ask(self, daemon):
         """Returns the status of the answer to an ordinary request."""
@@ -73,25 +88,20 @@
     async def test_empty_lines(self):
         await self.check(client_crowd.OTHERS["empty lines"])
 
+    async def test_unfinished_bodies(self):
+        await self.check(UNFINISHED_BODY, client_crowd.BOUNDED_CROWD)
+
 
 class TlsDaemonTest(DaemonTest):
     """The same over TLS, with few connections."""
 
     client = client_crowd.TlsClient
 
-    @contextlib.contextmanager
-    def running(self):
-        """Runs a daemon with a certificate."""
-        with tempfile.TemporaryDirectory() as directory:
-            certificates.write(directory)
-            path = pathlib.Path(directory, "settings.ini")
-            path.write_text(
-                f"[callers]\nmax_connections = {MAX_CONNECTIONS}\n"
-                f"tls_certificate = {directory}/cert.pem\n"
-                f"tls_key = {directory}/key.pem\n"
-            )
-            with daemons.running("--settings", str(path)) as daemon:
-                yield daemon
+    settings = (
+        DaemonTest.settings + f"max_connections = {MAX_CONNECTIONS}\n"
+        "tls_certificate = {directory}/cert.pem\n"
+        "tls_key = {directory}/key.pem\n"
+    )
 
     def ask(self, daemon):
         """Returns the status of the answer to an ordinary request."""
