Break long answers off after they have begun, whatever the machine's speed

Traced: its target resets 0.1 s after it has written 1.2 MB, and the reset drops what it had not sent by then; the instance had less than the 1 MiB that it buffers, so the caller had nothing, and an idempotent request may then be sent again. Reading in parts of 64 KB made that more likely.

The test is meant for answers whose head was passed on, so its targets now wait until the caller has bytes of the answer, and 0.1 s more. All checks are the same.

--- a/tests/lib/broken_answers.py
+++ b/tests/lib/broken_answers.py
@@ -221,9 +221,13 @@
 """How the stream of the first target ends, by name."""
 
 
+BEGUN = object()
+"""Step of a target that waits until the caller has bytes of an answer."""
+
+
 def _break_long(framing, body, *end, status=200):
     """Returns a long answer that breaks off after its head was passed on."""
-    return lambda r: [start(r, framing, status=status) + body, 0.1, *end]
+    return lambda r: [start(r, framing, status=status) + body, BEGUN, 0.1, *end]
 
 
 _LONG_CHUNK = chunk(b"a" * LONG)
@@ -486,6 +490,7 @@
     timeout_s=8.0,
     read_after_s=0.0,
     request_id="r1",
+    on_data=lambda: None,
 ):
     """Sends a request and reads until the connection ends."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -508,6 +513,7 @@
         async with asyncio.timeout(timeout_s):
             while data := await reader.read(65_536):
                 received.raw += data
+                on_data()
     except ConnectionError:
         received.is_reset = True
     finally:
@@ -673,6 +679,7 @@
     steps = [breaks[case.breaks], ANSWERS[case.follows]]
     request_id = f"r1{secrets.token_hex(8)}"
     count = 0
+    begun = asyncio.Event()
 
     def script(request):
         nonlocal count
@@ -681,7 +688,10 @@
             # port.
             return [Act.CLOSE]
         count += 1
-        return steps[min(count, len(steps)) - 1](request)
+        return [
+            begun if step is BEGUN else step
+            for step in steps[min(count, len(steps)) - 1](request)
+        ]
 
     async with serving([script, script], case) as (entry, _):
         received = await read_answer(
@@ -690,6 +700,7 @@
             last_event_id=case.last_event_id,
             read_after_s=read_after_s,
             request_id=request_id,
+            on_data=begun.set,
         )
         received.requests = count
     return received, entry.errors
--- a/tests/lib/scripted_target.py
+++ b/tests/lib/scripted_target.py
@@ -126,6 +126,9 @@
                         await reader.read()
                         self.client_disconnected.set()
                         return
+                    if isinstance(step, asyncio.Event):
+                        await step.wait()
+                        continue
                     if isinstance(step, float):
                         await asyncio.sleep(step)
                         continue
