Forget connections that are reset during their TLS handshake

Found while reading the diff: cardamomforkd did not end after SIGTERM if clients had reset connections during their handshakes. The event loop reports no loss to the protocol then, only an error to who waits for the handshake, so they stayed in the set whose end a stop waits for, and in the table. Ends by timeout come the same way.

--- a/src/cardamomfork/_internal/links/tls_handshake.py
+++ b/src/cardamomfork/_internal/links/tls_handshake.py
@@ -86,6 +86,8 @@
         except StopIteration as end:
             self._end_handshake(end.value)
         except OSError as error:
+            # The event loop reports no loss during a handshake.
+            self._forget()
             logger.bind(reason=type(error).__name__).debug(
                 "TLS handshake failed"
             )
--- a/tests/functional/exclusive/test_misbehaving_daemon_clients.py
+++ b/tests/functional/exclusive/test_misbehaving_daemon_clients.py
@@ -130,6 +130,20 @@
             client_crowd.Client,
         )
 
+    async def test_stop_after_handshakes_that_were_reset(self):
+        with self.running() as daemon:
+            idle = client_crowd.Crowd(client_crowd.IDLE["nothing"])
+            garbage = client_crowd.Crowd(client_crowd.OTHERS["garbage"])
+            async with client_crowd.Watch(_Daemon(daemon.process)) as watch:
+                for crowd in (idle, garbage):
+                    self.addCleanup(crowd.close)
+                    await crowd.run(daemon.port, watch)
+                self.assertEqual(await asyncio.to_thread(self.ask, daemon), 200)
+                idle.reset()
+                self.assertEqual(await asyncio.to_thread(self.ask, daemon), 200)
+                status = await asyncio.to_thread(daemon.terminate)
+            self.assertEqual(status, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/lib/client_crowd.py
+++ b/tests/lib/client_crowd.py
@@ -11,6 +11,7 @@
 import re
 import socket
 import ssl
+import struct
 import time
 
 import attrs
@@ -53,6 +54,7 @@
 RETURNING_TIME_S = 3.0
 """Time before the ordinary request beside a crowd that comes back."""
 SAMPLE_INTERVAL_S = 0.01
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 HEAD = b"POST /safe/1 HTTP/1.1\r\nHost: soak.example\r\nApi-Key: key-1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -249,6 +251,13 @@
         """Closes the connection."""
         self._socket.close()
 
+    def reset(self):
+        """Resets the connection."""
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
+        )
+        self._socket.close()
+
 
 def make_tls_context():
     """Returns a context of clients that accept each certificate."""
@@ -320,6 +329,11 @@
         for one in self._clients:
             one.close()
 
+    def reset(self):
+        """Resets all connections."""
+        for one in self._clients:
+            one.reset()
+
 
 class ReturningClient(Client):
     """A client that connects again whenever its connection is closed."""
