--- a/review/standins-2/site2.py
+++ b/review/standins-2/site2.py
@@ -403,7 +403,7 @@
 class Entry:
     """An entry process with a settings file of its own."""
 
-    def __init__(self, name, zone, store_port, folder, memory_mb=300, bounds=None):
+    def __init__(self, name, zone, store_port, folder, memory_mb=300, bounds=None, zones=""):
         self.name, self.zone = name, zone
         self.port, self.ready_port, self.peer_port, self.metrics_port = (
             free_port() for _ in range(4)
@@ -421,7 +421,7 @@
             f'nodeName = "{name}"\nrole = "entry"\nmachineClass = "front"\nserves = ["front"]\n'
             f'ip = "{HOST}"\nzone = "{zone}"\nregion = "r"\n'
             f"portRange = [{self.peer_port},{self.peer_port}]\n"
-            f'heartbeatMs = 1200\n[zones]\n{zone} = "r"\n'
+            "heartbeatMs = 1200\n[zones]\n" + "".join(f'{z} = "r"\n' for z in zones or [zone]) +
             f'[listen]\nfront = "{HOST}:{self.port}"\nreadyAddr = "{HOST}:{self.ready_port}"\n'
             f"[limits]\ncores = 2\nmemoryMb = {memory_mb}\nmaxFds = 4200\n"
             "[bounds]\n" + "".join(f"{k} = {v}\n" for k, v in limits.items())
