--- a/review/7/case.py
+++ b/review/7/case.py
@@ -65,7 +65,17 @@
     for entry in entries:
         if (await site2.send(record, entry, "/lookup/b", "key", body=b"{}")).status != 200:
             raise site2.CannotRun("requests are not served before the disruption")
+    sound = collections.Counter()
+
+    async def send_sound(entry):
+        """Sends requests of another caller, to see what becomes of them."""
+        while time.monotonic() < ends_at:
+            call = await site2.send(record, entry, "/lookup/c", "key", body=b"{}", limit_s=1.5)
+            sound[call.status] += 1
+            await asyncio.sleep(0.5)
+
     ends_at = time.monotonic() + RUN_S
+    others = [asyncio.create_task(send_sound(entry)) for entry in entries]
     statuses = collections.Counter()
     for entry in itertools.cycle(entries):
         if time.monotonic() > ends_at:
@@ -73,6 +83,8 @@
         call = await site2.send(record, entry, "/lookup/a", "key", body=BAD)
         statuses[call.status] += 1
         await asyncio.sleep(max(PAUSE_S, min(HONOURED_S, float(call.headers.get("retry-after", 0)))))
+    await asyncio.gather(*others)
+    record.say(f"sound requests of another caller meanwhile: {dict(sound)}")
     crashes = CrashingEngine.crashes
     late = [at for at in crashes if at > crashes[2] + STABLE_S] if len(crashes) > 2 else []
     record.say(
