--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,3 +1,4 @@
+# ruff: noqa
 """A key is taken away; a machine whose channel to the store went silent serves it on.
 
 Two machines of one zone. The channels to the store that are open go silent for
@@ -33,7 +34,9 @@
 async def case(record, entries, folder):
     store = site2.Store(record)
     await store.start()
-    engines = [site2.Engine(store, record, s) for s in ("desk", "desk", "desk-new")]
+    engines = [
+        site2.Engine(store, record, s) for s in ("desk", "desk", "desk-new")
+    ]
     for engine in engines:
         await engine.start()
     store.put("op/config", config(1, ["key-old", "key-kept"], "desk"))
@@ -48,14 +51,18 @@
     store.put("op/config", config(2, ["key-old", "key-kept"], "desk"))
     await asyncio.sleep(SETTLE_S)
     for entry in entries:
-        record(f"{entry.name} waits at the store for {store.polls.get((entry.name, PREFIX), [])[-1:]} ms")
+        record(
+            f"{entry.name} waits at the store for {store.polls.get((entry.name, PREFIX), [])[-1:]} ms"
+        )
     # The machine that leaves is the one that asks the store most often.
     leaving, staying = sorted(
         entries, key=lambda e: store.polls.get((e.name, PREFIX), [0])[-1]
     )
     for key in ("key-old", "key-kept"):
         if (await site2.send(record, staying, "/order/a", key)).status != 200:
-            raise site2.CannotRun("requests are not served before the disruption")
+            raise site2.CannotRun(
+                "requests are not served before the disruption"
+            )
     if site2.TROUBLE:
         store.silence()
     await asyncio.sleep(STABLE_S + 2.0)
@@ -66,21 +73,32 @@
     await asyncio.sleep(STABLE_S)
     store.put("op/config", config(3, ["key-kept"], "desk-new"))
     acked = time.monotonic()
-    record("operator: config 3 takes key-old away and moves the route to desk-new; acknowledged")
+    record(
+        "operator: config 3 takes key-old away and moves the route to desk-new; acknowledged"
+    )
     await asyncio.sleep(APPLY_S + 0.3)
     late, calls = [], 0
     while time.monotonic() < acked + APPLY_S + 6.0:
         for key in ("key-old", "key-kept"):
             call = await site2.send(record, staying, "/order/b", key)
             calls += 1
-            runs = [e.service for e in engines for _, rid, _, _ in e.arrivals if rid == call.id]
+            runs = [
+                e.service
+                for e in engines
+                for _, rid, _, _ in e.arrivals
+                if rid == call.id
+            ]
             if "desk" in runs:
                 late.append((call.sent_at - acked, key, runs))
         await asyncio.sleep(0.4)
     record.say(
         f"{len(late)} of {calls} requests, sent 2.3 s and later after the ack,"
         f" were run as only config 2 allows"
-        + (f"; the last one sent {late[-1][0]:.1f} s after the ack" if late else "")
+        + (
+            f"; the last one sent {late[-1][0]:.1f} s after the ack"
+            if late
+            else ""
+        )
     )
     return site2.BROKEN if late else site2.HELD
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,3 +1,4 @@
+# ruff: noqa
 """A request that crashes each engine that runs it comes again and again.
 
 Two engines, two machines. The client honours Retry-After and sends the request
@@ -52,8 +53,13 @@
     engines = [CrashingEngine(store, record, "desk") for _ in range(2)]
     for engine in engines:
         await engine.start()
-    routes = [site2.route("lookup", "/lookup/", "safe", "desk", 1500, attempts=1)]
-    store.put("op/config", site2.configuration(1, routes, ["desk"], {"depot": ["key"]}))
+    routes = [
+        site2.route("lookup", "/lookup/", "safe", "desk", 1500, attempts=1)
+    ]
+    store.put(
+        "op/config",
+        site2.configuration(1, routes, ["desk"], {"depot": ["key"]}),
+    )
     for number in range(2):
         port = await store.listen(f"front-{number}")
         entries.append(site2.Entry(f"front-{number}", "a", port, folder))
@@ -63,14 +69,20 @@
         await entry.until_ready()
     await asyncio.sleep(2.0)
     for entry in entries:
-        if (await site2.send(record, entry, "/lookup/b", "key", body=b"{}")).status != 200:
-            raise site2.CannotRun("requests are not served before the disruption")
+        if (
+            await site2.send(record, entry, "/lookup/b", "key", body=b"{}")
+        ).status != 200:
+            raise site2.CannotRun(
+                "requests are not served before the disruption"
+            )
     sound = collections.Counter()
 
     async def send_sound(entry):
         """Sends requests of another caller, to see what becomes of them."""
         while time.monotonic() < ends_at:
-            call = await site2.send(record, entry, "/lookup/c", "key", body=b"{}", limit_s=1.5)
+            call = await site2.send(
+                record, entry, "/lookup/c", "key", body=b"{}", limit_s=1.5
+            )
             sound[call.status] += 1
             await asyncio.sleep(0.5)
 
@@ -82,11 +94,20 @@
             break
         call = await site2.send(record, entry, "/lookup/a", "key", body=BAD)
         statuses[call.status] += 1
-        await asyncio.sleep(max(PAUSE_S, min(HONOURED_S, float(call.headers.get("retry-after", 0)))))
+        await asyncio.sleep(
+            max(
+                PAUSE_S,
+                min(HONOURED_S, float(call.headers.get("retry-after", 0))),
+            )
+        )
     await asyncio.gather(*others)
     record.say(f"sound requests of another caller meanwhile: {dict(sound)}")
     crashes = CrashingEngine.crashes
-    late = [at for at in crashes if at > crashes[2] + STABLE_S] if len(crashes) > 2 else []
+    late = (
+        [at for at in crashes if at > crashes[2] + STABLE_S]
+        if len(crashes) > 2
+        else []
+    )
     record.say(
         f"{sum(statuses.values())} requests sent, answers {dict(statuses)}; it crashed engines"
         f" {len(crashes)} times, {len(late)} of them later than 3 s after the third crash"
