--- a/review/10/case.py
+++ b/review/10/case.py
@@ -67,8 +67,8 @@
     store = PickyStore(record)
     await store.start()
     desk = LimitedEngine(store, record, "desk", slots=16)
-    aux = site2.Engine(store, record, "aux")
-    for engine in (desk, aux):
+    others = [site2.Engine(store, record, "aux") for _ in range(6)]
+    for engine in (desk, *others):
         await engine.start()
     routes = [
         site2.route("lookup", "/lookup/", "safe", "desk", 3000),
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,9 +1,9 @@
 # ruff: noqa
 """A key is taken away; a machine whose channel to the store went silent serves it on.
 
-Two machines of one zone. The channels to the store that are open go silent for
-good; new ones work. Some seconds later one of the machines is stopped as
-planned and leaves. Then the operator writes a config without a key.
+Two machines of one zone. The channels of one of them to the store that are open
+go silent for good; new ones work. Some seconds later the other machine is stopped
+as planned and leaves. Then the operator writes a config without a key.
 """
 
 import asyncio
@@ -64,7 +64,7 @@
                 "requests are not served before the disruption"
             )
     if site2.TROUBLE:
-        store.silence()
+        store.silence(staying.name)
     await asyncio.sleep(STABLE_S + 2.0)
     record(f"SIGTERM to {leaving.name}, which leaves")
     leaving.signal(signal.SIGTERM)
--- a/review/standins-2/site2.py
+++ b/review/standins-2/site2.py
@@ -138,11 +138,12 @@
         )
         return port
 
-    def silence(self):
-        """Makes all open channels silent for good; new ones work."""
-        for channel in self._channels.values():
+    def silence(self, owner):
+        """Makes a machine's open channels silent for good; new ones work."""
+        channels = [c for c in self._channels.values() if c[0] == owner]
+        for channel in channels:
             channel[1] = True
-        self._record(f"store: {len(self._channels)} open channels go silent")
+        self._record(f"store: {len(channels)} channels of {owner} go silent")
 
     def close(self):
         if self._sweeper:
