End a long poll of an instance that becomes the delegate

Cause: the delegate polls with a wait of 2 s and so notices silent connections. An instance looked up its role before a poll only, and a poll of 28 s that had begun before went on. A peer also kept the role for 4 s after its last digest, while it was leaving, and while the store did not answer it.

Evidence: the dump of the remaining instance says that it is the delegate, and its log has no line about the store until the long poll is over.

A long poll now ends within 0.25 s after its instance has become the delegate, and a scan on a new connection follows. A peer that leaves, is silent for 1.2 s (2.2 s from 13 instances on) or isn't answered by the store no longer counts as the delegate. The log says why a poll was cancelled.

--- a/src/cardamomfork/_internal/gateway/peers/peer_table.py
+++ b/src/cardamomfork/_internal/gateway/peers/peer_table.py
@@ -38,6 +38,10 @@
 """Time since its last digest in which a peer counts as one that polls. Covers
 two heartbeats, and leaves time to learn of a leaving target when all pollers of
 a data centre fail."""
+SMALL_FLEET_DELEGATE_MAX_SILENCE_S = 1.2
+"""Time since its last digest in which a peer counts as the delegate in a small
+fleet. Covers two heartbeats. Its successor must notice a silent connection and
+apply a configuration within 2 s."""
 
 
 @attrs.frozen
@@ -185,18 +189,34 @@
         """
         return len(self._records) + 1
 
-    def is_delegate(self) -> bool:
+    def is_delegate(self, *, reaches_store: bool) -> bool:
         """Returns whether this instance is the delegate of its data centre.
 
-        The delegate is the active instance with the lowest rank. It polls the
-        store more often than the others.
+        The delegate is the instance with the lowest rank of those that the
+        store answers and that stay. It polls the store more often than the
+        others. If the store answers none, the lowest rank alone decides.
+
+        Args:
+            reaches_store: Whether the store answers this instance.
         """
-        now = self._clock()
+        max_silence_s = (
+            SMALL_FLEET_DELEGATE_MAX_SILENCE_S
+            if self.count < MIN_FLEET_WITH_RELAYED_CHANGES
+            else POLLER_MAX_SILENCE_S
+        )
+        since = self._clock() + PEER_TIMEOUT_S - max_silence_s
         return not any(
-            record.incarnation
-            and now <= record.gone_at
+            record.rank < self._local_rank
+            and record.incarnation
+            and record.gone_at >= since
+            and not record.is_leaving
             and record.peer.data_centre == self._local_peer.data_centre
-            and record.rank < self._local_rank
+            # An earlier build doesn't say whether the store answers it.
+            and (
+                record.reaches_store
+                or not reaches_store
+                or not record.exchanges_changes
+            )
             for record in self._records.values()
         )
 
--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -361,7 +361,7 @@
             "is_ready": self._is_ready(),
             "is_isolated": self._targets.access.reach.is_isolated,
             "data_centres": self._targets.access.data_centres.dump(now),
-            "is_delegate": self._known.peer_table.is_delegate(),
+            "is_delegate": self._known.is_delegate,
             "polls_store": self._known.must_poll,
             "in_progress": self._requests.application.in_progress,
             "waiting": self._requests.scheduler.waiting,
--- a/src/cardamomfork/_internal/gateway/store/follower.py
+++ b/src/cardamomfork/_internal/gateway/store/follower.py
@@ -2,7 +2,8 @@
 
 Each call to the store is billed, including a long poll. To save calls, only one
 instance per data centre, the delegate, polls with a short wait, so that it soon
-notices a connection that no longer delivers. The other instances wait longer.
+notices a connection that no longer delivers. The other instances wait longer;
+one that becomes the delegate ends its poll, and scans.
 Peers exchange the revisions that they have received and fingerprints of the
 keys that they know. An instance that is behind its peers scans the prefix.
 
@@ -52,6 +53,9 @@
 """Wait of the other instances' polls; the platform allows 30 s."""
 ROLE_CHECK_INTERVAL_S = 0.5
 """Interval at which an instance that doesn't poll checks whether it must."""
+DELEGATE_CHECK_INTERVAL_S = 0.25
+"""Interval at which an instance in a long poll checks whether it has become
+the delegate. Nobody else notices then that its connection is silent."""
 FAILED_RESCAN_S = 2.0
 """Time for which changes are polled before another scan, if the entries of a
 scan could not be applied."""
@@ -178,6 +182,8 @@
         self._keys = key_set.KeySet()
         self._peer_keys = key_set.KnownKeys()
         self._poll_scope: anyio.CancelScope | None = None
+        self._is_in_long_poll = False
+        self._cancel_reason: str | None = None
         self._behind_peers = anyio.Event()
         self._may_rely_on_peers = must_poll is not None
         self._must_poll = must_poll or (lambda: True)
@@ -270,6 +276,7 @@
         """Follows the prefix until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._cancel_stale_polls)
+            tasks.start_soon(self._cancel_long_poll_of_delegate)
             await self._follow()
 
     async def _follow(self) -> None:
@@ -373,7 +380,9 @@
             started_at = anyio.current_time()
             polled = await self._poll_once()
             if polled is None:
-                self._log_call("poll cancelled", started_at)
+                self._log_call(
+                    "poll cancelled", started_at, reason=self._cancel_reason
+                )
                 return
             if isinstance(polled, result.Err):
                 self._log_call("poll failed", started_at, polled.err_value)
@@ -454,8 +463,10 @@
         self,
     ) -> result.Result[store.WatchBatch, store.StoreFault] | None:
         """Waits for changes; returns None if the poll was cancelled."""
-        wait_s = DELEGATE_WAIT_S if self._is_delegate() else NON_DELEGATE_WAIT_S
+        is_delegate = self._is_delegate()
+        wait_s = DELEGATE_WAIT_S if is_delegate else NON_DELEGATE_WAIT_S
         self._gets_changes_itself = True
+        self._is_in_long_poll = not is_delegate
         try:
             with anyio.CancelScope() as self._poll_scope:
                 return await self._store.changes(
@@ -463,8 +474,21 @@
                 )
         finally:
             self._gets_changes_itself = False
+            self._is_in_long_poll = False
         return None
 
+    async def _cancel_long_poll_of_delegate(self) -> None:
+        """Cancels a long poll once this instance becomes the delegate.
+
+        Its connection may have gone silent while another instance was the
+        delegate, and changes may have been missed since. The next call is a
+        scan.
+        """
+        while True:
+            await anyio.sleep(DELEGATE_CHECK_INTERVAL_S)
+            if self._is_in_long_poll and self._is_delegate():
+                self._cancel_poll("became the delegate")
+
     async def _cancel_stale_polls(self) -> None:
         """Cancels a poll if this instance is behind a peer for too long.
 
@@ -485,8 +509,14 @@
                 self._peer_revision > self._revision
                 or self._lacks_change_of_keys()
             )
-            if is_behind and self._poll_scope:
-                self._poll_scope.cancel()
+            if is_behind:
+                self._cancel_poll("behind a peer")
+
+    def _cancel_poll(self, reason: str) -> None:
+        """Cancels the call that is in progress, if it is a poll."""
+        if self._poll_scope:
+            self._cancel_reason = reason
+            self._poll_scope.cancel()
 
     def _log_call(
         self,
@@ -496,6 +526,7 @@
         *,
         revision: int | None = None,
         count: int | None = None,
+        reason: str | None = None,
     ) -> None:
         """Logs the end of a call to the store.
 
@@ -505,6 +536,7 @@
             fault: Its fault, if it failed.
             revision: Store revision of the answer.
             count: Number of entries or changes in the answer.
+            reason: Why it was cancelled.
         """
         logger.info(
             "store followed",
@@ -514,7 +546,7 @@
             version=self._revision,
             revision=revision,
             count=count,
-            reason=f"{fault.kind} {fault.detail}" if fault else None,
+            reason=f"{fault.kind} {fault.detail}" if fault else reason,
         )
 
     def _record_last_change(self, entries: Iterable[store.Entry]) -> None:
--- a/src/cardamomfork/_internal/gateway/wiring/known_state.py
+++ b/src/cardamomfork/_internal/gateway/wiring/known_state.py
@@ -84,6 +84,13 @@
             reaches_store=not self.fleet_state.is_store_lost
         )
 
+    @property
+    def is_delegate(self) -> bool:
+        """Whether this instance polls the store often for its data centre."""
+        return self.peer_table.is_delegate(
+            reaches_store=not self.fleet_state.is_store_lost
+        )
+
     def record_store_answer(self, fault: store.StoreFault | None) -> None:
         """Records whether the store answered a call."""
         if fault is None:
--- a/src/cardamomfork/_internal/gateway/wiring/store_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/store_side.py
@@ -156,7 +156,7 @@
         subscription,
         handler,
         known.notifications.store_answered,
-        is_delegate or known.peer_table.is_delegate,
+        is_delegate or (lambda: known.is_delegate),
         known.rng,
         must_poll,
         relayed,
--- a/tests/unit/test_gateway_change_relay.py
+++ b/tests/unit/test_gateway_change_relay.py
@@ -342,6 +342,67 @@
         self.assertEqual(len(pollers), peer_table.POLLERS_PER_DATA_CENTRE)
 
 
+class DelegatesTest(unittest.TestCase):
+    """The successor of a delegate that can't notice silent connections."""
+
+    def setUp(self):
+        self.clock = gateway_parts.Clock()
+
+    def find_delegates(self, instances, *, lost=(), **changes):
+        """Returns the instances that take themselves for the delegate.
+
+        The delegate of before is described to the others by other digests.
+        """
+        first = None
+        if changes:
+            (first,) = self.find_delegates(instances)
+        delegates = []
+        for number in range(instances):
+            table = peer_table.PeerTable(make_digest(number).sender, self.clock)
+            for other in range(instances):
+                if other != number:
+                    fields = changes if other == first else {}
+                    if other in lost:
+                        fields = fields | {"reaches_store": False}
+                    table.record_digest(make_digest(other, **fields))
+            if table.is_delegate(reaches_store=number not in lost):
+                delegates.append(number)
+        return delegates
+
+    def test_delegate_that_is_leaving_is_replaced_before_it_ends(self):
+        for instances in (2, 6, 20):
+            found = self.find_delegates(instances, is_leaving=True)
+            self.assertEqual(len(found), 2, "the leaving one still polls")
+
+    def test_delegate_that_the_store_turns_away_is_replaced(self):
+        for instances in (2, 6, 20):
+            (first,) = self.find_delegates(instances)
+            found = self.find_delegates(instances, lost=(first,))
+            self.assertEqual(len(found), 2, "it notices the store's return")
+
+    def test_only_one_instance_calls_often_if_the_store_answers_none(self):
+        everyone = range(6)
+        self.assertEqual(
+            self.find_delegates(6, lost=everyone), self.find_delegates(6)
+        )
+
+    def test_delegate_of_an_earlier_build_is_not_doubled(self):
+        changes = {"exchanges_changes": False, "reaches_store": False}
+        self.assertEqual(
+            self.find_delegates(6, **changes), self.find_delegates(6)
+        )
+
+    def test_delegate_that_is_silent_is_replaced_within_1_3_s(self):
+        (first,) = self.find_delegates(2)
+        table = peer_table.PeerTable(make_digest(1 - first).sender, self.clock)
+        table.record_digest(make_digest(first))
+        self.assertFalse(table.is_delegate(reaches_store=True))
+        self.clock.now += 1.1
+        self.assertFalse(table.is_delegate(reaches_store=True), "heartbeats")
+        self.clock.now += 0.2
+        self.assertTrue(table.is_delegate(reaches_store=True))
+
+
 class RecordingHandler(test_gateway_following.RecordingHandler):
     """Records changes from peers as well."""
 
--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -465,12 +465,12 @@
             for other in names:
                 if other != name:
                     table.record_digest(make_digest(name=other))
-            delegates.append(table.is_delegate())
+            delegates.append(table.is_delegate(reaches_store=True))
         self.assertEqual(delegates.count(True), 1)
 
     def test_only_instance_of_a_data_centre_is_its_delegate(self):
         self.table.record_digest(make_digest(centre="b"))
-        self.assertTrue(self.table.is_delegate())
+        self.assertTrue(self.table.is_delegate(reaches_store=True))
 
 
 if __name__ == "__main__":
--- a/tests/unit/test_gateway_following.py
+++ b/tests/unit/test_gateway_following.py
@@ -112,6 +112,7 @@
 
     def run_scenario(self, scenario, *, is_delegate=True):
         async def main():
+            self.is_delegate = is_delegate
             self.store = FakeStore()
             self.handler = RecordingHandler()
             self.follower = follower.Follower(
@@ -119,7 +120,7 @@
                 follower.Subscription("p/", 0.2, 0.3),
                 self.handler,
                 self.handler.on_answer,
-                lambda: is_delegate,
+                lambda: self.is_delegate,
                 random.Random(self.seed),
             )
             async with anyio.create_task_group() as tasks:
@@ -280,6 +281,28 @@
 
         self.run_scenario(scenario)
 
+    def test_new_delegate_ends_a_silent_poll(self):
+        # Guards against changes that are missed for the rest of a long poll
+        # whose connection is silent, after the delegate has left.
+        async def scenario():
+            self.store.is_silent = True
+            await anyio.sleep(follower.NON_DELEGATE_WAIT_S + 2.0)
+            self.store.is_silent = False
+            self.is_delegate = True
+            self.store.write("p/a")
+            await anyio.sleep(0.5)
+            self.assertIn("p/a", self.handler.keys)
+
+        self.run_scenario(scenario, is_delegate=False)
+
+    def test_delegate_that_stays_ends_no_poll(self):
+        # Guards against calls to the store that no change of role requires.
+        async def scenario():
+            await anyio.sleep(20.0)
+            self.assertEqual(self.store.calls.count("scan"), 1)
+
+        self.run_scenario(scenario)
+
     def test_long_silence_of_a_poll_is_reported_as_an_outage(self):
         for seconds, expected in ((2.6, KINDS.SILENT), (28.6, UNAVAILABLE)):
             with self.subTest(seconds=seconds):
