--- a/tests/unit/test_gateway_rate_permits.py
+++ b/tests/unit/test_gateway_rate_permits.py
@@ -312,6 +312,18 @@
         issuer.issue(make_request(0.1), 0.0)
         self.assertTrue(issuer.issue(make_request(10.0), 0.2).is_granted)
 
+    def test_limits_that_differ_between_instances_free_no_permit(self):
+        # Guards against a schedule that starts anew with each request of an
+        # instance that knows another limit.
+        issuer = permit_issuing.PermitIssuer()
+        granted = sum(
+            issuer.issue(
+                make_request(5.0 if number % 2 else 10.0), number / 1000
+            ).is_granted
+            for number in range(4000)
+        )
+        self.assertLessEqual(granted, allowed(10.0))
+
     def test_table_is_bounded(self):
         issuer = permit_issuing.PermitIssuer()
         for number in range(permit_issuing.MAX_ISSUED_TARGETS + 10):
