Issue one schedule of permits for a target that has started again

Cause: a schedule belonged to a target's id and start time, so the owner issued the whole limit once for each start that the instances knew. The limit holds for the process that runs, which receives all of the requests.

Evidence: owners are chosen by id alone, and the instance that is behind does ask. The gauge outdated_permit_requests now counts such requests.

A target now has one schedule, for limits and for cold targets. The owner uses the latest start that it or the asker knows, and its own limit for it. So an instance that is behind takes part in the limit and is not starved.

--- a/src/cardamomfork/_internal/gateway/peers/cold_permits.py
+++ b/src/cardamomfork/_internal/gateway/peers/cold_permits.py
@@ -135,8 +135,9 @@
 class ColdPermits:
     """Decides about permits for cold targets that this instance is asked for.
 
-    Unlike `permit_issuing.PermitIssuer`, a change of the rate frees no permit
-    at once: the rate changes whenever an instance becomes silent or returns.
+    Unlike in `permit_issuing.PermitIssuer`, a higher rate does not shorten the
+    pause after the last permit: the rate changes whenever an instance becomes
+    silent or returns.
     """
 
     def __init__(
@@ -155,7 +156,7 @@
         self._cold = cold
         self._authority = authority
         self._settings = settings
-        self._available_at: OrderedDict[tuple[str, int], float] = OrderedDict()
+        self._available_at: OrderedDict[str, float] = OrderedDict()
         self._issued = 0
         self._refused = 0
 
@@ -216,22 +217,21 @@
         return {
             "issued": self._issued,
             "refused": self._refused,
-            "targets": [target_id for target_id, _ in self._available_at],
+            "targets": list(self._available_at),
         }
 
     def _issue(
         self, request: permit_codec.PermitRequest, rate_per_s: float, now: float
     ) -> permit_codec.PermitDecision:
         """Grants a permit if its time is within the requested wait."""
-        key = (request.target_id, request.started_at_ms)
-        available_at = self._available_at.get(key, now)
+        available_at = self._available_at.get(request.target_id, now)
         wait_s = max(available_at - now, 0.0)
         if wait_s > min(request.max_wait_s, MAX_COLD_WAIT_S):
             return permit_codec.PermitDecision(False, wait_s)
         burst_s = (permit_issuing.BURST_REQUESTS - 1) / rate_per_s
         bounded_tables.put_newest(
             self._available_at,
-            key,
+            request.target_id,
             max(available_at, now - burst_s) + 1.0 / rate_per_s,
             permit_issuing.MAX_ISSUED_TARGETS,
         )
--- a/src/cardamomfork/_internal/gateway/peers/permit_issuing.py
+++ b/src/cardamomfork/_internal/gateway/peers/permit_issuing.py
@@ -22,12 +22,15 @@
     are served in the order in which they asked. The rate is that of each
     request, since instances may know different limits of a target; the pause
     after the last permit holds for all of them.
+
+    A target has one schedule, also while instances know different processes
+    of it: the one that runs receives all requests.
     """
 
     def __init__(self) -> None:
         """Initializes the issuer without schedules."""
         # Times from which the last permits may be used, by target.
-        self._last_at: OrderedDict[tuple[str, int], float] = OrderedDict()
+        self._last_at: OrderedDict[str, float] = OrderedDict()
 
     def __len__(self) -> int:
         """Returns the number of targets with a schedule."""
@@ -41,8 +44,7 @@
         A new schedule allows no burst.
         """
         pause_s = 1.0 / max(request.rate_per_s, MIN_RATE_PER_S)
-        key = (request.target_id, request.started_at_ms)
-        last_at = self._last_at.get(key)
+        last_at = self._last_at.get(request.target_id)
         available_at = now if last_at is None else last_at + pause_s
         wait_s = max(available_at - now, 0.0)
         if wait_s > request.max_wait_s:
@@ -50,7 +52,7 @@
         burst_s = (BURST_REQUESTS - 1) * pause_s
         bounded_tables.put_newest(
             self._last_at,
-            key,
+            request.target_id,
             max(available_at, now - burst_s),
             MAX_ISSUED_TARGETS,
         )
--- a/src/cardamomfork/_internal/gateway/peers/rate_permits.py
+++ b/src/cardamomfork/_internal/gateway/peers/rate_permits.py
@@ -4,6 +4,10 @@
 issues the permits: the owner, chosen by rendezvous hashing among the live
 instances. An instance asks the owner for a permit before it sends a request to
 such a target. Without an answer it sends nothing there.
+
+An instance that the store does not answer may know an earlier process of a
+target that has started again. Its requests reach the process that runs, so the
+owner treats them like those for the process that it knows.
 """
 
 from __future__ import annotations
@@ -86,6 +90,12 @@
         self._malformed = entry_faults.EntryFaults("datagram dropped")
         self._numbers = itertools.count()
         self._pending: dict[int, _PendingRequest] = {}
+        self._outdated_requests = 0
+
+    @property
+    def outdated_requests(self) -> int:
+        """Number of peers' requests for an earlier process of a target."""
+        return self._outdated_requests
 
     @property
     def issued_targets(self) -> int:
@@ -163,6 +173,27 @@
                 return decision
         return self._issuer.issue(request, now)
 
+    def _update_request(
+        self, request: permit_codec.PermitRequest
+    ) -> permit_codec.PermitRequest:
+        """Returns a peer's request with what is known here of its target.
+
+        The process that started last is the one that receives the request. If
+        the peer knows a later one, it knows more than this instance.
+        """
+        known = self._limits.find_process(request.target_id)
+        if known is None or request.started_at_ms > known.started_at_ms:
+            return request
+        if request.started_at_ms < known.started_at_ms:
+            self._outdated_requests += 1
+        return attrs.evolve(
+            request,
+            started_at_ms=known.started_at_ms,
+            rate_per_s=request.rate_per_s
+            if known.rate_per_s is None
+            else known.rate_per_s,
+        )
+
     def receive_request(self, data: bytes, address: tuple[str, int]) -> None:
         """Answers a peer's request for a permit."""
         decoded = permit_codec.decode_request(data)
@@ -171,12 +202,7 @@
                 address[0], self._malformed.dropped, decoded.err_value
             )
             return
-        request = decoded.ok_value
-        known_rate = self._limits.find_rate(
-            request.target_id, request.started_at_ms
-        )
-        if known_rate is not None:
-            request = attrs.evolve(request, rate_per_s=known_rate)
+        request = self._update_request(decoded.ok_value)
         decision = self._issue(request)
         self._send(
             permit_codec.encode_decision(request.number, decision), address
--- a/src/cardamomfork/_internal/gateway/state/rate_limits.py
+++ b/src/cardamomfork/_internal/gateway/state/rate_limits.py
@@ -45,6 +45,19 @@
     has_ended: bool
 
 
+@attrs.frozen
+class KnownProcess:
+    """The process of a target as this instance knows it.
+
+    Attributes:
+        started_at_ms: Unix time of its start.
+        rate_per_s: Its limit in requests a second, or None.
+    """
+
+    started_at_ms: int
+    rate_per_s: float | None
+
+
 class RateLimits:
     """Records the limits of the targets in the target table."""
 
@@ -68,15 +81,21 @@
 
     def rate(self, record: fleet.TargetRecord) -> float | None:
         """Returns a target's limit in requests a second, or None."""
-        return self.find_rate(record.target_id, record.started_at_ms)
-
-    def find_rate(self, target_id: str, started_at_ms: int) -> float | None:
-        """Returns the limit of a target's process, or None."""
-        target = self._find(target_id, started_at_ms)
+        target = self._find(record.target_id, record.started_at_ms)
         return (
             None if target is None else target.rate_limit_per_s(self._clock())
         )
 
+    def find_process(self, target_id: str) -> KnownProcess | None:
+        """Returns the process of a target that is known here, or None."""
+        target = self._table.find(target_id)
+        if target is None:
+            return None
+        return KnownProcess(
+            target.record.started_at_ms,
+            target.rate_limit_per_s(self._clock()),
+        )
+
     def is_cold(self, record: fleet.TargetRecord) -> bool:
         """Returns whether a target's process is cold."""
         target = self._find(record.target_id, record.started_at_ms)
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -295,6 +295,9 @@
         "configuration_age": lambda: known.fleet_state.configuration_age_s,
         "connections_opened": lambda: targets.access.pool.opened,
         "permit_targets": lambda: peers.rate_permits.issued_targets,
+        "outdated_permit_requests": lambda: (
+            peers.rate_permits.outdated_requests
+        ),
         "cold_targets": lambda: known.cold_targets.cold_count,
         "cold_permits_issued": lambda: peers.cold_permits.issued,
         "cold_permits_refused": lambda: peers.cold_permits.refused,
--- a/tests/unit/test_gateway_cold_targets.py
+++ b/tests/unit/test_gateway_cold_targets.py
@@ -526,7 +526,7 @@
         self.assertGreaterEqual(granted, 0.95 * 4 * COLD_PER_S)
 
     def test_silence_that_comes_and_goes_frees_no_permit(self):
-        # `PermitIssuer` starts its schedule anew when a limit changes.
+        # `PermitIssuer` shortens the pause after the last permit then.
         granted = 0
         for number in range(40):
             self.cold.apply_services(
@@ -593,7 +593,14 @@
 
 
 class RatePermitsTest(unittest.IsolatedAsyncioTestCase):
+    def send(self, data, address):
+        """Keeps the decisions that this instance sends."""
+        del address
+        _, decision = permit_codec.decode_decision(data).unwrap()
+        self.decisions.append(decision)
+
     def setUp(self):
+        self.decisions = []
         self.clock = gateway_parts.Clock()
         self.table = target_table.TargetTable()
         self.cold = cold_targets.ColdTargets(self.table, self.clock)
@@ -606,7 +613,7 @@
         self.permits = rate_permits.RatePermits(
             self.limits,
             peers.table.find_owner,
-            lambda data, address: None,
+            self.send,
             self.clock,
             cold_permits.ColdPermits(
                 self.cold, authority, gateway_parts.make_settings()
@@ -622,6 +629,30 @@
         self.cold.record_entry(make_record(9.0), 6, is_start_seen=False)
         self.assertFalse(self.permits.may_send(make_record(), permit))
 
+    async def test_peer_that_knows_an_earlier_process_shares_the_schedule(self):
+        # Guards against a peer that the store turns away and that gets no
+        # permits, or permits beside those of the process that runs.
+        later = attrs.evolve(make_record(), started_at_ms=5)
+        self.table.put(later)
+        self.cold.record_entry(
+            attrs.evolve(later, cold_remaining_s=60.0), 7, is_start_seen=True
+        )
+        for _ in range(5):
+            self.clock.now += 1.0
+            self.permits.observe()
+        for number in range(4000):
+            request = permit_codec.PermitRequest(
+                number, "t1", 1 if number % 2 else 5, COLD_PER_S, 0.0
+            )
+            self.permits.receive_request(
+                permit_codec.encode_request(request), ("h", 1)
+            )
+            self.clock.now += 0.001
+        granted = [one.is_granted for one in self.decisions]
+        self.assertLessEqual(sum(granted), 4 * COLD_PER_S + 1)
+        self.assertGreater(sum(granted[1::2]), 0)
+        self.assertEqual(self.permits.outdated_requests, 2000)
+
     async def test_permit_expires(self):
         # A process that was frozen must not use many permits at once.
         self.cold.record_entry(make_record(30.0), 6, is_start_seen=False)
--- a/tests/unit/test_gateway_rate_permits.py
+++ b/tests/unit/test_gateway_rate_permits.py
@@ -26,6 +26,8 @@
 DELAY_S = 0.0015
 SETTLE_S = 3.0
 TARGET = gateway_parts.make_record(1)
+LATER = gateway_parts.make_record(1, started_at_ms=2)
+"""The target after it has started again under its id."""
 
 
 def allowed(limit_per_s):
@@ -50,6 +52,18 @@
     return forwarding.ResponseHead(200, (), **(fields | changes))
 
 
+def find_owner(names, target_id):
+    """Returns the one of some instances that issues a target's permits."""
+    peers = [digest_codec.Peer(name, "a", "127.0.0.1", 1) for name in names]
+    table = peer_table.PeerTable(peers[0], lambda: 0.0)
+    for peer in peers[1:]:
+        table.record_digest(
+            digest_codec.Digest(peer, *(7, 1, 0, 0, 0, False, (), ()), ())
+        )
+    owner = table.find_owner(target_id)
+    return names[0] if owner is None else owner.instance_id
+
+
 def make_request(limit_per_s=1.0, max_wait_s=0.0):
     """Returns a request for a permit."""
     return permit_codec.PermitRequest(1, "t1", 1, limit_per_s, max_wait_s)
@@ -58,12 +72,13 @@
 class Instance:
     """An instance on a simulated network."""
 
-    def __init__(self, network, number):
+    def __init__(self, network, number, record):
         self.network = network
+        self.record = record
         self.peer = digest_codec.Peer(f"i{number}", "a", "127.0.0.1", number)
         self.peers = peer_table.PeerTable(self.peer, anyio.current_time)
         self.targets = target_table.TargetTable()
-        self.targets.put(TARGET)
+        self.targets.put(record)
         self.limits = rate_limits.RateLimits(
             self.targets, anyio.current_time, self.report
         )
@@ -103,15 +118,26 @@
 
 
 class Network:
-    """Instances that send requests to one target with a limit."""
+    """Instances that send requests to one target with a limit.
+
+    Args:
+        count: Number of instances.
+        limit_per_s: The limit.
+        tasks: Runs deliveries and requests.
+        behind: Numbers of the instances that know an earlier process of it.
+    """
 
-    def __init__(self, count, limit_per_s, tasks):
+    def __init__(self, count, limit_per_s, tasks, behind=()):
         self.limit_per_s = limit_per_s
         self.dead = set()
         self.arrivals = []
+        self.senders = []
         self._tasks = tasks
         self._rng = random.Random(count)
-        self.instances = [Instance(self, number) for number in range(count)]
+        self.instances = [
+            Instance(self, number, TARGET if number in behind else LATER)
+            for number in range(count)
+        ]
         for instance in self.instances:
             instance.report()
 
@@ -136,10 +162,13 @@
         target = instance.targets.find("t1")
         if target.permit_wait_s(anyio.current_time()):
             return
-        if await instance.permits.acquire(TARGET, 0.0):
+        if await instance.permits.acquire(instance.record, 0.0):
             self.arrivals.append(anyio.current_time())
+            self.senders.append(instance.peer.port)
             await anyio.sleep(0.05)
-            instance.limits.record_answer(TARGET, make_head(self.limit_per_s))
+            instance.limits.record_answer(
+                instance.record, make_head(self.limit_per_s)
+            )
 
     async def send_heartbeats(self):
         """Sends a digest of each live instance every second."""
@@ -151,12 +180,12 @@
 
 
 class FleetLimitTest(unittest.TestCase):
-    def run_fleet(self, count, limit_per_s, seconds, act=None):
+    def run_fleet(self, count, limit_per_s, seconds, act=None, behind=()):
         """Runs a fleet; returns the arrivals after the limit has settled."""
 
         async def main():
             async with anyio.create_task_group() as tasks:
-                self.network = Network(count, limit_per_s, tasks)
+                self.network = Network(count, limit_per_s, tasks, behind)
                 tasks.start_soon(self.network.send_heartbeats)
                 await anyio.sleep(0.1)
                 tasks.start_soon(self.network.send_requests, 0.02)
@@ -200,6 +229,33 @@
                 )
                 self.assertGreater(times[-1], 25.0)
 
+    def test_limit_is_kept_while_instances_know_an_earlier_process(self):
+        # Guards against a second schedule of permits for a target that has
+        # started again, while the store turns some instances away.
+        names = [f"i{number}" for number in range(3)]
+        owner = names.index(find_owner(names, "t1"))
+        others = [number for number in range(3) if number != owner]
+        for behind in ((others[0],), (owner,), tuple(others)):
+            with self.subTest(behind=behind, owner=owner):
+                times = self.run_fleet(3, 10.0, 20.0, behind=behind)
+                self.assertLessEqual(most_in_a_window(times), allowed(10.0))
+                expected = 10.0 * (20.0 - SETTLE_S)
+                self.assertGreater(len(times), 0.7 * expected)
+                for number in range(3):
+                    served = self.network.senders.count(number)
+                    self.assertGreater(served, 0.1 * expected, "starved")
+
+    def test_limit_is_kept_while_owners_die_that_know_different_processes(self):
+        # Guards against schedules that differ after the owner has changed.
+        async def kill_owner():
+            await anyio.sleep(8.0)
+            names = [one.peer.instance_id for one in self.network.instances]
+            self.network.dead.add(names.index(find_owner(names, "t1")))
+
+        times = self.run_fleet(6, 10.0, 25.0, kill_owner, behind=(0, 2, 4))
+        self.assertLessEqual(most_in_a_window(times), allowed(10.0))
+        self.assertGreater(times[-1], 24.0)
+
     def test_lower_limit_replaces_a_higher_one(self):
         async def lower():
             await anyio.sleep(10.0)
