Count crashes of the last targets that are up

Cause: the crash of the last target leaves none that can be reached. The instance took that for a cut of its own links, and forgot what it had noted of the lost attempt. A refused connection was treated like one that does not open, although the refusal comes from the target's machine.

Evidence: the logs show "crash suspected" and "cut off from targets" each time, but "crash confirmed" for the first crash only.

A refusal now confirms the crash, whether or not another target is reached. A check in progress keeps its evidence when the instance takes itself for cut off; if it isn't refused, the evidence is dropped. Silence shows as little as before, and the choice of paths over peers is unchanged.

--- a/src/cardamomfork/_internal/gateway/connections/outcomes.py
+++ b/src/cardamomfork/_internal/gateway/connections/outcomes.py
@@ -65,6 +65,8 @@
         body: Body of that answer.
         refusing_target: Id or address of the target that a refusal blames.
         is_misdirected: Whether another target now has the address.
+        is_refused: Whether the target's machine refused the connection. That
+            shows that a path leads there, and that no process listens.
         peer_fault: Why the peer that the request was sent over has answered
             itself, or None.
     """
@@ -75,6 +77,7 @@
     body: bytes = b""
     refusing_target: str = ""
     is_misdirected: bool = False
+    is_refused: bool = False
     peer_fault: forwarding.PeerFault | None = None
 
     @property
--- a/src/cardamomfork/_internal/gateway/connections/target_pool.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_pool.py
@@ -114,11 +114,16 @@
         Returns:
             The connection, or None if the target does not accept one.
         """
+        return (await self.try_open_idle(target)).ok()
+
+    async def try_open_idle(
+        self, target: fleet.TargetRecord
+    ) -> result.Result[target_connection.TargetConnection, outcomes.Failed]:
+        """Opens a connection for a later request, or tells why not."""
         opened = await self._open(target, CONNECT_TIMEOUT_S)
-        if isinstance(opened, result.Err):
-            return None
-        self.release(target, opened.ok_value)
-        return opened.ok_value
+        if isinstance(opened, result.Ok):
+            self.release(target, opened.ok_value)
+        return opened
 
     async def _open(
         self, target: fleet.TargetRecord, timeout_s: float
@@ -149,7 +154,8 @@
             # Not only OSError: the resolution of a name raises UnicodeError.
             report_error()
             return _unreachable(
-                f"connecting failed: {decoding.describe(error)}"
+                f"connecting failed: {decoding.describe(error)}",
+                is_refused=isinstance(error, ConnectionRefusedError),
             )
         finally:
             slow_timer.cancel()
@@ -208,7 +214,11 @@
 
 
 def _unreachable(
-    detail: str,
+    detail: str, *, is_refused: bool = False
 ) -> result.Result[target_connection.TargetConnection, outcomes.Failed]:
     """Returns the failure to open a connection."""
-    return result.Err(outcomes.Failed(outcomes.Failure.UNREACHABLE, detail))
+    return result.Err(
+        outcomes.Failed(
+            outcomes.Failure.UNREACHABLE, detail, is_refused=is_refused
+        )
+    )
--- a/src/cardamomfork/_internal/gateway/crashes/crash_detector.py
+++ b/src/cardamomfork/_internal/gateway/crashes/crash_detector.py
@@ -5,6 +5,10 @@
 that happen to go there. The end of a target's entry in the store is evidence
 too: it shows crashes that the check cannot see, for example if the target has
 restarted already.
+
+A target's machine that refuses a connection shows that the target has ended. A
+connection that does not open in time may be the fault of this instance's links,
+so it shows that only while another target is reached.
 """
 
 from __future__ import annotations
@@ -16,6 +20,7 @@
 import anyio
 import attrs
 from loguru import logger
+import result
 
 from cardamomfork._internal import supervision
 from cardamomfork._internal.gateway.crashes import crash_log
@@ -25,8 +30,10 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from cardamomfork._internal.gateway.connections import outcomes
     from cardamomfork._internal.gateway.crashes import poison_guard
     from cardamomfork._internal.gateway.requests import exchanges
+    from cardamomfork._internal.gateway.state import crash_attribution
     from cardamomfork._internal.models import fleet
 
 TASK = "crash detector"
@@ -60,11 +67,13 @@
         record: The target.
         has_result: Set after the first result.
         must_repeat: Whether an attempt was lost since the last connection.
+        is_in_doubt: Whether this instance's links may have been at fault.
     """
 
     record: fleet.TargetRecord
     has_result: anyio.Event = attrs.field(factory=anyio.Event)
     must_repeat: bool = False
+    is_in_doubt: bool = False
 
 
 class CrashDetector:
@@ -74,7 +83,10 @@
         self,
         guard: poison_guard.PoisonGuard,
         table: target_table.TargetTable,
-        connect: Callable[[fleet.TargetRecord], Awaitable[Connection | None]],
+        connect: Callable[
+            [fleet.TargetRecord],
+            Awaitable[result.Result[Connection, outcomes.Failed]],
+        ],
         clock: Callable[[], float],
         on_crash: Callable[[], None],
         confirm_reach: Callable[[], Awaitable[bool]] | None = None,
@@ -85,12 +97,11 @@
         Args:
             guard: Records of requests that crash targets.
             table: The known targets and their health.
-            connect: Opens a new connection to a target; returns None if the
-                target does not accept one.
+            connect: Opens a new connection to a target, or tells why not.
             clock: Monotonic time.
             on_crash: Called after a crash was confirmed.
             confirm_reach: Returns whether some target can be reached; if not,
-                that another one can't shows nothing about it. None if targets
+                silence of another one shows nothing about it. None if targets
                 are always reachable.
             supervisor: Counts checks that fail; None for one of its own.
         """
@@ -102,7 +113,7 @@
         self._confirm_reach = confirm_reach
         self._supervisor = supervisor or supervision.Supervisor()
         self._unreachable: deque[fleet.TargetRecord] = deque()
-        self._checks: dict[tuple[str, int], _Check] = {}
+        self._checks: dict[crash_attribution.Process, _Check] = {}
         self._requested: deque[_Check] = deque()
         self._has_requests = anyio.Event()
 
@@ -210,14 +221,33 @@
         if refuted_count:
             exchange.log.crashes_refuted(exchange.fingerprint, refuted_count)
 
-    def target_unreachable(self, record: fleet.TargetRecord) -> None:
-        """Records that an attempt could not connect to a target."""
-        if self._confirm_reach is None:
+    def target_unreachable(
+        self, record: fleet.TargetRecord, *, is_refused: bool = False
+    ) -> None:
+        """Records that an attempt could not connect to a target.
+
+        Args:
+            record: The target.
+            is_refused: Whether the target's machine refused the connection.
+        """
+        if is_refused or self._confirm_reach is None:
             self._confirm(record, "unreachable")
         elif self._guard.has_suspect(record):
             self._unreachable.append(record)
             self._has_requests.set()
 
+    def discard_suspects(self, since: float) -> None:
+        """Forgets attempts that were lost by this instance's links.
+
+        Those at a target that is being checked count if the check is refused.
+
+        Args:
+            since: Monotonic time from which on attempts were lost.
+        """
+        for check in self._checks.values():
+            check.is_in_doubt = True
+        self._guard.discard_suspects(since, self._checks.keys())
+
     def target_ended(self, record: fleet.TargetRecord) -> None:
         """Records that a target's process has ended, as its entry shows."""
         if not record.is_leaving:
@@ -261,8 +291,11 @@
         """Checks a target and records a crash if it is unreachable."""
         is_interrupted = False
         try:
-            if not await self._is_reachable(check):
-                await self._record_unreachable(check.record)
+            failed = await self._connect_for(check)
+            if failed is not None:
+                await self._record_unreachable(check.record, failed)
+            if check.is_in_doubt:
+                self._guard.discard_suspects_of(_process_key(check.record))
         except anyio.get_cancelled_exc_class():
             is_interrupted = True
             raise
@@ -276,12 +309,14 @@
     ) -> None:
         """Records a crash of a target to which an attempt didn't connect."""
         try:
-            await self._confirm_unreachable(record, "unreachable")
+            await self._confirm_silent(record, "unreachable")
         except anyio.get_cancelled_exc_class():
             self._unreachable.append(record)
             raise
 
-    async def _record_unreachable(self, record: fleet.TargetRecord) -> None:
+    async def _record_unreachable(
+        self, record: fleet.TargetRecord, failed: outcomes.Failed
+    ) -> None:
         """Pauses a target that a check could not reach, and records a crash."""
         if self._table.record_signal(
             record.target_id,
@@ -292,34 +327,38 @@
                 "target paused",
                 target_id=record.target_id,
                 reason="unreachable after a lost attempt",
+                detail=failed.detail,
             )
-        await self._confirm_unreachable(record, "check failed")
+        if failed.is_refused:
+            self._confirm(record, "check refused")
+        else:
+            await self._confirm_silent(record, "check failed")
 
-    async def _confirm_unreachable(
+    async def _confirm_silent(
         self, record: fleet.TargetRecord, kind: str
     ) -> None:
         """Records a crash, unless this instance reaches no target at all."""
         if self._confirm_reach is None or await self._confirm_reach():
             self._confirm(record, kind)
 
-    async def _is_reachable(self, check: _Check) -> bool:
-        """Returns whether a target accepts connections and keeps them open.
+    async def _connect_for(self, check: _Check) -> outcomes.Failed | None:
+        """Returns why a target is unreachable; None if it isn't.
 
-        One that accepts and closes them twice counts as reachable: it may have
-        too many connections.
+        One that accepts and closes connections twice counts as reachable: it
+        may have too many.
         """
         was_closed = False
         while True:
             check.must_repeat = False
-            connection = await self._connect(check.record)
-            if connection is None:
-                return False
+            opened = await self._connect(check.record)
+            if isinstance(opened, result.Err):
+                return opened.err_value
             check.has_result.set()
             await anyio.sleep(RECHECK_DELAY_S)
             if check.must_repeat:
                 continue
-            if connection.is_open or was_closed:
-                return True
+            if opened.ok_value.is_open or was_closed:
+                return None
             was_closed = True
 
     def _confirm(self, record: fleet.TargetRecord, kind: str) -> None:
@@ -343,6 +382,6 @@
     return first_at is not None and now - first_at >= SURVIVAL_S
 
 
-def _process_key(record: fleet.TargetRecord) -> tuple[str, int]:
+def _process_key(record: fleet.TargetRecord) -> crash_attribution.Process:
     """Returns the key of a target's process."""
     return (record.target_id, record.started_at_ms)
--- a/src/cardamomfork/_internal/gateway/crashes/poison_guard.py
+++ b/src/cardamomfork/_internal/gateway/crashes/poison_guard.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
+    from collections.abc import Container
     from collections.abc import Iterable
 
     from cardamomfork._internal.models import fleet
@@ -229,19 +230,30 @@
     def has_suspect(self, target: fleet.TargetRecord) -> bool:
         """Returns whether an attempt at a target's process was lost."""
         return any(
-            (crash.target_id, crash.started_at_ms)
-            == (target.target_id, target.started_at_ms)
+            crash.process == (target.target_id, target.started_at_ms)
             for crash in self._suspects
         )
 
-    def discard_suspects(self, since: float) -> None:
+    def discard_suspects(
+        self,
+        since: float,
+        checked: Container[crash_attribution.Process] = (),
+    ) -> None:
         """Forgets lost attempts that were not the targets' faults.
 
         Args:
             since: Monotonic time from which on attempts were lost.
+            checked: Targets' processes whose checks are still to show whether
+                they have ended; their lost attempts stay.
         """
         for crash, lost_at in list(self._suspects.items()):
-            if lost_at >= since:
+            if lost_at >= since and crash.process not in checked:
+                del self._suspects[crash]
+
+    def discard_suspects_of(self, process: crash_attribution.Process) -> None:
+        """Forgets the attempts that were lost at a target's process."""
+        for crash in list(self._suspects):
+            if crash.process == process:
                 del self._suspects[crash]
 
     def confirm_crash(
@@ -252,8 +264,7 @@
         confirmed = [
             crash
             for crash in self._suspects
-            if (crash.target_id, crash.started_at_ms)
-            == (target.target_id, target.started_at_ms)
+            if crash.process == (target.target_id, target.started_at_ms)
         ]
         for crash in confirmed:
             del self._suspects[crash]
--- a/src/cardamomfork/_internal/gateway/serving/outcome_recorder.py
+++ b/src/cardamomfork/_internal/gateway/serving/outcome_recorder.py
@@ -84,8 +84,11 @@
             record.target_id, signal, now
         ):
             exchange.log.target_paused(record.target_id, signal.value)
-        if signal is target_table.HealthSignal.UNREACHABLE:
-            self._detector.target_unreachable(record)
+        is_refused = not isinstance(outcome, outcomes.Delivered) and (
+            outcome.is_refused
+        )
+        if signal is target_table.HealthSignal.UNREACHABLE or is_refused:
+            self._detector.target_unreachable(record, is_refused=is_refused)
         if isinstance(outcome, outcomes.Delivered):
             self._detector.attempt_completed(exchange, first_at)
             if exchange.parts and first_at is None:
--- a/src/cardamomfork/_internal/gateway/state/crash_records.py
+++ b/src/cardamomfork/_internal/gateway/state/crash_records.py
@@ -25,6 +25,11 @@
     target_id: str
     started_at_ms: int
 
+    @property
+    def process(self) -> crash_attribution.Process:
+        """The target's process."""
+        return (self.target_id, self.started_at_ms)
+
 
 @attrs.frozen
 class CrashReport:
@@ -84,7 +89,7 @@
     def processes(self) -> frozenset[crash_attribution.Process]:
         """Processes of the crashes that are not refuted."""
         return frozenset(
-            (crash.target_id, crash.started_at_ms)
+            crash.process
             for crash, known in self.evidence.items()
             if not known.is_refuted
         )
--- a/src/cardamomfork/_internal/gateway/wiring/target_side.py
+++ b/src/cardamomfork/_internal/gateway/wiring/target_side.py
@@ -62,7 +62,7 @@
     detector = crash_detector.CrashDetector(
         known.poison_guard,
         known.target_table,
-        access.pool.open_idle,
+        access.pool.try_open_idle,
         known.clock,
         notify.crash_confirmed,
         access.reach.confirm,
@@ -80,7 +80,7 @@
 
     def drop_suspects_of_cut() -> None:
         if access.reach.is_isolated:
-            known.poison_guard.discard_suspects(access.reach.doubted_since)
+            detector.discard_suspects(access.reach.doubted_since)
 
     def clear_failures_of_cut(
         data_centre: str, before: data_centre_reach.Reach
--- a/tests/functional/test_crashing_request.py
+++ b/tests/functional/test_crashing_request.py
@@ -33,6 +33,33 @@
             deployment.late_runs(), crashing_fleet.MAX_LATE_RUNS
         )
 
+    def test_callers_of_all_instances_at_once_do_not_hide_crashes(self):
+        # Guards against crashes of all engines at the same moment, which look
+        # like a cut of the instances' links.
+        for keeps_id in (True, False):
+            with self.subTest(keeps_id=keeps_id):
+                deployment, _ = asyncio.run(
+                    crashing_fleet.run(
+                        4,
+                        SECONDS,
+                        crashing_fleet.Options(
+                            engines=3,
+                            ledgers=0,
+                            callers=3,
+                            pause_s=0.5,
+                            keeps_id=keeps_id,
+                            path=f"{crashing_fleet.SINGLE_ATTEMPT_PATH}a",
+                        ),
+                    )
+                )
+                self.assertLessEqual(
+                    deployment.late_runs(), crashing_fleet.MAX_LATE_RUNS
+                )
+                self.assertGreaterEqual(
+                    len(deployment.crash_times()),
+                    crashing_fleet.MAX_COUNTED_CRASHES,
+                )
+
     def test_restarts_of_all_instances_do_not_forget_crashes(self):
         deployment, _ = asyncio.run(
             crashing_fleet.run(
--- a/tests/functional/test_gateway_forwarding.py
+++ b/tests/functional/test_gateway_forwarding.py
@@ -78,7 +78,7 @@
         self.detector = crash_detector.CrashDetector(
             self.guard,
             self.parts.table,
-            self.pool.open_idle,
+            self.pool.try_open_idle,
             time.monotonic,
             lambda: None,
         )
--- a/tests/lib/crashing_fleet.py
+++ b/tests/lib/crashing_fleet.py
@@ -18,6 +18,7 @@
 import attrs
 import httpcore
 
+from cardamomfork._internal.standins import platform_site
 from tests.soak import callers
 from tests.soak import processes
 
@@ -26,6 +27,8 @@
 SETTLE_S = 3.0
 """Time after the third crash within which further runs are not counted."""
 MAX_COUNTED_CRASHES = 3
+SINGLE_ATTEMPT_PATH = "/single/"
+"""Prefix of a route whose requests are sent to one engine only."""
 TIMEOUT_S = 4.0
 START_TIMEOUT_S = 20.0
 LOAD_PAUSE_S = 0.05
@@ -48,8 +51,12 @@
         engines: Number of engines.
         away_s: Time for which an engine is away after a crash.
         keeps_id: Whether an engine restarts under its id.
+        ledgers: Number of targets that no request crashes.
+        callers: Number of callers that repeat the crashing request, each when
+            its last one has ended.
         pause_s: Time between two requests that crash engines.
         crash_events: Events that an engine writes before a part crashes it.
+        path: Path of the request that crashes engines.
         harmless_s: Time from the construction of the deployment in which the
             part crashes no engine.
     """
@@ -58,19 +65,27 @@
     engines: int = 10
     away_s: float = 3.0
     keeps_id: bool = True
+    ledgers: int = 1
+    callers: int = 0
     pause_s: float = 0.25
     crash_events: int = 0
+    path: str = "/stream/crash"
     harmless_s: float = 0.0
 
 
 class CrashingDeployment(processes.Deployment):
     """A deployment whose engines crash and are restarted by a supervisor."""
 
+    routes = (
+        *processes.ROUTES,
+        platform_site.Route(SINGLE_ATTEMPT_PATH, "unsafe", "engines", 1500),
+    )
+
     def __init__(self, seed, options):
         self.options = options
         self.harmful_from = time.monotonic() + options.harmless_s
         self._restarts = itertools.count(1)
-        super().__init__(seed, options.instances, 0, 1)
+        super().__init__(seed, options.instances, 0, options.ledgers)
         self._engine_ports = [next(self._ports) for _ in range(options.engines)]
         self._supervisors = []
 
@@ -143,6 +158,8 @@
 
     async def run(self):
         """Sends until cancelled."""
+        if self._deployment.options.callers:
+            await self._repeat()
         while True:
             entry = self._deployment.rng.choice(
                 list(self._deployment.caller_ports)
@@ -152,6 +169,21 @@
             task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(self._deployment.options.pause_s)
 
+    async def _repeat(self):
+        """Sends from several callers, at all instances in turn."""
+        entries = list(self._deployment.caller_ports)
+
+        async def repeat(number):
+            for entry in itertools.islice(
+                itertools.cycle(entries), number, None
+            ):
+                await self.send(entry)
+                await asyncio.sleep(self._deployment.options.pause_s)
+
+        await asyncio.gather(
+            *map(repeat, range(self._deployment.options.callers))
+        )
+
     async def send(self, entry):
         """Sends the request once; returns its status, 0 without an answer."""
         port = self._deployment.caller_ports[entry]
@@ -170,7 +202,7 @@
             ):
                 response = await pool.request(
                     "POST",
-                    f"http://127.0.0.1:{port}/stream/crash",
+                    f"http://127.0.0.1:{port}{self._deployment.options.path}",
                     headers=headers,
                     content=f"a {CRASH_WORD} board".encode(),
                 )
--- a/tests/unit/test_contained_failures.py
+++ b/tests/unit/test_contained_failures.py
@@ -5,11 +5,13 @@
 
 import anyio
 import anyio.lowlevel
+import result
 import trio.testing
 
 from cardamomfork._internal import supervision
 from cardamomfork._internal.gateway.choice import placement
 from cardamomfork._internal.gateway.connections import data_centre_probing
+from cardamomfork._internal.gateway.connections import outcomes
 from cardamomfork._internal.gateway.connections import target_reach
 from cardamomfork._internal.gateway.crashes import crash_detector
 from cardamomfork._internal.gateway.crashes import poison_guard
@@ -22,6 +24,7 @@
 from tests.lib import gateway_parts
 
 FINGERPRINT = 7
+UNREACHABLE = result.Err(outcomes.Failed(outcomes.Failure.UNREACHABLE))
 INSTANCES = 8
 
 
@@ -83,6 +86,7 @@
             if record.target_id == "t0":
                 raise KeyError(record)
             await anyio.sleep(0.2)
+            return UNREACHABLE
 
         async def scenario(detector):
             for record in self.records:
@@ -100,6 +104,7 @@
     def test_check_that_a_restart_interrupts_is_repeated(self):
         async def connect(_):
             await anyio.sleep(0.2)
+            return UNREACHABLE
 
         async def scenario(detector):
             detector.attempt_lost(FakeExchange(), self.records[1], "broken")
--- a/tests/unit/test_crash_detector.py
+++ b/tests/unit/test_crash_detector.py
@@ -6,7 +6,9 @@
 import anyio
 import anyio.lowlevel
 import attrs
+import result
 
+from cardamomfork._internal.gateway.connections import outcomes
 from cardamomfork._internal.gateway.crashes import crash_detector
 from cardamomfork._internal.gateway.crashes import poison_guard
 from cardamomfork._internal.gateway.requests import request_log
@@ -44,6 +46,7 @@
         self.guard = poison_guard.PoisonGuard()
         self.table = target_table.TargetTable(self.report_end)
         self.crashed = set()
+        self.refuses = False
         self.checked = []
         self.crash_count = 0
         self.detector = crash_detector.CrashDetector(
@@ -65,8 +68,12 @@
         is_crashed = record.target_id in self.crashed
         await anyio.lowlevel.checkpoint()
         if is_crashed:
-            return None
-        return FakeConnection(self, record.target_id)
+            return result.Err(
+                outcomes.Failed(
+                    outcomes.Failure.UNREACHABLE, is_refused=self.refuses
+                )
+            )
+        return result.Ok(FakeConnection(self, record.target_id))
 
     def add_target(self, number, **changes):
         record = gateway_parts.make_record(number, **changes)
@@ -264,6 +271,53 @@
                     self.run_detector(scenario, is_reaching=True), 1
                 )
 
+    async def lose_refused(self, fixture):
+        fixture.refuses = True
+        await self.lose_unreachable(fixture)
+
+    async def fail_to_connect_refused(self, fixture):
+        record = fixture.add_target(1)
+        fixture.guard.add_suspect(FINGERPRINT, record, fixture.clock())
+        fixture.detector.target_unreachable(record, is_refused=True)
+
+    def test_refused_check_counts_though_no_other_target_is_reached(self):
+        # Guards against crashes of the last targets that are up, which are
+        # taken for a fault of this instance's links.
+        for scenario in (self.lose_refused, self.fail_to_connect_refused):
+            with self.subTest(scenario=scenario.__name__):
+                self.assertEqual(
+                    self.run_detector(scenario, is_reaching=False), 1
+                )
+
+    async def lose_and_discard(self, fixture):
+        """Loses an attempt; the instance is isolated before its check ends."""
+        fixture.clock.now += 1.0
+        await self.lose_unreachable(fixture)
+        while not fixture.checked:
+            await anyio.lowlevel.checkpoint()
+        fixture.detector.discard_suspects(fixture.clock() - 0.5)
+
+    async def discard_beside_refused_check(self, fixture):
+        fixture.refuses = True
+        await self.lose_and_discard(fixture)
+
+    def test_check_that_is_refused_after_the_isolation_counts(self):
+        # Guards against evidence that is dropped while a check looks for it.
+        found = self.run_detector(
+            self.discard_beside_refused_check, is_reaching=False
+        )
+        self.assertEqual(found, 1)
+
+    async def discard_and_end(self, fixture):
+        await self.lose_and_discard(fixture)
+        await anyio.sleep(0.05)
+        fixture.detector.target_ended(fixture.table.find("t1").record)
+
+    def test_silent_check_of_an_isolated_instance_leaves_no_suspect(self):
+        # Guards against requests that are accused after a cut has ended.
+        found = self.run_detector(self.discard_and_end, is_reaching=False)
+        self.assertEqual(found, 0)
+
     def test_suspects_of_a_cut_are_discarded(self):
         fixture = DetectorFixture()
         record = fixture.add_target(1)
