Wait for the end of the request before an answer without a length is complete

Clients got a part of an answer as a whole one (MIXED): a target answered a long upload early, without a length, ended its data and reset the connection while the upload was still being written.

Cause: the end of the data counted as the end of the answer, although a target that closes before it has read the whole request resets the connection a moment later.

Such an answer is complete now once the target has acknowledged the whole request, and fails if the socket reports an error before. Statuses below 100 are malformed; they were not passed on before either.

--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -9,8 +9,11 @@
 
 import asyncio
 import enum
+import fcntl
 import math
 import socket
+import struct
+import termios
 import typing
 from typing import TYPE_CHECKING
 
@@ -42,11 +45,16 @@
 MAX_UNUSED_BYTES = 1_048_576
 """Limit of bytes in a row that neither belong to the answer's body nor end it,
 such as an answer to another request."""
+SEND_CHECK_INTERVAL_S = 0.02
+"""Interval at which an answer that has ended waits for the end of its
+request."""
 MAX_FAILED_IDS = 256
 """Limit of remembered request ids, after which a connection is not reused."""
 
 # Shared by all connections, as each read is parsed before the next one.
 _READ_BUFFER = memoryview(bytearray(MAX_READ_BYTES))
+_INT = struct.Struct("i")
+_FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 _FIRST_FAILED_STATUS = 300
 _LAST_STATUS = 599
@@ -128,6 +136,8 @@
         self._on_lost = on_lost
         self._answers_in_order = answers_in_order
         self._transport: asyncio.Transport | None = None
+        self._socket: socket.socket | None = None
+        self._send_timer: asyncio.TimerHandle | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._message_stream: memory.MemoryObjectSendStream[Message] | None = (
@@ -236,7 +246,7 @@
         """Sets socket options that detect an unresponsive target."""
         self._transport = typing.cast("asyncio.Transport", transport)
         self._is_open = True
-        tcp_socket = transport.get_extra_info("socket")
+        self._socket = tcp_socket = transport.get_extra_info("socket")
         for level, option, value in (
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
             (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
@@ -282,6 +292,9 @@
         """Completes an answer that ends at EOF; fails any other.
 
         An empty success can't be told from one whose body never came.
+
+        Returns:
+            Whether the connection stays open, to send the rest of the request.
         """
         self._is_reusable = False
         if (
@@ -289,17 +302,66 @@
             and not self._is_discarding
             and (self._has_body or not self._is_success)
         ):
+            return self._complete_unless_reset()
+        self._finish(Failed(Fault.CLOSED))
+        return False
+
+    def _complete_unless_reset(self) -> bool:
+        """Completes an answer that has ended with its connection.
+
+        A target that closes before it has read the whole request resets the
+        connection, and the answer may lack its end. So an answer that ends
+        early is complete only once the target has accepted the rest.
+
+        Returns:
+            Whether that is still to come.
+        """
+        self._send_timer = None
+        if self._message_stream is None:
+            return False
+        if self._has_socket_error():
+            self._finish(Failed(Fault.RESET, "reset after the end of its data"))
+        elif not self._has_unacknowledged_bytes():
             self._finish(Completed())
         else:
-            self._finish(Failed(Fault.CLOSED))
+            self._send_timer = asyncio.get_running_loop().call_later(
+                SEND_CHECK_INTERVAL_S, self._complete_unless_reset
+            )
+            return True
         return False
 
+    def _has_socket_error(self) -> bool:
+        """Returns whether the connection has been reset.
+
+        libuv reports a reset as EOF if data arrived together with it.
+        """
+        return self._socket is not None and bool(
+            self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        )
+
+    def _has_unacknowledged_bytes(self) -> bool:
+        """Returns whether the target has not accepted the whole request."""
+        if self._transport is None or self._socket is None:
+            return False
+        if self._transport.get_write_buffer_size():
+            return True
+        count = bytearray(_INT.size)
+        try:
+            fcntl.ioctl(self._socket.fileno(), termios.TIOCOUTQ, count)
+        except OSError:
+            # Not all platforms tell; what was written counts as accepted then.
+            return False
+        return bool(_INT.unpack(count)[0])
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the current exchange."""
         if exc is not None:
             self._on_lost()
         self._is_open = False
         self._is_reusable = False
+        if self._send_timer is not None:
+            self._send_timer.cancel()
+            self._send_timer = None
         self._finish(Failed(Fault.RESET, repr(exc) if exc else ""))
 
     # Callbacks of httptools
@@ -317,9 +379,11 @@
     def on_headers_complete(self) -> None:
         """Delivers the head unless it belongs to another request's answer."""
         status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS or self._message_stream is None:
+        if self._message_stream is None or (
+            _FIRST_STATUS <= status < _FIRST_FINAL_STATUS
+        ):
             return
-        if status > _LAST_STATUS:
+        if not _FIRST_FINAL_STATUS <= status <= _LAST_STATUS:
             self._is_reusable = False
             self._finish(Failed(Fault.MALFORMED, f"status {status}"))
             return
--- a/tests/unit/test_target_connection.py
+++ b/tests/unit/test_target_connection.py
@@ -41,12 +41,17 @@
 ).map(b"".join)
 
 
+PAIR = socket.socketpair()
+
+
 class FakeTransport:
     """A transport that ignores written data and closes immediately."""
 
     def __init__(self):
         self.is_closed = False
         self.options = {}
+        # Nothing waits in it to be sent.
+        self.pipe, _ = PAIR
 
     def get_extra_info(self, name):
         del name
@@ -55,6 +60,12 @@
     def setsockopt(self, level, option, value):
         self.options[level, option] = value
 
+    def getsockopt(self, level, option):
+        return self.options.get((level, option), 0)
+
+    def fileno(self):
+        return self.pipe.fileno()
+
     def write(self, data):
         del data
 
