Bound what the parsed answers of targets take

Cause: limits counted received bytes. Short headers take some thirty times their bytes as objects, chunks of a byte gave a message each, and trailers were kept, up to the limit for answers that are only discarded, although nothing reads them.

A head has 256 headers at most, trailers are dropped and bounded like a head, and a read gives one message of the body.

--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -42,9 +42,13 @@
 """Limit of received but unconsumed bytes at which reading pauses."""
 MAX_READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
-MAX_UNUSED_BYTES = 1_048_576
-"""Limit of bytes in a row that neither belong to the answer's body nor end it,
-such as an answer to another request."""
+"""Limit of a head, and of bytes in a row behind it that neither belong to the
+body nor end it, such as trailers."""
+MAX_HEADERS = 256
+"""Limit of the headers of an answer. The objects of short ones take some thirty
+times their bytes."""
+MAX_DISCARDED_BYTES = 1_048_576
+"""Limit of bytes in a row of answers to other requests."""
 SEND_CHECK_INTERVAL_S = 0.02
 """Interval at which an answer that has ended waits for the end of its
 request."""
@@ -60,6 +64,10 @@
 _LAST_STATUS = 599
 
 
+class _TooManyHeadersError(Exception):
+    """A head has more than `MAX_HEADERS` headers."""
+
+
 class Fault(enum.StrEnum):
     """Reason why an exchange ended without a complete answer."""
 
@@ -154,6 +162,8 @@
         self._has_head = False
         self._is_success = False
         self._has_body = False
+        # Parts of the body in the read that is being parsed.
+        self._body_parts: list[bytes] = []
         self._unused_bytes = 0
         self._discarded_bytes = 0
         # Hashes, since ids can be as long as a head.
@@ -281,10 +291,14 @@
             self._is_reusable = False
             self._finish(Failed(Fault.MALFORMED, str(error)))
             return
-        head_bytes = 0
-        if not (self._has_head or self._is_discarding):
-            head_bytes = self._unused_bytes - self._discarded_bytes
-        if head_bytes > MAX_HEAD_BYTES or self._unused_bytes > MAX_UNUSED_BYTES:
+        self._deliver_body()
+        own_bytes = 0
+        if not self._is_discarding:
+            own_bytes = self._unused_bytes - self._discarded_bytes
+        if (
+            own_bytes > MAX_HEAD_BYTES
+            or self._unused_bytes > MAX_DISCARDED_BYTES
+        ):
             self._is_reusable = False
             self._finish(Failed(Fault.ENDLESS, f"{self._unused_bytes} bytes"))
 
@@ -373,7 +387,11 @@
             self._is_reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header."""
+        """Stores a header, unless it is a trailer, which is not passed on."""
+        if self._has_head or self._is_discarding:
+            return
+        if len(self._headers) >= MAX_HEADERS:
+            raise _TooManyHeadersError
         self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
@@ -420,10 +438,21 @@
             self._finish(Completed())
 
     def on_body(self, body: bytes) -> None:
-        """Delivers a part of the body; pauses reading above the limit."""
+        """Keeps a part of the body until the read has been parsed."""
         if self._is_discarding or self._message_stream is None:
             return
         self._has_body = True
+        self._body_parts.append(body)
+
+    def _deliver_body(self) -> None:
+        """Delivers what a read has brought; pauses reading above the limit.
+
+        Chunks may be as short as a byte, so each read gives one message only.
+        """
+        if not self._body_parts:
+            return
+        body = b"".join(self._body_parts)
+        self._body_parts.clear()
         self._buffered_bytes += len(body)
         if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._is_paused:
             self._is_paused = True
@@ -459,6 +488,7 @@
         """Delivers the last message and ends the exchange."""
         if self._message_stream is None:
             return
+        self._deliver_body()
         if isinstance(message, Completed):
             self._remember_failed_request()
         self._deliver(message)
--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -180,18 +180,16 @@
         timeouts: AttemptTimeouts,
     ) -> outcomes.AttemptOutcome:
         """Passes an answer on after it has arrived completely."""
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             message = await self._receive(
                 messages, max(timeouts.idle_s, timeouts.first_byte_s), timeouts
             )
             match message:
                 case target_connection.Data(data):
-                    parts.append(data)
-                    size += len(data)
+                    body += data
                     connection.mark_consumed(len(data))
-                    if size > MAX_BUFFERED_BYTES:
+                    if len(body) > MAX_BUFFERED_BYTES:
                         if self._progress.has_started:
                             return _not_continued(head)
                         if not head.is_signed:
@@ -201,19 +199,18 @@
                                 f"too long with status {head.status}"
                             )
                         return await self._forward_unbuffered(
-                            head, parts, connection, messages, timeouts
+                            head, body, connection, messages, timeouts
                         )
                 case target_connection.Completed():
                     break
                 case _:
                     return _to_failure(message)
-        body = b"".join(parts)
-        failed = _check_answer(head, body)
+        failed = _check_answer(head, bytes(body))
         if failed is not None:
             return failed
         if self._progress.has_started:
             return _not_continued(head)
-        return await self.forward_answer(head, body)
+        return await self.forward_answer(head, bytes(body))
 
     def _says_not_run_without_proof(
         self, head: forwarding.ResponseHead
@@ -238,16 +235,24 @@
     async def _forward_unbuffered(
         self,
         head: forwarding.ResponseHead,
-        parts: list[bytes],
+        body: bytearray,
         connection: Source,
         messages: memory.MemoryObjectReceiveStream[target_connection.Message],
         timeouts: AttemptTimeouts,
     ) -> outcomes.AttemptOutcome:
-        """Passes on a long answer as it arrives."""
+        """Passes on a long answer as it arrives.
+
+        Args:
+            head: Its head.
+            body: What has arrived of its body, which is emptied.
+            connection: The connection on which it arrives.
+            messages: Its messages.
+            timeouts: Timeouts of the attempt.
+        """
         self._progress.has_started = True
         await self._sink.start(head.status, head.headers, head.content_length)
-        for part in parts:
-            await self._sink.send(part)
+        await self._sink.send(bytes(body))
+        body.clear()
         while True:
             message = await self._receive(messages, timeouts.idle_s, timeouts)
             match message:
