Bound what all unfinished answers of targets take together

Cause: an answer of up to 1 MiB is held until it is whole, so that it can be asked for elsewhere if it breaks off, and nothing counted all of them together.

A tenth of the process's memory may be held so. While it is used up, answers longer than 64 KiB are passed on as they arrive, as those above 1 MiB always are. The account target_answers shows in the dump.

--- a/src/cardamomfork/_internal/gateway/process.py
+++ b/src/cardamomfork/_internal/gateway/process.py
@@ -122,9 +122,9 @@
         self._clock = self._known.clock
         self._stop_state = self._known.stop_state
         self._targets = target_side.create(self._known)
-        self._requests = request_path.create(self._known, self._targets)
-        self._stop_requested = anyio.Event()
         memory = held_memory.make_memory(settings.memory_bytes)
+        self._requests = request_path.create(self._known, self._targets, memory)
+        self._stop_requested = anyio.Event()
         self._caller_server = http_server.RestartableServer(
             self._requests.application,
             settings.host,
--- a/src/cardamomfork/_internal/gateway/requests/attempt.py
+++ b/src/cardamomfork/_internal/gateway/requests/attempt.py
@@ -21,9 +21,13 @@
 
     from anyio.streams import memory
 
+    from cardamomfork._internal.links import held_memory
+
 MAX_BUFFERED_BYTES = 1_048_576
 """Answers up to this size are buffered and passed on only if complete; longer
 ones are passed on as they arrive."""
+MAX_SHARED_BUFFERED_BYTES = 65_536
+"""The same while all held answers together exceed their share of memory."""
 NOT_RUN_STATUSES = (
     http.HTTPStatus.REQUEST_TIMEOUT,
     http.HTTPStatus.MISDIRECTED_REQUEST,
@@ -123,6 +127,7 @@
         clock: Callable[[], float],
         on_head: Callable[[forwarding.ResponseHead], None],
         on_event: Callable[[], None],
+        held_answers: held_memory.HeldMemory,
     ) -> None:
         """Initializes the attempt.
 
@@ -133,7 +138,9 @@
             clock: Monotonic time.
             on_head: Called with the head of the answer.
             on_event: Called with each event of a stream.
+            held_answers: What all attempts hold of unfinished answers.
         """
+        self._held_answers = held_answers
         self._route = route
         self._sink = sink
         self._progress = progress
@@ -168,9 +175,12 @@
             return await self._forward_stream(
                 head, connection, messages, timeouts
             )
-        return await self._forward_buffered(
-            head, connection, messages, timeouts
-        )
+        try:
+            return await self._forward_buffered(
+                head, connection, messages, timeouts
+            )
+        finally:
+            self._held_answers.forget(self)
 
     async def _forward_buffered(
         self,
@@ -188,8 +198,9 @@
             match message:
                 case target_connection.Data(data):
                     body += data
+                    self._held_answers.hold(self, len(body))
                     connection.mark_consumed(len(data))
-                    if len(body) > MAX_BUFFERED_BYTES:
+                    if len(body) > self._max_buffered_bytes():
                         if self._progress.has_started:
                             return _not_continued(head)
                         if not head.is_signed:
@@ -212,6 +223,12 @@
             return _not_continued(head)
         return await self.forward_answer(head, bytes(body))
 
+    def _max_buffered_bytes(self) -> int:
+        """Returns the size above which an answer is not held any more."""
+        if self._held_answers.is_full:
+            return MAX_SHARED_BUFFERED_BYTES
+        return MAX_BUFFERED_BYTES
+
     def _says_not_run_without_proof(
         self, head: forwarding.ResponseHead
     ) -> bool:
@@ -251,8 +268,10 @@
         """
         self._progress.has_started = True
         await self._sink.start(head.status, head.headers, head.content_length)
-        await self._sink.send(bytes(body))
+        data = bytes(body)
         body.clear()
+        await self._sink.send(data)
+        self._held_answers.forget(self)
         while True:
             message = await self._receive(messages, timeouts.idle_s, timeouts)
             match message:
--- a/src/cardamomfork/_internal/gateway/serving/forwarding.py
+++ b/src/cardamomfork/_internal/gateway/serving/forwarding.py
@@ -23,6 +23,7 @@
 from cardamomfork._internal.gateway.serving import outcome_recorder
 from cardamomfork._internal.gateway.state import fingerprints
 from cardamomfork._internal.gateway.state import stopping
+from cardamomfork._internal.links import held_memory
 from cardamomfork._internal.models import forwarding
 
 if TYPE_CHECKING:
@@ -92,6 +93,7 @@
         rules: regions.RegionRules | None = None,
         reach: data_centre_reach.DataCentreReach | None = None,
         stop: stopping.StopState | None = None,
+        held_answers: held_memory.HeldMemory | None = None,
     ) -> None:
         """Initializes the forwarder.
 
@@ -116,7 +118,12 @@
             rules: Regions in which requests may be served; None for any.
             reach: Decides which data centres are reached; None if all are.
             stop: Whether the process is stopping; None if it never does.
+            held_answers: What is held of unfinished answers; None for an
+                account of its own.
         """
+        self._held_answers = (
+            held_answers or held_memory.make_memory().target_answers
+        )
         self._wire = wire
         self._scheduler = scheduler
         self._links = links
@@ -402,6 +409,7 @@
             self._clock,
             on_head,
             on_event,
+            self._held_answers,
         )
         is_ended = is_complete = False
         try:
@@ -530,6 +538,7 @@
             self._clock,
             _ignore_head,
             _ignore_event,
+            self._held_answers,
         )
         await delivery.forward_answer(failed.answer, failed.body)
         return None
--- a/src/cardamomfork/_internal/gateway/wiring/request_path.py
+++ b/src/cardamomfork/_internal/gateway/wiring/request_path.py
@@ -31,6 +31,7 @@
 
     from cardamomfork._internal.gateway.wiring import known_state
     from cardamomfork._internal.gateway.wiring import target_side
+    from cardamomfork._internal.links import held_memory
     from cardamomfork._internal.models import fleet
 
 RESERVED_FILES = 1000
@@ -125,13 +126,16 @@
 
 
 def create(
-    known: known_state.KnownState, targets: target_side.TargetSide
+    known: known_state.KnownState,
+    targets: target_side.TargetSide,
+    memory: held_memory.ConnectionMemory,
 ) -> RequestPath:
     """Creates the path and the side that faces peers.
 
     Args:
         known: What this instance knows.
         targets: The side that faces targets.
+        memory: What connections hold.
     """
 
     # These are called only after the parts that they name have been created.
@@ -160,7 +164,9 @@
     callers = application.CallerApplication(
         known.wire,
         known.fleet_state,
-        _make_forwarder(known, targets, peers, scheduler, budget, recorder),
+        _make_forwarder(
+            known, targets, peers, scheduler, budget, recorder, memory
+        ),
         known.stop_state,
         traffic_metrics.TrafficMetrics(
             metrics.meter,
@@ -245,6 +251,7 @@
     scheduler: scheduling.Scheduler,
     budget: retry_budget.RetryBudget,
     recorder: _JobRecorder,
+    memory: held_memory.ConnectionMemory,
 ) -> forwarding.Forwarder:
     """Creates the forwarder of placed requests."""
 
@@ -271,6 +278,7 @@
         known.region_rules,
         targets.access.data_centres,
         known.stop_state,
+        memory.target_answers,
     )
 
 
--- a/src/cardamomfork/_internal/links/held_memory.py
+++ b/src/cardamomfork/_internal/links/held_memory.py
@@ -19,6 +19,9 @@
 ANSWER_FRACTION = 0.1
 """Share of the process's memory that answers may use which clients don't
 read."""
+TARGET_ANSWER_FRACTION = 0.1
+"""Share of the process's memory that answers of targets may use which are held
+until they are whole."""
 HEADER_OBJECT_BYTES = 160
 """Memory of a header's objects beside its name and value."""
 
@@ -111,11 +114,14 @@
         heads: Unfinished heads, headers, and requests that wait.
         bodies: Bodies of requests, until they are answered.
         answers: Bytes of answers that clients have not read.
+        target_answers: Bytes of targets' answers that are held until they are
+            whole.
     """
 
     heads: HeldMemory
     bodies: HeldMemory
     answers: HeldMemory
+    target_answers: HeldMemory
 
     @property
     def accounts(self) -> dict[str, HeldMemory]:
@@ -139,4 +145,5 @@
         heads=HeldMemory(int(memory_bytes * HEAD_FRACTION)),
         bodies=HeldMemory(int(memory_bytes * BODY_FRACTION), Victim.OLDEST),
         answers=HeldMemory(int(memory_bytes * ANSWER_FRACTION), Victim.OLDEST),
+        target_answers=HeldMemory(int(memory_bytes * TARGET_ANSWER_FRACTION)),
     )
--- a/tests/functional/exclusive/test_endless_target_answers.py
+++ b/tests/functional/exclusive/test_endless_target_answers.py
@@ -12,7 +12,7 @@
 from tests.lib import small_site
 from tests.soak import processes
 
-CALLERS = 60
+CALLERS = 150
 FAULTY_TARGETS = 2
 FAULTY_SLOTS = 100
 HOLD_S = 5.0
@@ -48,6 +48,7 @@
         lambda request: start_chunked(request) + b"2\r\nab\r\n0\r\nx-a: ",
         b"b" * 32_768,
     ),
+    "chunks_of_a_byte": (start_chunked, b"1\r\na\r\n" * 5000),
     "long_body": (start_long, b"a" * 32_768),
 }
 
--- a/tests/unit/test_gateway_data_centre_wiring.py
+++ b/tests/unit/test_gateway_data_centre_wiring.py
@@ -13,6 +13,7 @@
 from cardamomfork._internal.gateway.wiring import known_state
 from cardamomfork._internal.gateway.wiring import request_path
 from cardamomfork._internal.gateway.wiring import target_side
+from cardamomfork._internal.links import held_memory
 from cardamomfork._internal.platform import wire_format
 from tests.lib import gateway_parts
 
@@ -31,7 +32,9 @@
             clock=self.clock,
         )
         self.targets = target_side.create(self.known)
-        self.requests = request_path.create(self.known, self.targets)
+        self.requests = request_path.create(
+            self.known, self.targets, held_memory.make_memory()
+        )
         self.reach = self.targets.access.data_centres
         self.peers = [
             digest_codec.Peer(
