Read less at once from a target

Beside 150 callers of targets that send chunks of a byte without end, ordinary requests were not answered within a second: 5 or 6 of 10 in three runs of test_endless_target_answers, on an idle machine.

Cause: a read took up to 64 KiB, which are 11,000 such chunks, and all connections take turns on one loop.

A read takes 16 KiB at most, as much as may wait to be consumed.

--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -40,7 +40,9 @@
 """Subtracted from the target's idle timeout, so that this side closes first."""
 MAX_BUFFERED_BYTES = 16_384
 """Limit of received but unconsumed bytes at which reading pauses."""
-MAX_READ_BYTES = 65_536
+MAX_READ_BYTES = 16_384
+"""Longer reads of very short chunks, at many connections in turn, would hold
+up other requests for a second or more."""
 MAX_HEAD_BYTES = 65_536
 """Limit of a head, and of bytes in a row behind it that neither belong to the
 body nor end it, such as trailers."""
