--- a/src/cardamomfork/_internal/gateway/connections/target_connection.py
+++ b/src/cardamomfork/_internal/gateway/connections/target_connection.py
@@ -52,8 +52,8 @@
 MAX_DISCARDED_BYTES = 1_048_576
 """Limit of bytes in a row of answers to other requests."""
 SEND_CHECK_INTERVAL_S = 0.02
-"""Interval at which an answer that has ended waits for the end of its
-request."""
+"""Interval at which to check whether a request has been sent whose answer has
+ended before."""
 MAX_FAILED_IDS = 256
 """Limit of remembered request ids, after which a connection is not reused."""
 
@@ -347,10 +347,7 @@
         return False
 
     def _has_socket_error(self) -> bool:
-        """Returns whether the connection has been reset.
-
-        libuv reports a reset as EOF if data arrived together with it.
-        """
+        """Returns whether the connection was reset after its data."""
         return self._socket is not None and bool(
             self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         )
--- a/src/cardamomfork/_internal/gateway/crashes/crash_detector.py
+++ b/src/cardamomfork/_internal/gateway/crashes/crash_detector.py
@@ -291,7 +291,7 @@
         """Checks a target and records a crash if it is unreachable."""
         is_interrupted = False
         try:
-            failed = await self._connect_for(check)
+            failed = await self._find_connect_failure(check)
             if failed is not None:
                 await self._record_unreachable(check.record, failed)
             if check.is_in_doubt:
@@ -341,7 +341,9 @@
         if self._confirm_reach is None or await self._confirm_reach():
             self._confirm(record, kind)
 
-    async def _connect_for(self, check: _Check) -> outcomes.Failed | None:
+    async def _find_connect_failure(
+        self, check: _Check
+    ) -> outcomes.Failed | None:
         """Returns why a target is unreachable; None if it isn't.
 
         One that accepts and closes connections twice counts as reachable: it
