--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -402,6 +402,7 @@
         self.zone = zone
         self.address = f"{NETWORK}.2.{number}"
         self.work_s = work_s
+        self.slots = 16
         self.store = store
         self.record = store.record
         self.arrivals: list[tuple[float, str]] = []
@@ -426,7 +427,7 @@
                 "address": f"{self.address}:{SERVER_PORT}",
                 "zone": self.zone,
                 "version": "v1",
-                "slots": 16,
+                "slots": self.slots,
                 "state": state,
                 "coldRemainingMs": 0,
                 "sequence": self.sequence,
@@ -464,8 +465,8 @@
         self._writers.add(writer)
         try:
             while True:
-                _, headers, _ = await read_message(reader)
-                await self.handle(headers, writer)
+                line, headers, _ = await read_message(reader)
+                await self.handle(headers, writer, line)
                 await writer.drain()
         except (
             asyncio.IncompleteReadError,
@@ -482,8 +483,10 @@
         self,
         headers: dict[str, str],
         writer: asyncio.StreamWriter,
+        line: str = "",
     ) -> None:
         """Answers a request."""
+        del line
         request_id = headers.get("x-cardamomfork-request-id", "")
         common = [("X-Cardamomfork-Request-Id", request_id)]
         named = headers.get("x-cardamomfork-target-instance")
@@ -507,6 +510,120 @@
         )
 
 
+def make_engine(slots: int) -> dict[str, Any]:
+    """Returns the figures of an engine, like those of ph-oberland."""
+    return {
+        "slots": slots,
+        "kvCapacity": 315_000,
+        "stride": 51,
+        "step_ms": 0.85,
+        "per_seq_ms": 0.00425,
+        "context_per_k": 0.00285,
+        "read_per_s": 177_000.0,
+        "pairs_per_m": 0.184,
+        "chunk": 2048,
+        "usual": {"prompt": 20_000, "answer": 1500},
+        "hopMs": 0.05,
+    }
+
+
+class Engine(Server):
+    """A model engine that streams events; a path says how.
+
+    The last part of the path is `EVENTS-GAP-PREEMPTED-PAUSE`: the number of
+    events, the milliseconds between them, the number of the event after which
+    the request is preempted (0: never), and the milliseconds until it writes
+    again.
+    """
+
+    def __init__(
+        self, store: Store, number: int, service: str, zone: str, slots: int
+    ) -> None:
+        """Initializes an engine that does not listen yet."""
+        super().__init__(store, number, service, zone)
+        self.slots = slots
+        self.running = 0
+        self.ends: dict[str, tuple[float, str]] = {}
+        # Number of the last event by request id.
+        self.written: dict[str, int] = {}
+        self.paths: dict[str, str] = {}
+
+    async def handle(
+        self,
+        headers: dict[str, str],
+        writer: asyncio.StreamWriter,
+        line: str = "",
+    ) -> None:
+        """Streams an answer, or turns the request away if it is full."""
+        request_id = headers.get("x-cardamomfork-request-id", "")
+        if headers.get("x-cardamomfork-target-instance") != self.id:
+            writer.write(answer(421))
+            return
+        if line.split(" ")[1] == "/-/order":
+            free = json.dumps({"freeSlots": self.slots - self.running})
+            writer.write(answer(200, free.encode()))
+            return
+        named = [("X-Cardamomfork-Request-Id", request_id)]
+        if self.running >= self.slots:
+            named.append(("X-Cardamomfork-Not-Executed", "1"))
+            self.record("full", server=self.id, id=request_id)
+            writer.write(answer(503, b"", named))
+            return
+        self.running += 1
+        now = time.monotonic()
+        self.runs.append((now, request_id))
+        self.record("run", server=self.id, id=request_id, at=now)
+        how = "broken off"
+        self.paths[request_id] = line.split(" ")[1]
+        helpers = headers.get("x-cardamomfork-helpers", "")
+        parts = len(list(filter(None, helpers.split(",")))) + 1
+        try:
+            prompt = int(headers["x-cardamomfork-token-usage"].split(",")[0])
+            read_s = prompt / 177_000 + prompt * prompt / 2e6 * 0.184e-3
+            await asyncio.sleep(read_s / parts)
+            await self._stream(headers, writer, line.split(" ")[1])
+            how = "whole"
+        finally:
+            self.running -= 1
+            now = time.monotonic()
+            self.ends[request_id] = (now, how)
+            self.record("run-ends", server=self.id, id=request_id, how=how)
+
+    async def _stream(
+        self, headers: dict[str, str], writer: asyncio.StreamWriter, path: str
+    ) -> None:
+        """Writes the events after the one that the client has."""
+        events, gap_ms, preempted, pause_ms = map(
+            int, path.rpartition("/")[2].split("-")
+        )
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"X-Cardamomfork-Server-Signature: s.1\r\n"
+            b"Transfer-Encoding: chunked\r\nX-Cardamomfork-Request-Id: "
+            + headers["x-cardamomfork-request-id"].encode()
+            + b"\r\n\r\n"
+        )
+        first = int(headers.get("last-event-id", "0")) + 1
+        for number in range(first, events + 1):
+            event = b"id: %d\ndata: %d of %s\n\n" % (
+                number,
+                number,
+                path.encode(),
+            )
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            self.written[headers["x-cardamomfork-request-id"]] = number
+            await writer.drain()
+            if writer.transport.is_closing():
+                raise ConnectionResetError
+            pause = pause_ms if number == preempted else gap_ms
+            until = time.monotonic() + pause / 1000
+            while (left_s := until - time.monotonic()) > 0:
+                await asyncio.sleep(min(left_s, 0.05))
+                if writer.transport.is_closing():
+                    raise ConnectionResetError
+        writer.write(b"0\r\n\r\n")
+
+
 class Instance:
     """An instance of the system, run by the command of the deploy file."""
 
@@ -650,7 +767,12 @@
                     status = int(line.split(" ")[1])
                 finally:
                     writer.close()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+        except (
+            OSError,
+            TimeoutError,
+            ValueError,
+            asyncio.IncompleteReadError,
+        ) as error:
             status = 0
             self.record("failed", id=request_id, error=type(error).__name__)
         self.record("answered", id=request_id, status=status)
