Show streams that a stopping instance cuts in a silence

Seen: streams that have begun are cut 1.8 s after SIGTERM, with 8 s of grace, while their engines read long prompts between two of their events. Streams beside them that are not given up end whole within the grace time.

Cause, as far as known: an attempt is given up after a silence if the number of attempts, the time and the retry budget allow another one, without asking whether there is a place for it or whether a stopping process may send it. The refusal that follows cuts the answer.

--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -20,6 +20,7 @@
 import time
 import tomllib
 from typing import Any
+from typing import ClassVar
 from typing import TYPE_CHECKING
 import urllib.parse
 
@@ -411,6 +412,7 @@
         self.born = time.time_ns() // 1_000_000
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._readers: dict[asyncio.StreamWriter, asyncio.StreamReader] = {}
 
     async def start(self) -> None:
         """Listens and registers."""
@@ -463,6 +465,7 @@
     ) -> None:
         """Serves a channel."""
         self._writers.add(writer)
+        self._readers[writer] = reader
         try:
             while True:
                 line, headers, _ = await read_message(reader)
@@ -477,8 +480,13 @@
             pass
         finally:
             self._writers.discard(writer)
+            del self._readers[writer]
             writer.close()
 
+    def has_left(self, writer: asyncio.StreamWriter) -> bool:
+        """Returns whether the other side has closed a channel."""
+        return self._readers[writer].at_eof()
+
     async def handle(
         self,
         headers: dict[str, str],
@@ -527,26 +535,105 @@
     }
 
 
-class Engine(Server):
-    """A model engine that streams events; a path says how.
+class Job:
+    """What an engine reads and writes for a request.
 
-    The last part of the path is `EVENTS-GAP-PREEMPTED-PAUSE`: the number of
-    events, the milliseconds between them, the number of the event after which
-    the request is preempted (0: never), and the milliseconds until it writes
-    again.
+    Attributes:
+        to_read: Prompt tokens that are still to be read.
+        read: Prompt tokens that have been read.
+        context: Tokens of memory that it holds.
+        to_write: Tokens that are still to be written.
+        parts: Number of engines that read the prompt.
+        waits_for: Parts that other engines read.
+        events: Numbers of written events, for the channel.
     """
 
+    def __init__(self, prompt: int, answer_tokens: int, parts: int) -> None:
+        """Initializes a job that has not begun."""
+        self.to_read = prompt // parts
+        self.read = 0
+        self.parts = parts
+        self.context = prompt
+        self.to_write = answer_tokens
+        self.waits_for: list[Job] = []
+        self.events: asyncio.Queue[bool] = asyncio.Queue()
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether its own part is not read yet."""
+        return self.to_read > 0
+
+    @property
+    def is_writing(self) -> bool:
+        """Whether all parts of its prompt are read."""
+        return not self.is_reading and not any(
+            part.is_reading for part in self.waits_for
+        )
+
+
+class Engine(Server):
+    """A model engine that works in passes, as PROTOCOL.md tells it."""
+
+    by_address: ClassVar[dict[str, Engine]] = {}
+
     def __init__(
         self, store: Store, number: int, service: str, zone: str, slots: int
     ) -> None:
         """Initializes an engine that does not listen yet."""
         super().__init__(store, number, service, zone)
         self.slots = slots
-        self.running = 0
-        self.ends: dict[str, tuple[float, str]] = {}
-        # Number of the last event by request id.
-        self.written: dict[str, int] = {}
-        self.paths: dict[str, str] = {}
+        self.figures = make_engine(slots)
+        self.jobs: list[Job] = []
+        self.parts: list[Job] = []
+        self.last_pass_s = 0.0
+        self.by_address[f"{self.address}:{SERVER_PORT}"] = self
+        self.writes: dict[str, int] = {}
+        self.ends: dict[str, str] = {}
+
+    async def work(self) -> None:
+        """Works in passes until cancelled."""
+        while True:
+            started_at = time.monotonic()
+            writers = [job for job in self.jobs if job.is_writing]
+            work_s = self._work_pass(writers) / 1000
+            await asyncio.sleep(work_s or 0.002)
+            for job in writers:
+                job.to_write -= self.figures["stride"]
+                job.context += self.figures["stride"]
+                job.events.put_nowait(job.to_write <= 0)
+                if job.to_write <= 0 and job in self.jobs:
+                    self.jobs.remove(job)
+            self.last_pass_s = time.monotonic() - started_at
+
+    def _work_pass(self, writers: list[Job]) -> float:
+        """Reads what one pass reads; returns its time in milliseconds."""
+        figures = self.figures
+        spent_ms = 0.0
+        for _ in range(figures["stride"] if writers else 1):
+            readers = [job for job in self.parts if job.is_reading] + [
+                job for job in self.jobs if job.is_reading
+            ]
+            if writers or readers:
+                spent_ms += figures["step_ms"]
+            spent_ms += sum(
+                figures["per_seq_ms"]
+                + figures["context_per_k"] * job.context / 1000
+                for job in writers
+            )
+            if not readers:
+                if not writers:
+                    break
+                continue
+            job = readers[0]
+            count = min(figures["chunk"], job.to_read)
+            # Each part has its share of the pairs of the whole prompt.
+            pairs = count * (job.read + count / 2) * job.parts
+            spent_ms += count / figures["read_per_s"] * 1000
+            spent_ms += pairs / 1e6 * figures["pairs_per_m"]
+            job.read += count
+            job.to_read -= count
+        self.parts = [job for job in self.parts if job.is_reading]
+        return spent_ms
 
     async def handle(
         self,
@@ -560,67 +647,83 @@
             writer.write(answer(421))
             return
         if line.split(" ")[1] == "/-/order":
-            free = json.dumps({"freeSlots": self.slots - self.running})
+            free = json.dumps({"freeSlots": self.slots - len(self.jobs)})
             writer.write(answer(200, free.encode()))
             return
-        named = [("X-Cardamomfork-Request-Id", request_id)]
-        if self.running >= self.slots:
-            named.append(("X-Cardamomfork-Not-Executed", "1"))
+        prompt, answer_tokens = map(
+            int, headers["x-cardamomfork-token-usage"].split(",")
+        )
+        held = sum(job.context + job.to_write for job in self.jobs)
+        if (
+            len(self.jobs) >= self.slots
+            or held + prompt + answer_tokens > self.figures["kvCapacity"]
+        ):
             self.record("full", server=self.id, id=request_id)
+            named = [
+                ("X-Cardamomfork-Request-Id", request_id),
+                ("X-Cardamomfork-Not-Executed", "1"),
+            ]
             writer.write(answer(503, b"", named))
             return
-        self.running += 1
+        helpers = list(
+            filter(None, headers.get("x-cardamomfork-helpers", "").split(","))
+        )
+        job = Job(prompt, answer_tokens, len(helpers) + 1)
+        for helper in helpers:
+            part = Job(prompt, 0, len(helpers) + 1)
+            job.waits_for.append(part)
+            self.by_address[helper.partition("/")[0]].parts.append(part)
+        self.jobs.append(job)
         now = time.monotonic()
         self.runs.append((now, request_id))
-        self.record("run", server=self.id, id=request_id, at=now)
-        how = "broken off"
-        self.paths[request_id] = line.split(" ")[1]
-        helpers = headers.get("x-cardamomfork-helpers", "")
-        parts = len(list(filter(None, helpers.split(",")))) + 1
+        self.record("run", server=self.id, id=request_id, prompt=prompt, at=now)
+        how = "cut by the caller"
         try:
-            prompt = int(headers["x-cardamomfork-token-usage"].split(",")[0])
-            read_s = prompt / 177_000 + prompt * prompt / 2e6 * 0.184e-3
-            await asyncio.sleep(read_s / parts)
-            await self._stream(headers, writer, line.split(" ")[1])
+            await self._stream(job, headers, writer, line.split(" ")[1])
             how = "whole"
         finally:
-            self.running -= 1
-            now = time.monotonic()
-            self.ends[request_id] = (now, how)
+            if job in self.jobs:
+                self.jobs.remove(job)
+            self.ends[request_id] = how
             self.record("run-ends", server=self.id, id=request_id, how=how)
 
     async def _stream(
-        self, headers: dict[str, str], writer: asyncio.StreamWriter, path: str
+        self,
+        job: Job,
+        headers: dict[str, str],
+        writer: asyncio.StreamWriter,
+        path: str,
     ) -> None:
         """Writes the events after the one that the client has."""
-        events, gap_ms, preempted, pause_ms = map(
-            int, path.rpartition("/")[2].split("-")
-        )
-        writer.write(
-            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            b"X-Cardamomfork-Server-Signature: s.1\r\n"
-            b"Transfer-Encoding: chunked\r\nX-Cardamomfork-Request-Id: "
-            + headers["x-cardamomfork-request-id"].encode()
-            + b"\r\n\r\n"
-        )
-        first = int(headers.get("last-event-id", "0")) + 1
-        for number in range(first, events + 1):
-            event = b"id: %d\ndata: %d of %s\n\n" % (
-                number,
-                number,
-                path.encode(),
-            )
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-            self.written[headers["x-cardamomfork-request-id"]] = number
-            await writer.drain()
-            if writer.transport.is_closing():
-                raise ConnectionResetError
-            pause = pause_ms if number == preempted else gap_ms
-            until = time.monotonic() + pause / 1000
-            while (left_s := until - time.monotonic()) > 0:
-                await asyncio.sleep(min(left_s, 0.05))
-                if writer.transport.is_closing():
-                    raise ConnectionResetError
+        request_id = headers["x-cardamomfork-request-id"]
+        number = int(headers.get("last-event-id", "0"))
+        total = -(-job.to_write // self.figures["stride"])
+        job.to_write -= number * self.figures["stride"]
+        is_over = job.to_write <= 0
+        has_head = False
+        while not is_over:
+            try:
+                async with asyncio.timeout(0.05):
+                    is_over = await job.events.get()
+            except TimeoutError:
+                if writer.transport.is_closing() or self.has_left(writer):
+                    raise ConnectionResetError from None
+                continue
+            if not has_head:
+                has_head = True
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                    b"X-Cardamomfork-Server-Signature: s.1\r\n"
+                    b"Transfer-Encoding: chunked\r\n"
+                    b"X-Cardamomfork-Request-Id: "
+                    + request_id.encode()
+                    + b"\r\n\r\n"
+                )
+            number += 1
+            event = f"id: {number}\ndata: {number} of {total} {path}\n\n"
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event.encode()))
+            self.writes[request_id] = number
+            self.record("event", server=self.id, id=request_id, number=number)
         writer.write(b"0\r\n\r\n")
 
 
@@ -848,6 +951,8 @@
         for server in make_servers(self.store):
             self.servers.append(server)
             await server.start()
+            if isinstance(server, Engine):
+                self._tasks.append(asyncio.create_task(server.work()))
         for number in range(1, instances + 1):
             zone = ZONES[(number - 1) % len(ZONES)]
             one = Instance(self.directory.name, number, zone)
