Show requests to a target that left while the store refuses calls

Seen: an instance that the store turns away sends bookings to a target for up to 8.7 s after the store's answer to its own watch has told it of the removal.

Cause, as far as known: a removal that is read while the store counts as lost is taken for a lapsed lease, and lapsed targets are not dropped until the store answers again.

--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import base64
+import collections
 import itertools
 import json
 import os
@@ -63,7 +64,8 @@
 TENANT = "hule930"
 ZONES = ("rosenheim", "weilheim", "kempten")
 REGION = "bayern-sued"
-HEARTBEAT_S = 1.2
+EOF_CHECK_S = 0.02
+"""Interval at which a watch that waits finds out that its client has left."""
 BOUNDS = """
 [bounds]
 seedLagS = 3
@@ -158,6 +160,8 @@
         self.first_known = 100
         self.leases: dict[int, tuple[int, float]] = {}
         self.era: int | None = None
+        # Times at which instances were told of removals, by server.
+        self.told: dict[str, dict[str, float]] = {}
         # By the address on which an instance sees the store.
         self.views: dict[str, View] = {}
         self._lease_ids = itertools.count(7)
@@ -249,7 +253,9 @@
                 url = urllib.parse.urlsplit(target)
                 query = dict(urllib.parse.parse_qsl(url.query))
                 self.calls += 1
-                status, content = await self._call(view, url.path, query, body)
+                status, content = await self._call(
+                    view, reader, url.path, query, body
+                )
                 if status is None:
                     return
                 headers = [("Content-Type", "application/json")]
@@ -271,12 +277,20 @@
             writer.close()
 
     async def _call(
-        self, view: View, path: str, query: dict[str, str], body: bytes
+        self,
+        view: View,
+        reader: asyncio.StreamReader,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
     ) -> tuple[int | None, dict[str, Any]]:
         """Returns status and content; a status of None closes the channel."""
         refused = view.refuse
         if refused:
-            self.record("store-refuses", path=path, status=refused)
+            view.refused += 1
+            self.record(
+                "store-refuses", path=path, status=refused, at_view=view.name
+            )
             return refused, {}
         name, _, argument = path.removeprefix("/-/").partition("/")
         if name == "kv-key":
@@ -295,7 +309,11 @@
                 "storeRevision": self.revision,
             }
         if name == "kv-watch":
-            return await self._watch(view, query)
+            view.waiting[query["prefix"]] += 1
+            try:
+                return await self._watch(view, reader, query)
+            finally:
+                view.waiting[query["prefix"]] -= 1
         if name == "kv-txn":
             return self._commit(json.loads(body))
         if name == "kv-lease":
@@ -316,7 +334,10 @@
         return 404, {}
 
     async def _watch(
-        self, view: View, query: dict[str, str]
+        self,
+        view: View,
+        reader: asyncio.StreamReader,
+        query: dict[str, str],
     ) -> tuple[int | None, dict[str, Any]]:
         """Waits for events; a status of None closes the channel."""
         after = int(query["after"])
@@ -332,7 +353,10 @@
                 if revision > after and event["key"].startswith(prefix)
             ]
             now = time.monotonic()
+            if reader.at_eof():
+                return None, {}
             if events or now >= ends_at:
+                self._note_told(view, events)
                 return 200, {"events": events, "storeRevision": self.revision}
             if view.cut_requests > cuts_before:
                 view.cuts += 1
@@ -340,11 +364,22 @@
                 return None, {}
             changed = self._changed
             try:
-                async with asyncio.timeout(max(ends_at - now, 0.001)):
+                async with asyncio.timeout(
+                    min(max(ends_at - now, 0.001), EOF_CHECK_S)
+                ):
                     await changed.wait()
             except TimeoutError:
                 pass
 
+    def _note_told(self, view: View, events: list[dict[str, Any]]) -> None:
+        """Notes which instance is told of which removals, and when."""
+        for event in events:
+            if event.get("removed") and event["key"].startswith("servers/"):
+                server_id = event["key"].removeprefix("servers/")
+                told = self.told.setdefault(server_id, {})
+                told.setdefault(view.name, time.monotonic())
+                self.record("told", server=server_id, instance=view.name)
+
     def _commit(self, request: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Commits a transaction, all or nothing."""
         for row in request.get("expect", []):
@@ -383,6 +418,9 @@
         self.refuse = 0
         self.cut_requests = 0
         self.cuts = 0
+        self.refused = 0
+        # Number of watches that wait, by prefix.
+        self.waiting: collections.Counter[str] = collections.Counter()
         self.writers: set[asyncio.StreamWriter] = set()
 
 
